--- /dev/null
+++ b/hornbeamyard/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one connection."""
--- /dev/null
+++ b/hornbeamyard/connection/peers.py
@@ -0,0 +1,98 @@
+"""Channels between the fleet's processes, and the check of who calls."""
+
+from __future__ import annotations
+
+import grpc
+import grpc.aio
+
+from ..messages import fleet_pb2
+from ..process.settings import Settings, Tls
+
+PROTOCOL = 1
+KEEPALIVE_MS = 1000
+KEEPALIVE_TIMEOUT_MS = 2000
+MESSAGE_SIZE = 16 * 1024 * 1024
+# A dropped connection is opened anew within this time. The library's own
+# backoff grows to two minutes, which is too long after a partition.
+LONGEST_RECONNECT_MS = 1000
+
+_OPTIONS = [
+    ("grpc.keepalive_time_ms", KEEPALIVE_MS),
+    ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.http2.min_ping_interval_without_data_ms", KEEPALIVE_MS // 2),
+    ("grpc.max_receive_message_length", MESSAGE_SIZE),
+    ("grpc.max_send_message_length", MESSAGE_SIZE),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", LONGEST_RECONNECT_MS),
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.so_reuseport", 0),
+    ("grpc.enable_http_proxy", 0),
+]
+
+
+def open_channel(address: str, tls: Tls | None) -> grpc.aio.Channel:
+    """Open a channel to another process of the fleet.
+
+    Parameters
+    ----------
+    address : str
+        IP address and port.
+    tls : Tls or None
+        Files for mutual TLS; None for plain text.
+    """
+    if tls is None:
+        return grpc.aio.insecure_channel(address, options=_OPTIONS)
+    credentials = grpc.ssl_channel_credentials(
+        root_certificates=tls.authority.read_bytes(),
+        private_key=tls.key.read_bytes(),
+        certificate_chain=tls.certificate.read_bytes(),
+    )
+    return grpc.aio.secure_channel(address, credentials, options=_OPTIONS)
+
+
+def create_server() -> grpc.aio.Server:
+    """Return a server with the fleet's options, without a port."""
+    return grpc.aio.server(options=_OPTIONS)
+
+
+def add_port(server: grpc.aio.Server, address: str, tls: Tls | None) -> None:
+    """Let a server listen on an address.
+
+    Raises
+    ------
+    RuntimeError
+        If the address can't be bound.
+    """
+    if tls is None:
+        server.add_insecure_port(address)
+        return
+    credentials = grpc.ssl_server_credentials(
+        [(tls.key.read_bytes(), tls.certificate.read_bytes())],
+        root_certificates=tls.authority.read_bytes(),
+        require_client_auth=True,
+    )
+    server.add_secure_port(address, credentials)
+
+
+def describe_self(settings: Settings, incarnation: int) -> fleet_pb2.Identity:
+    """Return what this process says of itself to others."""
+    return fleet_pb2.Identity(
+        fleet=settings.fleet,
+        protocol=PROTOCOL,
+        host=settings.host,
+        incarnation=incarnation,
+    )
+
+
+def find_mismatch(identity: fleet_pb2.Identity, fleet: str) -> str | None:
+    """Return why a caller is refused, or None when it belongs here."""
+    if identity.fleet != fleet:
+        return f"fleet {identity.fleet!r} is not this fleet, {fleet!r}"
+    if identity.protocol != PROTOCOL:
+        return (
+            f"protocol version {identity.protocol} is not supported; "
+            f"this process speaks {PROTOCOL}"
+        )
+    return None
--- /dev/null
+++ b/hornbeamyard/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol buffers generated from proto/fleet.proto."""
--- /dev/null
+++ b/hornbeamyard/pool/admission.py
@@ -0,0 +1,127 @@
+"""Waiting for a slot: the part of a pool that requests await."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+from result import Err, Ok, Result
+
+from ..process.timers import Timers
+from .backlog import QueueFull, Ticket
+from .dispatch import DeadlineUnmet, Dispatch, Start
+
+
+@dataclass(slots=True)
+class GivenUp:
+    """A request left the queue without a slot.
+
+    Attributes
+    ----------
+    reason : str
+    """
+
+    reason: str
+
+    def __str__(self) -> str:
+        return self.reason
+
+
+Refusal = QueueFull | DeadlineUnmet | GivenUp
+
+
+@dataclass(slots=True)
+class _Waiting:
+    settled: anyio.Event
+    start: Start | None = None
+    given_up: GivenUp | None = None
+
+
+class Admission:
+    """Lets requests wait for a slot and starts them as slots come free.
+
+    Parameters
+    ----------
+    dispatch : Dispatch
+    timers : Timers
+    on_urgent : callable
+        Called when the lead controller should hear from this router.
+    """
+
+    __slots__ = ("_on_urgent", "_timers", "_waiting", "dispatch")
+
+    def __init__(
+        self,
+        dispatch: Dispatch,
+        timers: Timers,
+        on_urgent: Callable[[], None],
+    ) -> None:
+        self.dispatch = dispatch
+        self._timers = timers
+        self._on_urgent = on_urgent
+        self._waiting: dict[int, _Waiting] = {}
+
+    async def admit(
+        self, ticket: Ticket, retried: bool = False
+    ) -> Result[Start, Refusal]:
+        """Wait until a request gets a slot or is given up.
+
+        Cancelling the caller takes the request out of the queue.
+        """
+        now = self._timers.now()
+        if retried:
+            self.dispatch.resubmit(ticket, now)
+        else:
+            submitted = self.dispatch.submit(ticket, now)
+            if isinstance(submitted, Err):
+                return submitted
+        waiting = _Waiting(anyio.Event())
+        self._waiting[id(ticket)] = waiting
+        self.start_ready()
+        try:
+            with self._timers.limit(max(0.0, ticket.start_by - now)):
+                await waiting.settled.wait()
+        except BaseException:
+            self._withdraw(ticket, waiting)
+            raise
+        del self._waiting[id(ticket)]
+        if waiting.start is not None:
+            return Ok(waiting.start)
+        self.dispatch.backlog.remove(ticket)
+        return Err(
+            waiting.given_up
+            or GivenUp("no slot came free before the deadline")
+        )
+
+    def finish(self, start: Start) -> None:
+        """Free the slot of a request that ended."""
+        self.dispatch.finish(start, self._timers.now())
+        self.start_ready()
+
+    def start_ready(self) -> None:
+        """Start the requests for which a slot is idle."""
+        while True:
+            start = self.dispatch.start_next(self._timers.now())
+            if start is None:
+                break
+            waiting = self._waiting[id(start.ticket)]
+            waiting.start = start
+            waiting.settled.set()
+        if self.dispatch.is_urgent():
+            self._on_urgent()
+
+    def give_up_all(self, reason: str) -> None:
+        """Give up all waiting requests at once."""
+        for ticket in self.dispatch.backlog:
+            self.dispatch.backlog.remove(ticket)
+            waiting = self._waiting[id(ticket)]
+            waiting.given_up = GivenUp(reason)
+            waiting.settled.set()
+
+    def _withdraw(self, ticket: Ticket, waiting: _Waiting) -> None:
+        del self._waiting[id(ticket)]
+        if waiting.start is not None:
+            self.finish(waiting.start)
+            return
+        self.dispatch.backlog.remove(ticket)
--- /dev/null
+++ b/hornbeamyard/pool/dispatch.py
@@ -0,0 +1,389 @@
+"""A router's decisions in one pool: which request starts on which worker."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from . import options
+from .backlog import Backlog, QueueBounds, QueueFull, Ticket
+from .holding import Holding
+from .schedule import Allocation, Demand, Limit
+from .worker import Registry, WorkerChoice
+
+# Weight of the newest cost in the running mean of an account's costs.
+COST_WEIGHT = 0.1
+SHORTEST_RETRY_AFTER_S = 1.0
+LONGEST_RETRY_AFTER_S = 60.0
+
+
+@dataclass(slots=True)
+class DeadlineUnmet:
+    """A request was not queued because it can't start in time."""
+
+    client_account: str
+    expected_wait_s: float
+    deadline_s: float
+
+    def __str__(self) -> str:
+        return (
+            f"a request of client account {self.client_account!r} would "
+            f"wait about {self.expected_wait_s:.1f} s, longer than its "
+            f"deadline of {self.deadline_s:.1f} s"
+        )
+
+
+@dataclass(slots=True)
+class Start:
+    """A request that got a slot of a worker."""
+
+    ticket: Ticket
+    worker: str
+    started_at: float
+
+
+@dataclass(slots=True)
+class _Account:
+    share: float = 1.0
+    running: int = 0
+    # Service of finished requests in slot seconds.
+    service_s: float = 0.0
+    # Sum of the start times of running requests.
+    started_sum: float = 0.0
+    finished: int = 0
+    largest_s: float = 0.0
+    mean_cost_s: float | None = None
+    # Normalised service when the lag was last set.
+    lag_base: float = 0.0
+    lag_s: float = 0.0
+    backlogged: bool = False
+    # Times between the ends of requests, as a running mean.
+    mean_gap_s: float | None = None
+    last_end_at: float | None = None
+
+    def compute_service(self, now: float) -> float:
+        return self.service_s + self.running * now - self.started_sum
+
+    def compute_tag(self, now: float) -> float:
+        accrued = self.compute_service(now) / self.share - self.lag_base
+        return self.lag_s + accrued
+
+    def set_tag(self, tag: float, now: float) -> None:
+        self.lag_s = tag
+        self.lag_base = self.compute_service(now) / self.share
+
+
+class Dispatch:
+    """Decides, at one router and for one pool, what starts where and when.
+
+    Parameters
+    ----------
+    pool : str
+        Name of the model or service.
+    availability_zone : str
+        The router's own availability zone.
+    registry : Registry
+        Upstreams known to the router.
+    bounds : QueueBounds, optional
+        Bounds of queues of accounts that have none of their own.
+    """
+
+    __slots__ = (
+        "_accounts",
+        "_contended",
+        "_limits",
+        "_registry",
+        "_reported",
+        "_reported_slots",
+        "backlog",
+        "choice",
+        "holding",
+        "pool",
+    )
+
+    def __init__(
+        self,
+        pool: str,
+        availability_zone: str,
+        registry: Registry,
+        bounds: QueueBounds | None = None,
+    ) -> None:
+        self.pool = pool
+        self.backlog = Backlog(bounds or QueueBounds())
+        self.holding = Holding()
+        self.choice = WorkerChoice(availability_zone)
+        self._registry = registry
+        self._accounts: dict[str, _Account] = {}
+        self._contended = False
+        self._limits: dict[str, Limit] = {}
+        self._reported: dict[str, Demand] = {}
+        self._reported_slots: dict[str, tuple[int, int]] = {}
+
+    # ---- requests --------------------------------------------------------
+
+    def submit(
+        self, ticket: Ticket, now: float
+    ) -> Result[None, QueueFull | DeadlineUnmet]:
+        """Queue a request, or refuse it when it can't start in time."""
+        account = self._get_account(ticket.client_account)
+        expected = self.estimate_wait(ticket.client_account)
+        if not ticket.priority and now + expected > ticket.start_by:
+            return Err(
+                DeadlineUnmet(
+                    ticket.client_account, expected, ticket.start_by - now
+                )
+            )
+        pushed = self.backlog.push(ticket)
+        if isinstance(pushed, Err):
+            return pushed
+        self._note_backlogged(account, now)
+        return Ok(None)
+
+    def resubmit(self, ticket: Ticket, now: float) -> None:
+        """Queue a request again, ahead of others, after a failed attempt."""
+        self.backlog.push(ticket, front=True)
+        self._note_backlogged(self._get_account(ticket.client_account), now)
+
+    def start_next(self, now: float) -> Start | None:
+        """Give an idle slot to the next request, if both are there."""
+        if not len(self.backlog) or self.holding.count_idle() <= 0:
+            return None
+        for name in self._order_accounts(now):
+            ticket = self.backlog.pop(name)
+            worker = self._choose_worker(ticket, now)
+            if worker is None:
+                self.backlog.push(ticket, front=True)
+                continue
+            account = self._accounts[name]
+            account.running += 1
+            account.started_sum += now
+            account.backlogged = self.backlog.count_waiting(name) > 0
+            self.holding.take(worker)
+            return Start(ticket, worker, now)
+        return None
+
+    def finish(self, start: Start, now: float) -> None:
+        """Free the slot of a request that ended, and charge its account."""
+        account = self._accounts[start.ticket.client_account]
+        cost = now - start.started_at
+        account.running -= 1
+        account.started_sum -= start.started_at
+        account.service_s += cost
+        account.finished += 1
+        account.largest_s = max(account.largest_s, cost)
+        account.mean_cost_s = _blend(account.mean_cost_s, cost)
+        if account.last_end_at is not None:
+            gap = now - account.last_end_at
+            account.mean_gap_s = _blend(account.mean_gap_s, gap)
+        account.last_end_at = now
+        self.holding.release(start.worker)
+
+    def estimate_wait(self, client_account: str) -> float:
+        """Return how long a new request of an account will wait, in seconds.
+
+        It follows from the account's own drain rate; 0 when nothing waits
+        or when the rate is not known yet.
+        """
+        waiting = self.backlog.count_waiting(client_account)
+        account = self._accounts.get(client_account)
+        if waiting == 0 or account is None or account.mean_gap_s is None:
+            return 0.0
+        return waiting * account.mean_gap_s
+
+    def compute_retry_after(self, client_account: str) -> int:
+        """Return when a refused caller should come back, in seconds."""
+        wait = self.estimate_wait(client_account) / 2
+        bounded = min(max(wait, SHORTEST_RETRY_AFTER_S), LONGEST_RETRY_AFTER_S)
+        return round(bounded)
+
+    # ---- allocations -----------------------------------------------------
+
+    def set_shares(self, shares: Mapping[str, float], now: float) -> None:
+        """Set the shares of client accounts."""
+        for name, share in shares.items():
+            account = self._get_account(name)
+            tag = account.compute_tag(now)
+            account.share = share
+            account.set_tag(tag, now)
+
+    def apply(self, allocation: Allocation, now: float) -> None:
+        """Take an allocation from the lead controller."""
+        self.holding.apply(allocation)
+        self._contended = allocation.contended
+        self._limits = allocation.limits
+        for name, limit in allocation.limits.items():
+            self._get_account(name).set_tag(limit.lag_s, now)
+
+    def enter_fallback(self, rank: int, routers: int) -> None:
+        """Go on with the fallback share while no allocation holds."""
+        workers = [
+            worker
+            for worker in self._registry.list_workers(self.pool)
+            if not worker.leaving
+        ]
+        self._contended = False
+        self._limits = {}
+        self.holding.enter_fallback(workers, rank, routers)
+
+    def is_urgent(self) -> bool:
+        """Return whether the lead controller should hear from us at once."""
+        if self.holding.is_fallback():
+            return False
+        if self.holding.is_over() and self.holding.count_idle() > 0:
+            return True
+        waits = len(self.backlog) > 0
+        if waits and self._contended:
+            return self.holding.count_idle() > 0 or self._has_unknown_demand()
+        return waits
+
+    def collect_report(
+        self, now: float, full: bool
+    ) -> tuple[dict[str, Demand], dict[str, tuple[int, int]]]:
+        """Return what changed since the last report.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        full : bool
+            Whether to return everything.
+
+        Returns
+        -------
+        demands : dict of str to Demand
+        slots : dict of str to (int, int)
+            For each worker the slots returned, cumulative, and running.
+        """
+        self._return_slots()
+        demands = {}
+        for name, account in self._accounts.items():
+            demand = Demand(
+                waiting=self.backlog.count_waiting(name),
+                waiting_priority=self.backlog.count_waiting_priority(name),
+                running=account.running,
+                service_s=account.compute_service(now),
+                finished=account.finished,
+                largest_s=account.largest_s,
+            )
+            if full or demand != self._reported.get(name):
+                demands[name] = demand
+        self._reported.update(demands)
+        slots = {
+            name: counts
+            for name, counts in self.holding.list_returned().items()
+            if full or self._reported_slots.get(name) != counts
+        }
+        self._reported_slots.update(slots)
+        return demands, slots
+
+    def list_lags(self, now: float) -> dict[str, float]:
+        """Return the lag of each account in normalised seconds."""
+        return {
+            name: account.compute_tag(now)
+            for name, account in self._accounts.items()
+            if account.running or self.backlog.count_waiting(name)
+        }
+
+    def list_demands(self, now: float) -> dict[str, Demand]:
+        """Return demand and service of each account."""
+        demands, _ = self.collect_report(now, full=True)
+        return demands
+
+    # ---- helpers ---------------------------------------------------------
+
+    def _get_account(self, name: str) -> _Account:
+        return self._accounts.setdefault(name, _Account())
+
+    def _note_backlogged(self, account: _Account, now: float) -> None:
+        if account.backlogged:
+            return
+        tags = [
+            other.compute_tag(now)
+            for other in self._accounts.values()
+            if other.backlogged
+        ]
+        if tags and account.compute_tag(now) < min(tags):
+            account.set_tag(min(tags), now)
+        account.backlogged = True
+
+    def _order_accounts(self, now: float) -> list[str]:
+        """Return the accounts that may start a request, the first first."""
+        eligible = [
+            name
+            for name in self.backlog.list_accounts()
+            if self._is_below_limit(name) or self._may_borrow(name)
+        ]
+        keys = {}
+        lowest = min(
+            (self._accounts[name].compute_tag(now) for name in eligible),
+            default=0.0,
+        )
+        for name in eligible:
+            account = self._accounts[name]
+            tag = account.compute_tag(now)
+            cost = account.mean_cost_s or 0.0
+            ahead = account.running * cost / account.share
+            on_priority = (
+                self.backlog.count_waiting_priority(name) > 0
+                and tag <= lowest + options.PRIORITY_LEAD_S
+            )
+            keys[name] = (
+                not self._is_below_limit(name),
+                not on_priority,
+                tag + ahead,
+                name,
+            )
+        return sorted(eligible, key=lambda name: keys[name])
+
+    def _is_below_limit(self, name: str) -> bool:
+        if not self._contended:
+            return True
+        limit = self._limits.get(name)
+        running = self._accounts[name].running
+        if limit is None:
+            return running < 1
+        return running < limit.limit
+
+    def _may_borrow(self, name: str) -> bool:
+        mean = self._accounts[name].mean_cost_s
+        return (
+            mean is not None
+            and mean < options.SHORT_REQUEST_S
+            and not self.holding.is_over()
+        )
+
+    def _has_unknown_demand(self) -> bool:
+        for name in self.backlog.list_accounts():
+            reported = self._reported.get(name)
+            if reported is None or reported.waiting == 0:
+                return True
+            urgent = self.backlog.count_waiting_priority(name)
+            if urgent > 0 and reported.waiting_priority == 0:
+                return True
+        return False
+
+    def _choose_worker(self, ticket: Ticket, now: float) -> str | None:
+        candidates = []
+        for name, used in self.holding.list_idle():
+            worker = self._registry.get(name)
+            if worker is not None and not worker.leaving:
+                candidates.append((worker, used))
+        return self.choice.choose(candidates, ticket.avoid, ticket.prefix, now)
+
+    def _return_slots(self) -> None:
+        wanted = sum(
+            self.backlog.count_waiting(name)
+            for name in self.backlog.list_accounts()
+            if self._is_below_limit(name)
+        )
+        self.holding.return_excess(keep=0)
+        if self._contended and wanted == 0:
+            self.holding.return_idle()
+
+
+def _blend(mean: float | None, value: float) -> float:
+    if mean is None:
+        return value
+    return mean + COST_WEIGHT * (value - mean)
--- /dev/null
+++ b/hornbeamyard/pool/options.py
@@ -0,0 +1,34 @@
+"""Constants of the scheduling policy, with their units."""
+
+# Time between two reports of a router, and between two lease renewals.
+REPORT_INTERVAL_S = 1.0
+# Least time between two reports of a router that has something urgent.
+URGENT_SPACING_S = 0.025
+# Least time between two plans of a pool's schedule.
+PLAN_SPACING_S = 0.01
+# A router may use its allocation for this long after it was sent.
+ALLOCATION_LEASE_S = 3.0
+# Added to a lease by the controller before it reissues slots, because the
+# clocks of two hosts may run at different speeds.
+DRIFT_ALLOWANCE_S = 0.3
+# Bounds of the horizon over which a lag in service is made up.
+SHORTEST_HORIZON_S = 1.0
+LONGEST_HORIZON_S = 30.0
+# An account's service may exceed the lowest one by at most this much.
+DEBT_LIMIT_S = 30.0
+# An account ahead of the lowest tag by less than this gets slots for its
+# priority path before others get slots for normal requests.
+PRIORITY_LEAD_S = 5.0
+# Accounts over their limit may use an idle slot when their requests are
+# shorter than this on average, because the slot is free again before the
+# schedule could give it to another router.
+SHORT_REQUEST_S = 0.1
+# An account keeps a slot until another one lags by more than this, because
+# moving a slot between routers leaves it idle for a round trip.
+STICKINESS_S = 0.2
+# Of the idle slots of a pool without contention, one part in this many is
+# left with the controller for routers that run out.
+RESERVE_DIVISOR = 2
+# Lags are sent to routers in steps of this size, so that small changes cost
+# no message.
+LAG_STEP_S = 0.25
--- /dev/null
+++ b/hornbeamyard/pool/schedule.py
@@ -0,0 +1,740 @@
+"""The scheduling decision: fair shares of a pool's slots.
+
+The lead controller holds one `Schedule` for each pool. It learns demand and
+service from the reports of routers and decides which slots each router holds
+and, while the pool is contended, how many requests of each client account
+each router may run at the same time.
+
+Service is slot time, so it accrues with the number of running requests. The
+schedule steers that number and never needs the cost of a request.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from . import options
+
+_LEVEL_STEPS = 60
+
+
+@dataclass(slots=True)
+class Demand:
+    """What a router reported for one client account.
+
+    Attributes
+    ----------
+    waiting, waiting_priority : int
+        Requests that wait; the second counts those on the priority path and
+        is part of the first.
+    running : int
+        Requests that occupy a slot.
+    service_s : float
+        Slot seconds since the start of the router.
+    finished : int
+        Requests finished since the start of the router.
+    largest_s : float
+        Largest cost of a finished request in slot seconds.
+    """
+
+    waiting: int = 0
+    waiting_priority: int = 0
+    running: int = 0
+    service_s: float = 0.0
+    finished: int = 0
+    largest_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Limit:
+    """How many requests of an account a router may run at the same time.
+
+    Attributes
+    ----------
+    limit : int
+    lag_s : float
+        Normalised service of the account above the lowest one, in seconds.
+    """
+
+    limit: int
+    lag_s: float
+
+
+@dataclass(slots=True)
+class Allocation:
+    """What a router may use: slots, and limits while contended.
+
+    Attributes
+    ----------
+    granted : dict of str to int
+        For each worker the slots granted since the router attached.
+    closed : set of str
+        Workers that take no new requests.
+    hold : int
+        Slots that the router should hold; it returns the excess when idle.
+    contended : bool
+        Whether `limits` apply.
+    limits : dict of str to Limit
+    """
+
+    granted: dict[str, int] = field(default_factory=dict)
+    closed: set[str] = field(default_factory=set)
+    hold: int = 0
+    contended: bool = False
+    limits: dict[str, Limit] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class _Worker:
+    slots: int
+    availability_zone: str
+    open: bool = True
+    # Slots held by routers.
+    outstanding: int = 0
+
+    def count_free(self) -> int:
+        return self.slots - self.outstanding if self.open else 0
+
+
+@dataclass(slots=True)
+class _Account:
+    share: float = 1.0
+    # Normalised service that is forgiven (negative) or not earned while idle.
+    offset: float = 0.0
+    service_s: float = 0.0
+    waiting: int = 0
+    waiting_priority: int = 0
+    running: int = 0
+    # Sum over routers of running requests times the time of their report.
+    running_since: float = 0.0
+    backlogged: bool = False
+
+    def compute_tag(self, now: float) -> float:
+        accrued = self.running * now - self.running_since
+        return self.offset + (self.service_s + accrued) / self.share
+
+    def set_tag(self, tag: float, now: float) -> None:
+        self.offset += tag - self.compute_tag(now)
+
+    def count_demand(self) -> int:
+        return self.waiting + self.running
+
+    def add(self, demand: Demand, at: float, sign: int) -> None:
+        self.waiting += sign * demand.waiting
+        self.waiting_priority += sign * demand.waiting_priority
+        self.running += sign * demand.running
+        self.running_since += sign * demand.running * at
+
+
+@dataclass(slots=True)
+class _Reported:
+    demand: Demand
+    at: float
+
+
+@dataclass(slots=True)
+class _Router:
+    availability_zone: str
+    incarnation: int
+    reported: dict[str, _Reported] = field(default_factory=dict)
+    granted: dict[str, int] = field(default_factory=dict)
+    returned: dict[str, int] = field(default_factory=dict)
+    sent: Allocation | None = None
+    lost_at: float | None = None
+
+    def count_held(self, worker: str) -> int:
+        return self.granted.get(worker, 0) - self.returned.get(worker, 0)
+
+    def count_all_held(self) -> int:
+        return sum(self.granted.values()) - sum(self.returned.values())
+
+    def get_demand(self, account: str) -> Demand:
+        reported = self.reported.get(account)
+        return reported.demand if reported is not None else Demand()
+
+    def count_demand(self) -> int:
+        return sum(
+            reported.demand.waiting + reported.demand.running
+            for reported in self.reported.values()
+        )
+
+
+class Schedule:
+    """Fair shares of one pool's slots between accounts and routers.
+
+    Parameters
+    ----------
+    pool : str
+        Name of the model or service.
+    lease_s : float, optional
+        How long a router may use an allocation after it was sent, in
+        seconds.
+    """
+
+    __slots__ = (
+        "_accounts",
+        "_detached",
+        "_finished",
+        "_largest_s",
+        "_lease_s",
+        "_reported_service_s",
+        "_routers",
+        "_workers",
+        "pool",
+    )
+
+    def __init__(
+        self, pool: str, lease_s: float = options.ALLOCATION_LEASE_S
+    ) -> None:
+        self.pool = pool
+        self._lease_s = lease_s
+        self._workers: dict[str, _Worker] = {}
+        self._routers: dict[str, _Router] = {}
+        # Routers that were removed, with the counters merged so far.
+        self._detached: dict[str, _Router] = {}
+        self._accounts: dict[str, _Account] = {}
+        self._finished = 0
+        self._reported_service_s = 0.0
+        self._largest_s = 0.0
+
+    # ---- inputs ----------------------------------------------------------
+
+    def set_shares(self, shares: Mapping[str, float], now: float) -> None:
+        """Set the shares of client accounts; their tags stay continuous."""
+        for name, share in shares.items():
+            account = self._accounts.setdefault(name, _Account())
+            tag = account.compute_tag(now)
+            account.share = share
+            account.set_tag(tag, now)
+
+    def set_worker(
+        self, name: str, slots: int, availability_zone: str, is_open: bool
+    ) -> None:
+        """Add a worker or change it; a closed one takes no new requests."""
+        worker = self._workers.get(name)
+        if worker is None:
+            worker = self._workers[name] = _Worker(slots, availability_zone)
+            worker.outstanding = sum(
+                router.count_held(name) for router in self._routers.values()
+            )
+        worker.slots = slots
+        worker.availability_zone = availability_zone
+        worker.open = is_open
+
+    def remove_worker(self, name: str) -> None:
+        """Forget a worker whose lease has ended."""
+        self._workers.pop(name, None)
+        for router in self._routers.values():
+            router.granted.pop(name, None)
+            router.returned.pop(name, None)
+
+    def attach_router(
+        self,
+        name: str,
+        incarnation: int,
+        availability_zone: str,
+        demands: Mapping[str, Demand],
+        held: Mapping[str, int],
+        lags: Mapping[str, float],
+        now: float,
+    ) -> None:
+        """Add a router with its full report.
+
+        Parameters
+        ----------
+        name : str
+        incarnation : int
+            Differs for each start of the router's process.
+        availability_zone : str
+        demands : mapping of str to Demand
+            Demand and cumulative service of each account.
+        held : mapping of str to int
+            For each worker the slots that the router uses at this moment.
+        lags : mapping of str to float
+            Lags of the newest allocation that the router has seen, in
+            normalised seconds. They matter to a new lead controller only.
+        now : float
+            Monotonic time in seconds.
+        """
+        self.detach_router(name)
+        router = _Router(availability_zone, incarnation)
+        previous = self._detached.pop(name, None)
+        if previous is not None and previous.incarnation == incarnation:
+            router.reported = previous.reported
+        self._routers[name] = router
+        known = set(router.reported)
+        router.granted = dict(held)
+        for worker_name, count in held.items():
+            if worker_name in self._workers:
+                self._workers[worker_name].outstanding += count
+        for account_name, demand in demands.items():
+            if previous is None and account_name not in known:
+                # Service before this leader's time is part of the lag.
+                baseline = Demand(
+                    service_s=demand.service_s, finished=demand.finished
+                )
+                router.reported[account_name] = _Reported(baseline, now)
+                self._adopt_lag(account_name, lags.get(account_name), now)
+            self._merge_demand(router, account_name, demand, now)
+
+    def lose_router(self, name: str, now: float) -> None:
+        """Mark a router as unreachable; its slots return after the lease."""
+        router = self._routers.get(name)
+        if router is not None and router.lost_at is None:
+            router.lost_at = now
+
+    def detach_router(self, name: str) -> None:
+        """Remove a router that left or whose lease has run out.
+
+        Its counters are kept, so that service is merged exactly once when
+        the same incarnation attaches again.
+        """
+        router = self._routers.pop(name, None)
+        if router is None:
+            return
+        for worker_name in router.granted:
+            if worker_name in self._workers:
+                worker = self._workers[worker_name]
+                worker.outstanding -= router.count_held(worker_name)
+        for account_name, reported in router.reported.items():
+            account = self._accounts[account_name]
+            account.add(reported.demand, reported.at, sign=-1)
+            reported.demand = Demand(
+                service_s=reported.demand.service_s,
+                finished=reported.demand.finished,
+            )
+        self._detached[name] = router
+
+    def report(
+        self,
+        name: str,
+        demands: Mapping[str, Demand],
+        returned: Mapping[str, int],
+        now: float,
+    ) -> None:
+        """Take a router's report.
+
+        Parameters
+        ----------
+        name : str
+            The router; it must be attached.
+        demands : mapping of str to Demand
+            Accounts whose demand or service changed.
+        returned : mapping of str to int
+            For each worker the slots returned since the router attached.
+        now : float
+            Monotonic time in seconds.
+        """
+        router = self._routers[name]
+        router.lost_at = None
+        for worker_name, count in returned.items():
+            if worker_name not in self._workers:
+                continue
+            fresh = count - router.returned.get(worker_name, 0)
+            router.returned[worker_name] = count
+            self._workers[worker_name].outstanding -= fresh
+        for account_name, demand in demands.items():
+            self._merge_demand(router, account_name, demand, now)
+
+    # ---- the decision ----------------------------------------------------
+
+    def plan(self, now: float) -> dict[str, Allocation]:
+        """Return the allocations that changed, by router."""
+        self._expire_routers(now)
+        self._update_backlogged(now)
+        contended = self.is_contended()
+        if contended:
+            limits = self._place_slots(self._divide_slots(now))
+            holds = {
+                name: sum(of_router.values())
+                for name, of_router in limits.items()
+            }
+        else:
+            limits = {name: {} for name in self._routers}
+            holds = self._spread_idle_slots()
+        self._grant_slots(holds)
+        lags = self._compute_lags(now)
+        changed = {}
+        for name, router in self._routers.items():
+            allocation = Allocation(
+                granted=dict(router.granted),
+                closed={
+                    worker_name
+                    for worker_name in router.granted
+                    if worker_name in self._workers
+                    and not self._workers[worker_name].open
+                },
+                hold=holds[name],
+                contended=contended,
+                limits={
+                    account: Limit(limit, lags.get(account, 0.0))
+                    for account, limit in limits[name].items()
+                },
+            )
+            if allocation != router.sent:
+                router.sent = allocation
+                changed[name] = allocation
+        return changed
+
+    def is_contended(self) -> bool:
+        """Return whether more requests want a slot than there are slots."""
+        demand = sum(a.count_demand() for a in self._accounts.values())
+        return demand > self.count_slots()
+
+    def count_slots(self) -> int:
+        """Return the number of slots of open workers."""
+        return sum(w.slots for w in self._workers.values() if w.open)
+
+    def count_outstanding(self, worker: str) -> int:
+        """Return how many slots of a worker routers hold."""
+        return self._workers[worker].outstanding
+
+    def list_routers(self) -> list[str]:
+        """Return the attached routers in a fixed order."""
+        return sorted(self._routers)
+
+    def compute_tags(self, now: float) -> dict[str, float]:
+        """Return the normalised service of each account in seconds."""
+        return {
+            name: account.compute_tag(now)
+            for name, account in self._accounts.items()
+        }
+
+    def _adopt_lag(self, name: str, lag: float | None, now: float) -> None:
+        account = self._accounts.setdefault(name, _Account())
+        if lag is not None:
+            account.set_tag(max(lag, account.compute_tag(now)), now)
+
+    def _merge_demand(
+        self, router: _Router, name: str, demand: Demand, now: float
+    ) -> None:
+        account = self._accounts.setdefault(name, _Account())
+        reported = router.reported.get(name)
+        if reported is None:
+            reported = router.reported[name] = _Reported(Demand(), now)
+        account.add(reported.demand, reported.at, sign=-1)
+        fresh = max(0.0, demand.service_s - reported.demand.service_s)
+        account.service_s += fresh
+        account.add(demand, now, sign=1)
+        self._reported_service_s += fresh
+        self._finished += max(0, demand.finished - reported.demand.finished)
+        self._largest_s = max(self._largest_s, demand.largest_s)
+        router.reported[name] = _Reported(demand, now)
+
+    def _expire_routers(self, now: float) -> None:
+        reissue_after = self._lease_s + options.DRIFT_ALLOWANCE_S
+        for name, router in list(self._routers.items()):
+            if router.lost_at is None:
+                continue
+            if now - router.lost_at >= reissue_after:
+                self.detach_router(name)
+
+    def _update_backlogged(self, now: float) -> None:
+        """Apply the rules for idle accounts and for the debt limit."""
+        tags = [
+            account.compute_tag(now)
+            for account in self._accounts.values()
+            if account.waiting > 0 and account.backlogged
+        ]
+        if not tags:
+            tags = [
+                account.compute_tag(now)
+                for account in self._accounts.values()
+                if account.waiting > 0
+            ]
+        if not tags:
+            for account in self._accounts.values():
+                account.backlogged = False
+            return
+        lowest = min(tags)
+        debt_limit = max(options.DEBT_LIMIT_S, self._largest_s)
+        for account in self._accounts.values():
+            tag = account.compute_tag(now)
+            if account.waiting > 0 and not account.backlogged:
+                account.set_tag(max(tag, lowest), now)
+            if tag > lowest + debt_limit:
+                account.set_tag(lowest + debt_limit, now)
+            account.backlogged = account.waiting > 0
+
+    def _compute_horizon(self) -> float:
+        if self._finished == 0:
+            return options.SHORTEST_HORIZON_S
+        mean_s = self._reported_service_s / self._finished
+        return min(
+            max(mean_s, options.SHORTEST_HORIZON_S),
+            options.LONGEST_HORIZON_S,
+        )
+
+    def _divide_slots(self, now: float) -> dict[str, int]:
+        """Return for each account the number of slots it is entitled to.
+
+        Every account is filled to the same level of its tag plus the
+        service that its slots give within the horizon, but to no more than
+        its demand.
+        """
+        horizon = self._compute_horizon()
+        accounts = {
+            name: account
+            for name, account in self._accounts.items()
+            if account.count_demand() > 0
+        }
+        tags = {n: a.compute_tag(now) for n, a in accounts.items()}
+        floors = self._reserve_priority(accounts, tags)
+        total = self.count_slots()
+        free = total - sum(floors.values())
+
+        def count_at(name: str, level: float) -> float:
+            account = accounts[name]
+            wanted = (level - tags[name]) * account.share / horizon
+            ceiling = float(account.count_demand())
+            return max(float(floors[name]), min(ceiling, wanted))
+
+        low = min(tags.values())
+        high = max(tags.values()) + horizon * total / min(
+            account.share for account in accounts.values()
+        )
+        if free <= 0:
+            return floors
+        for _ in range(_LEVEL_STEPS):
+            middle = (low + high) / 2
+            if sum(count_at(name, middle) for name in accounts) > total:
+                high = middle
+            else:
+                low = middle
+        entitled = {name: int(count_at(name, low)) for name in accounts}
+        self._hand_out_rest(entitled, accounts, tags, horizon, total)
+        return entitled
+
+    def _reserve_priority(
+        self, accounts: Mapping[str, _Account], tags: Mapping[str, float]
+    ) -> dict[str, int]:
+        """Return the slots set apart for waiting priority requests."""
+        floors = dict.fromkeys(accounts, 0)
+        left = self.count_slots()
+        lowest = min(
+            (tags[n] for n, a in accounts.items() if a.waiting > 0),
+            default=0.0,
+        )
+        for name in sorted(accounts, key=lambda n: tags[n]):
+            account = accounts[name]
+            if account.waiting_priority == 0:
+                continue
+            if tags[name] > lowest + options.PRIORITY_LEAD_S:
+                continue
+            wanted = account.running + account.waiting_priority
+            floors[name] = min(wanted, left)
+            left -= floors[name]
+        return floors
+
+    def _hand_out_rest(
+        self,
+        entitled: dict[str, int],
+        accounts: Mapping[str, _Account],
+        tags: Mapping[str, float],
+        horizon: float,
+        total: int,
+    ) -> None:
+        """Give the slots left by rounding to the lowest tags."""
+
+        def compute_key(name: str) -> float:
+            account = accounts[name]
+            key = tags[name] + entitled[name] * horizon / account.share
+            if entitled[name] < account.running:
+                key -= options.STICKINESS_S
+            return key
+
+        heap = [
+            (compute_key(name), name)
+            for name, account in accounts.items()
+            if entitled[name] < account.count_demand()
+        ]
+        heapq.heapify(heap)
+        left = total - sum(entitled.values())
+        while left > 0 and heap:
+            _, name = heapq.heappop(heap)
+            entitled[name] += 1
+            left -= 1
+            if entitled[name] < accounts[name].count_demand():
+                heapq.heappush(heap, (compute_key(name), name))
+
+    def _place_slots(
+        self, entitled: Mapping[str, int]
+    ) -> dict[str, dict[str, int]]:
+        """Divide each account's slots between the routers.
+
+        Slots are taken from where another account waits for them and given
+        to where they are free, so that few slots move between routers.
+        """
+        limits: dict[str, dict[str, int]] = {
+            name: {
+                account: reported.demand.running
+                for account, reported in router.reported.items()
+                if reported.demand.running or reported.demand.waiting
+            }
+            for name, router in self._routers.items()
+        }
+        grow = {
+            name: entitled[name] - self._accounts[name].running
+            for name in entitled
+        }
+        self._shrink_limits(limits, grow)
+        surplus = {
+            name: router.count_all_held() - sum(limits[name].values())
+            for name, router in self._routers.items()
+        }
+        for account in sorted(
+            (name for name in grow if grow[name] > 0),
+            key=lambda name: -self._accounts[name].waiting_priority,
+        ):
+            self._grow_limits(account, grow[account], limits, surplus)
+        return limits
+
+    def _shrink_limits(
+        self, limits: dict[str, dict[str, int]], grow: Mapping[str, int]
+    ) -> None:
+        wanted = {
+            name: sum(
+                min(grow[account], reported.demand.waiting)
+                for account, reported in router.reported.items()
+                if grow.get(account, 0) > 0
+            )
+            for name, router in self._routers.items()
+        }
+        for account, count in grow.items():
+            if count >= 0:
+                continue
+            heap = [
+                (-min(wanted[name], 1), -limits[name][account], name)
+                for name in limits
+                if limits[name].get(account, 0) > 0
+            ]
+            heapq.heapify(heap)
+            for _ in range(-count):
+                if not heap:
+                    break
+                _, _, name = heapq.heappop(heap)
+                limits[name][account] -= 1
+                wanted[name] -= 1
+                if limits[name][account] > 0:
+                    heapq.heappush(
+                        heap,
+                        (
+                            -min(max(wanted[name], 0), 1),
+                            -limits[name][account],
+                            name,
+                        ),
+                    )
+
+    def _grow_limits(
+        self,
+        account: str,
+        count: int,
+        limits: dict[str, dict[str, int]],
+        surplus: dict[str, int],
+    ) -> None:
+        waiting = {
+            name: router.get_demand(account).waiting
+            for name, router in self._routers.items()
+        }
+        heap = [
+            (-min(surplus[name], 1), -waiting[name], name)
+            for name in limits
+            if waiting[name] > 0
+        ]
+        heapq.heapify(heap)
+        for _ in range(count):
+            if not heap:
+                break
+            _, _, name = heapq.heappop(heap)
+            limits[name][account] = limits[name].get(account, 0) + 1
+            waiting[name] -= 1
+            surplus[name] -= 1
+            if waiting[name] > 0:
+                heapq.heappush(
+                    heap, (-min(surplus[name], 1), -waiting[name], name)
+                )
+
+    def _spread_idle_slots(self) -> dict[str, int]:
+        """Return the slots each router should hold without contention."""
+        needs = {
+            name: router.count_demand()
+            for name, router in self._routers.items()
+        }
+        if not needs:
+            return {}
+        total = self.count_slots()
+        idle = max(0, total - sum(needs.values()))
+        kept = idle // options.RESERVE_DIVISOR
+        each, rest = divmod(kept, len(needs))
+        holds = {}
+        for rank, name in enumerate(sorted(needs)):
+            holds[name] = needs[name] + each + (1 if rank < rest else 0)
+        held = {
+            name: router.count_all_held()
+            for name, router in self._routers.items()
+        }
+        unassigned = total - sum(held.values())
+        short = sum(max(0, holds[name] - held[name]) for name in needs)
+        if unassigned >= short:
+            # No router is short of slots, so idle ones stay where they are.
+            return {name: max(holds[name], held[name]) for name in needs}
+        return holds
+
+    def _grant_slots(self, holds: Mapping[str, int]) -> None:
+        """Grant free slots to routers that hold fewer than they should."""
+        needs = {
+            name: holds[name] - router.count_all_held()
+            for name, router in self._routers.items()
+            if router.lost_at is None
+        }
+        while True:
+            served = False
+            for name in sorted(needs, key=lambda n: (-needs[n], n)):
+                if needs[name] <= 0:
+                    continue
+                worker_name = self._choose_free_worker(name)
+                if worker_name is None:
+                    return
+                router = self._routers[name]
+                router.granted[worker_name] = (
+                    router.granted.get(worker_name, 0) + 1
+                )
+                self._workers[worker_name].outstanding += 1
+                needs[name] -= 1
+                served = True
+            if not served:
+                return
+
+    def _choose_free_worker(self, router_name: str) -> str | None:
+        zone = self._routers[router_name].availability_zone
+        best: tuple[bool, float, str] | None = None
+        for name, worker in self._workers.items():
+            free = worker.count_free()
+            if free <= 0:
+                continue
+            key = (
+                worker.availability_zone != zone,
+                -free / worker.slots,
+                name,
+            )
+            if best is None or key < best:
+                best = key
+        return best[2] if best is not None else None
+
+    def _compute_lags(self, now: float) -> dict[str, float]:
+        tags = {
+            name: account.compute_tag(now)
+            for name, account in self._accounts.items()
+            if account.count_demand() > 0
+        }
+        if not tags:
+            return {}
+        backlogged = [t for n, t in tags.items() if self._accounts[n].waiting]
+        lowest = min(backlogged or tags.values())
+        step = options.LAG_STEP_S
+        return {
+            name: round((tag - lowest) / step) * step
+            for name, tag in tags.items()
+        }
--- /dev/null
+++ b/hornbeamyard/pool/worker.py
@@ -0,0 +1,258 @@
+"""Upstreams of a pool: announcements, health and the choice of a worker."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ..messages import fleet_pb2
+
+# A worker that fails gets no requests for this long; each further failure
+# in a row doubles the time.
+EJECTION_S = 1.0
+LONGEST_EJECTION_S = 30.0
+# Prompt prefixes remembered for each worker. The engine's cache is limited
+# too, so an old belief is worth little.
+PREFIXES_REMEMBERED = 512
+
+
+@dataclass(slots=True)
+class Worker:
+    """An upstream that announced itself.
+
+    Attributes
+    ----------
+    name : str
+    address : str
+        `http://ip:port`.
+    availability_zone : str
+    pool : str
+    slots : int
+        Requests that it runs at the same time.
+    checks_fencing : bool
+        Whether it refuses an order with an old fencing number.
+    repeatable : bool
+        Whether its calls may be repeated.
+    lease_s : float
+        Time for which an announcement holds, in seconds.
+    leaving : bool
+    load_running, load_waiting : int
+        The engine's last load report; it lags.
+    incarnation : int
+        Differs for each start of the upstream.
+    announced_at : float
+        Monotonic time in seconds.
+    """
+
+    name: str
+    address: str
+    availability_zone: str
+    pool: str
+    slots: int
+    checks_fencing: bool = False
+    repeatable: bool = False
+    lease_s: float = 3.0
+    leaving: bool = False
+    load_running: int = 0
+    load_waiting: int = 0
+    incarnation: int = 0
+    announced_at: float = 0.0
+
+    def to_message(self, now: float) -> fleet_pb2.Announcement:
+        """Return the announcement as a message, with its age."""
+        return fleet_pb2.Announcement(
+            upstream=self.name,
+            address=self.address,
+            availability_zone=self.availability_zone,
+            pool=self.pool,
+            slots=self.slots,
+            checks_fencing=self.checks_fencing,
+            repeatable=self.repeatable,
+            lease_ms=int(self.lease_s * 1000),
+            leaving=self.leaving,
+            load_running=self.load_running,
+            load_waiting=self.load_waiting,
+            incarnation=self.incarnation,
+            age_ms=max(0, int((now - self.announced_at) * 1000)),
+        )
+
+    @classmethod
+    def from_message(
+        cls, message: fleet_pb2.Announcement, now: float
+    ) -> Worker:
+        """Return the worker that a message announces."""
+        return cls(
+            name=message.upstream,
+            address=message.address,
+            availability_zone=message.availability_zone,
+            pool=message.pool,
+            slots=message.slots,
+            checks_fencing=message.checks_fencing,
+            repeatable=message.repeatable,
+            lease_s=message.lease_ms / 1000,
+            leaving=message.leaving,
+            load_running=message.load_running,
+            load_waiting=message.load_waiting,
+            incarnation=message.incarnation,
+            announced_at=now - message.age_ms / 1000,
+        )
+
+    def is_same_service(self, other: Worker) -> bool:
+        """Return whether only load and time differ from `other`."""
+        return (
+            self.address == other.address
+            and self.availability_zone == other.availability_zone
+            and self.pool == other.pool
+            and self.slots == other.slots
+            and self.leaving == other.leaving
+            and self.repeatable == other.repeatable
+            and self.checks_fencing == other.checks_fencing
+            and self.incarnation == other.incarnation
+        )
+
+    def has_expired(self, now: float) -> bool:
+        """Return whether the lease of the last announcement has ended."""
+        return now > self.announced_at + self.lease_s
+
+
+class Registry:
+    """Upstreams known to a process, by name."""
+
+    __slots__ = ("_workers",)
+
+    def __init__(self) -> None:
+        self._workers: dict[str, Worker] = {}
+
+    def announce(self, worker: Worker) -> bool:
+        """Take an announcement; return whether more than load changed.
+
+        An announcement that is older than the known one is ignored. A
+        leaving upstream stays leaving until it starts again.
+        """
+        known = self._workers.get(worker.name)
+        if known is None:
+            self._workers[worker.name] = worker
+            return True
+        if worker.incarnation < known.incarnation:
+            return False
+        if worker.incarnation == known.incarnation:
+            if worker.announced_at < known.announced_at:
+                return False
+            worker.leaving = worker.leaving or known.leaving
+        self._workers[worker.name] = worker
+        return not worker.is_same_service(known)
+
+    def expire(self, now: float) -> list[Worker]:
+        """Remove and return the upstreams whose lease has ended."""
+        expired = [w for w in self._workers.values() if w.has_expired(now)]
+        for worker in expired:
+            del self._workers[worker.name]
+        return expired
+
+    def remove(self, name: str) -> None:
+        """Forget an upstream."""
+        self._workers.pop(name, None)
+
+    def get(self, name: str) -> Worker | None:
+        """Return an upstream, or None when it is unknown."""
+        return self._workers.get(name)
+
+    def list_workers(self, pool: str | None = None) -> list[Worker]:
+        """Return the upstreams of one pool, or all, ordered by name."""
+        return sorted(
+            (
+                worker
+                for worker in self._workers.values()
+                if pool is None or worker.pool == pool
+            ),
+            key=lambda worker: worker.name,
+        )
+
+
+@dataclass(slots=True)
+class _Health:
+    failures: int = 0
+    ejected_until: float = 0.0
+    prefixes: OrderedDict[int, None] = field(default_factory=OrderedDict)
+
+
+class WorkerChoice:
+    """Chooses a worker among those that a router holds a free slot of.
+
+    Parameters
+    ----------
+    availability_zone : str
+        The router's own availability zone.
+    """
+
+    __slots__ = ("_availability_zone", "_health")
+
+    def __init__(self, availability_zone: str) -> None:
+        self._availability_zone = availability_zone
+        self._health: dict[str, _Health] = {}
+
+    def choose(
+        self,
+        candidates: Iterable[tuple[Worker, float]],
+        avoid: set[str],
+        prefix: int,
+        now: float,
+    ) -> str | None:
+        """Return the name of the best candidate, or None.
+
+        Parameters
+        ----------
+        candidates : iterable of (Worker, float)
+            Workers with a free slot and the used part of their slots.
+        avoid : set of str
+            Workers not to use for this request.
+        prefix : int
+            Hash of the prompt's beginning, or 0.
+        now : float
+            Monotonic time in seconds.
+        """
+        best: tuple[int, bool, bool, float, str] | None = None
+        for worker, used in candidates:
+            health = self._health.get(worker.name)
+            if worker.name in avoid:
+                continue
+            if health is not None and health.ejected_until > now:
+                continue
+            key = (
+                health.failures if health is not None else 0,
+                worker.availability_zone != self._availability_zone,
+                health is None or prefix == 0 or prefix not in health.prefixes,
+                used,
+                worker.name,
+            )
+            if best is None or key < best:
+                best = key
+        return best[-1] if best is not None else None
+
+    def is_ejected(self, name: str, now: float) -> bool:
+        """Return whether a worker gets no requests at the moment."""
+        health = self._health.get(name)
+        return health is not None and health.ejected_until > now
+
+    def record_success(self, name: str, prefix: int) -> None:
+        """Note that a worker answered a request."""
+        health = self._health.setdefault(name, _Health())
+        health.failures = 0
+        if prefix == 0:
+            return
+        health.prefixes[prefix] = None
+        health.prefixes.move_to_end(prefix)
+        if len(health.prefixes) > PREFIXES_REMEMBERED:
+            health.prefixes.popitem(last=False)
+
+    def record_failure(self, name: str, now: float) -> None:
+        """Note that a worker failed; it gets no requests for a while."""
+        health = self._health.setdefault(name, _Health())
+        health.failures += 1
+        pause = EJECTION_S * 2 ** (health.failures - 1)
+        health.ejected_until = now + min(pause, LONGEST_EJECTION_S)
+
+    def forget(self, name: str) -> None:
+        """Drop what is known of a worker that is gone."""
+        self._health.pop(name, None)
--- /dev/null
+++ b/hornbeamyard/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for the whole process."""
--- /dev/null
+++ b/hornbeamyard/process/controller.py
@@ -0,0 +1,340 @@
+"""The controller role: schedules, upstream registry and attached routers."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+import anyio
+import logbook
+
+from ..connection import codec
+from ..messages import fleet_pb2
+from ..pool import options
+from ..pool.schedule import Allocation, Schedule
+from ..pool.worker import Registry, Worker
+from ..version.replica import Replica
+from ..version.state import dump_document
+from .timers import Timers
+
+_log = logbook.Logger("controller")
+
+
+@dataclass(slots=True)
+class AttachedRouter:
+    """A router's stream, as the lead controller sees it.
+
+    Attributes
+    ----------
+    name : str
+    incarnation : int
+    wake : anyio.Event
+        Set when there is something to send.
+    pending : dict of str to Allocation
+        Newest allocation of each pool that was not sent yet.
+    sent : dict of str to Allocation
+        Allocation of each pool that was sent last.
+    version_sent, version_in_force : int
+    workers, workers_gone : set of str
+        Upstreams to send, and to have forgotten.
+    replaced : bool
+        Whether a newer stream of the same router has taken over.
+    """
+
+    name: str
+    incarnation: int
+    wake: anyio.Event = field(default_factory=anyio.Event)
+    pending: dict[str, Allocation] = field(default_factory=dict)
+    sent: dict[str, Allocation] = field(default_factory=dict)
+    version_sent: int = 0
+    version_in_force: int = 0
+    workers: set[str] = field(default_factory=set)
+    workers_gone: set[str] = field(default_factory=set)
+    routers_sent: list[str] = field(default_factory=list)
+    replaced: bool = False
+
+
+class Controller:
+    """What the lead controller knows and decides beside the log.
+
+    Parameters
+    ----------
+    replica : Replica
+    timers : Timers
+    """
+
+    __slots__ = (
+        "_grants_from",
+        "_plan_wake",
+        "_schedules",
+        "_term",
+        "_timers",
+        "registry",
+        "replica",
+        "routers",
+    )
+
+    def __init__(self, replica: Replica, timers: Timers) -> None:
+        self.replica = replica
+        self.registry = Registry()
+        self.routers: dict[str, AttachedRouter] = {}
+        self._timers = timers
+        self._schedules: dict[str, Schedule] = {}
+        self._plan_wake = anyio.Event()
+        self._term = 0
+        self._grants_from = 0.0
+
+    async def run(self) -> None:
+        """Plan, pass on versions and expire upstreams until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._plan_repeatedly)
+            tasks.start_soon(self._pass_on_versions)
+
+    def get_schedules(self) -> Mapping[str, Schedule]:
+        """Return the schedules of all pools by name."""
+        return self._schedules
+
+    # ---- routers ---------------------------------------------------------
+
+    def attach(self, report: fleet_pb2.RouterReport) -> AttachedRouter:
+        """Take a router's first, full report."""
+        now = self._timers.now()
+        name = report.identity.host
+        previous = self.routers.get(name)
+        if previous is not None:
+            previous.replaced = True
+            previous.wake.set()
+        router = AttachedRouter(name, report.identity.incarnation)
+        router.workers = {w.name for w in self.registry.list_workers()}
+        self.routers[name] = router
+        pools = {pool.pool: pool for pool in report.pools}
+        for pool_name in pools:
+            self._get_schedule(pool_name)
+        for pool_name, schedule in self._schedules.items():
+            pool = pools.get(pool_name, fleet_pb2.PoolReport())
+            schedule.attach_router(
+                name,
+                router.incarnation,
+                report.availability_zone,
+                codec.decode_demands(pool),
+                {entry.worker: entry.running for entry in pool.returns},
+                codec.decode_lags(pool),
+                now,
+            )
+        router.version_in_force = report.version_in_force
+        # A router starts from a whole document unless it is up to date.
+        if report.version_in_force == self.replica.state.version:
+            router.version_sent = report.version_in_force
+        self._take_announcements(report, now)
+        self._note_routers_changed()
+        _log.info("router {} attached", name)
+        return router
+
+    def take_report(
+        self, router: AttachedRouter, report: fleet_pb2.RouterReport
+    ) -> None:
+        """Take a later report of an attached router."""
+        if router.replaced:
+            return
+        now = self._timers.now()
+        router.version_in_force = report.version_in_force
+        for pool in report.pools:
+            schedule = self._get_schedule(pool.pool)
+            schedule.report(
+                router.name,
+                codec.decode_demands(pool),
+                {entry.worker: entry.returned for entry in pool.returns},
+                now,
+            )
+        self._take_announcements(report, now)
+        if report.pools:
+            self._plan_wake.set()
+
+    def detach(self, router: AttachedRouter, left: bool) -> None:
+        """Note that a router's stream has ended.
+
+        Parameters
+        ----------
+        router : AttachedRouter
+        left : bool
+            Whether the router said that it stops.
+        """
+        if router.replaced or self.routers.get(router.name) is not router:
+            return
+        del self.routers[router.name]
+        now = self._timers.now()
+        for schedule in self._schedules.values():
+            if left:
+                schedule.detach_router(router.name)
+            else:
+                schedule.lose_router(router.name, now)
+        self._note_routers_changed()
+        _log.info(
+            "router {} {}", router.name, "left" if left else "is unreachable"
+        )
+
+    def build_update(
+        self, router: AttachedRouter, sequence: int
+    ) -> fleet_pb2.ControllerUpdate:
+        """Return what a router has not been told yet, as one message."""
+        now = self._timers.now()
+        update = fleet_pb2.ControllerUpdate(
+            epoch=self.replica.term,
+            lease_ms=int(options.ALLOCATION_LEASE_S * 1000),
+            sequence=sequence,
+        )
+        for name, allocation in router.pending.items():
+            update.pools.append(
+                codec.encode_allocation(
+                    name, allocation, router.sent.get(name)
+                )
+            )
+            router.sent[name] = allocation
+        router.pending = {}
+        for name in sorted(router.workers):
+            worker = self.registry.get(name)
+            if worker is not None:
+                update.workers.append(worker.to_message(now))
+        update.workers_gone.extend(sorted(router.workers_gone))
+        router.workers = set()
+        router.workers_gone = set()
+        routers = sorted(self.routers)
+        if router.routers_sent != routers:
+            update.routers.extend(routers)
+            router.routers_sent = routers
+        self._add_configuration(router, update)
+        return update
+
+    # ---- upstreams -------------------------------------------------------
+
+    def _take_announcements(
+        self, report: fleet_pb2.RouterReport, now: float
+    ) -> None:
+        for message in report.announcements:
+            worker = Worker.from_message(message, now)
+            if worker.has_expired(now):
+                continue
+            changed = self.registry.announce(worker)
+            for router in self.routers.values():
+                router.workers.add(worker.name)
+                if changed:
+                    router.wake.set()
+            if changed:
+                self._put_worker(worker)
+
+    def _put_worker(self, worker: Worker) -> None:
+        self._get_schedule(worker.pool).set_worker(
+            worker.name,
+            worker.slots,
+            worker.availability_zone,
+            is_open=not worker.leaving,
+        )
+        self._plan_wake.set()
+        _log.info(
+            "upstream {} {}",
+            worker.name,
+            "is leaving" if worker.leaving else "announced itself",
+        )
+
+    def _expire_workers(self, now: float) -> None:
+        for worker in self.registry.expire(now):
+            self._get_schedule(worker.pool).remove_worker(worker.name)
+            for router in self.routers.values():
+                router.workers_gone.add(worker.name)
+                router.sent.pop(worker.pool, None)
+                router.wake.set()
+            _log.info("the lease of upstream {} has ended", worker.name)
+
+    # ---- planning --------------------------------------------------------
+
+    async def _plan_repeatedly(self) -> None:
+        while True:
+            with self._timers.limit(options.REPORT_INTERVAL_S):
+                await self._plan_wake.wait()
+            self._plan_wake = anyio.Event()
+            if self.replica.is_leader():
+                self._check_term()
+                now = self._timers.now()
+                self._expire_workers(now)
+                self._plan(now)
+            await self._timers.sleep(options.PLAN_SPACING_S)
+
+    def _plan(self, now: float) -> None:
+        if now < self._grants_from:
+            return
+        for pool, schedule in self._schedules.items():
+            for name, allocation in schedule.plan(now).items():
+                router = self.routers.get(name)
+                if router is None:
+                    continue
+                router.pending[pool] = allocation
+                router.wake.set()
+
+    def _check_term(self) -> None:
+        """Start schedules anew when this replica has just been elected."""
+        if self.replica.term == self._term:
+            return
+        first = self._term == 0 and not self.routers
+        self._term = self.replica.term
+        if first:
+            return
+        self._grants_from = (
+            self._timers.now()
+            + options.ALLOCATION_LEASE_S
+            + options.DRIFT_ALLOWANCE_S
+        )
+
+    def _get_schedule(self, pool: str) -> Schedule:
+        schedule = self._schedules.get(pool)
+        if schedule is None:
+            schedule = self._schedules[pool] = Schedule(pool)
+            self._set_shares(schedule)
+            for name, router in self.routers.items():
+                schedule.attach_router(
+                    name,
+                    router.incarnation,
+                    "",
+                    {},
+                    {},
+                    {},
+                    self._timers.now(),
+                )
+        return schedule
+
+    def _set_shares(self, schedule: Schedule) -> None:
+        accounts = self.replica.state.configuration.client_accounts
+        schedule.set_shares(
+            {name: account.share for name, account in accounts.items()},
+            self._timers.now(),
+        )
+
+    def _note_routers_changed(self) -> None:
+        self._plan_wake.set()
+        for router in self.routers.values():
+            router.wake.set()
+
+    # ---- versions --------------------------------------------------------
+
+    async def _pass_on_versions(self) -> None:
+        while True:
+            await self.replica.wait_applied()
+            for schedule in self._schedules.values():
+                self._set_shares(schedule)
+            for router in self.routers.values():
+                router.wake.set()
+
+    def _add_configuration(
+        self, router: AttachedRouter, update: fleet_pb2.ControllerUpdate
+    ) -> None:
+        state = self.replica.state
+        if router.version_sent >= state.version:
+            return
+        delta = update.configuration
+        delta.version = state.version
+        missing = range(router.version_sent + 1, state.version + 1)
+        if router.version_sent and all(v in state.patches for v in missing):
+            delta.base = router.version_sent
+            delta.patches.extend(state.patches[v] for v in missing)
+        else:
+            delta.document = dump_document(state.document)
+        router.version_sent = state.version
--- /dev/null
+++ b/hornbeamyard/process/daemon.py
@@ -0,0 +1,89 @@
+"""The daemon `hornbeamyardd`."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from pathlib import Path
+
+import anyio
+import click
+import logbook
+from result import Err
+
+from ..connection import peers
+from ..connection.server import FleetService
+from ..messages import fleet_pb2_grpc
+from ..version.replica import Replica
+from .controller import Controller
+from .logs import start_logging
+from .router import Router
+from .settings import Settings, load_settings
+from .timers import MonotonicTimers, Timers
+
+EXIT_SETTINGS = 2
+
+_log = logbook.Logger("daemon")
+
+
+@click.command()
+@click.argument("settings", type=click.Path(path_type=Path))
+@click.version_option(package_name="hornbeamyard")
+def main(settings: Path) -> None:
+    """Run the roles that the file SETTINGS switches on."""
+    loaded = load_settings(settings)
+    if isinstance(loaded, Err):
+        click.echo(str(loaded.err_value), err=True)
+        sys.exit(EXIT_SETTINGS)
+    start_logging(loaded.ok_value.log_level)
+    anyio.run(run, loaded.ok_value)
+
+
+async def run(settings: Settings) -> None:
+    """Run a process until SIGTERM or SIGINT."""
+    timers = MonotonicTimers()
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_watch_signals, stop)
+        if settings.controller is not None:
+            await tasks.start(_run_controller, settings, timers)
+        _log.info("host {} started", settings.host)
+        if settings.router is not None:
+            await Router(settings, timers).run(stop)
+        await stop.wait()
+        tasks.cancel_scope.cancel()
+    _log.info("host {} stopped", settings.host)
+
+
+async def _watch_signals(stop: anyio.Event) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            stop.set()
+
+
+async def _run_controller(
+    settings: Settings,
+    timers: Timers,
+    *,
+    task_status: anyio.abc.TaskStatus[None],
+) -> None:
+    assert settings.controller is not None
+    address = settings.controller.address
+    controller = Controller(Replica(address, timers), timers)
+    server = peers.create_server()
+    fleet_pb2_grpc.add_FleetServicer_to_server(
+        FleetService(settings.fleet, controller, timers), server
+    )
+    peers.add_port(server, address, settings.tls)
+    await server.start()
+    try:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(controller.run)
+            task_status.started()
+    finally:
+        with anyio.CancelScope(shield=True):
+            await server.stop(grace=0.5)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/hornbeamyard/process/settings.py
@@ -0,0 +1,278 @@
+"""The settings of one process, read from a file in JSON with comments."""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import json5
+from result import Err, Ok, Result
+
+from . import validation
+from .validation import Finding, Option, Section, Table
+
+
+@dataclass(slots=True)
+class Tls:
+    """Files for mutual TLS between the fleet's processes."""
+
+    certificate: Path
+    key: Path
+    authority: Path
+
+
+@dataclass(slots=True)
+class RouterSettings:
+    """Settings of the router role.
+
+    Attributes
+    ----------
+    address : str
+        IP address and port towards callers and upstreams.
+    drain_s : float
+        Time that a stop gives running requests, in seconds.
+    connections : int
+        Most open connections from callers.
+    requests : int
+        Most requests at a time, waiting and running.
+    body_size : int
+        Largest body of a request, in bytes.
+    default_deadline_s : float
+        Time within which a request must start when it names none.
+    """
+
+    address: str
+    drain_s: float = 60.0
+    connections: int = 4000
+    requests: int = 4000
+    body_size: int = 8 * 1024 * 1024
+    default_deadline_s: float = 300.0
+
+
+@dataclass(slots=True)
+class ControllerSettings:
+    """Settings of the controller role.
+
+    Attributes
+    ----------
+    address : str
+        IP address and port towards the fleet's other processes.
+    data_folder : Path
+        Folder for the log and snapshots.
+    """
+
+    address: str
+    data_folder: Path
+
+
+@dataclass(slots=True)
+class Settings:
+    """Settings of one process.
+
+    Attributes
+    ----------
+    fleet, host, availability_zone : str
+    controllers : dict of str to str
+        Addresses of all controllers, by host.
+    router : RouterSettings or None
+    controller : ControllerSettings or None
+    tls : Tls or None
+    plain_text : bool
+        Whether links between hosts may be unencrypted.
+    log_level : str
+    """
+
+    fleet: str
+    host: str
+    availability_zone: str
+    controllers: dict[str, str]
+    router: RouterSettings | None = None
+    controller: ControllerSettings | None = None
+    tls: Tls | None = None
+    plain_text: bool = False
+    log_level: str = "info"
+
+
+@dataclass(slots=True)
+class SettingsError:
+    """A settings file that is not accepted."""
+
+    path: Path
+    findings: list[Finding] = field(default_factory=list)
+
+    def __str__(self) -> str:
+        count = len(self.findings)
+        noun = "fault" if count == 1 else "faults"
+        lines = [f"{self.path}: {count} {noun}"]
+        lines += [f"  {finding}" for finding in self.findings]
+        return "\n".join(lines)
+
+
+_SCHEMA = Section(
+    {
+        "fleet": Option(validation.check_name, required=True),
+        "host": Option(validation.check_name, required=True),
+        "availability_zone": Option(validation.check_name, required=True),
+        "controllers": Table(
+            validation.check_name,
+            Option(validation.check_address),
+            required=True,
+        ),
+        "router": Section(
+            {
+                "address": Option(validation.check_address, required=True),
+                "drain_s": Option(validation.check_number(0, 3600, "s")),
+                "connections": Option(validation.check_whole(1, 1_000_000)),
+                "requests": Option(validation.check_whole(1, 1_000_000)),
+                "body_size": Option(
+                    validation.check_whole(1024, 1024**3, "bytes")
+                ),
+                "default_deadline_s": Option(
+                    validation.check_number(0.1, 86_400, "s")
+                ),
+            }
+        ),
+        "controller": Section(
+            {
+                "address": Option(validation.check_address, required=True),
+                "data_folder": Option(validation.check_text, required=True),
+            }
+        ),
+        "tls": Section(
+            {
+                "certificate": Option(validation.check_text, required=True),
+                "key": Option(validation.check_text, required=True),
+                "authority": Option(validation.check_text, required=True),
+            }
+        ),
+        "plain_text": Option(validation.check_flag),
+        "log_level": Option(
+            validation.check_choice("debug", "info", "warning", "error")
+        ),
+    }
+)
+
+
+def load_settings(path: Path) -> Result[Settings, SettingsError]:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : Path
+        A file in JSON with comments.
+
+    Returns
+    -------
+    Result of Settings or SettingsError
+        The error holds all findings.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Err(SettingsError(path, [Finding("", str(error))]))
+    try:
+        document = json5.loads(text, allow_duplicate_keys=False)
+    except ValueError as error:
+        return Err(SettingsError(path, [_find_syntax_error(error)]))
+    findings = validation.check_document(document, _SCHEMA)
+    if not findings:
+        findings = _check_relations(document)
+    if findings:
+        findings = [_add_line(finding, text) for finding in findings]
+        return Err(SettingsError(path, findings))
+    return Ok(_build_settings(document, path.parent))
+
+
+def _find_syntax_error(error: ValueError) -> Finding:
+    match = re.match(r"(?:<string>:)?(\d+)[ :]", str(error))
+    line = int(match.group(1)) if match else None
+    return Finding("", f"is not JSON with comments: {error}", line)
+
+
+def _add_line(finding: Finding, text: str) -> Finding:
+    key = finding.place.rpartition(".")[2]
+    if not key:
+        return finding
+    pattern = re.compile(rf"""["']?{re.escape(key)}["']?\s*:""")
+    lines = [
+        number
+        for number, line in enumerate(text.splitlines(), start=1)
+        if pattern.search(line)
+    ]
+    if len(lines) != 1:
+        return finding
+    return Finding(finding.place, finding.message, lines[0])
+
+
+def _check_relations(document: dict[str, Any]) -> list[Finding]:
+    """Check what concerns more than one key."""
+    findings = []
+    if "router" not in document and "controller" not in document:
+        findings.append(
+            Finding("", "neither 'router' nor 'controller' is set; give one")
+        )
+    controllers = document["controllers"]
+    if not controllers:
+        findings.append(
+            Finding("controllers", "is empty; name at least one controller")
+        )
+    controller = document.get("controller")
+    host = document["host"]
+    if controller is not None and controllers.get(host) is None:
+        findings.append(
+            Finding(
+                "controllers",
+                f"has no entry for this host, {host!r}, whose role "
+                "'controller' is on",
+            )
+        )
+    findings += _check_plain_text(document)
+    return findings
+
+
+def _check_plain_text(document: dict[str, Any]) -> list[Finding]:
+    if "tls" in document or document.get("plain_text", False):
+        return []
+    findings = []
+    for host, address in document["controllers"].items():
+        number = ipaddress.ip_address(address.rpartition(":")[0].strip("[]"))
+        if not number.is_loopback:
+            findings.append(
+                Finding(
+                    f"controllers.{host}",
+                    f"{address!r} is not on loopback; set 'tls', or "
+                    "'plain_text' to true",
+                )
+            )
+    return findings
+
+
+def _build_settings(document: dict[str, Any], folder: Path) -> Settings:
+    router = document.get("router")
+    controller = document.get("controller")
+    tls = document.get("tls")
+    return Settings(
+        fleet=document["fleet"],
+        host=document["host"],
+        availability_zone=document["availability_zone"],
+        controllers=dict(document["controllers"]),
+        router=RouterSettings(**router) if router is not None else None,
+        controller=(
+            ControllerSettings(
+                address=controller["address"],
+                data_folder=folder / controller["data_folder"],
+            )
+            if controller is not None
+            else None
+        ),
+        tls=(
+            Tls(**{name: folder / file for name, file in tls.items()})
+            if tls is not None
+            else None
+        ),
+        plain_text=document.get("plain_text", False),
+        log_level=document.get("log_level", "info"),
+    )
--- /dev/null
+++ b/hornbeamyard/process/timers.py
@@ -0,0 +1,156 @@
+"""The timer service: clocks, sleeps, time limits and periodic ticks.
+
+All parts of a process take their time from one `Timers` object, so that
+tests run them on virtual time.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import time
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import AbstractContextManager, contextmanager
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import anyio
+from anyio.lowlevel import checkpoint
+
+
+class Timers(Protocol):
+    """Source of time for all parts of a process."""
+
+    def now(self) -> float:
+        """Return monotonic time in seconds."""
+
+    def wall_ms(self) -> int:
+        """Return wall-clock time in milliseconds since 1970."""
+
+    async def sleep(self, seconds: float) -> None:
+        """Suspend the calling task for `seconds`."""
+
+    def limit(
+        self, seconds: float
+    ) -> AbstractContextManager[anyio.CancelScope]:
+        """Return a cancel scope that is cancelled after `seconds`."""
+
+    def subscribe(self, interval: float) -> AsyncIterator[float]:
+        """Yield the monotonic time every `interval` seconds."""
+
+
+class MonotonicTimers:
+    """Timers on the operating system's clocks."""
+
+    __slots__ = ()
+
+    def now(self) -> float:
+        """Return monotonic time in seconds."""
+        return time.monotonic()
+
+    def wall_ms(self) -> int:
+        """Return wall-clock time in milliseconds since 1970."""
+        return time.time_ns() // 1_000_000
+
+    async def sleep(self, seconds: float) -> None:
+        """Suspend the calling task for `seconds`."""
+        await anyio.sleep(seconds)
+
+    def limit(
+        self, seconds: float
+    ) -> AbstractContextManager[anyio.CancelScope]:
+        """Return a cancel scope that is cancelled after `seconds`."""
+        return anyio.move_on_after(seconds)
+
+    def subscribe(self, interval: float) -> AsyncIterator[float]:
+        """Yield the monotonic time every `interval` seconds.
+
+        Ticks missed by a slow subscriber are dropped, not delivered late.
+        """
+        return _tick(self, interval)
+
+
+@dataclass(slots=True, order=True)
+class _Timer:
+    due: float
+    number: int
+    fire: Callable[[], object] = field(compare=False)
+
+
+class VirtualTimers:
+    """Timers that move only when a test advances them.
+
+    Parameters
+    ----------
+    start : float, optional
+        First value of the monotonic clock in seconds.
+    wall_start_ms : int, optional
+        First value of the wall clock in milliseconds since 1970.
+    """
+
+    __slots__ = ("_heap", "_now", "_numbers", "_wall_start_ms")
+
+    def __init__(
+        self, start: float = 0.0, wall_start_ms: int = 1_700_000_000_000
+    ) -> None:
+        self._now = start
+        self._wall_start_ms = wall_start_ms
+        self._heap: list[_Timer] = []
+        self._numbers = itertools.count()
+
+    def now(self) -> float:
+        """Return virtual monotonic time in seconds."""
+        return self._now
+
+    def wall_ms(self) -> int:
+        """Return virtual wall-clock time in milliseconds since 1970."""
+        return self._wall_start_ms + int(self._now * 1000)
+
+    async def sleep(self, seconds: float) -> None:
+        """Suspend the calling task until `seconds` have been advanced."""
+        if seconds <= 0:
+            await checkpoint()
+            return
+        event = anyio.Event()
+        self.call_at(self._now + seconds, event.set)
+        await event.wait()
+
+    @contextmanager
+    def _limit(self, seconds: float) -> Iterator[anyio.CancelScope]:
+        with anyio.CancelScope() as scope:
+            self.call_at(self._now + seconds, scope.cancel)
+            yield scope
+
+    def limit(
+        self, seconds: float
+    ) -> AbstractContextManager[anyio.CancelScope]:
+        """Return a cancel scope that is cancelled after `seconds`."""
+        return self._limit(seconds)
+
+    def subscribe(self, interval: float) -> AsyncIterator[float]:
+        """Yield the virtual time every `interval` seconds."""
+        return _tick(self, interval)
+
+    def call_at(self, due: float, fire: Callable[[], object]) -> None:
+        """Call `fire` when the clock reaches `due` seconds."""
+        heapq.heappush(self._heap, _Timer(due, next(self._numbers), fire))
+
+    async def advance(self, seconds: float) -> None:
+        """Move the clock by `seconds`, firing due timers in order."""
+        end = self._now + seconds
+        await anyio.wait_all_tasks_blocked()
+        while self._heap and self._heap[0].due <= end:
+            timer = heapq.heappop(self._heap)
+            self._now = max(self._now, timer.due)
+            timer.fire()
+            await anyio.wait_all_tasks_blocked()
+        self._now = end
+
+
+async def _tick(timers: Timers, interval: float) -> AsyncIterator[float]:
+    due = timers.now() + interval
+    while True:
+        await timers.sleep(due - timers.now())
+        now = timers.now()
+        yield now
+        due = max(due + interval, now)
--- /dev/null
+++ b/hornbeamyard/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one module for each module of the package."""
--- /dev/null
+++ b/hornbeamyard/tests/fleet.py
@@ -0,0 +1,222 @@
+"""Starts the fleet's daemons and fake upstreams as processes on loopback."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import httpcore
+
+from hornbeamyard.version.configuration import hash_key
+
+CALLER_KEY = "caller-key-"
+UPSTREAM_KEY = "upstream-key"
+START_TIMEOUT_S = 20.0
+
+
+def find_free_port() -> int:
+    """Return a TCP port that is free on loopback."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+@dataclass
+class LocalFleet:
+    """A fleet of processes on loopback, stopped on exit.
+
+    Attributes
+    ----------
+    folder : Path
+        Folder for settings, data and logs.
+    routers : int
+    controllers : int
+        The first hosts run a controller beside their router.
+    """
+
+    folder: Path
+    routers: int = 2
+    controllers: int = 1
+    accounts: tuple[str, ...] = ("hotel", "museum")
+    processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    router_ports: list[int] = field(default_factory=list)
+    controller_ports: list[int] = field(default_factory=list)
+    version: int = 0
+
+    def __enter__(self) -> LocalFleet:
+        self.router_ports = [find_free_port() for _ in range(self.routers)]
+        self.controller_ports = [
+            find_free_port() for _ in range(self.controllers)
+        ]
+        for number in range(self.routers):
+            self._write_settings(number)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        deadline = time.monotonic() + 10
+        for process in self.processes.values():
+            try:
+                process.wait(max(0.1, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+    def start(self) -> None:
+        """Start all daemons, without a configuration."""
+        for number in range(self.routers):
+            self.start_host(number)
+
+    def start_host(self, number: int) -> None:
+        """Start the daemon of one host."""
+        settings = self.folder / f"host-{number}.json"
+        self._spawn(
+            f"host-{number}",
+            [sys.executable, "-m", "hornbeamyard.process.daemon", settings],
+        )
+
+    def start_upstream(
+        self, name: str, pool: str, *arguments: str, key: str = UPSTREAM_KEY
+    ) -> int:
+        """Start a fake upstream; return its port."""
+        port = find_free_port()
+        command = [
+            sys.executable,
+            "-m",
+            "hornbeamyard.tests.fake_upstream",
+            f"--name={name}",
+            f"--pool={pool}",
+            f"--port={port}",
+            f"--key={key}",
+            *arguments,
+        ]
+        for router in self.router_ports:
+            command.append(f"--router=127.0.0.1:{router}")
+        self._spawn(name, command)
+        return port
+
+    def configure(self, document: dict[str, Any]) -> None:
+        """Submit a patch that replaces the whole document."""
+        patch = self.folder / "patch.json"
+        patch.write_text(
+            json.dumps([{"op": "replace", "path": "", "value": document}])
+        )
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while True:
+            done = subprocess.run(
+                [
+                    sys.executable,
+                    "-m",
+                    "hornbeamyard.process.commands",
+                    "config",
+                    "patch",
+                    f"--settings={self.folder / 'host-0.json'}",
+                    f"--base={self.version}",
+                    patch,
+                ],
+                capture_output=True,
+                check=False,
+            )
+            if done.returncode == 0:
+                break
+            if time.monotonic() > deadline:
+                raise TimeoutError(done.stderr.decode())
+            time.sleep(0.2)
+        self.version += 1
+        self.wait_ready()
+
+    def build_document(self, pools: dict[str, str]) -> dict[str, Any]:
+        """Return a document with the fleet's accounts and some pools.
+
+        Parameters
+        ----------
+        pools : dict of str to str
+            Kinds of the pools by name.
+        """
+        return {
+            "client_accounts": {
+                name: {"share": 1, "keys": [hash_key(CALLER_KEY + name)]}
+                for name in self.accounts
+            },
+            "pools": {name: {"kind": kind} for name, kind in pools.items()},
+            "upstreams": {
+                f"{pool}-{number}": {"keys": [hash_key(UPSTREAM_KEY)]}
+                for pool in pools
+                for number in range(16)
+            },
+            "operators": {},
+        }
+
+    def wait_ready(self) -> None:
+        """Wait until every router says that it is ready."""
+        deadline = time.monotonic() + START_TIMEOUT_S
+        for port in self.router_ports:
+            while not self._is_ready(port):
+                if time.monotonic() > deadline:
+                    raise TimeoutError(f"the router on port {port} isn't up")
+                time.sleep(0.05)
+
+    def kill(self, name: str) -> None:
+        """Kill a process without warning."""
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def read_log(self, name: str) -> str:
+        """Return what a process wrote to standard error."""
+        return (self.folder / f"{name}.log").read_text()
+
+    def _is_ready(self, port: int) -> bool:
+        try:
+            url = f"http://127.0.0.1:{port}/health/ready"
+            return httpcore.request("GET", url).status == 200
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            return False
+
+    def _spawn(self, name: str, command: list[Any]) -> None:
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                command,
+                stdout=log,
+                stderr=log,
+                env=dict(os.environ, PYTHONUNBUFFERED="1"),
+            )
+
+    def _write_settings(self, number: int) -> None:
+        zones = ("centro", "terminal", "zona-3")
+        document: dict[str, Any] = {
+            "fleet": "test",
+            "host": f"host-{number}",
+            "availability_zone": zones[number % len(zones)],
+            "controllers": {
+                f"host-{place}": f"127.0.0.1:{port}"
+                for place, port in enumerate(self.controller_ports)
+            },
+            "router": {
+                "address": f"127.0.0.1:{self.router_ports[number]}",
+                "drain_s": 20,
+            },
+        }
+        if number < self.controllers:
+            document["controller"] = {
+                "address": f"127.0.0.1:{self.controller_ports[number]}",
+                "data_folder": f"data-{number}",
+            }
+        path = self.folder / f"host-{number}.json"
+        path.write_text(json.dumps(document))
--- /dev/null
+++ b/hornbeamyard/version/configuration.py
@@ -0,0 +1,236 @@
+"""The configuration document: client accounts, pools, upstreams, operators."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+from result import Err, Ok, Result
+
+from ..process import validation
+from ..process.validation import Finding, Option, Section, Table
+
+EMPTY_DOCUMENT: dict[str, Any] = {
+    "client_accounts": {},
+    "pools": {},
+    "upstreams": {},
+    "operators": {},
+}
+
+
+@dataclass(slots=True)
+class ClientAccount:
+    """A client account and its share of capacity.
+
+    Attributes
+    ----------
+    name : str
+    share : float
+        Weight against other accounts.
+    keys : list of str
+        SHA-256 hashes of its bearer keys.
+    queue_requests : int
+        Most waiting requests at one router.
+    queue_size : int
+        Most bytes of waiting requests at one router.
+    priority : bool
+        Whether the account may use the priority path.
+    """
+
+    name: str
+    share: float
+    keys: list[str]
+    queue_requests: int = 1000
+    queue_size: int = 64 * 1024 * 1024
+    priority: bool = True
+
+
+@dataclass(slots=True)
+class Pool:
+    """A model or plain service.
+
+    Attributes
+    ----------
+    name : str
+    kind : str
+        `model` or `service`.
+    repeatable : bool
+        Whether its calls may be repeated whatever their method.
+    """
+
+    name: str
+    kind: str
+    repeatable: bool = False
+
+
+@dataclass(slots=True)
+class Configuration:
+    """One version of the configuration.
+
+    Attributes
+    ----------
+    version : int
+    client_accounts : dict of str to ClientAccount
+    pools : dict of str to Pool
+    upstreams : dict of str to list of str
+        Key hashes of the allowed upstreams.
+    operators : dict of str to list of str
+        Key hashes of the operators.
+    """
+
+    version: int
+    client_accounts: dict[str, ClientAccount] = field(default_factory=dict)
+    pools: dict[str, Pool] = field(default_factory=dict)
+    upstreams: dict[str, list[str]] = field(default_factory=dict)
+    operators: dict[str, list[str]] = field(default_factory=dict)
+    _accounts_by_key: dict[str, ClientAccount] = field(default_factory=dict)
+
+    def find_account(self, key: str) -> ClientAccount | None:
+        """Return the client account of a bearer key."""
+        return self._accounts_by_key.get(hash_key(key))
+
+    def find_operator(self, key: str) -> str | None:
+        """Return the name of the operator with a key."""
+        hashed = hash_key(key)
+        for name, keys in self.operators.items():
+            if hashed in keys:
+                return name
+        return None
+
+    def is_upstream_allowed(self, name: str, key: str) -> bool:
+        """Return whether an upstream may announce itself with a key."""
+        return hash_key(key) in self.upstreams.get(name, [])
+
+
+_KEYS = Option(validation.check_list(validation.check_hash), required=True)
+
+_SCHEMA = Section(
+    {
+        "client_accounts": Table(
+            validation.check_name,
+            Section(
+                {
+                    "share": Option(
+                        validation.check_number(0.001, 1_000_000),
+                        required=True,
+                    ),
+                    "keys": _KEYS,
+                    "queue_requests": Option(
+                        validation.check_whole(1, 1_000_000)
+                    ),
+                    "queue_size": Option(
+                        validation.check_whole(1024, 2**40, "bytes")
+                    ),
+                    "priority": Option(validation.check_flag),
+                }
+            ),
+            required=True,
+        ),
+        "pools": Table(
+            validation.check_name,
+            Section(
+                {
+                    "kind": Option(
+                        validation.check_choice("model", "service"),
+                        required=True,
+                    ),
+                    "repeatable": Option(validation.check_flag),
+                }
+            ),
+            required=True,
+        ),
+        "upstreams": Table(
+            validation.check_name, Section({"keys": _KEYS}), required=True
+        ),
+        "operators": Table(
+            validation.check_name, Section({"keys": _KEYS}), required=True
+        ),
+    }
+)
+
+
+def hash_key(key: str) -> str:
+    """Return the SHA-256 of a key as hexadecimal digits.
+
+    Keys are random and long, so a plain hash can't be guessed back.
+    """
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def parse_document(
+    document: bytes | dict[str, Any], version: int
+) -> Result[Configuration, list[Finding]]:
+    """Check a configuration document and return it as a version.
+
+    Parameters
+    ----------
+    document : bytes or dict
+        JSON, or what was parsed from it.
+    version : int
+
+    Returns
+    -------
+    Result of Configuration or list of Finding
+    """
+    if isinstance(document, bytes):
+        try:
+            document = json.loads(document)
+        except ValueError as error:
+            return Err([Finding("", f"is not JSON: {error}")])
+    findings = validation.check_document(document, _SCHEMA)
+    if findings:
+        return Err(findings)
+    assert isinstance(document, dict)
+    findings = _check_keys_unique(document)
+    if findings:
+        return Err(findings)
+    return Ok(_build_configuration(document, version))
+
+
+def _check_keys_unique(document: dict[str, Any]) -> list[Finding]:
+    findings = []
+    owners: dict[str, str] = {}
+    for name, account in document["client_accounts"].items():
+        for hashed in account["keys"]:
+            owner = owners.setdefault(hashed, name)
+            if owner != name:
+                findings.append(
+                    Finding(
+                        f"client_accounts.{name}.keys",
+                        f"holds a key of client account {owner!r}; give "
+                        "each key to one account",
+                    )
+                )
+    return findings
+
+
+def _build_configuration(
+    document: dict[str, Any], version: int
+) -> Configuration:
+    accounts = {
+        name: ClientAccount(name=name, **fields)
+        for name, fields in document["client_accounts"].items()
+    }
+    return Configuration(
+        version=version,
+        client_accounts=accounts,
+        pools={
+            name: Pool(name=name, **fields)
+            for name, fields in document["pools"].items()
+        },
+        upstreams={
+            name: fields["keys"]
+            for name, fields in document["upstreams"].items()
+        },
+        operators={
+            name: fields["keys"]
+            for name, fields in document["operators"].items()
+        },
+        _accounts_by_key={
+            hashed: account
+            for account in accounts.values()
+            for hashed in account.keys
+        },
+    )
