--- a/hornbeamyard/process/router.py
+++ b/hornbeamyard/process/router.py
@@ -17,8 +17,10 @@
 from ..pool.backlog import QueueBounds
 from ..pool.dispatch import Dispatch
 from ..pool.worker import Registry, Worker
+from ..request.administration import Administration
 from ..request.gateway import Gateway
 from ..version.configuration import Configuration
+from .metrics import Metrics
 from .settings import Settings
 from .timers import Timers
 
@@ -40,6 +42,7 @@
         "_timers",
         "configuration",
         "gateway",
+        "metrics",
         "registry",
         "session",
     )
@@ -61,7 +64,14 @@
             self.list_admissions,
             self._take_configuration,
         )
-        self.gateway = Gateway(self, self.registry, settings.router, timers)
+        self.metrics = Metrics()
+        self.gateway = Gateway(
+            self,
+            self.registry,
+            settings.router,
+            timers,
+            Administration(self.metrics),
+        )
 
     async def run(self, stop: anyio.Event) -> None:
         """Serve until `stop` is set and running requests have ended."""
--- a/hornbeamyard/request/gateway.py
+++ b/hornbeamyard/request/gateway.py
@@ -17,6 +17,7 @@
 from ..process.settings import RouterSettings
 from ..process.timers import Timers
 from ..version.configuration import ClientAccount, Configuration
+from .administration import Administration
 from .problem import Outcome, Problem
 
 Scope = MutableMapping[str, Any]
@@ -66,9 +67,18 @@
     registry : Registry
     settings : RouterSettings
     timers : Timers
+    administration : Administration
+        Serves the paths of operators and monitoring.
     """
 
-    __slots__ = ("_fleet", "_registry", "_settings", "_timers", "is_ready")
+    __slots__ = (
+        "_administration",
+        "_fleet",
+        "_registry",
+        "_settings",
+        "_timers",
+        "is_ready",
+    )
 
     def __init__(
         self,
@@ -76,7 +86,9 @@
         registry: Registry,
         settings: RouterSettings,
         timers: Timers,
+        administration: Administration,
     ) -> None:
+        self._administration = administration
         self._fleet = fleet
         self._registry = registry
         self._settings = settings
@@ -96,6 +108,9 @@
         if path == ANNOUNCE_PATH:
             await self._take_announcement(scope, receive, send)
             return
+        if self._administration.serves(path):
+            await self._administration(scope, receive, send)
+            return
         account = self._find_account(scope)
         if account is None:
             problem = Problem(
