--- a/hornbeamyard/connection/session.py
+++ b/hornbeamyard/connection/session.py
@@ -57,7 +57,9 @@
         "_find_pool",
         "_identity",
         "_lease_ends",
+        "_leave_sent",
         "_leaving",
+        "_left",
         "_list_pools",
         "_on_configuration",
         "_rank",
@@ -95,6 +97,8 @@
         self._rank = 0
         self._lease_ends = 0.0
         self._leaving = False
+        self._leave_sent = False
+        self._left = anyio.Event()
         self._wake = anyio.Event()
         self.configuration = Configuration(version=0)
         self.epoch = 0
@@ -114,16 +118,20 @@
         self._leaving = True
         self._wake.set()
 
+    async def wait_left(self) -> None:
+        """Wait until the lead controller has ended the stream after it."""
+        await self._left.wait()
+
     async def run(self) -> None:
         """Stay attached until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_lease)
             address = ""
-            while True:
+            while not self._left.is_set():
                 address = address or self._choose_address()
                 address = await self._attach(address)
                 self.is_attached = False
-                if not address:
+                if not address and not self._left.is_set():
                     await self._timers.sleep(
                         RECONNECT_PAUSE_S * random.uniform(0.5, 1.5)
                     )
@@ -142,6 +150,8 @@
                 with self._timers.limit(SILENCE_LIMIT_S):
                     update = await stream.read()
                     if update is grpc.aio.EOF:
+                        if self._leave_sent:
+                            self._left.set()
                         break
                     if update.leader:
                         hint = update.leader
@@ -165,12 +175,19 @@
 
     async def _send_reports(self) -> AsyncIterator[fleet_pb2.RouterReport]:
         sequence = 0
+        self._leave_sent = False
         yield self._build_report(sequence, full=True)
         while True:
             with self._timers.limit(options.REPORT_INTERVAL_S):
                 await self._wake.wait()
             self._wake = anyio.Event()
             sequence += 1
+            if self._leaving:
+                # The end of the reports makes the controller end the stream,
+                # which acknowledges this one.
+                self._leave_sent = True
+                yield self._build_report(sequence, full=False)
+                return
             yield self._build_report(sequence, full=False)
             await self._timers.sleep(options.URGENT_SPACING_S)
 
--- /dev/null
+++ b/hornbeamyard/connection/upstreams.py
@@ -0,0 +1,225 @@
+"""HTTP connections to upstreams, and the check that they are alive."""
+
+from __future__ import annotations
+
+import json
+from typing import Protocol
+from urllib.parse import quote
+
+import anyio
+import httpcore
+import logbook
+
+from ..process.timers import Timers
+
+CONNECT_TIMEOUT_S = 2.0
+STATUS_TIMEOUT_S = 2.0
+STATUS_PATH = "/hornbeamyard/v1/status"
+# Idle connections are closed before common servers close them (uvicorn: 5 s),
+# because a request sent on a closing connection has no known outcome.
+IDLE_LIMIT_S = 4.0
+IDLE_CONNECTIONS = 64
+# A caller that takes no byte for this long is cut off.
+SLOW_READER_S = 60.0
+LONGEST_CHECK_INTERVAL_S = 1.0
+
+# What a request may end with while it uses a connection.
+CONNECTION_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    OSError,
+)
+
+_log = logbook.Logger("upstreams")
+
+
+class Upstreams:
+    """Connections to upstreams, kept for reuse after whole exchanges only."""
+
+    __slots__ = ("_backend", "_idle")
+
+    def __init__(self) -> None:
+        self._backend = httpcore.AnyIOBackend()
+        self._idle: dict[str, list[httpcore.AsyncHTTP11Connection]] = {}
+
+    async def connect(self, address: str) -> httpcore.AsyncHTTP11Connection:
+        """Return an idle connection to an upstream, or a new one.
+
+        Parameters
+        ----------
+        address : str
+            `http://ip:port`.
+
+        Raises
+        ------
+        httpcore.ConnectError, httpcore.ConnectTimeout
+            If the upstream can't be reached; no byte was sent.
+        """
+        idle = self._idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            if not connection.has_expired():
+                return connection
+            await connection.aclose()
+        origin = httpcore.URL(address).origin
+        stream = await self._backend.connect_tcp(
+            origin.host.decode().strip("[]"), origin.port, CONNECT_TIMEOUT_S
+        )
+        return httpcore.AsyncHTTP11Connection(origin, stream, IDLE_LIMIT_S)
+
+    async def release(
+        self,
+        address: str,
+        connection: httpcore.AsyncHTTP11Connection,
+        whole: bool,
+    ) -> None:
+        """Keep a connection after a whole exchange, or close it."""
+        idle = self._idle.setdefault(address, [])
+        if (
+            whole
+            and connection.is_idle()
+            and not _has_unread_bytes(connection)
+            and len(idle) < IDLE_CONNECTIONS
+        ):
+            idle.append(connection)
+            return
+        with anyio.CancelScope(shield=True):
+            await connection.aclose()
+
+    async def close_expired(self) -> None:
+        """Close connections that were idle for too long."""
+        for address, idle in list(self._idle.items()):
+            expired = [c for c in idle if c.has_expired()]
+            kept = [c for c in idle if c not in expired]
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+            for connection in expired:
+                await connection.aclose()
+
+
+class Watched(Protocol):
+    """An exchange, as the check of silent connections sees it.
+
+    Attributes
+    ----------
+    identity : str
+        Names the attempt towards the upstream.
+    address : str
+    progress : int
+        Grows with each chunk that arrives or is taken by the caller.
+    waits_for_caller : bool
+        Whether the caller, not the upstream, holds the exchange up.
+    """
+
+    identity: str
+    address: str
+    progress: int
+    waits_for_caller: bool
+
+    def drop(self, reason: str, by_upstream: bool = True) -> None:
+        """End the exchange."""
+
+
+class Liveness:
+    """Finds exchanges whose connection has gone silent.
+
+    One task checks all exchanges, so that a chunk costs no timer.
+
+    Parameters
+    ----------
+    upstreams : Upstreams
+    timers : Timers
+    silence_s : float
+        Time without a byte after which the upstream is asked.
+    """
+
+    __slots__ = ("_silence_s", "_timers", "_upstreams", "_watched")
+
+    def __init__(
+        self, upstreams: Upstreams, timers: Timers, silence_s: float
+    ) -> None:
+        self._upstreams = upstreams
+        self._timers = timers
+        self._silence_s = silence_s
+        # For each exchange its progress when last seen, and since when.
+        self._watched: dict[Watched, tuple[int, float]] = {}
+
+    def add(self, exchange: Watched) -> None:
+        """Watch an exchange."""
+        self._watched[exchange] = (exchange.progress, self._timers.now())
+
+    def remove(self, exchange: Watched) -> None:
+        """Stop to watch an exchange."""
+        self._watched.pop(exchange, None)
+
+    def list_watched(self) -> list[Watched]:
+        """Return the exchanges that run."""
+        return list(self._watched)
+
+    async def run(self) -> None:
+        """Check all exchanges until cancelled."""
+        interval = min(LONGEST_CHECK_INTERVAL_S, self._silence_s / 4)
+        async with anyio.create_task_group() as tasks:
+            async for now in self._timers.subscribe(interval):
+                for exchange, (seen, since) in list(self._watched.items()):
+                    if exchange.progress != seen:
+                        self._watched[exchange] = (exchange.progress, now)
+                    elif exchange.waits_for_caller:
+                        if now - since >= SLOW_READER_S:
+                            exchange.drop(
+                                "the caller reads too slowly",
+                                by_upstream=False,
+                            )
+                    elif now - since >= self._silence_s:
+                        self._watched[exchange] = (seen, now)
+                        tasks.start_soon(self._ask, exchange)
+                await self._upstreams.close_expired()
+
+    async def _ask(self, exchange: Watched) -> None:
+        """Drop an exchange unless the upstream says that it still runs."""
+        progress = exchange.progress
+        state = await ask_running(exchange.address, exchange.identity)
+        if exchange.progress != progress or exchange not in self._watched:
+            return
+        if state is not None:
+            _log.info(
+                "{} at {}: {}", exchange.identity, exchange.address, state
+            )
+            exchange.drop(
+                f"no byte came for {self._silence_s:g} s and {state}"
+            )
+
+
+async def ask_running(address: str, identity: str) -> str | None:
+    """Ask an upstream over a fresh connection whether a request runs.
+
+    Returns
+    -------
+    str or None
+        Why the request is believed not to run; None when it runs, or when
+        the upstream is alive and doesn't tell.
+    """
+    url = f"{address}{STATUS_PATH}?request={quote(identity)}"
+    timeout = dict.fromkeys(("connect", "read", "write"), STATUS_TIMEOUT_S)
+    try:
+        with anyio.fail_after(STATUS_TIMEOUT_S):
+            async with httpcore.AsyncConnectionPool() as fresh:
+                response = await fresh.request(
+                    "GET", url, extensions={"timeout": timeout}
+                )
+        document = json.loads(response.content)
+    except (*CONNECTION_ERRORS, TimeoutError, ValueError):
+        return "the upstream's status doesn't answer"
+    if isinstance(document, dict) and document.get("running") is False:
+        return "the upstream doesn't run the request any more"
+    return None
+
+
+def _has_unread_bytes(connection: httpcore.AsyncHTTP11Connection) -> bool:
+    # Bytes behind a whole answer would be taken for the next answer.
+    # httpcore has no public way to see them.
+    data, _ = connection._h11_state.trailing_data
+    return bool(data)
--- a/hornbeamyard/process/daemon.py
+++ b/hornbeamyard/process/daemon.py
@@ -40,24 +40,27 @@
 
 
 async def run(settings: Settings) -> None:
-    """Run a process until SIGTERM or SIGINT."""
+    """Run a process until SIGTERM or SIGINT; a second one ends the drain."""
     timers = MonotonicTimers()
     stop = anyio.Event()
+    stop_now = anyio.Event()
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_watch_signals, stop)
+        tasks.start_soon(_watch_signals, stop, stop_now)
         if settings.controller is not None:
             await tasks.start(_run_controller, settings, timers)
         _log.info("host {} started", settings.host)
         if settings.router is not None:
-            await Router(settings, timers).run(stop)
+            await Router(settings, timers).run(stop, stop_now)
         await stop.wait()
         tasks.cancel_scope.cancel()
     _log.info("host {} stopped", settings.host)
 
 
-async def _watch_signals(stop: anyio.Event) -> None:
+async def _watch_signals(stop: anyio.Event, stop_now: anyio.Event) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
+            if stop.is_set():
+                stop_now.set()
             stop.set()
 
 
--- a/hornbeamyard/process/router.py
+++ b/hornbeamyard/process/router.py
@@ -2,28 +2,54 @@
 
 from __future__ import annotations
 
+import logging
 import random
 import socket
 from collections.abc import Mapping
 
 import anyio
-import httpcore
+import logbook
 import uvicorn
 
 from ..connection import peers
+from ..connection.limits import (
+    ConnectionLimits,
+    LoadGauge,
+    build_protocol,
+    fit_connections,
+)
 from ..connection.session import Session
+from ..connection.upstreams import Liveness, Upstreams
 from ..pool import options
 from ..pool.admission import Admission
 from ..pool.backlog import QueueBounds
 from ..pool.dispatch import Dispatch
 from ..pool.worker import Registry, Worker
 from ..request.administration import Administration
+from ..request.announcement import Announcements
+from ..request.claim import Claims
+from ..request.delivery import Delivery
 from ..request.gateway import Gateway
 from ..version.configuration import Configuration
 from .metrics import Metrics
 from .settings import Settings
 from .timers import Timers
 
+_log = logbook.Logger("router")
+
+
+# A stopping router goes on to accept requests for this long after it says
+# that it isn't ready, so that load balancers notice before it refuses any.
+NOTICE_S = 1.0
+# Part of the drain time in which queued requests may still start.
+QUEUE_SHARE = 0.5
+# Time for the lead controller to acknowledge that this router leaves.
+LEAVE_TIMEOUT_S = 3.0
+# Time for open claims to reach the log at the end of the drain.
+FLUSH_TIMEOUT_S = 3.0
+# Time for the last bytes to reach callers that were told of a sudden stop.
+CLOSE_TIMEOUT_S = 2.0
+
 
 class Router:
     """One router: its pools, its stream to the controllers, its HTTP server.
@@ -37,7 +63,10 @@
 
     __slots__ = (
         "_admissions",
-        "_connections",
+        "_claims",
+        "_delivery",
+        "_liveness",
+        "_load",
         "_settings",
         "_timers",
         "configuration",
@@ -52,34 +81,67 @@
         self._settings = settings
         self._timers = timers
         self._admissions: dict[str, Admission] = {}
-        self._connections: dict[str, httpcore.AsyncConnectionPool] = {}
         self.configuration = Configuration(version=0)
         self.registry = Registry()
+        identity = peers.describe_self(settings, random.getrandbits(63))
         self.session = Session(
             settings,
             timers,
-            peers.describe_self(settings, random.getrandbits(63)),
+            identity,
             self.registry,
             self.find_admission,
             self.list_admissions,
             self._take_configuration,
         )
         self.metrics = Metrics()
-        self.gateway = Gateway(
+        self._claims = Claims(
+            identity, settings.controllers, settings.tls, timers
+        )
+        upstreams = Upstreams()
+        self._liveness = Liveness(upstreams, timers, settings.router.silence_s)
+        self._load = LoadGauge(timers)
+        self._delivery = Delivery(
             self,
             self.registry,
+            timers,
+            self.metrics,
+            self._claims,
+            upstreams,
+            self._liveness,
+        )
+        self.gateway = Gateway(
+            self,
+            self._delivery,
+            Announcements(self.registry, timers, self.announce),
             settings.router,
             timers,
             Administration(self.metrics),
+            self._load,
         )
 
-    async def run(self, stop: anyio.Event) -> None:
-        """Serve until `stop` is set and running requests have ended."""
-        server = _build_server(self._settings, self.gateway)
+    async def run(self, stop: anyio.Event, stop_now: anyio.Event) -> None:
+        """Serve until `stop` is set and the drain has ended.
+
+        Parameters
+        ----------
+        stop : anyio.Event
+            Begins the drain.
+        stop_now : anyio.Event
+            Ends the drain at once; callers are told.
+        """
+        assert self._settings.router is not None
+        limits = ConnectionLimits(
+            fit_connections(self._settings.router.connections), self._timers
+        )
+        server = _build_server(self._settings, self.gateway, limits)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.session.run)
+            tasks.start_soon(self._claims.run)
+            tasks.start_soon(self._liveness.run)
+            tasks.start_soon(self._load.run)
+            tasks.start_soon(limits.run)
             tasks.start_soon(self._expire_upstreams)
-            tasks.start_soon(self._drain, stop, server)
+            tasks.start_soon(self._drain, stop, stop_now, server)
             await server.serve()
             tasks.cancel_scope.cancel()
 
@@ -106,16 +168,6 @@
         self.registry.announce(worker)
         self.session.announce(worker.name)
 
-    def get_connections(self, address: str) -> httpcore.AsyncConnectionPool:
-        """Return the connections to an upstream's address."""
-        connections = self._connections.get(address)
-        if connections is None:
-            connections = httpcore.AsyncConnectionPool(
-                max_connections=None, max_keepalive_connections=64
-            )
-            self._connections[address] = connections
-        return connections
-
     def _take_configuration(self, configuration: Configuration) -> None:
         self.configuration = configuration
         for admission in self._admissions.values():
@@ -137,13 +189,68 @@
             for worker in self.registry.expire(now):
                 dispatch = self.find_admission(worker.pool).dispatch
                 dispatch.holding.forget(worker.name)
+            # Workers whose ejection has ended take requests again.
+            for admission in self._admissions.values():
+                admission.start_ready()
+
+    # ---- drain -----------------------------------------------------------
 
-    async def _drain(self, stop: anyio.Event, server: uvicorn.Server) -> None:
+    async def _drain(
+        self,
+        stop: anyio.Event,
+        stop_now: anyio.Event,
+        server: uvicorn.Server,
+    ) -> None:
+        assert self._settings.router is not None
         await stop.wait()
+        _log.info("draining {} requests", self._delivery.count_running())
         self.gateway.is_ready = False
+        self._delivery.is_closing = True
+        drain_s = self._settings.router.drain_s
+        async with anyio.create_task_group() as tasks:
+
+            async def hurry() -> None:
+                await stop_now.wait()
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(hurry)
+            with self._timers.limit(drain_s):
+                await self._finish_requests(drain_s)
+            tasks.cancel_scope.cancel()
+        self.gateway.is_accepting = False
+        self._stop_requests()
+        with self._timers.limit(CLOSE_TIMEOUT_S):
+            await self._delivery.wait_idle()
+        with self._timers.limit(FLUSH_TIMEOUT_S):
+            await self._claims.flush()
+        # Only now are all slots free for others.
         self.session.leave()
+        with self._timers.limit(LEAVE_TIMEOUT_S):
+            await self.session.wait_left()
         server.should_exit = True
 
+    async def _finish_requests(self, drain_s: float) -> None:
+        """Let running requests finish, and queued ones for a while."""
+        await self._timers.sleep(min(NOTICE_S, drain_s / 4))
+        self.gateway.is_accepting = False
+        with self._timers.limit(drain_s * QUEUE_SHARE):
+            await self._delivery.wait_idle()
+        self._give_up_queued()
+        await self._delivery.wait_idle()
+
+    def _give_up_queued(self) -> None:
+        for admission in self._admissions.values():
+            admission.give_up_all("the router is stopping")
+
+    def _stop_requests(self) -> None:
+        """End what still runs, and tell its callers."""
+        count = self._delivery.count_running()
+        if not count:
+            return
+        _log.warning("the drain ends with {} requests in progress", count)
+        self._delivery.stop()
+        self._give_up_queued()
+
 
 class _Server(uvicorn.Server):
     """A server that leaves signals to the daemon."""
@@ -152,9 +259,13 @@
         await self._serve(sockets)
 
 
-def _build_server(settings: Settings, gateway: Gateway) -> uvicorn.Server:
+def _build_server(
+    settings: Settings, gateway: Gateway, limits: ConnectionLimits
+) -> uvicorn.Server:
     assert settings.router is not None
     host, _, port = settings.router.address.rpartition(":")
+    # An answer that broke is left incomplete on purpose, and counted.
+    logging.getLogger("uvicorn.error").addFilter(_is_unexpected)
     config = uvicorn.Config(
         gateway,
         host=host.strip("[]"),
@@ -162,9 +273,13 @@
         log_config=None,
         access_log=False,
         lifespan="off",
-        http="httptools",
+        http=build_protocol(limits),
         ws="none",
-        timeout_graceful_shutdown=int(settings.router.drain_s),
+        timeout_graceful_shutdown=int(CLOSE_TIMEOUT_S),
         server_header=False,
     )
     return _Server(config)
+
+
+def _is_unexpected(record: logging.LogRecord) -> bool:
+    return "returned without completing response" not in str(record.msg)
--- a/hornbeamyard/process/settings.py
+++ b/hornbeamyard/process/settings.py
@@ -42,6 +42,9 @@
         Largest body of a request, in bytes.
     default_deadline_s : float
         Time within which a request must start when it names none.
+    silence_s : float
+        Time without a byte after which an upstream is asked whether it
+        still runs the request, in seconds.
     """
 
     address: str
@@ -50,6 +53,7 @@
     requests: int = 4000
     body_size: int = 8 * 1024 * 1024
     default_deadline_s: float = 300.0
+    silence_s: float = 10.0
 
 
 @dataclass(slots=True)
@@ -133,6 +137,7 @@
                 "default_deadline_s": Option(
                     validation.check_number(0.1, 86_400, "s")
                 ),
+                "silence_s": Option(validation.check_number(0.1, 3600, "s")),
             }
         ),
         "controller": Section(
--- /dev/null
+++ b/hornbeamyard/request/claim.py
@@ -0,0 +1,322 @@
+"""The client side of durable claims on unrepeatable requests."""
+
+from __future__ import annotations
+
+import random
+import uuid
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+import anyio
+import grpc
+import grpc.aio
+import logbook
+from result import Err, Ok, Result
+
+from ..connection import peers
+from ..messages import fleet_pb2, fleet_pb2_grpc
+from ..process.settings import Tls
+from ..process.timers import Timers
+from .exchange import Recorder
+from .problem import Outcome, Problem
+
+# A claim that isn't confirmed within this time is given up, and the request
+# is not run. It covers the election of a new lead controller (up to 4 s).
+CLAIM_TIMEOUT_S = 6.0
+# Releases and answers are tried for longer, because the caller comes back.
+SETTLE_TIMEOUT_S = 60.0
+# A caller that is told "not run" waits this long for its claim's release.
+RELEASE_WAIT_S = 2.0
+CALL_TIMEOUT_S = 1.0
+PAUSE_S = 0.05
+BATCH_OPERATIONS = 512
+# Well below the largest message between processes (16 MiB).
+BATCH_SIZE = 4 * 1024 * 1024
+
+_log = logbook.Logger("claim")
+
+Operation = fleet_pb2.ClaimOperation
+
+
+@dataclass(slots=True)
+class Claim:
+    """A claim of one request.
+
+    Attributes
+    ----------
+    client_account : str
+    key : str
+        The caller's idempotency key.
+    request_hash : bytes
+        SHA-256 of the request.
+    received_at : float
+        Monotonic time in seconds.
+    attempt : bytes
+        Tells this claim from others with the same key.
+    """
+
+    client_account: str
+    key: str
+    request_hash: bytes
+    received_at: float
+    attempt: bytes = field(default_factory=lambda: uuid.uuid4().bytes)
+
+
+@dataclass(slots=True)
+class ClaimUnconfirmed:
+    """No quorum confirmed a claim, so its request must not run."""
+
+
+@dataclass(slots=True, eq=False)
+class _Pending:
+    claim: Claim
+    operation: fleet_pb2.ClaimOperation
+    expires_at: float
+    settled: anyio.Event = field(default_factory=anyio.Event)
+    result: fleet_pb2.ClaimResult | None = None
+
+
+class Claims:
+    """Sends claim operations to the lead controller, many in one call.
+
+    While a call is under way, later operations gather for the next one.
+
+    Parameters
+    ----------
+    identity : Identity
+    controllers : mapping of str to str
+        Addresses by host.
+    tls : Tls or None
+    timers : Timers
+    """
+
+    __slots__ = (
+        "_channels",
+        "_controllers",
+        "_identity",
+        "_leader",
+        "_queue",
+        "_timers",
+        "_tls",
+        "_turn",
+        "_wake",
+    )
+
+    def __init__(
+        self,
+        identity: fleet_pb2.Identity,
+        controllers: Mapping[str, str],
+        tls: Tls | None,
+        timers: Timers,
+    ) -> None:
+        self._identity = identity
+        self._controllers = list(controllers.values())
+        self._tls = tls
+        self._timers = timers
+        self._leader = ""
+        self._turn = random.randrange(len(self._controllers))
+        self._queue: deque[_Pending] = deque()
+        self._wake = anyio.Event()
+        self._channels: dict[str, grpc.aio.Channel] = {}
+
+    async def make(
+        self, claim: Claim
+    ) -> Result[fleet_pb2.ClaimResult, ClaimUnconfirmed]:
+        """Claim a request; only a result of `GRANTED` allows to run it."""
+        pending = self._put(claim, Operation.MAKE, CLAIM_TIMEOUT_S)
+        try:
+            with self._timers.limit(CLAIM_TIMEOUT_S):
+                await pending.settled.wait()
+        except BaseException:
+            # The operation may be under way; the release follows it.
+            self._discard(pending)
+            self.release(claim)
+            raise
+        if pending.result is None:
+            self._discard(pending)
+            self.release(claim)
+            return Err(ClaimUnconfirmed())
+        return Ok(pending.result)
+
+    def release(self, claim: Claim) -> anyio.Event:
+        """Release a claim whose request was certainly not run.
+
+        Returns
+        -------
+        anyio.Event
+            Set when the release is in the log.
+        """
+        return self._put(claim, Operation.RELEASE, SETTLE_TIMEOUT_S).settled
+
+    async def release_soon(self, claim: Claim) -> None:
+        """Release a claim, and wait a short time for it."""
+        settled = self.release(claim)
+        with self._timers.limit(RELEASE_WAIT_S):
+            await settled.wait()
+
+    def record_answer(self, claim: Claim, recorder: Recorder) -> None:
+        """Record the answer of a request that ran."""
+        pending = self._put(
+            claim, Operation.ANSWER, SETTLE_TIMEOUT_S, notify=False
+        )
+        answer = pending.operation.answer
+        answer.status = recorder.status
+        answer.content_type = recorder.content_type
+        answer.truncated = recorder.is_truncated()
+        if not answer.truncated:
+            answer.body = b"".join(recorder.chunks)
+        self._wake.set()
+
+    def record_unknown(self, claim: Claim) -> None:
+        """Record that nobody knows whether the request ran."""
+        self._put(claim, Operation.FAIL, SETTLE_TIMEOUT_S)
+
+    def give_up_unconfirmed(self) -> None:
+        """Let all requests that wait for their claim end as not run."""
+        for pending in list(self._queue):
+            if pending.operation.kind == Operation.MAKE:
+                self._discard(pending)
+
+    async def flush(self) -> None:
+        """Wait until all operations are confirmed or given up."""
+        while self._queue:
+            await self._queue[0].settled.wait()
+
+    async def run(self) -> None:
+        """Send operations until cancelled."""
+        try:
+            while True:
+                await self._wake.wait()
+                self._wake = anyio.Event()
+                while self._queue:
+                    await self._send_batch()
+        finally:
+            with anyio.CancelScope(shield=True):
+                for channel in self._channels.values():
+                    await channel.close(grace=0)
+
+    def _put(
+        self,
+        claim: Claim,
+        kind: fleet_pb2.ClaimOperation.Kind,
+        timeout_s: float,
+        notify: bool = True,
+    ) -> _Pending:
+        operation = fleet_pb2.ClaimOperation(
+            client_account=claim.client_account,
+            key=claim.key,
+            request_hash=claim.request_hash,
+            kind=kind,
+            attempt=claim.attempt,
+        )
+        expires_at = self._timers.now() + timeout_s
+        pending = _Pending(claim, operation, expires_at)
+        self._queue.append(pending)
+        if notify:
+            self._wake.set()
+        return pending
+
+    def _discard(self, pending: _Pending) -> None:
+        if pending in self._queue:
+            self._queue.remove(pending)
+            pending.settled.set()
+
+    async def _send_batch(self) -> None:
+        batch = self._take_batch()
+        results = await self._submit(batch) if batch else []
+        if results is None:
+            await self._timers.sleep(PAUSE_S * random.uniform(0.5, 1.5))
+            return
+        for pending, result in zip(batch, results, strict=True):
+            pending.result = result
+            self._discard(pending)
+
+    def _take_batch(self) -> list[_Pending]:
+        now = self._timers.now()
+        for pending in [p for p in self._queue if p.expires_at <= now]:
+            self._discard(pending)
+            if pending.operation.kind != Operation.MAKE:
+                _log.warning("a claim could not be settled: no quorum")
+        batch: list[_Pending] = []
+        size = 0
+        for pending in self._queue:
+            size += len(pending.operation.answer.body) + 256
+            if len(batch) == BATCH_OPERATIONS or (batch and size > BATCH_SIZE):
+                break
+            age_s = now - pending.claim.received_at
+            pending.operation.age_ms = max(0, int(age_s * 1000))
+            batch.append(pending)
+        return batch
+
+    async def _submit(
+        self, batch: list[_Pending]
+    ) -> list[fleet_pb2.ClaimResult] | None:
+        """Send a batch; return None when it is not known to be in the log."""
+        turn = self._turn % len(self._controllers)
+        address = self._leader or self._controllers[turn]
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = peers.open_channel(address, self._tls)
+            self._channels[address] = channel
+        request = fleet_pb2.ClaimBatch(
+            identity=self._identity,
+            operations=[pending.operation for pending in batch],
+        )
+        try:
+            reply = await fleet_pb2_grpc.FleetStub(channel).MakeClaims(
+                request, timeout=CALL_TIMEOUT_S
+            )
+        except grpc.aio.AioRpcError:
+            self._leader = ""
+            self._turn += 1
+            return None
+        if len(reply.results) == len(batch) and not reply.no_quorum:
+            self._leader = address
+            return list(reply.results)
+        self._leader = reply.leader if reply.leader != address else ""
+        self._turn += 1
+        return None
+
+
+def describe_refusal(
+    result: fleet_pb2.ClaimResult,
+) -> Problem | fleet_pb2.RecordedAnswer:
+    """Return what the caller of a claim that isn't granted gets."""
+    answer = result.answer
+    match result.state:
+        case fleet_pb2.ANSWERED if answer.status and not answer.truncated:
+            return answer
+        case fleet_pb2.ANSWERED:
+            return Problem(
+                HTTPStatus.CONFLICT,
+                Outcome.UNKNOWN,
+                "the request was answered, and its answer was not kept",
+            )
+        case fleet_pb2.IN_PROGRESS:
+            return Problem(
+                HTTPStatus.CONFLICT,
+                Outcome.IN_PROGRESS,
+                "a request with this idempotency key is in progress",
+                1,
+            )
+        case fleet_pb2.OUTCOME_UNKNOWN:
+            return Problem(
+                HTTPStatus.BAD_GATEWAY,
+                Outcome.UNKNOWN,
+                "an earlier request with this idempotency key may have run",
+            )
+        case fleet_pb2.CONFLICT:
+            return Problem(
+                HTTPStatus.UNPROCESSABLE_ENTITY,
+                Outcome.NOT_RUN,
+                "the idempotency key was used with another request",
+            )
+    return Problem(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        Outcome.NOT_RUN,
+        "the request could not be claimed: "
+        + fleet_pb2.ClaimState.Name(result.state),
+        1,
+    )
--- a/hornbeamyard/request/gateway.py
+++ b/hornbeamyard/request/gateway.py
@@ -2,45 +2,52 @@
 
 from __future__ import annotations
 
-import json
+import hashlib
 import zlib
 from collections.abc import Awaitable, Callable, MutableMapping
 from http import HTTPStatus
 from typing import Any, Protocol
 
-import httpcore
-from result import Err
+import logbook
+from result import Err, Ok, Result
 
-from ..pool.admission import Admission
+from ..connection.limits import BODIES_SIZE, BODY_TIMEOUT_S, LoadGauge
 from ..pool.backlog import Ticket
-from ..pool.worker import Registry, Worker
 from ..process.settings import RouterSettings
 from ..process.timers import Timers
 from ..version.configuration import ClientAccount, Configuration
 from .administration import Administration
-from .problem import Outcome, Problem
+from .announcement import Announcements
+from .call import (
+    MODEL_PATHS,
+    SERVICE_PREFIX,
+    UNREPEATABLE_METHODS,
+    Options,
+    Route,
+    build_call,
+    find_route,
+    get_bearer,
+    parse_model,
+    parse_options,
+)
+from .claim import Claim
+from .delivery import Delivery, Work
+from .problem import (
+    Outcome,
+    Problem,
+    build_findings_problem,
+    send_json,
+    send_problem,
+)
 
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 
-MODEL_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
-ANNOUNCE_PATH = "/hornbeamyard/v1/upstreams"
 # Bytes of the prompt that decide which engine's cache may be warm.
 PREFIX_SIZE = 1024
-# Headers that concern one connection only, and those that are ours.
-_DROPPED_HEADERS = frozenset(
-    {
-        b"authorization",
-        b"connection",
-        b"content-length",
-        b"host",
-        b"keep-alive",
-        b"te",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
+
+_log = logbook.Logger("gateway")
 
 
 class Fleet(Protocol):
@@ -48,15 +55,6 @@
 
     configuration: Configuration
 
-    def find_admission(self, pool: str) -> Admission:
-        """Return the admission of a pool."""
-
-    def announce(self, worker: Worker) -> None:
-        """Take an upstream's announcement."""
-
-    def get_connections(self, worker: str) -> httpcore.AsyncConnectionPool:
-        """Return the connections to a worker."""
-
 
 class Gateway:
     """An ASGI application in front of the fleet.
@@ -64,35 +62,49 @@
     Parameters
     ----------
     fleet : Fleet
-    registry : Registry
+    delivery : Delivery
+    announcements : Announcements
     settings : RouterSettings
     timers : Timers
     administration : Administration
         Serves the paths of operators and monitoring.
+    load : LoadGauge
     """
 
     __slots__ = (
         "_administration",
+        "_announcements",
+        "_bodies_size",
+        "_delivery",
         "_fleet",
-        "_registry",
+        "_load",
+        "_requests",
         "_settings",
         "_timers",
+        "is_accepting",
         "is_ready",
     )
 
     def __init__(
         self,
         fleet: Fleet,
-        registry: Registry,
+        delivery: Delivery,
+        announcements: Announcements,
         settings: RouterSettings,
         timers: Timers,
         administration: Administration,
+        load: LoadGauge,
     ) -> None:
         self._administration = administration
+        self._announcements = announcements
+        self._bodies_size = 0
+        self._delivery = delivery
         self._fleet = fleet
-        self._registry = registry
+        self._load = load
+        self._requests = 0
         self._settings = settings
         self._timers = timers
+        self.is_accepting = True
         self.is_ready = True
 
     async def __call__(
@@ -101,27 +113,58 @@
         """Serve one HTTP request."""
         if scope["type"] != "http":
             return
+        try:
+            await self._route(scope, receive, send)
+        except Exception:
+            # The server closes the connection of an incomplete answer.
+            _log.exception("a request failed on {}", scope["path"])
+
+    async def _route(self, scope: Scope, receive: Receive, send: Send) -> None:
         path = scope["path"]
-        if path == "/health/ready":
+        if path in MODEL_PATHS or path.startswith(SERVICE_PREFIX):
+            await self._serve_limited(scope, receive, send)
+        elif path == "/health/ready":
             await self._send_ready(send)
-            return
-        if path == ANNOUNCE_PATH:
+        elif self._announcements.serves(path):
             await self._take_announcement(scope, receive, send)
-            return
-        if self._administration.serves(path):
+        elif self._administration.serves(path):
             await self._administration(scope, receive, send)
+        elif self._find_account(scope) is None:
+            await self._refuse(send, HTTPStatus.UNAUTHORIZED, "unknown key")
+        elif path == "/v1/models":
+            await self._send_models(send)
+        else:
+            detail = f"there is no path {path!r}"
+            await self._refuse(send, HTTPStatus.NOT_FOUND, detail)
+
+    # ---- requests --------------------------------------------------------
+
+    async def _serve_limited(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        reason = self._find_overload()
+        if reason is not None:
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            await self._refuse(send, status, reason, 1)
             return
         account = self._find_account(scope)
         if account is None:
-            problem = Problem(
-                HTTPStatus.UNAUTHORIZED, Outcome.NOT_RUN, "unknown key"
-            )
-            await _send_problem(send, problem)
-            return
-        if path == "/v1/models":
-            await self._send_models(send)
+            await self._refuse(send, HTTPStatus.UNAUTHORIZED, "unknown key")
             return
-        await self._serve(scope, receive, send, account)
+        self._requests += 1
+        try:
+            await self._serve(scope, receive, send, account)
+        finally:
+            self._requests -= 1
+
+    def _find_overload(self) -> str | None:
+        if not self.is_accepting:
+            return "the router is stopping"
+        if self._requests >= self._settings.requests:
+            return f"{self._requests} requests are in progress"
+        if self._load.is_overloaded():
+            return "the router is overloaded"
+        return None
 
     async def _serve(
         self,
@@ -130,156 +173,165 @@
         send: Send,
         account: ClientAccount,
     ) -> None:
-        body = await self._read_body(receive)
-        if body is None:
-            problem = Problem(
-                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                Outcome.NOT_RUN,
-                f"the body exceeds {self._settings.body_size} bytes",
-            )
-            await _send_problem(send, problem)
+        received_at = self._timers.now()
+        read = await self._read_body(receive)
+        if isinstance(read, Err):
+            if read.err_value is not None:
+                await send_problem(send, read.err_value, close=True)
             return
-        pool = self._find_pool(scope["path"], body)
-        if pool is None:
-            problem = Problem(
-                HTTPStatus.NOT_FOUND, Outcome.NOT_RUN, "no such model"
+        body = read.ok_value
+        checked = self._check(scope, body)
+        if isinstance(checked, Err):
+            await send_problem(
+                send, checked.err_value, self._delivery.is_closing
             )
-            await _send_problem(send, problem)
             return
-        admission = self._fleet.find_admission(pool)
-        now = self._timers.now()
-        ticket = Ticket(
-            client_account=account.name,
-            priority=_get_header(scope, b"hornbeamyard-priority")
-            == b"priority"
-            and account.priority,
-            size=len(body),
-            received_at=now,
-            start_by=now + self._settings.default_deadline_s,
-            prefix=zlib.crc32(body[:PREFIX_SIZE]),
+        route, options = checked.ok_value
+        work = self._build_work(
+            scope, body, account, route, options, received_at
         )
-        admitted = await admission.admit(ticket)
-        if isinstance(admitted, Err):
-            problem = Problem(
-                HTTPStatus.SERVICE_UNAVAILABLE,
-                Outcome.NOT_RUN,
-                str(admitted.err_value),
-                admission.dispatch.compute_retry_after(account.name),
-            )
-            await _send_problem(send, problem)
-            return
-        start = admitted.ok_value
+        self._bodies_size += len(body)
         try:
-            await self._forward(scope, body, start.worker, send)
+            await self._delivery.deliver(work, receive, send)
         finally:
-            admission.finish(start)
-
-    async def _forward(
-        self, scope: Scope, body: bytes, worker_name: str, send: Send
-    ) -> None:
-        worker = self._registry.get(worker_name)
-        if worker is None:
-            problem = Problem(
-                HTTPStatus.BAD_GATEWAY, Outcome.NOT_RUN, "the upstream is gone"
+            self._bodies_size -= len(body)
+
+    def _check(
+        self, scope: Scope, body: bytes
+    ) -> Result[tuple[Route, Options], Problem]:
+        options = parse_options(scope["headers"])
+        if isinstance(options, Err):
+            findings = options.err_value
+            if scope["path"] in MODEL_PATHS and scope["method"] == "POST":
+                model = parse_model(body)
+                if isinstance(model, Err):
+                    findings = findings + model.err_value
+            return Err(build_findings_problem(findings))
+        route = find_route(scope, body, self._fleet.configuration)
+        if isinstance(route, Err):
+            return route
+        return Ok((route.ok_value, options.ok_value))
+
+    def _build_work(
+        self,
+        scope: Scope,
+        body: bytes,
+        account: ClientAccount,
+        route: Route,
+        options: Options,
+        received_at: float,
+    ) -> Work:
+        pool = self._fleet.configuration.pools[route.pool]
+        deadline_s = options.deadline_s or self._settings.default_deadline_s
+        repeatable = (
+            pool.kind == "model"
+            or pool.repeatable
+            or scope["method"] not in UNREPEATABLE_METHODS
+        )
+        claim = None
+        if options.key and not repeatable:
+            claim = Claim(
+                account.name,
+                options.key,
+                _hash_request(scope, route, body),
+                received_at,
             )
-            await _send_problem(send, problem)
-            return
-        path = scope["path"]
-        if path.startswith("/services/"):
-            path = "/" + path.split("/", 3)[3] if path.count("/") > 2 else "/"
-        query = scope["query_string"]
-        target = path.encode() + (b"?" + query if query else b"")
-        headers = [
-            (name, value)
-            for name, value in scope["headers"]
-            if name not in _DROPPED_HEADERS
-        ]
-        connections = self._fleet.get_connections(worker.address)
-        async with connections.stream(
-            scope["method"],
-            worker.address + target.decode(),
-            headers=headers,
-            content=body,
-        ) as response:
-            await send(
-                {
-                    "type": "http.response.start",
-                    "status": response.status,
-                    "headers": [
-                        (name.lower(), value)
-                        for name, value in response.headers
-                        if name.lower() not in _DROPPED_HEADERS
-                    ],
-                }
+        return Work(
+            build_call(scope, route.target, body),
+            route.pool,
+            Ticket(
+                client_account=account.name,
+                priority=options.priority and account.priority,
+                size=len(body),
+                received_at=received_at,
+                start_by=received_at + deadline_s,
+                prefix=zlib.crc32(body[:PREFIX_SIZE]),
+            ),
+            repeatable,
+            options.is_retry,
+            claim,
+        )
+
+    async def _read_body(
+        self, receive: Receive
+    ) -> Result[bytes, Problem | None]:
+        """Return the body, or an error; None when the caller has gone."""
+        parts: list[bytes] = []
+        size = 0
+        most = min(self._settings.body_size, BODIES_SIZE - self._bodies_size)
+        with self._timers.limit(BODY_TIMEOUT_S):
+            while True:
+                message = await receive()
+                if message["type"] == "http.disconnect":
+                    return Err(None)
+                size += len(message.get("body", b""))
+                if size > most:
+                    return Err(self._describe_large(size))
+                parts.append(message.get("body", b""))
+                if not message.get("more_body", False):
+                    return Ok(b"".join(parts))
+        return Err(
+            Problem(
+                HTTPStatus.REQUEST_TIMEOUT,
+                Outcome.NOT_RUN,
+                f"no whole body came within {BODY_TIMEOUT_S:g} s",
             )
-            async for chunk in response.aiter_stream():
-                await send(
-                    {
-                        "type": "http.response.body",
-                        "body": chunk,
-                        "more_body": True,
-                    }
-                )
-        await send({"type": "http.response.body", "body": b""})
+        )
+
+    def _describe_large(self, size: int) -> Problem:
+        largest = self._settings.body_size
+        if size > largest:
+            status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+            detail = f"the body exceeds {largest} bytes"
+            return Problem(status, Outcome.NOT_RUN, detail)
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        detail = "the bodies of other requests take up the memory"
+        return Problem(status, Outcome.NOT_RUN, detail, 1)
 
     # ---- upstreams -------------------------------------------------------
 
     async def _take_announcement(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
-        body = await self._read_body(receive)
-        document = json.loads(body or b"{}")
-        key = _get_bearer(scope)
-        configuration = self._fleet.configuration
-        name = document.get("name", "")
-        if key is None or not configuration.is_upstream_allowed(name, key):
-            problem = Problem(
-                HTTPStatus.FORBIDDEN, Outcome.NOT_RUN, "unknown upstream key"
-            )
-            await _send_problem(send, problem)
+        read = await self._read_body(receive)
+        if isinstance(read, Err):
+            if read.err_value is not None:
+                await send_problem(send, read.err_value, close=True)
+            return
+        taken = self._announcements.take(
+            scope["path"],
+            scope["method"],
+            get_bearer(scope),
+            read.ok_value,
+            self._fleet.configuration,
+        )
+        if isinstance(taken, Err):
+            await send_problem(send, taken.err_value)
             return
-        worker = Worker(announced_at=self._timers.now(), **document)
-        self._fleet.announce(worker)
-        await _send_json(send, HTTPStatus.OK, {"lease_s": worker.lease_s})
+        await send_json(send, HTTPStatus.OK, taken.ok_value)
 
     # ---- helpers ---------------------------------------------------------
 
     def _find_account(self, scope: Scope) -> ClientAccount | None:
-        key = _get_bearer(scope)
+        key = get_bearer(scope)
         if key is None:
             return None
         return self._fleet.configuration.find_account(key)
 
-    def _find_pool(self, path: str, body: bytes) -> str | None:
-        pools = self._fleet.configuration.pools
-        if path.startswith("/services/"):
-            name = path.split("/")[2]
-        elif path in MODEL_PATHS:
-            try:
-                name = json.loads(body).get("model", "")
-            except (ValueError, AttributeError):
-                return None
-        else:
-            return None
-        return name if name in pools else None
-
-    async def _read_body(self, receive: Receive) -> bytes | None:
-        parts = []
-        size = 0
-        while True:
-            message = await receive()
-            part = message.get("body", b"")
-            size += len(part)
-            if size > self._settings.body_size:
-                return None
-            parts.append(part)
-            if not message.get("more_body", False):
-                return b"".join(parts)
+    async def _refuse(
+        self,
+        send: Send,
+        status: HTTPStatus,
+        detail: str,
+        retry_after_s: int | None = None,
+    ) -> None:
+        problem = Problem(status, Outcome.NOT_RUN, detail, retry_after_s)
+        await send_problem(send, problem, self._delivery.is_closing)
 
     async def _send_ready(self, send: Send) -> None:
         ready = self.is_ready and self._fleet.configuration.version > 0
         status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
-        await _send_json(send, status, {"ready": ready})
+        await send_json(send, status, {"ready": ready})
 
     async def _send_models(self, send: Send) -> None:
         pools = self._fleet.configuration.pools.values()
@@ -288,51 +340,14 @@
             for pool in pools
             if pool.kind == "model"
         ]
-        await _send_json(
+        await send_json(
             send, HTTPStatus.OK, {"object": "list", "data": models}
         )
 
 
-def _get_header(scope: Scope, name: bytes) -> bytes | None:
-    for key, value in scope["headers"]:
-        if key == name:
-            return bytes(value)
-    return None
-
-
-def _get_bearer(scope: Scope) -> str | None:
-    value = _get_header(scope, b"authorization")
-    if value is None or not value.lower().startswith(b"bearer "):
-        return None
-    return value[7:].decode("latin-1").strip()
-
-
-async def _send_json(send: Send, status: HTTPStatus, document: object) -> None:
-    body = json.dumps(document).encode()
-    headers = [
-        (b"content-type", b"application/json"),
-        (b"content-length", str(len(body)).encode()),
-    ]
-    await _send_whole(send, status, headers, body)
-
-
-async def _send_problem(send: Send, problem: Problem) -> None:
-    await _send_whole(
-        send, problem.status, problem.list_headers(), problem.to_json()
-    )
-
-
-async def _send_whole(
-    send: Send,
-    status: HTTPStatus,
-    headers: list[tuple[bytes, bytes]],
-    body: bytes,
-) -> None:
-    await send(
-        {
-            "type": "http.response.start",
-            "status": int(status),
-            "headers": headers,
-        }
-    )
-    await send({"type": "http.response.body", "body": body})
+def _hash_request(scope: Scope, route: Route, body: bytes) -> bytes:
+    hashed = hashlib.sha256()
+    for part in (scope["method"].encode(), route.pool.encode(), route.target):
+        hashed.update(part + b"\0")
+    hashed.update(body)
+    return hashed.digest()
--- /dev/null
+++ b/hornbeamyard/request/outcome.py
@@ -0,0 +1,78 @@
+"""Stages of a request, and what the caller is told when one fails."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+from http import HTTPStatus
+
+from .problem import Outcome, Problem
+
+
+class Stage(IntEnum):
+    """How far a request has come."""
+
+    RECEIVED = 0
+    QUEUED = 1
+    GRANTED = 2
+    CONNECTING = 3
+    SENT = 4
+    ANSWERING = 5
+    ANSWERED = 6
+
+
+@dataclass(slots=True)
+class Fault:
+    """Why an attempt ended without a whole answer.
+
+    Attributes
+    ----------
+    stage : Stage
+        The stage in which it ended.
+    reason : str
+    refused : bool
+        Whether the upstream said that it didn't run the request.
+    by_upstream : bool
+        Whether the fault counts against the upstream.
+    """
+
+    stage: Stage
+    reason: str
+    refused: bool = False
+    by_upstream: bool = True
+
+    def may_have_run(self) -> bool:
+        """Return whether the upstream may have run the request."""
+        return self.stage >= Stage.SENT and not self.refused
+
+
+def decide_outcome(may_have_run: bool, repeatable: bool) -> Outcome:
+    """Return what becomes of a request that got no whole answer.
+
+    Parameters
+    ----------
+    may_have_run : bool
+        Whether any attempt of the request may have run.
+    repeatable : bool
+        Whether the caller may send the request again without harm.
+    """
+    if not may_have_run:
+        return Outcome.NOT_RUN
+    return Outcome.FAILED if repeatable else Outcome.UNKNOWN
+
+
+def build_problem(
+    outcome: Outcome, reason: str, retry_after_s: int = 1
+) -> Problem:
+    """Return the error answer for an outcome."""
+    if outcome is Outcome.NOT_RUN:
+        return Problem(
+            HTTPStatus.SERVICE_UNAVAILABLE, outcome, reason, retry_after_s
+        )
+    return Problem(HTTPStatus.BAD_GATEWAY, outcome, reason)
+
+
+def build_error_event(outcome: Outcome, reason: str) -> bytes:
+    """Return the server-sent event that ends a broken event stream."""
+    document = build_problem(outcome, reason).to_json()
+    return b"event: error\ndata: " + document + b"\n\n"
--- a/hornbeamyard/tests/fake_upstream.py
+++ b/hornbeamyard/tests/fake_upstream.py
@@ -1,14 +1,19 @@
 """A small fake upstream for tests, the demo and benchmarks.
 
 It serves as a model engine, with batching and admission in order of arrival,
-or as a plain service that keeps a journal of what it ran.
+or as a plain service that keeps a journal of what it ran. A request may ask
+for a fault: `"fault": "reset"`, `"stage": "sent"` or `"answering"`, and
+`"faulty_attempts"`, the number of attempts that it hits.
 """
 
 from __future__ import annotations
 
 import argparse
 import json
+import os
 import random
+import socket
+import struct
 from collections.abc import Awaitable, Callable, MutableMapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -16,11 +21,14 @@
 import anyio
 import httpcore
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 
 HEARTBEAT_S = 1.0
+# Time without a byte for the faults "slow" and "late".
+PAUSE_S = 0.3
 
 
 @dataclass(slots=True)
@@ -41,6 +49,9 @@
     token_s : float
         Time between tokens in seconds.
     repeatable : bool
+    journal : str
+        File to which each run is appended, so that the journal outlives the
+        process; empty for none.
     """
 
     name: str
@@ -53,6 +64,19 @@
     tokens: int = 10
     token_s: float = 0.01
     repeatable: bool = True
+    journal: str = ""
+
+
+class FaultyProtocol(HttpToolsProtocol):
+    """Shows the connection to the application, which breaks it."""
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self.scope["transport"] = self.transport
+
+
+class BrokenOffError(Exception):
+    """The fake broke off an answer."""
 
 
 @dataclass(slots=True)
@@ -61,6 +85,8 @@
 
     options: FakeOptions
     journal: list[str] = field(default_factory=list)
+    cancelled: list[str] = field(default_factory=list)
+    attempts: set[str] = field(default_factory=set)
     running: int = 0
     most_running: int = 0
     leaving: bool = False
@@ -74,12 +100,20 @@
         if scope["type"] != "http":
             return
         if scope["path"] == "/hornbeamyard/v1/status":
-            await self._answer(send, {"leaving": self.leaving})
+            attempt = scope["query_string"].decode().partition("=")[2]
+            document = {"leaving": self.leaving}
+            if attempt:
+                document["running"] = attempt in self.attempts
+            await self._answer(send, document)
             return
         if scope["path"] == "/journal":
             await self._answer(
                 send,
-                {"journal": self.journal, "most_running": self.most_running},
+                {
+                    "journal": self.journal,
+                    "cancelled": self.cancelled,
+                    "most_running": self.most_running,
+                },
             )
             return
         body = await _read_body(receive)
@@ -89,24 +123,103 @@
             self.running += 1
             self.most_running = max(self.most_running, self.running)
             try:
-                await self._run(scope, body, send)
+                await self._run_watched(scope, body, receive, send)
+            except BrokenOffError:
+                pass
             finally:
                 self.running -= 1
 
-    async def _run(
-        self, scope: MutableMapping[str, Any], body: bytes, send: Send
+    async def _run_watched(
+        self,
+        scope: MutableMapping[str, Any],
+        body: bytes,
+        receive: Receive,
+        send: Send,
     ) -> None:
+        """Run a request until its caller cancels it."""
         request = json.loads(body) if body else {}
         identity = str(request.get("id", ""))
+        headers = dict(scope["headers"])
+        attempt = headers.get(b"hornbeamyard-request", b"").decode()
+        number = int(headers.get(b"hornbeamyard-attempt", b"1"))
+        fault = str(request.get("fault", ""))
+        if number > int(request.get("faulty_attempts", 1000)):
+            fault = ""
+        if fault == "refuse":
+            await self._refuse(send)
+            return
+        self._note_run(identity)
+        self.attempts.add(attempt)
+        finished = False
+        try:
+            async with anyio.create_task_group() as tasks:
+
+                async def watch() -> None:
+                    while (await receive())["type"] != "http.disconnect":
+                        pass
+                    tasks.cancel_scope.cancel()
+
+                tasks.start_soon(watch)
+                try:
+                    await self._run(scope, request, identity, fault, send)
+                    finished = True
+                except BrokenOffError:
+                    finished = True
+                tasks.cancel_scope.cancel()
+        finally:
+            self.attempts.discard(attempt)
+            if not finished:
+                self.cancelled.append(identity)
+
+    def _note_run(self, identity: str) -> None:
         self.journal.append(identity)
+        if not self.options.journal:
+            return
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+        file = os.open(self.options.journal, flags, 0o600)
+        os.write(file, f"{identity}\n".encode())
+        os.close(file)
+
+    async def _refuse(self, send: Send) -> None:
+        await send(
+            {
+                "type": "http.response.start",
+                "status": 503,
+                "headers": [
+                    (b"hornbeamyard-not-run", b"true"),
+                    (b"content-length", b"0"),
+                ],
+            }
+        )
+        await send({"type": "http.response.body", "body": b""})
+
+    async def _run(
+        self,
+        scope: MutableMapping[str, Any],
+        request: dict[str, Any],
+        identity: str,
+        fault: str,
+        send: Send,
+    ) -> None:
         tokens = int(request.get("max_tokens", self.options.tokens))
-        streamed = bool(request.get("stream", False))
-        if not streamed:
+        at = str(request.get("stage", "sent"))
+        if at == "sent":
+            await self._break(scope, fault)
+        if not request.get("stream", False):
             await anyio.sleep(tokens * self.options.token_s)
-            await self._answer(
-                send,
-                {"id": identity, "by": self.options.name, "tokens": tokens},
-            )
+            document = {
+                "id": identity,
+                "by": self.options.name,
+                "tokens": tokens,
+                "padding": "x" * int(request.get("padding", 0)),
+            }
+            broken = fault if at == "answering" else ""
+            await self._answer(send, document, scope, broken)
+            if fault == "extra":
+                # An answer that nobody asked for, on the same connection.
+                scope["transport"].write(
+                    b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra"
+                )
             return
         await send(
             {
@@ -117,6 +230,8 @@
         )
         for number in range(tokens):
             await anyio.sleep(self.options.token_s)
+            if at == "answering" and number == tokens // 2:
+                await self._break(scope, fault)
             event = json.dumps({"id": identity, "token": number})
             await send(
                 {
@@ -127,7 +242,41 @@
             )
         await send({"type": "http.response.body", "body": b"data: [DONE]\n\n"})
 
-    async def _answer(self, send: Send, document: object) -> None:
+    async def _break(
+        self, scope: MutableMapping[str, Any], fault: str
+    ) -> None:
+        transport = scope["transport"]
+        if fault in ("slow", "late"):
+            await anyio.sleep(PAUSE_S)
+        elif fault == "silent":
+            await anyio.sleep_forever()
+        elif fault == "forgotten":
+            # The upstream no longer runs the request, but never says so.
+            headers = dict(scope["headers"])
+            self.attempts.discard(headers[b"hornbeamyard-request"].decode())
+            await anyio.sleep_forever()
+        elif fault == "garbage":
+            transport.write(b"\x16\x03 this is not HTTP\r\n\r\n")
+            transport.close()
+            raise BrokenOffError
+        elif fault == "early":
+            transport.close()
+            raise BrokenOffError
+        elif fault == "reset":
+            linger = struct.pack("ii", 1, 0)
+            transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, linger
+            )
+            transport.abort()
+            raise BrokenOffError
+
+    async def _answer(
+        self,
+        send: Send,
+        document: object,
+        scope: MutableMapping[str, Any] | None = None,
+        fault: str = "",
+    ) -> None:
         body = json.dumps(document).encode()
         await send(
             {
@@ -139,6 +288,12 @@
                 ],
             }
         )
+        if fault and scope is not None:
+            half = body[: len(body) // 2]
+            message = {"type": "http.response.body", "body": half}
+            await send({**message, "more_body": True})
+            await self._break(scope, fault)
+            body = body[len(half) :]
         await send({"type": "http.response.body", "body": body})
 
     async def announce_repeatedly(self) -> None:
@@ -196,6 +351,7 @@
         port=options.port,
         log_config=None,
         lifespan="off",
+        http=FaultyProtocol,
     )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(upstream.announce_repeatedly)
@@ -214,6 +370,8 @@
     parser.add_argument("--key", required=True)
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--token-s", type=float, default=0.01)
+    parser.add_argument("--unrepeatable", action="store_true")
+    parser.add_argument("--journal", default="")
     arguments = parser.parse_args()
     anyio.run(
         serve_upstream,
@@ -226,6 +384,8 @@
             key=arguments.key,
             slots=arguments.slots,
             token_s=arguments.token_s,
+            repeatable=not arguments.unrepeatable,
+            journal=arguments.journal,
         ),
     )
 
