Test faults by stages, claims and callers that leave

Cause: outcomes were not proved. A late periodic tick also ended the whole daemon: it slept for a negative time, which anyio refuses, so that a router that was frozen or busy for longer than an interval died on its next tick.

Ruled out: counting each fault of a retried request against its upstream; one request that breaks every upstream then had all of them ejected, and its retries took 10 s. Only a first attempt counts now, and a request may run at most three times.

--- a/hornbeamyard/connection/upstreams.py
+++ b/hornbeamyard/connection/upstreams.py
@@ -181,7 +181,10 @@
     async def _ask(self, exchange: Watched) -> None:
         """Drop an exchange unless the upstream says that it still runs."""
         progress = exchange.progress
-        state = await ask_running(exchange.address, exchange.identity)
+        timeout_s = min(STATUS_TIMEOUT_S, self._silence_s)
+        state = await ask_running(
+            exchange.address, exchange.identity, timeout_s
+        )
         if exchange.progress != progress or exchange not in self._watched:
             return
         if state is not None:
@@ -193,7 +196,9 @@
             )
 
 
-async def ask_running(address: str, identity: str) -> str | None:
+async def ask_running(
+    address: str, identity: str, timeout_s: float
+) -> str | None:
     """Ask an upstream over a fresh connection whether a request runs.
 
     Returns
@@ -203,13 +208,10 @@
         the upstream is alive and doesn't tell.
     """
     url = f"{address}{STATUS_PATH}?request={quote(identity)}"
-    timeout = dict.fromkeys(("connect", "read", "write"), STATUS_TIMEOUT_S)
     try:
-        with anyio.fail_after(STATUS_TIMEOUT_S):
+        with anyio.fail_after(timeout_s):
             async with httpcore.AsyncConnectionPool() as fresh:
-                response = await fresh.request(
-                    "GET", url, extensions={"timeout": timeout}
-                )
+                response = await fresh.request("GET", url)
         document = json.loads(response.content)
     except (*CONNECTION_ERRORS, TimeoutError, ValueError):
         return "the upstream's status doesn't answer"
--- a/hornbeamyard/process/router.py
+++ b/hornbeamyard/process/router.py
@@ -275,6 +275,7 @@
         lifespan="off",
         http=build_protocol(limits),
         ws="none",
+        proxy_headers=False,
         timeout_graceful_shutdown=int(CLOSE_TIMEOUT_S),
         server_header=False,
     )
--- a/hornbeamyard/process/timers.py
+++ b/hornbeamyard/process/timers.py
@@ -54,7 +54,8 @@
 
     async def sleep(self, seconds: float) -> None:
         """Suspend the calling task for `seconds`."""
-        await anyio.sleep(seconds)
+        # A late tick asks for less than zero, which anyio refuses.
+        await anyio.sleep(max(0.0, seconds))
 
     def limit(
         self, seconds: float
--- a/hornbeamyard/request/delivery.py
+++ b/hornbeamyard/request/delivery.py
@@ -32,9 +32,11 @@
 
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 
-# Attempts for one request; a request that fails this often is given up
-# before its deadline, because the fault is then likely its own.
-MOST_ATTEMPTS = 6
+# Attempts that may have run, and attempts in all, for one request. A request
+# that fails this often is given up before its deadline, because the fault is
+# then likely its own.
+MOST_RUNS = 3
+MOST_ATTEMPTS = 8
 STOPPED = "the router stops at once"
 
 
@@ -266,7 +268,10 @@
                 choice.record_success(start.worker, work.ticket.prefix)
                 work.outcome = "answered"
                 return None
-            if fault.by_upstream and not fault.refused:
+            # Only a first attempt counts against the upstream: a request that
+            # breaks every upstream must not have them all ejected.
+            first = attempts == 1 or fault.stage < Stage.SENT
+            if first and fault.by_upstream and not fault.refused:
                 choice.record_failure(start.worker, self._timers.now())
             if not self._may_retry(work, fault, attempts):
                 return await self._end(work, fault, send)
@@ -322,7 +327,9 @@
         if fault.stage < Stage.SENT:
             # No byte was sent, so another attempt adds no load.
             return True
-        return not work.is_retry and self._budget.take()
+        if work.is_retry or attempts >= MOST_RUNS:
+            return False
+        return self._budget.take()
 
     def _avoid(self, work: Work, worker: str) -> None:
         """Keep a retry off a worker, while there is another one."""
--- a/hornbeamyard/tests/fake_upstream.py
+++ b/hornbeamyard/tests/fake_upstream.py
@@ -28,7 +28,7 @@
 
 HEARTBEAT_S = 1.0
 # Time without a byte for the faults "slow" and "late".
-PAUSE_S = 0.3
+PAUSE_S = 0.4
 
 
 @dataclass(slots=True)
@@ -87,6 +87,7 @@
     journal: list[str] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
     attempts: set[str] = field(default_factory=set)
+    mute: set[str] = field(default_factory=set)
     running: int = 0
     most_running: int = 0
     leaving: bool = False
@@ -102,6 +103,8 @@
         if scope["path"] == "/hornbeamyard/v1/status":
             attempt = scope["query_string"].decode().partition("=")[2]
             document = {"leaving": self.leaving}
+            if attempt in self.mute:
+                await anyio.sleep_forever()
             if attempt:
                 document["running"] = attempt in self.attempts
             await self._answer(send, document)
@@ -246,14 +249,16 @@
         self, scope: MutableMapping[str, Any], fault: str
     ) -> None:
         transport = scope["transport"]
+        attempt = dict(scope["headers"]).get(b"hornbeamyard-request", b"")
         if fault in ("slow", "late"):
             await anyio.sleep(PAUSE_S)
         elif fault == "silent":
+            # Like a frozen process, also when asked for its status.
+            self.mute.add(attempt.decode())
             await anyio.sleep_forever()
         elif fault == "forgotten":
             # The upstream no longer runs the request, but never says so.
-            headers = dict(scope["headers"])
-            self.attempts.discard(headers[b"hornbeamyard-request"].decode())
+            self.attempts.discard(attempt.decode())
             await anyio.sleep_forever()
         elif fault == "garbage":
             transport.write(b"\x16\x03 this is not HTTP\r\n\r\n")
--- /dev/null
+++ b/hornbeamyard/tests/matrix.py
@@ -0,0 +1,209 @@
+"""The matrix of faults by stages, and the comparison of its records."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+import anyio
+
+from .rig import MODEL, SERVICE, Reply, Rig, run_rig
+
+FAULTS = (
+    "reset",
+    "early",
+    "garbage",
+    "silent",
+    "forgotten",
+    "slow",
+    "late",
+    "extra",
+    "refuse",
+)
+HARMLESS = frozenset({"slow", "late", "extra", ""})
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """One fault at one stage for one kind of request.
+
+    Attributes
+    ----------
+    fault : str
+    stage : str
+        `connecting`, `sent` or `answering`.
+    repeatable : bool
+    stream : bool
+        Whether the answer is an event stream.
+    claimed : bool
+        Whether the request has an idempotency key.
+    every_attempt : bool
+        Whether retries meet the fault as well.
+    """
+
+    fault: str
+    stage: str
+    repeatable: bool
+    stream: bool
+    claimed: bool = False
+    every_attempt: bool = False
+
+    def __str__(self) -> str:
+        parts = [self.fault or "none", self.stage]
+        parts.append("repeatable" if self.repeatable else "unrepeatable")
+        parts.append("stream" if self.stream else "whole")
+        if self.claimed:
+            parts.append("claimed")
+        if self.every_attempt:
+            parts.append("every")
+        return "-".join(parts)
+
+
+def list_cases() -> Iterator[Case]:
+    """Yield all cases."""
+    for fault in FAULTS:
+        for stage in ("sent", "answering"):
+            if fault in ("extra", "refuse") and stage == "answering":
+                continue
+            for stream in (False, True):
+                if fault == "extra" and stream:
+                    continue
+                yield Case(fault, stage, True, stream)
+                if stage == "sent" and fault not in HARMLESS:
+                    yield Case(fault, stage, True, stream, every_attempt=True)
+                yield Case(fault, stage, False, stream)
+                yield Case(fault, stage, False, stream, claimed=True)
+
+
+@dataclass(slots=True)
+class Record:
+    """One request as its caller saw it.
+
+    Attributes
+    ----------
+    identity : str
+    repeatable : bool
+    stream : bool
+    tokens : int
+    replies : list of Reply
+        One for each time that the caller sent the request.
+    """
+
+    identity: str
+    repeatable: bool
+    stream: bool
+    tokens: int
+    replies: list[Reply] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Tally:
+    """Violations found by comparing journals with records."""
+
+    double_runs: list[str] = field(default_factory=list)
+    false_not_run: list[str] = field(default_factory=list)
+    wrong_answers: list[str] = field(default_factory=list)
+
+    def compare(self, record: Record, runs: int) -> None:
+        """Compare a record with the number of runs in the journals."""
+        if not record.repeatable and runs > 1:
+            self.double_runs.append(record.identity)
+        outcomes = {reply.get_outcome() for reply in record.replies}
+        answered = any(reply.status == 200 for reply in record.replies)
+        if outcomes == {"not-run"} and runs and not answered:
+            self.false_not_run.append(record.identity)
+        for reply in record.replies:
+            if not is_answer_right(record, reply):
+                self.wrong_answers.append(record.identity)
+
+    def list_violations(self) -> list[str]:
+        """Return all violations."""
+        return self.double_runs + self.false_not_run + self.wrong_answers
+
+
+def is_answer_right(record: Record, reply: Reply) -> bool:
+    """Return whether an answer is the request's own, and whole or visibly cut.
+
+    An answer of which nothing arrived is visibly cut.
+    """
+    if reply.status != 200 or not reply.whole:
+        return reply.status in (0, 200) or bool(reply.get_outcome())
+    if not record.stream:
+        document = json.loads(reply.body)
+        return bool(
+            document["id"] == record.identity
+            and document["tokens"] == record.tokens
+        )
+    events = reply.body.decode().split("\n\n")
+    expected = [
+        "data: " + json.dumps({"id": record.identity, "token": number})
+        for number in range(record.tokens)
+    ]
+    return events == [*expected, "data: [DONE]", ""]
+
+
+def build_request(
+    case: Case, identity: str, tokens: int
+) -> tuple[str, dict[str, object], dict[str, str]]:
+    """Return path, document and headers of a case's request."""
+    document: dict[str, object] = {
+        "model": MODEL,
+        "id": identity,
+        "max_tokens": tokens,
+        "stream": case.stream,
+        "fault": case.fault,
+        "stage": case.stage,
+    }
+    if case.repeatable and not case.every_attempt:
+        document["faulty_attempts"] = 1
+    path = "/v1/chat/completions" if case.repeatable else "/services/notices/"
+    headers = {"idempotency_key": identity} if case.claimed else {}
+    return path, document, headers
+
+
+async def run_case(case: Case, seed: int, tally: Tally) -> Reply:
+    """Run a case: faulty request, two resends, then a healthy request.
+
+    Returns
+    -------
+    Reply
+        What the caller of the faulty request got first.
+    """
+    draw = random.Random(f"{case}-{seed}")
+    identity = f"{case}-{seed}"
+    tokens = draw.randint(2, 8)
+    path, document, headers = build_request(case, identity, tokens)
+    record = Record(identity, case.repeatable, case.stream, tokens)
+    pool = MODEL if case.repeatable else SERVICE
+    async with run_rig(pool, routers=2) as rig:
+        first = await rig.call(path, document, **headers)
+        record.replies.append(first)
+        if case.claimed:
+            await _resend(rig, record, path, document, headers)
+        healthy = Record(f"{identity}-next", case.repeatable, False, 3)
+        plain = Case("", "sent", case.repeatable, False)
+        path, document, _ = build_request(plain, healthy.identity, 3)
+        healthy.replies.append(await rig.call(path, document))
+        tally.compare(record, rig.count_runs(identity))
+        tally.compare(healthy, rig.count_runs(healthy.identity))
+    return first
+
+
+async def _resend(
+    rig: Rig,
+    record: Record,
+    path: str,
+    document: dict[str, object],
+    headers: dict[str, str],
+) -> None:
+    """Send a request again through both routers at the same time."""
+
+    async def send(router: int) -> None:
+        reply = await rig.call(path, document, router, **headers)
+        record.replies.append(reply)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(send, 0)
+        tasks.start_soon(send, 1)
--- /dev/null
+++ b/hornbeamyard/tests/rig.py
@@ -0,0 +1,339 @@
+"""Routers, fake upstreams and a fake claim service in one event loop.
+
+Callers and upstreams use real sockets on loopback. Only the lead controller
+is missing: routers use their fallback share of the slots.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import anyio
+import grpc
+import grpc.aio
+import httpcore
+import uvicorn
+
+from hornbeamyard.connection import peers
+from hornbeamyard.messages import fleet_pb2, fleet_pb2_grpc
+from hornbeamyard.pool.worker import Worker
+from hornbeamyard.process.router import Router
+from hornbeamyard.process.settings import RouterSettings, Settings
+from hornbeamyard.process.timers import MonotonicTimers
+from hornbeamyard.version.configuration import hash_key, parse_document
+
+from .fake_upstream import FakeOptions, FakeUpstream, FaultyProtocol
+from .fleet import find_free_port
+
+KEY = "caller-key"
+UPSTREAM_KEY = "upstream-key"
+MODEL = "visitor-assistant"
+SERVICE = "notices"
+SILENCE_S = 0.25
+TIMEOUT_S = 15.0
+
+
+class FakeClaims(fleet_pb2_grpc.FleetServicer):
+    """The claim service of one controller, in memory."""
+
+    def __init__(self) -> None:
+        self.table: dict[tuple[str, str], Any] = {}
+        self.operations: list[Any] = []
+        self.batches: list[int] = []
+        self.has_quorum = True
+        # Leave messages of routers.
+        self.left = 0
+        # Replies lost after the operations were applied.
+        self.lost_replies = 0
+
+    async def Attach(self, requests: Any, context: Any) -> Any:  # noqa: N802
+        """Serve a router's stream, without allocations."""
+        async for report in requests:
+            if report.leaving:
+                self.left += 1
+            yield fleet_pb2.ControllerUpdate(epoch=1, lease_ms=3000)
+
+    async def MakeClaims(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Apply a batch."""
+        if not self.has_quorum:
+            return fleet_pb2.ClaimResults(no_quorum=True)
+        self.batches.append(len(request.operations))
+        results = [self._apply(op) for op in request.operations]
+        if self.lost_replies:
+            self.lost_replies -= 1
+            await context.abort(grpc.StatusCode.UNAVAILABLE, "lost")
+        return fleet_pb2.ClaimResults(results=results)
+
+    def _apply(self, operation: Any) -> Any:
+        self.operations.append(operation)
+        place = (operation.client_account, operation.key)
+        held = self.table.get(place)
+        if operation.kind == operation.MAKE:
+            if held is None:
+                held = fleet_pb2.ClaimRecord(
+                    request_hash=operation.request_hash,
+                    attempt=operation.attempt,
+                    state=fleet_pb2.IN_PROGRESS,
+                )
+                self.table[place] = held
+            elif held.request_hash != operation.request_hash:
+                return fleet_pb2.ClaimResult(state=fleet_pb2.CONFLICT)
+            if (
+                held.attempt == operation.attempt
+                and held.state == fleet_pb2.IN_PROGRESS
+            ):
+                return fleet_pb2.ClaimResult(state=fleet_pb2.GRANTED)
+            return fleet_pb2.ClaimResult(state=held.state, answer=held.answer)
+        if held is None or held.attempt != operation.attempt:
+            return fleet_pb2.ClaimResult(state=fleet_pb2.RELEASED)
+        if operation.kind == operation.RELEASE:
+            del self.table[place]
+            return fleet_pb2.ClaimResult(state=fleet_pb2.RELEASED)
+        if operation.kind == operation.ANSWER:
+            held.state = fleet_pb2.ANSWERED
+            held.answer.CopyFrom(operation.answer)
+        else:
+            held.state = fleet_pb2.OUTCOME_UNKNOWN
+        return fleet_pb2.ClaimResult(state=held.state)
+
+
+@dataclass(slots=True)
+class Reply:
+    """What a caller got.
+
+    Attributes
+    ----------
+    status : int
+        0 when no answer began.
+    headers : dict of str to str
+    body : bytes
+    whole : bool
+        Whether the answer ended as complete.
+    """
+
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    whole: bool = False
+
+    def get_outcome(self) -> str:
+        """Return the outcome of a problem document, or an empty text."""
+        if self.headers.get("content-type") != "application/problem+json":
+            return ""
+        return str(json.loads(self.body)["outcome"])
+
+
+@dataclass(slots=True)
+class Rig:
+    """The running parts."""
+
+    routers: list[Router]
+    ports: list[int]
+    upstreams: list[FakeUpstream]
+    claims: FakeClaims
+    stops: list[tuple[anyio.Event, anyio.Event]]
+    ended: list[anyio.Event]
+
+    async def call(
+        self, path: str, document: object, router: int = 0, **headers: str
+    ) -> Reply:
+        """Send one request as a caller of its own."""
+        content = json.dumps(document).encode()
+        return await self.send("POST", path, content, router, **headers)
+
+    async def send(
+        self,
+        method: str,
+        path: str,
+        content: bytes = b"",
+        router: int = 0,
+        key: str = KEY,
+        **headers: str,
+    ) -> Reply:
+        """Send any request."""
+        names = {
+            name.replace("_", "-"): value for name, value in headers.items()
+        }
+        names["authorization"] = f"Bearer {key}"
+        reply = Reply()
+        timeout = {"read": TIMEOUT_S, "connect": 2.0}
+        url = f"http://127.0.0.1:{self.ports[router]}{path}"
+        async with httpcore.AsyncConnectionPool() as pool:
+            try:
+                async with pool.stream(
+                    method,
+                    url,
+                    headers=names,
+                    content=content,
+                    extensions={"timeout": timeout},
+                ) as response:
+                    reply.status = response.status
+                    reply.headers = {
+                        name.decode().lower(): value.decode()
+                        for name, value in response.headers
+                    }
+                    async for chunk in response.aiter_stream():
+                        reply.body += chunk
+                    reply.whole = True
+            except (httpcore.NetworkError, httpcore.ProtocolError):
+                pass
+        return reply
+
+    def count_runs(self, identity: str) -> int:
+        """Return how often the upstreams ran a request."""
+        return sum(up.journal.count(identity) for up in self.upstreams)
+
+
+@contextlib.asynccontextmanager
+async def run_rig(
+    pool: str = MODEL,
+    routers: int = 1,
+    workers: int = 2,
+    **options: Any,
+) -> AsyncIterator[Rig]:
+    """Run routers in front of one pool.
+
+    Parameters
+    ----------
+    pool : str
+        `MODEL`, or `SERVICE`, whose calls are unrepeatable.
+    routers, workers : int
+    **options
+        Settings of the router role.
+    """
+    timers = MonotonicTimers()
+    claims = FakeClaims()
+    server = peers.create_server()
+    fleet_pb2_grpc.add_FleetServicer_to_server(claims, server)
+    controller = f"127.0.0.1:{find_free_port()}"
+    peers.add_port(server, controller, None)
+    await server.start()
+    upstreams = [
+        FakeUpstream(
+            FakeOptions(
+                f"{pool}-{number}",
+                pool,
+                "centro",
+                find_free_port(),
+                [],
+                UPSTREAM_KEY,
+                token_s=0.005,
+                repeatable=pool == MODEL,
+            )
+        )
+        for number in range(workers)
+    ]
+    rig = Rig([], [], upstreams, claims, [], [])
+    async with _stop_at_end(server), anyio.create_task_group() as tasks:
+        for upstream in upstreams:
+            await serve(tasks, upstream)
+        for number in range(routers):
+            port = find_free_port()
+            role = RouterSettings(
+                f"127.0.0.1:{port}",
+                **{"silence_s": SILENCE_S, "drain_s": 5.0, **options},
+            )
+            settings = Settings(
+                "test",
+                f"host-{number}",
+                "centro",
+                {"host-0": controller},
+                router=role,
+            )
+            router = Router(settings, timers)
+            rig.routers.append(router)
+            rig.ports.append(port)
+            rig.stops.append((anyio.Event(), anyio.Event()))
+            rig.ended.append(anyio.Event())
+            tasks.start_soon(_run_router, rig, number)
+            await _prepare(router, port, upstreams, number, routers)
+        yield rig
+        tasks.cancel_scope.cancel()
+
+
+@contextlib.asynccontextmanager
+async def _stop_at_end(server: grpc.aio.Server) -> AsyncIterator[None]:
+    try:
+        yield
+    finally:
+        with anyio.CancelScope(shield=True):
+            await server.stop(grace=0)
+
+
+async def serve(
+    tasks: anyio.abc.TaskGroup, upstream: FakeUpstream
+) -> uvicorn.Server:
+    """Start the HTTP server of a fake upstream."""
+    config = uvicorn.Config(
+        upstream,
+        host="127.0.0.1",
+        port=upstream.options.port,
+        log_config=None,
+        lifespan="off",
+        http=FaultyProtocol,
+    )
+    server = uvicorn.Server(config)
+    tasks.start_soon(server._serve)
+    while not server.started:
+        await anyio.sleep(0.002)
+    return server
+
+
+async def _run_router(rig: Rig, number: int) -> None:
+    await rig.routers[number].run(*rig.stops[number])
+    rig.ended[number].set()
+
+
+async def _prepare(
+    router: Router,
+    port: int,
+    upstreams: list[FakeUpstream],
+    rank: int,
+    routers: int,
+) -> None:
+    document = {
+        "client_accounts": {"hotel": {"share": 1, "keys": [hash_key(KEY)]}},
+        "pools": {
+            MODEL: {"kind": "model"},
+            SERVICE: {"kind": "service"},
+        },
+        "upstreams": {
+            up.options.name: {"keys": [hash_key(UPSTREAM_KEY)]}
+            for up in upstreams
+        },
+        "operators": {},
+    }
+    router._take_configuration(parse_document(document, 1).ok_value)
+    for up in upstreams:
+        router.registry.announce(
+            Worker(
+                up.options.name,
+                f"http://127.0.0.1:{up.options.port}",
+                "centro",
+                up.options.pool,
+                up.options.slots,
+                repeatable=up.options.repeatable,
+                lease_s=600.0,
+                announced_at=router._timers.now(),
+            )
+        )
+    pool = upstreams[0].options.pool
+    dispatch = router.find_admission(pool).dispatch
+    dispatch.enter_fallback(rank, routers)
+    while True:
+        try:
+            stream = await anyio.connect_tcp("127.0.0.1", port)
+            await stream.aclose()
+            return
+        except OSError:
+            await anyio.sleep(0.005)
+
+
+def read_journal(path: Path) -> list[str]:
+    """Return the runs that a fake upstream's file tells of."""
+    return path.read_text().split() if path.exists() else []
--- /dev/null
+++ b/hornbeamyard/tests/test_exchange.py
@@ -0,0 +1,213 @@
+"""Attempts at upstreams: cancelling, bounded buffers, silent connections."""
+
+from __future__ import annotations
+
+import json
+import time
+
+import anyio
+import pytest
+
+from .rig import KEY, MODEL, SERVICE, SILENCE_S, Rig, run_rig
+
+CHAT = "/v1/chat/completions"
+NOTICES = "/services/notices/"
+
+
+def build_head(path: str, size: int, *headers: str) -> bytes:
+    """Return the header of a POST."""
+    lines = [
+        f"POST {path} HTTP/1.1",
+        "host: router",
+        f"authorization: Bearer {KEY}",
+        f"content-length: {size}",
+        *headers,
+    ]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+async def leave_during(
+    rig: Rig, path: str, identity: str, *headers: str, **fields: object
+) -> None:
+    """Send a request, wait until it runs, and close the connection."""
+    document = {"model": MODEL, "id": identity, **fields}
+    body = json.dumps(document).encode()
+    stream = await anyio.connect_tcp("127.0.0.1", rig.ports[0])
+    await stream.send(build_head(path, len(body), *headers) + body)
+    while not rig.count_runs(identity):
+        await anyio.sleep(0.005)
+    await stream.aclose()
+
+
+async def wait_for(condition: object, seconds: float = 3.0) -> None:
+    """Wait until `condition()` holds."""
+    with anyio.fail_after(seconds):
+        while not condition():  # type: ignore[operator]
+            await anyio.sleep(0.005)
+
+
+class TestCallerGone:
+    """A caller that goes away cancels its work upstream."""
+
+    @pytest.mark.requirement("R17", fault="caller gone")
+    @pytest.mark.parametrize("stream", [False, True])
+    def test_cancels_upstream(self, stream: bool) -> None:
+        """Guards against slots that work for nobody."""
+
+        async def run() -> None:
+            async with run_rig(workers=1) as rig:
+                await leave_during(
+                    rig, CHAT, "gone", max_tokens=2000, stream=stream
+                )
+                await wait_for(lambda: rig.upstreams[0].cancelled)
+                holding = rig.routers[0].find_admission(MODEL).dispatch.holding
+                await wait_for(lambda: holding.count_running() == 0)
+                after = await rig.call(CHAT, {"model": MODEL, "id": "next"})
+                assert json.loads(after.body)["id"] == "next"
+
+        anyio.run(run)
+
+    @pytest.mark.requirement("R5", fault="caller gone, resends")
+    def test_keeps_answer_of_claimed_call(self) -> None:
+        """Guards against a claimed call whose answer nobody can get."""
+
+        async def run() -> None:
+            async with run_rig(SERVICE, routers=2) as rig:
+                fields = {"max_tokens": 40}
+                header = "idempotency-key: gone"
+                await leave_during(rig, NOTICES, "gone", header, **fields)
+                document = {"model": MODEL, "id": "gone", **fields}
+                early = await rig.call(
+                    NOTICES, document, 1, idempotency_key="gone"
+                )
+                assert early.status == 409
+                assert early.get_outcome() == "in-progress"
+                assert early.headers["retry-after"] == "1"
+                table = rig.claims.table
+                await wait_for(
+                    lambda: table[("hotel", "gone")].answer.status == 200
+                )
+                late = await rig.call(
+                    NOTICES, document, 1, idempotency_key="gone"
+                )
+                assert json.loads(late.body)["id"] == "gone"
+                assert rig.count_runs("gone") == 1
+
+        anyio.run(run)
+
+    @pytest.mark.requirement("R5", fault="caller gone during the body")
+    def test_drops_cut_body(self) -> None:
+        """Guards against running a request whose body never came whole."""
+
+        async def run() -> None:
+            async with run_rig(SERVICE) as rig:
+                stream = await anyio.connect_tcp("127.0.0.1", rig.ports[0])
+                body = b'{"id": "cut"}'
+                await stream.send(build_head(NOTICES, 100) + body)
+                await anyio.sleep(0.05)
+                await stream.aclose()
+                await anyio.sleep(0.1)
+                assert [up.journal for up in rig.upstreams] == [[], []]
+
+        anyio.run(run)
+
+
+class TestSlowCaller:
+    """A slow caller holds back only its own stream."""
+
+    @pytest.mark.requirement("R3", fault="slow reader")
+    def test_holds_back_only_itself(self) -> None:
+        """Guards against unbounded buffers and against blocking others."""
+        size = 64 * 1024 * 1024
+
+        async def run() -> None:
+            async with run_rig(workers=1) as rig:
+                document = {"model": MODEL, "id": "slow", "padding": size}
+                body = json.dumps(document).encode()
+                stream = await anyio.connect_tcp("127.0.0.1", rig.ports[0])
+                await stream.send(build_head(CHAT, len(body)) + body)
+                exchanges = rig.routers[0]._liveness.list_watched
+                await wait_for(
+                    lambda: any(e.waits_for_caller for e in exchanges())
+                )
+                await anyio.sleep(2 * SILENCE_S)
+                # What is on its way is bounded by the sockets' buffers.
+                [exchange] = exchanges()
+                assert exchange.waits_for_caller
+                assert exchange.progress < size / (64 * 1024)
+                started = time.monotonic()
+                other = await rig.call(CHAT, {"model": MODEL, "id": "other"})
+                assert json.loads(other.body)["id"] == "other"
+                assert time.monotonic() - started < 2.0
+                received = 0
+                while received < size:
+                    received += len(await stream.receive())
+                await stream.aclose()
+
+        anyio.run(run)
+
+
+class TestConnecting:
+    """No connection, no run: retried elsewhere, else not run."""
+
+    @pytest.mark.requirement("R4", fault="upstream gone while connecting")
+    @pytest.mark.parametrize("pool", [MODEL, SERVICE])
+    def test_goes_elsewhere(self, pool: str) -> None:
+        """Guards against giving up a request that was never sent."""
+
+        async def run() -> None:
+            async with run_rig(pool) as rig:
+                for worker in rig.routers[0].registry.list_workers():
+                    if worker.name.endswith("-0"):
+                        worker.address = "http://127.0.0.1:1"
+                path = CHAT if pool == MODEL else NOTICES
+                for number in range(4):
+                    identity = f"elsewhere-{number}"
+                    document = {"model": MODEL, "id": identity}
+                    reply = await rig.call(path, document)
+                    assert json.loads(reply.body)["id"] == identity
+                    assert rig.count_runs(identity) == 1
+
+        anyio.run(run)
+
+    @pytest.mark.requirement("R4", fault="all upstreams gone")
+    def test_tells_not_run_at_deadline(self) -> None:
+        """Guards against waiting past the deadline, or a wrong outcome."""
+
+        async def run() -> None:
+            async with run_rig(SERVICE) as rig:
+                for worker in rig.routers[0].registry.list_workers():
+                    worker.address = "http://127.0.0.1:1"
+                started = time.monotonic()
+                reply = await rig.call(
+                    NOTICES,
+                    {"id": "nowhere"},
+                    idempotency_key="nowhere",
+                    hornbeamyard_deadline="0.5",
+                )
+                assert reply.status == 503
+                assert reply.get_outcome() == "not-run"
+                assert int(reply.headers["retry-after"]) >= 1
+                assert time.monotonic() - started < 1.5
+                assert rig.claims.table == {}
+
+        anyio.run(run)
+
+    @pytest.mark.requirement("R4", fault="lost once, then all gone")
+    def test_remembers_earlier_attempts(self) -> None:
+        """Guards against "not run" when only the last attempt wasn't."""
+
+        async def run() -> None:
+            async with run_rig() as rig:
+                workers = rig.routers[0].registry.list_workers()
+                for worker in workers[1:]:
+                    worker.address = "http://127.0.0.1:1"
+                reply = await rig.call(
+                    CHAT,
+                    {"model": MODEL, "id": "once", "fault": "reset"},
+                    hornbeamyard_deadline="0.5",
+                )
+                assert rig.count_runs("once") == 1
+                assert reply.get_outcome() == "failed"
+
+        anyio.run(run)
--- /dev/null
+++ b/hornbeamyard/tests/test_outcomes.py
@@ -0,0 +1,58 @@
+"""The matrix of faults by stages: each answer once, each call at most once."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from .matrix import HARMLESS, Case, Tally, list_cases, run_case
+from .rig import Reply
+
+CHAT = "/v1/chat/completions"
+NOTICES = "/services/notices/"
+
+
+def expect_outcome(case: Case) -> str:
+    """Return what the caller of a case's request must be told.
+
+    Returns
+    -------
+    str
+        `whole`, `cut` or the outcome of a problem document.
+    """
+    if case.fault in HARMLESS:
+        return "whole"
+    if case.fault == "refuse":
+        # The first refusal of a repeatable request is retried elsewhere.
+        retried = case.repeatable and not case.every_attempt
+        return "whole" if retried else "not-run"
+    if case.stage == "answering":
+        return "cut"
+    if not case.repeatable:
+        return "unknown"
+    return "failed" if case.every_attempt else "whole"
+
+
+def describe(reply: Reply) -> str:
+    """Return what a caller was told."""
+    if reply.get_outcome():
+        return reply.get_outcome()
+    return "whole" if reply.status == 200 and reply.whole else "cut"
+
+
+class TestMatrix:
+    """Every fault at every stage, for every kind of request."""
+
+    @pytest.mark.requirement("R3", fault="upstream breaks, stalls or lies")
+    @pytest.mark.requirement("R4", fault="upstream breaks, stalls or lies")
+    @pytest.mark.requirement("R5", fault="upstream breaks, stalls or lies")
+    @pytest.mark.requirement("R16", fault="connection silent while sent")
+    @pytest.mark.parametrize("case", list(list_cases()), ids=str)
+    def test_tells_outcome(self, case: Case) -> None:
+        """Guards against wrong outcomes, double runs and mixed answers."""
+        tally = Tally()
+        reply = anyio.run(run_case, case, 0, tally)
+        assert tally.list_violations() == []
+        assert describe(reply) == expect_outcome(case)
+        if describe(reply) == "not-run":
+            assert int(reply.headers["retry-after"]) >= 1
