Test callers' input, limits and stops of a router

Ruled out: limiting by uvicorn's own concurrency limit, because its refusal has no outcome and no Retry-After.

Change: tests of calls, announcements, limits and drain on the in-process rig.

--- /dev/null
+++ b/hornbeamyard/tests/test_call.py
@@ -0,0 +1,248 @@
+"""What callers and upstreams send: headers, bodies, paths, announcements."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import anyio
+import pytest
+
+from hornbeamyard.request.call import Route, build_call, find_route
+from hornbeamyard.version.configuration import Configuration, Pool
+
+from .rig import MODEL, SERVICE, UPSTREAM_KEY, Reply, run_rig
+
+CHAT = "/v1/chat/completions"
+UPSTREAMS = "/hornbeamyard/v1/upstreams"
+ANNOUNCEMENT = {
+    "name": f"{MODEL}-0",
+    "address": "http://127.0.0.1:9",
+    "availability_zone": "centro",
+    "pool": MODEL,
+    "slots": 8,
+}
+
+
+def send(method: str, path: str, content: bytes, **options: Any) -> Reply:
+    """Send one request to a router of its own."""
+
+    async def run() -> Reply:
+        async with run_rig(workers=1) as rig:
+            reply = await rig.send(method, path, content, **options)
+            # Whatever was sent, the router goes on to serve.
+            after = await rig.call(CHAT, {"model": MODEL, "id": "after"})
+            assert after.status == 200
+            return reply
+
+    return anyio.run(run)
+
+
+def find_places(reply: Reply) -> set[str]:
+    """Return the places of all findings."""
+    document = json.loads(reply.body)
+    assert reply.headers["content-type"] == "application/problem+json"
+    assert document["status"] == reply.status
+    return {finding["place"] for finding in document.get("findings", [])}
+
+
+class TestHeaders:
+    """Bad values are answered with all findings together."""
+
+    @pytest.mark.requirement("R22")
+    def test_reports_all_findings(self) -> None:
+        """Guards against one error at a time."""
+        reply = send(
+            "POST",
+            CHAT,
+            b"not json",
+            hornbeamyard_priority="urgent",
+            hornbeamyard_cost_hint="-1",
+            hornbeamyard_deadline="soon",
+            idempotency_key="a b",
+        )
+        assert reply.status == 400
+        assert find_places(reply) == {
+            "Hornbeamyard-Priority",
+            "Hornbeamyard-Cost-Hint",
+            "Hornbeamyard-Deadline",
+            "Idempotency-Key",
+            "",
+        }
+
+    @pytest.mark.requirement("R22")
+    @pytest.mark.parametrize(
+        "value", ["0", "-1", "nan", "inf", "1e9", "", "x"]
+    )
+    @pytest.mark.parametrize("name", ["cost_hint", "deadline"])
+    def test_refuses_bad_seconds(self, name: str, value: str) -> None:
+        """Guards against deadlines that never or always pass."""
+        reply = send("POST", CHAT, b"{}", **{f"hornbeamyard_{name}": value})
+        assert reply.status == 400
+
+    def test_keeps_connection_headers_and_keys(self) -> None:
+        """Guards against a caller's key in an upstream's log."""
+        scope = {
+            "method": "POST",
+            "headers": [
+                (b"authorization", b"Bearer key"),
+                (b"connection", b"keep-alive, X-Hop"),
+                (b"x-hop", b"1"),
+                (b"host", b"router"),
+                (b"transfer-encoding", b"chunked"),
+                (b"expect", b"100-continue"),
+                (b"x-own", b"1"),
+            ],
+        }
+        call = build_call(scope, b"/x", b"{}")
+        assert call.headers == [(b"x-own", b"1")]
+
+
+class TestBodies:
+    """A body that can't be served gets a clear answer, never a 500."""
+
+    @pytest.mark.requirement("R22")
+    @pytest.mark.parametrize(
+        ("content", "status"),
+        [
+            (b"", 400),
+            (b"not json", 400),
+            (b"[]", 400),
+            (b"null", 400),
+            (b"\xff\xfe", 400),
+            (b"[" * 100_000, 400),
+            (b'{"model": 5}', 400),
+            (b'{"model": ["a"]}', 400),
+            (b'{"model": "missing"}', 404),
+            (b'{"model": "notices"}', 404),
+        ],
+    )
+    def test_refuses(self, content: bytes, status: int) -> None:
+        """Guards against errors of the parser that reach the caller."""
+        reply = send("POST", CHAT, content)
+        assert reply.status == status
+        assert reply.get_outcome() == "not-run"
+
+    def test_refuses_large_body(self) -> None:
+        """Guards against bodies that fill the memory."""
+
+        async def run() -> Reply:
+            async with run_rig(body_size=1024) as rig:
+                return await rig.send("POST", CHAT, b"x" * 4096)
+
+        reply = anyio.run(run)
+        assert reply.status == 413
+        assert reply.get_outcome() == "not-run"
+
+
+class TestPaths:
+    """Unknown paths and methods get a problem document."""
+
+    @pytest.mark.requirement("R22")
+    @pytest.mark.parametrize(
+        ("method", "path", "status"),
+        [
+            ("GET", CHAT, 405),
+            ("POST", "/v1/missing", 404),
+            ("GET", "/", 404),
+            ("POST", "/services/", 404),
+            ("POST", "/services/missing/x", 404),
+            ("POST", f"/services/{MODEL}/x", 404),
+            ("GET", UPSTREAMS, 405),
+            ("POST", f"{UPSTREAMS}/a/b/c", 404),
+            ("POST", f"{UPSTREAMS}//leave", 404),
+        ],
+    )
+    def test_answers(self, method: str, path: str, status: int) -> None:
+        """Guards against a 500 or an empty answer."""
+        reply = send(method, path, b"{}")
+        assert reply.status == status
+        assert reply.get_outcome() == "not-run"
+
+    def test_keeps_target(self) -> None:
+        """Guards against a decoded path that means another one."""
+        scope = {
+            "method": "GET",
+            "path": "/services/notices/a/b",
+            "raw_path": b"/services/notices/a%2Fb",
+            "query_string": b"c=%20d",
+        }
+        pools = {SERVICE: Pool(SERVICE, "service")}
+        route = find_route(scope, b"", Configuration(1, pools=pools))
+        assert route.ok_value == Route(SERVICE, b"/a%2Fb?c=%20d")
+
+
+class TestAnnouncements:
+    """Every field of an announcement is checked."""
+
+    @pytest.mark.requirement("R22")
+    @pytest.mark.parametrize(
+        ("field", "value"),
+        [
+            ("address", "http://example.org:80"),
+            ("address", None),
+            ("availability_zone", ""),
+            ("pool", "missing"),
+            ("pool", {}),
+            ("slots", 0),
+            ("slots", "8"),
+            ("slots", True),
+            ("checks_fencing", 1),
+            ("repeatable", "yes"),
+            ("lease_s", 0),
+            ("lease_s", 1e9),
+            ("leaving", "no"),
+            ("load_running", -1),
+            ("load_waiting", 2**40),
+            ("incarnation", 2**64),
+            ("announced_at", 5),
+        ],
+    )
+    def test_refuses_field(self, field: str, value: object) -> None:
+        """Guards against a worker that breaks the router or a message."""
+        document = {**ANNOUNCEMENT, field: value}
+        content = json.dumps(document).encode()
+        reply = send("POST", UPSTREAMS, content, key=UPSTREAM_KEY)
+        assert reply.status == 400
+        assert find_places(reply) == {field}
+
+    @pytest.mark.requirement("R22")
+    def test_reports_all_fields(self) -> None:
+        """Guards against one error at a time."""
+        content = json.dumps({"name": f"{MODEL}-0", "slot": 1}).encode()
+        reply = send("POST", UPSTREAMS, content, key=UPSTREAM_KEY)
+        assert find_places(reply) == {
+            "address",
+            "availability_zone",
+            "pool",
+            "slots",
+            "slot",
+        }
+
+    @pytest.mark.parametrize("content", [b"", b"[]", b"{", b'"x"'])
+    def test_refuses_body(self, content: bytes) -> None:
+        """Guards against a 500 for a body that isn't an object."""
+        reply = send("POST", UPSTREAMS, content, key=UPSTREAM_KEY)
+        assert reply.status == 400
+
+    def test_refuses_wrong_key(self) -> None:
+        """Guards against upstreams that nobody allowed."""
+        content = json.dumps(ANNOUNCEMENT).encode()
+        assert send("POST", UPSTREAMS, content, key="wrong").status == 403
+        path = f"{UPSTREAMS}/{MODEL}-0/leave"
+        assert send("POST", path, b"", key="wrong").status == 403
+
+    @pytest.mark.requirement("R6", fault="upstream leaves")
+    def test_leaving_upstream_gets_no_work(self) -> None:
+        """Guards against new work at an upstream that leaves."""
+
+        async def run() -> None:
+            async with run_rig(workers=2) as rig:
+                path = f"{UPSTREAMS}/{MODEL}-0/leave"
+                left = await rig.send("POST", path, key=UPSTREAM_KEY)
+                assert left.status == 200
+                for number in range(10):
+                    await rig.call(CHAT, {"model": MODEL, "id": f"r{number}"})
+                assert rig.upstreams[0].journal == []
+
+        anyio.run(run)
--- /dev/null
+++ b/hornbeamyard/tests/test_drain.py
@@ -0,0 +1,134 @@
+"""Stops of a router: first SIGTERM drains, a second one ends the drain."""
+
+from __future__ import annotations
+
+import json
+import time
+
+import anyio
+import pytest
+
+from .rig import MODEL, SERVICE, Reply, Rig, run_rig
+
+CHAT = "/v1/chat/completions"
+NOTICES = "/services/notices/"
+
+
+async def wait_running(rig: Rig, count: int) -> None:
+    """Wait until the upstreams run a number of requests."""
+    with anyio.fail_after(3):
+        while sum(up.running for up in rig.upstreams) < count:
+            await anyio.sleep(0.005)
+
+
+@pytest.mark.requirement("R7", fault="SIGTERM")
+class TestDrain:
+    """A planned stop cuts off nothing."""
+
+    def test_finishes_running_requests(self) -> None:
+        """Guards against answers cut by a planned stop."""
+
+        async def run() -> None:
+            async with run_rig() as rig:
+                replies: list[Reply] = []
+
+                async def ask(number: int) -> None:
+                    document = {
+                        "model": MODEL,
+                        "id": f"r{number}",
+                        "stream": True,
+                        "max_tokens": 300,
+                    }
+                    replies.append(await rig.call(CHAT, document))
+
+                async with anyio.create_task_group() as tasks:
+                    for number in range(8):
+                        tasks.start_soon(ask, number)
+                    await wait_running(rig, 8)
+                    rig.stops[0][0].set()
+                    await anyio.sleep(0.05)
+                    ready = await rig.send("GET", "/health/ready")
+                    assert ready.status == 503
+                assert all(r.whole and b"[DONE]" in r.body for r in replies)
+                with anyio.fail_after(3):
+                    await rig.ended[0].wait()
+                assert rig.claims.left == 1
+
+        anyio.run(run)
+
+    def test_accepts_until_noticed(self) -> None:
+        """Guards against requests lost before load balancers notice."""
+
+        async def run() -> None:
+            async with run_rig() as rig:
+                rig.stops[0][0].set()
+                await anyio.sleep(0.05)
+                reply = await rig.call(CHAT, {"model": MODEL, "id": "late"})
+                assert json.loads(reply.body)["id"] == "late"
+                assert reply.headers["connection"] == "close"
+
+        anyio.run(run)
+
+    def test_gives_up_queued_requests(self) -> None:
+        """Guards against queued requests that hear nothing."""
+
+        async def run() -> None:
+            async with run_rig(workers=1, drain_s=1.0) as rig:
+                rig.upstreams[0].options.token_s = 0.08
+                replies: list[Reply] = []
+
+                async def ask(number: int) -> None:
+                    document = {"model": MODEL, "id": f"r{number}"}
+                    replies.append(await rig.call(CHAT, document))
+
+                async with anyio.create_task_group() as tasks:
+                    for number in range(8 + 12):
+                        tasks.start_soon(ask, number)
+                    await wait_running(rig, 8)
+                    rig.stops[0][0].set()
+                outcomes = [r.get_outcome() for r in replies]
+                assert outcomes.count("") + outcomes.count("not-run") == 20
+                assert outcomes.count("not-run") >= 4
+                for reply in replies:
+                    if reply.get_outcome():
+                        assert reply.headers["retry-after"]
+                        continue
+                    assert reply.whole
+
+        anyio.run(run)
+
+    @pytest.mark.parametrize("pool", [MODEL, SERVICE])
+    def test_second_signal_tells_each_caller(self, pool: str) -> None:
+        """Guards against callers that wait for a router that is gone."""
+
+        async def run() -> None:
+            async with run_rig(pool, workers=1, drain_s=60.0) as rig:
+                path = CHAT if pool == MODEL else NOTICES
+                replies: dict[str, Reply] = {}
+
+                async def ask(identity: str) -> None:
+                    document = {
+                        "model": MODEL,
+                        "id": identity,
+                        "max_tokens": 5000,
+                    }
+                    replies[identity] = await rig.call(path, document)
+
+                async with anyio.create_task_group() as tasks:
+                    for number in range(12):
+                        tasks.start_soon(ask, f"r{number}")
+                    await wait_running(rig, 8)
+                    rig.stops[0][0].set()
+                    await anyio.sleep(0.05)
+                    started = time.monotonic()
+                    rig.stops[0][1].set()
+                assert time.monotonic() - started < 1.0
+                sent = "failed" if pool == MODEL else "unknown"
+                for identity, reply in replies.items():
+                    ran = rig.count_runs(identity)
+                    expected = sent if ran else "not-run"
+                    assert reply.get_outcome() == expected
+                with anyio.fail_after(4):
+                    await rig.ended[0].wait()
+
+        anyio.run(run)
--- /dev/null
+++ b/hornbeamyard/tests/test_limits.py
@@ -0,0 +1,195 @@
+"""Limits on callers: connections, headers, requests at a time, load."""
+
+from __future__ import annotations
+
+import json
+import time
+
+import anyio
+import pytest
+
+from hornbeamyard.connection.limits import (
+    HEADER_SIZE,
+    LATE_S,
+    LATE_SAMPLES,
+    LoadGauge,
+    fit_connections,
+)
+from hornbeamyard.process.timers import MonotonicTimers
+
+from .rig import MODEL, Reply, Rig, run_rig
+
+CHAT = "/v1/chat/completions"
+
+
+async def send_raw(rig: Rig, data: bytes) -> bytes:
+    """Send bytes; return everything until the router closes."""
+    received = b""
+    stream = await anyio.connect_tcp("127.0.0.1", rig.ports[0])
+    async with stream:
+        await stream.send(data)
+        try:
+            while True:
+                received += await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            return received
+
+
+class TestHeaders:
+    """Headers are bounded in size and time."""
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"GET / HTTP/1.1\r\na: " + b"x" * 2 * HEADER_SIZE,
+            b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * HEADER_SIZE + b"\r\n",
+            b"GET /" + b"x" * 2 * HEADER_SIZE,
+        ],
+        ids=["one", "many", "path"],
+    )
+    def test_refuses_large_header(self, data: bytes) -> None:
+        """Guards against headers that fill the memory."""
+
+        async def run() -> None:
+            async with run_rig() as rig:
+                answer = await send_raw(rig, data)
+                assert answer.startswith(b"HTTP/1.1 431 ")
+                assert b"application/problem+json" in answer
+
+        anyio.run(run)
+
+    @pytest.mark.parametrize("data", [b"", b"GET / HTTP/1.1\r\na: b"])
+    def test_refuses_slow_header(
+        self, data: bytes, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against callers that hold connections with half a header."""
+        module = "hornbeamyard.connection.limits"
+        monkeypatch.setattr(f"{module}.HEADER_TIMEOUT_S", 0.2)
+        monkeypatch.setattr(f"{module}.SWEEP_INTERVAL_S", 0.05)
+
+        async def run() -> None:
+            async with run_rig() as rig:
+                answer = await send_raw(rig, data)
+                assert answer.startswith(b"HTTP/1.1 408 ")
+
+        anyio.run(run)
+
+    @pytest.mark.parametrize("data", [b"\x16\x03\x01\r\n\r\n", b"x y\r\n\r\n"])
+    def test_refuses_garbage(self, data: bytes) -> None:
+        """Guards against an answer that isn't a problem document."""
+
+        async def run() -> None:
+            async with run_rig() as rig:
+                answer = await send_raw(rig, data)
+                assert answer.startswith(b"HTTP/1.1 400 ")
+                assert b"application/problem+json" in answer
+
+        anyio.run(run)
+
+    def test_refuses_slow_body(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against callers that hold requests with half a body."""
+        module = "hornbeamyard.request.gateway"
+        monkeypatch.setattr(f"{module}.BODY_TIMEOUT_S", 0.2)
+        head = (
+            f"POST {CHAT} HTTP/1.1\r\nauthorization: Bearer caller-key\r\n"
+            "content-length: 10\r\n\r\n{"
+        )
+
+        async def run() -> None:
+            async with run_rig() as rig:
+                answer = await send_raw(rig, head.encode())
+                assert answer.startswith(b"HTTP/1.1 408 ")
+
+        anyio.run(run)
+
+
+class TestCounts:
+    """Connections and requests at a time are bounded."""
+
+    def test_refuses_connections_beyond_limit(self) -> None:
+        """Guards against running out of file descriptors."""
+
+        async def run() -> None:
+            async with run_rig(connections=3) as rig:
+                held = [
+                    await anyio.connect_tcp("127.0.0.1", rig.ports[0])
+                    for _ in range(3)
+                ]
+                await anyio.sleep(0.05)
+                answer = await send_raw(rig, b"")
+                assert answer.startswith(b"HTTP/1.1 503 ")
+                assert b"retry-after: 1" in answer
+                for stream in held:
+                    await stream.aclose()
+                await anyio.sleep(0.05)
+                reply = await rig.call(CHAT, {"model": MODEL, "id": "x"})
+                assert reply.status == 200
+
+        anyio.run(run)
+
+    @pytest.mark.requirement("R20", fault="twice the load")
+    def test_keeps_rate_and_refuses_rest_at_once(self) -> None:
+        """Guards against slow refusals and against a rate that falls."""
+        capacity = 16  # slots of the two workers
+
+        async def run() -> None:
+            async with run_rig(requests=capacity) as rig:
+                served: list[Reply] = []
+                refused: list[float] = []
+
+                async def offer(number: int) -> None:
+                    document = {"model": MODEL, "id": f"r{number}"}
+                    started = time.monotonic()
+                    reply = await rig.call(
+                        CHAT, {**document, "max_tokens": 60}
+                    )
+                    if reply.status == 200:
+                        served.append(reply)
+                        return
+                    assert reply.get_outcome() == "not-run"
+                    assert reply.headers["retry-after"] == "1"
+                    refused.append(time.monotonic() - started)
+
+                async with anyio.create_task_group() as tasks:
+                    for number in range(2 * capacity):
+                        tasks.start_soon(offer, number)
+                assert len(served) == capacity
+                assert len(refused) == capacity
+                # The served ones take 0.3 s.
+                assert max(refused) < 0.25
+                runs = sum(len(up.journal) for up in rig.upstreams)
+                assert runs == capacity
+
+        anyio.run(run)
+
+    def test_fits_file_limit(self) -> None:
+        """Guards against accepting more than there are descriptors for."""
+        assert 1 <= fit_connections(10**9) < 10**9
+
+
+class TestLoadGauge:
+    """Requests are refused while the loop is late again and again."""
+
+    def test_needs_several_late_samples(self) -> None:
+        """Guards against refusals after one pause of the host."""
+        gauge = LoadGauge(MonotonicTimers())
+        for _ in range(LATE_SAMPLES):
+            assert not gauge.is_overloaded()
+            gauge.note(2 * LATE_S)
+        assert gauge.is_overloaded()
+        gauge.note(0.0)
+        assert not gauge.is_overloaded()
+
+    def test_refuses_while_overloaded(self) -> None:
+        """Guards against work that only makes all others later."""
+
+        async def run() -> None:
+            async with run_rig() as rig:
+                gauge = rig.routers[0]._load
+                for _ in range(LATE_SAMPLES):
+                    gauge.note(2 * LATE_S)
+                reply = await rig.call(CHAT, {"model": MODEL, "id": "late"})
+                assert reply.status == 503
+                assert json.loads(reply.body)["outcome"] == "not-run"
+
+        anyio.run(run)
