--- a/hornbeamyard/connection/peers.py
+++ b/hornbeamyard/connection/peers.py
@@ -4,6 +4,7 @@
 
 import grpc
 import grpc.aio
+import logbook
 
 from ..messages import fleet_pb2
 from ..process.settings import Settings, Tls
@@ -31,6 +32,8 @@
     ("grpc.enable_http_proxy", 0),
 ]
 
+_log = logbook.Logger("peers")
+
 
 def open_channel(address: str, tls: Tls | None) -> grpc.aio.Channel:
     """Open a channel to another process of the fleet.
@@ -96,3 +99,16 @@
             f"this process speaks {PROTOCOL}"
         )
     return None
+
+
+async def check_identity(
+    identity: fleet_pb2.Identity,
+    fleet: str,
+    context: grpc.aio.ServicerContext,
+) -> None:
+    """Abort a call whose caller doesn't belong to this fleet."""
+    mismatch = find_mismatch(identity, fleet)
+    if mismatch is None:
+        return
+    _log.warning("refused {}: {}", identity.host, mismatch)
+    await context.abort(grpc.StatusCode.FAILED_PRECONDITION, mismatch)
--- /dev/null
+++ b/hornbeamyard/connection/replication.py
@@ -0,0 +1,149 @@
+"""Calls between controllers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import grpc
+import grpc.aio
+import logbook
+
+from ..messages import fleet_pb2, fleet_pb2_grpc
+from ..process.settings import Tls
+from ..version.replica import Replica
+from . import peers
+
+# A call is given up after this time even when its caller still waits.
+CALL_TIMEOUT_S = 5.0
+
+T = TypeVar("T")
+
+_log = logbook.Logger("replication")
+
+
+class GrpcCalls:
+    """Calls to other controllers over gRPC, on one channel for each.
+
+    Parameters
+    ----------
+    tls : Tls or None
+    """
+
+    __slots__ = ("_channels", "_tls")
+
+    def __init__(self, tls: Tls | None) -> None:
+        self._tls = tls
+        self._channels: dict[str, grpc.aio.Channel] = {}
+
+    async def vote(
+        self, address: str, request: fleet_pb2.VoteRequest
+    ) -> fleet_pb2.VoteReply | None:
+        """Ask for a vote."""
+        return await self._call(address, request, lambda s: s.RequestVote)
+
+    async def append(
+        self, address: str, request: fleet_pb2.AppendRequest
+    ) -> fleet_pb2.AppendReply | None:
+        """Send entries, or none as a heartbeat."""
+        return await self._call(address, request, lambda s: s.AppendEntries)
+
+    async def install(
+        self, address: str, chunk: fleet_pb2.SnapshotChunk
+    ) -> fleet_pb2.SnapshotReply | None:
+        """Send a part of a snapshot."""
+        return await self._call(address, chunk, lambda s: s.InstallSnapshot)
+
+    async def transfer(
+        self, address: str, request: fleet_pb2.TransferRequest
+    ) -> fleet_pb2.TransferReply | None:
+        """Ask a member to become the leader at once."""
+        return await self._call(
+            address, request, lambda s: s.TransferLeadership
+        )
+
+    async def close(self) -> None:
+        """Close all channels."""
+        for channel in self._channels.values():
+            await channel.close(grace=0)
+
+    async def _call(
+        self, address: str, request: Any, choose: Callable[[Any], Any]
+    ) -> Any:
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = peers.open_channel(address, self._tls)
+            self._channels[address] = channel
+        method = choose(fleet_pb2_grpc.ReplicationStub(channel))
+        try:
+            return await method(request, timeout=CALL_TIMEOUT_S)
+        except grpc.aio.AioRpcError as error:
+            if error.code() is grpc.StatusCode.FAILED_PRECONDITION:
+                _log.error(
+                    "controller {} refuses us: {}", address, error.details()
+                )
+            return None
+
+
+class ReplicationService(fleet_pb2_grpc.ReplicationServicer):
+    """Answers the calls of other controllers.
+
+    Parameters
+    ----------
+    fleet : str
+        Name of the fleet; others are refused.
+    replica : Replica
+    """
+
+    def __init__(self, fleet: str, replica: Replica) -> None:
+        self._fleet = fleet
+        self._replica = replica
+
+    async def RequestVote(  # noqa: N802 - named by the protocol
+        self,
+        request: fleet_pb2.VoteRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> fleet_pb2.VoteReply:
+        """Answer a candidate."""
+        await peers.check_identity(request.identity, self._fleet, context)
+        return await self._replica.election.handle_vote(request)
+
+    async def AppendEntries(  # noqa: N802 - named by the protocol
+        self,
+        request: fleet_pb2.AppendRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> fleet_pb2.AppendReply:
+        """Take a leader's entries."""
+        await peers.check_identity(request.identity, self._fleet, context)
+        reply = await self._replica.election.handle_append(request)
+        return await self._require(reply, context)
+
+    async def InstallSnapshot(  # noqa: N802 - named by the protocol
+        self,
+        request: fleet_pb2.SnapshotChunk,
+        context: grpc.aio.ServicerContext,
+    ) -> fleet_pb2.SnapshotReply:
+        """Take a part of a leader's snapshot."""
+        await peers.check_identity(request.identity, self._fleet, context)
+        reply = await self._replica.election.handle_install(request)
+        return await self._require(reply, context)
+
+    async def TransferLeadership(  # noqa: N802 - named by the protocol
+        self,
+        request: fleet_pb2.TransferRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> fleet_pb2.TransferReply:
+        """Campaign at once."""
+        await peers.check_identity(request.identity, self._fleet, context)
+        return await self._replica.election.handle_transfer(request)
+
+    async def _require(
+        self, reply: T | None, context: grpc.aio.ServicerContext
+    ) -> T:
+        if reply is None:
+            await context.abort(
+                grpc.StatusCode.UNAVAILABLE,
+                f"the disk has failed: {self._replica.fault}",
+            )
+        assert reply is not None
+        return reply
--- a/hornbeamyard/connection/server.py
+++ b/hornbeamyard/connection/server.py
@@ -7,8 +7,7 @@
 import anyio
 import grpc
 import grpc.aio
-import logbook
-from result import Err
+from result import Err, Ok
 
 from ..messages import fleet_pb2, fleet_pb2_grpc
 from ..pool import options
@@ -19,8 +18,7 @@
 from . import peers
 
 SILENCE_LIMIT_S = 3.0
-
-_log = logbook.Logger("server")
+HISTORY_LIMIT = 100
 
 
 class FleetService(fleet_pb2_grpc.FleetServicer):
@@ -50,11 +48,12 @@
         first = await anext(aiter(requests), None)
         if first is None:
             return
-        await self._check_identity(first.identity, context)
+        await peers.check_identity(first.identity, self._fleet, context)
         replica = self._controller.replica
         if not replica.is_leader():
             yield fleet_pb2.ControllerUpdate(leader=replica.get_leader())
             return
+        term = replica.term
         router = self._controller.attach(first)
         ended = anyio.Event()
         left = False
@@ -76,8 +75,12 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(read_reports)
+                tasks.start_soon(self._close_claims, first.identity)
                 sequence = 0
-                while replica.is_leader() and not router.replaced:
+                while not router.replaced:
+                    # The lease may have ended during the last wait.
+                    if not replica.is_leader() or replica.term != term:
+                        break
                     sequence += 1
                     yield self._controller.build_update(router, sequence)
                     with self._timers.limit(options.REPORT_INTERVAL_S):
@@ -91,13 +94,21 @@
         if not replica.is_leader():
             yield fleet_pb2.ControllerUpdate(leader=replica.get_leader())
 
+    async def _close_claims(self, identity: fleet_pb2.Identity) -> None:
+        """Close claims that earlier processes of a router's host left."""
+        replica = self._controller.replica
+        if replica.state.claims.has_earlier(identity):
+            await replica.make_claims(
+                fleet_pb2.ClaimBatch(identity=identity, started=True)
+            )
+
     async def SubmitPatch(  # noqa: N802 - named by the protocol
         self,
         request: fleet_pb2.PatchRequest,
         context: grpc.aio.ServicerContext,
     ) -> fleet_pb2.PatchResult:
         """Append a patch to the log."""
-        await self._check_identity(request.identity, context)
+        await peers.check_identity(request.identity, self._fleet, context)
         result = await self._controller.replica.submit_patch(request)
         if isinstance(result, Err):
             error = result.err_value
@@ -114,26 +125,77 @@
         context: grpc.aio.ServicerContext,
     ) -> fleet_pb2.ConfigurationReply:
         """Return the newest configuration document."""
-        await self._check_identity(request.identity, context)
+        await peers.check_identity(request.identity, self._fleet, context)
         replica = self._controller.replica
         if not replica.is_leader():
             return fleet_pb2.ConfigurationReply(leader=replica.get_leader())
         return fleet_pb2.ConfigurationReply(
             version=replica.state.version,
             document=dump_document(replica.state.document),
-            found=True,
+            found=request.version in (0, replica.state.version),
         )
 
-    async def _check_identity(
+    async def ReadHistory(  # noqa: N802 - named by the protocol
         self,
-        identity: fleet_pb2.Identity,
+        request: fleet_pb2.HistoryRequest,
         context: grpc.aio.ServicerContext,
-    ) -> None:
-        mismatch = peers.find_mismatch(identity, self._fleet)
-        if mismatch is None:
-            return
-        _log.warning("refused {}: {}", identity.host, mismatch)
-        await context.abort(grpc.StatusCode.FAILED_PRECONDITION, mismatch)
+    ) -> fleet_pb2.HistoryReply:
+        """Return the newest accepted patches, newest first."""
+        await peers.check_identity(request.identity, self._fleet, context)
+        replica = self._controller.replica
+        if not replica.is_leader():
+            return fleet_pb2.HistoryReply(leader=replica.get_leader())
+        limit = request.limit or HISTORY_LIMIT
+        return fleet_pb2.HistoryReply(
+            entries=[
+                fleet_pb2.HistoryEntry(
+                    version=record.result.version,
+                    operator=record.operator,
+                    patch_id=record.patch_id,
+                    time_ms=record.time_ms,
+                    patch=record.patch,
+                )
+                for record in replica.state.list_history(limit)
+            ]
+        )
+
+    async def MakeClaims(  # noqa: N802 - named by the protocol
+        self,
+        request: fleet_pb2.ClaimBatch,
+        context: grpc.aio.ServicerContext,
+    ) -> fleet_pb2.ClaimResults:
+        """Apply operations on claims by way of the log."""
+        await peers.check_identity(request.identity, self._fleet, context)
+        result = await self._controller.replica.make_claims(request)
+        if isinstance(result, Ok):
+            return result.ok_value
+        error = result.err_value
+        if isinstance(error, NotLeader):
+            return fleet_pb2.ClaimResults(
+                leader=error.leader, no_quorum=not error.leader
+            )
+        return fleet_pb2.ClaimResults(no_quorum=True)
+
+    async def ChangeMembers(  # noqa: N802 - named by the protocol
+        self,
+        request: fleet_pb2.MemberChange,
+        context: grpc.aio.ServicerContext,
+    ) -> fleet_pb2.MemberChangeResult:
+        """Add, remove or replace a controller."""
+        await peers.check_identity(request.identity, self._fleet, context)
+        result = await self._controller.replica.change_members(request)
+        if isinstance(result, Ok):
+            return fleet_pb2.MemberChangeResult(
+                accepted=not result.ok_value, reason=result.ok_value
+            )
+        error = result.err_value
+        if isinstance(error, NotLeader):
+            return fleet_pb2.MemberChangeResult(
+                reason="this controller does not lead", leader=error.leader
+            )
+        return fleet_pb2.MemberChangeResult(
+            reason="no majority confirmed in time; look at the members"
+        )
 
 
 def describe_attached(router: AttachedRouter) -> dict[str, object]:
--- a/hornbeamyard/connection/session.py
+++ b/hornbeamyard/connection/session.py
@@ -143,7 +143,8 @@
                     update = await stream.read()
                     if update is grpc.aio.EOF:
                         break
-                    if update.leader:
+                    # A controller that leads always sends its epoch.
+                    if update.leader or not update.epoch:
                         hint = update.leader
                         break
                     self._take_update(update)
--- a/hornbeamyard/process/daemon.py
+++ b/hornbeamyard/process/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import signal
 import sys
 from pathlib import Path
@@ -12,8 +13,10 @@
 from result import Err
 
 from ..connection import peers
+from ..connection.replication import GrpcCalls, ReplicationService
 from ..connection.server import FleetService
 from ..messages import fleet_pb2_grpc
+from ..version.journal import FolderDisk
 from ..version.replica import Replica
 from .controller import Controller
 from .logs import start_logging
@@ -43,14 +46,17 @@
     """Run a process until SIGTERM or SIGINT."""
     timers = MonotonicTimers()
     stop = anyio.Event()
+    replica = None
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_watch_signals, stop)
         if settings.controller is not None:
-            await tasks.start(_run_controller, settings, timers)
+            replica = await tasks.start(_run_controller, settings, timers)
         _log.info("host {} started", settings.host)
         if settings.router is not None:
             await Router(settings, timers).run(stop)
         await stop.wait()
+        if replica is not None:
+            await replica.hand_over()
         tasks.cancel_scope.cancel()
     _log.info("host {} stopped", settings.host)
 
@@ -65,24 +71,38 @@
     settings: Settings,
     timers: Timers,
     *,
-    task_status: anyio.abc.TaskStatus[None],
+    task_status: anyio.abc.TaskStatus[Replica],
 ) -> None:
     assert settings.controller is not None
     address = settings.controller.address
-    controller = Controller(Replica(address, timers), timers)
+    calls = GrpcCalls(settings.tls)
+    replica = Replica(
+        peers.describe_self(settings, random.getrandbits(63)),
+        address,
+        FolderDisk(settings.controller.data_folder),
+        calls,
+        timers,
+        random.Random(),
+    )
+    controller = Controller(replica, timers)
     server = peers.create_server()
     fleet_pb2_grpc.add_FleetServicer_to_server(
         FleetService(settings.fleet, controller, timers), server
     )
+    fleet_pb2_grpc.add_ReplicationServicer_to_server(
+        ReplicationService(settings.fleet, replica), server
+    )
     peers.add_port(server, address, settings.tls)
-    await server.start()
     try:
         async with anyio.create_task_group() as tasks:
+            await tasks.start(replica.run)
+            await server.start()
             tasks.start_soon(controller.run)
-            task_status.started()
+            task_status.started(replica)
     finally:
         with anyio.CancelScope(shield=True):
             await server.stop(grace=0.5)
+            await calls.close()
 
 
 if __name__ == "__main__":
--- a/hornbeamyard/tests/fleet.py
+++ b/hornbeamyard/tests/fleet.py
@@ -16,6 +16,8 @@
 
 import httpcore
 
+from hornbeamyard.process.settings import load_settings
+from hornbeamyard.version.bootstrap import initialize
 from hornbeamyard.version.configuration import hash_key
 
 CALLER_KEY = "caller-key-"
@@ -81,9 +83,16 @@
 
     def start(self) -> None:
         """Start all daemons, without a configuration."""
+        self.initialize()
         for number in range(self.routers):
             self.start_host(number)
 
+    def initialize(self) -> None:
+        """Write the first members into the controllers' data folders."""
+        for number in range(self.controllers):
+            settings = load_settings(self.folder / f"host-{number}.json")
+            initialize(settings.unwrap()).unwrap()
+
     def start_host(self, number: int) -> None:
         """Start the daemon of one host."""
         settings = self.folder / f"host-{number}.json"
--- /dev/null
+++ b/hornbeamyard/tests/test_claims.py
@@ -0,0 +1,162 @@
+"""The table of claims."""
+
+from __future__ import annotations
+
+import pytest
+
+from hornbeamyard.messages import fleet_pb2
+from hornbeamyard.version import claims
+from hornbeamyard.version.claims import ClaimTable
+
+NOW_MS = 1_700_000_000_000
+ROUTER = fleet_pb2.Identity(host="host-0", incarnation=1)
+RESTARTED = fleet_pb2.Identity(host="host-0", incarnation=2)
+OTHER = fleet_pb2.Identity(host="host-1", incarnation=3)
+Kind = fleet_pb2.ClaimOperation
+
+
+def apply(
+    table: ClaimTable,
+    kind: int = Kind.MAKE,
+    attempt: bytes = b"first",
+    identity: fleet_pb2.Identity = ROUTER,
+    time_ms: int = NOW_MS,
+    **fields: object,
+) -> fleet_pb2.ClaimResult:
+    """Apply one operation and return its result."""
+    operation = Kind(
+        client_account="hotel",
+        key="key",
+        request_hash=fields.pop("request_hash", b"hash"),
+        kind=kind,
+        attempt=attempt,
+        **fields,
+    )
+    batch = fleet_pb2.ClaimBatch(identity=identity, operations=[operation])
+    return table.apply(batch, time_ms).results[0]
+
+
+@pytest.mark.requirement("R5")
+class TestMake:
+    """A key is granted to one attempt."""
+
+    @pytest.mark.parametrize(
+        ("attempt", "identity", "state"),
+        [
+            (b"first", ROUTER, fleet_pb2.GRANTED),
+            (b"second", ROUTER, fleet_pb2.IN_PROGRESS),
+            (b"second", OTHER, fleet_pb2.IN_PROGRESS),
+            (b"second", RESTARTED, fleet_pb2.OUTCOME_UNKNOWN),
+        ],
+    )
+    def test_repeat(
+        self, attempt: bytes, identity: fleet_pb2.Identity, state: int
+    ) -> None:
+        """Guards against a second run, and against a lost reply to MAKE."""
+        table = ClaimTable()
+        assert apply(table).state == fleet_pb2.GRANTED
+        repeat = apply(table, attempt=attempt, identity=identity)
+        assert repeat.state == state
+
+    def test_empty_attempt_is_never_the_same(self) -> None:
+        """Guards against two runs by callers that name no attempt."""
+        table = ClaimTable()
+        assert apply(table, attempt=b"").state == fleet_pb2.GRANTED
+        assert apply(table, attempt=b"").state == fleet_pb2.IN_PROGRESS
+
+    def test_other_body_conflicts(self) -> None:
+        """Guards against an answer to another request."""
+        table = ClaimTable()
+        apply(table)
+        result = apply(table, attempt=b"second", request_hash=b"other")
+        assert result.state == fleet_pb2.CONFLICT
+
+    def test_late_copy_is_refused(self) -> None:
+        """Guards against a copy that outlives its claim."""
+        result = apply(ClaimTable(), age_ms=claims.LONGEST_AGE_MS + 1)
+        assert result.state == fleet_pb2.EXPIRED
+
+    def test_expires_in_log_time(self) -> None:
+        """Guards against a table that only grows."""
+        table = ClaimTable()
+        apply(table)
+        end = NOW_MS + claims.CLAIM_LIFETIME_MS
+        second = apply(table, attempt=b"second", time_ms=end - 1)
+        assert second.state == fleet_pb2.IN_PROGRESS
+        third = apply(table, attempt=b"third", time_ms=end)
+        assert third.state == fleet_pb2.GRANTED
+
+    def test_full_table_refuses(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against unbounded memory."""
+        monkeypatch.setattr(claims, "TABLE_CLAIMS", 0)
+        assert apply(ClaimTable()).state == fleet_pb2.REFUSED
+
+
+@pytest.mark.requirement("R5")
+class TestSettle:
+    """How an attempt ended is kept."""
+
+    def test_answer_is_repeated(self) -> None:
+        """Guards against a lost answer."""
+        table = ClaimTable()
+        apply(table)
+        answer = fleet_pb2.RecordedAnswer(status=201, body=b"done")
+        apply(table, Kind.ANSWER, answer=answer)
+        repeat = apply(table, attempt=b"second")
+        assert repeat.state == fleet_pb2.ANSWERED
+        assert repeat.answer == answer
+
+    def test_long_answer_is_truncated(self) -> None:
+        """Guards against a log filled by answers."""
+        table = ClaimTable()
+        apply(table)
+        body = bytes(claims.ANSWER_SIZE + 1)
+        answer = fleet_pb2.RecordedAnswer(status=200, body=body)
+        result = apply(table, Kind.ANSWER, answer=answer)
+        assert result.answer.truncated
+        assert result.answer.body == b""
+
+    @pytest.mark.parametrize(
+        ("ends", "state"),
+        [
+            ([Kind.RELEASE], fleet_pb2.GRANTED),
+            ([Kind.FAIL], fleet_pb2.OUTCOME_UNKNOWN),
+            ([Kind.FAIL, Kind.RELEASE], fleet_pb2.OUTCOME_UNKNOWN),
+            ([Kind.ANSWER, Kind.RELEASE], fleet_pb2.ANSWERED),
+            ([Kind.FAIL, Kind.ANSWER], fleet_pb2.ANSWERED),
+        ],
+    )
+    def test_next_attempt(self, ends: list[int], state: int) -> None:
+        """Guards against a second run after an end that isn't certain."""
+        table = ClaimTable()
+        apply(table)
+        for kind in ends:
+            apply(table, kind)
+        assert apply(table, attempt=b"second").state == state
+
+    def test_resent_make_after_release(self) -> None:
+        """Guards against a late copy that takes a released claim again."""
+        table = ClaimTable()
+        apply(table)
+        apply(table, Kind.RELEASE)
+        assert apply(table).state == fleet_pb2.RELEASED
+
+    def test_other_attempt_cannot_settle(self) -> None:
+        """Guards against a late RELEASE of an earlier attempt."""
+        table = ClaimTable()
+        apply(table)
+        result = apply(table, Kind.RELEASE, attempt=b"second")
+        assert result.state == fleet_pb2.CONFLICT
+        assert apply(table).state == fleet_pb2.GRANTED
+
+    def test_restart_closes_open_claims(self) -> None:
+        """Guards against claims in progress for ever after a router died."""
+        table = ClaimTable()
+        apply(table)
+        assert table.has_earlier(RESTARTED)
+        assert not table.has_earlier(ROUTER)
+        table.apply(
+            fleet_pb2.ClaimBatch(identity=RESTARTED, started=True), NOW_MS
+        )
+        repeat = apply(table, attempt=b"second", identity=OTHER)
+        assert repeat.state == fleet_pb2.OUTCOME_UNKNOWN
--- /dev/null
+++ b/hornbeamyard/version/bootstrap.py
@@ -0,0 +1,196 @@
+"""First members of a fleet's controllers, and recovery without a majority."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+import anyio
+from result import Err, Ok, Result
+
+from ..connection import peers
+from ..connection.replication import GrpcCalls
+from ..messages import fleet_pb2
+from ..process.settings import Settings
+from .journal import FolderDisk, Journal, JournalError
+from .state import FleetState
+
+ASK_TIMEOUT_S = 1.0
+
+
+@dataclass(slots=True)
+class Initialized:
+    """A data folder that was made.
+
+    Attributes
+    ----------
+    disk_id : str
+        Id of the data folder, in hexadecimal digits.
+    members : list of str
+        Hosts of the first controllers.
+    """
+
+    disk_id: str
+    members: list[str]
+
+
+@dataclass(slots=True)
+class Recovered:
+    """What a surviving member holds.
+
+    Attributes
+    ----------
+    last_index : int
+        Index of its last log entry.
+    version : int
+        Configuration version after that entry.
+    lost_members : list of str
+        Hosts that are no longer members.
+    is_done : bool
+        Whether this member is now the only voter.
+    """
+
+    last_index: int
+    version: int
+    lost_members: list[str]
+    is_done: bool
+
+
+def initialize(settings: Settings) -> Result[Initialized, str]:
+    """Write the first member list into this host's data folder.
+
+    It is refused when this host or another controller that answers already
+    has a log.
+
+    Parameters
+    ----------
+    settings : Settings
+        With the controller role; `controllers` are the first members.
+
+    Returns
+    -------
+    Result of Initialized or str
+        The error says what to do.
+    """
+    return anyio.run(_initialize, settings)
+
+
+async def _initialize(settings: Settings) -> Result[Initialized, str]:
+    if settings.controller is None:
+        return Err(f"host {settings.host!r} has no role 'controller'")
+    disk = FolderDisk(settings.controller.data_folder)
+    journal = Journal(disk, settings.fleet)
+    try:
+        if await journal.holds_vote():
+            return Err(
+                f"{settings.controller.data_folder} is a data folder already"
+            )
+        owner = await _find_log(settings)
+        if owner:
+            return Err(
+                f"controller {owner!r} has a log already; start this host "
+                "with its empty data folder, and the leader adds it"
+            )
+        members = fleet_pb2.MemberList(
+            members=[
+                fleet_pb2.Member(host=host, address=address, voter=True)
+                for host, address in sorted(settings.controllers.items())
+            ]
+        )
+        first = fleet_pb2.LogEntry(index=1, members=members)
+        await journal.start_over(random.randbytes(16), [first])
+    except (OSError, JournalError) as error:
+        return Err(str(error))
+    return Ok(Initialized(journal.disk_id.hex(), sorted(settings.controllers)))
+
+
+async def _find_log(settings: Settings) -> str:
+    """Return a controller that has elected a leader before, if any."""
+    calls = GrpcCalls(settings.tls)
+    try:
+        return await _ask_controllers(settings, calls)
+    finally:
+        await calls.close()
+
+
+async def _ask_controllers(settings: Settings, calls: GrpcCalls) -> str:
+    request = fleet_pb2.VoteRequest(
+        identity=peers.describe_self(settings, 0), pre_vote=True
+    )
+    for host, address in settings.controllers.items():
+        if host == settings.host:
+            continue
+        reply = None
+        with anyio.move_on_after(ASK_TIMEOUT_S):
+            reply = await calls.vote(address, request)
+        if reply is not None and reply.term > 0:
+            return host
+    return ""
+
+
+def recover(
+    settings: Settings, accept_data_loss: bool
+) -> Result[Recovered, str]:
+    """Make this host's member the only voter, after a majority was lost.
+
+    The daemon must be stopped, and the lost members must not be started
+    again with their old data folders. Entries that this member doesn't hold
+    are lost, and entries that were never confirmed may take effect.
+
+    Parameters
+    ----------
+    settings : Settings
+        With the controller role.
+    accept_data_loss : bool
+        Without it nothing is changed and the report tells what is held.
+
+    Returns
+    -------
+    Result of Recovered or str
+    """
+    return anyio.run(_recover, settings, accept_data_loss)
+
+
+async def _recover(
+    settings: Settings, accept_data_loss: bool
+) -> Result[Recovered, str]:
+    if settings.controller is None:
+        return Err(f"host {settings.host!r} has no role 'controller'")
+    disk = FolderDisk(settings.controller.data_folder)
+    journal = Journal(disk, settings.fleet)
+    try:
+        if not await journal.holds_vote():
+            return Err(f"{settings.controller.data_folder} holds no log")
+        await journal.load(lambda: b"")
+        state = FleetState.from_snapshot(journal.snapshot)
+        for index in range(state.last_index + 1, journal.last_index + 1):
+            entry = journal.get_entry(index)
+            assert entry is not None
+            state.apply(entry)
+        lost = [m.host for m in journal.members.members]
+        if accept_data_loss:
+            await _become_only_voter(journal, settings)
+    except (OSError, JournalError) as error:
+        return Err(str(error))
+    lost = sorted({host for host in lost if host != settings.host})
+    return Ok(
+        Recovered(state.last_index, state.version, lost, accept_data_loss)
+    )
+
+
+async def _become_only_voter(journal: Journal, settings: Settings) -> None:
+    assert settings.controller is not None
+    term = journal.term + 1
+    member = fleet_pb2.Member(
+        host=settings.host,
+        address=settings.controller.address,
+        voter=True,
+        disk=journal.disk_id,
+    )
+    entry = fleet_pb2.LogEntry(
+        term=term,
+        index=journal.last_index + 1,
+        members=fleet_pb2.MemberList(members=[member]),
+    )
+    await journal.store_vote(term, journal.disk_id)
+    await journal.append([entry])
--- /dev/null
+++ b/hornbeamyard/version/claims.py
@@ -0,0 +1,195 @@
+"""Claims of idempotency keys, so that a request runs at most once.
+
+The table changes only by applying log entries, so that all controllers
+hold the same one. Its clock is the log's.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from ..messages import fleet_pb2
+
+CLAIM_LIFETIME_MS = 24 * 3600 * 1000
+# A claim for a request received earlier than this is refused, so that a late
+# copy of a request can't outlive its claim.
+LONGEST_AGE_MS = 10 * 60 * 1000
+ANSWER_SIZE = 64 * 1024
+# Bounds of the table in claims and in bytes of recorded answers.
+TABLE_CLAIMS = 200_000
+TABLE_ANSWERS_SIZE = 64 * 1024 * 1024
+
+_Operation = fleet_pb2.ClaimOperation
+_Key = tuple[str, str]
+
+
+class ClaimTable:
+    """Claims by client account and key, oldest first."""
+
+    __slots__ = ("_answers_size", "_claims")
+
+    def __init__(self, records: Iterable[fleet_pb2.ClaimRecord] = ()) -> None:
+        self._claims: dict[_Key, fleet_pb2.ClaimRecord] = {}
+        self._answers_size = 0
+        for record in records:
+            self._claims[record.client_account, record.key] = record
+            self._answers_size += len(record.answer.body)
+
+    def __len__(self) -> int:
+        return len(self._claims)
+
+    def list_records(self) -> list[fleet_pb2.ClaimRecord]:
+        """Return all claims, oldest first."""
+        return list(self._claims.values())
+
+    def apply(
+        self, batch: fleet_pb2.ClaimBatch, time_ms: int
+    ) -> fleet_pb2.ClaimResults:
+        """Apply a batch of operations.
+
+        Parameters
+        ----------
+        batch : ClaimBatch
+        time_ms : int
+            Log time of the entry, in milliseconds since 1970.
+
+        Returns
+        -------
+        ClaimResults
+            One result for each operation.
+        """
+        self._expire(time_ms)
+        if batch.started:
+            self._close_earlier(batch.identity)
+        results = fleet_pb2.ClaimResults()
+        for operation in batch.operations:
+            if operation.kind == _Operation.MAKE:
+                result = self._make(batch.identity, operation, time_ms)
+            else:
+                result = self._settle(operation)
+            results.results.append(result)
+        return results
+
+    def has_earlier(self, identity: fleet_pb2.Identity) -> bool:
+        """Return whether earlier processes of a host left open claims."""
+        return any(
+            _is_left_open(record, identity) for record in self._claims.values()
+        )
+
+    def _make(
+        self,
+        identity: fleet_pb2.Identity,
+        operation: fleet_pb2.ClaimOperation,
+        time_ms: int,
+    ) -> fleet_pb2.ClaimResult:
+        if operation.age_ms > LONGEST_AGE_MS:
+            return fleet_pb2.ClaimResult(state=fleet_pb2.EXPIRED)
+        key = (operation.client_account, operation.key)
+        record = self._claims.get(key)
+        if record is not None and record.request_hash != (
+            operation.request_hash
+        ):
+            return fleet_pb2.ClaimResult(state=fleet_pb2.CONFLICT)
+        if record is not None and record.attempt == operation.attempt != b"":
+            return _describe(record)
+        if record is not None and record.state != fleet_pb2.RELEASED:
+            return self._repeat(record, identity)
+        if record is None and len(self._claims) >= TABLE_CLAIMS:
+            return fleet_pb2.ClaimResult(state=fleet_pb2.REFUSED)
+        self._claims.pop(key, None)
+        self._claims[key] = fleet_pb2.ClaimRecord(
+            client_account=operation.client_account,
+            key=operation.key,
+            request_hash=operation.request_hash,
+            attempt=operation.attempt,
+            incarnation=identity.incarnation,
+            host=identity.host,
+            time_ms=time_ms,
+            state=fleet_pb2.GRANTED,
+        )
+        return fleet_pb2.ClaimResult(state=fleet_pb2.GRANTED)
+
+    def _repeat(
+        self,
+        record: fleet_pb2.ClaimRecord,
+        identity: fleet_pb2.Identity,
+    ) -> fleet_pb2.ClaimResult:
+        """Return what another attempt at a claimed request is told."""
+        if record.state != fleet_pb2.GRANTED:
+            return _describe(record)
+        if _is_left_open(record, identity):
+            record.state = fleet_pb2.OUTCOME_UNKNOWN
+            return _describe(record)
+        return fleet_pb2.ClaimResult(state=fleet_pb2.IN_PROGRESS)
+
+    def _settle(
+        self, operation: fleet_pb2.ClaimOperation
+    ) -> fleet_pb2.ClaimResult:
+        """Record how the attempt that holds a claim has ended."""
+        key = (operation.client_account, operation.key)
+        record = self._claims.get(key)
+        if record is None:
+            return fleet_pb2.ClaimResult(state=fleet_pb2.EXPIRED)
+        if record.attempt != operation.attempt:
+            return fleet_pb2.ClaimResult(state=fleet_pb2.CONFLICT)
+        if operation.kind == _Operation.ANSWER and record.state in (
+            fleet_pb2.GRANTED,
+            fleet_pb2.OUTCOME_UNKNOWN,
+        ):
+            self._record_answer(record, operation.answer)
+        elif record.state != fleet_pb2.GRANTED:
+            return _describe(record)
+        elif operation.kind == _Operation.RELEASE:
+            record.state = fleet_pb2.RELEASED
+        elif operation.kind == _Operation.FAIL:
+            record.state = fleet_pb2.OUTCOME_UNKNOWN
+        return _describe(record)
+
+    def _record_answer(
+        self,
+        record: fleet_pb2.ClaimRecord,
+        answer: fleet_pb2.RecordedAnswer,
+    ) -> None:
+        record.state = fleet_pb2.ANSWERED
+        record.answer.CopyFrom(answer)
+        size = len(answer.body)
+        if (
+            size > ANSWER_SIZE
+            or self._answers_size + size > TABLE_ANSWERS_SIZE
+        ):
+            record.answer.body = b""
+            record.answer.truncated = True
+            return
+        self._answers_size += size
+
+    def _close_earlier(self, identity: fleet_pb2.Identity) -> None:
+        for record in self._claims.values():
+            if _is_left_open(record, identity):
+                record.state = fleet_pb2.OUTCOME_UNKNOWN
+
+    def _expire(self, time_ms: int) -> None:
+        oldest = time_ms - CLAIM_LIFETIME_MS
+        expired = []
+        for key, record in self._claims.items():
+            if record.time_ms > oldest:
+                break
+            expired.append(key)
+        for key in expired:
+            self._answers_size -= len(self._claims.pop(key).answer.body)
+
+
+def _is_left_open(
+    record: fleet_pb2.ClaimRecord, identity: fleet_pb2.Identity
+) -> bool:
+    return (
+        record.state == fleet_pb2.GRANTED
+        and record.host == identity.host
+        and record.incarnation != identity.incarnation
+    )
+
+
+def _describe(record: fleet_pb2.ClaimRecord) -> fleet_pb2.ClaimResult:
+    result = fleet_pb2.ClaimResult(state=record.state)
+    if record.state == fleet_pb2.ANSWERED:
+        result.answer.CopyFrom(record.answer)
+    return result
--- /dev/null
+++ b/hornbeamyard/version/journal.py
@@ -0,0 +1,426 @@
+"""What a controller keeps on disk: its vote, log and snapshot.
+
+Every write is synced before the call returns, so that a caller may promise
+what it has written.
+"""
+
+from __future__ import annotations
+
+import os
+import struct
+import zlib
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Protocol
+
+import anyio
+import anyio.to_thread
+from result import Err, Ok, Result
+
+from ..messages import fleet_pb2
+
+VOTE = "vote"
+LOG = "log"
+SNAPSHOT = "snapshot"
+# Entries that stay in the log behind a snapshot, so that a peer which lags
+# a little needs no snapshot.
+KEPT_ENTRIES = 200
+
+_MAGIC = b"hbyr"
+_HEADER = struct.Struct("<4sII")
+
+
+class Disk(Protocol):
+    """Durable files by name; errors are raised as `OSError`."""
+
+    async def load(self, name: str) -> bytes | None:
+        """Return a file's content, or None when it doesn't exist."""
+
+    async def append(self, name: str, data: bytes) -> None:
+        """Append to a file and sync it."""
+
+    async def replace(self, name: str, data: bytes) -> None:
+        """Replace a file's content at once and sync it."""
+
+
+class FolderDisk:
+    """Files in a folder of the operating system.
+
+    Parameters
+    ----------
+    folder : Path
+        Created when it doesn't exist.
+    """
+
+    __slots__ = ("_folder",)
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+
+    async def load(self, name: str) -> bytes | None:
+        """Return a file's content, or None when it doesn't exist."""
+        return await anyio.to_thread.run_sync(self._load, name)
+
+    async def append(self, name: str, data: bytes) -> None:
+        """Append to a file and sync it."""
+        await anyio.to_thread.run_sync(self._append, name, data)
+
+    async def replace(self, name: str, data: bytes) -> None:
+        """Replace a file's content at once and sync it."""
+        await anyio.to_thread.run_sync(self._replace, name, data)
+
+    def _load(self, name: str) -> bytes | None:
+        # A killed process may have left data that is visible but not synced
+        # yet; nothing may be promised by it before it is durable.
+        try:
+            with (self._folder / name).open("rb") as file:
+                os.fsync(file.fileno())
+                data = file.read()
+        except FileNotFoundError:
+            return None
+        self._sync_folder()
+        return data
+
+    def _append(self, name: str, data: bytes) -> None:
+        path = self._folder / name
+        is_new = not path.exists()
+        with path.open("ab") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        if is_new:
+            self._sync_folder()
+
+    def _replace(self, name: str, data: bytes) -> None:
+        self._folder.mkdir(parents=True, exist_ok=True)
+        temporary = self._folder / f"{name}.new"
+        with temporary.open("wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        temporary.replace(self._folder / name)
+        self._sync_folder()
+
+    def _sync_folder(self) -> None:
+        number = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(number)
+        finally:
+            os.close(number)
+
+
+class JournalError(Exception):
+    """The data folder holds something that can't be used."""
+
+
+class Journal:
+    """The vote, log and snapshot of one member.
+
+    Attributes
+    ----------
+    term : int
+    voted_for : bytes
+        Data folder id of the candidate voted for in `term`.
+    disk_id : bytes
+        Id of this data folder.
+    initial : bool
+        Whether the folder was made by the initialization of the fleet.
+    entries : list of LogEntry
+        With consecutive indexes.
+    members : MemberList
+        The newest member list, committed or not.
+    members_index : int
+        Index of the entry that holds it, or of the snapshot.
+    snapshot : SnapshotState
+        The newest snapshot; empty before the first.
+    """
+
+    __slots__ = (
+        "_disk",
+        "_fleet",
+        "disk_id",
+        "entries",
+        "initial",
+        "members",
+        "members_index",
+        "snapshot",
+        "term",
+        "voted_for",
+    )
+
+    def __init__(self, disk: Disk, fleet: str) -> None:
+        self._disk = disk
+        self._fleet = fleet
+        self.term = 0
+        self.voted_for = b""
+        self.disk_id = b""
+        self.initial = False
+        self.entries: list[fleet_pb2.LogEntry] = []
+        self.snapshot = fleet_pb2.SnapshotState()
+        self.members = fleet_pb2.MemberList()
+        self.members_index = 0
+
+    # ---- reading ---------------------------------------------------------
+
+    @property
+    def last_index(self) -> int:
+        """Index of the newest entry; 0 for an empty log."""
+        if self.entries:
+            return int(self.entries[-1].index)
+        return int(self.snapshot.last_index)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the newest entry."""
+        return self.get_term(self.last_index) or 0
+
+    def get_term(self, index: int) -> int | None:
+        """Return the term of an entry, or None when it isn't held."""
+        if index == self.snapshot.last_index:
+            return int(self.snapshot.last_term)
+        entry = self.get_entry(index)
+        return None if entry is None else int(entry.term)
+
+    def get_entry(self, index: int) -> fleet_pb2.LogEntry | None:
+        """Return an entry, or None when it isn't held."""
+        if not self.entries:
+            return None
+        place = index - self.entries[0].index
+        if 0 <= place < len(self.entries):
+            return self.entries[place]
+        return None
+
+    def _find_members(self) -> None:
+        """Find the newest member list in the log, committed or not."""
+        self.members_index = int(self.snapshot.last_index)
+        self.members = self.snapshot.members
+        for entry in reversed(self.entries):
+            if entry.index <= self.snapshot.last_index:
+                return
+            if entry.WhichOneof("command") == "members":
+                self.members_index = int(entry.index)
+                self.members = entry.members
+                return
+
+    async def holds_vote(self) -> bool:
+        """Return whether the data folder has been used."""
+        return await self._disk.load(VOTE) is not None
+
+    async def load(self, make_id: Callable[[], bytes]) -> str:
+        """Read the data folder; make its id when it is empty.
+
+        Parameters
+        ----------
+        make_id : callable
+            Returns a new random id.
+
+        Returns
+        -------
+        str
+            What was repaired; empty when nothing was.
+
+        Raises
+        ------
+        JournalError
+            If a file is corrupt or belongs to another fleet.
+        OSError
+            If the disk returns an error.
+        """
+        stored = await self._disk.load(VOTE)
+        log = await self._disk.load(LOG) or b""
+        snapshot = await self._disk.load(SNAPSHOT)
+        if stored is None:
+            if log or snapshot is not None:
+                raise JournalError(
+                    "the data folder holds a log but no vote file; empty "
+                    "the folder, and the member rejoins with a new id"
+                )
+            self.disk_id = make_id()
+            await self._store_vote()
+            return ""
+        self._take_vote(stored)
+        if snapshot is not None:
+            payload = _open_single(SNAPSHOT, snapshot)
+            self.snapshot = fleet_pb2.SnapshotState.FromString(payload)
+        payloads, good = split_frames(log)
+        self.entries = _collect_entries(payloads)
+        dropped = self._drop_conflicting()
+        self._find_members()
+        if good == len(log) and not dropped:
+            return ""
+        await self._rewrite()
+        return f"dropped {len(log) - good} bytes of an unfinished write"
+
+    def _take_vote(self, stored: bytes) -> None:
+        payload = _open_single(VOTE, stored)
+        vote = fleet_pb2.StoredVote.FromString(payload)
+        if vote.fleet != self._fleet:
+            raise JournalError(
+                f"the data folder belongs to fleet {vote.fleet!r}, not to "
+                f"{self._fleet!r}"
+            )
+        self.term = vote.term
+        self.voted_for = vote.voted_for
+        self.disk_id = vote.disk
+        self.initial = vote.initial
+
+    def _drop_conflicting(self) -> bool:
+        """Drop entries that a snapshot from the leader has replaced."""
+        if not self.entries:
+            return False
+        index = self.snapshot.last_index
+        if self.entries[0].index == index + 1:
+            return False
+        held = self.get_entry(index)
+        if held is not None and held.term == self.snapshot.last_term:
+            return False
+        if self.entries[0].index > index + 1:
+            raise JournalError(
+                f"the log starts at entry {self.entries[0].index}, but the "
+                f"snapshot ends at entry {index}"
+            )
+        self.entries = []
+        return True
+
+    # ---- writing ---------------------------------------------------------
+
+    async def store_vote(self, term: int, voted_for: bytes) -> None:
+        """Promise a term and a vote in it."""
+        before = self.term, self.voted_for
+        self.term, self.voted_for = term, voted_for
+        try:
+            await self._store_vote()
+        except BaseException:
+            self.term, self.voted_for = before
+            raise
+
+    async def append(self, entries: Sequence[fleet_pb2.LogEntry]) -> None:
+        """Append entries; held ones from the first index on are replaced."""
+        if not entries:
+            return
+        frame = fleet_pb2.LogFrame(entries=entries)
+        await self._disk.append(LOG, build_frame(frame.SerializeToString()))
+        replaced = entries[0].index <= self.last_index
+        _put_entries(self.entries, entries)
+        if replaced or any(entry.HasField("members") for entry in entries):
+            self._find_members()
+
+    async def store_snapshot(self, snapshot: fleet_pb2.SnapshotState) -> None:
+        """Replace the snapshot and drop entries that it covers."""
+        await self._disk.replace(
+            SNAPSHOT, build_frame(snapshot.SerializeToString())
+        )
+        self.snapshot = snapshot
+        held = self.get_entry(snapshot.last_index)
+        if held is None or held.term != snapshot.last_term:
+            self.entries = []
+        else:
+            first = snapshot.last_index - KEPT_ENTRIES
+            self.entries = [e for e in self.entries if e.index > first]
+        self._find_members()
+        await self._rewrite()
+
+    async def start_over(
+        self, disk_id: bytes, entries: Sequence[fleet_pb2.LogEntry]
+    ) -> None:
+        """Write the first entries of a new fleet."""
+        self.disk_id = disk_id
+        self.initial = True
+        self.entries = list(entries)
+        self._find_members()
+        # The vote file comes last, because a folder without it isn't used.
+        await self._rewrite()
+        await self._store_vote()
+
+    async def _store_vote(self) -> None:
+        vote = fleet_pb2.StoredVote(
+            term=self.term,
+            voted_for=self.voted_for,
+            disk=self.disk_id,
+            initial=self.initial,
+            fleet=self._fleet,
+        )
+        await self._disk.replace(VOTE, build_frame(vote.SerializeToString()))
+
+    async def _rewrite(self) -> None:
+        # One record for each entry: a damaged record that others follow is
+        # told apart from an unfinished write.
+        frames = [fleet_pb2.LogFrame(entries=[e]) for e in self.entries]
+        data = b"".join(build_frame(f.SerializeToString()) for f in frames)
+        await self._disk.replace(LOG, data)
+
+
+def build_frame(payload: bytes) -> bytes:
+    """Return a record: marker, length, CRC-32 and payload."""
+    return _HEADER.pack(_MAGIC, len(payload), zlib.crc32(payload)) + payload
+
+
+def split_frames(data: bytes) -> tuple[list[bytes], int]:
+    """Return the payloads of a file and the length of its good part.
+
+    Raises
+    ------
+    JournalError
+        If a bad record is followed by a good one, which an unfinished write
+        can't leave behind.
+    """
+    payloads = []
+    offset = 0
+    while offset < len(data):
+        opened = _open_frame(data, offset)
+        if isinstance(opened, Err):
+            _check_tail(data, offset)
+            break
+        payloads.append(opened.ok_value)
+        offset += _HEADER.size + len(opened.ok_value)
+    return payloads, offset
+
+
+def _check_tail(data: bytes, offset: int) -> None:
+    place = data.find(_MAGIC, offset + 1)
+    while place >= 0:
+        if isinstance(_open_frame(data, place), Ok):
+            raise JournalError(
+                f"the log is corrupt at byte {offset}: a good record follows "
+                f"at byte {place}; empty the data folder, and the member "
+                "rejoins with a new id"
+            )
+        place = data.find(_MAGIC, place + 1)
+
+
+def _open_frame(data: bytes, offset: int) -> Result[bytes, str]:
+    if offset + _HEADER.size > len(data):
+        return Err("incomplete header")
+    magic, length, crc = _HEADER.unpack_from(data, offset)
+    start = offset + _HEADER.size
+    if magic != _MAGIC or start + length > len(data):
+        return Err("incomplete record")
+    payload = data[start : start + length]
+    if zlib.crc32(payload) != crc:
+        return Err("wrong CRC")
+    return Ok(payload)
+
+
+def _open_single(name: str, data: bytes) -> bytes:
+    opened = _open_frame(data, 0)
+    if isinstance(opened, Err):
+        raise JournalError(
+            f"the file {name!r} is corrupt ({opened.err_value}); empty the "
+            "data folder, and the member rejoins with a new id"
+        )
+    return opened.ok_value
+
+
+def _collect_entries(payloads: list[bytes]) -> list[fleet_pb2.LogEntry]:
+    entries: list[fleet_pb2.LogEntry] = []
+    for payload in payloads:
+        _put_entries(entries, fleet_pb2.LogFrame.FromString(payload).entries)
+    return entries
+
+
+def _put_entries(
+    entries: list[fleet_pb2.LogEntry], new: Sequence[fleet_pb2.LogEntry]
+) -> None:
+    if entries:
+        del entries[max(0, new[0].index - entries[0].index) :]
+    entries.extend(new)
--- /dev/null
+++ b/hornbeamyard/version/leading.py
@@ -0,0 +1,295 @@
+"""What a replica does while it leads: replication, lease, members."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import anyio
+import anyio.abc
+
+from ..messages import fleet_pb2
+from . import membership
+from .membership import Answer
+
+if TYPE_CHECKING:
+    from .replica import Replica
+
+# The lease ends this long after a majority was last heard; with clocks that
+# differ by 10% it is shorter than the least election timeout.
+LEASE_S = 2.0
+HEARTBEAT_S = 0.5
+CALL_TIMEOUT_S = 1.0
+SNAPSHOT_TIMEOUT_S = 5.0
+CHECK_INTERVAL_S = 0.1
+BATCH_ENTRIES = 256
+BATCH_SIZE = 1024 * 1024
+SNAPSHOT_CHUNK_SIZE = 1024 * 1024
+
+
+@dataclass(slots=True)
+class Peer:
+    """Another member, as the leader sees it.
+
+    Attributes
+    ----------
+    host, address : str
+    next_index : int
+        The next entry to send.
+    match_index : int
+        The last entry known to be on the peer's disk.
+    acked_at : float
+        When the last call that the peer accepted was made.
+    disk, initial : bytes, bool
+        Its data folder; empty until it has answered.
+    """
+
+    host: str
+    address: str
+    next_index: int
+    match_index: int = 0
+    acked_at: float = membership.NEVER
+    disk: bytes = b""
+    initial: bool = False
+    wake: anyio.Event = field(default_factory=anyio.Event)
+
+    def note_folder(self, disk: bytes, initial: bool) -> None:
+        """Note which data folder answers; another one holds nothing yet."""
+        if disk != self.disk:
+            self.match_index = 0
+            self.acked_at = membership.NEVER
+        self.disk = disk
+        self.initial = initial
+
+
+class Leadership:
+    """One term of a leader.
+
+    Parameters
+    ----------
+    replica : Replica
+    term : int
+
+    Attributes
+    ----------
+    peers : dict of str to Peer
+    first_index : int
+        Index of the term's first entry; 0 until it was appended.
+    ended : anyio.Event
+        Set when the replica no longer leads in this term.
+    """
+
+    __slots__ = ("_replica", "ended", "first_index", "peers", "term")
+
+    def __init__(self, replica: Replica, term: int) -> None:
+        self._replica = replica
+        self.term = term
+        self.peers: dict[str, Peer] = {}
+        self.first_index = 0
+        self.ended = anyio.Event()
+
+    async def run(self) -> None:
+        """Lead until the term ends or the lease is lost."""
+        timers = self._replica.timers
+        started = timers.now()
+        async with anyio.create_task_group() as tasks:
+            self._start_peers(tasks)
+            while not self.ended.is_set():
+                with timers.limit(CHECK_INTERVAL_S):
+                    await self.ended.wait()
+                self._start_peers(tasks)
+                self._propose_step()
+                now = timers.now()
+                if now >= max(self.get_lease_end(), started + LEASE_S):
+                    self._replica.depose("lost contact with a majority")
+            tasks.cancel_scope.cancel()
+
+    def get_lease_end(self) -> float:
+        """Return the monotonic time at which the lease ends."""
+        replica = self._replica
+        answers = self._collect_answers(
+            replica.timers.now(),
+            {peer.host: peer.acked_at for peer in self.peers.values()},
+        )
+        members = replica.journal.members
+        return membership.find_majority(members, answers) + LEASE_S
+
+    def find_commit_index(self) -> int:
+        """Return the newest entry that a majority of voters holds."""
+        answers = self._collect_matches()
+        members = self._replica.journal.members
+        index = membership.find_majority(members, answers)
+        return 0 if index == membership.NEVER else int(index)
+
+    def wake_peers(self) -> None:
+        """Have new entries sent."""
+        for peer in self.peers.values():
+            peer.wake.set()
+
+    def choose_successor(self) -> Peer | None:
+        """Return the voter that holds most of the log."""
+        members = self._replica.journal.members
+        voters = [
+            peer
+            for peer in self.peers.values()
+            if membership.is_voter(members, peer.host, peer.disk, peer.initial)
+        ]
+        return max(voters, key=lambda peer: peer.match_index, default=None)
+
+    def is_change_pending(self) -> bool:
+        """Return whether the newest member list isn't committed yet."""
+        replica = self._replica
+        index = replica.journal.members_index
+        return (
+            index > replica.state.last_index
+            or not self.first_index
+            or replica.state.last_index < self.first_index
+        )
+
+    def _collect_answers(
+        self, own: float, values: dict[str, float]
+    ) -> dict[str, Answer]:
+        journal = self._replica.journal
+        answers = {
+            self._replica.host: Answer(journal.disk_id, journal.initial, own)
+        }
+        for peer in self.peers.values():
+            if peer.disk:
+                answers[peer.host] = Answer(
+                    peer.disk, peer.initial, values[peer.host]
+                )
+        return answers
+
+    def _collect_matches(self) -> dict[str, Answer]:
+        return self._collect_answers(
+            self._replica.journal.last_index,
+            {peer.host: peer.match_index for peer in self.peers.values()},
+        )
+
+    # ---- members ---------------------------------------------------------
+
+    def _start_peers(self, tasks: anyio.abc.TaskGroup) -> None:
+        replica = self._replica
+        addresses = membership.find_addresses(replica.journal.members)
+        addresses.pop(replica.host, None)
+        for host, address in addresses.items():
+            if host not in self.peers:
+                peer = Peer(host, address, replica.journal.last_index + 1)
+                self.peers[host] = peer
+                tasks.start_soon(self._replicate, peer)
+        for host in self.peers.keys() - addresses.keys():
+            del self.peers[host]
+
+    def _propose_step(self) -> None:
+        replica = self._replica
+        if self.ended.is_set() or self.is_change_pending():
+            return
+        step = membership.plan_step(
+            replica.state.members,
+            self._collect_matches(),
+            replica.state.last_index,
+        )
+        if step is not None:
+            replica.propose(fleet_pb2.LogEntry(members=step))
+
+    # ---- replication -----------------------------------------------------
+
+    async def _replicate(self, peer: Peer) -> None:
+        """Keep one peer up to date."""
+        while self.peers.get(peer.host) is peer:
+            if self._needs_snapshot(peer):
+                is_answered = await self._send_snapshot(peer)
+            else:
+                is_answered = await self._send_entries(peer)
+            last_index = self._replica.journal.last_index
+            if is_answered and peer.next_index <= last_index:
+                continue
+            if not is_answered:
+                await self._replica.timers.sleep(CHECK_INTERVAL_S)
+                continue
+            with self._replica.timers.limit(HEARTBEAT_S):
+                await peer.wake.wait()
+            peer.wake = anyio.Event()
+
+    def _needs_snapshot(self, peer: Peer) -> bool:
+        journal = self._replica.journal
+        previous = peer.next_index - 1
+        return (previous > 0 and journal.get_term(previous) is None) or (
+            previous == 0 and journal.get_entry(1) is None
+        )
+
+    async def _send_entries(self, peer: Peer) -> bool:
+        replica = self._replica
+        journal = replica.journal
+        previous = min(peer.next_index - 1, journal.last_index)
+        request = fleet_pb2.AppendRequest(
+            identity=replica.identity,
+            term=self.term,
+            previous_index=previous,
+            previous_term=journal.get_term(previous) or 0,
+            commit_index=replica.state.last_index,
+            entries=self._choose_entries(previous + 1),
+        )
+        called_at = replica.timers.now()
+        reply = None
+        with replica.timers.limit(CALL_TIMEOUT_S):
+            reply = await replica.calls.append(peer.address, request)
+        if reply is None or not self._take_term(reply.term):
+            return False
+        peer.note_folder(reply.disk, reply.initial)
+        if reply.accepted:
+            peer.match_index = max(peer.match_index, reply.match_index)
+            peer.next_index = peer.match_index + 1
+            peer.acked_at = max(peer.acked_at, called_at)
+            replica.advance_commit()
+        elif reply.term == self.term:
+            peer.next_index = reply.match_index + 1
+        return reply.term == self.term
+
+    def _choose_entries(self, index: int) -> Iterator[fleet_pb2.LogEntry]:
+        size = 0
+        for number in range(index, index + BATCH_ENTRIES):
+            entry = self._replica.journal.get_entry(number)
+            if entry is None or size > BATCH_SIZE:
+                return
+            size += entry.ByteSize()
+            yield entry
+
+    async def _send_snapshot(self, peer: Peer) -> bool:
+        replica = self._replica
+        state = replica.state.build_snapshot()
+        data = state.SerializeToString()
+        offset = 0
+        while offset < len(data):
+            part = data[offset : offset + SNAPSHOT_CHUNK_SIZE]
+            chunk = fleet_pb2.SnapshotChunk(
+                identity=replica.identity,
+                term=self.term,
+                last_index=state.last_index,
+                last_term=state.last_term,
+                offset=offset,
+                data=part,
+                last=offset + len(part) == len(data),
+            )
+            called_at = replica.timers.now()
+            reply = None
+            with replica.timers.limit(SNAPSHOT_TIMEOUT_S):
+                reply = await replica.calls.install(peer.address, chunk)
+            if reply is None or not self._take_term(reply.term):
+                return False
+            peer.note_folder(reply.disk, reply.initial)
+            if reply.offset != offset + len(part):
+                return False
+            peer.acked_at = max(peer.acked_at, called_at)
+            offset += len(part)
+        peer.match_index = max(peer.match_index, state.last_index)
+        peer.next_index = peer.match_index + 1
+        replica.advance_commit()
+        return True
+
+    def _take_term(self, term: int) -> bool:
+        """Return whether this term still holds after a reply."""
+        if term > self.term:
+            self._replica.note_term(term)
+        return not self.ended.is_set()
--- a/hornbeamyard/version/replica.py
+++ b/hornbeamyard/version/replica.py
@@ -2,14 +2,58 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Protocol, TypeVar
 
 import anyio
-from result import Ok, Result
+import logbook
+from result import Err, Ok, Result
 
 from ..messages import fleet_pb2
 from ..process.timers import Timers
-from .state import FleetState
+from . import membership
+from .election import Election
+from .jobs import JobQueue
+from .journal import Disk, Journal, JournalError
+from .leading import Leadership
+from .state import FleetState, Outcome
+
+# A caller is told that the outcome is unknown when no majority has confirmed
+# within this time.
+PROPOSE_TIMEOUT_S = 4.0
+PENDING_ENTRIES = 4096
+SNAPSHOT_ENTRIES = 1000
+HAND_OVER_TIMEOUT_S = 2.0
+
+T = TypeVar("T")
+
+_log = logbook.Logger("replica")
+
+
+class PeerCalls(Protocol):
+    """Calls to other members; None when there is no answer."""
+
+    async def vote(
+        self, address: str, request: fleet_pb2.VoteRequest
+    ) -> fleet_pb2.VoteReply | None:
+        """Ask for a vote."""
+
+    async def append(
+        self, address: str, request: fleet_pb2.AppendRequest
+    ) -> fleet_pb2.AppendReply | None:
+        """Send entries, or none as a heartbeat."""
+
+    async def install(
+        self, address: str, chunk: fleet_pb2.SnapshotChunk
+    ) -> fleet_pb2.SnapshotReply | None:
+        """Send a part of a snapshot."""
+
+    async def transfer(
+        self, address: str, request: fleet_pb2.TransferRequest
+    ) -> fleet_pb2.TransferReply | None:
+        """Ask a member to become the leader at once."""
 
 
 @dataclass(slots=True)
@@ -27,35 +71,348 @@
 ProposeError = NotLeader | NoQuorum
 
 
+@dataclass(slots=True)
+class Proposal:
+    """An entry that waits to be committed.
+
+    Attributes
+    ----------
+    entry : LogEntry
+    done : anyio.Event
+    result : Result of Outcome or ProposeError
+    """
+
+    entry: fleet_pb2.LogEntry
+    done: anyio.Event = field(default_factory=anyio.Event)
+    result: Result[Outcome, ProposeError] = field(
+        default_factory=lambda: Err(NoQuorum())
+    )
+
+
 class Replica:
-    """One member of the group of controllers."""
+    """One member of the group of controllers.
+
+    Parameters
+    ----------
+    identity : Identity
+    address : str
+        Address at which the other members reach this one.
+    disk : Disk
+    calls : PeerCalls
+    timers : Timers
+    choose : random.Random
+        For election timeouts and the id of an empty data folder.
 
-    __slots__ = ("_applied", "_timers", "address", "state", "term")
+    Attributes
+    ----------
+    state : FleetState
+        As of the last applied entry.
+    journal : Journal
+    fault : str
+        Why this member neither votes nor leads; empty when it may.
+    """
 
-    def __init__(self, address: str, timers: Timers) -> None:
+    def __init__(
+        self,
+        identity: fleet_pb2.Identity,
+        address: str,
+        disk: Disk,
+        calls: PeerCalls,
+        timers: Timers,
+        choose: random.Random,
+    ) -> None:
+        self.identity = identity
+        self.host = identity.host
         self.address = address
+        self.calls = calls
+        self.timers = timers
+        self.journal = Journal(disk, identity.fleet)
         self.state = FleetState()
-        self.term = 1
-        self._timers = timers
+        self.fault = ""
+        self.jobs = JobQueue()
+        self.leadership: Leadership | None = None
+        self.leader_host = ""
+        self.election = Election(self, choose)
+        self._choose = choose
         self._applied = anyio.Event()
+        self._pending: list[Proposal] = []
+        self._waiting: dict[int, Proposal] = {}
+        self._is_saving = False
+
+    # ---- for the controller ----------------------------------------------
+
+    @property
+    def term(self) -> int:
+        """The newest term that this member knows."""
+        return self.journal.term
 
     def is_leader(self) -> bool:
         """Return whether this replica leads and holds its lease."""
-        return True
+        leadership = self.leadership
+        return (
+            leadership is not None
+            and 0 < leadership.first_index <= self.state.last_index
+            and self.timers.now() < leadership.get_lease_end()
+        )
 
     def get_leader(self) -> str:
         """Return the address of the leader, or an empty text."""
-        return self.address
+        if self.leader_host == self.host:
+            return self.address if self.is_leader() else ""
+        members = self.journal.members
+        return membership.find_addresses(members).get(self.leader_host, "")
 
     async def submit_patch(
         self, request: fleet_pb2.PatchRequest
     ) -> Result[fleet_pb2.PatchResult, ProposeError]:
         """Append a patch to the log and return its outcome."""
-        result = self.state.apply_patch(request, self._timers.wall_ms())
-        self._applied.set()
-        self._applied = anyio.Event()
-        return Ok(result)
+        return await self._submit(
+            fleet_pb2.LogEntry(patch=request), fleet_pb2.PatchResult
+        )
+
+    async def make_claims(
+        self, batch: fleet_pb2.ClaimBatch
+    ) -> Result[fleet_pb2.ClaimResults, ProposeError]:
+        """Append operations on claims and return their results.
+
+        After `NotLeader` none of them was applied; after `NoQuorum` they
+        may have been, or may be later.
+        """
+        return await self._submit(
+            fleet_pb2.LogEntry(claims=batch), fleet_pb2.ClaimResults
+        )
+
+    async def change_members(
+        self, change: fleet_pb2.MemberChange
+    ) -> Result[str, ProposeError]:
+        """Begin a change of members.
+
+        Returns
+        -------
+        Result of str or ProposeError
+            The text tells why the change was refused; it is empty when the
+            change has begun.
+        """
+        if not self.is_leader() or self.leadership is None:
+            return Err(NotLeader(self.get_leader()))
+        if self.leadership.is_change_pending():
+            return Ok("another change is still being made; try again later")
+        changed = membership.change_members(self.state.members, change)
+        if isinstance(changed, str):
+            return Ok(changed)
+        proposal = self.propose(fleet_pb2.LogEntry(members=changed))
+        result = await self._wait(proposal)
+        return Ok("") if isinstance(result, Ok) else result
 
     async def wait_applied(self) -> None:
         """Wait until the state or the leadership changes."""
         await self._applied.wait()
+
+    # ---- life ------------------------------------------------------------
+
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = (anyio.TASK_STATUS_IGNORED),
+    ) -> None:
+        """Read the data folder and take part until cancelled."""
+        try:
+            repaired = await self.journal.load(
+                lambda: self._choose.randbytes(16)
+            )
+            self.state = FleetState.from_snapshot(self.journal.snapshot)
+            if repaired:
+                _log.warning("{}", repaired)
+        except (OSError, JournalError) as error:
+            self.fail(error)
+        if not self.fault and not self.journal.members.members:
+            _log.warning(
+                "the data folder is empty; waiting to be added by the leader"
+            )
+        self.election.start()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.jobs.run)
+            tasks.start_soon(self.election.run)
+            task_status.started()
+
+    async def hand_over(self) -> None:
+        """Give the leadership to another member, if this one leads."""
+        leadership = self.leadership
+        if leadership is None:
+            return
+        successor = leadership.choose_successor()
+        if successor is None:
+            return
+        with self.timers.limit(HAND_OVER_TIMEOUT_S):
+            while successor.match_index < self.journal.last_index:
+                await self.timers.sleep(0.01)
+        request = fleet_pb2.TransferRequest(
+            identity=self.identity, term=leadership.term
+        )
+        # The lease must have been given up before the successor campaigns.
+        self.depose("handing over")
+        with self.timers.limit(1.0):
+            await self.calls.transfer(successor.address, request)
+
+    def fail(self, error: Exception) -> None:
+        """Stop voting and leading, because the disk can't be trusted."""
+        self.fault = str(error)
+        _log.error(
+            "this controller no longer votes or leads: {}; repair the disk "
+            "and restart the process",
+            error,
+        )
+        self.depose("disk error")
+
+    def lead(self, term: int) -> Leadership:
+        """Start to lead in a term that was won."""
+        self.leadership = Leadership(self, term)
+        self.leader_host = self.host
+        self.propose(fleet_pb2.LogEntry(noop=fleet_pb2.Noop()))
+        return self.leadership
+
+    def depose(self, reason: str) -> None:
+        """Stop leading, if this member leads."""
+        leadership = self.leadership
+        if leadership is None:
+            return
+        _log.info("no longer leader in term {}: {}", leadership.term, reason)
+        self.leadership = None
+        self.leader_host = ""
+        leadership.ended.set()
+        for proposal in self._waiting.values():
+            proposal.done.set()
+        for proposal in self._pending:
+            proposal.result = Err(NotLeader(""))
+            proposal.done.set()
+        self._waiting = {}
+        self._pending = []
+        self._notify()
+
+    def note_term(self, term: int) -> None:
+        """Take note of a higher term that another member has answered."""
+        self.depose(f"term {term} has begun")
+        self.jobs.put(lambda: self.adopt_term(term))
+
+    async def adopt_term(self, term: int) -> bool:
+        """Promise a higher term; must run as a job."""
+        if self.fault:
+            return False
+        if term <= self.term:
+            return True
+        self.depose(f"term {term} has begun")
+        return await self.keep(lambda: self.journal.store_vote(term, b""))
+
+    async def keep(self, write: Callable[[], Awaitable[None]]) -> bool:
+        """Write to the journal; return whether it is on disk."""
+        if self.fault:
+            return False
+        try:
+            await write()
+        except OSError as error:
+            self.fail(error)
+            return False
+        return True
+
+    # ---- proposals -------------------------------------------------------
+
+    def propose(self, entry: fleet_pb2.LogEntry) -> Proposal:
+        """Have an entry appended; the caller has checked the leadership."""
+        proposal = Proposal(entry)
+        self._pending.append(proposal)
+        if len(self._pending) == 1:
+            self.jobs.put(self._append_pending)
+        return proposal
+
+    async def _submit(
+        self, entry: fleet_pb2.LogEntry, kind: type[T]
+    ) -> Result[T, ProposeError]:
+        if not self.is_leader():
+            return Err(NotLeader(self.get_leader()))
+        if len(self._pending) >= PENDING_ENTRIES:
+            return Err(NoQuorum())
+        result = await self._wait(self.propose(entry))
+        if isinstance(result, Err):
+            return result
+        assert isinstance(result.ok_value, kind)
+        return Ok(result.ok_value)
+
+    async def _wait(self, proposal: Proposal) -> Result[Outcome, ProposeError]:
+        with self.timers.limit(PROPOSE_TIMEOUT_S):
+            await proposal.done.wait()
+        return proposal.result
+
+    async def _append_pending(self) -> None:
+        """Append all waiting proposals and sync them together."""
+        leadership = self.leadership
+        proposals, self._pending = self._pending, []
+        if leadership is None or not proposals:
+            return
+        index = self.journal.last_index
+        time_ms = self.timers.wall_ms()
+        for number, proposal in enumerate(proposals, index + 1):
+            proposal.entry.term = leadership.term
+            proposal.entry.index = number
+            proposal.entry.time_ms = max(time_ms, self.state.time_ms)
+            self._waiting[number] = proposal
+        entries = [proposal.entry for proposal in proposals]
+        if not await self.keep(lambda: self.journal.append(entries)):
+            return
+        leadership.first_index = leadership.first_index or index + 1
+        if not leadership.ended.is_set():
+            leadership.wake_peers()
+            self.advance_commit()
+
+    # ---- applying --------------------------------------------------------
+
+    def advance_commit(self) -> None:
+        """Apply what a majority holds, while leading."""
+        leadership = self.leadership
+        if leadership is None:
+            return
+        index = leadership.find_commit_index()
+        # Entries of earlier terms are committed only together with one of
+        # this term, because another leader could still replace them.
+        if self.journal.get_term(index) == leadership.term:
+            self.apply_up_to(index)
+
+    def apply_up_to(self, index: int) -> None:
+        """Apply committed entries."""
+        if index <= self.state.last_index:
+            return
+        for number in range(self.state.last_index + 1, index + 1):
+            entry = self.journal.get_entry(number)
+            assert entry is not None
+            outcome = self.state.apply(entry)
+            proposal = self._waiting.pop(number, None)
+            if proposal is not None:
+                proposal.result = Ok(outcome)
+                proposal.done.set()
+        self._notify()
+        behind = self.state.last_index - self.journal.snapshot.last_index
+        if behind >= SNAPSHOT_ENTRIES and not self._is_saving:
+            self._is_saving = True
+            self.jobs.put(self._save_snapshot)
+        self._check_membership()
+
+    def replace_state(self, state: FleetState) -> None:
+        """Take over the state of a leader's snapshot."""
+        self.state = state
+        self._notify()
+
+    def _check_membership(self) -> None:
+        """Stop leading once this member has been removed."""
+        journal = self.journal
+        if self.leadership is not None and not membership.is_voter(
+            self.state.members, self.host, journal.disk_id, journal.initial
+        ):
+            self.depose("removed from the members")
+
+    async def _save_snapshot(self) -> None:
+        snapshot = self.state.build_snapshot()
+        await self.keep(lambda: self.journal.store_snapshot(snapshot))
+        self._is_saving = False
+
+    def _notify(self) -> None:
+        self._applied.set()
+        self._applied = anyio.Event()
--- a/hornbeamyard/version/state.py
+++ b/hornbeamyard/version/state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import hashlib
+import itertools
 import json
 from typing import Any
 
@@ -10,42 +12,126 @@
 
 from ..messages import fleet_pb2
 from ..process.validation import Finding
+from .claims import ClaimTable
 from .configuration import EMPTY_DOCUMENT, Configuration, parse_document
 
+# Outcomes of patches are kept for this many versions.
+REMEMBERED_VERSIONS = 10_000
+
+Outcome = fleet_pb2.PatchResult | fleet_pb2.ClaimResults | None
+
 
 class FleetState:
-    """Configuration and patch outcomes, as of the last applied entry."""
+    """Everything that the log decides, as of the last applied entry.
+
+    Attributes
+    ----------
+    document : dict
+        The configuration document.
+    configuration : Configuration
+        The same, checked.
+    outcomes : dict of str to PatchRecord
+        Outcomes of patches by id, oldest first.
+    patches : dict of int to bytes
+        Accepted patches by version.
+    claims : ClaimTable
+    members : MemberList
+        The newest committed members.
+    fencing : tuple of int and int
+        Term and index of the newest leader's first entry.
+    last_index, last_term : int
+        The last applied entry.
+    time_ms : int
+        Log time of the last applied entry; it never goes back.
+    """
 
-    __slots__ = ("configuration", "document", "outcomes", "patches")
+    __slots__ = (
+        "claims",
+        "configuration",
+        "document",
+        "fencing",
+        "last_index",
+        "last_term",
+        "members",
+        "outcomes",
+        "patches",
+        "time_ms",
+    )
 
     def __init__(self) -> None:
         self.document: dict[str, Any] = json.loads(json.dumps(EMPTY_DOCUMENT))
         self.configuration = Configuration(version=0)
         self.outcomes: dict[str, fleet_pb2.PatchRecord] = {}
         self.patches: dict[int, bytes] = {}
+        self.claims = ClaimTable()
+        self.members = fleet_pb2.MemberList()
+        self.fencing = (0, 0)
+        self.last_index = 0
+        self.last_term = 0
+        self.time_ms = 0
 
     @property
     def version(self) -> int:
         """Number of the newest accepted version."""
         return self.configuration.version
 
+    def apply(self, entry: fleet_pb2.LogEntry) -> Outcome:
+        """Apply the next log entry and return its outcome."""
+        assert entry.index == self.last_index + 1
+        self.last_index = entry.index
+        self.last_term = entry.term
+        self.time_ms = max(self.time_ms, entry.time_ms)
+        match entry.WhichOneof("command"):
+            case "patch":
+                return self.apply_patch(entry.patch, self.time_ms)
+            case "claims":
+                return self.claims.apply(entry.claims, self.time_ms)
+            case "members":
+                self.members = entry.members
+            case "noop":
+                self.fencing = (entry.term, entry.index)
+        return None
+
     def apply_patch(
         self, request: fleet_pb2.PatchRequest, time_ms: int
     ) -> fleet_pb2.PatchResult:
         """Apply a patch; the first outcome of an id is the lasting one."""
+        patch_hash = hash_patch(request)
         record = self.outcomes.get(request.patch_id)
         if record is not None:
-            return record.result
+            if record.patch_hash == patch_hash:
+                return record.result
+            return fleet_pb2.PatchResult(
+                outcome=fleet_pb2.INVALID,
+                version=self.version,
+                findings=[
+                    f"patch id: {request.patch_id!r} was used with another "
+                    "patch or base version; give each patch its own id"
+                ],
+            )
         result = self._decide(request)
+        accepted = result.outcome == fleet_pb2.ACCEPTED
         self.outcomes[request.patch_id] = fleet_pb2.PatchRecord(
             patch_id=request.patch_id,
             result=result,
-            patch=request.patch,
+            patch=request.patch if accepted else b"",
             operator=request.operator,
             time_ms=time_ms,
+            patch_hash=patch_hash,
         )
+        if accepted:
+            self._forget_outcomes()
         return result
 
+    def list_history(self, limit: int) -> list[fleet_pb2.PatchRecord]:
+        """Return the newest accepted patches, newest first."""
+        accepted = (
+            record
+            for record in reversed(self.outcomes.values())
+            if record.result.outcome == fleet_pb2.ACCEPTED
+        )
+        return list(itertools.islice(accepted, limit))
+
     def _decide(
         self, request: fleet_pb2.PatchRequest
     ) -> fleet_pb2.PatchResult:
@@ -68,6 +154,64 @@
             outcome=fleet_pb2.ACCEPTED, version=self.version
         )
 
+    def _forget_outcomes(self) -> None:
+        oldest = self.version - REMEMBERED_VERSIONS
+        self.patches.pop(oldest, None)
+        forgotten = []
+        for patch_id, record in self.outcomes.items():
+            if record.result.version > oldest:
+                break
+            forgotten.append(patch_id)
+        for patch_id in forgotten:
+            del self.outcomes[patch_id]
+
+    # ---- snapshots -------------------------------------------------------
+
+    def build_snapshot(self) -> fleet_pb2.SnapshotState:
+        """Return the whole state as a message."""
+        return fleet_pb2.SnapshotState(
+            last_index=self.last_index,
+            last_term=self.last_term,
+            time_ms=self.time_ms,
+            version=self.version,
+            document=dump_document(self.document),
+            members=self.members,
+            patches=self.outcomes.values(),
+            claims=self.claims.list_records(),
+            fencing=self.fencing[1],
+            fencing_term=self.fencing[0],
+        )
+
+    @classmethod
+    def from_snapshot(cls, snapshot: fleet_pb2.SnapshotState) -> FleetState:
+        """Return the state that a snapshot holds."""
+        state = cls()
+        if not snapshot.last_index:
+            return state
+        parsed = parse_document(snapshot.document, snapshot.version)
+        state.document = json.loads(snapshot.document)
+        state.configuration = parsed.unwrap()
+        for record in snapshot.patches:
+            copied = fleet_pb2.PatchRecord()
+            copied.CopyFrom(record)
+            state.outcomes[record.patch_id] = copied
+            if record.result.outcome == fleet_pb2.ACCEPTED:
+                state.patches[record.result.version] = record.patch
+        copies = fleet_pb2.SnapshotState(claims=snapshot.claims)
+        state.claims = ClaimTable(copies.claims)
+        state.members = snapshot.members
+        state.fencing = (snapshot.fencing_term, snapshot.fencing)
+        state.last_index = snapshot.last_index
+        state.last_term = snapshot.last_term
+        state.time_ms = snapshot.time_ms
+        return state
+
+
+def hash_patch(request: fleet_pb2.PatchRequest) -> bytes:
+    """Return the SHA-256 of what a patch asks for."""
+    base = request.base_version.to_bytes(8, "big")
+    return hashlib.sha256(base + request.patch).digest()
+
 
 def patch_document(
     document: dict[str, Any], patch: bytes, version: int
