--- a/hornbeamyard/connection/session.py
+++ b/hornbeamyard/connection/session.py
@@ -153,7 +153,8 @@
                         if self._leave_sent:
                             self._left.set()
                         break
-                    if update.leader:
+                    # A controller that leads always sends its epoch.
+                    if update.leader or not update.epoch:
                         hint = update.leader
                         break
                     self._take_update(update)
