Report every fault of settings and patches with its place

Cause: settings with duplicate keys, unreadable TLS files or shared addresses were accepted, relations were checked only once the rest was valid, and lines were guessed from key names that may occur twice. A patch that failed showed values of the document, which may be keys.

Ruled out: the json5 parser gives no positions, so a small tokenizer finds the lines of keys in text that the parser has accepted.

Change: process/places.py finds lines, process/relations.py checks relations and files, version/patch.py names the faulty operation. Commands are split into modules; status, accounts, workers, config show|history|wait and controllers add|remove|replace are new, and calls try every controller and follow the leader.

Conclusion: what is invalid is told in one run, without secrets.

--- a/hornbeamyard/connection/server.py
+++ b/hornbeamyard/connection/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import AsyncIterator
 
 import anyio
@@ -12,7 +13,8 @@
 
 from ..messages import fleet_pb2, fleet_pb2_grpc
 from ..pool import options
-from ..process.controller import AttachedRouter, Controller
+from ..process.controller import Controller
+from ..process.status import build_status
 from ..process.timers import Timers
 from ..version.replica import NotLeader
 from ..version.state import dump_document
@@ -124,6 +126,19 @@
             found=True,
         )
 
+    async def ReadStatus(  # noqa: N802 - named by the protocol
+        self,
+        request: fleet_pb2.StatusRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> fleet_pb2.StatusReply:
+        """Return the status document of the fleet."""
+        await self._check_identity(request.identity, context)
+        replica = self._controller.replica
+        if not replica.is_leader():
+            return fleet_pb2.StatusReply(leader=replica.get_leader())
+        status = build_status(self._controller, self._timers.now())
+        return fleet_pb2.StatusReply(document=json.dumps(status).encode())
+
     async def _check_identity(
         self,
         identity: fleet_pb2.Identity,
@@ -134,11 +149,3 @@
             return
         _log.warning("refused {}: {}", identity.host, mismatch)
         await context.abort(grpc.StatusCode.FAILED_PRECONDITION, mismatch)
-
-
-def describe_attached(router: AttachedRouter) -> dict[str, object]:
-    """Return what the status page shows of a router."""
-    return {
-        "host": router.name,
-        "version_in_force": router.version_in_force,
-    }
--- a/hornbeamyard/pool/dispatch.py
+++ b/hornbeamyard/pool/dispatch.py
@@ -291,6 +291,17 @@
         demands, _ = self.collect_report(now, full=True)
         return demands
 
+    def count_requests(self) -> dict[str, tuple[int, int]]:
+        """Return for each account the requests that wait and that run."""
+        names = {*self._accounts, *self.backlog.list_accounts()}
+        return {
+            name: (
+                self.backlog.count_waiting(name),
+                self._get_account(name).running,
+            )
+            for name in sorted(names)
+        }
+
     # ---- helpers ---------------------------------------------------------
 
     def _get_account(self, name: str) -> _Account:
--- a/hornbeamyard/pool/schedule.py
+++ b/hornbeamyard/pool/schedule.py
@@ -402,6 +402,24 @@
             for name, account in self._accounts.items()
         }
 
+    def compute_lags(self, now: float) -> dict[str, float]:
+        """Return the lag of each account with requests, in seconds."""
+        return self._compute_lags(now)
+
+    def sum_demands(self, now: float) -> dict[str, Demand]:
+        """Return demand and service of each account over all routers."""
+        return {
+            name: Demand(
+                waiting=account.waiting,
+                waiting_priority=account.waiting_priority,
+                running=account.running,
+                service_s=account.service_s
+                + account.running * now
+                - account.running_since,
+            )
+            for name, account in self._accounts.items()
+        }
+
     def _adopt_lag(self, name: str, lag: float | None, now: float) -> None:
         account = self._accounts.setdefault(name, _Account())
         if lag is not None:
--- a/hornbeamyard/process/commands.py
+++ b/hornbeamyard/process/commands.py
@@ -2,24 +2,31 @@
 
 from __future__ import annotations
 
-import json
-import sys
-import uuid
 from pathlib import Path
 
-import anyio
 import click
-from result import Err
 
-from ..connection import peers
-from ..messages import fleet_pb2, fleet_pb2_grpc
-from .settings import Settings, load_settings
+from .config_commands import config
+from .controller_commands import controllers
+from .invocation import fleet_options, load_or_exit, read_status
+from .tables import format_table, show
 
 
 @click.group()
 @click.version_option(package_name="hornbeamyard")
 def main() -> None:
-    """Operate a hornbeamyard fleet."""
+    """Operate a hornbeamyard fleet.
+
+    Commands that talk to the fleet need the settings file of any of its
+    hosts. They try every controller and follow the one that leads.
+
+    Exit codes: 0 done; 1 refused; 2 invalid settings or arguments;
+    3 unknown, because no lead controller answered in time.
+    """
+
+
+main.add_command(config)
+main.add_command(controllers)
 
 
 @main.group()
@@ -29,67 +36,81 @@
 
 @settings.command("check")
 @click.argument("file", type=click.Path(path_type=Path))
-def check_settings(file: Path) -> None:
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def check_settings(file: Path, as_json: bool) -> None:
     """Check the settings file FILE without starting anything."""
-    loaded = _load(file)
-    click.echo(f"{file}: the settings of host {loaded.host!r} are valid")
-
-
-@main.group()
-def config() -> None:
-    """Read and change the configuration."""
-
-
-@config.command("patch")
-@click.option("--settings", "file", type=Path, required=True)
-@click.option("--base", type=int, required=True)
-@click.option("--operator", default="operator")
-@click.argument("patch", type=click.Path(path_type=Path))
-def patch_configuration(
-    file: Path, base: int, operator: str, patch: Path
-) -> None:
-    """Submit the JSON Patch in the file PATCH against version BASE."""
-    loaded = _load(file)
-    request = fleet_pb2.PatchRequest(
-        identity=peers.describe_self(loaded, 0),
-        patch_id=str(uuid.uuid4()),
-        base_version=base,
-        patch=patch.read_bytes(),
-        operator=operator,
-    )
-    result = anyio.run(_submit_patch, loaded, request)
-    click.echo(
-        json.dumps(
-            {
-                "outcome": fleet_pb2.PatchOutcome.Name(result.outcome),
-                "version": result.version,
-                "findings": list(result.findings),
-            }
-        )
+    loaded = load_or_exit(file, as_json)
+    show(
+        {"valid": True, "host": loaded.host, "findings": []},
+        as_json,
+        f"{file}: the settings of host {loaded.host!r} are valid",
     )
-    if result.outcome != fleet_pb2.ACCEPTED:
-        sys.exit(1)
-
-
-async def _submit_patch(
-    loaded: Settings, request: fleet_pb2.PatchRequest
-) -> fleet_pb2.PatchResult:
-    for address in loaded.controllers.values():
-        async with peers.open_channel(address, loaded.tls) as channel:
-            stub = fleet_pb2_grpc.FleetStub(channel)
-            result = await stub.SubmitPatch(request, timeout=5)
-            if result.outcome != fleet_pb2.NOT_LEADER:
-                return result
-    return fleet_pb2.PatchResult(outcome=fleet_pb2.UNKNOWN)
 
 
-def _load(file: Path) -> Settings:
-    loaded = load_settings(file)
-    if isinstance(loaded, Err):
-        click.echo(str(loaded.err_value), err=True)
-        sys.exit(2)
-    return loaded.ok_value
+@main.command()
+@fleet_options
+def status(file: Path, as_json: bool, timeout: float) -> None:
+    """Show the lead controller, versions, routers and pools."""
+    document = read_status(file, timeout)
+    parts = [
+        f"leader {document['leader']}, epoch {document['epoch']}, "
+        f"version {document['version']}",
+        format_table(document["routers"], ["host", "version_in_force"]),
+        format_table(
+            document["pools"],
+            [
+                "pool",
+                "contended",
+                "slots",
+                "running",
+                "waiting",
+                "utilisation",
+            ],
+        ),
+    ]
+    controllers = document.get("controllers")
+    if controllers:
+        parts.insert(1, format_table(controllers, list(controllers[0])))
+    show(document, as_json, "\n\n".join(parts))
+
+
+@main.command()
+@fleet_options
+def accounts(file: Path, as_json: bool, timeout: float) -> None:
+    """Show share, requests, service and lag of each client account.
+
+    Service is slot time in seconds. The lag is the normalised service above
+    the lowest account with waiting requests; '-' means no requests.
+    """
+    rows = read_status(file, timeout)["accounts"]
+    columns = [
+        "account",
+        "pool",
+        "share",
+        "waiting",
+        "running",
+        "service_s",
+        "lag_s",
+    ]
+    show({"accounts": rows}, as_json, format_table(rows, columns))
+
+
+@main.command()
+@fleet_options
+def workers(file: Path, as_json: bool, timeout: float) -> None:
+    """Show the upstreams that announced themselves, and their slots."""
+    rows = read_status(file, timeout)["workers"]
+    columns = [
+        "worker",
+        "pool",
+        "availability_zone",
+        "slots",
+        "held",
+        "leaving",
+        "address",
+    ]
+    show({"workers": rows}, as_json, format_table(rows, columns))
 
 
 if __name__ == "__main__":
-    main()
+    main(prog_name="hornbeamyard")
--- /dev/null
+++ b/hornbeamyard/process/invocation.py
@@ -0,0 +1,101 @@
+"""What the commands have in common: options, calls and exit codes."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, TypeVar
+
+import anyio
+import click
+from result import Err, Result
+
+from ..connection import peers
+from ..connection.calls import LeaderCalls, Unreachable
+from ..messages import fleet_pb2
+from .settings import Settings, load_settings
+
+EXIT_REFUSED = 1
+EXIT_SETTINGS = 2
+EXIT_UNKNOWN = 3
+
+_Command = TypeVar("_Command", bound=Callable[..., None])
+
+
+def fleet_options(command: _Command) -> _Command:
+    """Add the options of a command that talks to the fleet."""
+    for option in (
+        click.option(
+            "--timeout",
+            type=click.FloatRange(0.1, 3600),
+            default=10.0,
+            show_default=True,
+            help="Seconds to wait for the fleet.",
+        ),
+        click.option("--json", "as_json", is_flag=True, help="Print JSON."),
+        click.option(
+            "--settings",
+            "file",
+            type=click.Path(path_type=Path),
+            required=True,
+            help="Settings file of a host of the fleet.",
+        ),
+    ):
+        command = option(command)
+    return command
+
+
+def load_or_exit(file: Path, as_json: bool = False) -> Settings:
+    """Return the settings of a file, or print all findings and exit."""
+    loaded = load_settings(file)
+    if isinstance(loaded, Err):
+        if as_json:
+            findings = loaded.err_value.findings
+            document = {
+                "valid": False,
+                "findings": [dataclasses.asdict(f) for f in findings],
+            }
+            click.echo(json.dumps(document, indent=2))
+        click.echo(str(loaded.err_value), err=True)
+        sys.exit(EXIT_SETTINGS)
+    return loaded.ok_value
+
+
+def connect(settings: Settings) -> LeaderCalls:
+    """Return the calls to the fleet's lead controller."""
+    return LeaderCalls(
+        settings.controllers, settings.tls, peers.describe_self(settings, 0)
+    )
+
+
+def call(
+    settings: Settings, method: str, request: Any, timeout_s: float
+) -> Result[Any, Unreachable]:
+    """Make one call to the lead controller."""
+    calls = connect(settings)
+    return anyio.run(calls.call, method, request, timeout_s)
+
+
+def call_or_exit(
+    settings: Settings, method: str, request: Any, timeout_s: float
+) -> Any:
+    """Make one call; print why and exit when nothing answers in time."""
+    called = call(settings, method, request, timeout_s)
+    if isinstance(called, Err):
+        failure = called.err_value
+        click.echo(f"no lead controller answered: {failure}", err=True)
+        sys.exit(EXIT_REFUSED if failure.refused else EXIT_UNKNOWN)
+    return called.ok_value
+
+
+def read_status(file: Path, timeout_s: float) -> dict[str, Any]:
+    """Return the fleet's status document."""
+    settings = load_or_exit(file)
+    reply = call_or_exit(
+        settings, "ReadStatus", fleet_pb2.StatusRequest(), timeout_s
+    )
+    document: dict[str, Any] = json.loads(reply.document)
+    return document
--- a/hornbeamyard/process/settings.py
+++ b/hornbeamyard/process/settings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 import re
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -12,6 +11,8 @@
 from result import Err, Ok, Result
 
 from . import validation
+from .places import Places, find_places
+from .relations import check_relations
 from .validation import Finding, Option, Section, Table
 
 
@@ -143,9 +144,15 @@
         ),
         "tls": Section(
             {
-                "certificate": Option(validation.check_text, required=True),
-                "key": Option(validation.check_text, required=True),
-                "authority": Option(validation.check_text, required=True),
+                "certificate": Option(
+                    validation.check_file, required=True, secret=True
+                ),
+                "key": Option(
+                    validation.check_file, required=True, secret=True
+                ),
+                "authority": Option(
+                    validation.check_file, required=True, secret=True
+                ),
             }
         ),
         "plain_text": Option(validation.check_flag),
@@ -174,80 +181,39 @@
     except (OSError, UnicodeDecodeError) as error:
         return Err(SettingsError(path, [Finding("", str(error))]))
     try:
-        document = json5.loads(text, allow_duplicate_keys=False)
+        document = json5.loads(text)
     except ValueError as error:
-        return Err(SettingsError(path, [_find_syntax_error(error)]))
+        return Err(SettingsError(path, [_find_syntax_error(error, text)]))
     findings = validation.check_document(document, _SCHEMA)
-    if not findings:
-        findings = _check_relations(document)
+    if isinstance(document, dict):
+        faulty = {finding.place for finding in findings}
+        findings += check_relations(document, faulty, path.parent)
+    findings = _add_lines(findings, find_places(text))
     if findings:
-        findings = [_add_line(finding, text) for finding in findings]
         return Err(SettingsError(path, findings))
     return Ok(_build_settings(document, path.parent))
 
 
-def _find_syntax_error(error: ValueError) -> Finding:
-    match = re.match(r"(?:<string>:)?(\d+)[ :]", str(error))
-    line = int(match.group(1)) if match else None
-    return Finding("", f"is not JSON with comments: {error}", line)
+def _find_syntax_error(error: ValueError, text: str) -> Finding:
+    match = re.match(r"(?:<string>:)?(\d+)[ :]\s*(.*)", str(error), re.DOTALL)
+    if match is None:
+        return Finding("", f"is not JSON with comments: {error}", 1)
+    line = min(int(match[1]), text.count("\n") + 1)
+    return Finding("", f"is not JSON with comments: {match[2]}", line)
 
 
-def _add_line(finding: Finding, text: str) -> Finding:
-    key = finding.place.rpartition(".")[2]
-    if not key:
-        return finding
-    pattern = re.compile(rf"""["']?{re.escape(key)}["']?\s*:""")
-    lines = [
-        number
-        for number, line in enumerate(text.splitlines(), start=1)
-        if pattern.search(line)
-    ]
-    if len(lines) != 1:
-        return finding
-    return Finding(finding.place, finding.message, lines[0])
-
-
-def _check_relations(document: dict[str, Any]) -> list[Finding]:
-    """Check what concerns more than one key."""
-    findings = []
-    if "router" not in document and "controller" not in document:
-        findings.append(
-            Finding("", "neither 'router' nor 'controller' is set; give one")
-        )
-    controllers = document["controllers"]
-    if not controllers:
-        findings.append(
-            Finding("controllers", "is empty; name at least one controller")
+def _add_lines(findings: list[Finding], places: Places) -> list[Finding]:
+    located = [
+        Finding(
+            finding.place, finding.message, places.find_line(finding.place)
         )
-    controller = document.get("controller")
-    host = document["host"]
-    if controller is not None and controllers.get(host) is None:
-        findings.append(
-            Finding(
-                "controllers",
-                f"has no entry for this host, {host!r}, whose role "
-                "'controller' is on",
-            )
-        )
-    findings += _check_plain_text(document)
-    return findings
-
-
-def _check_plain_text(document: dict[str, Any]) -> list[Finding]:
-    if "tls" in document or document.get("plain_text", False):
-        return []
-    findings = []
-    for host, address in document["controllers"].items():
-        number = ipaddress.ip_address(address.rpartition(":")[0].strip("[]"))
-        if not number.is_loopback:
-            findings.append(
-                Finding(
-                    f"controllers.{host}",
-                    f"{address!r} is not on loopback; set 'tls', or "
-                    "'plain_text' to true",
-                )
-            )
-    return findings
+        for finding in findings
+    ]
+    located += [
+        Finding(place, "occurs more than once; give it once", line)
+        for place, line in places.duplicates
+    ]
+    return sorted(located, key=lambda finding: finding.line or 0)
 
 
 def _build_settings(document: dict[str, Any], folder: Path) -> Settings:
--- /dev/null
+++ b/hornbeamyard/process/status.py
@@ -0,0 +1,97 @@
+"""The status document of a fleet, as its lead controller sees it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..pool.schedule import Schedule
+from .controller import Controller
+
+
+def build_status(controller: Controller, now: float) -> dict[str, Any]:
+    """Return the status document; docs/cli.md describes its keys.
+
+    Parameters
+    ----------
+    controller : Controller
+        The lead controller.
+    now : float
+        Monotonic time in seconds.
+    """
+    replica = controller.replica
+    schedules = sorted(controller.get_schedules().items())
+    return {
+        "leader": replica.get_leader(),
+        "epoch": replica.term,
+        "version": replica.state.version,
+        "routers": [
+            {"host": name, "version_in_force": router.version_in_force}
+            for name, router in sorted(controller.routers.items())
+        ],
+        "pools": [
+            _describe_pool(name, schedule, now) for name, schedule in schedules
+        ],
+        "accounts": [
+            account
+            for name, schedule in schedules
+            for account in _describe_accounts(controller, name, schedule, now)
+        ],
+        "workers": _describe_workers(controller),
+    }
+
+
+def _describe_pool(
+    name: str, schedule: Schedule, now: float
+) -> dict[str, Any]:
+    demands = schedule.sum_demands(now).values()
+    slots = schedule.count_slots()
+    running = sum(demand.running for demand in demands)
+    return {
+        "pool": name,
+        "contended": schedule.is_contended(),
+        "slots": slots,
+        "running": running,
+        "waiting": sum(demand.waiting for demand in demands),
+        "utilisation": round(running / slots, 3) if slots else None,
+    }
+
+
+def _describe_accounts(
+    controller: Controller, pool: str, schedule: Schedule, now: float
+) -> list[dict[str, Any]]:
+    accounts = controller.replica.state.configuration.client_accounts
+    lags = schedule.compute_lags(now)
+    demands = schedule.sum_demands(now)
+    return [
+        {
+            "account": name,
+            "pool": pool,
+            "share": account.share,
+            "waiting": demands[name].waiting,
+            "running": demands[name].running,
+            "service_s": round(demands[name].service_s, 3),
+            "lag_s": round(lags[name], 3) if name in lags else None,
+        }
+        for name, account in sorted(accounts.items())
+        if name in demands
+    ]
+
+
+def _describe_workers(controller: Controller) -> list[dict[str, Any]]:
+    schedules = controller.get_schedules()
+    workers = []
+    for worker in controller.registry.list_workers():
+        schedule = schedules.get(worker.pool)
+        held = schedule.count_outstanding(worker.name) if schedule else 0
+        workers.append(
+            {
+                "worker": worker.name,
+                "pool": worker.pool,
+                "availability_zone": worker.availability_zone,
+                "address": worker.address,
+                "slots": worker.slots,
+                "held": held,
+                "leaving": worker.leaving,
+            }
+        )
+    return workers
--- a/hornbeamyard/process/validation.py
+++ b/hornbeamyard/process/validation.py
@@ -5,6 +5,7 @@
 import difflib
 import ipaddress
 import re
+import reprlib
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -47,10 +48,13 @@
     ----------
     validator : callable
     required : bool
+    secret : bool
+        Whether a value may be a secret, which findings then don't show.
     """
 
     validator: Validator
     required: bool = False
+    secret: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -99,13 +103,17 @@
     if isinstance(node, Option):
         accepted = node.validator(value)
         if accepted is not None:
+            shown = _show_type(value) if node.secret else _show(value)
             findings.append(
-                Finding(place, f"{value!r} is not accepted; give {accepted}")
+                Finding(place, f"{shown} is not accepted; give {accepted}")
             )
         return
     if not isinstance(value, dict):
+        # The value may be a secret in the wrong place, so it isn't shown.
         findings.append(
-            Finding(place, f"{value!r} is not accepted; give an object")
+            Finding(
+                place, f"{_show_type(value)} is not accepted; give an object"
+            )
         )
         return
     if isinstance(node, Table):
@@ -157,6 +165,22 @@
     return f"{place}.{key}" if place else key
 
 
+def _show(value: Any) -> str:
+    if isinstance(value, dict | list):
+        return _show_type(value)
+    return reprlib.repr(value)
+
+
+def _show_type(value: Any) -> str:
+    if isinstance(value, dict):
+        return "an object"
+    if isinstance(value, list):
+        return f"a list of {len(value)} values"
+    if isinstance(value, str):
+        return f"a text of {len(value)} characters"
+    return "null" if value is None else "a number or flag"
+
+
 # ---- validators -----------------------------------------------------------
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
@@ -180,6 +204,13 @@
     return "a text that is not empty"
 
 
+def check_file(value: Any) -> str | None:
+    """Accept the path of a file, not what is in it."""
+    if isinstance(value, str) and value and value.isprintable():
+        return None
+    return "the path of a file"
+
+
 def check_flag(value: Any) -> str | None:
     """Accept true and false."""
     return None if isinstance(value, bool) else "true or false"
@@ -198,11 +229,14 @@
     if not isinstance(value, str):
         return accepted
     host, _, port = value.rpartition(":")
+    if ":" in host and not (host.startswith("[") and host.endswith("]")):
+        return accepted
     try:
         ipaddress.ip_address(host.strip("[]"))
     except ValueError:
         return accepted
-    if not port.isascii() or not port.isdigit() or int(port) > 65535:
+    is_port = port.isascii() and port.isdigit() and len(port) <= 5
+    if not is_port or not 0 < int(port) <= 65535:
         return accepted
     return None
 
--- a/hornbeamyard/version/configuration.py
+++ b/hornbeamyard/version/configuration.py
@@ -104,7 +104,10 @@
         return hash_key(key) in self.upstreams.get(name, [])
 
 
-_KEYS = Option(validation.check_list(validation.check_hash), required=True)
+# An operator may give a key in place of its hash, so values aren't shown.
+_KEYS = Option(
+    validation.check_list(validation.check_hash), required=True, secret=True
+)
 
 _SCHEMA = Section(
     {
--- a/hornbeamyard/version/state.py
+++ b/hornbeamyard/version/state.py
@@ -11,6 +11,7 @@
 from ..messages import fleet_pb2
 from ..process.validation import Finding
 from .configuration import EMPTY_DOCUMENT, Configuration, parse_document
+from .patch import apply_patch_text
 
 
 class FleetState:
@@ -83,16 +84,10 @@
     version : int
         Number of the new version.
     """
-    try:
-        operations = jsonpatch.JsonPatch(json.loads(patch))
-        patched = operations.apply(document)
-    except (
-        ValueError,
-        TypeError,
-        jsonpatch.JsonPatchException,
-        jsonpatch.JsonPointerException,
-    ) as error:
-        return Err([Finding("patch", str(error))])
+    applied = apply_patch_text(document, patch)
+    if isinstance(applied, Err):
+        return applied
+    patched = applied.ok_value
     parsed = parse_document(patched, version)
     if isinstance(parsed, Err):
         return parsed
