Split the attachment from a router's stream

The state of the stream (reports, lease, epoch, fallback) was mixed with the gRPC calls, so neither tests nor a simulation could drive it. Attachment has the same rules without a connection.

--- /dev/null
+++ b/hornbeamyard/connection/attachment.py
@@ -0,0 +1,218 @@
+"""The state of a router's attachment to the lead controller.
+
+It holds no connection: the session moves its messages, and simulations and
+tests call it directly.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import logbook
+from result import Err
+
+from ..messages import fleet_pb2
+from ..pool.dispatch import Dispatch
+from ..pool.schedule import Allocation
+from ..pool.worker import Registry, Worker
+from ..version.configuration import Configuration
+from ..version.state import parse_delta
+from . import codec
+
+_log = logbook.Logger("session")
+
+
+class Attachment:
+    """What a router reports to the lead controller and takes from it.
+
+    While no allocation holds, the pools use their fallback share.
+
+    Parameters
+    ----------
+    host, availability_zone : str
+        The router's own.
+    identity : Identity
+    registry : Registry
+    find_dispatch : callable
+        Returns the dispatch of a pool by name, made when it is new.
+    list_dispatches : callable
+        Returns the dispatches of all pools by name.
+    on_configuration : callable
+        Called with each newer version.
+    """
+
+    __slots__ = (
+        "_allocations",
+        "_announced",
+        "_availability_zone",
+        "_document",
+        "_find_dispatch",
+        "_host",
+        "_identity",
+        "_lease_ends",
+        "_leaving",
+        "_list_dispatches",
+        "_on_configuration",
+        "_registry",
+        "_routers",
+        "_sequence",
+        "configuration",
+        "epoch",
+        "is_attached",
+    )
+
+    def __init__(
+        self,
+        host: str,
+        availability_zone: str,
+        identity: fleet_pb2.Identity,
+        registry: Registry,
+        find_dispatch: Callable[[str], Dispatch],
+        list_dispatches: Callable[[], Mapping[str, Dispatch]],
+        on_configuration: Callable[[Configuration], None],
+    ) -> None:
+        self._host = host
+        self._availability_zone = availability_zone
+        self._identity = identity
+        self._registry = registry
+        self._find_dispatch = find_dispatch
+        self._list_dispatches = list_dispatches
+        self._on_configuration = on_configuration
+        self._allocations: dict[str, Allocation] = {}
+        self._announced: set[str] = set()
+        self._document: dict[str, Any] = {}
+        self._routers: list[str] = [host]
+        self._lease_ends = 0.0
+        self._leaving = False
+        self._sequence = 0
+        self.configuration = Configuration(version=0)
+        self.epoch = 0
+        self.is_attached = False
+
+    def announce(self, name: str) -> None:
+        """Have an upstream's announcement passed on."""
+        self._announced.add(name)
+
+    def leave(self) -> None:
+        """Tell the lead controller in the next report that we stop."""
+        self._leaving = True
+
+    # ---- towards the controller ------------------------------------------
+
+    def build_report(self, now: float, full: bool) -> fleet_pb2.RouterReport:
+        """Return the next report of a stream.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        full : bool
+            Whether it is the first one of a stream, which holds everything.
+        """
+        self._sequence = 0 if full else self._sequence + 1
+        report = fleet_pb2.RouterReport(
+            sequence=self._sequence,
+            version_in_force=self.configuration.version,
+            leaving=self._leaving,
+            full=full,
+        )
+        if full:
+            report.identity.CopyFrom(self._identity)
+            report.availability_zone = self._availability_zone
+            self._allocations = {}
+        for name, dispatch in self._list_dispatches().items():
+            message = self._report_pool(name, dispatch, now, full)
+            if message.accounts or message.returns:
+                report.pools.append(message)
+        names = self._announced
+        if full:
+            names = {worker.name for worker in self._registry.list_workers()}
+        for name in sorted(names):
+            worker = self._registry.get(name)
+            if worker is not None:
+                report.announcements.append(worker.to_message(now))
+        self._announced = set()
+        return report
+
+    def _report_pool(
+        self, name: str, dispatch: Dispatch, now: float, full: bool
+    ) -> fleet_pb2.PoolReport:
+        if not full:
+            demands, slots = dispatch.collect_report(now, full=False)
+            return codec.encode_report(name, demands, slots, {})
+        held = dispatch.holding.restart(keep_idle=now < self._lease_ends)
+        demands, _ = dispatch.collect_report(now, full=True)
+        message = codec.encode_report(
+            name, demands, {}, dispatch.list_lags(now)
+        )
+        for worker, count in held.items():
+            message.returns.add(worker=worker, running=count)
+        return message
+
+    # ---- from the controller ---------------------------------------------
+
+    def take_update(
+        self, update: fleet_pb2.ControllerUpdate, now: float
+    ) -> bool:
+        """Take a controller's message; return whether its epoch is valid."""
+        if update.epoch < self.epoch:
+            return False
+        if not self.is_attached:
+            _log.info(
+                "attached to the lead controller, epoch {}", update.epoch
+            )
+        self.epoch = update.epoch
+        self.is_attached = True
+        self._lease_ends = now + update.lease_ms / 1000
+        if update.routers:
+            self._routers = list(update.routers)
+        for message in update.workers:
+            self._registry.announce(Worker.from_message(message, now))
+        for name in update.workers_gone:
+            self._forget_worker(name)
+        if update.HasField("configuration"):
+            self._take_configuration(update.configuration)
+        for pool in update.pools:
+            merged = codec.merge_allocation(
+                self._allocations.get(pool.pool, Allocation()), pool
+            )
+            self._allocations[pool.pool] = merged
+            self._find_dispatch(pool.pool).apply(merged, now)
+        return True
+
+    def _take_configuration(self, delta: fleet_pb2.ConfigurationDelta) -> None:
+        if delta.version <= self.configuration.version:
+            return
+        parsed = parse_delta(delta, self._document, self.configuration.version)
+        if isinstance(parsed, Err):
+            _log.error("version {} is not usable", delta.version)
+            return
+        self._document, self.configuration = parsed.ok_value
+        _log.info("version {} is in force", delta.version)
+        self._on_configuration(self.configuration)
+
+    def _forget_worker(self, name: str) -> None:
+        worker = self._registry.get(name)
+        if worker is None:
+            return
+        self._registry.remove(name)
+        dispatch = self._find_dispatch(worker.pool)
+        dispatch.holding.forget(name)
+        dispatch.choice.forget(name)
+
+    # ---- lease -----------------------------------------------------------
+
+    def check_lease(self, now: float) -> bool:
+        """Enter the fallback once the lease has ended; return whether so."""
+        if now < self._lease_ends or self._lease_ends == 0.0:
+            return False
+        rank = self._get_rank()
+        for dispatch in self._list_dispatches().values():
+            dispatch.enter_fallback(rank, len(self._routers))
+        return True
+
+    def _get_rank(self) -> int:
+        if self._host not in self._routers:
+            return 0
+        return self._routers.index(self._host)
