Serve administration and bounded metrics on every router

Cause: /metrics was open to everyone, its labels grew with the accounts, and operators could submit patches only from a host of the fleet.

Ruled out: label values beside the account are not taken from callers, but a bound guards against a fault there too. Series for the time of creation are off, because they double the output.

Change: request/administration.py serves configuration, history and status for operators' keys and forwards to the lead controller. Metrics read gauges of pools and stream when they are rendered; accounts beyond 100 are summed under one label. A refused stream is logged once for each reason, not at each retry.

Conclusion: operators see and change the fleet from any router.

--- a/hornbeamyard/connection/attachment.py
+++ b/hornbeamyard/connection/attachment.py
@@ -203,6 +203,11 @@
 
     # ---- lease -----------------------------------------------------------
 
+    @property
+    def lease_ends(self) -> float:
+        """Monotonic time at which the allocation ends, in seconds."""
+        return self._lease_ends
+
     def check_lease(self, now: float) -> bool:
         """Enter the fallback once the lease has ended; return whether so."""
         if now < self._lease_ends or self._lease_ends == 0.0:
--- a/hornbeamyard/connection/peers.py
+++ b/hornbeamyard/connection/peers.py
@@ -89,7 +89,7 @@
 def find_mismatch(identity: fleet_pb2.Identity, fleet: str) -> str | None:
     """Return why a caller is refused, or None when it belongs here."""
     if identity.fleet != fleet:
-        return f"fleet {identity.fleet!r} is not this fleet, {fleet!r}"
+        return f"fleet {identity.fleet[:63]!r} is not this fleet, {fleet!r}"
     if identity.protocol != PROTOCOL:
         return (
             f"protocol version {identity.protocol} is not supported; "
--- a/hornbeamyard/connection/server.py
+++ b/hornbeamyard/connection/server.py
@@ -21,6 +21,7 @@
 from . import peers
 
 SILENCE_LIMIT_S = 3.0
+REFUSALS_REMEMBERED = 1000
 
 _log = logbook.Logger("server")
 
@@ -42,6 +43,7 @@
         self._fleet = fleet
         self._controller = controller
         self._timers = timers
+        self._refusals: set[tuple[str, str, str]] = set()
 
     async def Attach(  # noqa: N802 - named by the protocol
         self,
@@ -147,5 +149,16 @@
         mismatch = peers.find_mismatch(identity, self._fleet)
         if mismatch is None:
             return
-        _log.warning("refused {}: {}", identity.host, mismatch)
+        # A refused process tries again, so each reason is logged once.
+        refusal = (context.peer().rpartition(":")[0], identity.host, mismatch)
+        if refusal not in self._refusals:
+            if len(self._refusals) >= REFUSALS_REMEMBERED:
+                self._refusals.clear()
+            self._refusals.add(refusal)
+            _log.warning(
+                "refused host {!r} at {}: {}",
+                identity.host[:63],
+                refusal[0],
+                mismatch,
+            )
         await context.abort(grpc.StatusCode.FAILED_PRECONDITION, mismatch)
--- a/hornbeamyard/connection/session.py
+++ b/hornbeamyard/connection/session.py
@@ -49,12 +49,15 @@
     """
 
     __slots__ = (
+        "_failures",
         "_find_pool",
         "_list_pools",
         "_settings",
         "_timers",
         "_wake",
         "attachment",
+        "bytes_received",
+        "bytes_sent",
     )
 
     def __init__(
@@ -72,6 +75,9 @@
         self._find_pool = find_pool
         self._list_pools = list_pools
         self._wake = anyio.Event()
+        self._failures: dict[str, str] = {}
+        self.bytes_sent = 0
+        self.bytes_received = 0
         self.attachment = Attachment(
             settings.host,
             settings.availability_zone,
@@ -97,6 +103,11 @@
         """Whether the lead controller serves this router's stream."""
         return self.attachment.is_attached
 
+    @property
+    def lease_ends(self) -> float:
+        """Monotonic time at which the allocation ends, in seconds."""
+        return self.attachment.lease_ends
+
     def notify_urgent(self) -> None:
         """Have a report sent soon."""
         self._wake.set()
@@ -153,25 +164,38 @@
                 break
             stream.cancel()
         except grpc.aio.AioRpcError as error:
-            if error.code() is grpc.StatusCode.FAILED_PRECONDITION:
-                _log.error(
-                    "controller {} refuses us: {}", address, error.details()
-                )
+            self._note_failure(address, error)
         finally:
             with anyio.CancelScope(shield=True):
                 await channel.close(grace=0)
         return hint if hint != address else ""
 
     async def _send_reports(self) -> AsyncIterator[fleet_pb2.RouterReport]:
-        yield self.attachment.build_report(self._timers.now(), full=True)
+        yield self._build_report(full=True)
         while True:
             with self._timers.limit(options.REPORT_INTERVAL_S):
                 await self._wake.wait()
             self._wake = anyio.Event()
-            yield self.attachment.build_report(self._timers.now(), full=False)
+            yield self._build_report(full=False)
             await self._timers.sleep(options.URGENT_SPACING_S)
 
+    def _build_report(self, full: bool) -> fleet_pb2.RouterReport:
+        report = self.attachment.build_report(self._timers.now(), full=full)
+        self.bytes_sent += report.ByteSize()
+        return report
+
+    def _note_failure(self, address: str, error: grpc.aio.AioRpcError) -> None:
+        """Log why a stream failed, once for each reason in a row."""
+        reason = f"can't be reached: {error.details()}"
+        if error.code() is grpc.StatusCode.FAILED_PRECONDITION:
+            reason = f"refuses us: {error.details()}"
+        if self._failures.get(address) != reason:
+            self._failures[address] = reason
+            _log.error("controller {} {}", address, reason)
+
     def _take_update(self, update: fleet_pb2.ControllerUpdate) -> bool:
+        self._failures.clear()
+        self.bytes_received += update.ByteSize()
         version = self.configuration.version
         if not self.attachment.take_update(update, self._timers.now()):
             return False
--- /dev/null
+++ b/hornbeamyard/process/gauges.py
@@ -0,0 +1,60 @@
+"""What a router's metrics read from its parts when they are rendered."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+
+from ..connection.session import Session
+from ..pool.admission import Admission
+from .metrics import Sample
+
+
+def sample_pools(
+    admissions: Mapping[str, Admission], now: float
+) -> Iterator[Sample]:
+    """Yield the samples of a router's pools.
+
+    Parameters
+    ----------
+    admissions : mapping of str to Admission
+        By name of the pool.
+    now : float
+        Monotonic time in seconds.
+    """
+    lags: dict[str, float] = {}
+    for pool, admission in admissions.items():
+        dispatch = admission.dispatch
+        labels = (("pool", pool),)
+        waiting, running = 0, 0
+        for name, counts in dispatch.count_requests().items():
+            account = (("client_account", name),)
+            yield Sample("waiting", counts[0], account)
+            yield Sample("running", counts[1], account)
+            waiting += counts[0]
+            running += counts[1]
+        for name, lag in dispatch.list_lags(now).items():
+            lags[name] = max(lag, lags.get(name, lag))
+        holding = dispatch.holding
+        yield Sample("pool_waiting", waiting, labels)
+        yield Sample("pool_running", running, labels)
+        yield Sample("pool_slots_held", holding.count_held(), labels)
+        yield Sample("fallback", holding.is_fallback(), labels)
+    for name, lag in lags.items():
+        yield Sample("lag_seconds", lag, (("client_account", name),))
+
+
+def sample_session(session: Session, now: float) -> Iterator[Sample]:
+    """Yield the samples of a router's stream to the lead controller."""
+    yield Sample("version_in_force", session.configuration.version)
+    yield Sample("attached", session.is_attached)
+    yield Sample("lease_seconds", max(0.0, session.lease_ends - now))
+    for direction, count in (
+        ("sent", session.bytes_sent),
+        ("received", session.bytes_received),
+    ):
+        yield Sample(
+            "control_bytes",
+            count,
+            (("direction", direction),),
+            is_counter=True,
+        )
--- a/hornbeamyard/process/metrics.py
+++ b/hornbeamyard/process/metrics.py
@@ -1,18 +1,40 @@
-"""Counters and latency histograms of one process."""
+"""Counters, gauges and latency quantiles of one process."""
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
 from enum import Enum
 
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, Counter, generate_latest
-from prometheus_client.core import GaugeMetricFamily
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    disable_created_metrics,
+    generate_latest,
+)
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+)
 from prometheus_client.metrics_core import Metric
 
 HIGHEST_MS = 3_600_000
 SIGNIFICANT_DIGITS = 2
 QUANTILES = (50.0, 95.0, 99.0)
+# A histogram takes 16 KiB and an account has six, so that this many accounts
+# take 10 MB of the 32 MB that a router may use for control.
+ACCOUNTS_LIMIT = 100
+# The label under which all further accounts are summed. It can't be the name
+# of an account, because names start with a letter or digit.
+OTHER_ACCOUNTS = "_other"
+# Labels beside the account come from the code, so that this bound is only
+# reached by a fault.
+LABEL_VALUES_LIMIT = 64
+LABEL_LENGTH = 63
+
+# The time of creation would double the number of series.
+disable_created_metrics()  # type: ignore[no-untyped-call]
 
 
 class Latency(Enum):
@@ -23,21 +45,148 @@
     DURATION = "duration"
 
 
+@dataclass(slots=True, frozen=True)
+class Sample:
+    """A value that is read when the metrics are rendered.
+
+    Attributes
+    ----------
+    name : str
+        Without the prefix `hornbeamyard_`.
+    value : float
+    labels : tuple of (str, str)
+        Names and values; the value of `client_account` is bounded, and
+        samples with equal labels are added up.
+    is_counter : bool
+    """
+
+    name: str
+    value: float
+    labels: tuple[tuple[str, str], ...] = ()
+    is_counter: bool = False
+
+
+Source = Callable[[], Iterable[Sample]]
+
+HELP = {
+    "attached": "1 while the stream to the lead controller is open",
+    "control_bytes": "Bytes of messages with the lead controller",
+    "fallback": "1 while the pool uses its fallback share",
+    "lag_seconds": "Normalised service above the lowest account",
+    "latency_seconds": "Quantiles of latencies by account and class",
+    "lease_seconds": "Time until the allocation ends",
+    "pool_running": "Requests that run, by pool",
+    "pool_slots_held": "Slots that the router holds, by pool",
+    "pool_waiting": "Requests that wait, by pool",
+    "refusals": "Requests refused as not run, by account and reason",
+    "requests": "Requests by account, class and outcome",
+    "retries": "Attempts after the first, by account",
+    "running": "Requests that run, by account",
+    "version_in_force": "Configuration version that the router works by",
+    "waiting": "Requests that wait, by account",
+}
+
+
+class AccountLabels:
+    """Bounds the values of the label `client_account`.
+
+    Parameters
+    ----------
+    limit : int
+        Accounts with a label of their own, in order of first use.
+    """
+
+    __slots__ = ("_limit", "_names")
+
+    def __init__(self, limit: int = ACCOUNTS_LIMIT) -> None:
+        self._limit = limit
+        self._names: set[str] = set()
+
+    def bound(self, client_account: str) -> str:
+        """Return the label's value for an account."""
+        if client_account in self._names:
+            return client_account
+        if len(self._names) >= self._limit:
+            return OTHER_ACCOUNTS
+        self._names.add(client_account)
+        return client_account
+
+
+class BoundedCounter:
+    """A counter whose labels have a bounded number of values.
+
+    Parameters
+    ----------
+    name : str
+        Without the prefix `hornbeamyard_`.
+    labels : list of str
+        The first is `client_account`.
+    accounts : AccountLabels
+    registry : CollectorRegistry
+    """
+
+    __slots__ = ("_accounts", "_counter", "_names", "_seen")
+
+    def __init__(
+        self,
+        name: str,
+        labels: list[str],
+        accounts: AccountLabels,
+        registry: CollectorRegistry,
+    ) -> None:
+        self._accounts = accounts
+        self._names = labels
+        self._seen: list[set[str]] = [set() for _ in labels]
+        self._counter = Counter(
+            f"hornbeamyard_{name}", HELP[name], labels, registry=registry
+        )
+
+    def labels(self, *values: str, **named: str) -> Counter:
+        """Return the counter of some label values."""
+        ordered = list(values)
+        ordered += [str(named[name]) for name in self._names[len(values) :]]
+        ordered[0] = self._accounts.bound(ordered[0])
+        for place in range(1, len(ordered)):
+            ordered[place] = self._bound(place, ordered[place])
+        return self._counter.labels(*ordered)
+
+    def _bound(self, place: int, value: str) -> str:
+        value = str(value)[:LABEL_LENGTH]
+        seen = self._seen[place]
+        if value not in seen and len(seen) >= LABEL_VALUES_LIMIT:
+            return OTHER_ACCOUNTS
+        seen.add(value)
+        return value
+
+
 class Metrics:
-    """Counters and histograms of one process, in its own registry."""
+    """Counters, gauges and histograms of one process.
+
+    Parameters
+    ----------
+    accounts_limit : int, optional
+        Accounts with labels of their own; all others are summed.
+    """
 
-    __slots__ = ("_histograms", "_registry", "requests")
+    __slots__ = (
+        "_accounts",
+        "_histograms",
+        "_registry",
+        "_sources",
+        "refusals",
+        "requests",
+        "retries",
+    )
 
-    def __init__(self) -> None:
+    def __init__(self, accounts_limit: int = ACCOUNTS_LIMIT) -> None:
         self._registry = CollectorRegistry()
+        self._accounts = AccountLabels(accounts_limit)
         self._histograms: dict[tuple[str, str, Latency], HdrHistogram] = {}
-        self.requests = Counter(
-            "hornbeamyard_requests",
-            "Requests by account, class and outcome",
-            ["client_account", "priority", "outcome"],
-            registry=self._registry,
-        )
-        self._registry.register(_Histograms(self._histograms))
+        self._sources: list[Source] = []
+        self.requests = self._add_counter("requests", "priority", "outcome")
+        self.retries = self._add_counter("retries")
+        self.refusals = self._add_counter("refusals", "reason")
+        self._registry.register(self)
 
     def record(
         self,
@@ -47,28 +196,59 @@
         seconds: float,
     ) -> None:
         """Record one latency in seconds."""
-        key = (client_account, _name_class(priority), latency)
+        account = self._accounts.bound(client_account)
+        key = (account, _name_class(priority), latency)
         histogram = self._histograms.get(key)
         if histogram is None:
             histogram = HdrHistogram(1, HIGHEST_MS, SIGNIFICANT_DIGITS)
             self._histograms[key] = histogram
         histogram.record_value(min(max(1, int(seconds * 1000)), HIGHEST_MS))
 
+    def watch(self, source: Source) -> None:
+        """Have samples read from `source` when the metrics are rendered."""
+        self._sources.append(source)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
 
+    def collect(self) -> Iterator[Metric]:
+        """Yield quantiles and the samples of all sources."""
+        yield self._collect_latencies()
+        totals: dict[Sample, float] = {}
+        for source in self._sources:
+            for sample in source():
+                key = self._bound(sample)
+                totals[key] = totals.get(key, 0.0) + sample.value
+        families: dict[str, GaugeMetricFamily | CounterMetricFamily] = {}
+        for key, value in totals.items():
+            family = families.get(key.name)
+            if family is None:
+                family = families[key.name] = _build_family(key)
+            family.add_metric([text for _, text in key.labels], value)
+        yield from families.values()
 
-class _Histograms:
-    def __init__(
-        self, histograms: dict[tuple[str, str, Latency], HdrHistogram]
-    ) -> None:
-        self._histograms = histograms
+    def _add_counter(self, name: str, *labels: str) -> BoundedCounter:
+        return BoundedCounter(
+            name,
+            ["client_account", *labels],
+            self._accounts,
+            self._registry,
+        )
 
-    def collect(self) -> Iterator[Metric]:
+    def _bound(self, sample: Sample) -> Sample:
+        labels = tuple(
+            (name, self._accounts.bound(value))
+            if name == "client_account"
+            else (name, value)
+            for name, value in sample.labels
+        )
+        return Sample(sample.name, 0.0, labels, sample.is_counter)
+
+    def _collect_latencies(self) -> Metric:
         family = GaugeMetricFamily(
             "hornbeamyard_latency_seconds",
-            "Quantiles of latencies by account and class",
+            HELP["latency_seconds"],
             labels=["client_account", "priority", "latency", "quantile"],
         )
         for (account, priority, latency), histogram in list(
@@ -80,7 +260,18 @@
                     [account, priority, latency.value, f"{quantile / 100:g}"],
                     value,
                 )
-        yield family
+        return family
+
+
+def _build_family(
+    sample: Sample,
+) -> GaugeMetricFamily | CounterMetricFamily:
+    kind = CounterMetricFamily if sample.is_counter else GaugeMetricFamily
+    return kind(
+        f"hornbeamyard_{sample.name}",
+        HELP[sample.name],
+        labels=[name for name, _ in sample.labels],
+    )
 
 
 def _name_class(priority: bool) -> str:
--- a/hornbeamyard/process/router.py
+++ b/hornbeamyard/process/router.py
@@ -4,13 +4,14 @@
 
 import random
 import socket
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 
 import anyio
 import httpcore
 import uvicorn
 
 from ..connection import peers
+from ..connection.calls import LeaderCalls
 from ..connection.session import Session
 from ..pool import options
 from ..pool.admission import Admission
@@ -20,7 +21,8 @@
 from ..request.administration import Administration
 from ..request.gateway import Gateway
 from ..version.configuration import Configuration
-from .metrics import Metrics
+from .gauges import sample_pools, sample_session
+from .metrics import Metrics, Sample
 from .settings import Settings
 from .timers import Timers
 
@@ -37,6 +39,7 @@
 
     __slots__ = (
         "_admissions",
+        "_calls",
         "_connections",
         "_settings",
         "_timers",
@@ -55,22 +58,27 @@
         self._connections: dict[str, httpcore.AsyncConnectionPool] = {}
         self.configuration = Configuration(version=0)
         self.registry = Registry()
+        identity = peers.describe_self(settings, random.getrandbits(63))
+        self._calls = LeaderCalls(settings.controllers, settings.tls, identity)
         self.session = Session(
             settings,
             timers,
-            peers.describe_self(settings, random.getrandbits(63)),
+            identity,
             self.registry,
             self.find_admission,
             self.list_admissions,
             self._take_configuration,
         )
         self.metrics = Metrics()
+        self.metrics.watch(self._sample)
         self.gateway = Gateway(
             self,
             self.registry,
             settings.router,
             timers,
-            Administration(self.metrics),
+            Administration(
+                self.metrics, lambda: self.configuration, self._calls
+            ),
         )
 
     async def run(self, stop: anyio.Event) -> None:
@@ -116,6 +124,11 @@
             self._connections[address] = connections
         return connections
 
+    def _sample(self) -> Iterator[Sample]:
+        now = self._timers.now()
+        yield from sample_session(self.session, now)
+        yield from sample_pools(self._admissions, now)
+
     def _take_configuration(self, configuration: Configuration) -> None:
         self.configuration = configuration
         for admission in self._admissions.values():
--- a/hornbeamyard/process/status.py
+++ b/hornbeamyard/process/status.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from ..pool.schedule import Schedule
+from ..pool.schedule import Demand, Schedule
 from .controller import Controller
 
 
@@ -73,10 +73,15 @@
             "lag_s": round(lags[name], 3) if name in lags else None,
         }
         for name, account in sorted(accounts.items())
-        if name in demands
+        if name in demands and _is_known(demands[name])
     ]
 
 
+def _is_known(demand: Demand) -> bool:
+    """Return whether an account has used its pool or waits for it."""
+    return demand.service_s > 0 or demand.waiting + demand.running > 0
+
+
 def _describe_workers(controller: Controller) -> list[dict[str, Any]]:
     schedules = controller.get_schedules()
     workers = []
--- a/hornbeamyard/request/administration.py
+++ b/hornbeamyard/request/administration.py
@@ -2,16 +2,64 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, MutableMapping
-from typing import Any
+import ipaddress
+import json
+import re
+from collections.abc import Awaitable, Callable, Mapping, MutableMapping
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any, Protocol
 
+from result import Err, Result
+
+from ..messages import fleet_pb2
 from ..process.metrics import Metrics
+from ..process.validation import Finding
+from ..version.configuration import Configuration
 
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 
 PREFIX = "/hornbeamyard/v1/admin/"
+CONFIG_PATH = PREFIX + "config"
+HISTORY_PATH = PREFIX + "history"
+STATUS_PATH = PREFIX + "status"
+PATCH_TYPE = "application/json-patch+json"
+# The gateway's limit for bodies is meant for prompts; patches are smaller,
+# and one must fit into a message between processes.
+PATCH_SIZE = 4 * 1024 * 1024
+CALL_TIMEOUT_S = 5.0
+HISTORY_LIMIT = 100
+
+_ETAG = re.compile(r'"(\d{1,18})"')
+_PATCH_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+
+
+class Calls(Protocol):
+    """Calls to the lead controller."""
+
+    async def call(
+        self, method: str, request: Any, timeout_s: float
+    ) -> Result[Any, Any]:
+        """Call a method of the service `Fleet`."""
+
+
+@dataclass(slots=True)
+class Answer:
+    """An answer to an operator.
+
+    Attributes
+    ----------
+    status : HTTPStatus
+    document : object
+        Sent as JSON.
+    headers : dict of str to str
+    """
+
+    status: HTTPStatus
+    document: Any
+    headers: dict[str, str] = field(default_factory=dict)
 
 
 class Administration:
@@ -20,12 +68,22 @@
     Parameters
     ----------
     metrics : Metrics
+    get_configuration : callable
+        Returns the configuration in force; it holds the operators' keys.
+    calls : Calls
     """
 
-    __slots__ = ("_metrics",)
+    __slots__ = ("_calls", "_get_configuration", "_metrics")
 
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        metrics: Metrics,
+        get_configuration: Callable[[], Configuration],
+        calls: Calls,
+    ) -> None:
         self._metrics = metrics
+        self._get_configuration = get_configuration
+        self._calls = calls
 
     def serves(self, path: str) -> bool:
         """Return whether a path belongs to this application."""
@@ -35,13 +93,254 @@
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
         """Serve one HTTP request."""
-        found = scope["path"] == "/metrics"
-        await send(
+        headers = _read_headers(scope)
+        operator = self._find_operator(headers)
+        path = scope["path"]
+        if path == "/metrics" and (operator or _is_loopback(scope)):
+            await _send(
+                send,
+                HTTPStatus.OK,
+                self._metrics.render(),
+                {"content-type": "text/plain; version=0.0.4; charset=utf-8"},
+            )
+            return
+        if operator is None:
+            answer = _refuse(
+                HTTPStatus.UNAUTHORIZED, "give the bearer key of an operator"
+            )
+            answer.headers["www-authenticate"] = "Bearer"
+        else:
+            answer = await self._serve(scope, headers, receive, operator)
+        await _send(
+            send,
+            answer.status,
+            json.dumps(answer.document).encode(),
+            {"content-type": "application/json", **answer.headers},
+        )
+
+    async def _serve(
+        self,
+        scope: Scope,
+        headers: Mapping[str, str],
+        receive: Receive,
+        operator: str,
+    ) -> Answer:
+        method, path = scope["method"], scope["path"]
+        methods = {
+            CONFIG_PATH: ("GET", "PATCH"),
+            HISTORY_PATH: ("GET",),
+            STATUS_PATH: ("GET",),
+        }.get(path)
+        if methods is None:
+            return _refuse(HTTPStatus.NOT_FOUND, f"no such path {path!r}")
+        if method not in methods:
+            answer = _refuse(
+                HTTPStatus.METHOD_NOT_ALLOWED, f"give {' or '.join(methods)}"
+            )
+            answer.headers["allow"] = ", ".join(methods)
+            return answer
+        if path == STATUS_PATH:
+            return await self._read_status()
+        if path == HISTORY_PATH:
+            return await self._read_history()
+        if method == "GET":
+            return await self._read_configuration()
+        return await self._patch(headers, receive, operator)
+
+    async def _read_configuration(self) -> Answer:
+        called = await self._calls.call(
+            "ReadConfiguration", fleet_pb2.ReadRequest(), CALL_TIMEOUT_S
+        )
+        if isinstance(called, Err):
+            return _refuse_unknown(called.err_value)
+        reply = called.ok_value
+        document = json.loads(reply.document or b"{}")
+        return Answer(HTTPStatus.OK, document, _tag(reply.version))
+
+    async def _read_history(self) -> Answer:
+        request = fleet_pb2.HistoryRequest(limit=HISTORY_LIMIT)
+        called = await self._calls.call("ReadHistory", request, CALL_TIMEOUT_S)
+        if isinstance(called, Err):
+            return _refuse_unknown(called.err_value)
+        entries = [
             {
-                "type": "http.response.start",
-                "status": 200 if found else 404,
-                "headers": [(b"content-type", b"text/plain; version=0.0.4")],
+                "version": entry.version,
+                "operator": entry.operator,
+                "patch_id": entry.patch_id,
+                "time_ms": entry.time_ms,
             }
+            for entry in called.ok_value.entries
+        ]
+        return Answer(HTTPStatus.OK, {"history": entries})
+
+    async def _read_status(self) -> Answer:
+        called = await self._calls.call(
+            "ReadStatus", fleet_pb2.StatusRequest(), CALL_TIMEOUT_S
         )
-        body = self._metrics.render() if found else b""
-        await send({"type": "http.response.body", "body": body})
+        if isinstance(called, Err):
+            return _refuse_unknown(called.err_value)
+        return Answer(HTTPStatus.OK, json.loads(called.ok_value.document))
+
+    async def _patch(
+        self, headers: Mapping[str, str], receive: Receive, operator: str
+    ) -> Answer:
+        findings = _check_headers(headers)
+        body = await _read_body(receive)
+        if body is None:
+            text = f"is larger than {PATCH_SIZE} bytes"
+            findings.append(Finding("body", text))
+        if findings or body is None:
+            return _refuse(
+                HTTPStatus.BAD_REQUEST,
+                f"{len(findings)} findings on the call",
+                findings=[_describe(str(finding)) for finding in findings],
+            )
+        match = _ETAG.fullmatch(headers["if-match"])
+        assert match is not None
+        request = fleet_pb2.PatchRequest(
+            patch_id=headers["hornbeamyard-patch-id"],
+            base_version=int(match[1]),
+            patch=body,
+            operator=operator,
+        )
+        called = await self._calls.call("SubmitPatch", request, CALL_TIMEOUT_S)
+        if isinstance(called, Err):
+            return _refuse_unknown(called.err_value)
+        return _describe_result(called.ok_value)
+
+    def _find_operator(self, headers: Mapping[str, str]) -> str | None:
+        scheme, _, key = headers.get("authorization", "").partition(" ")
+        if scheme.lower() != "bearer" or not key.strip():
+            return None
+        return self._get_configuration().find_operator(key.strip())
+
+
+def _check_headers(headers: Mapping[str, str]) -> list[Finding]:
+    findings = []
+    kind = headers.get("content-type", "").partition(";")[0].strip().lower()
+    if kind != PATCH_TYPE:
+        findings.append(Finding("header Content-Type", f"give {PATCH_TYPE}"))
+    if _ETAG.fullmatch(headers.get("if-match", "")) is None:
+        findings.append(
+            Finding(
+                "header If-Match",
+                "give the ETag of the version that the patch starts from, "
+                "such as '\"7\"'",
+            )
+        )
+    if not _PATCH_ID.fullmatch(headers.get("hornbeamyard-patch-id", "")):
+        findings.append(
+            Finding(
+                "header Hornbeamyard-Patch-Id",
+                "give an id of your choice that is new for each patch, of "
+                "1 to 63 letters, digits, '.', '_' or '-'",
+            )
+        )
+    return findings
+
+
+def _describe_result(result: fleet_pb2.PatchResult) -> Answer:
+    if result.outcome == fleet_pb2.ACCEPTED:
+        document = {"outcome": "accepted", "version": result.version}
+        return Answer(HTTPStatus.OK, document, _tag(result.version))
+    if result.outcome == fleet_pb2.STALE:
+        answer = _refuse(
+            HTTPStatus.PRECONDITION_FAILED,
+            f"the version has moved on to {result.version}",
+            outcome="refused",
+            version=result.version,
+        )
+        answer.headers.update(_tag(result.version))
+        return answer
+    if result.outcome == fleet_pb2.INVALID:
+        return _refuse(
+            HTTPStatus.UNPROCESSABLE_ENTITY,
+            f"{len(result.findings)} findings on the patch",
+            outcome="refused",
+            version=result.version,
+            findings=[_describe(text) for text in result.findings],
+        )
+    return _refuse_unknown("the outcome is not known yet")
+
+
+def _refuse_unknown(reason: object) -> Answer:
+    answer = _refuse(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        f"unknown; ask again with the same id: {reason}",
+        outcome="unknown",
+    )
+    answer.headers["retry-after"] = "1"
+    return answer
+
+
+def _refuse(status: HTTPStatus, detail: str, **members: Any) -> Answer:
+    """Return a problem document (RFC 9457)."""
+    document = {
+        "type": "about:blank",
+        "title": status.phrase,
+        "status": int(status),
+        "detail": detail,
+        **members,
+    }
+    return Answer(
+        status, document, {"content-type": "application/problem+json"}
+    )
+
+
+def _describe(finding: str) -> dict[str, str]:
+    place, _, message = finding.partition(": ")
+    return {"place": place, "message": message}
+
+
+def _tag(version: int) -> dict[str, str]:
+    return {"etag": f'"{version}"'}
+
+
+def _read_headers(scope: Scope) -> dict[str, str]:
+    return {
+        name.decode("latin-1").lower(): value.decode("latin-1")
+        for name, value in scope["headers"]
+    }
+
+
+def _is_loopback(scope: Scope) -> bool:
+    client = scope.get("client")
+    if not client:
+        return False
+    try:
+        return ipaddress.ip_address(client[0]).is_loopback
+    except ValueError:
+        return False
+
+
+async def _read_body(receive: Receive) -> bytes | None:
+    """Return the whole body, or None when it is too large."""
+    parts = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return None
+        part = message.get("body", b"")
+        size += len(part)
+        if size <= PATCH_SIZE:
+            parts.append(part)
+        if not message.get("more_body", False):
+            return b"".join(parts) if size <= PATCH_SIZE else None
+
+
+async def _send(
+    send: Send, status: HTTPStatus, body: bytes, headers: dict[str, str]
+) -> None:
+    headers["content-length"] = str(len(body))
+    await send(
+        {
+            "type": "http.response.start",
+            "status": int(status),
+            "headers": [
+                (name.encode(), value.encode("latin-1", "replace"))
+                for name, value in headers.items()
+            ],
+        }
+    )
+    await send({"type": "http.response.body", "body": body})
--- a/hornbeamyard/tests/fleet.py
+++ b/hornbeamyard/tests/fleet.py
@@ -142,6 +142,21 @@
         self.version += 1
         self.wait_ready()
 
+    def run_command(
+        self, *arguments: Any, host: int = 0
+    ) -> subprocess.CompletedProcess[str]:
+        """Run `hornbeamyard ARGUMENTS` with the settings of one host."""
+        command = [sys.executable, "-m", "hornbeamyard.process.commands"]
+        command += [str(argument) for argument in arguments]
+        command.append(f"--settings={self.folder / f'host-{host}.json'}")
+        return subprocess.run(
+            command,
+            capture_output=True,
+            text=True,
+            check=False,
+            timeout=60,
+        )
+
     def build_document(self, pools: dict[str, str]) -> dict[str, Any]:
         """Return a document with the fleet's accounts and some pools.
 
--- /dev/null
+++ b/hornbeamyard/tests/test_administration.py
@@ -0,0 +1,263 @@
+"""The HTTP surface for operators and monitoring."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import MutableMapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import pytest
+from result import Err, Ok, Result
+
+from hornbeamyard.connection.calls import Unreachable
+from hornbeamyard.messages import fleet_pb2
+from hornbeamyard.process.metrics import Metrics
+from hornbeamyard.request.administration import PATCH_SIZE, Administration
+from hornbeamyard.version.configuration import Configuration, hash_key
+
+KEY = "operator-key-of-ana"
+CONFIG = "/hornbeamyard/v1/admin/config"
+HEADERS = {
+    "authorization": f"Bearer {KEY}",
+    "content-type": "application/json-patch+json",
+    "if-match": '"7"',
+    "hornbeamyard-patch-id": "raise-hotel-1",
+}
+
+
+@dataclass
+class FakeCalls:
+    """Answers calls to the lead controller with one reply."""
+
+    reply: Any = None
+    requests: list[tuple[str, Any]] = field(default_factory=list)
+
+    async def call(
+        self, method: str, request: Any, timeout_s: float
+    ) -> Result[Any, Unreachable]:
+        self.requests.append((method, request))
+        if self.reply is None:
+            reasons = {"127.0.0.1:1": "no answer in time"}
+            return Err(Unreachable(reasons, may_have_run=True))
+        return Ok(self.reply)
+
+
+@dataclass
+class Reply:
+    """What an application sent for one request."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def read_json(self) -> Any:
+        return json.loads(self.body)
+
+
+def request(
+    reply: Any = None,
+    *,
+    method: str = "PATCH",
+    path: str = CONFIG,
+    headers: dict[str, str] | None = None,
+    body: bytes = b"[]",
+    client: str = "10.0.0.9",
+    calls: FakeCalls | None = None,
+) -> Reply:
+    """Send one request to an application whose fleet gives `reply`."""
+    sent: list[MutableMapping[str, Any]] = []
+    configuration = Configuration(7, operators={"ana": [hash_key(KEY)]})
+    application = Administration(
+        Metrics(), lambda: configuration, calls or FakeCalls(reply)
+    )
+    given = HEADERS if headers is None else headers
+    scope = {
+        "type": "http",
+        "method": method,
+        "path": path,
+        "client": (client, 5000),
+        "headers": [(k.encode(), v.encode()) for k, v in given.items()],
+    }
+
+    async def receive() -> MutableMapping[str, Any]:
+        return {"type": "http.request", "body": body}
+
+    async def send(message: MutableMapping[str, Any]) -> None:
+        sent.append(message)
+
+    anyio.run(application, scope, receive, send)
+    found = {k.decode(): v.decode() for k, v in sent[0]["headers"]}
+    return Reply(sent[0]["status"], found, sent[1]["body"])
+
+
+def build_result(outcome: int, *findings: str) -> fleet_pb2.PatchResult:
+    """Return the result of a patch."""
+    return fleet_pb2.PatchResult(outcome=outcome, version=8, findings=findings)
+
+
+@pytest.mark.requirement("R13")
+class TestPatch:
+    """Outcomes of patches, as RFC 9457 documents when refused."""
+
+    def test_accepted(self) -> None:
+        """Guards against a patch that loses its id, base or operator."""
+        calls = FakeCalls(build_result(fleet_pb2.ACCEPTED))
+        reply = request(calls=calls, body=b"[1]")
+        assert reply.status == 200
+        assert reply.headers["etag"] == '"8"'
+        assert reply.read_json() == {"outcome": "accepted", "version": 8}
+        ((method, sent),) = calls.requests
+        assert method == "SubmitPatch"
+        assert (sent.patch_id, sent.base_version) == ("raise-hotel-1", 7)
+        assert (sent.operator, sent.patch) == ("ana", b"[1]")
+
+    @pytest.mark.parametrize(
+        ("result", "status", "members"),
+        [
+            (build_result(fleet_pb2.STALE), 412, {"version": 8}),
+            (
+                build_result(fleet_pb2.INVALID, "a.share: is bad", "b: x: y"),
+                422,
+                {
+                    "findings": [
+                        {"place": "a.share", "message": "is bad"},
+                        {"place": "b", "message": "x: y"},
+                    ]
+                },
+            ),
+            (None, 503, {"outcome": "unknown"}),
+            (build_result(fleet_pb2.UNKNOWN), 503, {"outcome": "unknown"}),
+        ],
+    )
+    def test_refused(
+        self, result: Any, status: int, members: dict[str, Any]
+    ) -> None:
+        """Guards against outcomes that a program can't tell apart."""
+        reply = request(result)
+        assert reply.status == status
+        assert reply.headers["content-type"] == "application/problem+json"
+        document = reply.read_json()
+        assert document["status"] == status
+        assert members.items() <= document.items()
+        if status == 503:
+            assert "ask again with the same id" in document["detail"]
+            assert reply.headers["retry-after"] == "1"
+
+    @pytest.mark.requirement("R22")
+    def test_all_findings_on_headers(self) -> None:
+        """Guards against findings that show one at a time."""
+        authorization = {"authorization": HEADERS["authorization"]}
+        calls = FakeCalls()
+        reply = request(headers=authorization, calls=calls)
+        assert reply.status == 400
+        assert [f["place"] for f in reply.read_json()["findings"]] == [
+            "header Content-Type",
+            "header If-Match",
+            "header Hornbeamyard-Patch-Id",
+        ]
+        assert not calls.requests
+
+    def test_refuses_large_body(self) -> None:
+        """Guards against a body that no message can hold."""
+        reply = request(body=b" " * (PATCH_SIZE + 1))
+        assert reply.status == 400
+        assert reply.read_json()["findings"][0]["place"] == "body"
+
+
+class TestReads:
+    """Configuration, history and status."""
+
+    def test_configuration_has_etag(self) -> None:
+        """Guards against an ETag that belongs to another document."""
+        stored = fleet_pb2.ConfigurationReply(
+            version=8, document=b'{"pools": {}}', found=True
+        )
+        reply = request(stored, method="GET")
+        assert (reply.status, reply.headers["etag"]) == (200, '"8"')
+        assert reply.read_json() == {"pools": {}}
+
+    def test_history(self) -> None:
+        """Guards against a history without who and when."""
+        entry = fleet_pb2.HistoryEntry(
+            version=8, operator="ana", patch_id="x", time_ms=5
+        )
+        stored = fleet_pb2.HistoryReply(entries=[entry])
+        path = "/hornbeamyard/v1/admin/history"
+        reply = request(stored, method="GET", path=path)
+        assert reply.read_json()["history"] == [
+            {"version": 8, "operator": "ana", "patch_id": "x", "time_ms": 5}
+        ]
+
+    def test_status(self) -> None:
+        """Guards against a status that is changed on its way."""
+        stored = fleet_pb2.StatusReply(document=b'{"leader": "x"}')
+        path = "/hornbeamyard/v1/admin/status"
+        reply = request(stored, method="GET", path=path)
+        assert reply.read_json() == {"leader": "x"}
+
+    @pytest.mark.parametrize(
+        ("method", "path", "status"),
+        [
+            ("DELETE", CONFIG, 405),
+            ("POST", "/hornbeamyard/v1/admin/status", 405),
+            ("GET", "/hornbeamyard/v1/admin/other", 404),
+        ],
+    )
+    def test_refuses_other_calls(
+        self, method: str, path: str, status: int
+    ) -> None:
+        """Guards against calls that are taken for others."""
+        assert request(method=method, path=path).status == status
+
+
+class TestKeys:
+    """Who may see and change what."""
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            {},
+            {"authorization": "Bearer other"},
+            {"authorization": "Bearer "},
+            {"authorization": f"Basic {KEY}"},
+        ],
+    )
+    @pytest.mark.parametrize(
+        ("method", "path"),
+        [
+            ("PATCH", CONFIG),
+            ("GET", CONFIG),
+            ("GET", "/hornbeamyard/v1/admin/status"),
+            ("GET", "/metrics"),
+        ],
+    )
+    def test_refuses_without_key(
+        self, headers: dict[str, str], method: str, path: str
+    ) -> None:
+        """Guards against administration by callers."""
+        calls = FakeCalls()
+        reply = request(method=method, path=path, headers=headers, calls=calls)
+        assert reply.status == 401
+        assert KEY not in reply.body.decode()
+        assert not calls.requests
+
+    @pytest.mark.parametrize(
+        ("client", "headers", "status"),
+        [
+            ("127.0.0.1", {}, 200),
+            ("::1", {}, 200),
+            ("10.0.0.9", HEADERS, 200),
+            ("10.0.0.9", {}, 401),
+            ("", {}, 401),
+        ],
+    )
+    def test_metrics(
+        self, client: str, headers: dict[str, str], status: int
+    ) -> None:
+        """Guards against metrics that anyone may read."""
+        reply = request(
+            method="GET", path="/metrics", headers=headers, client=client
+        )
+        assert reply.status == status
--- /dev/null
+++ b/hornbeamyard/tests/test_metrics.py
@@ -0,0 +1,131 @@
+"""Counters, gauges and latency quantiles."""
+
+from __future__ import annotations
+
+import re
+
+import pytest
+from prometheus_client.parser import text_string_to_metric_families
+
+from hornbeamyard.connection.session import Session
+from hornbeamyard.process import metrics as module
+from hornbeamyard.process.metrics import (
+    OTHER_ACCOUNTS,
+    Latency,
+    Metrics,
+    Sample,
+)
+from hornbeamyard.process.router import Router
+from hornbeamyard.process.settings import RouterSettings, Settings
+from hornbeamyard.process.timers import VirtualTimers
+
+
+def read(metrics: Metrics) -> dict[str, dict[tuple[str, ...], float]]:
+    """Return the values of all samples by name and labels.
+
+    The text format orders labels by their name.
+    """
+    found: dict[str, dict[tuple[str, ...], float]] = {}
+    text = metrics.render().decode()
+    for family in text_string_to_metric_families(text):
+        for sample in family.samples:
+            labels = tuple(sample.labels.values())
+            found.setdefault(sample.name, {})[labels] = sample.value
+    return found
+
+
+class TestLabels:
+    """The number of series is bounded."""
+
+    @pytest.mark.requirement("R19")
+    def test_sums_further_accounts(self) -> None:
+        """Guards against memory that grows with the number of accounts."""
+        metrics = Metrics(accounts_limit=2)
+        for number in range(5):
+            name = f"account-{number}"
+            metrics.requests.labels(name, "normal", "answered").inc()
+            metrics.record(name, False, Latency.DURATION, 0.1)
+        metrics.watch(
+            lambda: [
+                Sample("waiting", n, (("client_account", f"account-{n}"),))
+                for n in range(5)
+            ]
+        )
+        found = read(metrics)
+        assert found["hornbeamyard_requests_total"] == {
+            ("account-0", "answered", "normal"): 1,
+            ("account-1", "answered", "normal"): 1,
+            (OTHER_ACCOUNTS, "answered", "normal"): 3,
+        }
+        assert found["hornbeamyard_waiting"] == {
+            ("account-0",): 0,
+            ("account-1",): 1,
+            (OTHER_ACCOUNTS,): 2 + 3 + 4,
+        }
+        durations = found["hornbeamyard_latency_seconds"]
+        assert {labels[0] for labels in durations} == {
+            "account-0",
+            "account-1",
+            OTHER_ACCOUNTS,
+        }
+
+    def test_bounds_other_labels(self) -> None:
+        """Guards against texts of callers that become label values."""
+        metrics = Metrics()
+        for number in range(module.LABEL_VALUES_LIMIT + 9):
+            metrics.refusals.labels(
+                client_account="hotel", reason=f"{number} " * 99
+            ).inc()
+        series = read(metrics)["hornbeamyard_refusals_total"]
+        assert len(series) == module.LABEL_VALUES_LIMIT + 1
+        assert series["hotel", OTHER_ACCOUNTS] == 9
+        assert all(len(reason) <= 63 for _, reason in series)
+
+
+class TestLatencies:
+    """Quantiles for each account and class."""
+
+    def test_quantiles(self) -> None:
+        """Guards against quantiles of the wrong class or unit."""
+        metrics = Metrics()
+        for number in range(1, 101):
+            metrics.record("hotel", True, Latency.QUEUE_WAIT, number / 100)
+        metrics.record("hotel", False, Latency.QUEUE_WAIT, 1e9)
+        found = read(metrics)["hornbeamyard_latency_seconds"]
+        for quantile in (0.5, 0.95, 0.99):
+            key = ("hotel", "queue_wait", "priority", f"{quantile:g}")
+            assert found[key] == pytest.approx(quantile, rel=0.02)
+        worst = found["hotel", "queue_wait", "normal", "0.5"]
+        assert worst == pytest.approx(3600, rel=0.02)
+
+
+class TestRouter:
+    """What a router shows of itself."""
+
+    def test_shows_stated_metrics(self) -> None:
+        """Guards against a metric that docs/alarms.md names and is gone."""
+        settings = Settings(
+            fleet="test",
+            host="a",
+            availability_zone="centro",
+            controllers={"a": "127.0.0.1:1"},
+            router=RouterSettings("127.0.0.1:2"),
+        )
+        router = Router(settings, VirtualTimers())
+        router.find_admission("visitor-assistant")
+        router.metrics.requests.labels("hotel", "normal", "answered").inc()
+        router.metrics.retries.labels("hotel").inc()
+        router.metrics.refusals.labels("hotel", "queue full").inc()
+        router.metrics.record("hotel", False, Latency.DURATION, 1)
+        assert isinstance(router.session, Session)
+        found = read(router.metrics)
+        assert found["hornbeamyard_fallback"] == {("visitor-assistant",): 0}
+        assert found["hornbeamyard_version_in_force"] == {(): 0}
+        assert found["hornbeamyard_lease_seconds"] == {(): 0}
+        assert found["hornbeamyard_control_bytes_total"] == {
+            ("sent",): 0,
+            ("received",): 0,
+        }
+        names = {re.sub("^hornbeamyard_|_total$", "", name) for name in found}
+        of_accounts = {"waiting", "running", "lag_seconds"}
+        assert names | of_accounts == set(module.HELP)
