--- a/hornbeamyard/connection/calls.py
+++ b/hornbeamyard/connection/calls.py
@@ -53,8 +53,8 @@
     """Makes calls to whichever controller leads.
 
     Each call tries all controllers, follows the leader that they name, and
-    repeats until the time limit. Calls are repeated only because each of
-    them may be: patches carry an id, member changes are idempotent.
+    repeats until the time limit. Each call may be repeated: patches carry an
+    id, and whoever changes members reads the members after a refusal.
 
     Parameters
     ----------
@@ -63,9 +63,14 @@
     tls : Tls or None
     identity : Identity
         Sent with every call.
+
+    Attributes
+    ----------
+    was_repeated : bool
+        Whether an answer to the last call may have been lost before.
     """
 
-    __slots__ = ("_controllers", "_hint", "_tls", "identity")
+    __slots__ = ("_controllers", "_hint", "_tls", "identity", "was_repeated")
 
     def __init__(
         self,
@@ -77,6 +82,7 @@
         self._tls = tls
         self._hint = ""
         self.identity = identity
+        self.was_repeated = False
 
     async def call(
         self, method: str, request: Any, timeout_s: float
@@ -101,6 +107,7 @@
                         address, method, request, ends, failure
                     )
                     if reply is not None:
+                        self.was_repeated = failure.may_have_run
                         return Ok(reply)
                     if failure.refused:
                         break
@@ -144,9 +151,10 @@
             self._hint = address
             return reply
         failure.reasons[address] = "does not lead"
-        if getattr(reply, "outcome", None) == fleet_pb2.UNKNOWN:
+        outcome = getattr(reply, "outcome", None)
+        if outcome == fleet_pb2.UNKNOWN or getattr(reply, "reason", ""):
             failure.reasons[address] = "the outcome is not known yet"
-            failure.may_have_run = True
+            failure.may_have_run |= not reply.leader
         self._hint = reply.leader
         return None
 
@@ -159,13 +167,11 @@
             fleet_pb2.UNKNOWN,
             fleet_pb2.NOT_LEADER,
         )
-    if isinstance(reply, fleet_pb2.ConfigurationReply):
-        return bool(reply.found) or not reply.leader
     if isinstance(reply, fleet_pb2.StatusReply):
         return bool(reply.document)
     if isinstance(reply, fleet_pb2.MemberChangeResult):
-        return bool(reply.accepted) or not reply.leader
-    return not reply.leader
+        return bool(reply.decided)
+    return bool(reply.found)
 
 
 def _describe(error: grpc.aio.AioRpcError) -> str:
--- a/hornbeamyard/process/config_commands.py
+++ b/hornbeamyard/process/config_commands.py
@@ -25,6 +25,7 @@
     fleet_options,
     load_or_exit,
 )
+from .settings import Settings
 from .tables import format_diff, format_table, hide_keys, show
 
 WAIT_INTERVAL_S = 0.1
@@ -61,7 +62,7 @@
     """Show who submitted the latest accepted versions, and when."""
     loaded = load_or_exit(file)
     request = fleet_pb2.HistoryRequest(limit=limit)
-    reply = call_or_exit(loaded, "ReadHistory", request, timeout)
+    reply = call_or_exit(connect(loaded), "ReadHistory", request, timeout)
     rows = [describe_entry(entry) for entry in reply.entries]
     columns = ["version", "time", "operator", "operations", "patch_id"]
     show({"history": rows}, as_json, format_table(rows, columns))
@@ -188,9 +189,12 @@
     }
 
 
-def _read(settings: Any, timeout: float) -> tuple[int, Any]:
+def _read(settings: Settings, timeout: float) -> tuple[int, Any]:
     reply = call_or_exit(
-        settings, "ReadConfiguration", fleet_pb2.ReadRequest(), timeout
+        connect(settings),
+        "ReadConfiguration",
+        fleet_pb2.ReadRequest(),
+        timeout,
     )
     return reply.version, json.loads(reply.document or b"{}")
 
--- a/hornbeamyard/process/controller_commands.py
+++ b/hornbeamyard/process/controller_commands.py
@@ -2,17 +2,23 @@
 
 from __future__ import annotations
 
+import dataclasses
 import sys
 from pathlib import Path
+from typing import Any, NoReturn
 
 import click
+from result import Err
 
 from ..messages import fleet_pb2
+from ..version import bootstrap
 from .invocation import (
     EXIT_REFUSED,
     call_or_exit,
+    connect,
     fleet_options,
     load_or_exit,
+    read_status,
 )
 from .tables import show
 from .validation import check_address, check_name
@@ -23,6 +29,64 @@
     """Change which hosts run a controller."""
 
 
+@controllers.command("init")
+@click.argument("file", metavar="SETTINGS", type=click.Path(path_type=Path))
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def initialize_controller(file: Path, as_json: bool) -> None:
+    """Prepare the data folder of a new fleet's controller.
+
+    Run it once on each host with a controller, with the host's file
+    SETTINGS and before any daemon starts. It is refused when this or
+    another controller has a log already.
+    """
+    done = bootstrap.initialize(load_or_exit(file, as_json))
+    if isinstance(done, Err):
+        _refuse(done.err_value, as_json)
+    members = done.unwrap().members
+    show(
+        {"accepted": True, "members": members},
+        as_json,
+        f"the data folder is ready; members: {', '.join(members)}",
+    )
+
+
+@controllers.command("recover")
+@click.argument("file", metavar="SETTINGS", type=click.Path(path_type=Path))
+@click.option(
+    "--accept-data-loss",
+    is_flag=True,
+    help="Do it; without this option nothing is changed.",
+)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def recover_controller(
+    file: Path, accept_data_loss: bool, as_json: bool
+) -> None:
+    """Make a surviving controller the only one, after a majority was lost.
+
+    Run it on the surviving host, with its file SETTINGS and its daemon
+    stopped. The lost hosts must never start with their old data folders.
+    """
+    loaded = load_or_exit(file, as_json)
+    recovered = bootstrap.recover(loaded, accept_data_loss)
+    if isinstance(recovered, Err):
+        _refuse(recovered.err_value, as_json)
+    held = recovered.unwrap()
+    lost = ", ".join(held.lost_members) or "none"
+    lines = [
+        f"host {loaded.host!r} holds the log up to index {held.last_index}, "
+        f"with configuration version {held.version}",
+        "lost: what only other members hold, that is every later entry",
+        f"other members: {lost}",
+    ]
+    if held.is_done:
+        lines.append("this host is now the only member; start its daemon")
+    else:
+        lines.append("nothing was changed; do it with --accept-data-loss")
+    show(dataclasses.asdict(held), as_json, "\n".join(lines))
+    if not held.is_done:
+        sys.exit(EXIT_REFUSED)
+
+
 @controllers.command("add")
 @click.argument("host")
 @click.argument("address")
@@ -67,7 +131,8 @@
 ) -> None:
     """Let REPLACEMENT at ADDRESS take the place of HOST.
 
-    HOST and REPLACEMENT are the same when a host lost its disk.
+    HOST is removed once REPLACEMENT votes. A host that only lost its disk
+    needs no command: start its daemon with an empty data folder.
     """
     _check(host)
     _check(replacement, address)
@@ -81,6 +146,12 @@
     _submit(change, text, file, as_json, timeout)
 
 
+def _refuse(reason: str, as_json: bool) -> NoReturn:
+    text = f"refused: {reason}"
+    show({"accepted": False, "reason": reason}, as_json, text)
+    sys.exit(EXIT_REFUSED)
+
+
 def _check(host: str, address: str | None = None) -> None:
     findings = []
     accepted = check_name(host)
@@ -103,10 +174,36 @@
     timeout: float,
 ) -> None:
     loaded = load_or_exit(file)
-    reply = call_or_exit(loaded, "ChangeMembers", change, timeout)
-    document = {"accepted": reply.accepted, "reason": reply.reason}
-    if not reply.accepted:
+    calls = connect(loaded)
+    reply = call_or_exit(calls, "ChangeMembers", change, timeout)
+    accepted = reply.accepted
+    # A repeated call may be refused because the first one was accepted.
+    if not accepted and calls.was_repeated:
+        members = read_status(file, timeout)["controllers"]
+        accepted = is_done(change, members)
+    document = {
+        "accepted": accepted,
+        "reason": "" if accepted else reply.reason,
+    }
+    if not accepted:
         text = f"refused: {reply.reason}"
     show(document, as_json, text)
-    if not reply.accepted:
+    if not accepted:
         sys.exit(EXIT_REFUSED)
+
+
+def is_done(
+    change: fleet_pb2.MemberChange, members: list[dict[str, Any]]
+) -> bool:
+    """Return whether the members are already as the change wants them."""
+    addresses = {member["host"]: member["address"] for member in members}
+    if change.kind == fleet_pb2.MemberChange.REMOVE:
+        return change.host not in addresses
+    if change.kind == fleet_pb2.MemberChange.ADD:
+        return bool(addresses.get(change.host) == change.address)
+    return any(
+        member["host"] == change.replacement
+        and member["address"] == change.address
+        and (member["replaces"] == change.host or change.host not in addresses)
+        for member in members
+    )
--- a/hornbeamyard/process/invocation.py
+++ b/hornbeamyard/process/invocation.py
@@ -11,10 +11,10 @@
 
 import anyio
 import click
-from result import Err, Result
+from result import Err
 
 from ..connection import peers
-from ..connection.calls import LeaderCalls, Unreachable
+from ..connection.calls import LeaderCalls
 from ..messages import fleet_pb2
 from .settings import Settings, load_settings
 
@@ -71,19 +71,11 @@
     )
 
 
-def call(
-    settings: Settings, method: str, request: Any, timeout_s: float
-) -> Result[Any, Unreachable]:
-    """Make one call to the lead controller."""
-    calls = connect(settings)
-    return anyio.run(calls.call, method, request, timeout_s)
-
-
 def call_or_exit(
-    settings: Settings, method: str, request: Any, timeout_s: float
+    calls: LeaderCalls, method: str, request: Any, timeout_s: float
 ) -> Any:
     """Make one call; print why and exit when nothing answers in time."""
-    called = call(settings, method, request, timeout_s)
+    called = anyio.run(calls.call, method, request, timeout_s)
     if isinstance(called, Err):
         failure = called.err_value
         click.echo(f"no lead controller answered: {failure}", err=True)
@@ -95,7 +87,7 @@
     """Return the fleet's status document."""
     settings = load_or_exit(file)
     reply = call_or_exit(
-        settings, "ReadStatus", fleet_pb2.StatusRequest(), timeout_s
+        connect(settings), "ReadStatus", fleet_pb2.StatusRequest(), timeout_s
     )
     document: dict[str, Any] = json.loads(reply.document)
     return document
--- a/hornbeamyard/process/status.py
+++ b/hornbeamyard/process/status.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import Any
 
 from ..pool.schedule import Demand, Schedule
+from ..version.replica import Replica
 from .controller import Controller
 
+# A controller that the leader has not heard from for this long is shown as
+# not reachable; the leader's lease is 2 s.
+SILENT_S = 3.0
+
 
 def build_status(controller: Controller, now: float) -> dict[str, Any]:
     """Return the status document; docs/cli.md describes its keys.
@@ -24,6 +30,7 @@
         "leader": replica.get_leader(),
         "epoch": replica.term,
         "version": replica.state.version,
+        "controllers": _describe_members(replica),
         "routers": [
             {"host": name, "version_in_force": router.version_in_force}
             for name, router in sorted(controller.routers.items())
@@ -40,6 +47,31 @@
     }
 
 
+def _describe_members(replica: Replica) -> list[dict[str, Any]]:
+    now = replica.timers.now()
+    leadership = replica.leadership
+    members = []
+    for member in replica.state.members.members:
+        peer = leadership.peers.get(member.host) if leadership else None
+        leads = member.host == replica.host
+        silent_s = 0.0 if leads else now - peer.acked_at if peer else inf
+        entries = replica.journal.last_index
+        if not leads:
+            entries = peer.match_index if peer else 0
+        members.append(
+            {
+                "host": member.host,
+                "address": member.address,
+                "voter": member.voter,
+                "replaces": member.replaces or None,
+                "leads": leads,
+                "reachable": silent_s < SILENT_S,
+                "entries": entries,
+            }
+        )
+    return members
+
+
 def _describe_pool(
     name: str, schedule: Schedule, now: float
 ) -> dict[str, Any]:
--- a/hornbeamyard/tests/test_commands.py
+++ b/hornbeamyard/tests/test_commands.py
@@ -220,12 +220,25 @@
 
     @pytest.mark.requirement("R13")
     def test_refuses_old_base(self, fleet: LocalFleet) -> None:
-        """Guards against a patch that overwrites one it has not seen."""
+        """Guards against a patch that overwrites an unseen one."""
         patch = write_patch(fleet, set_share(4))
         done = run(fleet, "config", "patch", patch, "--base=0")
         assert done.exit_code == 1
         assert "refused: version 0 has moved on; the current" in done.stdout
 
+    def test_history_names_operator(self, fleet: LocalFleet) -> None:
+        """Guards against changes that nobody can be asked about."""
+        patch = write_patch(fleet, set_share(7))
+        done = run_json(
+            fleet, "config", "patch", patch, "--operator=ana", "--id=raise-7"
+        )
+        (entry,) = run_json(fleet, "config", "history", "--limit=1")["history"]
+        assert entry["version"] == done["version"]
+        assert (entry["operator"], entry["patch_id"]) == ("ana", "raise-7")
+        assert entry["operations"] == "replace /client_accounts/hotel/share"
+        text = run(fleet, "config", "history").stdout
+        assert text.splitlines()[0].split()[:2] == ["VERSION", "TIME"]
+
     @pytest.mark.requirement("R22")
     def test_prints_all_findings(self, fleet: LocalFleet) -> None:
         """Guards against findings that show one at a time."""
