--- a/hornbeamyard/connection/peers.py
+++ b/hornbeamyard/connection/peers.py
@@ -32,7 +32,10 @@
     ("grpc.enable_http_proxy", 0),
 ]
 
+REFUSALS_REMEMBERED = 1000
+
 _log = logbook.Logger("peers")
+_refusals: set[tuple[str, str, str]] = set()
 
 
 def open_channel(address: str, tls: Tls | None) -> grpc.aio.Channel:
@@ -92,7 +95,7 @@
 def find_mismatch(identity: fleet_pb2.Identity, fleet: str) -> str | None:
     """Return why a caller is refused, or None when it belongs here."""
     if identity.fleet != fleet:
-        return f"fleet {identity.fleet!r} is not this fleet, {fleet!r}"
+        return f"fleet {identity.fleet[:63]!r} is not this fleet, {fleet!r}"
     if identity.protocol != PROTOCOL:
         return (
             f"protocol version {identity.protocol} is not supported; "
@@ -110,5 +113,16 @@
     mismatch = find_mismatch(identity, fleet)
     if mismatch is None:
         return
-    _log.warning("refused {}: {}", identity.host, mismatch)
+    # A refused process tries again, so each reason is logged once.
+    refusal = (context.peer().rpartition(":")[0], identity.host, mismatch)
+    if refusal not in _refusals:
+        if len(_refusals) >= REFUSALS_REMEMBERED:
+            _refusals.clear()
+        _refusals.add(refusal)
+        _log.warning(
+            "refused host {!r} at {}: {}",
+            identity.host[:63],
+            refusal[0],
+            mismatch,
+        )
     await context.abort(grpc.StatusCode.FAILED_PRECONDITION, mismatch)
--- a/hornbeamyard/process/router.py
+++ b/hornbeamyard/process/router.py
@@ -5,13 +5,14 @@
 import logging
 import random
 import socket
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 
 import anyio
 import logbook
 import uvicorn
 
 from ..connection import peers
+from ..connection.calls import LeaderCalls
 from ..connection.limits import (
     ConnectionLimits,
     LoadGauge,
@@ -31,7 +32,8 @@
 from ..request.delivery import Delivery
 from ..request.gateway import Gateway
 from ..version.configuration import Configuration
-from .metrics import Metrics
+from .gauges import sample_pools, sample_session
+from .metrics import Metrics, Sample
 from .settings import Settings
 from .timers import Timers
 
@@ -63,6 +65,7 @@
 
     __slots__ = (
         "_admissions",
+        "_calls",
         "_claims",
         "_delivery",
         "_liveness",
@@ -84,6 +87,7 @@
         self.configuration = Configuration(version=0)
         self.registry = Registry()
         identity = peers.describe_self(settings, random.getrandbits(63))
+        self._calls = LeaderCalls(settings.controllers, settings.tls, identity)
         self.session = Session(
             settings,
             timers,
@@ -94,6 +98,7 @@
             self._take_configuration,
         )
         self.metrics = Metrics()
+        self.metrics.watch(self._sample)
         self._claims = Claims(
             identity, settings.controllers, settings.tls, timers
         )
@@ -115,7 +120,9 @@
             Announcements(self.registry, timers, self.announce),
             settings.router,
             timers,
-            Administration(self.metrics),
+            Administration(
+                self.metrics, lambda: self.configuration, self._calls
+            ),
             self._load,
         )
 
@@ -168,6 +175,11 @@
         self.registry.announce(worker)
         self.session.announce(worker.name)
 
+    def _sample(self) -> Iterator[Sample]:
+        now = self._timers.now()
+        yield from sample_session(self.session, now)
+        yield from sample_pools(self._admissions, now)
+
     def _take_configuration(self, configuration: Configuration) -> None:
         self.configuration = configuration
         for admission in self._admissions.values():
--- a/hornbeamyard/request/call.py
+++ b/hornbeamyard/request/call.py
@@ -27,6 +27,8 @@
 MODEL_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
 SERVICE_PREFIX = "/services/"
 LONGEST_S = 86_400.0
+# A longer value of a header may be a key, so findings don't show it.
+SHOWN_SIZE = 12
 # Methods that RFC 9110 doesn't define as idempotent.
 UNREPEATABLE_METHODS = frozenset({"POST", "PATCH"})
 _KEY = re.compile(rb"[\x21-\x7e]{1,255}")
@@ -215,8 +217,10 @@
 
 
 def _reject(name: bytes, value: bytes, accepted: str) -> Finding:
-    shown = value[:64].decode("latin-1")
-    return Finding(_title(name), f"{shown!r} is not accepted; give {accepted}")
+    shown = repr(value.decode("latin-1"))
+    if len(value) > SHOWN_SIZE:
+        shown = f"a value of {len(value)} bytes"
+    return Finding(_title(name), f"{shown} is not accepted; give {accepted}")
 
 
 def _title(name: bytes) -> str:
