Add the fairness benchmark over the real decision modules

A discrete-event simulation in virtual time drives Controller, Schedule, Attachment, Dispatch and the codec; network, engines and callers are fakes. Baselines: static local slots, first come first served, one ideal queue.

--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,209 @@
+"""The lead controller in virtual time, around the real `Controller`."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any, cast
+
+from hornbeamyard.messages import fleet_pb2
+from hornbeamyard.pool import options
+from hornbeamyard.process.controller import AttachedRouter, Controller
+from hornbeamyard.version.configuration import parse_document
+from hornbeamyard.version.replica import Replica
+
+from .events import ClockTimers
+
+if TYPE_CHECKING:
+    from .simulation import Fleet, SimRouter
+
+SILENCE_LIMIT_S = 3.0
+
+
+class FakeState:
+    """The configuration that all simulated controllers hold."""
+
+    def __init__(self, document: dict[str, Any]) -> None:
+        self.document = document
+        self.configuration = parse_document(document, 1).unwrap()
+        self.version = 1
+        self.patches: dict[int, bytes] = {}
+
+
+class FakeReplica:
+    """A replica whose leadership the scenario decides."""
+
+    def __init__(self, document: dict[str, Any], term: int) -> None:
+        self.term = term
+        self.leads = True
+        self.state = FakeState(document)
+
+    def is_leader(self) -> bool:
+        """Return whether this replica leads."""
+        return self.leads
+
+
+class Stream:
+    """A router's stream; messages reach the other end after the latency."""
+
+    def __init__(
+        self, router: SimRouter, controller: SimController, now: float
+    ) -> None:
+        self.router = router
+        self.controller = controller
+        self.attached: AttachedRouter | None = None
+        self.heard_by_router = now
+        self.heard_by_controller = now
+        self.ended = False
+        self.sequence = 0
+        self.sent_at = 0.0
+
+    def send_report(self, data: bytes) -> None:
+        """Send a report towards the controller."""
+        host = self.controller.host
+        self.controller.fleet.network.send(
+            self.router.name, host, self.controller.take_report, self, data
+        )
+
+    def send_update(self, data: bytes) -> None:
+        """Send an update towards the router."""
+        host = self.controller.host
+        self.controller.fleet.network.send(
+            host, self.router.name, self.router.take_update, self, data
+        )
+
+    def end_by_router(self) -> None:
+        """Reset the connection from the router's end."""
+        host = self.controller.host
+        self.controller.fleet.network.send(
+            self.router.name, host, self.controller.end_stream, self
+        )
+
+    def end_by_controller(self) -> None:
+        """Reset the connection from the controller's end."""
+        host = self.controller.host
+        self.controller.fleet.network.send(
+            host, self.router.name, self.router.drop_stream, self
+        )
+
+
+class SimController:
+    """A controller on a host that may be killed or frozen."""
+
+    def __init__(self, fleet: Fleet, host: str, term: int) -> None:
+        self.fleet = fleet
+        self.host = host
+        self.alive = True
+        self.frozen = False
+        self.replica = FakeReplica(fleet.document, term)
+        self.controller = Controller(
+            cast(Replica, self.replica), ClockTimers(fleet.clock)
+        )
+        self._streams: list[Stream] = []
+        self._planned = False
+        self._planned_at = -1.0
+        self._held_back: list[tuple[Stream, bytes]] = []
+        fleet.clock.every(options.REPORT_INTERVAL_S, self._renew)
+
+    def accepts(self) -> bool:
+        """Return whether a router may attach here."""
+        return self.alive and not self.frozen and self.replica.leads
+
+    def kill(self) -> None:
+        """End the process; connections are reset."""
+        self.alive = False
+        for stream in self._streams:
+            stream.end_by_controller()
+        self._streams = []
+
+    def wake_up(self) -> None:
+        """Go on after a freeze, with the reports received meanwhile."""
+        self.frozen = False
+        held_back, self._held_back = self._held_back, []
+        for stream, data in held_back:
+            self.take_report(stream, data)
+        if not self.replica.leads:
+            self.kill()
+            self.alive = True
+
+    def take_report(self, stream: Stream, data: bytes) -> None:
+        """Take a report that arrived."""
+        if not self.alive or stream.ended:
+            return
+        if self.frozen:
+            self._held_back.append((stream, data))
+            return
+        if not self.replica.leads:
+            stream.end_by_controller()
+            return
+        stream.heard_by_controller = self.fleet.clock.now
+        self.fleet.costs.add_message(self.host, len(data))
+        with self.fleet.costs.measure(self.host):
+            report = fleet_pb2.RouterReport.FromString(data)
+            if stream.attached is None:
+                stream.attached = self.controller.attach(report)
+                self._streams.append(stream)
+                stream.attached.wake.set()
+            else:
+                self.controller.take_report(stream.attached, report)
+        self._plan_soon()
+
+    def end_stream(self, stream: Stream) -> None:
+        """Take the end of a router's stream."""
+        if stream in self._streams and not self.frozen and self.alive:
+            self._streams.remove(stream)
+            assert stream.attached is not None
+            self.controller.detach(stream.attached, left=False)
+        stream.ended = True
+
+    def _plan_soon(self) -> None:
+        if self._planned:
+            return
+        if self.controller.needs_plan():
+            self._planned = True
+            due = self._planned_at + options.PLAN_SPACING_S
+            self.fleet.clock.at(due, self._plan)
+        else:
+            self._flush()
+
+    def _plan(self) -> None:
+        self._planned = False
+        if not self.alive or self.frozen:
+            return
+        self._planned_at = self.fleet.clock.now
+        started = time.thread_time()
+        with self.fleet.costs.measure(self.host):
+            self.controller.plan_all()
+        self.fleet.costs.plans_s.append(time.thread_time() - started)
+        self._flush()
+
+    def _flush(self) -> None:
+        for stream in self._streams:
+            if stream.attached is not None and stream.attached.wake.is_set():
+                self._send_update(stream)
+
+    def _send_update(self, stream: Stream) -> None:
+        assert stream.attached is not None
+        stream.sequence += 1
+        stream.sent_at = self.fleet.clock.now
+        with self.fleet.costs.measure(self.host):
+            update = self.controller.build_update(
+                stream.attached, stream.sequence
+            )
+            data = update.SerializeToString()
+        stream.attached.wake = type(stream.attached.wake)()
+        self.fleet.costs.add_message(self.host, len(data))
+        stream.send_update(data)
+
+    def _renew(self) -> None:
+        """Plan and renew leases; drop streams that went silent."""
+        if not self.alive or self.frozen or not self.replica.leads:
+            return
+        now = self.fleet.clock.now
+        for stream in list(self._streams):
+            if now - stream.heard_by_controller > SILENCE_LIMIT_S:
+                self.end_stream(stream)
+        self._plan()
+        for stream in self._streams:
+            # A renewal is due one interval after the last message.
+            if now - stream.sent_at >= options.REPORT_INTERVAL_S / 2:
+                self._send_update(stream)
--- /dev/null
+++ b/benchmarks/events.py
@@ -0,0 +1,131 @@
+"""Events in virtual time, and a network with latency and partitions."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+# gRPC prefix, HTTP/2 frame header, and IP and TCP headers of a message.
+FRAMING_BYTES = 5 + 9 + 52
+# Processor time of grpcio for one message at one end.
+MESSAGE_CPU_S = 55e-6
+
+
+class Clock:
+    """Runs callbacks in order of virtual time."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._heap: list[tuple[float, int, Callable[..., object], Any]] = []
+        self._numbers = itertools.count()
+
+    def at(self, due: float, call: Callable[..., object], *args: Any) -> None:
+        """Call `call` at `due` seconds."""
+        due = max(due, self.now)
+        heapq.heappush(self._heap, (due, next(self._numbers), call, args))
+
+    def after(
+        self, delay: float, call: Callable[..., object], *args: Any
+    ) -> None:
+        """Call `call` after `delay` seconds."""
+        self.at(self.now + delay, call, *args)
+
+    def every(self, interval: float, call: Callable[[], object]) -> None:
+        """Call `call` each `interval` seconds."""
+
+        def tick() -> None:
+            call()
+            self.after(interval, tick)
+
+        self.after(interval, tick)
+
+    def run(self, until: float) -> None:
+        """Run all events up to `until` seconds."""
+        heap = self._heap
+        while heap and heap[0][0] <= until:
+            due, _, call, args = heapq.heappop(heap)
+            self.now = due
+            call(*args)
+        self.now = until
+
+
+class ClockTimers:
+    """The part of the timer service that the decision modules use."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+
+    def now(self) -> float:
+        """Return virtual monotonic time in seconds."""
+        return self._clock.now
+
+    def wall_ms(self) -> int:
+        """Return virtual wall-clock time in milliseconds."""
+        return int(self._clock.now * 1000)
+
+
+class Costs:
+    """Control traffic and processor time of each host."""
+
+    def __init__(self) -> None:
+        self.bytes: Counter[str] = Counter()
+        self.messages: Counter[str] = Counter()
+        self.control_cpu_s: Counter[str] = Counter()
+        self.request_cpu_s: Counter[str] = Counter()
+        self.plans_s: list[float] = []
+
+    def add_message(self, host: str, size: int) -> None:
+        """Charge a host with a message that it sent or received."""
+        self.bytes[host] += size + FRAMING_BYTES
+        self.messages[host] += 1
+        self.control_cpu_s[host] += MESSAGE_CPU_S
+
+    @contextmanager
+    def measure(self, host: str) -> Iterator[None]:
+        """Charge a host with the processor time of control decisions."""
+        started = time.thread_time()
+        yield
+        self.control_cpu_s[host] += time.thread_time() - started
+
+
+class Network:
+    """Delivers calls between hosts after a latency, unless partitioned."""
+
+    def __init__(self, clock: Clock, cross_zone_s: float) -> None:
+        self._clock = clock
+        self._cross_zone_s = cross_zone_s
+        self._zones: dict[str, str] = {}
+        self._side: dict[str, int] = {}
+
+    def place(self, host: str, zone: str) -> None:
+        """Put a host into an availability zone."""
+        self._zones[host] = zone
+
+    def cut(self, hosts: list[str]) -> None:
+        """Separate some hosts from all others."""
+        self._side = dict.fromkeys(hosts, 1)
+
+    def heal(self) -> None:
+        """End the partition."""
+        self._side = {}
+
+    def is_connected(self, one: str, other: str) -> bool:
+        """Return whether packets pass between two hosts."""
+        return self._side.get(one, 0) == self._side.get(other, 0)
+
+    def get_latency(self, one: str, other: str) -> float:
+        """Return the one-way latency between two hosts in seconds."""
+        same = self._zones[one] == self._zones[other]
+        return 0.25e-3 if same else self._cross_zone_s
+
+    def send(
+        self, source: str, target: str, call: Callable[..., object], *args: Any
+    ) -> None:
+        """Call `call` at the target's end, or drop it in a partition."""
+        if self.is_connected(source, target):
+            self._clock.after(self.get_latency(source, target), call, *args)
--- /dev/null
+++ b/benchmarks/requests.py
@@ -0,0 +1,126 @@
+"""Requests, engines and callers of the simulation."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from hornbeamyard.pool.backlog import Ticket
+
+from .events import Clock
+from .measures import PoolMeter
+
+LARGEST_COST_S = 60.0
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """A request and what is measured of it."""
+
+    pool: str
+    account: str
+    cost_s: float
+    priority: bool = False
+    submitted_at: float = 0.0
+    ticket: Ticket = field(default_factory=lambda: Ticket(""))
+    on_end: Callable[[], None] | None = None
+
+
+class Engine:
+    """Runs requests in order of arrival, as many as it has slots."""
+
+    def __init__(
+        self, clock: Clock, meter: PoolMeter, name: str, zone: str, slots: int
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.slots = slots
+        self.speed = 1.0
+        self.leaving_at: float | None = None
+        self.late_arrivals = 0
+        self._clock = clock
+        self._meter = meter
+        self._running: dict[int, Request] = {}
+        self._queue: deque[tuple[Request, Callable[[], None]]] = deque()
+
+    def count(self) -> int:
+        """Return the number of requests that run or wait in the engine."""
+        return len(self._running) + len(self._queue)
+
+    def accept(self, request: Request, on_end: Callable[[], None]) -> None:
+        """Take a request; `on_end` is called when it has run."""
+        if self.leaving_at is not None:
+            self.late_arrivals += self._clock.now > self.leaving_at + 3.0
+        excess = self.count() + 1 - self.slots
+        self._meter.overload = max(self._meter.overload, excess)
+        self._queue.append((request, on_end))
+        self._admit()
+
+    def cancel(self, request: Request) -> None:
+        """End a request whose router is gone."""
+        self._queue = deque(e for e in self._queue if e[0] is not request)
+        if self._running.pop(id(request), None) is not None:
+            self._meter.change_engine(-1, self._clock.now)
+        self._admit()
+
+    def _admit(self) -> None:
+        while self._queue and len(self._running) < self.slots:
+            request, on_end = self._queue.popleft()
+            self._running[id(request)] = request
+            self._meter.change_engine(1, self._clock.now)
+            cost = request.cost_s / self.speed
+            self._clock.after(cost, self._end, request, on_end)
+
+    def _end(self, request: Request, on_end: Callable[[], None]) -> None:
+        if self._running.pop(id(request), None) is None:
+            return
+        self._meter.change_engine(-1, self._clock.now)
+        on_end()
+        self._admit()
+
+
+def draw_long(random_: random.Random, mean_s: float) -> float:
+    """Return a log-normal cost of at most 60 s."""
+    sigma = 1.2
+    return min(
+        LARGEST_COST_S,
+        mean_s * random_.lognormvariate(-sigma * sigma / 2, sigma),
+    )
+
+
+@dataclass(slots=True)
+class Load:
+    """Requests of one account in one pool.
+
+    Attributes
+    ----------
+    outstanding : int
+        Requests that a closed loop of callers keeps in the fleet.
+    rate : float
+        Requests a second of an open loop; used when `outstanding` is 0.
+    cost_s : float
+        Mean cost in seconds; below 0.05 s it is fixed, else log-normal.
+    weights : dict of int to float
+        How requests are distributed over the routers.
+    """
+
+    pool: str
+    account: str
+    outstanding: int = 0
+    rate: float = 0.0
+    cost_s: float = 4.0
+    priority: bool = False
+    weights: dict[int, float] = field(default_factory=dict)
+    starts_at: float = 0.0
+    ends_at: float = float("inf")
+    # Time between an answer and the caller's next request in seconds.
+    pause_s: float = 0.002
+
+    def draw(self, random_: random.Random) -> Request:
+        """Return the account's next request."""
+        cost = self.cost_s
+        if cost >= 0.05:
+            cost = draw_long(random_, cost)
+        return Request(self.pool, self.account, cost, self.priority)
--- /dev/null
+++ b/benchmarks/simulation.py
@@ -0,0 +1,335 @@
+"""A fleet in virtual time around the real decision modules."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from hornbeamyard.connection.attachment import Attachment
+from hornbeamyard.messages import fleet_pb2
+from hornbeamyard.pool import options
+from hornbeamyard.pool.backlog import QueueBounds, Ticket
+from hornbeamyard.pool.dispatch import Dispatch, Start
+from hornbeamyard.pool.worker import Registry, Worker
+from hornbeamyard.version.configuration import Configuration
+
+from .control import SimController, Stream
+from .events import Clock, Costs, Network
+from .measures import PoolMeter
+from .requests import Engine, Load, Request
+
+RECONNECT_S = 0.2
+SILENCE_LIMIT_S = 3.0
+LEASE_CHECK_S = 0.1
+
+
+@dataclass(slots=True)
+class Fleet:
+    """What all parts of a simulated fleet share."""
+
+    clock: Clock
+    network: Network
+    costs: Costs
+    random: random.Random
+    meters: dict[str, PoolMeter]
+    document: dict[str, Any]
+    local_only: bool = False
+    engines: dict[str, Engine] = field(default_factory=dict)
+    routers: list[SimRouter] = field(default_factory=list)
+    controllers: list[SimController] = field(default_factory=list)
+
+    def find_leader(self, router: str) -> SimController | None:
+        """Return a controller that leads and answers this router."""
+        for controller in self.controllers:
+            connected = self.network.is_connected(router, controller.host)
+            if connected and controller.accepts():
+                return controller
+        return None
+
+    def submit(self, load: Load, request: Request) -> None:
+        """Hand a request to a live router, as a load balancer does."""
+        weights = load.weights or dict.fromkeys(range(len(self.routers)), 1.0)
+        places = [p for p in weights if self.routers[p].alive]
+        if not places:
+            places = [p for p, r in enumerate(self.routers) if r.alive]
+        chosen = self.random.choices(
+            places, [weights.get(p, 1.0) for p in places]
+        )[0]
+        self.routers[chosen].submit(request)
+
+
+class SimRouter:
+    """A router: real decisions, simulated connections."""
+
+    def __init__(self, fleet: Fleet, name: str, zone: str) -> None:
+        self.name = name
+        self.zone = zone
+        self.alive = True
+        self.stream: Stream | None = None
+        self._fleet = fleet
+        self._clock = fleet.clock
+        self._incarnation = 0
+        self._running: dict[int, tuple[Request, Start]] = {}
+        self._queued: dict[int, Request] = {}
+        fleet.network.place(name, zone)
+        self._clock.every(LEASE_CHECK_S, self._check_lease)
+        self.start()
+
+    def start(self) -> None:
+        """Start the process without any state."""
+        self._incarnation += 1
+        self.alive = True
+        self._sent_at = -1.0
+        self._send_number = 0
+        self._urgent = False
+        self._stream_number = 0
+        self.dispatches: dict[str, Dispatch] = {}
+        self.registry = Registry()
+        identity = fleet_pb2.Identity(
+            fleet="simulated",
+            protocol=1,
+            host=self.name,
+            incarnation=self._incarnation,
+        )
+        self.attachment = Attachment(
+            self.name,
+            self.zone,
+            identity,
+            self.registry,
+            self.find_dispatch,
+            lambda: self.dispatches,
+            self._set_configuration,
+        )
+        self._connect()
+
+    def kill(self) -> None:
+        """End the process; its requests are lost."""
+        self.alive = False
+        if self.stream is not None:
+            self.stream.end_by_router()
+            self.stream = None
+        now = self._clock.now
+        for request, start in list(self._running.values()):
+            self._fleet.engines[start.worker].cancel(request)
+            meter = self._fleet.meters[request.pool]
+            meter.change_running(request.account, -1, now)
+            self._lose(request)
+        for request in list(self._queued.values()):
+            meter = self._fleet.meters[request.pool]
+            meter.change_waiting(request.account, -1, now)
+            self._lose(request)
+        self._running.clear()
+        self._queued.clear()
+
+    def _lose(self, request: Request) -> None:
+        if request.on_end is not None:
+            self._clock.after(0.05, request.on_end)
+
+    # ---- requests --------------------------------------------------------
+
+    def find_dispatch(self, pool: str) -> Dispatch:
+        """Return the dispatch of a pool, made when it is new."""
+        dispatch = self.dispatches.get(pool)
+        if dispatch is None:
+            bounds = QueueBounds(requests=100_000)
+            dispatch = Dispatch(pool, self.zone, self.registry, bounds)
+            self.dispatches[pool] = dispatch
+            self._set_shares(dispatch)
+        return dispatch
+
+    def submit(self, request: Request) -> None:
+        """Queue a request."""
+        now = self._clock.now
+        request.submitted_at = now
+        request.ticket = Ticket(request.account, request.priority)
+        meter = self._fleet.meters[request.pool]
+        meter.change_waiting(request.account, 1, now)
+        dispatch = self.find_dispatch(request.pool)
+        self._queued[id(request.ticket)] = request
+        started = time.thread_time()
+        dispatch.submit(request.ticket, now)
+        self._charge(started)
+        self.start_ready(request.pool)
+
+    def start_ready(self, pool: str) -> None:
+        """Start the requests for which a slot is idle."""
+        dispatch = self.dispatches[pool]
+        now = self._clock.now
+        while True:
+            started = time.thread_time()
+            start = dispatch.start_next(now)
+            self._charge(started)
+            if start is None:
+                break
+            self._send(start)
+        started = time.thread_time()
+        urgent = dispatch.is_urgent()
+        self._charge(started)
+        if urgent:
+            self.wake()
+
+    def _charge(self, started: float) -> None:
+        spent = time.thread_time() - started
+        self._fleet.costs.request_cpu_s[self.name] += spent
+
+    def _send(self, start: Start) -> None:
+        now = self._clock.now
+        request = self._queued.pop(id(start.ticket))
+        meter = self._fleet.meters[request.pool]
+        meter.change_waiting(request.account, -1, now)
+        meter.change_running(request.account, 1, now)
+        meter.largest_s = max(meter.largest_s, request.cost_s)
+        wait = now - request.submitted_at
+        if request.priority:
+            meter.priority_waits.append(wait)
+        else:
+            meter.waits.setdefault(request.account, []).append(wait)
+        self._running[id(request)] = (request, start)
+        engine = self._fleet.engines[start.worker]
+        latency = self._fleet.network.get_latency(self.name, engine.name)
+        incarnation = self._incarnation
+
+        def end() -> None:
+            self._clock.after(latency, self._finish, request, incarnation)
+
+        self._clock.after(latency, self._arrive, engine, request, end)
+
+    def _arrive(
+        self, engine: Engine, request: Request, end: Callable[[], None]
+    ) -> None:
+        if id(request) in self._running:
+            engine.accept(request, end)
+
+    def _finish(self, request: Request, incarnation: int) -> None:
+        if incarnation != self._incarnation or not self.alive:
+            return
+        now = self._clock.now
+        _, start = self._running.pop(id(request))
+        meter = self._fleet.meters[request.pool]
+        meter.change_running(request.account, -1, now)
+        meter.finished += 1
+        dispatch = self.dispatches[request.pool]
+        started = time.thread_time()
+        dispatch.finish(start, now)
+        self._charge(started)
+        self.start_ready(request.pool)
+        if request.on_end is not None:
+            request.on_end()
+
+    # ---- the stream ------------------------------------------------------
+
+    def _connect(self) -> None:
+        if not self.alive or self.stream is not None or self._fleet.local_only:
+            return
+        leader = self._fleet.find_leader(self.name)
+        if leader is None:
+            self._clock.after(RECONNECT_S, self._connect)
+            return
+        self.stream = Stream(self, leader, self._clock.now)
+        self._send_report(full=True)
+
+    def drop_stream(self, stream: Stream) -> None:
+        """Take the end of a stream, and connect again."""
+        if self.stream is stream:
+            self.stream = None
+            self.attachment.is_attached = False
+            self._clock.after(RECONNECT_S, self._connect)
+
+    def wake(self) -> None:
+        """Have a report sent as soon as the spacing allows."""
+        if self.stream is None or self._urgent:
+            return
+        self._urgent = True
+        self._plan_send(self._sent_at + options.URGENT_SPACING_S)
+
+    def _plan_send(self, due: float) -> None:
+        self._send_number += 1
+        self._clock.at(due, self._send_due, self._send_number, self.stream)
+
+    def _send_due(self, number: int, stream: Stream) -> None:
+        if number != self._send_number or self.stream is not stream:
+            return
+        if self._clock.now - stream.heard_by_router > SILENCE_LIMIT_S:
+            stream.end_by_router()
+            self.drop_stream(stream)
+            return
+        self._send_report(full=False)
+
+    def _send_report(self, full: bool) -> None:
+        assert self.stream is not None
+        now = self._clock.now
+        self._urgent = False
+        self._sent_at = now
+        with self._fleet.costs.measure(self.name):
+            report = self.attachment.build_report(now, full)
+            data = report.SerializeToString()
+        self._fleet.costs.add_message(self.name, len(data))
+        self.stream.send_report(data)
+        self._plan_send(now + options.REPORT_INTERVAL_S)
+
+    def take_update(self, stream: Stream, data: bytes) -> None:
+        """Take a message of the lead controller."""
+        if self.stream is not stream or not self.alive:
+            return
+        now = self._clock.now
+        self._fleet.costs.add_message(self.name, len(data))
+        with self._fleet.costs.measure(self.name):
+            update = fleet_pb2.ControllerUpdate.FromString(data)
+            valid = self.attachment.take_update(update, now)
+        if not valid:
+            stream.end_by_router()
+            self.drop_stream(stream)
+            return
+        stream.heard_by_router = now
+        for pool in update.pools:
+            self.start_ready(pool.pool)
+
+    def announce(self, engine: Engine, pool: str) -> None:
+        """Take an upstream's heartbeat."""
+        if not self.alive:
+            return
+        worker = Worker(
+            name=engine.name,
+            address=f"http://10.0.0.{len(engine.name)}:8000",
+            availability_zone=engine.zone,
+            pool=pool,
+            slots=engine.slots,
+            leaving=engine.leaving_at is not None,
+            announced_at=self._clock.now,
+        )
+        if self.registry.announce(worker):
+            self.wake()
+        self.attachment.announce(worker.name)
+
+    # ---- lease and configuration -----------------------------------------
+
+    def _check_lease(self) -> None:
+        if not self.alive:
+            return
+        if self._fleet.local_only:
+            self._use_local_share()
+        elif not self.attachment.check_lease(self._clock.now):
+            return
+        for pool in self.dispatches:
+            self.start_ready(pool)
+
+    def _use_local_share(self) -> None:
+        """Divide the slots statically, for the baseline without control."""
+        for dispatch in self.dispatches.values():
+            if not dispatch.holding.is_fallback():
+                rank = self._fleet.routers.index(self)
+                dispatch.enter_fallback(rank, len(self._fleet.routers))
+
+    def _set_configuration(self, configuration: Configuration) -> None:
+        for dispatch in self.dispatches.values():
+            self._set_shares(dispatch)
+
+    def _set_shares(self, dispatch: Dispatch) -> None:
+        accounts = self._fleet.document["client_accounts"]
+        dispatch.set_shares(
+            {name: account["share"] for name, account in accounts.items()},
+            self._clock.now,
+        )
--- a/hornbeamyard/process/controller.py
+++ b/hornbeamyard/process/controller.py
@@ -251,14 +251,23 @@
         while True:
             with self._timers.limit(options.REPORT_INTERVAL_S):
                 await self._plan_wake.wait()
-            self._plan_wake = anyio.Event()
-            if self.replica.is_leader():
-                self._check_term()
-                now = self._timers.now()
-                self._expire_workers(now)
-                self._plan(now)
+            self.plan_all()
             await self._timers.sleep(options.PLAN_SPACING_S)
 
+    def needs_plan(self) -> bool:
+        """Return whether reports arrived since the last plan."""
+        return self._plan_wake.is_set()
+
+    def plan_all(self) -> None:
+        """Plan all pools and wake the routers whose allocation changed."""
+        self._plan_wake = anyio.Event()
+        if not self.replica.is_leader():
+            return
+        self._check_term()
+        now = self._timers.now()
+        self._expire_workers(now)
+        self._plan(now)
+
     def _plan(self, now: float) -> None:
         if now < self._grants_from:
             return
