Pass repeated announcements on by name only

Cause: each heartbeat of an upstream went to the lead controller whole, woke an urgent report, and from there went to every router: 12 upstreams and 9 routers made 108 announcements a second. Change: a heartbeat that changes nothing is one name in the next regular report, and the controller sends an upstream to routers only when it changed. While a router's lease holds, the controller decides which upstreams are gone.

--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -300,9 +300,9 @@
             leaving=engine.leaving_at is not None,
             announced_at=self._clock.now,
         )
-        if self.registry.announce(worker):
+        changed = self.registry.announce(worker)
+        if self.attachment.announce(worker.name, changed):
             self.wake()
-        self.attachment.announce(worker.name)
 
     # ---- lease and configuration -----------------------------------------
 
--- a/hornbeamyard/connection/attachment.py
+++ b/hornbeamyard/connection/attachment.py
@@ -54,7 +54,9 @@
         "_leaving",
         "_list_dispatches",
         "_on_configuration",
+        "_passed_on",
         "_registry",
+        "_renewed",
         "_routers",
         "_sequence",
         "configuration",
@@ -80,7 +82,11 @@
         self._list_dispatches = list_dispatches
         self._on_configuration = on_configuration
         self._allocations: dict[str, Allocation] = {}
+        # Upstreams to announce in the next report, and those that only
+        # repeated what was passed on over this stream.
         self._announced: set[str] = set()
+        self._renewed: set[str] = set()
+        self._passed_on: set[str] = set()
         self._document: dict[str, Any] = {}
         self._routers: list[str] = [host]
         self._lease_ends = 0.0
@@ -90,9 +96,26 @@
         self.epoch = 0
         self.is_attached = False
 
-    def announce(self, name: str) -> None:
-        """Have an upstream's announcement passed on."""
+    def announce(self, name: str, changed: bool) -> bool:
+        """Have an upstream's announcement passed on.
+
+        Parameters
+        ----------
+        name : str
+        changed : bool
+            Whether more than load and time differ from the last one.
+
+        Returns
+        -------
+        bool
+            Whether the whole announcement goes into the next report, not
+            only its name.
+        """
+        if not changed and name in self._passed_on:
+            self._renewed.add(name)
+            return False
         self._announced.add(name)
+        return True
 
     def leave(self) -> None:
         """Tell the lead controller in the next report that we stop."""
@@ -125,15 +148,24 @@
             message = self._report_pool(name, dispatch, now, full)
             if message.accounts or message.returns:
                 report.pools.append(message)
+        self._add_announcements(report, now)
+        return report
+
+    def _add_announcements(
+        self, report: fleet_pb2.RouterReport, now: float
+    ) -> None:
         names = self._announced
-        if full:
+        if report.full:
             names = {worker.name for worker in self._registry.list_workers()}
+            self._passed_on = set()
         for name in sorted(names):
             worker = self._registry.get(name)
             if worker is not None:
                 report.announcements.append(worker.to_message(now))
+                self._passed_on.add(name)
+        report.renewed.extend(sorted(self._renewed - names))
         self._announced = set()
-        return report
+        self._renewed = set()
 
     def _report_pool(
         self, name: str, dispatch: Dispatch, now: float, full: bool
@@ -170,6 +202,7 @@
         for message in update.workers:
             self._registry.announce(Worker.from_message(message, now))
         for name in update.workers_gone:
+            self._passed_on.discard(name)
             self._forget_worker(name)
         if update.HasField("configuration"):
             self._take_configuration(update.configuration)
@@ -203,6 +236,10 @@
 
     # ---- lease -----------------------------------------------------------
 
+    def holds_lease(self, now: float) -> bool:
+        """Return whether the lead controller's last word still holds."""
+        return now < self._lease_ends
+
     def check_lease(self, now: float) -> bool:
         """Enter the fallback once the lease has ended; return whether so."""
         if now < self._lease_ends or self._lease_ends == 0.0:
--- a/hornbeamyard/connection/session.py
+++ b/hornbeamyard/connection/session.py
@@ -101,10 +101,10 @@
         """Have a report sent soon."""
         self._wake.set()
 
-    def announce(self, name: str) -> None:
+    def announce(self, name: str, changed: bool) -> None:
         """Have an upstream's announcement passed on."""
-        self.attachment.announce(name)
-        self._wake.set()
+        if self.attachment.announce(name, changed):
+            self._wake.set()
 
     def leave(self) -> None:
         """Tell the lead controller that this router stops."""
--- a/hornbeamyard/pool/worker.py
+++ b/hornbeamyard/pool/worker.py
@@ -143,6 +143,12 @@
         self._workers[worker.name] = worker
         return not worker.is_same_service(known)
 
+    def renew(self, name: str, now: float) -> None:
+        """Take an announcement that repeats the known one."""
+        worker = self._workers.get(name)
+        if worker is not None:
+            worker.announced_at = max(worker.announced_at, now)
+
     def expire(self, now: float) -> list[Worker]:
         """Remove and return the upstreams whose lease has ended."""
         expired = [w for w in self._workers.values() if w.has_expired(now)]
--- a/hornbeamyard/process/controller.py
+++ b/hornbeamyard/process/controller.py
@@ -214,13 +214,14 @@
             worker = Worker.from_message(message, now)
             if worker.has_expired(now):
                 continue
-            changed = self.registry.announce(worker)
+            if not self.registry.announce(worker):
+                continue
             for router in self.routers.values():
                 router.workers.add(worker.name)
-                if changed:
-                    router.wake.set()
-            if changed:
-                self._put_worker(worker)
+                router.wake.set()
+            self._put_worker(worker)
+        for name in report.renewed:
+            self.registry.renew(name, now)
 
     def _put_worker(self, worker: Worker) -> None:
         self._get_schedule(worker.pool).set_worker(
--- a/hornbeamyard/process/router.py
+++ b/hornbeamyard/process/router.py
@@ -103,8 +103,8 @@
 
     def announce(self, worker: Worker) -> None:
         """Take an upstream's announcement and pass it on."""
-        self.registry.announce(worker)
-        self.session.announce(worker.name)
+        changed = self.registry.announce(worker)
+        self.session.announce(worker.name, changed)
 
     def get_connections(self, address: str) -> httpcore.AsyncConnectionPool:
         """Return the connections to an upstream's address."""
@@ -134,6 +134,11 @@
     async def _expire_upstreams(self) -> None:
         interval = options.REPORT_INTERVAL_S
         async for now in self._timers.subscribe(interval):
+            if self.session.attachment.holds_lease(now):
+                # The lead controller tells which upstreams are gone.
+                for worker in self.registry.list_workers():
+                    self.registry.renew(worker.name, now)
+                continue
             for worker in self.registry.expire(now):
                 dispatch = self.find_admission(worker.pool).dispatch
                 dispatch.holding.forget(worker.name)
