Split the schedule into division, placement and allocation

Change: division.py and placement.py hold the two halves of the decision as plain functions; 14 halvings, and the rest is handed out one by one. Limits now start from the previous limits, not from the running requests.

--- a/hornbeamyard/connection/attachment.py
+++ b/hornbeamyard/connection/attachment.py
@@ -13,8 +13,8 @@
 from result import Err
 
 from ..messages import fleet_pb2
+from ..pool.allocation import Allocation
 from ..pool.dispatch import Dispatch
-from ..pool.schedule import Allocation
 from ..pool.worker import Registry, Worker
 from ..version.configuration import Configuration
 from ..version.state import parse_delta
--- a/hornbeamyard/connection/codec.py
+++ b/hornbeamyard/connection/codec.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 
 from ..messages import fleet_pb2
-from ..pool.schedule import Allocation, Demand, Limit
+from ..pool.allocation import Allocation, Demand, Limit
 
 
 def encode_report(
--- a/hornbeamyard/pool/dispatch.py
+++ b/hornbeamyard/pool/dispatch.py
@@ -8,9 +8,9 @@
 from result import Err, Ok, Result
 
 from . import options
+from .allocation import Allocation, Demand, Limit
 from .backlog import Backlog, QueueBounds, QueueFull, Ticket
 from .holding import Holding
-from .schedule import Allocation, Demand, Limit
 from .worker import Registry, WorkerChoice
 
 # Weight of the newest cost in the running mean of an account's costs.
--- /dev/null
+++ b/hornbeamyard/pool/division.py
@@ -0,0 +1,122 @@
+"""Division of a pool's slots between client accounts."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from . import options
+
+# Halvings of the range of levels. The few slots that are left then are
+# handed out one by one.
+_LEVEL_STEPS = 14
+
+
+@dataclass(slots=True)
+class Contender:
+    """An account that wants slots.
+
+    Attributes
+    ----------
+    tag : float
+        Normalised service in seconds.
+    share : float
+    demand : int
+        Requests that wait or run.
+    floor : int
+        Slots that it gets before others, for its priority path.
+    previous : int
+        Slots that it was entitled to before.
+    """
+
+    tag: float
+    share: float
+    demand: int
+    floor: int = 0
+    previous: int = 0
+
+
+def divide_slots(
+    contenders: Mapping[str, Contender], total: int, horizon_s: float
+) -> dict[str, int]:
+    """Return for each account the number of slots it is entitled to.
+
+    Slots go one by one to the account with the lowest
+    `tag + n * horizon / share`, where `n` counts the slots that it got, but
+    no account gets more than its demand. This is computed by filling all
+    accounts to one level, and handing out what rounding leaves.
+
+    Parameters
+    ----------
+    contenders : mapping of str to Contender
+    total : int
+        Slots of the pool.
+    horizon_s : float
+        Time in which a lag in service is made up, in seconds.
+    """
+    floors = {name: c.floor for name, c in contenders.items()}
+    if not contenders or sum(floors.values()) >= total:
+        return floors
+    level = _find_level(contenders, total, horizon_s)
+    entitled = {
+        name: _count_at(contender, level, horizon_s)
+        for name, contender in contenders.items()
+    }
+    _hand_out_rest(entitled, contenders, total, horizon_s)
+    return entitled
+
+
+def _count_at(contender: Contender, level: float, horizon_s: float) -> int:
+    wanted = int((level - contender.tag) * contender.share / horizon_s)
+    return max(contender.floor, min(contender.demand, wanted))
+
+
+def _find_level(
+    contenders: Mapping[str, Contender], total: int, horizon_s: float
+) -> float:
+    """Return a level at which at most `total` slots are taken."""
+    values = contenders.values()
+    low = min(c.tag for c in values)
+    # The lowest account alone would take all slots at the upper end.
+    high = low + horizon_s * (total + 1) / min(c.share for c in values)
+    for _ in range(_LEVEL_STEPS):
+        middle = (low + high) / 2
+        taken = 0
+        for contender in values:
+            taken += _count_at(contender, middle, horizon_s)
+        if taken > total:
+            high = middle
+        else:
+            low = middle
+    return low
+
+
+def _hand_out_rest(
+    entitled: dict[str, int],
+    contenders: Mapping[str, Contender],
+    total: int,
+    horizon_s: float,
+) -> None:
+    """Give the slots left by rounding to the lowest tags."""
+
+    def compute_key(name: str) -> float:
+        contender = contenders[name]
+        key = contender.tag + entitled[name] * horizon_s / contender.share
+        if entitled[name] < contender.previous:
+            key -= options.STICKINESS_S
+        return key
+
+    heap = [
+        (compute_key(name), name)
+        for name, contender in contenders.items()
+        if entitled[name] < contender.demand
+    ]
+    heapq.heapify(heap)
+    left = total - sum(entitled.values())
+    while left > 0 and heap:
+        _, name = heapq.heappop(heap)
+        entitled[name] += 1
+        left -= 1
+        if entitled[name] < contenders[name].demand:
+            heapq.heappush(heap, (compute_key(name), name))
--- a/hornbeamyard/pool/holding.py
+++ b/hornbeamyard/pool/holding.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from .schedule import Allocation
+from .allocation import Allocation
 from .worker import Worker
 
 
--- a/hornbeamyard/pool/schedule.py
+++ b/hornbeamyard/pool/schedule.py
@@ -11,79 +11,13 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from . import options
-
-_LEVEL_STEPS = 60
-
-
-@dataclass(slots=True)
-class Demand:
-    """What a router reported for one client account.
-
-    Attributes
-    ----------
-    waiting, waiting_priority : int
-        Requests that wait; the second counts those on the priority path and
-        is part of the first.
-    running : int
-        Requests that occupy a slot.
-    service_s : float
-        Slot seconds since the start of the router.
-    finished : int
-        Requests finished since the start of the router.
-    largest_s : float
-        Largest cost of a finished request in slot seconds.
-    """
-
-    waiting: int = 0
-    waiting_priority: int = 0
-    running: int = 0
-    service_s: float = 0.0
-    finished: int = 0
-    largest_s: float = 0.0
-
-
-@dataclass(slots=True)
-class Limit:
-    """How many requests of an account a router may run at the same time.
-
-    Attributes
-    ----------
-    limit : int
-    lag_s : float
-        Normalised service of the account above the lowest one, in seconds.
-    """
-
-    limit: int
-    lag_s: float
-
-
-@dataclass(slots=True)
-class Allocation:
-    """What a router may use: slots, and limits while contended.
-
-    Attributes
-    ----------
-    granted : dict of str to int
-        For each worker the slots granted since the router attached.
-    closed : set of str
-        Workers that take no new requests.
-    hold : int
-        Slots that the router should hold; it returns the excess when idle.
-    contended : bool
-        Whether `limits` apply.
-    limits : dict of str to Limit
-    """
-
-    granted: dict[str, int] = field(default_factory=dict)
-    closed: set[str] = field(default_factory=set)
-    hold: int = 0
-    contended: bool = False
-    limits: dict[str, Limit] = field(default_factory=dict)
+from .allocation import Allocation, Demand, Limit
+from .division import Contender, divide_slots
+from .placement import Place, place_slots, spread_idle_slots
 
 
 @dataclass(slots=True)
@@ -110,6 +44,8 @@
     # Sum over routers of running requests times the time of their report.
     running_since: float = 0.0
     backlogged: bool = False
+    # Slots of the last division.
+    entitled: int = 0
 
     def compute_tag(self, now: float) -> float:
         accrued = self.running * now - self.running_since
@@ -141,6 +77,7 @@
     reported: dict[str, _Reported] = field(default_factory=dict)
     granted: dict[str, int] = field(default_factory=dict)
     returned: dict[str, int] = field(default_factory=dict)
+    limits: dict[str, int] = field(default_factory=dict)
     sent: Allocation | None = None
     lost_at: float | None = None
 
@@ -150,10 +87,6 @@
     def count_all_held(self) -> int:
         return sum(self.granted.values()) - sum(self.returned.values())
 
-    def get_demand(self, account: str) -> Demand:
-        reported = self.reported.get(account)
-        return reported.demand if reported is not None else Demand()
-
     def count_demand(self) -> int:
         return sum(
             reported.demand.waiting + reported.demand.running
@@ -358,6 +291,7 @@
         lags = self._compute_lags(now)
         changed = {}
         for name, router in self._routers.items():
+            router.limits = limits[name]
             allocation = Allocation(
                 granted=dict(router.granted),
                 closed={
@@ -468,219 +402,66 @@
         )
 
     def _divide_slots(self, now: float) -> dict[str, int]:
-        """Return for each account the number of slots it is entitled to.
-
-        Every account is filled to the same level of its tag plus the
-        service that its slots give within the horizon, but to no more than
-        its demand.
-        """
-        horizon = self._compute_horizon()
-        accounts = {
-            name: account
+        """Return for each account the number of slots it is entitled to."""
+        contenders = {
+            name: Contender(
+                account.compute_tag(now),
+                account.share,
+                account.count_demand(),
+                previous=account.entitled,
+            )
             for name, account in self._accounts.items()
             if account.count_demand() > 0
         }
-        tags = {n: a.compute_tag(now) for n, a in accounts.items()}
-        floors = self._reserve_priority(accounts, tags)
         total = self.count_slots()
-        free = total - sum(floors.values())
-
-        def count_at(name: str, level: float) -> float:
-            account = accounts[name]
-            wanted = (level - tags[name]) * account.share / horizon
-            ceiling = float(account.count_demand())
-            return max(float(floors[name]), min(ceiling, wanted))
-
-        low = min(tags.values())
-        high = max(tags.values()) + horizon * total / min(
-            account.share for account in accounts.values()
-        )
-        if free <= 0:
-            return floors
-        for _ in range(_LEVEL_STEPS):
-            middle = (low + high) / 2
-            if sum(count_at(name, middle) for name in accounts) > total:
-                high = middle
-            else:
-                low = middle
-        entitled = {name: int(count_at(name, low)) for name in accounts}
-        self._hand_out_rest(entitled, accounts, tags, horizon, total)
+        self._reserve_priority(contenders, total)
+        entitled = divide_slots(contenders, total, self._compute_horizon())
+        for name, account in self._accounts.items():
+            account.entitled = entitled.get(name, 0)
         return entitled
 
     def _reserve_priority(
-        self, accounts: Mapping[str, _Account], tags: Mapping[str, float]
-    ) -> dict[str, int]:
-        """Return the slots set apart for waiting priority requests."""
-        floors = dict.fromkeys(accounts, 0)
-        left = self.count_slots()
+        self, contenders: Mapping[str, Contender], total: int
+    ) -> None:
+        """Set slots apart for waiting priority requests."""
         lowest = min(
-            (tags[n] for n, a in accounts.items() if a.waiting > 0),
+            (
+                contender.tag
+                for name, contender in contenders.items()
+                if self._accounts[name].waiting > 0
+            ),
             default=0.0,
         )
-        for name in sorted(accounts, key=lambda n: tags[n]):
-            account = accounts[name]
+        left = total
+        for name in sorted(contenders, key=lambda n: contenders[n].tag):
+            account = self._accounts[name]
             if account.waiting_priority == 0:
                 continue
-            if tags[name] > lowest + options.PRIORITY_LEAD_S:
+            if contenders[name].tag > lowest + options.PRIORITY_LEAD_S:
                 continue
             wanted = account.running + account.waiting_priority
-            floors[name] = min(wanted, left)
-            left -= floors[name]
-        return floors
-
-    def _hand_out_rest(
-        self,
-        entitled: dict[str, int],
-        accounts: Mapping[str, _Account],
-        tags: Mapping[str, float],
-        horizon: float,
-        total: int,
-    ) -> None:
-        """Give the slots left by rounding to the lowest tags."""
-
-        def compute_key(name: str) -> float:
-            account = accounts[name]
-            key = tags[name] + entitled[name] * horizon / account.share
-            if entitled[name] < account.running:
-                key -= options.STICKINESS_S
-            return key
-
-        heap = [
-            (compute_key(name), name)
-            for name, account in accounts.items()
-            if entitled[name] < account.count_demand()
-        ]
-        heapq.heapify(heap)
-        left = total - sum(entitled.values())
-        while left > 0 and heap:
-            _, name = heapq.heappop(heap)
-            entitled[name] += 1
-            left -= 1
-            if entitled[name] < accounts[name].count_demand():
-                heapq.heappush(heap, (compute_key(name), name))
+            contenders[name].floor = min(wanted, left)
+            left -= contenders[name].floor
 
     def _place_slots(
         self, entitled: Mapping[str, int]
     ) -> dict[str, dict[str, int]]:
-        """Divide each account's slots between the routers.
-
-        Slots are taken from where another account waits for them and given
-        to where they are free, so that few slots move between routers.
-        """
-        limits: dict[str, dict[str, int]] = {
-            name: {
-                account: reported.demand.running
-                for account, reported in router.reported.items()
-                if reported.demand.running or reported.demand.waiting
-            }
-            for name, router in self._routers.items()
-        }
-        grow = {
-            name: entitled[name] - self._accounts[name].running
-            for name in entitled
-        }
-        self._shrink_limits(limits, grow)
-        surplus = {
-            name: router.count_all_held() - sum(limits[name].values())
-            for name, router in self._routers.items()
-        }
-        for account in sorted(
-            (name for name in grow if grow[name] > 0),
-            key=lambda name: -self._accounts[name].waiting_priority,
-        ):
-            self._grow_limits(account, grow[account], limits, surplus)
-        return limits
-
-    def _shrink_limits(
-        self, limits: dict[str, dict[str, int]], grow: Mapping[str, int]
-    ) -> None:
-        wanted = {
-            name: sum(
-                min(grow[account], reported.demand.waiting)
-                for account, reported in router.reported.items()
-                if grow.get(account, 0) > 0
+        places = {
+            name: Place(
+                {a: r.demand for a, r in router.reported.items()},
+                router.limits,
+                router.count_all_held(),
             )
             for name, router in self._routers.items()
         }
-        for account, count in grow.items():
-            if count >= 0:
-                continue
-            heap = [
-                (-min(wanted[name], 1), -limits[name][account], name)
-                for name in limits
-                if limits[name].get(account, 0) > 0
-            ]
-            heapq.heapify(heap)
-            for _ in range(-count):
-                if not heap:
-                    break
-                _, _, name = heapq.heappop(heap)
-                limits[name][account] -= 1
-                wanted[name] -= 1
-                if limits[name][account] > 0:
-                    heapq.heappush(
-                        heap,
-                        (
-                            -min(max(wanted[name], 0), 1),
-                            -limits[name][account],
-                            name,
-                        ),
-                    )
-
-    def _grow_limits(
-        self,
-        account: str,
-        count: int,
-        limits: dict[str, dict[str, int]],
-        surplus: dict[str, int],
-    ) -> None:
-        waiting = {
-            name: router.get_demand(account).waiting
-            for name, router in self._routers.items()
-        }
-        heap = [
-            (-min(surplus[name], 1), -waiting[name], name)
-            for name in limits
-            if waiting[name] > 0
-        ]
-        heapq.heapify(heap)
-        for _ in range(count):
-            if not heap:
-                break
-            _, _, name = heapq.heappop(heap)
-            limits[name][account] = limits[name].get(account, 0) + 1
-            waiting[name] -= 1
-            surplus[name] -= 1
-            if waiting[name] > 0:
-                heapq.heappush(
-                    heap, (-min(surplus[name], 1), -waiting[name], name)
-                )
+        return place_slots(entitled, places)
 
     def _spread_idle_slots(self) -> dict[str, int]:
-        """Return the slots each router should hold without contention."""
-        needs = {
-            name: router.count_demand()
-            for name, router in self._routers.items()
-        }
-        if not needs:
-            return {}
-        total = self.count_slots()
-        idle = max(0, total - sum(needs.values()))
-        kept = idle // options.RESERVE_DIVISOR
-        each, rest = divmod(kept, len(needs))
-        holds = {}
-        for rank, name in enumerate(sorted(needs)):
-            holds[name] = needs[name] + each + (1 if rank < rest else 0)
-        held = {
-            name: router.count_all_held()
-            for name, router in self._routers.items()
-        }
-        unassigned = total - sum(held.values())
-        short = sum(max(0, holds[name] - held[name]) for name in needs)
-        if unassigned >= short:
-            # No router is short of slots, so idle ones stay where they are.
-            return {name: max(holds[name], held[name]) for name in needs}
-        return holds
+        return spread_idle_slots(
+            {n: r.count_demand() for n, r in self._routers.items()},
+            {n: r.count_all_held() for n, r in self._routers.items()},
+            self.count_slots(),
+        )
 
     def _grant_slots(self, holds: Mapping[str, int]) -> None:
         """Grant free slots to routers that hold fewer than they should."""
--- a/hornbeamyard/process/controller.py
+++ b/hornbeamyard/process/controller.py
@@ -11,7 +11,8 @@
 from ..connection import codec
 from ..messages import fleet_pb2
 from ..pool import options
-from ..pool.schedule import Allocation, Schedule
+from ..pool.allocation import Allocation
+from ..pool.schedule import Schedule
 from ..pool.worker import Registry, Worker
 from ..version.replica import Replica
 from ..version.state import dump_document
