Plan a pool when a router has something urgent, and tell routers what counts

Cause: of 41 urgent reports a second, 36 came from the uncontended service pool, which changed between contended and not because the sum of reported demands adds up moments of high demand; every report planned every pool. Ruled out: the sum of demands with hysteresis over 1.5 s (the service pool stayed contended half the time, utilisation 0.856). Change: a pool is contended when a router is short with no free slot for 1.2 s; holds without contention follow the mean use; reports say for each pool whether they are urgent; where slots come free faster than messages are sent, reports hold the fewest waiting and the mean running requests; an account whose service follows from its last report is left out.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -172,7 +172,7 @@
         self._planned_at = self.fleet.clock.now
         started = time.thread_time()
         with self.fleet.costs.measure(self.host):
-            self.controller.plan_all()
+            self.controller.plan_due()
         self.fleet.costs.plans_s.append(time.thread_time() - started)
         self._flush()
 
--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -166,7 +166,7 @@
                 break
             self._send(start)
         started = time.thread_time()
-        urgent = dispatch.is_urgent()
+        urgent = dispatch.is_urgent(now)
         self._charge(started)
         if urgent:
             self.wake()
--- a/hornbeamyard/connection/attachment.py
+++ b/hornbeamyard/connection/attachment.py
@@ -146,7 +146,7 @@
             self._allocations = {}
         for name, dispatch in self._list_dispatches().items():
             message = self._report_pool(name, dispatch, now, full)
-            if message.accounts or message.returns:
+            if message.accounts or message.returns or message.urgent:
                 report.pools.append(message)
         self._add_announcements(report, now)
         return report
@@ -171,8 +171,9 @@
         self, name: str, dispatch: Dispatch, now: float, full: bool
     ) -> fleet_pb2.PoolReport:
         if not full:
+            urgent = dispatch.is_urgent(now)
             demands, slots = dispatch.collect_report(now, full=False)
-            return codec.encode_report(name, demands, slots, {})
+            return codec.encode_report(name, demands, slots, {}, urgent)
         held = dispatch.holding.restart(keep_idle=now < self._lease_ends)
         demands, _ = dispatch.collect_report(now, full=True)
         message = codec.encode_report(
--- a/hornbeamyard/connection/codec.py
+++ b/hornbeamyard/connection/codec.py
@@ -16,10 +16,12 @@
     demands: Mapping[str, Demand],
     slots: Mapping[str, tuple[int, int]],
     lags: Mapping[str, float],
+    urgent: bool = False,
 ) -> fleet_pb2.PoolReport:
     """Return a router's report on one pool as a message."""
     return fleet_pb2.PoolReport(
         pool=pool,
+        urgent=urgent,
         accounts=[
             fleet_pb2.AccountDemand(
                 client_account=name,
@@ -82,6 +84,7 @@
         pool=pool,
         contended=allocation.contended,
         hold=allocation.hold,
+        recalled=allocation.recalled,
         grants=grants,
         limits=[
             fleet_pb2.AccountLimit(
@@ -106,6 +109,7 @@
         granted=dict(allocation.granted),
         closed=set(allocation.closed),
         hold=message.hold,
+        recalled=message.recalled,
         contended=message.contended,
         limits=dict(allocation.limits),
     )
--- a/hornbeamyard/pool/admission.py
+++ b/hornbeamyard/pool/admission.py
@@ -108,7 +108,7 @@
             waiting = self._waiting[id(start.ticket)]
             waiting.start = start
             waiting.settled.set()
-        if self.dispatch.is_urgent():
+        if self.dispatch.is_urgent(self._timers.now()):
             self._on_urgent()
 
     def give_up_all(self, reason: str) -> None:
--- a/hornbeamyard/pool/allocation.py
+++ b/hornbeamyard/pool/allocation.py
@@ -63,6 +63,8 @@
         Workers that take no new requests.
     hold : int
         Slots that the router should hold; it returns the excess when idle.
+    recalled : bool
+        Whether other routers wait for the excess.
     contended : bool
         Whether `limits` apply.
     limits : dict of str to Limit
@@ -71,5 +73,6 @@
     granted: dict[str, int] = field(default_factory=dict)
     closed: set[str] = field(default_factory=set)
     hold: int = 0
+    recalled: bool = False
     contended: bool = False
     limits: dict[str, Limit] = field(default_factory=dict)
--- a/hornbeamyard/pool/dispatch.py
+++ b/hornbeamyard/pool/dispatch.py
@@ -59,6 +59,11 @@
     lag_base: float = 0.0
     lag_s: float = 0.0
     backlogged: bool = False
+    # Fewest waiting requests since the last report, and the service and the
+    # time of that report.
+    least_waiting: int = 0
+    reported_service_s: float = 0.0
+    reported_at: float | None = None
     # Times between the ends of requests, as a running mean.
     mean_gap_s: float | None = None
     last_end_at: float | None = None
@@ -93,7 +98,10 @@
     __slots__ = (
         "_accounts",
         "_contended",
+        "_last_end_at",
+        "_least_idle",
         "_limits",
+        "_mean_gap_s",
         "_registry",
         "_reported",
         "_reported_slots",
@@ -118,6 +126,11 @@
         self._accounts: dict[str, _Account] = {}
         self._contended = False
         self._limits: dict[str, Limit] = {}
+        # Ends of requests of all accounts, and idle slots since the last
+        # report; they tell whether slots come free sooner than a message.
+        self._last_end_at: float | None = None
+        self._mean_gap_s: float | None = None
+        self._least_idle = 0
         self._reported: dict[str, Demand] = {}
         self._reported_slots: dict[str, tuple[int, int]] = {}
 
@@ -148,7 +161,9 @@
 
     def start_next(self, now: float) -> Start | None:
         """Give an idle slot to the next request, if both are there."""
-        if not len(self.backlog) or self.holding.count_idle() <= 0:
+        idle = self.holding.count_idle()
+        if not len(self.backlog) or idle <= 0:
+            self._least_idle = min(self._least_idle, idle)
             return None
         for name in self._order_accounts(now):
             ticket = self.backlog.pop(name)
@@ -159,7 +174,9 @@
             account = self._accounts[name]
             account.running += 1
             account.started_sum += now
-            account.backlogged = self.backlog.count_waiting(name) > 0
+            left = self.backlog.count_waiting(name)
+            account.backlogged = left > 0
+            account.least_waiting = min(account.least_waiting, left)
             self.holding.take(worker)
             return Start(ticket, worker, now)
         return None
@@ -178,6 +195,10 @@
             gap = now - account.last_end_at
             account.mean_gap_s = _blend(account.mean_gap_s, gap)
         account.last_end_at = now
+        if self._last_end_at is not None:
+            gap = now - self._last_end_at
+            self._mean_gap_s = _blend(self._mean_gap_s, gap)
+        self._last_end_at = now
         self.holding.release(start.worker)
 
     def estimate_wait(self, client_account: str) -> float:
@@ -227,16 +248,31 @@
         self._limits = {}
         self.holding.enter_fallback(workers, rank, routers)
 
-    def is_urgent(self) -> bool:
-        """Return whether the lead controller should hear from us at once."""
+    def is_urgent(self, now: float) -> bool:
+        """Return whether the lead controller should hear from us at once.
+
+        It should when a slot is idle that another router may use, or when a
+        request waits that it doesn't know of and that no slot of this
+        router will soon take.
+        """
         if self.holding.is_fallback():
             return False
-        if self.holding.is_over() and self.holding.count_idle() > 0:
+        if self._has_unknown_priority():
             return True
-        waits = len(self.backlog) > 0
-        if waits and self._contended:
-            return self.holding.count_idle() > 0 or self._has_unknown_demand()
-        return waits
+        if self._contended and self.holding.is_over():
+            return self.holding.count_idle() > 0
+        if self.drains_fast(now):
+            return False
+        if self.holding.count_idle() == 0:
+            return self._has_unknown_demand()
+        return self._contended or self.holding.is_recalled()
+
+    def drains_fast(self, now: float) -> bool:
+        """Return whether slots come free sooner than a message is sent."""
+        if self._mean_gap_s is None or self._last_end_at is None:
+            return False
+        gap = max(self._mean_gap_s, now - self._last_end_at)
+        return gap < options.URGENT_SPACING_S
 
     def collect_report(
         self, now: float, full: bool
@@ -256,19 +292,16 @@
         slots : dict of str to (int, int)
             For each worker the slots returned, cumulative, and running.
         """
-        self._return_slots()
+        self._return_slots(now)
+        is_fast = self.drains_fast(now) and not full
         demands = {}
         for name, account in self._accounts.items():
-            demand = Demand(
-                waiting=self.backlog.count_waiting(name),
-                waiting_priority=self.backlog.count_waiting_priority(name),
-                running=account.running,
-                service_s=account.compute_service(now),
-                finished=account.finished,
-                largest_s=account.largest_s,
-            )
-            if full or demand != self._reported.get(name):
+            demand = self._measure_demand(name, account, now, is_fast)
+            if full or self._has_news(name, account, demand, now):
                 demands[name] = demand
+                account.reported_at = now
+                account.reported_service_s = demand.service_s
+            account.least_waiting = self.backlog.count_waiting(name)
         self._reported.update(demands)
         slots = {
             name: counts
@@ -337,6 +370,51 @@
             )
         return sorted(eligible, key=lambda name: keys[name])
 
+    def _measure_demand(
+        self, name: str, account: _Account, now: float, is_fast: bool
+    ) -> Demand:
+        """Return an account's demand.
+
+        Where slots come free faster than messages are sent, the counts of
+        this moment are wrong in the next. The fewest waiting requests and
+        the mean of the running ones since the last report are then sent.
+        """
+        demand = Demand(
+            waiting=self.backlog.count_waiting(name),
+            waiting_priority=self.backlog.count_waiting_priority(name),
+            running=account.running,
+            service_s=account.compute_service(now),
+            finished=account.finished,
+            largest_s=account.largest_s,
+        )
+        if is_fast and account.reported_at is not None:
+            span = now - account.reported_at
+            gained = demand.service_s - account.reported_service_s
+            if span > options.URGENT_SPACING_S:
+                demand.running = round(gained / span)
+            demand.waiting = max(
+                account.least_waiting, demand.waiting_priority
+            )
+        return demand
+
+    def _has_news(
+        self, name: str, account: _Account, demand: Demand, now: float
+    ) -> bool:
+        """Return whether the lead controller can't derive a demand."""
+        reported = self._reported.get(name)
+        if reported is None or account.reported_at is None:
+            return demand.count() > 0 or demand.finished > 0
+        if (
+            demand.waiting != reported.waiting
+            or demand.waiting_priority != reported.waiting_priority
+            or demand.running != reported.running
+            or demand.finished != reported.finished
+        ):
+            return True
+        accrued = reported.running * (now - account.reported_at)
+        error = demand.service_s - reported.service_s - accrued
+        return abs(error) > options.SERVICE_ERROR_S
+
     def _is_below_limit(self, name: str) -> bool:
         if not self._contended:
             return True
@@ -355,12 +433,21 @@
         )
 
     def _has_unknown_demand(self) -> bool:
+        """Return whether an account waits that the last report left out."""
         for name in self.backlog.list_accounts():
             reported = self._reported.get(name)
-            if reported is None or reported.waiting == 0:
+            if reported is not None and reported.waiting > 0:
+                continue
+            if not self._contended or self._accounts[name].running == 0:
                 return True
-            urgent = self.backlog.count_waiting_priority(name)
-            if urgent > 0 and reported.waiting_priority == 0:
+        return False
+
+    def _has_unknown_priority(self) -> bool:
+        for name in self.backlog.list_accounts():
+            if self.backlog.count_waiting_priority(name) == 0:
+                continue
+            reported = self._reported.get(name)
+            if reported is None or reported.waiting_priority == 0:
                 return True
         return False
 
@@ -372,15 +459,18 @@
                 candidates.append((worker, used))
         return self.choice.choose(candidates, ticket.avoid, ticket.prefix, now)
 
-    def _return_slots(self) -> None:
-        wanted = sum(
-            self.backlog.count_waiting(name)
-            for name in self.backlog.list_accounts()
-            if self._is_below_limit(name)
-        )
-        self.holding.return_excess(keep=0)
-        if self._contended and wanted == 0:
-            self.holding.return_idle()
+    def _return_slots(self, now: float) -> None:
+        """Return slots that are idle and should be elsewhere."""
+        self.holding.return_excess()
+        idle = self.holding.count_idle()
+        if self._contended:
+            # Where slots come free fast, one that is idle at this moment is
+            # likely to be used in the next.
+            unused = idle
+            if self.drains_fast(now):
+                unused = min(idle, self._least_idle)
+            self.holding.return_idle(unused)
+        self._least_idle = self.holding.count_idle()
 
 
 def _blend(mean: float | None, value: float) -> float:
--- a/hornbeamyard/pool/holding.py
+++ b/hornbeamyard/pool/holding.py
@@ -31,11 +31,12 @@
     controller can't be reached, the router uses its fallback share.
     """
 
-    __slots__ = ("_fallback", "_hold", "_slots")
+    __slots__ = ("_fallback", "_hold", "_recalled", "_slots")
 
     def __init__(self) -> None:
         self._slots: dict[str, _Held] = {}
         self._hold = 0
+        self._recalled = False
         self._fallback: dict[str, int] | None = None
 
     # ---- allocations -----------------------------------------------------
@@ -44,6 +45,7 @@
         """Take the slots of an allocation; it ends the fallback."""
         self._fallback = None
         self._hold = allocation.hold
+        self._recalled = allocation.recalled
         for name, granted in allocation.granted.items():
             held = self._slots.setdefault(name, _Held())
             held.granted = max(held.granted, granted)
@@ -94,13 +96,10 @@
         """Return whether the fallback share is in use."""
         return self._fallback is not None
 
-    def return_excess(self, keep: int) -> int:
+    def return_excess(self) -> int:
         """Return idle slots beyond what the router should hold.
 
-        Parameters
-        ----------
-        keep : int
-            Idle slots that the router will use at once.
+        Idle slots of closed workers are returned too.
 
         Returns
         -------
@@ -109,32 +108,26 @@
         """
         if self._fallback is not None:
             return 0
-        excess = self.count_held() - self._hold
         returned = 0
         for held in self._slots.values():
             if held.closed:
                 idle = held.count_held() - held.running
                 held.returned += idle
                 returned += idle
-        excess -= returned
-        for held in self._slots.values():
-            count = min(excess, held.count_idle(), self.count_idle() - keep)
-            if count > 0:
-                held.returned += count
-                excess -= count
-                returned += count
-        return returned
+        excess = self.count_held() - self._hold
+        return returned + self.return_idle(excess)
 
-    def return_idle(self) -> int:
-        """Return all idle slots; return their number."""
+    def return_idle(self, most: int) -> int:
+        """Return at most `most` idle slots; return their number."""
         if self._fallback is not None:
             return 0
-        returned = 0
+        left = most
         for held in self._slots.values():
-            idle = held.count_held() - held.running
-            held.returned += idle
-            returned += idle
-        return returned
+            count = min(left, held.count_idle())
+            if count > 0:
+                held.returned += count
+                left -= count
+        return max(0, most) - max(0, left)
 
     # ---- use -------------------------------------------------------------
 
@@ -194,6 +187,10 @@
         """Return whether more slots are held than should be."""
         return self._fallback is None and self.count_held() > self._hold
 
+    def is_recalled(self) -> bool:
+        """Return whether the excess is needed elsewhere at once."""
+        return self._recalled and self.is_over()
+
     def list_returned(self) -> dict[str, tuple[int, int]]:
         """Return for each worker the slots returned and running."""
         return {
--- a/hornbeamyard/pool/options.py
+++ b/hornbeamyard/pool/options.py
@@ -14,6 +14,19 @@
 # Bounds of the horizon over which a lag in service is made up.
 SHORTEST_HORIZON_S = 1.0
 LONGEST_HORIZON_S = 30.0
+# A report leaves out an account whose service differs by at most this much
+# from what follows from its last report.
+SERVICE_ERROR_S = 0.005
+# A pool becomes contended when a router is short of slots and none is free
+# for `SHORTAGE_S`, longer than a control interval, in which every router
+# returns the slots that it needed for a moment only. A demand of
+# `SURE_CONTENTION` times the slots counts at once. The pool ceases to be
+# contended when slots are free for `CONTENTION_S`.
+SHORTAGE_S = 1.2
+SURE_CONTENTION = 1.5
+CONTENTION_S = 1.5
+# Time over which a router's use of slots is averaged.
+USAGE_WINDOW_S = 5.0
 # An account's service may exceed the lowest one by at most this much.
 DEBT_LIMIT_S = 30.0
 # An account ahead of the lowest tag by less than this gets slots for its
@@ -26,9 +39,9 @@
 # An account keeps a slot until another one lags by more than this, because
 # moving a slot between routers leaves it idle for a round trip.
 STICKINESS_S = 0.2
-# Of the idle slots of a pool without contention, one part in this many is
-# left with the controller for routers that run out.
-RESERVE_DIVISOR = 2
+# Of the idle slots of a pool without contention, routers keep one part in
+# this many; the controller keeps the rest for routers that run out.
+RESERVE_DIVISOR = 3
 # Lags are sent to routers in steps of this size, so that small changes cost
 # no message.
 LAG_STEP_S = 0.25
--- a/hornbeamyard/pool/placement.py
+++ b/hornbeamyard/pool/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
@@ -157,30 +158,23 @@
 
 
 def spread_idle_slots(
-    needs: Mapping[str, int], held: Mapping[str, int], total: int
+    usage: Mapping[str, float], total: int
 ) -> dict[str, int]:
-    """Return the slots each router should hold without contention.
+    """Return the slots each router may keep idle without contention.
+
+    It follows from the mean use, because a hold that follows each moment
+    makes routers return slots that they ask for again at once. Most idle
+    slots stay with the controller for routers that run out.
 
     Parameters
     ----------
-    needs : mapping of str to int
-        Requests that wait or run at each router.
-    held : mapping of str to int
-        Slots that each router holds.
+    usage : mapping of str to float
+        Mean number of slots that each router uses.
     total : int
         Slots of the pool.
     """
-    if not needs:
+    if not usage:
         return {}
-    idle = max(0, total - sum(needs.values()))
-    each, rest = divmod(idle // options.RESERVE_DIVISOR, len(needs))
-    holds = {
-        name: needs[name] + each + (1 if rank < rest else 0)
-        for rank, name in enumerate(sorted(needs))
-    }
-    unassigned = total - sum(held.values())
-    short = sum(max(0, holds[name] - held[name]) for name in needs)
-    if unassigned >= short:
-        # No router is short of slots, so idle ones stay where they are.
-        return {name: max(holds[name], held[name]) for name in needs}
-    return holds
+    idle = max(0.0, total - sum(usage.values()))
+    spare = idle / options.RESERVE_DIVISOR / len(usage)
+    return {name: math.floor(used + spare) for name, used in usage.items()}
--- a/hornbeamyard/pool/schedule.py
+++ b/hornbeamyard/pool/schedule.py
@@ -79,6 +79,10 @@
     returned: dict[str, int] = field(default_factory=dict)
     limits: dict[str, int] = field(default_factory=dict)
     sent: Allocation | None = None
+    urgent: bool = False
+    # Mean number of slots in use.
+    usage: float = 0.0
+    usage_at: float | None = None
     lost_at: float | None = None
 
     def count_held(self, worker: str) -> int:
@@ -87,6 +91,29 @@
     def count_all_held(self) -> int:
         return sum(self.granted.values()) - sum(self.returned.values())
 
+    def measure_usage(self, now: float) -> None:
+        """Blend the slots in use since the last report into the mean."""
+        running = self.count_running()
+        if self.usage_at is None:
+            self.usage, self.usage_at = float(running), now
+            return
+        weight = min(1.0, (now - self.usage_at) / options.USAGE_WINDOW_S)
+        self.usage += weight * (running - self.usage)
+        self.usage_at = now
+
+    def count_running(self) -> int:
+        return sum(r.demand.running for r in self.reported.values())
+
+    def is_change_urgent(self, allocation: Allocation) -> bool:
+        """Return whether a change gives work to an idle slot."""
+        if self.sent is None:
+            return True
+        if allocation.granted != self.sent.granted:
+            return True
+        if allocation.closed != self.sent.closed:
+            return True
+        return self.count_all_held() > self.count_running()
+
     def count_demand(self) -> int:
         return sum(
             reported.demand.waiting + reported.demand.running
@@ -108,6 +135,8 @@
 
     __slots__ = (
         "_accounts",
+        "_contended",
+        "_contention_changes_from",
         "_detached",
         "_finished",
         "_largest_s",
@@ -128,6 +157,8 @@
         # Routers that were removed, with the counters merged so far.
         self._detached: dict[str, _Router] = {}
         self._accounts: dict[str, _Account] = {}
+        self._contended = False
+        self._contention_changes_from = 0.0
         self._finished = 0
         self._reported_service_s = 0.0
         self._largest_s = 0.0
@@ -262,6 +293,7 @@
         """
         router = self._routers[name]
         router.lost_at = None
+        router.measure_usage(now)
         for worker_name, count in returned.items():
             if worker_name not in self._workers:
                 continue
@@ -277,7 +309,7 @@
         """Return the allocations that changed, by router."""
         self._expire_routers(now)
         self._update_backlogged(now)
-        contended = self.is_contended()
+        contended = self._contended
         if contended:
             limits = self._place_slots(self._divide_slots(now))
             holds = {
@@ -286,8 +318,9 @@
             }
         else:
             limits = {name: {} for name in self._routers}
-            holds = self._spread_idle_slots()
-        self._grant_slots(holds)
+            holds = self._spread_idle_slots(now)
+        short = self._grant_slots(holds)
+        self._update_contended(now)
         lags = self._compute_lags(now)
         changed = {}
         for name, router in self._routers.items():
@@ -301,6 +334,7 @@
                     and not self._workers[worker_name].open
                 },
                 hold=holds[name],
+                recalled=short and router.count_all_held() > holds[name],
                 contended=contended,
                 limits={
                     account: Limit(limit, lags.get(account, 0.0))
@@ -308,14 +342,44 @@
                 },
             )
             if allocation != router.sent:
+                router.urgent = router.is_change_urgent(allocation)
                 router.sent = allocation
                 changed[name] = allocation
         return changed
 
+    def is_urgent(self, name: str) -> bool:
+        """Return whether a router's last change can't wait for a renewal."""
+        return self._routers[name].urgent
+
     def is_contended(self) -> bool:
-        """Return whether more requests want a slot than there are slots."""
-        demand = sum(a.count_demand() for a in self._accounts.values())
-        return demand > self.count_slots()
+        """Return whether limits apply, as of the last plan."""
+        return self._contended
+
+    def _update_contended(self, now: float) -> None:
+        """Decide whether limits apply, after slots were granted.
+
+        They do once a router was short of slots, with none free, for longer
+        than a control interval, and cease to when slots were free for some
+        time. Sums of demands don't tell, because reports of moments with a
+        high demand are more frequent.
+        """
+        free = sum(w.count_free() for w in self._workers.values())
+        short = any(
+            router.count_all_held() < router.count_demand()
+            for router in self._routers.values()
+        )
+        if self._contended:
+            stays, after = free == 0, options.CONTENTION_S
+        else:
+            demand = sum(a.count_demand() for a in self._accounts.values())
+            stays, after = free > 0 or not short, options.SHORTAGE_S
+            if demand > options.SURE_CONTENTION * self.count_slots():
+                after = 0.0
+        if stays:
+            self._contention_changes_from = now
+        elif now >= self._contention_changes_from + after:
+            self._contended = not self._contended
+            self._contention_changes_from = now
 
     def count_slots(self) -> int:
         """Return the number of slots of open workers."""
@@ -456,17 +520,23 @@
         }
         return place_slots(entitled, places)
 
-    def _spread_idle_slots(self) -> dict[str, int]:
-        return spread_idle_slots(
-            {n: r.count_demand() for n, r in self._routers.items()},
-            {n: r.count_all_held() for n, r in self._routers.items()},
-            self.count_slots(),
-        )
+    def _spread_idle_slots(self, now: float) -> dict[str, int]:
+        usage = {n: r.usage for n, r in self._routers.items()}
+        return spread_idle_slots(usage, self.count_slots())
 
-    def _grant_slots(self, holds: Mapping[str, int]) -> None:
-        """Grant free slots to routers that hold fewer than they should."""
+    def _grant_slots(self, holds: Mapping[str, int]) -> bool:
+        """Grant free slots to routers that hold fewer than they should.
+
+        Returns
+        -------
+        bool
+            Whether a router is still short of slots.
+        """
         needs = {
-            name: holds[name] - router.count_all_held()
+            name: max(
+                holds[name], 0 if self._contended else router.count_demand()
+            )
+            - router.count_all_held()
             for name, router in self._routers.items()
             if router.lost_at is None
         }
@@ -477,7 +547,7 @@
                     continue
                 worker_name = self._choose_free_worker(name)
                 if worker_name is None:
-                    return
+                    return True
                 router = self._routers[name]
                 router.granted[worker_name] = (
                     router.granted.get(worker_name, 0) + 1
@@ -486,7 +556,7 @@
                 needs[name] -= 1
                 served = True
             if not served:
-                return
+                return False
 
     def _choose_free_worker(self, router_name: str) -> str | None:
         zone = self._routers[router_name].availability_zone
--- a/hornbeamyard/process/controller.py
+++ b/hornbeamyard/process/controller.py
@@ -66,10 +66,12 @@
 
     __slots__ = (
         "_grants_from",
+        "_plan_all_at",
         "_plan_wake",
         "_schedules",
         "_term",
         "_timers",
+        "_urgent_pools",
         "registry",
         "replica",
         "routers",
@@ -82,6 +84,9 @@
         self._timers = timers
         self._schedules: dict[str, Schedule] = {}
         self._plan_wake = anyio.Event()
+        # Pools to plan before the next control interval, and its time.
+        self._urgent_pools: set[str] = set()
+        self._plan_all_at = 0.0
         self._term = 0
         self._grants_from = 0.0
 
@@ -147,9 +152,10 @@
                 {entry.worker: entry.returned for entry in pool.returns},
                 now,
             )
+            if pool.urgent:
+                self._urgent_pools.add(pool.pool)
+                self._plan_wake.set()
         self._take_announcements(report, now)
-        if report.pools:
-            self._plan_wake.set()
 
     def detach(self, router: AttachedRouter, left: bool) -> None:
         """Note that a router's stream has ended.
@@ -225,6 +231,7 @@
             self.registry.renew(name, now)
 
     def _put_worker(self, worker: Worker) -> None:
+        self._plan_all_at = 0.0
         self._get_schedule(worker.pool).set_worker(
             worker.name,
             worker.slots,
@@ -253,15 +260,19 @@
         while True:
             with self._timers.limit(options.REPORT_INTERVAL_S):
                 await self._plan_wake.wait()
-            self.plan_all()
+            self.plan_due()
             await self._timers.sleep(options.PLAN_SPACING_S)
 
     def needs_plan(self) -> bool:
         """Return whether reports arrived since the last plan."""
         return self._plan_wake.is_set()
 
-    def plan_all(self) -> None:
-        """Plan all pools and wake the routers whose allocation changed."""
+    def plan_due(self) -> None:
+        """Plan the pools that are due, and wake routers to tell them.
+
+        All pools are planned each control interval, and those with an
+        urgent report at once.
+        """
         self._plan_wake = anyio.Event()
         if not self.replica.is_leader():
             return
@@ -273,13 +284,20 @@
     def _plan(self, now: float) -> None:
         if now < self._grants_from:
             return
-        for pool, schedule in self._schedules.items():
+        pools = self._urgent_pools
+        if now >= self._plan_all_at:
+            pools = set(self._schedules)
+            self._plan_all_at = now + options.REPORT_INTERVAL_S
+        self._urgent_pools = set()
+        for pool in sorted(pools):
+            schedule = self._schedules[pool]
             for name, allocation in schedule.plan(now).items():
                 router = self.routers.get(name)
                 if router is None:
                     continue
                 router.pending[pool] = allocation
-                router.wake.set()
+                if schedule.is_urgent(name):
+                    router.wake.set()
 
     def _check_term(self) -> None:
         """Start schedules anew when this replica has just been elected."""
@@ -320,6 +338,7 @@
         )
 
     def _note_routers_changed(self) -> None:
+        self._plan_all_at = 0.0
         self._plan_wake.set()
         for router in self.routers.values():
             router.wake.set()
