Place accounts with short requests by the requests offered

Cause: with costs of 20 ms the queues of a moment decided the placement, and a router held 30 slots with 5 in use a few hundred ms later. Ruled out: moving half of the unused slots at a time (utilisation 0.768), and placing by waiting requests in proportion to the limit (no better). Change: an account with short requests is divided in proportion to what each router finished in an interval plus what waits or runs there. Conclusion: keep; idle slots of a router that ran dry stay for an interval.

--- a/hornbeamyard/connection/attachment.py
+++ b/hornbeamyard/connection/attachment.py
@@ -171,7 +171,7 @@
         self, name: str, dispatch: Dispatch, now: float, full: bool
     ) -> fleet_pb2.PoolReport:
         if not full:
-            urgent = dispatch.is_urgent(now)
+            urgent = dispatch.needs_plan(now)
             demands, slots = dispatch.collect_report(now, full=False)
             return codec.encode_report(name, demands, slots, {}, urgent)
         held = dispatch.holding.restart(keep_idle=now < self._lease_ends)
--- a/hornbeamyard/pool/dispatch.py
+++ b/hornbeamyard/pool/dispatch.py
@@ -255,17 +255,23 @@
         request waits that it doesn't know of and that no slot of this
         router will soon take.
         """
+        if self.holding.is_fallback():
+            return False
+        if self.holding.count_idle() > 0 and self.holding.is_over():
+            return self._contended or self.holding.is_recalled()
+        return self.needs_plan(now)
+
+    def needs_plan(self, now: float) -> bool:
+        """Return whether the schedule should plan before its interval."""
         if self.holding.is_fallback():
             return False
         if self._has_unknown_priority():
             return True
-        if self._contended and self.holding.is_over():
-            return self.holding.count_idle() > 0
         if self.drains_fast(now):
             return False
-        if self.holding.count_idle() == 0:
-            return self._has_unknown_demand()
-        return self._contended or self.holding.is_recalled()
+        if self.holding.count_idle() > 0:
+            return self._contended
+        return self._has_unknown_demand()
 
     def drains_fast(self, now: float) -> bool:
         """Return whether slots come free sooner than a message is sent."""
@@ -462,6 +468,7 @@
     def _return_slots(self, now: float) -> None:
         """Return slots that are idle and should be elsewhere."""
         self.holding.return_excess()
+        self.holding.end_recall()
         idle = self.holding.count_idle()
         if self._contended:
             # Where slots come free fast, one that is idle at this moment is
--- a/hornbeamyard/pool/holding.py
+++ b/hornbeamyard/pool/holding.py
@@ -191,6 +191,10 @@
         """Return whether the excess is needed elsewhere at once."""
         return self._recalled and self.is_over()
 
+    def end_recall(self) -> None:
+        """Forget the recall; slots that are idle later are not meant."""
+        self._recalled = False
+
     def list_returned(self) -> dict[str, tuple[int, int]]:
         """Return for each worker the slots returned and running."""
         return {
--- a/hornbeamyard/pool/options.py
+++ b/hornbeamyard/pool/options.py
@@ -25,6 +25,8 @@
 SHORTAGE_S = 1.2
 SURE_CONTENTION = 1.5
 CONTENTION_S = 1.5
+# Time over which the rate of an account's finished requests is averaged.
+RATE_WINDOW_S = 2.0
 # Time over which a router's use of slots is averaged.
 USAGE_WINDOW_S = 5.0
 # An account's service may exceed the lowest one by at most this much.
--- a/hornbeamyard/pool/placement.py
+++ b/hornbeamyard/pool/placement.py
@@ -23,6 +23,11 @@
         Limits that the router has.
     held : int
         Slots that the router holds.
+    hold : int
+        Slots that the last plan gave to the router.
+    offered : mapping of str to float
+        For each account with short requests, the requests that were
+        finished in a control interval and those that wait or run.
     priority : set of str
         Accounts whose waiting priority requests get slots here.
     """
@@ -30,17 +35,37 @@
     demands: Mapping[str, Demand]
     previous: Mapping[str, int]
     held: int
+    hold: int = 0
+    offered: Mapping[str, float] = field(default_factory=dict)
     priority: set[str] = field(default_factory=set)
 
 
+@dataclass(slots=True)
+class Placement:
+    """Limits and slots of each router.
+
+    Attributes
+    ----------
+    limits : dict of str to dict of str to int
+        For each router the limits of accounts.
+    holds : dict of str to int
+        For each router the slots that it should hold.
+    """
+
+    limits: dict[str, dict[str, int]]
+    holds: dict[str, int]
+
+
 def place_slots(
-    entitled: Mapping[str, int], places: Mapping[str, Place]
-) -> dict[str, dict[str, int]]:
+    entitled: Mapping[str, int], places: Mapping[str, Place], short: set[str]
+) -> Placement:
     """Divide each account's slots between the routers.
 
     Limits change as little as possible. Slots are taken from where another
     account waits for them and given to where they are free, so that few
-    slots move between routers.
+    slots move between routers. Accounts with short requests are divided in
+    proportion to the requests offered instead: their queues of one moment
+    are gone in the next.
 
     Parameters
     ----------
@@ -48,34 +73,87 @@
         Slots of each account.
     places : mapping of str to Place
         All routers.
-
-    Returns
-    -------
-    dict of str to dict of str to int
-        For each router the limits of accounts.
+    short : set of str
+        Accounts with short requests.
     """
-    limits = {name: _keep_limits(place) for name, place in places.items()}
-    grow = dict(entitled)
+    limits = {
+        name: _keep_limits(place, short) for name, place in places.items()
+    }
+    grow = {name: n for name, n in entitled.items() if name not in short}
     for of_router in limits.values():
         for account, count in of_router.items():
             grow[account] = grow.get(account, 0) - count
     _shrink_limits(limits, grow, places)
-    surplus = {
-        name: place.held - sum(limits[name].values())
-        for name, place in places.items()
-    }
+    wanted = {name: float(sum(limits[name].values())) for name in places}
+    _divide_by_offer(entitled, places, short, limits, wanted)
+    surplus = {name: int(p.held - wanted[name]) for name, p in places.items()}
     for account, count in grow.items():
         if count > 0:
+            before = {name: limits[name].get(account, 0) for name in places}
             _grow_limits(account, count, limits, surplus, places)
-    return limits
+            for name in places:
+                wanted[name] += limits[name].get(account, 0) - before[name]
+    previous = {name: place.hold for name, place in places.items()}
+    return Placement(limits, round_holds(wanted, previous))
+
+
+def _divide_by_offer(
+    entitled: Mapping[str, int],
+    places: Mapping[str, Place],
+    short: set[str],
+    limits: Mapping[str, dict[str, int]],
+    wanted: dict[str, float],
+) -> None:
+    """Divide the slots of accounts with short requests.
+
+    A limit is rounded up, as the order of tags holds back an account that
+    is ahead; the slots of a router are not.
+    """
+    for account in short:
+        offered = {
+            name: value
+            for name, place in places.items()
+            if (value := place.offered.get(account, 0.0)) > 0
+        }
+        total = sum(offered.values())
+        for name, value in offered.items():
+            part = entitled.get(account, 0) * value / total
+            limits[name][account] = math.ceil(part)
+            wanted[name] += part
+
+
+def round_holds(
+    wanted: Mapping[str, float], previous: Mapping[str, int]
+) -> dict[str, int]:
+    """Round slots to whole ones with the same sum, near the previous ones.
+
+    A router keeps its number while it differs by less than one slot.
+    """
+    total = round(sum(wanted.values()))
+    holds = {
+        name: previous[name]
+        if abs(value - previous[name]) < 1
+        else round(value)
+        for name, value in wanted.items()
+    }
+    excess = sum(holds.values()) - total
+    step = 1 if excess > 0 else -1
+    for _ in range(abs(excess)):
+        # The router that is furthest above (or below) what it should have.
+        name = max(
+            (n for n in holds if holds[n] - step >= 0),
+            key=lambda n: (step * (holds[n] - wanted[n]), n),
+        )
+        holds[name] -= step
+    return holds
 
 
-def _keep_limits(place: Place) -> dict[str, int]:
+def _keep_limits(place: Place, short: set[str]) -> dict[str, int]:
     """Return the router's limits as far as its demand still uses them."""
     kept = {}
     for account, demand in place.demands.items():
         count = demand.waiting + demand.running
-        if count == 0:
+        if count == 0 or account in short:
             continue
         limit = min(place.previous.get(account, 0), count)
         if account in place.priority and demand.waiting_priority:
--- a/hornbeamyard/pool/schedule.py
+++ b/hornbeamyard/pool/schedule.py
@@ -12,12 +12,27 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from . import options
 from .allocation import Allocation, Demand, Limit
 from .division import Contender, divide_slots
-from .placement import Place, place_slots, spread_idle_slots
+from .placement import Place, Placement, place_slots, spread_idle_slots
+
+
+@dataclass(slots=True)
+class Change:
+    """An allocation that changed.
+
+    Attributes
+    ----------
+    allocation : Allocation
+    urgent : bool
+        Whether it can't wait for the next renewal.
+    """
+
+    allocation: Allocation
+    urgent: bool
 
 
 @dataclass(slots=True)
@@ -44,6 +59,7 @@
     # Sum over routers of running requests times the time of their report.
     running_since: float = 0.0
     backlogged: bool = False
+    finished: int = 0
     # Slots of the last division.
     entitled: int = 0
 
@@ -57,6 +73,11 @@
     def count_demand(self) -> int:
         return self.waiting + self.running
 
+    def has_short_requests(self) -> bool:
+        if self.finished == 0:
+            return False
+        return self.service_s / self.finished < options.SHORT_REQUEST_S
+
     def add(self, demand: Demand, at: float, sign: int) -> None:
         self.waiting += sign * demand.waiting
         self.waiting_priority += sign * demand.waiting_priority
@@ -79,7 +100,11 @@
     returned: dict[str, int] = field(default_factory=dict)
     limits: dict[str, int] = field(default_factory=dict)
     sent: Allocation | None = None
-    urgent: bool = False
+    # Slots that the last plan gives to the router, and that it may keep.
+    wanted: int = 0
+    hold: int = 0
+    # Requests finished in a second, by account.
+    rates: dict[str, float] = field(default_factory=dict)
     # Mean number of slots in use.
     usage: float = 0.0
     usage_at: float | None = None
@@ -91,6 +116,23 @@
     def count_all_held(self) -> int:
         return sum(self.granted.values()) - sum(self.returned.values())
 
+    def measure_rate(self, account: str, finished: int, span_s: float) -> None:
+        """Blend the requests finished since the last report into the mean."""
+        if span_s <= 0:
+            return
+        rate = self.rates.get(account, 0.0)
+        weight = min(1.0, span_s / options.RATE_WINDOW_S)
+        self.rates[account] = rate + weight * (finished / span_s - rate)
+
+    def compute_offered(self, accounts: set[str]) -> dict[str, float]:
+        """Return the requests offered in a control interval."""
+        return {
+            name: self.rates.get(name, 0.0) * options.REPORT_INTERVAL_S
+            + reported.demand.count()
+            for name, reported in self.reported.items()
+            if name in accounts and reported.demand.count() > 0
+        }
+
     def measure_usage(self, now: float) -> None:
         """Blend the slots in use since the last report into the mean."""
         running = self.count_running()
@@ -104,15 +146,28 @@
     def count_running(self) -> int:
         return sum(r.demand.running for r in self.reported.values())
 
-    def is_change_urgent(self, allocation: Allocation) -> bool:
-        """Return whether a change gives work to an idle slot."""
-        if self.sent is None:
-            return True
-        if allocation.granted != self.sent.granted:
-            return True
-        if allocation.closed != self.sent.closed:
-            return True
-        return self.count_all_held() > self.count_running()
+    def change(self, allocation: Allocation) -> Change | None:
+        """Return a change to send, or None when nothing differs.
+
+        A change that can't wait for the next renewal grants slots, closes
+        workers or asks for idle slots.
+        """
+        sent = self.sent
+        if allocation == sent:
+            return None
+        self.sent = allocation
+        urgent = (
+            sent is None
+            or allocation.granted != sent.granted
+            or allocation.closed != sent.closed
+            or (allocation.recalled and not sent.recalled)
+            or (
+                allocation.contended
+                and not sent.contended
+                and self.count_all_held() > self.count_running()
+            )
+        )
+        return Change(allocation, urgent)
 
     def count_demand(self) -> int:
         return sum(
@@ -305,21 +360,23 @@
 
     # ---- the decision ----------------------------------------------------
 
-    def plan(self, now: float) -> dict[str, Allocation]:
+    def plan(self, now: float) -> dict[str, Change]:
         """Return the allocations that changed, by router."""
         self._expire_routers(now)
         self._update_backlogged(now)
         contended = self._contended
         if contended:
-            limits = self._place_slots(self._divide_slots(now))
-            holds = {
-                name: sum(of_router.values())
-                for name, of_router in limits.items()
-            }
+            placement = self._place_slots(self._divide_slots(now))
+            limits, holds = placement.limits, placement.holds
         else:
             limits = {name: {} for name in self._routers}
             holds = self._spread_idle_slots(now)
-        short = self._grant_slots(holds)
+        for name, router in self._routers.items():
+            router.hold = router.wanted = holds[name]
+            if not contended:
+                router.wanted = max(holds[name], router.count_demand())
+        self._grant_slots()
+        recalled = set() if contended else self._choose_recalls()
         self._update_contended(now)
         lags = self._compute_lags(now)
         changed = {}
@@ -334,22 +391,33 @@
                     and not self._workers[worker_name].open
                 },
                 hold=holds[name],
-                recalled=short and router.count_all_held() > holds[name],
+                recalled=name in recalled,
                 contended=contended,
                 limits={
                     account: Limit(limit, lags.get(account, 0.0))
                     for account, limit in limits[name].items()
                 },
             )
-            if allocation != router.sent:
-                router.urgent = router.is_change_urgent(allocation)
-                router.sent = allocation
-                changed[name] = allocation
+            change = router.change(allocation)
+            if change is not None:
+                changed[name] = change
         return changed
 
-    def is_urgent(self, name: str) -> bool:
-        """Return whether a router's last change can't wait for a renewal."""
-        return self._routers[name].urgent
+    def settle(self) -> dict[str, Change]:
+        """Grant slots that came free, as the last plan decided.
+
+        Returns the allocations that changed, by router.
+        """
+        self._grant_slots()
+        changed = {}
+        for name, router in self._routers.items():
+            if router.sent is None or router.granted == router.sent.granted:
+                continue
+            granted = dict(router.granted)
+            change = router.change(replace(router.sent, granted=granted))
+            if change is not None:
+                changed[name] = change
+        return changed
 
     def is_contended(self) -> bool:
         """Return whether limits apply, as of the last plan."""
@@ -417,7 +485,10 @@
         account.service_s += fresh
         account.add(demand, now, sign=1)
         self._reported_service_s += fresh
-        self._finished += max(0, demand.finished - reported.demand.finished)
+        finished = max(0, demand.finished - reported.demand.finished)
+        self._finished += finished
+        account.finished += finished
+        router.measure_rate(name, finished, now - reported.at)
         self._largest_s = max(self._largest_s, demand.largest_s)
         router.reported[name] = _Reported(demand, now)
 
@@ -507,56 +578,65 @@
             contenders[name].floor = min(wanted, left)
             left -= contenders[name].floor
 
-    def _place_slots(
-        self, entitled: Mapping[str, int]
-    ) -> dict[str, dict[str, int]]:
+    def _place_slots(self, entitled: Mapping[str, int]) -> Placement:
+        short = {
+            name
+            for name, account in self._accounts.items()
+            if account.has_short_requests()
+        }
         places = {
             name: Place(
                 {a: r.demand for a, r in router.reported.items()},
                 router.limits,
                 router.count_all_held(),
+                router.hold,
+                router.compute_offered(short),
             )
             for name, router in self._routers.items()
         }
-        return place_slots(entitled, places)
+        return place_slots(entitled, places, short)
 
     def _spread_idle_slots(self, now: float) -> dict[str, int]:
         usage = {n: r.usage for n, r in self._routers.items()}
         return spread_idle_slots(usage, self.count_slots())
 
-    def _grant_slots(self, holds: Mapping[str, int]) -> bool:
-        """Grant free slots to routers that hold fewer than they should.
-
-        Returns
-        -------
-        bool
-            Whether a router is still short of slots.
-        """
+    def _grant_slots(self) -> None:
+        """Grant free slots to routers that hold fewer than they should."""
         needs = {
-            name: max(
-                holds[name], 0 if self._contended else router.count_demand()
-            )
-            - router.count_all_held()
+            name: router.wanted - router.count_all_held()
             for name, router in self._routers.items()
             if router.lost_at is None
         }
         while True:
-            served = False
-            for name in sorted(needs, key=lambda n: (-needs[n], n)):
-                if needs[name] <= 0:
-                    continue
-                worker_name = self._choose_free_worker(name)
-                if worker_name is None:
-                    return True
-                router = self._routers[name]
-                router.granted[worker_name] = (
-                    router.granted.get(worker_name, 0) + 1
-                )
-                self._workers[worker_name].outstanding += 1
-                needs[name] -= 1
-                served = True
-            if not served:
-                return False
+            name = max(needs, key=lambda n: (needs[n], n), default="")
+            if not name or needs[name] <= 0:
+                return
+            worker_name = self._choose_free_worker(name)
+            if worker_name is None:
+                return
+            granted = self._routers[name].granted
+            granted[worker_name] = granted.get(worker_name, 0) + 1
+            self._workers[worker_name].outstanding += 1
+            needs[name] -= 1
+
+    def _choose_recalls(self) -> set[str]:
+        """Return routers whose idle slots other routers wait for."""
+        short = sum(
+            max(0, router.count_demand() - router.count_all_held())
+            for router in self._routers.values()
+        )
+        idle = {
+            name: router.count_all_held() - router.count_running()
+            for name, router in self._routers.items()
+            if router.count_all_held() > router.hold
+        }
+        recalled = set()
+        for name in sorted(idle, key=lambda n: -idle[n]):
+            if short <= 0 or idle[name] <= 0:
+                break
+            recalled.add(name)
+            short -= idle[name]
+        return recalled
 
     def _choose_free_worker(self, router_name: str) -> str | None:
         zone = self._routers[router_name].availability_zone
--- a/hornbeamyard/process/controller.py
+++ b/hornbeamyard/process/controller.py
@@ -12,7 +12,7 @@
 from ..messages import fleet_pb2
 from ..pool import options
 from ..pool.allocation import Allocation
-from ..pool.schedule import Schedule
+from ..pool.schedule import Change, Schedule
 from ..pool.worker import Registry, Worker
 from ..version.replica import Replica
 from ..version.state import dump_document
@@ -155,6 +155,8 @@
             if pool.urgent:
                 self._urgent_pools.add(pool.pool)
                 self._plan_wake.set()
+            elif pool.returns:
+                self._settle(pool.pool, schedule.settle())
         self._take_announcements(report, now)
 
     def detach(self, router: AttachedRouter, left: bool) -> None:
@@ -291,13 +293,17 @@
         self._urgent_pools = set()
         for pool in sorted(pools):
             schedule = self._schedules[pool]
-            for name, allocation in schedule.plan(now).items():
-                router = self.routers.get(name)
-                if router is None:
-                    continue
-                router.pending[pool] = allocation
-                if schedule.is_urgent(name):
-                    router.wake.set()
+            self._settle(pool, schedule.plan(now))
+
+    def _settle(self, pool: str, changes: Mapping[str, Change]) -> None:
+        """Have changed allocations sent, the urgent ones at once."""
+        for name, change in changes.items():
+            router = self.routers.get(name)
+            if router is None:
+                continue
+            router.pending[pool] = change.allocation
+            if change.urgent:
+                router.wake.set()
 
     def _check_term(self) -> None:
         """Start schedules anew when this replica has just been elected."""
