--- a/hornbeamyard/process/status.py
+++ b/hornbeamyard/process/status.py
@@ -5,7 +5,8 @@
 from math import inf
 from typing import Any
 
-from ..pool.schedule import Demand, Schedule
+from ..pool.allocation import Demand
+from ..pool.schedule import Schedule
 from ..version.replica import Replica
 from .controller import Controller
 
