Show that each outcome rule can fail, and add the benchmark

Change: faults "unframed" and stage "headers"; sharper tests; an encoded answer is not kept by a claim, which holds no other header than the type; python -m benchmarks.outcomes.

--- /dev/null
+++ b/benchmarks/outcomes.py
@@ -0,0 +1,107 @@
+"""Runs the matrix of faults by stages and counts violated outcomes."""
+
+from __future__ import annotations
+
+import json
+import sys
+import tempfile
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+import anyio
+import click
+
+from hornbeamyard.tests.matrix import Case, Tally, list_cases, run_case
+from hornbeamyard.tests.scenarios import FAULTS, run_scenario
+
+PLANNED_STOP = "router stopped"
+
+
+@dataclass(slots=True)
+class Totals:
+    """Sums over all runs, in the keys of the last line."""
+
+    cases: int = 0
+    runs: int = 0
+    double_runs: int = 0
+    false_not_run: int = 0
+    wrong_answers: int = 0
+    cut_requests_on_planned_stop: int = 0
+    drain_s_max: float = 0.0
+
+    def add(self, tally: Tally) -> None:
+        """Add the violations of one run."""
+        self.runs += 1
+        self.double_runs += len(tally.double_runs)
+        self.false_not_run += len(tally.false_not_run)
+        self.wrong_answers += len(tally.wrong_answers)
+
+    def is_clean(self) -> bool:
+        """Return whether no rule was broken."""
+        return not (
+            self.double_runs
+            or self.false_not_run
+            or self.wrong_answers
+            or self.cut_requests_on_planned_stop
+        )
+
+
+def _run_case(case: Case, seed: int) -> Tally:
+    tally = Tally()
+    anyio.run(run_case, case, seed, tally)
+    return tally
+
+
+def _run_cases(totals: Totals, seeds: int, jobs: int) -> None:
+    cases = list(list_cases())
+    totals.cases += len(cases)
+    with ProcessPoolExecutor(jobs) as pool:
+        pending = [
+            (case, seed, pool.submit(_run_case, case, seed))
+            for seed in range(seeds)
+            for case in cases
+        ]
+        for case, seed, future in pending:
+            tally = future.result()
+            totals.add(tally)
+            for identity in tally.list_violations():
+                click.echo(f"{case}, seed {seed}: violated by {identity}")
+
+
+def _run_scenarios(totals: Totals, seeds: int) -> None:
+    totals.cases += len(FAULTS)
+    for seed in range(seeds):
+        for fault in FAULTS:
+            with tempfile.TemporaryDirectory() as folder:
+                result = run_scenario(Path(folder), fault, seed)
+            totals.add(result.tally)
+            outcomes = dict(result.callers.count_outcomes())
+            click.echo(f"{fault}, seed {seed}: {json.dumps(outcomes)}")
+            for identity in result.tally.list_violations():
+                click.echo(f"{fault}, seed {seed}: violated by {identity}")
+            if fault == PLANNED_STOP:
+                totals.cut_requests_on_planned_stop += (
+                    result.callers.count_cut()
+                )
+                longest = max(result.drains_s)
+                totals.drain_s_max = max(totals.drain_s_max, longest)
+
+
+@click.command()
+@click.option("--seeds", default=3, show_default=True)
+@click.option("--process-seeds", default=1, show_default=True)
+@click.option("--jobs", default=2, show_default=True)
+def main(seeds: int, process_seeds: int, jobs: int) -> None:
+    """Run all cases with each seed, and faults of whole processes."""
+    totals = Totals()
+    _run_cases(totals, seeds, jobs)
+    _run_scenarios(totals, process_seeds)
+    totals.drain_s_max = round(totals.drain_s_max, 2)
+    keys = Totals.__slots__  # type: ignore[attr-defined]
+    click.echo(json.dumps({key: getattr(totals, key) for key in keys}))
+    sys.exit(0 if totals.is_clean() else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/hornbeamyard/request/call.py
+++ b/hornbeamyard/request/call.py
@@ -166,9 +166,17 @@
     return Ok(document)
 
 
-def build_call(scope: Scope, target: bytes, body: bytes) -> Call:
-    """Return the request as it goes upstream."""
+def build_call(
+    scope: Scope, target: bytes, body: bytes, claimed: bool = False
+) -> Call:
+    """Return the request as it goes upstream.
+
+    The answer of a claimed request must not be encoded, because its claim
+    keeps the body only.
+    """
     dropped = HOP_HEADERS | _OWN_HEADERS
+    if claimed:
+        dropped |= {b"accept-encoding"}
     headers = scope["headers"]
     for name, value in headers:
         if name == b"connection":
--- a/hornbeamyard/request/exchange.py
+++ b/hornbeamyard/request/exchange.py
@@ -61,10 +61,15 @@
 
 @dataclass(slots=True)
 class Recorder:
-    """Keeps the beginning of an answer for its claim."""
+    """Keeps an answer for its claim.
+
+    A claim keeps no other header than the type, so an encoded answer can't
+    be repeated.
+    """
 
     status: int = 0
     content_type: str = ""
+    encoded: bool = False
     chunks: list[bytes] = field(default_factory=list)
     size: int = 0
 
@@ -75,8 +80,8 @@
             self.chunks.append(chunk)
 
     def is_truncated(self) -> bool:
-        """Return whether the answer is too large to keep."""
-        return self.size > RECORDED_SIZE
+        """Return whether the answer can't be kept."""
+        return self.encoded or self.size > RECORDED_SIZE
 
 
 class Exchange:
@@ -233,6 +238,7 @@
         if self._recorder is not None:
             self._recorder.status = status
             self._recorder.content_type = content_type.decode("latin-1")
+            self._recorder.encoded = b"content-encoding" in names
         return None
 
     async def _forward(self, response: httpcore.Response, send: Send) -> None:
--- a/hornbeamyard/request/gateway.py
+++ b/hornbeamyard/request/gateway.py
@@ -237,7 +237,7 @@
                 received_at,
             )
         return Work(
-            build_call(scope, route.target, body),
+            build_call(scope, route.target, body, claim is not None),
             route.pool,
             Ticket(
                 client_account=account.name,
--- a/hornbeamyard/tests/fake_upstream.py
+++ b/hornbeamyard/tests/fake_upstream.py
@@ -2,8 +2,9 @@
 
 It serves as a model engine, with batching and admission in order of arrival,
 or as a plain service that keeps a journal of what it ran. A request may ask
-for a fault: `"fault": "reset"`, `"stage": "sent"` or `"answering"`, and
-`"faulty_attempts"`, the number of attempts that it hits.
+for a fault: `"fault": "reset"`, a `"stage"` of `"sent"`, `"headers"` (of a
+stream) or `"answering"`, and `"faulty_attempts"`, the number of attempts that
+it hits.
 """
 
 from __future__ import annotations
@@ -231,6 +232,8 @@
                 "headers": [(b"content-type", b"text/event-stream")],
             }
         )
+        if at == "headers":
+            await self._break(scope, fault)
         for number in range(tokens):
             await anyio.sleep(self.options.token_s)
             if at == "answering" and number == tokens // 2:
@@ -264,6 +267,11 @@
             transport.write(b"\x16\x03 this is not HTTP\r\n\r\n")
             transport.close()
             raise BrokenOffError
+        elif fault == "unframed":
+            # An answer that ends with the connection, cut in the middle.
+            transport.write(b"HTTP/1.1 200 OK\r\n\r\n{")
+            transport.close()
+            raise BrokenOffError
         elif fault == "early":
             transport.close()
             raise BrokenOffError
--- a/hornbeamyard/tests/matrix.py
+++ b/hornbeamyard/tests/matrix.py
@@ -15,6 +15,7 @@
     "reset",
     "early",
     "garbage",
+    "unframed",
     "silent",
     "forgotten",
     "slow",
@@ -33,7 +34,7 @@
     ----------
     fault : str
     stage : str
-        `connecting`, `sent` or `answering`.
+        `sent`, `headers` (before the first byte of a body) or `answering`.
     repeatable : bool
     stream : bool
         Whether the answer is an event stream.
@@ -64,10 +65,13 @@
 def list_cases() -> Iterator[Case]:
     """Yield all cases."""
     for fault in FAULTS:
-        for stage in ("sent", "answering"):
-            if fault in ("extra", "refuse") and stage == "answering":
+        for stage in ("sent", "headers", "answering"):
+            only_sent = fault in ("extra", "refuse", "unframed")
+            if only_sent and stage != "sent":
                 continue
             for stream in (False, True):
+                if stage == "headers" and not stream:
+                    continue
                 if fault == "extra" and stream:
                     continue
                 yield Case(fault, stage, True, stream)
--- a/hornbeamyard/tests/rig.py
+++ b/hornbeamyard/tests/rig.py
@@ -8,7 +8,7 @@
 
 import contextlib
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -48,6 +48,7 @@
         self.has_quorum = True
         # Leave messages of routers.
         self.left = 0
+        self.on_leave: Callable[[], object] = lambda: None
         # Replies lost after the operations were applied.
         self.lost_replies = 0
 
@@ -56,6 +57,7 @@
         async for report in requests:
             if report.leaving:
                 self.left += 1
+                self.on_leave()
             yield fleet_pb2.ControllerUpdate(epoch=1, lease_ms=3000)
 
     async def MakeClaims(self, request: Any, context: Any) -> Any:  # noqa: N802
--- a/hornbeamyard/tests/test_call.py
+++ b/hornbeamyard/tests/test_call.py
@@ -91,11 +91,16 @@
                 (b"host", b"router"),
                 (b"transfer-encoding", b"chunked"),
                 (b"expect", b"100-continue"),
+                (b"accept-encoding", b"gzip"),
                 (b"x-own", b"1"),
             ],
         }
         call = build_call(scope, b"/x", b"{}")
-        assert call.headers == [(b"x-own", b"1")]
+        own = (b"x-own", b"1")
+        assert call.headers == [(b"accept-encoding", b"gzip"), own]
+        # The claim of an encoded answer would lose its encoding.
+        claimed = build_call(scope, b"/x", b"{}", claimed=True)
+        assert claimed.headers == [own]
 
 
 class TestBodies:
--- a/hornbeamyard/tests/test_drain.py
+++ b/hornbeamyard/tests/test_drain.py
@@ -31,6 +31,10 @@
         async def run() -> None:
             async with run_rig() as rig:
                 replies: list[Reply] = []
+                running_at_leave: list[int] = []
+                rig.claims.on_leave = lambda: running_at_leave.append(
+                    sum(up.running for up in rig.upstreams)
+                )
 
                 async def ask(number: int) -> None:
                     document = {
@@ -53,6 +57,8 @@
                 with anyio.fail_after(3):
                     await rig.ended[0].wait()
                 assert rig.claims.left == 1
+                # The controller frees a router's slots when it leaves.
+                assert running_at_leave == [0]
 
         anyio.run(run)
 
@@ -132,3 +138,29 @@
                     await rig.ended[0].wait()
 
         anyio.run(run)
+
+    def test_second_signal_tells_queued_callers(self) -> None:
+        """Guards against queued requests that no slot ever reaches."""
+
+        async def run() -> None:
+            async with run_rig(drain_s=60.0) as rig:
+                router = rig.routers[0]
+                for worker in router.registry.list_workers():
+                    router.registry.remove(worker.name)
+                dispatch = router.find_admission(MODEL).dispatch
+                dispatch.enter_fallback(0, 1)
+
+                async def ask() -> None:
+                    reply = await rig.call(CHAT, {"model": MODEL, "id": "q"})
+                    assert reply.get_outcome() == "not-run"
+                    assert reply.headers["retry-after"]
+
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(ask)
+                    with anyio.fail_after(3):
+                        while not len(dispatch.backlog):
+                            await anyio.sleep(0.005)
+                    rig.stops[0][0].set()
+                    rig.stops[0][1].set()
+
+        anyio.run(run)
--- a/hornbeamyard/tests/test_exchange.py
+++ b/hornbeamyard/tests/test_exchange.py
@@ -8,6 +8,8 @@
 import anyio
 import pytest
 
+from hornbeamyard.request.exchange import Recorder
+
 from .rig import KEY, MODEL, SERVICE, SILENCE_S, Rig, run_rig
 
 CHAT = "/v1/chat/completions"
@@ -108,6 +110,9 @@
                 await stream.aclose()
                 await anyio.sleep(0.1)
                 assert [up.journal for up in rig.upstreams] == [[], []]
+                # It was not even taken for a request.
+                text = rig.routers[0].metrics.render()
+                assert b'client_account="hotel"' not in text
 
         anyio.run(run)
 
@@ -211,3 +216,65 @@
                 assert reply.get_outcome() == "failed"
 
         anyio.run(run)
+
+
+class TestAnswer:
+    """A broken stream ends with an error that the caller sees."""
+
+    @pytest.mark.requirement("R3", fault="stream breaks")
+    def test_ends_broken_stream_with_error_event(self) -> None:
+        """Guards against a caller that takes a cut stream for a whole one."""
+
+        async def run() -> None:
+            async with run_rig() as rig:
+                document = {
+                    "model": MODEL,
+                    "id": "cut",
+                    "stream": True,
+                    "fault": "reset",
+                    "stage": "answering",
+                }
+                reply = await rig.call(CHAT, document)
+                assert not reply.whole
+                *_, event, end = reply.body.decode().split("\n\n")
+                assert end == ""
+                kind, data = event.split("\n")
+                assert kind == "event: error"
+                problem = json.loads(data.removeprefix("data: "))
+                assert problem["outcome"] == "failed"
+
+        anyio.run(run)
+
+    def test_keeps_no_encoded_answer(self) -> None:
+        """Guards against a recorded answer without its encoding."""
+        recorder = Recorder(200, "text/plain", encoded=True)
+        recorder.add(b"x")
+        assert recorder.is_truncated()
+
+    def test_records_latencies_and_outcomes(self) -> None:
+        """Guards against requests that operators don't see."""
+
+        async def run() -> None:
+            async with run_rig() as rig:
+                await rig.call(
+                    CHAT,
+                    {"model": MODEL, "id": "m"},
+                    hornbeamyard_priority="priority",
+                )
+                await rig.call(
+                    CHAT, {"model": MODEL, "id": "f", "fault": "refuse"}
+                )
+                text = rig.routers[0].metrics.render().decode()
+                labels = 'client_account="hotel"'
+                for outcome, priority in (
+                    ("answered", "priority"),
+                    ("not-run", "normal"),
+                ):
+                    assert (
+                        f"hornbeamyard_requests_total{{{labels},"
+                        f'outcome="{outcome}",priority="{priority}"}} 1.0'
+                    ) in text
+                for latency in ("queue_wait", "first_byte", "duration"):
+                    assert f'latency="{latency}"' in text
+
+        anyio.run(run)
