Limit the rate of requests to the processor time there is

Ruled out: refusing everything while the event loop is late; by the time it is late, thousands of requests are in progress, and each refusal took a task and most of the cost of a request. A limit of requests in progress: thousands may wait for slow upstreams at little cost.

Change: the rate of admitted requests follows the lateness of the event loop; a request beyond it is refused in the protocol, before there is a task for it, and its connection stays open.

Broken in turn and caught by test_limits: refusing nothing, no adjustment, an incomplete stand-in for a refused request.

--- a/hornbeamyard/connection/limits.py
+++ b/hornbeamyard/connection/limits.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import resource
+from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
 
@@ -24,9 +25,113 @@
 RESERVED_FILES = 256
 # A loop that is late by this much in this many samples in a row has more
 # work than processor time. One late sample is common on a busy host.
-LATE_S = 0.2
+LATE_S = 0.05
 LATE_SAMPLES = 3
 SAMPLE_INTERVAL_S = 0.05
+# Weight of the newest sample in the running mean of admitted requests.
+RATE_WEIGHT = 0.1
+# Factors of the limit for each sample. It falls faster than it rises,
+# because requests that were admitted too early delay all others.
+FAR_LATE_FACTOR = 0.85
+LATE_FACTOR = 0.96
+RISE_FACTOR = 1.01
+LOWEST_LIMIT = 5.0
+# The limit is lifted after this many samples in which nothing was refused.
+CALM_SAMPLES = 20
+# Requests that may be admitted at once, as a time at the limit.
+BURST_S = 0.1
+# Paths of callers' requests; other paths are served under any load.
+_LIMITED_PATHS = (b"/v1/", b"/services/")
+
+
+class LoadGauge:
+    """Admits as many requests as the process has processor time for.
+
+    The lateness of the event loop tells that there is more work than time.
+    The rate of admitted requests is then limited, and the limit follows the
+    lateness. Requests in progress are no measure, because thousands of them
+    may wait for slow upstreams at little cost.
+    """
+
+    __slots__ = (
+        "_admitted",
+        "_calm",
+        "_late",
+        "_limit",
+        "_rate",
+        "_refused",
+        "_timers",
+        "_tokens",
+    )
+
+    def __init__(self, timers: Timers) -> None:
+        self._timers = timers
+        self._admitted = 0
+        self._calm = 0
+        self._late = 0
+        # Requests a second; None while there is no overload.
+        self._limit: float | None = None
+        self._rate = 0.0
+        self._refused = 0
+        self._tokens = 0.0
+
+    def is_overloaded(self) -> bool:
+        """Return whether the rate of requests is limited."""
+        return self._limit is not None
+
+    def admit(self) -> bool:
+        """Return whether a new request may be served, and count it."""
+        if self._limit is not None:
+            if self._tokens < 1.0:
+                self._refused += 1
+                return False
+            self._tokens -= 1.0
+        self._admitted += 1
+        return True
+
+    def note(self, lateness_s: float, elapsed_s: float) -> None:
+        """Take a sample of how late the event loop runs.
+
+        Parameters
+        ----------
+        lateness_s, elapsed_s : float
+            Lateness of the sample, and time since the last one, in seconds.
+        """
+        rate = self._admitted / elapsed_s
+        self._rate += RATE_WEIGHT * (rate - self._rate)
+        is_late = lateness_s > LATE_S
+        self._late = self._late + 1 if is_late else 0
+        if self._limit is not None:
+            self._adjust(self._limit, lateness_s)
+        elif self._late >= LATE_SAMPLES:
+            self._limit = max(self._rate * FAR_LATE_FACTOR, LOWEST_LIMIT)
+            self._calm = 0
+        if self._limit is not None:
+            most = self._limit * BURST_S + 1.0
+            earned = self._limit * elapsed_s
+            self._tokens = min(self._tokens + earned, most)
+        self._admitted = self._refused = 0
+
+    def _adjust(self, limit: float, lateness_s: float) -> None:
+        if lateness_s > 2 * LATE_S:
+            factor = FAR_LATE_FACTOR
+        elif lateness_s > LATE_S:
+            factor = LATE_FACTOR
+        else:
+            factor = RISE_FACTOR
+        is_calm = factor == RISE_FACTOR and not self._refused
+        self._calm = self._calm + 1 if is_calm else 0
+        lifted = self._calm >= CALM_SAMPLES
+        self._limit = None if lifted else max(limit * factor, LOWEST_LIMIT)
+
+    async def run(self) -> None:
+        """Measure until cancelled."""
+        before = self._timers.now()
+        while True:
+            await self._timers.sleep(SAMPLE_INTERVAL_S)
+            now = self._timers.now()
+            self.note(now - before - SAMPLE_INTERVAL_S, now - before)
+            before = now
 
 
 class ConnectionLimits:
@@ -36,13 +141,17 @@
     ----------
     connections : int
         Most open connections.
+    load : LoadGauge
     timers : Timers
     """
 
-    __slots__ = ("_open", "connections", "timers")
+    __slots__ = ("_open", "connections", "load", "timers")
 
-    def __init__(self, connections: int, timers: Timers) -> None:
+    def __init__(
+        self, connections: int, load: LoadGauge, timers: Timers
+    ) -> None:
         self.connections = connections
+        self.load = load
         self.timers = timers
         self._open: set[LimitedProtocol] = set()
 
@@ -114,9 +223,21 @@
         super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
-        """Serve a request whose header is complete."""
-        super().on_headers_complete()
+        """Serve a request whose header is complete, or refuse it."""
         self._header_since = None
+        cycle = self.cycle
+        if (
+            self.url.startswith(_LIMITED_PATHS)
+            and (cycle is None or cycle.response_complete)
+            and not self.limits.load.admit()
+        ):
+            # Refusing here costs a small part of a request, so that the
+            # refused ones don't take the time of those that are served.
+            self.cycle = _REFUSED  # type: ignore[assignment]
+            self.transport.write(_OVERLOADED)
+            self.on_response_complete()
+            return
+        super().on_headers_complete()
 
     def send_400_response(self, msg: str) -> None:
         """Answer what is not an acceptable header."""
@@ -145,29 +266,16 @@
         self.transport.close()
 
 
-class LoadGauge:
-    """Tells whether the process has more work than processor time."""
-
-    __slots__ = ("_late", "_timers")
-
-    def __init__(self, timers: Timers) -> None:
-        self._timers = timers
-        self._late = 0
+@dataclass(slots=True)
+class _Refused:
+    """Stands for a request that was answered before its body came."""
 
-    def is_overloaded(self) -> bool:
-        """Return whether new requests should be refused."""
-        return self._late >= LATE_SAMPLES
+    message_event: asyncio.Event = field(default_factory=asyncio.Event)
+    response_complete: bool = True
+    keep_alive: bool = True
 
-    def note(self, lateness_s: float) -> None:
-        """Take a sample of how late the event loop runs, in seconds."""
-        self._late = self._late + 1 if lateness_s > LATE_S else 0
 
-    async def run(self) -> None:
-        """Measure until cancelled."""
-        while True:
-            due = self._timers.now() + SAMPLE_INTERVAL_S
-            await self._timers.sleep(SAMPLE_INTERVAL_S)
-            self.note(self._timers.now() - due)
+_REFUSED = _Refused()
 
 
 def build_protocol(limits: ConnectionLimits) -> type[Any]:
@@ -189,14 +297,20 @@
     return max(1, min(connections, (hard - RESERVED_FILES) // 2))
 
 
-def _build_answer(status: HTTPStatus, reason: str) -> bytes:
+def _build_answer(
+    status: HTTPStatus, reason: str, close: bool = True
+) -> bytes:
     retry = 1 if status is HTTPStatus.SERVICE_UNAVAILABLE else None
     problem = Problem(status, Outcome.NOT_RUN, reason, retry)
     body = problem.to_json()
     lines = [f"HTTP/1.1 {int(status)} {status.phrase}".encode()]
     lines += [b": ".join(header) for header in problem.list_headers()]
-    lines += [
-        b"content-length: " + str(len(body)).encode(),
-        b"connection: close",
-    ]
+    lines.append(b"content-length: " + str(len(body)).encode())
+    if close:
+        lines.append(b"connection: close")
     return b"\r\n".join([*lines, b"", body])
+
+
+_OVERLOADED = _build_answer(
+    HTTPStatus.SERVICE_UNAVAILABLE, "the router is overloaded", close=False
+)
--- a/hornbeamyard/process/router.py
+++ b/hornbeamyard/process/router.py
@@ -116,7 +116,6 @@
             settings.router,
             timers,
             Administration(self.metrics),
-            self._load,
         )
 
     async def run(self, stop: anyio.Event, stop_now: anyio.Event) -> None:
@@ -131,7 +130,9 @@
         """
         assert self._settings.router is not None
         limits = ConnectionLimits(
-            fit_connections(self._settings.router.connections), self._timers
+            fit_connections(self._settings.router.connections),
+            self._load,
+            self._timers,
         )
         server = _build_server(self._settings, self.gateway, limits)
         async with anyio.create_task_group() as tasks:
--- a/hornbeamyard/request/gateway.py
+++ b/hornbeamyard/request/gateway.py
@@ -11,7 +11,7 @@
 import logbook
 from result import Err, Ok, Result
 
-from ..connection.limits import BODIES_SIZE, BODY_TIMEOUT_S, LoadGauge
+from ..connection.limits import BODIES_SIZE, BODY_TIMEOUT_S
 from ..pool.backlog import Ticket
 from ..process.settings import RouterSettings
 from ..process.timers import Timers
@@ -68,7 +68,6 @@
     timers : Timers
     administration : Administration
         Serves the paths of operators and monitoring.
-    load : LoadGauge
     """
 
     __slots__ = (
@@ -77,7 +76,6 @@
         "_bodies_size",
         "_delivery",
         "_fleet",
-        "_load",
         "_requests",
         "_settings",
         "_timers",
@@ -93,14 +91,12 @@
         settings: RouterSettings,
         timers: Timers,
         administration: Administration,
-        load: LoadGauge,
     ) -> None:
         self._administration = administration
         self._announcements = announcements
         self._bodies_size = 0
         self._delivery = delivery
         self._fleet = fleet
-        self._load = load
         self._requests = 0
         self._settings = settings
         self._timers = timers
@@ -162,8 +158,6 @@
             return "the router is stopping"
         if self._requests >= self._settings.requests:
             return f"{self._requests} requests are in progress"
-        if self._load.is_overloaded():
-            return "the router is overloaded"
         return None
 
     async def _serve(
--- a/hornbeamyard/tests/test_limits.py
+++ b/hornbeamyard/tests/test_limits.py
@@ -9,6 +9,7 @@
 import pytest
 
 from hornbeamyard.connection.limits import (
+    CALM_SAMPLES,
     HEADER_SIZE,
     LATE_S,
     LATE_SAMPLES,
@@ -167,29 +168,94 @@
         assert 1 <= fit_connections(10**9) < 10**9
 
 
+def overload(gauge: LoadGauge) -> None:
+    """Have a gauge see a loop that is late."""
+    for _ in range(LATE_SAMPLES):
+        gauge.note(2 * LATE_S, 0.1)
+
+
 class TestLoadGauge:
-    """Requests are refused while the loop is late again and again."""
+    """Requests beyond the processor's rate are refused at once."""
 
     def test_needs_several_late_samples(self) -> None:
         """Guards against refusals after one pause of the host."""
         gauge = LoadGauge(MonotonicTimers())
-        for _ in range(LATE_SAMPLES):
-            assert not gauge.is_overloaded()
-            gauge.note(2 * LATE_S)
+        for _ in range(10):
+            gauge.note(10.0, 10.0)
+            gauge.note(0.0, 0.05)
+        assert not gauge.is_overloaded()
+        overload(gauge)
         assert gauge.is_overloaded()
-        gauge.note(0.0)
+
+    @pytest.mark.requirement("R20", fault="twice the load")
+    @pytest.mark.parametrize("capacity", [200, 2000])
+    def test_keeps_rate_under_twice_the_load(self, capacity: int) -> None:
+        """Guards against a limit far below or above the capacity."""
+        gauge = LoadGauge(MonotonicTimers())
+        # A loop that serves `capacity` requests a second, twice of which
+        # are offered; lateness is the time for what has gathered.
+        gathered = 0.0
+        served = offered = 0.0
+        for step in range(2000):
+            lateness = gathered / capacity
+            elapsed = 0.05 + lateness
+            admitted = sum(
+                gauge.admit() for _ in range(int(2 * capacity * elapsed))
+            )
+            done = min(gathered + admitted, capacity * elapsed)
+            gathered += admitted - done
+            gauge.note(lateness, elapsed)
+            if step >= 200:
+                served += done
+                offered += capacity * elapsed
+                assert lateness < 1.0
+        assert served / offered > 0.9
+
+    def test_lifts_limit(self) -> None:
+        """Guards against refusals when the overload is over."""
+        gauge = LoadGauge(MonotonicTimers())
+        overload(gauge)
+        for _ in range(CALM_SAMPLES):
+            gauge.note(0.0, 0.05)
         assert not gauge.is_overloaded()
 
-    def test_refuses_while_overloaded(self) -> None:
-        """Guards against work that only makes all others later."""
+    def test_refuses_and_keeps_connection(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """Guards against a new connection for each refusal."""
+        body = json.dumps({"model": MODEL, "id": "x"}).encode()
+        request = (
+            f"POST {CHAT} HTTP/1.1\r\nhost: x\r\n"
+            "authorization: Bearer caller-key\r\n"
+            f"content-length: {len(body)}\r\n\r\n"
+        ).encode() + body
 
         async def run() -> None:
             async with run_rig() as rig:
                 gauge = rig.routers[0]._load
-                for _ in range(LATE_SAMPLES):
-                    gauge.note(2 * LATE_S)
-                reply = await rig.call(CHAT, {"model": MODEL, "id": "late"})
-                assert reply.status == 503
-                assert json.loads(reply.body)["outcome"] == "not-run"
+                overload(gauge)
+                gauge._tokens = 0.0
+                stream = await anyio.connect_tcp("127.0.0.1", rig.ports[0])
+                for _ in range(3):
+                    gauge._tokens = 0.0
+                    await stream.send(request)
+                    answer = await stream.receive()
+                    assert answer.startswith(b"HTTP/1.1 503 ")
+                    assert b'"outcome": "not-run"' in answer
+                    assert b"retry-after: 1" in answer
+                gauge._limit = None
+                await stream.send(request)
+                assert (await stream.receive()).startswith(b"HTTP/1.1 200 ")
+                assert rig.count_runs("x") == 1
+                ready = await rig.send("GET", "/health/ready")
+                assert ready.status == 200
+                overload(gauge)
+                gauge._tokens = 0.0
+                await stream.send(request)
+                assert (await stream.receive()).startswith(b"HTTP/1.1 503 ")
+                await stream.aclose()
+                await anyio.sleep(0.05)
 
         anyio.run(run)
+        names = {record.name for record in caplog.records}
+        assert "asyncio" not in names, "an error in the server's protocol"
