Hold the rate limit while an overload is worked off

Cause: the limit went on falling while what had been admitted before was worked off, so that at exactly the load a router refused a quarter.

Change: no decrease while the lateness falls.

--- a/hornbeamyard/connection/limits.py
+++ b/hornbeamyard/connection/limits.py
@@ -57,6 +57,7 @@
         "_admitted",
         "_calm",
         "_late",
+        "_lateness_s",
         "_limit",
         "_rate",
         "_refused",
@@ -69,6 +70,7 @@
         self._admitted = 0
         self._calm = 0
         self._late = 0
+        self._lateness_s = 0.0
         # Requests a second; None while there is no overload.
         self._limit: float | None = None
         self._rate = 0.0
@@ -110,15 +112,20 @@
             most = self._limit * BURST_S + 1.0
             earned = self._limit * elapsed_s
             self._tokens = min(self._tokens + earned, most)
+        self._lateness_s = lateness_s
         self._admitted = self._refused = 0
 
     def _adjust(self, limit: float, lateness_s: float) -> None:
-        if lateness_s > 2 * LATE_S:
+        falls = lateness_s < self._lateness_s
+        if lateness_s <= LATE_S:
+            factor = RISE_FACTOR
+        elif falls:
+            # What was admitted before is being worked off.
+            factor = 1.0
+        elif lateness_s > 2 * LATE_S:
             factor = FAR_LATE_FACTOR
-        elif lateness_s > LATE_S:
-            factor = LATE_FACTOR
         else:
-            factor = RISE_FACTOR
+            factor = LATE_FACTOR
         is_calm = factor == RISE_FACTOR and not self._refused
         self._calm = self._calm + 1 if is_calm else 0
         lifted = self._calm >= CALM_SAMPLES
