--- a/hornbeamyard/process/router.py
+++ b/hornbeamyard/process/router.py
@@ -138,7 +138,9 @@
         """
         assert self._settings.router is not None
         limits = ConnectionLimits(
-            fit_connections(self._settings.router.connections), self._timers
+            fit_connections(self._settings.router.connections),
+            self._load,
+            self._timers,
         )
         server = _build_server(self._settings, self.gateway, limits)
         async with anyio.create_task_group() as tasks:
