Show patch, fairness and a clean stop in the demo

Cause: the demo streamed two answers and could not fail.

Change: the demo starts a fleet, streams an answer, patches a share, compares the service that two contending accounts gain and stops all daemons while an answer streams. Each step fails with exit code 1.

Conclusion: the demo shows what the fleet is for and checks it.

--- a/hornbeamyard/tests/fleet.py
+++ b/hornbeamyard/tests/fleet.py
@@ -69,6 +69,10 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
+        self.stop()
+
+    def stop(self) -> dict[str, int]:
+        """Stop all processes; return their exit codes by name."""
         for process in self.processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
@@ -80,6 +84,7 @@
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
+        return {name: p.returncode for name, p in self.processes.items()}
 
     def start(self) -> None:
         """Start all daemons, without a configuration."""
--- /dev/null
+++ b/hornbeamyard/tests/test_demo.py
@@ -0,0 +1,33 @@
+"""The demo works from start to stop."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+import pytest
+
+
+@pytest.mark.process
+class TestDemo:
+    """The steps that a visitor sees."""
+
+    @pytest.mark.requirement("R7")
+    def test_runs(self) -> None:
+        """Guards against a demo that fails or ends with a false success."""
+        done = subprocess.run(
+            [sys.executable, "-m", "hornbeamyard.tests.demo"],
+            capture_output=True,
+            text=True,
+            check=False,
+            timeout=90,
+        )
+        assert done.returncode == 0, done.stdout + done.stderr
+        for text in (
+            "tokens 0 to 4, then [DONE]",
+            "accepted as version 2",
+            "version 2 is in force on 2 routers",
+            "tokens 0 to 99, then [DONE]",
+            "exit code 0 of host-0, host-1",
+        ):
+            assert text in done.stdout
