--- a/hornbeamyard/__init__.py
+++ b/hornbeamyard/__init__.py
@@ -4,6 +4,12 @@
 `connection`, `version` (of the configuration), `pool` and `process`.
 """
 
+import os
+
+# The gRPC library logs each failed handshake of a process that tries again
+# and again. The fleet logs each reason once by itself.
+os.environ.setdefault("GRPC_VERBOSITY", "ERROR")
+
 __version__ = "0.1.0"
 
 __all__ = ["__version__"]
--- a/hornbeamyard/process/commands.py
+++ b/hornbeamyard/process/commands.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import dataclasses
+import sys
 from pathlib import Path
 
 import click
+from result import Err
 
 from .config_commands import config
 from .controller_commands import controllers
-from .invocation import fleet_options, load_or_exit, read_status
+from .invocation import EXIT_SETTINGS, fleet_options, read_status
+from .settings import load_settings
 from .tables import format_table, show
 
 
@@ -35,16 +39,35 @@
 
 
 @settings.command("check")
-@click.argument("file", type=click.Path(path_type=Path))
+@click.argument(
+    "files",
+    metavar="FILE...",
+    nargs=-1,
+    required=True,
+    type=click.Path(path_type=Path),
+)
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
-def check_settings(file: Path, as_json: bool) -> None:
-    """Check the settings file FILE without starting anything."""
-    loaded = load_or_exit(file, as_json)
-    show(
-        {"valid": True, "host": loaded.host, "findings": []},
-        as_json,
-        f"{file}: the settings of host {loaded.host!r} are valid",
-    )
+def check_settings(files: tuple[Path, ...], as_json: bool) -> None:
+    """Check settings files without starting anything.
+
+    All faults of each FILE are reported with key path and line.
+    """
+    findings = []
+    for file in files:
+        loaded = load_settings(file)
+        if isinstance(loaded, Err):
+            click.echo(str(loaded.err_value), err=True)
+            findings += [
+                {"file": str(file), **dataclasses.asdict(finding)}
+                for finding in loaded.err_value.findings
+            ]
+        elif not as_json:
+            host = loaded.ok_value.host
+            click.echo(f"{file}: the settings of host {host!r} are valid")
+    if as_json:
+        show({"valid": not findings, "findings": findings}, as_json, "")
+    if findings:
+        sys.exit(EXIT_SETTINGS)
 
 
 @main.command()
--- a/hornbeamyard/process/controller_commands.py
+++ b/hornbeamyard/process/controller_commands.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import sys
+import time
 from pathlib import Path
 from typing import Any, NoReturn
 
@@ -23,6 +24,10 @@
 from .tables import show
 from .validation import check_address, check_name
 
+# End of the reason of a refusal that holds only for a moment.
+BUSY = "try again later"
+RETRY_PAUSE_S = 0.25
+
 
 @click.group()
 def controllers() -> None:
@@ -39,7 +44,7 @@
     SETTINGS and before any daemon starts. It is refused when this or
     another controller has a log already.
     """
-    done = bootstrap.initialize(load_or_exit(file, as_json))
+    done = bootstrap.initialize(load_or_exit(file))
     if isinstance(done, Err):
         _refuse(done.err_value, as_json)
     members = done.unwrap().members
@@ -66,7 +71,7 @@
     Run it on the surviving host, with its file SETTINGS and its daemon
     stopped. The lost hosts must never start with their old data folders.
     """
-    loaded = load_or_exit(file, as_json)
+    loaded = load_or_exit(file)
     recovered = bootstrap.recover(loaded, accept_data_loss)
     if isinstance(recovered, Err):
         _refuse(recovered.err_value, as_json)
@@ -175,7 +180,13 @@
 ) -> None:
     loaded = load_or_exit(file)
     calls = connect(loaded)
-    reply = call_or_exit(calls, "ChangeMembers", change, timeout)
+    ends = time.monotonic() + timeout
+    while True:
+        reply = call_or_exit(calls, "ChangeMembers", change, timeout)
+        # Only one change is made at a time, and a repair is one, too.
+        if not reply.reason.endswith(BUSY) or time.monotonic() > ends:
+            break
+        time.sleep(RETRY_PAUSE_S)
     accepted = reply.accepted
     # A repeated call may be refused because the first one was accepted.
     if not accepted and calls.was_repeated:
--- a/hornbeamyard/process/invocation.py
+++ b/hornbeamyard/process/invocation.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import json
 import sys
 from collections.abc import Callable
@@ -48,17 +47,10 @@
     return command
 
 
-def load_or_exit(file: Path, as_json: bool = False) -> Settings:
+def load_or_exit(file: Path) -> Settings:
     """Return the settings of a file, or print all findings and exit."""
     loaded = load_settings(file)
     if isinstance(loaded, Err):
-        if as_json:
-            findings = loaded.err_value.findings
-            document = {
-                "valid": False,
-                "findings": [dataclasses.asdict(f) for f in findings],
-            }
-            click.echo(json.dumps(document, indent=2))
         click.echo(str(loaded.err_value), err=True)
         sys.exit(EXIT_SETTINGS)
     return loaded.ok_value
--- a/hornbeamyard/process/status.py
+++ b/hornbeamyard/process/status.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from math import inf
 from typing import Any
 
+from ..messages import fleet_pb2
 from ..pool.schedule import Demand, Schedule
+from ..version.membership import is_same
 from ..version.replica import Replica
 from .controller import Controller
 
@@ -48,28 +49,38 @@
 
 
 def _describe_members(replica: Replica) -> list[dict[str, Any]]:
-    now = replica.timers.now()
+    return [
+        _describe_member(replica, member)
+        for member in replica.state.members.members
+    ]
+
+
+def _describe_member(
+    replica: Replica, member: fleet_pb2.Member
+) -> dict[str, Any]:
+    leads = is_same(member, replica.journal.disk_id, replica.journal.initial)
+    leads = leads and member.host == replica.host
+    reachable, entries, has_folder = leads, replica.journal.last_index, leads
     leadership = replica.leadership
-    members = []
-    for member in replica.state.members.members:
+    if not leads:
         peer = leadership.peers.get(member.host) if leadership else None
-        leads = member.host == replica.host
-        silent_s = 0.0 if leads else now - peer.acked_at if peer else inf
-        entries = replica.journal.last_index
-        if not leads:
-            entries = peer.match_index if peer else 0
-        members.append(
-            {
-                "host": member.host,
-                "address": member.address,
-                "voter": member.voter,
-                "replaces": member.replaces or None,
-                "leads": leads,
-                "reachable": silent_s < SILENT_S,
-                "entries": entries,
-            }
+        reachable = peer is not None and (
+            replica.timers.now() - peer.acked_at < SILENT_S
+        )
+        entries = peer.match_index if peer is not None else 0
+        has_folder = peer is not None and is_same(
+            member, peer.disk, peer.initial
         )
-    return members
+    return {
+        "host": member.host,
+        "address": member.address,
+        "voter": member.voter,
+        "counts": member.voter and reachable and has_folder,
+        "replaces": member.replaces or None,
+        "leads": leads,
+        "reachable": reachable,
+        "entries": entries,
+    }
 
 
 def _describe_pool(
--- a/hornbeamyard/tests/test_controller_commands.py
+++ b/hornbeamyard/tests/test_controller_commands.py
@@ -69,6 +69,7 @@
         assert done.exit_code == 0, done.output
         members = wait_for_voters(settings, ["host-0", "host-1"])
         assert {m["reachable"] for m in members} == {True}
+        assert {m["counts"] for m in members} == {True}
         done = run("status", option)
         assert "HOST" in done.stdout
         assert address in done.stdout
--- a/hornbeamyard/tests/test_peers.py
+++ b/hornbeamyard/tests/test_peers.py
@@ -128,6 +128,8 @@
         time.sleep(1.0)
         lines = [line for line in log.splitlines() if "can't be" in line]
         assert 1 <= len(lines) <= 3
+        assert "CERTIFICATE_VERIFY_FAILED" in log
+        assert "ssl_transport_security" not in fleet.read_log("host-0")
         assert "PRIVATE KEY" not in log
 
 
