--- a/hornbeamyard/process/daemon.py
+++ b/hornbeamyard/process/daemon.py
@@ -46,8 +46,8 @@
     """Run a process until SIGTERM or SIGINT; a second one ends the drain."""
     timers = MonotonicTimers()
     stop = anyio.Event()
-    replica = None
     stop_now = anyio.Event()
+    replica = None
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_watch_signals, stop, stop_now)
         if settings.controller is not None:
--- a/hornbeamyard/process/gauges.py
+++ b/hornbeamyard/process/gauges.py
@@ -27,6 +27,9 @@
         labels = (("pool", pool),)
         waiting, running = 0, 0
         for name, counts in dispatch.count_requests().items():
+            # Accounts without requests would use up the bounded labels.
+            if not any(counts):
+                continue
             account = (("client_account", name),)
             yield Sample("waiting", counts[0], account)
             yield Sample("running", counts[1], account)
--- a/hornbeamyard/tests/fake_upstream.py
+++ b/hornbeamyard/tests/fake_upstream.py
@@ -2,8 +2,9 @@
 
 It serves as a model engine, with batching and admission in order of arrival,
 or as a plain service that keeps a journal of what it ran. A request may ask
-for a fault: `"fault": "reset"`, `"stage": "sent"` or `"answering"`, and
-`"faulty_attempts"`, the number of attempts that it hits.
+for a fault: `"fault": "reset"`, a `"stage"` of `"sent"`, `"headers"` (of a
+stream) or `"answering"`, and `"faulty_attempts"`, the number of attempts that
+it hits.
 """
 
 from __future__ import annotations
@@ -28,7 +29,7 @@
 
 HEARTBEAT_S = 1.0
 # Time without a byte for the faults "slow" and "late".
-PAUSE_S = 0.3
+PAUSE_S = 0.4
 
 
 @dataclass(slots=True)
@@ -87,6 +88,7 @@
     journal: list[str] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
     attempts: set[str] = field(default_factory=set)
+    mute: set[str] = field(default_factory=set)
     running: int = 0
     most_running: int = 0
     leaving: bool = False
@@ -102,6 +104,8 @@
         if scope["path"] == "/hornbeamyard/v1/status":
             attempt = scope["query_string"].decode().partition("=")[2]
             document = {"leaving": self.leaving}
+            if attempt in self.mute:
+                await anyio.sleep_forever()
             if attempt:
                 document["running"] = attempt in self.attempts
             await self._answer(send, document)
@@ -228,6 +232,8 @@
                 "headers": [(b"content-type", b"text/event-stream")],
             }
         )
+        if at == "headers":
+            await self._break(scope, fault)
         for number in range(tokens):
             await anyio.sleep(self.options.token_s)
             if at == "answering" and number == tokens // 2:
@@ -246,19 +252,26 @@
         self, scope: MutableMapping[str, Any], fault: str
     ) -> None:
         transport = scope["transport"]
+        attempt = dict(scope["headers"]).get(b"hornbeamyard-request", b"")
         if fault in ("slow", "late"):
             await anyio.sleep(PAUSE_S)
         elif fault == "silent":
+            # Like a frozen process, also when asked for its status.
+            self.mute.add(attempt.decode())
             await anyio.sleep_forever()
         elif fault == "forgotten":
             # The upstream no longer runs the request, but never says so.
-            headers = dict(scope["headers"])
-            self.attempts.discard(headers[b"hornbeamyard-request"].decode())
+            self.attempts.discard(attempt.decode())
             await anyio.sleep_forever()
         elif fault == "garbage":
             transport.write(b"\x16\x03 this is not HTTP\r\n\r\n")
             transport.close()
             raise BrokenOffError
+        elif fault == "unframed":
+            # An answer that ends with the connection, cut in the middle.
+            transport.write(b"HTTP/1.1 200 OK\r\n\r\n{")
+            transport.close()
+            raise BrokenOffError
         elif fault == "early":
             transport.close()
             raise BrokenOffError
