Measure the data path against a bare forwarder

Cause: nothing measured what the router adds to a bare uvicorn and httpcore forwarder.

Change: benchmarks.forward runs both in front of the same fake upstreams and compares the processor time of each process (psutil) for a request and for a chunk, and resident memory while streams are open. A chunk's cost is the difference between long and short streams, so that the cost of the request drops out.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each command prints one JSON object as its last line."""
--- /dev/null
+++ b/benchmarks/forward.py
@@ -0,0 +1,279 @@
+"""Processor time and memory of the router's data path on loopback.
+
+A router and a bare forwarder with the same HTTP libraries carry the same
+load in turn, in front of the same fake upstreams.
+"""
+
+from __future__ import annotations
+
+import json
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import anyio
+import click
+import httpcore
+import psutil
+
+from hornbeamyard.tests.fleet import CALLER_KEY, LocalFleet, find_free_port
+
+from .load import build_request, hold_streams, run_callers
+
+ACCOUNT = "hotel"
+# Host 0 runs the controller, so that the measured router runs nothing else.
+MEASURED = 1
+REQUEST_TARGET = 1.5
+CHUNK_TARGET = 1.15
+# Resident memory may grow by this part of what the open streams take.
+MEMORY_SLACK = 0.05
+# Pools, with the time between tokens and the slots of their fake upstream.
+POOLS = {
+    "plain": (0.0, 256),
+    "tokens": (0.01, 256),
+    "long": (1.0, 8400),
+}
+
+
+@dataclass(slots=True)
+class Server:
+    """The router, or the bare forwarders, one for each pool.
+
+    Attributes
+    ----------
+    name : str
+    processes : dict of str to psutil.Process
+        Process that serves each pool.
+    ports : dict of str to int
+        Port to use for each pool.
+    """
+
+    name: str
+    processes: dict[str, psutil.Process] = field(default_factory=dict)
+    ports: dict[str, int] = field(default_factory=dict)
+
+    def read_cpu(self, pool: str) -> float:
+        """Return the processor time used so far, in seconds."""
+        times = self.processes[pool].cpu_times()
+        return float(times.user + times.system)
+
+    def read_memory(self, pool: str) -> int:
+        """Return the resident memory in bytes."""
+        return int(self.processes[pool].memory_info().rss)
+
+
+@dataclass(slots=True)
+class Plan:
+    """Sizes of the load.
+
+    Attributes
+    ----------
+    rounds, callers, requests : int
+    chunk_counts : (int, int)
+        Chunks of a short and of a long stream; their difference gives the
+        cost of a chunk without the cost of the request.
+    streams : int
+        Streams open at a time when memory is measured.
+    hold_s : int
+        Time for which they stay open, in seconds.
+    """
+
+    rounds: int
+    callers: int = 16
+    requests: int = 125
+    chunk_counts: tuple[int, int] = (10, 210)
+    streams: int = 2000
+    hold_s: int = 10
+
+
+def measure_cpu(
+    server: Server, pool: str, callers: int, requests: int, request: bytes
+) -> tuple[float, list[int]]:
+    """Return a server's processor time in seconds, and events by answer."""
+    before = server.read_cpu(pool)
+    events = anyio.run(
+        run_callers, server.ports[pool], callers, requests, request
+    )
+    return server.read_cpu(pool) - before, events
+
+
+def measure_request(server: Server, plan: Plan) -> float:
+    """Return the processor time of one request, in microseconds."""
+    request = build_request("plain", CALLER_KEY + ACCOUNT)
+    cpu, answers = measure_cpu(
+        server, "plain", plan.callers, plan.requests, request
+    )
+    return cpu / len(answers) * 1e6
+
+
+def measure_chunk(server: Server, plan: Plan) -> float:
+    """Return the processor time of one chunk, in microseconds."""
+    spent = []
+    for chunks in plan.chunk_counts:
+        request = build_request(
+            "tokens", CALLER_KEY + ACCOUNT, stream=True, max_tokens=chunks
+        )
+        cpu, events = measure_cpu(server, "tokens", plan.callers, 2, request)
+        assert events == [chunks + 1] * (plan.callers * 2)
+        spent.append(cpu)
+    short, long = plan.chunk_counts
+    return (spent[1] - spent[0]) / (plan.callers * 2 * (long - short)) * 1e6
+
+
+def measure_memory(server: Server, plan: Plan) -> dict[str, float]:
+    """Return resident memory while streams are open, in bytes."""
+    request = build_request(
+        "long", CALLER_KEY + ACCOUNT, stream=True, max_tokens=plan.hold_s + 5
+    )
+    sizes: dict[str, float] = {"idle": server.read_memory("long")}
+
+    async def watch() -> None:
+        sizes["open"] = server.read_memory("long")
+        await anyio.sleep(plan.hold_s)
+        sizes["held"] = server.read_memory("long")
+
+    complete = anyio.run(
+        hold_streams, server.ports["long"], plan.streams, request, watch
+    )
+    assert complete == plan.streams, f"{complete} streams were complete"
+    sizes["closed"] = server.read_memory("long")
+    return sizes
+
+
+def run_rounds(servers: list[Server], plan: Plan) -> dict[str, object]:
+    """Measure both servers in turn; return costs and their ratios."""
+    costs: dict[str, dict[str, list[float]]] = {
+        "request_us": {s.name: [] for s in servers},
+        "chunk_us": {s.name: [] for s in servers},
+    }
+    for server in servers:
+        measure_request(server, plan)
+    for number in range(plan.rounds):
+        for server in servers if number % 2 else reversed(servers):
+            costs["request_us"][server.name].append(
+                measure_request(server, plan)
+            )
+            costs["chunk_us"][server.name].append(measure_chunk(server, plan))
+        row = {
+            k: {n: round(v[-1]) for n, v in c.items()}
+            for k, c in costs.items()
+        }
+        click.echo(f"round {number + 1}: {json.dumps(row)}")
+    result: dict[str, object] = {}
+    for kind, values in costs.items():
+        ratios = [
+            r / b
+            for r, b in zip(values["router"], values["bare"], strict=True)
+        ]
+        name = kind.removesuffix("_us")
+        result[kind] = {
+            n: round(statistics.median(v), 1) for n, v in values.items()
+        }
+        result[f"{name}_ratio"] = round(statistics.median(ratios), 3)
+        result[f"{name}_ratio_spread"] = [
+            round(min(ratios), 3),
+            round(max(ratios), 3),
+        ]
+    return result
+
+
+def run_memory(servers: list[Server], plan: Plan) -> dict[str, object]:
+    """Open many streams twice at each server; return resident memory."""
+    result: dict[str, object] = {"streams": plan.streams}
+    for server in servers:
+        first = measure_memory(server, plan)
+        second = measure_memory(server, plan)
+        taken = first["open"] - first["idle"]
+        growth = max(
+            first["held"] - first["open"], second["held"] - first["held"]
+        )
+        result[server.name] = {
+            "first_mb": {k: round(v / 1e6, 1) for k, v in first.items()},
+            "second_mb": {k: round(v / 1e6, 1) for k, v in second.items()},
+            "kb_per_stream": round(taken / plan.streams / 1e3, 1),
+            "growth_share": round(growth / taken, 3),
+            "flat": growth <= MEMORY_SLACK * taken,
+        }
+        click.echo(f"memory of {server.name}: {result[server.name]}")
+    return result
+
+
+def measure_idle(server: Server, seconds: float) -> float:
+    """Return the part of a core that a server uses without load."""
+    before = server.read_cpu("plain")
+    time.sleep(seconds)
+    return (server.read_cpu("plain") - before) / seconds
+
+
+def start_bare(fleet: LocalFleet, pool: str, upstream: int) -> int:
+    """Start a bare forwarder to an upstream; return its port."""
+    port = find_free_port()
+    command = [sys.executable, "-m", "benchmarks.bare", f"--port={port}"]
+    command.append(f"--upstream=http://127.0.0.1:{upstream}")
+    with (fleet.folder / f"bare-{pool}.log").open("ab") as log:
+        fleet.processes[f"bare-{pool}"] = subprocess.Popen(
+            command, stdout=log, stderr=log
+        )
+    return port
+
+
+def wait_answer(port: int, pool: str) -> None:
+    """Wait until a request through a server succeeds."""
+    request = build_request(pool, CALLER_KEY + ACCOUNT, max_tokens=0)
+    deadline = time.monotonic() + 20
+    while True:
+        with suppress(ExceptionGroup, OSError, httpcore.NetworkError):
+            anyio.run(run_callers, port, 1, 1, request)
+            return
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"no answer for {pool} on port {port}")
+        time.sleep(0.2)
+
+
+def start_servers(fleet: LocalFleet) -> list[Server]:
+    """Start router, upstreams and one bare forwarder for each upstream."""
+    fleet.start()
+    fleet.configure(fleet.build_document(dict.fromkeys(POOLS, "model")))
+    bare, router = Server("bare"), Server("router")
+    for pool, (token_s, slots) in POOLS.items():
+        upstream = fleet.start_upstream(
+            f"{pool}-0", pool, f"--token-s={token_s}", f"--slots={slots}"
+        )
+        bare.ports[pool] = start_bare(fleet, pool, upstream)
+        router.ports[pool] = fleet.router_ports[MEASURED]
+        for server, process in (
+            (bare, fleet.processes[f"bare-{pool}"]),
+            (router, fleet.processes[f"host-{MEASURED}"]),
+        ):
+            server.processes[pool] = psutil.Process(process.pid)
+            wait_answer(server.ports[pool], pool)
+    return [bare, router]
+
+
+@click.command()
+@click.option("--rounds", default=5, show_default=True)
+@click.option("--streams", default=2000, show_default=True)
+def main(rounds: int, streams: int) -> None:
+    """Measure the router's data path against a bare forwarder."""
+    plan = Plan(rounds=rounds, streams=streams)
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        LocalFleet(Path(folder)) as fleet,
+    ):
+        servers = start_servers(fleet)
+        result: dict[str, object] = {
+            "idle_core_share": round(measure_idle(servers[1], 5), 4)
+        }
+        result.update(run_rounds(servers, plan))
+        result["memory"] = run_memory(servers, plan)
+    result["targets"] = {"request": REQUEST_TARGET, "chunk": CHUNK_TARGET}
+    click.echo(json.dumps(result))
+
+
+if __name__ == "__main__":
+    main()
