--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements; each command prints one JSON object as its last line."""
+"""Measurements; each prints one JSON object as its last line."""
