--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,241 @@
+"""Slopes of state, messages and processor time of the control part.
+
+Drives the real decision modules and the codec at several sizes, fits lines,
+and measures at the target size where that takes seconds.
+"""
+
+from __future__ import annotations
+
+import json
+import multiprocessing
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import click
+
+from hornbeamyard.tests.fleet import find_free_port
+
+from . import capacity_page
+from .fit import Fit, fit_sweep
+from .links import measure_links, measure_streams, serve_echo
+from .pools import (
+    Load,
+    Shape,
+    measure_router_pool,
+    measure_schedule,
+    measure_urgent,
+)
+from .versions import measure_changes, measure_document
+
+TARGET_SHAPE = Shape(
+    routers=1900, workers=370, slots=119, configured=16000, backlogged=1600
+)
+TARGET_LOAD = Load(configured=16000, active=23, workers=370)
+
+
+@dataclass(slots=True)
+class Sweep:
+    """One quantity varied while the others stay.
+
+    Attributes
+    ----------
+    group, against : str
+    sizes : sequence of int
+    measure : callable
+        Returns figures by name for a size.
+    """
+
+    group: str
+    against: str
+    sizes: Sequence[int]
+    measure: Callable[[int], Mapping[str, float]]
+
+
+@dataclass(slots=True)
+class Results:
+    """Everything that one run measured.
+
+    Attributes
+    ----------
+    fits : dict of str to Fit
+        By `group/against/figure`.
+    target : dict of str to float
+        Figures measured at the target size, by `group/figure`.
+    """
+
+    fits: dict[str, Fit] = field(default_factory=dict)
+    target: dict[str, float] = field(default_factory=dict)
+
+    def to_json(self) -> dict[str, object]:
+        """Return all figures."""
+        return {
+            "fits": {n: fit.to_json() for n, fit in self.fits.items()},
+            "at_target": {
+                n: float(f"{value:.4g}") for n, value in self.target.items()
+            },
+        }
+
+
+def measure_pools(count: int) -> dict[str, float]:
+    """Return what control of several pools costs one router."""
+    rows = [measure_router_pool(Load(), 3) for _ in range(count)]
+    return {name: sum(row[name] for row in rows) for name in rows[0]}
+
+
+def list_sweeps(address: str) -> list[Sweep]:
+    """Return all sweeps; `address` is where the echo of streams listens."""
+    return [
+        Sweep(
+            "schedule",
+            "routers",
+            (100, 200, 400, 800),
+            lambda n: measure_schedule(Shape(routers=n)),
+        ),
+        Sweep(
+            "schedule",
+            "workers",
+            (20, 40, 80, 160),
+            lambda n: measure_schedule(Shape(workers=n)),
+        ),
+        Sweep(
+            "schedule",
+            "backlogged accounts",
+            (80, 160, 320, 640, 1280),
+            lambda n: measure_schedule(Shape(backlogged=n)),
+        ),
+        Sweep(
+            "schedule",
+            "configured accounts",
+            (2000, 4000, 8000, 16000),
+            lambda n: measure_schedule(Shape(configured=n)),
+        ),
+        Sweep("router", "pools", (1, 3, 9, 27), measure_pools),
+        Sweep(
+            "router",
+            "configured accounts",
+            (2000, 4000, 8000, 16000),
+            lambda n: measure_router_pool(Load(configured=n)),
+        ),
+        Sweep(
+            "router",
+            "active accounts",
+            (6, 12, 23, 46, 92),
+            lambda n: measure_router_pool(Load(active=n)),
+        ),
+        Sweep(
+            "router",
+            "workers",
+            (46, 92, 185, 370),
+            lambda n: measure_router_pool(Load(workers=n)),
+        ),
+        Sweep("urgent", "requests a second", (1, 2, 4, 8), measure_urgent),
+        Sweep(
+            "link",
+            "workers",
+            (100, 200, 400, 800, 1600),
+            lambda n: measure_links(20, n),
+        ),
+        Sweep(
+            "link",
+            "routers",
+            (10, 20, 40, 80),
+            lambda n: measure_links(n, 200),
+        ),
+        Sweep(
+            "stream",
+            "streams",
+            (5, 10, 15, 25),
+            lambda n: measure_streams(address, n),
+        ),
+        Sweep(
+            "version",
+            "accounts",
+            (2000, 4000, 8000, 16000),
+            lambda n: measure_document(n, 1000),
+        ),
+        Sweep(
+            "version",
+            "upstreams",
+            (1250, 2500, 5000, 10000),
+            lambda n: measure_document(2000, n),
+        ),
+        Sweep("history", "changes", (100, 200, 400, 800), measure_changes),
+    ]
+
+
+def measure_target() -> dict[str, float]:
+    """Return figures at the target size: one pool, and one document."""
+    target: dict[str, float] = {}
+    for group, figures in (
+        ("schedule", measure_schedule(TARGET_SHAPE, 1)),
+        ("router", measure_router_pool(TARGET_LOAD)),
+        ("version", measure_document(16000, 10000)),
+    ):
+        target.update({f"{group}/{n}": v for n, v in figures.items()})
+    for name, module in (
+        ("interpreter", "sys"),
+        ("forwarder", "benchmarks.bare"),
+        ("daemon", "hornbeamyard.process.daemon"),
+    ):
+        target[f"memory/{name}"] = measure_import(module)
+    return target
+
+
+def measure_import(module: str) -> float:
+    """Return the resident memory of a process that imports a module."""
+    code = (
+        f"import {module}, pathlib, resource; "
+        "pages = pathlib.Path('/proc/self/statm').read_text().split()[1]; "
+        "print(int(pages) * resource.getpagesize())"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, check=True
+    )
+    return float(done.stdout)
+
+
+def run_sweeps(only: str) -> Results:
+    """Run all sweeps whose group contains a text."""
+    results = Results()
+    address = f"127.0.0.1:{find_free_port()}"
+    context = multiprocessing.get_context("spawn")
+    echo = context.Process(target=serve_echo, args=(address,), daemon=True)
+    echo.start()
+    try:
+        time.sleep(2)
+        for sweep in list_sweeps(address):
+            if only not in sweep.group:
+                continue
+            fits = fit_sweep(sweep.against, sweep.sizes, sweep.measure)
+            for name, fit in fits.items():
+                key = f"{sweep.group}/{sweep.against}/{name}"
+                results.fits[key] = fit
+                click.echo(
+                    f"{key}: {fit.slope:.4g} +- {fit.slope_error:.2g}, "
+                    f"exponent {fit.exponent:.2f}"
+                )
+    finally:
+        echo.kill()
+        echo.join()
+    return results
+
+
+@click.command()
+@click.option("--page", type=click.Path(path_type=Path), help="Write a page.")
+@click.option("--only", default="", help="Sweeps whose group contains this.")
+def main(page: Path | None, only: str) -> None:
+    """Measure slopes against routers, workers, accounts, pools, changes."""
+    results = run_sweeps(only)
+    if not only:
+        results.target = measure_target()
+    if page is not None:
+        page.write_text(capacity_page.build_page(results.fits, results.target))
+    click.echo(json.dumps(results.to_json()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/capacity_page.py
@@ -0,0 +1,1 @@
+"""The page docs/CAPACITY.md."""
--- a/benchmarks/pools.py
+++ b/benchmarks/pools.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, replace
 
 from hornbeamyard.connection import codec
+from hornbeamyard.pool import options
 from hornbeamyard.pool.backlog import QueueBounds, Ticket
 from hornbeamyard.pool.dispatch import Dispatch, Start
 from hornbeamyard.pool.schedule import Allocation, Demand, Limit, Schedule
@@ -312,3 +313,34 @@
     )
     message = codec.encode_allocation("pool", changed, pool.allocation)
     pool.dispatch.apply(codec.merge_allocation(pool.allocation, message), now)
+
+
+def measure_urgent(requests: int, seconds: int = 20) -> dict[str, float]:
+    """Return the urgent reports that requests of idle accounts cause.
+
+    The pool is contended, as at the peak, and each request comes from an
+    account that has nothing waiting at this router. Requests come at even
+    spacing; each waits until it gets the next slot that comes free.
+
+    Parameters
+    ----------
+    requests : int
+        Requests of such accounts at one router and pool, for each second.
+    seconds : int, optional
+    """
+    pool = RouterPool(Load(configured=2000, active=23))
+    dispatch = pool.dispatch
+    dispatch.collect_report(0.5, full=True)
+    messages = 0
+    reported_at = 0.0
+    for number in range(requests * seconds):
+        now = 1.0 + number / requests
+        account = name_account(100 + number % 1900)
+        dispatch.submit(Ticket(account), now)
+        spaced = now - reported_at >= options.URGENT_SPACING_S
+        if dispatch.is_urgent() and spaced:
+            dispatch.collect_report(now, full=False)
+            reported_at = now
+            messages += 1
+        dispatch.backlog.pop(account)
+    return {"messages": messages / seconds}
