--- a/hornbeamyard/connection/attachment.py
+++ b/hornbeamyard/connection/attachment.py
@@ -51,7 +51,6 @@
         "_host",
         "_identity",
         "_lease_ends",
-        "_leaving",
         "_list_dispatches",
         "_on_configuration",
         "_registry",
@@ -60,6 +59,7 @@
         "configuration",
         "epoch",
         "is_attached",
+        "is_leaving",
     )
 
     def __init__(
@@ -84,7 +84,7 @@
         self._document: dict[str, Any] = {}
         self._routers: list[str] = [host]
         self._lease_ends = 0.0
-        self._leaving = False
+        self.is_leaving = False
         self._sequence = 0
         self.configuration = Configuration(version=0)
         self.epoch = 0
@@ -96,7 +96,7 @@
 
     def leave(self) -> None:
         """Tell the lead controller in the next report that we stop."""
-        self._leaving = True
+        self.is_leaving = True
 
     # ---- towards the controller ------------------------------------------
 
@@ -114,7 +114,7 @@
         report = fleet_pb2.RouterReport(
             sequence=self._sequence,
             version_in_force=self.configuration.version,
-            leaving=self._leaving,
+            leaving=self.is_leaving,
             full=full,
         )
         if full:
--- a/hornbeamyard/connection/session.py
+++ b/hornbeamyard/connection/session.py
@@ -50,6 +50,8 @@
 
     __slots__ = (
         "_find_pool",
+        "_leave_sent",
+        "_left",
         "_list_pools",
         "_settings",
         "_timers",
@@ -71,6 +73,8 @@
         self._timers = timers
         self._find_pool = find_pool
         self._list_pools = list_pools
+        self._leave_sent = False
+        self._left = anyio.Event()
         self._wake = anyio.Event()
         self.attachment = Attachment(
             settings.host,
@@ -111,16 +115,20 @@
         self.attachment.leave()
         self._wake.set()
 
+    async def wait_left(self) -> None:
+        """Wait until the lead controller has ended the stream after it."""
+        await self._left.wait()
+
     async def run(self) -> None:
         """Stay attached until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_lease)
             address = ""
-            while True:
+            while not self._left.is_set():
                 address = address or self._choose_address()
                 address = await self._attach(address)
                 self.attachment.is_attached = False
-                if not address:
+                if not address and not self._left.is_set():
                     await self._timers.sleep(
                         RECONNECT_PAUSE_S * random.uniform(0.5, 1.5)
                     )
@@ -139,8 +147,11 @@
                 with self._timers.limit(SILENCE_LIMIT_S):
                     update = await stream.read()
                     if update is grpc.aio.EOF:
+                        if self._leave_sent:
+                            self._left.set()
                         break
-                    if update.leader:
+                    # A controller that leads always sends its epoch.
+                    if update.leader or not update.epoch:
                         hint = update.leader
                         break
                     if not self._take_update(update):
@@ -163,11 +174,20 @@
         return hint if hint != address else ""
 
     async def _send_reports(self) -> AsyncIterator[fleet_pb2.RouterReport]:
+        self._leave_sent = False
         yield self.attachment.build_report(self._timers.now(), full=True)
         while True:
             with self._timers.limit(options.REPORT_INTERVAL_S):
                 await self._wake.wait()
             self._wake = anyio.Event()
+            if self.attachment.is_leaving:
+                # The end of the reports makes the controller end the stream,
+                # which acknowledges this one.
+                self._leave_sent = True
+                yield self.attachment.build_report(
+                    self._timers.now(), full=False
+                )
+                return
             yield self.attachment.build_report(self._timers.now(), full=False)
             await self._timers.sleep(options.URGENT_SPACING_S)
 
