--- a/hornbeamyard/pool/schedule.py
+++ b/hornbeamyard/pool/schedule.py
@@ -11,79 +11,28 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from . import options
-
-_LEVEL_STEPS = 60
+from .allocation import Allocation, Demand, Limit
+from .division import Contender, divide_slots
+from .placement import Place, Placement, place_slots, spread_idle_slots
 
 
 @dataclass(slots=True)
-class Demand:
-    """What a router reported for one client account.
+class Change:
+    """An allocation that changed.
 
     Attributes
     ----------
-    waiting, waiting_priority : int
-        Requests that wait; the second counts those on the priority path and
-        is part of the first.
-    running : int
-        Requests that occupy a slot.
-    service_s : float
-        Slot seconds since the start of the router.
-    finished : int
-        Requests finished since the start of the router.
-    largest_s : float
-        Largest cost of a finished request in slot seconds.
+    allocation : Allocation
+    urgent : bool
+        Whether it can't wait for the next renewal.
     """
 
-    waiting: int = 0
-    waiting_priority: int = 0
-    running: int = 0
-    service_s: float = 0.0
-    finished: int = 0
-    largest_s: float = 0.0
-
-
-@dataclass(slots=True)
-class Limit:
-    """How many requests of an account a router may run at the same time.
-
-    Attributes
-    ----------
-    limit : int
-    lag_s : float
-        Normalised service of the account above the lowest one, in seconds.
-    """
-
-    limit: int
-    lag_s: float
-
-
-@dataclass(slots=True)
-class Allocation:
-    """What a router may use: slots, and limits while contended.
-
-    Attributes
-    ----------
-    granted : dict of str to int
-        For each worker the slots granted since the router attached.
-    closed : set of str
-        Workers that take no new requests.
-    hold : int
-        Slots that the router should hold; it returns the excess when idle.
-    contended : bool
-        Whether `limits` apply.
-    limits : dict of str to Limit
-    """
-
-    granted: dict[str, int] = field(default_factory=dict)
-    closed: set[str] = field(default_factory=set)
-    hold: int = 0
-    contended: bool = False
-    limits: dict[str, Limit] = field(default_factory=dict)
+    allocation: Allocation
+    urgent: bool
 
 
 @dataclass(slots=True)
@@ -110,6 +59,9 @@
     # Sum over routers of running requests times the time of their report.
     running_since: float = 0.0
     backlogged: bool = False
+    finished: int = 0
+    # Slots of the last division.
+    entitled: int = 0
 
     def compute_tag(self, now: float) -> float:
         accrued = self.running * now - self.running_since
@@ -121,6 +73,11 @@
     def count_demand(self) -> int:
         return self.waiting + self.running
 
+    def has_short_requests(self) -> bool:
+        if self.finished == 0:
+            return False
+        return self.service_s / self.finished < options.SHORT_REQUEST_S
+
     def add(self, demand: Demand, at: float, sign: int) -> None:
         self.waiting += sign * demand.waiting
         self.waiting_priority += sign * demand.waiting_priority
@@ -141,7 +98,16 @@
     reported: dict[str, _Reported] = field(default_factory=dict)
     granted: dict[str, int] = field(default_factory=dict)
     returned: dict[str, int] = field(default_factory=dict)
+    limits: dict[str, int] = field(default_factory=dict)
     sent: Allocation | None = None
+    # Slots that the last plan gives to the router, and that it may keep.
+    wanted: int = 0
+    hold: int = 0
+    # Requests finished in a second, by account.
+    rates: dict[str, float] = field(default_factory=dict)
+    # Mean number of slots in use.
+    usage: float = 0.0
+    usage_at: float | None = None
     lost_at: float | None = None
 
     def count_held(self, worker: str) -> int:
@@ -150,9 +116,58 @@
     def count_all_held(self) -> int:
         return sum(self.granted.values()) - sum(self.returned.values())
 
-    def get_demand(self, account: str) -> Demand:
-        reported = self.reported.get(account)
-        return reported.demand if reported is not None else Demand()
+    def measure_rate(self, account: str, finished: int, span_s: float) -> None:
+        """Blend the requests finished since the last report into the mean."""
+        if span_s <= 0:
+            return
+        rate = self.rates.get(account, 0.0)
+        weight = min(1.0, span_s / options.RATE_WINDOW_S)
+        self.rates[account] = rate + weight * (finished / span_s - rate)
+
+    def compute_offered(self, accounts: set[str]) -> dict[str, float]:
+        """Return the requests offered in a control interval."""
+        return {
+            name: self.rates.get(name, 0.0) * options.REPORT_INTERVAL_S
+            + reported.demand.count()
+            for name, reported in self.reported.items()
+            if name in accounts and reported.demand.count() > 0
+        }
+
+    def measure_usage(self, now: float) -> None:
+        """Blend the slots in use since the last report into the mean."""
+        running = self.count_running()
+        if self.usage_at is None:
+            self.usage, self.usage_at = float(running), now
+            return
+        weight = min(1.0, (now - self.usage_at) / options.USAGE_WINDOW_S)
+        self.usage += weight * (running - self.usage)
+        self.usage_at = now
+
+    def count_running(self) -> int:
+        return sum(r.demand.running for r in self.reported.values())
+
+    def change(self, allocation: Allocation) -> Change | None:
+        """Return a change to send, or None when nothing differs.
+
+        A change that can't wait for the next renewal grants slots, closes
+        workers or asks for idle slots.
+        """
+        sent = self.sent
+        if allocation == sent:
+            return None
+        self.sent = allocation
+        urgent = (
+            sent is None
+            or allocation.granted != sent.granted
+            or allocation.closed != sent.closed
+            or (allocation.recalled and not sent.recalled)
+            or (
+                allocation.contended
+                and not sent.contended
+                and self.count_all_held() > self.count_running()
+            )
+        )
+        return Change(allocation, urgent)
 
     def count_demand(self) -> int:
         return sum(
@@ -175,6 +190,8 @@
 
     __slots__ = (
         "_accounts",
+        "_contended",
+        "_contention_changes_from",
         "_detached",
         "_finished",
         "_largest_s",
@@ -195,6 +212,8 @@
         # Routers that were removed, with the counters merged so far.
         self._detached: dict[str, _Router] = {}
         self._accounts: dict[str, _Account] = {}
+        self._contended = False
+        self._contention_changes_from = 0.0
         self._finished = 0
         self._reported_service_s = 0.0
         self._largest_s = 0.0
@@ -329,6 +348,7 @@
         """
         router = self._routers[name]
         router.lost_at = None
+        router.measure_usage(now)
         for worker_name, count in returned.items():
             if worker_name not in self._workers:
                 continue
@@ -340,24 +360,28 @@
 
     # ---- the decision ----------------------------------------------------
 
-    def plan(self, now: float) -> dict[str, Allocation]:
+    def plan(self, now: float) -> dict[str, Change]:
         """Return the allocations that changed, by router."""
         self._expire_routers(now)
         self._update_backlogged(now)
-        contended = self.is_contended()
+        contended = self._contended
         if contended:
-            limits = self._place_slots(self._divide_slots(now))
-            holds = {
-                name: sum(of_router.values())
-                for name, of_router in limits.items()
-            }
+            placement = self._place_slots(self._divide_slots(now))
+            limits, holds = placement.limits, placement.holds
         else:
             limits = {name: {} for name in self._routers}
-            holds = self._spread_idle_slots()
-        self._grant_slots(holds)
+            holds = self._spread_idle_slots(now)
+        for name, router in self._routers.items():
+            router.hold = router.wanted = holds[name]
+            if not contended:
+                router.wanted = max(holds[name], router.count_demand())
+        self._grant_slots()
+        recalled = set() if contended else self._choose_recalls()
+        self._update_contended(now)
         lags = self._compute_lags(now)
         changed = {}
         for name, router in self._routers.items():
+            router.limits = limits[name]
             allocation = Allocation(
                 granted=dict(router.granted),
                 closed={
@@ -367,21 +391,63 @@
                     and not self._workers[worker_name].open
                 },
                 hold=holds[name],
+                recalled=name in recalled,
                 contended=contended,
                 limits={
                     account: Limit(limit, lags.get(account, 0.0))
                     for account, limit in limits[name].items()
                 },
             )
-            if allocation != router.sent:
-                router.sent = allocation
-                changed[name] = allocation
+            change = router.change(allocation)
+            if change is not None:
+                changed[name] = change
+        return changed
+
+    def settle(self) -> dict[str, Change]:
+        """Grant slots that came free, as the last plan decided.
+
+        Returns the allocations that changed, by router.
+        """
+        self._grant_slots()
+        changed = {}
+        for name, router in self._routers.items():
+            if router.sent is None or router.granted == router.sent.granted:
+                continue
+            granted = dict(router.granted)
+            change = router.change(replace(router.sent, granted=granted))
+            if change is not None:
+                changed[name] = change
         return changed
 
     def is_contended(self) -> bool:
-        """Return whether more requests want a slot than there are slots."""
-        demand = sum(a.count_demand() for a in self._accounts.values())
-        return demand > self.count_slots()
+        """Return whether limits apply, as of the last plan."""
+        return self._contended
+
+    def _update_contended(self, now: float) -> None:
+        """Decide whether limits apply, after slots were granted.
+
+        They do once a router was short of slots, with none free, for longer
+        than a control interval, and cease to when slots were free for some
+        time. Sums of demands don't tell, because reports of moments with a
+        high demand are more frequent.
+        """
+        free = sum(w.count_free() for w in self._workers.values())
+        short = any(
+            router.count_all_held() < router.count_demand()
+            for router in self._routers.values()
+        )
+        if self._contended:
+            stays, after = free == 0, options.CONTENTION_S
+        else:
+            demand = sum(a.count_demand() for a in self._accounts.values())
+            stays, after = free > 0 or not short, options.SHORTAGE_S
+            if demand > options.SURE_CONTENTION * self.count_slots():
+                after = 0.0
+        if stays:
+            self._contention_changes_from = now
+        elif now >= self._contention_changes_from + after:
+            self._contended = not self._contended
+            self._contention_changes_from = now
 
     def count_slots(self) -> int:
         """Return the number of slots of open workers."""
@@ -419,7 +485,10 @@
         account.service_s += fresh
         account.add(demand, now, sign=1)
         self._reported_service_s += fresh
-        self._finished += max(0, demand.finished - reported.demand.finished)
+        finished = max(0, demand.finished - reported.demand.finished)
+        self._finished += finished
+        account.finished += finished
+        router.measure_rate(name, finished, now - reported.at)
         self._largest_s = max(self._largest_s, demand.largest_s)
         router.reported[name] = _Reported(demand, now)
 
@@ -468,244 +537,106 @@
         )
 
     def _divide_slots(self, now: float) -> dict[str, int]:
-        """Return for each account the number of slots it is entitled to.
-
-        Every account is filled to the same level of its tag plus the
-        service that its slots give within the horizon, but to no more than
-        its demand.
-        """
-        horizon = self._compute_horizon()
-        accounts = {
-            name: account
+        """Return for each account the number of slots it is entitled to."""
+        contenders = {
+            name: Contender(
+                account.compute_tag(now),
+                account.share,
+                account.count_demand(),
+                previous=account.entitled,
+            )
             for name, account in self._accounts.items()
             if account.count_demand() > 0
         }
-        tags = {n: a.compute_tag(now) for n, a in accounts.items()}
-        floors = self._reserve_priority(accounts, tags)
         total = self.count_slots()
-        free = total - sum(floors.values())
-
-        def count_at(name: str, level: float) -> float:
-            account = accounts[name]
-            wanted = (level - tags[name]) * account.share / horizon
-            ceiling = float(account.count_demand())
-            return max(float(floors[name]), min(ceiling, wanted))
-
-        low = min(tags.values())
-        high = max(tags.values()) + horizon * total / min(
-            account.share for account in accounts.values()
-        )
-        if free <= 0:
-            return floors
-        for _ in range(_LEVEL_STEPS):
-            middle = (low + high) / 2
-            if sum(count_at(name, middle) for name in accounts) > total:
-                high = middle
-            else:
-                low = middle
-        entitled = {name: int(count_at(name, low)) for name in accounts}
-        self._hand_out_rest(entitled, accounts, tags, horizon, total)
+        self._reserve_priority(contenders, total)
+        entitled = divide_slots(contenders, total, self._compute_horizon())
+        for name, account in self._accounts.items():
+            account.entitled = entitled.get(name, 0)
         return entitled
 
     def _reserve_priority(
-        self, accounts: Mapping[str, _Account], tags: Mapping[str, float]
-    ) -> dict[str, int]:
-        """Return the slots set apart for waiting priority requests."""
-        floors = dict.fromkeys(accounts, 0)
-        left = self.count_slots()
+        self, contenders: Mapping[str, Contender], total: int
+    ) -> None:
+        """Set slots apart for waiting priority requests."""
         lowest = min(
-            (tags[n] for n, a in accounts.items() if a.waiting > 0),
+            (
+                contender.tag
+                for name, contender in contenders.items()
+                if self._accounts[name].waiting > 0
+            ),
             default=0.0,
         )
-        for name in sorted(accounts, key=lambda n: tags[n]):
-            account = accounts[name]
+        left = total
+        for name in sorted(contenders, key=lambda n: contenders[n].tag):
+            account = self._accounts[name]
             if account.waiting_priority == 0:
                 continue
-            if tags[name] > lowest + options.PRIORITY_LEAD_S:
+            if contenders[name].tag > lowest + options.PRIORITY_LEAD_S:
                 continue
             wanted = account.running + account.waiting_priority
-            floors[name] = min(wanted, left)
-            left -= floors[name]
-        return floors
+            contenders[name].floor = min(wanted, left)
+            left -= contenders[name].floor
 
-    def _hand_out_rest(
-        self,
-        entitled: dict[str, int],
-        accounts: Mapping[str, _Account],
-        tags: Mapping[str, float],
-        horizon: float,
-        total: int,
-    ) -> None:
-        """Give the slots left by rounding to the lowest tags."""
-
-        def compute_key(name: str) -> float:
-            account = accounts[name]
-            key = tags[name] + entitled[name] * horizon / account.share
-            if entitled[name] < account.running:
-                key -= options.STICKINESS_S
-            return key
-
-        heap = [
-            (compute_key(name), name)
-            for name, account in accounts.items()
-            if entitled[name] < account.count_demand()
-        ]
-        heapq.heapify(heap)
-        left = total - sum(entitled.values())
-        while left > 0 and heap:
-            _, name = heapq.heappop(heap)
-            entitled[name] += 1
-            left -= 1
-            if entitled[name] < accounts[name].count_demand():
-                heapq.heappush(heap, (compute_key(name), name))
-
-    def _place_slots(
-        self, entitled: Mapping[str, int]
-    ) -> dict[str, dict[str, int]]:
-        """Divide each account's slots between the routers.
-
-        Slots are taken from where another account waits for them and given
-        to where they are free, so that few slots move between routers.
-        """
-        limits: dict[str, dict[str, int]] = {
-            name: {
-                account: reported.demand.running
-                for account, reported in router.reported.items()
-                if reported.demand.running or reported.demand.waiting
-            }
-            for name, router in self._routers.items()
-        }
-        grow = {
-            name: entitled[name] - self._accounts[name].running
-            for name in entitled
-        }
-        self._shrink_limits(limits, grow)
-        surplus = {
-            name: router.count_all_held() - sum(limits[name].values())
-            for name, router in self._routers.items()
+    def _place_slots(self, entitled: Mapping[str, int]) -> Placement:
+        short = {
+            name
+            for name, account in self._accounts.items()
+            if account.has_short_requests()
         }
-        for account in sorted(
-            (name for name in grow if grow[name] > 0),
-            key=lambda name: -self._accounts[name].waiting_priority,
-        ):
-            self._grow_limits(account, grow[account], limits, surplus)
-        return limits
-
-    def _shrink_limits(
-        self, limits: dict[str, dict[str, int]], grow: Mapping[str, int]
-    ) -> None:
-        wanted = {
-            name: sum(
-                min(grow[account], reported.demand.waiting)
-                for account, reported in router.reported.items()
-                if grow.get(account, 0) > 0
+        places = {
+            name: Place(
+                {a: r.demand for a, r in router.reported.items()},
+                router.limits,
+                router.count_all_held(),
+                router.hold,
+                router.compute_offered(short),
             )
             for name, router in self._routers.items()
         }
-        for account, count in grow.items():
-            if count >= 0:
-                continue
-            heap = [
-                (-min(wanted[name], 1), -limits[name][account], name)
-                for name in limits
-                if limits[name].get(account, 0) > 0
-            ]
-            heapq.heapify(heap)
-            for _ in range(-count):
-                if not heap:
-                    break
-                _, _, name = heapq.heappop(heap)
-                limits[name][account] -= 1
-                wanted[name] -= 1
-                if limits[name][account] > 0:
-                    heapq.heappush(
-                        heap,
-                        (
-                            -min(max(wanted[name], 0), 1),
-                            -limits[name][account],
-                            name,
-                        ),
-                    )
-
-    def _grow_limits(
-        self,
-        account: str,
-        count: int,
-        limits: dict[str, dict[str, int]],
-        surplus: dict[str, int],
-    ) -> None:
-        waiting = {
-            name: router.get_demand(account).waiting
-            for name, router in self._routers.items()
-        }
-        heap = [
-            (-min(surplus[name], 1), -waiting[name], name)
-            for name in limits
-            if waiting[name] > 0
-        ]
-        heapq.heapify(heap)
-        for _ in range(count):
-            if not heap:
-                break
-            _, _, name = heapq.heappop(heap)
-            limits[name][account] = limits[name].get(account, 0) + 1
-            waiting[name] -= 1
-            surplus[name] -= 1
-            if waiting[name] > 0:
-                heapq.heappush(
-                    heap, (-min(surplus[name], 1), -waiting[name], name)
-                )
+        return place_slots(entitled, places, short)
 
-    def _spread_idle_slots(self) -> dict[str, int]:
-        """Return the slots each router should hold without contention."""
-        needs = {
-            name: router.count_demand()
-            for name, router in self._routers.items()
-        }
-        if not needs:
-            return {}
-        total = self.count_slots()
-        idle = max(0, total - sum(needs.values()))
-        kept = idle // options.RESERVE_DIVISOR
-        each, rest = divmod(kept, len(needs))
-        holds = {}
-        for rank, name in enumerate(sorted(needs)):
-            holds[name] = needs[name] + each + (1 if rank < rest else 0)
-        held = {
-            name: router.count_all_held()
-            for name, router in self._routers.items()
-        }
-        unassigned = total - sum(held.values())
-        short = sum(max(0, holds[name] - held[name]) for name in needs)
-        if unassigned >= short:
-            # No router is short of slots, so idle ones stay where they are.
-            return {name: max(holds[name], held[name]) for name in needs}
-        return holds
-
-    def _grant_slots(self, holds: Mapping[str, int]) -> None:
+    def _spread_idle_slots(self, now: float) -> dict[str, int]:
+        usage = {n: r.usage for n, r in self._routers.items()}
+        return spread_idle_slots(usage, self.count_slots())
+
+    def _grant_slots(self) -> None:
         """Grant free slots to routers that hold fewer than they should."""
         needs = {
-            name: holds[name] - router.count_all_held()
+            name: router.wanted - router.count_all_held()
             for name, router in self._routers.items()
             if router.lost_at is None
         }
         while True:
-            served = False
-            for name in sorted(needs, key=lambda n: (-needs[n], n)):
-                if needs[name] <= 0:
-                    continue
-                worker_name = self._choose_free_worker(name)
-                if worker_name is None:
-                    return
-                router = self._routers[name]
-                router.granted[worker_name] = (
-                    router.granted.get(worker_name, 0) + 1
-                )
-                self._workers[worker_name].outstanding += 1
-                needs[name] -= 1
-                served = True
-            if not served:
+            name = max(needs, key=lambda n: (needs[n], n), default="")
+            if not name or needs[name] <= 0:
                 return
+            worker_name = self._choose_free_worker(name)
+            if worker_name is None:
+                return
+            granted = self._routers[name].granted
+            granted[worker_name] = granted.get(worker_name, 0) + 1
+            self._workers[worker_name].outstanding += 1
+            needs[name] -= 1
+
+    def _choose_recalls(self) -> set[str]:
+        """Return routers whose idle slots other routers wait for."""
+        short = sum(
+            max(0, router.count_demand() - router.count_all_held())
+            for router in self._routers.values()
+        )
+        idle = {
+            name: router.count_all_held() - router.count_running()
+            for name, router in self._routers.items()
+            if router.count_all_held() > router.hold
+        }
+        recalled = set()
+        for name in sorted(idle, key=lambda n: -idle[n]):
+            if short <= 0 or idle[name] <= 0:
+                break
+            recalled.add(name)
+            short -= idle[name]
+        return recalled
 
     def _choose_free_worker(self, router_name: str) -> str | None:
         zone = self._routers[router_name].availability_zone
--- a/hornbeamyard/process/router.py
+++ b/hornbeamyard/process/router.py
@@ -165,8 +165,8 @@
 
     def announce(self, worker: Worker) -> None:
         """Take an upstream's announcement and pass it on."""
-        self.registry.announce(worker)
-        self.session.announce(worker.name)
+        changed = self.registry.announce(worker)
+        self.session.announce(worker.name, changed)
 
     def _take_configuration(self, configuration: Configuration) -> None:
         self.configuration = configuration
@@ -186,6 +186,11 @@
     async def _expire_upstreams(self) -> None:
         interval = options.REPORT_INTERVAL_S
         async for now in self._timers.subscribe(interval):
+            if self.session.attachment.holds_lease(now):
+                # The lead controller tells which upstreams are gone.
+                for worker in self.registry.list_workers():
+                    self.registry.renew(worker.name, now)
+                continue
             for worker in self.registry.expire(now):
                 dispatch = self.find_admission(worker.pool).dispatch
                 dispatch.holding.forget(worker.name)
