--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -10,7 +10,7 @@
 import multiprocessing
 import subprocess
 import sys
-import time
+import tempfile
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -20,6 +20,7 @@
 from hornbeamyard.tests.fleet import find_free_port
 
 from . import capacity_page
+from .claiming import ClaimFleet, measure_table
 from .fit import Fit, fit_sweep
 from .links import measure_links, measure_streams, serve_echo
 from .pools import (
@@ -86,8 +87,16 @@
     return {name: sum(row[name] for row in rows) for name in rows[0]}
 
 
-def list_sweeps(address: str) -> list[Sweep]:
-    """Return all sweeps; `address` is where the echo of streams listens."""
+def list_sweeps(address: str, claims: ClaimFleet) -> list[Sweep]:
+    """Return all sweeps.
+
+    Parameters
+    ----------
+    address : str
+        Where the other end of streams listens.
+    claims : ClaimFleet
+        Controllers that take claims.
+    """
     return [
         Sweep(
             "schedule",
@@ -163,6 +172,8 @@
             (1250, 2500, 5000, 10000),
             lambda n: measure_document(2000, n),
         ),
+        Sweep("claim", "claims", (2000, 4000, 8000, 16000), measure_table),
+        Sweep("claim", "batch size", (1, 4, 16, 64), claims.measure),
         Sweep("history", "changes", (100, 200, 400, 800), measure_changes),
     ]
 
@@ -206,24 +217,31 @@
     echo = context.Process(target=serve_echo, args=(address,), daemon=True)
     echo.start()
     try:
-        time.sleep(2)
-        for sweep in list_sweeps(address):
-            if only not in sweep.group:
-                continue
-            fits = fit_sweep(sweep.against, sweep.sizes, sweep.measure)
-            for name, fit in fits.items():
-                key = f"{sweep.group}/{sweep.against}/{name}"
-                results.fits[key] = fit
-                click.echo(
-                    f"{key}: {fit.slope:.4g} +- {fit.slope_error:.2g}, "
-                    f"exponent {fit.exponent:.2f}"
-                )
+        with tempfile.TemporaryDirectory() as folder:
+            claims = ClaimFleet(Path(folder))
+            with claims.fleet:
+                claims.start()
+                for sweep in list_sweeps(address, claims):
+                    if only in sweep.group:
+                        run_sweep(sweep, results)
     finally:
         echo.kill()
         echo.join()
     return results
 
 
+def run_sweep(sweep: Sweep, results: Results) -> None:
+    """Run one sweep, print its slopes and add them to the results."""
+    fits = fit_sweep(sweep.against, sweep.sizes, sweep.measure)
+    for name, fit in fits.items():
+        key = f"{sweep.group}/{sweep.against}/{name}"
+        results.fits[key] = fit
+        click.echo(
+            f"{key}: {fit.slope:.4g} +- {fit.slope_error:.2g}, "
+            f"exponent {fit.exponent:.2f}"
+        )
+
+
 @click.command()
 @click.option("--page", type=click.Path(path_type=Path), help="Write a page.")
 @click.option("--only", default="", help="Sweeps whose group contains this.")
--- a/benchmarks/links.py
+++ b/benchmarks/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import cast
 
 import anyio
 import grpc.aio
@@ -11,8 +12,10 @@
 from hornbeamyard.messages import fleet_pb2, fleet_pb2_grpc
 from hornbeamyard.process.controller import AttachedRouter, Controller
 from hornbeamyard.process.timers import VirtualTimers
+from hornbeamyard.version.configuration import EMPTY_DOCUMENT
 from hornbeamyard.version.replica import Replica
 
+from .control import FakeReplica
 from .fit import time_cpu
 
 
@@ -33,7 +36,8 @@
 def build_links(routers: int) -> Links:
     """Return a controller with attached routers."""
     timers = VirtualTimers()
-    controller = Controller(Replica("127.0.0.1:1", timers), timers)
+    replica = FakeReplica(EMPTY_DOCUMENT, term=1)
+    controller = Controller(cast(Replica, replica), timers)
     attached = []
     for number in range(routers):
         report = fleet_pb2.RouterReport(
@@ -45,8 +49,8 @@
     return Links(controller, timers, attached)
 
 
-def send_heartbeats(links: Links, workers: int) -> None:
-    """Pass one heartbeat of each worker on through some router."""
+def announce(links: Links, workers: int) -> None:
+    """Announce workers for the first time, each through some router."""
     reports = [fleet_pb2.RouterReport() for _ in links.routers]
     for number in range(workers):
         reports[number % len(reports)].announcements.add(
@@ -56,33 +60,44 @@
             pool=f"pool-{number % 27:02d}",
             slots=119,
             lease_ms=3000,
-            load_running=100,
             incarnation=1 << 40,
         )
     for router, report in zip(links.routers, reports, strict=True):
         links.controller.take_report(router, report)
 
 
+def repeat_heartbeats(links: Links, workers: int) -> float:
+    """Pass one unchanged heartbeat of each worker on; return its bytes."""
+    reports = [fleet_pb2.RouterReport() for _ in links.routers]
+    for number in range(workers):
+        reports[number % len(reports)].renewed.append(f"worker-{number:05d}")
+    for router, report in zip(links.routers, reports, strict=True):
+        links.controller.take_report(router, report)
+    return sum(report.ByteSize() for report in reports) / len(reports)
+
+
 def measure_links(routers: int, workers: int) -> dict[str, float]:
     """Return what a second of heartbeats costs while nothing else changes.
 
     Returns
     -------
     dict of str to float
-        `update_bytes` sent to each router, `cpu_s` of the controller, and
-        `attach_bytes` of the first update of a router.
+        `report_bytes` sent by and `update_bytes` sent to each router,
+        `cpu_s` of the controller, and `attach_bytes` of the first update of
+        a router.
     """
     with logbook.NullHandler().applicationbound():
         links = build_links(routers)
-        send_heartbeats(links, workers)
+        announce(links, workers)
         first = [
             links.controller.build_update(router, 1).ByteSize()
             for router in links.routers
         ]
         sizes: list[int] = []
+        reported: list[float] = []
 
         def run() -> None:
-            send_heartbeats(links, workers)
+            reported.append(repeat_heartbeats(links, workers))
             sizes.extend(
                 links.controller.build_update(router, 2).ByteSize()
                 for router in links.routers
@@ -90,6 +105,7 @@
 
         cpu = time_cpu(run, 1)
     return {
+        "report_bytes": sum(reported),
         "update_bytes": sum(sizes) / routers,
         "cpu_s": cpu,
         "attach_bytes": float(first[-1]),
--- a/benchmarks/pools.py
+++ b/benchmarks/pools.py
@@ -7,9 +7,10 @@
 
 from hornbeamyard.connection import codec
 from hornbeamyard.pool import options
+from hornbeamyard.pool.allocation import Allocation, Demand, Limit
 from hornbeamyard.pool.backlog import QueueBounds, Ticket
 from hornbeamyard.pool.dispatch import Dispatch, Start
-from hornbeamyard.pool.schedule import Allocation, Demand, Limit, Schedule
+from hornbeamyard.pool.schedule import Schedule
 from hornbeamyard.pool.worker import Registry, Worker
 
 from .fit import measure_bytes, time_cpu
@@ -160,7 +161,7 @@
         }
         changed: dict[str, Allocation] = {}
         row["plan_cpu_s"] = time_cpu(
-            lambda n=now, c=changed: c.update(schedule.plan(n)), 1
+            lambda n=now, c=changed: c.update(_plan(schedule, n)), 1
         )
         row.update(_encode(changed, sent))
         sent.update(changed)
@@ -176,6 +177,11 @@
         schedule.report(f"router-{number:05d}", changed, {}, now)
 
 
+def _plan(schedule: Schedule, now: float) -> dict[str, Allocation]:
+    changes = schedule.plan(now)
+    return {name: change.allocation for name, change in changes.items()}
+
+
 def _encode(
     changed: dict[str, Allocation], sent: dict[str, Allocation]
 ) -> dict[str, float]:
@@ -338,7 +344,7 @@
         account = name_account(100 + number % 1900)
         dispatch.submit(Ticket(account), now)
         spaced = now - reported_at >= options.URGENT_SPACING_S
-        if dispatch.is_urgent() and spaced:
+        if dispatch.is_urgent(now) and spaced:
             dispatch.collect_report(now, full=False)
             reported_at = now
             messages += 1
