Recall idle slots from all routers that may have some

Cause: the service pool (3 workers, 53% used) became contended though idle slots were held elsewhere: a shortage counted by stale demands, and only routers whose report showed idle slots were asked. Change: contention needs an occupancy above 0.9; a recall takes every idle slot and goes to routers that hold most beyond their mean use; a router that was asked is not counted again; slots returned without being asked for are lent to the router under the highest pressure; short idle slots are returned after 50 ms.

--- a/hornbeamyard/pool/allocation.py
+++ b/hornbeamyard/pool/allocation.py
@@ -64,7 +64,7 @@
     hold : int
         Slots that the router should hold; it returns the excess when idle.
     recalled : bool
-        Whether other routers wait for the excess.
+        Whether other routers wait for slots that are idle here.
     contended : bool
         Whether `limits` apply.
     limits : dict of str to Limit
--- a/hornbeamyard/pool/dispatch.py
+++ b/hornbeamyard/pool/dispatch.py
@@ -98,13 +98,16 @@
     __slots__ = (
         "_accounts",
         "_contended",
+        "_idle_from",
         "_last_end_at",
         "_least_idle",
         "_limits",
         "_mean_gap_s",
         "_registry",
         "_reported",
+        "_reported_at",
         "_reported_slots",
+        "_spare",
         "backlog",
         "choice",
         "holding",
@@ -131,6 +134,10 @@
         self._last_end_at: float | None = None
         self._mean_gap_s: float | None = None
         self._least_idle = 0
+        self._idle_from = 0.0
+        # Slots that were idle during a whole window.
+        self._spare = 0
+        self._reported_at = 0.0
         self._reported: dict[str, Demand] = {}
         self._reported_slots: dict[str, tuple[int, int]] = {}
 
@@ -163,7 +170,7 @@
         """Give an idle slot to the next request, if both are there."""
         idle = self.holding.count_idle()
         if not len(self.backlog) or idle <= 0:
-            self._least_idle = min(self._least_idle, idle)
+            self._note_idle(idle, now)
             return None
         for name in self._order_accounts(now):
             ticket = self.backlog.pop(name)
@@ -179,6 +186,7 @@
             account.least_waiting = min(account.least_waiting, left)
             self.holding.take(worker)
             return Start(ticket, worker, now)
+        self._note_idle(idle, now)
         return None
 
     def finish(self, start: Start, now: float) -> None:
@@ -257,8 +265,13 @@
         """
         if self.holding.is_fallback():
             return False
-        if self.holding.count_idle() > 0 and self.holding.is_over():
-            return self._contended or self.holding.is_recalled()
+        idle = self.holding.count_idle()
+        if idle > 0 and self.holding.is_recalled():
+            return True
+        if idle > 0 and self._contended and self.holding.is_over():
+            return True
+        if self._contended and min(idle, self._spare) > 0:
+            return True
         return self.needs_plan(now)
 
     def needs_plan(self, now: float) -> bool:
@@ -271,14 +284,14 @@
             return False
         if self.holding.count_idle() > 0:
             return self._contended
-        return self._has_unknown_demand()
+        return self._has_unknown_demand(now)
 
     def drains_fast(self, now: float) -> bool:
         """Return whether slots come free sooner than a message is sent."""
         if self._mean_gap_s is None or self._last_end_at is None:
             return False
         gap = max(self._mean_gap_s, now - self._last_end_at)
-        return gap < options.URGENT_SPACING_S
+        return gap < options.FAST_DRAIN_S
 
     def collect_report(
         self, now: float, full: bool
@@ -299,6 +312,7 @@
             For each worker the slots returned, cumulative, and running.
         """
         self._return_slots(now)
+        self._reported_at = now
         is_fast = self.drains_fast(now) and not full
         demands = {}
         for name, account in self._accounts.items():
@@ -438,9 +452,14 @@
             and not self.holding.is_over()
         )
 
-    def _has_unknown_demand(self) -> bool:
+    def _has_unknown_demand(self, now: float) -> bool:
         """Return whether an account waits that the last report left out."""
-        for name in self.backlog.list_accounts():
+        names = self.backlog.list_accounts()
+        if not self._contended:
+            is_old = now - self._reported_at > options.ASK_AGAIN_S
+            if names and is_old:
+                return True
+        for name in names:
             reported = self._reported.get(name)
             if reported is not None and reported.waiting > 0:
                 continue
@@ -468,16 +487,27 @@
     def _return_slots(self, now: float) -> None:
         """Return slots that are idle and should be elsewhere."""
         self.holding.return_excess()
-        self.holding.end_recall()
+        if self.holding.is_recalled():
+            self.holding.return_idle(self.holding.count_idle())
+            self.holding.end_recall()
         idle = self.holding.count_idle()
         if self._contended:
             # Where slots come free fast, one that is idle at this moment is
             # likely to be used in the next.
             unused = idle
             if self.drains_fast(now):
-                unused = min(idle, self._least_idle)
+                unused = min(idle, self._spare)
             self.holding.return_idle(unused)
+        self._spare = 0
         self._least_idle = self.holding.count_idle()
+        self._idle_from = now
+
+    def _note_idle(self, idle: int, now: float) -> None:
+        self._least_idle = min(self._least_idle, idle)
+        if now - self._idle_from >= options.IDLE_WINDOW_S:
+            self._spare = self._least_idle
+            self._least_idle = idle
+            self._idle_from = now
 
 
 def _blend(mean: float | None, value: float) -> float:
--- a/hornbeamyard/pool/holding.py
+++ b/hornbeamyard/pool/holding.py
@@ -188,8 +188,8 @@
         return self._fallback is None and self.count_held() > self._hold
 
     def is_recalled(self) -> bool:
-        """Return whether the excess is needed elsewhere at once."""
-        return self._recalled and self.is_over()
+        """Return whether idle slots are needed elsewhere at once."""
+        return self._recalled
 
     def end_recall(self) -> None:
         """Forget the recall; slots that are idle later are not meant."""
--- a/hornbeamyard/pool/options.py
+++ b/hornbeamyard/pool/options.py
@@ -17,14 +17,26 @@
 # A report leaves out an account whose service differs by at most this much
 # from what follows from its last report.
 SERVICE_ERROR_S = 0.005
-# A pool becomes contended when a router is short of slots and none is free
-# for `SHORTAGE_S`, longer than a control interval, in which every router
-# returns the slots that it needed for a moment only. A demand of
-# `SURE_CONTENTION` times the slots counts at once. The pool ceases to be
-# contended when slots are free for `CONTENTION_S`.
-SHORTAGE_S = 1.2
-SURE_CONTENTION = 1.5
+# A pool becomes contended when a router is short of slots, none is free and
+# more than this part of them was in use. A demand of `SURE_CONTENTION` times
+# the slots needs no such evidence. The pool ceases to be contended when slots
+# are free for `CONTENTION_S`.
+CONTENDED_OCCUPANCY = 0.9
+SURE_CONTENTION = 3.0
 CONTENTION_S = 1.5
+# A router whose slots come free in less than this has no use for a message.
+FAST_DRAIN_S = 0.025
+# Where slots come free faster than messages are sent, those that were idle
+# for this long are returned.
+IDLE_WINDOW_S = 0.05
+# Without contention a demand is met for this long after it was reported, as
+# the router's own slots come free meanwhile. A router whose request waits
+# longer than `ASK_AGAIN_S` reports it again.
+FRESH_DEMAND_S = 0.3
+ASK_AGAIN_S = 0.25
+# Slots asked back for each slot that is short, as about half of those that
+# seem idle are in use.
+RECALL_FACTOR = 4
 # Time over which the rate of an account's finished requests is averaged.
 RATE_WINDOW_S = 2.0
 # Time over which a router's use of slots is averaged.
@@ -41,6 +53,8 @@
 # An account keeps a slot until another one lags by more than this, because
 # moving a slot between routers leaves it idle for a round trip.
 STICKINESS_S = 0.2
+# Without contention the controller keeps one free slot for this many routers.
+FREE_DIVISOR = 3
 # Of the idle slots of a pool without contention, routers keep one part in
 # this many; the controller keeps the rest for routers that run out.
 RESERVE_DIVISOR = 3
--- a/hornbeamyard/pool/schedule.py
+++ b/hornbeamyard/pool/schedule.py
@@ -102,6 +102,7 @@
     sent: Allocation | None = None
     # Slots that the last plan gives to the router, and that it may keep.
     wanted: int = 0
+    reported_at: float = 0.0
     hold: int = 0
     # Requests finished in a second, by account.
     rates: dict[str, float] = field(default_factory=dict)
@@ -146,6 +147,9 @@
     def count_running(self) -> int:
         return sum(r.demand.running for r in self.reported.values())
 
+    def count_waiting(self) -> int:
+        return sum(r.demand.waiting for r in self.reported.values())
+
     def change(self, allocation: Allocation) -> Change | None:
         """Return a change to send, or None when nothing differs.
 
@@ -191,11 +195,14 @@
     __slots__ = (
         "_accounts",
         "_contended",
-        "_contention_changes_from",
         "_detached",
         "_finished",
+        "_free_from",
         "_largest_s",
         "_lease_s",
+        "_occupied",
+        "_occupied_at",
+        "_occupied_service_s",
         "_reported_service_s",
         "_routers",
         "_workers",
@@ -213,7 +220,11 @@
         self._detached: dict[str, _Router] = {}
         self._accounts: dict[str, _Account] = {}
         self._contended = False
-        self._contention_changes_from = 0.0
+        self._free_from = 0.0
+        # Mean slots in use, from the service that was reported.
+        self._occupied = 0.0
+        self._occupied_at = 0.0
+        self._occupied_service_s = 0.0
         self._finished = 0
         self._reported_service_s = 0.0
         self._largest_s = 0.0
@@ -349,6 +360,10 @@
         router = self._routers[name]
         router.lost_at = None
         router.measure_usage(now)
+        router.reported_at = now
+        if router.sent is not None and router.sent.recalled:
+            # A report answers a recall; a later shortage needs another one.
+            router.sent = replace(router.sent, recalled=False)
         for worker_name, count in returned.items():
             if worker_name not in self._workers:
                 continue
@@ -374,9 +389,12 @@
         for name, router in self._routers.items():
             router.hold = router.wanted = holds[name]
             if not contended:
-                router.wanted = max(holds[name], router.count_demand())
+                is_fresh = now - router.reported_at <= options.FRESH_DEMAND_S
+                router.wanted = router.count_demand() if is_fresh else 0
         self._grant_slots()
         recalled = set() if contended else self._choose_recalls()
+        if not contended and not recalled:
+            self._grant_idle_slots()
         self._update_contended(now)
         lags = self._compute_lags(now)
         changed = {}
@@ -403,22 +421,40 @@
                 changed[name] = change
         return changed
 
-    def settle(self) -> dict[str, Change]:
-        """Grant slots that came free, as the last plan decided.
+    def settle(self, name: str) -> dict[str, Change]:
+        """Grant the slots that a router returned; return what changed.
 
-        Returns the allocations that changed, by router.
+        Slots that the router returned beyond what the last plan told it are
+        lent to the routers where most requests wait, until the next plan.
         """
+        router = self._routers[name]
+        if self._contended:
+            spare = router.wanted - router.count_all_held()
+            router.wanted -= max(0, spare)
+            for _ in range(spare):
+                self._lend_slot()
         self._grant_slots()
         changed = {}
-        for name, router in self._routers.items():
-            if router.sent is None or router.granted == router.sent.granted:
+        for other_name, other in self._routers.items():
+            if other.sent is None or other.granted == other.sent.granted:
                 continue
-            granted = dict(router.granted)
-            change = router.change(replace(router.sent, granted=granted))
+            hold = max(other.hold, other.wanted)
+            allocation = replace(
+                other.sent, granted=dict(other.granted), hold=hold
+            )
+            change = other.change(allocation)
             if change is not None:
-                changed[name] = change
+                changed[other_name] = change
         return changed
 
+    def _lend_slot(self) -> None:
+        def compute_pressure(router: _Router) -> float:
+            lent = router.wanted - router.hold
+            return (router.count_waiting() - lent) / (1 + router.wanted)
+
+        best = max(self._routers.values(), key=compute_pressure)
+        best.wanted += 1
+
     def is_contended(self) -> bool:
         """Return whether limits apply, as of the last plan."""
         return self._contended
@@ -426,28 +462,42 @@
     def _update_contended(self, now: float) -> None:
         """Decide whether limits apply, after slots were granted.
 
-        They do once a router was short of slots, with none free, for longer
-        than a control interval, and cease to when slots were free for some
-        time. Sums of demands don't tell, because reports of moments with a
-        high demand are more frequent.
+        They do once a router is short of slots, none is free and nearly all
+        were in use in the last seconds. They cease to when slots were free
+        for some time. Sums of demands don't tell, because reports of
+        moments with a high demand are more frequent.
         """
+        self._measure_occupancy(now)
         free = sum(w.count_free() for w in self._workers.values())
+        if self._contended:
+            if free == 0:
+                self._free_from = now
+            self._contended = now - self._free_from < options.CONTENTION_S
+            return
+        self._free_from = now
         short = any(
-            router.count_all_held() < router.count_demand()
+            router.count_all_held() < router.wanted
             for router in self._routers.values()
         )
-        if self._contended:
-            stays, after = free == 0, options.CONTENTION_S
-        else:
-            demand = sum(a.count_demand() for a in self._accounts.values())
-            stays, after = free > 0 or not short, options.SHORTAGE_S
-            if demand > options.SURE_CONTENTION * self.count_slots():
-                after = 0.0
-        if stays:
-            self._contention_changes_from = now
-        elif now >= self._contention_changes_from + after:
-            self._contended = not self._contended
-            self._contention_changes_from = now
+        slots = self.count_slots()
+        demand = sum(a.count_demand() for a in self._accounts.values())
+        self._contended = (
+            short
+            and free == 0
+            and (
+                self._occupied > options.CONTENDED_OCCUPANCY * slots
+                or demand > options.SURE_CONTENTION * slots
+            )
+        )
+
+    def _measure_occupancy(self, now: float) -> None:
+        span = now - self._occupied_at
+        if span < options.REPORT_INTERVAL_S:
+            return
+        gained = self._reported_service_s - self._occupied_service_s
+        self._occupied += (gained / span - self._occupied) / 2
+        self._occupied_at = now
+        self._occupied_service_s = self._reported_service_s
 
     def count_slots(self) -> int:
         """Return the number of slots of open workers."""
@@ -600,8 +650,15 @@
         usage = {n: r.usage for n, r in self._routers.items()}
         return spread_idle_slots(usage, self.count_slots())
 
-    def _grant_slots(self) -> None:
-        """Grant free slots to routers that hold fewer than they should."""
+    def _grant_slots(self, kept: int = 0) -> None:
+        """Grant free slots to routers that hold fewer than they should.
+
+        Parameters
+        ----------
+        kept : int, optional
+            Free slots that are left for routers that run out.
+        """
+        free = sum(w.count_free() for w in self._workers.values())
         needs = {
             name: router.wanted - router.count_all_held()
             for name, router in self._routers.items()
@@ -609,8 +666,9 @@
         }
         while True:
             name = max(needs, key=lambda n: (needs[n], n), default="")
-            if not name or needs[name] <= 0:
+            if not name or needs[name] <= 0 or free <= kept:
                 return
+            free -= 1
             worker_name = self._choose_free_worker(name)
             if worker_name is None:
                 return
@@ -619,23 +677,39 @@
             self._workers[worker_name].outstanding += 1
             needs[name] -= 1
 
+    def _grant_idle_slots(self) -> None:
+        """Give free slots to routers that may keep some idle."""
+        for router in self._routers.values():
+            router.wanted = max(router.wanted, router.hold)
+        self._grant_slots(len(self._routers) // options.FREE_DIVISOR)
+
     def _choose_recalls(self) -> set[str]:
-        """Return routers whose idle slots other routers wait for."""
+        """Return routers whose idle slots other routers wait for.
+
+        The running requests that they reported may have ended, so those
+        that hold most beyond their mean use are asked.
+        """
         short = sum(
-            max(0, router.count_demand() - router.count_all_held())
+            max(0, router.wanted - router.count_all_held())
             for router in self._routers.values()
         )
         idle = {
-            name: router.count_all_held() - router.count_running()
+            name: router.count_all_held() - router.usage
+            for name, router in self._routers.items()
+        }
+        # Those that were asked and didn't answer have nothing idle yet.
+        recalled = {
+            name
             for name, router in self._routers.items()
-            if router.count_all_held() > router.hold
+            if short and router.sent is not None and router.sent.recalled
         }
-        recalled = set()
+        left = float(short * options.RECALL_FACTOR)
         for name in sorted(idle, key=lambda n: -idle[n]):
-            if short <= 0 or idle[name] <= 0:
+            if left <= 0 or idle[name] <= 0:
                 break
-            recalled.add(name)
-            short -= idle[name]
+            if name not in recalled:
+                recalled.add(name)
+                left -= idle[name]
         return recalled
 
     def _choose_free_worker(self, router_name: str) -> str | None:
--- a/hornbeamyard/process/controller.py
+++ b/hornbeamyard/process/controller.py
@@ -156,7 +156,7 @@
                 self._urgent_pools.add(pool.pool)
                 self._plan_wake.set()
             elif pool.returns:
-                self._settle(pool.pool, schedule.settle())
+                self._settle(pool.pool, schedule.settle(router.name))
         self._take_announcements(report, now)
 
     def detach(self, router: AttachedRouter, left: bool) -> None:
