Send names once in a stream, and only urgent pools between regular reports

Cause: a third of the bytes were names of accounts and workers; an urgent report of one pool carried the changes of all. Change: numbers stand for names after their first use in a stream; reports between two regular ones hold urgent pools only, and the regular ones keep their interval; lags are sent in steps of 1 s.

--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -268,7 +268,7 @@
             data = report.SerializeToString()
         self._fleet.costs.add_message(self.name, len(data))
         self.stream.send_report(data)
-        self._plan_send(now + options.REPORT_INTERVAL_S)
+        self._plan_send(self.attachment.get_regular_due())
 
     def take_update(self, stream: Stream, data: bytes) -> None:
         """Take a message of the lead controller."""
--- a/hornbeamyard/connection/attachment.py
+++ b/hornbeamyard/connection/attachment.py
@@ -13,6 +13,7 @@
 from result import Err
 
 from ..messages import fleet_pb2
+from ..pool import options
 from ..pool.allocation import Allocation
 from ..pool.dispatch import Dispatch
 from ..pool.worker import Registry, Worker
@@ -53,9 +54,11 @@
         "_lease_ends",
         "_leaving",
         "_list_dispatches",
+        "_names",
         "_on_configuration",
         "_passed_on",
         "_registry",
+        "_regular_at",
         "_renewed",
         "_routers",
         "_sequence",
@@ -82,6 +85,8 @@
         self._list_dispatches = list_dispatches
         self._on_configuration = on_configuration
         self._allocations: dict[str, Allocation] = {}
+        self._names = codec.Names()
+        self._regular_at = 0.0
         # Upstreams to announce in the next report, and those that only
         # repeated what was passed on over this stream.
         self._announced: set[str] = set()
@@ -144,15 +149,26 @@
             report.identity.CopyFrom(self._identity)
             report.availability_zone = self._availability_zone
             self._allocations = {}
+            self._names = codec.Names()
+        regular = full or now >= self.get_regular_due()
+        if regular:
+            self._regular_at = now
         for name, dispatch in self._list_dispatches().items():
+            # A report between two regular ones is about urgent pools only.
+            if not regular and not dispatch.is_urgent(now):
+                continue
             message = self._report_pool(name, dispatch, now, full)
             if message.accounts or message.returns or message.urgent:
                 report.pools.append(message)
-        self._add_announcements(report, now)
+        self._add_announcements(report, now, regular)
         return report
 
+    def get_regular_due(self) -> float:
+        """Return the time at which the next regular report is due."""
+        return self._regular_at + options.REPORT_INTERVAL_S
+
     def _add_announcements(
-        self, report: fleet_pb2.RouterReport, now: float
+        self, report: fleet_pb2.RouterReport, now: float, regular: bool
     ) -> None:
         names = self._announced
         if report.full:
@@ -163,9 +179,10 @@
             if worker is not None:
                 report.announcements.append(worker.to_message(now))
                 self._passed_on.add(name)
-        report.renewed.extend(sorted(self._renewed - names))
         self._announced = set()
-        self._renewed = set()
+        if regular:
+            report.renewed.extend(sorted(self._renewed - names))
+            self._renewed = set()
 
     def _report_pool(
         self, name: str, dispatch: Dispatch, now: float, full: bool
@@ -173,15 +190,18 @@
         if not full:
             urgent = dispatch.needs_plan(now)
             demands, slots = dispatch.collect_report(now, full=False)
-            return codec.encode_report(name, demands, slots, {}, urgent)
+            return codec.encode_report(
+                name, demands, slots, {}, self._names, urgent
+            )
         held = dispatch.holding.restart(keep_idle=now < self._lease_ends)
         demands, _ = dispatch.collect_report(now, full=True)
-        message = codec.encode_report(
-            name, demands, {}, dispatch.list_lags(now)
+        return codec.encode_report(
+            name,
+            demands,
+            {worker: (0, count) for worker, count in held.items()},
+            dispatch.list_lags(now),
+            self._names,
         )
-        for worker, count in held.items():
-            message.returns.add(worker=worker, running=count)
-        return message
 
     # ---- from the controller ---------------------------------------------
 
@@ -209,7 +229,9 @@
             self._take_configuration(update.configuration)
         for pool in update.pools:
             merged = codec.merge_allocation(
-                self._allocations.get(pool.pool, Allocation()), pool
+                self._allocations.get(pool.pool, Allocation()),
+                pool,
+                self._names,
             )
             self._allocations[pool.pool] = merged
             self._find_dispatch(pool.pool).apply(merged, now)
--- a/hornbeamyard/connection/codec.py
+++ b/hornbeamyard/connection/codec.py
@@ -1,6 +1,7 @@
 """Translation between scheduling data and messages.
 
-Only changes are sent after the first message of a stream.
+Only changes are sent after the first message of a stream, and names only with
+their first use in a stream.
 """
 
 from __future__ import annotations
@@ -11,43 +12,72 @@
 from ..pool.allocation import Allocation, Demand, Limit
 
 
+class Names:
+    """Numbers that stand for names in one direction of a stream."""
+
+    __slots__ = ("_names", "_numbers")
+
+    def __init__(self) -> None:
+        self._numbers: dict[str, int] = {}
+        self._names: dict[int, str] = {}
+
+    def shorten(self, name: str) -> tuple[int, str]:
+        """Return a name's number, and the name when it is used first."""
+        number = self._numbers.get(name)
+        if number is not None:
+            return number, ""
+        number = self._numbers[name] = len(self._numbers) + 1
+        return number, name
+
+    def get_number(self, name: str) -> int:
+        """Return the number of a name that was sent."""
+        return self._numbers[name]
+
+    def resolve(self, number: int, name: str) -> str:
+        """Return the name that a received number stands for."""
+        if name:
+            self._names[number] = name
+            return name
+        return self._names[number]
+
+
 def encode_report(
     pool: str,
     demands: Mapping[str, Demand],
     slots: Mapping[str, tuple[int, int]],
     lags: Mapping[str, float],
+    names: Names,
     urgent: bool = False,
 ) -> fleet_pb2.PoolReport:
     """Return a router's report on one pool as a message."""
-    return fleet_pb2.PoolReport(
-        pool=pool,
-        urgent=urgent,
-        accounts=[
-            fleet_pb2.AccountDemand(
-                client_account=name,
-                waiting=demand.waiting,
-                waiting_priority=demand.waiting_priority,
-                running=demand.running,
-                service_ms=int(demand.service_s * 1000),
-                finished=demand.finished,
-                largest_ms=int(demand.largest_s * 1000),
-                lag_ms=int(lags.get(name, 0.0) * 1000),
-            )
-            for name, demand in demands.items()
-        ],
-        returns=[
-            fleet_pb2.SlotReturn(
-                worker=name, returned=returned, running=running
-            )
-            for name, (returned, running) in slots.items()
-        ],
-    )
+    message = fleet_pb2.PoolReport(pool=pool, urgent=urgent)
+    for account, demand in demands.items():
+        number, name = names.shorten(account)
+        message.accounts.add(
+            number=number,
+            client_account=name,
+            waiting=demand.waiting,
+            waiting_priority=demand.waiting_priority,
+            running=demand.running,
+            service_ms=int(demand.service_s * 1000),
+            finished=demand.finished,
+            largest_ms=int(demand.largest_s * 1000),
+            lag_ms=int(lags.get(account, 0.0) * 1000),
+        )
+    for worker, (returned, running) in slots.items():
+        number, name = names.shorten(worker)
+        message.returns.add(
+            number=number, worker=name, returned=returned, running=running
+        )
+    return message
 
 
-def decode_demands(message: fleet_pb2.PoolReport) -> dict[str, Demand]:
+def decode_demands(
+    message: fleet_pb2.PoolReport, names: Names
+) -> dict[str, Demand]:
     """Return the demands that a report holds."""
     return {
-        demand.client_account: Demand(
+        names.resolve(demand.number, demand.client_account): Demand(
             waiting=demand.waiting,
             waiting_priority=demand.waiting_priority,
             running=demand.running,
@@ -59,50 +89,70 @@
     }
 
 
-def decode_lags(message: fleet_pb2.PoolReport) -> dict[str, float]:
+def decode_lags(
+    message: fleet_pb2.PoolReport, names: Names
+) -> dict[str, float]:
     """Return the lags that a full report holds, in seconds."""
     return {
-        demand.client_account: demand.lag_ms / 1000
+        names.resolve(demand.number, demand.client_account): demand.lag_ms
+        / 1000
         for demand in message.accounts
     }
 
 
+def decode_slots(
+    message: fleet_pb2.PoolReport, names: Names
+) -> dict[str, tuple[int, int]]:
+    """Return for each worker the slots returned and running."""
+    return {
+        names.resolve(entry.number, entry.worker): (
+            entry.returned,
+            entry.running,
+        )
+        for entry in message.returns
+    }
+
+
 def encode_allocation(
-    pool: str, allocation: Allocation, sent: Allocation | None
+    pool: str, allocation: Allocation, sent: Allocation | None, names: Names
 ) -> fleet_pb2.PoolAllocation:
     """Return what changed in an allocation since the last one sent."""
     before = sent or Allocation()
-    grants = [
-        fleet_pb2.SlotGrant(
-            worker=name, granted=granted, closed=name in allocation.closed
-        )
-        for name, granted in allocation.granted.items()
-        if granted != before.granted.get(name)
-        or (name in allocation.closed) != (name in before.closed)
-    ]
-    return fleet_pb2.PoolAllocation(
+    message = fleet_pb2.PoolAllocation(
         pool=pool,
         contended=allocation.contended,
         hold=allocation.hold,
         recalled=allocation.recalled,
-        grants=grants,
-        limits=[
-            fleet_pb2.AccountLimit(
-                client_account=name,
-                limit=limit.limit,
-                lag_ms=int(limit.lag_s * 1000),
-            )
-            for name, limit in allocation.limits.items()
-            if before.limits.get(name) != limit
-        ],
         limits_gone=[
-            name for name in before.limits if name not in allocation.limits
+            names.get_number(account)
+            for account in before.limits
+            if account not in allocation.limits
         ],
     )
+    for worker, granted in allocation.granted.items():
+        closed = worker in allocation.closed
+        was_closed = worker in before.closed
+        if granted == before.granted.get(worker) and closed == was_closed:
+            continue
+        number, name = names.shorten(worker)
+        message.grants.add(
+            number=number, worker=name, granted=granted, closed=closed
+        )
+    for account, limit in allocation.limits.items():
+        if before.limits.get(account) == limit:
+            continue
+        number, name = names.shorten(account)
+        message.limits.add(
+            number=number,
+            client_account=name,
+            limit=limit.limit,
+            lag_ms=int(limit.lag_s * 1000),
+        )
+    return message
 
 
 def merge_allocation(
-    allocation: Allocation, message: fleet_pb2.PoolAllocation
+    allocation: Allocation, message: fleet_pb2.PoolAllocation, names: Names
 ) -> Allocation:
     """Return an allocation with the changes of a message."""
     merged = Allocation(
@@ -114,14 +164,14 @@
         limits=dict(allocation.limits),
     )
     for grant in message.grants:
-        merged.granted[grant.worker] = grant.granted
-        merged.closed.discard(grant.worker)
+        worker = names.resolve(grant.number, grant.worker)
+        merged.granted[worker] = grant.granted
+        merged.closed.discard(worker)
         if grant.closed:
-            merged.closed.add(grant.worker)
-    for name in message.limits_gone:
-        merged.limits.pop(name, None)
+            merged.closed.add(worker)
+    for number in message.limits_gone:
+        merged.limits.pop(names.resolve(number, ""), None)
     for limit in message.limits:
-        merged.limits[limit.client_account] = Limit(
-            limit.limit, limit.lag_ms / 1000
-        )
+        account = names.resolve(limit.number, limit.client_account)
+        merged.limits[account] = Limit(limit.limit, limit.lag_ms / 1000)
     return merged
--- a/hornbeamyard/connection/session.py
+++ b/hornbeamyard/connection/session.py
@@ -165,7 +165,8 @@
     async def _send_reports(self) -> AsyncIterator[fleet_pb2.RouterReport]:
         yield self.attachment.build_report(self._timers.now(), full=True)
         while True:
-            with self._timers.limit(options.REPORT_INTERVAL_S):
+            due = self.attachment.get_regular_due() - self._timers.now()
+            with self._timers.limit(max(0.0, due)):
                 await self._wake.wait()
             self._wake = anyio.Event()
             yield self.attachment.build_report(self._timers.now(), full=False)
--- a/hornbeamyard/pool/options.py
+++ b/hornbeamyard/pool/options.py
@@ -60,4 +60,4 @@
 RESERVE_DIVISOR = 3
 # Lags are sent to routers in steps of this size, so that small changes cost
 # no message.
-LAG_STEP_S = 0.25
+LAG_STEP_S = 1.0
--- a/hornbeamyard/process/controller.py
+++ b/hornbeamyard/process/controller.py
@@ -35,6 +35,8 @@
         Newest allocation of each pool that was not sent yet.
     sent : dict of str to Allocation
         Allocation of each pool that was sent last.
+    names : Names
+        Numbers of names in both directions of the stream.
     version_sent, version_in_force : int
     workers, workers_gone : set of str
         Upstreams to send, and to have forgotten.
@@ -47,6 +49,7 @@
     wake: anyio.Event = field(default_factory=anyio.Event)
     pending: dict[str, Allocation] = field(default_factory=dict)
     sent: dict[str, Allocation] = field(default_factory=dict)
+    names: codec.Names = field(default_factory=codec.Names)
     version_sent: int = 0
     version_in_force: int = 0
     workers: set[str] = field(default_factory=set)
@@ -122,9 +125,14 @@
                 name,
                 router.incarnation,
                 report.availability_zone,
-                codec.decode_demands(pool),
-                {entry.worker: entry.running for entry in pool.returns},
-                codec.decode_lags(pool),
+                codec.decode_demands(pool, router.names),
+                {
+                    worker: running
+                    for worker, (_, running) in codec.decode_slots(
+                        pool, router.names
+                    ).items()
+                },
+                codec.decode_lags(pool, router.names),
                 now,
             )
         router.version_in_force = report.version_in_force
@@ -148,8 +156,13 @@
             schedule = self._get_schedule(pool.pool)
             schedule.report(
                 router.name,
-                codec.decode_demands(pool),
-                {entry.worker: entry.returned for entry in pool.returns},
+                codec.decode_demands(pool, router.names),
+                {
+                    worker: returned
+                    for worker, (returned, _) in codec.decode_slots(
+                        pool, router.names
+                    ).items()
+                },
                 now,
             )
             if pool.urgent:
@@ -195,7 +208,7 @@
         for name, allocation in router.pending.items():
             update.pools.append(
                 codec.encode_allocation(
-                    name, allocation, router.sent.get(name)
+                    name, allocation, router.sent.get(name), router.names
                 )
             )
             router.sent[name] = allocation
