--- a/hornbeamyard/connection/attachment.py
+++ b/hornbeamyard/connection/attachment.py
@@ -259,6 +259,16 @@
 
     # ---- lease -----------------------------------------------------------
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this router has said that it stops."""
+        return self._leaving
+
+    @property
+    def lease_ends(self) -> float:
+        """Monotonic time at which the allocation ends, in seconds."""
+        return self._lease_ends
+
     def holds_lease(self, now: float) -> bool:
         """Return whether the lead controller's last word still holds."""
         return now < self._lease_ends
--- a/hornbeamyard/connection/server.py
+++ b/hornbeamyard/connection/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import AsyncIterator
 
 import anyio
@@ -11,7 +12,8 @@
 
 from ..messages import fleet_pb2, fleet_pb2_grpc
 from ..pool import options
-from ..process.controller import AttachedRouter, Controller
+from ..process.controller import Controller
+from ..process.status import build_status
 from ..process.timers import Timers
 from ..version.replica import NotLeader
 from ..version.state import dump_document
@@ -135,6 +137,19 @@
             found=request.version in (0, replica.state.version),
         )
 
+    async def ReadStatus(  # noqa: N802 - named by the protocol
+        self,
+        request: fleet_pb2.StatusRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> fleet_pb2.StatusReply:
+        """Return the status document of the fleet."""
+        await peers.check_identity(request.identity, self._fleet, context)
+        replica = self._controller.replica
+        if not replica.is_leader():
+            return fleet_pb2.StatusReply(leader=replica.get_leader())
+        status = build_status(self._controller, self._timers.now())
+        return fleet_pb2.StatusReply(document=json.dumps(status).encode())
+
     async def ReadHistory(  # noqa: N802 - named by the protocol
         self,
         request: fleet_pb2.HistoryRequest,
@@ -147,6 +162,7 @@
             return fleet_pb2.HistoryReply(leader=replica.get_leader())
         limit = request.limit or HISTORY_LIMIT
         return fleet_pb2.HistoryReply(
+            found=True,
             entries=[
                 fleet_pb2.HistoryEntry(
                     version=record.result.version,
@@ -156,7 +172,7 @@
                     patch=record.patch,
                 )
                 for record in replica.state.list_history(limit)
-            ]
+            ],
         )
 
     async def MakeClaims(  # noqa: N802 - named by the protocol
@@ -186,7 +202,9 @@
         result = await self._controller.replica.change_members(request)
         if isinstance(result, Ok):
             return fleet_pb2.MemberChangeResult(
-                accepted=not result.ok_value, reason=result.ok_value
+                accepted=not result.ok_value,
+                reason=result.ok_value,
+                decided=True,
             )
         error = result.err_value
         if isinstance(error, NotLeader):
@@ -196,11 +214,3 @@
         return fleet_pb2.MemberChangeResult(
             reason="no majority confirmed in time; look at the members"
         )
-
-
-def describe_attached(router: AttachedRouter) -> dict[str, object]:
-    """Return what the status page shows of a router."""
-    return {
-        "host": router.name,
-        "version_in_force": router.version_in_force,
-    }
--- a/hornbeamyard/request/delivery.py
+++ b/hornbeamyard/request/delivery.py
@@ -12,7 +12,7 @@
 
 from ..connection.upstreams import Liveness, Upstreams
 from ..messages import fleet_pb2
-from ..pool.admission import Admission
+from ..pool.admission import Admission, GivenUp, Refusal
 from ..pool.backlog import Ticket
 from ..pool.dispatch import Start
 from ..pool.worker import Registry
@@ -249,11 +249,11 @@
         attempts = 0
         while True:
             if self.is_stopped:
-                return self._refuse(work, admission, STOPPED)
+                return self._refuse(work, admission, GivenUp(STOPPED))
             work.stage = Stage.QUEUED
             admitted = await admission.admit(work.ticket, attempts > 0)
             if isinstance(admitted, Err):
-                return self._refuse(work, admission, str(admitted.err_value))
+                return self._refuse(work, admission, admitted.err_value)
             start = admitted.ok_value
             if attempts == 0:
                 self._observe(work, Latency.QUEUE_WAIT)
@@ -275,6 +275,7 @@
                 choice.record_failure(start.worker, self._timers.now())
             if not self._may_retry(work, fault, attempts):
                 return await self._end(work, fault, send)
+            self._metrics.retries.labels(work.ticket.client_account).inc()
             self._avoid(work, start.worker)
             work.exchange = None
             await self._timers.sleep(compute_pause(attempts))
@@ -346,12 +347,14 @@
     # ---- answers ---------------------------------------------------------
 
     def _refuse(
-        self, work: Work, admission: Admission, reason: str
+        self, work: Work, admission: Admission, refusal: Refusal
     ) -> Problem:
         outcome = decide_outcome(work.may_have_run, not work.repeated_harm)
         account = work.ticket.client_account
         retry_after_s = admission.dispatch.compute_retry_after(account)
-        return build_problem(outcome, reason, retry_after_s)
+        kind = type(refusal).__name__
+        self._metrics.refusals.labels(account, kind).inc()
+        return build_problem(outcome, str(refusal), retry_after_s)
 
     async def _end(
         self, work: Work, fault: Fault, send: Send
