--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -27,6 +27,7 @@
 from .pools import (
     Load,
     Shape,
+    measure_names,
     measure_router_pool,
     measure_schedule,
     measure_urgent,
@@ -142,6 +143,7 @@
             (46, 92, 185, 370),
             lambda n: measure_router_pool(Load(workers=n)),
         ),
+        Sweep("name", "names", (2000, 4000, 8000, 16000), measure_names),
         Sweep("urgent", "requests a second", (1, 2, 4, 8), measure_urgent),
         Sweep(
             "link",
--- a/hornbeamyard/connection/attachment.py
+++ b/hornbeamyard/connection/attachment.py
@@ -52,6 +52,7 @@
         "_host",
         "_identity",
         "_lease_ends",
+        "_leaving",
         "_list_dispatches",
         "_names",
         "_on_configuration",
@@ -64,7 +65,6 @@
         "configuration",
         "epoch",
         "is_attached",
-        "is_leaving",
     )
 
     def __init__(
@@ -95,7 +95,7 @@
         self._document: dict[str, Any] = {}
         self._routers: list[str] = [host]
         self._lease_ends = 0.0
-        self.is_leaving = False
+        self._leaving = False
         self._sequence = 0
         self.configuration = Configuration(version=0)
         self.epoch = 0
@@ -124,7 +124,7 @@
 
     def leave(self) -> None:
         """Tell the lead controller in the next report that we stop."""
-        self.is_leaving = True
+        self._leaving = True
 
     # ---- towards the controller ------------------------------------------
 
@@ -142,7 +142,7 @@
         report = fleet_pb2.RouterReport(
             sequence=self._sequence,
             version_in_force=self.configuration.version,
-            leaving=self.is_leaving,
+            leaving=self._leaving,
             full=full,
         )
         if full:
