Compare the router with a forwarder that keeps its own idle connections

Ruled out: new connections for each request; they are reused.

Found with cProfile: httpcore's pool called the connection 11 times for each request (several waiting requests are given the same idle connection and try again), and imported the missing package sniffio at each lock. The router calls connections directly.

Change: the bare forwarder calls connections directly, too, and keeps idle ones in a list.

--- a/benchmarks/bare.py
+++ b/benchmarks/bare.py
@@ -1,7 +1,9 @@
 """A bare forwarder, the reference for the cost of the router's data path.
 
 It forwards every request to one upstream with the same HTTP libraries and
-server options as the router, and does nothing else.
+server options as the router, and does nothing else. It keeps idle connections
+in a list: httpcore's own pool takes longer for a request than the rest of the
+forwarder, which would flatter the router.
 """
 
 from __future__ import annotations
@@ -29,9 +31,10 @@
 
     def __init__(self, upstream: str) -> None:
         self._upstream = upstream
-        self._connections = httpcore.AsyncConnectionPool(
-            max_connections=None, max_keepalive_connections=64
-        )
+        self._origin = httpcore.URL(upstream).origin
+        self._host = upstream.removeprefix("http://").encode()
+        self._backend = httpcore.AnyIOBackend()
+        self._idle: list[httpcore.AsyncHTTP11Connection] = []
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -43,33 +46,46 @@
             message = await receive()
             parts.append(message.get("body", b""))
             more_body = message.get("more_body", False)
-        async with self._connections.stream(
+        request = httpcore.Request(
             scope["method"],
             self._upstream + scope["path"],
-            headers=[h for h in scope["headers"] if h[0] != b"host"],
+            headers=[
+                (b"host", self._host),
+                *(h for h in scope["headers"] if h[0] != b"host"),
+            ],
             content=b"".join(parts),
-        ) as response:
+        )
+        connection = self._idle.pop() if self._idle else await self._connect()
+        response = await connection.handle_async_request(request)
+        await send(
+            {
+                "type": "http.response.start",
+                "status": response.status,
+                "headers": [
+                    (name.lower(), value)
+                    for name, value in response.headers
+                    if name.lower() != b"transfer-encoding"
+                ],
+            }
+        )
+        async for chunk in response.aiter_stream():
             await send(
                 {
-                    "type": "http.response.start",
-                    "status": response.status,
-                    "headers": [
-                        (name.lower(), value)
-                        for name, value in response.headers
-                        if name.lower() != b"transfer-encoding"
-                    ],
+                    "type": "http.response.body",
+                    "body": chunk,
+                    "more_body": True,
                 }
             )
-            async for chunk in response.aiter_stream():
-                await send(
-                    {
-                        "type": "http.response.body",
-                        "body": chunk,
-                        "more_body": True,
-                    }
-                )
+        await response.aclose()
+        self._idle.append(connection)
         await send({"type": "http.response.body", "body": b""})
 
+    async def _connect(self) -> httpcore.AsyncHTTP11Connection:
+        stream = await self._backend.connect_tcp(
+            self._origin.host.decode(), self._origin.port
+        )
+        return httpcore.AsyncHTTP11Connection(self._origin, stream)
+
 
 @click.command()
 @click.option("--port", type=int, required=True)
