Return scarce slots once they are idle instead of recalling them

Cause: a recall took an update and a report for each shortage, 40 of 110 messages a second. Change: with few free slots, allocations say that slots are scarce, and routers return what they hold beyond their mean use when it is idle. What a router returns it no longer wants, so it isn't granted again. Ruled out: without the last rule 60 slots a second went back and forth.

--- a/hornbeamyard/pool/allocation.py
+++ b/hornbeamyard/pool/allocation.py
@@ -64,7 +64,8 @@
     hold : int
         Slots that the router should hold; it returns the excess when idle.
     recalled : bool
-        Whether other routers wait for slots that are idle here.
+        Whether the excess over `hold` is scarce and should be returned as
+        soon as it is idle.
     contended : bool
         Whether `limits` apply.
     limits : dict of str to Limit
--- a/hornbeamyard/pool/dispatch.py
+++ b/hornbeamyard/pool/dispatch.py
@@ -487,9 +487,6 @@
     def _return_slots(self, now: float) -> None:
         """Return slots that are idle and should be elsewhere."""
         self.holding.return_excess()
-        if self.holding.is_recalled():
-            self.holding.return_idle(self.holding.count_idle())
-            self.holding.end_recall()
         idle = self.holding.count_idle()
         if self._contended:
             # Where slots come free fast, one that is idle at this moment is
--- a/hornbeamyard/pool/holding.py
+++ b/hornbeamyard/pool/holding.py
@@ -188,12 +188,8 @@
         return self._fallback is None and self.count_held() > self._hold
 
     def is_recalled(self) -> bool:
-        """Return whether idle slots are needed elsewhere at once."""
-        return self._recalled
-
-    def end_recall(self) -> None:
-        """Forget the recall; slots that are idle later are not meant."""
-        self._recalled = False
+        """Return whether the excess should be returned once it is idle."""
+        return self._recalled and self.is_over()
 
     def list_returned(self) -> dict[str, tuple[int, int]]:
         """Return for each worker the slots returned and running."""
--- a/hornbeamyard/pool/options.py
+++ b/hornbeamyard/pool/options.py
@@ -34,9 +34,9 @@
 # longer than `ASK_AGAIN_S` reports it again.
 FRESH_DEMAND_S = 0.3
 ASK_AGAIN_S = 0.25
-# Slots asked back for each slot that is short, as about half of those that
-# seem idle are in use.
-RECALL_FACTOR = 4
+# With fewer free slots than this part of a pool, routers return those beyond
+# their hold as soon as they are idle, not in the next regular report.
+SCARCE_PART = 0.03
 # Time over which the rate of an account's finished requests is averaged.
 RATE_WINDOW_S = 2.0
 # Time over which a router's use of slots is averaged.
@@ -57,7 +57,7 @@
 FREE_DIVISOR = 3
 # Of the idle slots of a pool without contention, routers keep one part in
 # this many; the controller keeps the rest for routers that run out.
-RESERVE_DIVISOR = 3
+RESERVE_DIVISOR = 1.2
 # Lags are sent to routers in steps of this size, so that small changes cost
 # no message.
 LAG_STEP_S = 1.0
--- a/hornbeamyard/pool/schedule.py
+++ b/hornbeamyard/pool/schedule.py
@@ -164,7 +164,11 @@
             sent is None
             or allocation.granted != sent.granted
             or allocation.closed != sent.closed
-            or (allocation.recalled and not sent.recalled)
+            or (
+                allocation.recalled
+                and not sent.recalled
+                and self.count_all_held() > allocation.hold
+            )
             or (
                 allocation.contended
                 and not sent.contended
@@ -361,15 +365,15 @@
         router.lost_at = None
         router.measure_usage(now)
         router.reported_at = now
-        if router.sent is not None and router.sent.recalled:
-            # A report answers a recall; a later shortage needs another one.
-            router.sent = replace(router.sent, recalled=False)
         for worker_name, count in returned.items():
             if worker_name not in self._workers:
                 continue
             fresh = count - router.returned.get(worker_name, 0)
             router.returned[worker_name] = count
             self._workers[worker_name].outstanding -= fresh
+            if fresh and not self._contended:
+                # What it returns it doesn't want, whatever it reported.
+                router.wanted = min(router.wanted, router.count_all_held())
         for account_name, demand in demands.items():
             self._merge_demand(router, account_name, demand, now)
 
@@ -392,7 +396,7 @@
                 is_fresh = now - router.reported_at <= options.FRESH_DEMAND_S
                 router.wanted = router.count_demand() if is_fresh else 0
         self._grant_slots()
-        recalled = set() if contended else self._choose_recalls()
+        recalled = not contended and self._is_scarce()
         if not contended and not recalled:
             self._grant_idle_slots()
         self._update_contended(now)
@@ -409,7 +413,7 @@
                     and not self._workers[worker_name].open
                 },
                 hold=holds[name],
-                recalled=name in recalled,
+                recalled=recalled,
                 contended=contended,
                 limits={
                     account: Limit(limit, lags.get(account, 0.0))
@@ -438,7 +442,9 @@
         for other_name, other in self._routers.items():
             if other.sent is None or other.granted == other.sent.granted:
                 continue
-            hold = max(other.hold, other.wanted)
+            hold = other.hold
+            if self._contended:
+                hold = max(hold, other.wanted)
             allocation = replace(
                 other.sent, granted=dict(other.granted), hold=hold
             )
@@ -683,34 +689,10 @@
             router.wanted = max(router.wanted, router.hold)
         self._grant_slots(len(self._routers) // options.FREE_DIVISOR)
 
-    def _choose_recalls(self) -> set[str]:
-        """Return routers whose idle slots other routers wait for.
-
-        The running requests that they reported may have ended, so those
-        that hold most beyond their mean use are asked.
-        """
-        short = sum(
-            max(0, router.wanted - router.count_all_held())
-            for router in self._routers.values()
-        )
-        idle = {
-            name: router.count_all_held() - router.usage
-            for name, router in self._routers.items()
-        }
-        # Those that were asked and didn't answer have nothing idle yet.
-        recalled = {
-            name
-            for name, router in self._routers.items()
-            if short and router.sent is not None and router.sent.recalled
-        }
-        left = float(short * options.RECALL_FACTOR)
-        for name in sorted(idle, key=lambda n: -idle[n]):
-            if left <= 0 or idle[name] <= 0:
-                break
-            if name not in recalled:
-                recalled.add(name)
-                left -= idle[name]
-        return recalled
+    def _is_scarce(self) -> bool:
+        """Return whether few slots are free for routers that run out."""
+        free = sum(w.count_free() for w in self._workers.values())
+        return free < options.SCARCE_PART * self.count_slots()
 
     def _choose_free_worker(self, router_name: str) -> str | None:
         zone = self._routers[router_name].availability_zone
