Let the priority path use its account's share, whatever the account's lag

Cause: a priority request went first only while its account led by less than 5 s; one 60 s request of a small account puts it 60 s ahead, so its gate checks waited for up to 30 s. Change: the service of the priority path has its own tag. While it is below the lowest tag, priority requests go first and over the limit, and slots are taken from other routers at once. They are charged to the account, so its other requests wait instead. The lead of an account doesn't grow by it, as the lowest tag grows at the same rate.

--- a/hornbeamyard/connection/codec.py
+++ b/hornbeamyard/connection/codec.py
@@ -63,6 +63,7 @@
             finished=demand.finished,
             largest_ms=int(demand.largest_s * 1000),
             lag_ms=int(lags.get(account, 0.0) * 1000),
+            priority_ms=int(demand.priority_s * 1000),
         )
     for worker, (returned, running) in slots.items():
         number, name = names.shorten(worker)
@@ -84,6 +85,7 @@
             service_s=demand.service_ms / 1000,
             finished=demand.finished,
             largest_s=demand.largest_ms / 1000,
+            priority_s=demand.priority_ms / 1000,
         )
         for demand in message.accounts
     }
@@ -147,6 +149,7 @@
             client_account=name,
             limit=limit.limit,
             lag_ms=int(limit.lag_s * 1000),
+            priority_spent=limit.priority_spent,
         )
     return message
 
@@ -173,5 +176,7 @@
         merged.limits.pop(names.resolve(number, ""), None)
     for limit in message.limits:
         account = names.resolve(limit.number, limit.client_account)
-        merged.limits[account] = Limit(limit.limit, limit.lag_ms / 1000)
+        merged.limits[account] = Limit(
+            limit.limit, limit.lag_ms / 1000, limit.priority_spent
+        )
     return merged
--- a/hornbeamyard/pool/allocation.py
+++ b/hornbeamyard/pool/allocation.py
@@ -22,6 +22,9 @@
         Requests finished since the start of the router.
     largest_s : float
         Largest cost of a finished request in slot seconds.
+    priority_s : float
+        The part of `service_s` that finished requests on the priority path
+        took.
     """
 
     waiting: int = 0
@@ -30,6 +33,7 @@
     service_s: float = 0.0
     finished: int = 0
     largest_s: float = 0.0
+    priority_s: float = 0.0
 
     def count(self) -> int:
         """Return the number of requests that wait or run."""
@@ -45,10 +49,14 @@
     limit : int
     lag_s : float
         Normalised service of the account above the lowest one, in seconds.
+    priority_spent : bool
+        Whether the account's priority path alone has used its share, so that
+        its requests wait like others.
     """
 
     limit: int
     lag_s: float
+    priority_spent: bool = False
 
 
 @dataclass(slots=True)
--- a/hornbeamyard/pool/dispatch.py
+++ b/hornbeamyard/pool/dispatch.py
@@ -54,6 +54,8 @@
     started_sum: float = 0.0
     finished: int = 0
     largest_s: float = 0.0
+    # Service of finished requests on the priority path in slot seconds.
+    priority_s: float = 0.0
     mean_cost_s: float | None = None
     # Normalised service when the lag was last set.
     lag_base: float = 0.0
@@ -197,6 +199,8 @@
         account.started_sum -= start.started_at
         account.service_s += cost
         account.finished += 1
+        if start.ticket.priority:
+            account.priority_s += cost
         account.largest_s = max(account.largest_s, cost)
         account.mean_cost_s = _blend(account.mean_cost_s, cost)
         if account.last_end_at is not None:
@@ -362,33 +366,28 @@
         account.backlogged = True
 
     def _order_accounts(self, now: float) -> list[str]:
-        """Return the accounts that may start a request, the first first."""
-        eligible = [
-            name
-            for name in self.backlog.list_accounts()
-            if self._is_below_limit(name) or self._may_borrow(name)
-        ]
+        """Return the accounts that may start a request, the first first.
+
+        A request on the priority path goes before all others, and over its
+        account's limit, unless the path alone has used the account's share.
+        """
         keys = {}
-        lowest = min(
-            (self._accounts[name].compute_tag(now) for name in eligible),
-            default=0.0,
-        )
-        for name in eligible:
+        for name in self.backlog.list_accounts():
             account = self._accounts[name]
-            tag = account.compute_tag(now)
-            cost = account.mean_cost_s or 0.0
-            ahead = account.running * cost / account.share
-            on_priority = (
-                self.backlog.count_waiting_priority(name) > 0
-                and tag <= lowest + options.PRIORITY_LEAD_S
-            )
-            keys[name] = (
-                not self._is_below_limit(name),
-                not on_priority,
-                tag + ahead,
-                name,
-            )
-        return sorted(eligible, key=lambda name: keys[name])
+            below = self._is_below_limit(name)
+            on_priority = self._has_priority(name)
+            if not (below or on_priority or self._may_borrow(name)):
+                continue
+            ahead = account.running * (account.mean_cost_s or 0.0)
+            tag = account.compute_tag(now) + ahead / account.share
+            keys[name] = (not on_priority, not below, tag, name)
+        return sorted(keys, key=lambda name: keys[name])
+
+    def _has_priority(self, name: str) -> bool:
+        if self.backlog.count_waiting_priority(name) == 0:
+            return False
+        limit = self._limits.get(name)
+        return limit is None or not limit.priority_spent
 
     def _measure_demand(
         self, name: str, account: _Account, now: float, is_fast: bool
@@ -406,6 +405,7 @@
             service_s=account.compute_service(now),
             finished=account.finished,
             largest_s=account.largest_s,
+            priority_s=account.priority_s,
         )
         if is_fast and account.reported_at is not None:
             span = now - account.reported_at
--- a/hornbeamyard/pool/options.py
+++ b/hornbeamyard/pool/options.py
@@ -43,8 +43,8 @@
 USAGE_WINDOW_S = 5.0
 # An account's service may exceed the lowest one by at most this much.
 DEBT_LIMIT_S = 30.0
-# An account ahead of the lowest tag by less than this gets slots for its
-# priority path before others get slots for normal requests.
+# Requests on the priority path go first while the path's own service is not
+# above the account's share; unused share is kept for this many seconds.
 PRIORITY_LEAD_S = 5.0
 # Accounts over their limit may use an idle slot when their requests are
 # shorter than this on average, because the slot is free again before the
--- a/hornbeamyard/pool/schedule.py
+++ b/hornbeamyard/pool/schedule.py
@@ -59,6 +59,10 @@
     # Sum over routers of running requests times the time of their report.
     running_since: float = 0.0
     backlogged: bool = False
+    # Normalised service of the priority path, and whether it has used the
+    # account's share.
+    priority_tag: float = 0.0
+    priority_spent: bool = False
     finished: int = 0
     # Slots of the last division.
     entitled: int = 0
@@ -70,6 +74,17 @@
     def set_tag(self, tag: float, now: float) -> None:
         self.offset += tag - self.compute_tag(now)
 
+    def limit_priority(self, lowest: float) -> None:
+        """Let the priority path use the account's share, not more.
+
+        The lowest tag grows as fast as the service of an account that uses
+        its share, so an account's lead doesn't grow by its priority path.
+        """
+        self.priority_tag = max(
+            self.priority_tag, lowest - options.PRIORITY_LEAD_S
+        )
+        self.priority_spent = self.priority_tag > lowest
+
     def count_demand(self) -> int:
         return self.waiting + self.running
 
@@ -150,11 +165,14 @@
     def count_waiting(self) -> int:
         return sum(r.demand.waiting for r in self.reported.values())
 
-    def change(self, allocation: Allocation) -> Change | None:
+    def change(
+        self, allocation: Allocation, priority_waits: bool = False
+    ) -> Change | None:
         """Return a change to send, or None when nothing differs.
 
         A change that can't wait for the next renewal grants slots, closes
-        workers or asks for idle slots.
+        workers or asks for idle slots, or for any slot while a request
+        waits on the priority path.
         """
         sent = self.sent
         if allocation == sent:
@@ -164,6 +182,7 @@
             sent is None
             or allocation.granted != sent.granted
             or allocation.closed != sent.closed
+            or (priority_waits and allocation.hold < sent.hold)
             or (
                 allocation.recalled
                 and not sent.recalled
@@ -401,6 +420,10 @@
             self._grant_idle_slots()
         self._update_contended(now)
         lags = self._compute_lags(now)
+        priority_waits = any(
+            account.waiting_priority and not account.priority_spent
+            for account in self._accounts.values()
+        )
         changed = {}
         for name, router in self._routers.items():
             router.limits = limits[name]
@@ -416,11 +439,15 @@
                 recalled=recalled,
                 contended=contended,
                 limits={
-                    account: Limit(limit, lags.get(account, 0.0))
+                    account: Limit(
+                        limit,
+                        lags.get(account, 0.0),
+                        self._accounts[account].priority_spent,
+                    )
                     for account, limit in limits[name].items()
                 },
             )
-            change = router.change(allocation)
+            change = router.change(allocation, priority_waits)
             if change is not None:
                 changed[name] = change
         return changed
@@ -544,6 +571,8 @@
         finished = max(0, demand.finished - reported.demand.finished)
         self._finished += finished
         account.finished += finished
+        priority = max(0.0, demand.priority_s - reported.demand.priority_s)
+        account.priority_tag += priority / account.share
         router.measure_rate(name, finished, now - reported.at)
         self._largest_s = max(self._largest_s, demand.largest_s)
         router.reported[name] = _Reported(demand, now)
@@ -572,6 +601,7 @@
         if not tags:
             for account in self._accounts.values():
                 account.backlogged = False
+                account.priority_spent = False
             return
         lowest = min(tags)
         debt_limit = max(options.DEBT_LIMIT_S, self._largest_s)
@@ -582,6 +612,7 @@
             if tag > lowest + debt_limit:
                 account.set_tag(lowest + debt_limit, now)
             account.backlogged = account.waiting > 0
+            account.limit_priority(lowest)
 
     def _compute_horizon(self) -> float:
         if self._finished == 0:
@@ -615,20 +646,10 @@
         self, contenders: Mapping[str, Contender], total: int
     ) -> None:
         """Set slots apart for waiting priority requests."""
-        lowest = min(
-            (
-                contender.tag
-                for name, contender in contenders.items()
-                if self._accounts[name].waiting > 0
-            ),
-            default=0.0,
-        )
         left = total
         for name in sorted(contenders, key=lambda n: contenders[n].tag):
             account = self._accounts[name]
-            if account.waiting_priority == 0:
-                continue
-            if contenders[name].tag > lowest + options.PRIORITY_LEAD_S:
+            if account.waiting_priority == 0 or account.priority_spent:
                 continue
             wanted = account.running + account.waiting_priority
             contenders[name].floor = min(wanted, left)
@@ -647,6 +668,11 @@
                 router.count_all_held(),
                 router.hold,
                 router.compute_offered(short),
+                {
+                    name
+                    for name, account in self._accounts.items()
+                    if account.waiting_priority and not account.priority_spent
+                },
             )
             for name, router in self._routers.items()
         }
