Plan with fresh reports and send the plan at once

Cause: with 20 ms costs a lag was corrected two to three seconds after it arose (report, plan and renewal each had their own phase), so corrections overshot: accounts stayed 5 s ahead for seconds. Ruled out: the fewest waiting requests of an interval as demand (an account that always waits somewhere seemed idle and lost its lag). Change: the controller sends every plan of an interval at once, and routers report shortly before the next; accounts that lead by more than 1 s don't borrow idle slots, and slots are lent to routers where others wait; horizon at least 3 s; an account that becomes backlogged keeps a lag of up to 1 s.

--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -284,6 +284,8 @@
             self.drop_stream(stream)
             return
         stream.heard_by_router = now
+        if update.planned and not self._urgent:
+            self._plan_send(self.attachment.get_regular_due())
         for pool in update.pools:
             self.start_ready(pool.pool)
 
--- a/hornbeamyard/connection/attachment.py
+++ b/hornbeamyard/connection/attachment.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -60,6 +61,7 @@
         "_registry",
         "_regular_at",
         "_renewed",
+        "_report_ahead_s",
         "_routers",
         "_sequence",
         "configuration",
@@ -87,6 +89,10 @@
         self._allocations: dict[str, Allocation] = {}
         self._names = codec.Names()
         self._regular_at = 0.0
+        # Differs between hosts, so that reports don't arrive all at once.
+        self._report_ahead_s = options.REPORT_AHEAD_S * (
+            1 + zlib.crc32(host.encode()) % 16 / 8
+        )
         # Upstreams to announce in the next report, and those that only
         # repeated what was passed on over this stream.
         self._announced: set[str] = set()
@@ -218,6 +224,9 @@
         self.epoch = update.epoch
         self.is_attached = True
         self._lease_ends = now + update.lease_ms / 1000
+        if update.planned:
+            # The next plan then works with fresh reports.
+            self._regular_at = now - self._report_ahead_s
         if update.routers:
             self._routers = list(update.routers)
         for message in update.workers:
--- a/hornbeamyard/pool/dispatch.py
+++ b/hornbeamyard/pool/dispatch.py
@@ -61,9 +61,7 @@
     lag_base: float = 0.0
     lag_s: float = 0.0
     backlogged: bool = False
-    # Fewest waiting requests since the last report, and the service and the
-    # time of that report.
-    least_waiting: int = 0
+    # Service and time of the last report that held the account.
     reported_service_s: float = 0.0
     reported_at: float | None = None
     # Times between the ends of requests, as a running mean.
@@ -185,7 +183,6 @@
             account.started_sum += now
             left = self.backlog.count_waiting(name)
             account.backlogged = left > 0
-            account.least_waiting = min(account.least_waiting, left)
             self.holding.take(worker)
             return Start(ticket, worker, now)
         self._note_idle(idle, now)
@@ -325,7 +322,6 @@
                 demands[name] = demand
                 account.reported_at = now
                 account.reported_service_s = demand.service_s
-            account.least_waiting = self.backlog.count_waiting(name)
         self._reported.update(demands)
         slots = {
             name: counts
@@ -394,9 +390,9 @@
     ) -> Demand:
         """Return an account's demand.
 
-        Where slots come free faster than messages are sent, the counts of
-        this moment are wrong in the next. The fewest waiting requests and
-        the mean of the running ones since the last report are then sent.
+        Where slots come free faster than messages are sent, the mean of the
+        running requests since the last report is sent, as their number at
+        this moment is wrong in the next.
         """
         demand = Demand(
             waiting=self.backlog.count_waiting(name),
@@ -412,9 +408,6 @@
             gained = demand.service_s - account.reported_service_s
             if span > options.URGENT_SPACING_S:
                 demand.running = round(gained / span)
-            demand.waiting = max(
-                account.least_waiting, demand.waiting_priority
-            )
         return demand
 
     def _has_news(
@@ -446,8 +439,10 @@
 
     def _may_borrow(self, name: str) -> bool:
         mean = self._accounts[name].mean_cost_s
+        limit = self._limits.get(name)
         return (
             mean is not None
+            and (limit is None or limit.lag_s <= options.BORROW_LEAD_S)
             and mean < options.SHORT_REQUEST_S
             and not self.holding.is_over()
         )
--- a/hornbeamyard/pool/options.py
+++ b/hornbeamyard/pool/options.py
@@ -2,6 +2,8 @@
 
 # Time between two reports of a router, and between two lease renewals.
 REPORT_INTERVAL_S = 1.0
+# A regular report is sent one to three times this long before the next plan.
+REPORT_AHEAD_S = 0.03
 # Least time between two reports of a router that has something urgent.
 URGENT_SPACING_S = 0.025
 # Least time between two plans of a pool's schedule.
@@ -12,7 +14,7 @@
 # clocks of two hosts may run at different speeds.
 DRIFT_ALLOWANCE_S = 0.3
 # Bounds of the horizon over which a lag in service is made up.
-SHORTEST_HORIZON_S = 1.0
+SHORTEST_HORIZON_S = 3
 LONGEST_HORIZON_S = 30.0
 # A report leaves out an account whose service differs by at most this much
 # from what follows from its last report.
@@ -41,6 +43,10 @@
 RATE_WINDOW_S = 2.0
 # Time over which a router's use of slots is averaged.
 USAGE_WINDOW_S = 5.0
+# An account that becomes backlogged may lag behind the lowest one by this
+# much: a control interval's service, as no report tells whether it was idle
+# between two others.
+CREDIT_S = 1.0
 # An account's service may exceed the lowest one by at most this much.
 DEBT_LIMIT_S = 30.0
 # Requests on the priority path go first while the path's own service is not
@@ -50,6 +56,9 @@
 # shorter than this on average, because the slot is free again before the
 # schedule could give it to another router.
 SHORT_REQUEST_S = 0.1
+# They may not once they lead by more than this; the slot is then returned for
+# accounts that wait at other routers.
+BORROW_LEAD_S = 1.0
 # An account keeps a slot until another one lags by more than this, because
 # moving a slot between routers leaves it idle for a round trip.
 STICKINESS_S = 0.2
@@ -58,6 +67,7 @@
 # Of the idle slots of a pool without contention, routers keep one part in
 # this many; the controller keeps the rest for routers that run out.
 RESERVE_DIVISOR = 1.2
-# Lags are sent to routers in steps of this size, so that small changes cost
-# no message.
-LAG_STEP_S = 1.0
+# Lags are sent to routers in steps of the mean cost, within these bounds, so
+# that small changes cost no bytes.
+SHORTEST_LAG_STEP_S = 0.2
+LONGEST_LAG_STEP_S = 1.0
--- a/hornbeamyard/pool/schedule.py
+++ b/hornbeamyard/pool/schedule.py
@@ -59,6 +59,8 @@
     # Sum over routers of running requests times the time of their report.
     running_since: float = 0.0
     backlogged: bool = False
+    # Tag above the lowest one at the last plan.
+    lag_s: float = 0.0
     # Normalised service of the priority path, and whether it has used the
     # account's share.
     priority_tag: float = 0.0
@@ -162,8 +164,12 @@
     def count_running(self) -> int:
         return sum(r.demand.running for r in self.reported.values())
 
-    def count_waiting(self) -> int:
-        return sum(r.demand.waiting for r in self.reported.values())
+    def count_waiting(self, accounts: set[str]) -> int:
+        return sum(
+            reported.demand.waiting
+            for name, reported in self.reported.items()
+            if name in accounts
+        )
 
     def change(
         self, allocation: Allocation, priority_waits: bool = False
@@ -462,8 +468,9 @@
         if self._contended:
             spare = router.wanted - router.count_all_held()
             router.wanted -= max(0, spare)
+            behind = self._find_behind() if spare > 0 else set()
             for _ in range(spare):
-                self._lend_slot()
+                self._lend_slot(behind)
         self._grant_slots()
         changed = {}
         for other_name, other in self._routers.items():
@@ -480,10 +487,19 @@
                 changed[other_name] = change
         return changed
 
-    def _lend_slot(self) -> None:
+    def _find_behind(self) -> set[str]:
+        """Return the accounts that were not ahead at the last plan."""
+        return {
+            name
+            for name, account in self._accounts.items()
+            if account.lag_s <= options.BORROW_LEAD_S
+        }
+
+    def _lend_slot(self, behind: set[str]) -> None:
         def compute_pressure(router: _Router) -> float:
             lent = router.wanted - router.hold
-            return (router.count_waiting() - lent) / (1 + router.wanted)
+            waiting = router.count_waiting(behind)
+            return (waiting - lent) / (1 + router.wanted)
 
         best = max(self._routers.values(), key=compute_pressure)
         best.wanted += 1
@@ -608,21 +624,23 @@
         for account in self._accounts.values():
             tag = account.compute_tag(now)
             if account.waiting > 0 and not account.backlogged:
-                account.set_tag(max(tag, lowest), now)
+                account.set_tag(max(tag, lowest - options.CREDIT_S), now)
             if tag > lowest + debt_limit:
                 account.set_tag(lowest + debt_limit, now)
             account.backlogged = account.waiting > 0
             account.limit_priority(lowest)
 
     def _compute_horizon(self) -> float:
-        if self._finished == 0:
-            return options.SHORTEST_HORIZON_S
-        mean_s = self._reported_service_s / self._finished
         return min(
-            max(mean_s, options.SHORTEST_HORIZON_S),
+            max(self._compute_mean_cost(), options.SHORTEST_HORIZON_S),
             options.LONGEST_HORIZON_S,
         )
 
+    def _compute_mean_cost(self) -> float:
+        if self._finished == 0:
+            return 0.0
+        return self._reported_service_s / self._finished
+
     def _divide_slots(self, now: float) -> dict[str, int]:
         """Return for each account the number of slots it is entitled to."""
         contenders = {
@@ -746,7 +764,12 @@
             return {}
         backlogged = [t for n, t in tags.items() if self._accounts[n].waiting]
         lowest = min(backlogged or tags.values())
-        step = options.LAG_STEP_S
+        step = min(
+            max(self._compute_mean_cost(), options.SHORTEST_LAG_STEP_S),
+            options.LONGEST_LAG_STEP_S,
+        )
+        for name, tag in tags.items():
+            self._accounts[name].lag_s = tag - lowest
         return {
             name: round((tag - lowest) / step) * step
             for name, tag in tags.items()
--- a/hornbeamyard/process/controller.py
+++ b/hornbeamyard/process/controller.py
@@ -40,6 +40,8 @@
     version_sent, version_in_force : int
     workers, workers_gone : set of str
         Upstreams to send, and to have forgotten.
+    planned : bool
+        Whether all pools were planned since the last message.
     replaced : bool
         Whether a newer stream of the same router has taken over.
     """
@@ -56,6 +58,7 @@
     workers_gone: set[str] = field(default_factory=set)
     routers_sent: list[str] = field(default_factory=list)
     replaced: bool = False
+    planned: bool = False
 
 
 class Controller:
@@ -204,7 +207,9 @@
             epoch=self.replica.term,
             lease_ms=int(options.ALLOCATION_LEASE_S * 1000),
             sequence=sequence,
+            planned=router.planned,
         )
+        router.planned = False
         for name, allocation in router.pending.items():
             update.pools.append(
                 codec.encode_allocation(
@@ -303,6 +308,9 @@
         if now >= self._plan_all_at:
             pools = set(self._schedules)
             self._plan_all_at = now + options.REPORT_INTERVAL_S
+            for router in self.routers.values():
+                router.planned = True
+                router.wake.set()
         self._urgent_pools = set()
         for pool in sorted(pools):
             schedule = self._schedules[pool]
