--- a/hornbeamyard/pool/dispatch.py
+++ b/hornbeamyard/pool/dispatch.py
@@ -54,14 +54,14 @@
     started_sum: float = 0.0
     finished: int = 0
     largest_s: float = 0.0
+    # Service of finished requests on the priority path in slot seconds.
+    priority_s: float = 0.0
     mean_cost_s: float | None = None
     # Normalised service when the lag was last set.
     lag_base: float = 0.0
     lag_s: float = 0.0
     backlogged: bool = False
-    # Fewest waiting requests since the last report, and the service and the
-    # time of that report.
-    least_waiting: int = 0
+    # Service and time of the last report that held the account.
     reported_service_s: float = 0.0
     reported_at: float | None = None
     # Times between the ends of requests, as a running mean.
@@ -183,7 +183,6 @@
             account.started_sum += now
             left = self.backlog.count_waiting(name)
             account.backlogged = left > 0
-            account.least_waiting = min(account.least_waiting, left)
             self.holding.take(worker)
             return Start(ticket, worker, now)
         self._note_idle(idle, now)
@@ -197,6 +196,8 @@
         account.started_sum -= start.started_at
         account.service_s += cost
         account.finished += 1
+        if start.ticket.priority:
+            account.priority_s += cost
         account.largest_s = max(account.largest_s, cost)
         account.mean_cost_s = _blend(account.mean_cost_s, cost)
         if account.last_end_at is not None:
@@ -321,7 +322,6 @@
                 demands[name] = demand
                 account.reported_at = now
                 account.reported_service_s = demand.service_s
-            account.least_waiting = self.backlog.count_waiting(name)
         self._reported.update(demands)
         slots = {
             name: counts
@@ -373,42 +373,37 @@
         account.backlogged = True
 
     def _order_accounts(self, now: float) -> list[str]:
-        """Return the accounts that may start a request, the first first."""
-        eligible = [
-            name
-            for name in self.backlog.list_accounts()
-            if self._is_below_limit(name) or self._may_borrow(name)
-        ]
+        """Return the accounts that may start a request, the first first.
+
+        A request on the priority path goes before all others, and over its
+        account's limit, unless the path alone has used the account's share.
+        """
         keys = {}
-        lowest = min(
-            (self._accounts[name].compute_tag(now) for name in eligible),
-            default=0.0,
-        )
-        for name in eligible:
+        for name in self.backlog.list_accounts():
             account = self._accounts[name]
-            tag = account.compute_tag(now)
-            cost = account.mean_cost_s or 0.0
-            ahead = account.running * cost / account.share
-            on_priority = (
-                self.backlog.count_waiting_priority(name) > 0
-                and tag <= lowest + options.PRIORITY_LEAD_S
-            )
-            keys[name] = (
-                not self._is_below_limit(name),
-                not on_priority,
-                tag + ahead,
-                name,
-            )
-        return sorted(eligible, key=lambda name: keys[name])
+            below = self._is_below_limit(name)
+            on_priority = self._has_priority(name)
+            if not (below or on_priority or self._may_borrow(name)):
+                continue
+            ahead = account.running * (account.mean_cost_s or 0.0)
+            tag = account.compute_tag(now) + ahead / account.share
+            keys[name] = (not on_priority, not below, tag, name)
+        return sorted(keys, key=lambda name: keys[name])
+
+    def _has_priority(self, name: str) -> bool:
+        if self.backlog.count_waiting_priority(name) == 0:
+            return False
+        limit = self._limits.get(name)
+        return limit is None or not limit.priority_spent
 
     def _measure_demand(
         self, name: str, account: _Account, now: float, is_fast: bool
     ) -> Demand:
         """Return an account's demand.
 
-        Where slots come free faster than messages are sent, the counts of
-        this moment are wrong in the next. The fewest waiting requests and
-        the mean of the running ones since the last report are then sent.
+        Where slots come free faster than messages are sent, the mean of the
+        running requests since the last report is sent, as their number at
+        this moment is wrong in the next.
         """
         demand = Demand(
             waiting=self.backlog.count_waiting(name),
@@ -417,15 +412,13 @@
             service_s=account.compute_service(now),
             finished=account.finished,
             largest_s=account.largest_s,
+            priority_s=account.priority_s,
         )
         if is_fast and account.reported_at is not None:
             span = now - account.reported_at
             gained = demand.service_s - account.reported_service_s
             if span > options.URGENT_SPACING_S:
                 demand.running = round(gained / span)
-            demand.waiting = max(
-                account.least_waiting, demand.waiting_priority
-            )
         return demand
 
     def _has_news(
@@ -457,8 +450,10 @@
 
     def _may_borrow(self, name: str) -> bool:
         mean = self._accounts[name].mean_cost_s
+        limit = self._limits.get(name)
         return (
             mean is not None
+            and (limit is None or limit.lag_s <= options.BORROW_LEAD_S)
             and mean < options.SHORT_REQUEST_S
             and not self.holding.is_over()
         )
@@ -498,9 +493,6 @@
     def _return_slots(self, now: float) -> None:
         """Return slots that are idle and should be elsewhere."""
         self.holding.return_excess()
-        if self.holding.is_recalled():
-            self.holding.return_idle(self.holding.count_idle())
-            self.holding.end_recall()
         idle = self.holding.count_idle()
         if self._contended:
             # Where slots come free fast, one that is idle at this moment is
--- a/hornbeamyard/pool/schedule.py
+++ b/hornbeamyard/pool/schedule.py
@@ -59,6 +59,12 @@
     # Sum over routers of running requests times the time of their report.
     running_since: float = 0.0
     backlogged: bool = False
+    # Tag above the lowest one at the last plan.
+    lag_s: float = 0.0
+    # Normalised service of the priority path, and whether it has used the
+    # account's share.
+    priority_tag: float = 0.0
+    priority_spent: bool = False
     finished: int = 0
     # Slots of the last division.
     entitled: int = 0
@@ -70,6 +76,17 @@
     def set_tag(self, tag: float, now: float) -> None:
         self.offset += tag - self.compute_tag(now)
 
+    def limit_priority(self, lowest: float) -> None:
+        """Let the priority path use the account's share, not more.
+
+        The lowest tag grows as fast as the service of an account that uses
+        its share, so an account's lead doesn't grow by its priority path.
+        """
+        self.priority_tag = max(
+            self.priority_tag, lowest - options.PRIORITY_LEAD_S
+        )
+        self.priority_spent = self.priority_tag > lowest
+
     def count_demand(self) -> int:
         return self.waiting + self.running
 
@@ -147,14 +164,21 @@
     def count_running(self) -> int:
         return sum(r.demand.running for r in self.reported.values())
 
-    def count_waiting(self) -> int:
-        return sum(r.demand.waiting for r in self.reported.values())
+    def count_waiting(self, accounts: set[str]) -> int:
+        return sum(
+            reported.demand.waiting
+            for name, reported in self.reported.items()
+            if name in accounts
+        )
 
-    def change(self, allocation: Allocation) -> Change | None:
+    def change(
+        self, allocation: Allocation, priority_waits: bool = False
+    ) -> Change | None:
         """Return a change to send, or None when nothing differs.
 
         A change that can't wait for the next renewal grants slots, closes
-        workers or asks for idle slots.
+        workers or asks for idle slots, or for any slot while a request
+        waits on the priority path.
         """
         sent = self.sent
         if allocation == sent:
@@ -164,7 +188,12 @@
             sent is None
             or allocation.granted != sent.granted
             or allocation.closed != sent.closed
-            or (allocation.recalled and not sent.recalled)
+            or (priority_waits and allocation.hold < sent.hold)
+            or (
+                allocation.recalled
+                and not sent.recalled
+                and self.count_all_held() > allocation.hold
+            )
             or (
                 allocation.contended
                 and not sent.contended
@@ -361,15 +390,15 @@
         router.lost_at = None
         router.measure_usage(now)
         router.reported_at = now
-        if router.sent is not None and router.sent.recalled:
-            # A report answers a recall; a later shortage needs another one.
-            router.sent = replace(router.sent, recalled=False)
         for worker_name, count in returned.items():
             if worker_name not in self._workers:
                 continue
             fresh = count - router.returned.get(worker_name, 0)
             router.returned[worker_name] = count
             self._workers[worker_name].outstanding -= fresh
+            if fresh and not self._contended:
+                # What it returns it doesn't want, whatever it reported.
+                router.wanted = min(router.wanted, router.count_all_held())
         for account_name, demand in demands.items():
             self._merge_demand(router, account_name, demand, now)
 
@@ -392,11 +421,15 @@
                 is_fresh = now - router.reported_at <= options.FRESH_DEMAND_S
                 router.wanted = router.count_demand() if is_fresh else 0
         self._grant_slots()
-        recalled = set() if contended else self._choose_recalls()
+        recalled = not contended and self._is_scarce()
         if not contended and not recalled:
             self._grant_idle_slots()
         self._update_contended(now)
         lags = self._compute_lags(now)
+        priority_waits = any(
+            account.waiting_priority and not account.priority_spent
+            for account in self._accounts.values()
+        )
         changed = {}
         for name, router in self._routers.items():
             router.limits = limits[name]
@@ -409,14 +442,18 @@
                     and not self._workers[worker_name].open
                 },
                 hold=holds[name],
-                recalled=name in recalled,
+                recalled=recalled,
                 contended=contended,
                 limits={
-                    account: Limit(limit, lags.get(account, 0.0))
+                    account: Limit(
+                        limit,
+                        lags.get(account, 0.0),
+                        self._accounts[account].priority_spent,
+                    )
                     for account, limit in limits[name].items()
                 },
             )
-            change = router.change(allocation)
+            change = router.change(allocation, priority_waits)
             if change is not None:
                 changed[name] = change
         return changed
@@ -431,14 +468,17 @@
         if self._contended:
             spare = router.wanted - router.count_all_held()
             router.wanted -= max(0, spare)
+            behind = self._find_behind() if spare > 0 else set()
             for _ in range(spare):
-                self._lend_slot()
+                self._lend_slot(behind)
         self._grant_slots()
         changed = {}
         for other_name, other in self._routers.items():
             if other.sent is None or other.granted == other.sent.granted:
                 continue
-            hold = max(other.hold, other.wanted)
+            hold = other.hold
+            if self._contended:
+                hold = max(hold, other.wanted)
             allocation = replace(
                 other.sent, granted=dict(other.granted), hold=hold
             )
@@ -447,10 +487,19 @@
                 changed[other_name] = change
         return changed
 
-    def _lend_slot(self) -> None:
+    def _find_behind(self) -> set[str]:
+        """Return the accounts that were not ahead at the last plan."""
+        return {
+            name
+            for name, account in self._accounts.items()
+            if account.lag_s <= options.BORROW_LEAD_S
+        }
+
+    def _lend_slot(self, behind: set[str]) -> None:
         def compute_pressure(router: _Router) -> float:
             lent = router.wanted - router.hold
-            return (router.count_waiting() - lent) / (1 + router.wanted)
+            waiting = router.count_waiting(behind)
+            return (waiting - lent) / (1 + router.wanted)
 
         best = max(self._routers.values(), key=compute_pressure)
         best.wanted += 1
@@ -556,6 +605,8 @@
         finished = max(0, demand.finished - reported.demand.finished)
         self._finished += finished
         account.finished += finished
+        priority = max(0.0, demand.priority_s - reported.demand.priority_s)
+        account.priority_tag += priority / account.share
         router.measure_rate(name, finished, now - reported.at)
         self._largest_s = max(self._largest_s, demand.largest_s)
         router.reported[name] = _Reported(demand, now)
@@ -584,26 +635,30 @@
         if not tags:
             for account in self._accounts.values():
                 account.backlogged = False
+                account.priority_spent = False
             return
         lowest = min(tags)
         debt_limit = max(options.DEBT_LIMIT_S, self._largest_s)
         for account in self._accounts.values():
             tag = account.compute_tag(now)
             if account.waiting > 0 and not account.backlogged:
-                account.set_tag(max(tag, lowest), now)
+                account.set_tag(max(tag, lowest - options.CREDIT_S), now)
             if tag > lowest + debt_limit:
                 account.set_tag(lowest + debt_limit, now)
             account.backlogged = account.waiting > 0
+            account.limit_priority(lowest)
 
     def _compute_horizon(self) -> float:
-        if self._finished == 0:
-            return options.SHORTEST_HORIZON_S
-        mean_s = self._reported_service_s / self._finished
         return min(
-            max(mean_s, options.SHORTEST_HORIZON_S),
+            max(self._compute_mean_cost(), options.SHORTEST_HORIZON_S),
             options.LONGEST_HORIZON_S,
         )
 
+    def _compute_mean_cost(self) -> float:
+        if self._finished == 0:
+            return 0.0
+        return self._reported_service_s / self._finished
+
     def _divide_slots(self, now: float) -> dict[str, int]:
         """Return for each account the number of slots it is entitled to."""
         contenders = {
@@ -627,20 +682,10 @@
         self, contenders: Mapping[str, Contender], total: int
     ) -> None:
         """Set slots apart for waiting priority requests."""
-        lowest = min(
-            (
-                contender.tag
-                for name, contender in contenders.items()
-                if self._accounts[name].waiting > 0
-            ),
-            default=0.0,
-        )
         left = total
         for name in sorted(contenders, key=lambda n: contenders[n].tag):
             account = self._accounts[name]
-            if account.waiting_priority == 0:
-                continue
-            if contenders[name].tag > lowest + options.PRIORITY_LEAD_S:
+            if account.waiting_priority == 0 or account.priority_spent:
                 continue
             wanted = account.running + account.waiting_priority
             contenders[name].floor = min(wanted, left)
@@ -659,6 +704,11 @@
                 router.count_all_held(),
                 router.hold,
                 router.compute_offered(short),
+                {
+                    name
+                    for name, account in self._accounts.items()
+                    if account.waiting_priority and not account.priority_spent
+                },
             )
             for name, router in self._routers.items()
         }
@@ -701,34 +751,10 @@
             router.wanted = max(router.wanted, router.hold)
         self._grant_slots(len(self._routers) // options.FREE_DIVISOR)
 
-    def _choose_recalls(self) -> set[str]:
-        """Return routers whose idle slots other routers wait for.
-
-        The running requests that they reported may have ended, so those
-        that hold most beyond their mean use are asked.
-        """
-        short = sum(
-            max(0, router.wanted - router.count_all_held())
-            for router in self._routers.values()
-        )
-        idle = {
-            name: router.count_all_held() - router.usage
-            for name, router in self._routers.items()
-        }
-        # Those that were asked and didn't answer have nothing idle yet.
-        recalled = {
-            name
-            for name, router in self._routers.items()
-            if short and router.sent is not None and router.sent.recalled
-        }
-        left = float(short * options.RECALL_FACTOR)
-        for name in sorted(idle, key=lambda n: -idle[n]):
-            if left <= 0 or idle[name] <= 0:
-                break
-            if name not in recalled:
-                recalled.add(name)
-                left -= idle[name]
-        return recalled
+    def _is_scarce(self) -> bool:
+        """Return whether few slots are free for routers that run out."""
+        free = sum(w.count_free() for w in self._workers.values())
+        return free < options.SCARCE_PART * self.count_slots()
 
     def _choose_free_worker(self, router_name: str) -> str | None:
         zone = self._routers[router_name].availability_zone
@@ -756,7 +782,12 @@
             return {}
         backlogged = [t for n, t in tags.items() if self._accounts[n].waiting]
         lowest = min(backlogged or tags.values())
-        step = options.LAG_STEP_S
+        step = min(
+            max(self._compute_mean_cost(), options.SHORTEST_LAG_STEP_S),
+            options.LONGEST_LAG_STEP_S,
+        )
+        for name, tag in tags.items():
+            self._accounts[name].lag_s = tag - lowest
         return {
             name: round((tag - lowest) / step) * step
             for name, tag in tags.items()
