Count the names of streams in the capacity budgets

Cause: names sent once in a stream are kept at both ends while it lasts.

Change: lines for names in the memory of routers and control hosts.

--- a/benchmarks/target.py
+++ b/benchmarks/target.py
@@ -191,11 +191,9 @@
         "B/s",
         BYTES_S,
         lines,
-        "send an account as its number in the configuration version instead "
-        "of its name, and a lag only when it moved by more than the "
-        "stickiness; renew leases of upstreams by exception (only those that "
-        "did not renew); send the list of routers from one control host, as "
-        "a change",
+        "send the list of routers from one control host, as a change; send "
+        "a lag only when it moved by more than the stickiness; renew a "
+        "stream without news every 2 s",
     )
 
 
@@ -254,6 +252,12 @@
             "configuration",
             "document and parsed version",
         ),
+        _slope(
+            fits["name/names/state_bytes"],
+            ACCOUNTS + WORKERS,
+            "names in streams",
+            "a number for each account and worker, when each is in one pool",
+        ),
     ]
     return Budget(
         "router",
@@ -263,7 +267,8 @@
         lines,
         "make an account's entry in a pool when its first request arrives "
         "and read share and bounds from the configuration; keep either the "
-        "document or the parsed version, not both",
+        "document or the parsed version, not both; number accounts by their "
+        "place in the configuration version instead of in each stream",
     )
 
 
@@ -314,6 +319,12 @@
             "schedules",
             "tags, demand and slots by router, 2 pools",
         ),
+        _slope(
+            fits["name/names/state_bytes"],
+            ROUTERS * (ACCOUNTS + WORKERS) / CONTROL_HOSTS,
+            "names in streams",
+            "1,900 streams, accounts and workers divided over the hosts",
+        ),
         _measured(target["version/state_bytes"], "configuration", "document"),
     ]
     return Budget("lead controller with schedules", "memory", "B", None, lines)
