--- a/hornbeamyard/pool/schedule.py
+++ b/hornbeamyard/pool/schedule.py
@@ -697,6 +697,11 @@
             for name, account in self._accounts.items()
             if account.has_short_requests()
         }
+        priority = {
+            name
+            for name, account in self._accounts.items()
+            if account.waiting_priority and not account.priority_spent
+        }
         places = {
             name: Place(
                 {a: r.demand for a, r in router.reported.items()},
@@ -704,11 +709,7 @@
                 router.count_all_held(),
                 router.hold,
                 router.compute_offered(short),
-                {
-                    name
-                    for name, account in self._accounts.items()
-                    if account.waiting_priority and not account.priority_spent
-                },
+                priority,
             )
             for name, router in self._routers.items()
         }
