Collect a report from the accounts that were touched

Cause: a router looked at every configured account of every pool for each report: 52 ms of processor time for one pool with 16,000 accounts, 1.1 cores for 27 pools, against a budget of 0.014 cores for all of control.

Change: Dispatch notes accounts that get a request and forgets them once they have no demand and no news. A full report still holds all accounts.

The memory of an entry for each account and pool (6 MB a pool) stays.

--- a/hornbeamyard/pool/dispatch.py
+++ b/hornbeamyard/pool/dispatch.py
@@ -108,6 +108,7 @@
         "_reported_at",
         "_reported_slots",
         "_spare",
+        "_touched",
         "backlog",
         "choice",
         "holding",
@@ -138,6 +139,9 @@
         # Slots that were idle during a whole window.
         self._spare = 0
         self._reported_at = 0.0
+        # Accounts with demand, or with changes since the last report, in a
+        # fixed order. Looking at all 16,000 accounts took 50 ms a report.
+        self._touched: dict[str, None] = {}
         self._reported: dict[str, Demand] = {}
         self._reported_slots: dict[str, tuple[int, int]] = {}
 
@@ -158,12 +162,14 @@
         pushed = self.backlog.push(ticket)
         if isinstance(pushed, Err):
             return pushed
+        self._touched[ticket.client_account] = None
         self._note_backlogged(account, now)
         return Ok(None)
 
     def resubmit(self, ticket: Ticket, now: float) -> None:
         """Queue a request again, ahead of others, after a failed attempt."""
         self.backlog.push(ticket, front=True)
+        self._touched[ticket.client_account] = None
         self._note_backlogged(self._get_account(ticket.client_account), now)
 
     def start_next(self, now: float) -> Start | None:
@@ -316,12 +322,15 @@
         self._reported_at = now
         is_fast = self.drains_fast(now) and not full
         demands = {}
-        for name, account in self._accounts.items():
+        for name in list(self._accounts if full else self._touched):
+            account = self._accounts[name]
             demand = self._measure_demand(name, account, now, is_fast)
             if full or self._has_news(name, account, demand, now):
                 demands[name] = demand
                 account.reported_at = now
                 account.reported_service_s = demand.service_s
+            elif account.running + self.backlog.count_waiting(name) == 0:
+                del self._touched[name]
         self._reported.update(demands)
         slots = {
             name: counts
