--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -268,7 +268,7 @@
             data = report.SerializeToString()
         self._fleet.costs.add_message(self.name, len(data))
         self.stream.send_report(data)
-        self._plan_send(now + options.REPORT_INTERVAL_S)
+        self._plan_send(self.attachment.get_regular_due())
 
     def take_update(self, stream: Stream, data: bytes) -> None:
         """Take a message of the lead controller."""
@@ -284,6 +284,8 @@
             self.drop_stream(stream)
             return
         stream.heard_by_router = now
+        if update.planned and not self._urgent:
+            self._plan_send(self.attachment.get_regular_due())
         for pool in update.pools:
             self.start_ready(pool.pool)
 
--- a/hornbeamyard/connection/session.py
+++ b/hornbeamyard/connection/session.py
@@ -185,7 +185,8 @@
         self._leave_sent = False
         yield self._build_report(full=True)
         while True:
-            with self._timers.limit(options.REPORT_INTERVAL_S):
+            due = self.attachment.get_regular_due() - self._timers.now()
+            with self._timers.limit(max(0.0, due)):
                 await self._wake.wait()
             self._wake = anyio.Event()
             if self.attachment.is_leaving:
--- a/hornbeamyard/pool/dispatch.py
+++ b/hornbeamyard/pool/dispatch.py
@@ -54,14 +54,14 @@
     started_sum: float = 0.0
     finished: int = 0
     largest_s: float = 0.0
+    # Service of finished requests on the priority path in slot seconds.
+    priority_s: float = 0.0
     mean_cost_s: float | None = None
     # Normalised service when the lag was last set.
     lag_base: float = 0.0
     lag_s: float = 0.0
     backlogged: bool = False
-    # Fewest waiting requests since the last report, and the service and the
-    # time of that report.
-    least_waiting: int = 0
+    # Service and time of the last report that held the account.
     reported_service_s: float = 0.0
     reported_at: float | None = None
     # Times between the ends of requests, as a running mean.
@@ -98,13 +98,17 @@
     __slots__ = (
         "_accounts",
         "_contended",
+        "_idle_from",
         "_last_end_at",
         "_least_idle",
         "_limits",
         "_mean_gap_s",
         "_registry",
         "_reported",
+        "_reported_at",
         "_reported_slots",
+        "_spare",
+        "_touched",
         "backlog",
         "choice",
         "holding",
@@ -131,6 +135,13 @@
         self._last_end_at: float | None = None
         self._mean_gap_s: float | None = None
         self._least_idle = 0
+        self._idle_from = 0.0
+        # Slots that were idle during a whole window.
+        self._spare = 0
+        self._reported_at = 0.0
+        # Accounts with demand, or with changes since the last report, in a
+        # fixed order. Looking at all 16,000 accounts took 50 ms a report.
+        self._touched: dict[str, None] = {}
         self._reported: dict[str, Demand] = {}
         self._reported_slots: dict[str, tuple[int, int]] = {}
 
@@ -151,19 +162,21 @@
         pushed = self.backlog.push(ticket)
         if isinstance(pushed, Err):
             return pushed
+        self._touched[ticket.client_account] = None
         self._note_backlogged(account, now)
         return Ok(None)
 
     def resubmit(self, ticket: Ticket, now: float) -> None:
         """Queue a request again, ahead of others, after a failed attempt."""
         self.backlog.push(ticket, front=True)
+        self._touched[ticket.client_account] = None
         self._note_backlogged(self._get_account(ticket.client_account), now)
 
     def start_next(self, now: float) -> Start | None:
         """Give an idle slot to the next request, if both are there."""
         idle = self.holding.count_idle()
         if not len(self.backlog) or idle <= 0:
-            self._least_idle = min(self._least_idle, idle)
+            self._note_idle(idle, now)
             return None
         for name in self._order_accounts(now):
             ticket = self.backlog.pop(name)
@@ -176,9 +189,9 @@
             account.started_sum += now
             left = self.backlog.count_waiting(name)
             account.backlogged = left > 0
-            account.least_waiting = min(account.least_waiting, left)
             self.holding.take(worker)
             return Start(ticket, worker, now)
+        self._note_idle(idle, now)
         return None
 
     def finish(self, start: Start, now: float) -> None:
@@ -189,6 +202,8 @@
         account.started_sum -= start.started_at
         account.service_s += cost
         account.finished += 1
+        if start.ticket.priority:
+            account.priority_s += cost
         account.largest_s = max(account.largest_s, cost)
         account.mean_cost_s = _blend(account.mean_cost_s, cost)
         if account.last_end_at is not None:
@@ -257,8 +272,13 @@
         """
         if self.holding.is_fallback():
             return False
-        if self.holding.count_idle() > 0 and self.holding.is_over():
-            return self._contended or self.holding.is_recalled()
+        idle = self.holding.count_idle()
+        if idle > 0 and self.holding.is_recalled():
+            return True
+        if idle > 0 and self._contended and self.holding.is_over():
+            return True
+        if self._contended and min(idle, self._spare) > 0:
+            return True
         return self.needs_plan(now)
 
     def needs_plan(self, now: float) -> bool:
@@ -271,14 +291,14 @@
             return False
         if self.holding.count_idle() > 0:
             return self._contended
-        return self._has_unknown_demand()
+        return self._has_unknown_demand(now)
 
     def drains_fast(self, now: float) -> bool:
         """Return whether slots come free sooner than a message is sent."""
         if self._mean_gap_s is None or self._last_end_at is None:
             return False
         gap = max(self._mean_gap_s, now - self._last_end_at)
-        return gap < options.URGENT_SPACING_S
+        return gap < options.FAST_DRAIN_S
 
     def collect_report(
         self, now: float, full: bool
@@ -299,15 +319,18 @@
             For each worker the slots returned, cumulative, and running.
         """
         self._return_slots(now)
+        self._reported_at = now
         is_fast = self.drains_fast(now) and not full
         demands = {}
-        for name, account in self._accounts.items():
+        for name in list(self._accounts if full else self._touched):
+            account = self._accounts[name]
             demand = self._measure_demand(name, account, now, is_fast)
             if full or self._has_news(name, account, demand, now):
                 demands[name] = demand
                 account.reported_at = now
                 account.reported_service_s = demand.service_s
-            account.least_waiting = self.backlog.count_waiting(name)
+            elif account.running + self.backlog.count_waiting(name) == 0:
+                del self._touched[name]
         self._reported.update(demands)
         slots = {
             name: counts
@@ -359,42 +382,37 @@
         account.backlogged = True
 
     def _order_accounts(self, now: float) -> list[str]:
-        """Return the accounts that may start a request, the first first."""
-        eligible = [
-            name
-            for name in self.backlog.list_accounts()
-            if self._is_below_limit(name) or self._may_borrow(name)
-        ]
+        """Return the accounts that may start a request, the first first.
+
+        A request on the priority path goes before all others, and over its
+        account's limit, unless the path alone has used the account's share.
+        """
         keys = {}
-        lowest = min(
-            (self._accounts[name].compute_tag(now) for name in eligible),
-            default=0.0,
-        )
-        for name in eligible:
+        for name in self.backlog.list_accounts():
             account = self._accounts[name]
-            tag = account.compute_tag(now)
-            cost = account.mean_cost_s or 0.0
-            ahead = account.running * cost / account.share
-            on_priority = (
-                self.backlog.count_waiting_priority(name) > 0
-                and tag <= lowest + options.PRIORITY_LEAD_S
-            )
-            keys[name] = (
-                not self._is_below_limit(name),
-                not on_priority,
-                tag + ahead,
-                name,
-            )
-        return sorted(eligible, key=lambda name: keys[name])
+            below = self._is_below_limit(name)
+            on_priority = self._has_priority(name)
+            if not (below or on_priority or self._may_borrow(name)):
+                continue
+            ahead = account.running * (account.mean_cost_s or 0.0)
+            tag = account.compute_tag(now) + ahead / account.share
+            keys[name] = (not on_priority, not below, tag, name)
+        return sorted(keys, key=lambda name: keys[name])
+
+    def _has_priority(self, name: str) -> bool:
+        if self.backlog.count_waiting_priority(name) == 0:
+            return False
+        limit = self._limits.get(name)
+        return limit is None or not limit.priority_spent
 
     def _measure_demand(
         self, name: str, account: _Account, now: float, is_fast: bool
     ) -> Demand:
         """Return an account's demand.
 
-        Where slots come free faster than messages are sent, the counts of
-        this moment are wrong in the next. The fewest waiting requests and
-        the mean of the running ones since the last report are then sent.
+        Where slots come free faster than messages are sent, the mean of the
+        running requests since the last report is sent, as their number at
+        this moment is wrong in the next.
         """
         demand = Demand(
             waiting=self.backlog.count_waiting(name),
@@ -403,15 +421,13 @@
             service_s=account.compute_service(now),
             finished=account.finished,
             largest_s=account.largest_s,
+            priority_s=account.priority_s,
         )
         if is_fast and account.reported_at is not None:
             span = now - account.reported_at
             gained = demand.service_s - account.reported_service_s
             if span > options.URGENT_SPACING_S:
                 demand.running = round(gained / span)
-            demand.waiting = max(
-                account.least_waiting, demand.waiting_priority
-            )
         return demand
 
     def _has_news(
@@ -443,15 +459,22 @@
 
     def _may_borrow(self, name: str) -> bool:
         mean = self._accounts[name].mean_cost_s
+        limit = self._limits.get(name)
         return (
             mean is not None
+            and (limit is None or limit.lag_s <= options.BORROW_LEAD_S)
             and mean < options.SHORT_REQUEST_S
             and not self.holding.is_over()
         )
 
-    def _has_unknown_demand(self) -> bool:
+    def _has_unknown_demand(self, now: float) -> bool:
         """Return whether an account waits that the last report left out."""
-        for name in self.backlog.list_accounts():
+        names = self.backlog.list_accounts()
+        if not self._contended:
+            is_old = now - self._reported_at > options.ASK_AGAIN_S
+            if names and is_old:
+                return True
+        for name in names:
             reported = self._reported.get(name)
             if reported is not None and reported.waiting > 0:
                 continue
@@ -479,16 +502,24 @@
     def _return_slots(self, now: float) -> None:
         """Return slots that are idle and should be elsewhere."""
         self.holding.return_excess()
-        self.holding.end_recall()
         idle = self.holding.count_idle()
         if self._contended:
             # Where slots come free fast, one that is idle at this moment is
             # likely to be used in the next.
             unused = idle
             if self.drains_fast(now):
-                unused = min(idle, self._least_idle)
+                unused = min(idle, self._spare)
             self.holding.return_idle(unused)
+        self._spare = 0
         self._least_idle = self.holding.count_idle()
+        self._idle_from = now
+
+    def _note_idle(self, idle: int, now: float) -> None:
+        self._least_idle = min(self._least_idle, idle)
+        if now - self._idle_from >= options.IDLE_WINDOW_S:
+            self._spare = self._least_idle
+            self._least_idle = idle
+            self._idle_from = now
 
 
 def _blend(mean: float | None, value: float) -> float:
--- a/hornbeamyard/pool/holding.py
+++ b/hornbeamyard/pool/holding.py
@@ -188,13 +188,9 @@
         return self._fallback is None and self.count_held() > self._hold
 
     def is_recalled(self) -> bool:
-        """Return whether the excess is needed elsewhere at once."""
+        """Return whether the excess should be returned once it is idle."""
         return self._recalled and self.is_over()
 
-    def end_recall(self) -> None:
-        """Forget the recall; slots that are idle later are not meant."""
-        self._recalled = False
-
     def list_returned(self) -> dict[str, tuple[int, int]]:
         """Return for each worker the slots returned and running."""
         return {
--- a/hornbeamyard/process/controller.py
+++ b/hornbeamyard/process/controller.py
@@ -35,9 +35,13 @@
         Newest allocation of each pool that was not sent yet.
     sent : dict of str to Allocation
         Allocation of each pool that was sent last.
+    names : Names
+        Numbers of names in both directions of the stream.
     version_sent, version_in_force : int
     workers, workers_gone : set of str
         Upstreams to send, and to have forgotten.
+    planned : bool
+        Whether all pools were planned since the last message.
     replaced : bool
         Whether a newer stream of the same router has taken over.
     """
@@ -47,12 +51,14 @@
     wake: anyio.Event = field(default_factory=anyio.Event)
     pending: dict[str, Allocation] = field(default_factory=dict)
     sent: dict[str, Allocation] = field(default_factory=dict)
+    names: codec.Names = field(default_factory=codec.Names)
     version_sent: int = 0
     version_in_force: int = 0
     workers: set[str] = field(default_factory=set)
     workers_gone: set[str] = field(default_factory=set)
     routers_sent: list[str] = field(default_factory=list)
     replaced: bool = False
+    planned: bool = False
 
 
 class Controller:
@@ -122,9 +128,14 @@
                 name,
                 router.incarnation,
                 report.availability_zone,
-                codec.decode_demands(pool),
-                {entry.worker: entry.running for entry in pool.returns},
-                codec.decode_lags(pool),
+                codec.decode_demands(pool, router.names),
+                {
+                    worker: running
+                    for worker, (_, running) in codec.decode_slots(
+                        pool, router.names
+                    ).items()
+                },
+                codec.decode_lags(pool, router.names),
                 now,
             )
         router.version_in_force = report.version_in_force
@@ -148,15 +159,20 @@
             schedule = self._get_schedule(pool.pool)
             schedule.report(
                 router.name,
-                codec.decode_demands(pool),
-                {entry.worker: entry.returned for entry in pool.returns},
+                codec.decode_demands(pool, router.names),
+                {
+                    worker: returned
+                    for worker, (returned, _) in codec.decode_slots(
+                        pool, router.names
+                    ).items()
+                },
                 now,
             )
             if pool.urgent:
                 self._urgent_pools.add(pool.pool)
                 self._plan_wake.set()
             elif pool.returns:
-                self._settle(pool.pool, schedule.settle())
+                self._settle(pool.pool, schedule.settle(router.name))
         self._take_announcements(report, now)
 
     def detach(self, router: AttachedRouter, left: bool) -> None:
@@ -191,11 +207,13 @@
             epoch=self.replica.term,
             lease_ms=int(options.ALLOCATION_LEASE_S * 1000),
             sequence=sequence,
+            planned=router.planned,
         )
+        router.planned = False
         for name, allocation in router.pending.items():
             update.pools.append(
                 codec.encode_allocation(
-                    name, allocation, router.sent.get(name)
+                    name, allocation, router.sent.get(name), router.names
                 )
             )
             router.sent[name] = allocation
@@ -290,6 +308,9 @@
         if now >= self._plan_all_at:
             pools = set(self._schedules)
             self._plan_all_at = now + options.REPORT_INTERVAL_S
+            for router in self.routers.values():
+                router.planned = True
+                router.wake.set()
         self._urgent_pools = set()
         for pool in sorted(pools):
             schedule = self._schedules[pool]
