Give accounts with short requests fractions of slots

Cause: two slots of a small account, divided between four routers and rounded up, let it run five; the account then led by several seconds. Change: the division gives accounts with short requests fractions, and each router keeps their mean use to the fraction that the plan gives it; borrowing is judged against the median lag, because one account that lags stopped all others from using idle slots.

--- a/hornbeamyard/connection/codec.py
+++ b/hornbeamyard/connection/codec.py
@@ -150,6 +150,7 @@
             limit=limit.limit,
             lag_ms=int(limit.lag_s * 1000),
             priority_spent=limit.priority_spent,
+            rate=_encode_rate(limit.rate),
         )
     return message
 
@@ -177,6 +178,14 @@
     for limit in message.limits:
         account = names.resolve(limit.number, limit.client_account)
         merged.limits[account] = Limit(
-            limit.limit, limit.lag_ms / 1000, limit.priority_spent
+            limit.limit,
+            limit.lag_ms / 1000,
+            limit.priority_spent,
+            (limit.rate - 1) / 1000 if limit.rate else None,
         )
     return merged
+
+
+def _encode_rate(rate: float | None) -> int:
+    # 0 stands for no rate, so rates begin at 1.
+    return 0 if rate is None else round(rate * 1000) + 1
--- a/hornbeamyard/pool/allocation.py
+++ b/hornbeamyard/pool/allocation.py
@@ -49,6 +49,9 @@
     limit : int
     lag_s : float
         Normalised service of the account above the lowest one, in seconds.
+    rate : float or None
+        Slots that an account with short requests may use on average; None
+        when only `limit` applies.
     priority_spent : bool
         Whether the account's priority path alone has used its share, so that
         its requests wait like others.
@@ -57,6 +60,7 @@
     limit: int
     lag_s: float
     priority_spent: bool = False
+    rate: float | None = None
 
 
 @dataclass(slots=True)
--- a/hornbeamyard/pool/dispatch.py
+++ b/hornbeamyard/pool/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import statistics
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -61,6 +62,11 @@
     lag_base: float = 0.0
     lag_s: float = 0.0
     backlogged: bool = False
+    # Slot seconds that the rate of the limit still allows, and the service
+    # and time up to which they were counted.
+    allowance_s: float = 0.0
+    counted_service_s: float = 0.0
+    counted_at: float = 0.0
     # Service and time of the last report that held the account.
     reported_service_s: float = 0.0
     reported_at: float | None = None
@@ -75,6 +81,18 @@
         accrued = self.compute_service(now) / self.share - self.lag_base
         return self.lag_s + accrued
 
+    def count_allowance(self, rate: float, now: float) -> float:
+        """Return the slot seconds that a rate allows at this moment."""
+        service = self.compute_service(now)
+        gained = rate * (now - self.counted_at)
+        allowance = self.allowance_s + gained
+        allowance -= service - self.counted_service_s
+        bound = options.ALLOWANCE_S * max(1.0, rate)
+        self.allowance_s = max(-bound, min(bound, allowance))
+        self.counted_service_s = service
+        self.counted_at = now
+        return self.allowance_s
+
     def set_tag(self, tag: float, now: float) -> None:
         self.lag_s = tag
         self.lag_base = self.compute_service(now) / self.share
@@ -97,6 +115,7 @@
 
     __slots__ = (
         "_accounts",
+        "_borrow_below",
         "_contended",
         "_idle_from",
         "_last_end_at",
@@ -127,6 +146,7 @@
         self.choice = WorkerChoice(availability_zone)
         self._registry = registry
         self._accounts: dict[str, _Account] = {}
+        self._borrow_below = 0.0
         self._contended = False
         self._limits: dict[str, Limit] = {}
         # Ends of requests of all accounts, and idle slots since the last
@@ -243,6 +263,10 @@
         self.holding.apply(allocation)
         self._contended = allocation.contended
         self._limits = allocation.limits
+        lags = [limit.lag_s for limit in allocation.limits.values()]
+        if lags:
+            middle = statistics.median(lags)
+            self._borrow_below = middle + options.BORROW_LEAD_S
         for name, limit in allocation.limits.items():
             self._get_account(name).set_tag(limit.lag_s, now)
 
@@ -370,7 +394,7 @@
         keys = {}
         for name in self.backlog.list_accounts():
             account = self._accounts[name]
-            below = self._is_below_limit(name)
+            below = self._is_below_limit(name, now)
             on_priority = self._has_priority(name)
             if not (below or on_priority or self._may_borrow(name)):
                 continue
@@ -428,21 +452,23 @@
         error = demand.service_s - reported.service_s - accrued
         return abs(error) > options.SERVICE_ERROR_S
 
-    def _is_below_limit(self, name: str) -> bool:
+    def _is_below_limit(self, name: str, now: float) -> bool:
         if not self._contended:
             return True
         limit = self._limits.get(name)
-        running = self._accounts[name].running
+        account = self._accounts[name]
         if limit is None:
-            return running < 1
-        return running < limit.limit
+            return account.running < 1
+        if limit.rate is not None:
+            return account.count_allowance(limit.rate, now) > 0
+        return account.running < limit.limit
 
     def _may_borrow(self, name: str) -> bool:
         mean = self._accounts[name].mean_cost_s
         limit = self._limits.get(name)
         return (
             mean is not None
-            and (limit is None or limit.lag_s <= options.BORROW_LEAD_S)
+            and (limit is None or limit.lag_s <= self._borrow_below)
             and mean < options.SHORT_REQUEST_S
             and not self.holding.is_over()
         )
--- a/hornbeamyard/pool/division.py
+++ b/hornbeamyard/pool/division.py
@@ -8,9 +8,8 @@
 
 from . import options
 
-# Halvings of the range of levels. The few slots that are left then are
-# handed out one by one.
-_LEVEL_STEPS = 14
+# Halvings of the range of levels, which leave less than a hundredth of a slot.
+_LEVEL_STEPS = 18
 
 
 @dataclass(slots=True)
@@ -26,26 +25,30 @@
         Requests that wait or run.
     floor : int
         Slots that it gets before others, for its priority path.
-    previous : int
+    previous : float
         Slots that it was entitled to before.
+    is_short : bool
+        Whether its requests are short.
     """
 
     tag: float
     share: float
     demand: int
     floor: int = 0
-    previous: int = 0
+    previous: float = 0.0
+    is_short: bool = False
 
 
 def divide_slots(
     contenders: Mapping[str, Contender], total: int, horizon_s: float
-) -> dict[str, int]:
+) -> dict[str, float]:
     """Return for each account the number of slots it is entitled to.
 
     Slots go one by one to the account with the lowest
     `tag + n * horizon / share`, where `n` counts the slots that it got, but
     no account gets more than its demand. This is computed by filling all
-    accounts to one level, and handing out what rounding leaves.
+    accounts to one level. Accounts with short requests get fractions of
+    slots; others get whole ones, and what rounding leaves is handed out.
 
     Parameters
     ----------
@@ -55,7 +58,7 @@
     horizon_s : float
         Time in which a lag in service is made up, in seconds.
     """
-    floors = {name: c.floor for name, c in contenders.items()}
+    floors = {name: float(c.floor) for name, c in contenders.items()}
     if not contenders or sum(floors.values()) >= total:
         return floors
     level = _find_level(contenders, total, horizon_s)
@@ -63,12 +66,16 @@
         name: _count_at(contender, level, horizon_s)
         for name, contender in contenders.items()
     }
-    _hand_out_rest(entitled, contenders, total, horizon_s)
+    whole = {n: c for n, c in contenders.items() if not c.is_short}
+    rest = sum(entitled[name] for name in whole)
+    for name in whole:
+        entitled[name] = float(int(entitled[name]))
+    _hand_out_rest(entitled, whole, round(rest), horizon_s)
     return entitled
 
 
-def _count_at(contender: Contender, level: float, horizon_s: float) -> int:
-    wanted = int((level - contender.tag) * contender.share / horizon_s)
+def _count_at(contender: Contender, level: float, horizon_s: float) -> float:
+    wanted = (level - contender.tag) * contender.share / horizon_s
     return max(contender.floor, min(contender.demand, wanted))
 
 
@@ -80,9 +87,10 @@
     low = min(c.tag for c in values)
     # The lowest account alone would take all slots at the upper end.
     high = low + horizon_s * (total + 1) / min(c.share for c in values)
+    high = max(high, max(c.tag for c in values))
     for _ in range(_LEVEL_STEPS):
         middle = (low + high) / 2
-        taken = 0
+        taken = 0.0
         for contender in values:
             taken += _count_at(contender, middle, horizon_s)
         if taken > total:
@@ -93,7 +101,7 @@
 
 
 def _hand_out_rest(
-    entitled: dict[str, int],
+    entitled: dict[str, float],
     contenders: Mapping[str, Contender],
     total: int,
     horizon_s: float,
@@ -113,7 +121,7 @@
         if entitled[name] < contender.demand
     ]
     heapq.heapify(heap)
-    left = total - sum(entitled.values())
+    left = total - sum(entitled[name] for name in contenders)
     while left > 0 and heap:
         _, name = heapq.heappop(heap)
         entitled[name] += 1
--- a/hornbeamyard/pool/options.py
+++ b/hornbeamyard/pool/options.py
@@ -14,7 +14,7 @@
 # clocks of two hosts may run at different speeds.
 DRIFT_ALLOWANCE_S = 0.3
 # Bounds of the horizon over which a lag in service is made up.
-SHORTEST_HORIZON_S = 3
+SHORTEST_HORIZON_S = 2.0
 LONGEST_HORIZON_S = 30.0
 # A report leaves out an account whose service differs by at most this much
 # from what follows from its last report.
@@ -56,8 +56,11 @@
 # shorter than this on average, because the slot is free again before the
 # schedule could give it to another router.
 SHORT_REQUEST_S = 0.1
-# They may not once they lead by more than this; the slot is then returned for
-# accounts that wait at other routers.
+# Slot seconds for each slot that an account with short requests may save up
+# or overdraw at a router.
+ALLOWANCE_S = 0.1
+# They may not once they lead the median by more than this; the slot is then
+# returned for accounts that wait at other routers.
 BORROW_LEAD_S = 1.0
 # An account keeps a slot until another one lags by more than this, because
 # moving a slot between routers leaves it idle for a round trip.
--- a/hornbeamyard/pool/placement.py
+++ b/hornbeamyard/pool/placement.py
@@ -10,6 +10,9 @@
 from . import options
 from .allocation import Demand
 
+# Steps into which a slot is divided between routers.
+_RATE_STEPS = 20
+
 
 @dataclass(slots=True)
 class Place:
@@ -50,14 +53,17 @@
         For each router the limits of accounts.
     holds : dict of str to int
         For each router the slots that it should hold.
+    rates : dict of str to dict of str to float
+        For each router the mean slots of accounts with short requests.
     """
 
     limits: dict[str, dict[str, int]]
     holds: dict[str, int]
+    rates: dict[str, dict[str, float]]
 
 
 def place_slots(
-    entitled: Mapping[str, int], places: Mapping[str, Place], short: set[str]
+    entitled: Mapping[str, float], places: Mapping[str, Place], short: set[str]
 ) -> Placement:
     """Divide each account's slots between the routers.
 
@@ -69,8 +75,8 @@
 
     Parameters
     ----------
-    entitled : mapping of str to int
-        Slots of each account.
+    entitled : mapping of str to float
+        Slots of each account; whole ones unless its requests are short.
     places : mapping of str to Place
         All routers.
     short : set of str
@@ -79,13 +85,21 @@
     limits = {
         name: _keep_limits(place, short) for name, place in places.items()
     }
-    grow = {name: n for name, n in entitled.items() if name not in short}
+    grow = {
+        name: int(slots)
+        for name, slots in entitled.items()
+        if name not in short
+    }
     for of_router in limits.values():
         for account, count in of_router.items():
             grow[account] = grow.get(account, 0) - count
     _shrink_limits(limits, grow, places)
     wanted = {name: float(sum(limits[name].values())) for name in places}
-    _divide_by_offer(entitled, places, short, limits, wanted)
+    rates = _divide_by_offer(entitled, places, short)
+    for name, rates_here in rates.items():
+        wanted[name] += sum(rates_here.values())
+        for account, rate in rates_here.items():
+            limits[name][account] = math.ceil(rate)
     surplus = {name: int(p.held - wanted[name]) for name, p in places.items()}
     for account, count in grow.items():
         if count > 0:
@@ -94,21 +108,18 @@
             for name in places:
                 wanted[name] += limits[name].get(account, 0) - before[name]
     previous = {name: place.hold for name, place in places.items()}
-    return Placement(limits, round_holds(wanted, previous))
+    return Placement(limits, round_holds(wanted, previous), rates)
 
 
 def _divide_by_offer(
-    entitled: Mapping[str, int],
-    places: Mapping[str, Place],
-    short: set[str],
-    limits: Mapping[str, dict[str, int]],
-    wanted: dict[str, float],
-) -> None:
-    """Divide the slots of accounts with short requests.
+    entitled: Mapping[str, float], places: Mapping[str, Place], short: set[str]
+) -> dict[str, dict[str, float]]:
+    """Return for each router the mean slots of accounts with short requests.
 
-    A limit is rounded up, as the order of tags holds back an account that
-    is ahead; the slots of a router are not.
+    They are fractions of slots, because an account's few slots are divided
+    between many routers.
     """
+    rates: dict[str, dict[str, float]] = {name: {} for name in places}
     for account in short:
         offered = {
             name: value
@@ -118,8 +129,9 @@
         total = sum(offered.values())
         for name, value in offered.items():
             part = entitled.get(account, 0) * value / total
-            limits[name][account] = math.ceil(part)
-            wanted[name] += part
+            # Steps keep small changes out of the messages.
+            rates[name][account] = round(part * _RATE_STEPS) / _RATE_STEPS
+    return rates
 
 
 def round_holds(
--- a/hornbeamyard/pool/schedule.py
+++ b/hornbeamyard/pool/schedule.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import statistics
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
@@ -67,7 +68,7 @@
     priority_spent: bool = False
     finished: int = 0
     # Slots of the last division.
-    entitled: int = 0
+    entitled: float = 0.0
 
     def compute_tag(self, now: float) -> float:
         accrued = self.running * now - self.running_since
@@ -412,8 +413,10 @@
         if contended:
             placement = self._place_slots(self._divide_slots(now))
             limits, holds = placement.limits, placement.holds
+            rates = placement.rates
         else:
             limits = {name: {} for name in self._routers}
+            rates = {name: {} for name in self._routers}
             holds = self._spread_idle_slots(now)
         for name, router in self._routers.items():
             router.hold = router.wanted = holds[name]
@@ -449,6 +452,7 @@
                         limit,
                         lags.get(account, 0.0),
                         self._accounts[account].priority_spent,
+                        rates[name].get(account),
                     )
                     for account, limit in limits[name].items()
                 },
@@ -489,10 +493,13 @@
 
     def _find_behind(self) -> set[str]:
         """Return the accounts that were not ahead at the last plan."""
+        middle = statistics.median(
+            account.lag_s for account in self._accounts.values()
+        )
         return {
             name
             for name, account in self._accounts.items()
-            if account.lag_s <= options.BORROW_LEAD_S
+            if account.lag_s <= middle + options.BORROW_LEAD_S
         }
 
     def _lend_slot(self, behind: set[str]) -> None:
@@ -641,7 +648,7 @@
             return 0.0
         return self._reported_service_s / self._finished
 
-    def _divide_slots(self, now: float) -> dict[str, int]:
+    def _divide_slots(self, now: float) -> dict[str, float]:
         """Return for each account the number of slots it is entitled to."""
         contenders = {
             name: Contender(
@@ -649,6 +656,7 @@
                 account.share,
                 account.count_demand(),
                 previous=account.entitled,
+                is_short=account.has_short_requests(),
             )
             for name, account in self._accounts.items()
             if account.count_demand() > 0
@@ -657,7 +665,7 @@
         self._reserve_priority(contenders, total)
         entitled = divide_slots(contenders, total, self._compute_horizon())
         for name, account in self._accounts.items():
-            account.entitled = entitled.get(name, 0)
+            account.entitled = entitled.get(name, 0.0)
         return entitled
 
     def _reserve_priority(
@@ -673,7 +681,7 @@
             contenders[name].floor = min(wanted, left)
             left -= contenders[name].floor
 
-    def _place_slots(self, entitled: Mapping[str, int]) -> Placement:
+    def _place_slots(self, entitled: Mapping[str, float]) -> Placement:
         short = {
             name
             for name, account in self._accounts.items()
