Keep a cut-off router on workers that answer its probe, and restart terms safely

Faults found and fixed: - a new lead controller granted slots at once, as its process had no term before; only term 1 may; - a controller that was elected again kept the schedules of its former term; - a worker that expired and came back restarted its counters at the controller only, so routers held slots that were never granted; - a full report returned idle slots that no later message mentioned; - a lag was adopted as an absolute tag by a new lead controller; - a router without announcements forgot all workers after 3 s. A failing worker is probed by one request at a time.

--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -76,6 +76,7 @@
         self._queued: dict[int, Request] = {}
         fleet.network.place(name, zone)
         self._clock.every(LEASE_CHECK_S, self._check_lease)
+        self._clock.every(options.PROBE_INTERVAL_S, self._probe)
         self.start()
 
     def start(self) -> None:
@@ -318,12 +319,23 @@
         for pool in self.dispatches:
             self.start_ready(pool)
 
+    def _probe(self) -> None:
+        """Ask all workers for their status, as the router's prober does."""
+        now = self._clock.now
+        local = self._fleet.local_only
+        if not self.alive or not (local or self.attachment.needs_probes(now)):
+            return
+        for worker in self.registry.list_workers():
+            engine = self._fleet.engines[worker.name]
+            is_ready = engine.leaving_at is None
+            self.registry.record_probe(worker.name, is_ready, now)
+
     def _use_local_share(self) -> None:
         """Divide the slots statically, for the baseline without control."""
         for dispatch in self.dispatches.values():
-            if not dispatch.holding.is_fallback():
-                rank = self._fleet.routers.index(self)
-                dispatch.enter_fallback(rank, len(self._fleet.routers))
+            rank = self._fleet.routers.index(self)
+            count = len(self._fleet.routers)
+            dispatch.enter_fallback(rank, count, self._clock.now)
 
     def _set_configuration(self, configuration: Configuration) -> None:
         for dispatch in self.dispatches.values():
--- a/hornbeamyard/connection/attachment.py
+++ b/hornbeamyard/connection/attachment.py
@@ -268,6 +268,14 @@
 
     # ---- lease -----------------------------------------------------------
 
+    def needs_probes(self, now: float) -> bool:
+        """Return whether workers should be asked for their status.
+
+        It begins before the lease ends, so that the fallback finds workers
+        that are known to be ready.
+        """
+        return now > self._lease_ends - options.PROBE_AHEAD_S
+
     def holds_lease(self, now: float) -> bool:
         """Return whether the lead controller's last word still holds."""
         return now < self._lease_ends
@@ -278,7 +286,7 @@
             return False
         rank = self._get_rank()
         for dispatch in self._list_dispatches().values():
-            dispatch.enter_fallback(rank, len(self._routers))
+            dispatch.enter_fallback(rank, len(self._routers), now)
         return True
 
     def _get_rank(self) -> int:
--- a/hornbeamyard/pool/dispatch.py
+++ b/hornbeamyard/pool/dispatch.py
@@ -270,12 +270,16 @@
         for name, limit in allocation.limits.items():
             self._get_account(name).set_tag(limit.lag_s, now)
 
-    def enter_fallback(self, rank: int, routers: int) -> None:
-        """Go on with the fallback share while no allocation holds."""
+    def enter_fallback(self, rank: int, routers: int, now: float) -> None:
+        """Go on with the fallback share while no allocation holds.
+
+        Only workers that answered a probe lately are used, as no other word
+        of a leaving worker reaches this router.
+        """
         workers = [
             worker
             for worker in self._registry.list_workers(self.pool)
-            if not worker.leaving
+            if self._registry.is_ready(worker.name, now)
         ]
         self._contended = False
         self._limits = {}
@@ -336,7 +340,10 @@
         slots : dict of str to (int, int)
             For each worker the slots returned, cumulative, and running.
         """
-        self._return_slots(now)
+        if not full:
+            # A full report says what is held, so nothing may be returned by
+            # the same message.
+            self._return_slots(now)
         self._reported_at = now
         is_fast = self.drains_fast(now) and not full
         demands = {}
--- a/hornbeamyard/pool/holding.py
+++ b/hornbeamyard/pool/holding.py
@@ -155,10 +155,14 @@
         self._slots[worker].running -= 1
 
     def forget(self, worker: str) -> None:
-        """Drop a worker that is gone, unless requests still run there."""
+        """Stop using a worker that is gone.
+
+        Its counters stay, so that they agree with the controller's when the
+        worker comes back.
+        """
         held = self._slots.get(worker)
-        if held is not None and held.running == 0:
-            del self._slots[worker]
+        if held is not None:
+            held.closed = True
         if self._fallback is not None:
             self._fallback.pop(worker, None)
 
--- a/hornbeamyard/pool/options.py
+++ b/hornbeamyard/pool/options.py
@@ -10,6 +10,12 @@
 PLAN_SPACING_S = 0.01
 # A router may use its allocation for this long after it was sent.
 ALLOCATION_LEASE_S = 3.0
+# Without a word from the lead controller a router asks each worker for its
+# status at this interval, from this long before its lease ends, and uses
+# those that were ready within the last `READY_S`.
+PROBE_INTERVAL_S = 1.0
+PROBE_AHEAD_S = 1.5
+READY_S = 3.0
 # Added to a lease by the controller before it reissues slots, because the
 # clocks of two hosts may run at different speeds.
 DRIFT_ALLOWANCE_S = 0.3
--- a/hornbeamyard/pool/schedule.py
+++ b/hornbeamyard/pool/schedule.py
@@ -284,11 +284,12 @@
         worker.open = is_open
 
     def remove_worker(self, name: str) -> None:
-        """Forget a worker whose lease has ended."""
+        """Forget a worker whose lease has ended.
+
+        The counters of granted and returned slots stay, because requests
+        may still run there, and the worker may come back.
+        """
         self._workers.pop(name, None)
-        for router in self._routers.values():
-            router.granted.pop(name, None)
-            router.returned.pop(name, None)
 
     def attach_router(
         self,
@@ -392,10 +393,10 @@
         router.measure_usage(now)
         router.reported_at = now
         for worker_name, count in returned.items():
-            if worker_name not in self._workers:
-                continue
             fresh = count - router.returned.get(worker_name, 0)
             router.returned[worker_name] = count
+            if worker_name not in self._workers:
+                continue
             self._workers[worker_name].outstanding -= fresh
             if fresh and not self._contended:
                 # What it returns it doesn't want, whatever it reported.
@@ -441,8 +442,8 @@
                 closed={
                     worker_name
                     for worker_name in router.granted
-                    if worker_name in self._workers
-                    and not self._workers[worker_name].open
+                    if worker_name not in self._workers
+                    or not self._workers[worker_name].open
                 },
                 hold=holds[name],
                 recalled=recalled,
@@ -577,7 +578,9 @@
     def _adopt_lag(self, name: str, lag: float | None, now: float) -> None:
         account = self._accounts.setdefault(name, _Account())
         if lag is not None:
-            account.set_tag(max(lag, account.compute_tag(now)), now)
+            tags = [a.compute_tag(now) for a in self._accounts.values()]
+            tag = max(min(tags) + lag, account.compute_tag(now))
+            account.set_tag(tag, now)
 
     def _merge_demand(
         self, router: _Router, name: str, demand: Demand, now: float
--- a/hornbeamyard/pool/worker.py
+++ b/hornbeamyard/pool/worker.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from ..messages import fleet_pb2
+from . import options
 
 # A worker that fails gets no requests for this long; each further failure
 # in a row doubles the time.
@@ -119,10 +120,11 @@
 class Registry:
     """Upstreams known to a process, by name."""
 
-    __slots__ = ("_workers",)
+    __slots__ = ("_ready_at", "_workers")
 
     def __init__(self) -> None:
         self._workers: dict[str, Worker] = {}
+        self._ready_at: dict[str, float] = {}
 
     def announce(self, worker: Worker) -> bool:
         """Take an announcement; return whether more than load changed.
@@ -149,16 +151,44 @@
         if worker is not None:
             worker.announced_at = max(worker.announced_at, now)
 
+    def record_probe(self, name: str, is_ready: bool, now: float) -> None:
+        """Take a worker's own answer to a probe.
+
+        Parameters
+        ----------
+        name : str
+        is_ready : bool
+            Whether it takes new requests.
+        now : float
+            Time at which the probe was sent, in monotonic seconds.
+        """
+        if is_ready:
+            self._ready_at[name] = now
+        else:
+            self._ready_at.pop(name, None)
+
+    def is_ready(self, name: str, now: float) -> bool:
+        """Return whether a worker answered lately that it takes requests."""
+        ready_at = self._ready_at.get(name)
+        if ready_at is None or name not in self._workers:
+            return False
+        return now - ready_at < options.READY_S
+
     def expire(self, now: float) -> list[Worker]:
         """Remove and return the upstreams whose lease has ended."""
-        expired = [w for w in self._workers.values() if w.has_expired(now)]
+        expired = [
+            worker
+            for worker in self._workers.values()
+            if worker.has_expired(now) and not self.is_ready(worker.name, now)
+        ]
         for worker in expired:
-            del self._workers[worker.name]
+            self.remove(worker.name)
         return expired
 
     def remove(self, name: str) -> None:
         """Forget an upstream."""
         self._workers.pop(name, None)
+        self._ready_at.pop(name, None)
 
     def get(self, name: str) -> Worker | None:
         """Return an upstream, or None when it is unknown."""
@@ -234,7 +264,14 @@
             )
             if best is None or key < best:
                 best = key
-        return best[-1] if best is not None else None
+        if best is None:
+            return None
+        if best[0] > 0:
+            # The request is a probe; no other follows until it has ended or
+            # the next pause is over.
+            health = self._health[best[-1]]
+            health.ejected_until = now + EJECTION_S
+        return best[-1]
 
     def is_ejected(self, name: str, now: float) -> bool:
         """Return whether a worker gets no requests at the moment."""
@@ -245,6 +282,7 @@
         """Note that a worker answered a request."""
         health = self._health.setdefault(name, _Health())
         health.failures = 0
+        health.ejected_until = 0.0
         if prefix == 0:
             return
         health.prefixes[prefix] = None
--- a/hornbeamyard/process/controller.py
+++ b/hornbeamyard/process/controller.py
@@ -110,6 +110,7 @@
 
     def attach(self, report: fleet_pb2.RouterReport) -> AttachedRouter:
         """Take a router's first, full report."""
+        self._check_term()
         now = self._timers.now()
         name = report.identity.host
         previous = self.routers.get(name)
@@ -270,7 +271,6 @@
             self._get_schedule(worker.pool).remove_worker(worker.name)
             for router in self.routers.values():
                 router.workers_gone.add(worker.name)
-                router.sent.pop(worker.pool, None)
                 router.wake.set()
             _log.info("the lease of upstream {} has ended", worker.name)
 
@@ -330,9 +330,13 @@
         """Start schedules anew when this replica has just been elected."""
         if self.replica.term == self._term:
             return
-        first = self._term == 0 and not self.routers
         self._term = self.replica.term
-        if first:
+        self._schedules = {}
+        self.routers = {}
+        for worker in self.registry.list_workers():
+            self._put_worker(worker)
+        if self._term == 1:
+            # No controller led before, so no lease can be in force.
             return
         self._grants_from = (
             self._timers.now()
--- a/hornbeamyard/process/router.py
+++ b/hornbeamyard/process/router.py
@@ -11,6 +11,7 @@
 import uvicorn
 
 from ..connection import peers
+from ..connection.probes import Prober
 from ..connection.session import Session
 from ..pool import options
 from ..pool.admission import Admission
@@ -38,6 +39,7 @@
     __slots__ = (
         "_admissions",
         "_connections",
+        "_prober",
         "_settings",
         "_timers",
         "configuration",
@@ -64,6 +66,7 @@
             self.list_admissions,
             self._take_configuration,
         )
+        self._prober = Prober(self.session.attachment, self.registry, timers)
         self.metrics = Metrics()
         self.gateway = Gateway(
             self,
@@ -79,6 +82,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.session.run)
             tasks.start_soon(self._expire_upstreams)
+            tasks.start_soon(self._prober.run)
             tasks.start_soon(self._drain, stop, server)
             await server.serve()
             tasks.cancel_scope.cancel()
--- /dev/null
+++ b/hornbeamyard/tests/test_codec.py
@@ -0,0 +1,80 @@
+"""Scheduling data survives its messages, and changes only are sent."""
+
+from __future__ import annotations
+
+import pytest
+
+from hornbeamyard.connection import codec
+from hornbeamyard.messages import fleet_pb2
+from hornbeamyard.pool.allocation import Allocation, Demand, Limit
+
+DEMAND = Demand(5, 2, 3, 12.5, 7, 4.25, 1.5)
+ALLOCATION = Allocation(
+    granted={"w": 4, "x": 1},
+    closed={"x"},
+    hold=5,
+    recalled=True,
+    contended=True,
+    limits={
+        "hotel": Limit(3, 1.25),
+        "museum": Limit(2, -0.5, True, 0.0),
+        "tram": Limit(1, 0.0, False, 1.35),
+    },
+)
+
+
+class TestReport:
+    """A router's report."""
+
+    def test_round_trip(self) -> None:
+        """Guards against fields that are lost on the way."""
+        sender, receiver = codec.Names(), codec.Names()
+        for _ in range(2):
+            message = codec.encode_report(
+                "p", {"hotel": DEMAND}, {"w": (4, 2)}, {"hotel": 1.5}, sender
+            )
+            assert codec.decode_demands(message, receiver) == {"hotel": DEMAND}
+            assert codec.decode_slots(message, receiver) == {"w": (4, 2)}
+            assert codec.decode_lags(message, receiver) == {"hotel": 1.5}
+
+    @pytest.mark.requirement("R19")
+    def test_sends_names_once(self) -> None:
+        """Guards against names in each message."""
+        names = codec.Names()
+        first, second = (
+            codec.encode_report("p", {"hotel": DEMAND}, {}, {}, names)
+            for _ in range(2)
+        )
+        assert first.accounts[0].client_account == "hotel"
+        assert second.accounts[0].client_account == ""
+
+
+class TestAllocation:
+    """A controller's allocation."""
+
+    def test_round_trip(self) -> None:
+        """Guards against fields that are lost on the way."""
+        names = codec.Names()
+        message = codec.encode_allocation("p", ALLOCATION, None, codec.Names())
+        data = message.SerializeToString()
+        parsed = fleet_pb2.PoolAllocation.FromString(data)
+        merged = codec.merge_allocation(Allocation(), parsed, names)
+        assert merged == ALLOCATION
+
+    @pytest.mark.requirement("R19")
+    def test_unchanged_entries_cost_nothing(self) -> None:
+        """Guards against renewals that repeat all limits."""
+        names = codec.Names()
+        codec.encode_allocation("p", ALLOCATION, None, names)
+        message = codec.encode_allocation("p", ALLOCATION, ALLOCATION, names)
+        assert not message.limits
+        assert not message.grants
+
+    def test_drops_limits_that_are_gone(self) -> None:
+        """Guards against limits of accounts that are idle again."""
+        sender, receiver = codec.Names(), codec.Names()
+        first = codec.encode_allocation("p", ALLOCATION, None, sender)
+        held = codec.merge_allocation(Allocation(), first, receiver)
+        after = Allocation(granted={"w": 4, "x": 1}, hold=5)
+        second = codec.encode_allocation("p", after, ALLOCATION, sender)
+        assert codec.merge_allocation(held, second, receiver) == after
