Search the level of a division above the highest tag

Cause: the search ended near the lowest tag, so an account that led by more than the slots' worth of the lowest one got no slots even when all others had no demand left. Found by test_gives_no_more_than_demand. Tests of division, placement, contention, tags and slots.

--- a/hornbeamyard/pool/division.py
+++ b/hornbeamyard/pool/division.py
@@ -85,9 +85,9 @@
     """Return a level at which at most `total` slots are taken."""
     values = contenders.values()
     low = min(c.tag for c in values)
-    # The lowest account alone would take all slots at the upper end.
-    high = low + horizon_s * (total + 1) / min(c.share for c in values)
-    high = max(high, max(c.tag for c in values))
+    # Any account alone would take all slots at the upper end.
+    high = max(c.tag for c in values)
+    high += horizon_s * (total + 1) / min(c.share for c in values)
     for _ in range(_LEVEL_STEPS):
         middle = (low + high) / 2
         taken = 0.0
--- /dev/null
+++ b/hornbeamyard/tests/test_schedule.py
@@ -0,0 +1,252 @@
+"""The scheduling decision at the lead controller."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import pytest
+
+from hornbeamyard.pool import options
+from hornbeamyard.pool.allocation import Demand
+from hornbeamyard.pool.division import Contender, divide_slots
+from hornbeamyard.pool.placement import Place, place_slots, round_holds
+from hornbeamyard.pool.schedule import Schedule
+
+
+def build_schedule(
+    workers: Mapping[str, int] | None = None,
+    shares: Mapping[str, float] | None = None,
+    routers: int = 2,
+) -> Schedule:
+    """Return a schedule with attached, idle routers."""
+    schedule = Schedule("assistant")
+    schedule.set_shares(shares or {"hotel": 1.0, "museum": 1.0}, 0.0)
+    for name, slots in (workers or {"w": 8}).items():
+        schedule.set_worker(name, slots, "centro", is_open=True)
+    for number in range(routers):
+        attach(schedule, f"r{number}", 0.0)
+    return schedule
+
+
+def attach(
+    schedule: Schedule,
+    name: str,
+    now: float,
+    demands: Mapping[str, Demand] | None = None,
+    held: Mapping[str, int] | None = None,
+    incarnation: int = 1,
+    lags: Mapping[str, float] | None = None,
+) -> None:
+    """Attach a router."""
+    schedule.attach_router(
+        name, incarnation, "centro", demands or {}, held or {}, lags or {}, now
+    )
+
+
+class TestDivision:
+    """Slots of accounts follow tags and shares."""
+
+    @pytest.mark.requirement("R1")
+    @pytest.mark.parametrize("is_short", [False, True])
+    def test_follows_shares(self, is_short: bool) -> None:
+        """Guards against slots in proportion to demand."""
+        contenders = {
+            "large": Contender(0.0, 6.0, 100, is_short=is_short),
+            "small": Contender(0.0, 2.0, 5000, is_short=is_short),
+        }
+        entitled = divide_slots(contenders, 8, 4.0)
+        assert entitled == pytest.approx({"large": 6, "small": 2}, abs=0.05)
+
+    @pytest.mark.requirement("R1")
+    def test_makes_up_a_lag_within_the_horizon(self) -> None:
+        """Guards against a lag that stays."""
+        contenders = {
+            "ahead": Contender(8.0, 1.0, 100),
+            "behind": Contender(0.0, 1.0, 100),
+        }
+        assert divide_slots(contenders, 8, 2.0) == {"ahead": 2, "behind": 6}
+
+    @pytest.mark.requirement("R17")
+    def test_gives_no_more_than_demand(self) -> None:
+        """Guards against slots reserved for an account that can't use them."""
+        contenders = {
+            "idle": Contender(0.0, 9.0, 1),
+            "busy": Contender(50.0, 1.0, 100),
+        }
+        assert divide_slots(contenders, 8, 4.0) == {"idle": 1, "busy": 7}
+
+
+class TestPlacement:
+    """Slots of accounts on routers."""
+
+    def test_keeps_limits_without_need(self) -> None:
+        """Guards against slots that move between routers for nothing."""
+        demands = {"hotel": Demand(waiting=9, running=2)}
+        places = {
+            "a": Place(demands, {"hotel": 2}, 2, 2),
+            "b": Place(demands, {"hotel": 2}, 2, 2),
+        }
+        placement = place_slots({"hotel": 4}, places, set())
+        assert placement.limits == {"a": {"hotel": 2}, "b": {"hotel": 2}}
+
+    def test_divides_short_requests_by_offer(self) -> None:
+        """Guards against slots that follow the queue of a moment."""
+        demands = {"hotel": Demand(waiting=1, running=1)}
+        places = {
+            "a": Place(demands, {}, 0, 0, {"hotel": 300.0}),
+            "b": Place(demands, {}, 0, 0, {"hotel": 100.0}),
+        }
+        placement = place_slots({"hotel": 4.0}, places, {"hotel"})
+        assert placement.rates == {"a": {"hotel": 3.0}, "b": {"hotel": 1.0}}
+        assert placement.holds == {"a": 3, "b": 1}
+
+    @pytest.mark.parametrize(
+        ("wanted", "previous", "expected"),
+        [
+            ({"a": 2.6, "b": 1.4}, {"a": 2, "b": 2}, {"a": 2, "b": 2}),
+            ({"a": 3.2, "b": 0.8}, {"a": 2, "b": 2}, {"a": 3, "b": 1}),
+            ({"a": 0.0, "b": 4.0}, {"a": 4, "b": 0}, {"a": 0, "b": 4}),
+        ],
+    )
+    def test_rounds_near_previous(
+        self,
+        wanted: dict[str, float],
+        previous: dict[str, int],
+        expected: dict[str, int],
+    ) -> None:
+        """Guards against a slot that moves at each small change."""
+        assert round_holds(wanted, previous) == expected
+
+
+class TestContention:
+    """Limits apply only when slots are short."""
+
+    def test_idle_pool_has_no_limits(self) -> None:
+        """Guards against limits that hold back requests for nothing."""
+        schedule = build_schedule()
+        schedule.report("r0", {"hotel": Demand(waiting=3)}, {}, 0.1)
+        changes = schedule.plan(0.1)
+        assert not changes["r0"].allocation.contended
+        assert sum(changes["r0"].allocation.granted.values()) >= 3
+
+    @pytest.mark.requirement("R11", fault="flood")
+    def test_flood_leaves_others_their_share(self) -> None:
+        """Guards against an account that takes the pool by its demand."""
+        schedule = build_schedule()
+        schedule.report("r0", {"hotel": Demand(waiting=5000)}, {}, 0.1)
+        schedule.report("r1", {"museum": Demand(waiting=20)}, {}, 0.1)
+        schedule.plan(0.1)
+        changes = schedule.plan(0.2)
+        assert changes["r1"].allocation.limits["museum"].limit == 4
+
+
+class TestTags:
+    """Service, idle time and debt."""
+
+    @pytest.mark.requirement("R2")
+    def test_idle_time_earns_little(self) -> None:
+        """Guards against an idle account that then starves the others."""
+        schedule = build_schedule()
+        busy = Demand(waiting=5, running=8, service_s=0.0)
+        schedule.report("r0", {"hotel": busy}, {}, 0.0)
+        schedule.plan(0.0)
+        schedule.report("r1", {"museum": Demand(waiting=5)}, {}, 100.0)
+        schedule.plan(100.0)
+        tags = schedule.compute_tags(100.0)
+        assert tags["hotel"] == pytest.approx(800.0)
+        assert tags["museum"] >= tags["hotel"] - options.CREDIT_S
+
+    @pytest.mark.requirement("R9", fault="partition")
+    def test_debt_is_bounded(self) -> None:
+        """Guards against starvation of an account after a partition."""
+        schedule = build_schedule()
+        demand = Demand(waiting=5, service_s=9000.0, finished=1)
+        schedule.report("r0", {"hotel": demand}, {}, 1.0)
+        schedule.report("r1", {"museum": Demand(waiting=5)}, {}, 1.0)
+        schedule.plan(1.0)
+        tags = schedule.compute_tags(1.0)
+        assert tags["hotel"] - tags["museum"] <= options.DEBT_LIMIT_S
+
+    @pytest.mark.requirement("R9", fault="partition")
+    def test_merges_service_once(self) -> None:
+        """Guards against service counted again by a router that rejoins."""
+        schedule = build_schedule()
+        demand = Demand(running=1, service_s=10.0, finished=2)
+        schedule.report("r0", {"hotel": demand}, {}, 1.0)
+        later = Demand(running=1, service_s=15.0, finished=3)
+        for now in (5.0, 6.0):
+            attach(schedule, "r0", now, {"hotel": later})
+        schedule.report("r0", {"hotel": Demand(0, 0, 0, 16.0, 4)}, {}, 7.0)
+        assert schedule.compute_tags(7.0)["hotel"] == pytest.approx(16.0)
+
+    @pytest.mark.requirement("R10", fault="router restarted")
+    def test_adds_service_of_new_incarnation(self) -> None:
+        """Guards against service lost when a counter starts at 0 again."""
+        schedule = build_schedule()
+        schedule.report("r0", {"hotel": Demand(service_s=10.0)}, {}, 1.0)
+        attach(schedule, "r0", 2.0, incarnation=2)
+        schedule.report("r0", {"hotel": Demand(service_s=4.0)}, {}, 3.0)
+        assert schedule.compute_tags(3.0)["hotel"] == pytest.approx(14.0)
+
+    @pytest.mark.requirement("R1", fault="lead controller killed")
+    def test_new_leader_continues_from_lags(self) -> None:
+        """Guards against a new leader that forgets who is behind."""
+        schedule = build_schedule(routers=0)
+        demands = {"hotel": Demand(waiting=1, service_s=500.0)}
+        attach(schedule, "r0", 0.0, demands, lags={"hotel": 12.0})
+        assert schedule.compute_tags(0.0)["hotel"] == pytest.approx(12.0)
+
+
+class TestSlots:
+    """Slots are granted once and come back."""
+
+    @pytest.mark.requirement("R10", fault="router lost")
+    def test_slots_of_lost_router_return_after_lease(self) -> None:
+        """Guards against slots reissued early, or never."""
+        schedule = build_schedule()
+        schedule.report("r0", {"hotel": Demand(waiting=8)}, {}, 0.0)
+        schedule.plan(0.0)
+        schedule.lose_router("r0", 1.0)
+        schedule.report("r1", {"hotel": Demand(waiting=8)}, {}, 4.2)
+        schedule.plan(4.2)
+        assert schedule.list_routers() == ["r0", "r1"]
+        schedule.plan(4.4)
+        assert schedule.list_routers() == ["r1"]
+        assert schedule.count_outstanding("w") == 8
+
+    @pytest.mark.requirement("R6")
+    def test_leaving_worker_gets_no_grants(self) -> None:
+        """Guards against new work on a worker that is leaving."""
+        schedule = build_schedule({"w": 4, "x": 4})
+        schedule.set_worker("x", 4, "centro", is_open=False)
+        schedule.report("r0", {"hotel": Demand(waiting=20)}, {}, 0.0)
+        schedule.plan(0.0)
+        assert schedule.count_outstanding("w") == 4
+        assert schedule.count_outstanding("x") == 0
+
+    @pytest.mark.requirement("R17")
+    def test_worker_that_comes_back_keeps_its_counters(self) -> None:
+        """Guards against slots granted on top of running requests."""
+        schedule = build_schedule()
+        schedule.report("r0", {"hotel": Demand(waiting=8)}, {}, 0.0)
+        schedule.plan(0.0)
+        schedule.remove_worker("w")
+        schedule.set_worker("w", 8, "centro", is_open=True)
+        assert schedule.count_outstanding("w") == 8
+
+    @pytest.mark.requirement("R18")
+    def test_priority_goes_first_until_its_share_is_used(self) -> None:
+        """Guards against a priority path that takes more than its share."""
+        schedule = build_schedule()
+        schedule.report(
+            "r0", {"hotel": Demand(waiting=50, running=8)}, {}, 0.0
+        )
+        urgent = Demand(waiting=4, waiting_priority=4)
+        schedule.report("r1", {"museum": urgent}, {}, 0.0)
+        schedule.plan(0.0)
+        limits = schedule.plan(0.1)["r1"].allocation.limits
+        assert not limits["museum"].priority_spent
+        spent = Demand(4, 4, 0, 40.0, 20, 2.0, 40.0)
+        schedule.report("r1", {"museum": spent}, {}, 1.0)
+        limits = schedule.plan(1.0)["r1"].allocation.limits
+        assert limits["museum"].priority_spent
