--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, cast
 
 from hornbeamyard.messages import fleet_pb2
@@ -54,36 +55,36 @@
         self.heard_by_router = now
         self.heard_by_controller = now
         self.ended = False
+        # A partition dropped a message; TCP delivers nothing after a gap.
+        self.broken = False
         self.sequence = 0
         self.sent_at = 0.0
 
     def send_report(self, data: bytes) -> None:
         """Send a report towards the controller."""
-        host = self.controller.host
-        self.controller.fleet.network.send(
-            self.router.name, host, self.controller.take_report, self, data
-        )
+        self._send(True, self.controller.take_report, data)
 
     def send_update(self, data: bytes) -> None:
         """Send an update towards the router."""
-        host = self.controller.host
-        self.controller.fleet.network.send(
-            host, self.router.name, self.router.take_update, self, data
-        )
+        self._send(False, self.router.take_update, data)
 
     def end_by_router(self) -> None:
         """Reset the connection from the router's end."""
-        host = self.controller.host
-        self.controller.fleet.network.send(
-            self.router.name, host, self.controller.end_stream, self
-        )
+        self._send(True, self.controller.end_stream)
 
     def end_by_controller(self) -> None:
         """Reset the connection from the controller's end."""
-        host = self.controller.host
-        self.controller.fleet.network.send(
-            host, self.router.name, self.router.drop_stream, self
-        )
+        self._send(False, self.router.drop_stream)
+
+    def _send(
+        self, to_controller: bool, call: Callable[..., object], *args: Any
+    ) -> None:
+        ends = [self.router.name, self.controller.host]
+        source, target = ends if to_controller else reversed(ends)
+        network = self.controller.fleet.network
+        self.broken = self.broken or not network.is_connected(source, target)
+        if not self.broken:
+            network.send(source, target, call, self, *args)
 
 
 class SimController:
