--- /dev/null
+++ b/hornbeamyard/tests/test_session.py
@@ -0,0 +1,206 @@
+"""A router's attachment to the lead controller, without a connection."""
+
+from __future__ import annotations
+
+from typing import cast
+
+import pytest
+
+from hornbeamyard.connection.attachment import Attachment
+from hornbeamyard.messages import fleet_pb2
+from hornbeamyard.pool import options
+from hornbeamyard.pool.backlog import Ticket
+from hornbeamyard.pool.dispatch import Dispatch
+from hornbeamyard.pool.worker import Registry, Worker
+from hornbeamyard.process.controller import Controller
+from hornbeamyard.process.timers import VirtualTimers
+from hornbeamyard.version.configuration import Configuration, parse_document
+from hornbeamyard.version.replica import Replica
+
+POOL = "assistant"
+
+
+class FakeState:
+    """A configuration without client accounts."""
+
+    document: dict[str, object]
+
+    def __init__(self) -> None:
+        self.document = {
+            "client_accounts": {},
+            "pools": {POOL: {"kind": "model"}},
+            "upstreams": {},
+            "operators": {},
+        }
+        self.configuration: Configuration = parse_document(
+            self.document, 1
+        ).unwrap()
+        self.version = 1
+        self.patches: dict[int, bytes] = {}
+
+
+class FakeReplica:
+    """A replica that leads a given term."""
+
+    def __init__(self, term: int) -> None:
+        self.term = term
+        self.state = FakeState()
+
+    def is_leader(self) -> bool:
+        """Return whether this replica leads."""
+        return True
+
+
+class Node:
+    """A router without processes or connections."""
+
+    def __init__(self, name: str) -> None:
+        self.registry = Registry()
+        self.dispatch = Dispatch(POOL, "centro", self.registry)
+        self.attachment = Attachment(
+            name,
+            "centro",
+            fleet_pb2.Identity(host=name, incarnation=1),
+            self.registry,
+            lambda _: self.dispatch,
+            lambda: {POOL: self.dispatch},
+            lambda _: None,
+        )
+
+    def announce(self, name: str, now: float, leaving: bool = False) -> None:
+        """Take a heartbeat of a worker with 8 slots."""
+        worker = Worker(name, "http://10.0.0.1:1", "centro", POOL, 8)
+        worker.announced_at = now
+        worker.leaving = leaving
+        changed = self.registry.announce(worker)
+        self.attachment.announce(name, changed)
+
+
+def build_controller(term: int = 1) -> tuple[Controller, VirtualTimers]:
+    """Return a controller that leads, and its clock."""
+    timers = VirtualTimers()
+    replica = cast(Replica, FakeReplica(term))
+    return Controller(replica, timers), timers
+
+
+def set_time(timers: VirtualTimers, now: float) -> None:
+    """Set the virtual clock, on which nothing waits."""
+    timers._now = now
+
+
+def exchange(
+    node: Node, controller: Controller, timers: VirtualTimers, now: float
+) -> None:
+    """Attach a router, and pass one plan to it."""
+    set_time(timers, now)
+    router = controller.attach(node.attachment.build_report(now, full=True))
+    controller.plan_due()
+    node.attachment.take_update(controller.build_update(router, 1), now)
+
+
+class TestLease:
+    """A router uses its slots until its lease ends, then its share."""
+
+    @pytest.mark.requirement("R9", fault="partition")
+    def test_falls_back_after_the_lease(self) -> None:
+        """Guards against slots used after the controller reissued them."""
+        controller, timers = build_controller()
+        node = Node("r0")
+        node.announce("w", 0.0)
+        node.dispatch.submit(Ticket("hotel"), 0.0)
+        exchange(node, controller, timers, 0.0)
+        assert node.dispatch.holding.count_held() > 0
+        lease = options.ALLOCATION_LEASE_S
+        assert not node.attachment.check_lease(lease - 0.01)
+        assert node.attachment.needs_probes(lease - 0.01)
+        node.registry.record_probe("w", True, lease - 0.5)
+        assert node.attachment.check_lease(lease)
+        assert node.dispatch.holding.is_fallback()
+        assert node.dispatch.holding.count_idle() == 8
+
+    @pytest.mark.requirement("R12", fault="lead controller frozen and woken")
+    def test_refuses_stale_epoch(self) -> None:
+        """Guards against slots granted by a leader that was replaced."""
+        node = Node("r0")
+        new = fleet_pb2.ControllerUpdate(epoch=3, lease_ms=3000)
+        assert node.attachment.take_update(new, 0.0)
+        old = fleet_pb2.ControllerUpdate(epoch=2, lease_ms=3000)
+        grant = old.pools.add(pool=POOL, hold=8).grants.add()
+        grant.worker, grant.number, grant.granted = "w", 1, 8
+        assert not node.attachment.take_update(old, 2.0)
+        assert node.dispatch.holding.count_held() == 0
+        assert node.attachment.check_lease(3.0)
+
+
+class TestNewLeader:
+    """A new lead controller waits for the leases of the old one."""
+
+    @pytest.mark.requirement("R18", fault="lead controller killed")
+    @pytest.mark.parametrize(
+        ("term", "now", "granted"),
+        [(1, 0.1, True), (2, 3.2, False), (2, 3.4, True)],
+    )
+    def test_grants_after_old_leases(
+        self, term: int, now: float, granted: bool
+    ) -> None:
+        """Guards against a slot held by two routers at once."""
+        controller, timers = build_controller(term)
+        node = Node("r0")
+        node.announce("w", 0.0)
+        node.dispatch.submit(Ticket("hotel"), 0.0)
+        router = controller.attach(
+            node.attachment.build_report(0.0, full=True)
+        )
+        controller.registry.renew("w", now)
+        set_time(timers, now)
+        controller.plan_due()
+        update = controller.build_update(router, 1)
+        assert bool(update.pools) is granted
+
+    @pytest.mark.requirement("R18", fault="lead controller elected again")
+    def test_starts_schedules_anew(self) -> None:
+        """Guards against slots counted from a former term."""
+        controller, timers = build_controller()
+        node = Node("r0")
+        node.announce("w", 0.0)
+        node.dispatch.submit(Ticket("hotel"), 0.0)
+        exchange(node, controller, timers, 0.0)
+        before = controller.get_schedules()[POOL]
+        controller.replica.term = 5
+        set_time(timers, 1.0)
+        controller.plan_due()
+        after = controller.get_schedules()[POOL]
+        assert after is not before
+        assert after.count_outstanding("w") == 0
+
+
+class TestReports:
+    """What a router sends."""
+
+    @pytest.mark.requirement("R19")
+    def test_repeated_announcement_is_a_name(self) -> None:
+        """Guards against heartbeats that are sent whole each second."""
+        node = Node("r0")
+        node.announce("w", 0.0)
+        first = node.attachment.build_report(0.0, full=True)
+        assert [a.upstream for a in first.announcements] == ["w"]
+        node.announce("w", 1.0)
+        second = node.attachment.build_report(1.0, full=False)
+        assert not second.announcements
+        assert list(second.renewed) == ["w"]
+
+    @pytest.mark.requirement("R6")
+    def test_leave_is_sent_whole(self) -> None:
+        """Guards against a leave that waits for a full report."""
+        controller, timers = build_controller()
+        node = Node("r0")
+        node.announce("w", 0.0)
+        exchange(node, controller, timers, 0.0)
+        node.announce("w", 0.5, leaving=True)
+        report = node.attachment.build_report(0.5, full=False)
+        assert report.announcements[0].leaving
+        set_time(timers, 0.5)
+        controller.take_report(controller.routers["r0"], report)
+        known = controller.registry.get("w")
+        assert known is not None
+        assert known.leaving
--- /dev/null
+++ b/properties/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of properties over generated cases."""
