Keep the slots of priority requests out of their account's limit

Cause: a waiting priority request raised its account's limit, and once it had ended a normal request used the slot. Change: slots for waiting priority requests are set apart from the division and added to the router's slots only.

--- a/hornbeamyard/pool/division.py
+++ b/hornbeamyard/pool/division.py
@@ -23,8 +23,6 @@
     share : float
     demand : int
         Requests that wait or run.
-    floor : int
-        Slots that it gets before others, for its priority path.
     previous : float
         Slots that it was entitled to before.
     is_short : bool
@@ -34,7 +32,6 @@
     tag: float
     share: float
     demand: int
-    floor: int = 0
     previous: float = 0.0
     is_short: bool = False
 
@@ -58,9 +55,8 @@
     horizon_s : float
         Time in which a lag in service is made up, in seconds.
     """
-    floors = {name: float(c.floor) for name, c in contenders.items()}
-    if not contenders or sum(floors.values()) >= total:
-        return floors
+    if not contenders:
+        return {}
     level = _find_level(contenders, total, horizon_s)
     entitled = {
         name: _count_at(contender, level, horizon_s)
@@ -76,7 +72,7 @@
 
 def _count_at(contender: Contender, level: float, horizon_s: float) -> float:
     wanted = (level - contender.tag) * contender.share / horizon_s
-    return max(contender.floor, min(contender.demand, wanted))
+    return max(0.0, min(contender.demand, wanted))
 
 
 def _find_level(
--- a/hornbeamyard/pool/placement.py
+++ b/hornbeamyard/pool/placement.py
@@ -31,8 +31,8 @@
     offered : mapping of str to float
         For each account with short requests, the requests that were
         finished in a control interval and those that wait or run.
-    priority : set of str
-        Accounts whose waiting priority requests get slots here.
+    priority : int
+        Waiting priority requests that get slots beyond the limits.
     """
 
     demands: Mapping[str, Demand]
@@ -40,7 +40,7 @@
     held: int
     hold: int = 0
     offered: Mapping[str, float] = field(default_factory=dict)
-    priority: set[str] = field(default_factory=set)
+    priority: int = 0
 
 
 @dataclass(slots=True)
@@ -94,7 +94,10 @@
         for account, count in of_router.items():
             grow[account] = grow.get(account, 0) - count
     _shrink_limits(limits, grow, places)
-    wanted = {name: float(sum(limits[name].values())) for name in places}
+    wanted = {
+        name: float(sum(limits[name].values()) + place.priority)
+        for name, place in places.items()
+    }
     rates = _divide_by_offer(entitled, places, short)
     for name, rates_here in rates.items():
         wanted[name] += sum(rates_here.values())
@@ -168,8 +171,6 @@
         if count == 0 or account in short:
             continue
         limit = min(place.previous.get(account, 0), count)
-        if account in place.priority and demand.waiting_priority:
-            limit = max(limit, demand.running + demand.waiting_priority)
         kept[account] = limit
     return kept
 
--- a/hornbeamyard/pool/schedule.py
+++ b/hornbeamyard/pool/schedule.py
@@ -438,10 +438,7 @@
             self._grant_idle_slots()
         self._update_contended(now)
         lags = self._compute_lags(now)
-        priority_waits = any(
-            account.waiting_priority and not account.priority_spent
-            for account in self._accounts.values()
-        )
+        priority_waits = bool(self._find_urgent())
         changed = {}
         for name, router in self._routers.items():
             router.limits = limits[name]
@@ -660,37 +657,41 @@
         return self._reported_service_s / self._finished
 
     def _divide_slots(self, now: float) -> dict[str, float]:
-        """Return for each account the number of slots it is entitled to."""
-        contenders = {
-            name: Contender(
-                account.compute_tag(now),
-                account.share,
-                account.count_demand(),
-                previous=account.entitled,
-                is_short=account.has_short_requests(),
-            )
-            for name, account in self._accounts.items()
-            if account.count_demand() > 0
-        }
-        total = self.count_slots()
-        self._reserve_priority(contenders, total)
+        """Return for each account the number of slots it is entitled to.
+
+        Slots for waiting requests on the priority path are set apart. They
+        don't raise the limits of their accounts, as normal requests would
+        use these once the priority requests have ended.
+        """
+        urgent = self._find_urgent()
+        contenders = {}
+        set_apart = 0
+        for name, account in self._accounts.items():
+            demand = account.count_demand()
+            if name in urgent:
+                demand -= account.waiting_priority
+                set_apart += account.waiting_priority
+            if demand > 0:
+                contenders[name] = Contender(
+                    account.compute_tag(now),
+                    account.share,
+                    demand,
+                    previous=account.entitled,
+                    is_short=account.has_short_requests(),
+                )
+        total = max(0, self.count_slots() - set_apart)
         entitled = divide_slots(contenders, total, self._compute_horizon())
         for name, account in self._accounts.items():
             account.entitled = entitled.get(name, 0.0)
         return entitled
 
-    def _reserve_priority(
-        self, contenders: Mapping[str, Contender], total: int
-    ) -> None:
-        """Set slots apart for waiting priority requests."""
-        left = total
-        for name in sorted(contenders, key=lambda n: contenders[n].tag):
-            account = self._accounts[name]
-            if account.waiting_priority == 0 or account.priority_spent:
-                continue
-            wanted = account.running + account.waiting_priority
-            contenders[name].floor = min(wanted, left)
-            left -= contenders[name].floor
+    def _find_urgent(self) -> set[str]:
+        """Return the accounts whose waiting priority requests go first."""
+        return {
+            name
+            for name, account in self._accounts.items()
+            if account.waiting_priority and not account.priority_spent
+        }
 
     def _place_slots(self, entitled: Mapping[str, float]) -> Placement:
         short = {
@@ -698,6 +699,7 @@
             for name, account in self._accounts.items()
             if account.has_short_requests()
         }
+        urgent = self._find_urgent()
         places = {
             name: Place(
                 {a: r.demand for a, r in router.reported.items()},
@@ -705,11 +707,11 @@
                 router.count_all_held(),
                 router.hold,
                 router.compute_offered(short),
-                {
-                    name
-                    for name, account in self._accounts.items()
-                    if account.waiting_priority and not account.priority_spent
-                },
+                sum(
+                    r.demand.waiting_priority
+                    for a, r in router.reported.items()
+                    if a in urgent
+                ),
             )
             for name, router in self._routers.items()
         }
--- a/hornbeamyard/tests/test_schedule.py
+++ b/hornbeamyard/tests/test_schedule.py
@@ -264,3 +264,18 @@
         changes = schedule.plan(1.0)
         assert schedule.count_outstanding("w") == 8
         assert all(not c.allocation.closed for c in changes.values())
+
+    @pytest.mark.requirement("R1", fault="priority path used all the time")
+    def test_priority_does_not_raise_the_limit(self) -> None:
+        """Guards against normal requests in slots given to priority ones."""
+        schedule = build_schedule()
+        schedule.report("r0", {"hotel": Demand(50, 0, 4)}, {}, 0.0)
+        schedule.report("r1", {"museum": Demand(51, 1, 4)}, {}, 0.0)
+        for step in range(1, 5):
+            now = 0.1 * step
+            schedule.report("r1", {"museum": Demand(51, 1, 4)}, {}, now)
+            changes = schedule.plan(now)
+        limits = schedule._routers["r1"].limits
+        assert limits["museum"] <= 4
+        assert changes is not None
+        assert schedule._routers["r1"].hold == limits["museum"] + 1
