--- a/hornbeamyard/process/router.py
+++ b/hornbeamyard/process/router.py
@@ -19,6 +19,7 @@
     build_protocol,
     fit_connections,
 )
+from ..connection.probes import Prober
 from ..connection.session import Session
 from ..connection.upstreams import Liveness, Upstreams
 from ..pool import options
@@ -70,6 +71,7 @@
         "_delivery",
         "_liveness",
         "_load",
+        "_prober",
         "_settings",
         "_timers",
         "configuration",
@@ -97,6 +99,7 @@
             self.list_admissions,
             self._take_configuration,
         )
+        self._prober = Prober(self.session.attachment, self.registry, timers)
         self.metrics = Metrics()
         self.metrics.watch(self._sample)
         self._claims = Claims(
@@ -123,7 +126,6 @@
             Administration(
                 self.metrics, lambda: self.configuration, self._calls
             ),
-            self._load,
         )
 
     async def run(self, stop: anyio.Event, stop_now: anyio.Event) -> None:
@@ -150,6 +152,7 @@
             tasks.start_soon(self._load.run)
             tasks.start_soon(limits.run)
             tasks.start_soon(self._expire_upstreams)
+            tasks.start_soon(self._prober.run)
             tasks.start_soon(self._drain, stop, stop_now, server)
             await server.serve()
             tasks.cancel_scope.cancel()
