Test the log's promises under random faults

Cause: the log had only been tried by hand with 3 processes.

Faults found on the way, all in the harness: a timer that fired one rounding step early looped for ever; a restart during a slow start left two processes of one host; a partition scheduled before the healing began after it. Before the harness checked the state right after a process was continued, a missing lease check was not caught.

--- a/hornbeamyard/process/timers.py
+++ b/hornbeamyard/process/timers.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import heapq
 import itertools
 import time
@@ -112,14 +113,23 @@
             await checkpoint()
             return
         event = anyio.Event()
-        self.call_at(self._now + seconds, event.set)
+        self.call_at(self.now() + seconds, event.set)
         await event.wait()
 
     @contextmanager
     def _limit(self, seconds: float) -> Iterator[anyio.CancelScope]:
+        is_inside = True
+
+        def cancel() -> None:
+            if is_inside:
+                scope.cancel()
+
         with anyio.CancelScope() as scope:
-            self.call_at(self._now + seconds, scope.cancel)
-            yield scope
+            self.call_at(self.now() + seconds, cancel)
+            try:
+                yield scope
+            finally:
+                is_inside = False
 
     def limit(
         self, seconds: float
@@ -138,12 +148,12 @@
     async def advance(self, seconds: float) -> None:
         """Move the clock by `seconds`, firing due timers in order."""
         end = self._now + seconds
-        await anyio.wait_all_tasks_blocked()
+        await _wait_idle()
         while self._heap and self._heap[0].due <= end:
             timer = heapq.heappop(self._heap)
             self._now = max(self._now, timer.due)
             timer.fire()
-            await anyio.wait_all_tasks_blocked()
+            await _wait_idle()
         self._now = end
 
 
@@ -154,3 +164,18 @@
         now = timers.now()
         yield now
         due = max(due + interval, now)
+
+
+async def _wait_idle() -> None:
+    """Wait until no other task can run.
+
+    `anyio.wait_all_tasks_blocked` sleeps 0.1 s of real time whenever it finds
+    a task that can run, which is too slow for thousands of virtual timers.
+    """
+    ready = getattr(asyncio.get_running_loop(), "_ready", None)
+    if ready is None:
+        await anyio.wait_all_tasks_blocked()
+        return
+    await checkpoint()
+    while ready:
+        await checkpoint()
--- a/hornbeamyard/version/journal.py
+++ b/hornbeamyard/version/journal.py
@@ -22,9 +22,6 @@
 VOTE = "vote"
 LOG = "log"
 SNAPSHOT = "snapshot"
-# Entries that stay in the log behind a snapshot, so that a peer which lags
-# a little needs no snapshot.
-KEPT_ENTRIES = 200
 
 _MAGIC = b"hbyr"
 _HEADER = struct.Struct("<4sII")
@@ -116,6 +113,13 @@
 class Journal:
     """The vote, log and snapshot of one member.
 
+    Parameters
+    ----------
+    disk : Disk
+    fleet : str
+    kept_entries : int, optional
+        Entries that stay in the log behind a snapshot.
+
     Attributes
     ----------
     term : int
@@ -138,6 +142,7 @@
     __slots__ = (
         "_disk",
         "_fleet",
+        "_kept_entries",
         "disk_id",
         "entries",
         "initial",
@@ -148,8 +153,9 @@
         "voted_for",
     )
 
-    def __init__(self, disk: Disk, fleet: str) -> None:
+    def __init__(self, disk: Disk, fleet: str, kept_entries: int = 0) -> None:
         self._disk = disk
+        self._kept_entries = kept_entries
         self._fleet = fleet
         self.term = 0
         self.voted_for = b""
@@ -315,7 +321,7 @@
         if held is None or held.term != snapshot.last_term:
             self.entries = []
         else:
-            first = snapshot.last_index - KEPT_ENTRIES
+            first = snapshot.last_index - self._kept_entries
             self.entries = [e for e in self.entries if e.index > first]
         self._find_members()
         await self._rewrite()
--- a/hornbeamyard/version/replica.py
+++ b/hornbeamyard/version/replica.py
@@ -25,6 +25,9 @@
 PROPOSE_TIMEOUT_S = 4.0
 PENDING_ENTRIES = 4096
 SNAPSHOT_ENTRIES = 1000
+# A fifth of as many entries stays in the log behind a snapshot, so that a
+# peer which lags a little needs no snapshot.
+KEPT_DIVISOR = 5
 HAND_OVER_TIMEOUT_S = 2.0
 
 T = TypeVar("T")
@@ -102,6 +105,8 @@
     timers : Timers
     choose : random.Random
         For election timeouts and the id of an empty data folder.
+    snapshot_entries : int, optional
+        A snapshot is taken after this many entries.
 
     Attributes
     ----------
@@ -120,13 +125,16 @@
         calls: PeerCalls,
         timers: Timers,
         choose: random.Random,
+        snapshot_entries: int = SNAPSHOT_ENTRIES,
     ) -> None:
         self.identity = identity
         self.host = identity.host
         self.address = address
         self.calls = calls
         self.timers = timers
-        self.journal = Journal(disk, identity.fleet)
+        self.journal = Journal(
+            disk, identity.fleet, snapshot_entries // KEPT_DIVISOR
+        )
         self.state = FleetState()
         self.fault = ""
         self.jobs = JobQueue()
@@ -138,6 +146,7 @@
         self._pending: list[Proposal] = []
         self._waiting: dict[int, Proposal] = {}
         self._is_saving = False
+        self._snapshot_entries = snapshot_entries
 
     # ---- for the controller ----------------------------------------------
 
@@ -390,7 +399,7 @@
                 proposal.done.set()
         self._notify()
         behind = self.state.last_index - self.journal.snapshot.last_index
-        if behind >= SNAPSHOT_ENTRIES and not self._is_saving:
+        if behind >= self._snapshot_entries and not self._is_saving:
             self._is_saving = True
             self.jobs.put(self._save_snapshot)
         self._check_membership()
--- /dev/null
+++ b/properties/__init__.py
@@ -0,0 +1,1 @@
+"""Property tests of the fleet's parts under random faults."""
--- /dev/null
+++ b/properties/cluster.py
@@ -0,0 +1,428 @@
+"""A cluster of controllers under random faults, and what it must keep."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Callable
+from functools import partial
+
+import anyio
+import anyio.abc
+from result import Ok
+
+from hornbeamyard.messages import fleet_pb2
+from hornbeamyard.process.timers import VirtualTimers
+from hornbeamyard.version import membership
+
+from .ledger import Ledger, require
+from .simulation import Host, Network
+
+STEPS = 80
+HEAL_LIMIT_S = 40.0
+DEFINITE = (fleet_pb2.ACCEPTED, fleet_pb2.STALE, fleet_pb2.INVALID)
+_ACCOUNT = {"share": 1, "keys": []}
+
+
+class Cluster:
+    """Controllers, a spare host, clients and faults.
+
+    Parameters
+    ----------
+    seed : int
+    size : int
+        Number of members.
+    """
+
+    def __init__(self, seed: int, size: int) -> None:
+        self.choose = random.Random(seed)
+        self.world = VirtualTimers(start=1000.0)
+        self.network = Network(self.world, self.choose)
+        self.size = size
+        self.hosts = [
+            Host(f"c{number}", self.world, self.network, self.choose)
+            for number in range(size + 1)
+        ]
+        self.ledger = Ledger()
+        self.trace: list[str] = []
+        self._checked = {host.name: 0 for host in self.hosts}
+        self._emptied: set[str] = set()
+        self._patches: list[fleet_pb2.PatchRequest] = []
+        self._claims = 0
+        self._is_ending = False
+        self._tasks: anyio.abc.TaskGroup
+        self._faults: list[tuple[int, Callable[[], None]]] = [
+            (2, self._crash),
+            (4, self._restart),
+            (2, self._freeze),
+            (3, self._thaw),
+            (2, self._cut),
+            (1, self._isolate_leader),
+            (2, self._squeeze_leader),
+            (3, self._heal_links),
+            (2, self._disturb),
+            (5, self._calm),
+            (1, self._fail_disk),
+            (2, self._empty_disk),
+            (1, self._swap_member),
+            (1, self._hand_over),
+            (8, self._race),
+            (4, self._resend),
+            (8, self._claim),
+        ]
+
+    # ---- running ---------------------------------------------------------
+
+    async def run(self, steps: int = STEPS) -> None:
+        """Run random faults and clients, heal, and check the end."""
+        async with anyio.create_task_group() as tasks:
+            await self._start(tasks)
+            await self._advance(self.choose.uniform(0, 4))
+            weights = [weight for weight, _ in self._faults]
+            for _ in range(steps):
+                (fault,) = self.choose.choices(self._faults, weights)
+                fault[1]()
+                await self._advance(self.choose.choice([0.005, 0.05, 0.5, 2]))
+            await self._end()
+            tasks.cancel_scope.cancel()
+
+    async def run_repair(self) -> None:
+        """Empty one disk, and lose another member right after the repair."""
+        async with anyio.create_task_group() as tasks:
+            await self._start(tasks)
+            await self._wait_whole()
+            self._race()
+            await self._advance(1.0)
+            first, second, third = self.hosts[: self.size]
+            self._emptied.add(first.name)
+            self._crash_host(first)
+            first.disk.files.clear()
+            first.start(tasks)
+            await self._wait_whole()
+            self._crash_host(second)
+            second.disk.files.clear()
+            await self._advance(0.01)
+            await self._serve()
+            # Only the repaired member and the third hold the data now.
+            self._crash_host(third)
+            await self._advance(5.0)
+            require(not first.leads(), "one member of three leads")
+            third.start(tasks)
+            second.start(tasks)
+            await self._end()
+            tasks.cancel_scope.cancel()
+
+    async def _start(self, tasks: anyio.abc.TaskGroup) -> None:
+        self._tasks = tasks
+        members = fleet_pb2.MemberList(
+            members=[
+                fleet_pb2.Member(host=h.name, address=h.name, voter=True)
+                for h in self.hosts[: self.size]
+            ]
+        )
+        for host in self.hosts:
+            if host is not self.hosts[-1]:
+                await host.initialize(members)
+            host.start(tasks)
+
+    async def _wait_whole(self) -> None:
+        deadline = self.world.now() + HEAL_LIMIT_S
+        while not any(
+            host.leads() and self._is_whole(host.replica.state.members)
+            for host in self.hosts
+        ):
+            require(self.world.now() < deadline, "a member is missing")
+            await self._advance(0.1)
+
+    async def _advance(self, seconds: float) -> None:
+        """Pass time, and check everything at each tenth of a second."""
+        end = self.world.now() + seconds
+        while self.world.now() < end:
+            await self.world.advance(min(0.1, end - self.world.now()))
+            self._check()
+
+    def _check(self) -> None:
+        for host in self.hosts:
+            if not host.is_up:
+                self._checked[host.name] = 0
+                continue
+            checked = self._checked[host.name]
+            self._checked[host.name] = self.ledger.take_state(host, checked)
+            if host.leads():
+                self.ledger.take_read(host.replica.state.version)
+
+    async def _end(self) -> None:
+        """End all faults; the cluster must serve again, with everything."""
+        self._is_ending = True
+        self._heal_links()
+        self.network.loss = self.network.repeats = 0.0
+        self.network.longest_s = 0.02
+        for host in self.hosts:
+            host.timers.thaw()
+            host.disk.fails = False
+            if host.is_running and host.replica.fault:
+                self._crash_host(host)
+        await self._advance(0.01)
+        for host in self.hosts:
+            host.disk.slowest_s = 0.01
+            if not host.is_running:
+                host.start(self._tasks)
+        await self._serve()
+        for request in self._patches:
+            self._send_patch(request)
+        await self._advance(5.0)
+        leaders = [host for host in self.hosts if host.leads()]
+        require(len(leaders) == 1, f"{len(leaders)} leaders at the end")
+        self.ledger.take_end(leaders[0].replica.state)
+
+    async def _serve(self) -> None:
+        """Have a patch accepted within a limited time."""
+        deadline = self.world.now() + HEAL_LIMIT_S
+        accepted = len(self.ledger.accepted)
+        while len(self.ledger.accepted) == accepted:
+            require(self.world.now() < deadline, "no patch after healing")
+            self._race()
+            await self._advance(0.5)
+
+    # ---- clients ---------------------------------------------------------
+
+    def _race(self) -> None:
+        """Have operators race with the same base version."""
+        base = self.ledger.read_version
+        for _ in range(self.choose.randint(1, 3)):
+            number = len(self._patches)
+            operation = {
+                "op": "add",
+                "path": f"/client_accounts/a{number}",
+                "value": _ACCOUNT,
+            }
+            request = fleet_pb2.PatchRequest(
+                patch_id=f"p{number}",
+                base_version=max(0, base - self.choose.choice([0, 0, 0, 1])),
+                patch=json.dumps([operation]).encode(),
+            )
+            self._patches.append(request)
+            self._send_patch(request)
+
+    def _resend(self) -> None:
+        if self._patches:
+            self._send_patch(self.choose.choice(self._patches[-10:]))
+
+    def _send_patch(self, request: fleet_pb2.PatchRequest) -> None:
+        for host in self.hosts:
+            if host.is_up:
+                host.timers.run(
+                    partial(host.spawn, partial(self._patch, host, request))
+                )
+
+    async def _patch(
+        self, host: Host, request: fleet_pb2.PatchRequest
+    ) -> None:
+        result = await host.replica.submit_patch(request)
+        if isinstance(result, Ok) and result.ok_value.outcome in DEFINITE:
+            self.ledger.take_patch_result(request, result.ok_value)
+
+    def _claim(self) -> None:
+        """Have several attempts claim one key, and some end it."""
+        if self._claims == 0 or self.choose.random() < 0.5:
+            self._claims += 1
+        key = f"k{self.choose.randint(max(0, self._claims - 4), self._claims)}"
+        kind = self.choose.choice(
+            ["MAKE", "MAKE", "MAKE", "RELEASE", "ANSWER"]
+        )
+        attempt = bytes([self.choose.randint(1, 4)])
+        if kind != "MAKE":
+            attempt = self.ledger.granted.get(key, attempt)
+        operation = fleet_pb2.ClaimOperation(
+            client_account="hotel",
+            key=key,
+            request_hash=b"hash",
+            kind=fleet_pb2.ClaimOperation.Kind.Value(kind),
+            attempt=attempt,
+            answer=fleet_pb2.RecordedAnswer(body=attempt + key.encode()),
+        )
+        if kind == "RELEASE":
+            self.ledger.released.add((key, attempt))
+        for host in self.hosts:
+            if host.is_up:
+                host.timers.run(
+                    partial(host.spawn, partial(self._make, host, operation))
+                )
+
+    async def _make(
+        self, host: Host, operation: fleet_pb2.ClaimOperation
+    ) -> None:
+        batch = fleet_pb2.ClaimBatch(operations=[operation])
+        result = await host.replica.make_claims(batch)
+        if (
+            isinstance(result, Ok)
+            and operation.kind == fleet_pb2.ClaimOperation.MAKE
+        ):
+            answer = result.ok_value.results[0]
+            self.ledger.take_claim(operation.key, operation.attempt, answer)
+
+    # ---- faults ----------------------------------------------------------
+
+    def _crash(self) -> None:
+        self._crash_host(self.choose.choice(self.hosts))
+
+    def _crash_host(self, host: Host) -> None:
+        if host.is_running:
+            self.trace.append(f"{self.world.now():.3f} crash {host.name}")
+            host.crash()
+
+    def _restart(self) -> None:
+        for host in self.hosts:
+            if not host.is_running or host.replica.fault:
+                self._crash_host(host)
+                host.start(self._tasks)
+
+    def _freeze(self) -> None:
+        leaders = [host for host in self.hosts if host.leads()]
+        host = self.choose.choice(leaders or self.hosts)
+        self.trace.append(f"{self.world.now():.3f} freeze {host.name}")
+        host.timers.freeze()
+
+    def _thaw(self) -> None:
+        for host in self.hosts:
+            host.timers.thaw()
+        # A call that waited may be answered before anything else happens.
+        self._check()
+
+    def _cut(self) -> None:
+        """Cut links between two parts, in one or both directions."""
+        part = self.choose.sample(self.hosts, self.choose.randint(1, 2))
+        both = self.choose.random() < 0.5
+        for inside in part:
+            for outside in self.hosts:
+                if outside in part:
+                    continue
+                self.network.blocked.add((inside.name, outside.name))
+                if both:
+                    self.network.blocked.add((outside.name, inside.name))
+
+    def _isolate_leader(self) -> None:
+        for leader in self.hosts:
+            if leader.leads():
+                for other in self.hosts:
+                    self.network.blocked.add((leader.name, other.name))
+                    self.network.blocked.add((other.name, leader.name))
+
+    def _squeeze_leader(self) -> None:
+        """Have a member campaign just when the leader is cut off.
+
+        The member hears nothing for a while before, so that only the others'
+        memory of the leader keeps it from being elected within the lease.
+        """
+        leaders = [host for host in self.hosts if host.leads()]
+        if not leaders:
+            return
+        leader = leaders[0]
+        member = self.choose.choice([h for h in self.hosts if h != leader])
+        self.network.blocked.add((leader.name, member.name))
+        self.network.blocked.add((member.name, leader.name))
+        now = self.world.now()
+        cut_at = now + self.choose.uniform(2, 4)
+        restarts = self.choose.random() < 0.5
+
+        def cut_off() -> None:
+            if self._is_ending:
+                return
+            for other in self.hosts:
+                self.network.blocked.add((leader.name, other.name))
+                self.network.blocked.add((other.name, leader.name))
+                if restarts and other not in (leader, member):
+                    self._crash_host(other)
+                    other.start(self._tasks)
+
+        self.world.call_at(cut_at, cut_off)
+        for number in range(1, 8):
+            self.world.call_at(cut_at + number * 0.25, self._race)
+
+    def _heal_links(self) -> None:
+        self.network.blocked.clear()
+
+    def _disturb(self) -> None:
+        """Change the quality of links and disks."""
+        self.network.loss = self.choose.choice([0.0, 0.0, 0.1, 0.3])
+        self.network.repeats = self.choose.choice([0.0, 0.2])
+        self.network.longest_s = self.choose.choice([0.02, 0.3, 3.0])
+        host = self.choose.choice(self.hosts)
+        host.disk.slowest_s = self.choose.choice([0.01, 0.3, 1.5])
+
+    def _calm(self) -> None:
+        """End most faults, so that the cluster makes progress."""
+        self._heal_links()
+        self._thaw()
+        self._restart()
+        self.network.loss = 0.0
+        self.network.longest_s = 0.02
+
+    def _fail_disk(self) -> None:
+        self.choose.choice(self.hosts).disk.fails = True
+
+    def _empty_disk(self) -> None:
+        """Empty a member's disk, but only while a majority is intact."""
+        leaders = [host for host in self.hosts if host.leads()]
+        if leaders and self._is_whole(leaders[0].replica.state.members):
+            self._emptied.clear()
+        if len(self._emptied) >= (self.size - 1) // 2:
+            return
+        host = self.choose.choice(self.hosts)
+        self.trace.append(f"{self.world.now():.3f} empty {host.name}")
+        self._emptied.add(host.name)
+        self._crash_host(host)
+        host.disk.files.clear()
+
+    def _is_whole(self, members: fleet_pb2.MemberList) -> bool:
+        """Return whether each member is a voter with its present disk."""
+        if any(h.name in self._emptied and not h.is_up for h in self.hosts):
+            return False
+        hosts = {host.name: host for host in self.hosts}
+        voters = [
+            member
+            for member in members.members
+            if membership.is_voter(
+                members,
+                member.host,
+                hosts[member.host].replica.journal.disk_id,
+                False,
+            )
+        ]
+        return len(voters) == len(members.members) == self.size
+
+    def _swap_member(self) -> None:
+        """Replace a member by the host that is none."""
+        for leader in self.hosts:
+            if not leader.leads():
+                continue
+            members = leader.replica.state.members.members
+            inside = sorted({member.host for member in members})
+            outside = [h.name for h in self.hosts if h.name not in inside]
+            if not outside:
+                return
+            change = fleet_pb2.MemberChange(
+                kind=fleet_pb2.MemberChange.REPLACE,
+                host=self.choose.choice(inside),
+                replacement=outside[0],
+                address=outside[0],
+            )
+            self.trace.append(f"{self.world.now():.3f} swap {change.host}")
+            leader.spawn(partial(self._change, leader, change))
+
+    async def _change(
+        self, leader: Host, change: fleet_pb2.MemberChange
+    ) -> None:
+        await leader.replica.change_members(change)
+
+    def _hand_over(self) -> None:
+        for host in self.hosts:
+            if host.leads():
+                host.spawn(host.replica.hand_over)
+
+
+def run_seed(seed: int, size: int) -> Cluster:
+    """Run one schedule; raise when an invariant is broken."""
+    cluster = Cluster(seed, size)
+    anyio.run(cluster.run)
+    return cluster
--- /dev/null
+++ b/properties/simulation.py
@@ -0,0 +1,303 @@
+"""Hosts, disks and a network in virtual time, for the controllers' log."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from hornbeamyard.messages import fleet_pb2
+from hornbeamyard.process.timers import VirtualTimers
+from hornbeamyard.version.journal import Journal
+from hornbeamyard.version.replica import Replica
+
+FLEET = "simulated"
+# Few, so that a schedule takes and sends several snapshots.
+SNAPSHOT_ENTRIES = 15
+
+
+class HostTimers(VirtualTimers):
+    """The clock of one host, which may drift, and of a process that freezes.
+
+    Parameters
+    ----------
+    world : VirtualTimers
+        The time of the simulation.
+    rate : float
+        Seconds of this clock for each second of the simulation.
+    skew_ms : int
+        Offset of the wall clock.
+    """
+
+    __slots__ = ("_held", "_rate", "_skew_ms", "_world", "is_frozen")
+
+    def __init__(
+        self, world: VirtualTimers, rate: float, skew_ms: int
+    ) -> None:
+        super().__init__()
+        self._world = world
+        self._rate = rate
+        self._skew_ms = skew_ms
+        self._held: list[Callable[[], object]] = []
+        self.is_frozen = False
+
+    def now(self) -> float:
+        """Return the host's monotonic time."""
+        return self._world.now() * self._rate
+
+    def wall_ms(self) -> int:
+        """Return the host's wall clock."""
+        return self._world.wall_ms() + self._skew_ms
+
+    def call_at(self, due: float, fire: Callable[[], object]) -> None:
+        """Call `fire` at a time of this clock, unless the process sleeps."""
+        # Rounding must not fire a timer before this clock shows its time.
+        world_due = due / self._rate + 1e-6
+        self._world.call_at(world_due, partial(self.run, fire))
+
+    def run(self, fire: Callable[[], object]) -> None:
+        """Call `fire` now, or when the process goes on."""
+        if self.is_frozen:
+            self._held.append(fire)
+        else:
+            fire()
+
+    def freeze(self) -> None:
+        """Stop the process."""
+        self.is_frozen = True
+
+    def thaw(self) -> None:
+        """Let the process go on, with all that it has missed."""
+        self.is_frozen = False
+        held, self._held = self._held, []
+        for fire in held:
+            fire()
+
+    def discard(self) -> None:
+        """Forget what a frozen process has missed, because it ended."""
+        self.is_frozen = False
+        self._held = []
+
+
+class FakeDisk:
+    """Files that survive a crash, except for what was being written."""
+
+    def __init__(self, choose: random.Random) -> None:
+        self.files: dict[str, bytes] = {}
+        self.timers: VirtualTimers | None = None
+        self.slowest_s = 0.01
+        self.fails = False
+        self._choose = choose
+        self._unsynced: tuple[str, bytes] | None = None
+
+    async def load(self, name: str) -> bytes | None:
+        """Return a file's content."""
+        return self.files.get(name)
+
+    async def append(self, name: str, data: bytes) -> None:
+        """Append to a file; a crash may keep any part of the data."""
+        before = self.files.get(name, b"")
+        if self.fails:
+            part = self._choose.randint(0, len(data))
+            self.files[name] = before + data[:part]
+            raise OSError(28, "No space left on device")
+        kept = self._choose.choice(
+            [0, self._choose.randint(0, len(data)), len(data)]
+        )
+        await self._write(name, before + data[:kept], before + data)
+
+    async def replace(self, name: str, data: bytes) -> None:
+        """Replace a file; a crash keeps either the old or the new one."""
+        if self.fails:
+            raise OSError(5, "Input/output error")
+        kept = self.files.get(name)
+        if kept is None or self._choose.random() < 0.5:
+            kept = data
+        await self._write(name, kept, data)
+
+    async def _write(self, name: str, if_crashed: bytes, data: bytes) -> None:
+        if self.timers is None:
+            self.files[name] = data
+            return
+        self._unsynced = name, if_crashed
+        await self.timers.sleep(self._choose.uniform(0, self.slowest_s))
+        self._unsynced = None
+        self.files[name] = data
+        # A crash here comes after the sync and before the promise.
+        await self.timers.sleep(self._choose.uniform(0, 0.002))
+
+    def crash(self) -> None:
+        """Keep some, none or all of a write that was not synced yet."""
+        if self._unsynced is not None:
+            name, data = self._unsynced
+            self.files[name] = data
+        self._unsynced = None
+
+
+class Network:
+    """Delays, drops, repeats and reorders messages."""
+
+    def __init__(self, world: VirtualTimers, choose: random.Random) -> None:
+        self.blocked: set[tuple[str, str]] = set()
+        self.loss = 0.0
+        self.repeats = 0.0
+        self.longest_s = 0.02
+        self.hosts: dict[str, Host] = {}
+        self._world = world
+        self._choose = choose
+
+    def send(self, source: str, target: str, fire: Callable[[], None]) -> None:
+        """Have `fire` called at the target host, or not."""
+        count = 2 if self._choose.random() < self.repeats else 1
+        for _ in range(count):
+            lost = self._choose.random() < self.loss
+            delay = self._choose.uniform(0.0005, self.longest_s)
+            if not lost:
+                self._world.call_at(
+                    self._world.now() + delay,
+                    partial(self._deliver, source, target, fire),
+                )
+
+    def _deliver(
+        self, source: str, target: str, fire: Callable[[], None]
+    ) -> None:
+        if (source, target) not in self.blocked:
+            self.hosts[target].timers.run(fire)
+
+
+class SimulatedCalls:
+    """Calls from one process to others over the simulated network."""
+
+    def __init__(self, network: Network, host: Host) -> None:
+        self._network = network
+        self._host = host
+
+    async def vote(self, address: str, request: Any) -> Any:
+        """Ask for a vote."""
+        return await self._call(address, "handle_vote", request)
+
+    async def append(self, address: str, request: Any) -> Any:
+        """Send entries."""
+        return await self._call(address, "handle_append", request)
+
+    async def install(self, address: str, request: Any) -> Any:
+        """Send a part of a snapshot."""
+        return await self._call(address, "handle_install", request)
+
+    async def transfer(self, address: str, request: Any) -> Any:
+        """Ask a member to lead."""
+        return await self._call(address, "handle_transfer", request)
+
+    async def _call(self, address: str, method: str, request: Any) -> Any:
+        source = self._host
+        target = self._network.hosts[address]
+        data = request.SerializeToString()
+        answered = anyio.Event()
+        replies: list[Any] = []
+
+        def take_reply(reply: Any) -> None:
+            replies.append(reply)
+            answered.set()
+
+        async def handle() -> None:
+            handler = getattr(target.replica.election, method)
+            reply = await handler(type(request).FromString(data))
+            if reply is None:
+                return
+            copy = type(reply).FromString(reply.SerializeToString())
+            self._network.send(
+                target.name, source.name, partial(take_reply, copy)
+            )
+
+        self._network.send(
+            source.name, target.name, partial(target.spawn, handle)
+        )
+        await answered.wait()
+        return replies[0]
+
+
+class Host:
+    """A host whose controller process starts, crashes and freezes."""
+
+    def __init__(
+        self,
+        name: str,
+        world: VirtualTimers,
+        network: Network,
+        choose: random.Random,
+    ) -> None:
+        self.name = name
+        self.timers = HostTimers(
+            world, choose.uniform(0.96, 1.04), choose.randint(-500, 500)
+        )
+        self.disk = FakeDisk(choose)
+        self.replica: Replica
+        self.is_running = False
+        self.is_up = False
+        self._scope: anyio.CancelScope | None = None
+        self._network = network
+        self._choose = choose
+        self._starts = 0
+        self._tasks: anyio.abc.TaskGroup | None = None
+        network.hosts[name] = self
+
+    async def initialize(self, members: fleet_pb2.MemberList) -> None:
+        """Write the first members to the disk."""
+        journal = Journal(self.disk, FLEET)
+        first = fleet_pb2.LogEntry(index=1, members=members)
+        await journal.start_over(self._choose.randbytes(16), [first])
+
+    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start the process."""
+        self._starts += 1
+        self.timers.is_frozen = False
+        self.disk.timers = self.timers
+        self.disk.fails = False
+        identity = fleet_pb2.Identity(
+            fleet=FLEET, host=self.name, incarnation=self._starts
+        )
+        self.replica = Replica(
+            identity,
+            self.name,
+            self.disk,
+            SimulatedCalls(self._network, self),
+            self.timers,
+            random.Random(self._choose.getrandbits(64)),
+            snapshot_entries=SNAPSHOT_ENTRIES,
+        )
+        self.is_running = True
+        self._scope = anyio.CancelScope()
+        tasks.start_soon(self._run, self.replica, self._scope)
+
+    async def _run(self, replica: Replica, scope: anyio.CancelScope) -> None:
+        with scope:
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(replica.run)
+                self._tasks = tasks
+                self.is_up = True
+
+    def spawn(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Run a task in the process, if it is up."""
+        if self.is_up and self._tasks is not None:
+            self._tasks.start_soon(work)
+
+    def crash(self) -> None:
+        """Stop the process without warning."""
+        self.is_running = self.is_up = False
+        if self._scope is not None:
+            self._scope.cancel()
+        self._tasks = None
+        self.disk.crash()
+        self.timers.discard()
+
+    def leads(self) -> bool:
+        """Return whether the process would answer as the leader now."""
+        return (
+            self.is_up
+            and not self.timers.is_frozen
+            and self.replica.is_leader()
+        )
--- /dev/null
+++ b/properties/test_replica.py
@@ -0,0 +1,58 @@
+"""The controllers' log keeps its promises under random faults.
+
+Each example is one seed of `properties/cluster.py`: elections, crashes before
+and after each sync, lost, late and repeated messages, one-way and two-way
+partitions, frozen leaders, racing operators, resent patches, failing and
+emptied disks, swapped members.
+"""
+
+from __future__ import annotations
+
+import anyio
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from .cluster import Cluster, run_seed
+
+
+@pytest.mark.requirement("R8", fault="crashes, partitions, frozen leaders")
+@pytest.mark.requirement("R12", fault="one-way and two-way partitions")
+@pytest.mark.requirement("R13", fault="racing and resent patches")
+@pytest.mark.requirement("R14", fault="disk emptied, then a second host")
+@pytest.mark.requirement("R5", fault="competing attempts at one claim")
+class TestRandomFaults:
+    """Safety under faults, and service after they have ended."""
+
+    @hypothesis.settings(
+        max_examples=60, derandomize=True, deadline=None, database=None
+    )
+    @hypothesis.given(
+        seed=strategies.integers(0, 10**9),
+        size=strategies.sampled_from([3, 5]),
+    )
+    def test_promises_are_kept(self, seed: int, size: int) -> None:
+        """Guards against lost, doubled, reverted or contradicted answers."""
+        cluster = run_seed(seed, size)
+        assert cluster.ledger.accepted
+
+    def test_is_deterministic(self) -> None:
+        """Guards against failures that can't be run again."""
+        first, second = run_seed(11, 3), run_seed(11, 3)
+        assert first.trace == second.trace
+        assert first.ledger == second.ledger
+
+
+@pytest.mark.requirement("R14", fault="second member lost after a repair")
+class TestRepair:
+    """A member with an emptied disk rejoins under a new id."""
+
+    def test_second_member_lost_after_repair(self) -> None:
+        """Guards against a repaired member that counts but holds nothing."""
+
+        async def run() -> None:
+            cluster = Cluster(1, 3)
+            await cluster.run_repair()
+            assert len(cluster.ledger.accepted) >= 2
+
+        anyio.run(run)
