Test failover of 3 and 5 controllers as processes

Cause: kill -9, SIGSTOP, SIGTERM, an emptied data folder and a restart with a long log had not been tried with real processes.

Fault found: after SIGSTOP of more than a tick the whole daemon ended with "delay must be a non-negative number", because an overdue tick asked anyio.sleep for a negative time. MonotonicTimers.sleep now takes it as zero; test_timers.py guards it.

Change in process/controller.py: a controller that is elected starts its schedules and registry anew and always waits out the old allocations, unless the fleet has had no leader before. Until now the first election of each process skipped the wait. Routers are woken only for a new version or leader, not for each batch of claims.

--- a/hornbeamyard/process/controller.py
+++ b/hornbeamyard/process/controller.py
@@ -98,6 +98,7 @@
 
     def attach(self, report: fleet_pb2.RouterReport) -> AttachedRouter:
         """Take a router's first, full report."""
+        self._check_term()
         now = self._timers.now()
         name = report.identity.host
         previous = self.routers.get(name)
@@ -274,9 +275,14 @@
         """Start schedules anew when this replica has just been elected."""
         if self.replica.term == self._term:
             return
-        first = self._term == 0 and not self.routers
         self._term = self.replica.term
-        if first:
+        for router in self.routers.values():
+            router.replaced = True
+            router.wake.set()
+        self.routers = {}
+        self.registry = Registry()
+        self._schedules = {}
+        if self.replica.state.has_first_leader():
             return
         self._grants_from = (
             self._timers.now()
@@ -316,8 +322,16 @@
     # ---- versions --------------------------------------------------------
 
     async def _pass_on_versions(self) -> None:
+        passed_on = (0, 0, False)
         while True:
             await self.replica.wait_applied()
+            replica = self.replica
+            newest = replica.state.version, replica.term, replica.is_leader()
+            # Most entries are claims, which routers needn't hear of.
+            if newest == passed_on:
+                continue
+            passed_on = newest
+            self._plan_wake.set()
             for schedule in self._schedules.values():
                 self._set_shares(schedule)
             for router in self.routers.values():
--- a/hornbeamyard/process/timers.py
+++ b/hornbeamyard/process/timers.py
@@ -55,7 +55,9 @@
 
     async def sleep(self, seconds: float) -> None:
         """Suspend the calling task for `seconds`."""
-        await anyio.sleep(seconds)
+        # A tick that is overdue, after the process was frozen, asks for a
+        # negative time, which anyio refuses.
+        await anyio.sleep(max(0.0, seconds))
 
     def limit(
         self, seconds: float
--- /dev/null
+++ b/hornbeamyard/tests/test_failover.py
@@ -0,0 +1,259 @@
+"""Controllers as real processes that are killed, frozen and emptied."""
+
+from __future__ import annotations
+
+import json
+import shutil
+import signal
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import anyio
+import grpc
+import pytest
+
+from hornbeamyard.connection import peers
+from hornbeamyard.messages import fleet_pb2, fleet_pb2_grpc
+
+from .fleet import LocalFleet
+
+IDENTITY = fleet_pb2.Identity(
+    fleet="test", protocol=peers.PROTOCOL, host="tester", incarnation=1
+)
+TIMEOUT_S = 20.0
+
+
+class Operator:
+    """Calls the controllers of a fleet."""
+
+    def __init__(self, fleet: LocalFleet) -> None:
+        self.fleet = fleet
+        self.ports = fleet.controller_ports
+        self.patches = 0
+
+    def call(self, number: int, method: str, request: object) -> object | None:
+        """Call one controller; None when it doesn't answer."""
+
+        async def run() -> object | None:
+            address = f"127.0.0.1:{self.ports[number]}"
+            async with peers.open_channel(address, None) as channel:
+                stub = fleet_pb2_grpc.FleetStub(channel)
+                try:
+                    return await getattr(stub, method)(request, timeout=5)
+                except grpc.aio.AioRpcError:
+                    return None
+
+        return anyio.run(run)
+
+    def read(self, number: int) -> fleet_pb2.ConfigurationReply | None:
+        """Read the newest version from one controller."""
+        request = fleet_pb2.ReadRequest(identity=IDENTITY)
+        return self.call(number, "ReadConfiguration", request)
+
+    def find_leader(self, but: int | None = None) -> int:
+        """Wait for a leader and return its number."""
+        deadline = time.monotonic() + TIMEOUT_S
+        while time.monotonic() < deadline:
+            for number in range(len(self.ports)):
+                reply = None if number == but else self.read(number)
+                if reply is not None and reply.found:
+                    return number
+            time.sleep(0.05)
+        raise TimeoutError("no controller leads")
+
+    def patch(
+        self, number: int, base: int, patch_id: str = ""
+    ) -> fleet_pb2.PatchResult | None:
+        """Submit a patch to one controller."""
+        self.patches += 1
+        account = {"share": 1, "keys": []}
+        path = f"/client_accounts/a{base}"
+        operation = {"op": "add", "path": path, "value": account}
+        request = fleet_pb2.PatchRequest(
+            identity=IDENTITY,
+            patch_id=patch_id or f"patch-{self.patches}",
+            base_version=base,
+            patch=json.dumps([operation]).encode(),
+        )
+        return self.call(number, "SubmitPatch", request)
+
+    def patch_many(self, number: int, base: int, count: int) -> list[float]:
+        """Submit patches one after another; return the time of each."""
+
+        async def run() -> list[float]:
+            address = f"127.0.0.1:{self.ports[number]}"
+            times = []
+            async with peers.open_channel(address, None) as channel:
+                stub = fleet_pb2_grpc.FleetStub(channel)
+                for version in range(base, base + count):
+                    operation = {
+                        "op": "add",
+                        "path": "/client_accounts/one",
+                        "value": {"share": 1 + version, "keys": []},
+                    }
+                    started = time.monotonic()
+                    result = await stub.SubmitPatch(
+                        fleet_pb2.PatchRequest(
+                            identity=IDENTITY,
+                            patch_id=f"many-{version}",
+                            base_version=version,
+                            patch=json.dumps([operation]).encode(),
+                        ),
+                        timeout=5,
+                    )
+                    times.append(time.monotonic() - started)
+                    assert result.outcome == fleet_pb2.ACCEPTED
+            return times
+
+        return anyio.run(run)
+
+    def claim(
+        self, number: int, attempt: bytes
+    ) -> fleet_pb2.ClaimResults | None:
+        """Claim one key."""
+        operation = fleet_pb2.ClaimOperation(
+            client_account="hotel",
+            key="key",
+            request_hash=b"hash",
+            kind=fleet_pb2.ClaimOperation.MAKE,
+            attempt=attempt,
+        )
+        batch = fleet_pb2.ClaimBatch(identity=IDENTITY, operations=[operation])
+        return self.call(number, "MakeClaims", batch)
+
+    def wait_log(self, host: int, text: str) -> None:
+        """Wait until a host's log holds a text."""
+        deadline = time.monotonic() + TIMEOUT_S
+        while text not in self.fleet.read_log(f"host-{host}"):
+            if time.monotonic() > deadline:
+                raise TimeoutError(f"host {host} never wrote {text!r}")
+            time.sleep(0.05)
+
+    def wait_members(self, host: int, count: int) -> None:
+        """Wait until the newest members in a log are so many voters."""
+        deadline = time.monotonic() + TIMEOUT_S
+        while True:
+            lines = self.fleet.read_log(f"host-{host}").split("members: ")
+            newest = lines[-1].splitlines()[0].split(", ")
+            if len(newest) == len(set(newest)) == count and not any(
+                "learner" in member for member in newest
+            ):
+                return
+            if time.monotonic() > deadline:
+                raise TimeoutError(f"the members stay {newest}")
+            time.sleep(0.05)
+
+
+@pytest.fixture(params=[3, 5])
+def operator(
+    request: pytest.FixtureRequest, tmp_path: Path
+) -> Iterator[Operator]:
+    """Run a fleet of controllers with one accepted patch."""
+    count = request.param
+    with LocalFleet(tmp_path, routers=count, controllers=count) as fleet:
+        fleet.start()
+        operator = Operator(fleet)
+        accepted = operator.patch(operator.find_leader(), 0, "first")
+        assert accepted is not None
+        assert accepted.outcome == fleet_pb2.ACCEPTED
+        fleet.wait_ready()
+        yield operator
+
+
+@pytest.mark.process
+class TestFailover:
+    """Another controller takes over with everything that was promised."""
+
+    @pytest.mark.requirement("R8", fault="leader killed")
+    @pytest.mark.requirement("R13", fault="patch resent to the next leader")
+    def test_leader_killed(self, operator: Operator) -> None:
+        """Guards against lost versions, outcomes and claims."""
+        old = operator.find_leader()
+        assert operator.claim(old, b"first").results[0].state == (
+            fleet_pb2.GRANTED
+        )
+        operator.fleet.kill(f"host-{old}")
+        new = operator.find_leader(but=old)
+        assert operator.read(new).version == 1
+        resent = operator.patch(new, 0, "first")
+        assert (resent.outcome, resent.version) == (fleet_pb2.ACCEPTED, 1)
+        racing = operator.patch(new, 0)
+        assert racing.outcome == fleet_pb2.STALE
+        second = operator.claim(new, b"second")
+        assert second.results[0].state == fleet_pb2.IN_PROGRESS
+        operator.fleet.start_host(old)
+        assert operator.patch(new, 1).version == 2
+        operator.wait_log(old, "version 2 is in force")
+
+    @pytest.mark.requirement("R12", fault="leader frozen beyond its lease")
+    def test_leader_frozen(self, operator: Operator) -> None:
+        """Guards against answers of a leader whose lease has ended."""
+        old = operator.find_leader()
+        process = operator.fleet.processes[f"host-{old}"]
+        process.send_signal(signal.SIGSTOP)
+        new = operator.find_leader(but=old)
+        assert operator.patch(new, 1).version == 2
+        process.send_signal(signal.SIGCONT)
+        for _ in range(20):
+            reply = operator.read(old)
+            assert reply is None or not reply.found or reply.version >= 2
+            result = operator.patch(old, 1)
+            assert result is None or result.outcome != fleet_pb2.ACCEPTED
+        operator.wait_log(old, "version 2 is in force")
+
+    @pytest.mark.requirement("R7", fault="leader stopped")
+    def test_leader_hands_over(self, operator: Operator) -> None:
+        """Guards against a wait for the election timeout at a stop."""
+        old = operator.find_leader()
+        process = operator.fleet.processes[f"host-{old}"]
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(TIMEOUT_S) == 0
+        stopped = time.monotonic()
+        operator.find_leader(but=old)
+        assert time.monotonic() - stopped < 1.5
+
+
+@pytest.mark.process
+class TestRepair:
+    """A controller whose disk was emptied rejoins as a new member."""
+
+    @pytest.mark.requirement("R14", fault="second host lost after a repair")
+    def test_emptied_folder(self, tmp_path: Path) -> None:
+        """Guards against a member that forgot its votes and still counts."""
+        with LocalFleet(tmp_path, routers=3, controllers=3) as fleet:
+            fleet.start()
+            operator = Operator(fleet)
+            leader = operator.find_leader()
+            assert operator.patch(leader, 0).version == 1
+            emptied, other = [n for n in range(3) if n != leader]
+            fleet.kill(f"host-{emptied}")
+            shutil.rmtree(tmp_path / f"data-{emptied}")
+            assert operator.patch(leader, 1).version == 2
+            fleet.start_host(emptied)
+            operator.wait_log(leader, "(learner)")
+            operator.wait_members(leader, 3)
+            fleet.kill(f"host-{other}")
+            assert operator.patch(leader, 2).version == 3
+            fleet.kill(f"host-{leader}")
+            fleet.start_host(other)
+            assert operator.read(operator.find_leader(but=leader)).version == 3
+
+
+@pytest.mark.process
+class TestRestart:
+    """A controller starts quickly with a long log."""
+
+    @pytest.mark.requirement("R15", fault="restart after 1,000 patches")
+    @pytest.mark.parametrize("patches", [990, 1010])
+    def test_after_many_patches(self, tmp_path: Path, patches: int) -> None:
+        """Guards against a slow restart, just before and after a snapshot."""
+        with LocalFleet(tmp_path, routers=1) as fleet:
+            fleet.start()
+            operator = Operator(fleet)
+            operator.patch_many(operator.find_leader(), 0, patches)
+            fleet.kill("host-0")
+            started = time.monotonic()
+            fleet.start_host(0)
+            assert operator.read(operator.find_leader()).version == patches
+            assert time.monotonic() - started < 2.0
--- /dev/null
+++ b/hornbeamyard/tests/test_timers.py
@@ -0,0 +1,72 @@
+"""The timer service."""
+
+from __future__ import annotations
+
+import time
+
+import anyio
+import pytest
+
+from hornbeamyard.process.timers import (
+    MonotonicTimers,
+    Timers,
+    VirtualTimers,
+)
+
+
+class TestTick:
+    """Ticks of a subscription."""
+
+    @pytest.mark.requirement("R12", fault="process frozen")
+    def test_overdue_tick(self) -> None:
+        """Guards against a process that ends when it was frozen."""
+
+        async def run() -> None:
+            ticks = MonotonicTimers().subscribe(0.01)
+            await anext(ticks)
+            time.sleep(0.05)
+            with anyio.fail_after(1):
+                await anext(ticks)
+                await anext(ticks)
+
+        anyio.run(run)
+
+
+class TestVirtualTimers:
+    """Time that moves only when it is advanced."""
+
+    def test_order_and_speed(self) -> None:
+        """Guards against real waits and against timers out of order."""
+
+        async def run() -> None:
+            timers: Timers = VirtualTimers()
+            assert isinstance(timers, VirtualTimers)
+            seen = []
+
+            async def tick(name: str, interval: float) -> None:
+                async for now in timers.subscribe(interval):
+                    seen.append((round(now, 6), name))
+
+            started = time.monotonic()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(tick, "fast", 1.0)
+                tasks.start_soon(tick, "slow", 2.5)
+                await timers.advance(100.0)
+                tasks.cancel_scope.cancel()
+            assert time.monotonic() - started < 5.0
+            assert seen == sorted(seen, key=lambda entry: entry[0])
+            assert len(seen) == 140
+
+        anyio.run(run)
+
+    def test_limit_that_was_left(self) -> None:
+        """Guards against a late cancellation of a finished block."""
+
+        async def run() -> None:
+            timers = VirtualTimers()
+            with timers.limit(1.0) as scope:
+                pass
+            await timers.advance(2.0)
+            assert not scope.cancel_called
+
+        anyio.run(run)
--- a/hornbeamyard/version/membership.py
+++ b/hornbeamyard/version/membership.py
@@ -62,6 +62,14 @@
     return values[len(values) // 2]
 
 
+def describe_members(members: fleet_pb2.MemberList) -> str:
+    """Return the hosts of all members as text."""
+    return ", ".join(
+        member.host if member.voter else f"{member.host} (learner)"
+        for member in members.members
+    )
+
+
 def find_addresses(members: fleet_pb2.MemberList) -> dict[str, str]:
     """Return the addresses of all members by host."""
     return {member.host: member.address for member in members.members}
--- a/hornbeamyard/version/replica.py
+++ b/hornbeamyard/version/replica.py
@@ -393,6 +393,9 @@
             entry = self.journal.get_entry(number)
             assert entry is not None
             outcome = self.state.apply(entry)
+            if entry.HasField("members"):
+                described = membership.describe_members(entry.members)
+                _log.info("members: {}", described)
             proposal = self._waiting.pop(number, None)
             if proposal is not None:
                 proposal.result = Ok(outcome)
--- a/hornbeamyard/version/state.py
+++ b/hornbeamyard/version/state.py
@@ -17,6 +17,8 @@
 
 # Outcomes of patches are kept for this many versions.
 REMEMBERED_VERSIONS = 10_000
+# The log begins with the first members, then the first leader's entry.
+FIRST_LEADER_INDEX = 2
 
 Outcome = fleet_pb2.PatchResult | fleet_pb2.ClaimResults | None
 
@@ -92,6 +94,10 @@
                 self.fencing = (entry.term, entry.index)
         return None
 
+    def has_first_leader(self) -> bool:
+        """Return whether the fleet has had no leader but the present one."""
+        return self.fencing[1] <= FIRST_LEADER_INDEX
+
     def apply_patch(
         self, request: fleet_pb2.PatchRequest, time_ms: int
     ) -> fleet_pb2.PatchResult:
