--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -28,6 +28,11 @@
         self.configuration = parse_document(document, 1).unwrap()
         self.version = 1
         self.patches: dict[int, bytes] = {}
+        self.is_first_leader = True
+
+    def has_first_leader(self) -> bool:
+        """Return whether no controller led before."""
+        return self.is_first_leader
 
 
 class FakeReplica:
@@ -37,6 +42,7 @@
         self.term = term
         self.leads = True
         self.state = FakeState(document)
+        self.state.is_first_leader = term == 1
 
     def is_leader(self) -> bool:
         """Return whether this replica leads."""
--- a/hornbeamyard/tests/rig.py
+++ b/hornbeamyard/tests/rig.py
@@ -311,6 +311,7 @@
         "operators": {},
     }
     router._take_configuration(parse_document(document, 1).ok_value)
+    now = router._timers.now()
     for up in upstreams:
         router.registry.announce(
             Worker(
@@ -321,12 +322,13 @@
                 up.options.slots,
                 repeatable=up.options.repeatable,
                 lease_s=600.0,
-                announced_at=router._timers.now(),
+                announced_at=now,
             )
         )
+        router.registry.record_probe(up.options.name, True, now)
     pool = upstreams[0].options.pool
     dispatch = router.find_admission(pool).dispatch
-    dispatch.enter_fallback(rank, routers)
+    dispatch.enter_fallback(rank, routers, now)
     while True:
         try:
             stream = await anyio.connect_tcp("127.0.0.1", port)
