--- a/hornbeamyard/process/status.py
+++ b/hornbeamyard/process/status.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from ..messages import fleet_pb2
-from ..pool.schedule import Demand, Schedule
+from ..pool.schedule import Schedule
 from ..version.membership import is_same
 from ..version.replica import Replica
 from .controller import Controller
@@ -104,7 +104,11 @@
 ) -> list[dict[str, Any]]:
     accounts = controller.replica.state.configuration.client_accounts
     lags = schedule.compute_lags(now)
-    demands = schedule.sum_demands(now)
+    demands = {
+        name: demand
+        for name, demand in schedule.sum_demands(now).items()
+        if demand.service_s > 0 or demand.waiting + demand.running > 0
+    }
     return [
         {
             "account": name,
@@ -116,15 +120,10 @@
             "lag_s": round(lags[name], 3) if name in lags else None,
         }
         for name, account in sorted(accounts.items())
-        if name in demands and _is_known(demands[name])
+        if name in demands
     ]
 
 
-def _is_known(demand: Demand) -> bool:
-    """Return whether an account has used its pool or waits for it."""
-    return demand.service_s > 0 or demand.waiting + demand.running > 0
-
-
 def _describe_workers(controller: Controller) -> list[dict[str, Any]]:
     schedules = controller.get_schedules()
     workers = []
--- a/hornbeamyard/tests/test_pages.py
+++ b/hornbeamyard/tests/test_pages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ast
 import contextlib
 import ipaddress
 import os
@@ -27,6 +28,7 @@
 from .fleet import find_free_port
 
 DOCS = Path(__file__).parents[2] / "docs"
+SOURCES = DOCS.parent / "hornbeamyard"
 EXAMPLES = DOCS / "examples"
 DEPLOYMENTS = ("quetzaltenango", "millisafn")
 LOOPBACK = re.compile(r"127\.0\.0\.1:(\d{5})\b")
@@ -198,6 +200,32 @@
         assert f"`hornbeamyard_{name}" in text
 
 
+def list_log_texts() -> list[str]:
+    """Return the fixed parts of all log lines."""
+    texts = set()
+    for path in sorted(SOURCES.rglob("*.py")):
+        if "tests" in path.parts:
+            continue
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call) or not node.args:
+                continue
+            called, text = ast.unparse(node.func), node.args[0]
+            if called.startswith("_log.") and isinstance(text, ast.Constant):
+                parts = re.split(r"\{[^}]*\}", str(text.value))
+                texts |= {part.strip(" :,") for part in parts}
+    return sorted(text for text in texts if len(text) > 4)
+
+
+class TestLogLines:
+    """The log lines on docs/alarms.md."""
+
+    @pytest.mark.parametrize("text", list_log_texts())
+    def test_page_has_line(self, text: str) -> None:
+        """Guards against log lines that nobody can interpret."""
+        page = (DOCS / "alarms.md").read_text()
+        assert text in page, f"docs/alarms.md lacks the log line {text!r}"
+
+
 class TestLinks:
     """Links between pages."""
 
