Ask the leader that a controller names at once, even a new one

Cause: after a reply that named the leader, the other controllers were still asked first, and a leader outside the settings was never asked, as after `controllers replace`.

Ruled out: following hints without a bound, because two controllers may name each other; each round asks every address once.

Change: connection/calls.py follows the name it is given and comes back to the rest.

Conclusion: calls need one hop to the leader.

--- a/hornbeamyard/connection/calls.py
+++ b/hornbeamyard/connection/calls.py
@@ -102,24 +102,34 @@
         ends = time.monotonic() + timeout_s
         with anyio.move_on_after(timeout_s):
             while not failure.refused:
-                for address in self._list_addresses():
-                    reply = await self._call_one(
-                        address, method, request, ends, failure
-                    )
-                    if reply is not None:
-                        self.was_repeated = failure.may_have_run
-                        return Ok(reply)
-                    if failure.refused:
-                        break
-                await anyio.sleep(RETRY_PAUSE_S)
+                reply = await self._call_each(method, request, ends, failure)
+                if reply is not None:
+                    self.was_repeated = failure.may_have_run
+                    return Ok(reply)
+                if not failure.refused:
+                    await anyio.sleep(RETRY_PAUSE_S)
         return Err(failure)
 
-    def _list_addresses(self) -> list[str]:
-        addresses = list(self._controllers.values())
-        if self._hint in addresses:
-            addresses.remove(self._hint)
-            addresses.insert(0, self._hint)
-        return addresses
+    async def _call_each(
+        self, method: str, request: Any, ends: float, failure: Unreachable
+    ) -> Any:
+        """Call each controller once, the one that seems to lead first."""
+        waiting = list(self._controllers.values())
+        called: set[str] = set()
+        while waiting and not failure.refused:
+            # A new leader may not be in the settings yet.
+            address = self._hint or waiting[0]
+            if address in called:
+                address = waiting[0]
+            called.add(address)
+            if address in waiting:
+                waiting.remove(address)
+            reply = await self._call_one(
+                address, method, request, ends, failure
+            )
+            if reply is not None:
+                return reply
+        return None
 
     async def _call_one(
         self,
