--- /dev/null
+++ b/hornbeamyard/tests/relay.py
@@ -0,0 +1,64 @@
+"""A relay of gRPC calls that loses answers."""
+
+from __future__ import annotations
+
+import functools
+
+import grpc
+import grpc.aio
+from anyio.from_thread import start_blocking_portal
+
+from .fleet import find_free_port
+
+
+class Relay:
+    """Passes gRPC connections on, and loses some answers to patches.
+
+    Parameters
+    ----------
+    target : str
+        Address of a controller.
+    losses : int
+        Answers to patches to lose, each after the call was passed on.
+    """
+
+    def __init__(self, target: str, losses: int) -> None:
+        self.target = target
+        self.losses = losses
+        self.lost = 0
+        self.address = f"127.0.0.1:{find_free_port()}"
+        self._portal = start_blocking_portal()
+
+    def __enter__(self) -> Relay:
+        portal = self._portal.__enter__()
+        portal.call(self._start)
+        self._call = portal.call
+        return self
+
+    def __exit__(self, *details: object) -> None:
+        self._call(self._server.stop, None)
+        self._portal.__exit__(None, None, None)
+
+    async def _start(self) -> None:
+        self._server = grpc.aio.server()
+        service = "hornbeamyard.fleet.Fleet"
+        handlers = {
+            name: grpc.unary_unary_rpc_method_handler(
+                functools.partial(self._pass_on, f"/{service}/{name}")
+            )
+            for name in ("SubmitPatch", "ReadConfiguration")
+        }
+        generic = grpc.method_handlers_generic_handler(service, handlers)
+        self._server.add_generic_rpc_handlers((generic,))
+        self._server.add_insecure_port(self.address)
+        await self._server.start()
+
+    async def _pass_on(
+        self, method: str, request: bytes, context: grpc.aio.ServicerContext
+    ) -> bytes:
+        async with grpc.aio.insecure_channel(self.target) as channel:
+            answer: bytes = await channel.unary_unary(method)(request)
+        if method.endswith("SubmitPatch") and self.lost < self.losses:
+            self.lost += 1
+            await context.abort(grpc.StatusCode.UNAVAILABLE, "lost")
+        return answer
--- a/hornbeamyard/tests/test_commands.py
+++ b/hornbeamyard/tests/test_commands.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import functools
 import json
 import re
 import time
@@ -10,18 +9,16 @@
 from pathlib import Path
 from typing import Any
 
-import grpc
-import grpc.aio
 import httpcore
 import pytest
-from anyio.from_thread import start_blocking_portal
 from click.testing import CliRunner, Result
 
 from hornbeamyard.process.commands import main
 from hornbeamyard.process.tables import format_diff, format_table
 from hornbeamyard.version.configuration import hash_key
 
-from .fleet import CALLER_KEY, UPSTREAM_KEY, LocalFleet, find_free_port
+from .fleet import CALLER_KEY, UPSTREAM_KEY, LocalFleet
+from .relay import Relay
 
 POOL = "visitor-assistant"
 OPERATOR_KEY = "operator-key-of-ana"
@@ -80,59 +77,6 @@
     path.write_text(json.dumps({**document, **changes}))
 
 
-class Relay:
-    """Passes gRPC connections on, and loses some answers to patches.
-
-    Parameters
-    ----------
-    target : str
-        Address of a controller.
-    losses : int
-        Answers to patches to lose, each after the call was passed on.
-    """
-
-    def __init__(self, target: str, losses: int) -> None:
-        self.target = target
-        self.losses = losses
-        self.lost = 0
-        self.address = f"127.0.0.1:{find_free_port()}"
-        self._portal = start_blocking_portal()
-
-    def __enter__(self) -> Relay:
-        portal = self._portal.__enter__()
-        portal.call(self._start)
-        self._call = portal.call
-        return self
-
-    def __exit__(self, *details: object) -> None:
-        self._call(self._server.stop, None)
-        self._portal.__exit__(None, None, None)
-
-    async def _start(self) -> None:
-        self._server = grpc.aio.server()
-        service = "hornbeamyard.fleet.Fleet"
-        handlers = {
-            name: grpc.unary_unary_rpc_method_handler(
-                functools.partial(self._pass_on, f"/{service}/{name}")
-            )
-            for name in ("SubmitPatch", "ReadConfiguration")
-        }
-        generic = grpc.method_handlers_generic_handler(service, handlers)
-        self._server.add_generic_rpc_handlers((generic,))
-        self._server.add_insecure_port(self.address)
-        await self._server.start()
-
-    async def _pass_on(
-        self, method: str, request: bytes, context: grpc.aio.ServicerContext
-    ) -> bytes:
-        async with grpc.aio.insecure_channel(self.target) as channel:
-            answer: bytes = await channel.unary_unary(method)(request)
-        if method.endswith("SubmitPatch") and self.lost < self.losses:
-            self.lost += 1
-            await context.abort(grpc.StatusCode.UNAVAILABLE, "lost")
-        return answer
-
-
 def set_share(share: object) -> dict[str, Any]:
     """Return the operation that sets the share of one account."""
     path = "/client_accounts/hotel/share"
