--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each prints one JSON object as its last line."""
--- /dev/null
+++ b/benchmarks/config.py
@@ -0,0 +1,148 @@
+"""Measures the configuration and the controllers' log.
+
+Violations are counted over seeded schedules of real modules on virtual time;
+the other figures come from real processes on loopback.
+"""
+
+from __future__ import annotations
+
+import json
+import statistics
+import tempfile
+import time
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+import click
+import logbook
+import psutil
+
+from hornbeamyard.tests.fleet import LocalFleet
+from hornbeamyard.tests.test_failover import Operator
+from properties.cluster import run_seed
+
+WORKERS = 4
+SIZES = (3, 5)
+PROPAGATE_PATCHES = 40
+IDLE_S = 10.0
+
+
+def check_seed(seed: int) -> str:
+    """Run one schedule; return what it broke, or an empty text."""
+    with logbook.NullHandler().applicationbound():
+        try:
+            run_seed(seed, SIZES[seed % len(SIZES)])
+        except BaseExceptionGroup as group:
+            return f"seed {seed}: {_find_cause(group)!r}"
+    return ""
+
+
+def _find_cause(error: BaseException) -> BaseException:
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
+def count_violations(seeds: int) -> int:
+    """Run seeds 0 to `seeds` - 1 and print each violation."""
+    with ProcessPoolExecutor(WORKERS) as pool:
+        broken = [text for text in pool.map(check_seed, range(seeds)) if text]
+    for text in broken:
+        click.echo(text)
+    return len(broken)
+
+
+def measure_propagation(operator: Operator, leader: int) -> list[float]:
+    """Return for each patch the time until all routers have it, in s."""
+    fleet = operator.fleet
+    names = [f"host-{number}" for number in range(fleet.routers)]
+    times = []
+    for version in range(1, PROPAGATE_PATCHES + 1):
+        started = time.monotonic()
+        operator.patch(leader, version - 1)
+        text = f"version {version} is in force"
+        while not all(text in fleet.read_log(name) for name in names):
+            if time.monotonic() - started > 20:
+                raise TimeoutError(f"{text} not on every router")
+            time.sleep(0.002)
+        times.append(time.monotonic() - started)
+    return times
+
+
+def measure_traffic(fleet: LocalFleet) -> float:
+    """Return the bytes a second that an idle node sends on loopback.
+
+    The counters of the loopback device include everything else on the
+    machine that uses it, so the figure is an upper bound.
+    """
+    before = psutil.net_io_counters(pernic=True)["lo"].bytes_sent
+    started = time.monotonic()
+    time.sleep(IDLE_S)
+    sent = psutil.net_io_counters(pernic=True)["lo"].bytes_sent - before
+    return sent / (time.monotonic() - started) / fleet.routers
+
+
+def measure_fleet(folder: Path) -> dict[str, float]:
+    """Measure 9 routers, of which 3 hosts run a controller."""
+    with LocalFleet(folder, routers=9, controllers=3) as fleet:
+        fleet.start()
+        operator = Operator(fleet)
+        leader = operator.find_leader()
+        operator.wait_members(leader, 3)
+        times = sorted(measure_propagation(operator, leader))
+        traffic = measure_traffic(fleet)
+        commits = operator.patch_many(leader, PROPAGATE_PATCHES, 100)
+    return {
+        "propagate_p99_s": times[min(len(times) - 1, len(times) * 99 // 100)],
+        "commit_p50_ms": statistics.median(commits) * 1000,
+        "bytes_per_node_s": traffic,
+    }
+
+
+def measure_restart(folder: Path) -> float:
+    """Return the time from a start to the first read, in seconds.
+
+    The log holds 1,000 patches, of which the last snapshot covers almost
+    none or almost all; the slower of both is returned.
+    """
+    slowest = 0.0
+    for patches in (990, 1010):
+        place = folder / str(patches)
+        place.mkdir()
+        with LocalFleet(place, routers=1) as fleet:
+            fleet.start()
+            operator = Operator(fleet)
+            operator.patch_many(operator.find_leader(), 0, patches)
+            fleet.kill("host-0")
+            started = time.monotonic()
+            fleet.start_host(0)
+            operator.find_leader()
+            slowest = max(slowest, time.monotonic() - started)
+    return slowest
+
+
+@click.command()
+@click.option("--seeds", type=click.IntRange(1, 100_000), default=300)
+def main(seeds: int) -> None:
+    """Run the seeds and the measurements."""
+    started = time.monotonic()
+    violations = count_violations(seeds)
+    click.echo(f"{seeds} seeds in {time.monotonic() - started:.0f} s")
+    with tempfile.TemporaryDirectory() as folder:
+        restart_s = measure_restart(Path(folder))
+    with tempfile.TemporaryDirectory() as folder:
+        figures = measure_fleet(Path(folder))
+    click.echo(
+        json.dumps(
+            {
+                "seeds": seeds,
+                "violations": violations,
+                "restart_s_after_1000": round(restart_s, 3),
+                **{key: round(value, 4) for key, value in figures.items()},
+            }
+        )
+    )
+
+
+if __name__ == "__main__":
+    main()
