--- a/hornbeamyard/process/router.py
+++ b/hornbeamyard/process/router.py
@@ -47,6 +47,9 @@
 LEAVE_TIMEOUT_S = 3.0
 # Time for open claims to reach the log at the end of the drain.
 FLUSH_TIMEOUT_S = 3.0
+# Idle time after which a caller's connection is closed. Common load balancers
+# close theirs after 60 s; whoever closes second risks a lost request.
+KEEP_ALIVE_S = 75
 # Time for the last bytes to reach callers that were told of a sudden stop.
 CLOSE_TIMEOUT_S = 2.0
 
@@ -277,6 +280,7 @@
         http=build_protocol(limits),
         ws="none",
         proxy_headers=False,
+        timeout_keep_alive=KEEP_ALIVE_S,
         timeout_graceful_shutdown=int(CLOSE_TIMEOUT_S),
         server_header=False,
     )
