--- /dev/null
+++ b/hornbeamyard/tests/test_journal.py
@@ -0,0 +1,196 @@
+"""The journal on a real folder."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+import anyio
+import pytest
+
+from hornbeamyard.messages import fleet_pb2
+from hornbeamyard.version.journal import (
+    LOG,
+    SNAPSHOT,
+    VOTE,
+    FolderDisk,
+    Journal,
+    JournalError,
+)
+
+ID = b"0123456789abcdef"
+
+
+def build_entries(
+    first: int, last: int, term: int = 1
+) -> list[fleet_pb2.LogEntry]:
+    """Return entries with consecutive indexes."""
+    return [
+        fleet_pb2.LogEntry(index=index, term=term, noop=fleet_pb2.Noop())
+        for index in range(first, last + 1)
+    ]
+
+
+async def open_journal(folder: Path, fleet: str = "test") -> Journal:
+    """Open the journal in a folder, which may be empty."""
+    journal = Journal(FolderDisk(folder), fleet, kept_entries=2)
+    await journal.load(lambda: ID)
+    return journal
+
+
+async def write(folder: Path, *batches: list[fleet_pb2.LogEntry]) -> Journal:
+    """Append batches to a new journal."""
+    journal = await open_journal(folder)
+    for batch in batches:
+        await journal.append(batch)
+    return journal
+
+
+def list_entries(folder: Path) -> list[tuple[int, int]]:
+    """Return index and term of the entries that a restart finds."""
+    journal = anyio.run(open_journal, folder)
+    return [(entry.index, entry.term) for entry in journal.entries]
+
+
+@pytest.mark.requirement("R15", fault="restart")
+class TestLoad:
+    """What was synced is found again, and nothing else."""
+
+    def test_keeps_promises(self, tmp_path: Path) -> None:
+        """Guards against a member that votes twice after a restart."""
+
+        async def run() -> None:
+            journal = await write(tmp_path, build_entries(1, 3))
+            await journal.store_vote(5, b"candidate")
+            again = await open_journal(tmp_path)
+            assert (again.term, again.voted_for) == (5, b"candidate")
+            assert again.disk_id == ID
+            assert again.last_index == 3
+
+        anyio.run(run)
+
+    def test_later_entries_replace_earlier_ones(self, tmp_path: Path) -> None:
+        """Guards against entries of a deposed leader after a restart."""
+        anyio.run(
+            write, tmp_path, build_entries(1, 4), build_entries(3, 3, term=2)
+        )
+        assert list_entries(tmp_path) == [(1, 1), (2, 1), (3, 2)]
+
+    @pytest.mark.parametrize("cut", range(1, 40, 3))
+    def test_truncates_torn_tail(self, tmp_path: Path, cut: int) -> None:
+        """Guards against a write that a crash left unfinished."""
+        anyio.run(write, tmp_path, build_entries(1, 2), build_entries(3, 4))
+        path = tmp_path / LOG
+        whole = path.read_bytes()
+        path.write_bytes(whole[:-cut])
+        found = list_entries(tmp_path)
+        assert found == [(1, 1), (2, 1)] or (found == [] and cut > 24)
+
+        async def append() -> None:
+            journal = await open_journal(tmp_path)
+            start = journal.last_index + 1
+            await journal.append(build_entries(start, start))
+
+        anyio.run(append)
+        assert len(list_entries(tmp_path)) == len(found) + 1
+
+    def test_refuses_corruption(self, tmp_path: Path) -> None:
+        """Guards against promised entries that are silently dropped."""
+        anyio.run(write, tmp_path, build_entries(1, 2), build_entries(3, 4))
+        path = tmp_path / LOG
+        data = bytearray(path.read_bytes())
+        data[14] ^= 1
+        path.write_bytes(data)
+        with pytest.raises(JournalError, match="corrupt at byte 0"):
+            anyio.run(open_journal, tmp_path)
+
+    @pytest.mark.parametrize("name", [VOTE, SNAPSHOT])
+    def test_refuses_corrupt_file(self, tmp_path: Path, name: str) -> None:
+        """Guards against a damaged vote or snapshot."""
+
+        async def run() -> None:
+            journal = await write(tmp_path, build_entries(1, 3))
+            await journal.store_snapshot(
+                fleet_pb2.SnapshotState(last_index=2, last_term=1)
+            )
+
+        anyio.run(run)
+        path = tmp_path / name
+        path.write_bytes(path.read_bytes()[:-1] + b"\xff")
+        with pytest.raises(JournalError, match=f"'{name}' is corrupt"):
+            anyio.run(open_journal, tmp_path)
+
+    def test_refuses_log_without_vote(self, tmp_path: Path) -> None:
+        """Guards against a member that forgot its vote and keeps its log."""
+        anyio.run(write, tmp_path, build_entries(1, 1))
+        (tmp_path / VOTE).unlink()
+        with pytest.raises(JournalError, match="no vote file"):
+            anyio.run(open_journal, tmp_path)
+
+    def test_refuses_other_fleet(self, tmp_path: Path) -> None:
+        """Guards against a data folder that was copied from elsewhere."""
+        anyio.run(write, tmp_path)
+        with pytest.raises(JournalError, match="belongs to fleet 'test'"):
+            anyio.run(open_journal, tmp_path, "other")
+
+
+@pytest.mark.requirement("R15", fault="restart after a snapshot")
+class TestSnapshot:
+    """Entries that a snapshot covers are dropped."""
+
+    def test_keeps_a_few_entries(self, tmp_path: Path) -> None:
+        """Guards against a log that only grows."""
+
+        async def run() -> None:
+            journal = await write(tmp_path, build_entries(1, 10))
+            await journal.store_snapshot(
+                fleet_pb2.SnapshotState(last_index=8, last_term=1)
+            )
+
+        anyio.run(run)
+        indexes = [index for index, _ in list_entries(tmp_path)]
+        assert indexes == [7, 8, 9, 10]
+
+    @pytest.mark.parametrize(
+        ("term", "kept"), [(1, [1, 2, 3, 4]), (2, [])], ids=["same", "other"]
+    )
+    def test_crash_before_log_is_rewritten(
+        self, tmp_path: Path, term: int, kept: list[int]
+    ) -> None:
+        """Guards against a leader's snapshot followed by other entries."""
+
+        async def run() -> None:
+            journal = await write(tmp_path, build_entries(1, 4))
+            log = (tmp_path / LOG).read_bytes()
+            await journal.store_snapshot(
+                fleet_pb2.SnapshotState(last_index=2, last_term=term)
+            )
+            (tmp_path / LOG).write_bytes(log)
+
+        anyio.run(run)
+        assert [index for index, _ in list_entries(tmp_path)] == kept
+
+
+class TestDisk:
+    """Errors of the disk reach the caller, and nothing is promised."""
+
+    @pytest.mark.requirement("R8", fault="disk full")
+    def test_error_leaves_memory_unchanged(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a promise that isn't on disk."""
+
+        async def run() -> None:
+            journal = await write(tmp_path, build_entries(1, 2))
+
+            def fail(number: int) -> None:
+                raise OSError(28, "No space left on device")
+
+            monkeypatch.setattr(os, "fsync", fail)
+            with pytest.raises(OSError, match="No space left"):
+                await journal.append(build_entries(3, 3))
+            with pytest.raises(OSError, match="No space left"):
+                await journal.store_vote(9, b"candidate")
+            assert (journal.last_index, journal.term) == (2, 0)
+
+        anyio.run(run)
--- a/hornbeamyard/version/replica.py
+++ b/hornbeamyard/version/replica.py
@@ -164,6 +164,12 @@
             and self.timers.now() < leadership.get_lease_end()
         )
 
+    def get_lease_end(self) -> float:
+        """Return when this leader's lease ends, or 0 when it has none."""
+        if not self.is_leader() or self.leadership is None:
+            return 0.0
+        return self.leadership.get_lease_end()
+
     def get_leader(self) -> str:
         """Return the address of the leader, or an empty text."""
         if self.leader_host == self.host:
