--- a/hornbeamyard/connection/upstreams.py
+++ b/hornbeamyard/connection/upstreams.py
@@ -8,7 +8,6 @@
 
 import anyio
 import httpcore
-import logbook
 
 from ..process.timers import Timers
 
@@ -31,8 +30,6 @@
     OSError,
 )
 
-_log = logbook.Logger("upstreams")
-
 
 class Upstreams:
     """Connections to upstreams, kept for reuse after whole exchanges only."""
@@ -188,9 +185,6 @@
         if exchange.progress != progress or exchange not in self._watched:
             return
         if state is not None:
-            _log.info(
-                "{} at {}: {}", exchange.identity, exchange.address, state
-            )
             exchange.drop(
                 f"no byte came for {self._silence_s:g} s and {state}"
             )
--- a/hornbeamyard/tests/rig.py
+++ b/hornbeamyard/tests/rig.py
@@ -208,52 +208,21 @@
     **options
         Settings of the router role.
     """
-    timers = MonotonicTimers()
     claims = FakeClaims()
     server = peers.create_server()
     fleet_pb2_grpc.add_FleetServicer_to_server(claims, server)
     controller = f"127.0.0.1:{find_free_port()}"
     peers.add_port(server, controller, None)
     await server.start()
-    upstreams = [
-        FakeUpstream(
-            FakeOptions(
-                f"{pool}-{number}",
-                pool,
-                "centro",
-                find_free_port(),
-                [],
-                UPSTREAM_KEY,
-                token_s=0.005,
-                repeatable=pool == MODEL,
-            )
-        )
-        for number in range(workers)
-    ]
+    upstreams = _build_upstreams(pool, workers)
     rig = Rig([], [], upstreams, claims, [], [])
     async with _stop_at_end(server), anyio.create_task_group() as tasks:
         for upstream in upstreams:
             await serve(tasks, upstream)
         for number in range(routers):
-            port = find_free_port()
-            role = RouterSettings(
-                f"127.0.0.1:{port}",
-                **{"silence_s": SILENCE_S, "drain_s": 5.0, **options},
-            )
-            settings = Settings(
-                "test",
-                f"host-{number}",
-                "centro",
-                {"host-0": controller},
-                router=role,
-            )
-            router = Router(settings, timers)
-            rig.routers.append(router)
-            rig.ports.append(port)
-            rig.stops.append((anyio.Event(), anyio.Event()))
-            rig.ended.append(anyio.Event())
-            tasks.start_soon(_run_router, rig, number)
-            await _prepare(router, port, upstreams, number, routers)
+            role = {"silence_s": SILENCE_S, "drain_s": 5.0, **options}
+            await _start_router(rig, tasks, number, controller, role)
+            await _prepare(rig, number, routers)
         yield rig
         tasks.cancel_scope.cancel()
 
@@ -286,18 +255,54 @@
     return server
 
 
+def _build_upstreams(pool: str, workers: int) -> list[FakeUpstream]:
+    return [
+        FakeUpstream(
+            FakeOptions(
+                f"{pool}-{number}",
+                pool,
+                "centro",
+                find_free_port(),
+                [],
+                UPSTREAM_KEY,
+                token_s=0.005,
+                repeatable=pool == MODEL,
+            )
+        )
+        for number in range(workers)
+    ]
+
+
+async def _start_router(
+    rig: Rig,
+    tasks: anyio.abc.TaskGroup,
+    number: int,
+    controller: str,
+    role: dict[str, Any],
+) -> None:
+    port = find_free_port()
+    settings = Settings(
+        "test",
+        f"host-{number}",
+        "centro",
+        {"host-0": controller},
+        router=RouterSettings(f"127.0.0.1:{port}", **role),
+    )
+    rig.routers.append(Router(settings, MonotonicTimers()))
+    rig.ports.append(port)
+    rig.stops.append((anyio.Event(), anyio.Event()))
+    rig.ended.append(anyio.Event())
+    tasks.start_soon(_run_router, rig, number)
+
+
 async def _run_router(rig: Rig, number: int) -> None:
     await rig.routers[number].run(*rig.stops[number])
     rig.ended[number].set()
 
 
-async def _prepare(
-    router: Router,
-    port: int,
-    upstreams: list[FakeUpstream],
-    rank: int,
-    routers: int,
-) -> None:
+async def _prepare(rig: Rig, number: int, routers: int) -> None:
+    """Give a router a configuration, upstreams and slots."""
+    router, upstreams = rig.routers[number], rig.upstreams
     document = {
         "client_accounts": {"hotel": {"share": 1, "keys": [hash_key(KEY)]}},
         "pools": {
@@ -326,10 +331,10 @@
         )
     pool = upstreams[0].options.pool
     dispatch = router.find_admission(pool).dispatch
-    dispatch.enter_fallback(rank, routers)
+    dispatch.enter_fallback(number, routers)
     while True:
         try:
-            stream = await anyio.connect_tcp("127.0.0.1", port)
+            stream = await anyio.connect_tcp("127.0.0.1", rig.ports[number])
             await stream.aclose()
             return
         except OSError:
