--- a/hornbeamyard/pool/schedule.py
+++ b/hornbeamyard/pool/schedule.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import statistics
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
@@ -44,7 +45,15 @@
     outstanding: int = 0
 
     def count_free(self) -> int:
-        return self.slots - self.outstanding if self.open else 0
+        return max(0, self.slots - self.outstanding) if self.open else 0
+
+    def takes_requests(self) -> bool:
+        """Return whether slots may be reused for new requests.
+
+        After a partition more slots may be in use than the worker has.
+        They are returned as requests end, until the worker isn't overloaded.
+        """
+        return self.open and self.outstanding <= self.slots
 
 
 @dataclass(slots=True)
@@ -67,7 +76,7 @@
     priority_spent: bool = False
     finished: int = 0
     # Slots of the last division.
-    entitled: int = 0
+    entitled: float = 0.0
 
     def compute_tag(self, now: float) -> float:
         accrued = self.running * now - self.running_since
@@ -283,11 +292,12 @@
         worker.open = is_open
 
     def remove_worker(self, name: str) -> None:
-        """Forget a worker whose lease has ended."""
+        """Forget a worker whose lease has ended.
+
+        The counters of granted and returned slots stay, because requests
+        may still run there, and the worker may come back.
+        """
         self._workers.pop(name, None)
-        for router in self._routers.values():
-            router.granted.pop(name, None)
-            router.returned.pop(name, None)
 
     def attach_router(
         self,
@@ -391,10 +401,10 @@
         router.measure_usage(now)
         router.reported_at = now
         for worker_name, count in returned.items():
-            if worker_name not in self._workers:
-                continue
             fresh = count - router.returned.get(worker_name, 0)
             router.returned[worker_name] = count
+            if worker_name not in self._workers:
+                continue
             self._workers[worker_name].outstanding -= fresh
             if fresh and not self._contended:
                 # What it returns it doesn't want, whatever it reported.
@@ -412,8 +422,10 @@
         if contended:
             placement = self._place_slots(self._divide_slots(now))
             limits, holds = placement.limits, placement.holds
+            rates = placement.rates
         else:
             limits = {name: {} for name in self._routers}
+            rates = {name: {} for name in self._routers}
             holds = self._spread_idle_slots(now)
         for name, router in self._routers.items():
             router.hold = router.wanted = holds[name]
@@ -426,10 +438,7 @@
             self._grant_idle_slots()
         self._update_contended(now)
         lags = self._compute_lags(now)
-        priority_waits = any(
-            account.waiting_priority and not account.priority_spent
-            for account in self._accounts.values()
-        )
+        priority_waits = bool(self._find_urgent())
         changed = {}
         for name, router in self._routers.items():
             router.limits = limits[name]
@@ -438,8 +447,8 @@
                 closed={
                     worker_name
                     for worker_name in router.granted
-                    if worker_name in self._workers
-                    and not self._workers[worker_name].open
+                    if worker_name not in self._workers
+                    or not self._workers[worker_name].takes_requests()
                 },
                 hold=holds[name],
                 recalled=recalled,
@@ -449,6 +458,7 @@
                         limit,
                         lags.get(account, 0.0),
                         self._accounts[account].priority_spent,
+                        rates[name].get(account),
                     )
                     for account, limit in limits[name].items()
                 },
@@ -489,10 +499,13 @@
 
     def _find_behind(self) -> set[str]:
         """Return the accounts that were not ahead at the last plan."""
+        middle = statistics.median(
+            account.lag_s for account in self._accounts.values()
+        )
         return {
             name
             for name, account in self._accounts.items()
-            if account.lag_s <= options.BORROW_LEAD_S
+            if account.lag_s <= middle + options.BORROW_LEAD_S
         }
 
     def _lend_slot(self, behind: set[str]) -> None:
@@ -588,7 +601,9 @@
     def _adopt_lag(self, name: str, lag: float | None, now: float) -> None:
         account = self._accounts.setdefault(name, _Account())
         if lag is not None:
-            account.set_tag(max(lag, account.compute_tag(now)), now)
+            tags = [a.compute_tag(now) for a in self._accounts.values()]
+            tag = max(min(tags) + lag, account.compute_tag(now))
+            account.set_tag(tag, now)
 
     def _merge_demand(
         self, router: _Router, name: str, demand: Demand, now: float
@@ -659,49 +674,50 @@
             return 0.0
         return self._reported_service_s / self._finished
 
-    def _divide_slots(self, now: float) -> dict[str, int]:
-        """Return for each account the number of slots it is entitled to."""
-        contenders = {
-            name: Contender(
-                account.compute_tag(now),
-                account.share,
-                account.count_demand(),
-                previous=account.entitled,
-            )
-            for name, account in self._accounts.items()
-            if account.count_demand() > 0
-        }
-        total = self.count_slots()
-        self._reserve_priority(contenders, total)
+    def _divide_slots(self, now: float) -> dict[str, float]:
+        """Return for each account the number of slots it is entitled to.
+
+        Slots for waiting requests on the priority path are set apart. They
+        don't raise the limits of their accounts, as normal requests would
+        use these once the priority requests have ended.
+        """
+        urgent = self._find_urgent()
+        contenders = {}
+        set_apart = 0
+        for name, account in self._accounts.items():
+            demand = account.count_demand()
+            if name in urgent:
+                demand -= account.waiting_priority
+                set_apart += account.waiting_priority
+            if demand > 0:
+                contenders[name] = Contender(
+                    account.compute_tag(now),
+                    account.share,
+                    demand,
+                    previous=account.entitled,
+                    is_short=account.has_short_requests(),
+                )
+        total = max(0, self.count_slots() - set_apart)
         entitled = divide_slots(contenders, total, self._compute_horizon())
         for name, account in self._accounts.items():
-            account.entitled = entitled.get(name, 0)
+            account.entitled = entitled.get(name, 0.0)
         return entitled
 
-    def _reserve_priority(
-        self, contenders: Mapping[str, Contender], total: int
-    ) -> None:
-        """Set slots apart for waiting priority requests."""
-        left = total
-        for name in sorted(contenders, key=lambda n: contenders[n].tag):
-            account = self._accounts[name]
-            if account.waiting_priority == 0 or account.priority_spent:
-                continue
-            wanted = account.running + account.waiting_priority
-            contenders[name].floor = min(wanted, left)
-            left -= contenders[name].floor
-
-    def _place_slots(self, entitled: Mapping[str, int]) -> Placement:
-        short = {
+    def _find_urgent(self) -> set[str]:
+        """Return the accounts whose waiting priority requests go first."""
+        return {
             name
             for name, account in self._accounts.items()
-            if account.has_short_requests()
+            if account.waiting_priority and not account.priority_spent
         }
-        priority = {
+
+    def _place_slots(self, entitled: Mapping[str, float]) -> Placement:
+        short = {
             name
             for name, account in self._accounts.items()
-            if account.waiting_priority and not account.priority_spent
+            if account.has_short_requests()
         }
+        urgent = self._find_urgent()
         places = {
             name: Place(
                 {a: r.demand for a, r in router.reported.items()},
@@ -709,7 +725,11 @@
                 router.count_all_held(),
                 router.hold,
                 router.compute_offered(short),
-                priority,
+                sum(
+                    r.demand.waiting_priority
+                    for a, r in router.reported.items()
+                    if a in urgent
+                ),
             )
             for name, router in self._routers.items()
         }
