--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,178 @@
+"""Real processes on loopback under load: `python -m benchmarks.fleet`.
+
+It shows that the processes behave as the simulated modules do. Control
+traffic and its processor time can't be told from the data path from outside
+of a process, so these keys are null here; `benchmarks.fairness` counts them.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+import tempfile
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import anyio
+import httpcore
+import numpy as np
+
+from hornbeamyard.tests.fleet import CALLER_KEY, LocalFleet
+
+POOL = "assistant"
+ROUTERS = 9
+WORKERS = 9
+SLOTS = 8
+ACCOUNTS = tuple(f"account-{number:02}" for number in range(8))
+# More than the slots, so that each account always waits.
+OUTSTANDING = 18
+TOKEN_S = 0.05
+WARM_UP_S = 5.0
+
+
+@dataclass
+class Measured:
+    """What the callers saw."""
+
+    service_s: Counter[str] = field(default_factory=Counter)
+    waits: list[float] = field(default_factory=list)
+    failures: Counter[int] = field(default_factory=Counter)
+    largest_s: float = 0.0
+    begins: float = 0.0
+    ends: float = 0.0
+
+
+def build_document(fleet: LocalFleet) -> dict[str, object]:
+    """Return the configuration with a few large shares."""
+    document = fleet.build_document({POOL: "model"})
+    for number, account in enumerate(ACCOUNTS):
+        document["client_accounts"][account]["share"] = get_share(number)
+    return document
+
+
+def get_share(number: int) -> int:
+    """Return the share of an account by its number."""
+    return 4 if number < 2 else 1
+
+
+async def call(
+    pool: httpcore.AsyncConnectionPool,
+    ports: list[int],
+    account: str,
+    priority: bool,
+    measured: Measured,
+) -> None:
+    """Send requests one after the other until the end."""
+    seed = random.Random(f"{account}-{priority}-{id(measured)}")
+    home = ACCOUNTS.index(account) % len(ports)
+    headers = {
+        "authorization": f"Bearer {CALLER_KEY}{account}",
+        "hornbeamyard-priority": "priority" if priority else "normal",
+    }
+    while time.monotonic() < measured.ends:
+        tokens = 4 if priority else seed.choice([4, 8, 16, 40])
+        # Most requests of an account arrive at two routers.
+        port = ports[(home + seed.choice([0, 0, 0, 1, 1, 2])) % len(ports)]
+        started = time.monotonic()
+        response = await pool.request(
+            "POST",
+            f"http://127.0.0.1:{port}/v1/chat/completions",
+            headers=headers,
+            content=json.dumps({"model": POOL, "max_tokens": tokens}).encode(),
+        )
+        ended = time.monotonic()
+        cost = tokens * TOKEN_S
+        if response.status != 200:
+            measured.failures[response.status] += 1
+            await anyio.sleep(0.2)
+        elif measured.begins <= ended <= measured.ends:
+            measured.service_s[account] += cost
+            measured.largest_s = max(measured.largest_s, cost)
+            if priority:
+                measured.waits.append(ended - started - cost)
+        if priority:
+            await anyio.sleep(0.5)
+
+
+async def run_load(fleet: LocalFleet, span_s: float) -> Measured:
+    """Run all callers and return what they saw."""
+    measured = Measured()
+    measured.begins = time.monotonic() + WARM_UP_S
+    measured.ends = measured.begins + span_s
+    ports = fleet.router_ports
+    async with (
+        httpcore.AsyncConnectionPool(max_connections=None) as pool,
+        anyio.create_task_group() as tasks,
+    ):
+        for account in ACCOUNTS:
+            for _ in range(OUTSTANDING):
+                tasks.start_soon(call, pool, ports, account, False, measured)
+        for account in ACCOUNTS[1:4]:
+            tasks.start_soon(call, pool, ports, account, True, measured)
+    return measured
+
+
+def summarize(measured: Measured) -> dict[str, object]:
+    """Return the figures of the run."""
+    span_s = measured.ends - measured.begins
+    shares = [get_share(number) for number in range(len(ACCOUNTS))]
+    gained = [
+        measured.service_s[account] / share
+        for account, share in zip(ACCOUNTS, shares, strict=True)
+    ]
+    slots = WORKERS * SLOTS
+    bound = 2 * measured.largest_s / min(shares) + slots / sum(shares)
+    p99 = float(np.percentile(measured.waits, 99)) if measured.waits else None
+    return {
+        "gap_ratio": round((max(gained) - min(gained)) / bound, 3),
+        "utilisation": round(
+            sum(measured.service_s.values()) / (slots * span_s), 3
+        ),
+        "control_bytes_per_node_s": None,
+        "control_cpu_share": None,
+        "priority_wait_p99_s": None if p99 is None else round(p99, 3),
+        "gained_s": [round(value, 1) for value in gained],
+        "failures": dict(measured.failures),
+    }
+
+
+def main() -> None:
+    """Start the processes, run the load and print JSON."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--span-s", type=float, default=15.0)
+    parser.add_argument("--controllers", type=int, default=1)
+    arguments = parser.parse_args()
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        LocalFleet(
+            Path(folder),
+            routers=ROUTERS,
+            controllers=arguments.controllers,
+            accounts=ACCOUNTS,
+        ) as fleet,
+    ):
+        fleet.start()
+        fleet.configure(build_document(fleet))
+        upstream_ports = [
+            fleet.start_upstream(
+                f"{POOL}-{number}", POOL, f"--token-s={TOKEN_S}"
+            )
+            for number in range(WORKERS)
+        ]
+        time.sleep(3.0)
+        measured = anyio.run(run_load, fleet, arguments.span_s)
+        figures = summarize(measured)
+        most = []
+        for port in upstream_ports:
+            url = f"http://127.0.0.1:{port}/journal"
+            answer = json.loads(httpcore.request("GET", url).content)
+            most.append(answer["most_running"])
+    figures["most_running"] = max(most)
+    print(json.dumps({"loopback": figures}))
+
+
+if __name__ == "__main__":
+    main()
--- a/hornbeamyard/tests/test_schedule.py
+++ b/hornbeamyard/tests/test_schedule.py
@@ -279,3 +279,14 @@
         assert limits["museum"] <= 4
         assert changes is not None
         assert schedule._routers["r1"].hold == limits["museum"] + 1
+
+    @pytest.mark.requirement("R18", fault="report repeated")
+    def test_counts_returned_slots_once(self) -> None:
+        """Guards against slots that are free twice after two reports."""
+        schedule = build_schedule()
+        schedule.report("r0", {"hotel": Demand(waiting=8)}, {}, 0.0)
+        schedule.plan(0.0)
+        before = schedule.count_outstanding("w")
+        for returned in (1, 3, 3):
+            schedule.report("r0", {}, {"w": returned}, 1.0)
+        assert schedule.count_outstanding("w") == before - 3
