Give each caller of the process benchmark its own connections

The large accounts had fewer callers than slots, so they weren't backlogged. Also: the occupancy of the last second counts 0.7 instead of 0.5, so that contention shows after two seconds instead of four.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -27,8 +27,6 @@
 WORKERS = 9
 SLOTS = 8
 ACCOUNTS = tuple(f"account-{number:02}" for number in range(8))
-# More than the slots, so that each account always waits.
-OUTSTANDING = 18
 TOKEN_S = 0.05
 WARM_UP_S = 5.0
 
@@ -39,7 +37,7 @@
 
     service_s: Counter[str] = field(default_factory=Counter)
     waits: list[float] = field(default_factory=list)
-    failures: Counter[int] = field(default_factory=Counter)
+    failures: Counter[str] = field(default_factory=Counter)
     largest_s: float = 0.0
     begins: float = 0.0
     ends: float = 0.0
@@ -59,7 +57,6 @@
 
 
 async def call(
-    pool: httpcore.AsyncConnectionPool,
     ports: list[int],
     account: str,
     priority: bool,
@@ -72,21 +69,30 @@
         "authorization": f"Bearer {CALLER_KEY}{account}",
         "hornbeamyard-priority": "priority" if priority else "normal",
     }
+    # Each caller has its own connections, as a pool shared by all callers
+    # searches all its connections for each request.
+    pool = httpcore.AsyncConnectionPool()
     while time.monotonic() < measured.ends:
         tokens = 4 if priority else seed.choice([4, 8, 16, 40])
         # Most requests of an account arrive at two routers.
         port = ports[(home + seed.choice([0, 0, 0, 1, 1, 2])) % len(ports)]
         started = time.monotonic()
-        response = await pool.request(
-            "POST",
-            f"http://127.0.0.1:{port}/v1/chat/completions",
-            headers=headers,
-            content=json.dumps({"model": POOL, "max_tokens": tokens}).encode(),
-        )
+        body = {"model": POOL, "max_tokens": tokens}
+        try:
+            response = await pool.request(
+                "POST",
+                f"http://127.0.0.1:{port}/v1/chat/completions",
+                headers=headers,
+                content=json.dumps(body).encode(),
+            )
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            measured.failures["connection"] += 1
+            await anyio.sleep(0.2)
+            continue
         ended = time.monotonic()
         cost = tokens * TOKEN_S
         if response.status != 200:
-            measured.failures[response.status] += 1
+            measured.failures[str(response.status)] += 1
             await anyio.sleep(0.2)
         elif measured.begins <= ended <= measured.ends:
             measured.service_s[account] += cost
@@ -95,6 +101,7 @@
                 measured.waits.append(ended - started - cost)
         if priority:
             await anyio.sleep(0.5)
+    await pool.aclose()
 
 
 async def run_load(fleet: LocalFleet, span_s: float) -> Measured:
@@ -103,15 +110,14 @@
     measured.begins = time.monotonic() + WARM_UP_S
     measured.ends = measured.begins + span_s
     ports = fleet.router_ports
-    async with (
-        httpcore.AsyncConnectionPool(max_connections=None) as pool,
-        anyio.create_task_group() as tasks,
-    ):
+    async with anyio.create_task_group() as tasks:
         for account in ACCOUNTS:
-            for _ in range(OUTSTANDING):
-                tasks.start_soon(call, pool, ports, account, False, measured)
+            # About twice the account's slots, so that requests always wait.
+            share = get_share(ACCOUNTS.index(account))
+            for _ in range(share * 10 + 6):
+                tasks.start_soon(call, ports, account, False, measured)
         for account in ACCOUNTS[1:4]:
-            tasks.start_soon(call, pool, ports, account, True, measured)
+            tasks.start_soon(call, ports, account, True, measured)
     return measured
 
 
@@ -144,11 +150,12 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--span-s", type=float, default=15.0)
     parser.add_argument("--controllers", type=int, default=1)
+    parser.add_argument("--folder", type=Path, help="keeps the logs")
     arguments = parser.parse_args()
     with (
         tempfile.TemporaryDirectory() as folder,
         LocalFleet(
-            Path(folder),
+            arguments.folder or Path(folder),
             routers=ROUTERS,
             controllers=arguments.controllers,
             accounts=ACCOUNTS,
--- a/hornbeamyard/pool/schedule.py
+++ b/hornbeamyard/pool/schedule.py
@@ -557,7 +557,7 @@
         if span < options.REPORT_INTERVAL_S:
             return
         gained = self._reported_service_s - self._occupied_service_s
-        self._occupied += (gained / span - self._occupied) / 2
+        self._occupied += 0.7 * (gained / span - self._occupied)
         self._occupied_at = now
         self._occupied_service_s = self._reported_service_s
 
