Take a demand of twice the slots as contention

Cause: with 2.6 times the slots as demand, limits began to apply seconds after the load did, and large accounts were behind by then.

--- a/hornbeamyard/pool/options.py
+++ b/hornbeamyard/pool/options.py
@@ -30,7 +30,7 @@
 # the slots needs no such evidence. The pool ceases to be contended when slots
 # are free for `CONTENTION_S`.
 CONTENDED_OCCUPANCY = 0.9
-SURE_CONTENTION = 3.0
+SURE_CONTENTION = 2.0
 CONTENTION_S = 1.5
 # A router whose slots come free in less than this has no use for a message.
 FAST_DRAIN_S = 0.025
