--- a/hornbeamyard/pool/dispatch.py
+++ b/hornbeamyard/pool/dispatch.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from . import options
+from .account import LocalAccount
 from .allocation import Allocation, Demand, Limit
 from .backlog import Backlog, QueueBounds, QueueFull, Ticket
 from .holding import Holding
@@ -45,59 +46,6 @@
     started_at: float
 
 
-@dataclass(slots=True)
-class _Account:
-    share: float = 1.0
-    running: int = 0
-    # Service of finished requests in slot seconds.
-    service_s: float = 0.0
-    # Sum of the start times of running requests.
-    started_sum: float = 0.0
-    finished: int = 0
-    largest_s: float = 0.0
-    # Service of finished requests on the priority path in slot seconds.
-    priority_s: float = 0.0
-    mean_cost_s: float | None = None
-    # Normalised service when the lag was last set.
-    lag_base: float = 0.0
-    lag_s: float = 0.0
-    backlogged: bool = False
-    # Slot seconds that the rate of the limit still allows, and the service
-    # and time up to which they were counted.
-    allowance_s: float = 0.0
-    counted_service_s: float = 0.0
-    counted_at: float = 0.0
-    # Service and time of the last report that held the account.
-    reported_service_s: float = 0.0
-    reported_at: float | None = None
-    # Times between the ends of requests, as a running mean.
-    mean_gap_s: float | None = None
-    last_end_at: float | None = None
-
-    def compute_service(self, now: float) -> float:
-        return self.service_s + self.running * now - self.started_sum
-
-    def compute_tag(self, now: float) -> float:
-        accrued = self.compute_service(now) / self.share - self.lag_base
-        return self.lag_s + accrued
-
-    def count_allowance(self, rate: float, now: float) -> float:
-        """Return the slot seconds that a rate allows at this moment."""
-        service = self.compute_service(now)
-        gained = rate * (now - self.counted_at)
-        allowance = self.allowance_s + gained
-        allowance -= service - self.counted_service_s
-        bound = options.ALLOWANCE_S * max(1.0, rate)
-        self.allowance_s = max(-bound, min(bound, allowance))
-        self.counted_service_s = service
-        self.counted_at = now
-        return self.allowance_s
-
-    def set_tag(self, tag: float, now: float) -> None:
-        self.lag_s = tag
-        self.lag_base = self.compute_service(now) / self.share
-
-
 class Dispatch:
     """Decides, at one router and for one pool, what starts where and when.
 
@@ -145,7 +93,7 @@
         self.holding = Holding()
         self.choice = WorkerChoice(availability_zone)
         self._registry = registry
-        self._accounts: dict[str, _Account] = {}
+        self._accounts: dict[str, LocalAccount] = {}
         self._borrow_below = 0.0
         self._contended = False
         self._limits: dict[str, Limit] = {}
@@ -377,10 +325,10 @@
 
     # ---- helpers ---------------------------------------------------------
 
-    def _get_account(self, name: str) -> _Account:
-        return self._accounts.setdefault(name, _Account())
+    def _get_account(self, name: str) -> LocalAccount:
+        return self._accounts.setdefault(name, LocalAccount())
 
-    def _note_backlogged(self, account: _Account, now: float) -> None:
+    def _note_backlogged(self, account: LocalAccount, now: float) -> None:
         if account.backlogged:
             return
         tags = [
@@ -417,7 +365,7 @@
         return limit is None or not limit.priority_spent
 
     def _measure_demand(
-        self, name: str, account: _Account, now: float, is_fast: bool
+        self, name: str, account: LocalAccount, now: float, is_fast: bool
     ) -> Demand:
         """Return an account's demand.
 
@@ -442,7 +390,7 @@
         return demand
 
     def _has_news(
-        self, name: str, account: _Account, demand: Demand, now: float
+        self, name: str, account: LocalAccount, demand: Demand, now: float
     ) -> bool:
         """Return whether the lead controller can't derive a demand."""
         reported = self._reported.get(name)
--- a/hornbeamyard/pool/schedule.py
+++ b/hornbeamyard/pool/schedule.py
@@ -13,211 +13,21 @@
 
 import statistics
 from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from . import options
 from .allocation import Allocation, Demand, Limit
 from .division import Contender, divide_slots
+from .ledger import (
+    AccountRecord,
+    Change,
+    Reported,
+    RouterRecord,
+    WorkerRecord,
+)
 from .placement import Place, Placement, place_slots, spread_idle_slots
 
 
-@dataclass(slots=True)
-class Change:
-    """An allocation that changed.
-
-    Attributes
-    ----------
-    allocation : Allocation
-    urgent : bool
-        Whether it can't wait for the next renewal.
-    """
-
-    allocation: Allocation
-    urgent: bool
-
-
-@dataclass(slots=True)
-class _Worker:
-    slots: int
-    availability_zone: str
-    open: bool = True
-    # Slots held by routers.
-    outstanding: int = 0
-
-    def count_free(self) -> int:
-        return max(0, self.slots - self.outstanding) if self.open else 0
-
-    def takes_requests(self) -> bool:
-        """Return whether slots may be reused for new requests.
-
-        After a partition more slots may be in use than the worker has.
-        They are returned as requests end, until the worker isn't overloaded.
-        """
-        return self.open and self.outstanding <= self.slots
-
-
-@dataclass(slots=True)
-class _Account:
-    share: float = 1.0
-    # Normalised service that is forgiven (negative) or not earned while idle.
-    offset: float = 0.0
-    service_s: float = 0.0
-    waiting: int = 0
-    waiting_priority: int = 0
-    running: int = 0
-    # Sum over routers of running requests times the time of their report.
-    running_since: float = 0.0
-    backlogged: bool = False
-    # Tag above the lowest one at the last plan.
-    lag_s: float = 0.0
-    # Normalised service of the priority path, and whether it has used the
-    # account's share.
-    priority_tag: float = 0.0
-    priority_spent: bool = False
-    finished: int = 0
-    # Slots of the last division.
-    entitled: float = 0.0
-
-    def compute_tag(self, now: float) -> float:
-        accrued = self.running * now - self.running_since
-        return self.offset + (self.service_s + accrued) / self.share
-
-    def set_tag(self, tag: float, now: float) -> None:
-        self.offset += tag - self.compute_tag(now)
-
-    def limit_priority(self, lowest: float) -> None:
-        """Let the priority path use the account's share, not more.
-
-        The lowest tag grows as fast as the service of an account that uses
-        its share, so an account's lead doesn't grow by its priority path.
-        """
-        self.priority_tag = max(
-            self.priority_tag, lowest - options.PRIORITY_LEAD_S
-        )
-        self.priority_spent = self.priority_tag > lowest
-
-    def count_demand(self) -> int:
-        return self.waiting + self.running
-
-    def has_short_requests(self) -> bool:
-        if self.finished == 0:
-            return False
-        return self.service_s / self.finished < options.SHORT_REQUEST_S
-
-    def add(self, demand: Demand, at: float, sign: int) -> None:
-        self.waiting += sign * demand.waiting
-        self.waiting_priority += sign * demand.waiting_priority
-        self.running += sign * demand.running
-        self.running_since += sign * demand.running * at
-
-
-@dataclass(slots=True)
-class _Reported:
-    demand: Demand
-    at: float
-
-
-@dataclass(slots=True)
-class _Router:
-    availability_zone: str
-    incarnation: int
-    reported: dict[str, _Reported] = field(default_factory=dict)
-    granted: dict[str, int] = field(default_factory=dict)
-    returned: dict[str, int] = field(default_factory=dict)
-    limits: dict[str, int] = field(default_factory=dict)
-    sent: Allocation | None = None
-    # Slots that the last plan gives to the router, and that it may keep.
-    wanted: int = 0
-    reported_at: float = 0.0
-    hold: int = 0
-    # Requests finished in a second, by account.
-    rates: dict[str, float] = field(default_factory=dict)
-    # Mean number of slots in use.
-    usage: float = 0.0
-    usage_at: float | None = None
-    lost_at: float | None = None
-
-    def count_held(self, worker: str) -> int:
-        return self.granted.get(worker, 0) - self.returned.get(worker, 0)
-
-    def count_all_held(self) -> int:
-        return sum(self.granted.values()) - sum(self.returned.values())
-
-    def measure_rate(self, account: str, finished: int, span_s: float) -> None:
-        """Blend the requests finished since the last report into the mean."""
-        if span_s <= 0:
-            return
-        rate = self.rates.get(account, 0.0)
-        weight = min(1.0, span_s / options.RATE_WINDOW_S)
-        self.rates[account] = rate + weight * (finished / span_s - rate)
-
-    def compute_offered(self, accounts: set[str]) -> dict[str, float]:
-        """Return the requests offered in a control interval."""
-        return {
-            name: self.rates.get(name, 0.0) * options.REPORT_INTERVAL_S
-            + reported.demand.count()
-            for name, reported in self.reported.items()
-            if name in accounts and reported.demand.count() > 0
-        }
-
-    def measure_usage(self, now: float) -> None:
-        """Blend the slots in use since the last report into the mean."""
-        running = self.count_running()
-        if self.usage_at is None:
-            self.usage, self.usage_at = float(running), now
-            return
-        weight = min(1.0, (now - self.usage_at) / options.USAGE_WINDOW_S)
-        self.usage += weight * (running - self.usage)
-        self.usage_at = now
-
-    def count_running(self) -> int:
-        return sum(r.demand.running for r in self.reported.values())
-
-    def count_waiting(self, accounts: set[str]) -> int:
-        return sum(
-            reported.demand.waiting
-            for name, reported in self.reported.items()
-            if name in accounts
-        )
-
-    def change(
-        self, allocation: Allocation, priority_waits: bool = False
-    ) -> Change | None:
-        """Return a change to send, or None when nothing differs.
-
-        A change that can't wait for the next renewal grants slots, closes
-        workers or asks for idle slots, or for any slot while a request
-        waits on the priority path.
-        """
-        sent = self.sent
-        if allocation == sent:
-            return None
-        self.sent = allocation
-        urgent = (
-            sent is None
-            or allocation.granted != sent.granted
-            or allocation.closed != sent.closed
-            or (priority_waits and allocation.hold < sent.hold)
-            or (
-                allocation.recalled
-                and not sent.recalled
-                and self.count_all_held() > allocation.hold
-            )
-            or (
-                allocation.contended
-                and not sent.contended
-                and self.count_all_held() > self.count_running()
-            )
-        )
-        return Change(allocation, urgent)
-
-    def count_demand(self) -> int:
-        return sum(
-            reported.demand.waiting + reported.demand.running
-            for reported in self.reported.values()
-        )
-
-
 class Schedule:
     """Fair shares of one pool's slots between accounts and routers.
 
@@ -252,11 +62,11 @@
     ) -> None:
         self.pool = pool
         self._lease_s = lease_s
-        self._workers: dict[str, _Worker] = {}
-        self._routers: dict[str, _Router] = {}
+        self._workers: dict[str, WorkerRecord] = {}
+        self._routers: dict[str, RouterRecord] = {}
         # Routers that were removed, with the counters merged so far.
-        self._detached: dict[str, _Router] = {}
-        self._accounts: dict[str, _Account] = {}
+        self._detached: dict[str, RouterRecord] = {}
+        self._accounts: dict[str, AccountRecord] = {}
         self._contended = False
         self._free_from = 0.0
         # Mean slots in use, from the service that was reported.
@@ -272,7 +82,7 @@
     def set_shares(self, shares: Mapping[str, float], now: float) -> None:
         """Set the shares of client accounts; their tags stay continuous."""
         for name, share in shares.items():
-            account = self._accounts.setdefault(name, _Account())
+            account = self._accounts.setdefault(name, AccountRecord())
             tag = account.compute_tag(now)
             account.share = share
             account.set_tag(tag, now)
@@ -283,7 +93,9 @@
         """Add a worker or change it; a closed one takes no new requests."""
         worker = self._workers.get(name)
         if worker is None:
-            worker = self._workers[name] = _Worker(slots, availability_zone)
+            worker = self._workers[name] = WorkerRecord(
+                slots, availability_zone
+            )
             worker.outstanding = sum(
                 router.count_held(name) for router in self._routers.values()
             )
@@ -328,7 +140,7 @@
             Monotonic time in seconds.
         """
         self.detach_router(name)
-        router = _Router(availability_zone, incarnation)
+        router = RouterRecord(availability_zone, incarnation)
         previous = self._detached.pop(name, None)
         if previous is not None and previous.incarnation == incarnation:
             router.reported = previous.reported
@@ -344,7 +156,7 @@
                 baseline = Demand(
                     service_s=demand.service_s, finished=demand.finished
                 )
-                router.reported[account_name] = _Reported(baseline, now)
+                router.reported[account_name] = Reported(baseline, now)
                 self._adopt_lag(account_name, lags.get(account_name), now)
             self._merge_demand(router, account_name, demand, now)
 
@@ -509,7 +321,7 @@
         }
 
     def _lend_slot(self, behind: set[str]) -> None:
-        def compute_pressure(router: _Router) -> float:
+        def compute_pressure(router: RouterRecord) -> float:
             lent = router.wanted - router.hold
             waiting = router.count_waiting(behind)
             return (waiting - lent) / (1 + router.wanted)
@@ -581,19 +393,19 @@
         }
 
     def _adopt_lag(self, name: str, lag: float | None, now: float) -> None:
-        account = self._accounts.setdefault(name, _Account())
+        account = self._accounts.setdefault(name, AccountRecord())
         if lag is not None:
             tags = [a.compute_tag(now) for a in self._accounts.values()]
             tag = max(min(tags) + lag, account.compute_tag(now))
             account.set_tag(tag, now)
 
     def _merge_demand(
-        self, router: _Router, name: str, demand: Demand, now: float
+        self, router: RouterRecord, name: str, demand: Demand, now: float
     ) -> None:
-        account = self._accounts.setdefault(name, _Account())
+        account = self._accounts.setdefault(name, AccountRecord())
         reported = router.reported.get(name)
         if reported is None:
-            reported = router.reported[name] = _Reported(Demand(), now)
+            reported = router.reported[name] = Reported(Demand(), now)
         account.add(reported.demand, reported.at, sign=-1)
         fresh = max(0.0, demand.service_s - reported.demand.service_s)
         account.service_s += fresh
@@ -606,7 +418,7 @@
         account.priority_tag += priority / account.share
         router.measure_rate(name, finished, now - reported.at)
         self._largest_s = max(self._largest_s, demand.largest_s)
-        router.reported[name] = _Reported(demand, now)
+        router.reported[name] = Reported(demand, now)
 
     def _expire_routers(self, now: float) -> None:
         reissue_after = self._lease_s + options.DRIFT_ALLOWANCE_S
--- a/hornbeamyard/process/controller.py
+++ b/hornbeamyard/process/controller.py
@@ -12,7 +12,8 @@
 from ..messages import fleet_pb2
 from ..pool import options
 from ..pool.allocation import Allocation
-from ..pool.schedule import Change, Schedule
+from ..pool.ledger import Change
+from ..pool.schedule import Schedule
 from ..pool.worker import Registry, Worker
 from ..version.replica import Replica
 from ..version.state import dump_document
