--- a/hornbeamyard/tests/test_probes.py
+++ b/hornbeamyard/tests/test_probes.py
@@ -52,7 +52,6 @@
         registry.announce(worker)
         registry.record_probe("w", expected is None, 0.5)
         prober = Prober(Node("r0").attachment, registry, MonotonicTimers())
-        probe = cast(Callable[[Worker, float], Awaitable[None]], prober._probe)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(listener.serve, serve)
             await prober._probe(worker, 1.0)
