Keep workers that only a cut-off controller misses

Change: a worker that the controller misses gets no requests, but stays in the registry, so that the fallback uses it if it answers the probe.

--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -159,6 +159,8 @@
         leader.frozen = True
     elif fault.kind == "wake-leader":
         fleet.controllers[-1].wake_up()
+    elif fault.kind == "depose":
+        leader.replica.leads = False
     elif fault.kind == "elect":
         leader.replica.leads = False
         host = f"host-{CONTROLLER_HOSTS[len(fleet.controllers)]}"
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -51,7 +51,7 @@
     """Something that happens to a host at some time.
 
     `kind` is `cut`, `heal`, `kill-router`, `start-router`, `kill-leader`,
-    `freeze-leader`, `wake-leader`, `elect`, `leave` or `slow`; `hosts` are
+    `freeze-leader`, `wake-leader`, `depose`, `elect` or `leave`; `hosts` are
     places of routers, or numbers of workers.
     """
 
@@ -198,6 +198,7 @@
     split = [Fault(100, "cut", (2, 5, 8)), Fault(140, "heal")]
     split_leader = [
         Fault(100, "cut", (0, 3, 6)),
+        Fault(102, "depose"),
         Fault(103.5, "elect"),
         Fault(140, "heal"),
     ]
--- a/hornbeamyard/connection/attachment.py
+++ b/hornbeamyard/connection/attachment.py
@@ -50,6 +50,7 @@
         "_availability_zone",
         "_document",
         "_find_dispatch",
+        "_gone",
         "_host",
         "_identity",
         "_lease_ends",
@@ -98,6 +99,8 @@
         self._announced: set[str] = set()
         self._renewed: set[str] = set()
         self._passed_on: set[str] = set()
+        # Upstreams that the lead controller misses.
+        self._gone: set[str] = set()
         self._document: dict[str, Any] = {}
         self._routers: list[str] = [host]
         self._lease_ends = 0.0
@@ -230,6 +233,7 @@
         if update.routers:
             self._routers = list(update.routers)
         for message in update.workers:
+            self._gone.discard(message.upstream)
             self._registry.announce(Worker.from_message(message, now))
         for name in update.workers_gone:
             self._passed_on.discard(name)
@@ -258,10 +262,15 @@
         self._on_configuration(self.configuration)
 
     def _forget_worker(self, name: str) -> None:
+        """Stop using a worker that the lead controller misses.
+
+        It stays in the registry: a controller that is cut off with this
+        router misses workers that still answer a probe.
+        """
         worker = self._registry.get(name)
         if worker is None:
             return
-        self._registry.remove(name)
+        self._gone.add(name)
         dispatch = self._find_dispatch(worker.pool)
         dispatch.holding.forget(name)
         dispatch.choice.forget(name)
@@ -276,6 +285,12 @@
         """
         return now > self._lease_ends - options.PROBE_AHEAD_S
 
+    def renew_workers(self, now: float) -> None:
+        """Keep the upstreams that the lead controller didn't report gone."""
+        for worker in self._registry.list_workers():
+            if worker.name not in self._gone:
+                self._registry.renew(worker.name, now)
+
     def holds_lease(self, now: float) -> bool:
         """Return whether the lead controller's last word still holds."""
         return now < self._lease_ends
--- a/hornbeamyard/process/router.py
+++ b/hornbeamyard/process/router.py
@@ -140,8 +140,7 @@
         async for now in self._timers.subscribe(interval):
             if self.session.attachment.holds_lease(now):
                 # The lead controller tells which upstreams are gone.
-                for worker in self.registry.list_workers():
-                    self.registry.renew(worker.name, now)
+                self.session.attachment.renew_workers(now)
                 continue
             for worker in self.registry.expire(now):
                 dispatch = self.find_admission(worker.pool).dispatch
--- a/hornbeamyard/tests/test_session.py
+++ b/hornbeamyard/tests/test_session.py
@@ -118,6 +118,23 @@
         assert node.dispatch.holding.is_fallback()
         assert node.dispatch.holding.count_idle() == 8
 
+    @pytest.mark.requirement("R9", fault="cut off with the lead controller")
+    def test_keeps_worker_that_only_the_controller_misses(self) -> None:
+        """Guards against idle workers that still answer the probe."""
+        controller, timers = build_controller()
+        node = Node("r0")
+        node.announce("w", 0.0)
+        node.dispatch.submit(Ticket("hotel"), 0.0)
+        exchange(node, controller, timers, 0.0)
+        update = fleet_pb2.ControllerUpdate(
+            epoch=1, lease_ms=3000, workers_gone=["w"]
+        )
+        node.attachment.take_update(update, 2.0)
+        assert node.dispatch.holding.list_idle() == []
+        node.registry.record_probe("w", True, 4.0)
+        assert node.attachment.check_lease(5.0)
+        assert node.dispatch.holding.count_idle() == 8
+
     @pytest.mark.requirement("R12", fault="lead controller frozen and woken")
     def test_refuses_stale_epoch(self) -> None:
         """Guards against slots granted by a leader that was replaced."""
