--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -88,7 +88,11 @@
             for name, share in SHARES.items()
         },
         "pools": {name: {"kind": "model"} for name in deployment.pools},
-        "upstreams": {},
+        "upstreams": {
+            f"{name}-{number}": {"keys": []}
+            for name, pool in deployment.pools.items()
+            for number in range(pool.workers)
+        },
         "operators": {},
     }
     fleet = Fleet(
@@ -159,6 +163,8 @@
         leader.frozen = True
     elif fault.kind == "wake-leader":
         fleet.controllers[-1].wake_up()
+    elif fault.kind == "depose":
+        leader.replica.leads = False
     elif fault.kind == "elect":
         leader.replica.leads = False
         host = f"host-{CONTROLLER_HOSTS[len(fleet.controllers)]}"
--- a/hornbeamyard/tests/test_drain.py
+++ b/hornbeamyard/tests/test_drain.py
@@ -148,7 +148,7 @@
                 for worker in router.registry.list_workers():
                     router.registry.remove(worker.name)
                 dispatch = router.find_admission(MODEL).dispatch
-                dispatch.enter_fallback(0, 1)
+                dispatch.enter_fallback(0, 1, router._timers.now())
 
                 async def ask() -> None:
                     reply = await rig.call(CHAT, {"model": MODEL, "id": "q"})
