Wait for a claim no longer than the request's deadline

Cause: without a quorum a claimed request was told "not run" after 6 s, also when it had to start within 0.3 s (R20). The rule that a retry of another gateway is not retried had no test.

Change: the wait for a claim ends with the deadline; a test of retries that arrive. The test without a quorum now uses a deadline instead of a shortened constant, so that it checks both.

--- a/hornbeamyard/request/claim.py
+++ b/hornbeamyard/request/claim.py
@@ -122,12 +122,20 @@
         self._channels: dict[str, grpc.aio.Channel] = {}
 
     async def make(
-        self, claim: Claim
+        self, claim: Claim, longest_s: float
     ) -> Result[fleet_pb2.ClaimResult, ClaimUnconfirmed]:
-        """Claim a request; only a result of `GRANTED` allows to run it."""
-        pending = self._put(claim, Operation.MAKE, CLAIM_TIMEOUT_S)
+        """Claim a request; only a result of `GRANTED` allows to run it.
+
+        Parameters
+        ----------
+        claim : Claim
+        longest_s : float
+            Time until the request must start, in seconds.
+        """
+        timeout_s = min(CLAIM_TIMEOUT_S, longest_s)
+        pending = self._put(claim, Operation.MAKE, timeout_s)
         try:
-            with self._timers.limit(CLAIM_TIMEOUT_S):
+            with self._timers.limit(timeout_s):
                 await pending.settled.wait()
         except BaseException:
             # The operation may be under way; the release follows it.
--- a/hornbeamyard/request/delivery.py
+++ b/hornbeamyard/request/delivery.py
@@ -195,7 +195,8 @@
         claim = work.claim
         if claim is None:
             return await self._attempt_repeatedly(work, send)
-        made = await self._claims.make(claim)
+        longest_s = max(0.0, work.ticket.start_by - self._timers.now())
+        made = await self._claims.make(claim, longest_s)
         if isinstance(made, Err):
             reason = "the request could not be claimed: no quorum"
             return build_problem(Outcome.NOT_RUN, reason)
--- a/hornbeamyard/tests/test_claim.py
+++ b/hornbeamyard/tests/test_claim.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 
 import anyio
 import pytest
@@ -95,19 +96,20 @@
         anyio.run(run)
 
     @pytest.mark.requirement("R4", fault="no quorum")
-    def test_runs_nothing_without_quorum(
-        self, monkeypatch: pytest.MonkeyPatch
-    ) -> None:
-        """Guards against a run without a durable claim."""
-        module = "hornbeamyard.request.claim"
-        monkeypatch.setattr(f"{module}.CLAIM_TIMEOUT_S", 0.3)
+    def test_runs_nothing_without_quorum(self) -> None:
+        """Guards against a run without a durable claim, and a late answer."""
 
         async def run() -> None:
             async with run_rig(SERVICE) as rig:
                 rig.claims.has_quorum = False
+                started = time.monotonic()
                 reply = await rig.call(
-                    NOTICES, {"id": "none"}, idempotency_key="k"
+                    NOTICES,
+                    {"id": "none"},
+                    idempotency_key="k",
+                    hornbeamyard_deadline="0.3",
                 )
+                assert time.monotonic() - started < 1.5
                 assert reply.status == 503
                 assert reply.get_outcome() == "not-run"
                 assert int(reply.headers["retry-after"]) >= 1
--- a/hornbeamyard/tests/test_exchange.py
+++ b/hornbeamyard/tests/test_exchange.py
@@ -218,6 +218,28 @@
         anyio.run(run)
 
 
+class TestRetry:
+    """Retries are few, and those of others are not retried again."""
+
+    @pytest.mark.requirement("R17", fault="a retry is lost while sent")
+    @pytest.mark.parametrize(("attempt", "runs"), [("1", 2), ("2", 1)])
+    def test_retries_no_retry(self, attempt: str, runs: int) -> None:
+        """Guards against retries that multiply along a chain of gateways."""
+
+        async def run() -> None:
+            async with run_rig() as rig:
+                document = {"model": MODEL, "id": "lost", "fault": "reset"}
+                # The fake upstream breaks each attempt up to this one.
+                document["faulty_attempts"] = attempt
+                reply = await rig.call(
+                    CHAT, document, hornbeamyard_attempt=attempt
+                )
+                assert rig.count_runs("lost") == runs
+                assert reply.status == (200 if runs == 2 else 502)
+
+        anyio.run(run)
+
+
 class TestAnswer:
     """A broken stream ends with an error that the caller sees."""
 
