Keep time limits around gRPC calls from ending their task

Cause: with the leader of three controllers frozen, the other two elected a new leader every 4 s for as long as it was frozen, and routers stayed detached for good, also after it woke up. No line said why.

Ruled out: the test's relay (SIGSTOP without it shows the same) and the election itself (each election was won in one round).

Found: when an anyio scope cancels a grpc.aio call, grpc raises a CancelledError of its own. anyio takes it for a cancellation from outside, so the time limit doesn't catch it and the task ends: the leader's task for the silent peer with its whole term, and the router's session. 10 of 10 cancelled calls to a silent listener leaked it.

Change: peers.wait_call turns it into the scope's own; used for the stream of a router, both ends, and for calls to and between controllers.

--- a/hornbeamyard/connection/calls.py
+++ b/hornbeamyard/connection/calls.py
@@ -134,7 +134,7 @@
         timeout = max(0.05, min(CALL_TIMEOUT_S, ends - time.monotonic()))
         try:
             stub = getattr(fleet_pb2_grpc.FleetStub(channel), method)
-            reply = await stub(request, timeout=timeout)
+            reply = await peers.wait_call(stub(request, timeout=timeout))
         except grpc.aio.AioRpcError as error:
             failure.reasons[address] = _describe(error)
             code = error.code()
--- a/hornbeamyard/connection/peers.py
+++ b/hornbeamyard/connection/peers.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Awaitable
+from typing import TypeVar
+
 import grpc
 import grpc.aio
 import logbook
+from anyio.lowlevel import checkpoint_if_cancelled
 
 from ..messages import fleet_pb2
 from ..process.settings import Settings, Tls
@@ -34,10 +39,26 @@
 
 REFUSALS_REMEMBERED = 1000
 
+T = TypeVar("T")
+
 _log = logbook.Logger("peers")
 _refusals: set[tuple[str, str, str]] = set()
 
 
+async def wait_call(call: Awaitable[T]) -> T:
+    """Await a gRPC call or message in a scope that may be cancelled.
+
+    grpc raises a `CancelledError` of its own when a scope cancels the call.
+    anyio doesn't know it for its own, so a time limit would end the task
+    without a word. The checkpoint raises the scope's error instead.
+    """
+    try:
+        return await call
+    except asyncio.CancelledError:
+        await checkpoint_if_cancelled()
+        raise
+
+
 def open_channel(address: str, tls: Tls | None) -> grpc.aio.Channel:
     """Open a channel to another process of the fleet.
 
--- a/hornbeamyard/connection/replication.py
+++ b/hornbeamyard/connection/replication.py
@@ -76,7 +76,9 @@
             self._channels[address] = channel
         method = choose(fleet_pb2_grpc.ReplicationStub(channel))
         try:
-            return await method(request, timeout=CALL_TIMEOUT_S)
+            return await peers.wait_call(
+                method(request, timeout=CALL_TIMEOUT_S)
+            )
         except grpc.aio.AioRpcError as error:
             if error.code() is grpc.StatusCode.FAILED_PRECONDITION:
                 _log.error(
--- a/hornbeamyard/connection/server.py
+++ b/hornbeamyard/connection/server.py
@@ -64,7 +64,9 @@
             nonlocal left
             while True:
                 with self._timers.limit(SILENCE_LIMIT_S):
-                    report = await anext(aiter(requests), None)
+                    report = await peers.wait_call(
+                        anext(aiter(requests), None)
+                    )
                     if report is None:
                         break
                     left = report.leaving
--- a/hornbeamyard/connection/session.py
+++ b/hornbeamyard/connection/session.py
@@ -156,7 +156,7 @@
             stream = stub.Attach(self._send_reports())
             while True:
                 with self._timers.limit(SILENCE_LIMIT_S):
-                    update = await stream.read()
+                    update = await peers.wait_call(stream.read())
                     if update is grpc.aio.EOF:
                         if self._leave_sent:
                             self._left.set()
