Read the first report of a stream in the order of the message

Cause: after a partition router 3 could not rejoin; each attempt ended with 'Unexpected KeyError: 1' for 16 s, until the test ended.

Found: an account's name is sent with its first use in a stream, but attach() read the pools in the order of its schedules. A router that uses two pools in another order is refused as long as an account has demand in both.

Change: pools are read in the order of the message.

--- a/hornbeamyard/process/controller.py
+++ b/hornbeamyard/process/controller.py
@@ -123,9 +123,11 @@
         pools = {pool.pool: pool for pool in report.pools}
         for pool_name in pools:
             self._get_schedule(pool_name)
-        for pool_name, schedule in self._schedules.items():
+        # A name is sent with its first use, so the order of the message counts.
+        others = [name for name in self._schedules if name not in pools]
+        for pool_name in (*pools, *others):
             pool = pools.get(pool_name, fleet_pb2.PoolReport())
-            schedule.attach_router(
+            self._schedules[pool_name].attach_router(
                 name,
                 router.incarnation,
                 report.availability_zone,
