Test two faults at the same time with whole processes

Cause: faults had only been tested one at a time.

Change: test_combined.py: a partition while the leader is replaced, a second disk lost during repair, operators that race while a cut-off leader rejoins, a router killed while another drains. relay.py carries control traffic and cuts the links of a host in both directions; connections stay open.

--- a/hornbeamyard/process/controller.py
+++ b/hornbeamyard/process/controller.py
@@ -123,7 +123,7 @@
         pools = {pool.pool: pool for pool in report.pools}
         for pool_name in pools:
             self._get_schedule(pool_name)
-        # A name is sent with its first use, so the order of the message counts.
+        # A name is sent with its first use, so the message's order counts.
         others = [name for name in self._schedules if name not in pools]
         for pool_name in (*pools, *others):
             pool = pools.get(pool_name, fleet_pb2.PoolReport())
--- /dev/null
+++ b/hornbeamyard/tests/relay.py
@@ -0,0 +1,167 @@
+"""A fleet whose control traffic passes relays that a test can cut.
+
+Each controller is known to all hosts by the address of a relay. A relay finds
+out which process opened a connection, so that the link between two hosts can
+be cut in both directions. A cut link stays open and carries nothing, as when
+a network drops packets.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import threading
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import TracebackType
+
+from hornbeamyard.process.settings import load_settings
+from hornbeamyard.version.bootstrap import initialize
+
+from .fleet import LocalFleet, find_free_port
+
+POLL_S = 0.02
+
+
+@dataclass
+class RelayedFleet(LocalFleet):
+    """A fleet on loopback whose hosts can be cut off.
+
+    Attributes
+    ----------
+    cut : set of str
+        Hosts whose control traffic with other hosts is dropped.
+    """
+
+    cut: set[str] = field(default_factory=set)
+    real_ports: list[int] = field(default_factory=list)
+    _loop: asyncio.AbstractEventLoop = field(
+        default_factory=asyncio.new_event_loop
+    )
+    _thread: threading.Thread | None = None
+
+    def __enter__(self) -> RelayedFleet:
+        self.real_ports = [find_free_port() for _ in range(self.controllers)]
+        super().__enter__()
+        started = threading.Event()
+        self._thread = threading.Thread(target=self._serve, args=(started,))
+        self._thread.start()
+        if not started.wait(10):
+            raise TimeoutError("the relays did not start")
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.cut.clear()
+        super().__exit__(kind, error, trace)
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        if self._thread is not None:
+            self._thread.join(10)
+
+    def _write_settings(self, number: int) -> None:
+        super()._write_settings(number)
+        if number >= self.controllers:
+            return
+        path = self.folder / f"host-{number}.json"
+        document = json.loads(path.read_text())
+        address = f"127.0.0.1:{self.real_ports[number]}"
+        document["controller"]["address"] = address
+        document["controllers"][f"host-{number}"] = address
+        path.write_text(json.dumps(document))
+
+    def initialize(self) -> None:
+        """Write the first members, with the relays' addresses."""
+        for number in range(self.controllers):
+            path = self.folder / f"host-{number}.json"
+            settings = load_settings(path).unwrap()
+            port = self.controller_ports[number]
+            settings.controllers[settings.host] = f"127.0.0.1:{port}"
+            initialize(settings).unwrap()
+
+    def _serve(self, started: threading.Event) -> None:
+        asyncio.set_event_loop(self._loop)
+        self._loop.run_until_complete(self._listen())
+        started.set()
+        self._loop.run_forever()
+        for task in asyncio.all_tasks(self._loop):
+            task.cancel()
+        self._loop.run_until_complete(asyncio.sleep(0))
+        self._loop.close()
+
+    async def _listen(self) -> None:
+        for number, port in enumerate(self.controller_ports):
+
+            async def take(
+                reader: asyncio.StreamReader,
+                writer: asyncio.StreamWriter,
+                number: int = number,
+            ) -> None:
+                await self._relay(number, reader, writer)
+
+            await asyncio.start_server(take, "127.0.0.1", port)
+
+    async def _relay(
+        self,
+        number: int,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        port = writer.get_extra_info("peername")[1]
+        link = (find_host(self, port), f"host-{number}")
+        try:
+            to_reader, to_writer = await asyncio.open_connection(
+                "127.0.0.1", self.real_ports[number]
+            )
+        except OSError:
+            writer.close()
+            return
+        await asyncio.gather(
+            self._pump(link, reader, to_writer),
+            self._pump(link, to_reader, writer),
+        )
+
+    async def _pump(
+        self,
+        link: tuple[str, str],
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            while data := await reader.read(65536):
+                while link[0] != link[1] and self.cut & set(link):
+                    await asyncio.sleep(POLL_S)
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+
+def find_host(fleet: LocalFleet, port: int) -> str:
+    """Return the host whose process opened a connection from a port.
+
+    Other processes, such as command-line tools, have an empty name.
+    """
+    rows = [
+        row.split()
+        for table in ("tcp", "tcp6")
+        for row in Path(f"/proc/net/{table}").read_text().splitlines()[1:]
+    ]
+    # gRPC opens sockets for both address families, which count as IPv6.
+    ends = f"0100007F:{port:04X}"
+    inodes = {f"socket:[{row[9]}]" for row in rows if row[1].endswith(ends)}
+    for name, process in list(fleet.processes.items()):
+        folder = f"/proc/{process.pid}/fd"
+        try:
+            for entry in os.listdir(folder):
+                if os.readlink(f"{folder}/{entry}") in inodes:
+                    return name
+        except OSError:
+            continue
+    return ""
--- /dev/null
+++ b/hornbeamyard/tests/test_combined.py
@@ -0,0 +1,316 @@
+"""Two faults at the same time, with whole processes under load."""
+
+from __future__ import annotations
+
+import json
+import shutil
+import signal
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import anyio
+import grpc
+import httpcore
+import pytest
+
+from hornbeamyard.connection import peers
+from hornbeamyard.messages import fleet_pb2, fleet_pb2_grpc
+
+from .callers import Callers
+from .fleet import CALLER_KEY, LocalFleet
+from .matrix import Tally
+from .relay import RelayedFleet
+from .rig import MODEL, SERVICE
+from .scenarios import _start_upstreams
+
+CALLERS = 24
+# Lease, election and the answer of the new lead controller.
+REPLACED_S = 15.0
+SUBMIT_TIMEOUT_S = 1.0
+IDENTITY = fleet_pb2.Identity(
+    fleet="test", protocol=peers.PROTOCOL, host="operator", incarnation=1
+)
+
+
+@contextmanager
+def run_fleet(
+    folder: Path, routers: int, controllers: int
+) -> Iterator[RelayedFleet]:
+    """Run a configured fleet of processes."""
+    with RelayedFleet(folder, routers, controllers) as fleet:
+        fleet.start()
+        pools = {MODEL: "model", SERVICE: "service"}
+        fleet.configure(fleet.build_document(pools))
+        yield fleet
+
+
+def run_under_load(fleet: LocalFleet, fault: Callable[[], None]) -> Callers:
+    """Run callers while faults happen, and check what they were told."""
+    journals = _start_upstreams(fleet)
+    callers = Callers(fleet, MODEL, SERVICE, seed=1)
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(callers.run, CALLERS)
+            with anyio.fail_after(20):
+                while callers.count_answered() < 2 * CALLERS:
+                    await anyio.sleep(0.05)
+            try:
+                await anyio.to_thread.run_sync(fault)
+            finally:
+                callers.stopping = True
+
+    anyio.run(run)
+    tally = Tally()
+    callers.compare(journals, tally)
+    assert tally.list_violations() == []
+    return callers
+
+
+def submit(
+    fleet: LocalFleet, number: int, base: int, patch_id: str, share: int
+) -> fleet_pb2.PatchResult:
+    """Submit a patch to one controller, whether it leads or not."""
+    patch = [
+        {
+            "op": "replace",
+            "path": "/client_accounts/hotel/share",
+            "value": share,
+        }
+    ]
+    request = fleet_pb2.PatchRequest(
+        identity=IDENTITY,
+        patch_id=patch_id,
+        base_version=base,
+        patch=json.dumps(patch).encode(),
+        operator="operator",
+    )
+    address = f"127.0.0.1:{fleet.controller_ports[number]}"
+    with grpc.insecure_channel(address) as channel:
+        stub = fleet_pb2_grpc.FleetStub(channel)
+        try:
+            return stub.SubmitPatch(request, timeout=SUBMIT_TIMEOUT_S)
+        except grpc.RpcError:
+            return fleet_pb2.PatchResult(outcome=fleet_pb2.UNKNOWN)
+
+
+def submit_anywhere(
+    fleet: LocalFleet, base: int, patch_id: str, share: int
+) -> tuple[int, fleet_pb2.PatchResult]:
+    """Submit a patch until a controller decides; return which one."""
+    deadline = time.monotonic() + REPLACED_S
+    while True:
+        for number in range(fleet.controllers):
+            result = submit(fleet, number, base, patch_id, share)
+            if result.outcome in (
+                fleet_pb2.ACCEPTED,
+                fleet_pb2.STALE,
+                fleet_pb2.INVALID,
+            ):
+                return number, result
+        assert time.monotonic() < deadline, "no controller decided"
+        time.sleep(0.1)
+
+
+def read_status(fleet: LocalFleet, host: int) -> dict[str, Any]:
+    """Return the status that a host's command-line tool prints."""
+    done = fleet.run_command("status", "--json", host=host)
+    if done.returncode != 0:
+        return {}
+    document: dict[str, Any] = json.loads(done.stdout)
+    return document
+
+
+def wait_attached(fleet: LocalFleet, routers: int, version: int) -> None:
+    """Wait until so many routers are attached and have a version."""
+    deadline = time.monotonic() + REPLACED_S
+    while True:
+        document = read_status(fleet, 1)
+        versions = [r["version_in_force"] for r in document.get("routers", [])]
+        if versions == [version] * routers:
+            return
+        assert time.monotonic() < deadline, document
+        time.sleep(0.2)
+
+
+def complete(port: int) -> int:
+    """Send a model call to one router; return the status."""
+    response = httpcore.request(
+        "POST",
+        f"http://127.0.0.1:{port}/v1/chat/completions",
+        headers={"authorization": f"Bearer {CALLER_KEY}museum"},
+        content=json.dumps({"model": MODEL, "max_tokens": 3}).encode(),
+        extensions={"timeout": {"read": 10.0}},
+    )
+    return response.status
+
+
+@pytest.mark.process
+class TestCombined:
+    """The invariants hold while a second fault meets the first."""
+
+    @pytest.mark.requirement("R3", fault="partition while leader replaced")
+    @pytest.mark.requirement("R4", fault="partition while leader replaced")
+    @pytest.mark.requirement("R5", fault="partition while leader replaced")
+    @pytest.mark.requirement("R8", fault="partition while leader replaced")
+    @pytest.mark.requirement("R9", fault="lead controller replaced meanwhile")
+    def test_partition_while_leader_is_replaced(self, tmp_path: Path) -> None:
+        """Guards against a router that rejoins a fleet it doesn't know.
+
+        Router 3 is cut off from all controllers, the leader is killed, and
+        a version is accepted before the router is back.
+        """
+        statuses: list[int] = []
+        with run_fleet(tmp_path, routers=4, controllers=3) as fleet:
+
+            def fault() -> None:
+                fleet.cut.add("host-3")
+                lead, _ = submit_anywhere(fleet, 1, "before", 2)
+                fleet.kill(f"host-{lead}")
+                _, result = submit_anywhere(fleet, 2, "during", 3)
+                assert result.outcome == fleet_pb2.ACCEPTED
+                time.sleep(4.0)
+                statuses.extend(
+                    complete(fleet.router_ports[3]) for _ in range(5)
+                )
+                fleet.cut.clear()
+                fleet.start_host(lead)
+                wait_attached(fleet, 4, 3)
+
+            callers = run_under_load(fleet, fault)
+            assert callers.count_answered() > 100
+        assert statuses == [200] * 5
+
+    @pytest.mark.requirement("R8", fault="two disks lost in a row")
+    @pytest.mark.requirement("R14", fault="disk lost during repair")
+    def test_second_disk_lost_during_repair(self, tmp_path: Path) -> None:
+        """Guards against an emptied member that votes before its repair.
+
+        Two of five controllers lose their disks, the second one while the
+        first is being repaired. Afterwards two others are killed, so that
+        a majority needs both repaired members to hold every version.
+        """
+        with run_fleet(tmp_path, routers=5, controllers=5) as fleet:
+            for base in range(1, 21):
+                _, result = submit_anywhere(fleet, base, f"p{base}", base)
+                assert result.outcome == fleet_pb2.ACCEPTED
+            for number in (4, 3):
+                fleet.kill(f"host-{number}")
+                shutil.rmtree(fleet.folder / f"data-{number}")
+                fleet.start_host(number)
+            _, result = submit_anywhere(fleet, 21, "during", 30)
+            assert result.outcome == fleet_pb2.ACCEPTED
+            wait_voters(fleet, 5)
+            for number in (0, 2):
+                fleet.kill(f"host-{number}")
+            _, result = submit_anywhere(fleet, 22, "after", 31)
+            assert (result.outcome, result.version) == (
+                fleet_pb2.ACCEPTED,
+                23,
+            )
+            wait_attached(fleet, 3, 23)
+
+    @pytest.mark.requirement("R8", fault="operators race during a rejoin")
+    @pytest.mark.requirement("R12", fault="operators race during the rejoin")
+    @pytest.mark.requirement("R13", fault="partitioned leader rejoins")
+    def test_operators_race_during_rejoin(self, tmp_path: Path) -> None:
+        """Guards against two patches that are accepted on one version.
+
+        The leader is cut off with its router, both sides get patches, and
+        the race goes on while it rejoins. Each patch is sent again with its
+        id and must get the same outcome.
+        """
+        with run_fleet(tmp_path, routers=3, controllers=3) as fleet:
+            lead, _ = submit_anywhere(fleet, 1, "first", 2)
+            fleet.cut.add(f"host-{lead}")
+            tries: list[tuple[int, str, int]] = []
+            accepted: dict[int, set[str]] = {}
+            base = 2
+            for step in range(30):
+                if step == 15:
+                    fleet.cut.clear()
+                with ThreadPoolExecutor(3) as pool:
+                    ids = [f"{step}-{number}" for number in range(3)]
+                    results = pool.map(
+                        submit,
+                        [fleet] * 3,
+                        range(3),
+                        [base] * 3,
+                        ids,
+                        [step + 2, step + 3, step + 4],
+                    )
+                version = base
+                for number, result in enumerate(results):
+                    tries.append((base, ids[number], step + 2 + number))
+                    if result.outcome == fleet_pb2.ACCEPTED:
+                        accepted.setdefault(base, set()).add(ids[number])
+                    version = max(version, result.version)
+                base = version
+            final = settle_tries(fleet, tries)
+            for base, ids_of_base in accepted.items():
+                assert final[base] == ids_of_base
+            assert all(len(ids) == 1 for ids in final.values())
+            assert len(final) >= 5
+            wait_attached(fleet, 3, 2 + len(final))
+
+    @pytest.mark.requirement("R3", fault="router killed during a drain")
+    @pytest.mark.requirement("R4", fault="router killed during a drain")
+    @pytest.mark.requirement("R5", fault="router killed during a drain")
+    @pytest.mark.requirement("R7", fault="router killed during a drain")
+    @pytest.mark.requirement("R10", fault="another router drains")
+    def test_router_restarts_during_drain(self, tmp_path: Path) -> None:
+        """Guards against a drain that depends on the other routers."""
+        codes: list[int] = []
+        with run_fleet(tmp_path, routers=4, controllers=1) as fleet:
+
+            def fault() -> None:
+                for _ in range(2):
+                    draining = fleet.processes["host-2"]
+                    draining.send_signal(signal.SIGTERM)
+                    time.sleep(0.2)
+                    fleet.kill("host-3")
+                    fleet.start_host(3)
+                    codes.append(draining.wait(30))
+                    fleet.start_host(2)
+                    fleet.wait_ready()
+                    time.sleep(0.5)
+
+            callers = run_under_load(fleet, fault)
+            assert callers.count_answered() > 100
+            wait_attached(fleet, 4, 1)
+        assert codes == [0, 0]
+
+
+def settle_tries(
+    fleet: LocalFleet, tries: list[tuple[int, str, int]]
+) -> dict[int, set[str]]:
+    """Send all patches again; return the accepted ids of each base."""
+    final: dict[int, set[str]] = {}
+    for base, patch_id, share in tries:
+        _, result = submit_anywhere(fleet, base, patch_id, share)
+        if result.outcome == fleet_pb2.ACCEPTED:
+            final.setdefault(base, set()).add(patch_id)
+    return final
+
+
+def wait_voters(fleet: LocalFleet, voters: int) -> None:
+    """Wait until so many controllers vote and hold all entries."""
+    deadline = time.monotonic() + 2 * REPLACED_S
+    while True:
+        members = read_status(fleet, 1).get("controllers", [])
+        most = max((member["entries"] for member in members), default=0)
+        repaired = [
+            member
+            for member in members
+            if member["voter"]
+            and member["reachable"]
+            and member["entries"] == most
+        ]
+        if len(repaired) == len(members) == voters:
+            return
+        assert time.monotonic() < deadline, members
+        time.sleep(0.2)
