--- a/hornbeamyard/process/controller.py
+++ b/hornbeamyard/process/controller.py
@@ -333,12 +333,14 @@
         if self.replica.term == self._term:
             return
         self._term = self.replica.term
-        self._schedules = {}
+        for router in self.routers.values():
+            router.replaced = True
+            router.wake.set()
         self.routers = {}
+        self._schedules = {}
         for worker in self.registry.list_workers():
             self._put_worker(worker)
-        if self._term == 1:
-            # No controller led before, so no lease can be in force.
+        if self.replica.state.has_first_leader():
             return
         self._grants_from = (
             self._timers.now()
@@ -379,8 +381,16 @@
     # ---- versions --------------------------------------------------------
 
     async def _pass_on_versions(self) -> None:
+        passed_on = (0, 0, False)
         while True:
             await self.replica.wait_applied()
+            replica = self.replica
+            newest = replica.state.version, replica.term, replica.is_leader()
+            # Most entries are claims, which routers needn't hear of.
+            if newest == passed_on:
+                continue
+            passed_on = newest
+            self._plan_wake.set()
             for schedule in self._schedules.values():
                 self._set_shares(schedule)
             for router in self.routers.values():
--- a/hornbeamyard/tests/test_combined.py
+++ b/hornbeamyard/tests/test_combined.py
@@ -23,7 +23,7 @@
 from .callers import Callers
 from .fleet import CALLER_KEY, LocalFleet
 from .matrix import Tally
-from .relay import RelayedFleet
+from .partition import RelayedFleet
 from .rig import MODEL, SERVICE
 from .scenarios import _start_upstreams
 
--- a/hornbeamyard/tests/test_session.py
+++ b/hornbeamyard/tests/test_session.py
@@ -25,7 +25,8 @@
 
     document: dict[str, object]
 
-    def __init__(self) -> None:
+    def __init__(self, is_first_leader: bool) -> None:
+        self.is_first_leader = is_first_leader
         self.document = {
             "client_accounts": {},
             "pools": {POOL: {"kind": "model"}},
@@ -38,13 +39,17 @@
         self.version = 1
         self.patches: dict[int, bytes] = {}
 
+    def has_first_leader(self) -> bool:
+        """Return whether no controller led before."""
+        return self.is_first_leader
+
 
 class FakeReplica:
     """A replica that leads a given term."""
 
     def __init__(self, term: int) -> None:
         self.term = term
-        self.state = FakeState()
+        self.state = FakeState(is_first_leader=term == 1)
 
     def is_leader(self) -> bool:
         """Return whether this replica leads."""
