Count control traffic by a relay, test members and recovery

Cause: bytes_per_node_s was read from the loopback device and counted the work of others.

Change: benchmarks/relay.py; controllers give `controllers[host]` of the settings as their address to others, so that they may be reached by another one than they listen on. test_membership.py and test_bootstrap.py.

--- a/benchmarks/config.py
+++ b/benchmarks/config.py
@@ -1,7 +1,8 @@
 """Measures the configuration and the controllers' log.
 
 Violations are counted over seeded schedules of real modules on virtual time;
-the other figures come from real processes on loopback.
+the other figures come from real processes on loopback. All connections
+between the processes go through a relay that counts their bytes.
 """
 
 from __future__ import annotations
@@ -15,12 +16,13 @@
 
 import click
 import logbook
-import psutil
 
 from hornbeamyard.tests.fleet import LocalFleet
 from hornbeamyard.tests.test_failover import Operator
 from properties.cluster import run_seed
 
+from .relay import CountingRelay
+
 WORKERS = 4
 SIZES = (3, 5)
 PROPAGATE_PATCHES = 40
@@ -69,28 +71,29 @@
     return times
 
 
-def measure_traffic(fleet: LocalFleet) -> float:
-    """Return the bytes a second that an idle node sends on loopback.
-
-    The counters of the loopback device include everything else on the
-    machine that uses it, so the figure is an upper bound.
-    """
-    before = psutil.net_io_counters(pernic=True)["lo"].bytes_sent
+def measure_traffic(fleet: LocalFleet, relay: CountingRelay) -> float:
+    """Return the control traffic of an idle fleet, in B/s for each node."""
+    before = relay.count
     started = time.monotonic()
     time.sleep(IDLE_S)
-    sent = psutil.net_io_counters(pernic=True)["lo"].bytes_sent - before
+    sent = relay.count - before
     return sent / (time.monotonic() - started) / fleet.routers
 
 
 def measure_fleet(folder: Path) -> dict[str, float]:
     """Measure 9 routers, of which 3 hosts run a controller."""
-    with LocalFleet(folder, routers=9, controllers=3) as fleet:
+    with (
+        LocalFleet(folder, routers=9, controllers=3) as fleet,
+        CountingRelay(fleet.controller_ports) as relay,
+    ):
+        fleet.relay_ports = relay.relay_ports
+        fleet.write_settings()
         fleet.start()
         operator = Operator(fleet)
         leader = operator.find_leader()
         operator.wait_members(leader, 3)
         times = sorted(measure_propagation(operator, leader))
-        traffic = measure_traffic(fleet)
+        traffic = measure_traffic(fleet, relay)
         commits = operator.patch_many(leader, PROPAGATE_PATCHES, 100)
     return {
         "propagate_p99_s": times[min(len(times) - 1, len(times) * 99 // 100)],
--- a/hornbeamyard/process/daemon.py
+++ b/hornbeamyard/process/daemon.py
@@ -78,7 +78,7 @@
     calls = GrpcCalls(settings.tls)
     replica = Replica(
         peers.describe_self(settings, random.getrandbits(63)),
-        address,
+        settings.controllers[settings.host],
         FolderDisk(settings.controller.data_folder),
         calls,
         timers,
--- a/hornbeamyard/tests/fleet.py
+++ b/hornbeamyard/tests/fleet.py
@@ -43,6 +43,8 @@
     routers : int
     controllers : int
         The first hosts run a controller beside their router.
+    relay_ports : list of int
+        Set between entering and starting, with `write_settings`.
     """
 
     folder: Path
@@ -53,15 +55,21 @@
     router_ports: list[int] = field(default_factory=list)
     controller_ports: list[int] = field(default_factory=list)
     version: int = 0
+    # Ports at which the controllers are reached, when not their own.
+    relay_ports: list[int] = field(default_factory=list)
 
     def __enter__(self) -> LocalFleet:
         self.router_ports = [find_free_port() for _ in range(self.routers)]
         self.controller_ports = [
             find_free_port() for _ in range(self.controllers)
         ]
+        self.write_settings()
+        return self
+
+    def write_settings(self) -> None:
+        """Write the settings of all hosts."""
         for number in range(self.routers):
             self._write_settings(number)
-        return self
 
     def __exit__(
         self,
@@ -215,7 +223,9 @@
             "availability_zone": zones[number % len(zones)],
             "controllers": {
                 f"host-{place}": f"127.0.0.1:{port}"
-                for place, port in enumerate(self.controller_ports)
+                for place, port in enumerate(
+                    self.relay_ports or self.controller_ports
+                )
             },
             "router": {
                 "address": f"127.0.0.1:{self.router_ports[number]}",
--- /dev/null
+++ b/hornbeamyard/tests/test_bootstrap.py
@@ -0,0 +1,77 @@
+"""First members, and recovery after the loss of a majority."""
+
+from __future__ import annotations
+
+import shutil
+from pathlib import Path
+
+import pytest
+
+from hornbeamyard.process.settings import Settings, load_settings
+from hornbeamyard.version.bootstrap import initialize, recover
+
+from .fleet import LocalFleet
+from .test_failover import Operator
+
+
+def load(fleet: LocalFleet, number: int) -> Settings:
+    """Return the settings of a host."""
+    return load_settings(fleet.folder / f"host-{number}.json").unwrap()
+
+
+class TestInitialize:
+    """A data folder is made once."""
+
+    def test_refuses_second_time(self, tmp_path: Path) -> None:
+        """Guards against a member that loses its log to a repeat."""
+        with LocalFleet(tmp_path, routers=3, controllers=3) as fleet:
+            settings = load(fleet, 0)
+            made = initialize(settings).unwrap()
+            assert made.members == ["host-0", "host-1", "host-2"]
+            assert "data folder already" in initialize(settings).unwrap_err()
+
+    def test_refuses_host_without_role(self, tmp_path: Path) -> None:
+        """Guards against a data folder where no controller runs."""
+        with LocalFleet(tmp_path, routers=2, controllers=1) as fleet:
+            refused = initialize(load(fleet, 1)).unwrap_err()
+            assert "no role 'controller'" in refused
+
+    @pytest.mark.process
+    @pytest.mark.requirement("R14", fault="emptied host initialized again")
+    def test_refuses_when_another_has_a_log(self, tmp_path: Path) -> None:
+        """Guards against a second fleet beside the first."""
+        with LocalFleet(tmp_path, routers=3, controllers=3) as fleet:
+            fleet.start()
+            operator = Operator(fleet)
+            operator.find_leader()
+            fleet.kill("host-0")
+            shutil.rmtree(tmp_path / "data-0")
+            refused = initialize(load(fleet, 0)).unwrap_err()
+            assert "has a log already" in refused
+
+
+@pytest.mark.process
+class TestRecover:
+    """The surviving member goes on alone, when an operator accepts it."""
+
+    @pytest.mark.requirement("R14", fault="majority lost for good")
+    def test_goes_on_alone(self, tmp_path: Path) -> None:
+        """Guards against a fleet that can't be repaired."""
+        with LocalFleet(tmp_path, routers=3, controllers=3) as fleet:
+            fleet.start()
+            operator = Operator(fleet)
+            leader = operator.find_leader()
+            operator.wait_members(leader, 3)
+            operator.patch_many(leader, 0, 3)
+            for number in range(3):
+                fleet.kill(f"host-{number}")
+            settings = load(fleet, leader)
+            report = recover(settings, accept_data_loss=False).unwrap()
+            assert (report.version, report.is_done) == (3, False)
+            recovered = recover(settings, accept_data_loss=True).unwrap()
+            assert recovered.is_done
+            others = [n for n in range(3) if n != leader]
+            assert recovered.lost_members == [f"host-{n}" for n in others]
+            fleet.start_host(leader)
+            assert operator.find_leader() == leader
+            assert operator.patch(leader, 3).version == 4
--- /dev/null
+++ b/hornbeamyard/tests/test_membership.py
@@ -0,0 +1,170 @@
+"""Majorities and changes of members."""
+
+from __future__ import annotations
+
+import pytest
+
+from hornbeamyard.messages import fleet_pb2
+from hornbeamyard.version.membership import (
+    NEVER,
+    Answer,
+    change_members,
+    describe_members,
+    find_majority,
+    plan_step,
+)
+
+Change = fleet_pb2.MemberChange
+
+
+def build_members(*names: str) -> fleet_pb2.MemberList:
+    """Return members from texts such as `a`, `b (learner)` or `c/disk`."""
+    members = fleet_pb2.MemberList()
+    for name in names:
+        host, _, disk = name.removesuffix(" (learner)").partition("/")
+        members.members.add(
+            host=host,
+            address=host,
+            disk=(disk or host).encode(),
+            voter="learner" not in name,
+        )
+    return members
+
+
+def answer(disk: str, value: float = 10, initial: bool = False) -> Answer:
+    """Return a host's answer."""
+    return Answer(disk.encode(), initial, value)
+
+
+class TestFindMajority:
+    """A value counts when more than half of the voters have reached it."""
+
+    @pytest.mark.parametrize(
+        ("values", "majority"),
+        [
+            ([5], 5),
+            ([5, 3], 3),
+            ([5, 3, 1], 3),
+            ([5, 3, 2, 1], 2),
+            ([5, 4, 3, 2, 1], 3),
+        ],
+    )
+    def test_counts(self, values: list[float], majority: float) -> None:
+        """Guards against a commit that half of the members can lose."""
+        names = [f"m{number}" for number in range(len(values))]
+        answers = {
+            name: answer(name, value)
+            for name, value in zip(names, values, strict=True)
+        }
+        assert find_majority(build_members(*names), answers) == majority
+
+    @pytest.mark.requirement("R14", fault="disk emptied")
+    def test_other_folder_and_learner_don_t_count(self) -> None:
+        """Guards against a member that forgot what it had promised."""
+        members = build_members("a", "b", "c", "d (learner)")
+        answers = {
+            "a": answer("a"),
+            "b": answer("emptied"),
+            "d": answer("d"),
+        }
+        assert find_majority(members, answers) == NEVER
+
+    def test_first_members_are_known_by_initialization(self) -> None:
+        """Guards against a first leader of uninitialized folders."""
+        members = build_members("a", "b", "c")
+        for member in members.members:
+            member.disk = b""
+        answers = {
+            "a": answer("x", initial=True),
+            "b": answer("y", initial=True),
+        }
+        assert find_majority(members, answers) == 10
+        answers["b"].initial = False
+        assert find_majority(members, answers) == NEVER
+
+
+@pytest.mark.requirement("R14", fault="disk emptied")
+class TestPlanStep:
+    """Repairs go on one voter at a time."""
+
+    def test_repairs_emptied_member(self) -> None:
+        """Guards against an emptied member that stays out, or votes early."""
+        members = build_members("a", "b", "c/old")
+        answers = {"a": answer("a"), "b": answer("b"), "c": answer("new", 3)}
+        seen = []
+        for match in (3, 3, 10, 10, 10):
+            answers["c"].value = match
+            step = plan_step(members, answers, commit_index=10)
+            if step is not None:
+                members = step
+            seen.append(describe_members(members))
+        assert seen == [
+            "a, b, c, c (learner)",
+            "a, b, c, c (learner)",
+            "a, b, c, c",
+            "a, b, c",
+            "a, b, c",
+        ]
+        assert members.members[2].disk == b"new"
+
+    def test_replaces_host(self) -> None:
+        """Guards against a replaced member that stays."""
+        members = build_members("a", "b", "c")
+        changed = change_members(
+            members,
+            Change(
+                kind=Change.REPLACE, host="c", replacement="d", address="d"
+            ),
+        )
+        assert isinstance(changed, fleet_pb2.MemberList)
+        answers = {name: answer(name) for name in "abd"}
+        seen = []
+        for _ in range(4):
+            step = plan_step(changed, answers, commit_index=10)
+            if step is not None:
+                changed = step
+            seen.append(describe_members(changed))
+        assert seen == ["a, b, c, d (learner)"] + ["a, b, c, d"] + (
+            ["a, b, d"] * 2
+        )
+
+
+class TestChangeMembers:
+    """Changes that can't be made are refused with the reason."""
+
+    @pytest.mark.parametrize(
+        ("kind", "host", "reason"),
+        [
+            (Change.ADD, "a", "is a member already"),
+            (Change.ADD, "", "host or address is missing"),
+            (Change.REMOVE, "x", "is not a member; members: .'a', 'b'"),
+            (Change.REPLACE, "x", "is not a member"),
+            (Change.KIND_UNSPECIFIED, "a", "is not known"),
+        ],
+    )
+    def test_refuses(self, kind: int, host: str, reason: str) -> None:
+        """Guards against a member list that can't work."""
+        change = Change(kind=kind, host=host, address="1", replacement="y")
+        refused = change_members(build_members("a", "b"), change)
+        assert isinstance(refused, str)
+        assert reason.replace(".'", "['") in refused
+
+    @pytest.mark.parametrize(
+        ("names", "host", "reason"),
+        [
+            (["a"], "a", "last voter"),
+            (["a", "b/old", "b/new"], "b", "being repaired"),
+        ],
+    )
+    def test_refuses_removal(
+        self, names: list[str], host: str, reason: str
+    ) -> None:
+        """Guards against a fleet without voters, or two removed at once."""
+        change = Change(kind=Change.REMOVE, host=host)
+        assert reason in change_members(build_members(*names), change)
+
+    def test_one_at_a_time(self) -> None:
+        """Guards against two overlapping changes."""
+        change = Change(kind=Change.ADD, host="d", address="d")
+        members = build_members("a", "b (learner)")
+        assert "is still being added" in change_members(members, change)
--- a/hornbeamyard/version/bootstrap.py
+++ b/hornbeamyard/version/bootstrap.py
@@ -179,11 +179,10 @@
 
 
 async def _become_only_voter(journal: Journal, settings: Settings) -> None:
-    assert settings.controller is not None
     term = journal.term + 1
     member = fleet_pb2.Member(
         host=settings.host,
-        address=settings.controller.address,
+        address=settings.controllers[settings.host],
         voter=True,
         disk=journal.disk_id,
     )
