Test a disk error of the leader's process

Cause: failing disks were only covered in virtual time.

Change: test_failover.py replaces the leader's log by a folder; another controller leads, the patch is accepted there with the same id, and the process goes on as a router.

--- a/hornbeamyard/tests/test_failover.py
+++ b/hornbeamyard/tests/test_failover.py
@@ -240,6 +240,32 @@
             assert operator.read(operator.find_leader(but=leader)).version == 3
 
 
+@pytest.mark.process
+class TestDisk:
+    """A controller whose disk fails neither votes nor leads."""
+
+    @pytest.mark.requirement("R8", fault="disk error of the leader")
+    def test_leader_steps_down(self, tmp_path: Path) -> None:
+        """Guards against promises that aren't on disk."""
+        with LocalFleet(tmp_path, routers=3, controllers=3) as fleet:
+            fleet.start()
+            operator = Operator(fleet)
+            leader = operator.find_leader()
+            operator.wait_members(leader, 3)
+            assert operator.patch(leader, 0).version == 1
+            log = tmp_path / f"data-{leader}" / "log"
+            log.unlink()
+            log.mkdir()
+            result = operator.patch(leader, 1, "second")
+            assert result.outcome == fleet_pb2.UNKNOWN
+            operator.wait_log(leader, "no longer votes or leads")
+            new = operator.find_leader(but=leader)
+            # The patch never reached a disk, so that it may be sent again.
+            assert operator.patch(new, 1, "second").version == 2
+            assert fleet.processes[f"host-{leader}"].poll() is None
+            operator.wait_log(leader, "version 2 is in force")
+
+
 @pytest.mark.process
 class TestRestart:
     """A controller starts quickly with a long log."""
