Close claims of routers that do not come back; wake waiting requests

Cause: a claim of a router that was killed for good stayed in progress until it expired after 24 h, because only a new process of that host closed it. A request that waited only for an ejected worker was not started when the ejection ended while the router held its lease.

Change: the lead controller closes the claims of a host whose router has been missing for 30 s; an answer that a cut-off router records later still counts. The check of ready requests runs whether or not the lease holds.

--- a/hornbeamyard/process/controller.py
+++ b/hornbeamyard/process/controller.py
@@ -15,6 +15,7 @@
 from ..pool.ledger import Change
 from ..pool.schedule import Schedule
 from ..pool.worker import Registry, Worker
+from ..version.orphans import OrphanCloser
 from ..version.replica import Replica
 from ..version.state import dump_document
 from .timers import Timers
@@ -72,6 +73,7 @@
     """
 
     __slots__ = (
+        "_closer",
         "_grants_from",
         "_plan_all_at",
         "_plan_wake",
@@ -96,12 +98,14 @@
         self._plan_all_at = 0.0
         self._term = 0
         self._grants_from = 0.0
+        self._closer = OrphanCloser(replica, timers, lambda: self.routers)
 
     async def run(self) -> None:
         """Plan, pass on versions and expire upstreams until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._plan_repeatedly)
             tasks.start_soon(self._pass_on_versions)
+            tasks.start_soon(self._closer.run)
 
     def get_schedules(self) -> Mapping[str, Schedule]:
         """Return the schedules of all pools by name."""
--- a/hornbeamyard/process/router.py
+++ b/hornbeamyard/process/router.py
@@ -206,6 +206,9 @@
     async def _expire_upstreams(self) -> None:
         interval = options.REPORT_INTERVAL_S
         async for now in self._timers.subscribe(interval):
+            # Workers whose ejection has ended take requests again.
+            for admission in self._admissions.values():
+                admission.start_ready()
             if self.session.attachment.holds_lease(now):
                 # The lead controller tells which upstreams are gone.
                 self.session.attachment.renew_workers(now)
@@ -213,9 +216,6 @@
             for worker in self.registry.expire(now):
                 dispatch = self.find_admission(worker.pool).dispatch
                 dispatch.holding.forget(worker.name)
-            # Workers whose ejection has ended take requests again.
-            for admission in self._admissions.values():
-                admission.start_ready()
 
     # ---- drain -----------------------------------------------------------
 
--- a/hornbeamyard/version/claims.py
+++ b/hornbeamyard/version/claims.py
@@ -76,6 +76,14 @@
             _is_left_open(record, identity) for record in self._claims.values()
         )
 
+    def list_open_hosts(self) -> set[str]:
+        """Return the hosts whose routers hold claims without an outcome."""
+        return {
+            record.host
+            for record in self._claims.values()
+            if record.state == fleet_pb2.GRANTED
+        }
+
     def _make(
         self,
         identity: fleet_pb2.Identity,
--- /dev/null
+++ b/hornbeamyard/version/orphans.py
@@ -0,0 +1,66 @@
+"""Claims of routers that do not come back."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+
+from ..messages import fleet_pb2
+from ..process.timers import Timers
+from .replica import Replica
+
+CHECK_INTERVAL_S = 10.0
+# Claims are closed when their router has been missing for this long. A
+# router that was only cut off may still record the answer later.
+MISSING_S = 30.0
+
+
+class OrphanCloser:
+    """Closes claims of missing routers, so that repeats are told `unknown`.
+
+    Otherwise a caller that repeats such a request would be told for as long
+    as claims are kept that the request is still in progress.
+
+    Parameters
+    ----------
+    replica : Replica
+    timers : Timers
+    list_attached : callable
+        Returns the hosts whose routers are attached.
+    """
+
+    __slots__ = ("_list_attached", "_missing", "_replica", "_timers")
+
+    def __init__(
+        self,
+        replica: Replica,
+        timers: Timers,
+        list_attached: Callable[[], Collection[str]],
+    ) -> None:
+        self._replica = replica
+        self._timers = timers
+        self._list_attached = list_attached
+        self._missing: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Check now and then until cancelled."""
+        async for now in self._timers.subscribe(CHECK_INTERVAL_S):
+            await self.check(now)
+
+    async def check(self, now: float) -> None:
+        """Close the claims of routers that have been missing for long."""
+        if not self._replica.is_leader():
+            self._missing = {}
+            return
+        hosts = self._replica.state.claims.list_open_hosts()
+        missing = hosts - set(self._list_attached())
+        self._missing = {
+            host: self._missing.get(host, now) for host in missing
+        }
+        for host, since in self._missing.items():
+            if now - since < MISSING_S:
+                continue
+            # No process has incarnation 0, so all open claims are earlier.
+            identity = fleet_pb2.Identity(host=host, incarnation=0)
+            await self._replica.make_claims(
+                fleet_pb2.ClaimBatch(identity=identity, started=True)
+            )
