--- a/hornbeamyard/pool/placement.py
+++ b/hornbeamyard/pool/placement.py
@@ -123,7 +123,8 @@
     between many routers.
     """
     rates: dict[str, dict[str, float]] = {name: {} for name in places}
-    for account in short:
+    # Sorted, so that a run can be repeated with the same seed.
+    for account in sorted(short):
         offered = {
             name: value
             for name, place in places.items()
