--- a/hornbeamyard/tests/test_combined.py
+++ b/hornbeamyard/tests/test_combined.py
@@ -50,8 +50,8 @@
 
 def run_under_load(fleet: LocalFleet, fault: Callable[[], None]) -> Callers:
     """Run callers while faults happen, and check what they were told."""
-    journals = _start_upstreams(fleet)
-    callers = Callers(fleet, MODEL, SERVICE, seed=1)
+    _start_upstreams(fleet)
+    callers = Callers(fleet, MODEL, SERVICE, seed="combined-1")
 
     async def run() -> None:
         async with anyio.create_task_group() as tasks:
@@ -66,7 +66,7 @@
 
     anyio.run(run)
     tally = Tally()
-    callers.compare(journals, tally)
+    callers.compare(fleet.folder.glob("*.journal"), tally)
     assert tally.list_violations() == []
     return callers
 
