--- a/benchmarks/proof.py
+++ b/benchmarks/proof.py
@@ -5,7 +5,8 @@
 import json
 import re
 import sys
-from collections.abc import Iterable, Sequence
+import time
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -60,12 +61,20 @@
 
     claims: list[Claim] = field(default_factory=list)
     results: dict[str, str] = field(default_factory=dict)
+    # Time after which no further test is started; the rest is "not run".
+    ends: float = float("inf")
 
     @pytest.hookimpl(tryfirst=True)
     def pytest_collection_modifyitems(self, items: list[pytest.Item]) -> None:
         """Note the marks of all tests, before any is deselected."""
         for item in items:
             self.claims += read_marks(item.nodeid, item.iter_markers())
+        items.sort(key=lambda i: i.get_closest_marker("process") is not None)
+
+    def pytest_runtest_logfinish(self, nodeid: str) -> None:
+        """Stop when the time is over."""
+        if time.monotonic() > self.ends:
+            pytest.exit("the time is over", returncode=1)
 
     def pytest_runtest_logreport(self, report: pytest.TestReport) -> None:
         """Note a result; a failure in any phase counts."""
@@ -95,16 +104,16 @@
     return dict(_REQUIREMENT.findall(DESIGN.read_text(encoding="utf-8")))
 
 
-def collect(run: bool, arguments: Sequence[str] = ()) -> Collector:
-    """Collect all tests and run them when asked to.
+def collect(run: bool, within_s: float = float("inf")) -> Collector:
+    """Collect all tests and run them when asked to, fast ones first.
 
     Raises
     ------
     RuntimeError
         When the tests can't be collected.
     """
-    collector = Collector()
-    options = ["-q", "-p", "no:cacheprovider", *arguments]
+    collector = Collector(ends=time.monotonic() + within_s)
+    options = ["-q", "-p", "no:cacheprovider"]
     if not run:
         options += ["--collect-only", "-qq"]
     code = pytest.main(options, plugins=[collector])
@@ -218,9 +227,15 @@
 
 @click.command()
 @click.option("--marks", is_flag=True, help="Print the marks; run nothing.")
-def main(marks: bool) -> None:
+@click.option(
+    "--within",
+    type=float,
+    default=float("inf"),
+    help="Seconds after which no test is started; the rest is 'not run'.",
+)
+def main(marks: bool, within: float) -> None:
     """Run all tests and write docs/PROOF.md."""
-    collector = collect(run=not marks)
+    collector = collect(not marks, within)
     requirements = load_requirements()
     unknown = find_unknown(requirements, collector.claims)
     if unknown:
