--- a/benchmarks/links.py
+++ b/benchmarks/links.py
@@ -52,9 +52,12 @@
 def announce(links: Links, workers: int) -> None:
     """Announce workers for the first time, each through some router."""
     reports = [fleet_pb2.RouterReport() for _ in links.routers]
+    allowed = links.controller.replica.state.configuration.upstreams
     for number in range(workers):
+        name = f"worker-{number:05d}"
+        allowed[name] = []
         reports[number % len(reports)].announcements.add(
-            upstream=f"worker-{number:05d}",
+            upstream=name,
             address=f"http://10.0.{number >> 8}.{number & 255}:9000",
             availability_zone=f"z{number % 7}",
             pool=f"pool-{number % 27:02d}",
--- a/hornbeamyard/process/controller.py
+++ b/hornbeamyard/process/controller.py
@@ -12,7 +12,8 @@
 from ..messages import fleet_pb2
 from ..pool import options
 from ..pool.allocation import Allocation
-from ..pool.schedule import Change, Schedule
+from ..pool.ledger import Change
+from ..pool.schedule import Schedule
 from ..pool.worker import Registry, Worker
 from ..version.replica import Replica
 from ..version.state import dump_document
@@ -146,6 +147,11 @@
         if report.version_in_force == self.replica.state.version:
             router.version_sent = report.version_in_force
         self._take_announcements(report, now)
+        router.workers_gone.update(
+            message.upstream
+            for message in report.announcements
+            if self.registry.get(message.upstream) is None
+        )
         self._note_routers_changed()
         _log.info("router {} attached", name)
         return router
@@ -242,7 +248,7 @@
     ) -> None:
         for message in report.announcements:
             worker = Worker.from_message(message, now)
-            if worker.has_expired(now):
+            if worker.has_expired(now) or not self._is_allowed(worker):
                 continue
             if not self.registry.announce(worker):
                 continue
@@ -270,12 +276,32 @@
 
     def _expire_workers(self, now: float) -> None:
         for worker in self.registry.expire(now):
-            self._get_schedule(worker.pool).remove_worker(worker.name)
-            for router in self.routers.values():
-                router.workers_gone.add(worker.name)
-                router.wake.set()
+            self._forget_worker(worker)
             _log.info("the lease of upstream {} has ended", worker.name)
 
+    def _remove_disallowed(self) -> None:
+        """Forget the upstreams that a new version no longer allows.
+
+        Waiting for the end of their leases would leave them in use for
+        longer than a leaving upstream may be.
+        """
+        for worker in self.registry.list_workers():
+            if self._is_allowed(worker):
+                continue
+            self.registry.remove(worker.name)
+            self._forget_worker(worker)
+            _log.info("upstream {} is no longer allowed", worker.name)
+
+    def _is_allowed(self, worker: Worker) -> bool:
+        return worker.name in self.replica.state.configuration.upstreams
+
+    def _forget_worker(self, worker: Worker) -> None:
+        self._get_schedule(worker.pool).remove_worker(worker.name)
+        for router in self.routers.values():
+            router.workers.discard(worker.name)
+            router.workers_gone.add(worker.name)
+            router.wake.set()
+
     # ---- planning --------------------------------------------------------
 
     async def _plan_repeatedly(self) -> None:
@@ -301,6 +327,7 @@
         self._check_term()
         now = self._timers.now()
         self._expire_workers(now)
+        self._remove_disallowed()
         self._plan(now)
 
     def _plan(self, now: float) -> None:
--- a/hornbeamyard/tests/test_failover.py
+++ b/hornbeamyard/tests/test_failover.py
@@ -130,6 +130,15 @@
                 raise TimeoutError(f"host {host} never wrote {text!r}")
             time.sleep(0.05)
 
+    def wait_first_members(self, host: int) -> None:
+        """Wait until the data folders of all first members are named."""
+        deadline = time.monotonic() + TIMEOUT_S
+        lines = 1 + len(self.ports)
+        while self.fleet.read_log(f"host-{host}").count("members: ") < lines:
+            if time.monotonic() > deadline:
+                raise TimeoutError("the data folders are not named")
+            time.sleep(0.05)
+
     def wait_members(self, host: int, count: int) -> None:
         """Wait until the newest members in a log are so many voters."""
         deadline = time.monotonic() + TIMEOUT_S
@@ -240,6 +249,32 @@
             assert operator.read(operator.find_leader(but=leader)).version == 3
 
 
+@pytest.mark.process
+class TestDisk:
+    """A controller whose disk fails neither votes nor leads."""
+
+    @pytest.mark.requirement("R8", fault="disk error of the leader")
+    def test_leader_steps_down(self, tmp_path: Path) -> None:
+        """Guards against promises that aren't on disk."""
+        with LocalFleet(tmp_path, routers=3, controllers=3) as fleet:
+            fleet.start()
+            operator = Operator(fleet)
+            leader = operator.find_leader()
+            operator.wait_first_members(leader)
+            assert operator.patch(leader, 0).version == 1
+            log = tmp_path / f"data-{leader}" / "log"
+            log.unlink()
+            log.mkdir()
+            result = operator.patch(leader, 1, "second")
+            assert result.outcome == fleet_pb2.UNKNOWN
+            operator.wait_log(leader, "no longer votes or leads")
+            new = operator.find_leader(but=leader)
+            # The patch never reached a disk, so that it may be sent again.
+            assert operator.patch(new, 1, "second").version == 2
+            assert fleet.processes[f"host-{leader}"].poll() is None
+            operator.wait_log(leader, "version 2 is in force")
+
+
 @pytest.mark.process
 class TestRestart:
     """A controller starts quickly with a long log."""
--- a/hornbeamyard/tests/test_session.py
+++ b/hornbeamyard/tests/test_session.py
@@ -30,7 +30,7 @@
         self.document = {
             "client_accounts": {},
             "pools": {POOL: {"kind": "model"}},
-            "upstreams": {},
+            "upstreams": {name: {"keys": []} for name in ("w", "x")},
             "operators": {},
         }
         self.configuration: Configuration = parse_document(
@@ -123,6 +123,23 @@
         assert node.dispatch.holding.is_fallback()
         assert node.dispatch.holding.count_idle() == 8
 
+    @pytest.mark.requirement("R9", fault="cut off with the lead controller")
+    def test_keeps_worker_that_only_the_controller_misses(self) -> None:
+        """Guards against idle workers that still answer the probe."""
+        controller, timers = build_controller()
+        node = Node("r0")
+        node.announce("w", 0.0)
+        node.dispatch.submit(Ticket("hotel"), 0.0)
+        exchange(node, controller, timers, 0.0)
+        update = fleet_pb2.ControllerUpdate(
+            epoch=1, lease_ms=3000, workers_gone=["w"]
+        )
+        node.attachment.take_update(update, 2.0)
+        assert node.dispatch.holding.list_idle() == []
+        node.registry.record_probe("w", True, 4.0)
+        assert node.attachment.check_lease(5.0)
+        assert node.dispatch.holding.count_idle() == 8
+
     @pytest.mark.requirement("R12", fault="lead controller frozen and woken")
     def test_refuses_stale_epoch(self) -> None:
         """Guards against slots granted by a leader that was replaced."""
@@ -137,6 +154,41 @@
         assert node.attachment.check_lease(3.0)
 
 
+class TestAllowedUpstreams:
+    """Only upstreams of the newest version get work."""
+
+    @pytest.mark.requirement("R6", fault="upstream removed by a patch")
+    def test_removed_upstream_gets_no_new_work(self) -> None:
+        """Guards against use until a long lease ends."""
+        controller, timers = build_controller()
+        node = Node("r0")
+        node.announce("w", 0.0)
+        node.dispatch.submit(Ticket("hotel"), 0.0)
+        exchange(node, controller, timers, 0.0)
+        assert node.registry.get("w") is not None
+        controller.replica.state.configuration.upstreams.pop("w")
+        exchange(node, controller, timers, 0.1)
+        assert controller.get_schedules()[POOL].count_slots() == 0
+        assert node.dispatch.holding.list_idle() == []
+        assert node.dispatch.start_next(0.2) is None
+
+    @pytest.mark.requirement("R6", fault="upstream removed by a patch")
+    def test_fallback_leaves_removed_upstream_alone(self) -> None:
+        """Guards against use of a removed upstream that answers a probe."""
+        controller, timers = build_controller()
+        node = Node("r0")
+        node.announce("w", 0.0)
+        exchange(node, controller, timers, 0.0)
+        state = controller.replica.state
+        state.document["upstreams"].pop("w")
+        state.configuration = parse_document(state.document, 2).unwrap()
+        state.version = 2
+        exchange(node, controller, timers, 0.1)
+        node.registry.record_probe("w", True, 4.0)
+        assert node.attachment.check_lease(5.0)
+        assert node.dispatch.holding.count_idle() == 0
+
+
 class TestNewLeader:
     """A new lead controller waits for the leases of the old one."""
 
--- a/properties/cluster.py
+++ b/properties/cluster.py
@@ -171,6 +171,11 @@
         for request in self._patches:
             self._send_patch(request)
         await self._advance(5.0)
+        # A leader that was replaced by the spare host has just stepped down.
+        deadline = self.world.now() + HEAL_LIMIT_S
+        while not any(host.leads() for host in self.hosts):
+            require(self.world.now() < deadline, "no leader at the end")
+            await self._advance(0.5)
         leaders = [host for host in self.hosts if host.leads()]
         require(len(leaders) == 1, f"{len(leaders)} leaders at the end")
         self.ledger.take_end(leaders[0].replica.state)
