List missed targets in KNOWN-RED.txt; prove that hints reach no decision

Cause: the fairness and forward benchmarks miss targets that no test showed, and no test covered R21.

Change: benchmarks that miss a target are listed and printed at the end of every test run. A test sends hints that are missing and wrong by far, and compares the tickets that reach the queue.

--- a/conftest.py
+++ b/conftest.py
@@ -41,3 +41,6 @@
     """Print the tests that were left out."""
     for test in config.stash.get(_LEFT_OUT, []):
         terminalreporter.write_line(f"KNOWN RED {test}")
+    for entry in load_entries():
+        if entry.test.startswith("benchmarks."):
+            terminalreporter.write_line(f"KNOWN RED {entry.test}")
--- a/hornbeamyard/tests/test_call.py
+++ b/hornbeamyard/tests/test_call.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 from typing import Any
 
 import anyio
 import pytest
 
+from hornbeamyard.pool.backlog import Ticket
+from hornbeamyard.pool.dispatch import Dispatch
 from hornbeamyard.request.call import Route, build_call, find_route
 from hornbeamyard.version.configuration import Configuration, Pool
 
@@ -103,6 +106,41 @@
         assert claimed.headers == [own]
 
 
+class TestCostHints:
+    """Hints on the cost of a request are no input to any decision."""
+
+    @pytest.mark.requirement("R21", fault="hint missing or wrong by ten times")
+    def test_hint_does_not_reach_the_queue(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against an account that gains slots by its hints."""
+        tickets: list[Ticket] = []
+        submit = Dispatch.submit
+
+        def record(self: Dispatch, ticket: Ticket, now: float) -> object:
+            tickets.append(ticket)
+            return submit(self, ticket, now)
+
+        monkeypatch.setattr(Dispatch, "submit", record)
+
+        async def run() -> None:
+            async with run_rig() as rig:
+                document = {"model": MODEL, "id": "r"}
+                await rig.call(CHAT, document)
+                for hint in ("0.001", "0.1", "3600"):
+                    reply = await rig.call(
+                        CHAT, document, hornbeamyard_cost_hint=hint
+                    )
+                    assert reply.status == 200
+
+        anyio.run(run)
+        seen = [replace(t, received_at=0.0, start_by=0.0) for t in tickets]
+        assert len({str(ticket) for ticket in seen}) == 1
+        waits = {round(t.start_by - t.received_at, 6) for t in tickets}
+        assert len(tickets) == 4
+        assert len(waits) == 1
+
+
 class TestBodies:
     """A body that can't be served gets a clear answer, never a 500."""
 
