--- a/hornbeamyard/connection/probes.py
+++ b/hornbeamyard/connection/probes.py
@@ -11,8 +11,8 @@
 from ..pool.worker import Registry, Worker
 from ..process.timers import Timers
 from .attachment import Attachment
+from .upstreams import STATUS_PATH
 
-STATUS_PATH = "/hornbeamyard/v1/status"
 TIMEOUT_S = 1.0
 
 
