Read an upstream's status in one place

Cause: the probe of a router without a lease and the check of silent connections each had their own request for an upstream's status. The probe took any JSON for an object and missed two kinds of connection errors, so an upstream that answered with a list ended the router in its fallback (AttributeError in a task of the router).

Change: `read_status` serves both; an answer that is no object counts as one without any member, as the check of silent connections did already. The unused `Dispatch.list_demands` is removed.

--- a/hornbeamyard/connection/probes.py
+++ b/hornbeamyard/connection/probes.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-import json
-
 import anyio
-import httpcore
 
 from ..pool import options
 from ..pool.worker import Registry, Worker
 from ..process.timers import Timers
 from .attachment import Attachment
-from .upstreams import STATUS_PATH
+from .upstreams import read_status
 
 TIMEOUT_S = 1.0
 
@@ -41,21 +38,15 @@
         async for now in self._timers.subscribe(interval):
             if not self._attachment.needs_probes(now):
                 continue
-            with self._timers.limit(TIMEOUT_S):
-                async with anyio.create_task_group() as tasks:
-                    for worker in self._registry.list_workers():
-                        tasks.start_soon(self._probe, worker, now)
+            async with anyio.create_task_group() as tasks:
+                for worker in self._registry.list_workers():
+                    tasks.start_soon(self._probe, worker, now)
 
     async def _probe(self, worker: Worker, now: float) -> None:
-        """Ask over a fresh connection, as old ones may be silent."""
-        try:
-            async with httpcore.AsyncConnectionPool() as connections:
-                response = await connections.request(
-                    "GET", worker.address + STATUS_PATH
-                )
-            status = json.loads(response.content)
-        except (httpcore.NetworkError, httpcore.ProtocolError, ValueError):
+        status = await read_status(worker.address, TIMEOUT_S)
+        if status is None:
             # A worker that doesn't answer is given up after `READY_S`.
             return
-        is_ready = response.status == 200 and status.get("leaving") is False
+        is_leaving = status.document.get("leaving")
+        is_ready = status.code == 200 and is_leaving is False
         self._registry.record_probe(worker.name, is_ready, now)
--- a/hornbeamyard/connection/upstreams.py
+++ b/hornbeamyard/connection/upstreams.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import json
-from typing import Protocol
+from dataclasses import dataclass
+from typing import Any, Protocol
 from urllib.parse import quote
 
 import anyio
@@ -190,6 +191,48 @@
             )
 
 
+@dataclass(slots=True)
+class Status:
+    """What an upstream answered when it was asked for its status.
+
+    Attributes
+    ----------
+    code : int
+        HTTP status.
+    document : dict
+        Empty when the answer is JSON, but not an object.
+    """
+
+    code: int
+    document: dict[str, Any]
+
+
+async def read_status(
+    address: str, timeout_s: float, query: str = ""
+) -> Status | None:
+    """Ask an upstream for its status.
+
+    It uses a fresh connection, as old ones may be silent.
+
+    Returns
+    -------
+    Status or None
+        None when no answer in JSON came within `timeout_s` seconds.
+    """
+    try:
+        with anyio.fail_after(timeout_s):
+            async with httpcore.AsyncConnectionPool() as fresh:
+                response = await fresh.request(
+                    "GET", address + STATUS_PATH + query
+                )
+        document = json.loads(response.content)
+    except (*CONNECTION_ERRORS, TimeoutError, ValueError):
+        return None
+    if not isinstance(document, dict):
+        document = {}
+    return Status(response.status, document)
+
+
 async def ask_running(
     address: str, identity: str, timeout_s: float
 ) -> str | None:
@@ -201,15 +244,11 @@
         Why the request is believed not to run; None when it runs, or when
         the upstream is alive and doesn't tell.
     """
-    url = f"{address}{STATUS_PATH}?request={quote(identity)}"
-    try:
-        with anyio.fail_after(timeout_s):
-            async with httpcore.AsyncConnectionPool() as fresh:
-                response = await fresh.request("GET", url)
-        document = json.loads(response.content)
-    except (*CONNECTION_ERRORS, TimeoutError, ValueError):
+    query = f"?request={quote(identity)}"
+    status = await read_status(address, timeout_s, query)
+    if status is None:
         return "the upstream's status doesn't answer"
-    if isinstance(document, dict) and document.get("running") is False:
+    if status.document.get("running") is False:
         return "the upstream doesn't run the request any more"
     return None
 
--- a/hornbeamyard/pool/dispatch.py
+++ b/hornbeamyard/pool/dispatch.py
@@ -333,11 +333,6 @@
             if account.running or self.backlog.count_waiting(name)
         }
 
-    def list_demands(self, now: float) -> dict[str, Demand]:
-        """Return demand and service of each account."""
-        demands, _ = self.collect_report(now, full=True)
-        return demands
-
     def count_requests(self) -> dict[str, tuple[int, int]]:
         """Return for each account the requests that wait and that run."""
         names = {*self._accounts, *self.backlog.list_accounts()}
--- a/hornbeamyard/tests/test_probes.py
+++ b/hornbeamyard/tests/test_probes.py
@@ -18,25 +18,8 @@
     return (head + body).encode()
 
 
-@pytest.mark.requirement("R6", fault="partition")
-@pytest.mark.parametrize(
-    ("answer", "expected"),
-    [
-        (build_answer("200 OK", '{"leaving": false}'), True),
-        (build_answer("200 OK", '{"leaving": true}'), False),
-        (build_answer("503 Busy", '{"leaving": false}'), False),
-        (build_answer("200 OK", "{}"), False),
-        (build_answer("200 OK", "nonsense"), None),
-        (b"", None),
-    ],
-)
-def test_takes_only_a_clear_answer(
-    answer: bytes, expected: bool | None
-) -> None:
-    """Guards against work for a worker that is leaving or unknown.
-
-    No answer changes nothing: what was known lasts until it is too old.
-    """
+def check_probe(answer: bytes, expected: bool | None) -> None:
+    """Probe a worker that gives an answer; check what is known of it."""
 
     async def serve(stream: anyio.abc.SocketStream) -> None:
         async with stream:
@@ -60,3 +43,30 @@
         assert registry.is_ready("w", 3.6) is (expected is True)
 
     anyio.run(run)
+
+
+@pytest.mark.requirement("R6", fault="partition")
+@pytest.mark.parametrize(
+    ("answer", "expected"),
+    [
+        (build_answer("200 OK", '{"leaving": false}'), True),
+        (build_answer("200 OK", '{"leaving": true}'), False),
+        (build_answer("503 Busy", '{"leaving": false}'), False),
+        (build_answer("200 OK", "{}"), False),
+        (build_answer("200 OK", "nonsense"), None),
+        (b"", None),
+    ],
+)
+def test_takes_only_a_clear_answer(
+    answer: bytes, expected: bool | None
+) -> None:
+    """Guards against work for a worker that is leaving or unknown.
+
+    No answer changes nothing: what was known lasts until it is too old.
+    """
+    check_probe(answer, expected)
+
+
+def test_survives_answer_that_is_no_object() -> None:
+    """Guards against a router that a worker's wrong status ends."""
+    check_probe(build_answer("200 OK", "[]"), False)
