--- a/hornbeamyard/connection/limits.py
+++ b/hornbeamyard/connection/limits.py
@@ -150,9 +150,26 @@
         Most open connections.
     load : LoadGauge
     timers : Timers
+
+    Attributes
+    ----------
+    header_size : int
+        Largest header in bytes.
+    header_timeout_s : float
+        Time within which a header must be complete.
+    limited_paths : tuple of bytes
+        Begins of the paths whose requests are refused under overload.
     """
 
-    __slots__ = ("_open", "connections", "load", "timers")
+    __slots__ = (
+        "_open",
+        "connections",
+        "header_size",
+        "header_timeout_s",
+        "limited_paths",
+        "load",
+        "timers",
+    )
 
     def __init__(
         self, connections: int, load: LoadGauge, timers: Timers
@@ -160,6 +177,9 @@
         self.connections = connections
         self.load = load
         self.timers = timers
+        self.header_size = HEADER_SIZE
+        self.header_timeout_s = HEADER_TIMEOUT_S
+        self.limited_paths: tuple[bytes, ...] = _LIMITED_PATHS
         self._open: set[LimitedProtocol] = set()
 
     def add(self, protocol: LimitedProtocol) -> bool:
@@ -211,7 +231,7 @@
             return
         # A header that grows without end never reaches `on_header`.
         self._header_size += len(data)
-        if self._header_size > HEADER_SIZE:
+        if self._header_size > self.limits.header_size:
             self._too_large = True
             self.send_400_response("")
 
@@ -224,7 +244,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take one header."""
         self._header_size += len(name) + len(value) + 4
-        if self._header_size > HEADER_SIZE:
+        if self._header_size > self.limits.header_size:
             self._too_large = True
             raise ValueError("the header is too large")
         super().on_header(name, value)
@@ -234,7 +254,7 @@
         self._header_since = None
         cycle = self.cycle
         if (
-            self.url.startswith(_LIMITED_PATHS)
+            self.url.startswith(self.limits.limited_paths)
             and (cycle is None or cycle.response_complete)
             and not self.limits.load.admit()
         ):
@@ -250,16 +270,22 @@
         """Answer what is not an acceptable header."""
         if self._too_large:
             status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-            self.refuse(status, f"the header exceeds {HEADER_SIZE} bytes")
+            size = self.limits.header_size
+            self.refuse(status, f"the header exceeds {size} bytes")
             return
         self.refuse(HTTPStatus.BAD_REQUEST, "the request is not valid HTTP")
 
     def check_header_time(self, now: float) -> None:
         """Close the connection when its header takes too long."""
         since = self._header_since
-        if since is None or now - since < HEADER_TIMEOUT_S:
+        timeout_s = self.limits.header_timeout_s
+        if since is None or now - since < timeout_s:
+            return
+        if not self._header_size and self.cycle is None:
+            # Nothing has come on the connection, so nothing is answered.
+            self.transport.close()
             return
-        reason = f"no whole header came within {HEADER_TIMEOUT_S:g} s"
+        reason = f"no whole header came within {timeout_s:g} s"
         self.refuse(HTTPStatus.REQUEST_TIMEOUT, reason)
 
     def refuse(self, status: HTTPStatus, reason: str) -> None:
--- a/hornbeamyard/connection/upstreams.py
+++ b/hornbeamyard/connection/upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from dataclasses import dataclass
 from typing import Any, Protocol
 from urllib.parse import quote
@@ -33,13 +34,53 @@
 
 
 class Upstreams:
-    """Connections to upstreams, kept for reuse after whole exchanges only."""
+    """Connections to upstreams, kept for reuse after whole exchanges only.
 
-    __slots__ = ("_backend", "_idle")
+    Parameters
+    ----------
+    connect_timeout_s : float, optional
+    idle_limit_s : float, optional
+        Time after which an idle connection is closed.
+    unacknowledged_s : float, optional
+        Time after which a connection fails whose bytes the other end doesn't
+        acknowledge; 0 for the system's default of many minutes.
+
+    Attributes
+    ----------
+    most_idle : int
+        Idle connections that are kept for each upstream.
+    opened : int
+        Connections opened so far.
+    """
+
+    __slots__ = (
+        "_backend",
+        "_connect_timeout_s",
+        "_idle",
+        "_idle_limit_s",
+        "_socket_options",
+        "most_idle",
+        "opened",
+    )
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        idle_limit_s: float = IDLE_LIMIT_S,
+        unacknowledged_s: float = 0.0,
+    ) -> None:
         self._backend = httpcore.AnyIOBackend()
+        self._connect_timeout_s = connect_timeout_s
         self._idle: dict[str, list[httpcore.AsyncHTTP11Connection]] = {}
+        self._idle_limit_s = idle_limit_s
+        self._socket_options = []
+        if unacknowledged_s:
+            value = int(unacknowledged_s * 1000)
+            self._socket_options.append(
+                (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, value)
+            )
+        self.most_idle = IDLE_CONNECTIONS
+        self.opened = 0
 
     async def connect(self, address: str) -> httpcore.AsyncHTTP11Connection:
         """Return an idle connection to an upstream, or a new one.
@@ -61,10 +102,16 @@
                 return connection
             await connection.aclose()
         origin = httpcore.URL(address).origin
+        self.opened += 1
         stream = await self._backend.connect_tcp(
-            origin.host.decode().strip("[]"), origin.port, CONNECT_TIMEOUT_S
+            origin.host.decode().strip("[]"),
+            origin.port,
+            self._connect_timeout_s,
+            socket_options=self._socket_options,
+        )
+        return httpcore.AsyncHTTP11Connection(
+            origin, stream, self._idle_limit_s
         )
-        return httpcore.AsyncHTTP11Connection(origin, stream, IDLE_LIMIT_S)
 
     async def release(
         self,
@@ -78,13 +125,18 @@
             whole
             and connection.is_idle()
             and not _has_unread_bytes(connection)
-            and len(idle) < IDLE_CONNECTIONS
+            and len(idle) < self.most_idle
         ):
             idle.append(connection)
             return
         with anyio.CancelScope(shield=True):
             await connection.aclose()
 
+    async def close_idle(self, address: str) -> None:
+        """Close all idle connections to an upstream."""
+        for connection in self._idle.pop(address, []):
+            await connection.aclose()
+
     async def close_expired(self) -> None:
         """Close connections that were idle for too long."""
         for address, idle in list(self._idle.items()):
--- /dev/null
+++ b/hornbeamyard/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: names, formats and calls."""
--- /dev/null
+++ b/hornbeamyard/platform/configuration.py
@@ -0,0 +1,120 @@
+"""The platform's configuration document, as a routing."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from result import Err, Result
+
+from ..process.validation import Finding
+from ..version.routing import Routing, parse_routing
+
+# Platform's name of a field, and the product's.
+_ROUTE = {
+    "name": "name",
+    "host": "host",
+    "pathPrefix": "path_prefix",
+    "timeoutMs": "timeout_ms",
+    "targetLatencyMs": "target_ms",
+    # The longest pause between events, not a target for their mean.
+    "targetGapMs": "longest_gap_ms",
+    "priority": "priority",
+    "maxAttempts": "most_attempts",
+    "public": "public",
+    "streamResumption": "resumable",
+}
+_POOL = {
+    "name": "name",
+    "healthCheckPath": "health_path",
+    "connectionLimit": "connections",
+}
+_ENGINE = {
+    "slots": "slots",
+    "kvCapacityTokens": "memory_tokens",
+    "stride": "tokens_per_event",
+}
+_LIMITS = {
+    "maxHeaderBytes": "header_size",
+    "maxBodyBytes": "body_size",
+    "headerTimeoutMs": "header_timeout_ms",
+    "idleTimeoutMs": "idle_timeout_ms",
+    "tokensPerS": "tokens_per_s",
+}
+_ACCOUNT = {"name": "name", "apiKeys": "keys", "priority": "priority"}
+_REPETITION = {
+    "idempotent": "idempotent",
+    "non_idempotent": "unrepeatable",
+    # A stream may be repeated only where it may be resumed.
+    "streaming": "unrepeatable",
+}
+
+
+def decode_configuration(data: bytes) -> Result[Routing, list[Finding]]:
+    """Return the routing that a platform's document describes."""
+    try:
+        document = json.loads(data)
+    except ValueError as error:
+        return Err([Finding("", f"is not JSON: {error}")])
+    if not isinstance(document, dict):
+        return Err([Finding("", "is not an object")])
+    return parse_routing(_translate(document))
+
+
+def _translate(document: dict[str, Any]) -> dict[str, Any]:
+    translated = {
+        "version": document.get("version"),
+        "routes": _translate_list(document.get("routes"), _translate_route),
+        "pools": _translate_list(document.get("services"), _translate_pool),
+        "limits": _translate_limits(document.get("limits") or {}),
+    }
+    if document.get("tenants") is not None:
+        translated["client_accounts"] = _translate_list(
+            document["tenants"], lambda item: _rename(item, _ACCOUNT)
+        )
+    return translated
+
+
+def _translate_route(item: dict[str, Any]) -> dict[str, Any]:
+    route = _rename(item, _ROUTE)
+    kind = item.get("routeKind")
+    route["repetition"] = _REPETITION.get(str(kind), kind)
+    route["streaming"] = kind == "streaming"
+    if item.get("trafficSplit"):
+        route["shares"] = _translate_list(
+            item["trafficSplit"],
+            lambda share: _rename(
+                share, {"service": "pool", "weight": "weight"}
+            ),
+        )
+    else:
+        route["shares"] = [{"pool": item.get("service"), "weight": 1}]
+    return route
+
+
+def _translate_pool(item: dict[str, Any]) -> dict[str, Any]:
+    engine = item.get("engine")
+    pool = _rename(item, _POOL)
+    if isinstance(engine, dict):
+        pool |= _rename(engine, _ENGINE)
+    return pool
+
+
+def _translate_limits(limits: Any) -> Any:
+    return _rename(limits, _LIMITS) if isinstance(limits, dict) else limits
+
+
+def _translate_list(items: Any, translate: Any) -> Any:
+    if not isinstance(items, list):
+        return items
+    return [
+        translate(item) if isinstance(item, dict) else item for item in items
+    ]
+
+
+def _rename(item: Any, names: dict[str, str]) -> dict[str, Any]:
+    return {
+        names[name]: value
+        for name, value in item.items()
+        if name in names and value is not None
+    }
--- /dev/null
+++ b/hornbeamyard/platform/headers.py
@@ -0,0 +1,30 @@
+"""The platform's headers of requests and answers."""
+
+from __future__ import annotations
+
+from ..request.dialect import HeaderNames
+
+NAMES = HeaderNames(
+    request_id=b"x-request-id",
+    deadline_ms=b"x-deadline-ms",
+    key=b"api-key",
+    key_prefix=b"",
+    account=b"x-tenant",
+    model=b"x-model",
+    token_counts=b"x-token-counts",
+    expected_tokens=b"x-length-hint",
+    parts=b"x-prompt-prefix",
+    upstream=b"x-expect-instance",
+    signature=b"x-response-seal",
+    not_run=b"x-not-executed",
+    router_only=frozenset(
+        (
+            b"x-hold",
+            b"x-pin-ms",
+            b"x-kv-backup",
+            b"kv-from",
+            b"kv-fetch",
+            b"wait-ms",
+        )
+    ),
+)
--- /dev/null
+++ b/hornbeamyard/pool/steering.py
@@ -0,0 +1,448 @@
+"""Which requests of a pool are sent where and when, and which are refused.
+
+The decisions depend on nothing but what the router knows: they have no
+input, output or clock of their own.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable, Iterable
+from contextlib import AbstractContextManager
+from dataclasses import dataclass, field
+from enum import Enum
+
+import anyio
+
+from .census import Upstream, UpstreamState
+from .demand import Demand
+from .engine import (
+    Engine,
+    Estimate,
+    Server,
+    estimate,
+    held_tokens,
+)
+from .shares import Shares
+from .usage import UpstreamUse
+
+# Part of its target for which a request may wait for a place before it is
+# refused. A refusal after a longer wait leaves the caller too little time to
+# come back.
+HOLD_SHARE = 0.125
+# Parts of the target that the work ahead of a request may take: as much as
+# leaves time to read its own prompt, but at least the lower one, so that
+# large prompts aren't refused for their size alone.
+WAIT_SHARE = 0.9
+LEAST_WAIT_SHARE = 0.35
+# A caller that comes back after a refusal has lost its target mostly, but is
+# better served late than refused again.
+RETURNED_WAIT_SHARE = 1.5
+# Reading a shared part again costs the pool's capacity beside the time, so
+# its time counts this many times.
+SHARED_READ_WEIGHT = 3.0
+# Cost of another availability zone, in ms: the delay, and the traffic.
+ZONE_COST_MS = 15.0
+# Cost of each rank among the engines that a shared part may go to, in ms. It
+# makes all routers spill to the same engine first.
+RANK_COST_MS = 25.0
+# Engines that a shared part may spill to. More would read it again more
+# often than the spread of load is worth.
+RANKS = 4
+# Cost of a full batch in ms, for the slower events of all requests in it.
+CROWD_COST_MS = 60.0
+# Shared parts below this many tokens are read anew sooner than waited for.
+LEAST_AFFINITY_TOKENS = 800
+# The pool is idle when the work waiting in its engines takes less than this
+# share of common targets, and crowded when it takes more than the other.
+IDLE_WAIT_MS = 120.0
+CROWDED_WAIT_MS = 350.0
+# Shortest and longest time after which a refused caller should return.
+LEAST_RETRY_S = 0.2
+MOST_RETRY_S = 4.0
+# Waiting requests for each pool; each holds its body in memory.
+MOST_WAITING = 400
+# Part of the deadline within which a stream should have ended.
+FINISH_SHARE = 0.9
+
+
+class Verdict(Enum):
+    """Why a request was refused."""
+
+    NO_UPSTREAM = "no upstream is ready"
+    NO_SHARE = "the account's share is used up"
+    NO_ROOM = "the upstreams are full"
+    TOO_LATE = "the answer would come too late"
+    QUEUE_FULL = "too many requests wait"
+
+
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    """A request that is not sent, and when its caller should come back."""
+
+    verdict: Verdict
+    retry_after_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class Placement:
+    """A request that is sent.
+
+    Attributes
+    ----------
+    server : Server
+    estimate : Estimate
+    rank : int
+        Rank of the engine for the request's shared parts; -1 when the
+        shared parts did not matter.
+    """
+
+    server: Server
+    estimate: Estimate
+    rank: int
+
+
+@dataclass(slots=True, eq=False)
+class Waiting:
+    """A request that waits for a place."""
+
+    demand: Demand
+    excluded: frozenset[str]
+    give_up_at: float
+    done: anyio.Event = field(default_factory=anyio.Event)
+    result: Placement | Refusal | None = None
+
+
+def rank_engines(affinity: str, engines: Iterable[Server]) -> list[str]:
+    """Return the ids of engines by preference for a shared part.
+
+    Rendezvous hashing: all routers get the same order, and an engine that
+    comes or goes changes the order of few parts.
+    """
+    scored = [
+        (zlib.crc32(f"{affinity}/{engine.id}".encode()), engine.id)
+        for engine in engines
+    ]
+    return [id for _, id in sorted(scored, reverse=True)]
+
+
+class Steering:
+    """The upstreams of one pool, and the requests that wait for them.
+
+    Parameters
+    ----------
+    pool : str
+    availability_zone : str
+        Of this router.
+    shares : Shares
+    draw : callable
+        Returns a random number from 0 to 1, for spreading callers.
+    limit : callable
+        Returns a scope that is cancelled after a number of seconds.
+    """
+
+    __slots__ = (
+        "_draw",
+        "_limit",
+        "_memory_tokens",
+        "_pool",
+        "_read_ms",
+        "_shares",
+        "_slots",
+        "_waiting",
+        "_zone",
+        "servers",
+    )
+
+    def __init__(
+        self,
+        pool: str,
+        availability_zone: str,
+        shares: Shares,
+        draw: Callable[[], float],
+        limit: Callable[[float], AbstractContextManager[anyio.CancelScope]],
+    ) -> None:
+        self._draw = draw
+        self._limit = limit
+        self._memory_tokens = 0
+        self._pool = pool
+        self._read_ms = 0.0
+        self._shares = shares
+        self._slots = 0
+        self._waiting: list[Waiting] = []
+        self._zone = availability_zone
+        self.servers: dict[str, Server] = {}
+
+    # ---- upstreams -------------------------------------------------------
+
+    def configure(
+        self, memory_tokens: int, slots: int, tokens_per_s: float
+    ) -> None:
+        """Take over what the routing says of the pool."""
+        self._memory_tokens = memory_tokens
+        self._slots = slots
+        if memory_tokens and tokens_per_s and self.servers:
+            self._read_ms = 1000.0 * len(self.servers) / tokens_per_s
+        for id, server in list(self.servers.items()):
+            is_engine = isinstance(server, Engine)
+            if is_engine != (memory_tokens > 0):
+                self.servers[id] = self._build(server.upstream)
+            elif isinstance(server, Engine):
+                server.memory_tokens = memory_tokens
+                server.slots = slots or server.upstream.slots
+
+    def _build(self, upstream: Upstream) -> Server:
+        if not self._memory_tokens:
+            return Server(upstream)
+        engine = Engine(
+            upstream,
+            slots=self._slots or upstream.slots,
+            memory_tokens=self._memory_tokens,
+        )
+        if self._read_ms:
+            engine.read_ms = engine.expected_read_ms = self._read_ms
+        return engine
+
+    def take_upstream(self, upstream: Upstream) -> None:
+        """Take over a change of an upstream."""
+        if upstream.state is UpstreamState.GONE:
+            self.servers.pop(upstream.id, None)
+            return
+        held = self.servers.get(upstream.id)
+        if held is None or held.upstream.started_ms != upstream.started_ms:
+            self.servers[upstream.id] = self._build(upstream)
+        else:
+            held.upstream = upstream
+
+    def take_sums(self, sums: dict[str, UpstreamUse], now: float) -> None:
+        """Take over the fleet's work in the upstreams."""
+        for server in self.servers.values():
+            total = sums.get(server.id, UpstreamUse())
+            own = server.own
+            server.others = UpstreamUse(
+                max(0, total.running - own.running),
+                max(0, total.unread_tokens - own.unread_tokens),
+                max(0, total.held_tokens - own.held_tokens),
+            )
+            server.others_at = now
+
+    def is_idle(self, now: float) -> bool:
+        """Return whether the engines have little work waiting."""
+        waits = self._list_waits(now)
+        return bool(waits) and sum(waits) / len(waits) < IDLE_WAIT_MS
+
+    def is_crowded(self, now: float) -> bool:
+        """Return whether the engines have too much work waiting."""
+        waits = self._list_waits(now)
+        return bool(waits) and sum(waits) / len(waits) > CROWDED_WAIT_MS
+
+    def _list_waits(self, now: float) -> list[float]:
+        return [
+            server.count_unread(now) * server.read_ms
+            for server in self.servers.values()
+            if isinstance(server, Engine) and server.is_usable(now)
+        ]
+
+    # ---- requests --------------------------------------------------------
+
+    def place(
+        self, demand: Demand, now: float, excluded: frozenset[str]
+    ) -> Placement | Refusal:
+        """Decide where a request is sent now, or why it isn't.
+
+        Parameters
+        ----------
+        demand : Demand
+        now : float
+        excluded : frozenset of str
+            Ids of upstreams that have failed the request.
+        """
+        servers = self._list_usable(demand, now, excluded)
+        if not servers:
+            return self._refuse(Verdict.NO_UPSTREAM, demand, now)
+        if not self._shares.has_share(demand.account, now):
+            return self._refuse(Verdict.NO_SHARE, demand, now)
+        options = self._list_options(servers, demand, now)
+        roomy = [option for option in options if option[1].estimate.has_room]
+        if not roomy:
+            return self._refuse(Verdict.NO_ROOM, demand, now)
+        in_time = [
+            option
+            for option in roomy
+            if self._is_in_time(option[1], demand, now)
+        ]
+        if not in_time:
+            return self._refuse(Verdict.TOO_LATE, demand, now)
+        return min(in_time, key=lambda option: option[0])[1]
+
+    def _list_usable(
+        self, demand: Demand, now: float, excluded: frozenset[str]
+    ) -> list[Server]:
+        fitting = [
+            server
+            for server in self.servers.values()
+            if server.upstream.state is UpstreamState.READY
+            and server.id not in excluded
+            and _serves(server.upstream, demand)
+        ]
+        usable = [server for server in fitting if server.is_usable(now)]
+        # When all are avoided, the one that is tried again first is better
+        # than none.
+        return usable or sorted(fitting, key=lambda s: s.avoided_until)[:1]
+
+    def _list_options(
+        self, servers: list[Server], demand: Demand, now: float
+    ) -> list[tuple[float, Placement]]:
+        ranks: dict[str, int] = {}
+        shared = demand.prompt_tokens - demand.own_tokens
+        if shared >= LEAST_AFFINITY_TOKENS:
+            order = rank_engines(demand.affinity, servers)[:RANKS]
+            ranks = {id: rank for rank, id in enumerate(order)}
+        options = []
+        for server in servers:
+            rank = ranks.get(server.id, RANKS if ranks else -1)
+            estimated = estimate(server, demand, now, rank == 0)
+            cost = estimated.wait_ms + estimated.read_ms
+            if isinstance(server, Engine):
+                again_ms = estimated.unread_shared * server.read_ms
+                cost += again_ms * (SHARED_READ_WEIGHT - 1)
+                running = server.own.running + server.others.running
+                cost += CROWD_COST_MS * running / max(1, server.slots)
+            if rank > 0:
+                cost += RANK_COST_MS * rank
+            if server.upstream.availability_zone != self._zone:
+                cost += ZONE_COST_MS
+            # Equal costs are common; routers should not all choose the same.
+            cost += self._draw()
+            options.append((cost, Placement(server, estimated, rank)))
+        return options
+
+    def _is_in_time(
+        self, placement: Placement, demand: Demand, now: float
+    ) -> bool:
+        estimated = placement.estimate
+        server = placement.server
+        waited_ms = (now - demand.arrived_at) * 1000
+        target_ms = demand.target_s * 1000
+        left_ms = (demand.deadline_at - now) * 1000
+        if demand.returned:
+            allowed_ms = target_ms * RETURNED_WAIT_SHARE
+        else:
+            allowed_ms = max(
+                target_ms * WAIT_SHARE - estimated.read_ms - waited_ms,
+                target_ms * LEAST_WAIT_SHARE,
+            )
+        if estimated.wait_ms > allowed_ms:
+            return False
+        finish_ms = estimated.wait_ms + estimated.read_ms
+        if isinstance(server, Engine):
+            finish_ms += demand.output_tokens * server.token_ms
+        return finish_ms <= left_ms * FINISH_SHARE
+
+    async def admit(
+        self, demand: Demand, now: float, excluded: frozenset[str]
+    ) -> Placement | Refusal:
+        """Decide on a request, after a short wait if that may help.
+
+        A placement is counted as started.
+        """
+        if not self._is_blocked(demand):
+            decided = self.place(demand, now, excluded)
+            if isinstance(decided, Placement):
+                self.start(decided, demand, now)
+                return decided
+        else:
+            decided = self._refuse(Verdict.NO_ROOM, demand, now)
+        if len(self._waiting) >= MOST_WAITING:
+            return self._refuse(Verdict.QUEUE_FULL, demand, now)
+        if decided.verdict is Verdict.NO_UPSTREAM and not self.servers:
+            return decided
+        give_up_at = min(
+            demand.arrived_at + demand.target_s * HOLD_SHARE,
+            demand.deadline_at,
+        )
+        if give_up_at <= now:
+            return decided
+        waiting = Waiting(demand, excluded, give_up_at)
+        self._waiting.append(waiting)
+        try:
+            with self._limit(give_up_at - now):
+                await waiting.done.wait()
+        except BaseException:
+            # The caller left just as its request was placed.
+            if isinstance(waiting.result, Placement):
+                self.note_read(waiting.result)
+                self.finish(waiting.result, demand)
+            raise
+        finally:
+            if waiting in self._waiting:
+                self._waiting.remove(waiting)
+        return waiting.result or self._refuse(
+            decided.verdict, demand, give_up_at
+        )
+
+    def _is_blocked(self, demand: Demand) -> bool:
+        """Return whether a waiting request goes first."""
+        return any(
+            _order(waiting.demand) < _order(demand)
+            and waiting.demand.account == demand.account
+            for waiting in self._waiting
+        )
+
+    def start_waiting(self, now: float) -> None:
+        """Send requests that wait, most urgent first, as far as they fit."""
+        for waiting in sorted(self._waiting, key=lambda w: _order(w.demand)):
+            decided = self.place(waiting.demand, now, waiting.excluded)
+            if isinstance(decided, Refusal):
+                continue
+            # The work is counted now, before the next one is decided on.
+            self.start(decided, waiting.demand, now)
+            waiting.result = decided
+            self._waiting.remove(waiting)
+            waiting.done.set()
+
+    def _refuse(self, verdict: Verdict, demand: Demand, now: float) -> Refusal:
+        wait_s = self._shares.compute_wait(demand.account, now)
+        waits = self._list_waits(now)
+        if waits:
+            wait_s = max(wait_s, sum(waits) / len(waits) / 1000)
+        wait_s = min(max(wait_s, LEAST_RETRY_S), MOST_RETRY_S)
+        return Refusal(verdict, wait_s * (0.75 + self._draw()))
+
+    # ---- accounting ------------------------------------------------------
+
+    def start(self, placement: Placement, demand: Demand, now: float) -> None:
+        """Count a request that is sent."""
+        server = placement.server
+        server.own.running += 1
+        server.own.unread_tokens += placement.estimate.unread
+        server.own.held_tokens += held_tokens(demand)
+        if isinstance(server, Engine):
+            server.note_parts(demand, now)
+            self._shares.note_admitted(demand.account, demand.size, now)
+
+    def note_read(self, placement: Placement) -> None:
+        """Count a request whose prompt has been read, or that has ended."""
+        unread = placement.estimate.unread
+        placement.server.own.unread_tokens -= unread
+
+    def finish(self, placement: Placement, demand: Demand) -> None:
+        """Count a request that has ended; its prompt was noted as read."""
+        placement.server.own.running -= 1
+        placement.server.own.held_tokens -= held_tokens(demand)
+
+
+def _serves(upstream: Upstream, demand: Demand) -> bool:
+    if not demand.model or not upstream.models:
+        return True
+    return demand.model in upstream.models
+
+
+def _order(demand: Demand) -> tuple[object, ...]:
+    """Order of waiting requests: callers that came back, then urgency."""
+    return (
+        not demand.returned,
+        demand.priority,
+        demand.arrived_at + demand.target_s,
+        demand.arrived_at,
+    )
--- /dev/null
+++ b/hornbeamyard/pool/usage.py
@@ -0,0 +1,132 @@
+"""What routers ask of the pools and use of them, and the fleet's sums.
+
+Each router reports counters of its accounts and its share of the work in
+each upstream. The lead controller adds them up, so that a router decides
+with the whole fleet's load in view and needs no message for a request.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+# Span over which the demand of accounts is measured. It is half of the
+# shortest span over which shares are usually judged, so that a change shows
+# in time and single large requests don't dominate.
+WINDOW_S = 2.0
+# A router that is silent for this long no longer counts.
+ROUTER_LOST_S = 2.0
+
+
+@dataclass(slots=True)
+class AccountUse:
+    """Tokens that an account asked for and that were admitted."""
+
+    asked: int = 0
+    admitted: int = 0
+
+
+@dataclass(slots=True)
+class UpstreamUse:
+    """Work in an upstream.
+
+    Attributes
+    ----------
+    running : int
+        Requests in progress.
+    unread_tokens : int
+        Tokens of prompts that the upstream has still to read.
+    held_tokens : int
+        Tokens in its memory for these requests.
+    """
+
+    running: int = 0
+    unread_tokens: int = 0
+    held_tokens: int = 0
+
+
+@dataclass(slots=True)
+class RouterCounters:
+    """Counters of one router since its start.
+
+    Attributes
+    ----------
+    accounts : dict of str to AccountUse
+    upstreams : dict of str to UpstreamUse
+        By id; not counters but the present state.
+    """
+
+    accounts: dict[str, AccountUse] = field(default_factory=dict)
+    upstreams: dict[str, UpstreamUse] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class _Reported:
+    counters: RouterCounters
+    heard_at: float
+
+
+@dataclass(slots=True)
+class FleetSums:
+    """Sums over the reports of all routers.
+
+    Attributes
+    ----------
+    accounts : dict of str to AccountUse
+        Tokens within the last `WINDOW_S`.
+    upstreams : dict of str to UpstreamUse
+    routers : int
+    """
+
+    accounts: dict[str, AccountUse] = field(default_factory=dict)
+    upstreams: dict[str, UpstreamUse] = field(default_factory=dict)
+    routers: int = 0
+
+
+class UsageTable:
+    """The newest report of each router, at a controller."""
+
+    __slots__ = ("_growth", "_reports")
+
+    def __init__(self) -> None:
+        self._reports: dict[str, _Reported] = {}
+        # Growth of the counters of accounts: time, account, asked, admitted.
+        self._growth: deque[tuple[float, str, int, int]] = deque()
+
+    def take(self, router: str, counters: RouterCounters, now: float) -> None:
+        """Take a report; `router` names one start of a router."""
+        reported = self._reports.get(router)
+        if reported is not None:
+            before = reported.counters.accounts
+            for name, use in counters.accounts.items():
+                earlier = before.get(name, AccountUse())
+                asked = use.asked - earlier.asked
+                admitted = use.admitted - earlier.admitted
+                if asked or admitted:
+                    self._growth.append((now, name, asked, admitted))
+        self._reports[router] = _Reported(counters, now)
+
+    def forget(self, router: str) -> None:
+        """Drop the report of a router whose stream has ended."""
+        self._reports.pop(router, None)
+
+    def compute_sums(self, now: float) -> FleetSums:
+        """Return the sums as of now."""
+        while self._growth and now - self._growth[0][0] > WINDOW_S:
+            self._growth.popleft()
+        sums = FleetSums()
+        for _, name, asked, admitted in self._growth:
+            use = sums.accounts.setdefault(name, AccountUse())
+            use.asked += asked
+            use.admitted += admitted
+        for router, reported in list(self._reports.items()):
+            if now - reported.heard_at > ROUTER_LOST_S:
+                del self._reports[router]
+                continue
+            sums.routers += 1
+            for id, part in reported.counters.upstreams.items():
+                total = sums.upstreams.setdefault(id, UpstreamUse())
+                total.running += part.running
+                total.unread_tokens += part.unread_tokens
+                total.held_tokens += part.held_tokens
+        return sums
--- a/hornbeamyard/process/daemon.py
+++ b/hornbeamyard/process/daemon.py
@@ -16,15 +16,23 @@
 from ..connection.replication import GrpcCalls, ReplicationService
 from ..connection.server import FleetService
 from ..messages import fleet_pb2_grpc
+from ..request.dialect import NATIVE_NAMES, Dialect
 from ..version.journal import FolderDisk
 from ..version.replica import Replica
 from .controller import Controller
-from .logs import start_logging
+from .decisions import DecisionLog
+from .interface import Interface
+from .logs import LineWriter, start_logging, start_structured_logging
+from .registrar import Registrar
+from .reload import SettingsWatcher
+from .route_router import RouteRouter
 from .router import Router
 from .settings import Settings, load_settings
 from .timers import MonotonicTimers, Timers
 
 EXIT_SETTINGS = 2
+# Time for the last log lines to be written at the end.
+FLUSH_TIMEOUT_S = 0.5
 
 _log = logbook.Logger("daemon")
 
@@ -38,8 +46,27 @@
     if isinstance(loaded, Err):
         click.echo(str(loaded.err_value), err=True)
         sys.exit(EXIT_SETTINGS)
-    start_logging(loaded.ok_value.log_level)
-    anyio.run(run, loaded.ok_value)
+    start(loaded.ok_value, settings, Interface(Dialect(NATIVE_NAMES)))
+
+
+def start(settings: Settings, path: Path, interface: Interface) -> None:
+    """Run a process until it is told to stop.
+
+    Parameters
+    ----------
+    settings : Settings
+    path : Path
+        The settings file, which is read again when it changes.
+    interface : Interface
+    """
+    if settings.directory is None:
+        start_logging(settings.log_level)
+        anyio.run(run, settings)
+        return
+    writer = LineWriter()
+    start_structured_logging(settings.log_level, writer)
+    anyio.run(run_directory, settings, path, interface, writer)
+    writer.flush(FLUSH_TIMEOUT_S)
 
 
 async def run(settings: Settings) -> None:
@@ -62,6 +89,39 @@
     _log.info("host {} stopped", settings.host)
 
 
+async def run_directory(
+    settings: Settings, path: Path, interface: Interface, writer: LineWriter
+) -> None:
+    """Run a process that routes by the route directory."""
+    timers = MonotonicTimers()
+    stop = anyio.Event()
+    router = None
+    registrar = None
+    if settings.router is not None:
+        decisions = DecisionLog(timers, settings.host, writer)
+        router = RouteRouter(settings, timers, interface, decisions)
+    if settings.controller is not None:
+        registrar = Registrar(settings, timers, interface)
+    watcher = SettingsWatcher(path, settings, timers, router, registrar)
+    _log.info(
+        "start host={} zone={} router={} controller={}",
+        settings.host,
+        settings.availability_zone,
+        router is not None,
+        registrar is not None,
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_watch_signals, stop, anyio.Event())
+        tasks.start_soon(watcher.run)
+        async with anyio.create_task_group() as roles:
+            if registrar is not None:
+                roles.start_soon(registrar.run, stop)
+            if router is not None:
+                roles.start_soon(router.run, stop)
+        tasks.cancel_scope.cancel()
+    _log.info("stop host={}", settings.host)
+
+
 async def _watch_signals(stop: anyio.Event, stop_now: anyio.Event) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
--- /dev/null
+++ b/hornbeamyard/process/decisions.py
@@ -0,0 +1,99 @@
+"""Structured log lines: one JSON object for each decision.
+
+Each kind of line has a rate; what exceeds it is counted and told with the
+next line of the kind.
+"""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+
+from .logs import LineWriter
+from .timers import Timers
+
+# Lines of a kind in a second, on average and at once. Refusals and failures
+# are what operators search for, so they get most.
+DEFAULT_RATE = 20.0
+RATES = {"refused": 60.0, "failed": 60.0, "retried": 30.0}
+BURST_S = 3.0
+
+
+class _Rate:
+    __slots__ = ("dropped", "filled_at", "rate", "tokens")
+
+    def __init__(self, rate: float, now: float) -> None:
+        self.dropped = 0
+        self.filled_at = now
+        self.rate = rate
+        self.tokens = rate * BURST_S
+
+    def take(self, now: float) -> bool:
+        earned = self.rate * (now - self.filled_at)
+        self.tokens = min(self.tokens + earned, self.rate * BURST_S)
+        self.filled_at = now
+        if self.tokens < 1.0:
+            self.dropped += 1
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+class DecisionLog:
+    """Writes decisions as lines of JSON, at a bounded rate.
+
+    Parameters
+    ----------
+    timers : Timers
+    host : str
+        Named in each line.
+    writer : LineWriter
+
+    Attributes
+    ----------
+    counts : Counter
+        Decisions by kind, those without a line included.
+    dropped : int
+        Lines left out.
+    """
+
+    def __init__(self, timers: Timers, host: str, writer: LineWriter) -> None:
+        self._host = host
+        self._rates: dict[str, _Rate] = {}
+        self._timers = timers
+        self._writer = writer
+        self.counts: Counter[str] = Counter()
+        self.dropped = 0
+
+    def note(self, kind: str, **inputs: object) -> None:
+        """Log a decision.
+
+        Parameters
+        ----------
+        kind : str
+            What was decided.
+        **inputs
+            What decided it, its age or version, and the outcome.
+        """
+        self.counts[kind] += 1
+        now = self._timers.now()
+        rate = self._rates.get(kind)
+        if rate is None:
+            rate = _Rate(RATES.get(kind, DEFAULT_RATE), now)
+            self._rates[kind] = rate
+        if not rate.take(now):
+            self.dropped += 1
+            return
+        line: dict[str, object] = {
+            "time_ms": self._timers.wall_ms(),
+            "host": self._host,
+            "event": kind,
+            **inputs,
+        }
+        if rate.dropped:
+            line["left_out"] = rate.dropped
+        if self._writer.write(json.dumps(line, default=str)):
+            rate.dropped = 0
+            return
+        self.dropped += 1
+        rate.dropped += 1
--- /dev/null
+++ b/hornbeamyard/process/interface.py
@@ -0,0 +1,76 @@
+"""What a deployment may exchange of the product's interfaces."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, MutableMapping
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from ..pool.census import Upstream
+from ..request.dialect import Dialect
+from ..version.routing import Decode, decode_routing
+
+Application = Callable[..., Awaitable[None]]
+Message = MutableMapping[str, Any]
+
+
+@dataclass(slots=True, frozen=True)
+class Submitted:
+    """What became of a submitted routing.
+
+    Attributes
+    ----------
+    findings : tuple of str
+        Everything that is wrong with an invalid one.
+    conflict : bool
+        Whether other content is held under its version.
+    decided : bool
+        False when the outcome is unknown; send it again.
+    version : int
+        The version that is held now.
+    """
+
+    findings: tuple[str, ...] = ()
+    conflict: bool = False
+    decided: bool = True
+    version: int = 0
+
+
+class ControllerCalls(Protocol):
+    """What operators and upstreams ask of a controller."""
+
+    async def submit(self, document: bytes) -> Submitted:
+        """Take a whole routing."""
+
+    async def read(self) -> bytes | None:
+        """Return the newest routing as submitted; None when unsure."""
+
+    def announce(self, upstream: Upstream) -> None:
+        """Take an upstream's announcement."""
+
+    def end(self, id: str, started_ms: int) -> None:
+        """Take note that an upstream leaves."""
+
+
+@dataclass(slots=True, frozen=True)
+class Interface:
+    """Formats and names that processes speak towards the outside.
+
+    Attributes
+    ----------
+    dialect : Dialect
+        Headers of requests and answers.
+    decode : callable
+        Reads a submitted routing.
+    build_controller_app : callable
+        Returns the ASGI application for operators and upstreams.
+    ready_path : str
+        Path at which load balancers ask whether a router is ready.
+    """
+
+    dialect: Dialect
+    decode: Decode = decode_routing
+    build_controller_app: Callable[[ControllerCalls], Application] | None = (
+        None
+    )
+    ready_path: str = "/health/ready"
--- a/hornbeamyard/process/logs.py
+++ b/hornbeamyard/process/logs.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import json
+import queue
 import sys
+import threading
+from typing import TextIO
 
 import logbook
 
@@ -10,6 +14,8 @@
     "{record.time:%Y-%m-%dT%H:%M:%S.%fZ} {record.level_name} "
     "{record.channel} {record.message}"
 )
+# Lines that wait for the writer; more are dropped and counted.
+MOST_QUEUED = 4096
 
 
 def start_logging(level: str) -> None:
@@ -19,3 +25,83 @@
         sys.stderr, level=level.upper(), format_string=_FORMAT
     )
     handler.push_application()
+
+
+def start_structured_logging(level: str, writer: LineWriter) -> None:
+    """Write log lines of `level` and above as JSON objects."""
+    logbook.set_datetime_format("utc")
+    _JsonHandler(writer, level=level.upper()).push_application()
+
+
+class LineWriter:
+    """Writes lines to a stream in a thread of its own.
+
+    A reader that stops holds up the thread only, never the event loop.
+
+    Parameters
+    ----------
+    stream : text stream, optional
+        Standard output when it is left out.
+
+    Attributes
+    ----------
+    dropped : int
+        Lines that found the queue full or the stream closed.
+    """
+
+    __slots__ = ("_queue", "_stream", "dropped")
+
+    def __init__(self, stream: TextIO | None = None) -> None:
+        self._queue: queue.Queue[str] = queue.Queue(MOST_QUEUED)
+        self._stream = stream or sys.stdout
+        self.dropped = 0
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def write(self, line: str) -> bool:
+        """Have a line written; return False when it is dropped."""
+        try:
+            self._queue.put_nowait(line)
+        except queue.Full:
+            self.dropped += 1
+            return False
+        return True
+
+    def flush(self, timeout_s: float) -> None:
+        """Wait until the lines so far are written, for a while at most."""
+        waiter = threading.Thread(target=self._queue.join, daemon=True)
+        waiter.start()
+        waiter.join(timeout_s)
+
+    def _run(self) -> None:
+        while True:
+            lines = [self._queue.get()]
+            while not self._queue.empty() and len(lines) < MOST_QUEUED:
+                lines.append(self._queue.get_nowait())
+            try:
+                self._stream.write("\n".join(lines) + "\n")
+                self._stream.flush()
+            except OSError:
+                # Without a reader there is nobody to tell but the counter.
+                self.dropped += len(lines)
+            for _ in lines:
+                self._queue.task_done()
+
+
+class _JsonHandler(logbook.Handler):  # type: ignore[misc]
+    """Formats log records as JSON objects."""
+
+    def __init__(self, writer: LineWriter, level: str) -> None:
+        super().__init__(level=level)
+        self._writer = writer
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Write one record."""
+        line = {
+            "time_ms": int(record.time.timestamp() * 1000),
+            "level": record.level_name.lower(),
+            "event": record.channel,
+            "message": record.message,
+        }
+        if record.exc_info:
+            line["traceback"] = record.formatted_exception
+        self._writer.write(json.dumps(line, default=str))
--- /dev/null
+++ b/hornbeamyard/process/registrar.py
@@ -0,0 +1,173 @@
+"""The controller role of a fleet that routes by the route directory."""
+
+from __future__ import annotations
+
+import random
+
+import anyio
+import anyio.abc
+import logbook
+from result import Err
+
+from ..connection import peers
+from ..connection.directory import (
+    Directory,
+    DirectoryCalls,
+    DirectoryService,
+    unpack_document,
+)
+from ..connection.replication import GrpcCalls, ReplicationService
+from ..messages import fleet_pb2, fleet_pb2_grpc
+from ..pool.census import MISSED_ANNOUNCEMENTS, Upstream
+from ..version.founding import Founder
+from ..version.journal import FolderDisk
+from ..version.replica import Replica
+from .interface import Interface, Submitted
+from .servers import build_server
+from .settings import Settings
+from .timers import Timers
+
+_log = logbook.Logger("registrar")
+
+
+class Registrar:
+    """One controller: the log, the directory and its servers.
+
+    Parameters
+    ----------
+    settings : Settings
+        With the controller role and the directory.
+    timers : Timers
+    interface : Interface
+    """
+
+    __slots__ = (
+        "_directory_calls",
+        "_interface",
+        "_replication_calls",
+        "_settings",
+        "_timers",
+        "directory",
+        "founder",
+        "replica",
+    )
+
+    def __init__(
+        self, settings: Settings, timers: Timers, interface: Interface
+    ) -> None:
+        assert settings.controller is not None
+        assert settings.directory is not None
+        self._directory_calls = DirectoryCalls(settings.tls)
+        self._interface = interface
+        self._replication_calls = GrpcCalls(settings.tls)
+        self._settings = settings
+        self._timers = timers
+        address = settings.controller.address
+        directory = settings.directory
+        self.replica = Replica(
+            peers.describe_self(settings, random.getrandbits(63)),
+            address,
+            FolderDisk(settings.controller.data_folder),
+            self._replication_calls,
+            timers,
+            random.Random(),
+        )
+        own = fleet_pb2.ControllerAddress(
+            host=settings.host,
+            address=address,
+            availability_zone=settings.availability_zone,
+            first_start=directory.first_start,
+        )
+        self.founder = Founder(
+            self.replica,
+            own,
+            directory.list_peers(),
+            directory.count_members(),
+            self._directory_calls,
+            timers,
+        )
+        self.directory = Directory(
+            self.replica,
+            self.founder,
+            self._directory_calls,
+            timers,
+            directory.announcement_interval_s * MISSED_ANNOUNCEMENTS,
+        )
+
+    async def run(self, stop: anyio.Event) -> None:
+        """Take part until `stop` is set."""
+        assert self._settings.controller is not None
+        fleet = self._settings.fleet
+        server = peers.create_server()
+        fleet_pb2_grpc.add_DirectoryServicer_to_server(
+            DirectoryService(fleet, self.directory, self._timers), server
+        )
+        fleet_pb2_grpc.add_ReplicationServicer_to_server(
+            ReplicationService(fleet, self.replica), server
+        )
+        peers.add_port(
+            server, self._settings.controller.address, self._settings.tls
+        )
+        try:
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(self.replica.run)
+                await server.start()
+                tasks.start_soon(self.founder.run)
+                tasks.start_soon(self.directory.run)
+                self._start_status(tasks)
+                await stop.wait()
+                await self.replica.hand_over()
+                tasks.cancel_scope.cancel()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await server.stop(grace=0.2)
+                await self._replication_calls.close()
+                await self._directory_calls.close()
+
+    def _start_status(self, tasks: anyio.abc.TaskGroup) -> None:
+        assert self._settings.controller is not None
+        address = self._settings.controller.status_address
+        if address and self._interface.build_controller_app is not None:
+            app = self._interface.build_controller_app(self)
+            tasks.start_soon(build_server(app, address).serve)
+
+    # ---- for operators and upstreams -------------------------------------
+
+    async def submit(self, document: bytes) -> Submitted:
+        """Take a whole routing."""
+        decoded = self._interface.decode(document)
+        if isinstance(decoded, Err):
+            findings = tuple(str(finding) for finding in decoded.err_value)
+            _log.warning("routing refused findings={}", findings[:10])
+            return Submitted(findings)
+        version = decoded.ok_value.version
+        result = await self.directory.submit_routing(version, document)
+        outcome = fleet_pb2.RoutingResult.Outcome.Name(result.outcome)
+        _log.info(
+            "routing submitted version={} outcome={} held={} decided={}",
+            version,
+            outcome,
+            result.version,
+            result.decided,
+        )
+        return Submitted(
+            conflict=result.outcome == fleet_pb2.RoutingResult.CONFLICT,
+            decided=result.decided,
+            version=result.version,
+        )
+
+    async def read(self) -> bytes | None:
+        """Return the newest routing as submitted; None when unsure."""
+        copy = await self.directory.read_routing()
+        if not copy.found:
+            _log.info("routing not read: no majority confirmed in time")
+            return None
+        return unpack_document(copy.document)
+
+    def announce(self, upstream: Upstream) -> None:
+        """Take an upstream's announcement."""
+        self.directory.announce(upstream)
+
+    def end(self, id: str, started_ms: int) -> None:
+        """Take note that an upstream leaves."""
+        self.directory.end(id, started_ms)
--- a/hornbeamyard/process/relations.py
+++ b/hornbeamyard/process/relations.py
@@ -41,6 +41,10 @@
         findings.append(
             Finding("", "neither 'router' nor 'controller' is set; give one")
         )
+    if "directory" in document:
+        return findings + _check_seeds(document)
+    if "controllers" not in document:
+        findings.append(Finding("controllers", "is missing and is required"))
     if document.get("controllers") == {}:
         findings.append(
             Finding("controllers", "is empty; name at least one controller")
@@ -48,12 +52,21 @@
     return findings
 
 
+def _check_seeds(document: dict[str, Any]) -> list[Finding]:
+    if _get(document, "directory", "seeds") == []:
+        message = "is empty; name at least one host"
+        return [Finding("directory.seeds", message)]
+    return []
+
+
 def _check_own_address(
     document: dict[str, Any], faulty: set[str]
 ) -> list[Finding]:
     controllers = document.get("controllers")
     if "controller" not in document or not isinstance(controllers, dict):
         return []
+    if "directory" in document:
+        return []
     host = document.get("host")
     if not isinstance(host, str) or not controllers:
         return []
--- /dev/null
+++ b/hornbeamyard/process/reload.py
@@ -0,0 +1,103 @@
+"""Settings that change while a process runs."""
+
+from __future__ import annotations
+
+import signal
+from pathlib import Path
+
+import anyio
+import logbook
+from result import Err
+
+from .registrar import Registrar
+from .route_router import RouteRouter
+from .settings import Settings, load_settings
+from .timers import Timers
+
+# The file may change without a signal, so it is also looked at this often.
+CHECK_INTERVAL_S = 2.0
+
+_log = logbook.Logger("reload")
+
+
+class SettingsWatcher:
+    """Reads the settings file again when it changes.
+
+    The seeds take effect at once; other settings with the next start.
+
+    Parameters
+    ----------
+    path : Path
+    settings : Settings
+        As of the start.
+    timers : Timers
+    router : RouteRouter or None
+    registrar : Registrar or None
+    """
+
+    __slots__ = (
+        "_path",
+        "_registrar",
+        "_router",
+        "_settings",
+        "_text",
+        "_timers",
+    )
+
+    def __init__(
+        self,
+        path: Path,
+        settings: Settings,
+        timers: Timers,
+        router: RouteRouter | None,
+        registrar: Registrar | None,
+    ) -> None:
+        self._path = path
+        self._registrar = registrar
+        self._router = router
+        self._settings = settings
+        self._text = self._read()
+        self._timers = timers
+
+    async def run(self) -> None:
+        """Watch for the signal and the file until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch_signal)
+            async for _ in self._timers.subscribe(CHECK_INTERVAL_S):
+                self.check("file")
+
+    async def _watch_signal(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGHUP) as signals:
+            async for _ in signals:
+                self.check("signal")
+
+    def check(self, cause: str) -> None:
+        """Take over the settings file if it has changed."""
+        text = self._read()
+        if text == self._text:
+            if cause == "signal":
+                _log.info("reload cause=signal unchanged")
+            return
+        self._text = text
+        loaded = load_settings(self._path)
+        if isinstance(loaded, Err):
+            _log.error("reload refused: {}", loaded.err_value)
+            return
+        settings = loaded.ok_value
+        if settings.directory is None:
+            _log.error("reload refused: 'directory' is missing")
+            return
+        seeds = settings.directory.list_peers()
+        _log.info("reload cause={} seeds={}", cause, seeds)
+        if self._router is not None:
+            self._router.subscription.seeds = seeds
+        if self._registrar is not None:
+            self._registrar.founder.seeds = seeds
+        self._settings = settings
+
+    def _read(self) -> str:
+        try:
+            return self._path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            _log.error("the settings file can't be read: {}", error)
+            return ""
--- /dev/null
+++ b/hornbeamyard/process/route_router.py
@@ -0,0 +1,378 @@
+"""The router role of a fleet that routes by the route directory."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+
+import anyio
+import anyio.abc
+import logbook
+from result import Err
+
+from ..connection import peers
+from ..connection.directory import DirectoryCalls, Subscription
+from ..connection.limits import ConnectionLimits, LoadGauge, build_protocol
+from ..connection.upstreams import Upstreams
+from ..pool.census import MISSED_ANNOUNCEMENTS, Upstream, UpstreamState
+from ..pool.shares import Shares
+from ..pool.steering import Steering
+from ..pool.usage import FleetSums, RouterCounters, UpstreamUse
+from ..request.budget import WindowBudget
+from ..request.forwarding import Forwarder
+from ..version.routing import Routing
+from .decisions import DecisionLog
+from .interface import Interface, Message
+from .servers import build_server
+from .settings import Settings
+from .timers import Timers
+
+# A stopping router goes on to accept requests for this long after it says
+# that it isn't ready: load balancers commonly ask once a second and believe
+# the second answer.
+NOTICE_S = 2.5
+# Part of the time that a stop may take in which requests may finish.
+DRAIN_SHARE = 0.94
+# A router without contact to most controllers becomes ready after this time
+# with the newest routing that it could get.
+PATIENCE_S = 4.0
+# Time after which a connection fails whose bytes an upstream doesn't
+# acknowledge. Silent connections otherwise hold requests to their deadline.
+UNACKNOWLEDGED_S = 1.5
+# Idle connections to upstreams are closed before upstreams close them.
+IDLE_LIMIT_S = 3.0
+# Part of an upstream's connections that idle ones of all routers may take.
+IDLE_SHARE = 0.5
+# Interval of housekeeping: expired connections, avoided upstreams, shares.
+UPKEEP_INTERVAL_S = 0.1
+# The throughput that shares are cut from follows the engines at this pace.
+ADAPT_INTERVAL_S = 0.25
+# Open connections from callers.
+MOST_CONNECTIONS = 1500
+
+_log = logbook.Logger("route_router")
+
+
+class RouteRouter:
+    """One router: its pools, its streams to controllers, its servers.
+
+    Parameters
+    ----------
+    settings : Settings
+        With the router role and the directory.
+    timers : Timers
+    interface : Interface
+    decisions : DecisionLog
+    """
+
+    __slots__ = (
+        "_adapted_at",
+        "_budgets",
+        "_calls",
+        "_interface",
+        "_limits",
+        "_server",
+        "_settings",
+        "_shares",
+        "_started_at",
+        "_steerings",
+        "_timers",
+        "_upstreams",
+        "decisions",
+        "forwarder",
+        "is_closing",
+        "is_stopping",
+        "routers",
+        "routing",
+        "subscription",
+    )
+
+    def __init__(
+        self,
+        settings: Settings,
+        timers: Timers,
+        interface: Interface,
+        decisions: DecisionLog,
+    ) -> None:
+        assert settings.router is not None
+        assert settings.directory is not None
+        directory = settings.directory
+        self._adapted_at = 0.0
+        self._budgets: dict[str, WindowBudget] = {}
+        self._calls = DirectoryCalls(settings.tls)
+        self._interface = interface
+        self._settings = settings
+        self._shares = Shares()
+        self._started_at = timers.now()
+        self._steerings: dict[str, Steering] = {}
+        self._timers = timers
+        self._upstreams = Upstreams(
+            settings.router.connect_timeout_s, IDLE_LIMIT_S, UNACKNOWLEDGED_S
+        )
+        self.decisions = decisions
+        self.is_closing = False
+        self.is_stopping = False
+        self.routers = 1
+        self.routing: Routing | None = None
+        self.subscription = Subscription(
+            peers.describe_self(settings, random.getrandbits(63)),
+            directory.list_peers(),
+            self._calls,
+            timers,
+            self._collect_usage,
+            self._take_upstreams,
+            self._take_routing,
+            self._take_sums,
+            directory.announcement_interval_s * MISSED_ANNOUNCEMENTS,
+        )
+        self.forwarder = Forwarder(
+            self,
+            interface.dialect,
+            self._upstreams,
+            self._shares,
+            timers,
+            self.decisions,
+        )
+        self._limits = ConnectionLimits(
+            min(settings.router.connections, MOST_CONNECTIONS),
+            LoadGauge(timers),
+            timers,
+        )
+        self._limits.limited_paths = ()
+        self._server = build_server(
+            self._close_later,
+            settings.router.address,
+            build_protocol(self._limits),
+        )
+
+    async def run(self, stop: anyio.Event) -> None:
+        """Serve until `stop` is set and the drain has ended."""
+        assert self._settings.router is not None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.subscription.run)
+            tasks.start_soon(self._limits.run)
+            tasks.start_soon(self._keep_up)
+            tasks.start_soon(self._drain, stop)
+            status_address = self._settings.router.status_address
+            if status_address:
+                status = build_server(self._serve_status, status_address)
+                tasks.start_soon(status.serve)
+            await self._server.serve()
+            tasks.cancel_scope.cancel()
+        await self._calls.close()
+
+    def is_ready(self) -> bool:
+        """Return whether load balancers should send requests."""
+        if self.is_closing or self.routing is None:
+            return False
+        waited_s = self._timers.now() - self._started_at
+        if not self.subscription.knows_majority() and waited_s < PATIENCE_S:
+            return False
+        return len(self.subscription.census) > 0
+
+    # ---- for the request path --------------------------------------------
+
+    def find_steering(self, pool: str) -> Steering:
+        """Return the upstreams of a pool."""
+        steering = self._steerings.get(pool)
+        if steering is None:
+            steering = Steering(
+                pool,
+                self._settings.availability_zone,
+                self._shares,
+                random.random,
+                self._timers.limit,
+            )
+            self._steerings[pool] = steering
+            self._configure(pool, steering)
+        return steering
+
+    def find_budget(self, pool: str) -> WindowBudget:
+        """Return the budget of repeats of a pool."""
+        assert self._settings.directory is not None
+        directory = self._settings.directory
+        budget = self._budgets.get(pool)
+        if budget is None:
+            budget = WindowBudget(
+                directory.repeat_share,
+                directory.repeat_reserve,
+                directory.repeat_window_s,
+            )
+            self._budgets[pool] = budget
+        return budget
+
+    async def _close_later(self, *arguments: object) -> None:
+        """Serve a request; while stopping, answers end their connection."""
+        scope, receive, send = arguments
+
+        async def send_closing(message: Message) -> None:
+            if message["type"] == "http.response.start" and self.is_closing:
+                headers = [*message["headers"], (b"connection", b"close")]
+                message = {**message, "headers": headers}
+            await send(message)  # type: ignore[operator]
+
+        await self.forwarder(scope, receive, send_closing)  # type: ignore
+
+    # ---- from the directory ----------------------------------------------
+
+    def _collect_usage(self) -> RouterCounters:
+        upstreams: dict[str, UpstreamUse] = {}
+        for steering in self._steerings.values():
+            for server in steering.servers.values():
+                if server.own.running:
+                    upstreams[server.id] = server.own
+        return RouterCounters(self._shares.own, upstreams)
+
+    def _take_upstreams(self, changed: list[Upstream]) -> None:
+        for upstream in changed:
+            self.decisions.note(
+                "upstream",
+                upstream=upstream.id,
+                pool=upstream.pool,
+                address=upstream.address,
+                state=upstream.state.value,
+                sequence=upstream.sequence,
+                started_ms=upstream.started_ms,
+            )
+            if upstream.state is UpstreamState.GONE:
+                for steering in self._steerings.values():
+                    steering.take_upstream(upstream)
+                continue
+            self.find_steering(upstream.pool).take_upstream(upstream)
+        for pool, steering in self._steerings.items():
+            self._configure(pool, steering)
+            steering.start_waiting(self._timers.now())
+
+    def _take_routing(self, version: int, document: bytes) -> bool:
+        decoded = self._interface.decode(document)
+        if isinstance(decoded, Err):
+            _log.error(
+                "routing version {} can't be read here: {}",
+                version,
+                "; ".join(str(finding) for finding in decoded.err_value),
+            )
+            return False
+        routing = decoded.ok_value
+        if self.routing is not None and version <= self.routing.version:
+            return True
+        previous = self.routing.version if self.routing else 0
+        self.routing = routing
+        self.decisions.note(
+            "routing",
+            version=version,
+            previous=previous,
+            routes=len(routing.routes),
+            pools=len(routing.pools),
+            accounts=len(routing.accounts),
+        )
+        limits = routing.limits
+        self._shares.throughput = limits.tokens_per_s
+        self._limits.header_size = limits.header_size
+        self._limits.header_timeout_s = limits.header_timeout_ms / 1000
+        keep_alive_s = max(1, int(limits.idle_timeout_ms / 1000))
+        self._server.config.timeout_keep_alive = keep_alive_s
+        for pool, steering in self._steerings.items():
+            self._configure(pool, steering)
+        return True
+
+    def _take_sums(self, sums: FleetSums) -> None:
+        now = self._timers.now()
+        self.routers = max(1, sums.routers)
+        self._shares.take_sums(sums.accounts, now)
+        for steering in self._steerings.values():
+            steering.take_sums(sums.upstreams, now)
+            steering.start_waiting(now)
+        self._fit_idle()
+
+    def _configure(self, name: str, steering: Steering) -> None:
+        if self.routing is None:
+            return
+        pool = self.routing.pools.get(name)
+        if pool is None:
+            return
+        steering.configure(
+            pool.memory_tokens, pool.slots, self.routing.limits.tokens_per_s
+        )
+
+    def _fit_idle(self) -> None:
+        """Keep idle connections within this router's part of the limits."""
+        if self.routing is None:
+            return
+        limits = [p.connections for p in self.routing.pools.values()]
+        least = min((limit for limit in limits if limit), default=0)
+        if least:
+            part = int(least * IDLE_SHARE / self.routers)
+            self._upstreams.most_idle = max(1, part)
+
+    # ---- housekeeping ----------------------------------------------------
+
+    async def _keep_up(self) -> None:
+        async for now in self._timers.subscribe(UPKEEP_INTERVAL_S):
+            for steering in self._steerings.values():
+                steering.start_waiting(now)
+            if now - self._adapted_at < ADAPT_INTERVAL_S:
+                continue
+            self._adapted_at = now
+            engines = list(self._steerings.values())
+            self._shares.adapt(
+                any(s.is_idle(now) for s in engines),
+                any(s.is_crowded(now) for s in engines),
+            )
+            await self._upstreams.close_expired()
+
+    async def _drain(self, stop: anyio.Event) -> None:
+        assert self._settings.router is not None
+        await stop.wait()
+        started_at = self._timers.now()
+        self.is_closing = True
+        counts = self.forwarder.counts
+        self.decisions.note("stopping", in_progress=counts.in_progress)
+        await self._timers.sleep(NOTICE_S)
+        self.is_stopping = True
+        left_s = self._settings.router.drain_s * DRAIN_SHARE
+        left_s -= self._timers.now() - started_at
+        self._server.config.timeout_graceful_shutdown = max(1, int(left_s))
+        self._server.should_exit = True
+
+    # ---- status ----------------------------------------------------------
+
+    async def _serve_status(self, *arguments: object) -> None:
+        scope, _, send = arguments
+        if scope["type"] != "http":  # type: ignore[index]
+            return
+        path = scope["path"]  # type: ignore[index]
+        status, body = 404, b"not found\n"
+        if path == self._interface.ready_path:
+            status, body = (
+                (200, b"ready\n") if self.is_ready() else (503, b"not ready\n")
+            )
+        elif path == "/metrics":
+            text = "".join(f"{line}\n" for line in self._list_metrics())
+            status, body = 200, text.encode()
+        await send(  # type: ignore[operator]
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": [
+                    (b"content-type", b"text/plain; charset=utf-8"),
+                    (b"content-length", str(len(body)).encode()),
+                ],
+            }
+        )
+        await send(  # type: ignore[operator]
+            {"type": "http.response.body", "body": body}
+        )
+
+    def _list_metrics(self) -> Iterator[str]:
+        prefix = "hornbeamyard"
+        counts = self.forwarder.counts
+        yield f"{prefix}_requests_in_progress {counts.in_progress}"
+        for outcome, number in sorted(counts.answers.items()):
+            yield f'{prefix}_answers_total{{outcome="{outcome}"}} {number}'
+        for kind, number in sorted(self.decisions.counts.items()):
+            yield f'{prefix}_decisions_total{{kind="{kind}"}} {number}'
+        yield f"{prefix}_log_lines_dropped_total {self.decisions.dropped}"
+        version = self.routing.version if self.routing else 0
+        yield f"{prefix}_routing_version {version}"
+        yield f"{prefix}_upstream_connections_total {self._upstreams.opened}"
+        yield f"{prefix}_share_factor {self._shares.factor:.3f}"
--- a/hornbeamyard/process/router.py
+++ b/hornbeamyard/process/router.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import logging
 import random
-import socket
 from collections.abc import Iterator, Mapping
 
 import anyio
@@ -35,6 +33,7 @@
 from ..version.configuration import Configuration
 from .gauges import sample_pools, sample_session
 from .metrics import Metrics, Sample
+from .servers import CLOSE_TIMEOUT_S, build_server
 from .settings import Settings
 from .timers import Timers
 
@@ -53,8 +52,6 @@
 # Idle time after which a caller's connection is closed. Common load balancers
 # close theirs after 60 s; whoever closes second risks a lost request.
 KEEP_ALIVE_S = 75
-# Time for the last bytes to reach callers that were told of a sudden stop.
-CLOSE_TIMEOUT_S = 2.0
 
 
 class Router:
@@ -280,36 +277,13 @@
         self._give_up_queued()
 
 
-class _Server(uvicorn.Server):
-    """A server that leaves signals to the daemon."""
-
-    async def serve(self, sockets: list[socket.socket] | None = None) -> None:
-        await self._serve(sockets)
-
-
 def _build_server(
     settings: Settings, gateway: Gateway, limits: ConnectionLimits
 ) -> uvicorn.Server:
     assert settings.router is not None
-    host, _, port = settings.router.address.rpartition(":")
-    # An answer that broke is left incomplete on purpose, and counted.
-    logging.getLogger("uvicorn.error").addFilter(_is_unexpected)
-    config = uvicorn.Config(
+    return build_server(
         gateway,
-        host=host.strip("[]"),
-        port=int(port),
-        log_config=None,
-        access_log=False,
-        lifespan="off",
-        http=build_protocol(limits),
-        ws="none",
-        proxy_headers=False,
-        timeout_keep_alive=KEEP_ALIVE_S,
-        timeout_graceful_shutdown=int(CLOSE_TIMEOUT_S),
-        server_header=False,
+        settings.router.address,
+        build_protocol(limits),
+        KEEP_ALIVE_S,
     )
-    return _Server(config)
-
-
-def _is_unexpected(record: logging.LogRecord) -> bool:
-    return "returned without completing response" not in str(record.msg)
--- a/hornbeamyard/process/settings.py
+++ b/hornbeamyard/process/settings.py
@@ -55,6 +55,8 @@
     body_size: int = 8 * 1024 * 1024
     default_deadline_s: float = 300.0
     silence_s: float = 10.0
+    status_address: str = ""
+    connect_timeout_s: float = 0.5
 
 
 @dataclass(slots=True)
@@ -67,10 +69,67 @@
         IP address and port towards the fleet's other processes.
     data_folder : Path
         Folder for the log and snapshots.
+    status_address : str
+        IP address and port towards operators and upstreams; empty where
+        routers serve them.
     """
 
     address: str
     data_folder: Path
+    status_address: str = ""
+
+
+@dataclass(slots=True)
+class DirectorySettings:
+    """Settings of a fleet that routes by the route directory.
+
+    Its controllers find each other by the seeds, so `controllers` may stay
+    empty.
+
+    Attributes
+    ----------
+    seeds : list of str
+        Addresses of some hosts that run a controller.
+    peer_port : int
+        Port of the controllers towards the fleet's other processes; 0 when
+        the seeds name it.
+    first_start : bool
+        Whether the whole fleet starts for the first time. Only then may a
+        controller with an empty data folder found a log.
+    tolerated_hosts : int
+        Controllers that may lose their disks at the same time.
+    announcement_interval_s : float
+        Time between two announcements of an upstream.
+    repeat_share : float
+        Part of a pool's requests that the fleet may send once more.
+    repeat_reserve : float
+        Repeats that the fleet may send to a pool beyond that.
+    repeat_window_s : float
+        Span in which repeats are counted.
+    metrics_address : str
+        IP address and port for metrics; empty for none.
+    """
+
+    seeds: list[str]
+    peer_port: int = 0
+    first_start: bool = False
+    tolerated_hosts: int = 1
+    announcement_interval_s: float = 1.0
+    repeat_share: float = 0.1
+    repeat_reserve: float = 5.0
+    repeat_window_s: float = 10.0
+    metrics_address: str = ""
+
+    def list_peers(self) -> list[str]:
+        """Return the addresses of the seeds' controllers."""
+        if not self.peer_port:
+            return list(self.seeds)
+        hosts = [seed.rpartition(":")[0] for seed in self.seeds]
+        return [f"{host}:{self.peer_port}" for host in hosts]
+
+    def count_members(self) -> int:
+        """Return the controllers that the tolerated losses ask for."""
+        return 2 * self.tolerated_hosts + 1
 
 
 @dataclass(slots=True)
@@ -85,6 +144,7 @@
     router : RouterSettings or None
     controller : ControllerSettings or None
     tls : Tls or None
+    directory : DirectorySettings or None
     plain_text : bool
         Whether links between hosts may be unencrypted.
     log_level : str
@@ -97,6 +157,7 @@
     router: RouterSettings | None = None
     controller: ControllerSettings | None = None
     tls: Tls | None = None
+    directory: DirectorySettings | None = None
     plain_text: bool = False
     log_level: str = "info"
 
@@ -124,7 +185,6 @@
         "controllers": Table(
             validation.check_name,
             Option(validation.check_address),
-            required=True,
         ),
         "router": Section(
             {
@@ -139,12 +199,37 @@
                     validation.check_number(0.1, 86_400, "s")
                 ),
                 "silence_s": Option(validation.check_number(0.1, 3600, "s")),
+                "status_address": Option(validation.check_address),
+                "connect_timeout_s": Option(
+                    validation.check_number(0.01, 60, "s")
+                ),
             }
         ),
         "controller": Section(
             {
                 "address": Option(validation.check_address, required=True),
                 "data_folder": Option(validation.check_text, required=True),
+                "status_address": Option(validation.check_address),
+            }
+        ),
+        "directory": Section(
+            {
+                "seeds": Option(
+                    validation.check_list(validation.check_address),
+                    required=True,
+                ),
+                "peer_port": Option(validation.check_whole(0, 65535)),
+                "first_start": Option(validation.check_flag),
+                "tolerated_hosts": Option(validation.check_whole(0, 100)),
+                "announcement_interval_s": Option(
+                    validation.check_number(0.01, 3600, "s")
+                ),
+                "repeat_share": Option(validation.check_number(0, 1)),
+                "repeat_reserve": Option(validation.check_number(0, 1e9)),
+                "repeat_window_s": Option(
+                    validation.check_number(0.1, 3600, "s")
+                ),
+                "metrics_address": Option(validation.check_address),
             }
         ),
         "tls": Section(
@@ -224,17 +309,19 @@
 def _build_settings(document: dict[str, Any], folder: Path) -> Settings:
     router = document.get("router")
     controller = document.get("controller")
+    directory = document.get("directory")
     tls = document.get("tls")
     return Settings(
         fleet=document["fleet"],
         host=document["host"],
         availability_zone=document["availability_zone"],
-        controllers=dict(document["controllers"]),
+        controllers=dict(document.get("controllers", {})),
         router=RouterSettings(**router) if router is not None else None,
         controller=(
             ControllerSettings(
                 address=controller["address"],
                 data_folder=folder / controller["data_folder"],
+                status_address=controller.get("status_address", ""),
             )
             if controller is not None
             else None
@@ -244,6 +331,9 @@
             if tls is not None
             else None
         ),
+        directory=(
+            DirectorySettings(**directory) if directory is not None else None
+        ),
         plain_text=document.get("plain_text", False),
         log_level=document.get("log_level", "info"),
     )
--- a/hornbeamyard/process/validation.py
+++ b/hornbeamyard/process/validation.py
@@ -211,6 +211,11 @@
     return "the path of a file"
 
 
+def check_object(value: Any) -> str | None:
+    """Accept objects, whatever is in them."""
+    return None if isinstance(value, dict) else "an object"
+
+
 def check_flag(value: Any) -> str | None:
     """Accept true and false."""
     return None if isinstance(value, bool) else "true or false"
--- a/hornbeamyard/request/budget.py
+++ b/hornbeamyard/request/budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 
 # Part of the requests that may be retried, so that retries add at most 10%
 # of load when every upstream fails.
@@ -15,6 +16,9 @@
 LARGEST_SAVING = 50.0
 SHORTEST_PAUSE_S = 0.025
 LONGEST_PAUSE_S = 1.0
+# Part of a fleet-wide budget that routers use. The rest covers routers that
+# the count of routers doesn't hold yet, and windows that don't match.
+WINDOW_SAFETY = 0.6
 
 
 class RetryBudget:
@@ -48,3 +52,53 @@
     """
     bound = SHORTEST_PAUSE_S * 2.0 ** (attempts - 1)
     return random.uniform(0.0, min(bound, LONGEST_PAUSE_S))
+
+
+class WindowBudget:
+    """Limits repeats at a pool over a sliding window, for the whole fleet.
+
+    The fleet may send a part of the pool's requests once more, and a fixed
+    number beyond. Every router keeps to its own part of both, so that the
+    bound holds without a message for each repeat.
+
+    Parameters
+    ----------
+    share : float
+        Part of the requests that the whole fleet may repeat.
+    reserve : float
+        Repeats that the whole fleet may send beyond the share in a window.
+    window_s : float
+    """
+
+    __slots__ = ("_repeats", "_requests", "_reserve", "_share", "_window_s")
+
+    def __init__(self, share: float, reserve: float, window_s: float) -> None:
+        self._repeats: deque[float] = deque()
+        self._requests: deque[float] = deque()
+        self._reserve = reserve
+        self._share = share
+        self._window_s = window_s
+
+    def note_request(self, now: float) -> None:
+        """Count a request that is not a repeat."""
+        self._requests.append(now)
+
+    def take(self, now: float, routers: int) -> bool:
+        """Return whether a request may be sent once more, and count it.
+
+        Parameters
+        ----------
+        now : float
+        routers : int
+            Routers that share the reserve.
+        """
+        for times in (self._repeats, self._requests):
+            while times and now - times[0] > self._window_s:
+                times.popleft()
+        allowed = WINDOW_SAFETY * (
+            self._share * len(self._requests) + self._reserve / max(1, routers)
+        )
+        if len(self._repeats) + 1 > allowed:
+            return False
+        self._repeats.append(now)
+        return True
--- /dev/null
+++ b/hornbeamyard/request/dialect.py
@@ -0,0 +1,260 @@
+"""Headers of requests and answers, and what they say.
+
+A dialect translates between headers and these types, so that the request
+path knows no protocol names.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from ..pool.demand import Part
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+LAST_EVENT_ID = b"last-event-id"
+WRONG_UPSTREAM_STATUS = 421
+
+
+@dataclass(slots=True, frozen=True)
+class RequestFacts:
+    """What a caller says of its request.
+
+    Attributes
+    ----------
+    request_id : str
+        Names one try of the caller.
+    deadline_ms : float or None
+        How long the caller waits.
+    key : str or None
+        The client account's key.
+    model : str
+    prompt_tokens, output_tokens : int
+        Size of the prompt, and the most tokens to generate.
+    expected_tokens : int
+        The caller's estimate of the tokens to generate; 0 without one.
+    parts : tuple of Part
+        Parts of the prompt that other requests may share, in order.
+    """
+
+    request_id: str
+    deadline_ms: float | None = None
+    key: str | None = None
+    model: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    expected_tokens: int = 0
+    parts: tuple[Part, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class HandOver:
+    """What the router tells an upstream with a request.
+
+    Attributes
+    ----------
+    upstream_id : str
+        Any other upstream at the same address must refuse the request.
+    deadline_ms : float
+    account : str
+        Empty on public routes.
+    last_event_id : str
+        Continue a stream after this event; empty to begin it.
+    """
+
+    upstream_id: str
+    deadline_ms: float
+    account: str
+    last_event_id: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class AnswerFacts:
+    """What an upstream says with an answer.
+
+    Attributes
+    ----------
+    request_id : str
+        The request that the answer belongs to; empty if it doesn't say.
+    not_run : bool
+        Whether it says that the request has not run and won't.
+    wrong_upstream : bool
+        Whether another upstream has taken over the address.
+    signed : bool
+        Whether the answer carries the upstream's signature.
+    """
+
+    request_id: str
+    not_run: bool
+    wrong_upstream: bool
+    signed: bool
+
+
+@dataclass(slots=True, frozen=True)
+class HeaderNames:
+    """Names of the headers that a dialect uses, in lower case.
+
+    Attributes
+    ----------
+    request_id : bytes
+    deadline_ms : bytes
+        Milliseconds that the caller still waits, not a point in time.
+    key, key_prefix : bytes
+        Header of the client account's key, and what precedes the key in it.
+    account : bytes
+        Tells an upstream the name of the client account.
+    model : bytes
+    token_counts : bytes
+        Prompt tokens and the most tokens to generate, with a comma.
+    expected_tokens : bytes
+        The caller's estimate of the tokens to generate.
+    parts : bytes
+        Parts of the prompt in order, as `ID:TOKENS` with commas.
+    upstream : bytes
+        Id of the only upstream that may run the request.
+    signature : bytes
+        The upstream's signature of an answer.
+    not_run : bytes
+        Present when the request has not run and won't.
+    router_only : frozenset of bytes
+        Further headers that a caller may not set for an upstream.
+    """
+
+    request_id: bytes
+    deadline_ms: bytes
+    key: bytes
+    key_prefix: bytes
+    account: bytes
+    model: bytes
+    token_counts: bytes
+    expected_tokens: bytes
+    parts: bytes
+    upstream: bytes
+    signature: bytes
+    not_run: bytes
+    router_only: frozenset[bytes] = frozenset()
+
+
+class Dialect:
+    """Translates between headers and facts.
+
+    Parameters
+    ----------
+    names : HeaderNames
+    """
+
+    __slots__ = ("_names", "_router_only")
+
+    def __init__(self, names: HeaderNames) -> None:
+        self._names = names
+        self._router_only = names.router_only | {
+            names.deadline_ms,
+            names.key,
+            names.account,
+            names.upstream,
+            # The body is framed anew for the upstream.
+            b"content-length",
+            b"expect",
+        }
+
+    def read_request(self, headers: Headers) -> RequestFacts:
+        """Return what a caller's headers say."""
+        names = self._names
+        values = {name.lower(): value for name, value in headers}
+        counts = _split_numbers(values.get(names.token_counts))
+        expected = _read_number(values.get(names.expected_tokens))
+        key = values.get(names.key)
+        return RequestFacts(
+            request_id=values.get(names.request_id, b"").decode("latin-1"),
+            deadline_ms=_read_number(values.get(names.deadline_ms)),
+            key=(
+                key.removeprefix(names.key_prefix).decode("latin-1")
+                if key is not None
+                else None
+            ),
+            model=values.get(names.model, b"").decode("latin-1"),
+            prompt_tokens=counts[0] if counts else 0,
+            output_tokens=counts[1] if len(counts) > 1 else 0,
+            expected_tokens=int(expected or 0),
+            parts=_read_parts(values.get(names.parts, b"")),
+        )
+
+    def write_request(
+        self, headers: Headers, hand_over: HandOver
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers for an upstream.
+
+        Headers that only the router may set are never the caller's.
+        """
+        names = self._names
+        dropped = self._router_only
+        if hand_over.last_event_id:
+            dropped = dropped | {LAST_EVENT_ID}
+        written = [pair for pair in headers if pair[0] not in dropped]
+        deadline = str(int(hand_over.deadline_ms)).encode()
+        written.append((names.upstream, hand_over.upstream_id.encode()))
+        written.append((names.deadline_ms, deadline))
+        if hand_over.account:
+            written.append((names.account, hand_over.account.encode()))
+        if hand_over.last_event_id:
+            last = hand_over.last_event_id.encode("latin-1")
+            written.append((LAST_EVENT_ID, last))
+        return written
+
+    def read_answer(self, status: int, headers: Headers) -> AnswerFacts:
+        """Return what an upstream's headers say."""
+        names = self._names
+        values = dict(headers)
+        return AnswerFacts(
+            request_id=values.get(names.request_id, b"").decode("latin-1"),
+            not_run=names.not_run in values,
+            wrong_upstream=status == WRONG_UPSTREAM_STATUS,
+            signed=names.signature in values,
+        )
+
+    def write_answer(self, request_id: str) -> list[tuple[bytes, bytes]]:
+        """Return headers of the router's own answer to a request."""
+        if not request_id:
+            return []
+        return [(self._names.request_id, request_id.encode("latin-1"))]
+
+
+NATIVE_NAMES = HeaderNames(
+    request_id=b"hornbeamyard-request",
+    deadline_ms=b"hornbeamyard-deadline-ms",
+    key=b"authorization",
+    key_prefix=b"Bearer ",
+    account=b"hornbeamyard-account",
+    model=b"hornbeamyard-model",
+    token_counts=b"hornbeamyard-token-counts",
+    expected_tokens=b"hornbeamyard-expected-tokens",
+    parts=b"hornbeamyard-prompt-parts",
+    upstream=b"hornbeamyard-upstream",
+    signature=b"hornbeamyard-signature",
+    not_run=b"hornbeamyard-not-run",
+)
+
+
+def _read_number(value: bytes | None) -> float | None:
+    try:
+        number = float(value or b"")
+    except ValueError:
+        return None
+    return number if 0 < number < float("inf") else None
+
+
+def _split_numbers(value: bytes | None) -> list[int]:
+    try:
+        return [max(0, int(part)) for part in (value or b"").split(b",")]
+    except ValueError:
+        return []
+
+
+def _read_parts(value: bytes) -> tuple[Part, ...]:
+    parts = []
+    for entry in value.split(b","):
+        id, _, tokens = entry.strip().partition(b":")
+        if id and tokens.isdigit():
+            parts.append(Part(id.decode("latin-1"), int(tokens)))
+    return tuple(parts)
--- /dev/null
+++ b/hornbeamyard/request/forwarding.py
@@ -0,0 +1,742 @@
+"""Routed requests: checks, placement, tries and the final answer."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Awaitable, Callable, MutableMapping
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any, Protocol
+
+import anyio
+
+from ..connection.upstreams import Upstreams
+from ..pool.demand import Demand
+from ..pool.engine import Engine, Server
+from ..pool.shares import Shares
+from ..pool.steering import Placement, Refusal, Steering
+from ..process.decisions import DecisionLog
+from ..process.timers import Timers
+from ..version.routing import AccountKeys, Pool, Route, Routing
+from .budget import WindowBudget
+from .dialect import Dialect, HandOver, RequestFacts
+from .relay import (
+    Ending,
+    Progress,
+    Relay,
+    RelayRequest,
+    TryResult,
+    WholeAnswer,
+    filter_headers,
+    send_answer,
+)
+
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+
+# Retry-After while the router has no routing or is stopping, in seconds.
+UNREADY_RETRY_S = 0.5
+# A caller that names a deadline below this part of the longest one seen on
+# its route comes back after a refusal.
+RETURNED_SHARE = 0.97
+# Estimate of the output when the caller gives none, as a part of the most.
+OUTPUT_SHARE = 0.6
+# The upstream is told a little less than what is left, for the way back.
+WAY_BACK_MS = 5.0
+# Time left below which a request isn't sent once more.
+LEAST_REPEAT_MS = 100.0
+
+
+class Fleet(Protocol):
+    """What requests need of their router.
+
+    Attributes
+    ----------
+    routing : Routing or None
+        None before the first version.
+    routers : int
+        Routers of the fleet, as far as known.
+    is_stopping : bool
+    """
+
+    routing: Routing | None
+    routers: int
+    is_stopping: bool
+
+    def find_steering(self, pool: str) -> Steering:
+        """Return the upstreams of a pool."""
+
+    def find_budget(self, pool: str) -> WindowBudget:
+        """Return the budget of repeats of a pool."""
+
+
+@dataclass(slots=True)
+class Counts:
+    """Counters of the request path.
+
+    Attributes
+    ----------
+    in_progress : int
+    answers : dict of str to int
+        By outcome.
+    """
+
+    in_progress: int = 0
+    answers: dict[str, int] = field(default_factory=dict)
+
+    def add(self, outcome: str) -> None:
+        """Count an outcome."""
+        self.answers[outcome] = self.answers.get(outcome, 0) + 1
+
+
+@dataclass(slots=True)
+class Call:
+    """One routed request in progress.
+
+    Attributes
+    ----------
+    facts : RequestFacts
+    route : Route
+    pool : Pool
+    account : str
+    headers : list
+        The caller's, for upstreams.
+    method, target, body
+    received_at, ends_at : float
+        Monotonic seconds; the answer is final at `ends_at`.
+    demand : Demand
+    progress : Progress
+    tries : int
+        Upstreams that the request was sent to.
+    may_have_run : bool
+    answer : WholeAnswer or None
+        The newest failure that an upstream has answered.
+    """
+
+    facts: RequestFacts
+    route: Route
+    pool: Pool
+    account: str
+    headers: list[tuple[bytes, bytes]]
+    method: str
+    target: bytes
+    body: bytes
+    received_at: float
+    ends_at: float
+    demand: Demand
+    progress: Progress = field(default_factory=Progress)
+    tries: int = 0
+    may_have_run: bool = False
+    answer: WholeAnswer | None = None
+    excluded: frozenset[str] = frozenset()
+
+
+class Forwarder:
+    """An ASGI application that brings requests to upstreams by route.
+
+    Parameters
+    ----------
+    fleet : Fleet
+    dialect : Dialect
+    upstreams : Upstreams
+    shares : Shares
+    timers : Timers
+    decisions : DecisionLog
+    """
+
+    __slots__ = (
+        "_decisions",
+        "_dialect",
+        "_fleet",
+        "_longest_ms",
+        "_shares",
+        "_timers",
+        "_upstreams",
+        "counts",
+    )
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        dialect: Dialect,
+        upstreams: Upstreams,
+        shares: Shares,
+        timers: Timers,
+        decisions: DecisionLog,
+    ) -> None:
+        self._decisions = decisions
+        self._dialect = dialect
+        self._fleet = fleet
+        # Longest deadline that callers named, by route.
+        self._longest_ms: dict[str, float] = {}
+        self._shares = shares
+        self._timers = timers
+        self._upstreams = upstreams
+        self.counts = Counts()
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serve one HTTP request."""
+        if scope["type"] != "http":
+            return
+        self.counts.in_progress += 1
+        try:
+            await self._serve(scope, receive, send)
+        finally:
+            self.counts.in_progress -= 1
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+        received_at = self._timers.now()
+        facts = self._dialect.read_request(scope["headers"])
+        checked = self._check(scope, facts)
+        if isinstance(checked, _Rejection):
+            await self._reject(facts, checked, send)
+            return
+        route, account = checked
+        body = await self._read_body(receive)
+        if isinstance(body, _Rejection):
+            await self._reject(facts, body, send)
+            return
+        if body is None:
+            self._note(facts, "left", stage="body")
+            return
+        call = self._build_call(
+            scope, facts, route, account, body, received_at
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                self._watch_caller, receive, call, tasks.cancel_scope
+            )
+            with self._timers.limit(call.ends_at - self._timers.now()) as lim:
+                await self._deliver(call, send)
+            if lim.cancelled_caught:
+                await self._end_late(call, send)
+            tasks.cancel_scope.cancel()
+
+    # ---- checks ----------------------------------------------------------
+
+    def _check(
+        self, scope: Scope, facts: RequestFacts
+    ) -> tuple[Route, AccountKeys | None] | _Rejection:
+        routing = self._fleet.routing
+        if routing is None:
+            return _Rejection(
+                HTTPStatus.SERVICE_UNAVAILABLE, "no routing is in force yet"
+            )
+        path = scope["raw_path"].decode("latin-1")
+        host = _find_host(scope["headers"])
+        route = routing.find_route(host, path)
+        if route is None:
+            return _Rejection(
+                HTTPStatus.NOT_FOUND,
+                f"no route for host {host!r} and path {path!r} in version "
+                f"{routing.version}",
+            )
+        account = None
+        if routing.accounts and not route.public:
+            account = routing.find_account(facts.key or "")
+            if account is None:
+                return _Rejection(HTTPStatus.UNAUTHORIZED, "unknown key")
+        if self._fleet.is_stopping:
+            return _Rejection(
+                HTTPStatus.SERVICE_UNAVAILABLE, "the router is stopping"
+            )
+        return route, account
+
+    async def _read_body(self, receive: Receive) -> bytes | _Rejection | None:
+        """Return the body, or None when the caller has gone."""
+        assert self._fleet.routing is not None
+        limits = self._fleet.routing.limits
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return None
+            part = message.get("body", b"")
+            size += len(part)
+            if size > limits.body_size:
+                return _Rejection(
+                    HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                    f"the body exceeds {limits.body_size} bytes",
+                )
+            if part:
+                parts.append(part)
+            if not message.get("more_body", False):
+                return b"".join(parts)
+
+    def _build_call(
+        self,
+        scope: Scope,
+        facts: RequestFacts,
+        route: Route,
+        account: AccountKeys | None,
+        body: bytes,
+        received_at: float,
+    ) -> Call:
+        assert self._fleet.routing is not None
+        limit_ms = min(facts.deadline_ms or route.timeout_ms, route.timeout_ms)
+        ends_at = received_at + limit_ms / 1000
+        priority = route.priority
+        if account is not None and account.priority is not None:
+            priority = account.priority
+        target = scope["raw_path"]
+        if scope["query_string"]:
+            target += b"?" + scope["query_string"]
+        most = facts.output_tokens
+        expected = facts.expected_tokens or int(most * OUTPUT_SHARE)
+        demand = Demand(
+            request_id=facts.request_id,
+            account=account.name if account is not None else "",
+            priority=priority,
+            arrived_at=received_at,
+            target_s=route.target_ms / 1000,
+            deadline_at=ends_at,
+            parts=facts.parts,
+            prompt_tokens=facts.prompt_tokens,
+            output_tokens=min(expected, most) if most else expected,
+            model=facts.model,
+            returned=self._is_returned(facts, route),
+        )
+        return Call(
+            facts=facts,
+            route=route,
+            pool=self._fleet.routing.pools[_choose_pool(route)],
+            account=demand.account,
+            headers=filter_headers(scope["headers"]),
+            method=scope["method"],
+            target=target,
+            body=body,
+            received_at=received_at,
+            ends_at=ends_at,
+            demand=demand,
+        )
+
+    def _is_returned(self, facts: RequestFacts, route: Route) -> bool:
+        if facts.deadline_ms is None:
+            return False
+        longest = max(self._longest_ms.get(route.name, 0), facts.deadline_ms)
+        self._longest_ms[route.name] = longest
+        return facts.deadline_ms < longest * RETURNED_SHARE
+
+    # ---- delivery --------------------------------------------------------
+
+    async def _watch_caller(
+        self, receive: Receive, call: Call, scope: anyio.CancelScope
+    ) -> None:
+        """Cancel a request whose caller has gone."""
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                break
+        self._note(
+            call.facts,
+            "left",
+            route=call.route.name,
+            tries=call.tries,
+            after_ms=self._elapsed_ms(call),
+        )
+        scope.cancel()
+
+    async def _deliver(self, call: Call, send: Send) -> None:
+        steering = self._fleet.find_steering(call.pool.name)
+        budget = self._fleet.find_budget(call.pool.name)
+        budget.note_request(call.received_at)
+        if call.pool.is_engine():
+            self._shares.note_asked(
+                call.account, call.demand.size, call.received_at
+            )
+        while True:
+            now = self._timers.now()
+            placement = await steering.admit(call.demand, now, call.excluded)
+            if isinstance(placement, Refusal):
+                await self._refuse(call, placement, send)
+                return
+            result = await self._try(call, steering, placement, send)
+            if result.ending is Ending.DONE:
+                self._note_answered(call, placement)
+                return
+            steering.start_waiting(self._timers.now())
+            if not self._may_repeat(call, result, budget):
+                await self._end(call, result, send)
+                return
+            self._note(
+                call.facts,
+                "retried",
+                upstream=placement.server.id,
+                ending=result.ending.value,
+                reason=result.reason,
+                tries=call.tries,
+            )
+
+    async def _try(
+        self, call: Call, steering: Steering, placement: Placement, send: Send
+    ) -> TryResult:
+        server = placement.server
+        started_at = self._timers.now()
+        self._note(
+            call.facts,
+            "placed",
+            route=call.route.name,
+            account=call.account,
+            pool=call.pool.name,
+            upstream=server.id,
+            rank=placement.rank,
+            wait_ms=round(placement.estimate.wait_ms),
+            read_ms=round(placement.estimate.read_ms),
+            unread=placement.estimate.unread,
+            running=server.own.running + server.others.running,
+            sums_age_ms=round((started_at - server.others_at) * 1000),
+            size=call.demand.size,
+            returned=call.demand.returned,
+            waited_ms=self._elapsed_ms(call),
+            version=self._fleet.routing.version if self._fleet.routing else 0,
+            tries=call.tries,
+        )
+        meter = _Meter(self._timers, steering, placement, call, started_at)
+        relay = Relay(
+            self._build_request(call, server, started_at),
+            server.upstream.address,
+            self._upstreams,
+            self._dialect,
+            call.progress,
+            call.route.resumable,
+            meter.note_chunk,
+        )
+        try:
+            result = await relay.run(send)
+        finally:
+            if relay.sent:
+                call.tries += 1
+            meter.finish()
+        await self._judge(call, server, relay, result, started_at)
+        return result
+
+    def _build_request(
+        self, call: Call, server: Server, now: float
+    ) -> RelayRequest:
+        left_ms = (call.ends_at - now) * 1000 - WAY_BACK_MS
+        hand_over = HandOver(
+            upstream_id=server.id,
+            deadline_ms=max(1.0, left_ms),
+            account=call.account,
+            last_event_id=call.progress.last_event_id,
+        )
+        return RelayRequest(
+            call.method,
+            call.target,
+            self._dialect.write_request(call.headers, hand_over),
+            call.body,
+            call.facts.request_id,
+        )
+
+    async def _judge(
+        self,
+        call: Call,
+        server: Server,
+        relay: Relay,
+        result: TryResult,
+        started_at: float,
+    ) -> None:
+        """Take what a try tells of the upstream and of the request."""
+        now = self._timers.now()
+        if result.ending is Ending.DONE:
+            server.note_answer(now, (now - started_at) * 1000)
+            return
+        call.excluded = call.excluded | {server.id}
+        avoided = False
+        match result.ending:
+            case Ending.NOT_SENT:
+                avoided = server.avoid(now)
+                await self._upstreams.close_idle(
+                    f"http://{server.upstream.address}"
+                )
+            case Ending.NOT_RUN:
+                call.answer = result.answer
+                if result.wrong_upstream:
+                    avoided = server.avoid(now)
+            case Ending.ANSWERED:
+                call.may_have_run = True
+                call.answer = result.answer
+                if result.answer and result.answer.status >= 500:
+                    avoided = server.note_failure(now)
+            case _:
+                call.may_have_run = True
+                avoided = server.note_failure(now)
+                await self._upstreams.close_idle(
+                    f"http://{server.upstream.address}"
+                )
+        if avoided:
+            self._decisions.note(
+                "upstream_avoided",
+                upstream=server.id,
+                reason=result.reason,
+                for_s=round(server.avoided_until - now, 2),
+                in_row=server.failures_in_row,
+                request_id=call.facts.request_id,
+            )
+
+    def _may_repeat(
+        self, call: Call, result: TryResult, budget: WindowBudget
+    ) -> bool:
+        """Return whether a request is sent to another upstream."""
+        left_ms = (call.ends_at - self._timers.now()) * 1000
+        if left_ms < LEAST_REPEAT_MS:
+            return False
+        if call.progress.started and not call.route.resumable:
+            return False
+        if call.may_have_run and not call.route.is_repeatable():
+            return False
+        if result.ending is Ending.ANSWERED and result.answer is not None:
+            if result.answer.status < 500:
+                return False
+        if result.ending is Ending.NOT_SENT:
+            return len(call.excluded) <= call.route.most_attempts + 1
+        if call.tries >= call.route.most_attempts:
+            return False
+        return budget.take(self._timers.now(), self._fleet.routers)
+
+    # ---- final answers ---------------------------------------------------
+
+    async def _end(self, call: Call, result: TryResult, send: Send) -> None:
+        """Give the final answer to a request whose tries have failed."""
+        if call.progress.started:
+            # The server closes the connection of an incomplete answer.
+            self._note_failed(call, "broken_off", result.reason)
+            return
+        answer = call.answer
+        if answer is not None and _may_pass_on(call, result, answer):
+            self._note_failed(call, "upstream_failed", result.reason)
+            await send_answer(send, answer)
+            return
+        if call.may_have_run:
+            status = HTTPStatus.BAD_GATEWAY
+            self._note_failed(call, "failed", result.reason)
+            await self._send_own(call.facts, status, result.reason, send)
+            return
+        refusal_s = UNREADY_RETRY_S * (0.5 + random.random())
+        self._note_failed(call, "not_run", result.reason)
+        await self._send_own(
+            call.facts,
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            f"not run: {result.reason}",
+            send,
+            refusal_s,
+        )
+
+    async def _end_late(self, call: Call, send: Send) -> None:
+        """Answer a request whose time is over."""
+        if call.progress.started:
+            self._note_failed(call, "broken_off", "the time is over")
+            return
+        sent = call.tries > 0
+        self._note_failed(call, "late", "the time is over")
+        status = (
+            HTTPStatus.GATEWAY_TIMEOUT
+            if sent
+            else HTTPStatus.SERVICE_UNAVAILABLE
+        )
+        await self._send_own(
+            call.facts, status, "the time of the request is over", send
+        )
+
+    async def _refuse(self, call: Call, refusal: Refusal, send: Send) -> None:
+        if call.progress.started:
+            self._note_failed(call, "broken_off", refusal.verdict.value)
+            return
+        if call.may_have_run:
+            result = TryResult(Ending.BROKEN, refusal.verdict.value)
+            await self._end(call, result, send)
+            return
+        self.counts.add("refused")
+        self._note(
+            call.facts,
+            "refused",
+            route=call.route.name,
+            account=call.account,
+            pool=call.pool.name,
+            reason=refusal.verdict.name.lower(),
+            retry_after_s=round(refusal.retry_after_s, 2),
+            size=call.demand.size,
+            returned=call.demand.returned,
+            waited_ms=self._elapsed_ms(call),
+            level=round(self._shares.level)
+            if self._shares.is_contended()
+            else None,
+            factor=round(self._shares.factor, 2),
+        )
+        await self._send_own(
+            call.facts,
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            refusal.verdict.value,
+            send,
+            refusal.retry_after_s,
+        )
+
+    async def _reject(
+        self, facts: RequestFacts, rejection: _Rejection, send: Send
+    ) -> None:
+        self.counts.add("rejected")
+        self._note(
+            facts,
+            "rejected",
+            status=int(rejection.status),
+            reason=rejection.reason,
+        )
+        retry_s = None
+        if rejection.status is HTTPStatus.SERVICE_UNAVAILABLE:
+            retry_s = UNREADY_RETRY_S * (0.5 + random.random())
+        await self._send_own(
+            facts, rejection.status, rejection.reason, send, retry_s
+        )
+
+    async def _send_own(
+        self,
+        facts: RequestFacts,
+        status: HTTPStatus,
+        detail: str,
+        send: Send,
+        retry_after_s: float | None = None,
+    ) -> None:
+        headers = self._dialect.write_answer(facts.request_id)
+        headers.append((b"content-type", b"application/problem+json"))
+        if retry_after_s is not None:
+            value = f"{retry_after_s:.3f}".encode()
+            headers.append((b"retry-after", value))
+        document = {"status": int(status), "detail": detail}
+        body = json.dumps(document).encode()
+        await send_answer(send, WholeAnswer(int(status), headers, body))
+
+    # ---- log lines -------------------------------------------------------
+
+    def _elapsed_ms(self, call: Call) -> int:
+        return round((self._timers.now() - call.received_at) * 1000)
+
+    def _note(self, facts: RequestFacts, kind: str, **inputs: object) -> None:
+        self._decisions.note(kind, request_id=facts.request_id, **inputs)
+
+    def _note_answered(self, call: Call, placement: Placement) -> None:
+        self.counts.add("answered")
+        self._note(
+            call.facts,
+            "answered",
+            route=call.route.name,
+            account=call.account,
+            upstream=placement.server.id,
+            tries=call.tries,
+            after_ms=self._elapsed_ms(call),
+        )
+
+    def _note_failed(self, call: Call, outcome: str, reason: str) -> None:
+        self.counts.add(outcome)
+        self._note(
+            call.facts,
+            "failed",
+            outcome=outcome,
+            reason=reason,
+            route=call.route.name,
+            account=call.account,
+            tries=call.tries,
+            may_have_run=call.may_have_run,
+            after_ms=self._elapsed_ms(call),
+        )
+
+
+@dataclass(slots=True)
+class _Rejection:
+    """A request that no route serves."""
+
+    status: HTTPStatus
+    reason: str
+
+
+class _Meter:
+    """Measures one try and keeps the account of its work."""
+
+    __slots__ = (
+        "_call",
+        "_first_at",
+        "_last_at",
+        "_placement",
+        "_started_at",
+        "_steering",
+        "_timers",
+    )
+
+    def __init__(
+        self,
+        timers: Timers,
+        steering: Steering,
+        placement: Placement,
+        call: Call,
+        started_at: float,
+    ) -> None:
+        self._call = call
+        self._first_at = 0.0
+        self._last_at = 0.0
+        self._placement = placement
+        self._started_at = started_at
+        self._steering = steering
+        self._timers = timers
+
+    def note_chunk(self) -> None:
+        """Take note of a part of the answer."""
+        now = self._timers.now()
+        server = self._placement.server
+        if not self._first_at:
+            self._note_first(now)
+        elif isinstance(server, Engine):
+            server.note_generated(
+                (now - self._last_at) * 1000, self._call.pool.tokens_per_event
+            )
+        self._last_at = now
+
+    def _note_first(self, now: float) -> None:
+        self._first_at = now
+        server = self._placement.server
+        if not isinstance(server, Engine):
+            return
+        estimated = self._placement.estimate
+        ahead = estimated.wait_ms / server.read_ms if server.read_ms else 0
+        server.note_first_event(
+            (now - self._started_at) * 1000, ahead + estimated.unread
+        )
+        self._steering.note_read(self._placement)
+        self._steering.start_waiting(now)
+
+    def finish(self) -> None:
+        """Count the end of the try."""
+        is_engine = isinstance(self._placement.server, Engine)
+        if not self._first_at or not is_engine:
+            self._steering.note_read(self._placement)
+        self._steering.finish(self._placement, self._call.demand)
+        self._steering.start_waiting(self._timers.now())
+
+
+def _may_pass_on(call: Call, result: TryResult, answer: WholeAnswer) -> bool:
+    """Return whether an upstream's failure is the final answer.
+
+    Statuses that promise that a request has not run are passed on only when
+    that is true of all tries.
+    """
+    if answer.status in (408, 421, 429, 503):
+        return False
+    return result.ending in (Ending.ANSWERED, Ending.NOT_RUN)
+
+
+def _choose_pool(route: Route) -> str:
+    if len(route.shares) == 1:
+        return route.shares[0].pool
+    weights = [share.weight for share in route.shares]
+    return random.choices(route.shares, weights)[0].pool
+
+
+def _find_host(headers: list[tuple[bytes, bytes]]) -> str:
+    for name, value in headers:
+        if name == b"host":
+            host = value.decode("latin-1")
+            return host.rpartition(":")[0] if ":" in host else host
+    return ""
--- /dev/null
+++ b/hornbeamyard/version/founding.py
@@ -0,0 +1,415 @@
+"""First members of the controllers and exchange of lost ones, unattended.
+
+Controllers know only some of each other at the start, the seeds. They
+introduce themselves until everyone knows everyone. The seed with the lowest
+address founds the log; later the leader exchanges members that are gone for
+controllers that have come.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+import anyio
+import logbook
+
+from ..messages import fleet_pb2
+from ..process.timers import Timers
+from .replica import Replica
+
+# Introductions before and after the log is founded.
+SEARCH_INTERVAL_S = 0.2
+REFRESH_INTERVAL_S = 1.0
+# The first members are chosen when no new controller was found for this
+# long. All hosts of a fleet start within a fraction of a second.
+SETTLE_S = 0.6
+# A fleet with fewer controllers than its tolerance asks for is founded
+# after this time all the same.
+LONGEST_SEARCH_S = 5.0
+# Largest group of first members; more only make each write slower.
+MOST_MEMBERS = 7
+# A member that hasn't answered for this long is exchanged, if another
+# controller is at hand. A restart or a short partition takes less.
+MEMBER_LOST_S = 6.0
+# A controller that isn't a member is forgotten after this long without an
+# introduction.
+CANDIDATE_LOST_S = 3.0
+
+_log = logbook.Logger("founding")
+
+
+class DirectoryCalls(Protocol):
+    """Calls to other controllers; None when there is no answer."""
+
+    async def introduce(
+        self, address: str, request: fleet_pb2.Introduction
+    ) -> fleet_pb2.ControllerList | None:
+        """Tell a controller of this one, and ask what it knows."""
+
+    async def found(
+        self, address: str, request: fleet_pb2.Founding
+    ) -> fleet_pb2.FoundingReply | None:
+        """Give a controller the first members."""
+
+
+@dataclass(slots=True)
+class Known:
+    """A controller that was introduced, and when it was heard of last."""
+
+    controller: fleet_pb2.ControllerAddress
+    heard_at: float
+
+
+class Roster:
+    """The controllers that a process knows, members or not.
+
+    Parameters
+    ----------
+    timers : Timers
+    """
+
+    __slots__ = ("_known", "_timers", "changed_at")
+
+    def __init__(self, timers: Timers) -> None:
+        self._known: dict[str, Known] = {}
+        self._timers = timers
+        self.changed_at = timers.now()
+
+    def note(self, controller: fleet_pb2.ControllerAddress) -> None:
+        """Take an introduction that the controller itself has made."""
+        if not controller.host:
+            return
+        now = self._timers.now()
+        if controller.host not in self._known:
+            self.changed_at = now
+        self._known[controller.host] = Known(controller, now)
+
+    def note_report(self, controller: fleet_pb2.ControllerAddress) -> None:
+        """Take what another controller says of a third one."""
+        if controller.host and controller.host not in self._known:
+            self._known[controller.host] = Known(
+                controller, self._timers.now()
+            )
+            self.changed_at = self._timers.now()
+
+    def list_known(self) -> list[fleet_pb2.ControllerAddress]:
+        """Return all controllers, ordered by host."""
+        return [self._known[host].controller for host in sorted(self._known)]
+
+    def list_recent(self) -> list[fleet_pb2.ControllerAddress]:
+        """Return the controllers that introduced themselves lately."""
+        oldest = self._timers.now() - CANDIDATE_LOST_S
+        return [
+            known.controller
+            for known in self._known.values()
+            if known.heard_at >= oldest
+        ]
+
+    def forget_lost(self, members: Mapping[str, str]) -> None:
+        """Forget controllers that are gone and aren't members."""
+        oldest = self._timers.now() - 4 * CANDIDATE_LOST_S
+        for host, known in list(self._known.items()):
+            if known.heard_at < oldest and host not in members:
+                del self._known[host]
+
+
+def choose_first_members(
+    controllers: Sequence[fleet_pb2.ControllerAddress], needed: int
+) -> list[fleet_pb2.ControllerAddress]:
+    """Return the controllers that found the log.
+
+    All are taken up to a bound; beyond it they are taken from the
+    availability zones in turn, so that no zone holds more than its part.
+
+    Parameters
+    ----------
+    controllers : sequence of ControllerAddress
+    needed : int
+        Members that the tolerated losses ask for.
+    """
+    most = max(needed, MOST_MEMBERS)
+    by_zone: dict[str, list[fleet_pb2.ControllerAddress]] = {}
+    for controller in sorted(controllers, key=lambda c: c.host):
+        by_zone.setdefault(controller.availability_zone, []).append(controller)
+    chosen: list[fleet_pb2.ControllerAddress] = []
+    while by_zone and len(chosen) < most:
+        for zone in sorted(by_zone):
+            chosen.append(by_zone[zone].pop(0))
+            if not by_zone[zone]:
+                del by_zone[zone]
+    chosen = chosen[:most]
+    # An even number bears no more losses than the odd one below it.
+    if len(chosen) > needed and len(chosen) % 2 == 0:
+        chosen.pop()
+    return chosen
+
+
+def plan_exchange(
+    members: fleet_pb2.MemberList,
+    lost: set[str],
+    candidates: Sequence[fleet_pb2.ControllerAddress],
+    needed: int,
+) -> fleet_pb2.MemberChange | None:
+    """Return the next change of members that the leader should make.
+
+    Parameters
+    ----------
+    members : MemberList
+    lost : set of str
+        Hosts of members that haven't answered for long.
+    candidates : sequence of ControllerAddress
+        Controllers that introduced themselves lately.
+    needed : int
+        Members that the tolerated losses ask for.
+    """
+    hosts = {member.host for member in members.members}
+    for member in members.members:
+        if not member.voter and member.host in lost:
+            return fleet_pb2.MemberChange(
+                kind=fleet_pb2.MemberChange.REMOVE, host=member.host
+            )
+    if not all(member.voter for member in members.members):
+        return None
+    lost_voters = sorted(hosts & lost)
+    fresh = sorted(
+        (c for c in candidates if c.host not in hosts), key=lambda c: c.host
+    )
+    if lost_voters and len(hosts) > needed:
+        return fleet_pb2.MemberChange(
+            kind=fleet_pb2.MemberChange.REMOVE, host=lost_voters[0]
+        )
+    if lost_voters and fresh:
+        return fleet_pb2.MemberChange(
+            kind=fleet_pb2.MemberChange.REPLACE,
+            host=lost_voters[0],
+            replacement=fresh[0].host,
+            address=fresh[0].address,
+        )
+    if len(hosts) < needed and fresh:
+        return fleet_pb2.MemberChange(
+            kind=fleet_pb2.MemberChange.ADD,
+            host=fresh[0].host,
+            address=fresh[0].address,
+        )
+    return None
+
+
+class Founder:
+    """Introduces a controller to the others, and founds the log.
+
+    Parameters
+    ----------
+    replica : Replica
+    own : ControllerAddress
+    seeds : sequence of str
+        Addresses of controllers that are known at the start.
+    needed : int
+        Members that the tolerated losses ask for.
+    calls : DirectoryCalls
+    timers : Timers
+    """
+
+    __slots__ = (
+        "_calls",
+        "_lost_since",
+        "_needed",
+        "_replica",
+        "_timers",
+        "own",
+        "roster",
+        "seeds",
+    )
+
+    def __init__(
+        self,
+        replica: Replica,
+        own: fleet_pb2.ControllerAddress,
+        seeds: Sequence[str],
+        needed: int,
+        calls: DirectoryCalls,
+        timers: Timers,
+    ) -> None:
+        self._calls = calls
+        self._needed = needed
+        self._replica = replica
+        self._timers = timers
+        self._lost_since: dict[str, float] = {}
+        self.own = own
+        self.roster = Roster(timers)
+        self.seeds = list(seeds)
+        self.roster.note(own)
+
+    def is_founded(self) -> bool:
+        """Return whether this controller has a log with members."""
+        return bool(self._replica.journal.members.members)
+
+    def describe(self) -> fleet_pb2.ControllerList:
+        """Return all controllers that this one knows."""
+        controllers = {c.host: c for c in self.roster.list_known()}
+        for member in self._replica.state.members.members:
+            if member.host not in controllers:
+                controllers[member.host] = fleet_pb2.ControllerAddress(
+                    host=member.host, address=member.address
+                )
+        return fleet_pb2.ControllerList(
+            controllers=[controllers[host] for host in sorted(controllers)],
+            founded=self.is_founded(),
+        )
+
+    async def run(self) -> None:
+        """Search, found and exchange members until cancelled."""
+        started_at = self._timers.now()
+        async with anyio.create_task_group() as tasks:
+            while True:
+                self.roster.note(self.own)
+                for address in self._list_addresses():
+                    tasks.start_soon(self._introduce, address)
+                if self.is_founded():
+                    await self._lead_exchange()
+                    await self._spread_founding()
+                elif self._may_found(started_at):
+                    await self._found()
+                pause = (
+                    REFRESH_INTERVAL_S
+                    if self._replica.leader_host
+                    else SEARCH_INTERVAL_S
+                )
+                await self._timers.sleep(pause)
+
+    async def accept_founding(self, members: fleet_pb2.MemberList) -> bool:
+        """Take the first members from the founder, into an empty folder."""
+        return bool(
+            await self._replica.jobs.execute(self._write_members, members)
+        )
+
+    def _list_addresses(self) -> list[str]:
+        addresses = {c.address for c in self.roster.list_known()}
+        members = self._replica.journal.members.members
+        addresses.update(member.address for member in members)
+        addresses.update(self.seeds)
+        addresses.discard(self.own.address)
+        return sorted(addresses)
+
+    async def _introduce(self, address: str) -> None:
+        request = fleet_pb2.Introduction(
+            identity=self._replica.identity, controller=self.own
+        )
+        reply = await self._calls.introduce(address, request)
+        if reply is None:
+            return
+        for controller in reply.controllers:
+            if controller.address == address:
+                self.roster.note(controller)
+            else:
+                self.roster.note_report(controller)
+
+    # ---- founding --------------------------------------------------------
+
+    def _may_found(self, started_at: float) -> bool:
+        """Return whether this controller decides on the first members.
+
+        Only one may: all controllers get the same seeds at the first start.
+        """
+        if not self.own.first_start or not self.seeds:
+            return False
+        if self.own.address != min(self.seeds, key=_order_address):
+            return False
+        now = self._timers.now()
+        known = self.roster.list_recent()
+        if now - started_at >= LONGEST_SEARCH_S:
+            return True
+        is_settled = now - self.roster.changed_at >= SETTLE_S
+        return is_settled and len(known) >= self._needed
+
+    async def _found(self) -> None:
+        chosen = choose_first_members(self.roster.list_recent(), self._needed)
+        members = fleet_pb2.MemberList(
+            members=[
+                fleet_pb2.Member(host=c.host, address=c.address, voter=True)
+                for c in chosen
+            ]
+        )
+        hosts = ", ".join(c.host for c in chosen)
+        # The founder stores its choice first, so that a restart in between
+        # can't lead to another one.
+        if await self.accept_founding(members):
+            _log.info("founded the log with the members {}", hosts)
+
+    async def _spread_founding(self) -> None:
+        """Give the first members to controllers that don't have them yet."""
+        journal = self._replica.journal
+        first = journal.get_entry(1)
+        is_first = journal.last_index == 1 and first is not None
+        if not is_first or not journal.initial or first is None:
+            return
+        request = fleet_pb2.Founding(
+            identity=self._replica.identity, members=first.members
+        )
+        async with anyio.create_task_group() as tasks:
+            for member in first.members.members:
+                if member.host != self.own.host:
+                    tasks.start_soon(
+                        self._calls.found, member.address, request
+                    )
+
+    async def _write_members(self, members: fleet_pb2.MemberList) -> bool:
+        replica = self._replica
+        journal = replica.journal
+        if replica.fault or not self.own.first_start:
+            return False
+        if journal.members.members or journal.term:
+            return journal.members == members
+        entry = fleet_pb2.LogEntry(index=1, members=members)
+        disk_id = random.randbytes(16)
+        if not await replica.keep(
+            lambda: journal.start_over(disk_id, [entry])
+        ):
+            return False
+        replica.election.start()
+        return True
+
+    # ---- exchange --------------------------------------------------------
+
+    async def _lead_exchange(self) -> None:
+        """Exchange members that are gone, while this controller leads."""
+        replica = self._replica
+        leadership = replica.leadership
+        members = replica.state.members
+        self.roster.forget_lost({m.host: m.address for m in members.members})
+        if leadership is None or not replica.is_leader():
+            self._lost_since = {}
+            return
+        if leadership.is_change_pending():
+            return
+        now = self._timers.now()
+        lost = set()
+        for host, peer in leadership.peers.items():
+            since = self._lost_since.setdefault(host, now)
+            since = max(since, peer.acked_at)
+            self._lost_since[host] = since
+            if now - since >= MEMBER_LOST_S:
+                lost.add(host)
+        change = plan_exchange(
+            members, lost, self.roster.list_recent(), self._needed
+        )
+        if change is None:
+            return
+        kind = fleet_pb2.MemberChange.Kind.Name(change.kind)
+        result = await replica.change_members(change)
+        _log.info(
+            "change of members: {} host={} replacement={} lost={}: {}",
+            kind,
+            change.host,
+            change.replacement,
+            sorted(lost),
+            result,
+        )
+
+
+def _order_address(address: str) -> tuple[list[int], int]:
+    host, _, port = address.rpartition(":")
+    parts = [int(part) for part in host.split(".") if part.isdigit()]
+    return parts, int(port)
--- a/hornbeamyard/version/replica.py
+++ b/hornbeamyard/version/replica.py
@@ -25,10 +25,15 @@
 PROPOSE_TIMEOUT_S = 4.0
 PENDING_ENTRIES = 4096
 SNAPSHOT_ENTRIES = 1000
+# A snapshot is also taken after this many bytes of entries, so that the log
+# stays small on the disk: whole routings take up to some 100 KB each.
+SNAPSHOT_SIZE = 8 * 1024 * 1024
 # A fifth of as many entries stays in the log behind a snapshot, so that a
 # peer which lags a little needs no snapshot.
 KEPT_DIVISOR = 5
 HAND_OVER_TIMEOUT_S = 2.0
+# Time between attempts to write to a disk that has failed.
+DISK_RETRY_S = 0.5
 
 T = TypeVar("T")
 
@@ -145,8 +150,11 @@
         self._applied = anyio.Event()
         self._pending: list[Proposal] = []
         self._waiting: dict[int, Proposal] = {}
+        self._is_loaded = False
         self._is_saving = False
+        self._may_retry = False
         self._snapshot_entries = snapshot_entries
+        self._unsaved_size = 0
 
     # ---- for the controller ----------------------------------------------
 
@@ -197,6 +205,27 @@
             fleet_pb2.LogEntry(claims=batch), fleet_pb2.ClaimResults
         )
 
+    async def submit_routing(
+        self, submission: fleet_pb2.RoutingSubmission
+    ) -> Result[fleet_pb2.RoutingResult, ProposeError]:
+        """Append a checked routing to the log and return its outcome."""
+        return await self._submit(
+            fleet_pb2.LogEntry(routing=submission), fleet_pb2.RoutingResult
+        )
+
+    async def confirm_state(self) -> Result[FleetState, ProposeError]:
+        """Return the state once a majority has confirmed that it is current.
+
+        The lease isn't enough for a read: the monotonic clock stands still
+        while a host is suspended, so a leader that wakes up may hold an old
+        state and believe in its lease.
+        """
+        if not self.is_leader():
+            return Err(NotLeader(self.get_leader()))
+        entry = fleet_pb2.LogEntry(claims=fleet_pb2.ClaimBatch())
+        result = await self._wait(self.propose(entry))
+        return result if isinstance(result, Err) else Ok(self.state)
+
     async def change_members(
         self, change: fleet_pb2.MemberChange
     ) -> Result[str, ProposeError]:
@@ -231,11 +260,21 @@
         task_status: anyio.abc.TaskStatus[None] = (anyio.TASK_STATUS_IGNORED),
     ) -> None:
         """Read the data folder and take part until cancelled."""
+        await self._load()
+        self.election.start()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.jobs.run)
+            tasks.start_soon(self.election.run)
+            tasks.start_soon(self._retry_disk)
+            task_status.started()
+
+    async def _load(self) -> None:
         try:
             repaired = await self.journal.load(
                 lambda: self._choose.randbytes(16)
             )
             self.state = FleetState.from_snapshot(self.journal.snapshot)
+            self._is_loaded = True
             if repaired:
                 _log.warning("{}", repaired)
         except (OSError, JournalError) as error:
@@ -244,11 +283,30 @@
             _log.warning(
                 "the data folder is empty; waiting to be added by the leader"
             )
+
+    async def _retry_disk(self) -> None:
+        """Take part again once a disk that failed accepts writes."""
+        async for _ in self.timers.subscribe(DISK_RETRY_S):
+            if self.fault and self._may_retry:
+                await self.jobs.execute(self._reload)
+
+    async def _reload(self) -> None:
+        """Read what the disk holds, as a failed write may have reached it."""
+        journal = self.journal
+        try:
+            if self._is_loaded and not await journal.holds_vote():
+                return
+            await journal.load(lambda: self._choose.randbytes(16))
+            await journal.store_vote(journal.term, journal.voted_for)
+            if not self._is_loaded:
+                self.state = FleetState.from_snapshot(journal.snapshot)
+                self._is_loaded = True
+        except (OSError, JournalError) as error:
+            _log.debug("the disk still fails: {}", error)
+            return
+        _log.warning("the disk accepts writes again; taking part again")
+        self.fault = ""
         self.election.start()
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self.jobs.run)
-            tasks.start_soon(self.election.run)
-            task_status.started()
 
     async def hand_over(self) -> None:
         """Give the leadership to another member, if this one leads."""
@@ -271,12 +329,16 @@
 
     def fail(self, error: Exception) -> None:
         """Stop voting and leading, because the disk can't be trusted."""
+        if not self.fault:
+            _log.error(
+                "this controller no longer votes or leads: {}; it takes "
+                "part again once the disk accepts writes",
+                error,
+            )
         self.fault = str(error)
-        _log.error(
-            "this controller no longer votes or leads: {}; repair the disk "
-            "and restart the process",
-            error,
-        )
+        # A corrupt or foreign folder needs an operator; a full or failing
+        # disk may recover by itself.
+        self._may_retry = isinstance(error, OSError)
         self.depose("disk error")
 
     def lead(self, term: int) -> Leadership:
@@ -399,6 +461,7 @@
             entry = self.journal.get_entry(number)
             assert entry is not None
             outcome = self.state.apply(entry)
+            self._unsaved_size += entry.ByteSize()
             if entry.HasField("members"):
                 described = membership.describe_members(entry.members)
                 _log.info("members: {}", described)
@@ -408,7 +471,11 @@
                 proposal.done.set()
         self._notify()
         behind = self.state.last_index - self.journal.snapshot.last_index
-        if behind >= self._snapshot_entries and not self._is_saving:
+        is_due = (
+            behind >= self._snapshot_entries
+            or self._unsaved_size >= SNAPSHOT_SIZE
+        )
+        if is_due and not self._is_saving:
             self._is_saving = True
             self.jobs.put(self._save_snapshot)
         self._check_membership()
@@ -428,6 +495,7 @@
 
     async def _save_snapshot(self) -> None:
         snapshot = self.state.build_snapshot()
+        self._unsaved_size = 0
         await self.keep(lambda: self.journal.store_snapshot(snapshot))
         self._is_saving = False
 
--- a/hornbeamyard/version/state.py
+++ b/hornbeamyard/version/state.py
@@ -20,7 +20,12 @@
 # The log begins with the first members, then the first leader's entry.
 FIRST_LEADER_INDEX = 2
 
-Outcome = fleet_pb2.PatchResult | fleet_pb2.ClaimResults | None
+Outcome = (
+    fleet_pb2.PatchResult
+    | fleet_pb2.ClaimResults
+    | fleet_pb2.RoutingResult
+    | None
+)
 
 
 class FleetState:
@@ -43,6 +48,8 @@
         Term and index of the newest leader's first entry.
     last_index, last_term : int
         The last applied entry.
+    routing : RoutingSubmission
+        The newest accepted routing; version 0 before the first.
     time_ms : int
         Log time of the last applied entry; it never goes back.
     """
@@ -57,6 +64,7 @@
         "members",
         "outcomes",
         "patches",
+        "routing",
         "time_ms",
     )
 
@@ -70,6 +78,7 @@
         self.fencing = (0, 0)
         self.last_index = 0
         self.last_term = 0
+        self.routing = fleet_pb2.RoutingSubmission()
         self.time_ms = 0
 
     @property
@@ -88,6 +97,8 @@
                 return self.apply_patch(entry.patch, self.time_ms)
             case "claims":
                 return self.claims.apply(entry.claims, self.time_ms)
+            case "routing":
+                return self.apply_routing(entry.routing)
             case "members":
                 self.members = entry.members
             case "noop":
@@ -129,6 +140,31 @@
             self._forget_outcomes()
         return result
 
+    def apply_routing(
+        self, submission: fleet_pb2.RoutingSubmission
+    ) -> fleet_pb2.RoutingResult:
+        """Take a routing when its version is the highest.
+
+        A version that is not higher is acknowledged, because an operator
+        who lost the answer sends it again; other content under the version
+        that is held is not.
+        """
+        held = self.routing
+        result = fleet_pb2.RoutingResult(decided=True)
+        if submission.version > held.version:
+            self.routing = fleet_pb2.RoutingSubmission(
+                version=submission.version, document=submission.document
+            )
+            result.outcome = fleet_pb2.RoutingResult.ACCEPTED
+        elif submission.version < held.version:
+            result.outcome = fleet_pb2.RoutingResult.OVERTAKEN
+        elif submission.document == held.document:
+            result.outcome = fleet_pb2.RoutingResult.ACCEPTED
+        else:
+            result.outcome = fleet_pb2.RoutingResult.CONFLICT
+        result.version = self.routing.version
+        return result
+
     def list_history(self, limit: int) -> list[fleet_pb2.PatchRecord]:
         """Return the newest accepted patches, newest first."""
         accepted = (
@@ -186,6 +222,8 @@
             claims=self.claims.list_records(),
             fencing=self.fencing[1],
             fencing_term=self.fencing[0],
+            routing_version=self.routing.version,
+            routing_document=self.routing.document,
         )
 
     @classmethod
@@ -206,6 +244,10 @@
         copies = fleet_pb2.SnapshotState(claims=snapshot.claims)
         state.claims = ClaimTable(copies.claims)
         state.members = snapshot.members
+        state.routing = fleet_pb2.RoutingSubmission(
+            version=snapshot.routing_version,
+            document=snapshot.routing_document,
+        )
         state.fencing = (snapshot.fencing_term, snapshot.fencing)
         state.last_index = snapshot.last_index
         state.last_term = snapshot.last_term
