--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -785,7 +785,7 @@
             call.cancel()
 
     async def _report(self, call: Any, address: str) -> None:
-        """Send reports: the first names this router, others go to the leader."""
+        """Name this router, then send reports if the controller leads."""
         await peers.wait_call(
             call.write(fleet_pb2.RouterUsage(identity=self._identity))
         )
--- a/hornbeamyard/process/route_router.py
+++ b/hornbeamyard/process/route_router.py
@@ -19,7 +19,7 @@
 from ..pool.steering import Steering
 from ..pool.usage import FleetSums, RouterCounters, UpstreamUse
 from ..request.budget import WindowBudget
-from ..request.forwarding import Forwarder
+from ..request.forwarding import Forwarder, Receive, Scope, Send
 from ..version.routing import Routing
 from .decisions import DecisionLog
 from .interface import Interface, Message
@@ -201,17 +201,18 @@
             self._budgets[pool] = budget
         return budget
 
-    async def _close_later(self, *arguments: object) -> None:
+    async def _close_later(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
         """Serve a request; while stopping, answers end their connection."""
-        scope, receive, send = arguments
 
         async def send_closing(message: Message) -> None:
             if message["type"] == "http.response.start" and self.is_closing:
                 headers = [*message["headers"], (b"connection", b"close")]
                 message = {**message, "headers": headers}
-            await send(message)  # type: ignore[operator]
+            await send(message)
 
-        await self.forwarder(scope, receive, send_closing)  # type: ignore
+        await self.forwarder(scope, receive, send_closing)
 
     # ---- from the directory ----------------------------------------------
 
@@ -336,11 +337,12 @@
 
     # ---- status ----------------------------------------------------------
 
-    async def _serve_status(self, *arguments: object) -> None:
-        scope, _, send = arguments
-        if scope["type"] != "http":  # type: ignore[index]
+    async def _serve_status(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        if scope["type"] != "http":
             return
-        path = scope["path"]  # type: ignore[index]
+        path = scope["path"]
         status, body = 404, b"not found\n"
         if path == self._interface.ready_path:
             status, body = (
@@ -349,7 +351,7 @@
         elif path == "/metrics":
             text = "".join(f"{line}\n" for line in self._list_metrics())
             status, body = 200, text.encode()
-        await send(  # type: ignore[operator]
+        await send(
             {
                 "type": "http.response.start",
                 "status": status,
@@ -359,9 +361,7 @@
                 ],
             }
         )
-        await send(  # type: ignore[operator]
-            {"type": "http.response.body", "body": body}
-        )
+        await send({"type": "http.response.body", "body": body})
 
     def _list_metrics(self) -> Iterator[str]:
         prefix = "hornbeamyard"
--- a/hornbeamyard/process/servers.py
+++ b/hornbeamyard/process/servers.py
@@ -50,6 +50,7 @@
         access_log=False,
         lifespan="off",
         http=protocol,
+        interface="asgi3",
         ws="none",
         proxy_headers=False,
         timeout_keep_alive=int(keep_alive_s),
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -490,9 +490,10 @@
             return False
         if call.may_have_run and not call.route.is_repeatable():
             return False
-        if result.ending is Ending.ANSWERED and result.answer is not None:
-            if result.answer.status < 500:
-                return False
+        answer = result.answer
+        is_answered = result.ending is Ending.ANSWERED and answer is not None
+        if is_answered and answer is not None and answer.status < 500:
+            return False
         if result.ending is Ending.NOT_SENT:
             return len(call.excluded) <= call.route.most_attempts + 1
         if call.tries >= call.route.most_attempts:
