--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import zlib
 from collections.abc import AsyncIterator, Callable, Iterable
 from typing import Any, TypeVar
@@ -750,23 +751,20 @@
         """Keep the stream to one controller while it is needed."""
         try:
             while self._is_wanted(address):
-                try:
-                    await self._stream(address)
-                except grpc.aio.AioRpcError as error:
-                    if self.versions.pop(address, None) is not None:
-                        _log.warning(
-                            "controller lost address={} reason={}",
-                            address,
-                            error.code().name,
-                        )
-                self.versions.pop(address, None)
+                reason = await self._stream(address)
+                if self.versions.pop(address, None) is not None:
+                    _log.warning(
+                        "controller lost address={} reason={}", address, reason
+                    )
                 await self._timers.sleep(RECONNECT_PAUSE_S)
         finally:
             running.discard(address)
             await self._calls.forget(address)
 
-    async def _stream(self, address: str) -> None:
+    async def _stream(self, address: str) -> str:
+        """Serve one stream and return why it ended."""
         call = self._calls.open_stub(address).Watch()
+        reason = "not wanted"
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._report, call, address)
@@ -775,14 +773,21 @@
                     with self._timers.limit(SILENCE_LIMIT_S):
                         update = await peers.wait_call(call.read())
                     if not isinstance(update, fleet_pb2.DirectoryUpdate):
-                        _log.warning("controller silent address={}", address)
+                        reason = "silent" if update is None else "ended"
                         break
                     self._take(address, update)
                 tasks.cancel_scope.cancel()
         except* grpc.aio.AioRpcError as errors:
-            raise errors.exceptions[0] from None
+            error = errors.exceptions[0]
+            assert isinstance(error, grpc.aio.AioRpcError)
+            reason = error.code().name
+        except* asyncio.InvalidStateError:
+            # grpc raises it when a report is written to a stream that the
+            # controller has ended.
+            reason = "ended"
         finally:
             call.cancel()
+        return reason
 
     async def _report(self, call: Any, address: str) -> None:
         """Name this router, then send reports if the controller leads."""
