Keep fair shares as credits of the whole fleet

Change: credits of accounts over the fleet, the pool's throughput divided by demand, accounts within their share go before those above it, returned requests don't spend a share that fresh ones need.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -266,6 +266,8 @@
     timers : Timers
     lifetime_s : float
         Time without an announcement after which an upstream is lost.
+    window_s : float
+        Span over which the demand of accounts is measured.
     """
 
     __slots__ = (
@@ -287,6 +289,7 @@
         calls: DirectoryCalls,
         timers: Timers,
         lifetime_s: float,
+        window_s: float,
     ) -> None:
         self._calls = calls
         self._founder = founder
@@ -294,7 +297,7 @@
         self._replica = replica
         self._sums = FleetSums()
         self._timers = timers
-        self._usage = UsageTable()
+        self._usage = UsageTable(window_s)
         self._watchers: set[Watcher] = set()
         self.census = Census()
 
@@ -841,7 +844,9 @@
             self._on_upstreams(changed)
         if update.has_sums:
             accounts, usage = _decode_sums(update.accounts, update.usage)
-            self._on_sums(FleetSums(accounts, usage, update.routers))
+            self._on_sums(
+                FleetSums(accounts, usage, update.routers, update.leader)
+            )
         if update.routing_version > self.version:
             self._wanted.set()
 
--- a/hornbeamyard/pool/engine.py
+++ b/hornbeamyard/pool/engine.py
@@ -129,6 +129,8 @@
         Mean time to generate a token of a request.
     expected_read_ms : float
         What `read_ms` begins with, and is bounded by.
+    is_measured : bool
+        Whether `read_ms` is measured.
     """
 
     slots: int = 0
@@ -136,8 +138,17 @@
     read_ms: float = DEFAULT_READ_MS
     token_ms: float = 0.0
     expected_read_ms: float = DEFAULT_READ_MS
+    is_measured: bool = False
     _parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
 
+    def expect(self, read_ms: float) -> None:
+        """Take over the reading time that the pool's throughput implies."""
+        if not read_ms:
+            return
+        self.expected_read_ms = read_ms
+        if not self.is_measured:
+            self.read_ms = read_ms
+
     def count_cached(self, demand: Demand, now: float) -> int:
         """Return the leading tokens that this router believes are held."""
         cached = 0
@@ -174,6 +185,7 @@
         least = self.expected_read_ms * LEAST_FACTOR
         most = self.expected_read_ms * MOST_FACTOR
         sample = min(max(sample, least), most)
+        self.is_measured = True
         self.read_ms += SAMPLE_WEIGHT * (sample - self.read_ms)
 
     def note_generated(self, elapsed_ms: float, tokens: int) -> None:
--- a/hornbeamyard/pool/shares.py
+++ b/hornbeamyard/pool/shares.py
@@ -1,9 +1,11 @@
-"""Fair shares of a pool's throughput between client accounts.
+"""Fair shares of the engines' throughput between client accounts.
 
 Each account may use what it asks for, up to a level that is the same for
 all accounts above it (max-min fairness). Every router computes the level
-from the same sums and admits its own part of each account's share, so that
-no request needs a message.
+from the same sums and keeps the same credits of accounts, so that no request
+needs a message. The pool's throughput is divided between routers by what
+their callers ask for: if all routers spent it together, each would see it
+unspent until the next sums, and the engines would get bursts.
 """
 
 from __future__ import annotations
@@ -14,18 +16,31 @@
 
 from .usage import WINDOW_S, AccountUse
 
-# The pool counts as contended when the demand is above this share of the
-# throughput. Below it, shares limit nobody.
-CONTENDED_SHARE = 0.9
-# Share that an account saves up while it asks for less, as a time. It lets
-# single large requests through and covers the delay of the sums.
-SAVED_S = 1.0
-# Factors of the throughput that a router believes in. The configured figure
-# counts tokens that engines hold already, so more of them may pass.
-LEAST_FACTOR = 0.6
-MOST_FACTOR = 3.0
+# Unused throughput that the pool keeps, as a time. More would let a burst
+# through that slows down all running requests.
+POOL_SAVED_S = 0.3
+# Debt of the pool, as a time, up to which accounts that ask for no more than
+# their share are served. A flood that spends what the pool earns must not
+# hold them up.
+POOL_DEBT_S = 1.0
+# Part of its savings that an account which asks for more than its share keeps
+# for requests that come for the first time.
+RETURNED_PART = 0.5
+# Bounds and steps of what the engines are found to give, as a multiple of
+# the configured throughput. They give more for a while, as they hold part of
+# the prompts already; accounts below their share may use that. It falls
+# faster than it rises, as an engine that has too much work slows down
+# everything that runs in it.
+LEAST_FACTOR = 0.5
+MOST_FACTOR = 1.8
+FIRST_FACTOR = 1.4
 RISE = 0.03
-FALL = 0.06
+FALL = 0.05
+# Part of an even division that a router gets at least, so that callers who
+# come to another router are served before the next sums.
+LEAST_PART = 0.3
+# Longest time between two sums that counts as earned.
+LONGEST_STEP_S = 1.0
 
 
 def compute_level(demands: Mapping[str, float], throughput: float) -> float:
@@ -56,10 +71,62 @@
 
 
 @dataclass(slots=True)
-class _Bucket:
+class _Credit:
+    """Tokens that may still be used, of an account or of the pool.
+
+    Attributes
+    ----------
+    tokens : float
+        Negative after a request that was larger than the rest.
+    rate : float
+        Tokens earned in a second.
+    most : float
+        Tokens that are kept at most.
+    filled_at : float
+    total_seen, own_seen : int
+        Counters at the last sums: of the fleet, and what this router had
+        reported of its own.
+    carry : float
+        Use by others that the counters, which are of slightly different
+        times, show too early.
+    is_over : bool
+        Whether the account asks for more than its share.
+    """
+
     tokens: float = 0.0
-    rate: float = float("inf")
+    rate: float = 0.0
+    most: float = 0.0
     filled_at: float = 0.0
+    total_seen: int = 0
+    own_seen: int = 0
+    carry: float = 0.0
+    is_over: bool = False
+
+    def fill(self, now: float) -> None:
+        """Add what was earned."""
+        elapsed_s = min(max(0.0, now - self.filled_at), LONGEST_STEP_S)
+        self.tokens = min(self.tokens + self.rate * elapsed_s, self.most)
+        self.filled_at = now
+
+    def refill(self, rate: float, now: float) -> None:
+        """Add what was earned, and earn at another rate from now on."""
+        self.fill(now)
+        self.rate = rate
+        self.most = rate * POOL_SAVED_S
+        # What was admitted before the pool was contended is no debt of those
+        # who ask now.
+        self.tokens = max(self.tokens, -rate * POOL_DEBT_S)
+
+    def take_others(self, total: int, own: int) -> None:
+        """Subtract what other routers have used since the last sums."""
+        if total >= self.total_seen:
+            used = total - self.total_seen - (own - self.own_seen)
+            self.carry += used
+            if self.carry > 0:
+                self.tokens -= self.carry
+                self.carry = 0.0
+        self.total_seen = total
+        self.own_seen = own
 
 
 @dataclass(slots=True)
@@ -71,99 +138,177 @@
     throughput : float
         Tokens a second of all engines, as configured; 0 when unknown.
     factor : float
-        Part of it that the engines are found to give.
+        Multiple of it that the engines are found to give.
+    window_s : float
+        Span over which shares are judged.
     level : float
         Tokens a second up to which accounts get what they ask for.
+    own : dict of str to AccountUse
+        Counters of this router.
     """
 
     throughput: float = 0.0
-    factor: float = 1.0
+    factor: float = FIRST_FACTOR
+    window_s: float = WINDOW_S
     level: float = float("inf")
-    _buckets: dict[str, _Bucket] = field(default_factory=dict)
-    _asked: deque[tuple[float, str, int]] = field(default_factory=deque)
     own: dict[str, AccountUse] = field(default_factory=dict)
+    _accounts: dict[str, _Credit] = field(default_factory=dict)
+    _pool: _Credit = field(default_factory=_Credit)
+    _asked: deque[tuple[float, int]] = field(default_factory=deque)
+    _reported: dict[str, int] = field(default_factory=dict)
+    _spare: _Credit = field(default_factory=_Credit)
+    _source: str = ""
 
     def is_contended(self) -> bool:
         """Return whether accounts ask for more than the engines give."""
         return self.level != float("inf")
 
-    def note_asked(self, account: str, size: int, now: float) -> None:
-        """Count a request that has come."""
-        self._asked.append((now, account, size))
+    def note_asked(self, account: str, size: int) -> None:
+        """Count a request that has come for the first time."""
         self.own.setdefault(account, AccountUse()).asked += size
 
-    def note_admitted(self, account: str, size: int, now: float) -> None:
-        """Count a request that is sent, against the account's share."""
+    def note_admitted(self, account: str, size: int) -> None:
+        """Count a request that is sent."""
         self.own.setdefault(account, AccountUse()).admitted += size
-        bucket = self._buckets.get(account)
-        if bucket is not None and bucket.rate != float("inf"):
-            self._fill(bucket, now)
-            bucket.tokens -= size
+        self._pool.tokens -= size
+        self._spare.tokens -= size
+        credit = self._accounts.get(account)
+        if credit is not None:
+            credit.tokens -= size
+
+    def note_reported(self, now: float) -> None:
+        """Take note that the counters are reported now."""
+        asked = sum(use.asked for use in self.own.values())
+        self._asked.append((now, asked))
+        while len(self._asked) > 2 and now - self._asked[0][0] > self.window_s:
+            self._asked.popleft()
+        self._reported = {name: use.admitted for name, use in self.own.items()}
+
+    def may_admit(self, account: str, returned: bool, now: float) -> bool:
+        """Return whether a request of an account may be sent now.
+
+        Parameters
+        ----------
+        account : str
+        returned : bool
+            Whether the caller comes back after a refusal. Its answer is late
+            already, so an account that asks for more than its share rather
+            spends it on requests that can still be in time.
+        now : float
+        """
+        if not self.is_contended():
+            return True
+        credit = self._accounts.get(account)
+        self._pool.fill(now)
+        if credit is None or not credit.is_over:
+            return self._pool.tokens > -POOL_DEBT_S * self._pool.rate
+        credit.fill(now)
+        least = RETURNED_PART * credit.most if returned else 0.0
+        if credit.tokens > least and self._pool.tokens > 0:
+            return True
+        self._spare.fill(now)
+        return self._spare.tokens > 0
 
     def has_share(self, account: str, now: float) -> bool:
-        """Return whether an account may have a request admitted now."""
-        bucket = self._buckets.get(account)
-        if bucket is None or bucket.rate == float("inf"):
+        """Return whether an account has not used its share up."""
+        credit = self._accounts.get(account)
+        if credit is None or not self.is_contended():
             return True
-        self._fill(bucket, now)
-        return bucket.tokens > 0
+        credit.fill(now)
+        return credit.tokens > 0
+
+    def describe(self, account: str, now: float) -> dict[str, object]:
+        """Return what decides on an account, for log lines."""
+        if not self.is_contended():
+            return {"factor": round(self.factor, 2)}
+        credit = self._accounts.get(account)
+        return {
+            "factor": round(self.factor, 2),
+            "level": round(self.level),
+            "credit": round(credit.tokens) if credit is not None else None,
+            "pool_credit": round(self._pool.tokens),
+        }
 
     def compute_wait(self, account: str, now: float) -> float:
         """Return the seconds until an account has a share again."""
-        bucket = self._buckets.get(account)
-        if bucket is None or bucket.rate == float("inf"):
+        if not self.is_contended():
             return 0.0
-        self._fill(bucket, now)
-        if bucket.tokens > 0:
-            return 0.0
-        return -bucket.tokens / max(bucket.rate, 1.0)
+        credit = self._accounts.get(account)
+        waits = [0.0]
+        for held in (credit, self._pool):
+            if held is not None and held.rate > 0:
+                held.fill(now)
+                waits.append(-held.tokens / held.rate)
+        return max(waits)
 
     def take_sums(
-        self, accounts: Mapping[str, AccountUse], now: float
+        self,
+        accounts: Mapping[str, AccountUse],
+        routers: int,
+        source: str,
+        now: float,
     ) -> None:
-        """Compute the shares from the fleet's sums."""
-        demands = {
-            name: use.asked / WINDOW_S for name, use in accounts.items()
-        }
-        throughput = self.throughput * self.factor * CONTENDED_SHARE
+        """Compute the shares from the fleet's sums.
+
+        Parameters
+        ----------
+        accounts : mapping of str to AccountUse
+            Tokens asked for within the window, and admitted since the
+            source began to count.
+        routers : int
+            Routers that share the throughput.
+        source : str
+            Who has added up.
+        now : float
+        """
         if not self.throughput:
             self.level = float("inf")
             return
-        self.level = compute_level(demands, throughput)
-        own_rates = self._compute_own_rates(now)
-        for name in {*self._buckets, *demands}:
-            bucket = self._buckets.setdefault(name, _Bucket(0.0))
-            self._fill(bucket, now)
-            demand = demands.get(name, 0.0)
-            if self.level == float("inf") or demand <= self.level:
-                bucket.rate = float("inf")
-                continue
-            part = min(1.0, own_rates.get(name, 0.0) / demand)
-            rate = self.level * part
-            if bucket.rate == float("inf"):
-                bucket.tokens = rate * SAVED_S
-            bucket.rate = rate
-            bucket.tokens = min(bucket.tokens, rate * SAVED_S)
+        demands = {
+            name: use.asked / self.window_s for name, use in accounts.items()
+        }
+        rate = self.throughput * min(1.0, self.factor)
+        self.level = compute_level(demands, rate)
+        is_new = source != self._source
+        self._source = source
+        part = self._compute_part(sum(demands.values()), routers)
+        self._pool.refill(self.throughput * self.factor * part, now)
+        self._spare.refill(rate * part, now)
+        for name, use in accounts.items():
+            saved = min(self.level, rate) * self.window_s
+            credit = self._accounts.get(name)
+            if credit is None:
+                credit = _Credit(tokens=saved, most=saved, filled_at=now)
+                self._accounts[name] = credit
+            credit.fill(now)
+            credit.rate = min(self.level, rate)
+            credit.is_over = demands[name] > self.level
+            credit.most = saved
+            credit.tokens = min(credit.tokens, credit.most)
+            credit.tokens = max(credit.tokens, -credit.most)
+            reported = self._reported.get(name, 0)
+            _take(credit, use.admitted, reported, is_new)
+
+    def _compute_part(self, demand: float, routers: int) -> float:
+        """Return this router's part of the pool's throughput."""
+        least = LEAST_PART / max(1, routers)
+        if len(self._asked) < 2 or not demand:
+            return 1.0 / max(1, routers)
+        grown = self._asked[-1][1] - self._asked[0][1]
+        return min(1.0, max(least, grown / self.window_s / demand))
 
     def adapt(self, is_idle: bool, is_crowded: bool) -> None:
         """Follow what the engines give while the pool is contended."""
         if is_crowded:
             self.factor = max(LEAST_FACTOR, self.factor * (1 - FALL))
-        elif is_idle and self.is_contended():
+        elif is_idle and (self.is_contended() or self.factor < 1):
             self.factor = min(MOST_FACTOR, self.factor * (1 + RISE))
 
-    def _compute_own_rates(self, now: float) -> dict[str, float]:
-        """Return what accounts asked for here, in tokens a second."""
-        while self._asked and now - self._asked[0][0] > WINDOW_S:
-            self._asked.popleft()
-        rates: dict[str, float] = {}
-        for _, name, size in self._asked:
-            rates[name] = rates.get(name, 0.0) + size / WINDOW_S
-        return rates
-
-    def _fill(self, bucket: _Bucket, now: float) -> None:
-        if bucket.rate != float("inf"):
-            earned = bucket.rate * (now - bucket.filled_at)
-            most = bucket.rate * SAVED_S
-            bucket.tokens = min(bucket.tokens + earned, most)
-        bucket.filled_at = now
+
+def _take(credit: _Credit, total: int, own: int, is_new: bool) -> None:
+    if is_new:
+        credit.total_seen = total
+        credit.own_seen = own
+        credit.carry = 0.0
+        return
+    credit.take_others(total, own)
--- a/hornbeamyard/pool/steering.py
+++ b/hornbeamyard/pool/steering.py
@@ -11,6 +11,7 @@
 from contextlib import AbstractContextManager
 from dataclasses import dataclass, field
 from enum import Enum
+from statistics import median
 
 import anyio
 
@@ -57,6 +58,15 @@
 # share of common targets, and crowded when it takes more than the other.
 IDLE_WAIT_MS = 120.0
 CROWDED_WAIT_MS = 350.0
+# Part of the longest pause that events should take on average. Streams then
+# end in time, and a burst of prompts doesn't make their pauses too long.
+PACE_SHARE = 0.25
+# Weight of a sample in the mean time of a token, and the time without samples
+# in which the mean halves.
+PACE_WEIGHT = 0.02
+PACE_HALF_LIFE_S = 0.5
+# Engines whose events take this many times as long are crowded.
+CROWDED_PACE = 1.3
 # Shortest and longest time after which a refused caller should return.
 LEAST_RETRY_S = 0.2
 MOST_RETRY_S = 4.0
@@ -126,6 +136,28 @@
     return [id for _, id in sorted(scored, reverse=True)]
 
 
+@dataclass(slots=True)
+class Pace:
+    """Mean time of a token over all engines of a pool, lately.
+
+    Without new samples it falls, because engines without work say nothing.
+    """
+
+    _mean_ms: float = 0.0
+    _noted_at: float = 0.0
+
+    def note(self, sample_ms: float, now: float) -> None:
+        """Take the time that a token took."""
+        mean = self.get(now)
+        self._mean_ms = mean + PACE_WEIGHT * (sample_ms - mean)
+        self._noted_at = now
+
+    def get(self, now: float) -> float:
+        """Return the mean in ms."""
+        silent_s = max(0.0, now - self._noted_at)
+        return float(self._mean_ms * 0.5 ** (silent_s / PACE_HALF_LIFE_S))
+
+
 class Steering:
     """The upstreams of one pool, and the requests that wait for them.
 
@@ -145,12 +177,14 @@
         "_draw",
         "_limit",
         "_memory_tokens",
+        "_pace_ms",
         "_pool",
         "_read_ms",
         "_shares",
         "_slots",
         "_waiting",
         "_zone",
+        "pace",
         "servers",
     )
 
@@ -165,21 +199,38 @@
         self._draw = draw
         self._limit = limit
         self._memory_tokens = 0
+        self._pace_ms = 0.0
         self._pool = pool
         self._read_ms = 0.0
         self._shares = shares
         self._slots = 0
         self._waiting: list[Waiting] = []
         self._zone = availability_zone
+        self.pace = Pace()
         self.servers: dict[str, Server] = {}
 
     # ---- upstreams -------------------------------------------------------
 
     def configure(
-        self, memory_tokens: int, slots: int, tokens_per_s: float
+        self,
+        memory_tokens: int,
+        slots: int,
+        tokens_per_s: float,
+        longest_gap_ms: float,
     ) -> None:
-        """Take over what the routing says of the pool."""
+        """Take over what the routing says of the pool.
+
+        Parameters
+        ----------
+        memory_tokens, slots : int
+            Of one engine; 0 for a plain service.
+        tokens_per_s : float
+            Of all engines together.
+        longest_gap_ms : float
+            Longest pause between tokens that is on time; 0 if unknown.
+        """
         self._memory_tokens = memory_tokens
+        self._pace_ms = longest_gap_ms * PACE_SHARE
         self._slots = slots
         if memory_tokens and tokens_per_s and self.servers:
             self._read_ms = 1000.0 * len(self.servers) / tokens_per_s
@@ -190,6 +241,7 @@
             elif isinstance(server, Engine):
                 server.memory_tokens = memory_tokens
                 server.slots = slots or server.upstream.slots
+                server.expect(self._read_ms)
 
     def _build(self, upstream: Upstream) -> Server:
         if not self._memory_tokens:
@@ -199,8 +251,7 @@
             slots=self._slots or upstream.slots,
             memory_tokens=self._memory_tokens,
         )
-        if self._read_ms:
-            engine.read_ms = engine.expected_read_ms = self._read_ms
+        engine.expect(self._read_ms)
         return engine
 
     def take_upstream(self, upstream: Upstream) -> None:
@@ -227,14 +278,18 @@
             server.others_at = now
 
     def is_idle(self, now: float) -> bool:
-        """Return whether the engines have little work waiting."""
+        """Return whether the engines could take more work."""
         waits = self._list_waits(now)
-        return bool(waits) and sum(waits) / len(waits) < IDLE_WAIT_MS
+        if not waits or median(waits) >= IDLE_WAIT_MS:
+            return False
+        return self._pace_ms <= 0 or self.pace.get(now) < self._pace_ms
 
     def is_crowded(self, now: float) -> bool:
-        """Return whether the engines have too much work waiting."""
+        """Return whether the engines have more work than is good for it."""
         waits = self._list_waits(now)
-        return bool(waits) and sum(waits) / len(waits) > CROWDED_WAIT_MS
+        if waits and median(waits) > CROWDED_WAIT_MS:
+            return True
+        return 0 < CROWDED_PACE * self._pace_ms < self.pace.get(now)
 
     def _list_waits(self, now: float) -> list[float]:
         return [
@@ -260,7 +315,9 @@
         servers = self._list_usable(demand, now, excluded)
         if not servers:
             return self._refuse(Verdict.NO_UPSTREAM, demand, now)
-        if not self._shares.has_share(demand.account, now):
+        if self._memory_tokens and not self._shares.may_admit(
+            demand.account, demand.returned, now
+        ):
             return self._refuse(Verdict.NO_SHARE, demand, now)
         options = self._list_options(servers, demand, now)
         roomy = [option for option in options if option[1].estimate.has_room]
@@ -346,13 +403,10 @@
 
         A placement is counted as started.
         """
-        if not self._is_blocked(demand):
-            decided = self.place(demand, now, excluded)
-            if isinstance(decided, Placement):
-                self.start(decided, demand, now)
-                return decided
-        else:
-            decided = self._refuse(Verdict.NO_ROOM, demand, now)
+        decided = self.place(demand, now, excluded)
+        if isinstance(decided, Placement):
+            self.start(decided, demand, now)
+            return decided
         if len(self._waiting) >= MOST_WAITING:
             return self._refuse(Verdict.QUEUE_FULL, demand, now)
         if decided.verdict is Verdict.NO_UPSTREAM and not self.servers:
@@ -381,14 +435,6 @@
             decided.verdict, demand, give_up_at
         )
 
-    def _is_blocked(self, demand: Demand) -> bool:
-        """Return whether a waiting request goes first."""
-        return any(
-            _order(waiting.demand) < _order(demand)
-            and waiting.demand.account == demand.account
-            for waiting in self._waiting
-        )
-
     def start_waiting(self, now: float) -> None:
         """Send requests that wait, most urgent first, as far as they fit."""
         for waiting in sorted(self._waiting, key=lambda w: _order(w.demand)):
@@ -419,7 +465,7 @@
         server.own.held_tokens += held_tokens(demand)
         if isinstance(server, Engine):
             server.note_parts(demand, now)
-            self._shares.note_admitted(demand.account, demand.size, now)
+            self._shares.note_admitted(demand.account, demand.size)
 
     def note_read(self, placement: Placement) -> None:
         """Count a request whose prompt has been read, or that has ended."""
--- a/hornbeamyard/pool/usage.py
+++ b/hornbeamyard/pool/usage.py
@@ -10,10 +10,9 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-# Span over which the demand of accounts is measured. It is half of the
-# shortest span over which shares are usually judged, so that a change shows
-# in time and single large requests don't dominate.
-WINDOW_S = 2.0
+# Span over which the demand of accounts is measured, unless the settings
+# name the one over which shares are judged.
+WINDOW_S = 4.0
 # A router that is silent for this long no longer counts.
 ROUTER_LOST_S = 2.0
 
@@ -73,25 +72,37 @@
     Attributes
     ----------
     accounts : dict of str to AccountUse
-        Tokens within the last `WINDOW_S`.
+        Tokens asked for within the last window, and admitted since the
+        sums began.
     upstreams : dict of str to UpstreamUse
     routers : int
+    source : str
+        The controller that has added up.
     """
 
     accounts: dict[str, AccountUse] = field(default_factory=dict)
     upstreams: dict[str, UpstreamUse] = field(default_factory=dict)
     routers: int = 0
+    source: str = ""
 
 
 class UsageTable:
-    """The newest report of each router, at a controller."""
+    """The newest report of each router, at a controller.
 
-    __slots__ = ("_growth", "_reports")
+    Parameters
+    ----------
+    window_s : float, optional
+        Span over which the demand of accounts is measured.
+    """
+
+    __slots__ = ("_admitted", "_growth", "_reports", "_window_s")
 
-    def __init__(self) -> None:
+    def __init__(self, window_s: float = WINDOW_S) -> None:
+        self._window_s = window_s
         self._reports: dict[str, _Reported] = {}
-        # Growth of the counters of accounts: time, account, asked, admitted.
-        self._growth: deque[tuple[float, str, int, int]] = deque()
+        self._admitted: dict[str, int] = {}
+        # Time, account and tokens asked for.
+        self._growth: deque[tuple[float, str, int]] = deque()
 
     def take(self, router: str, counters: RouterCounters, now: float) -> None:
         """Take a report; `router` names one start of a router."""
@@ -102,8 +113,9 @@
                 earlier = before.get(name, AccountUse())
                 asked = use.asked - earlier.asked
                 admitted = use.admitted - earlier.admitted
-                if asked or admitted:
-                    self._growth.append((now, name, asked, admitted))
+                self._admitted[name] = self._admitted.get(name, 0) + admitted
+                if asked:
+                    self._growth.append((now, name, asked))
         self._reports[router] = _Reported(counters, now)
 
     def forget(self, router: str) -> None:
@@ -112,13 +124,13 @@
 
     def compute_sums(self, now: float) -> FleetSums:
         """Return the sums as of now."""
-        while self._growth and now - self._growth[0][0] > WINDOW_S:
+        while self._growth and now - self._growth[0][0] > self._window_s:
             self._growth.popleft()
         sums = FleetSums()
-        for _, name, asked, admitted in self._growth:
-            use = sums.accounts.setdefault(name, AccountUse())
-            use.asked += asked
-            use.admitted += admitted
+        for name, admitted in self._admitted.items():
+            sums.accounts[name] = AccountUse(0, admitted)
+        for _, name, asked in self._growth:
+            sums.accounts.setdefault(name, AccountUse()).asked += asked
         for router, reported in list(self._reports.items()):
             if now - reported.heard_at > ROUTER_LOST_S:
                 del self._reports[router]
--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -92,6 +92,7 @@
             self._directory_calls,
             timers,
             directory.announcement_interval_s * MISSED_ANNOUNCEMENTS,
+            directory.share_window_s,
         )
 
     async def run(self, stop: anyio.Event) -> None:
--- a/hornbeamyard/process/route_router.py
+++ b/hornbeamyard/process/route_router.py
@@ -102,7 +102,7 @@
         self._calls = DirectoryCalls(settings.tls)
         self._interface = interface
         self._settings = settings
-        self._shares = Shares()
+        self._shares = Shares(window_s=directory.share_window_s)
         self._started_at = timers.now()
         self._steerings: dict[str, Steering] = {}
         self._timers = timers
@@ -222,6 +222,7 @@
             for server in steering.servers.values():
                 if server.own.running:
                     upstreams[server.id] = server.own
+        self._shares.note_reported(self._timers.now())
         return RouterCounters(self._shares.own, upstreams)
 
     def _take_upstreams(self, changed: list[Upstream]) -> None:
@@ -279,7 +280,7 @@
     def _take_sums(self, sums: FleetSums) -> None:
         now = self._timers.now()
         self.routers = max(1, sums.routers)
-        self._shares.take_sums(sums.accounts, now)
+        self._shares.take_sums(sums.accounts, self.routers, sums.source, now)
         for steering in self._steerings.values():
             steering.take_sums(sums.upstreams, now)
             steering.start_waiting(now)
@@ -291,8 +292,17 @@
         pool = self.routing.pools.get(name)
         if pool is None:
             return
+        gaps = [
+            route.longest_gap_ms
+            for route in self.routing.routes.values()
+            if route.longest_gap_ms
+            and any(share.pool == name for share in route.shares)
+        ]
         steering.configure(
-            pool.memory_tokens, pool.slots, self.routing.limits.tokens_per_s
+            pool.memory_tokens,
+            pool.slots,
+            self.routing.limits.tokens_per_s,
+            min(gaps, default=0.0) / pool.tokens_per_event,
         )
 
     def _fit_idle(self) -> None:
--- a/hornbeamyard/process/settings.py
+++ b/hornbeamyard/process/settings.py
@@ -106,6 +106,8 @@
         Repeats that the fleet may send to a pool beyond that.
     repeat_window_s : float
         Span in which repeats are counted.
+    share_window_s : float
+        Span over which the shares of accounts are judged.
     metrics_address : str
         IP address and port for metrics; empty for none.
     """
@@ -118,6 +120,7 @@
     repeat_share: float = 0.1
     repeat_reserve: float = 5.0
     repeat_window_s: float = 10.0
+    share_window_s: float = 4.0
     metrics_address: str = ""
 
     def list_peers(self) -> list[str]:
@@ -229,6 +232,9 @@
                 "repeat_window_s": Option(
                     validation.check_number(0.1, 3600, "s")
                 ),
+                "share_window_s": Option(
+                    validation.check_number(0.1, 3600, "s")
+                ),
                 "metrics_address": Option(validation.check_address),
             }
         ),
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -345,10 +345,9 @@
         steering = self._fleet.find_steering(call.pool.name)
         budget = self._fleet.find_budget(call.pool.name)
         budget.note_request(call.received_at)
-        if call.pool.is_engine():
-            self._shares.note_asked(
-                call.account, call.demand.size, call.received_at
-            )
+        # A caller that comes back asks for the same work again.
+        if call.pool.is_engine() and not call.demand.returned:
+            self._shares.note_asked(call.account, call.demand.size)
         while True:
             now = self._timers.now()
             placement = await steering.admit(call.demand, now, call.excluded)
@@ -390,6 +389,11 @@
             unread=placement.estimate.unread,
             running=server.own.running + server.others.running,
             sums_age_ms=round((started_at - server.others_at) * 1000),
+            token_ms=(
+                round(server.token_ms, 1)
+                if isinstance(server, Engine)
+                else None
+            ),
             size=call.demand.size,
             returned=call.demand.returned,
             waited_ms=self._elapsed_ms(call),
@@ -564,10 +568,7 @@
             size=call.demand.size,
             returned=call.demand.returned,
             waited_ms=self._elapsed_ms(call),
-            level=round(self._shares.level)
-            if self._shares.is_contended()
-            else None,
-            factor=round(self._shares.factor, 2),
+            **self._shares.describe(call.account, self._timers.now()),
         )
         await self._send_own(
             call.facts,
@@ -690,9 +691,10 @@
         if not self._first_at:
             self._note_first(now)
         elif isinstance(server, Engine):
-            server.note_generated(
-                (now - self._last_at) * 1000, self._call.pool.tokens_per_event
-            )
+            gap_ms = (now - self._last_at) * 1000
+            tokens = self._call.pool.tokens_per_event
+            server.note_generated(gap_ms, tokens)
+            self._steering.pace.note(gap_ms / tokens, now)
         self._last_at = now
 
     def _note_first(self, now: float) -> None:
--- /dev/null
+++ b/hornbeamyard/tests/test_census.py
@@ -0,0 +1,97 @@
+"""Tests of the upstreams that announce themselves."""
+
+from __future__ import annotations
+
+from hornbeamyard.pool.census import Census, Upstream, UpstreamState
+
+
+def announce(
+    id: str = "u1",
+    address: str = "10.0.0.1:80",
+    sequence: int = 1,
+    started_ms: int = 0,
+    state: UpstreamState = UpstreamState.READY,
+    pool: str = "model",
+) -> Upstream:
+    """Return an announcement."""
+    return Upstream(
+        id, pool, address, "zone-a", state, 8, sequence, started_ms
+    )
+
+
+class TestTake:
+    """Announcements are ordered by start and number."""
+
+    def test_repeated_announcement_changes_nothing(self) -> None:
+        census = Census()
+        assert len(census.take(announce(sequence=1), 0.0)) == 1
+        assert census.take(announce(sequence=2), 1.0) == []
+
+    def test_late_announcement_does_not_undo_draining(self) -> None:
+        census = Census()
+        draining = announce(sequence=5, state=UpstreamState.DRAINING)
+        census.take(announce(sequence=4), 0.0)
+        assert census.take(draining, 1.0)
+        assert census.take(announce(sequence=4), 2.0) == []
+        held = census.get("u1")
+        assert held is not None
+        assert held.state is UpstreamState.DRAINING
+
+    def test_restart_under_the_same_id_counts_anew(self) -> None:
+        census = Census()
+        census.take(announce(sequence=90, started_ms=1000), 0.0)
+        changed = census.take(announce(sequence=1, started_ms=2000), 1.0)
+        assert [u.started_ms for u in changed] == [2000]
+        assert census.take(announce(sequence=91, started_ms=1000), 2.0) == []
+
+    def test_late_announcement_after_the_end(self) -> None:
+        census = Census()
+        census.take(announce(sequence=3), 0.0)
+        ended = census.end("u1", 0, 1.0)
+        assert [u.state for u in ended] == [UpstreamState.GONE]
+        assert census.take(announce(sequence=4), 2.0) == []
+        assert len(census) == 0
+
+    def test_end_is_known_before_any_announcement(self) -> None:
+        census = Census()
+        assert census.end("u1", 0, 1.0) == []
+        assert census.take(announce(sequence=4), 2.0) == []
+
+    def test_new_start_after_the_end(self) -> None:
+        census = Census()
+        census.take(announce(started_ms=1000), 0.0)
+        census.end("u1", 0, 1.0)
+        assert census.take(announce(started_ms=1000, sequence=9), 2.0) == []
+        assert len(census.take(announce(started_ms=3000), 3.0)) == 1
+
+    def test_address_taken_over_by_another_pool(self) -> None:
+        census = Census()
+        census.take(announce("u1", pool="model"), 0.0)
+        changed = census.take(announce("u2", pool="app"), 5.0)
+        assert {(u.id, u.state) for u in changed} == {
+            ("u1", UpstreamState.GONE),
+            ("u2", UpstreamState.READY),
+        }
+        # A heartbeat of the dead one, held up by a partition.
+        assert census.take(announce("u1", sequence=7), 6.0) == []
+        assert [u.id for u in census] == ["u2"]
+
+    def test_older_start_at_a_taken_address(self) -> None:
+        census = Census()
+        census.take(announce("u2", started_ms=2000), 0.0)
+        assert census.take(announce("u1", started_ms=1000), 1.0) == []
+        assert [u.id for u in census] == ["u2"]
+
+
+class TestExpire:
+    """An upstream that falls silent is dropped, but may come back."""
+
+    def test_lost_and_back(self) -> None:
+        census = Census()
+        upstream = announce()
+        upstream.heard_at = 0.0
+        census.take(upstream, 0.0)
+        census.renew("u1", 0, 2, 3.0)
+        assert census.expire(7.0, 5.0) == []
+        assert [u.id for u in census.expire(9.0, 5.0)] == ["u1"]
+        assert len(census.take(announce(sequence=3), 10.0)) == 1
--- /dev/null
+++ b/hornbeamyard/tests/test_founding.py
@@ -0,0 +1,146 @@
+"""Tests of the first members and of the exchange of lost ones."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import pytest
+
+from hornbeamyard.messages import fleet_pb2
+from hornbeamyard.process.timers import VirtualTimers
+from hornbeamyard.version.founding import (
+    CANDIDATE_LOST_S,
+    Roster,
+    choose_first_members,
+    plan_exchange,
+)
+
+ADD = fleet_pb2.MemberChange.ADD
+REMOVE = fleet_pb2.MemberChange.REMOVE
+REPLACE = fleet_pb2.MemberChange.REPLACE
+
+
+def build_controllers(zones: str) -> list[fleet_pb2.ControllerAddress]:
+    """Return a controller for each letter, which is its zone."""
+    return [
+        fleet_pb2.ControllerAddress(
+            host=f"c{number}",
+            address=f"10.0.0.{number}:7400",
+            availability_zone=zone,
+            first_start=True,
+        )
+        for number, zone in enumerate(zones)
+    ]
+
+
+def build_members(
+    hosts: Sequence[str], learners: Sequence[str] = ()
+) -> fleet_pb2.MemberList:
+    """Return a member list."""
+    return fleet_pb2.MemberList(
+        members=[
+            fleet_pb2.Member(host=host, address=host, voter=voter)
+            for voter, names in ((True, hosts), (False, learners))
+            for host in names
+        ]
+    )
+
+
+class TestChooseFirstMembers:
+    """The first members bear the losses that the settings name."""
+
+    def test_all_of_a_small_fleet(self) -> None:
+        """Guards against a log on the seeds alone, which two lost disks end."""
+        chosen = choose_first_members(build_controllers("aabcd"), 5)
+        assert len(chosen) == 5
+
+    @pytest.mark.parametrize(
+        ("zones", "needed", "expected"),
+        [("aabbcc", 5, 5), ("aaaaaaabbbccc", 3, 7), ("ab", 5, 2)],
+    )
+    def test_count(self, zones: str, needed: int, expected: int) -> None:
+        chosen = choose_first_members(build_controllers(zones), needed)
+        assert len(chosen) == expected
+
+    def test_no_zone_holds_more_than_its_part(self) -> None:
+        chosen = choose_first_members(build_controllers("aaaaaaabbbccc"), 3)
+        zones = [c.availability_zone for c in chosen]
+        assert max(zones.count(zone) for zone in "abc") <= 3
+
+    def test_order_of_introductions_does_not_matter(self) -> None:
+        controllers = build_controllers("aabcd")
+        first = choose_first_members(controllers, 5)
+        assert choose_first_members(controllers[::-1], 5) == first
+
+
+class TestPlanExchange:
+    """Members that are gone are exchanged one at a time."""
+
+    def test_nothing_to_do(self) -> None:
+        members = build_members(["c0", "c1", "c2"])
+        assert plan_exchange(members, set(), [], 3) is None
+
+    def test_lost_member_stays_without_another_one(self) -> None:
+        """Guards against a group that shrinks below what it must bear."""
+        members = build_members(["c0", "c1", "c2"])
+        assert plan_exchange(members, {"c1"}, [], 3) is None
+
+    def test_replace(self) -> None:
+        members = build_members(["c0", "c1", "c2"])
+        fresh = build_controllers("aaaa")[3:]
+        change = plan_exchange(members, {"c1"}, fresh, 3)
+        assert change is not None
+        assert change.kind == REPLACE
+        assert (change.host, change.replacement) == ("c1", "c3")
+
+    def test_add_while_too_few(self) -> None:
+        members = build_members(["c0", "c1"])
+        fresh = build_controllers("aaaa")[3:]
+        change = plan_exchange(members, set(), fresh, 3)
+        assert change is not None
+        assert (change.kind, change.host) == (ADD, "c3")
+
+    def test_remove_while_more_than_needed(self) -> None:
+        members = build_members(["c0", "c1", "c2", "c3"])
+        change = plan_exchange(members, {"c0"}, [], 3)
+        assert change is not None
+        assert (change.kind, change.host) == (REMOVE, "c0")
+
+    def test_one_change_at_a_time(self) -> None:
+        members = build_members(["c0", "c1", "c2"], ["c3"])
+        fresh = build_controllers("aaaaa")[4:]
+        assert plan_exchange(members, {"c1"}, fresh, 3) is None
+
+    def test_lost_learner_makes_way(self) -> None:
+        """Guards against an exchange that is stuck when the new host dies."""
+        members = build_members(["c0", "c1", "c2"], ["c3"])
+        change = plan_exchange(members, {"c1", "c3"}, [], 3)
+        assert change is not None
+        assert (change.kind, change.host) == (REMOVE, "c3")
+
+    def test_spare_controller_is_not_added(self) -> None:
+        members = build_members(["c0", "c1", "c2"])
+        fresh = build_controllers("aaaa")[3:]
+        assert plan_exchange(members, set(), fresh, 3) is None
+
+
+class TestRoster:
+    """Controllers are known from their own words and from others'."""
+
+    def test_only_own_introductions_make_candidates(self) -> None:
+        """Guards against members that only others believe in."""
+        roster = Roster(VirtualTimers())
+        own, other = build_controllers("ab")
+        roster.note(own)
+        roster.note_report(other)
+        assert [c.host for c in roster.list_known()] == ["c0", "c1"]
+
+    def test_silent_controller_is_no_candidate(self) -> None:
+        timers = VirtualTimers()
+        roster = Roster(timers)
+        roster.note(build_controllers("a")[0])
+        timers._now += CANDIDATE_LOST_S + 1
+        assert roster.list_recent() == []
+        timers._now += 4 * CANDIDATE_LOST_S
+        roster.forget_lost({})
+        assert roster.list_known() == []
--- /dev/null
+++ b/hornbeamyard/tests/test_routing.py
@@ -0,0 +1,151 @@
+"""Tests of routing documents."""
+
+from __future__ import annotations
+
+import copy
+import json
+from typing import Any
+
+import pytest
+from result import Err, Ok
+
+from hornbeamyard.version.routing import decode_routing, parse_routing
+
+DOCUMENT: dict[str, Any] = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "chat",
+            "host": "api.example",
+            "path_prefix": "/chat/",
+            "repetition": "unrepeatable",
+            "streaming": True,
+            "resumable": True,
+            "timeout_ms": 12000,
+            "target_ms": 1000,
+            "shares": [{"pool": "model", "weight": 1}],
+        },
+        {
+            "name": "chat-long",
+            "host": "api.example",
+            "path_prefix": "/chat/long/",
+            "repetition": "unrepeatable",
+            "timeout_ms": 12000,
+            "shares": [{"pool": "model"}],
+        },
+        {
+            "name": "status",
+            "host": "api.example",
+            "path_prefix": "/status/",
+            "repetition": "idempotent",
+            "timeout_ms": 1500,
+            "shares": [{"pool": "app"}],
+        },
+    ],
+    "pools": [
+        {"name": "model", "memory_tokens": 1000, "slots": 4},
+        {"name": "app"},
+    ],
+    "client_accounts": [
+        {"name": "library", "keys": ["k1", "k2"]},
+        {"name": "museum", "keys": ["k3"], "priority": 0},
+    ],
+}
+
+
+def change(**places: Any) -> dict[str, Any]:
+    """Return the document with values replaced by `a.0.b` style places."""
+    document = copy.deepcopy(DOCUMENT)
+    for place, value in places.items():
+        node: Any = document
+        *path, last = place.split("__")
+        for key in path:
+            node = node[int(key)] if key.isdigit() else node[key]
+        node[last] = value
+    return document
+
+
+class TestFindRoute:
+    """The longest prefix of a host wins."""
+
+    @pytest.mark.parametrize(
+        ("host", "path", "expected"),
+        [
+            ("api.example", "/chat/a", "chat"),
+            ("api.example", "/chat/long/a", "chat-long"),
+            ("API.example", "/chat/long", "chat"),
+            ("api.example", "/chatter/", None),
+            ("other.example", "/chat/", None),
+            ("api.example", "/", None),
+        ],
+    )
+    def test_longest_prefix(
+        self, host: str, path: str, expected: str | None
+    ) -> None:
+        routing = parse_routing(DOCUMENT).unwrap()
+        route = routing.find_route(host, path)
+        assert (route.name if route else None) == expected
+
+    def test_streams_repeat_only_where_they_resume(self) -> None:
+        routing = parse_routing(DOCUMENT).unwrap()
+        assert routing.routes["chat"].is_repeatable()
+        assert not routing.routes["chat-long"].is_repeatable()
+        assert routing.routes["status"].is_repeatable()
+
+
+class TestFindAccount:
+    """A key belongs to one account."""
+
+    def test_each_key_finds_its_account(self) -> None:
+        routing = parse_routing(DOCUMENT).unwrap()
+        for key, name in [("k1", "library"), ("k2", "library")]:
+            account = routing.find_account(key)
+            assert account is not None
+            assert account.name == name
+        assert routing.find_account("k4") is None
+
+
+class TestFindings:
+    """An invalid document is refused with all findings at once."""
+
+    @pytest.mark.parametrize(
+        ("places", "expected"),
+        [
+            ({"routes__0__timeout_ms": 0}, "is 0"),
+            ({"routes__0__shares": []}, "add up to 0"),
+            (
+                {"routes__0__shares": [{"pool": "model", "weight": 0}]},
+                "add up to 0",
+            ),
+            ({"routes__0__shares": [{"pool": "gone"}]}, "no pool 'gone'"),
+            ({"routes__1__path_prefix": "/chat/"}, "host and prefix"),
+            ({"client_accounts__1__keys": ["k1"]}, "shares a key"),
+            ({"version": "7"}, "not accepted"),
+            ({"routes__0__repetition": "maybe"}, "not accepted"),
+        ],
+    )
+    def test_refused(self, places: dict[str, Any], expected: str) -> None:
+        result = parse_routing(change(**places))
+        assert isinstance(result, Err)
+        assert any(expected in str(f) for f in result.err_value)
+
+    def test_all_findings_at_once(self) -> None:
+        document = change(
+            routes__0__timeout_ms=0,
+            routes__1__shares=[{"pool": "gone"}],
+            client_accounts__1__keys=["k1"],
+        )
+        result = parse_routing(document)
+        assert isinstance(result, Err)
+        assert len(result.err_value) == 3
+
+    def test_cut_document(self) -> None:
+        data = json.dumps(DOCUMENT).encode()
+        assert isinstance(decode_routing(data), Ok)
+        assert isinstance(decode_routing(data[:-20]), Err)
+
+    def test_keys_are_not_shown(self) -> None:
+        document = change(client_accounts__0__keys="secret-key")
+        result = parse_routing(document)
+        assert isinstance(result, Err)
+        assert not any("secret-key" in str(f) for f in result.err_value)
--- /dev/null
+++ b/hornbeamyard/tests/test_shares.py
@@ -0,0 +1,137 @@
+"""Tests of the fair shares of accounts."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from hornbeamyard.pool.shares import Shares, compute_level
+from hornbeamyard.pool.usage import AccountUse, RouterCounters, UsageTable
+
+THROUGHPUT = 10_000.0
+INTERVAL_S = 0.25
+
+
+class TestComputeLevel:
+    """Max-min fairness between demands."""
+
+    @pytest.mark.parametrize(
+        ("demands", "throughput", "expected"),
+        [
+            ({"a": 10, "b": 20}, 100, math.inf),
+            ({"a": 100, "b": 100}, 100, 50),
+            ({"a": 10, "b": 100, "c": 100}, 100, 45),
+            ({"a": 1000}, 100, 100),
+            ({}, 100, math.inf),
+        ],
+    )
+    def test_level(
+        self, demands: dict[str, float], throughput: float, expected: float
+    ) -> None:
+        assert compute_level(demands, throughput) == expected
+
+
+class Fleet:
+    """Routers that share a pool over sums, as the controllers add them up."""
+
+    def __init__(self, routers: int) -> None:
+        self.now = 100.0
+        self.routers = [
+            Shares(throughput=THROUGHPUT, window_s=2.0) for _ in range(routers)
+        ]
+        self.table = UsageTable(2.0)
+        self.admitted: dict[str, int] = {}
+
+    def exchange(self) -> None:
+        """Report to the leader and take its sums."""
+        self.now += INTERVAL_S
+        for number, shares in enumerate(self.routers):
+            shares.note_reported(self.now)
+            own = {
+                name: AccountUse(use.asked, use.admitted)
+                for name, use in shares.own.items()
+            }
+            self.table.take(str(number), RouterCounters(own), self.now)
+        sums = self.table.compute_sums(self.now)
+        for shares in self.routers:
+            shares.take_sums(
+                sums.accounts, len(self.routers), "leader", self.now
+            )
+
+    def ask(self, router: int, account: str, size: int) -> bool:
+        """Have a router decide on a request."""
+        shares = self.routers[router]
+        shares.note_asked(account, size)
+        if not shares.may_admit(account, False, self.now):
+            return False
+        shares.note_admitted(account, size)
+        self.admitted[account] = self.admitted.get(account, 0) + size
+        return True
+
+
+class TestShares:
+    """A flood by one account takes nothing from the others."""
+
+    def test_flood_by_one_account(self) -> None:
+        fleet = Fleet(4)
+        small_asked = 0
+        for step in range(120):
+            for router in range(4):
+                for _ in range(20):
+                    fleet.ask(router, "flood", 400)
+            for account in ("small-1", "small-2", "small-3"):
+                fleet.ask(step % 4, account, 400)
+                small_asked += 400
+            fleet.exchange()
+        small = sum(
+            size for name, size in fleet.admitted.items() if name != "flood"
+        )
+        assert small >= 0.9 * small_asked
+        # The flood gets what is left, and not the whole throughput.
+        spent = fleet.admitted["flood"] / (120 * INTERVAL_S)
+        assert 0.25 * THROUGHPUT <= spent <= 0.9 * THROUGHPUT
+
+    def test_two_floods_are_even_however_they_are_spread(self) -> None:
+        fleet = Fleet(4)
+        for _ in range(200):
+            for router in range(4):
+                for _ in range(6):
+                    fleet.ask(router, "everywhere", 500)
+            for _ in range(24):
+                fleet.ask(0, "one-router", 500)
+            fleet.exchange()
+        shares = fleet.admitted
+        ratio = shares["one-router"] / shares["everywhere"]
+        assert 0.5 <= ratio <= 2.0
+
+    def test_no_limit_below_the_throughput(self) -> None:
+        fleet = Fleet(2)
+        refused = 0
+        for _ in range(40):
+            for router in range(2):
+                refused += not fleet.ask(router, "a", 500)
+            fleet.exchange()
+        assert refused == 0
+
+    def test_new_leader_counts_anew(self) -> None:
+        shares = Shares(throughput=THROUGHPUT, window_s=2.0)
+        busy = {"a": AccountUse(100_000, 50_000), "b": AccountUse(100_000, 0)}
+        shares.take_sums(busy, 2, "first", 1.0)
+        # The counters of a new leader start at zero, or far above.
+        shares.take_sums(busy, 2, "second", 1.25)
+        higher = {name: AccountUse(100_000, 900_000) for name in busy}
+        shares.take_sums(higher, 2, "third", 1.5)
+        assert shares.has_share("a", 1.5)
+
+    def test_returned_request_leaves_the_share_to_fresh_ones(self) -> None:
+        shares = Shares(throughput=THROUGHPUT, factor=1.8, window_s=2.0)
+        sums = {"a": AccountUse(100_000, 0), "b": AccountUse(2_000, 0)}
+        shares.take_sums(sums, 1, "leader", 1.0)
+        shares.note_admitted("a", 25_000)
+        shares.note_admitted("b", 2_000)
+        assert not shares.may_admit("a", False, 2.0)
+        # Later the pool has work to give, but nothing to spare.
+        assert shares.may_admit("a", False, 2.7)
+        assert not shares.may_admit("a", True, 2.7)
+        assert shares.may_admit("b", True, 2.7)
