--- /dev/null
+++ b/hornbeamyard/tests/raw_upstream.py
@@ -0,0 +1,180 @@
+"""An upstream that sends exactly the bytes that a test gives it."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import anyio
+import anyio.abc
+
+# Sends the answer to a request; the header and body are given.
+Script = Callable[[anyio.abc.SocketStream, "Received"], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class Received:
+    """A request as it arrived."""
+
+    head: bytes
+    body: bytes
+
+    def get_header(self, name: str) -> str | None:
+        """Return the value of a header, if it is there."""
+        for line in self.head.split(b"\r\n")[1:]:
+            key, _, value = line.partition(b":")
+            if key.strip().lower() == name.encode():
+                return value.strip().decode()
+        return None
+
+    @property
+    def request_line(self) -> str:
+        """The first line."""
+        return self.head.split(b"\r\n", 1)[0].decode()
+
+
+@dataclass(slots=True)
+class RawUpstream:
+    """A listening upstream.
+
+    Attributes
+    ----------
+    port : int
+    received : list of Received
+    scripts : list of Script
+        One for each request; the last one serves all further ones.
+    closed : int
+        Connections that the other end has closed.
+    """
+
+    port: int
+    scripts: list[Script]
+    received: list[Received] = field(default_factory=list)
+    closed: int = 0
+
+    async def serve(self, stream: anyio.abc.SocketStream) -> None:
+        """Serve one connection."""
+        async with stream:
+            while True:
+                received = await _read_request(stream)
+                if received is None:
+                    self.closed += 1
+                    return
+                self.received.append(received)
+                place = min(len(self.received), len(self.scripts)) - 1
+                try:
+                    await self.scripts[place](stream, received)
+                except (
+                    anyio.EndOfStream,
+                    anyio.BrokenResourceError,
+                    anyio.ClosedResourceError,
+                ):
+                    self.closed += 1
+                    return
+
+
+async def _read_request(
+    stream: anyio.abc.SocketStream,
+) -> Received | None:
+    data = b""
+    try:
+        while b"\r\n\r\n" not in data:
+            data += await stream.receive()
+        head, body = data.split(b"\r\n\r\n", 1)
+        received = Received(head, body)
+        size = int(received.get_header("content-length") or 0)
+        while len(received.body) < size:
+            received.body += await stream.receive()
+    except (
+        anyio.EndOfStream,
+        anyio.BrokenResourceError,
+        anyio.ClosedResourceError,
+    ):
+        return None
+    return received
+
+
+@asynccontextmanager
+async def run_raw(*scripts: Script) -> AsyncIterator[RawUpstream]:
+    """Run an upstream with these scripts."""
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    upstream = RawUpstream(port, list(scripts))
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, upstream.serve)
+        yield upstream
+        tasks.cancel_scope.cancel()
+
+
+def answer(
+    status: int = 200,
+    body: bytes = b"done",
+    headers: tuple[str, ...] = (),
+    request_id: str | None = None,
+    signed: bool = True,
+) -> Script:
+    """Return a script that sends a whole answer."""
+
+    async def send(stream: anyio.abc.SocketStream, received: Received) -> None:
+        id = request_id or received.get_header("hornbeamyard-request") or ""
+        lines = [
+            f"HTTP/1.1 {status} X",
+            f"hornbeamyard-request: {id}",
+            f"content-length: {len(body)}",
+            *headers,
+        ]
+        if signed:
+            lines.append("hornbeamyard-signature: s1")
+        await stream.send("\r\n".join([*lines, "", ""]).encode() + body)
+
+    return send
+
+
+def stream_events(
+    first: int, last: int, ends: bool = True, cut: bytes = b""
+) -> Script:
+    """Return a script that sends events with increasing ids.
+
+    Parameters
+    ----------
+    first, last : int
+    ends : bool
+        Whether the stream ends as it should, or breaks off.
+    cut : bytes
+        Bytes of an event that is not whole.
+    """
+
+    async def send(stream: anyio.abc.SocketStream, received: Received) -> None:
+        id = received.get_header("hornbeamyard-request") or ""
+        head = (
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
+            f"hornbeamyard-request: {id}\r\nhornbeamyard-signature: s1\r\n"
+            "transfer-encoding: chunked\r\n\r\n"
+        )
+        await stream.send(head.encode())
+        for number in range(first, last + 1):
+            await _send_chunk(stream, f"id: {number}\ndata: {number}\n\n")
+        if cut:
+            await _send_chunk(stream, cut.decode())
+        if not ends:
+            await stream.aclose()
+            return
+        await stream.send(b"0\r\n\r\n")
+
+    return send
+
+
+async def _send_chunk(stream: anyio.abc.SocketStream, text: str) -> None:
+    data = text.encode()
+    await stream.send(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+
+
+async def reset(stream: anyio.abc.SocketStream, received: Received) -> None:
+    """Close the connection without an answer."""
+    await stream.aclose()
+
+
+async def hang(stream: anyio.abc.SocketStream, received: Received) -> None:
+    """Send nothing until the other end leaves."""
+    await stream.receive()
--- a/hornbeamyard/tests/test_founding.py
+++ b/hornbeamyard/tests/test_founding.py
@@ -50,7 +50,7 @@
     """The first members bear the losses that the settings name."""
 
     def test_all_of_a_small_fleet(self) -> None:
-        """Guards against a log on the seeds alone, which two lost disks end."""
+        """Guards against a log on the seeds alone, lost with two disks."""
         chosen = choose_first_members(build_controllers("aabcd"), 5)
         assert len(chosen) == 5
 
--- /dev/null
+++ b/hornbeamyard/tests/test_platform.py
@@ -0,0 +1,317 @@
+"""Tests of the adapter to the users' platform."""
+
+from __future__ import annotations
+
+import copy
+import json
+from typing import Any
+
+import anyio
+import pytest
+from result import Err
+
+from hornbeamyard.platform.calls import build_app
+from hornbeamyard.platform.configuration import decode_configuration
+from hornbeamyard.platform.headers import NAMES
+from hornbeamyard.pool.census import Upstream, UpstreamState
+from hornbeamyard.pool.demand import Part
+from hornbeamyard.process.interface import Submitted
+from hornbeamyard.request.dialect import Dialect, HandOver
+
+CONFIGURATION: dict[str, Any] = {
+    "version": 12,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "a.example",
+            "pathPrefix": "/x/",
+            "routeKind": "streaming",
+            "timeoutMs": 9000,
+            "targetLatencyMs": 900,
+            "priority": 2,
+            "trafficSplit": [
+                {"service": "s1", "weight": 90},
+                {"service": "s2", "weight": 10},
+            ],
+            "maxAttempts": 2,
+            "public": False,
+            "stickySessions": True,
+            "streamResumption": True,
+            "targetGapMs": 500,
+            "newField": "of a later platform",
+        },
+        {
+            "name": "r-2",
+            "host": "a.example",
+            "pathPrefix": "/y/",
+            "routeKind": "non_idempotent",
+            "timeoutMs": 1000,
+            "service": "s2",
+        },
+    ],
+    "services": [
+        {
+            "name": "s1",
+            "healthCheckPath": "/health",
+            "connectionLimit": 40,
+            "engine": {"slots": 16, "kvCapacityTokens": 5000, "stride": 6},
+        },
+        {"name": "s2", "connectionLimit": 20},
+    ],
+    "limits": {"maxBodyBytes": 1000, "tokensPerS": 70000},
+    "tenants": [{"name": "t", "apiKeys": ["a", "b"], "priority": 1}],
+}
+
+
+class TestConfiguration:
+    """The platform's document becomes a routing."""
+
+    def test_names(self) -> None:
+        document = json.dumps(CONFIGURATION).encode()
+        routing = decode_configuration(document).unwrap()
+        assert routing.version == 12
+        route = routing.routes["r-1"]
+        assert route.streaming
+        assert route.is_repeatable()
+        assert [(s.pool, s.weight) for s in route.shares] == [
+            ("s1", 90),
+            ("s2", 10),
+        ]
+        assert routing.routes["r-2"].most_attempts == 1
+        assert not routing.routes["r-2"].is_repeatable()
+        engine = routing.pools["s1"]
+        assert engine.is_engine()
+        assert (engine.slots, engine.tokens_per_event) == (16, 6)
+        assert not routing.pools["s2"].is_engine()
+        assert routing.limits.tokens_per_s == 70000
+        account = routing.find_account("b")
+        assert account is not None
+        assert account.name == "t"
+
+    @pytest.mark.parametrize(
+        ("place", "value"),
+        [
+            (("routes", 0, "timeoutMs"), 0),
+            (("routes", 1, "service"), "s9"),
+            (("routes", 1, "pathPrefix"), "/x/"),
+            (("routes", 0, "trafficSplit", 0, "weight"), 0),
+            (("routes",), None),
+            (("services",), 7),
+            (("version",), None),
+            (("limits",), 7),
+            (("routes", 1, "routeKind"), "sometimes"),
+        ],
+    )
+    def test_invalid(self, place: tuple[Any, ...], value: Any) -> None:
+        document = copy.deepcopy(CONFIGURATION)
+        document["routes"][0]["trafficSplit"][1]["weight"] = 0
+        node = document
+        for key in place[:-1]:
+            node = node[key]
+        node[place[-1]] = value
+        data = json.dumps(document).encode()
+        assert isinstance(decode_configuration(data), Err)
+
+    @pytest.mark.parametrize("data", [b"", b"[]", b'{"version":', b"\xff"])
+    def test_unreadable(self, data: bytes) -> None:
+        assert isinstance(decode_configuration(data), Err)
+
+    def test_shared_key(self) -> None:
+        document = copy.deepcopy(CONFIGURATION)
+        document["tenants"].append({"name": "u", "apiKeys": ["b"]})
+        data = json.dumps(document).encode()
+        assert isinstance(decode_configuration(data), Err)
+
+
+class TestHeaders:
+    """The platform's headers become facts, and back."""
+
+    def test_request(self) -> None:
+        facts = Dialect(NAMES).read_request(
+            [
+                (b"X-Request-Id", b"r1"),
+                (b"x-deadline-ms", b"2500"),
+                (b"api-key", b"k"),
+                (b"x-model", b"m"),
+                (b"x-token-counts", b"1460,80"),
+                (b"x-length-hint", b"60"),
+                (b"x-prompt-prefix", b"5c1e:800,91bd:410,e440:250"),
+            ]
+        )
+        assert (facts.request_id, facts.deadline_ms) == ("r1", 2500)
+        assert (facts.key, facts.model) == ("k", "m")
+        assert (facts.prompt_tokens, facts.output_tokens) == (1460, 80)
+        assert facts.expected_tokens == 60
+        assert facts.parts[-1] == Part("e440", 250)
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            [],
+            [(b"x-token-counts", b"many")],
+            [(b"x-deadline-ms", b"-5"), (b"x-prompt-prefix", b":,x:y,")],
+        ],
+    )
+    def test_missing_or_bad(self, headers: list[tuple[bytes, bytes]]) -> None:
+        facts = Dialect(NAMES).read_request(headers)
+        assert facts.deadline_ms is None
+        assert facts.prompt_tokens == 0
+        assert facts.parts == ()
+
+    def test_headers_of_the_router_are_never_the_callers(self) -> None:
+        forged = [
+            (b"x-tenant", b"someone"),
+            (b"x-expect-instance", b"i-9"),
+            (b"x-hold", b"1"),
+            (b"x-pin-ms", b"1"),
+            (b"x-kv-backup", b"1"),
+            (b"kv-from", b"1"),
+            (b"kv-fetch", b"1"),
+            (b"api-key", b"k"),
+            (b"x-deadline-ms", b"99999"),
+            (b"x-request-id", b"r1"),
+        ]
+        written = Dialect(NAMES).write_request(
+            forged, HandOver("i-1", 1234.5, "t")
+        )
+        assert sorted(written) == [
+            (b"x-deadline-ms", b"1234"),
+            (b"x-expect-instance", b"i-1"),
+            (b"x-request-id", b"r1"),
+            (b"x-tenant", b"t"),
+        ]
+
+
+class Controller:
+    """Records the calls of operators and upstreams."""
+
+    def __init__(self) -> None:
+        self.announced: list[Upstream] = []
+        self.ended: list[tuple[str, int]] = []
+        self.submitted = Submitted(version=3)
+        self.document: bytes | None = b"{}"
+
+    async def submit(self, document: bytes) -> Submitted:
+        """Return the prepared outcome."""
+        return self.submitted
+
+    async def read(self) -> bytes | None:
+        """Return the prepared document."""
+        return self.document
+
+    def announce(self, upstream: Upstream) -> None:
+        """Record an announcement."""
+        self.announced.append(upstream)
+
+    def end(self, id: str, started_ms: int) -> None:
+        """Record the end of an upstream."""
+        self.ended.append((id, started_ms))
+
+
+def call(
+    controller: Controller, method: str, path: str, body: bytes = b""
+) -> tuple[int, bytes]:
+    """Call the controller's application."""
+    sent: list[dict[str, Any]] = []
+
+    async def receive() -> dict[str, Any]:
+        return {"type": "http.request", "body": body}
+
+    async def send(message: dict[str, Any]) -> None:
+        sent.append(message)
+
+    scope = {"type": "http", "method": method, "path": path}
+    anyio.run(build_app(controller), scope, receive, send)
+    return sent[0]["status"], sent[1]["body"]
+
+
+HEARTBEAT: dict[str, Any] = {
+    "service": "s1",
+    "address": "10.0.0.9:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "sequence": 4,
+    "born": 1700000000000,
+}
+
+
+class TestCalls:
+    """The platform's calls reach the controller."""
+
+    @pytest.mark.parametrize(
+        ("submitted", "expected"),
+        [
+            (Submitted(version=3), 200),
+            (Submitted(("routes.0: bad",)), 400),
+            (Submitted(conflict=True), 409),
+            (Submitted(decided=False), 503),
+        ],
+    )
+    def test_submit(self, submitted: Submitted, expected: int) -> None:
+        controller = Controller()
+        controller.submitted = submitted
+        status, _ = call(controller, "POST", "/Configuration.Replace", b"{}")
+        assert status == expected
+
+    def test_read_when_unsure(self) -> None:
+        """Guards against an old version in an answer."""
+        controller = Controller()
+        assert call(controller, "GET", "/Configuration.Read") == (200, b"{}")
+        controller.document = None
+        assert call(controller, "GET", "/Configuration.Read")[0] == 503
+
+    def test_heartbeat(self) -> None:
+        controller = Controller()
+        body = json.dumps(HEARTBEAT).encode()
+        status, _ = call(controller, "POST", "/Instances.Heartbeat/i-1", body)
+        assert status == 200
+        [upstream] = controller.announced
+        assert (upstream.id, upstream.pool, upstream.slots) == (
+            "i-1",
+            "s1",
+            64,
+        )
+        assert upstream.state is UpstreamState.READY
+        assert upstream.started_ms == 1700000000000
+        assert upstream.models == ("m",)
+
+    @pytest.mark.parametrize(
+        ("field", "value"),
+        [
+            ("service", None),
+            ("address", 7),
+            ("state", "asleep"),
+            ("state", []),
+            ("sequence", "4"),
+            ("sequence", True),
+            ("slots", 1.5),
+            ("born", "yesterday"),
+            ("models", 3),
+        ],
+    )
+    def test_heartbeat_of_another_writer(self, field: str, value: Any) -> None:
+        """Guards against upstreams made from entries that can't be read."""
+        controller = Controller()
+        body = json.dumps({**HEARTBEAT, field: value}).encode()
+        call(controller, "POST", "/Instances.Heartbeat/i-1", body)
+        assert controller.announced == []
+
+    @pytest.mark.parametrize("body", [b"", b"\xff\xfe", b"[]", b"{"])
+    def test_unreadable_heartbeat(self, body: bytes) -> None:
+        controller = Controller()
+        call(controller, "POST", "/Instances.Heartbeat/i-1", body)
+        assert controller.announced == []
+
+    @pytest.mark.parametrize(
+        ("body", "expected"),
+        [(b"", 0), (b'{"born": 12}', 12), (b'{"born": "x"}', 0)],
+    )
+    def test_deregister(self, body: bytes, expected: int) -> None:
+        controller = Controller()
+        status, _ = call(controller, "POST", "/Instances.Deregister/i-1", body)
+        assert status == 200
+        assert controller.ended == [("i-1", expected)]
--- a/hornbeamyard/tests/test_steering.py
+++ b/hornbeamyard/tests/test_steering.py
@@ -150,9 +150,7 @@
             assert placed.server.id == "e2"
 
     def test_failing_engine_is_avoided_and_tried_again(self) -> None:
-        """Guards against an engine that answers failures faster than others
-        answer requests, and so looks least loaded.
-        """
+        """Guards against an engine that looks idle as it fails at once."""
         steering = build_steering(engines=2)
         server = steering.servers["e0"]
         assert not server.note_failure(0.0)
@@ -311,9 +309,7 @@
     """Load pattern: three times the engines' throughput for half a minute."""
 
     def test_engines_stay_busy_and_answers_in_time(self) -> None:
-        """Guards against idle engines beside refusals, and against work that
-        is taken although its callers have waited too long.
-        """
+        """Guards against idle engines beside refusals, and late answers."""
         steering = build_steering(engines=4)
         chooser = random.Random(7)
         reading: dict[str, list[tuple[Placement, Demand, float]]] = {
@@ -325,7 +321,7 @@
         step_s = 0.01
         for step in range(3000):
             now = step * step_s
-            for id, queue in reading.items():
+            for queue in reading.values():
                 while queue and queue[0][2] <= now:
                     placed, demand, ended_at = queue.pop(0)
                     waits.append(ended_at - demand.arrived_at)
