Place requests by small shared parts too; count 504 as no failure

Cause: the answer 504 of an engine, which tells that the request's time was over, made routers avoid it; its shared parts moved to other engines and were read again. Two failures in a row avoided services of which one answer in seven is a failure. Conclusion: rereads cost more than waits within the target.

--- a/hornbeamyard/connection/limits.py
+++ b/hornbeamyard/connection/limits.py
@@ -157,12 +157,15 @@
         Largest header in bytes.
     header_timeout_s : float
         Time within which a header must be complete.
+    answers_silence : bool
+        Whether a connection on which nothing came is told why it is closed.
     limited_paths : tuple of bytes
         Begins of the paths whose requests are refused under overload.
     """
 
     __slots__ = (
         "_open",
+        "answers_silence",
         "connections",
         "header_size",
         "header_timeout_s",
@@ -177,6 +180,7 @@
         self.connections = connections
         self.load = load
         self.timers = timers
+        self.answers_silence = True
         self.header_size = HEADER_SIZE
         self.header_timeout_s = HEADER_TIMEOUT_S
         self.limited_paths: tuple[bytes, ...] = _LIMITED_PATHS
@@ -281,8 +285,8 @@
         timeout_s = self.limits.header_timeout_s
         if since is None or now - since < timeout_s:
             return
-        if not self._header_size and self.cycle is None:
-            # Nothing has come on the connection, so nothing is answered.
+        is_silent = not self._header_size and self.cycle is None
+        if is_silent and not self.limits.answers_silence:
             self.transport.close()
             return
         reason = f"no whole header came within {timeout_s:g} s"
--- a/hornbeamyard/pool/engine.py
+++ b/hornbeamyard/pool/engine.py
@@ -37,6 +37,9 @@
 MEMORY_SHARE = 0.85
 # Share of an engine's places that requests may fill.
 SLOT_SHARE = 1.0
+# An upstream that fails this often in a row is avoided. Some services answer
+# one request in seven with a failure of its own.
+FAILURES_IN_ROW = 4
 # An upstream that fails gets no requests for this long, doubled with each
 # further failure in a row.
 AVOIDED_S = 0.5
@@ -44,7 +47,7 @@
 # Share of failures in recent answers at which an upstream is avoided though
 # single answers are good, and the answers that must have been seen.
 FAILURE_SHARE = 0.3
-FAILURE_SAMPLES = 4.0
+FAILURE_SAMPLES = 5.0
 FAILURE_MEMORY = 0.9
 
 
@@ -103,13 +106,14 @@
             self._answers >= FAILURE_SAMPLES
             and self._failed >= FAILURE_SHARE * self._answers
         )
-        if self.failures_in_row < 2 and not is_often:
+        if self.failures_in_row < FAILURES_IN_ROW and not is_often:
             return False
         return self.avoid(now)
 
     def avoid(self, now: float) -> bool:
         """Send no requests for a while; return True."""
-        doubled = AVOIDED_S * 2.0 ** min(self.failures_in_row, 8)
+        further = max(0, self.failures_in_row - FAILURES_IN_ROW)
+        doubled = AVOIDED_S * 2.0 ** min(further, 8)
         self.avoided_until = now + min(doubled, LONGEST_AVOIDED_S)
         return True
 
--- a/hornbeamyard/pool/shares.py
+++ b/hornbeamyard/pool/shares.py
@@ -268,7 +268,9 @@
             name: use.asked / self.window_s for name, use in accounts.items()
         }
         rate = self.throughput * min(1.0, self.factor)
-        self.level = compute_level(demands, rate)
+        self.level = float("inf")
+        if sum(demands.values()) > self.throughput * self.factor:
+            self.level = compute_level(demands, rate)
         is_new = source != self._source
         self._source = source
         part = self._compute_part(sum(demands.values()), routers)
--- a/hornbeamyard/pool/steering.py
+++ b/hornbeamyard/pool/steering.py
@@ -39,21 +39,22 @@
 # A caller that comes back after a refusal has lost its target mostly, but is
 # better served late than refused again.
 RETURNED_WAIT_SHARE = 1.5
-# Reading a shared part again costs the pool's capacity beside the time, so
-# its time counts this many times.
-SHARED_READ_WEIGHT = 3.0
+# Reading a shared part again costs the pool's capacity beside the time, while
+# a wait within the target costs the caller nothing. Its time therefore counts
+# this many times, and a request leaves its home only for a wait that long.
+SHARED_READ_WEIGHT = 15.0
 # Cost of another availability zone, in ms: the delay, and the traffic.
 ZONE_COST_MS = 15.0
 # Cost of each rank among the engines that a shared part may go to, in ms. It
 # makes all routers spill to the same engine first.
-RANK_COST_MS = 25.0
+RANK_COST_MS = 60.0
 # Engines that a shared part may spill to. More would read it again more
 # often than the spread of load is worth.
 RANKS = 4
 # Cost of a full batch in ms, for the slower events of all requests in it.
 CROWD_COST_MS = 60.0
-# Shared parts below this many tokens are read anew sooner than waited for.
-LEAST_AFFINITY_TOKENS = 800
+# Shared parts below this many tokens are read anew anywhere.
+LEAST_AFFINITY_TOKENS = 100
 # The pool is idle when the work waiting in its engines takes less than this
 # share of common targets, and crowded when it takes more than the other.
 IDLE_WAIT_MS = 120.0
--- a/hornbeamyard/pool/usage.py
+++ b/hornbeamyard/pool/usage.py
@@ -12,7 +12,10 @@
 
 # Span over which the demand of accounts is measured, unless the settings
 # name the one over which shares are judged.
-WINDOW_S = 4.0
+WINDOW_S = 2.0
+# Part of the judged span over which demand is measured and share is saved up:
+# half of it lies within each judged span, whenever that begins.
+MEASURED_PART = 0.5
 # A router that is silent for this long no longer counts.
 ROUTER_LOST_S = 2.0
 
--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -19,6 +19,7 @@
 from ..connection.replication import GrpcCalls, ReplicationService
 from ..messages import fleet_pb2, fleet_pb2_grpc
 from ..pool.census import MISSED_ANNOUNCEMENTS, Upstream
+from ..pool.usage import MEASURED_PART
 from ..version.founding import Founder
 from ..version.journal import FolderDisk
 from ..version.replica import Replica
@@ -92,7 +93,7 @@
             self._directory_calls,
             timers,
             directory.announcement_interval_s * MISSED_ANNOUNCEMENTS,
-            directory.share_window_s,
+            directory.share_window_s * MEASURED_PART,
         )
 
     async def run(self, stop: anyio.Event) -> None:
--- a/hornbeamyard/process/route_router.py
+++ b/hornbeamyard/process/route_router.py
@@ -17,7 +17,12 @@
 from ..pool.census import MISSED_ANNOUNCEMENTS, Upstream, UpstreamState
 from ..pool.shares import Shares
 from ..pool.steering import Steering
-from ..pool.usage import FleetSums, RouterCounters, UpstreamUse
+from ..pool.usage import (
+    MEASURED_PART,
+    FleetSums,
+    RouterCounters,
+    UpstreamUse,
+)
 from ..request.budget import WindowBudget
 from ..request.forwarding import Forwarder, Receive, Scope, Send
 from ..version.routing import Routing
@@ -102,7 +107,9 @@
         self._calls = DirectoryCalls(settings.tls)
         self._interface = interface
         self._settings = settings
-        self._shares = Shares(window_s=directory.share_window_s)
+        self._shares = Shares(
+            window_s=directory.share_window_s * MEASURED_PART
+        )
         self._started_at = timers.now()
         self._steerings: dict[str, Steering] = {}
         self._timers = timers
@@ -139,6 +146,8 @@
             timers,
         )
         self._limits.limited_paths = ()
+        # Load balancers open connections ahead of requests.
+        self._limits.answers_silence = False
         self._server = build_server(
             self._close_later,
             settings.router.address,
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -387,6 +387,7 @@
             wait_ms=round(placement.estimate.wait_ms),
             read_ms=round(placement.estimate.read_ms),
             unread=placement.estimate.unread,
+            unread_shared=placement.estimate.unread_shared,
             running=server.own.running + server.others.running,
             sums_age_ms=round((started_at - server.others_at) * 1000),
             token_ms=(
@@ -465,7 +466,7 @@
             case Ending.ANSWERED:
                 call.may_have_run = True
                 call.answer = result.answer
-                if result.answer and result.answer.status >= 500:
+                if result.answer and _is_failure(result.answer.status):
                     avoided = server.note_failure(now)
             case _:
                 call.may_have_run = True
@@ -719,6 +720,14 @@
         self._steering.start_waiting(self._timers.now())
 
 
+def _is_failure(status: int) -> bool:
+    """Return whether a status tells that an upstream is failing.
+
+    504 tells that the request's time was over, which is not its fault.
+    """
+    return status >= 500 and status != HTTPStatus.GATEWAY_TIMEOUT
+
+
 def _may_pass_on(call: Call, result: TryResult, answer: WholeAnswer) -> bool:
     """Return whether an upstream's failure is the final answer.
 
