Tell the story of a request from log files; operators' page

hornbeamyard explain reads log files of several processes. docs/OPERATIONS.md leads from a failed request's id to its cause; the page of commands is now docs/administration.md, as the two names would differ only in case.

--- a/hornbeamyard/process/commands.py
+++ b/hornbeamyard/process/commands.py
@@ -11,6 +11,7 @@
 
 from .config_commands import config
 from .controller_commands import controllers
+from .explain import explain, format_line
 from .invocation import EXIT_SETTINGS, fleet_options, read_status
 from .settings import load_settings
 from .tables import format_table, show
@@ -33,6 +34,38 @@
 main.add_command(controllers)
 
 
+@main.command("explain")
+@click.argument("request_id")
+@click.argument(
+    "files",
+    metavar="FILE...",
+    nargs=-1,
+    required=True,
+    type=click.Path(path_type=Path, exists=True, dir_okay=False),
+)
+def explain_request(request_id: str, files: tuple[Path, ...]) -> None:
+    """Tell the story of a request from log files.
+
+    Prints the lines of REQUEST_ID in each FILE, marked with `*`, and what
+    the hosts that wrote them came to believe meanwhile. Times are seconds
+    from the first line of a host, by its own clock.
+    """
+    story = explain(request_id, files)
+    if not story:
+        click.echo(f"no line names request {request_id!r}", err=True)
+        sys.exit(1)
+    origins: dict[str, int] = {}
+    for line in story:
+        if line.request_id:
+            origins.setdefault(line.host, line.time_ms)
+    shown = ""
+    for line in story:
+        if line.host != shown:
+            shown = line.host
+            click.echo(f"host {shown}")
+        click.echo(format_line(line, origins[line.host]))
+
+
 @main.group()
 def settings() -> None:
     """Work on settings files."""
--- /dev/null
+++ b/hornbeamyard/process/explain.py
@@ -0,0 +1,132 @@
+"""The story of one request, from the log files of several processes."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+# Lines of a host this long before and after a request belong to its story.
+MARGIN_MS = 2000
+# Events that change what a process believes.
+BELIEFS = frozenset(
+    (
+        "daemon",
+        "directory",
+        "election",
+        "reload",
+        "routing",
+        "stopping",
+        "upstream",
+        "upstream_avoided",
+    )
+)
+# Keys that are printed in columns of their own.
+_COLUMNS = frozenset(("event", "host", "request_id", "time_ms"))
+
+
+@dataclass(slots=True)
+class Line:
+    """One line of a log file.
+
+    Attributes
+    ----------
+    time_ms : int
+        By the clock of the process that wrote it.
+    host : str
+    event : str
+    request_id : str
+    inputs : dict
+    """
+
+    time_ms: int
+    host: str
+    event: str
+    request_id: str
+    inputs: dict[str, Any]
+
+
+def read_lines(file: Path) -> Iterator[Line]:
+    """Yield the structured lines of a log file; others are left out.
+
+    Raises
+    ------
+    OSError
+        If the file can't be read.
+    """
+    with file.open(encoding="utf-8", errors="replace") as lines:
+        for text in lines:
+            line = _parse(text, file.stem)
+            if line is not None:
+                yield line
+
+
+def _parse(text: str, host: str) -> Line | None:
+    start = text.find("{")
+    if start < 0:
+        return None
+    try:
+        document = json.loads(text[start:])
+    except ValueError:
+        return None
+    if not isinstance(document, dict):
+        return None
+    time_ms = document.get("time_ms")
+    if type(time_ms) is not int:
+        return None
+    return Line(
+        time_ms,
+        str(document.get("host", host)),
+        str(document.get("event", "")),
+        str(document.get("request_id", "")),
+        {k: v for k, v in document.items() if k not in _COLUMNS},
+    )
+
+
+def explain(request_id: str, files: Iterable[Path]) -> list[Line]:
+    """Return the lines of a request, and what its hosts believed meanwhile.
+
+    Clocks of different hosts may disagree, so beliefs are taken only from
+    the hosts that wrote of the request, around the times by their clocks.
+
+    Parameters
+    ----------
+    request_id : str
+    files : iterable of Path
+
+    Returns
+    -------
+    list of Line
+        By host and time; empty when no line names the request.
+    """
+    lines = [line for file in files for line in read_lines(file)]
+    own = [line for line in lines if line.request_id == request_id]
+    spans: dict[str, tuple[int, int]] = {}
+    for line in own:
+        first, last = spans.get(line.host, (line.time_ms, line.time_ms))
+        spans[line.host] = (
+            min(first, line.time_ms),
+            max(last, line.time_ms),
+        )
+    story = list(own)
+    for line in lines:
+        span = spans.get(line.host)
+        if span is None or line.request_id or line.event not in BELIEFS:
+            continue
+        if span[0] - MARGIN_MS <= line.time_ms <= span[1] + MARGIN_MS:
+            story.append(line)
+    return sorted(story, key=lambda line: (line.host, line.time_ms))
+
+
+def format_line(line: Line, origin_ms: int) -> str:
+    """Return a line as text, with its time from the request's first line."""
+    inputs = " ".join(
+        f"{key}={value}"
+        for key, value in line.inputs.items()
+        if value is not None
+    )
+    mark = "*" if line.request_id else " "
+    elapsed_s = (line.time_ms - origin_ms) / 1000
+    return f"{mark} {elapsed_s:+9.3f} s  {line.event:16} {inputs}"
--- /dev/null
+++ b/hornbeamyard/tests/test_explain.py
@@ -0,0 +1,92 @@
+"""Tests of the story of a request."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+from click.testing import CliRunner
+
+from hornbeamyard.process.commands import main
+from hornbeamyard.process.explain import explain
+
+
+def write(path: Path, *lines: dict[str, object] | str) -> Path:
+    """Write a log file."""
+    texts = [
+        line if isinstance(line, str) else json.dumps(line) for line in lines
+    ]
+    path.write_text("\n".join(texts) + "\n", encoding="utf-8")
+    return path
+
+
+def event(
+    time_ms: int, kind: str, host: str = "r1", **inputs: object
+) -> dict[str, object]:
+    """Return a line."""
+    return {"time_ms": time_ms, "host": host, "event": kind, **inputs}
+
+
+class TestExplain:
+    """A request's lines, and what its router believed meanwhile."""
+
+    def test_beliefs_of_the_same_host_around_the_request(
+        self, tmp_path: Path
+    ) -> None:
+        first = write(
+            tmp_path / "r1.log",
+            "a line that isn't structured",
+            '{"cut": ',
+            event(1000, "upstream", upstream="u1", state="draining"),
+            event(50_000, "placed", request_id="q", upstream="u2"),
+            event(50_100, "upstream_avoided", upstream="u2"),
+            event(50_200, "failed", request_id="q", outcome="failed"),
+            event(50_300, "placed", request_id="other", upstream="u3"),
+        )
+        second = write(
+            tmp_path / "r2.log",
+            event(50_100, "upstream_avoided", host="r2", upstream="u9"),
+        )
+        story = explain("q", [first, second])
+        assert [line.event for line in story] == [
+            "placed",
+            "upstream_avoided",
+            "failed",
+        ]
+
+    def test_clocks_that_disagree(self, tmp_path: Path) -> None:
+        """Guards against a story in the order of clocks that are wrong."""
+        ahead = write(
+            tmp_path / "r2.log",
+            event(90_000, "placed", host="r2", request_id="q"),
+            event(90_100, "answered", host="r2", request_id="q"),
+        )
+        behind = write(
+            tmp_path / "r1.log", event(10, "refused", request_id="q")
+        )
+        story = explain("q", [ahead, behind])
+        assert [(line.host, line.event) for line in story] == [
+            ("r1", "refused"),
+            ("r2", "placed"),
+            ("r2", "answered"),
+        ]
+
+
+class TestCommand:
+    """The command `hornbeamyard explain`."""
+
+    def test_prints_the_story(self, tmp_path: Path) -> None:
+        file = write(
+            tmp_path / "r1.log",
+            event(1000, "refused", request_id="q", reason="no_share"),
+        )
+        done = CliRunner().invoke(main, ["explain", "q", str(file)])
+        assert done.exit_code == 0
+        assert "r1" in done.stdout
+        assert "reason=no_share" in done.stdout
+
+    def test_unknown_request(self, tmp_path: Path) -> None:
+        file = write(tmp_path / "r1.log", event(1000, "stopping"))
+        done = CliRunner().invoke(main, ["explain", "q", str(file)])
+        assert done.exit_code == 1
+        assert "no line names" in done.stderr
--- a/hornbeamyard/tests/test_pages.py
+++ b/hornbeamyard/tests/test_pages.py
@@ -78,7 +78,7 @@
 
 @pytest.mark.process
 class TestOperations:
-    """The page docs/operations.md, from top to bottom."""
+    """The page docs/administration.md, from top to bottom."""
 
     @pytest.mark.requirement("R14")
     def test_runs_all_commands(self, tmp_path: Path) -> None:
@@ -87,7 +87,7 @@
         shutil.copytree(EXAMPLES, tmp_path / "docs" / "examples")
         ports = Ports()
         ports.replace_in(tmp_path / "docs" / "examples" / "quetzaltenango")
-        commands = extract_commands(DOCS / "operations.md")
+        commands = extract_commands(DOCS / "administration.md")
         commands = commands.replace("127.0.0.1:1800$1", '$(address "$1")')
         commands = ports.replace(commands)
         find = 'sed -n \'/router/,/}/s/.*"address": "\\(.*\\)".*/\\1/p\''
