--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -474,6 +474,10 @@
         self._usage.forget(watcher.name)
         _log.info("router detached name={}", watcher.name)
 
+    def count_routers(self) -> int:
+        """Return the routers whose stream is open."""
+        return len(self._watchers)
+
     def take_usage(
         self, watcher: Watcher, usage: fleet_pb2.RouterUsage
     ) -> None:
@@ -521,10 +525,6 @@
         """Take the first members from the founder."""
         return await self._founder.accept_founding(members)
 
-    def leads(self) -> bool:
-        """Return whether this controller leads."""
-        return self._replica.is_leader()
-
 
 class DirectoryService(fleet_pb2_grpc.DirectoryServicer):
     """The gRPC service of the route directory.
--- a/hornbeamyard/process/daemon.py
+++ b/hornbeamyard/process/daemon.py
@@ -27,6 +27,7 @@
 from .reload import SettingsWatcher
 from .route_router import RouteRouter
 from .router import Router
+from .servers import build_server, build_status_app
 from .settings import Settings, load_settings
 from .timers import MonotonicTimers, Timers
 
@@ -93,6 +94,7 @@
     settings: Settings, path: Path, interface: Interface, writer: LineWriter
 ) -> None:
     """Run a process that routes by the route directory."""
+    assert settings.directory is not None
     timers = MonotonicTimers()
     stop = anyio.Event()
     router = None
@@ -113,6 +115,11 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_watch_signals, stop, anyio.Event())
         tasks.start_soon(watcher.run)
+        address = settings.directory.metrics_address
+        role = router or registrar
+        if address and role is not None:
+            app = build_status_app(role.metrics)
+            tasks.start_soon(build_server(app, address).serve)
         async with anyio.create_task_group() as roles:
             if registrar is not None:
                 roles.start_soon(registrar.run, stop)
--- a/hornbeamyard/process/metrics.py
+++ b/hornbeamyard/process/metrics.py
@@ -87,6 +87,26 @@
 }
 
 
+# Metrics of processes that route by the route directory.
+ROUTE_HELP = {
+    "answers": "Routed requests by outcome",
+    "controllers_attached": "Controllers whose stream is open",
+    "decisions": "Decisions by kind, those without a log line included",
+    "leads": "1 while this controller leads",
+    "log_lines_dropped": "Log lines that were left out",
+    "requests_in_progress": "Routed requests that run or wait",
+    "routers_attached": "Routers whose stream is open",
+    "routing_version": "Routing version in force",
+    "share_admitted_tokens": "Tokens admitted, by account",
+    "share_asked_tokens": "Tokens asked for, by account",
+    "share_factor": "Throughput of the engines, as a multiple",
+    "share_level": "Share of an account in tokens a second; 0 without limit",
+    "term": "Term of the log",
+    "upstream_connections": "Connections opened to upstreams",
+    "upstreams": "Upstreams that announce themselves, by pool",
+}
+
+
 class AccountLabels:
     """Bounds the values of the label `client_account`.
 
@@ -269,7 +289,7 @@
     kind = CounterMetricFamily if sample.is_counter else GaugeMetricFamily
     return kind(
         f"hornbeamyard_{sample.name}",
-        HELP[sample.name],
+        (HELP | ROUTE_HELP)[sample.name],
         labels=[name for name, _ in sample.labels],
     )
 
--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
+from collections.abc import Iterator
 
 import anyio
 import anyio.abc
@@ -24,6 +26,7 @@
 from ..version.journal import FolderDisk
 from ..version.replica import Replica
 from .interface import Interface, Submitted
+from .metrics import Metrics, Sample
 from .servers import build_server
 from .settings import Settings
 from .timers import Timers
@@ -50,6 +53,7 @@
         "_timers",
         "directory",
         "founder",
+        "metrics",
         "replica",
     )
 
@@ -63,6 +67,8 @@
         self._replication_calls = GrpcCalls(settings.tls)
         self._settings = settings
         self._timers = timers
+        self.metrics = Metrics()
+        self.metrics.watch(self._sample)
         address = settings.controller.address
         directory = settings.directory
         self.replica = Replica(
@@ -133,6 +139,17 @@
             app = self._interface.build_controller_app(self)
             tasks.start_soon(build_server(app, address).serve)
 
+    def _sample(self) -> Iterator[Sample]:
+        yield Sample("leads", float(self.replica.is_leader()))
+        yield Sample("term", self.replica.term)
+        version = self.replica.state.routing.version
+        yield Sample("routing_version", version)
+        attached = self.directory.count_routers()
+        yield Sample("routers_attached", attached)
+        pools = Counter(upstream.pool for upstream in self.directory.census)
+        for pool, number in pools.items():
+            yield Sample("upstreams", number, (("pool", pool),))
+
     # ---- for operators and upstreams -------------------------------------
 
     async def submit(self, document: bytes) -> Submitted:
--- a/hornbeamyard/process/route_router.py
+++ b/hornbeamyard/process/route_router.py
@@ -28,7 +28,8 @@
 from ..version.routing import Routing
 from .decisions import DecisionLog
 from .interface import Interface, Message
-from .servers import build_server
+from .metrics import Metrics, Sample
+from .servers import build_server, build_status_app
 from .settings import Settings
 from .timers import Timers
 
@@ -37,7 +38,7 @@
 # the second answer.
 NOTICE_S = 2.5
 # Part of the time that a stop may take in which requests may finish.
-DRAIN_SHARE = 0.94
+DRAIN_SHARE = 0.9
 # A router without contact to most controllers becomes ready after this time
 # with the newest routing that it could get.
 PATIENCE_S = 4.0
@@ -87,6 +88,7 @@
         "forwarder",
         "is_closing",
         "is_stopping",
+        "metrics",
         "routers",
         "routing",
         "subscription",
@@ -119,6 +121,8 @@
         self.decisions = decisions
         self.is_closing = False
         self.is_stopping = False
+        self.metrics = Metrics()
+        self.metrics.watch(self._sample)
         self.routers = 1
         self.routing: Routing | None = None
         self.subscription = Subscription(
@@ -139,6 +143,7 @@
             self._shares,
             timers,
             self.decisions,
+            self.metrics,
         )
         self._limits = ConnectionLimits(
             min(settings.router.connections, MOST_CONNECTIONS),
@@ -164,7 +169,10 @@
             tasks.start_soon(self._drain, stop)
             status_address = self._settings.router.status_address
             if status_address:
-                status = build_server(self._serve_status, status_address)
+                app = build_status_app(
+                    self.metrics, self._interface.ready_path, self.is_ready
+                )
+                status = build_server(app, status_address)
                 tasks.start_soon(status.serve)
             await self._server.serve()
             tasks.cancel_scope.cancel()
@@ -356,42 +364,32 @@
 
     # ---- status ----------------------------------------------------------
 
-    async def _serve_status(
-        self, scope: Scope, receive: Receive, send: Send
-    ) -> None:
-        if scope["type"] != "http":
-            return
-        path = scope["path"]
-        status, body = 404, b"not found\n"
-        if path == self._interface.ready_path:
-            status, body = (
-                (200, b"ready\n") if self.is_ready() else (503, b"not ready\n")
-            )
-        elif path == "/metrics":
-            text = "".join(f"{line}\n" for line in self._list_metrics())
-            status, body = 200, text.encode()
-        await send(
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": [
-                    (b"content-type", b"text/plain; charset=utf-8"),
-                    (b"content-length", str(len(body)).encode()),
-                ],
-            }
-        )
-        await send({"type": "http.response.body", "body": body})
-
-    def _list_metrics(self) -> Iterator[str]:
-        prefix = "hornbeamyard"
+    def _sample(self) -> Iterator[Sample]:
         counts = self.forwarder.counts
-        yield f"{prefix}_requests_in_progress {counts.in_progress}"
-        for outcome, number in sorted(counts.answers.items()):
-            yield f'{prefix}_answers_total{{outcome="{outcome}"}} {number}'
-        for kind, number in sorted(self.decisions.counts.items()):
-            yield f'{prefix}_decisions_total{{kind="{kind}"}} {number}'
-        yield f"{prefix}_log_lines_dropped_total {self.decisions.dropped}"
+        yield Sample("requests_in_progress", counts.in_progress)
+        for outcome, number in counts.answers.items():
+            yield Sample("answers", number, (("outcome", outcome),), True)
+        for kind, number in self.decisions.counts.items():
+            yield Sample("decisions", number, (("kind", kind),), True)
+        dropped = self.decisions.dropped
+        yield Sample("log_lines_dropped", dropped, (), True)
         version = self.routing.version if self.routing else 0
-        yield f"{prefix}_routing_version {version}"
-        yield f"{prefix}_upstream_connections_total {self._upstreams.opened}"
-        yield f"{prefix}_share_factor {self._shares.factor:.3f}"
+        yield Sample("routing_version", version)
+        opened = self._upstreams.opened
+        yield Sample("upstream_connections", opened, (), True)
+        attached = len(self.subscription.versions)
+        yield Sample("controllers_attached", attached)
+        yield from self._sample_shares()
+        for pool, steering in self._steerings.items():
+            labels = (("pool", pool),)
+            yield Sample("upstreams", len(steering.servers), labels)
+
+    def _sample_shares(self) -> Iterator[Sample]:
+        shares = self._shares
+        level = shares.level if shares.is_contended() else 0.0
+        yield Sample("share_factor", shares.factor)
+        yield Sample("share_level", level)
+        for account, use in shares.own.items():
+            labels = (("client_account", account or "public"),)
+            yield Sample("share_asked_tokens", use.asked, labels, True)
+            yield Sample("share_admitted_tokens", use.admitted, labels, True)
--- a/hornbeamyard/process/servers.py
+++ b/hornbeamyard/process/servers.py
@@ -4,10 +4,13 @@
 
 import logging
 import socket
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import uvicorn
 
+from .metrics import Metrics
+
 # Time for the last bytes to reach callers that were told of a sudden stop.
 CLOSE_TIMEOUT_S = 2
 # Idle time after which an operator's or a monitor's connection is closed.
@@ -61,5 +64,49 @@
     return QuietServer(config)
 
 
+def build_status_app(
+    metrics: Metrics,
+    ready_path: str = "",
+    is_ready: Callable[[], bool] | None = None,
+) -> Any:
+    """Return an ASGI application for monitoring and load balancers.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Served under `/metrics`.
+    ready_path : str, optional
+        Path that is answered by `is_ready`.
+    is_ready : callable, optional
+    """
+
+    async def serve(
+        scope: Any, receive: Any, send: Callable[[Any], Awaitable[None]]
+    ) -> None:
+        if scope["type"] != "http":
+            return
+        status, body = 404, b"not found\n"
+        if scope["path"] == "/metrics":
+            status, body = 200, metrics.render()
+        elif is_ready is not None and scope["path"] == ready_path:
+            ready = is_ready()
+            status = 200 if ready else 503
+            body = b"ready\n" if ready else b"not ready\n"
+        headers = [
+            (b"content-type", b"text/plain; charset=utf-8"),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        await send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": headers,
+            }
+        )
+        await send({"type": "http.response.body", "body": body})
+
+    return serve
+
+
 def _is_unexpected(record: logging.LogRecord) -> bool:
     return "returned without completing response" not in str(record.msg)
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -17,6 +17,7 @@
 from ..pool.shares import Shares
 from ..pool.steering import Placement, Refusal, Steering
 from ..process.decisions import DecisionLog
+from ..process.metrics import Latency, Metrics
 from ..process.timers import Timers
 from ..version.routing import AccountKeys, Pool, Route, Routing
 from .budget import WindowBudget
@@ -36,6 +37,8 @@
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 
+# Account label of requests on public routes.
+PUBLIC = "public"
 # Retry-After while the router has no routing or is stopping, in seconds.
 UNREADY_RETRY_S = 0.5
 # A caller that names a deadline below this part of the longest one seen on
@@ -144,6 +147,7 @@
     shares : Shares
     timers : Timers
     decisions : DecisionLog
+    metrics : Metrics
     """
 
     __slots__ = (
@@ -151,6 +155,7 @@
         "_dialect",
         "_fleet",
         "_longest_ms",
+        "_metrics",
         "_shares",
         "_timers",
         "_upstreams",
@@ -165,12 +170,14 @@
         shares: Shares,
         timers: Timers,
         decisions: DecisionLog,
+        metrics: Metrics,
     ) -> None:
         self._decisions = decisions
         self._dialect = dialect
         self._fleet = fleet
         # Longest deadline that callers named, by route.
         self._longest_ms: dict[str, float] = {}
+        self._metrics = metrics
         self._shares = shares
         self._timers = timers
         self._upstreams = upstreams
@@ -376,6 +383,7 @@
     ) -> TryResult:
         server = placement.server
         started_at = self._timers.now()
+        self._record(call, Latency.QUEUE_WAIT, started_at)
         self._note(
             call.facts,
             "placed",
@@ -401,7 +409,9 @@
             version=self._fleet.routing.version if self._fleet.routing else 0,
             tries=call.tries,
         )
-        meter = _Meter(self._timers, steering, placement, call, started_at)
+        meter = _Meter(
+            self._timers, steering, placement, call, started_at, self._record
+        )
         relay = Relay(
             self._build_request(call, server, started_at),
             server.upstream.address,
@@ -621,8 +631,17 @@
     def _note(self, facts: RequestFacts, kind: str, **inputs: object) -> None:
         self._decisions.note(kind, request_id=facts.request_id, **inputs)
 
+    def _record(self, call: Call, latency: Latency, now: float) -> None:
+        self._metrics.record(
+            call.account or PUBLIC,
+            call.demand.priority == 0,
+            latency,
+            now - call.received_at,
+        )
+
     def _note_answered(self, call: Call, placement: Placement) -> None:
         self.counts.add("answered")
+        self._record(call, Latency.DURATION, self._timers.now())
         self._note(
             call.facts,
             "answered",
@@ -664,6 +683,7 @@
         "_first_at",
         "_last_at",
         "_placement",
+        "_record",
         "_started_at",
         "_steering",
         "_timers",
@@ -676,7 +696,9 @@
         placement: Placement,
         call: Call,
         started_at: float,
+        record: Callable[[Call, Latency, float], None],
     ) -> None:
+        self._record = record
         self._call = call
         self._first_at = 0.0
         self._last_at = 0.0
@@ -700,6 +722,7 @@
 
     def _note_first(self, now: float) -> None:
         self._first_at = now
+        self._record(self._call, Latency.FIRST_BYTE, now)
         server = self._placement.server
         if not isinstance(server, Engine):
             return
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -18,6 +18,7 @@
 from hornbeamyard.pool.shares import Shares
 from hornbeamyard.pool.steering import Steering
 from hornbeamyard.process.decisions import DecisionLog
+from hornbeamyard.process.metrics import Metrics
 from hornbeamyard.process.timers import MonotonicTimers
 from hornbeamyard.request.budget import WindowBudget
 from hornbeamyard.request.dialect import NATIVE_NAMES, Dialect
@@ -116,6 +117,7 @@
             self.shares,
             self.timers,
             DecisionLog(self.timers, "r1", self.log),  # type: ignore[arg-type]
+            Metrics(),
         )
 
     def find_steering(self, pool: str) -> Steering:
--- a/hornbeamyard/tests/test_pages.py
+++ b/hornbeamyard/tests/test_pages.py
@@ -193,7 +193,7 @@
 class TestAlarms:
     """The page docs/alarms.md."""
 
-    @pytest.mark.parametrize("name", metrics.HELP)
+    @pytest.mark.parametrize("name", [*metrics.HELP, *metrics.ROUTE_HELP])
     def test_names_each_metric(self, name: str) -> None:
         """Guards against metrics that nobody can interpret."""
         text = (DOCS / "alarms.md").read_text()
