Accounts within their share are never held up by the pool's throughput

Cause: routers refused requests of accounts below their share when a burst had used up this router's part of the throughput, although engines were idle. Also: the log told of callers that leave for every answered request, as the server reports the end of the connection's request in the same way.

--- a/hornbeamyard/pool/shares.py
+++ b/hornbeamyard/pool/shares.py
@@ -16,20 +16,19 @@
 
 from .usage import WINDOW_S, AccountUse
 
-# Unused throughput that the pool keeps, as a time. More would let a burst
-# through that slows down all running requests.
-POOL_SAVED_S = 0.3
-# Debt of the pool, as a time, up to which accounts that ask for no more than
-# their share are served. A flood that spends what the pool earns must not
-# hold them up.
-POOL_DEBT_S = 1.0
+# Unused throughput that the pool keeps for accounts above their share, as a
+# time. More would let a burst through that slows down all running requests.
+SPARE_SAVED_S = 0.3
+# Longest debt of the pool, as a time. What was admitted before it was
+# contended is no debt of those who ask now.
+SPARE_DEBT_S = 1.0
 # Part of its savings that an account which asks for more than its share keeps
 # for requests that come for the first time.
 RETURNED_PART = 0.5
 # Bounds and steps of what the engines are found to give, as a multiple of
-# the configured throughput. They give more for a while, as they hold part of
-# the prompts already; accounts below their share may use that. It falls
-# faster than it rises, as an engine that has too much work slows down
+# the configured throughput. They give more, as they hold part of the prompts
+# already, and shares limit nobody as long as it is enough. It falls faster
+# than it rises, because an engine that has too much work slows down
 # everything that runs in it.
 LEAST_FACTOR = 0.5
 MOST_FACTOR = 1.8
@@ -112,10 +111,8 @@
         """Add what was earned, and earn at another rate from now on."""
         self.fill(now)
         self.rate = rate
-        self.most = rate * POOL_SAVED_S
-        # What was admitted before the pool was contended is no debt of those
-        # who ask now.
-        self.tokens = max(self.tokens, -rate * POOL_DEBT_S)
+        self.most = rate * SPARE_SAVED_S
+        self.tokens = max(self.tokens, -rate * SPARE_DEBT_S)
 
     def take_others(self, total: int, own: int) -> None:
         """Subtract what other routers have used since the last sums."""
@@ -153,7 +150,6 @@
     level: float = float("inf")
     own: dict[str, AccountUse] = field(default_factory=dict)
     _accounts: dict[str, _Credit] = field(default_factory=dict)
-    _pool: _Credit = field(default_factory=_Credit)
     _asked: deque[tuple[float, int]] = field(default_factory=deque)
     _reported: dict[str, int] = field(default_factory=dict)
     _spare: _Credit = field(default_factory=_Credit)
@@ -170,7 +166,6 @@
     def note_admitted(self, account: str, size: int) -> None:
         """Count a request that is sent."""
         self.own.setdefault(account, AccountUse()).admitted += size
-        self._pool.tokens -= size
         self._spare.tokens -= size
         credit = self._accounts.get(account)
         if credit is not None:
@@ -199,12 +194,11 @@
         if not self.is_contended():
             return True
         credit = self._accounts.get(account)
-        self._pool.fill(now)
         if credit is None or not credit.is_over:
-            return self._pool.tokens > -POOL_DEBT_S * self._pool.rate
+            return True
         credit.fill(now)
         least = RETURNED_PART * credit.most if returned else 0.0
-        if credit.tokens > least and self._pool.tokens > 0:
+        if credit.tokens > least:
             return True
         self._spare.fill(now)
         return self._spare.tokens > 0
@@ -226,7 +220,7 @@
             "factor": round(self.factor, 2),
             "level": round(self.level),
             "credit": round(credit.tokens) if credit is not None else None,
-            "pool_credit": round(self._pool.tokens),
+            "spare": round(self._spare.tokens),
         }
 
     def compute_wait(self, account: str, now: float) -> float:
@@ -235,10 +229,9 @@
             return 0.0
         credit = self._accounts.get(account)
         waits = [0.0]
-        for held in (credit, self._pool):
-            if held is not None and held.rate > 0:
-                held.fill(now)
-                waits.append(-held.tokens / held.rate)
+        if credit is not None and credit.rate > 0:
+            credit.fill(now)
+            waits.append(-credit.tokens / credit.rate)
         return max(waits)
 
     def take_sums(
@@ -274,7 +267,6 @@
         is_new = source != self._source
         self._source = source
         part = self._compute_part(sum(demands.values()), routers)
-        self._pool.refill(self.throughput * self.factor * part, now)
         self._spare.refill(rate * part, now)
         for name, use in accounts.items():
             saved = min(self.level, rate) * self.window_s
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -116,6 +116,10 @@
     may_have_run : bool
     answer : WholeAnswer or None
         The newest failure that an upstream has answered.
+    excluded : frozenset of str
+        Upstreams that have failed the request.
+    is_answered : bool
+        Whether the end of the answer was sent.
     """
 
     facts: RequestFacts
@@ -134,6 +138,7 @@
     may_have_run: bool = False
     answer: WholeAnswer | None = None
     excluded: frozenset[str] = frozenset()
+    is_answered: bool = False
 
 
 class Forwarder:
@@ -217,6 +222,7 @@
             tasks.start_soon(
                 self._watch_caller, receive, call, tasks.cancel_scope
             )
+            send = _watch_end(call, send)
             with self._timers.limit(call.ends_at - self._timers.now()) as lim:
                 await self._deliver(call, send)
             if lim.cancelled_caught:
@@ -339,6 +345,8 @@
             message = await receive()
             if message["type"] == "http.disconnect":
                 break
+        if call.is_answered:
+            return
         self._note(
             call.facts,
             "left",
@@ -743,6 +751,20 @@
         self._steering.start_waiting(self._timers.now())
 
 
+def _watch_end(call: Call, send: Send) -> Send:
+    """Return a sender that notes the end of the answer.
+
+    The server tells of a caller that is gone also once the answer has ended.
+    """
+
+    async def send_watched(message: MutableMapping[str, Any]) -> None:
+        if message["type"] == "http.response.body":
+            call.is_answered = not message.get("more_body", False)
+        await send(message)
+
+    return send_watched
+
+
 def _is_failure(status: int) -> bool:
     """Return whether a status tells that an upstream is failing.
 
