--- a/hornbeamyard/process/logs.py
+++ b/hornbeamyard/process/logs.py
@@ -80,8 +80,9 @@
             try:
                 self._stream.write("\n".join(lines) + "\n")
                 self._stream.flush()
-            except OSError:
-                # Without a reader there is nobody to tell but the counter.
+            except (OSError, ValueError):
+                # Without a reader, or with a closed stream, there is nobody
+                # to tell but the counter.
                 self.dropped += len(lines)
             for _ in lines:
                 self._queue.task_done()
--- /dev/null
+++ b/hornbeamyard/tests/test_directory.py
@@ -0,0 +1,294 @@
+"""Tests of the route directory: controllers and a router on loopback."""
+
+from __future__ import annotations
+
+import copy
+import json
+import random
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import anyio
+import anyio.abc
+import httpcore
+
+from hornbeamyard.pool.census import Upstream, UpstreamState
+from hornbeamyard.process.decisions import DecisionLog
+from hornbeamyard.process.interface import Interface
+from hornbeamyard.process.logs import LineWriter
+from hornbeamyard.process.registrar import Registrar
+from hornbeamyard.process.route_router import RouteRouter
+from hornbeamyard.process.settings import (
+    ControllerSettings,
+    DirectorySettings,
+    RouterSettings,
+    Settings,
+)
+from hornbeamyard.process.timers import MonotonicTimers
+from hornbeamyard.request.dialect import NATIVE_NAMES, Dialect
+
+from .raw_upstream import answer, run_raw
+from .test_forwarding import DOCUMENT
+
+CONTROLLERS = 3
+
+
+def find_ports(count: int) -> list[str]:
+    """Return addresses on loopback that are free."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    addresses = [f"127.0.0.1:{each.getsockname()[1]}" for each in sockets]
+    for each in sockets:
+        each.close()
+    return addresses
+
+
+class Fleet:
+    """Controllers and one router in one process."""
+
+    def __init__(self, folder: Path, tasks: anyio.abc.TaskGroup) -> None:
+        self.folder = folder
+        self.peers = find_ports(CONTROLLERS)
+        self.router_address, self.status_address = find_ports(2)
+        self.interface = Interface(Dialect(NATIVE_NAMES))
+        self.registrars: dict[int, Registrar] = {}
+        self.stops: dict[int, anyio.Event] = {}
+        self.router: RouteRouter | None = None
+        self._tasks = tasks
+        self._timers = MonotonicTimers()
+
+    def _build_settings(self, host: str, first_start: bool) -> Settings:
+        return Settings(
+            "test",
+            host,
+            "zone-a",
+            {},
+            plain_text=True,
+            directory=DirectorySettings(
+                # Only two of the three are named.
+                seeds=self.peers[:2],
+                first_start=first_start,
+                tolerated_hosts=1,
+            ),
+        )
+
+    def start_controller(self, number: int, first_start: bool = True) -> None:
+        """Start a controller with the data folder that it has."""
+        settings = self._build_settings(f"c{number}", first_start)
+        settings.controller = ControllerSettings(
+            self.peers[number], self.folder / f"data-{number}"
+        )
+        registrar = Registrar(settings, self._timers, self.interface)
+        self.registrars[number] = registrar
+        self.stops[number] = anyio.Event()
+        self._tasks.start_soon(registrar.run, self.stops[number])
+
+    def start_router(self) -> None:
+        """Start the router."""
+        settings = self._build_settings("r1", False)
+        settings.router = RouterSettings(
+            self.router_address, status_address=self.status_address
+        )
+        with (self.folder / "router.log").open("w") as stream:
+            writer = LineWriter(stream)
+        decisions = DecisionLog(self._timers, "r1", writer)
+        self.router = RouteRouter(
+            settings, self._timers, self.interface, decisions
+        )
+        self._tasks.start_soon(self.router.run, anyio.Event())
+
+    def find_leader(self) -> Registrar | None:
+        """Return the controller that leads."""
+        leaders = [
+            r for r in self.registrars.values() if r.replica.is_leader()
+        ]
+        return leaders[0] if leaders else None
+
+    async def wait(self, condition: Callable[[], object]) -> None:
+        """Wait until a condition holds."""
+        with anyio.fail_after(15):
+            while not condition():
+                await anyio.sleep(0.02)
+
+    async def submit(self, version: int) -> None:
+        """Submit a routing at any controller until it is decided."""
+        document = {**copy.deepcopy(DOCUMENT), "version": version}
+        data = json.dumps(document).encode()
+        while True:
+            registrar = random.choice(list(self.registrars.values()))
+            submitted = await registrar.submit(data)
+            if submitted.decided and not submitted.findings:
+                return
+            await anyio.sleep(0.1)
+
+    async def read_version(self, registrar: Registrar) -> int:
+        """Return the version that a read confirms, or 0."""
+        data = await registrar.read()
+        return int(json.loads(data)["version"]) if data is not None else 0
+
+
+def run_fleet(folder: Path, test: Callable[[Fleet], Awaitable[None]]) -> None:
+    """Run a test with three controllers."""
+
+    async def main() -> None:
+        with anyio.fail_after(60):
+            async with anyio.create_task_group() as tasks:
+                fleet = Fleet(folder, tasks)
+                for number in range(CONTROLLERS):
+                    fleet.start_controller(number)
+                await fleet.wait(fleet.find_leader)
+                await test(fleet)
+                tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+class TestFounding:
+    """Controllers find each other from the seeds."""
+
+    def test_all_are_members_though_two_are_named(
+        self, tmp_path: Path
+    ) -> None:
+        """Guards against a log that two lost disks could end."""
+
+        async def test(fleet: Fleet) -> None:
+            def count() -> bool:
+                leader = fleet.find_leader()
+                if leader is None:
+                    return False
+                members = leader.replica.state.members.members
+                return len([m for m in members if m.voter and m.disk]) == 3
+
+            await fleet.wait(count)
+
+        run_fleet(tmp_path, test)
+
+    def test_lost_disk_is_taken_up_again(self, tmp_path: Path) -> None:
+        """Guards against a wiped controller that founds a log of its own."""
+
+        async def test(fleet: Fleet) -> None:
+            await fleet.submit(5)
+            leader = fleet.find_leader()
+            number = next(
+                n for n, r in fleet.registrars.items() if r is not leader
+            )
+            fleet.stops[number].set()
+            await anyio.sleep(0.5)
+            for file in (tmp_path / f"data-{number}").iterdir():
+                file.unlink()
+            fleet.start_controller(number, first_start=False)
+            wiped = fleet.registrars[number]
+            await fleet.wait(lambda: wiped.replica.state.routing.version == 5)
+            assert await fleet.read_version(wiped) == 5
+
+        run_fleet(tmp_path, test)
+
+
+class TestRouting:
+    """The highest version is in force everywhere and never goes back."""
+
+    def test_versions(self, tmp_path: Path) -> None:
+        async def test(fleet: Fleet) -> None:
+            await fleet.submit(7)
+            await fleet.submit(12)
+            # A resend of what was overtaken is acknowledged, changes nothing.
+            await fleet.submit(7)
+            for registrar in fleet.registrars.values():
+                assert await fleet.read_version(registrar) == 12
+
+        run_fleet(tmp_path, test)
+
+    def test_other_content_under_the_held_version(
+        self, tmp_path: Path
+    ) -> None:
+        async def test(fleet: Fleet) -> None:
+            await fleet.submit(7)
+            document = copy.deepcopy(DOCUMENT)
+            document["version"] = 7
+            document["routes"][0]["timeout_ms"] = 99
+            leader = fleet.find_leader()
+            assert leader is not None
+            submitted = await leader.submit(json.dumps(document).encode())
+            assert submitted.conflict
+
+        run_fleet(tmp_path, test)
+
+    def test_no_read_without_a_majority(self, tmp_path: Path) -> None:
+        """Guards against an old version read from a controller cut off."""
+
+        async def test(fleet: Fleet) -> None:
+            await fleet.submit(7)
+            leader = fleet.find_leader()
+            assert leader is not None
+            for number, registrar in fleet.registrars.items():
+                if registrar is not leader:
+                    fleet.stops[number].set()
+            await anyio.sleep(0.5)
+            assert await leader.read() is None
+
+        run_fleet(tmp_path, test)
+
+    def test_invalid_routing_reaches_no_log(self, tmp_path: Path) -> None:
+        async def test(fleet: Fleet) -> None:
+            leader = fleet.find_leader()
+            assert leader is not None
+            before = leader.replica.journal.last_index
+            submitted = await leader.submit(b'{"version": 3}')
+            assert submitted.findings
+            assert leader.replica.journal.last_index == before
+
+        run_fleet(tmp_path, test)
+
+
+class TestRouter:
+    """A router learns everything from the controllers and serves."""
+
+    def test_whole_path(self, tmp_path: Path) -> None:
+        async def test(fleet: Fleet) -> None:
+            fleet.start_router()
+            router = fleet.router
+            assert router is not None
+            async with AsyncExitStack() as stack:
+                raw = await stack.enter_async_context(run_raw(answer()))
+                await fleet.submit(7)
+                upstream = Upstream(
+                    "u1",
+                    "app",
+                    f"127.0.0.1:{raw.port}",
+                    "zone-a",
+                    UpstreamState.READY,
+                    4,
+                    1,
+                )
+                fleet.registrars[2].announce(upstream)
+                await fleet.wait(router.is_ready)
+                assert await ask(fleet, "/read/1") == (200, b"done")
+                assert (await ask(fleet, "/other/1"))[0] == 404
+                # It drains at another controller than it announced itself.
+                draining = copy.copy(upstream)
+                draining.state = UpstreamState.DRAINING
+                draining.sequence = 2
+                fleet.registrars[0].announce(draining)
+                await anyio.sleep(0.5)
+                assert (await ask(fleet, "/read/1"))[0] == 503
+                assert len(raw.received) == 1
+
+        run_fleet(tmp_path, test)
+
+
+async def ask(fleet: Fleet, path: str) -> tuple[int, bytes]:
+    """Send a request to the router."""
+    async with httpcore.AsyncConnectionPool() as client:
+        response = await client.request(
+            "GET",
+            f"http://{fleet.router_address}{path}",
+            headers=[
+                (b"host", b"api.example"),
+                (b"hornbeamyard-request", b"r1"),
+                (b"authorization", b"Bearer k1"),
+            ],
+        )
+    return response.status, response.content
