Charge an account's share once for a request

Found with the log's lines retried and failed of the same request_id. Change: a repeat is not charged again. The new test fails without it.

--- a/hornbeamyard/pool/demand.py
+++ b/hornbeamyard/pool/demand.py
@@ -42,6 +42,9 @@
     model : str
     returned : bool
         Whether the caller seems to come back after a refusal.
+    is_charged : bool
+        Whether the account's share was charged, so that a repeat after a
+        failed try is not refused for it.
     """
 
     request_id: str
@@ -55,6 +58,7 @@
     output_tokens: int = 0
     model: str = ""
     returned: bool = False
+    is_charged: bool = False
 
     @property
     def size(self) -> int:
--- a/hornbeamyard/pool/steering.py
+++ b/hornbeamyard/pool/steering.py
@@ -316,9 +316,7 @@
         servers = self._list_usable(demand, now, excluded)
         if not servers:
             return self._refuse(Verdict.NO_UPSTREAM, demand, now)
-        if self._memory_tokens and not self._shares.may_admit(
-            demand.account, demand.returned, now
-        ):
+        if not self._has_share(demand, now):
             return self._refuse(Verdict.NO_SHARE, demand, now)
         options = self._list_options(servers, demand, now)
         roomy = [option for option in options if option[1].estimate.has_room]
@@ -333,6 +331,11 @@
             return self._refuse(Verdict.TOO_LATE, demand, now)
         return min(in_time, key=lambda option: option[0])[1]
 
+    def _has_share(self, demand: Demand, now: float) -> bool:
+        if not self._memory_tokens or demand.is_charged:
+            return True
+        return self._shares.may_admit(demand.account, demand.returned, now)
+
     def _list_usable(
         self, demand: Demand, now: float, excluded: frozenset[str]
     ) -> list[Server]:
@@ -466,7 +469,9 @@
         server.own.held_tokens += held_tokens(demand)
         if isinstance(server, Engine):
             server.note_parts(demand, now)
-            self._shares.note_admitted(demand.account, demand.size)
+            if not demand.is_charged:
+                self._shares.note_admitted(demand.account, demand.size)
+                demand.is_charged = True
 
     def note_read(self, placement: Placement) -> None:
         """Count a request whose prompt has been read, or that has ended."""
--- a/hornbeamyard/tests/test_steering.py
+++ b/hornbeamyard/tests/test_steering.py
@@ -20,7 +20,7 @@
     Verdict,
     rank_engines,
 )
-from hornbeamyard.pool.usage import UpstreamUse
+from hornbeamyard.pool.usage import AccountUse, UpstreamUse
 from hornbeamyard.process.timers import VirtualTimers
 
 ENGINES = 5
@@ -235,6 +235,31 @@
         assert refusal.verdict is Verdict.NO_UPSTREAM
 
 
+class TestShare:
+    """An account's share is charged once for a request."""
+
+    def test_repeat_after_a_failed_try(self) -> None:
+        """Guards against a failure of an upstream that ends as a refusal."""
+        steering = build_steering(engines=2)
+        shares = steering._shares
+        shares.throughput = 1000.0
+        busy = {"a": AccountUse(100_000, 0), "b": AccountUse(100_000, 0)}
+        shares.take_sums(busy, 1, "leader", 0.0)
+        demand = ask(own=50_000)
+        placed = place(steering, demand)
+        spent = shares.own["a"].admitted
+        steering.note_read(placed)
+        steering.finish(placed, demand)
+        refused = steering.place(ask(), 0.0, frozenset())
+        assert isinstance(refused, Refusal)
+        assert refused.verdict is Verdict.NO_SHARE
+        excluded = frozenset([placed.server.id])
+        again = steering.place(demand, 0.0, excluded)
+        assert isinstance(again, Placement)
+        steering.start(again, demand, 0.0)
+        assert shares.own["a"].admitted == spent
+
+
 class TestWaiting:
     """A short wait bridges small gaps; then the answer is final."""
 
