Split the route directory and the request path into modules by concern

The directory's service, its calls, its messages and a router's subscription are modules of their own; so are a routed call, its measurements and what is told of it. No behaviour changes.

--- /dev/null
+++ b/hornbeamyard/connection/subscription.py
@@ -0,0 +1,276 @@
+"""A router's view of the route directory."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import anyio
+import grpc
+import grpc.aio
+import logbook
+
+from ..messages import fleet_pb2
+from ..pool.census import Census, Upstream, UpstreamState
+from ..pool.usage import FleetSums, RouterCounters
+from ..process.timers import Timers
+from . import peers
+from .directory import LONGEST_PAUSE_S, SILENCE_LIMIT_S, SUMS_INTERVAL_S
+from .directory_calls import DirectoryCalls
+from .directory_codec import (
+    STATES,
+    decode_sums,
+    decode_upstream,
+    encode_sums,
+    unpack_document,
+)
+
+RECONNECT_PAUSE_S = 0.2
+
+_log = logbook.Logger("directory")
+
+
+class Subscription:
+    """A router's view of the directory, over streams to all controllers.
+
+    Parameters
+    ----------
+    identity : Identity
+    seeds : iterable of str
+        Addresses of controllers that are known at the start.
+    calls : DirectoryCalls
+    timers : Timers
+    collect_usage : callable
+        Returns the router's counters.
+    on_upstreams : callable
+        Called with the upstreams that have changed.
+    on_routing : callable
+        Called with version and document of a newer routing; returns whether
+        it is in force now.
+    on_sums : callable
+        Called with the fleet's sums.
+    lifetime_s : float
+        Time without an announcement after which an upstream is lost.
+
+    Attributes
+    ----------
+    versions : dict of str to int
+        Routing version that each attached controller holds, by address.
+    """
+
+    __slots__ = (
+        "_calls",
+        "_collect_usage",
+        "_controllers",
+        "_fetching",
+        "_identity",
+        "_leader",
+        "_lifetime_s",
+        "_on_routing",
+        "_on_sums",
+        "_on_upstreams",
+        "_timers",
+        "_wanted",
+        "census",
+        "seeds",
+        "version",
+        "versions",
+    )
+
+    def __init__(
+        self,
+        identity: fleet_pb2.Identity,
+        seeds: Iterable[str],
+        calls: DirectoryCalls,
+        timers: Timers,
+        collect_usage: Callable[[], RouterCounters],
+        on_upstreams: Callable[[list[Upstream]], None],
+        on_routing: Callable[[int, bytes], bool],
+        on_sums: Callable[[FleetSums], None],
+        lifetime_s: float,
+    ) -> None:
+        self._calls = calls
+        self._collect_usage = collect_usage
+        # Host by address of the controllers that take part.
+        self._controllers: dict[str, str] = {}
+        self._fetching = False
+        self._identity = identity
+        self._leader = ""
+        self._lifetime_s = lifetime_s
+        self._on_routing = on_routing
+        self._on_sums = on_sums
+        self._on_upstreams = on_upstreams
+        self._timers = timers
+        self._wanted = anyio.Event()
+        self.census = Census()
+        self.seeds = list(seeds)
+        self.version = 0
+        self.versions: dict[str, int] = {}
+
+    def knows_majority(self) -> bool:
+        """Return whether most known controllers have told their version."""
+        return 2 * len(self.versions) > len(self._controllers) > 0
+
+    async def run(self) -> None:
+        """Keep a stream to each controller until cancelled."""
+        running: set[str] = set()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._fetch_repeatedly)
+            while True:
+                addresses = set(self._controllers)
+                if len(self.versions) * 2 <= len(addresses):
+                    # Without a majority the known ones may be out of date.
+                    addresses.update(self.seeds)
+                for address in addresses - running:
+                    running.add(address)
+                    tasks.start_soon(self._follow, address, running)
+                self._expire()
+                await self._timers.sleep(RECONNECT_PAUSE_S)
+
+    def _expire(self) -> None:
+        if not self.versions:
+            return
+        # A controller that is out of reach may hear of more upstreams.
+        is_whole = len(self.versions) >= len(self._controllers)
+        lifetime = self._lifetime_s * (1 if is_whole else 2)
+        lost = self.census.expire(self._timers.now(), lifetime)
+        for upstream in lost:
+            upstream.state = UpstreamState.GONE
+        if lost:
+            self._on_upstreams(lost)
+
+    def _is_wanted(self, address: str) -> bool:
+        return address in self._controllers or address in self.seeds
+
+    async def _follow(self, address: str, running: set[str]) -> None:
+        """Keep the stream to one controller while it is needed."""
+        try:
+            while self._is_wanted(address):
+                reason = await self._stream(address)
+                if self.versions.pop(address, None) is not None:
+                    _log.warning(
+                        "controller lost address={} reason={}", address, reason
+                    )
+                await self._timers.sleep(RECONNECT_PAUSE_S)
+        finally:
+            running.discard(address)
+            await self._calls.forget(address)
+
+    async def _stream(self, address: str) -> str:
+        """Serve one stream and return why it ended."""
+        call = self._calls.open_stub(address).Watch()
+        reason = "not wanted"
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._report, call, address)
+                while self._is_wanted(address):
+                    update = None
+                    with self._timers.limit(SILENCE_LIMIT_S):
+                        update = await peers.wait_call(call.read())
+                    if not isinstance(update, fleet_pb2.DirectoryUpdate):
+                        reason = "silent" if update is None else "ended"
+                        break
+                    self._take(address, update)
+                tasks.cancel_scope.cancel()
+        except* grpc.aio.AioRpcError as errors:
+            error = errors.exceptions[0]
+            assert isinstance(error, grpc.aio.AioRpcError)
+            reason = error.code().name
+        except* asyncio.InvalidStateError:
+            # grpc raises it when a report is written to a stream that the
+            # controller has ended.
+            reason = "ended"
+        finally:
+            call.cancel()
+        return reason
+
+    async def _report(self, call: Any, address: str) -> None:
+        """Name this router, then send reports if the controller leads."""
+        await peers.wait_call(
+            call.write(fleet_pb2.RouterUsage(identity=self._identity))
+        )
+        idle_s = 0.0
+        async for _ in self._timers.subscribe(SUMS_INTERVAL_S):
+            idle_s += SUMS_INTERVAL_S
+            leads = self._controllers.get(address, "") == self._leader
+            if not leads and idle_s < LONGEST_PAUSE_S:
+                continue
+            idle_s = 0.0
+            usage = fleet_pb2.RouterUsage()
+            if leads:
+                counters = self._collect_usage()
+                accounts, upstreams = encode_sums(
+                    counters.accounts, counters.upstreams
+                )
+                usage.accounts.extend(accounts)
+                usage.upstreams.extend(upstreams)
+            await peers.wait_call(call.write(usage))
+
+    def _take(self, address: str, update: fleet_pb2.DirectoryUpdate) -> None:
+        now = self._timers.now()
+        if address not in self.versions:
+            _log.info(
+                "controller attached address={} routing_version={}",
+                address,
+                update.routing_version,
+            )
+        self.versions[address] = update.routing_version
+        if update.controllers:
+            self._controllers = {c.address: c.host for c in update.controllers}
+        if update.leader:
+            self._leader = update.leader
+        changed = []
+        for record in update.upstreams:
+            if record.state not in STATES:
+                continue
+            if record.state == fleet_pb2.UpstreamRecord.GONE:
+                changed += self.census.end(record.id, record.started_ms, now)
+                continue
+            upstream = decode_upstream(record, now)
+            changed += self.census.take(upstream, now)
+        for renewal in update.renewals:
+            self.census.renew(
+                renewal.id, renewal.started_ms, renewal.sequence, now
+            )
+        if changed:
+            self._on_upstreams(changed)
+        if update.has_sums:
+            accounts, usage = decode_sums(update.accounts, update.usage)
+            self._on_sums(
+                FleetSums(accounts, usage, update.routers, update.leader)
+            )
+        if update.routing_version > self.version:
+            self._wanted.set()
+
+    # ---- routing ---------------------------------------------------------
+
+    async def _fetch_repeatedly(self) -> None:
+        """Fetch the newest routing that any controller has in force."""
+        while True:
+            await self._wanted.wait()
+            self._wanted = anyio.Event()
+            newer = [
+                (version, address)
+                for address, version in self.versions.items()
+                if version > self.version
+            ]
+            for _, address in sorted(newer, reverse=True):
+                if await self._fetch(address):
+                    break
+            else:
+                if newer:
+                    await self._timers.sleep(RECONNECT_PAUSE_S / 4)
+            if any(v > self.version for v in self.versions.values()):
+                self._wanted.set()
+
+    async def _fetch(self, address: str) -> bool:
+        request = fleet_pb2.RoutingRead(identity=self._identity)
+        copy = await self._calls.fetch_routing(address, request)
+        if copy is None or not copy.found or copy.version <= self.version:
+            return False
+        document = unpack_document(copy.document)
+        if not self._on_routing(copy.version, document):
+            return False
+        self.version = copy.version
+        return True
--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -12,12 +12,9 @@
 from result import Err
 
 from ..connection import peers
-from ..connection.directory import (
-    Directory,
-    DirectoryCalls,
-    DirectoryService,
-    unpack_document,
-)
+from ..connection.directory import Directory, DirectoryService
+from ..connection.directory_calls import DirectoryCalls
+from ..connection.directory_codec import unpack_document
 from ..connection.replication import GrpcCalls, ReplicationService
 from ..messages import fleet_pb2, fleet_pb2_grpc
 from ..pool.census import MISSED_ANNOUNCEMENTS, Upstream
--- a/hornbeamyard/process/route_router.py
+++ b/hornbeamyard/process/route_router.py
@@ -11,8 +11,9 @@
 from result import Err
 
 from ..connection import peers
-from ..connection.directory import DirectoryCalls, Subscription
+from ..connection.directory_calls import DirectoryCalls
 from ..connection.limits import ConnectionLimits, LoadGauge, build_protocol
+from ..connection.subscription import Subscription
 from ..connection.upstreams import Upstreams
 from ..pool.census import MISSED_ANNOUNCEMENTS, Upstream, UpstreamState
 from ..pool.shares import Shares
@@ -25,6 +26,7 @@
 )
 from ..request.budget import WindowBudget
 from ..request.forwarding import Forwarder, Receive, Scope, Send
+from ..request.reporting import CallReport
 from ..version.routing import Routing
 from .decisions import DecisionLog
 from .interface import Interface, Message
@@ -142,8 +144,7 @@
             self._upstreams,
             self._shares,
             timers,
-            self.decisions,
-            self.metrics,
+            CallReport(timers, self.decisions, self.metrics),
         )
         self._limits = ConnectionLimits(
             min(settings.router.connections, MOST_CONNECTIONS),
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -5,7 +5,7 @@
 import json
 import random
 from collections.abc import Awaitable, Callable, MutableMapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, Protocol
 
@@ -13,18 +13,16 @@
 
 from ..connection.upstreams import Upstreams
 from ..pool.demand import Demand
-from ..pool.engine import Engine, Server
+from ..pool.engine import Server
 from ..pool.shares import Shares
 from ..pool.steering import Placement, Refusal, Steering
-from ..process.decisions import DecisionLog
-from ..process.metrics import Latency, Metrics
 from ..process.timers import Timers
-from ..version.routing import AccountKeys, Pool, Route, Routing
+from ..version.routing import AccountKeys, Route, Routing
 from .budget import WindowBudget
 from .dialect import Dialect, HandOver, RequestFacts
+from .meter import Meter
 from .relay import (
     Ending,
-    Progress,
     Relay,
     RelayRequest,
     TryResult,
@@ -32,13 +30,13 @@
     filter_headers,
     send_answer,
 )
+from .reporting import CallReport
+from .routed_call import Call
 
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 
-# Account label of requests on public routes.
-PUBLIC = "public"
 # Retry-After while the router has no routing or is stopping, in seconds.
 UNREADY_RETRY_S = 0.5
 # A caller that names a deadline below this part of the longest one seen on
@@ -75,72 +73,6 @@
         """Return the budget of repeats of a pool."""
 
 
-@dataclass(slots=True)
-class Counts:
-    """Counters of the request path.
-
-    Attributes
-    ----------
-    in_progress : int
-    answers : dict of str to int
-        By outcome.
-    """
-
-    in_progress: int = 0
-    answers: dict[str, int] = field(default_factory=dict)
-
-    def add(self, outcome: str) -> None:
-        """Count an outcome."""
-        self.answers[outcome] = self.answers.get(outcome, 0) + 1
-
-
-@dataclass(slots=True)
-class Call:
-    """One routed request in progress.
-
-    Attributes
-    ----------
-    facts : RequestFacts
-    route : Route
-    pool : Pool
-    account : str
-    headers : list
-        The caller's, for upstreams.
-    method, target, body
-    received_at, ends_at : float
-        Monotonic seconds; the answer is final at `ends_at`.
-    demand : Demand
-    progress : Progress
-    tries : int
-        Upstreams that the request was sent to.
-    may_have_run : bool
-    answer : WholeAnswer or None
-        The newest failure that an upstream has answered.
-    excluded : frozenset of str
-        Upstreams that have failed the request.
-    is_answered : bool
-        Whether the end of the answer was sent.
-    """
-
-    facts: RequestFacts
-    route: Route
-    pool: Pool
-    account: str
-    headers: list[tuple[bytes, bytes]]
-    method: str
-    target: bytes
-    body: bytes
-    received_at: float
-    ends_at: float
-    demand: Demand
-    progress: Progress = field(default_factory=Progress)
-    tries: int = 0
-    may_have_run: bool = False
-    answer: WholeAnswer | None = None
-    excluded: frozenset[str] = frozenset()
-    is_answered: bool = False
-
-
 class Forwarder:
     """An ASGI application that brings requests to upstreams by route.
 
@@ -151,16 +83,14 @@
     upstreams : Upstreams
     shares : Shares
     timers : Timers
-    decisions : DecisionLog
-    metrics : Metrics
+    report : CallReport
     """
 
     __slots__ = (
-        "_decisions",
         "_dialect",
         "_fleet",
         "_longest_ms",
-        "_metrics",
+        "_report",
         "_shares",
         "_timers",
         "_upstreams",
@@ -174,19 +104,17 @@
         upstreams: Upstreams,
         shares: Shares,
         timers: Timers,
-        decisions: DecisionLog,
-        metrics: Metrics,
+        report: CallReport,
     ) -> None:
-        self._decisions = decisions
         self._dialect = dialect
         self._fleet = fleet
         # Longest deadline that callers named, by route.
         self._longest_ms: dict[str, float] = {}
-        self._metrics = metrics
+        self._report = report
         self._shares = shares
         self._timers = timers
         self._upstreams = upstreams
-        self.counts = Counts()
+        self.counts = report.counts
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -213,7 +141,7 @@
             await self._reject(facts, body, send)
             return
         if body is None:
-            self._note(facts, "left", stage="body")
+            self._report.note(facts, "left", stage="body")
             return
         call = self._build_call(
             scope, facts, route, account, body, received_at
@@ -347,13 +275,7 @@
                 break
         if call.is_answered:
             return
-        self._note(
-            call.facts,
-            "left",
-            route=call.route.name,
-            tries=call.tries,
-            after_ms=self._elapsed_ms(call),
-        )
+        self._report.left(call)
         scope.cancel()
 
     async def _deliver(self, call: Call, send: Send) -> None:
@@ -371,54 +293,23 @@
                 return
             result = await self._try(call, steering, placement, send)
             if result.ending is Ending.DONE:
-                self._note_answered(call, placement)
+                self._report.answered(call, placement)
                 return
             steering.start_waiting(self._timers.now())
             if not self._may_repeat(call, result, budget):
                 await self._end(call, result, send)
                 return
-            self._note(
-                call.facts,
-                "retried",
-                upstream=placement.server.id,
-                ending=result.ending.value,
-                reason=result.reason,
-                tries=call.tries,
-            )
+            self._report.retried(call, placement, result)
 
     async def _try(
         self, call: Call, steering: Steering, placement: Placement, send: Send
     ) -> TryResult:
         server = placement.server
         started_at = self._timers.now()
-        self._record(call, Latency.QUEUE_WAIT, started_at)
-        self._note(
-            call.facts,
-            "placed",
-            route=call.route.name,
-            account=call.account,
-            pool=call.pool.name,
-            upstream=server.id,
-            rank=placement.rank,
-            wait_ms=round(placement.estimate.wait_ms),
-            read_ms=round(placement.estimate.read_ms),
-            unread=placement.estimate.unread,
-            unread_shared=placement.estimate.unread_shared,
-            running=server.own.running + server.others.running,
-            sums_age_ms=round((started_at - server.others_at) * 1000),
-            token_ms=(
-                round(server.token_ms, 1)
-                if isinstance(server, Engine)
-                else None
-            ),
-            size=call.demand.size,
-            returned=call.demand.returned,
-            waited_ms=self._elapsed_ms(call),
-            version=self._fleet.routing.version if self._fleet.routing else 0,
-            tries=call.tries,
-        )
-        meter = _Meter(
-            self._timers, steering, placement, call, started_at, self._record
+        version = self._fleet.routing.version if self._fleet.routing else 0
+        self._report.placed(call, placement, version)
+        meter = Meter(
+            self._timers, steering, placement, call, started_at, self._report
         )
         relay = Relay(
             self._build_request(call, server, started_at),
@@ -493,14 +384,7 @@
                     f"http://{server.upstream.address}"
                 )
         if avoided:
-            self._decisions.note(
-                "upstream_avoided",
-                upstream=server.id,
-                reason=result.reason,
-                for_s=round(server.avoided_until - now, 2),
-                in_row=server.failures_in_row,
-                request_id=call.facts.request_id,
-            )
+            self._report.avoided(call, server, result.reason)
 
     def _may_repeat(
         self, call: Call, result: TryResult, budget: WindowBudget
@@ -529,20 +413,20 @@
         """Give the final answer to a request whose tries have failed."""
         if call.progress.started:
             # The server closes the connection of an incomplete answer.
-            self._note_failed(call, "broken_off", result.reason)
+            self._report.failed(call, "broken_off", result.reason)
             return
         answer = call.answer
         if answer is not None and _may_pass_on(call, result, answer):
-            self._note_failed(call, "upstream_failed", result.reason)
+            self._report.failed(call, "upstream_failed", result.reason)
             await send_answer(send, answer)
             return
         if call.may_have_run:
             status = HTTPStatus.BAD_GATEWAY
-            self._note_failed(call, "failed", result.reason)
+            self._report.failed(call, "failed", result.reason)
             await self._send_own(call.facts, status, result.reason, send)
             return
         refusal_s = UNREADY_RETRY_S * (0.5 + random.random())
-        self._note_failed(call, "not_run", result.reason)
+        self._report.failed(call, "not_run", result.reason)
         await self._send_own(
             call.facts,
             HTTPStatus.SERVICE_UNAVAILABLE,
@@ -554,10 +438,10 @@
     async def _end_late(self, call: Call, send: Send) -> None:
         """Answer a request whose time is over."""
         if call.progress.started:
-            self._note_failed(call, "broken_off", "the time is over")
+            self._report.failed(call, "broken_off", "the time is over")
             return
         sent = call.tries > 0
-        self._note_failed(call, "late", "the time is over")
+        self._report.failed(call, "late", "the time is over")
         status = (
             HTTPStatus.GATEWAY_TIMEOUT
             if sent
@@ -569,26 +453,14 @@
 
     async def _refuse(self, call: Call, refusal: Refusal, send: Send) -> None:
         if call.progress.started:
-            self._note_failed(call, "broken_off", refusal.verdict.value)
+            self._report.failed(call, "broken_off", refusal.verdict.value)
             return
         if call.may_have_run:
             result = TryResult(Ending.BROKEN, refusal.verdict.value)
             await self._end(call, result, send)
             return
-        self.counts.add("refused")
-        self._note(
-            call.facts,
-            "refused",
-            route=call.route.name,
-            account=call.account,
-            pool=call.pool.name,
-            reason=refusal.verdict.name.lower(),
-            retry_after_s=round(refusal.retry_after_s, 2),
-            size=call.demand.size,
-            returned=call.demand.returned,
-            waited_ms=self._elapsed_ms(call),
-            **self._shares.describe(call.account, self._timers.now()),
-        )
+        shares = self._shares.describe(call.account, self._timers.now())
+        self._report.refused(call, refusal, shares)
         await self._send_own(
             call.facts,
             HTTPStatus.SERVICE_UNAVAILABLE,
@@ -600,13 +472,7 @@
     async def _reject(
         self, facts: RequestFacts, rejection: _Rejection, send: Send
     ) -> None:
-        self.counts.add("rejected")
-        self._note(
-            facts,
-            "rejected",
-            status=int(rejection.status),
-            reason=rejection.reason,
-        )
+        self._report.rejected(facts, rejection.status, rejection.reason)
         retry_s = None
         if rejection.status is HTTPStatus.SERVICE_UNAVAILABLE:
             retry_s = UNREADY_RETRY_S * (0.5 + random.random())
@@ -631,49 +497,6 @@
         body = json.dumps(document).encode()
         await send_answer(send, WholeAnswer(int(status), headers, body))
 
-    # ---- log lines -------------------------------------------------------
-
-    def _elapsed_ms(self, call: Call) -> int:
-        return round((self._timers.now() - call.received_at) * 1000)
-
-    def _note(self, facts: RequestFacts, kind: str, **inputs: object) -> None:
-        self._decisions.note(kind, request_id=facts.request_id, **inputs)
-
-    def _record(self, call: Call, latency: Latency, now: float) -> None:
-        self._metrics.record(
-            call.account or PUBLIC,
-            call.demand.priority == 0,
-            latency,
-            now - call.received_at,
-        )
-
-    def _note_answered(self, call: Call, placement: Placement) -> None:
-        self.counts.add("answered")
-        self._record(call, Latency.DURATION, self._timers.now())
-        self._note(
-            call.facts,
-            "answered",
-            route=call.route.name,
-            account=call.account,
-            upstream=placement.server.id,
-            tries=call.tries,
-            after_ms=self._elapsed_ms(call),
-        )
-
-    def _note_failed(self, call: Call, outcome: str, reason: str) -> None:
-        self.counts.add(outcome)
-        self._note(
-            call.facts,
-            "failed",
-            outcome=outcome,
-            reason=reason,
-            route=call.route.name,
-            account=call.account,
-            tries=call.tries,
-            may_have_run=call.may_have_run,
-            after_ms=self._elapsed_ms(call),
-        )
-
 
 @dataclass(slots=True)
 class _Rejection:
@@ -683,74 +506,6 @@
     reason: str
 
 
-class _Meter:
-    """Measures one try and keeps the account of its work."""
-
-    __slots__ = (
-        "_call",
-        "_first_at",
-        "_last_at",
-        "_placement",
-        "_record",
-        "_started_at",
-        "_steering",
-        "_timers",
-    )
-
-    def __init__(
-        self,
-        timers: Timers,
-        steering: Steering,
-        placement: Placement,
-        call: Call,
-        started_at: float,
-        record: Callable[[Call, Latency, float], None],
-    ) -> None:
-        self._record = record
-        self._call = call
-        self._first_at = 0.0
-        self._last_at = 0.0
-        self._placement = placement
-        self._started_at = started_at
-        self._steering = steering
-        self._timers = timers
-
-    def note_chunk(self) -> None:
-        """Take note of a part of the answer."""
-        now = self._timers.now()
-        server = self._placement.server
-        if not self._first_at:
-            self._note_first(now)
-        elif isinstance(server, Engine):
-            gap_ms = (now - self._last_at) * 1000
-            tokens = self._call.pool.tokens_per_event
-            server.note_generated(gap_ms, tokens)
-            self._steering.pace.note(gap_ms / tokens, now)
-        self._last_at = now
-
-    def _note_first(self, now: float) -> None:
-        self._first_at = now
-        self._record(self._call, Latency.FIRST_BYTE, now)
-        server = self._placement.server
-        if not isinstance(server, Engine):
-            return
-        estimated = self._placement.estimate
-        ahead = estimated.wait_ms / server.read_ms if server.read_ms else 0
-        server.note_first_event(
-            (now - self._started_at) * 1000, ahead + estimated.unread
-        )
-        self._steering.note_read(self._placement)
-        self._steering.start_waiting(now)
-
-    def finish(self) -> None:
-        """Count the end of the try."""
-        is_engine = isinstance(self._placement.server, Engine)
-        if not self._first_at or not is_engine:
-            self._steering.note_read(self._placement)
-        self._steering.finish(self._placement, self._call.demand)
-        self._steering.start_waiting(self._timers.now())
-
-
 def _watch_end(call: Call, send: Send) -> Send:
     """Return a sender that notes the end of the answer.
 
--- /dev/null
+++ b/hornbeamyard/request/meter.py
@@ -0,0 +1,89 @@
+"""Measurements of a try, for the router's account of its upstreams."""
+
+from __future__ import annotations
+
+from ..pool.engine import Engine
+from ..pool.steering import Placement, Steering
+from ..process.metrics import Latency
+from ..process.timers import Timers
+from .reporting import CallReport
+from .routed_call import Call
+
+
+class Meter:
+    """Measures one try and keeps the account of its work.
+
+    Parameters
+    ----------
+    timers : Timers
+    steering : Steering
+    placement : Placement
+    call : Call
+    started_at : float
+        Monotonic seconds.
+    report : CallReport
+    """
+
+    __slots__ = (
+        "_call",
+        "_first_at",
+        "_last_at",
+        "_placement",
+        "_report",
+        "_started_at",
+        "_steering",
+        "_timers",
+    )
+
+    def __init__(
+        self,
+        timers: Timers,
+        steering: Steering,
+        placement: Placement,
+        call: Call,
+        started_at: float,
+        report: CallReport,
+    ) -> None:
+        self._report = report
+        self._call = call
+        self._first_at = 0.0
+        self._last_at = 0.0
+        self._placement = placement
+        self._started_at = started_at
+        self._steering = steering
+        self._timers = timers
+
+    def note_chunk(self) -> None:
+        """Take note of a part of the answer."""
+        now = self._timers.now()
+        server = self._placement.server
+        if not self._first_at:
+            self._note_first(now)
+        elif isinstance(server, Engine):
+            gap_ms = (now - self._last_at) * 1000
+            tokens = self._call.pool.tokens_per_event
+            server.note_generated(gap_ms, tokens)
+            self._steering.pace.note(gap_ms / tokens, now)
+        self._last_at = now
+
+    def _note_first(self, now: float) -> None:
+        self._first_at = now
+        self._report.record(self._call, Latency.FIRST_BYTE, now)
+        server = self._placement.server
+        if not isinstance(server, Engine):
+            return
+        estimated = self._placement.estimate
+        ahead = estimated.wait_ms / server.read_ms if server.read_ms else 0
+        server.note_first_event(
+            (now - self._started_at) * 1000, ahead + estimated.unread
+        )
+        self._steering.note_read(self._placement)
+        self._steering.start_waiting(now)
+
+    def finish(self) -> None:
+        """Count the end of the try."""
+        is_engine = isinstance(self._placement.server, Engine)
+        if not self._first_at or not is_engine:
+            self._steering.note_read(self._placement)
+        self._steering.finish(self._placement, self._call.demand)
+        self._steering.start_waiting(self._timers.now())
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -23,6 +23,7 @@
 from hornbeamyard.request.budget import WindowBudget
 from hornbeamyard.request.dialect import NATIVE_NAMES, Dialect
 from hornbeamyard.request.forwarding import Forwarder
+from hornbeamyard.request.reporting import CallReport
 from hornbeamyard.version.routing import Routing, parse_routing
 
 from .raw_upstream import (
@@ -116,8 +117,11 @@
             Upstreams(0.5),
             self.shares,
             self.timers,
-            DecisionLog(self.timers, "r1", self.log),  # type: ignore[arg-type]
-            Metrics(),
+            CallReport(
+                self.timers,
+                DecisionLog(self.timers, "r1", self.log),  # type: ignore[arg-type]
+                Metrics(),
+            ),
         )
 
     def find_steering(self, pool: str) -> Steering:
