Tell routers which engines have read a shared part; native calls to controllers

Change: routers report the parts that an engine has begun to read, the leader passes them on with the sums. The new test fails without it. Also: a controller of the route directory serves the product's own calls.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -18,14 +18,16 @@
 
 from ..messages import fleet_pb2, fleet_pb2_grpc
 from ..pool.census import Census, Upstream, UpstreamState
-from ..pool.usage import FleetSums, RouterCounters, UsageTable
+from ..pool.usage import FleetSums, ReadPart, RouterCounters, UsageTable
 from ..process.timers import Timers
 from ..version.founding import Founder
 from ..version.replica import NotLeader, Replica
 from . import peers
 from .directory_calls import DirectoryCalls
 from .directory_codec import (
+    decode_parts,
     decode_sums,
+    encode_parts,
     encode_sums,
     encode_upstream,
     pack_document,
@@ -56,6 +58,7 @@
     __slots__ = (
         "controllers_sent",
         "name",
+        "read_parts",
         "records",
         "renewals",
         "sums_due",
@@ -66,6 +69,7 @@
     def __init__(self, name: str) -> None:
         self.controllers_sent: tuple[str, ...] = ()
         self.name = name
+        self.read_parts: list[ReadPart] = []
         self.records: dict[str, Any] = {}
         self.renewals: dict[str, Any] = {}
         self.sums_due = False
@@ -136,6 +140,7 @@
                     continue
                 self._sums = self._usage.compute_sums(now)
                 for watcher in self._watchers:
+                    watcher.read_parts += self._sums.read_parts
                     watcher.sums_due = True
                     watcher.wake.set()
 
@@ -315,7 +320,8 @@
     ) -> None:
         """Take a router's report."""
         counters = RouterCounters(
-            *decode_sums(usage.accounts, usage.upstreams)
+            *decode_sums(usage.accounts, usage.upstreams),
+            decode_parts(usage.read_parts),
         )
         self._usage.take(watcher.name, counters, self._timers.now())
 
@@ -344,6 +350,8 @@
             update.accounts.extend(accounts)
             update.usage.extend(upstreams)
             update.routers = self._sums.routers
+            update.read_parts.extend(encode_parts(watcher.read_parts))
+            watcher.read_parts = []
         return update
 
     def introduce(
--- a/hornbeamyard/connection/directory_codec.py
+++ b/hornbeamyard/connection/directory_codec.py
@@ -8,7 +8,7 @@
 
 from ..messages import fleet_pb2
 from ..pool.census import Upstream, UpstreamState
-from ..pool.usage import AccountUse, UpstreamUse
+from ..pool.usage import AccountUse, ReadPart, UpstreamUse
 
 STATES = {
     fleet_pb2.UpstreamRecord.READY: UpstreamState.READY,
@@ -94,3 +94,16 @@
             for u in upstreams
         },
     )
+
+
+def encode_parts(parts: Iterable[ReadPart]) -> list[Any]:
+    """Return the messages of parts that were read."""
+    return [
+        fleet_pb2.ReadPart(part=read.part, upstream=read.upstream)
+        for read in parts
+    ]
+
+
+def decode_parts(parts: Iterable[Any]) -> list[ReadPart]:
+    """Return the parts of messages."""
+    return [ReadPart(read.part, read.upstream) for read in parts]
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -20,8 +20,10 @@
 from .directory_calls import DirectoryCalls
 from .directory_codec import (
     STATES,
+    decode_parts,
     decode_sums,
     decode_upstream,
+    encode_parts,
     encode_sums,
     unpack_document,
 )
@@ -205,6 +207,7 @@
                 )
                 usage.accounts.extend(accounts)
                 usage.upstreams.extend(upstreams)
+                usage.read_parts.extend(encode_parts(counters.read_parts))
             await peers.wait_call(call.write(usage))
 
     def _take(self, address: str, update: fleet_pb2.DirectoryUpdate) -> None:
@@ -238,7 +241,13 @@
         if update.has_sums:
             accounts, usage = decode_sums(update.accounts, update.usage)
             self._on_sums(
-                FleetSums(accounts, usage, update.routers, update.leader)
+                FleetSums(
+                    accounts,
+                    usage,
+                    update.routers,
+                    update.leader,
+                    decode_parts(update.read_parts),
+                )
             )
         if update.routing_version > self.version:
             self._wanted.set()
--- a/hornbeamyard/platform/calls.py
+++ b/hornbeamyard/platform/calls.py
@@ -3,21 +3,19 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 import logbook
 
 from ..pool.census import Upstream, UpstreamState
 from ..process.interface import Application, ControllerCalls
+from ..process.servers import build_call_app
 
 SUBMIT = ("POST", "/Configuration.Replace")
 READ = ("GET", "/Configuration.Read")
 ANNOUNCE = "/Instances.Heartbeat/"
 END = "/Instances.Deregister/"
 
-# Largest call; configurations of thousands of routes stay below.
-LARGEST_BODY = 16 * 1024 * 1024
 _STATES = {"ready": UpstreamState.READY, "draining": UpstreamState.DRAINING}
 
 _log = logbook.Logger("calls")
@@ -26,74 +24,25 @@
 def build_app(calls: ControllerCalls) -> Application:
     """Return the ASGI application for operators and upstreams."""
 
-    async def serve(
-        scope: Any,
-        receive: Callable[[], Awaitable[Any]],
-        send: Callable[[Any], Awaitable[None]],
-    ) -> None:
-        if scope["type"] != "http":
-            return
-        body = await _read_body(receive)
-        if body is None:
-            return
-        status, answer = await _answer(calls, scope, body)
-        await send(
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": [
-                    (b"content-type", b"application/json"),
-                    (b"content-length", str(len(answer)).encode()),
-                ],
-            }
-        )
-        await send({"type": "http.response.body", "body": answer})
-
-    return serve
-
-
-async def _read_body(
-    receive: Callable[[], Awaitable[Any]],
-) -> bytes | None:
-    parts = []
-    size = 0
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            return None
-        parts.append(message.get("body", b""))
-        size += len(parts[-1])
-        if not message.get("more_body", False) or size > LARGEST_BODY:
-            return b"".join(parts)
-
-
-async def _answer(
-    calls: ControllerCalls, scope: Any, body: bytes
-) -> tuple[int, bytes]:
-    method, path = scope["method"], scope["path"]
-    if (method, path) == SUBMIT:
-        return await _submit(calls, body)
-    if (method, path) == READ:
-        document = await calls.read()
-        return (503, b"{}") if document is None else (200, document)
-    if method == "POST" and path.startswith(ANNOUNCE):
-        return _announce(calls, path.removeprefix(ANNOUNCE), body)
-    if method == "POST" and path.startswith(END):
-        calls.end(path.removeprefix(END), _read_start(body))
-        return 200, b"{}"
-    return 404, b"{}"
+    async def answer(method: str, path: str, body: bytes) -> tuple[int, bytes]:
+        if (method, path) == SUBMIT:
+            return await _submit(calls, body)
+        if (method, path) == READ:
+            document = await calls.read()
+            return (503, b"{}") if document is None else (200, document)
+        if method == "POST" and path.startswith(ANNOUNCE):
+            return _announce(calls, path.removeprefix(ANNOUNCE), body)
+        if method == "POST" and path.startswith(END):
+            calls.end(path.removeprefix(END), _read_start(body))
+            return 200, b"{}"
+        return 404, b"{}"
+
+    return build_call_app(answer)
 
 
 async def _submit(calls: ControllerCalls, body: bytes) -> tuple[int, bytes]:
     submitted = await calls.submit(body)
-    answer = json.dumps(
-        {"version": submitted.version, "findings": submitted.findings}
-    ).encode()
-    if submitted.findings:
-        return 400, answer
-    if not submitted.decided:
-        return 503, answer
-    return (409 if submitted.conflict else 200), answer
+    return submitted.status, submitted.to_json()
 
 
 def _announce(
--- a/hornbeamyard/pool/engine.py
+++ b/hornbeamyard/pool/engine.py
@@ -32,6 +32,8 @@
 # Parts are believed to be in an engine's memory for this long after use.
 PART_REMEMBERED_S = 45.0
 PARTS_REMEMBERED = 2048
+# Other routers are told again of a part after this long.
+PART_TOLD_S = 10.0
 # Share of an engine's memory that requests may fill. The rest keeps shared
 # parts, and output that grows beyond its estimate.
 MEMORY_SHARE = 0.85
@@ -144,6 +146,7 @@
     expected_read_ms: float = DEFAULT_READ_MS
     is_measured: bool = False
     _parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    _told: dict[str, float] = field(default_factory=dict)
 
     def expect(self, read_ms: float) -> None:
         """Take over the reading time that the pool's throughput implies."""
@@ -163,17 +166,38 @@
             cached += part.tokens
         return cached
 
-    def note_parts(self, demand: Demand, now: float) -> None:
-        """Take note that the engine reads a prompt."""
-        for part in demand.parts[:-1]:
-            self._parts[part.id] = now
-            self._parts.move_to_end(part.id)
+    def note_parts(self, demand: Demand, now: float) -> list[str]:
+        """Take note that the engine reads a prompt.
+
+        Returns
+        -------
+        list of str
+            Shared parts that other routers should know of.
+        """
+        return [
+            part.id
+            for part in demand.parts[:-1]
+            if self.note_part(part.id, now)
+        ]
+
+    def note_part(self, id: str, now: float) -> bool:
+        """Take note that the engine holds a shared part.
+
+        Returns
+        -------
+        bool
+            Whether this is news, or was told long ago.
+        """
+        told_at = self._told.get(id, float("-inf"))
+        self._parts[id] = now
+        self._parts.move_to_end(id)
         while len(self._parts) > PARTS_REMEMBERED:
-            self._parts.popitem(last=False)
-
-    def forget_parts(self) -> None:
-        """Forget what the engine held, because it has restarted."""
-        self._parts.clear()
+            oldest, _ = self._parts.popitem(last=False)
+            self._told.pop(oldest, None)
+        if now - told_at < PART_TOLD_S:
+            return False
+        self._told[id] = now
+        return True
 
     def count_unread(self, now: float) -> float:
         """Return the prompt tokens in the engine that are still to read."""
--- a/hornbeamyard/pool/steering.py
+++ b/hornbeamyard/pool/steering.py
@@ -25,7 +25,7 @@
     held_tokens,
 )
 from .shares import Shares
-from .usage import UpstreamUse
+from .usage import ReadPart, UpstreamUse
 
 # Part of its target for which a request may wait for a place before it is
 # refused. A refusal after a longer wait leaves the caller too little time to
@@ -186,6 +186,7 @@
         "_waiting",
         "_zone",
         "pace",
+        "read_parts",
         "servers",
     )
 
@@ -208,6 +209,8 @@
         self._waiting: list[Waiting] = []
         self._zone = availability_zone
         self.pace = Pace()
+        # Parts read since the last report.
+        self.read_parts: list[ReadPart] = []
         self.servers: dict[str, Server] = {}
 
     # ---- upstreams -------------------------------------------------------
@@ -278,6 +281,13 @@
             )
             server.others_at = now
 
+    def take_parts(self, parts: Iterable[ReadPart], now: float) -> None:
+        """Take over which engines have read a part, for any router."""
+        for read in parts:
+            server = self.servers.get(read.upstream)
+            if isinstance(server, Engine):
+                server.note_part(read.part, now)
+
     def is_idle(self, now: float) -> bool:
         """Return whether the engines could take more work."""
         waits = self._list_waits(now)
@@ -468,7 +478,8 @@
         server.own.unread_tokens += placement.estimate.unread
         server.own.held_tokens += held_tokens(demand)
         if isinstance(server, Engine):
-            server.note_parts(demand, now)
+            parts = server.note_parts(demand, now)
+            self.read_parts += [ReadPart(part, server.id) for part in parts]
             if not demand.is_charged:
                 self._shares.note_admitted(demand.account, demand.size)
                 demand.is_charged = True
--- a/hornbeamyard/pool/usage.py
+++ b/hornbeamyard/pool/usage.py
@@ -47,6 +47,14 @@
     held_tokens: int = 0
 
 
+@dataclass(slots=True, frozen=True)
+class ReadPart:
+    """A shared part of a prompt that an upstream has read lately."""
+
+    part: str
+    upstream: str
+
+
 @dataclass(slots=True)
 class RouterCounters:
     """Counters of one router since its start.
@@ -56,10 +64,13 @@
     accounts : dict of str to AccountUse
     upstreams : dict of str to UpstreamUse
         By id; not counters but the present state.
+    read_parts : list of ReadPart
+        Since the last report.
     """
 
     accounts: dict[str, AccountUse] = field(default_factory=dict)
     upstreams: dict[str, UpstreamUse] = field(default_factory=dict)
+    read_parts: list[ReadPart] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -81,12 +92,15 @@
     routers : int
     source : str
         The controller that has added up.
+    read_parts : list of ReadPart
+        Parts that any router had read since the last sums.
     """
 
     accounts: dict[str, AccountUse] = field(default_factory=dict)
     upstreams: dict[str, UpstreamUse] = field(default_factory=dict)
     routers: int = 0
     source: str = ""
+    read_parts: list[ReadPart] = field(default_factory=list)
 
 
 class UsageTable:
@@ -98,10 +112,17 @@
         Span over which the demand of accounts is measured.
     """
 
-    __slots__ = ("_admitted", "_growth", "_reports", "_window_s")
+    __slots__ = (
+        "_admitted",
+        "_growth",
+        "_read_parts",
+        "_reports",
+        "_window_s",
+    )
 
     def __init__(self, window_s: float = WINDOW_S) -> None:
         self._window_s = window_s
+        self._read_parts: dict[ReadPart, None] = {}
         self._reports: dict[str, _Reported] = {}
         self._admitted: dict[str, int] = {}
         # Time, account and tokens asked for.
@@ -119,6 +140,7 @@
                 self._admitted[name] = self._admitted.get(name, 0) + admitted
                 if asked:
                     self._growth.append((now, name, asked))
+        self._read_parts.update(dict.fromkeys(counters.read_parts))
         self._reports[router] = _Reported(counters, now)
 
     def forget(self, router: str) -> None:
@@ -126,10 +148,11 @@
         self._reports.pop(router, None)
 
     def compute_sums(self, now: float) -> FleetSums:
-        """Return the sums as of now."""
+        """Return the sums as of now, and what was read since the last."""
         while self._growth and now - self._growth[0][0] > self._window_s:
             self._growth.popleft()
-        sums = FleetSums()
+        sums = FleetSums(read_parts=list(self._read_parts))
+        self._read_parts = {}
         for name, admitted in self._admitted.items():
             sums.accounts[name] = AccountUse(0, admitted)
         for _, name, asked in self._growth:
--- a/hornbeamyard/process/daemon.py
+++ b/hornbeamyard/process/daemon.py
@@ -20,6 +20,7 @@
 from ..version.journal import FolderDisk
 from ..version.replica import Replica
 from .controller import Controller
+from .controller_app import build_controller_app
 from .decisions import DecisionLog
 from .interface import Interface
 from .logs import LineWriter, start_logging, start_structured_logging
@@ -34,6 +35,9 @@
 EXIT_SETTINGS = 2
 # Time for the last log lines to be written at the end.
 FLUSH_TIMEOUT_S = 0.5
+NATIVE = Interface(
+    Dialect(NATIVE_NAMES), build_controller_app=build_controller_app
+)
 
 _log = logbook.Logger("daemon")
 
@@ -47,7 +51,7 @@
     if isinstance(loaded, Err):
         click.echo(str(loaded.err_value), err=True)
         sys.exit(EXIT_SETTINGS)
-    start(loaded.ok_value, settings, Interface(Dialect(NATIVE_NAMES)))
+    start(loaded.ok_value, settings, NATIVE)
 
 
 def start(settings: Settings, path: Path, interface: Interface) -> None:
--- a/hornbeamyard/process/interface.py
+++ b/hornbeamyard/process/interface.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Awaitable, Callable, MutableMapping
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any, Protocol
 
 from ..pool.census import Upstream
@@ -35,6 +37,20 @@
     decided: bool = True
     version: int = 0
 
+    @property
+    def status(self) -> HTTPStatus:
+        """HTTP status of the answer to the operator."""
+        if self.findings:
+            return HTTPStatus.BAD_REQUEST
+        if not self.decided:
+            return HTTPStatus.SERVICE_UNAVAILABLE
+        return HTTPStatus.CONFLICT if self.conflict else HTTPStatus.OK
+
+    def to_json(self) -> bytes:
+        """Return the body of the answer to the operator."""
+        document = {"version": self.version, "findings": self.findings}
+        return json.dumps(document).encode()
+
 
 class ControllerCalls(Protocol):
     """What operators and upstreams ask of a controller."""
--- a/hornbeamyard/process/route_router.py
+++ b/hornbeamyard/process/route_router.py
@@ -21,6 +21,7 @@
 from ..pool.usage import (
     MEASURED_PART,
     FleetSums,
+    ReadPart,
     RouterCounters,
     UpstreamUse,
 )
@@ -236,12 +237,15 @@
 
     def _collect_usage(self) -> RouterCounters:
         upstreams: dict[str, UpstreamUse] = {}
+        parts: list[ReadPart] = []
         for steering in self._steerings.values():
+            parts += steering.read_parts
+            steering.read_parts = []
             for server in steering.servers.values():
                 if server.own.running:
                     upstreams[server.id] = server.own
         self._shares.note_reported(self._timers.now())
-        return RouterCounters(self._shares.own, upstreams)
+        return RouterCounters(self._shares.own, upstreams, parts)
 
     def _take_upstreams(self, changed: list[Upstream]) -> None:
         for upstream in changed:
@@ -301,6 +305,7 @@
         self._shares.take_sums(sums.accounts, self.routers, sums.source, now)
         for steering in self._steerings.values():
             steering.take_sums(sums.upstreams, now)
+            steering.take_parts(sums.read_parts, now)
             steering.start_waiting(now)
         self._fit_idle()
 
--- a/hornbeamyard/process/servers.py
+++ b/hornbeamyard/process/servers.py
@@ -15,6 +15,8 @@
 CLOSE_TIMEOUT_S = 2
 # Idle time after which an operator's or a monitor's connection is closed.
 STATUS_KEEP_ALIVE_S = 75
+# Largest call to a controller; routings of thousands of routes stay below.
+LARGEST_CALL = 16 * 1024 * 1024
 
 
 class QuietServer(uvicorn.Server):
@@ -64,6 +66,65 @@
     return QuietServer(config)
 
 
+def build_call_app(
+    answer: Callable[[str, str, bytes], Awaitable[tuple[int, bytes]]],
+) -> Callable[..., Awaitable[None]]:
+    """Return an ASGI application for calls with JSON bodies.
+
+    Parameters
+    ----------
+    answer : callable
+        Gets method, path and body, and returns status and body.
+    """
+
+    async def serve(
+        scope: Any,
+        receive: Callable[[], Awaitable[Any]],
+        send: Callable[[Any], Awaitable[None]],
+    ) -> None:
+        if scope["type"] != "http":
+            return
+        body = await _read_body(receive)
+        if body is None:
+            return
+        status, content = 413, b"{}"
+        if len(body) <= LARGEST_CALL:
+            status, content = await answer(
+                scope["method"], scope["path"], body
+            )
+        headers = [
+            (b"content-type", b"application/json"),
+            (b"content-length", str(len(content)).encode()),
+        ]
+        await send(
+            {
+                "type": "http.response.start",
+                "status": int(status),
+                "headers": headers,
+            }
+        )
+        await send({"type": "http.response.body", "body": content})
+
+    return serve
+
+
+async def _read_body(
+    receive: Callable[[], Awaitable[Any]],
+) -> bytes | None:
+    """Return a body, or more than is accepted of it; None without a caller."""
+    parts: list[bytes] = []
+    size = 0
+    while size <= LARGEST_CALL:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return None
+        parts.append(message.get("body", b""))
+        size += len(parts[-1])
+        if not message.get("more_body", False):
+            break
+    return b"".join(parts)
+
+
 def build_status_app(
     metrics: Metrics,
     ready_path: str = "",
--- /dev/null
+++ b/hornbeamyard/tests/test_controller_app.py
@@ -0,0 +1,93 @@
+"""Tests of the product's own calls to a controller."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import anyio
+import pytest
+
+from hornbeamyard.pool.census import UpstreamState
+from hornbeamyard.process.controller_app import build_controller_app
+from hornbeamyard.process.interface import Submitted
+
+from .test_platform import Controller
+
+ANNOUNCEMENT: dict[str, Any] = {
+    "pool": "app",
+    "address": "10.0.0.9:80",
+    "availability_zone": "zone-a",
+    "slots": 4,
+    "sequence": 1,
+}
+
+
+def call(
+    controller: Controller, method: str, path: str, document: Any = None
+) -> tuple[int, Any]:
+    """Call the application and return status and document."""
+    sent: list[dict[str, Any]] = []
+    body = b"" if document is None else json.dumps(document).encode()
+
+    async def receive() -> dict[str, Any]:
+        return {"type": "http.request", "body": body}
+
+    async def send(message: dict[str, Any]) -> None:
+        sent.append(message)
+
+    scope = {"type": "http", "method": method, "path": path}
+    anyio.run(build_controller_app(controller), scope, receive, send)
+    return sent[0]["status"], json.loads(sent[1]["body"])
+
+
+class TestRouting:
+    """Operators submit and read the routing."""
+
+    def test_findings_are_told(self) -> None:
+        controller = Controller()
+        controller.submitted = Submitted(("routes.0: bad", "pools.1: bad"))
+        status, answer = call(
+            controller, "PUT", "/hornbeamyard/v1/routing", {}
+        )
+        assert status == 400
+        assert answer["findings"] == ["routes.0: bad", "pools.1: bad"]
+
+    def test_read(self) -> None:
+        controller = Controller()
+        assert call(controller, "GET", "/hornbeamyard/v1/routing") == (200, {})
+        controller.document = None
+        assert call(controller, "GET", "/hornbeamyard/v1/routing")[0] == 503
+
+
+class TestUpstreams:
+    """Upstreams announce themselves and leave."""
+
+    def test_announce_and_leave(self) -> None:
+        controller = Controller()
+        path = "/hornbeamyard/v1/upstreams/u1"
+        draining = {**ANNOUNCEMENT, "state": "draining", "sequence": 2}
+        assert call(controller, "PUT", path, ANNOUNCEMENT)[0] == 200
+        assert call(controller, "PUT", path, draining)[0] == 200
+        assert call(controller, "DELETE", path)[0] == 200
+        assert [u.state for u in controller.announced] == [
+            UpstreamState.READY,
+            UpstreamState.DRAINING,
+        ]
+        assert controller.ended == [("u1", 0)]
+
+    @pytest.mark.parametrize(
+        "change",
+        [{"slots": 0}, {"address": "nowhere"}, {"pool": None}, {"more": 1}],
+    )
+    def test_all_findings(self, change: dict[str, Any]) -> None:
+        controller = Controller()
+        document = {**ANNOUNCEMENT, **change}
+        path = "/hornbeamyard/v1/upstreams/u1"
+        status, answer = call(controller, "PUT", path, document)
+        assert status == 400
+        assert len(answer["findings"]) == 1
+        assert controller.announced == []
+
+    def test_unknown_path(self) -> None:
+        assert call(Controller(), "PUT", "/other", {})[0] == 404
--- a/hornbeamyard/tests/test_steering.py
+++ b/hornbeamyard/tests/test_steering.py
@@ -121,6 +121,21 @@
         )
         assert 2 <= len(used) <= 4
 
+    def test_parts_that_another_router_had_read(self) -> None:
+        """Guards against routers that each spill to an engine of their own."""
+        first, second, third = (build_steering() for _ in range(3))
+        home = rank_engines("p", first.servers.values())[0]
+        for steering in (first, second, third):
+            steering.servers[home].own.unread_tokens = int(900 / READ_MS)
+        spilled = place(first, ask(1000, 5000)).server.id
+        assert spilled != home
+        for steering in (second, third):
+            busy = steering.servers[spilled]
+            busy.own.unread_tokens = int(200 / READ_MS)
+        assert place(second, ask(1000, 5000)).server.id != spilled
+        third.take_parts(first.read_parts, 0.0)
+        assert place(third, ask(1000, 5000)).server.id == spilled
+
     def test_small_prompts_go_to_idle_engines(self) -> None:
         steering = build_steering()
         used = Counter(
