--- a/hornbeamyard/pool/steering.py
+++ b/hornbeamyard/pool/steering.py
@@ -28,8 +28,8 @@
 from .usage import ReadPart, UpstreamUse
 
 # Part of its target for which a request may wait for a place before it is
-# refused. A refusal after a longer wait leaves the caller too little time to
-# come back.
+# refused. An eighth bridges the time between two prompts of an engine; a
+# refusal after a longer wait leaves the caller too little time to come back.
 HOLD_SHARE = 0.125
 # Parts of the target that the work ahead of a request may take: as much as
 # leaves time to read its own prompt, but at least the lower one, so that
@@ -43,7 +43,8 @@
 # a wait within the target costs the caller nothing. Its time therefore counts
 # this many times, and a request leaves its home only for a wait that long.
 SHARED_READ_WEIGHT = 15.0
-# Cost of another availability zone, in ms: the delay, and the traffic.
+# Cost of another availability zone, in ms: the delay of some ms, and the
+# traffic. It decides only between engines that are about equally good.
 ZONE_COST_MS = 15.0
 # Cost of each rank among the engines that a shared part may go to, in ms. It
 # makes all routers spill to the same engine first.
@@ -53,27 +54,34 @@
 RANKS = 4
 # Cost of a full batch in ms, for the slower events of all requests in it.
 CROWD_COST_MS = 60.0
-# Shared parts below this many tokens are read anew anywhere.
+# Shared parts below this many tokens are read anew anywhere; an engine reads
+# as many in less time than a change of zone takes.
 LEAST_AFFINITY_TOKENS = 100
-# The pool is idle when the work waiting in its engines takes less than this
-# share of common targets, and crowded when it takes more than the other.
+# The pool is idle when the median engine has less work waiting than this,
+# and crowded when it has more, in ms: about a tenth and a third of the target
+# of one second that most streams have.
 IDLE_WAIT_MS = 120.0
 CROWDED_WAIT_MS = 350.0
 # Part of the longest pause that events should take on average. Streams then
 # end in time, and a burst of prompts doesn't make their pauses too long.
 PACE_SHARE = 0.25
 # Weight of a sample in the mean time of a token, and the time without samples
-# in which the mean halves.
+# in which the mean halves. A router sees some hundred events a second, so
+# that the mean follows within half a second either way.
 PACE_WEIGHT = 0.02
 PACE_HALF_LIFE_S = 0.5
-# Engines whose events take this many times as long are crowded.
+# Engines whose events take this many times as long are crowded. The gap to
+# the pace keeps the throughput from swinging.
 CROWDED_PACE = 1.3
-# Shortest and longest time after which a refused caller should return.
+# Shortest and longest time after which a refused caller should return, in
+# seconds: before the next sums nothing has changed, and callers wait for a
+# part of their deadline only, which is commonly 10 s or more.
 LEAST_RETRY_S = 0.2
 MOST_RETRY_S = 4.0
 # Waiting requests for each pool; each holds its body in memory.
 MOST_WAITING = 400
-# Part of the deadline within which a stream should have ended.
+# Part of the deadline within which a stream should have ended; the rest is
+# for the error of the estimates.
 FINISH_SHARE = 0.9
 
 
