Don't cut off requests early in a planned stop

Cause: the time for running requests was rounded down to whole seconds, so that a stop of 8 s cut them off after 6.5 s. Change: the time isn't rounded.

--- a/hornbeamyard/process/route_router.py
+++ b/hornbeamyard/process/route_router.py
@@ -40,7 +40,9 @@
 # that it isn't ready: load balancers commonly ask once a second and believe
 # the second answer.
 NOTICE_S = 2.5
-# Part of the time that a stop may take in which requests may finish.
+# Part of the time that a stop may take in which requests may finish. Less
+# than five sixths would cut off requests that could still have ended; the rest
+# is for the end of the process.
 DRAIN_SHARE = 0.9
 # A router without contact to most controllers becomes ready after this time
 # with the newest routing that it could get.
@@ -363,9 +365,10 @@
         self.decisions.note("stopping", in_progress=counts.in_progress)
         await self._timers.sleep(NOTICE_S)
         self.is_stopping = True
-        left_s = self._settings.router.drain_s * DRAIN_SHARE
-        left_s -= self._timers.now() - started_at
-        self._server.config.timeout_graceful_shutdown = max(1, int(left_s))
+        elapsed_s = self._timers.now() - started_at
+        left_s = compute_drain_left(self._settings.router.drain_s, elapsed_s)
+        # The server accepts fractions, though it declares whole seconds.
+        self._server.config.timeout_graceful_shutdown = left_s  # type: ignore[assignment]
         self._server.should_exit = True
 
     # ---- status ----------------------------------------------------------
@@ -399,3 +402,16 @@
             labels = (("client_account", account or "public"),)
             yield Sample("share_asked_tokens", use.asked, labels, True)
             yield Sample("share_admitted_tokens", use.admitted, labels, True)
+
+
+def compute_drain_left(drain_s: float, elapsed_s: float) -> float:
+    """Return how long running requests may go on, in seconds.
+
+    Parameters
+    ----------
+    drain_s : float
+        Time that the whole stop may take.
+    elapsed_s : float
+        Time since the stop began.
+    """
+    return max(0.1, drain_s * DRAIN_SHARE - elapsed_s)
