Add a soak of real processes, and fix the faults that it found

Cause: until now no test harmed the fleet of the route directory from outside its processes. The soak runs controllers, routers and upstreams with a proxy before each address, and draws kills, stops, freezes, full and wiped disks, resets, silent connections, cuts in one or both directions and delays. It checks answers, runs, versions and ends against what callers, operators and upstreams saw.

New setting controller.advertised_address, for controllers behind address translation; the soak's proxies need it.

--- a/hornbeamyard/connection/peers.py
+++ b/hornbeamyard/connection/peers.py
@@ -16,6 +16,8 @@
 
 PROTOCOL = 1
 KEEPALIVE_MS = 1000
+# gRPC closes a connection whose pings aren't answered only after its ping
+# timeout, which is a minute by default, so both are set to this.
 KEEPALIVE_TIMEOUT_MS = 2000
 MESSAGE_SIZE = 16 * 1024 * 1024
 # A dropped connection is opened anew within this time. The library's own
@@ -26,6 +28,7 @@
     ("grpc.keepalive_time_ms", KEEPALIVE_MS),
     ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
     ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.ping_timeout_ms", KEEPALIVE_TIMEOUT_MS),
     ("grpc.http2.max_pings_without_data", 0),
     ("grpc.http2.min_ping_interval_without_data_ms", KEEPALIVE_MS // 2),
     ("grpc.max_receive_message_length", MESSAGE_SIZE),
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -233,7 +233,7 @@
             upstream = decode_upstream(record, now)
             changed += self.census.take(upstream, now)
         for renewal in update.renewals:
-            self.census.renew(
+            changed += self.census.renew(
                 renewal.id, renewal.started_ms, renewal.sequence, now
             )
         if changed:
--- a/hornbeamyard/connection/upstreams.py
+++ b/hornbeamyard/connection/upstreams.py
@@ -98,7 +98,7 @@
         idle = self._idle.get(address, [])
         while idle:
             connection = idle.pop()
-            if not connection.has_expired():
+            if connection.is_idle() and not connection.has_expired():
                 return connection
             await connection.aclose()
         origin = httpcore.URL(address).origin
@@ -139,15 +139,18 @@
 
     async def close_expired(self) -> None:
         """Close connections that were idle for too long."""
+        expired = []
+        # Other tasks change the lists while a connection is being closed, so
+        # all lists are gone through first.
         for address, idle in list(self._idle.items()):
-            expired = [c for c in idle if c.has_expired()]
-            kept = [c for c in idle if c not in expired]
+            kept = [c for c in idle if not c.has_expired()]
+            expired += [c for c in idle if c not in kept]
             if kept:
                 self._idle[address] = kept
             else:
                 del self._idle[address]
-            for connection in expired:
-                await connection.aclose()
+        for connection in expired:
+            await connection.aclose()
 
 
 class Watched(Protocol):
--- a/hornbeamyard/pool/census.py
+++ b/hornbeamyard/pool/census.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 # An upstream that has ended is remembered for this long, so that a late
@@ -76,6 +76,8 @@
     _upstreams: dict[str, Upstream] = field(default_factory=dict)
     _by_address: dict[str, str] = field(default_factory=dict)
     _ended: dict[str, _Ended] = field(default_factory=dict)
+    # Upstreams that weren't heard of, as they were then.
+    _lost: dict[str, Upstream] = field(default_factory=dict)
 
     def get(self, id: str) -> Upstream | None:
         """Return an upstream that has not ended."""
@@ -110,6 +112,7 @@
             return []
         if held is not None and held.address != upstream.address:
             self._by_address.pop(held.address, None)
+        self._lost.pop(upstream.id, None)
         self._upstreams[upstream.id] = upstream
         self._by_address[upstream.address] = upstream.id
         is_same = held is not None and _describe(held) == _describe(upstream)
@@ -117,14 +120,24 @@
 
     def renew(
         self, id: str, started_ms: int, sequence: int, now: float
-    ) -> None:
-        """Take note that an upstream has announced itself unchanged."""
-        held = self._upstreams.get(id)
+    ) -> list[Upstream]:
+        """Take note that an upstream has announced itself unchanged.
+
+        Returns
+        -------
+        list of Upstream
+            The upstream, if it had been lost here and is back.
+        """
+        held = self._upstreams.get(id) or self._lost.get(id)
         if held is None or held.started_ms != started_ms:
-            return
-        if sequence >= held.sequence:
-            held.sequence = sequence
-            held.heard_at = max(held.heard_at, now)
+            return []
+        if sequence < held.sequence:
+            return []
+        held.sequence = sequence
+        held.heard_at = max(held.heard_at, now)
+        if id in self._upstreams or held.address in self._by_address:
+            return []
+        return self.take(held, now)
 
     def end(self, id: str, started_ms: int, now: float) -> list[Upstream]:
         """Take note that an upstream has ended.
@@ -142,6 +155,7 @@
                 return []
             started_ms = held.started_ms
         self._ended[id] = _Ended(started_ms, now)
+        self._lost.pop(id, None)
         if held is None:
             return []
         self._remove(held)
@@ -161,10 +175,14 @@
         for id, ended in list(self._ended.items()):
             if now - ended.ended_at > REMEMBERED_S:
                 del self._ended[id]
-        lost = [u for u in self if now - u.heard_at > lifetime_s]
-        for upstream in lost:
+        for id, lost in list(self._lost.items()):
+            if now - lost.heard_at > REMEMBERED_S:
+                del self._lost[id]
+        silent = [u for u in self if now - u.heard_at > lifetime_s]
+        for upstream in silent:
             self._remove(upstream)
-        return lost
+            self._lost[upstream.id] = replace(upstream)
+        return silent
 
     def _has_ended(self, upstream: Upstream) -> bool:
         ended = self._ended.get(upstream.id)
--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -66,7 +66,7 @@
         self._timers = timers
         self.metrics = Metrics()
         self.metrics.watch(self._sample)
-        address = settings.controller.address
+        address = settings.controller.get_advertised()
         directory = settings.directory
         self.replica = Replica(
             peers.describe_self(settings, random.getrandbits(63)),
--- a/hornbeamyard/process/settings.py
+++ b/hornbeamyard/process/settings.py
@@ -72,11 +72,20 @@
     status_address : str
         IP address and port towards operators and upstreams; empty where
         routers serve them.
+    advertised_address : str
+        IP address and port at which the fleet's other processes reach
+        `address`, where they differ, as behind address translation. Only
+        fleets with `directory` use it.
     """
 
     address: str
     data_folder: Path
     status_address: str = ""
+    advertised_address: str = ""
+
+    def get_advertised(self) -> str:
+        """Return the address that other processes are told."""
+        return self.advertised_address or self.address
 
 
 @dataclass(slots=True)
@@ -213,6 +222,7 @@
                 "address": Option(validation.check_address, required=True),
                 "data_folder": Option(validation.check_text, required=True),
                 "status_address": Option(validation.check_address),
+                "advertised_address": Option(validation.check_address),
             }
         ),
         "directory": Section(
@@ -328,6 +338,7 @@
                 address=controller["address"],
                 data_folder=folder / controller["data_folder"],
                 status_address=controller.get("status_address", ""),
+                advertised_address=controller.get("advertised_address", ""),
             )
             if controller is not None
             else None
--- a/hornbeamyard/tests/matrix.py
+++ b/hornbeamyard/tests/matrix.py
@@ -117,14 +117,14 @@
     def compare(self, record: Record, runs: int) -> None:
         """Compare a record with the number of runs in the journals."""
         if not record.repeatable and runs > 1:
-            self.double_runs.append(record.identity)
+            self.double_runs.append(f"run {runs} times: {record}")
         outcomes = {reply.get_outcome() for reply in record.replies}
         answered = any(reply.status == 200 for reply in record.replies)
         if outcomes == {"not-run"} and runs and not answered:
-            self.false_not_run.append(record.identity)
+            self.false_not_run.append(f"told not-run, but ran: {record}")
         for reply in record.replies:
             if not is_answer_right(record, reply):
-                self.wrong_answers.append(record.identity)
+                self.wrong_answers.append(f"wrong answer: {record}")
 
     def list_violations(self) -> list[str]:
         """Return all violations."""
--- a/hornbeamyard/tests/test_census.py
+++ b/hornbeamyard/tests/test_census.py
@@ -95,3 +95,36 @@
         assert census.expire(7.0, 5.0) == []
         assert [u.id for u in census.expire(9.0, 5.0)] == ["u1"]
         assert len(census.take(announce(sequence=3), 10.0)) == 1
+
+    def test_back_with_an_unchanged_announcement(self) -> None:
+        """Guards against a router that wakes up and never sends to it again.
+
+        Controllers that have heard of the upstream all the while send only
+        renewals.
+        """
+        census = Census()
+        census.take(announce(sequence=3), 0.0)
+        for lost in census.expire(9.0, 4.0):
+            lost.state = UpstreamState.GONE
+        changed = census.renew("u1", 0, 9, 10.0)
+        assert [(u.id, u.state) for u in changed] == [
+            ("u1", UpstreamState.READY)
+        ]
+        assert [(u.sequence, u.heard_at) for u in census] == [(9, 10.0)]
+
+    def test_not_back_after_its_end(self) -> None:
+        census = Census()
+        census.take(announce(sequence=3), 0.0)
+        census.expire(9.0, 4.0)
+        census.end("u1", 0, 9.5)
+        assert census.renew("u1", 0, 9, 10.0) == []
+        assert len(census) == 0
+
+    def test_not_back_at_an_address_of_another(self) -> None:
+        """Guards against requests to an upstream that has taken over."""
+        census = Census()
+        census.take(announce("u1", sequence=3), 0.0)
+        census.expire(9.0, 4.0)
+        census.take(announce("u2", pool="app"), 9.5)
+        assert census.renew("u1", 0, 9, 10.0) == []
+        assert [u.id for u in census] == ["u2"]
--- a/hornbeamyard/tests/test_peers.py
+++ b/hornbeamyard/tests/test_peers.py
@@ -18,11 +18,15 @@
 from hornbeamyard.connection import peers
 from hornbeamyard.messages import fleet_pb2, fleet_pb2_grpc
 from hornbeamyard.process.settings import Tls, load_settings
+from soak.links import Link
 
 from .certificates import Authority
-from .fleet import CALLER_KEY, LocalFleet
+from .fleet import CALLER_KEY, LocalFleet, find_free_port
 
 POOL = "visitor-assistant"
+# A ping every second, two seconds for its answer, a second to reconnect, and
+# a margin for a busy machine.
+SILENCE_BOUND_S = 8.0
 
 
 def change_settings(folder: Path, number: int, **changes: Any) -> None:
@@ -225,3 +229,50 @@
         ]
         assert (line, place) == (12, "tls.certificate")
         assert "for the private key" in message
+
+
+class TestSilence:
+    """A connection that carries nothing any more is replaced."""
+
+    def test_silent_connection_is_replaced(self) -> None:
+        """Guards against a channel that keeps a silent connection.
+
+        The soak found it: no router came back to a controller after its
+        connections had fallen silent, because gRPC waits a minute for the
+        answer to a ping unless it is told otherwise.
+        """
+
+        async def echo(request: bytes, context: object) -> bytes:
+            return request
+
+        async def test() -> None:
+            port = find_free_port()
+            server = peers.create_server()
+            method = grpc.unary_unary_rpc_method_handler(echo)
+            handler = grpc.method_handlers_generic_handler(
+                "test", {"Echo": method}
+            )
+            server.add_generic_rpc_handlers((handler,))
+            peers.add_port(server, f"127.0.0.1:{port}", None)
+            await server.start()
+            link = Link("server", find_free_port(), port)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(link.serve)
+                await anyio.sleep(0.1)
+                channel = peers.open_channel(link.address, None)
+                call = channel.unary_unary("/test/Echo")
+                assert await call(b"a", timeout=2.0) == b"a"
+                link.silence()
+                with anyio.fail_after(SILENCE_BOUND_S):
+                    while True:
+                        try:
+                            await call(b"b", timeout=0.3)
+                        except grpc.aio.AioRpcError:
+                            await anyio.sleep(0.1)
+                        else:
+                            break
+                await channel.close()
+                tasks.cancel_scope.cancel()
+            await server.stop(grace=None)
+
+        anyio.run(test)
--- /dev/null
+++ b/hornbeamyard/tests/test_upstreams.py
@@ -0,0 +1,81 @@
+"""Tests of the connections that are kept for reuse."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from hornbeamyard.connection.upstreams import Upstreams
+
+from .raw_upstream import answer, run_raw
+
+
+class IdleConnection:
+    """A kept connection that does something while it is closed."""
+
+    def __init__(
+        self,
+        expired: bool = False,
+        on_close: Callable[[], Awaitable[None]] | None = None,
+    ) -> None:
+        self._expired = expired
+        self._on_close = on_close
+        self.closed = False
+
+    def has_expired(self) -> bool:
+        return self._expired
+
+    def is_idle(self) -> bool:
+        return not self.closed
+
+    async def aclose(self) -> None:
+        self.closed = True
+        if self._on_close is not None:
+            await self._on_close()
+
+
+class TestReuse:
+    """Only open connections are used again."""
+
+    def test_closed_while_expired_ones_are_closed(self) -> None:
+        """Guards against closed connections that are kept for reuse.
+
+        The soak found it: requests got status 500 after an upstream had
+        failed while connections to others expired.
+        """
+
+        async def test() -> None:
+            async with run_raw(answer()) as upstream:
+                upstreams = Upstreams()
+                failed = f"http://127.0.0.1:{upstream.port}"
+                kept = IdleConnection()
+
+                async def fail() -> None:
+                    await upstreams.close_idle(failed)
+
+                expired = IdleConnection(expired=True, on_close=fail)
+                upstreams._idle["http://127.0.0.1:1"] = [expired]  # type: ignore[list-item]
+                upstreams._idle[failed] = [kept]  # type: ignore[list-item]
+                await upstreams.close_expired()
+                connection = await upstreams.connect(failed)
+                assert connection is not kept
+                await connection.aclose()
+
+        anyio.run(test)
+
+    def test_closed_connection_is_left_out(self) -> None:
+        """Guards against status 500 for a request on such a connection."""
+
+        async def test() -> None:
+            async with run_raw(answer()) as upstream:
+                upstreams = Upstreams()
+                address = f"http://127.0.0.1:{upstream.port}"
+                closed = IdleConnection()
+                closed.closed = True
+                upstreams._idle[address] = [closed]  # type: ignore[list-item]
+                connection = await upstreams.connect(address)
+                assert connection is not closed
+                await connection.aclose()
+
+        anyio.run(test)
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real processes under faults from outside them."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,66 @@
+"""Command line of the soak."""
+
+from __future__ import annotations
+
+import random
+import shutil
+import sys
+import tempfile
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from pathlib import Path
+
+import click
+
+from .run import Result, run_seed
+
+SECONDS = 15.0
+
+
+def _run(seed: int, seconds: float, keep: Path | None) -> Result:
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    try:
+        result = run_seed(seed, seconds, folder)
+    except Exception as error:
+        result = Result(seed, violations=[f"the run failed: {error!r}"])
+    if result.violations and keep is not None:
+        shutil.copytree(folder, keep / str(seed), dirs_exist_ok=True)
+    shutil.rmtree(folder, ignore_errors=True)
+    return result
+
+
+@click.command()
+@click.option("--seed", "first", type=int, help="First seed; else random.")
+@click.option("--seeds", default=1, show_default=True)
+@click.option("--seconds", default=SECONDS, show_default=True)
+@click.option("--jobs", default=1, show_default=True)
+@click.option(
+    "--keep",
+    type=click.Path(path_type=Path, file_okay=False),
+    help="Folder for the logs of seeds that fail.",
+)
+def main(
+    first: int | None,
+    seeds: int,
+    seconds: float,
+    jobs: int,
+    keep: Path | None,
+) -> None:
+    """Run seeds and print a line with the result of each."""
+    if first is None:
+        first = random.SystemRandom().randrange(10**9)
+    failed = 0
+    with ProcessPoolExecutor(jobs) as pool:
+        futures = [
+            pool.submit(_run, seed, seconds, keep)
+            for seed in range(first, first + seeds)
+        ]
+        for future in as_completed(futures):
+            result = future.result()
+            failed += bool(result.violations)
+            click.echo(result.to_json())
+    click.echo(f"{failed} of {seeds} seeds failed")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/soak/upstream.py
@@ -0,0 +1,279 @@
+"""An upstream of the soak, run as a process of its own.
+
+It announces itself to controllers, notes every run in a journal file that
+outlives it, and refuses requests that are meant for another upstream.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import os
+import random
+import signal
+import time
+from collections.abc import Awaitable, Callable, MutableMapping
+from pathlib import Path
+from typing import Any
+
+import anyio
+import click
+import httpcore
+import uvicorn
+
+from hornbeamyard.process.servers import build_server
+
+ANNOUNCEMENT_S = 0.3
+CALL_TIMEOUT_S = 1.0
+# Time for routers to learn that the upstream is draining.
+DRAIN_S = 2.0
+LONGEST_DRAIN_S = 6.0
+EVENTS = 8
+EVENT_S = 0.05
+# Part of the requests that the upstream refuses without running them.
+REFUSED_SHARE = 0.02
+CALL_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    TimeoutError,
+)
+
+Message = MutableMapping[str, Any]
+Send = Callable[[Message], Awaitable[None]]
+
+
+def sign(request_id: str, upstream_id: str) -> str:
+    """Return the signature of an upstream's answer to a request."""
+    text = f"{request_id} {upstream_id}".encode()
+    return hashlib.sha256(text).hexdigest()[:16]
+
+
+class SoakUpstream:
+    """An ASGI application, and the task that announces it.
+
+    Parameters
+    ----------
+    id, pool, address : str
+        `address` is where routers reach it.
+    controllers : list of str
+        Addresses for announcements.
+    journal : Path
+    """
+
+    def __init__(
+        self,
+        id: str,
+        pool: str,
+        address: str,
+        controllers: list[str],
+        journal: Path,
+    ) -> None:
+        self._id = id
+        self._pool = pool
+        self._address = address
+        self._controllers = controllers
+        self._journal = journal
+        self._sequence = 0
+        self._started_ms = int(time.time() * 1000)
+        self.running = 0
+        self.state = "ready"
+
+    async def __call__(
+        self,
+        scope: Message,
+        receive: Callable[[], Awaitable[Message]],
+        send: Send,
+    ) -> None:
+        """Serve one request."""
+        if scope["type"] != "http":
+            return
+        body = b""
+        more = True
+        while more:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return
+            body += message.get("body", b"")
+            more = message.get("more_body", False)
+        headers = {
+            name.decode(): value.decode("latin-1")
+            for name, value in scope["headers"]
+        }
+        self.running += 1
+        try:
+            await self._answer(scope, headers, body, send)
+        finally:
+            self.running -= 1
+
+    async def _answer(
+        self,
+        scope: Message,
+        headers: dict[str, str],
+        body: bytes,
+        send: Send,
+    ) -> None:
+        request_id = headers.get("hornbeamyard-request", "")
+        if headers.get("hornbeamyard-upstream") != self._id:
+            await _send_whole(send, 421, [], b"")
+            return
+        if random.random() < REFUSED_SHARE:
+            await _send_whole(
+                send, 503, [(b"hornbeamyard-not-run", b"true")], b""
+            )
+            return
+        self._note(request_id, headers, scope)
+        answer_headers = [
+            (b"hornbeamyard-request", request_id.encode()),
+            (b"hornbeamyard-signature", sign(request_id, self._id).encode()),
+        ]
+        if headers.get("soak-events"):
+            first = int(headers.get("last-event-id") or 0) + 1
+            await _send_events(send, answer_headers, request_id, first)
+            return
+        await anyio.sleep(random.uniform(0.005, 0.1))
+        document = {
+            "request": request_id,
+            "upstream": self._id,
+            "pool": self._pool,
+            "path": scope["path"],
+            "digest": hashlib.sha256(body).hexdigest(),
+        }
+        content = json.dumps(document).encode()
+        await _send_whole(send, 200, answer_headers, content)
+
+    def _note(
+        self, request_id: str, headers: dict[str, str], scope: Message
+    ) -> None:
+        line = {
+            "request": request_id,
+            "upstream": self._id,
+            "pool": self._pool,
+            "path": scope["path"],
+            "account": headers.get("hornbeamyard-account", ""),
+            "at": time.monotonic(),
+        }
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+        file = os.open(self._journal, flags, 0o600)
+        os.write(file, (json.dumps(line) + "\n").encode())
+        os.close(file)
+
+    # ---- announcements ---------------------------------------------------
+
+    async def announce(self) -> None:
+        """Announce the upstream until cancelled."""
+        while True:
+            if not await self.call_controller("PUT"):
+                self._controllers.append(self._controllers.pop(0))
+            await anyio.sleep(ANNOUNCEMENT_S)
+
+    async def call_controller(self, method: str) -> bool:
+        """Tell a controller; return whether it has taken note."""
+        self._sequence += 1
+        document = {
+            "pool": self._pool,
+            "address": self._address,
+            "availability_zone": "zone-a",
+            "state": self.state,
+            "slots": 16,
+            "sequence": self._sequence,
+            "started_ms": self._started_ms,
+        }
+        url = (
+            f"http://{self._controllers[0]}/hornbeamyard/v1/upstreams/"
+            f"{self._id}"
+        )
+        try:
+            with anyio.fail_after(CALL_TIMEOUT_S):
+                async with httpcore.AsyncConnectionPool() as pool:
+                    response = await pool.request(
+                        method, url, content=json.dumps(document).encode()
+                    )
+        except CALL_ERRORS:
+            return False
+        return bool(response.status == 200)
+
+    async def leave(self) -> None:
+        """Have routers send nothing more, and finish what runs."""
+        self.state = "draining"
+        with anyio.move_on_after(LONGEST_DRAIN_S):
+            while not await self.call_controller("PUT"):
+                self._controllers.append(self._controllers.pop(0))
+            await anyio.sleep(DRAIN_S)
+            while self.running:
+                await anyio.sleep(0.05)
+            await self.call_controller("DELETE")
+
+
+async def _send_whole(
+    send: Send, status: int, headers: list[tuple[bytes, bytes]], body: bytes
+) -> None:
+    length = (b"content-length", str(len(body)).encode())
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [*headers, length],
+        }
+    )
+    await send({"type": "http.response.body", "body": body})
+
+
+async def _send_events(
+    send: Send,
+    headers: list[tuple[bytes, bytes]],
+    request_id: str,
+    first: int,
+) -> None:
+    kind = (b"content-type", b"text/event-stream")
+    await send(
+        {
+            "type": "http.response.start",
+            "status": 200,
+            "headers": [*headers, kind],
+        }
+    )
+    for number in range(first, EVENTS + 1):
+        event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+        await send(
+            {"type": "http.response.body", "body": event, "more_body": True}
+        )
+        await anyio.sleep(EVENT_S)
+    await send({"type": "http.response.body", "body": b""})
+
+
+async def _run(upstream: SoakUpstream, server: uvicorn.Server) -> None:
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve)
+        async with anyio.create_task_group() as announcing:
+            announcing.start_soon(upstream.announce)
+            with anyio.open_signal_receiver(signal.SIGTERM) as signals:
+                async for _ in signals:
+                    break
+            announcing.cancel_scope.cancel()
+        await upstream.leave()
+        server.should_exit = True
+
+
+@click.command()
+@click.option("--id", required=True)
+@click.option("--pool", required=True)
+@click.option("--listen", required=True)
+@click.option("--address", required=True)
+@click.option("--controller", "controllers", required=True, multiple=True)
+@click.option("--journal", required=True, type=click.Path(path_type=Path))
+def main(
+    id: str,
+    pool: str,
+    listen: str,
+    address: str,
+    controllers: tuple[str, ...],
+    journal: Path,
+) -> None:
+    """Run one upstream until SIGTERM."""
+    upstream = SoakUpstream(id, pool, address, list(controllers), journal)
+    anyio.run(_run, upstream, build_server(upstream, listen))
+
+
+if __name__ == "__main__":
+    main()
