Give shared parts a home in each zone, and tell of each part once

Cause: with one home over all zones, three of four requests of a part cross zones, and their traffic is priced. Where engines can copy a part, a home in each zone costs one copy each.

Tests: a home in each zone, a part that many routers report.

--- a/hornbeamyard/tests/test_shares.py
+++ b/hornbeamyard/tests/test_shares.py
@@ -8,7 +8,12 @@
 import pytest
 
 from hornbeamyard.pool.shares import Shares, compute_level
-from hornbeamyard.pool.usage import AccountUse, RouterCounters, UsageTable
+from hornbeamyard.pool.usage import (
+    AccountUse,
+    ReadPart,
+    RouterCounters,
+    UsageTable,
+)
 
 THROUGHPUT = 10_000.0
 INTERVAL_S = 0.25
@@ -157,3 +162,25 @@
         assert shares.may_admit("a", False, 2.7)
         assert not shares.may_admit("a", True, 2.7)
         assert shares.may_admit("b", True, 2.7)
+
+
+class TestNews:
+    """Which parts of prompts all routers are told of."""
+
+    def test_part_that_many_routers_report(self) -> None:
+        """Guards against control traffic that grows with routers squared."""
+        table = UsageTable()
+        read = ReadPart("p", "e1")
+        table.take("r1", RouterCounters(read_parts=[read]), 0.0)
+        assert table.compute_sums(0.25).read_parts == [read]
+        table.take("r2", RouterCounters(read_parts=[read]), 0.4)
+        assert table.compute_sums(0.5).read_parts == []
+
+    def test_part_is_told_again_later(self) -> None:
+        """Guards against a router that has started since and never hears."""
+        table = UsageTable()
+        read = ReadPart("p", "e1")
+        table.take("r1", RouterCounters(read_parts=[read]), 0.0)
+        table.compute_sums(0.25)
+        table.take("r1", RouterCounters(read_parts=[read]), 9.0)
+        assert table.compute_sums(9.25).read_parts == [read]
--- a/hornbeamyard/tests/test_steering.py
+++ b/hornbeamyard/tests/test_steering.py
@@ -20,7 +20,7 @@
     Verdict,
     rank_engines,
 )
-from hornbeamyard.pool.usage import AccountUse, UpstreamUse
+from hornbeamyard.pool.usage import AccountUse, ReadPart, UpstreamUse
 from hornbeamyard.process.timers import VirtualTimers
 
 ENGINES = 5
@@ -441,3 +441,21 @@
         steering.servers[home].own.unread_tokens = int(300 / READ_MS)
         placed = place(steering, ask(1000, 5000))
         assert (placed.server.id, placed.copy_from) == (home, "")
+
+    def test_home_in_each_zone(self) -> None:
+        """Load pattern: callers in all zones ask for the same part.
+
+        Guards against the traffic of all requests between zones, where a
+        part could be copied once.
+        """
+        steering = build_steering(engines=6, zones=2)
+        steering.configure(300_000, 64, 250_000, 60.0, self.COPY_MS)
+        far = next(
+            server
+            for server in steering.servers.values()
+            if server.upstream.availability_zone != "zone-0"
+        )
+        steering.take_parts([ReadPart("p", far.id)], 0.0)
+        placed = place(steering, ask(1000, 5000))
+        assert placed.server.upstream.availability_zone == "zone-0"
+        assert placed.copy_from == far.upstream.address
