Elect a leader at once after a restart where nothing relies on leases

In a fleet of the route directory nothing relies on the lease: reads and versions are confirmed by a majority.

--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -75,6 +75,9 @@
             self._replication_calls,
             timers,
             random.Random(),
+            # Reads and versions are confirmed by a majority, and sums of a
+            # former leader do no harm.
+            relies_on_leases=False,
         )
         own = fleet_pb2.ControllerAddress(
             host=settings.host,
--- a/hornbeamyard/tests/test_replica.py
+++ b/hornbeamyard/tests/test_replica.py
@@ -10,6 +10,7 @@
 
 from hornbeamyard.messages import fleet_pb2
 from hornbeamyard.process.timers import VirtualTimers
+from hornbeamyard.version.election import LONGEST_RETRY_S
 from hornbeamyard.version.journal import Disk
 from hornbeamyard.version.leading import LEASE_S, Leadership, Peer
 from hornbeamyard.version.replica import PeerCalls, Replica
@@ -87,3 +88,34 @@
             assert (replica.get_lease_end() > 0) is leads
 
         anyio.run(run)
+
+
+class TestRestart:
+    """When a member takes part in elections after a restart."""
+
+    @pytest.mark.parametrize(("leases", "holds_back"), [(True, 1), (False, 0)])
+    def test_holds_back_for_a_lease(
+        self, leases: bool, holds_back: bool
+    ) -> None:
+        """Guards against seconds without a leader after all have restarted.
+
+        A member that may have confirmed a lease before its restart must
+        wait, so that no leader is elected while the lease holds. Where
+        nothing relies on leases, waiting only delays the service.
+        """
+
+        async def run() -> None:
+            timers = VirtualTimers(start=100.0)
+            replica = build_leader(timers)
+            replica.leadership = None
+            replica.relies_on_leases = leases
+            replica.election.start()
+            request = fleet_pb2.VoteRequest(
+                term=5, last_term=4, last_index=3, pre_vote=True
+            )
+            granted = replica.election._may_grant(request)
+            assert granted is not bool(holds_back)
+            waits_s = replica.election._campaign_at - 100.0
+            assert (waits_s > LONGEST_RETRY_S) is bool(holds_back)
+
+        anyio.run(run)
--- a/hornbeamyard/version/election.py
+++ b/hornbeamyard/version/election.py
@@ -66,7 +66,7 @@
         if self._is_only_voter():
             self._campaign_at = now
             return
-        if self._replica.term == 0:
+        if self._replica.term == 0 or not self._replica.relies_on_leases:
             self._campaign_at = now + self._choose_retry()
             return
         # Before the restart this member may have confirmed a lease.
--- a/hornbeamyard/version/replica.py
+++ b/hornbeamyard/version/replica.py
@@ -112,6 +112,10 @@
         For election timeouts and the id of an empty data folder.
     snapshot_entries : int, optional
         A snapshot is taken after this many entries.
+    relies_on_leases : bool, optional
+        Whether a leader may act on its lease alone. Otherwise everything
+        that matters is confirmed by a majority, and a member that restarts
+        takes part in elections at once.
 
     Attributes
     ----------
@@ -131,6 +135,7 @@
         timers: Timers,
         choose: random.Random,
         snapshot_entries: int = SNAPSHOT_ENTRIES,
+        relies_on_leases: bool = True,
     ) -> None:
         self.identity = identity
         self.host = identity.host
@@ -142,6 +147,7 @@
         )
         self.state = FleetState()
         self.fault = ""
+        self.relies_on_leases = relies_on_leases
         self.jobs = JobQueue()
         self.leadership: Leadership | None = None
         self.leader_host = ""
