Refuse requests at once when a router has no processor time

Change: the gauge of the first version's routers, which follows the lateness of the event loop, also serves routers of the directory. The refusal tells the caller to come back within 0.15 s, to another router. Tests: the refusal, and connections to upstreams that answer in odd ways.

--- a/hornbeamyard/connection/limits.py
+++ b/hornbeamyard/connection/limits.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import resource
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
@@ -12,6 +14,7 @@
 
 from ..process.timers import Timers
 from ..request.problem import Outcome, Problem
+from .client import Headers
 
 HEADER_SIZE = 64 * 1024
 # Time within which the header of a request must be complete.
@@ -161,11 +164,15 @@
         Whether a connection on which nothing came is told why it is closed.
     limited_paths : tuple of bytes
         Begins of the paths whose requests are refused under overload.
+    build_refusal : callable
+        Returns the whole answer to a request that is refused under overload
+        from the headers of the request.
     """
 
     __slots__ = (
         "_open",
         "answers_silence",
+        "build_refusal",
         "connections",
         "header_size",
         "header_timeout_s",
@@ -184,6 +191,7 @@
         self.header_size = HEADER_SIZE
         self.header_timeout_s = HEADER_TIMEOUT_S
         self.limited_paths: tuple[bytes, ...] = _LIMITED_PATHS
+        self.build_refusal: Callable[[Headers], bytes] = _build_refusal
         self._open: set[LimitedProtocol] = set()
 
     def add(self, protocol: LimitedProtocol) -> bool:
@@ -265,7 +273,7 @@
             # Refusing here costs a small part of a request, so that the
             # refused ones don't take the time of those that are served.
             self.cycle = _REFUSED  # type: ignore[assignment]
-            self.transport.write(_OVERLOADED)
+            self.transport.write(self.limits.build_refusal(self.headers))
             self.on_response_complete()
             return
         super().on_headers_complete()
@@ -351,3 +359,24 @@
 _OVERLOADED = _build_answer(
     HTTPStatus.SERVICE_UNAVAILABLE, "the router is overloaded", close=False
 )
+
+
+def _build_refusal(headers: Headers) -> bytes:
+    return _OVERLOADED
+
+
+def build_refusal(headers: Headers, reason: str) -> bytes:
+    """Return a whole 503 that leaves the connection open.
+
+    Parameters
+    ----------
+    headers : list of (bytes, bytes)
+        Further headers of the answer.
+    reason : str
+    """
+    body = json.dumps({"status": 503, "detail": reason}).encode()
+    lines = [b"HTTP/1.1 503 Service Unavailable"]
+    lines += [b": ".join(header) for header in headers]
+    lines.append(b"content-type: application/problem+json")
+    lines.append(b"content-length: " + str(len(body)).encode())
+    return b"\r\n".join([*lines, b"", body])
--- a/hornbeamyard/process/route_router.py
+++ b/hornbeamyard/process/route_router.py
@@ -11,8 +11,14 @@
 from result import Err
 
 from ..connection import peers
+from ..connection.client import Headers
 from ..connection.directory_calls import DirectoryCalls
-from ..connection.limits import ConnectionLimits, LoadGauge, build_protocol
+from ..connection.limits import (
+    ConnectionLimits,
+    LoadGauge,
+    build_protocol,
+    build_refusal,
+)
 from ..connection.subscription import Subscription
 from ..connection.upstreams import Upstreams
 from ..pool.census import MISSED_ANNOUNCEMENTS, Upstream, UpstreamState
@@ -58,6 +64,9 @@
 UPKEEP_INTERVAL_S = 0.1
 # The throughput that shares are cut from follows the engines at this pace.
 ADAPT_INTERVAL_S = 0.25
+# Mean Retry-After of a router without processor time, in seconds. The caller
+# should come back to another router within its target.
+OVERLOAD_RETRY_S = 0.1
 # Open connections from callers.
 MOST_CONNECTIONS = 1500
 
@@ -154,7 +163,8 @@
             LoadGauge(timers),
             timers,
         )
-        self._limits.limited_paths = ()
+        self._limits.limited_paths = (b"/",)
+        self._limits.build_refusal = self._refuse_overload
         # Load balancers open connections ahead of requests.
         self._limits.answers_silence = False
         self._server = build_server(
@@ -169,6 +179,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.subscription.run)
             tasks.start_soon(self._limits.run)
+            tasks.start_soon(self._limits.load.run)
             tasks.start_soon(self._keep_up)
             tasks.start_soon(self._drain, stop)
             status_address = self._settings.router.status_address
@@ -235,6 +246,27 @@
 
         await self.forwarder(scope, receive, send_closing)
 
+    def _refuse_overload(self, headers: Headers) -> bytes:
+        """Return the answer to a request for which there is no time.
+
+        Other routers may have time: a load balancer that spreads callers by
+        their address sends all requests of one caller to one router, and
+        those that come back to another one.
+        """
+        dialect = self._interface.dialect
+        request_id = dialect.read_request(headers).request_id
+        retry_after_s = OVERLOAD_RETRY_S * (0.5 + random.random())
+        self.forwarder.counts.add("refused")
+        self.decisions.note(
+            "refused",
+            request_id=request_id,
+            reason="overloaded",
+            retry_after_s=round(retry_after_s, 2),
+        )
+        answer = dialect.write_answer(request_id)
+        answer.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
+        return build_refusal(answer, "the router is overloaded")
+
     # ---- from the directory ----------------------------------------------
 
     def _collect_usage(self) -> RouterCounters:
--- /dev/null
+++ b/hornbeamyard/tests/test_client.py
@@ -0,0 +1,223 @@
+"""Tests of connections to upstreams that answer in odd ways."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import anyio
+import anyio.abc
+import pytest
+
+from hornbeamyard.connection.client import (
+    MOST_WAITING,
+    Connection,
+    open_connection,
+)
+
+from .raw_upstream import Received, Script, run_raw
+
+IDLE_LIMIT_S = 4.0
+
+
+def send_bytes(data: bytes, then: str = "") -> Script:
+    """Return a script that sends bytes, and closes or resets if told to."""
+
+    async def send(stream: anyio.abc.SocketStream, received: Received) -> None:
+        await stream.send(data)
+        if then == "reset":
+            raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            linger = struct.pack("ii", 1, 0)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        if then:
+            await stream.aclose()
+
+    return send
+
+
+def run(script: Script, test: Callable[[Connection], Awaitable[None]]) -> None:
+    """Run a test with a connection to an upstream."""
+
+    async def main() -> None:
+        with anyio.fail_after(10):
+            async with run_raw(script) as upstream:
+                connection = await open_connection(
+                    "127.0.0.1", upstream.port, IDLE_LIMIT_S
+                )
+                await test(connection)
+                await connection.aclose()
+
+    anyio.run(main)
+
+
+async def ask(
+    connection: Connection, method: str = "GET", body: bytes = b""
+) -> tuple[int, bytes]:
+    """Send a request; return status and body of the answer."""
+    headers = [(b"host", b"x")]
+    if body:
+        headers.append((b"content-length", str(len(body)).encode()))
+    answer = await connection.request(method, b"/", headers, body)
+    parts = [part async for part in answer.iterate()]
+    return answer.status, b"".join(parts)
+
+
+class TestEnd:
+    """Only whole answers look whole."""
+
+    def test_answer_that_ends_with_its_connection(self) -> None:
+        """Guards against answers without a length that are lost."""
+
+        async def test(connection: Connection) -> None:
+            assert await ask(connection) == (200, b"abc")
+            assert connection.has_expired()
+
+        run(send_bytes(b"HTTP/1.1 200 OK\r\n\r\nabc", "close"), test)
+
+    def test_answer_without_length_that_is_reset(self) -> None:
+        """Guards against a cut answer that is passed on as whole."""
+
+        async def test(connection: Connection) -> None:
+            with pytest.raises(OSError, match="connection"):
+                await ask(connection)
+
+        run(send_bytes(b"HTTP/1.1 200 OK\r\n\r\nabc", "reset"), test)
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"",
+            b"HTTP/1.1 200 OK\r\ncontent-",
+            b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc",
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc",
+        ],
+    )
+    def test_answer_that_breaks_off(self, data: bytes) -> None:
+        async def test(connection: Connection) -> None:
+            with pytest.raises(OSError, match="closed"):
+                await ask(connection)
+
+        run(send_bytes(data, "close"), test)
+
+    def test_bytes_that_are_no_answer(self) -> None:
+        async def test(connection: Connection) -> None:
+            with pytest.raises(OSError, match="what is no answer"):
+                await ask(connection)
+            assert not connection.is_idle()
+
+        run(send_bytes(b"\x00\x01garbage\r\n\r\n"), test)
+
+
+class TestReuse:
+    """A connection is used again only if nothing is left on it."""
+
+    WHOLE = b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc"
+
+    def test_after_a_whole_answer(self) -> None:
+        async def test(connection: Connection) -> None:
+            assert await ask(connection) == (200, b"abc")
+            assert not connection.has_expired()
+            assert await ask(connection) == (200, b"abc")
+
+        run(send_bytes(self.WHOLE), test)
+
+    def test_not_after_extra_bytes(self) -> None:
+        """Guards against the answer of another request."""
+
+        async def test(connection: Connection) -> None:
+            assert await ask(connection) == (200, b"abc")
+            await anyio.sleep(0.05)
+            assert not connection.is_idle()
+
+        run(send_bytes(self.WHOLE + self.WHOLE), test)
+
+    def test_not_after_the_upstream_has_closed(self) -> None:
+        async def test(connection: Connection) -> None:
+            assert await ask(connection) == (200, b"abc")
+            await anyio.sleep(0.05)
+            assert connection.has_expired()
+
+        run(send_bytes(self.WHOLE, "close"), test)
+
+    def test_not_after_connection_close(self) -> None:
+        async def test(connection: Connection) -> None:
+            await ask(connection)
+            assert not connection.is_idle()
+
+        data = self.WHOLE.replace(
+            b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n"
+        )
+        run(send_bytes(data), test)
+
+    def test_upstream_that_closes_soon(self) -> None:
+        """Guards against a request on a connection that is being closed."""
+
+        async def test(connection: Connection) -> None:
+            await ask(connection)
+            left_s = connection._idle_until - connection._loop.time()
+            assert left_s < 1.0
+
+        data = self.WHOLE.replace(
+            b"\r\n\r\n", b"\r\nkeep-alive: timeout=1\r\n\r\n"
+        )
+        run(send_bytes(data), test)
+
+    def test_not_when_the_body_was_not_read(self) -> None:
+        """Guards against a request that is read as the rest of a body."""
+
+        async def main() -> None:
+            async def serve(stream: anyio.abc.SocketStream) -> None:
+                await stream.receive(100)
+                await stream.send(self.WHOLE)
+                await anyio.sleep_forever()
+
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            async with listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, serve)
+                connection = await open_connection(
+                    "127.0.0.1", port, IDLE_LIMIT_S
+                )
+                body = b"x" * 32 * 1024 * 1024
+                assert await ask(connection, "POST", body) == (200, b"abc")
+                assert not connection.is_idle()
+                await connection.aclose()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+
+
+class TestAnswer:
+    """Unusual answers that are correct."""
+
+    def test_interim_answer(self) -> None:
+        async def test(connection: Connection) -> None:
+            assert await ask(connection) == (200, b"abc")
+
+        interim = b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"
+        run(send_bytes(interim + TestReuse.WHOLE), test)
+
+    def test_answer_to_head(self) -> None:
+        """Guards against waiting for a body that doesn't come."""
+
+        async def test(connection: Connection) -> None:
+            assert await ask(connection, "HEAD") == (200, b"")
+
+        run(send_bytes(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n"), test)
+
+    def test_slow_reader_holds_the_upstream_up(self) -> None:
+        """Guards against memory that a slow caller lets grow."""
+        size = 64 * 1024 * 1024
+
+        async def test(connection: Connection) -> None:
+            answer = await connection.request("GET", b"/", [], b"")
+            await anyio.sleep(0.3)
+            assert connection._waiting_size < MOST_WAITING + 512 * 1024
+            read = 0
+            async for part in answer.iterate():
+                read += len(part)
+            assert read == size
+
+        head = f"HTTP/1.1 200 OK\r\ncontent-length: {size}\r\n\r\n"
+        run(send_bytes(head.encode() + b"x" * size), test)
