Name a source for parts that an engine may have dropped; tell new routers of parts

Change: the engine with the freshest use is named as a source even where the chosen one is believed to hold the part, as it copies only what it lacks. The lead controller tells a router that attaches what was read in the last 30 s.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -297,6 +297,7 @@
         for id, started_ms in self.census.list_ended():
             ended = _describe_ended(id, started_ms)
             watcher.records[id] = encode_upstream(ended, now)
+        watcher.read_parts = self._usage.list_known(now)
         self._watchers.add(watcher)
         _log.info("router attached name={}", name)
         return watcher
--- a/hornbeamyard/pool/engine.py
+++ b/hornbeamyard/pool/engine.py
@@ -160,6 +160,10 @@
             cached += part.tokens
         return cached
 
+    def get_used_at(self, part: str) -> float:
+        """Return when a part was last known to be used; or minus infinity."""
+        return self._parts.get(part, float("-inf"))
+
     def note_parts(self, demand: Demand, now: float) -> list[str]:
         """Take note that the engine reads a prompt.
 
--- a/hornbeamyard/pool/steering.py
+++ b/hornbeamyard/pool/steering.py
@@ -404,8 +404,7 @@
                 again_ms = estimated.unread_shared * server.read_ms
                 cost += again_ms * (SHARED_READ_WEIGHT - 1)
                 cost += estimated.copied * server.read_ms * COPY_WEIGHT
-                known = server.count_cached(demand, now)
-                if holder is not None and known < elsewhere.tokens:
+                if holder is not None and _is_fresher(holder, server, demand):
                     copy_from = holder.upstream.address
                 running = server.own.running + server.others.running
                 cost += CROWD_COST_MS * running / max(1, server.slots)
@@ -445,6 +444,7 @@
         held = [
             (
                 engine.count_cached(demand, now),
+                engine.get_used_at(demand.affinity),
                 engine.upstream.availability_zone == self._zone,
                 engine.id,
                 engine,
@@ -454,7 +454,7 @@
         ]
         if not held:
             return None, NOWHERE
-        tokens, _, _, holder = max(held, key=lambda entry: entry[:3])
+        tokens, _, _, _, holder = max(held, key=lambda entry: entry[:4])
         if tokens < LEAST_AFFINITY_TOKENS:
             return None, NOWHERE
         return holder, Elsewhere(tokens, self._copy_ms)
@@ -566,6 +566,16 @@
         placement.server.own.held_tokens -= held_tokens(demand)
 
 
+def _is_fresher(holder: Engine, server: Engine, demand: Demand) -> bool:
+    """Return whether a request should name another engine as a source.
+
+    The server may have dropped a part that it held. It copies only what it
+    lacks, so that naming a source costs nothing.
+    """
+    part = demand.affinity
+    return holder.get_used_at(part) > server.get_used_at(part)
+
+
 def _serves(upstream: Upstream, demand: Demand) -> bool:
     if not demand.model or not upstream.models:
         return True
--- a/hornbeamyard/pool/usage.py
+++ b/hornbeamyard/pool/usage.py
@@ -19,6 +19,9 @@
 # Routers are told again that an engine holds a part after this long. Each
 # router reports it by itself, and to tell all others costs traffic.
 PART_TOLD_AGAIN_S = 5.0
+# Routers that come later are told of what was read in this time. Engines drop
+# parts that nobody has used for about as long.
+KNOWN_S = 30.0
 # A router that is silent for this long no longer counts.
 ROUTER_LOST_S = 2.0
 
@@ -173,13 +176,25 @@
                 total.held_tokens += part.held_tokens
         return sums
 
-    def _list_news(self, now: float) -> list[ReadPart]:
-        """Return the reported parts that weren't told of lately."""
+    def list_known(self, now: float) -> list[ReadPart]:
+        """Return what was read lately, for a router that has just come."""
         for part, told_at in list(self._told_at.items()):
-            if now - told_at <= PART_TOLD_AGAIN_S:
+            if now - told_at <= KNOWN_S:
                 break
             del self._told_at[part]
-        news = [part for part in self._read_parts if part not in self._told_at]
-        self._told_at.update(dict.fromkeys(news, now))
+        return list(self._told_at)
+
+    def _list_news(self, now: float) -> list[ReadPart]:
+        """Return the reported parts that weren't told of lately."""
+        self.list_known(now)
+        news = []
+        for part in self._read_parts:
+            told_at = self._told_at.get(part, float("-inf"))
+            if now - told_at <= PART_TOLD_AGAIN_S:
+                continue
+            # The order of the entries is that of their times.
+            self._told_at.pop(part, None)
+            self._told_at[part] = now
+            news.append(part)
         self._read_parts = {}
         return news
--- a/hornbeamyard/tests/test_shares.py
+++ b/hornbeamyard/tests/test_shares.py
@@ -9,6 +9,7 @@
 
 from hornbeamyard.pool.shares import Shares, compute_level
 from hornbeamyard.pool.usage import (
+    KNOWN_S,
     AccountUse,
     ReadPart,
     RouterCounters,
@@ -184,3 +185,12 @@
         table.compute_sums(0.25)
         table.take("r1", RouterCounters(read_parts=[read]), 9.0)
         assert table.compute_sums(9.25).read_parts == [read]
+
+    def test_router_that_comes_later(self) -> None:
+        """Guards against parts that a restarted router has read again."""
+        table = UsageTable()
+        read = ReadPart("p", "e1")
+        table.take("r1", RouterCounters(read_parts=[read]), 0.0)
+        table.compute_sums(0.25)
+        assert table.list_known(20.0) == [read]
+        assert table.list_known(KNOWN_S + 1.0) == []
--- a/hornbeamyard/tests/test_steering.py
+++ b/hornbeamyard/tests/test_steering.py
@@ -459,3 +459,16 @@
         placed = place(steering, ask(1000, 5000))
         assert placed.server.upstream.availability_zone == "zone-0"
         assert placed.copy_from == far.upstream.address
+
+    def test_part_that_was_used_elsewhere_since(self) -> None:
+        """Load pattern: more parts than the engines' memory holds.
+
+        Guards against parts that the home has dropped meanwhile and reads
+        again, though another engine has just used them.
+        """
+        steering, home = self.build()
+        other = next(id for id in steering.servers if id != home)
+        steering.take_parts([ReadPart("p", other)], 8.0)
+        placed = place(steering, ask(1000, 5000, now=9.0), now=9.0)
+        assert placed.server.id == home
+        assert placed.copy_from == steering.servers[other].upstream.address
