Send changes of sums only; count no demand from before a leader's time; assume other routers at the start

Reports and sums are now sent as changes on each stream. - A new leader took all that a router had counted since its start for the demand of the last two seconds, as routers report nothing to a controller that doesn't lead. Shares were cut for everyone for two seconds after each change of the leader. - Routers that start together each take themselves for the only one until the first sums: engines had 230 to 510 ms of work ahead two seconds after all processes were killed, and up to 125 requests were refused as too late. - The throughput that shares are cut from rose by 3% each quarter second, so that engines that seemed slow after a restart were left idle for 8 s.

Tests: changes only, decoder follows, counters before the lead, burst after all were down.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -25,10 +25,10 @@
 from . import peers
 from .directory_calls import DirectoryCalls
 from .directory_codec import (
+    SumsDecoder,
+    SumsEncoder,
     decode_parts,
-    decode_sums,
     encode_parts,
-    encode_sums,
     encode_upstream,
     pack_document,
 )
@@ -53,6 +53,10 @@
         Set when there is something to send.
     records, renewals : dict
         What is to be sent, by id.
+    reported : SumsDecoder
+        Of what the router reports.
+    sums : SumsEncoder
+        Of what the router is told.
     """
 
     __slots__ = (
@@ -61,6 +65,8 @@
         "read_parts",
         "records",
         "renewals",
+        "reported",
+        "sums",
         "sums_due",
         "version_sent",
         "wake",
@@ -72,6 +78,8 @@
         self.read_parts: list[ReadPart] = []
         self.records: dict[str, Any] = {}
         self.renewals: dict[str, Any] = {}
+        self.reported = SumsDecoder()
+        self.sums = SumsEncoder()
         self.sums_due = False
         self.version_sent = -1
         self.wake = anyio.Event()
@@ -317,9 +325,14 @@
     ) -> None:
         """Take a router's report."""
         counters = RouterCounters(
-            *decode_sums(usage.accounts, usage.upstreams),
+            *watcher.reported.decode(usage.accounts, usage.upstreams),
             decode_parts(usage.read_parts),
         )
+        if not self._replica.is_leader():
+            # Counters of the time before this controller leads are the start
+            # from which it counts, not demand.
+            self._usage.forget(watcher.name)
+            return
         self._usage.take(watcher.name, counters, self._timers.now())
 
     def build_update(self, watcher: Watcher) -> fleet_pb2.DirectoryUpdate:
@@ -341,7 +354,7 @@
         if watcher.sums_due:
             watcher.sums_due = False
             update.has_sums = True
-            accounts, upstreams = encode_sums(
+            accounts, upstreams = watcher.sums.encode(
                 self._sums.accounts, self._sums.upstreams
             )
             update.accounts.extend(accounts)
--- a/hornbeamyard/connection/directory_codec.py
+++ b/hornbeamyard/connection/directory_codec.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Iterable
-from typing import Any
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import replace
+from typing import Any, TypeVar
 
 from ..messages import fleet_pb2
 from ..pool.census import Upstream, UpstreamState
 from ..pool.usage import AccountUse, ReadPart, UpstreamUse
 
+T = TypeVar("T")
+
 STATES = {
     fleet_pb2.UpstreamRecord.READY: UpstreamState.READY,
     fleet_pb2.UpstreamRecord.DRAINING: UpstreamState.DRAINING,
@@ -60,40 +63,94 @@
     )
 
 
-def encode_sums(
-    accounts: dict[str, AccountUse], upstreams: dict[str, UpstreamUse]
-) -> tuple[list[Any], list[Any]]:
-    """Return the messages of accounts and upstreams."""
-    return (
-        [
+class SumsEncoder:
+    """Encodes what has changed since the last message on a stream.
+
+    Most accounts and upstreams don't change within a quarter of a second,
+    and the leader sends to all routers that often.
+    """
+
+    __slots__ = ("_accounts", "_upstreams")
+
+    def __init__(self) -> None:
+        self._accounts: dict[str, AccountUse] = {}
+        self._upstreams: dict[str, UpstreamUse] = {}
+
+    def encode(
+        self,
+        accounts: Mapping[str, AccountUse],
+        upstreams: Mapping[str, UpstreamUse],
+    ) -> tuple[list[Any], list[Any]]:
+        """Return the messages of changed accounts and upstreams.
+
+        Those that are gone are sent once with nothing but zeros.
+        """
+        changed_accounts = [
             fleet_pb2.AccountUsage(
                 client_account=name, asked=use.asked, admitted=use.admitted
             )
-            for name, use in accounts.items()
-        ],
-        [
+            for name, use in _find_changes(
+                self._accounts, accounts, AccountUse()
+            )
+        ]
+        changed_upstreams = [
             fleet_pb2.UpstreamUsage(
                 id=id,
                 running=use.running,
                 unread_tokens=use.unread_tokens,
                 held_tokens=use.held_tokens,
             )
-            for id, use in upstreams.items()
-        ],
-    )
-
-
-def decode_sums(
-    accounts: Iterable[Any], upstreams: Iterable[Any]
-) -> tuple[dict[str, AccountUse], dict[str, UpstreamUse]]:
-    """Return accounts and upstreams of messages."""
-    return (
-        {a.client_account: AccountUse(a.asked, a.admitted) for a in accounts},
-        {
-            u.id: UpstreamUse(u.running, u.unread_tokens, u.held_tokens)
-            for u in upstreams
-        },
-    )
+            for id, use in _find_changes(
+                self._upstreams, upstreams, UpstreamUse()
+            )
+        ]
+        # The caller goes on counting in its own objects.
+        self._accounts = {n: replace(use) for n, use in accounts.items()}
+        self._upstreams = {n: replace(use) for n, use in upstreams.items()}
+        return changed_accounts, changed_upstreams
+
+
+class SumsDecoder:
+    """Puts the changes on a stream together again."""
+
+    __slots__ = ("_accounts", "_upstreams")
+
+    def __init__(self) -> None:
+        self._accounts: dict[str, AccountUse] = {}
+        self._upstreams: dict[str, UpstreamUse] = {}
+
+    def decode(
+        self, accounts: Iterable[Any], upstreams: Iterable[Any]
+    ) -> tuple[dict[str, AccountUse], dict[str, UpstreamUse]]:
+        """Take the messages of changes; return all accounts and upstreams."""
+        for a in accounts:
+            account = AccountUse(a.asked, a.admitted)
+            _put(self._accounts, a.client_account, account, AccountUse())
+        for u in upstreams:
+            use = UpstreamUse(u.running, u.unread_tokens, u.held_tokens)
+            _put(self._upstreams, u.id, use, UpstreamUse())
+        return (
+            {n: replace(use) for n, use in self._accounts.items()},
+            {n: replace(use) for n, use in self._upstreams.items()},
+        )
+
+
+def _find_changes(
+    before: Mapping[str, T], now: Mapping[str, T], nothing: T
+) -> Iterator[tuple[str, T]]:
+    for name, use in now.items():
+        if before.get(name, nothing) != use:
+            yield name, use
+    for name in before:
+        if name not in now:
+            yield name, nothing
+
+
+def _put(held: dict[str, T], name: str, use: T, nothing: T) -> None:
+    if use == nothing:
+        held.pop(name, None)
+    else:
+        held[name] = use
 
 
 def encode_parts(parts: Iterable[ReadPart]) -> list[Any]:
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -20,11 +20,11 @@
 from .directory_calls import DirectoryCalls
 from .directory_codec import (
     STATES,
+    SumsDecoder,
+    SumsEncoder,
     decode_parts,
-    decode_sums,
     decode_upstream,
     encode_parts,
-    encode_sums,
     unpack_document,
 )
 
@@ -163,6 +163,7 @@
         """Serve one stream and return why it ended."""
         call = self._calls.open_stub(address).Watch()
         reason = "not wanted"
+        decoder = SumsDecoder()
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._report, call, address)
@@ -173,7 +174,7 @@
                     if not isinstance(update, fleet_pb2.DirectoryUpdate):
                         reason = "silent" if update is None else "ended"
                         break
-                    self._take(address, update)
+                    self._take(address, update, decoder)
                 tasks.cancel_scope.cancel()
         except* grpc.aio.AioRpcError as errors:
             error = errors.exceptions[0]
@@ -192,6 +193,7 @@
         await peers.wait_call(
             call.write(fleet_pb2.RouterUsage(identity=self._identity))
         )
+        encoder = SumsEncoder()
         idle_s = 0.0
         async for _ in self._timers.subscribe(SUMS_INTERVAL_S):
             idle_s += SUMS_INTERVAL_S
@@ -202,7 +204,7 @@
             usage = fleet_pb2.RouterUsage()
             if leads:
                 counters = self._collect_usage()
-                accounts, upstreams = encode_sums(
+                accounts, upstreams = encoder.encode(
                     counters.accounts, counters.upstreams
                 )
                 usage.accounts.extend(accounts)
@@ -210,7 +212,12 @@
                 usage.read_parts.extend(encode_parts(counters.read_parts))
             await peers.wait_call(call.write(usage))
 
-    def _take(self, address: str, update: fleet_pb2.DirectoryUpdate) -> None:
+    def _take(
+        self,
+        address: str,
+        update: fleet_pb2.DirectoryUpdate,
+        decoder: SumsDecoder,
+    ) -> None:
         now = self._timers.now()
         if address not in self.versions:
             _log.info(
@@ -239,7 +246,7 @@
         if changed:
             self._on_upstreams(changed)
         if update.has_sums:
-            accounts, usage = decode_sums(update.accounts, update.usage)
+            accounts, usage = decoder.decode(update.accounts, update.usage)
             self._on_sums(
                 FleetSums(
                     accounts,
--- a/hornbeamyard/pool/engine.py
+++ b/hornbeamyard/pool/engine.py
@@ -203,6 +203,12 @@
         others = self.others.unread_tokens - elapsed_ms / self.read_ms
         return self.own.unread_tokens + max(0.0, others)
 
+    def assume_others(self, unread: int, now: float) -> None:
+        """Count work that other routers are assumed to send."""
+        left = self.count_unread(now) - self.own.unread_tokens
+        self.others.unread_tokens = int(left) + unread
+        self.others_at = now
+
     def note_first_event(self, elapsed_ms: float, tokens: float) -> None:
         """Learn the reading speed from the time to a first event."""
         if tokens < LEAST_SAMPLE_TOKENS:
--- a/hornbeamyard/pool/shares.py
+++ b/hornbeamyard/pool/shares.py
@@ -30,13 +30,12 @@
 RETURNED_PART = 0.5
 # Bounds and steps of what the engines are found to give, as a multiple of
 # the configured throughput. They give more, as they hold part of the prompts
-# already, and shares limit nobody as long as it is enough. It falls faster
-# than it rises, because an engine that has too much work slows down
-# everything that runs in it.
-LEAST_FACTOR = 0.5
+# already, and shares limit nobody as long as it is enough. It rises within two
+# seconds, as after a restart engines have read nothing and seem slow.
+LEAST_FACTOR = 0.7
 MOST_FACTOR = 1.8
 FIRST_FACTOR = 1.4
-RISE = 0.03
+RISE = 0.08
 FALL = 0.05
 # Part of an even division that a router gets at least, so that callers who
 # come to another router are served before the next sums.
--- a/hornbeamyard/pool/steering.py
+++ b/hornbeamyard/pool/steering.py
@@ -83,6 +83,9 @@
 # part of their deadline only, which is commonly 10 s or more.
 LEAST_RETRY_S = 0.2
 MOST_RETRY_S = 4.0
+# Other routers that one is assumed to have until it hears of them. Fleets have
+# more, but not all of them get callers at once.
+UNSEEN_ROUTERS = 3
 # Waiting requests for each pool; each holds its body in memory.
 MOST_WAITING = 400
 # Part of the deadline within which a stream should have ended; the rest is
@@ -189,6 +192,12 @@
         Returns a random number from 0 to 1, for spreading callers.
     limit : callable
         Returns a scope that is cancelled after a number of seconds.
+
+    Attributes
+    ----------
+    unseen_routers : int
+        Other routers that are assumed to send as much as this one, until
+        the fleet's sums tell.
     """
 
     __slots__ = (
@@ -206,6 +215,7 @@
         "pace",
         "read_parts",
         "servers",
+        "unseen_routers",
     )
 
     def __init__(
@@ -231,6 +241,7 @@
         # Parts read since the last report.
         self.read_parts: list[ReadPart] = []
         self.servers: dict[str, Server] = {}
+        self.unseen_routers = 0
 
     # ---- upstreams -------------------------------------------------------
 
@@ -295,6 +306,7 @@
 
     def take_sums(self, sums: dict[str, UpstreamUse], now: float) -> None:
         """Take over the fleet's work in the upstreams."""
+        self.unseen_routers = 0
         for server in self.servers.values():
             total = sums.get(server.id, UpstreamUse())
             own = server.own
@@ -549,6 +561,9 @@
         server.own.unread_tokens += placement.estimate.unread
         server.own.held_tokens += held_tokens(demand)
         if isinstance(server, Engine):
+            unread = placement.estimate.unread
+            if self.unseen_routers:
+                server.assume_others(unread * self.unseen_routers, now)
             parts = server.note_parts(demand, now)
             self.read_parts += [ReadPart(part, server.id) for part in parts]
             if not demand.is_charged:
--- a/hornbeamyard/process/route_router.py
+++ b/hornbeamyard/process/route_router.py
@@ -23,7 +23,7 @@
 from ..connection.upstreams import Upstreams
 from ..pool.census import MISSED_ANNOUNCEMENTS, Upstream, UpstreamState
 from ..pool.shares import Shares
-from ..pool.steering import Steering
+from ..pool.steering import UNSEEN_ROUTERS, Steering
 from ..pool.usage import (
     MEASURED_PART,
     FleetSums,
@@ -89,6 +89,7 @@
         "_adapted_at",
         "_budgets",
         "_calls",
+        "_has_sums",
         "_interface",
         "_limits",
         "_server",
@@ -121,6 +122,7 @@
         self._adapted_at = 0.0
         self._budgets: dict[str, WindowBudget] = {}
         self._calls = DirectoryCalls(settings.tls)
+        self._has_sums = False
         self._interface = interface
         self._settings = settings
         self._shares = Shares(
@@ -215,6 +217,8 @@
                 random.random,
                 self._timers.limit,
             )
+            if not self._has_sums:
+                steering.unseen_routers = UNSEEN_ROUTERS
             self._steerings[pool] = steering
             self._configure(pool, steering)
         return steering
@@ -335,6 +339,7 @@
 
     def _take_sums(self, sums: FleetSums) -> None:
         now = self._timers.now()
+        self._has_sums = True
         self.routers = max(1, sums.routers)
         self._shares.take_sums(sums.accounts, self.routers, sums.source, now)
         for steering in self._steerings.values():
--- a/hornbeamyard/tests/test_directory.py
+++ b/hornbeamyard/tests/test_directory.py
@@ -14,6 +14,8 @@
 import anyio.abc
 import httpcore
 
+from hornbeamyard.connection.directory import Directory
+from hornbeamyard.messages import fleet_pb2
 from hornbeamyard.pool.census import Upstream, UpstreamState
 from hornbeamyard.process.decisions import DecisionLog
 from hornbeamyard.process.interface import Interface
@@ -26,7 +28,7 @@
     RouterSettings,
     Settings,
 )
-from hornbeamyard.process.timers import MonotonicTimers
+from hornbeamyard.process.timers import MonotonicTimers, VirtualTimers
 from hornbeamyard.request.dialect import NATIVE_NAMES, Dialect
 
 from .raw_upstream import answer, run_raw
@@ -292,3 +294,44 @@
             ],
         )
     return response.status, response.content
+
+
+class Leading:
+    """Stands for a replica that leads or doesn't."""
+
+    def __init__(self) -> None:
+        self.leads = False
+
+    def is_leader(self) -> bool:
+        """Return whether it leads."""
+        return self.leads
+
+
+class TestUsage:
+    """What a new leader adds up."""
+
+    def test_counters_before_the_lead_are_no_demand(self) -> None:
+        """Guards against shares cut to nothing when the leader changes.
+
+        The first report to a new leader has all that a router has counted
+        since its start. Taken for the demand of the last two seconds, it
+        made every account look as if it flooded the pool.
+        """
+        replica, timers = Leading(), VirtualTimers(start=100.0)
+        directory = Directory(
+            replica,  # type: ignore[arg-type]
+            None,  # type: ignore[arg-type]
+            None,  # type: ignore[arg-type]
+            timers,
+            5.0,
+            2.0,
+        )
+        watcher = directory.attach("r1/1")
+        directory.take_usage(watcher, fleet_pb2.RouterUsage())
+        replica.leads = True
+        for asked in (1_000_000, 1_000_300):
+            usage = fleet_pb2.RouterUsage()
+            usage.accounts.add(client_account="a", asked=asked)
+            directory.take_usage(watcher, usage)
+        sums = directory._usage.compute_sums(timers.now())
+        assert sums.accounts["a"].asked == 300
--- /dev/null
+++ b/hornbeamyard/tests/test_directory_codec.py
@@ -0,0 +1,45 @@
+"""Tests of the messages of the route directory."""
+
+from __future__ import annotations
+
+from hornbeamyard.connection.directory_codec import SumsDecoder, SumsEncoder
+from hornbeamyard.pool.usage import AccountUse, UpstreamUse
+
+
+class TestSums:
+    """Only changes are sent, and both ends agree on the whole."""
+
+    def test_changes_only(self) -> None:
+        """Guards against control traffic for what stays as it is."""
+        encoder = SumsEncoder()
+        accounts = {"a": AccountUse(5, 3), "b": AccountUse(7, 7)}
+        upstreams = {"e1": UpstreamUse(1, 2, 3)}
+        encoder.encode(accounts, upstreams)
+        # Counters go on in the same objects.
+        accounts["a"].asked += 1
+        changed, used = encoder.encode(accounts, upstreams)
+        assert [a.client_account for a in changed] == ["a"]
+        assert used == []
+
+    def test_decoder_follows(self) -> None:
+        """Guards against sums that drift apart from what was sent."""
+        encoder, decoder = SumsEncoder(), SumsDecoder()
+        steps = [
+            ({"a": AccountUse(5, 3)}, {"e1": UpstreamUse(1, 2, 3)}),
+            (
+                {"a": AccountUse(5, 3), "b": AccountUse(1, 0)},
+                {"e1": UpstreamUse(2, 0, 3), "e2": UpstreamUse(1, 1, 1)},
+            ),
+            ({"a": AccountUse(0, 4)}, {"e2": UpstreamUse(1, 1, 1)}),
+            ({}, {}),
+        ]
+        for accounts, upstreams in steps:
+            messages = encoder.encode(accounts, upstreams)
+            assert decoder.decode(*messages) == (accounts, upstreams)
+
+    def test_decoded_objects_are_the_callers(self) -> None:
+        """Guards against growth that is measured as nothing."""
+        encoder, decoder = SumsEncoder(), SumsDecoder()
+        before, _ = decoder.decode(*encoder.encode({"a": AccountUse(5)}, {}))
+        decoder.decode(*encoder.encode({"a": AccountUse(9)}, {}))
+        assert before == {"a": AccountUse(5)}
--- a/hornbeamyard/tests/test_steering.py
+++ b/hornbeamyard/tests/test_steering.py
@@ -472,3 +472,38 @@
         placed = place(steering, ask(1000, 5000, now=9.0), now=9.0)
         assert placed.server.id == home
         assert placed.copy_from == steering.servers[other].upstream.address
+
+
+class TestStart:
+    """Routers that have just started don't know of each other's work."""
+
+    def count_admitted(self, unseen_routers: int) -> int:
+        """Return how many requests one router sends within a moment."""
+        steering = build_steering()
+        steering.unseen_routers = unseen_routers
+        admitted = 0
+        for number in range(400):
+            demand = ask(own=4000, part=f"p{number}")
+            placed = steering.place(demand, 0.0, frozenset())
+            if isinstance(placed, Placement):
+                steering.start(placed, demand, 0.0)
+                admitted += 1
+        return admitted
+
+    def test_burst_after_all_were_down(self) -> None:
+        """Load pattern: all callers come back while all routers start.
+
+        Guards against engines that get several times the work that they can
+        do in time, because each router takes itself for the only one.
+        """
+        assert self.count_admitted(3) <= self.count_admitted(0) / 3
+
+    def test_sums_end_the_assumption(self) -> None:
+        steering = build_steering()
+        steering.unseen_routers = 3
+        placed = place(steering, ask(own=4000))
+        assert placed.server.others.unread_tokens == 12_000
+        steering.take_sums({}, 0.3)
+        assert placed.server.others.unread_tokens == 0
+        place(steering, ask(own=4000), now=0.3)
+        assert placed.server.others.unread_tokens == 0
