Give each connection to one request

Cause: while a request closed an expired connection, the check for expired connections replaced the list that the request was taking from, so that one connection was in both lists and two requests could get it; the second got status 500, without an outcome. After an upstream is killed all its idle connections end at once, which is when both run. Change: the list is changed in place.

--- a/hornbeamyard/connection/upstreams.py
+++ b/hornbeamyard/connection/upstreams.py
@@ -139,11 +139,12 @@
         # Other tasks change the lists while a connection is being closed, so
         # all lists are gone through first.
         for address, idle in list(self._idle.items()):
-            kept = [c for c in idle if not c.has_expired()]
-            expired += [c for c in idle if c not in kept]
-            if kept:
-                self._idle[address] = kept
-            else:
+            ended = [c for c in idle if c.has_expired()]
+            expired += ended
+            # The list stays the same one, as a request may be taking
+            # connections from it.
+            idle[:] = [c for c in idle if c not in ended]
+            if not idle:
                 del self._idle[address]
         for connection in expired:
             await connection.aclose()
--- a/hornbeamyard/tests/test_upstreams.py
+++ b/hornbeamyard/tests/test_upstreams.py
@@ -79,3 +79,25 @@
                 await connection.aclose()
 
         anyio.run(test)
+
+    def test_one_request_for_each_connection(self) -> None:
+        """Guards against a connection that two requests get.
+
+        An upstream is killed: while a request closes a connection that has
+        ended, the check for ended ones goes through the same list.
+        """
+
+        async def test() -> None:
+            upstreams = Upstreams()
+            address = "http://127.0.0.1:1"
+            kept = IdleConnection()
+            ended = IdleConnection(
+                expired=True, on_close=upstreams.close_expired
+            )
+            other = IdleConnection(expired=True)
+            upstreams._idle[address] = [other, kept, ended]  # type: ignore[list-item]
+            first = await upstreams.connect(address)
+            assert first is kept  # type: ignore[comparison-overlap]
+            assert kept not in upstreams._idle.get(address, [])
+
+        anyio.run(test)
