--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -10,6 +10,7 @@
 from typing import Any, Protocol
 
 import anyio
+import anyio.lowlevel
 
 from ..connection.upstreams import Upstreams
 from ..pool.demand import Demand
@@ -46,6 +47,10 @@
 OUTPUT_SHARE = 0.6
 # The upstream is told a little less than what is left, for the way back.
 WAY_BACK_MS = 5.0
+# Turns of the event loop between reading a request and sending it on. The end
+# of a connection that came with the request is read one turn later, and takes
+# two more to cancel it.
+TURNS_BEFORE_SENDING = 3
 # Time left below which a request isn't sent once more.
 LEAST_REPEAT_MS = 100.0
 
@@ -151,6 +156,8 @@
                 self._watch_caller, receive, call, tasks.cancel_scope
             )
             send = _watch_end(call, send)
+            for _ in range(TURNS_BEFORE_SENDING):
+                await anyio.lowlevel.checkpoint()
             with self._timers.limit(call.ends_at - self._timers.now()) as lim:
                 await self._deliver(call, send)
             if lim.cancelled_caught:
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -400,6 +400,22 @@
 
         run(test, [hang])
 
+    def test_caller_that_has_left_already(self) -> None:
+        """Guards against work for callers that nobody waits for.
+
+        Load pattern: a router without processor time reads requests when
+        their callers have given up; the end of the connection is read one
+        turn of the event loop later (millisafn-ill-grown trouble-1).
+        """
+
+        async def test(bench: Bench) -> None:
+            # Leaves a connection on which a request is sent at once.
+            await bench.ask("/read/1")
+            await bench.ask("/read/1", leave_after_s=-1.0)
+            assert count_runs(bench) == 1
+
+        run(test, [answer()])
+
     def test_caller_leaves(self) -> None:
         """Guards against work for callers that are gone."""
 
