Bound the burst of an account that was idle

Cause: an account within its share was admitted without limit until the next sums, up to half a second later. Change: while the pool is contended, an account within its share may use what it has saved and as much in advance.

--- a/hornbeamyard/pool/shares.py
+++ b/hornbeamyard/pool/shares.py
@@ -202,9 +202,12 @@
         if not self.is_contended():
             return True
         credit = self._accounts.get(account)
-        if credit is None or not credit.is_over:
+        if credit is None:
             return True
         credit.fill(now)
+        if not credit.is_over:
+            # It may have begun to flood since the last sums.
+            return credit.tokens > -credit.most
         least = RETURNED_PART * credit.most if returned else 0.0
         if credit.tokens > least:
             return True
--- a/hornbeamyard/tests/test_shares.py
+++ b/hornbeamyard/tests/test_shares.py
@@ -133,6 +133,31 @@
         ratio = fleet.admitted["first"] / fleet.admitted["second"]
         assert 0.5 <= ratio <= 2.0
 
+    def test_burst_of_an_account_that_was_idle(self) -> None:
+        """Guards against an account that gets seconds of everybody's work.
+
+        Hunted day overload of millisafn-ill, seed 848993648081: an account
+        asked for five times the throughput within a second. Until the next
+        sums it counted as one within its share, and got 240,000 tokens while
+        another was refused.
+        """
+        fleet = Fleet(4)
+        for step in range(16):
+            for router in range(4):
+                for _ in range(20):
+                    fleet.ask(router, "flood", 400)
+            if step % 4 == 0:
+                fleet.ask(0, "late", 400)
+            fleet.exchange()
+        before = fleet.admitted["late"]
+        shares = fleet.routers[0]
+        assert shares.is_contended()
+        for _ in range(200):
+            fleet.ask(0, "late", 400)
+        burst = fleet.admitted["late"] - before
+        # What it has saved in the window, and as much in advance.
+        assert burst <= 2 * shares.window_s * shares.level + 400
+
     def test_no_limit_below_the_throughput(self) -> None:
         fleet = Fleet(2)
         refused = 0
