Obey upstreams that leave, ask for a pause or send bytes without end

Cause: a router ignored Server-Leaving and Retry-After of upstreams, so it sent requests to an upstream that was leaving or had asked for a pause. Bytes without end in a header, a chunk extension, a trailer or an error body were read until the deadline of the request, with memory that grew.

Ruled out: telling other routers of a pause; it is meant for the router that was answered, and each learns of it with its own first response.

Change: the header of every response, also a discarded one, is checked for both notices. A leaving upstream is draining until its next start, announced READY or not, and the controllers pass it on. A paused upstream gets nothing, not even as the last resort; when all are paused the refusal names the time left. A request whose upstream stops taking requests while its connection is opened is placed again. 64 KB without a byte of a body end the connection.

--- a/hornbeamyard/connection/client.py
+++ b/hornbeamyard/connection/client.py
@@ -22,11 +22,14 @@
 # Reading from the upstream pauses when this much of a response waits for a
 # slow caller.
 MAX_BUFFERED_BYTES = 256 * 1024
+# An upstream may send this much without a byte of a body, in headers, chunk
+# sizes and trailers. Servers commonly allow headers of 8 to 64 KB.
+MAX_UNPARSED_BYTES = 64 * 1024
 # An idle connection isn't reused after this fraction of the keep-alive
 # timeout that the upstream announces: a request sent on a connection that is
 # being closed has no known outcome.
 KEEP_ALIVE_FRACTION = 0.8
-_KEEP_ALIVE = re.compile(rb"timeout=(\d+)")
+_KEEP_ALIVE = re.compile(rb"timeout=(\d{1,9})")
 
 
 class BrokenConnectionError(OSError):
@@ -99,6 +102,8 @@
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._buffered_bytes = 0
+        # Received since the request was sent or the body last grew.
+        self._unparsed_bytes = 0
         self.is_complete = False
 
     # ---- for requests ----------------------------------------------------
@@ -127,6 +132,7 @@
         self.is_complete = False
         self._headers = []
         self._status = 0
+        self._unparsed_bytes = 0
         self._method = method
         lines = [b" ".join((method.encode(), target, b"HTTP/1.1"))]
         lines += [b": ".join(header) for header in headers]
@@ -206,19 +212,21 @@
         """Parse bytes from the upstream."""
         if not self._is_busy or self.is_complete:
             # Bytes after a complete response would be read as the next one.
-            self._is_reusable = False
+            self._abort()
             return
+        self._unparsed_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as error:
-            self._is_reusable = False
-            if not self.is_complete:
-                self._error = BrokenConnectionError(
-                    f"the upstream sent an invalid HTTP response: {error}"
-                )
+            self._fail(f"the upstream sent an invalid HTTP response: {error}")
+        if self._unparsed_bytes > MAX_UNPARSED_BYTES:
+            self._fail(
+                f"the upstream sent more than {MAX_UNPARSED_BYTES} bytes "
+                "without a byte of a body"
+            )
         if self._buffered_bytes > MAX_BUFFERED_BYTES and not self._is_paused:
             self._is_paused = True
             if self._transport is not None:
@@ -242,6 +250,17 @@
             )
         self._wake()
 
+    def _fail(self, reason: str) -> None:
+        """Close the connection; a response that isn't complete fails."""
+        if not self.is_complete and self._error is None:
+            self._error = BrokenConnectionError(reason)
+        self._abort()
+
+    def _abort(self) -> None:
+        self._is_reusable = False
+        if self._transport is not None:
+            self._transport.abort()
+
     def _has_length(self) -> bool:
         return any(
             name in (b"content-length", b"transfer-encoding")
@@ -283,6 +302,7 @@
         if not self.is_complete:
             self._chunks.append(body)
             self._buffered_bytes += len(body)
+            self._unparsed_bytes = 0
 
     def on_message_complete(self) -> None:
         """Handle the end of a response."""
--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -360,7 +360,14 @@
     def handle_usage(
         self, subscriber: Subscriber, usage: fleet_pb2.RouterUsage
     ) -> None:
-        """Record a router's usage report, if this controller leads."""
+        """Record a router's report; its usage only if this controller leads.
+
+        Upstreams that leave are made known to all routers.
+        """
+        for leaving in usage.leaving:
+            self._publish(
+                self.registry.record_leaving(leaving.id, leaving.started_ms)
+            )
         counters = RouterUsage(
             *subscriber.usage_decoder.decode(usage.accounts, usage.upstreams),
             decode_cached_parts(usage.read_parts),
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -81,6 +81,7 @@
         "_fetching",
         "_identity",
         "_leader",
+        "_leaving",
         "_lifetime_s",
         "_on_fleet_usage",
         "_on_routing",
@@ -111,6 +112,8 @@
         self._fetching = False
         self._identity = identity
         self._leader = ""
+        # Start times of upstreams that have told this router that they leave.
+        self._leaving: dict[str, int] = {}
         self._lifetime_s = lifetime_s
         self._on_routing = on_routing
         self._on_fleet_usage = on_fleet_usage
@@ -122,6 +125,23 @@
         self.version = 0
         self.versions: dict[str, int] = {}
 
+    def record_leaving(self, upstream: Upstream) -> list[Upstream]:
+        """Record that an upstream has said in a response that it leaves.
+
+        The controllers are informed with the next report.
+
+        Returns
+        -------
+        list of Upstream
+            The upstream in state DRAINING, if it was ready.
+        """
+        changed = self.registry.record_leaving(
+            upstream.id, upstream.started_ms
+        )
+        for leaving in changed:
+            self._leaving[leaving.id] = leaving.started_ms
+        return changed
+
     def knows_majority(self) -> bool:
         """Return whether a majority of controllers has sent its version."""
         return 2 * len(self.versions) > len(self._controllers) > 0
@@ -154,6 +174,9 @@
             upstream.state = UpstreamState.GONE
         if lost:
             self._on_upstreams(lost)
+        for id in list(self._leaving):
+            if self.registry.get(id) is None:
+                del self._leaving[id]
 
     def _is_needed(self, address: str) -> bool:
         return address in self._controllers or address in self.seeds
@@ -204,20 +227,28 @@
     async def _send_reports(self, call: Any, address: str) -> None:
         """Send this router's identity, then reports or heartbeats.
 
-        Only the leader gets reports.
+        Only the leader gets reports of usage.
         """
         await peers.wait_call(
             call.write(fleet_pb2.RouterUsage(identity=self._identity))
         )
         encoder = UsageEncoder()
         idle_s = 0.0
+        sent: dict[str, int] = {}
         async for _ in self._timers.subscribe(USAGE_INTERVAL_S):
             idle_s += USAGE_INTERVAL_S
             leads = self._controllers.get(address, "") == self._leader
-            if not leads and idle_s < HEARTBEAT_INTERVAL_S:
+            leaving = dict(self._leaving.items() - sent.items())
+            if not leads and not leaving and idle_s < HEARTBEAT_INTERVAL_S:
                 continue
             idle_s = 0.0
-            usage = fleet_pb2.RouterUsage()
+            sent = dict(self._leaving)
+            usage = fleet_pb2.RouterUsage(
+                leaving=[
+                    fleet_pb2.LeavingUpstream(id=id, started_ms=started_ms)
+                    for id, started_ms in leaving.items()
+                ]
+            )
             if leads:
                 counters = self._collect_usage()
                 accounts, upstreams = encoder.encode(
--- a/hornbeamyard/platform/headers.py
+++ b/hornbeamyard/platform/headers.py
@@ -18,6 +18,7 @@
     signature=b"x-response-seal",
     not_run=b"x-not-executed",
     copy_from=b"kv-fetch",
+    leaving=b"server-leaving",
     router_only=frozenset(
         (
             b"x-hold",
--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -103,6 +103,7 @@
     """Why a request was refused."""
 
     NO_UPSTREAM = "no upstream is ready"
+    PAUSED = "all upstreams have asked for a pause"
     NO_SHARE = "the account's share is used up"
     NO_ROOM = "the upstreams are full"
     TOO_LATE = "the answer would come too late"
@@ -340,7 +341,10 @@
     def apply_upstream(self, upstream: Upstream) -> None:
         """Apply a change of an upstream's state or address."""
         if upstream.state is UpstreamState.GONE:
-            self.servers.pop(upstream.id, None)
+            gone = self.servers.pop(upstream.id, None)
+            if gone is not None:
+                # For requests that are placed but not sent yet.
+                gone.upstream = upstream
             return
         known = self.servers.get(upstream.id)
         if known is None or known.upstream.started_ms != upstream.started_ms:
@@ -425,7 +429,7 @@
         """
         servers = self._list_usable(demand, now, excluded)
         if not servers:
-            return self._refuse(RefusalReason.NO_UPSTREAM, demand, now)
+            return self._refuse_without_upstream(demand, now, excluded)
         if not self._has_share(demand, now):
             return self._refuse(RefusalReason.NO_SHARE, demand, now)
         candidates = self._score_candidates(servers, demand, now)
@@ -455,17 +459,17 @@
     def _list_usable(
         self, demand: RequestDemand, now: float, excluded: frozenset[str]
     ) -> list[Server]:
-        ready = [
+        willing = [
             server
             for server in self.servers.values()
-            if server.upstream.state is UpstreamState.READY
+            if server.accepts_requests(now)
             and server.id not in excluded
             and _serves_model(server.upstream, demand)
         ]
-        usable = [server for server in ready if server.is_usable(now)]
+        usable = [server for server in willing if server.is_usable(now)]
         # When all are ejected, the one whose ejection ends first is better
         # than none.
-        return usable or sorted(ready, key=lambda s: s.ejected_until)[:1]
+        return usable or sorted(willing, key=lambda s: s.ejected_until)[:1]
 
     def _score_candidates(
         self, servers: list[Server], demand: RequestDemand, now: float
@@ -603,6 +607,11 @@
         )
         if give_up_at <= now:
             return decided
+        if (
+            decided.reason is RefusalReason.PAUSED
+            and now + decided.retry_after_s > give_up_at
+        ):
+            return decided
         waiting = WaitingRequest(demand, excluded, give_up_at)
         self._waiting.append(waiting)
         try:
@@ -635,6 +644,25 @@
             self._waiting.remove(waiting)
             waiting.done.set()
 
+    def _refuse_without_upstream(
+        self, demand: RequestDemand, now: float, excluded: frozenset[str]
+    ) -> Refusal:
+        """Return the refusal of a request that no upstream would take."""
+        paused_until = [
+            server.paused_until
+            for server in self.servers.values()
+            if server.upstream.state is UpstreamState.READY
+            and server.paused_until > now
+            and server.id not in excluded
+            and _serves_model(server.upstream, demand)
+        ]
+        if not paused_until:
+            return self._refuse(RefusalReason.NO_UPSTREAM, demand, now)
+        # Spread over a part of a second, so that callers don't all return
+        # at the end of the pause.
+        wait_s = min(paused_until) - now + MIN_RETRY_AFTER_S * self._draw()
+        return Refusal(RefusalReason.PAUSED, wait_s)
+
     def _refuse(
         self, reason: RefusalReason, demand: RequestDemand, now: float
     ) -> Refusal:
--- a/hornbeamyard/pool/engine.py
+++ b/hornbeamyard/pool/engine.py
@@ -52,6 +52,10 @@
 FAILURE_FRACTION = 0.3
 MIN_FAILURE_SAMPLES = 5.0
 FAILURE_DECAY = 0.9
+# Longest pause that an upstream may ask for. It is far above what an
+# overloaded server needs, and an odd value must not disable an upstream for
+# good.
+MAX_PAUSE_S = 300.0
 
 
 @dataclass(slots=True, eq=False)
@@ -71,7 +75,11 @@
     service_ms : float
         Mean time of a request.
     ejected_until : float
-        Monotonic time in seconds before which no requests are sent.
+        Monotonic time in seconds before which no requests are sent, unless
+        no other upstream is left.
+    paused_until : float
+        Monotonic time in seconds before which the upstream wants no requests
+        from this router.
     failures_in_row : int
     """
 
@@ -81,6 +89,7 @@
     others_load_at: float = 0.0
     service_ms: float = DEFAULT_SERVICE_MS
     ejected_until: float = 0.0
+    paused_until: float = 0.0
     failures_in_row: int = 0
     _recent_responses: float = 0.0
     _recent_failures: float = 0.0
@@ -92,8 +101,17 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether requests may be sent."""
+        return self.accepts_requests(now) and now >= self.ejected_until
+
+    def accepts_requests(self, now: float) -> bool:
+        """Return whether the upstream itself is willing to take requests."""
         ready = self.upstream.state is UpstreamState.READY
-        return ready and now >= self.ejected_until
+        return ready and now >= self.paused_until
+
+    def pause(self, duration_s: float, now: float) -> None:
+        """Send nothing for a time that the upstream has asked for."""
+        until = now + min(duration_s, MAX_PAUSE_S)
+        self.paused_until = max(self.paused_until, until)
 
     def record_success(self, elapsed_ms: float) -> None:
         """Record a response that is no failure, and its duration."""
--- a/hornbeamyard/pool/upstream_registry.py
+++ b/hornbeamyard/pool/upstream_registry.py
@@ -107,6 +107,16 @@
         known = self._upstreams.get(upstream.id)
         if known is not None and _is_older(upstream, known):
             return []
+        last = known or self._lost.get(upstream.id)
+        if (
+            last is not None
+            and last.state is UpstreamState.DRAINING
+            and last.started_ms == upstream.started_ms
+            and upstream.state is UpstreamState.READY
+        ):
+            # Draining ends with the process. The upstream may have said so
+            # in a response, to which its announcements are no reply.
+            upstream = replace(upstream, state=UpstreamState.DRAINING)
         if upstream.state is UpstreamState.GONE:
             return self.record_end(upstream.id, upstream.started_ms, now)
         ended = self._end_previous_at_address(upstream, now)
@@ -143,6 +153,31 @@
             return []
         return self.announce(known, now)
 
+    def record_leaving(self, id: str, started_ms: int) -> list[Upstream]:
+        """Record that an upstream has said in a response that it leaves.
+
+        Parameters
+        ----------
+        id : str
+        started_ms : int
+            Start time of the upstream that sent the response.
+
+        Returns
+        -------
+        list of Upstream
+            The upstream in state DRAINING, if it was ready.
+        """
+        known = self._upstreams.get(id)
+        if (
+            known is None
+            or known.started_ms != started_ms
+            or known.state is not UpstreamState.READY
+        ):
+            return []
+        draining = replace(known, state=UpstreamState.DRAINING)
+        self._upstreams[id] = draining
+        return [draining]
+
     def record_end(
         self, id: str, started_ms: int, now: float
     ) -> list[Upstream]:
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -259,6 +259,10 @@
             self._budgets[pool] = budget
         return budget
 
+    def record_leaving(self, upstream: Upstream) -> None:
+        """Send no more requests to an upstream that says that it leaves."""
+        self._handle_upstreams(self.subscription.record_leaving(upstream))
+
     async def _serve_request(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
--- a/hornbeamyard/process/explain.py
+++ b/hornbeamyard/process/explain.py
@@ -21,6 +21,7 @@
         "stopping",
         "upstream",
         "upstream_avoided",
+        "upstream_paused",
     )
 )
 # Keys that are printed separately from the other inputs.
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -17,6 +17,7 @@
 from ..pool.demand import RequestDemand
 from ..pool.engine import Server
 from ..pool.shares import Shares
+from ..pool.upstream_registry import Upstream
 from ..process.timers import Timers
 from ..version.routing import AccountKeys, Route, Routing
 from .budget import WindowRetryBudget
@@ -79,6 +80,9 @@
     def find_budget(self, pool: str) -> WindowRetryBudget:
         """Return the retry budget of a pool."""
 
+    def record_leaving(self, upstream: Upstream) -> None:
+        """Send no more requests to an upstream that says that it leaves."""
+
 
 class Forwarder:
     """An ASGI application that forwards requests to upstreams by route.
@@ -350,6 +354,7 @@
             request,
             started_at,
             self._reporter,
+            self._router.record_leaving,
         )
         relay = Relay(
             self._build_relay_request(request, placement, started_at),
@@ -358,7 +363,7 @@
             self._header_codec,
             request.progress,
             request.route.resumable,
-            meter.record_chunk,
+            meter,
         )
         try:
             result = await relay.run(send)
@@ -400,6 +405,8 @@
         if result.outcome is AttemptOutcome.COMPLETED:
             server.record_success((now - started_at) * 1000)
             return
+        if result.outcome is AttemptOutcome.WITHDRAWN:
+            return
         request.excluded = request.excluded | {server.id}
         is_ejected = False
         match result.outcome:
@@ -438,6 +445,8 @@
         remaining_ms = (request.deadline_at - self._timers.now()) * 1000
         if remaining_ms < MIN_RETRY_TIME_MS:
             return False
+        if result.outcome is AttemptOutcome.WITHDRAWN:
+            return True
         if request.progress.started and not request.route.resumable:
             return False
         if request.may_have_run and not request.route.is_repeatable():
--- a/hornbeamyard/request/headers.py
+++ b/hornbeamyard/request/headers.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+import re
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from ..pool.demand import PromptPart
 
@@ -15,6 +17,10 @@
 
 LAST_EVENT_ID = b"last-event-id"
 WRONG_UPSTREAM_STATUS = 421
+RETRY_AFTER = b"retry-after"
+# Seconds with an optional fraction. Dates are not used between router and
+# upstream.
+_SECONDS = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 
 
 @dataclass(slots=True, frozen=True)
@@ -92,12 +98,19 @@
         Whether the address now belongs to another upstream.
     signed : bool
         Whether the response carries the upstream's signature.
+    is_leaving : bool
+        Whether the upstream is shutting down.
+    retry_after_s : float
+        Seconds for which the upstream wants no requests from this router; 0
+        for none.
     """
 
     request_id: str
     not_run: bool
     wrong_upstream: bool
     signed: bool
+    is_leaving: bool = False
+    retry_after_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -129,6 +142,8 @@
         Present if the request has not run and will not run.
     copy_from : bytes
         Address of an engine that holds the KV cache of the prompt.
+    leaving : bytes
+        Set to 1 in the responses of an upstream that is shutting down.
     router_only : frozenset of bytes
         Further headers that are removed from a caller's request, because
         only the router may set them.
@@ -147,6 +162,7 @@
     signature: bytes
     not_run: bytes
     copy_from: bytes
+    leaving: bytes
     router_only: frozenset[bytes] = frozenset()
 
 
@@ -226,11 +242,18 @@
         """Return the metadata of an upstream's response."""
         names = self._names
         values = dict(headers)
+        retry_after_s = 0.0
+        if status == HTTPStatus.SERVICE_UNAVAILABLE:
+            retry_after_s = _parse_retry_after(
+                value for name, value in headers if name == RETRY_AFTER
+            )
         return ResponseMetadata(
             request_id=values.get(names.request_id, b"").decode("latin-1"),
             not_run=names.not_run in values,
             wrong_upstream=status == WRONG_UPSTREAM_STATUS,
             signed=names.signature in values,
+            is_leaving=values.get(names.leaving, b"").strip() == b"1",
+            retry_after_s=retry_after_s,
         )
 
     def write_response(self, request_id: str) -> list[tuple[bytes, bytes]]:
@@ -254,6 +277,7 @@
     signature=b"hornbeamyard-signature",
     not_run=b"hornbeamyard-not-run",
     copy_from=b"hornbeamyard-copy-from",
+    leaving=b"hornbeamyard-leaving",
 )
 
 
@@ -265,6 +289,15 @@
     return number if 0 < number < float("inf") else None
 
 
+def _parse_retry_after(values: Iterable[bytes]) -> float:
+    """Return the longest of the times in seconds, without malformed ones."""
+    stripped = [value.strip() for value in values]
+    return max(
+        (float(value) for value in stripped if _SECONDS.fullmatch(value)),
+        default=0.0,
+    )
+
+
 def _parse_numbers(value: bytes | None) -> list[int]:
     try:
         return [max(0, int(part)) for part in (value or b"").split(b",")]
--- a/hornbeamyard/request/meter.py
+++ b/hornbeamyard/request/meter.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ..pool.balancer import Balancer, Placement
 from ..pool.engine import Engine
+from ..pool.upstream_registry import Upstream
 from ..process.metrics import Latency
 from ..process.timers import Timers
+from .headers import ResponseMetadata
 from .reporting import RequestReporter
 from .routed_request import RoutedRequest
 
@@ -22,6 +26,8 @@
     started_at : float
         Monotonic time in seconds.
     reporter : RequestReporter
+    report_leaving : callable
+        Called with an upstream that says that it leaves.
     """
 
     __slots__ = (
@@ -29,6 +35,7 @@
         "_first_chunk_at",
         "_last_chunk_at",
         "_placement",
+        "_report_leaving",
         "_reporter",
         "_request",
         "_started_at",
@@ -43,7 +50,9 @@
         request: RoutedRequest,
         started_at: float,
         reporter: RequestReporter,
+        report_leaving: Callable[[Upstream], None],
     ) -> None:
+        self._report_leaving = report_leaving
         self._reporter = reporter
         self._request = request
         self._first_chunk_at = 0.0
@@ -53,6 +62,24 @@
         self._balancer = balancer
         self._timers = timers
 
+    def may_send(self) -> bool:
+        """Return whether the upstream still takes requests."""
+        return self._placement.server.accepts_requests(self._timers.now())
+
+    def record_head(self, metadata: ResponseMetadata) -> None:
+        """Record what the upstream says about itself."""
+        if metadata.wrong_upstream:
+            # The response is from another upstream at the same address.
+            return
+        server = self._placement.server
+        if metadata.is_leaving:
+            self._report_leaving(server.upstream)
+        if metadata.retry_after_s:
+            server.pause(metadata.retry_after_s, self._timers.now())
+            self._reporter.report_paused(
+                self._request, server, metadata.retry_after_s
+            )
+
     def record_chunk(self) -> None:
         """Record the arrival of a chunk of the response."""
         now = self._timers.now()
--- a/hornbeamyard/request/relay.py
+++ b/hornbeamyard/request/relay.py
@@ -5,11 +5,12 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Protocol
 
-from ..connection.client import Response
+from ..connection.client import BrokenConnectionError, Response
 from ..connection.upstreams import CONNECTION_ERRORS, UpstreamConnections
 from .exchange import HOP_BY_HOP_HEADERS
-from .headers import HeaderCodec, Headers
+from .headers import HeaderCodec, Headers, ResponseMetadata
 from .problem import send_response
 
 # Responses up to this size are buffered until they are complete, so that the
@@ -31,6 +32,8 @@
     COMPLETED = "done"
     # No byte has reached the upstream.
     NOT_SENT = "not sent"
+    # The upstream stopped taking requests before a byte was sent.
+    WITHDRAWN = "withdrawn"
     # The upstream reported that the request has not run and will not run.
     NOT_RUN = "not run"
     # A complete response whose status is not 2xx.
@@ -111,6 +114,22 @@
     request_id: str
 
 
+class RelayObserver(Protocol):
+    """What an attempt tells and asks while it runs."""
+
+    def may_send(self) -> bool:
+        """Return whether the upstream still takes requests.
+
+        Asked when the connection is open, just before the request is sent.
+        """
+
+    def record_head(self, metadata: ResponseMetadata) -> None:
+        """Handle the header of any response, also one that is discarded."""
+
+    def record_chunk(self) -> None:
+        """Handle a chunk of the body of a successful response."""
+
+
 class Relay:
     """Sends a request to an upstream and forwards the response.
 
@@ -125,8 +144,7 @@
     resumable : bool
         Whether another upstream may continue a stream, so that only complete
         events are forwarded.
-    on_chunk : callable
-        Called for each chunk of the body of a successful response.
+    observer : RelayObserver
 
     Attributes
     ----------
@@ -137,7 +155,7 @@
     __slots__ = (
         "_address",
         "_header_codec",
-        "_on_chunk",
+        "_observer",
         "_progress",
         "_request",
         "_resumable",
@@ -153,11 +171,11 @@
         header_codec: HeaderCodec,
         progress: Progress,
         resumable: bool,
-        on_chunk: Callable[[], None],
+        observer: RelayObserver,
     ) -> None:
         self._address = f"http://{address}"
         self._header_codec = header_codec
-        self._on_chunk = on_chunk
+        self._observer = observer
         self._progress = progress
         self._request = request
         self._resumable = resumable
@@ -170,6 +188,11 @@
             connection = await self._upstreams.connect(self._address)
         except CONNECTION_ERRORS as error:
             return AttemptResult(AttemptOutcome.NOT_SENT, _describe(error))
+        if not self._observer.may_send():
+            await self._upstreams.release(self._address, connection, True)
+            return AttemptResult(
+                AttemptOutcome.WITHDRAWN, "the upstream takes no requests now"
+            )
         is_complete = False
         try:
             # From here on, bytes may have reached the upstream.
@@ -206,6 +229,7 @@
     ) -> AttemptResult:
         headers = response.headers
         metadata = self._header_codec.read_response(response.status, headers)
+        self._observer.record_head(metadata)
         if (
             metadata.request_id
             and metadata.request_id != self._request.request_id
@@ -238,9 +262,20 @@
     async def _read_response(
         self, response: Response, headers: Headers
     ) -> BufferedResponse:
-        body = b"".join([chunk async for chunk in response.iter_chunks()])
+        chunks: list[bytes] = []
+        size = 0
+        async for chunk in response.iter_chunks():
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > MAX_BUFFERED_RESPONSE_BYTES:
+                raise BrokenConnectionError(
+                    f"the body of a response with status {response.status} "
+                    f"exceeds {MAX_BUFFERED_RESPONSE_BYTES} bytes"
+                )
         return BufferedResponse(
-            response.status, remove_connection_headers(headers), body
+            response.status,
+            remove_connection_headers(headers),
+            b"".join(chunks),
         )
 
     async def _forward(
@@ -272,7 +307,7 @@
         buffered: list[bytes] = []
         size = 0
         async for chunk in response.iter_chunks():
-            self._on_chunk()
+            self._observer.record_chunk()
             if self._progress.started:
                 await _send_body(send, chunk)
                 continue
@@ -300,7 +335,7 @@
         progress = self._progress
         progress.partial_event.clear()
         async for chunk in response.iter_chunks():
-            self._on_chunk()
+            self._observer.record_chunk()
             if self._resumable:
                 chunk = progress.feed(chunk)
             if not chunk:
--- a/hornbeamyard/request/reporting.py
+++ b/hornbeamyard/request/reporting.py
@@ -156,6 +156,18 @@
             in_row=server.failures_in_row,
         )
 
+    def report_paused(
+        self, request: RoutedRequest, server: Server, pause_s: float
+    ) -> None:
+        """Report an upstream that wants no requests for some time."""
+        self.log_decision(
+            request.metadata,
+            "upstream_paused",
+            upstream=server.id,
+            asked_s=round(pause_s, 2),
+            for_s=round(server.paused_until - self._timers.now(), 2),
+        )
+
     def report_answered(
         self, request: RoutedRequest, placement: Placement
     ) -> None:
--- a/hornbeamyard/tests/raw_upstream.py
+++ b/hornbeamyard/tests/raw_upstream.py
@@ -141,7 +141,11 @@
 
 
 def send_events(
-    first: int, last: int, complete: bool = True, partial_event: bytes = b""
+    first: int,
+    last: int,
+    complete: bool = True,
+    partial_event: bytes = b"",
+    headers: tuple[str, ...] = (),
 ) -> Script:
     """Return a script that sends events with increasing ids.
 
@@ -153,6 +157,8 @@
         Whether the stream ends normally; otherwise the connection closes.
     partial_event : bytes
         Beginning of a further event that is never completed.
+    headers : tuple of str
+        Further header lines.
     """
 
     async def send(
@@ -162,9 +168,10 @@
         head = (
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
             f"hornbeamyard-request: {id}\r\nhornbeamyard-signature: s1\r\n"
-            "transfer-encoding: chunked\r\n\r\n"
+            "transfer-encoding: chunked\r\n"
         )
-        await stream.send(head.encode())
+        fields = "".join(f"{line}\r\n" for line in headers)
+        await stream.send(f"{head}{fields}\r\n".encode())
         for number in range(first, last + 1):
             await _send_chunk(stream, f"id: {number}\ndata: {number}\n\n")
         if partial_event:
@@ -194,3 +201,26 @@
 ) -> None:
     """Send nothing until the client disconnects."""
     await stream.receive()
+
+
+def send_endlessly(start: bytes, repeated: bytes) -> Script:
+    """Return a script that sends bytes until the client closes.
+
+    Parameters
+    ----------
+    start : bytes
+        Sent once. `{id}` in it stands for the id of the request.
+    repeated : bytes
+        Sent again and again.
+    """
+
+    async def send(
+        stream: anyio.abc.SocketStream, received: ReceivedRequest
+    ) -> None:
+        id = received.get_header("hornbeamyard-request") or ""
+        await stream.send(start.replace(b"{id}", id.encode()))
+        block = repeated * (1 + 16 * 1024 // len(repeated))
+        while True:
+            await stream.send(block)
+
+    return send
--- a/hornbeamyard/tests/test_directory.py
+++ b/hornbeamyard/tests/test_directory.py
@@ -340,3 +340,39 @@
             directory.handle_usage(subscriber, usage)
         fleet_usage = directory._usage.compute_fleet_usage(timers.now())
         assert fleet_usage.accounts["a"].asked == 300
+
+    def test_leaving_upstream_reaches_all_routers(self) -> None:
+        """Guards against routers that learn of it only from a response.
+
+        Any controller passes it on, so that it is known without a leader.
+        """
+        timers = VirtualTimers(start=100.0)
+        directory = Directory(
+            FakeReplica(),  # type: ignore[arg-type]
+            None,  # type: ignore[arg-type]
+            None,  # type: ignore[arg-type]
+            timers,
+            5.0,
+            2.0,
+        )
+        directory.announce(
+            Upstream(
+                "u1",
+                "app",
+                "10.0.0.1:80",
+                "zone-a",
+                UpstreamState.READY,
+                4,
+                sequence=1,
+                started_ms=7,
+            )
+        )
+        first, second = (directory.attach(name) for name in ("r1/1", "r2/1"))
+        for started_ms, expected in (
+            (6, fleet_pb2.UpstreamRecord.READY),
+            (7, fleet_pb2.UpstreamRecord.DRAINING),
+        ):
+            usage = fleet_pb2.RouterUsage()
+            usage.leaving.add(id="u1", started_ms=started_ms)
+            directory.handle_usage(first, usage)
+            assert second.pending_records["u1"].state == expected
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -7,7 +7,7 @@
 import random
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import anyio
@@ -132,6 +132,11 @@
         """Return the retry budget of the only pool."""
         return self.budget
 
+    def record_leaving(self, upstream: Upstream) -> None:
+        """Take the upstream out of service, as a router does."""
+        draining = replace(upstream, state=UpstreamState.DRAINING)
+        self.balancer.apply_upstream(draining)
+
     async def send_request(
         self,
         path: str = "/read/1",
