Bound engine queues by the shortest target; tell callers' retries apart

Cause: engines serve prompts in order of arrival. Requests with a target of 1.2 s, and everything taken for a caller's retry (1.5 times its target), kept the queues longer than a target of 0.5 s can bear. And four in five first attempts were taken for retries, because callers' deadlines differ by up to 15% and a deadline below 97% of the longest counted as a retry. These requests weren't counted in their account's demand either, so shares hardly limited anybody.

Change: a request with a longer target than the shortest one that makes up a tenth of the tokens, and a caller's retry, may find at most half of the shortest target of work ahead. A retry is one with less than three quarters of the longest deadline. 'answered' lines carry the first event's forecast and real time, 'placed' lines the caller's deadline.

--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -27,6 +27,7 @@
     estimate,
 )
 from .shares import Shares
+from .targets import TargetMix
 from .upstream_registry import Upstream, UpstreamState
 from .usage import CachedPart, UpstreamLoad
 
@@ -44,6 +45,11 @@
 # caller retries after a refusal. Such a request has usually missed its target
 # already, but a late response is better than another refusal.
 CALLER_RETRY_WAIT_FRACTION = 1.5
+# Fraction of the shortest target in the pool's mix that the work ahead of a
+# request with a longer target, or of a caller's retry, may take. Engines
+# serve prompts in order of arrival, so these would otherwise fill the queues
+# beyond what requests with the shortest target can bear.
+SHARED_QUEUE_FRACTION = 0.5
 # Weight of the time to prefill a shared part again, relative to waiting. It
 # uses up capacity of the pool, while waiting within the target costs the
 # caller nothing, so a request leaves its preferred engine only if it would
@@ -250,6 +256,7 @@
         "_shares",
         "_slots",
         "_target_inter_token_ms",
+        "_targets",
         "_waiting",
         "_zone",
         "assumed_routers",
@@ -271,6 +278,7 @@
         self._limit = limit
         self._kv_capacity_tokens = 0
         self._target_inter_token_ms = 0.0
+        self._targets = TargetMix()
         self._pool = pool
         self._prefill_ms_per_token = 0.0
         self._shares = shares
@@ -571,6 +579,9 @@
                 - waited_ms,
                 target_ms * MIN_PREFILL_WAIT_FRACTION,
             )
+        shortest_ms = self._targets.find_shortest() * 1000
+        if demand.is_caller_retry or shortest_ms < target_ms:
+            allowed_ms = min(allowed_ms, shortest_ms * SHARED_QUEUE_FRACTION)
         if estimated.wait_ms > allowed_ms:
             return False
         finish_ms = estimated.wait_ms + estimated.prefill_ms
@@ -593,6 +604,8 @@
         excluded : frozenset of str
             Ids of upstreams that have failed the request.
         """
+        if self._kv_capacity_tokens:
+            self._targets.record(demand.target_s, demand.own_tokens, now)
         decided = self.place(demand, now, excluded)
         if isinstance(decided, Placement):
             self.start(decided, demand, now)
--- a/hornbeamyard/request/meter.py
+++ b/hornbeamyard/request/meter.py
@@ -95,6 +95,7 @@
 
     def _record_first_chunk(self, now: float) -> None:
         self._first_chunk_at = now
+        self._request.first_event_ms = (now - self._started_at) * 1000
         self._reporter.record_latency(self._request, Latency.FIRST_BYTE, now)
         server = self._placement.server
         if not isinstance(server, Engine):
--- a/hornbeamyard/request/reporting.py
+++ b/hornbeamyard/request/reporting.py
@@ -100,6 +100,7 @@
             else None,
             size=request.demand.size,
             returned=request.demand.is_caller_retry,
+            deadline_ms=request.metadata.deadline_ms,
             waited_ms=self._elapsed_ms(request),
             version=version,
             tries=request.attempts,
@@ -181,6 +182,10 @@
             account=request.account,
             upstream=placement.server.id,
             tries=request.attempts,
+            first_ms=round(request.first_event_ms),
+            forecast_ms=round(
+                placement.estimate.wait_ms + placement.estimate.prefill_ms
+            ),
             after_ms=self._elapsed_ms(request),
         )
 
--- a/hornbeamyard/request/routed_request.py
+++ b/hornbeamyard/request/routed_request.py
@@ -60,6 +60,9 @@
         The latest error response of an upstream.
     excluded : frozenset of str
         Ids of upstreams at which an attempt has failed.
+    first_event_ms : float
+        Time from the last attempt's start to the first chunk of its response;
+        0 before.
     is_complete : bool
         Whether the end of the response was sent.
     """
@@ -80,4 +83,5 @@
     may_have_run: bool = False
     last_failure: BufferedResponse | None = None
     excluded: frozenset[str] = frozenset()
+    first_event_ms: float = 0.0
     is_complete: bool = False
--- a/hornbeamyard/tests/test_balancer.py
+++ b/hornbeamyard/tests/test_balancer.py
@@ -19,6 +19,7 @@
 from hornbeamyard.pool.demand import PromptPart, RequestDemand
 from hornbeamyard.pool.engine import Engine
 from hornbeamyard.pool.shares import Shares
+from hornbeamyard.pool.targets import TargetMix
 from hornbeamyard.pool.upstream_registry import Upstream, UpstreamState
 from hornbeamyard.pool.usage import AccountUsage, CachedPart, UpstreamLoad
 from hornbeamyard.process.timers import VirtualTimers
@@ -425,6 +426,68 @@
         assert in_time >= 0.95 * len(waits)
 
 
+class TestTargets:
+    """Requests with long targets come beside those with short ones."""
+
+    @pytest.mark.parametrize("is_retry", [False, True])
+    def test_long_targets_leave_room_in_the_queues(
+        self, is_retry: bool
+    ) -> None:
+        """Guards against queues that only requests with long targets bear.
+
+        Engines serve prompts in order of arrival. Requests with a target of
+        1.5 s kept the queues at a second, so those with a target of 0.5 s
+        were refused or late for as long as the overload lasted.
+        """
+
+        async def test() -> None:
+            balancer = build_balancer(engines=1)
+            admitted: Counter[float] = Counter()
+            for step in range(400):
+                now = step * 0.02
+                for target_s in (0.5, 1.5):
+                    demand = build_demand(
+                        own=1500,
+                        now=now,
+                        target_s=target_s,
+                        is_caller_retry=is_retry and target_s == 1.5,
+                    )
+                    # Too late to wait at the router.
+                    decided = await balancer.admit(
+                        demand, now + target_s / 4, frozenset()
+                    )
+                    if isinstance(decided, Placement):
+                        admitted[target_s] += 1
+                        assert decided.estimate.wait_ms < 500
+                # The engine prefills 1,000 tokens in 20 ms.
+                server = balancer.servers["e0"]
+                server.own_load.running = 0
+                server.own_load.kv_tokens = 0
+                tokens = max(0, server.own_load.prefill_tokens - 1000)
+                server.own_load.prefill_tokens = tokens
+            assert admitted[0.5] >= 0.25 * admitted.total()
+            # The engine stays busy: 400 steps of 1,000 tokens.
+            assert admitted.total() * 1500 >= 0.95 * 400 * 1000
+
+        anyio.run(test)
+
+    def test_rare_short_target_is_passed_over(self) -> None:
+        """Guards against idle engines because of a single odd route."""
+        mix = TargetMix()
+        for number in range(100):
+            mix.record(1.0, 1000, number * 0.01)
+        mix.record(0.01, 1000, 1.0)
+        assert mix.find_shortest() == 1.0
+
+    def test_mix_follows_the_requests(self) -> None:
+        """Guards against a limit from requests that no longer come."""
+        mix = TargetMix()
+        mix.record(0.2, 5000, 0.0)
+        assert mix.find_shortest() == 0.2
+        mix.record(1.0, 5000, 30.0)
+        assert mix.find_shortest() == 1.0
+
+
 class TestCopies:
     """Shared parts are copied from an engine that caches them."""
 
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -501,6 +501,37 @@
         run(test, [send_events(1, 3, complete=False)], [send_events(1, 6)])
 
 
+class TestCallerRetries:
+    """A caller's retry is told apart by the time that it has left."""
+
+    @pytest.mark.parametrize(
+        ("deadline_ms", "is_retry"),
+        [(10000, False), (9000, False), (8500, False), (6000, True)],
+    )
+    def test_first_attempts_with_different_deadlines(
+        self, deadline_ms: int, is_retry: bool
+    ) -> None:
+        """Guards against first attempts that are taken for retries.
+
+        Callers' deadlines differ by some tenths. Four in five first attempts
+        were taken for retries, so that they were sent to queues longer than
+        their target and weren't counted in the demand of their account.
+        """
+
+        async def test(harness: Harness) -> None:
+            for deadline in (10000, deadline_ms):
+                name = NATIVE_HEADER_NAMES.deadline_ms
+                await harness.send_request(
+                    headers=((name, str(deadline).encode()),)
+                )
+            placed = [
+                line for line in harness.log.lines if line["event"] == "placed"
+            ]
+            assert [line["returned"] for line in placed] == [False, is_retry]
+
+        run(test, [send_response()])
+
+
 class TestLog:
     """Each decision on a request is logged with its inputs."""
 
