--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import heapq
 import zlib
 from collections.abc import Callable, Iterable
 from contextlib import AbstractContextManager
@@ -100,6 +101,15 @@
 ASSUMED_ROUTERS = 3
 # Waiting requests per pool; each holds its body in memory.
 MAX_WAITING = 400
+# Waiting requests that are tried in a row without finding room, before the
+# others are left until the next change. All of them need the same engines.
+MAX_FAILED_PLACEMENTS = 8
+# Engines with the least load that are estimated exactly for a request, beside
+# those that cache or are preferred for its shared parts. An estimate costs
+# much more than a look at the load, and pools have dozens of engines.
+MAX_LEAST_LOADED = 6
+# Shared parts whose order of preferred engines is kept.
+MAX_CACHED_ORDERS = 1024
 # Fraction of the deadline within which a stream should end; the rest allows
 # for errors of the estimates.
 DEADLINE_FRACTION = 0.9
@@ -131,7 +141,22 @@
     retry_after_s: float
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
+class Shortfall:
+    """Why a request can't be sent now.
+
+    Attributes
+    ----------
+    reason : RefusalReason
+    is_hopeless : bool
+        Whether it can't be sent either before it gives up waiting.
+    """
+
+    reason: RefusalReason
+    is_hopeless: bool = False
+
+
+@dataclass(slots=True)
 class Placement:
     """Where a request is sent.
 
@@ -251,6 +276,8 @@
         "_draw",
         "_kv_capacity_tokens",
         "_limit",
+        "_orders",
+        "_orders_for",
         "_pool",
         "_prefill_ms_per_token",
         "_shares",
@@ -279,6 +306,9 @@
         self._kv_capacity_tokens = 0
         self._target_inter_token_ms = 0.0
         self._targets = TargetMix()
+        # Orders of preferred engines by shared part, for these usable engines.
+        self._orders: dict[str, list[str]] = {}
+        self._orders_for: list[Server] = []
         self._pool = pool
         self._prefill_ms_per_token = 0.0
         self._shares = shares
@@ -435,27 +465,49 @@
         excluded : frozenset of str
             Ids of upstreams that have failed the request.
         """
+        found = self._find(demand, now, excluded)
+        if isinstance(found, Placement):
+            return found
+        return self._refuse(found.reason, demand, now, excluded)
+
+    def _find(
+        self, demand: RequestDemand, now: float, excluded: frozenset[str]
+    ) -> Placement | Shortfall:
+        """Choose the upstream of a request, or say why there is none."""
         servers = self._list_usable(demand, now, excluded)
         if not servers:
-            return self._refuse_without_upstream(demand, now, excluded)
+            return self._explain_no_upstream(demand, now, excluded)
+        give_up_at = _compute_give_up_time(demand)
         if not self._has_share(demand, now):
-            return self._refuse(RefusalReason.NO_SHARE, demand, now)
-        candidates = self._score_candidates(servers, demand, now)
-        with_room = [
-            candidate
-            for candidate in candidates
-            if candidate[1].estimate.has_room
-        ]
-        if not with_room:
-            return self._refuse(RefusalReason.NO_ROOM, demand, now)
-        in_time = [
-            candidate
-            for candidate in with_room
-            if self._is_in_time(candidate[1], demand, now)
-        ]
-        if not in_time:
-            return self._refuse(RefusalReason.TOO_LATE, demand, now)
-        return min(in_time, key=lambda candidate: candidate[0])[1]
+            could = self._shares.could_admit_by(
+                demand.account, demand.is_caller_retry, now, give_up_at
+            )
+            return Shortfall(RefusalReason.NO_SHARE, not could)
+        best: tuple[float, Placement] | None = None
+        has_room = False
+        least_excess_ms = float("inf")
+        shortest_ms = self._targets.find_shortest() * 1000
+        selected = self._preselect(servers, demand, now)
+        for candidate in self._score_candidates(
+            selected, servers, demand, now
+        ):
+            placement = candidate[1]
+            if not placement.estimate.has_room:
+                continue
+            has_room = True
+            excess_ms = self._compute_excess_wait(
+                placement, demand, now, shortest_ms
+            )
+            if excess_ms > 0:
+                least_excess_ms = min(least_excess_ms, excess_ms)
+            elif best is None or candidate[0] < best[0]:
+                best = candidate
+        if best is not None:
+            return best[1]
+        if not has_room:
+            return Shortfall(RefusalReason.NO_ROOM)
+        is_hopeless = least_excess_ms > (give_up_at - now) * 1000
+        return Shortfall(RefusalReason.TOO_LATE, is_hopeless)
 
     def _has_share(self, demand: RequestDemand, now: float) -> bool:
         if not self._kv_capacity_tokens or demand.is_charged:
@@ -474,23 +526,59 @@
             and server.id not in excluded
             and _serves_model(server.upstream, demand)
         ]
-        usable = [server for server in willing if server.is_usable(now)]
+        usable = [server for server in willing if now >= server.ejected_until]
         # When all are ejected, the one whose ejection ends first is better
         # than none.
         return usable or sorted(willing, key=lambda s: s.ejected_until)[:1]
 
-    def _score_candidates(
+    def _preselect(
         self, servers: list[Server], demand: RequestDemand, now: float
+    ) -> list[Server]:
+        """Return the upstreams that may be the best for a request."""
+        if not self._kv_capacity_tokens or len(servers) <= MAX_LEAST_LOADED:
+            return servers
+        needed = count_kv_tokens(demand)
+        order = self._rank(demand.affinity, servers)
+        selected = []
+        loads: list[tuple[float, int, Engine]] = []
+        for server in servers:
+            if not isinstance(server, Engine) or not server.has_room(needed):
+                continue
+            if (
+                server.id in order
+                or server.get_part_used_at(demand.affinity) >= 0
+            ):
+                selected.append(server)
+                continue
+            cost = server.count_prefill_tokens(now)
+            cost *= server.prefill_ms_per_token
+            cost += _compute_batch_cost(server)
+            if server.upstream.availability_zone != self._zone:
+                cost += ZONE_COST_MS
+            loads.append((cost + self._draw(), len(loads), server))
+        least_loaded = heapq.nsmallest(MAX_LEAST_LOADED, loads)
+        return [*selected, *(load[2] for load in least_loaded)]
+
+    def _score_candidates(
+        self,
+        selected: list[Server],
+        servers: list[Server],
+        demand: RequestDemand,
+        now: float,
     ) -> list[tuple[float, Placement]]:
-        """Return a placement on each upstream, with its cost in ms."""
+        """Return a placement on each selected upstream, with its cost in ms.
+
+        The order of preferred engines and the source of copies are found
+        among all usable `servers`.
+        """
         ranks: dict[str, int] = {}
         shared = demand.prompt_tokens - demand.own_tokens
         if shared >= MIN_AFFINITY_TOKENS:
-            order = self._rank(demand.affinity, servers)[:MAX_RANKED_ENGINES]
+            order = self._rank(demand.affinity, servers)
             ranks = {id: rank for rank, id in enumerate(order)}
         source, copy_source = self._find_copy_source(servers, demand, now)
         candidates = []
-        for server in servers:
+        for server in selected:
             rank = ranks.get(server.id, MAX_RANKED_ENGINES if ranks else -1)
             estimated = estimate(server, demand, now, rank == 0, copy_source)
             cost = estimated.wait_ms + estimated.prefill_ms
@@ -508,8 +596,7 @@
                 )
                 if source is not None and _should_copy(source, server, demand):
                     copy_from = source.upstream.address
-                running = server.own_load.running + server.others_load.running
-                cost += FULL_BATCH_COST_MS * running / max(1, server.slots)
+                cost += _compute_batch_cost(server)
             if rank > 0:
                 cost += RANK_COST_MS * rank
             if server.upstream.availability_zone != self._zone:
@@ -528,15 +615,26 @@
         come first: copying a part once costs less than sending all its
         requests to another zone.
         """
-        if not self._copy_ms_per_token:
-            return rank_engines(affinity, servers)
-        near = [
-            server
-            for server in servers
-            if server.upstream.availability_zone == self._zone
-        ]
-        far = [server for server in servers if server not in near]
-        return rank_engines(affinity, near) + rank_engines(affinity, far)
+        if (
+            servers != self._orders_for
+            or len(self._orders) > MAX_CACHED_ORDERS
+        ):
+            self._orders = {}
+            self._orders_for = servers
+        order = self._orders.get(affinity)
+        if order is not None:
+            return order
+        near: list[Server] = []
+        far: list[Server] = []
+        for server in servers:
+            is_near = (
+                not self._copy_ms_per_token
+                or server.upstream.availability_zone == self._zone
+            )
+            (near if is_near else far).append(server)
+        order = rank_engines(affinity, near) + rank_engines(affinity, far)
+        self._orders[affinity] = order[:MAX_RANKED_ENGINES]
+        return self._orders[affinity]
 
     def _find_copy_source(
         self, servers: list[Server], demand: RequestDemand, now: float
@@ -544,27 +642,46 @@
         """Return the engine that caches most of a prompt's shared parts."""
         if not self._copy_ms_per_token or not demand.affinity:
             return None, NO_COPY_SOURCE
-        cached = [
-            (
-                engine.count_cached(demand, now),
-                engine.get_part_used_at(demand.affinity),
-                engine.upstream.availability_zone == self._zone,
-                engine.id,
-                engine,
-            )
-            for engine in servers
-            if isinstance(engine, Engine)
-        ]
+        cached = []
+        for engine in servers:
+            if not isinstance(engine, Engine):
+                continue
+            used_at = engine.get_part_used_at(demand.affinity)
+            if used_at < 0:
+                continue
+            tokens = engine.count_cached(demand, now)
+            if tokens < MIN_AFFINITY_TOKENS:
+                continue
+            is_near = engine.upstream.availability_zone == self._zone
+            cached.append((tokens, used_at, is_near, engine.id, engine))
         if not cached:
             return None, NO_COPY_SOURCE
         tokens, _, _, _, source = max(cached, key=lambda entry: entry[:4])
-        if tokens < MIN_AFFINITY_TOKENS:
-            return None, NO_COPY_SOURCE
         return source, CopySource(tokens, self._copy_ms_per_token)
 
-    def _is_in_time(
-        self, placement: Placement, demand: RequestDemand, now: float
-    ) -> bool:
+    def _compute_excess_wait(
+        self,
+        placement: Placement,
+        demand: RequestDemand,
+        now: float,
+        shortest_ms: float,
+    ) -> float:
+        """Return by how many ms an upstream's work ahead is too long.
+
+        Parameters
+        ----------
+        placement : Placement
+        demand : RequestDemand
+        now : float
+            Monotonic time in seconds.
+        shortest_ms : float
+            Shortest target in the pool's mix.
+
+        Returns
+        -------
+        float
+            0 or less if the request would be in time.
+        """
         estimated = placement.estimate
         server = placement.server
         waited_ms = (now - demand.arrived_at) * 1000
@@ -579,15 +696,15 @@
                 - waited_ms,
                 target_ms * MIN_PREFILL_WAIT_FRACTION,
             )
-        shortest_ms = self._targets.find_shortest() * 1000
         if demand.is_caller_retry or shortest_ms < target_ms:
             allowed_ms = min(allowed_ms, shortest_ms * SHARED_QUEUE_FRACTION)
-        if estimated.wait_ms > allowed_ms:
-            return False
         finish_ms = estimated.wait_ms + estimated.prefill_ms
         if isinstance(server, Engine):
             finish_ms += demand.output_tokens * server.decode_ms_per_token
-        return finish_ms <= remaining_ms * DEADLINE_FRACTION
+        return max(
+            estimated.wait_ms - allowed_ms,
+            finish_ms - remaining_ms * DEADLINE_FRACTION,
+        )
 
     async def admit(
         self, demand: RequestDemand, now: float, excluded: frozenset[str]
@@ -606,25 +723,17 @@
         """
         if self._kv_capacity_tokens:
             self._targets.record(demand.target_s, demand.own_tokens, now)
-        decided = self.place(demand, now, excluded)
-        if isinstance(decided, Placement):
-            self.start(decided, demand, now)
-            return decided
+        found = self._find(demand, now, excluded)
+        if isinstance(found, Placement):
+            self.start(found, demand, now)
+            return found
+        give_up_at = _compute_give_up_time(demand)
+        if found.is_hopeless or give_up_at <= now:
+            return self._refuse(found.reason, demand, now, excluded)
         if len(self._waiting) >= MAX_WAITING:
-            return self._refuse(RefusalReason.QUEUE_FULL, demand, now)
-        if decided.reason is RefusalReason.NO_UPSTREAM and not self.servers:
-            return decided
-        give_up_at = min(
-            demand.arrived_at + demand.target_s * QUEUE_WAIT_FRACTION,
-            demand.deadline_at,
-        )
-        if give_up_at <= now:
-            return decided
-        if (
-            decided.reason is RefusalReason.PAUSED
-            and now + decided.retry_after_s > give_up_at
-        ):
-            return decided
+            return self._refuse(
+                RefusalReason.QUEUE_FULL, demand, now, excluded
+            )
         waiting = WaitingRequest(demand, excluded, give_up_at)
         self._waiting.append(waiting)
         try:
@@ -640,27 +749,46 @@
             if waiting in self._waiting:
                 self._waiting.remove(waiting)
         return waiting.result or self._refuse(
-            decided.reason, demand, give_up_at
+            found.reason, demand, give_up_at, excluded
         )
 
     def start_waiting(self, now: float) -> None:
         """Place the waiting requests that fit now, the most urgent first."""
+        if not self._waiting:
+            return
+        failed = 0
         for waiting in sorted(
             self._waiting, key=lambda w: _compute_urgency(w.demand)
         ):
-            decided = self.place(waiting.demand, now, waiting.excluded)
-            if isinstance(decided, Refusal):
+            found = self._find(waiting.demand, now, waiting.excluded)
+            if isinstance(found, Shortfall):
+                # Requests without share say nothing about the engines.
+                failed += found.reason is not RefusalReason.NO_SHARE
+                if failed >= MAX_FAILED_PLACEMENTS:
+                    return
                 continue
             # Counted at once, so that the next placement sees the load.
-            self.start(decided, waiting.demand, now)
-            waiting.result = decided
+            self.start(found, waiting.demand, now)
+            waiting.result = found
             self._waiting.remove(waiting)
             waiting.done.set()
 
-    def _refuse_without_upstream(
+    def _explain_no_upstream(
         self, demand: RequestDemand, now: float, excluded: frozenset[str]
-    ) -> Refusal:
-        """Return the refusal of a request that no upstream would take."""
+    ) -> Shortfall:
+        """Return why no upstream takes a request."""
+        if not self.servers:
+            return Shortfall(RefusalReason.NO_UPSTREAM, True)
+        resumes_at = self._find_end_of_pause(demand, now, excluded)
+        if resumes_at is None:
+            return Shortfall(RefusalReason.NO_UPSTREAM)
+        is_hopeless = resumes_at > _compute_give_up_time(demand)
+        return Shortfall(RefusalReason.PAUSED, is_hopeless)
+
+    def _find_end_of_pause(
+        self, demand: RequestDemand, now: float, excluded: frozenset[str]
+    ) -> float | None:
+        """Return when the first paused upstream takes requests again."""
         paused_until = [
             server.paused_until
             for server in self.servers.values()
@@ -669,16 +797,23 @@
             and server.id not in excluded
             and _serves_model(server.upstream, demand)
         ]
-        if not paused_until:
-            return self._refuse(RefusalReason.NO_UPSTREAM, demand, now)
-        # Spread over a part of a second, so that callers don't all return
-        # at the end of the pause.
-        wait_s = min(paused_until) - now + MIN_RETRY_AFTER_S * self._draw()
-        return Refusal(RefusalReason.PAUSED, wait_s)
+        return min(paused_until, default=None)
 
     def _refuse(
-        self, reason: RefusalReason, demand: RequestDemand, now: float
+        self,
+        reason: RefusalReason,
+        demand: RequestDemand,
+        now: float,
+        excluded: frozenset[str],
     ) -> Refusal:
+        resumes_at = None
+        if reason is RefusalReason.PAUSED:
+            resumes_at = self._find_end_of_pause(demand, now, excluded)
+        if resumes_at is not None:
+            # Spread over a part of a second, so that callers don't all
+            # return at the end of the pause.
+            wait_s = resumes_at - now + MIN_RETRY_AFTER_S * self._draw()
+            return Refusal(reason, wait_s)
         wait_s = self._shares.compute_wait(demand.account, now)
         waits = self._list_waits_ms(now)
         if waits:
@@ -722,6 +857,20 @@
         placement.server.own_load.kv_tokens -= count_kv_tokens(demand)
 
 
+def _compute_batch_cost(engine: Engine) -> float:
+    """Return the cost of an engine's other requests to one more, in ms."""
+    running = engine.own_load.running + engine.others_load.running
+    return FULL_BATCH_COST_MS * running / max(1, engine.slots)
+
+
+def _compute_give_up_time(demand: RequestDemand) -> float:
+    """Return until when a request may wait to be placed."""
+    return min(
+        demand.arrived_at + demand.target_s * QUEUE_WAIT_FRACTION,
+        demand.deadline_at,
+    )
+
+
 def _should_copy(
     source: Engine, server: Engine, demand: RequestDemand
 ) -> bool:
--- a/hornbeamyard/pool/demand.py
+++ b/hornbeamyard/pool/demand.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 # A generated token counts as this many prompt tokens, because engines prefill
 # a prompt in large chunks but generate one token of a request at a time.
@@ -51,6 +51,10 @@
     is_charged : bool
         Whether the request was already charged to its account's share, so
         that a retry after a failed attempt is not refused for it.
+    own_tokens : int
+        Tokens that no other request shares.
+    affinity : str
+        Id of the last part that other requests share, or empty.
     """
 
     request_id: str
@@ -65,19 +69,16 @@
     model: str = ""
     is_caller_retry: bool = False
     is_charged: bool = False
+    own_tokens: int = field(init=False)
+    affinity: str = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Compute what each placement reads for each upstream."""
+        shared = sum(part.tokens for part in self.parts[:-1])
+        self.own_tokens = max(0, self.prompt_tokens - shared)
+        self.affinity = self.parts[-2].id if len(self.parts) > 1 else ""
 
     @property
     def size(self) -> int:
         """Weighted tokens that are charged to the account's share."""
         return self.prompt_tokens + GENERATED_WEIGHT * self.output_tokens
-
-    @property
-    def own_tokens(self) -> int:
-        """Tokens that no other request shares."""
-        shared = sum(part.tokens for part in self.parts[:-1])
-        return max(0, self.prompt_tokens - shared)
-
-    @property
-    def affinity(self) -> str:
-        """Id of the last part that other requests share, or empty."""
-        return self.parts[-2].id if len(self.parts) > 1 else ""
--- a/hornbeamyard/pool/engine.py
+++ b/hornbeamyard/pool/engine.py
@@ -240,6 +240,19 @@
         )
         return self.own_load.prefill_tokens + max(0.0, others)
 
+    def has_room(self, kv_tokens: int) -> bool:
+        """Return whether a request with these KV cache entries may be sent.
+
+        An idle engine takes any request, even one that exceeds its KV cache.
+        """
+        running = self.own_load.running + self.others_load.running
+        if not running:
+            return True
+        if running >= self.slots:
+            return False
+        used = self.own_load.kv_tokens + self.others_load.kv_tokens
+        return used + kv_tokens <= self.kv_capacity_tokens * KV_CACHE_FRACTION
+
     def assume_others_load(self, tokens: int, now: float) -> None:
         """Add prefill that other routers are assumed to have sent."""
         known = self.count_prefill_tokens(now) - self.own_load.prefill_tokens
@@ -285,7 +298,7 @@
         )
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Estimate:
     """What a request would cost if it were sent to an upstream now.
 
@@ -376,14 +389,6 @@
     copied = max(0, copy_source.tokens - cached)
     shared_prefill_tokens = max(0, shared - cached - copied)
     prefill_tokens = demand.own_tokens + shared_prefill_tokens
-    running = server.own_load.running + server.others_load.running
-    used = server.own_load.kv_tokens + server.others_load.kv_tokens
-    needed = count_kv_tokens(demand)
-    # An idle engine takes any request, even one that exceeds its KV cache.
-    has_room = (
-        running < server.slots
-        and used + needed <= server.kv_capacity_tokens * KV_CACHE_FRACTION
-    ) or running == 0
     return Estimate(
         server.count_prefill_tokens(now) * server.prefill_ms_per_token,
         prefill_tokens * server.prefill_ms_per_token
@@ -392,7 +397,7 @@
         shared_prefill_tokens,
         copied,
         prefill_tokens,
-        has_room,
+        server.has_room(count_kv_tokens(demand)),
     )
 
 
--- a/hornbeamyard/pool/shares.py
+++ b/hornbeamyard/pool/shares.py
@@ -40,6 +40,9 @@
 MIN_FACTOR = 0.7
 MAX_FACTOR = 1.8
 INITIAL_FACTOR = 1.4
+# Upper bound of the multiple that is divided between accounts. Above it the
+# engines' queues, not the shares, would decide which accounts are served.
+MAX_SHARED_FACTOR = 1.4
 FACTOR_INCREASE = 0.08
 FACTOR_DECREASE = 0.05
 # Minimum of a router's part of the throughput, as a fraction of an even
@@ -244,6 +247,38 @@
         is_ahead = bucket.tokens < -MAX_ACCOUNT_DEBT_FRACTION * bucket.capacity
         return self._spare.tokens > 0 and not is_ahead
 
+    def could_admit_by(
+        self, account: str, is_caller_retry: bool, now: float, until: float
+    ) -> bool:
+        """Return whether a request that is refused now may be sent in time.
+
+        Parameters
+        ----------
+        account : str
+        is_caller_retry : bool
+        now, until : float
+            Monotonic times in seconds: now, and when the request gives up.
+        """
+        bucket = self._buckets.get(account)
+        if (
+            not self.is_contended()
+            or bucket is None
+            or not bucket.is_above_share
+        ):
+            return True
+        bucket.refill(now)
+        self._spare.refill(now)
+        reserve = (
+            CALLER_RETRY_RESERVE_FRACTION * bucket.capacity
+            if is_caller_retry
+            else 0.0
+        )
+        left_s = until - now
+        return (
+            bucket.tokens + bucket.rate * left_s > reserve
+            or self._spare.tokens + self._spare.rate * left_s > 0
+        )
+
     def describe(self, account: str, now: float) -> dict[str, object]:
         """Return the state that decides on an account, for log lines."""
         if not self.is_contended():
@@ -293,7 +328,7 @@
         demands = {
             name: use.asked / self.window_s for name, use in accounts.items()
         }
-        rate = self.throughput * min(1.0, self.factor)
+        rate = self.throughput * min(MAX_SHARED_FACTOR, self.factor)
         self.level = float("inf")
         if sum(demands.values()) > self.throughput * self.factor:
             self.level = compute_level(demands, rate)
--- a/hornbeamyard/tests/test_balancer.py
+++ b/hornbeamyard/tests/test_balancer.py
@@ -5,6 +5,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
+from typing import Any
 
 import anyio
 import pytest
@@ -26,6 +27,9 @@
 
 ENGINES = 5
 PREFILL_MS_PER_TOKEN = 0.02
+# Work ahead that is too much for a target of 1 s, but not once a request has
+# waited for an eighth of the target.
+WAIT_MS = 950
 
 
 def build_balancer(
@@ -304,7 +308,7 @@
         timers = VirtualTimers()
         balancer = build_balancer(engines=1, limit=timers.limit)
         engine = balancer.servers["e0"]
-        engine.own_load.prefill_tokens = int(1500 / PREFILL_MS_PER_TOKEN)
+        engine.own_load.prefill_tokens = int(WAIT_MS / PREFILL_MS_PER_TOKEN)
         results: list[tuple[float, object]] = []
 
         async def admit() -> None:
@@ -328,12 +332,61 @@
         assert isinstance(result, Placement) is becomes_free
         assert engine.own_load.running == int(becomes_free)
 
+    def test_hopeless_request_is_refused_at_once(self) -> None:
+        """Guards against callers that wait for what can't come in time."""
+        balancer = build_balancer(engines=1)
+        engine = balancer.servers["e0"]
+        engine.own_load.prefill_tokens = int(1500 / PREFILL_MS_PER_TOKEN)
+
+        async def run() -> None:
+            with anyio.fail_after(0.05):
+                refused = await balancer.admit(
+                    build_demand(now=0.0), 0.0, frozenset()
+                )
+            assert isinstance(refused, Refusal)
+            assert refused.reason is RefusalReason.TOO_LATE
+
+        anyio.run(run)
+
+    def test_many_waiting_requests_cost_few_placements(self) -> None:
+        """Guards against a router that only tries waiting requests again.
+
+        Each end of a request tried all waiting ones at all engines, which
+        took half of the processor time of a busy router.
+        """
+        timers = VirtualTimers()
+        balancer = build_balancer(engines=1, limit=timers.limit)
+        engine = balancer.servers["e0"]
+        engine.own_load.prefill_tokens = int(WAIT_MS / PREFILL_MS_PER_TOKEN)
+        scored: list[int] = []
+        score = Balancer._score_candidates
+
+        async def run(monkeypatch: pytest.MonkeyPatch) -> None:
+            async with anyio.create_task_group() as tasks:
+                for _ in range(100):
+                    tasks.start_soon(
+                        balancer.admit, build_demand(), 0.0, frozenset()
+                    )
+                await timers.advance(0.01)
+
+                def count(*args: Any) -> Any:
+                    scored.append(1)
+                    return score(*args)
+
+                monkeypatch.setattr(Balancer, "_score_candidates", count)
+                balancer.start_waiting(timers.now())
+                tasks.cancel_scope.cancel()
+
+        with pytest.MonkeyPatch.context() as monkeypatch:
+            anyio.run(run, monkeypatch)
+        assert 1 <= len(scored) <= 10
+
     def test_cancelled_request_frees_its_slot(self) -> None:
         """Guards against load that stays counted for a cancelled request."""
         timers = VirtualTimers()
         balancer = build_balancer(engines=1, limit=timers.limit)
         engine = balancer.servers["e0"]
-        engine.own_load.prefill_tokens = int(1500 / PREFILL_MS_PER_TOKEN)
+        engine.own_load.prefill_tokens = int(WAIT_MS / PREFILL_MS_PER_TOKEN)
 
         async def run() -> None:
             async with anyio.create_task_group() as tasks:
@@ -357,7 +410,7 @@
         timers = VirtualTimers()
         balancer = build_balancer(engines=1, limit=timers.limit)
         engine = balancer.servers["e0"]
-        engine.own_load.prefill_tokens = int(1500 / PREFILL_MS_PER_TOKEN)
+        engine.own_load.prefill_tokens = int(400 / PREFILL_MS_PER_TOKEN)
         order: list[str] = []
 
         async def admit(name: str, demand: RequestDemand) -> None:
