End a directory stream, not the router, on a malformed message

Cause: an update that can't be applied, or a routing that can't be unpacked, raised through the subscription and ended the router.

Found by tests for faults that operators of similar systems have reported. The others pass without a change: a late copy of a response, slow and trickling streams, an upstream that is only silent.

Change: such a message is logged; the stream ends and is opened again, or the routing is fetched again.

--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import zlib
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -66,6 +67,8 @@
 
     Attributes
     ----------
+    attached_routers : int
+        Routers that are attached to a controller, as far as known.
     registry : UpstreamRegistry
     version : int
         Routing version in force at this router.
@@ -87,6 +90,7 @@
         "_on_routing",
         "_on_upstreams",
         "_timers",
+        "attached_routers",
         "registry",
         "seeds",
         "version",
@@ -120,6 +124,7 @@
         self._on_upstreams = on_upstreams
         self._timers = timers
         self._fetch_needed = anyio.Event()
+        self.attached_routers = 0
         self.registry = UpstreamRegistry()
         self.seeds = list(seeds)
         self.version = 0
@@ -220,6 +225,14 @@
             # Raised by grpc when a report is written to a stream that the
             # controller has ended.
             reason = "ended"
+        except* Exception as errors:
+            # A message that can't be applied ends this stream only.
+            reason = f"failed: {errors.exceptions[0]!r}"
+            _log.error(
+                "update of controller {} can't be applied: {!r}",
+                address,
+                errors.exceptions[0],
+            )
         finally:
             call.cancel()
         return reason
@@ -275,6 +288,7 @@
                 update.routing_version,
             )
         self.versions[address] = update.routing_version
+        self.attached_routers = update.attached_routers
         if update.controllers:
             self._controllers = {c.address: c.host for c in update.controllers}
         if update.leader:
@@ -337,7 +351,16 @@
         copy = await self._calls.fetch_routing(address, request)
         if copy is None or not copy.found or copy.version <= self.version:
             return False
-        document = unpack_document(copy.document)
+        try:
+            document = unpack_document(copy.document)
+        except zlib.error as error:
+            _log.error(
+                "routing version {} of controller {} can't be unpacked: {}",
+                copy.version,
+                address,
+                error,
+            )
+            return False
         if not self._on_routing(copy.version, document):
             return False
         self.version = copy.version
