Assume the load of other routers from the size of the fleet

Cause: until the first fleet usage a router assumed three others, in a fleet of 195 as well. Once the usage was old, because no controller was reachable, what others had reported counted as prefilled after a second, so engines seemed idle but for the router's own requests.

With a usage older than 1 s, the others are assumed to send what they sent beside this router when the usage came. The load of three stays on the request's engine, the rest is spread.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -390,6 +390,7 @@
             upstreams=subscriber.pending_records.values(),
             renewals=subscriber.pending_renewals.values(),
             leader=self._replica.leader_host,
+            attached_routers=self.count_routers(),
         )
         subscriber.version_sent = update.routing_version
         subscriber.pending_records = {}
--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -96,9 +96,11 @@
 # only for a part of their deadline, which is commonly 10 s or more.
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 4.0
-# Number of other routers that a router assumes until it knows the fleet's
-# usage. Fleets have more, but not all of them receive requests at once.
-ASSUMED_ROUTERS = 3
+# Minimum of the other routers that a router assumes until it knows the fleet's
+# usage, and the fraction of the attached ones. Not all of them receive
+# requests at once.
+MIN_ASSUMED_ROUTERS = 3
+ASSUMED_ROUTER_FRACTION = 0.3
 # Waiting requests per pool; each holds its body in memory.
 MAX_WAITING = 400
 # Waiting requests that are tried in a row without finding room, before the
@@ -266,9 +268,9 @@
         Shared parts that were sent to engines since the last report.
     servers : dict of str to Server
         Upstreams of the pool by id.
-    assumed_routers : int
+    assumed_routers : float
         Number of other routers that are assumed to send as much as this
-        one, until the fleet's usage is known.
+        one, while the fleet's usage isn't known.
     """
 
     __slots__ = (
@@ -318,7 +320,7 @@
         self.inter_token_latency = InterTokenLatency()
         self.cached_parts: list[CachedPart] = []
         self.servers: dict[str, Server] = {}
-        self.assumed_routers = 0
+        self.assumed_routers = 0.0
 
     # ---- upstreams -------------------------------------------------------
 
@@ -402,7 +404,7 @@
         now : float
             Monotonic time in seconds.
         """
-        self.assumed_routers = 0
+        self.assumed_routers = 0.0
         for server in self.servers.values():
             total = loads.get(server.id, UpstreamLoad())
             own = server.own_load
@@ -834,7 +836,7 @@
         if isinstance(server, Engine):
             tokens = placement.estimate.prefill_tokens
             if self.assumed_routers:
-                server.assume_others_load(tokens * self.assumed_routers, now)
+                self._assume_others_load(server, tokens, now)
             parts = server.record_parts(demand, now)
             self.cached_parts += [
                 CachedPart(part, server.id) for part in parts
@@ -843,6 +845,22 @@
                 self._shares.record_admitted(demand.account, demand.size)
                 demand.is_charged = True
 
+    def _assume_others_load(
+        self, server: Engine, tokens: int, now: float
+    ) -> None:
+        """Add the load that other routers are assumed to send meanwhile.
+
+        A few of them choose the same engine; the rest is spread evenly.
+        """
+        same = min(self.assumed_routers, MIN_ASSUMED_ROUTERS)
+        server.assume_others_load(round(tokens * same), now)
+        elsewhere = tokens * (self.assumed_routers - same) / len(self.servers)
+        if elsewhere < 1:
+            return
+        for engine in self.servers.values():
+            if isinstance(engine, Engine):
+                engine.assume_others_load(round(elsewhere), now)
+
     def finish_prefill(self, placement: Placement) -> None:
         """Subtract a request's prefill once it or the request has ended.
 
--- a/hornbeamyard/pool/shares.py
+++ b/hornbeamyard/pool/shares.py
@@ -170,6 +170,9 @@
         Tokens a second up to which accounts get what they ask for.
     own_usage : dict of str to AccountUsage
         Counters of this router by account.
+    router_fraction : float
+        This router's fraction of the fleet's demand, as of the last fleet
+        usage.
     """
 
     throughput: float = 0.0
@@ -177,6 +180,7 @@
     window_s: float = DEFAULT_WINDOW_S
     level: float = float("inf")
     own_usage: dict[str, AccountUsage] = field(default_factory=dict)
+    router_fraction: float = 1.0
     _buckets: dict[str, _TokenBucket] = field(default_factory=dict)
     _asked_samples: deque[tuple[float, int]] = field(default_factory=deque)
     _reported_admitted: dict[str, int] = field(default_factory=dict)
@@ -324,6 +328,7 @@
         """
         if not self.throughput:
             self.level = float("inf")
+            self.router_fraction = 1.0 / max(1, routers)
             return
         demands = {
             name: use.asked / self.window_s for name, use in accounts.items()
@@ -334,10 +339,10 @@
             self.level = compute_level(demands, rate)
         is_new = source != self._source
         self._source = source
-        fraction = self._compute_router_fraction(
+        self.router_fraction = self._compute_router_fraction(
             sum(demands.values()), routers
         )
-        self._spare.set_rate(rate * fraction, now)
+        self._spare.set_rate(rate * self.router_fraction, now)
         account_rate = min(self.level, rate)
         capacity = account_rate * self.window_s
         for name, use in accounts.items():
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -21,7 +21,11 @@
 )
 from ..connection.subscription import Subscription
 from ..connection.upstreams import UpstreamConnections
-from ..pool.balancer import ASSUMED_ROUTERS, Balancer
+from ..pool.balancer import (
+    ASSUMED_ROUTER_FRACTION,
+    MIN_ASSUMED_ROUTERS,
+    Balancer,
+)
 from ..pool.shares import Shares
 from ..pool.upstream_registry import (
     MAX_MISSED_ANNOUNCEMENTS,
@@ -70,6 +74,10 @@
 # Interval of adapting shares to the load of the engines and of closing expired
 # connections.
 ADAPTATION_INTERVAL_S = 0.25
+# Age in seconds above which the fleet's usage no longer tells the load of
+# other routers. Engines prefill what was reported within about that time, so
+# they would seem idle but for the router's own requests.
+MAX_USAGE_AGE_S = 1.0
 # Mean Retry-After of an overloaded router, short enough for a retry at another
 # router within the caller's latency target.
 OVERLOAD_RETRY_AFTER_S = 0.1
@@ -108,7 +116,6 @@
         "_budgets",
         "_calls",
         "_connection_limits",
-        "_has_fleet_usage",
         "_interface",
         "_server",
         "_settings",
@@ -116,6 +123,7 @@
         "_started_at",
         "_timers",
         "_upstreams",
+        "_usage_at",
         "decisions",
         "forwarder",
         "is_closing",
@@ -139,7 +147,8 @@
         self._adapted_at = 0.0
         self._budgets: dict[str, WindowRetryBudget] = {}
         self._calls = DirectoryCalls(settings.tls)
-        self._has_fleet_usage = False
+        # When the fleet's usage came last; None before the first one.
+        self._usage_at: float | None = None
         self._interface = interface
         self._settings = settings
         self._shares = Shares(
@@ -239,8 +248,9 @@
                 random.random,
                 self._timers.limit,
             )
-            if not self._has_fleet_usage:
-                balancer.assumed_routers = ASSUMED_ROUTERS
+            balancer.assumed_routers = self._count_assumed_routers(
+                self._timers.now()
+            )
             self._balancers[pool] = balancer
             self._configure_balancer(pool, balancer)
         return balancer
@@ -369,7 +379,7 @@
 
     def _apply_fleet_usage(self, fleet_usage: FleetUsage) -> None:
         now = self._timers.now()
-        self._has_fleet_usage = True
+        self._usage_at = now
         self.routers = max(1, fleet_usage.routers)
         self._shares.apply_fleet_usage(
             fleet_usage.accounts, self.routers, fleet_usage.source, now
@@ -414,7 +424,9 @@
 
     async def _run_maintenance(self) -> None:
         async for now in self._timers.subscribe(MAINTENANCE_INTERVAL_S):
+            assumed = self._count_assumed_routers(now)
             for balancer in self._balancers.values():
+                balancer.assumed_routers = assumed
                 balancer.start_waiting(now)
             if now - self._adapted_at < ADAPTATION_INTERVAL_S:
                 continue
@@ -426,6 +438,18 @@
             )
             await self._upstreams.close_expired()
 
+    def _count_assumed_routers(self, now: float) -> float:
+        """Return how many other routers may send as much as this one.
+
+        0 while the fleet's usage tells the load of the others.
+        """
+        if self._usage_at is None:
+            others = self.subscription.attached_routers - 1
+            return max(MIN_ASSUMED_ROUTERS, others * ASSUMED_ROUTER_FRACTION)
+        if now - self._usage_at <= MAX_USAGE_AGE_S:
+            return 0.0
+        return 1.0 / self._shares.router_fraction - 1.0
+
     async def _drain(self, stop: anyio.Event) -> None:
         assert self._settings.router is not None
         await stop.wait()
--- a/hornbeamyard/tests/test_balancer.py
+++ b/hornbeamyard/tests/test_balancer.py
@@ -647,6 +647,23 @@
         """
         assert self.count_admitted(3) <= self.count_admitted(0) / 3
 
+    def test_load_of_many_routers_is_spread(self) -> None:
+        """Guards against an engine that one request blocks for seconds.
+
+        The load of 194 assumed routers was added to the engine of each
+        request, which then seemed full for half a minute.
+        """
+        balancer = build_balancer(engines=50)
+        balancer.assumed_routers = 194.0
+        placed = place(balancer, build_demand(own=7000))
+        loads = [
+            server.others_load.prefill_tokens
+            for server in balancer.servers.values()
+        ]
+        assert sum(loads) == pytest.approx(194 * 7000, rel=0.01)
+        assert max(loads) == placed.server.others_load.prefill_tokens
+        assert max(loads) <= 2 * min(loads)
+
     def test_fleet_usage_ends_the_assumption(self) -> None:
         """Guards against assumed load that is added to the known load."""
         balancer = build_balancer()
--- a/hornbeamyard/tests/test_directory_router.py
+++ b/hornbeamyard/tests/test_directory_router.py
@@ -8,6 +8,7 @@
 import anyio
 import pytest
 
+from hornbeamyard.pool.usage import AccountUsage, FleetUsage
 from hornbeamyard.process.decisions import DecisionLog
 from hornbeamyard.process.directory_router import (
     NOT_READY_GRACE_S,
@@ -22,13 +23,41 @@
     RouterSettings,
     Settings,
 )
-from hornbeamyard.process.timers import MonotonicTimers
+from hornbeamyard.process.timers import (
+    MonotonicTimers,
+    Timers,
+    VirtualTimers,
+)
 from hornbeamyard.request.headers import NATIVE_HEADER_NAMES, HeaderCodec
 
 # Fraction of the drain time in which no running request may be cut off.
 MIN_DRAIN_FRACTION = 5 / 6
 
 
+def build_router(
+    timers: Timers | None = None,
+) -> tuple[DirectoryRouter, io.StringIO, LineWriter]:
+    """Return a router without controllers, its log and the log's writer."""
+    settings = Settings(
+        "test",
+        "r1",
+        "zone-a",
+        {},
+        router=RouterSettings("127.0.0.1:0"),
+        directory=DirectorySettings(["127.0.0.1:1"]),
+    )
+    timers = timers or MonotonicTimers()
+    lines = io.StringIO()
+    writer = LineWriter(lines)
+    router = DirectoryRouter(
+        settings,
+        timers,
+        Interface(HeaderCodec(NATIVE_HEADER_NAMES)),
+        DecisionLog(timers, "r1", writer),
+    )
+    return router, lines, writer
+
+
 class TestDrain:
     """A planned stop leaves most of its time to running requests."""
 
@@ -59,23 +88,7 @@
         """
 
         async def test() -> None:
-            settings = Settings(
-                "test",
-                "r1",
-                "zone-a",
-                {},
-                router=RouterSettings("127.0.0.1:0"),
-                directory=DirectorySettings(["127.0.0.1:1"]),
-            )
-            timers = MonotonicTimers()
-            lines = io.StringIO()
-            writer = LineWriter(lines)
-            router = DirectoryRouter(
-                settings,
-                timers,
-                Interface(HeaderCodec(NATIVE_HEADER_NAMES)),
-                DecisionLog(timers, "r1", writer),
-            )
+            router, lines, writer = build_router()
             limits = router._connection_limits
             assert b"/any/path".startswith(limits.limited_paths)
             response = limits.build_refusal([(b"hornbeamyard-request", b"q7")])
@@ -95,3 +108,49 @@
             assert line["request_id"] == "q7"
 
         anyio.run(test)
+
+
+class TestAssumedRouters:
+    """A router that doesn't know the others' load assumes some."""
+
+    def test_before_the_first_fleet_usage(self) -> None:
+        """Guards against engines overfilled when a large fleet starts.
+
+        Each of 195 routers assumed three others.
+        """
+
+        async def test() -> None:
+            router, _, _ = build_router()
+            assert router.find_balancer("model").assumed_routers == 3
+            router.subscription.attached_routers = 195
+            assert router.find_balancer("other").assumed_routers > 50
+
+        anyio.run(test)
+
+    def test_while_no_controller_is_reachable(self) -> None:
+        """Guards against engines that seem idle once the usage is old.
+
+        All controllers were down for 15 s. What other routers had reported
+        counted as prefilled after a second, so each router went on as if it
+        were the only one.
+        """
+
+        async def test() -> None:
+            timers = VirtualTimers(start=100.0)
+            router, _, _ = build_router(timers)
+            balancer = router.find_balancer("model")
+            router._shares.throughput = 1000.0
+            usage = FleetUsage({"a": AccountUsage(4000, 0)}, {}, 8, "c1")
+            for asked in (0, 400):
+                router._shares.own_usage["a"] = AccountUsage(asked, 0)
+                router._collect_usage()
+                router._apply_fleet_usage(usage)
+                await timers.advance(0.25)
+            assert balancer.assumed_routers == 0
+            assert router._count_assumed_routers(timers.now()) == 0
+            await timers.advance(1.0)
+            # A tenth of the fleet's demand comes to this router.
+            assumed = router._count_assumed_routers(timers.now())
+            assert assumed == pytest.approx(9.0)
+
+        anyio.run(test)
