Copy a first part that no engine holds with the second; refuse later

Cause: with the cheaper placement an engine was a source of copies only if it cached the last shared part, so a common first part was prefilled again for each group of requests.

Change: the first shared part decides whether an engine can be a source. A request is hopeless when the work ahead is too long by four times its wait.

--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -66,6 +66,10 @@
 # Cost of each rank in the order of preferred engines for a shared part, in
 # ms. It makes all routers overflow to the same engine first.
 RANK_COST_MS = 60.0
+# A request is hopeless when the work ahead is too long by this many times the
+# time for which it may wait. Estimates of the work are often too high by half
+# of it.
+HOPELESS_FACTOR = 4.0
 # Number of engines in that order. With more, shared parts would be prefilled
 # again more often than the spread of load is worth.
 MAX_RANKED_ENGINES = 4
@@ -508,7 +512,8 @@
             return best[1]
         if not has_room:
             return Shortfall(RefusalReason.NO_ROOM)
-        is_hopeless = least_excess_ms > (give_up_at - now) * 1000
+        left_ms = (give_up_at - now) * 1000
+        is_hopeless = least_excess_ms > left_ms * HOPELESS_FACTOR
         return Shortfall(RefusalReason.TOO_LATE, is_hopeless)
 
     def _has_share(self, demand: RequestDemand, now: float) -> bool:
@@ -644,16 +649,18 @@
         """Return the engine that caches most of a prompt's shared parts."""
         if not self._copy_ms_per_token or not demand.affinity:
             return None, NO_COPY_SOURCE
+        first_part = demand.parts[0].id
         cached = []
         for engine in servers:
             if not isinstance(engine, Engine):
                 continue
-            used_at = engine.get_part_used_at(demand.affinity)
-            if used_at < 0:
+            # Without the first part none of the others can be used.
+            if engine.get_part_used_at(first_part) < 0:
                 continue
             tokens = engine.count_cached(demand, now)
             if tokens < MIN_AFFINITY_TOKENS:
                 continue
+            used_at = engine.get_part_used_at(demand.affinity)
             is_near = engine.upstream.availability_zone == self._zone
             cached.append((tokens, used_at, is_near, engine.id, engine))
         if not cached:
--- a/hornbeamyard/tests/test_balancer.py
+++ b/hornbeamyard/tests/test_balancer.py
@@ -5,6 +5,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import anyio
@@ -571,6 +572,28 @@
         assert placed.estimate.copied_tokens == 5000
         assert placed.estimate.prefill_tokens == 1000
 
+    def test_first_part_is_copied_without_the_second(self) -> None:
+        """Guards against a common part that each engine prefills anew.
+
+        Requests share a long first part, and each group of them a second
+        one that no engine caches yet.
+        """
+        balancer, _ = self.build()
+        first, second, own = (
+            PromptPart("common", 3000),
+            PromptPart("group-1", 500),
+            PromptPart("own", 1000),
+        )
+        demand = build_demand(own=4500)
+        demand = replace(demand, parts=(first, second, own))
+        place(balancer, demand)
+        other = replace(demand, parts=(first, PromptPart("group-2", 500), own))
+        source, copied = balancer._find_copy_source(
+            list(balancer.servers.values()), other, 0.0
+        )
+        assert source is not None
+        assert copied.tokens == 3000
+
     def test_engine_that_caches_the_part_needs_no_copy(self) -> None:
         """Guards against requests that leave the engine with their part."""
         balancer, cached_on = self.build()
