Encode the fleet usage once for all routers

Cause: the leader compared and encoded all accounts and upstreams for each router, four times a second.

Change: changes are encoded once and shared by the streams; one that skipped some gets the changes since its last message, or all.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -26,8 +26,8 @@
 from . import peers
 from .directory_calls import DirectoryCalls
 from .directory_codec import (
+    FleetUsageEncoder,
     UsageDecoder,
-    UsageEncoder,
     decode_cached_parts,
     encode_cached_parts,
     encode_upstream,
@@ -63,8 +63,8 @@
         Whether the next update contains the fleet usage.
     usage_decoder : UsageDecoder
         Decodes the router's reports.
-    usage_encoder : UsageEncoder
-        Encodes the fleet usage for the router.
+    usage_sent : int
+        Number of the last fleet usage sent.
     version_sent : int
         Last routing version sent.
     wake : anyio.Event
@@ -79,7 +79,7 @@
         "pending_records",
         "pending_renewals",
         "usage_decoder",
-        "usage_encoder",
+        "usage_sent",
         "version_sent",
         "wake",
     )
@@ -91,7 +91,7 @@
         self.pending_records: dict[str, Any] = {}
         self.pending_renewals: dict[str, Any] = {}
         self.usage_decoder = UsageDecoder()
-        self.usage_encoder = UsageEncoder()
+        self.usage_sent = 0
         self.fleet_usage_due = False
         self.version_sent = -1
         self.wake = anyio.Event()
@@ -123,6 +123,7 @@
     __slots__ = (
         "_calls",
         "_fleet_usage",
+        "_fleet_usage_encoder",
         "_founder",
         "_lifetime_s",
         "_replica",
@@ -146,6 +147,7 @@
         self._lifetime_s = lifetime_s
         self._replica = replica
         self._fleet_usage = FleetUsage()
+        self._fleet_usage_encoder = FleetUsageEncoder()
         self._timers = timers
         self._usage = UsageTable(window_s)
         self._subscribers: set[Subscriber] = set()
@@ -170,6 +172,9 @@
                 if not self._replica.is_leader():
                     continue
                 self._fleet_usage = self._usage.compute_fleet_usage(now)
+                self._fleet_usage_encoder.update(
+                    self._fleet_usage.accounts, self._fleet_usage.upstreams
+                )
                 for subscriber in self._subscribers:
                     subscriber.cached_parts += self._fleet_usage.cached_parts
                     subscriber.fleet_usage_due = True
@@ -403,9 +408,9 @@
         if subscriber.fleet_usage_due:
             subscriber.fleet_usage_due = False
             update.has_sums = True
-            accounts, upstreams = subscriber.usage_encoder.encode(
-                self._fleet_usage.accounts, self._fleet_usage.upstreams
-            )
+            encoder = self._fleet_usage_encoder
+            accounts, upstreams = encoder.list_changes(subscriber.usage_sent)
+            subscriber.usage_sent = encoder.number
             update.accounts.extend(accounts)
             update.usage.extend(upstreams)
             update.routers = self._fleet_usage.routers
--- a/hornbeamyard/connection/directory_codec.py
+++ b/hornbeamyard/connection/directory_codec.py
@@ -13,6 +13,10 @@
 
 T = TypeVar("T")
 
+# Usages whose changes are kept for streams that weren't sent all of them. The
+# stream of a router that is slower than that is closed as silent.
+MAX_KEPT_CHANGES = 16
+
 UPSTREAM_STATES = {
     fleet_pb2.UpstreamRecord.READY: UpstreamState.READY,
     fleet_pb2.UpstreamRecord.DRAINING: UpstreamState.DRAINING,
@@ -86,20 +90,13 @@
         Those that are gone are sent once with all counters zero.
         """
         changed_accounts = [
-            fleet_pb2.AccountUsage(
-                client_account=name, asked=usage.asked, admitted=usage.admitted
-            )
+            _encode_account(name, usage)
             for name, usage in _find_changes(
                 self._accounts, accounts, AccountUsage()
             )
         ]
         changed_upstreams = [
-            fleet_pb2.UpstreamUsage(
-                id=id,
-                running=usage.running,
-                unread_tokens=usage.prefill_tokens,
-                held_tokens=usage.kv_tokens,
-            )
+            _encode_load(id, usage)
             for id, usage in _find_changes(
                 self._upstreams, upstreams, UpstreamLoad()
             )
@@ -109,6 +106,91 @@
         self._upstreams = {n: replace(usage) for n, usage in upstreams.items()}
         return changed_accounts, changed_upstreams
 
+    def encode_all(self) -> tuple[list[Any], list[Any]]:
+        """Return the messages for all accounts and upstreams last encoded."""
+        return (
+            [_encode_account(n, usage) for n, usage in self._accounts.items()],
+            [_encode_load(id, load) for id, load in self._upstreams.items()],
+        )
+
+
+class FleetUsageEncoder:
+    """Encodes the fleet usage once for the streams to all routers.
+
+    Each stream is sent what changed since its own last message. Nearly all
+    streams are at the same one, so the messages are shared.
+
+    Attributes
+    ----------
+    number : int
+        Number of the newest usage, from 1; 0 before the first one.
+    """
+
+    __slots__ = ("_changes", "_encoder", "_names", "_upstream_ids", "number")
+
+    def __init__(self) -> None:
+        # Messages for changed accounts and upstreams, by number of the usage.
+        self._changes: dict[int, tuple[list[Any], list[Any]]] = {}
+        self._encoder = UsageEncoder()
+        # All that was ever sent, in the order of the first time.
+        self._names: dict[str, None] = {}
+        self._upstream_ids: dict[str, None] = {}
+        self.number = 0
+
+    def update(
+        self,
+        accounts: Mapping[str, AccountUsage],
+        upstreams: Mapping[str, UpstreamLoad],
+    ) -> None:
+        """Encode a newer usage."""
+        self.number += 1
+        self._changes[self.number] = self._encoder.encode(accounts, upstreams)
+        self._changes.pop(self.number - MAX_KEPT_CHANGES, None)
+        self._names.update(dict.fromkeys(accounts))
+        self._upstream_ids.update(dict.fromkeys(upstreams))
+
+    def list_changes(self, since: int) -> tuple[list[Any], list[Any]]:
+        """Return the messages for what changed after a usage.
+
+        Parameters
+        ----------
+        since : int
+            Number of the last usage that the stream was sent; 0 for none.
+
+        Returns
+        -------
+        accounts, upstreams : list
+            Later messages for the same account or upstream replace earlier
+            ones. When the changes since then aren't kept, the messages
+            contain all, also accounts and upstreams that are gone.
+        """
+        numbers = range(since + 1, self.number + 1)
+        if since == 0 or any(n not in self._changes for n in numbers):
+            return self._list_all()
+        accounts: list[Any] = []
+        upstreams: list[Any] = []
+        for number in numbers:
+            changed_accounts, changed_upstreams = self._changes[number]
+            accounts += changed_accounts
+            upstreams += changed_upstreams
+        return accounts, upstreams
+
+    def _list_all(self) -> tuple[list[Any], list[Any]]:
+        accounts, upstreams = self._encoder.encode_all()
+        sent_accounts = {message.client_account for message in accounts}
+        sent_upstreams = {message.id for message in upstreams}
+        accounts += [
+            fleet_pb2.AccountUsage(client_account=name)
+            for name in self._names
+            if name not in sent_accounts
+        ]
+        upstreams += [
+            fleet_pb2.UpstreamUsage(id=id)
+            for id in self._upstream_ids
+            if id not in sent_upstreams
+        ]
+        return accounts, upstreams
+
 
 class UsageDecoder:
     """Restores the usage from the changes sent in a stream."""
@@ -142,6 +224,21 @@
         )
 
 
+def _encode_account(name: str, usage: AccountUsage) -> Any:
+    return fleet_pb2.AccountUsage(
+        client_account=name, asked=usage.asked, admitted=usage.admitted
+    )
+
+
+def _encode_load(id: str, load: UpstreamLoad) -> Any:
+    return fleet_pb2.UpstreamUsage(
+        id=id,
+        running=load.running,
+        unread_tokens=load.prefill_tokens,
+        held_tokens=load.kv_tokens,
+    )
+
+
 def _find_changes(
     previous: Mapping[str, T], current: Mapping[str, T], zero: T
 ) -> Iterator[tuple[str, T]]:
