Need no share while engines are nearly idle

Change: an account out of share may be served while the median work ahead and the time between tokens are below half of the limits of headroom.

Test: a test of shares began with idle engines; it gives them 100 ms of work now, with the same checks. A new one guards both sides.

--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -82,6 +82,12 @@
 # first limit, and is overloaded above the second, in ms. They are about a
 # tenth and a third of 1 s, the target of most streams.
 HEADROOM_WAIT_MS = 120.0
+# Fraction of both limits of headroom below which accounts need no share. The
+# rest of the headroom is kept for accounts within their share.
+SPARE_HEADROOM_FRACTION = 0.5
+# Interval in seconds at which a flood of requests without share looks at the
+# engines' load again.
+HEADROOM_INTERVAL_S = 0.02
 OVERLOADED_WAIT_MS = 350.0
 # The target of the mean inter-token latency, as a fraction of the longest gap
 # that is allowed. Streams then end in time, and a burst of prompts doesn't
@@ -280,6 +286,8 @@
     __slots__ = (
         "_copy_ms_per_token",
         "_draw",
+        "_headroom",
+        "_headroom_at",
         "_kv_capacity_tokens",
         "_limit",
         "_orders",
@@ -308,6 +316,9 @@
     ) -> None:
         self._copy_ms_per_token = 0.0
         self._draw = draw
+        # Whether the engines had headroom, and when that was found out.
+        self._headroom = False
+        self._headroom_at = float("-inf")
         self._limit = limit
         self._kv_capacity_tokens = 0
         self._target_inter_token_ms = 0.0
@@ -428,15 +439,21 @@
             if isinstance(server, Engine):
                 server.record_part(cached.part, now)
 
-    def has_headroom(self, now: float) -> bool:
-        """Return whether the engines could serve more requests."""
+    def has_headroom(self, now: float, fraction: float = 1.0) -> bool:
+        """Return whether the engines could serve more requests.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        fraction : float, optional
+            Fraction of the limits within which the engines' load has to be.
+        """
         waits = self._list_waits_ms(now)
-        if not waits or median(waits) >= HEADROOM_WAIT_MS:
+        if not waits or median(waits) >= HEADROOM_WAIT_MS * fraction:
             return False
-        return (
-            self._target_inter_token_ms <= 0
-            or self.inter_token_latency.get(now) < self._target_inter_token_ms
-        )
+        limit_ms = self._target_inter_token_ms * fraction
+        return limit_ms <= 0 or self.inter_token_latency.get(now) < limit_ms
 
     def is_overloaded(self, now: float) -> bool:
         """Return whether the engines have too much work to meet targets."""
@@ -519,9 +536,17 @@
     def _has_share(self, demand: RequestDemand, now: float) -> bool:
         if not self._kv_capacity_tokens or demand.is_charged:
             return True
+        # No account waits while the engines have capacity.
         return self._shares.may_admit(
             demand.account, demand.is_caller_retry, now
-        )
+        ) or self._had_headroom(now)
+
+    def _had_headroom(self, now: float) -> bool:
+        """Return whether the engines had headroom a moment ago."""
+        if now - self._headroom_at >= HEADROOM_INTERVAL_S:
+            self._headroom_at = now
+            self._headroom = self.has_headroom(now, SPARE_HEADROOM_FRACTION)
+        return self._headroom
 
     def _list_usable(
         self, demand: RequestDemand, now: float, excluded: frozenset[str]
--- a/hornbeamyard/tests/test_balancer.py
+++ b/hornbeamyard/tests/test_balancer.py
@@ -285,6 +285,9 @@
         shares.throughput = 1000.0
         busy = {"a": AccountUsage(100_000, 0), "b": AccountUsage(100_000, 0)}
         shares.apply_fleet_usage(busy, 1, "leader", 0.0)
+        # Accounts above their share need one while the engines have work.
+        for server in balancer.servers.values():
+            server.own_load.prefill_tokens = int(100 / PREFILL_MS_PER_TOKEN)
         demand = build_demand(own=50_000)
         placed = place(balancer, demand)
         spent = shares.own_usage["a"].admitted
@@ -299,6 +302,30 @@
         balancer.start(again, demand, 0.0)
         assert shares.own_usage["a"].admitted == spent
 
+    @pytest.mark.parametrize(
+        ("wait_ms", "is_placed"), [(0, True), (40, True), (100, False)]
+    )
+    def test_no_share_is_needed_while_engines_are_idle(
+        self, wait_ms: int, is_placed: bool
+    ) -> None:
+        """Guards against refusals beside idle engines.
+
+        On a calm day accounts that asked for three times their share for
+        some seconds were refused while engines ran 8 requests of 128.
+        """
+        balancer = build_balancer(engines=2)
+        shares = balancer._shares
+        shares.throughput = 1000.0
+        busy = {"a": AccountUsage(100_000, 0), "b": AccountUsage(100_000, 0)}
+        shares.apply_fleet_usage(busy, 1, "leader", 0.0)
+        shares.record_admitted("a", 50_000)
+        for server in balancer.servers.values():
+            server.own_load.prefill_tokens = int(
+                wait_ms / PREFILL_MS_PER_TOKEN
+            )
+        placed = balancer.place(build_demand(), 0.0, frozenset())
+        assert isinstance(placed, Placement) is is_placed
+
 
 class TestWaiting:
     """A request that can't be placed waits for a short time."""
