Tell a stream when the fleet usage is whole, instead of naming what is gone

Cause: the shared encoder kept the names of all accounts and upstreams that it had ever sent, so that a stream that had skipped changes could be told what was gone. Every start of an upstream has a new id, so they grew without bound.

Change: an update says that it contains all, and the router drops the rest. A response of an upstream that is known to leave changes nothing any more; each one configured all pools again.

Result: the same tests, with streams that skip more than is kept.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -409,10 +409,11 @@
             subscriber.fleet_usage_due = False
             update.has_sums = True
             encoder = self._fleet_usage_encoder
-            accounts, upstreams = encoder.list_changes(subscriber.usage_sent)
+            changes = encoder.collect_changes(subscriber.usage_sent)
             subscriber.usage_sent = encoder.number
-            update.accounts.extend(accounts)
-            update.usage.extend(upstreams)
+            update.has_whole_usage = changes.is_whole
+            update.accounts.extend(changes.accounts)
+            update.usage.extend(changes.upstreams)
             update.routers = self._fleet_usage.routers
             update.read_parts.extend(
                 encode_cached_parts(subscriber.cached_parts)
--- a/hornbeamyard/connection/directory_codec.py
+++ b/hornbeamyard/connection/directory_codec.py
@@ -4,7 +4,7 @@
 
 import zlib
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Any, TypeVar
 
 from ..messages import fleet_pb2
@@ -114,6 +114,24 @@
         )
 
 
+@dataclass(slots=True)
+class UsageChanges:
+    """Messages that bring a stream to the newest fleet usage.
+
+    Attributes
+    ----------
+    accounts, upstreams : list
+        A later message for the same account or upstream replaces an earlier
+        one.
+    is_whole : bool
+        Whether they contain all, so that others are gone.
+    """
+
+    accounts: list[Any]
+    upstreams: list[Any]
+    is_whole: bool = False
+
+
 class FleetUsageEncoder:
     """Encodes the fleet usage once for the streams to all routers.
 
@@ -126,15 +144,12 @@
         Number of the newest usage, from 1; 0 before the first one.
     """
 
-    __slots__ = ("_changes", "_encoder", "_names", "_upstream_ids", "number")
+    __slots__ = ("_changes", "_encoder", "number")
 
     def __init__(self) -> None:
         # Messages for changed accounts and upstreams, by number of the usage.
         self._changes: dict[int, tuple[list[Any], list[Any]]] = {}
         self._encoder = UsageEncoder()
-        # All that was ever sent, in the order of the first time.
-        self._names: dict[str, None] = {}
-        self._upstream_ids: dict[str, None] = {}
         self.number = 0
 
     def update(
@@ -146,50 +161,24 @@
         self.number += 1
         self._changes[self.number] = self._encoder.encode(accounts, upstreams)
         self._changes.pop(self.number - MAX_KEPT_CHANGES, None)
-        self._names.update(dict.fromkeys(accounts))
-        self._upstream_ids.update(dict.fromkeys(upstreams))
 
-    def list_changes(self, since: int) -> tuple[list[Any], list[Any]]:
+    def collect_changes(self, since: int) -> UsageChanges:
         """Return the messages for what changed after a usage.
 
         Parameters
         ----------
         since : int
             Number of the last usage that the stream was sent; 0 for none.
-
-        Returns
-        -------
-        accounts, upstreams : list
-            Later messages for the same account or upstream replace earlier
-            ones. When the changes since then aren't kept, the messages
-            contain all, also accounts and upstreams that are gone.
         """
         numbers = range(since + 1, self.number + 1)
         if since == 0 or any(n not in self._changes for n in numbers):
-            return self._list_all()
-        accounts: list[Any] = []
-        upstreams: list[Any] = []
+            return UsageChanges(*self._encoder.encode_all(), is_whole=True)
+        changes = UsageChanges([], [])
         for number in numbers:
-            changed_accounts, changed_upstreams = self._changes[number]
-            accounts += changed_accounts
-            upstreams += changed_upstreams
-        return accounts, upstreams
-
-    def _list_all(self) -> tuple[list[Any], list[Any]]:
-        accounts, upstreams = self._encoder.encode_all()
-        sent_accounts = {message.client_account for message in accounts}
-        sent_upstreams = {message.id for message in upstreams}
-        accounts += [
-            fleet_pb2.AccountUsage(client_account=name)
-            for name in self._names
-            if name not in sent_accounts
-        ]
-        upstreams += [
-            fleet_pb2.UpstreamUsage(id=id)
-            for id in self._upstream_ids
-            if id not in sent_upstreams
-        ]
-        return accounts, upstreams
+            accounts, upstreams = self._changes[number]
+            changes.accounts += accounts
+            changes.upstreams += upstreams
+        return changes
 
 
 class UsageDecoder:
@@ -202,9 +191,23 @@
         self._upstreams: dict[str, UpstreamLoad] = {}
 
     def decode(
-        self, accounts: Iterable[Any], upstreams: Iterable[Any]
+        self,
+        accounts: Iterable[Any],
+        upstreams: Iterable[Any],
+        is_whole: bool = False,
     ) -> tuple[dict[str, AccountUsage], dict[str, UpstreamLoad]]:
-        """Apply messages of changes; return all accounts and upstreams."""
+        """Apply messages of changes; return all accounts and upstreams.
+
+        Parameters
+        ----------
+        accounts, upstreams : iterable
+            Messages.
+        is_whole : bool, optional
+            Whether they contain all, so that others are gone.
+        """
+        if is_whole:
+            self._accounts.clear()
+            self._upstreams.clear()
         for counters in accounts:
             account = AccountUsage(counters.asked, counters.admitted)
             _set_or_remove(
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -311,7 +311,9 @@
         if changed:
             self._on_upstreams(changed)
         if update.has_sums:
-            accounts, usage = decoder.decode(update.accounts, update.usage)
+            accounts, usage = decoder.decode(
+                update.accounts, update.usage, update.has_whole_usage
+            )
             self._on_fleet_usage(
                 FleetUsage(
                     accounts,
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -271,7 +271,9 @@
 
     def record_leaving(self, upstream: Upstream) -> None:
         """Send no more requests to an upstream that says that it leaves."""
-        self._handle_upstreams(self.subscription.record_leaving(upstream))
+        changed = self.subscription.record_leaving(upstream)
+        if changed:
+            self._handle_upstreams(changed)
 
     async def _serve_request(
         self, scope: Scope, receive: Receive, send: Send
--- a/hornbeamyard/tests/test_directory_codec.py
+++ b/hornbeamyard/tests/test_directory_codec.py
@@ -83,7 +83,10 @@
             for number, (decoder, sent) in enumerate(streams):
                 if step % (1, 1, 2, 5, 20, 40)[number]:
                     continue
-                decoded = decoder.decode(*encoder.list_changes(sent[0]))
+                changes = encoder.collect_changes(sent[0])
+                decoded = decoder.decode(
+                    changes.accounts, changes.upstreams, changes.is_whole
+                )
                 sent[0] = encoder.number
                 assert decoded == (accounts, upstreams)
 
@@ -106,5 +109,5 @@
         monkeypatch.setattr(directory_codec, "_encode_account", count)
         encoder.update({"a": AccountUsage(2, 1)}, {"e": UpstreamLoad(1, 1, 1)})
         for _ in range(195):
-            encoder.list_changes(1)
+            encoder.collect_changes(1)
         assert encoded == ["a"]
