--- a/hornbeamyard/tests/test_directory.py
+++ b/hornbeamyard/tests/test_directory.py
@@ -31,9 +31,18 @@
 from hornbeamyard.request.headers import NATIVE_HEADER_NAMES, HeaderCodec
 
 from .fleet import find_free_port
-from .raw_upstream import run_raw_upstream, send_response
+from .raw_upstream import (
+    RawUpstream,
+    ReceivedRequest,
+    run_raw_upstream,
+    send_response,
+)
 from .test_forwarding import DOCUMENT
 
+# Time within which a router that stops answers running requests.
+DRAIN_S = 6.0
+# A request that was sent so long before the close of its connection was read.
+LOSS_SLACK_S = 0.2
 CONTROLLERS = 3
 
 
@@ -54,6 +63,7 @@
         self.registrars: dict[int, Registrar] = {}
         self.stops: dict[int, anyio.Event] = {}
         self.router: DirectoryRouter | None = None
+        self.router_stop = anyio.Event()
         self._tasks = tasks
         self._timers = MonotonicTimers()
 
@@ -87,7 +97,9 @@
         """Start the router."""
         settings = self._build_settings("r1", False)
         settings.router = RouterSettings(
-            self.router_address, status_address=self.status_address
+            self.router_address,
+            status_address=self.status_address,
+            drain_s=DRAIN_S,
         )
         with (self.folder / "router.log").open("w") as stream:
             writer = LineWriter(stream)
@@ -95,7 +107,7 @@
         self.router = DirectoryRouter(
             settings, self._timers, self.interface, decisions
         )
-        self._tasks.start_soon(self.router.run, anyio.Event())
+        self._tasks.start_soon(self.router.run, self.router_stop)
 
     def find_leader(self) -> Registrar | None:
         """Return the controller that leads."""
@@ -286,6 +298,111 @@
         run_fleet(tmp_path, test)
 
 
+class TestPlannedStop:
+    """A router that stops under load answers what it has accepted."""
+
+    def test_no_accepted_request_is_cut_off(self, tmp_path: Path) -> None:
+        """Guards against requests lost between their acceptance and a stop.
+
+        Callers use kept and new connections until the router is gone. Only a
+        request that crosses the close of its connection, and that no upstream
+        received, may end without a response.
+        """
+        lost: list[str] = []
+        answered: list[str] = []
+
+        async def respond(
+            stream: anyio.abc.SocketStream, received: ReceivedRequest
+        ) -> None:
+            await anyio.sleep(0.3)
+            await send_response()(stream, received)
+
+        async def call(
+            fleet: Fleet, raw: RawUpstream, caller: int, pause_s: float
+        ) -> None:
+            host, _, port = fleet.router_address.rpartition(":")
+            stream: anyio.abc.SocketStream | None = None
+            for number in range(1000):
+                id = f"{caller}-{number}"
+                sent_at = anyio.current_time()
+                is_new = stream is None
+                try:
+                    if stream is None:
+                        stream = await anyio.connect_tcp(host, int(port))
+                    sent_at = anyio.current_time()
+                    await stream.send(build_request(id))
+                    response = await read_response(stream)
+                except (OSError, anyio.EndOfStream, anyio.BrokenResourceError):
+                    waited_s = anyio.current_time() - sent_at
+                    is_received = any(
+                        r.get_header("hornbeamyard-request") == id
+                        for r in raw.received
+                    )
+                    if is_received or waited_s > LOSS_SLACK_S:
+                        lost.append(id)
+                    if stream is None or is_new:
+                        return
+                    stream = None
+                    continue
+                status = int(response.split(b" ", 2)[1])
+                (answered if status in (200, 503) else lost).append(id)
+                if b"connection: close" in response.lower():
+                    await stream.aclose()
+                    stream = None
+                await anyio.sleep(pause_s)
+
+        async def test(fleet: Fleet) -> None:
+            fleet.start_router()
+            router = fleet.router
+            assert router is not None
+            async with run_raw_upstream(respond) as raw:
+                await fleet.submit(7)
+                fleet.registrars[0].announce(
+                    Upstream(
+                        "u1",
+                        "app",
+                        f"127.0.0.1:{raw.port}",
+                        "zone-a",
+                        UpstreamState.READY,
+                        40,
+                        1,
+                    )
+                )
+                await fleet.wait(router.is_ready)
+                async with anyio.create_task_group() as callers:
+                    for caller in range(30):
+                        callers.start_soon(
+                            call, fleet, raw, caller, 0.003 * caller
+                        )
+                    await anyio.sleep(0.5)
+                    fleet.router_stop.set()
+
+        run_fleet(tmp_path, test)
+        assert len(answered) > 100
+        assert lost == []
+
+
+def build_request(id: str) -> bytes:
+    """Return the bytes of a request to the router."""
+    return (
+        "GET /read/1 HTTP/1.1\r\nhost: api.example\r\n"
+        f"hornbeamyard-request: {id}\r\n"
+        "authorization: Bearer k1\r\n\r\n"
+    ).encode()
+
+
+async def read_response(stream: anyio.abc.SocketStream) -> bytes:
+    """Return the header of a response, after its whole body was read."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        data += await stream.receive()
+    head, body = data.split(b"\r\n\r\n", 1)
+    size = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
+    while len(body) < size:
+        body += await stream.receive()
+    return head
+
+
 async def ask(fleet: Fleet, path: str) -> tuple[int, bytes]:
     """Send a request to the router."""
     async with httpcore.AsyncConnectionPool() as client:
