--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -116,7 +116,8 @@
         self._fetching = False
         self._identity = identity
         self._leader = ""
-        # Start times of upstreams that have told this router that they leave.
+        # Start times of upstreams, by id, whose responses to this router say
+        # that they leave.
         self._leaving: dict[str, int] = {}
         self._lifetime_s = lifetime_s
         self._on_routing = on_routing
--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -886,12 +886,12 @@
         """
         same = min(self.assumed_routers, MIN_ASSUMED_ROUTERS)
         server.assume_others_load(round(tokens * same), now)
-        elsewhere = tokens * (self.assumed_routers - same) / len(self.servers)
-        if elsewhere < 1:
+        spread = tokens * (self.assumed_routers - same) / len(self.servers)
+        if spread < 1:
             return
         for engine in self.servers.values():
             if isinstance(engine, Engine):
-                engine.assume_others_load(round(elsewhere), now)
+                engine.assume_others_load(round(spread), now)
 
     def finish_prefill(self, placement: Placement) -> None:
         """Subtract a request's prefill once it or the request has ended.
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -45,7 +45,7 @@
 # A caller that retries after a refusal has less time left. A deadline below
 # this fraction of the longest one seen on the route marks such a retry. The
 # deadlines of first attempts differ as well, so a retry soon after the first
-# attempt isn't told apart from one.
+# attempt counts as a first attempt.
 RETRY_DEADLINE_FRACTION = 0.75
 # Expected output as a fraction of its maximum, unless the caller estimates it.
 DEFAULT_OUTPUT_FRACTION = 0.6
