Log how an upstream framed its response

Two hypotheses, an orderly close taken for the end and a chunked body that was ended too early, lead to the same log lines.

'answered', 'retried' and 'failed' lines now have 'framing': length, chunked, close or no body. The client derives it once from the header, and the check whether the end of the connection ends a response uses it as well; responses without a body (HEAD, 204, 304) are told apart from those that end with their connection.

--- a/hornbeamyard/connection/client.py
+++ b/hornbeamyard/connection/client.py
@@ -13,6 +13,7 @@
 from collections import deque
 from collections.abc import AsyncIterator, Iterable
 from dataclasses import dataclass
+from enum import Enum
 from http import HTTPStatus
 
 import httptools
@@ -36,6 +37,17 @@
     """The connection has ended, or received what isn't an HTTP response."""
 
 
+class Framing(Enum):
+    """What marks the end of a response (RFC 9112, 6.3)."""
+
+    # The response has no body.
+    NO_BODY = "no body"
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    # The end of the connection, also after a part of the body.
+    CLOSE = "close"
+
+
 @dataclass(slots=True)
 class Response:
     """The header of an upstream's response; the body arrives in chunks.
@@ -45,11 +57,13 @@
     status : int
     headers : list of (bytes, bytes)
         Names are in lower case.
+    framing : Framing
     connection : Connection
     """
 
     status: int
     headers: Headers
+    framing: Framing
     connection: Connection
 
     async def iter_chunks(self) -> AsyncIterator[bytes]:
@@ -87,6 +101,7 @@
 
     def __init__(self, idle_timeout_s: float) -> None:
         self._error: Exception | None = None
+        self._framing = Framing.NO_BODY
         self._headers: Headers = []
         self._idle_timeout_s = idle_timeout_s
         self._idle_until = 0.0
@@ -140,7 +155,7 @@
         self._transport.write(head + body)
         while not self._status:
             await self.wait_for_data()
-        return Response(self._status, self._headers, self)
+        return Response(self._status, self._headers, self._framing, self)
 
     def pop_chunk(self) -> bytes | None:
         """Return the next chunk of the body, or None if none is buffered."""
@@ -235,8 +250,8 @@
 
     def eof_received(self) -> bool:
         """Handle the end of the upstream's bytes (TCP FIN)."""
-        if self._status and not self.is_complete and not self._has_length():
-            # A response without a length ends with its connection.
+        is_ended_by_close = self._framing is Framing.CLOSE
+        if self._status and not self.is_complete and is_ended_by_close:
             self._finish(reusable=False)
         self._wake()
         return False
@@ -261,11 +276,16 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _has_length(self) -> bool:
-        return any(
-            name in (b"content-length", b"transfer-encoding")
-            for name, _ in self._headers
-        )
+    def _find_framing(self, status: int) -> Framing:
+        if self._method == "HEAD" or status in (
+            HTTPStatus.NO_CONTENT,
+            HTTPStatus.NOT_MODIFIED,
+        ):
+            return Framing.NO_BODY
+        names = {name for name, _ in self._headers}
+        if b"transfer-encoding" in names:
+            return Framing.CHUNKED
+        return Framing.LENGTH if b"content-length" in names else Framing.CLOSE
 
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
@@ -293,6 +313,7 @@
             self._headers = []
             return
         self._status = status
+        self._framing = self._find_framing(status)
         if self._method == "HEAD":
             # The parser doesn't know that no body follows.
             self._finish(reusable=False)
--- a/hornbeamyard/request/meter.py
+++ b/hornbeamyard/request/meter.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from ..connection.client import Framing
 from ..pool.balancer import Balancer, Placement
 from ..pool.engine import Engine
 from ..pool.upstream_registry import Upstream
@@ -55,6 +56,7 @@
         self._report_leaving = report_leaving
         self._reporter = reporter
         self._request = request
+        request.framing = None
         self._first_chunk_at = 0.0
         self._last_chunk_at = 0.0
         self._placement = placement
@@ -66,8 +68,11 @@
         """Return whether the upstream still takes requests."""
         return self._placement.server.accepts_requests(self._timers.now())
 
-    def record_head(self, metadata: ResponseMetadata) -> None:
-        """Record what the upstream says about itself."""
+    def record_head(
+        self, metadata: ResponseMetadata, framing: Framing
+    ) -> None:
+        """Record what the upstream says about itself and its response."""
+        self._request.framing = framing
         if metadata.wrong_upstream:
             # The response is from another upstream at the same address.
             return
--- a/hornbeamyard/request/relay.py
+++ b/hornbeamyard/request/relay.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import Protocol
 
-from ..connection.client import BrokenConnectionError, Response
+from ..connection.client import BrokenConnectionError, Framing, Response
 from ..connection.upstreams import CONNECTION_ERRORS, UpstreamConnections
 from .exchange import HOP_BY_HOP_HEADERS
 from .headers import HeaderCodec, Headers, ResponseMetadata
@@ -123,7 +123,9 @@
         Asked when the connection is open, just before the request is sent.
         """
 
-    def record_head(self, metadata: ResponseMetadata) -> None:
+    def record_head(
+        self, metadata: ResponseMetadata, framing: Framing
+    ) -> None:
         """Handle the header of any response, also one that is discarded."""
 
     def record_chunk(self) -> None:
@@ -229,7 +231,7 @@
     ) -> AttemptResult:
         headers = response.headers
         metadata = self._header_codec.read_response(response.status, headers)
-        self._observer.record_head(metadata)
+        self._observer.record_head(metadata, response.framing)
         if (
             metadata.request_id
             and metadata.request_id != self._request.request_id
--- a/hornbeamyard/request/reporting.py
+++ b/hornbeamyard/request/reporting.py
@@ -141,6 +141,7 @@
             upstream=placement.server.id,
             ending=result.outcome.value,
             reason=result.reason,
+            framing=_describe_framing(request),
             tries=request.attempts,
         )
 
@@ -181,6 +182,7 @@
             route=request.route.name,
             account=request.account,
             upstream=placement.server.id,
+            framing=_describe_framing(request),
             tries=request.attempts,
             first_ms=round(request.first_event_ms),
             forecast_ms=round(
@@ -201,6 +203,7 @@
             reason=reason,
             route=request.route.name,
             account=request.account,
+            framing=_describe_framing(request),
             tries=request.attempts,
             may_have_run=request.may_have_run,
             after_ms=self._elapsed_ms(request),
@@ -219,3 +222,7 @@
 
     def _elapsed_ms(self, request: RoutedRequest) -> int:
         return round((self._timers.now() - request.received_at) * 1000)
+
+
+def _describe_framing(request: RoutedRequest) -> str | None:
+    return request.framing.value if request.framing is not None else None
--- a/hornbeamyard/request/routed_request.py
+++ b/hornbeamyard/request/routed_request.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from ..connection.client import Framing
 from ..pool.demand import RequestDemand
 from ..version.routing import Pool, Route
 from .headers import RequestMetadata
@@ -63,6 +64,8 @@
     first_event_ms : float
         Time from the last attempt's start to the first chunk of its response;
         0 before.
+    framing : Framing or None
+        Framing of the last attempt's response; None before its header.
     is_complete : bool
         Whether the end of the response was sent.
     """
@@ -84,4 +87,5 @@
     last_failure: BufferedResponse | None = None
     excluded: frozenset[str] = frozenset()
     first_event_ms: float = 0.0
+    framing: Framing | None = None
     is_complete: bool = False
--- a/hornbeamyard/tests/raw_upstream.py
+++ b/hornbeamyard/tests/raw_upstream.py
@@ -146,6 +146,7 @@
     complete: bool = True,
     partial_event: bytes = b"",
     headers: tuple[str, ...] = (),
+    framing: str = "chunked",
 ) -> Script:
     """Return a script that sends events with increasing ids.
 
@@ -159,7 +160,12 @@
         Beginning of a further event that is never completed.
     headers : tuple of str
         Further header lines.
+    framing : str
+        "chunked", or "close" for a response that ends with its connection.
     """
+    is_chunked = framing == "chunked"
+    if is_chunked:
+        headers = ("transfer-encoding: chunked", *headers)
 
     async def send(
         stream: anyio.abc.SocketStream, received: ReceivedRequest
@@ -168,27 +174,24 @@
         head = (
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
             f"hornbeamyard-request: {id}\r\nhornbeamyard-signature: s1\r\n"
-            "transfer-encoding: chunked\r\n"
         )
         fields = "".join(f"{line}\r\n" for line in headers)
         await stream.send(f"{head}{fields}\r\n".encode())
-        for number in range(first, last + 1):
-            await _send_chunk(stream, f"id: {number}\ndata: {number}\n\n")
-        if partial_event:
-            await _send_chunk(stream, partial_event.decode())
-        if not complete:
-            await stream.aclose()
+        pieces = [
+            f"id: {number}\ndata: {number}\n\n".encode()
+            for number in range(first, last + 1)
+        ]
+        for piece in filter(None, [*pieces, partial_event]):
+            size = f"{len(piece):x}\r\n".encode()
+            await stream.send(size + piece + b"\r\n" if is_chunked else piece)
+        if is_chunked and complete:
+            await stream.send(b"0\r\n\r\n")
             return
-        await stream.send(b"0\r\n\r\n")
+        await stream.aclose()
 
     return send
 
 
-async def _send_chunk(stream: anyio.abc.SocketStream, text: str) -> None:
-    data = text.encode()
-    await stream.send(f"{len(data):x}\r\n".encode() + data + b"\r\n")
-
-
 async def close_connection(
     stream: anyio.abc.SocketStream, received: ReceivedRequest
 ) -> None:
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -550,3 +550,21 @@
             assert {"upstream", "wait_ms", "version", "account"} <= set(first)
 
         run(test, [close_connection], [send_response()])
+
+    @pytest.mark.parametrize(
+        ("script", "framing"),
+        [
+            (send_response(), "length"),
+            (send_events(1, 3), "chunked"),
+            (send_events(1, 3, framing="close"), "close"),
+        ],
+    )
+    def test_framing_of_response(self, script: Script, framing: str) -> None:
+        """Guards against log lines that don't tell how a response ended."""
+
+        async def test(harness: Harness) -> None:
+            await harness.send_request("/notice/1")
+            assert harness.log.lines[-1]["event"] == "answered"
+            assert harness.log.lines[-1]["framing"] == framing
+
+        run(test, [script])
