--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -501,6 +501,43 @@
         run(test, [send_events(1, 3, complete=False)], [send_events(1, 6)])
 
 
+class TestTruncatedStreams:
+    """A stream that breaks off inside an event never looks complete."""
+
+    @pytest.mark.parametrize("framing", ["close", "chunked"])
+    @pytest.mark.parametrize(
+        "partial_event",
+        [b"id: 4\nda", b"id: 4\ndata: 4\n", b"id: 4\r", b":"],
+        ids=["in a line", "after a line", "after CR", "in a comment"],
+    )
+    @pytest.mark.parametrize("path", ["/chat/1", "/notice/1"])
+    def test_ended_inside_event(
+        self, path: str, partial_event: bytes, framing: str
+    ) -> None:
+        """Guards against a truncated stream framed as complete."""
+
+        async def test(harness: Harness) -> None:
+            received = await harness.send_request(path)
+            assert received.body.startswith(b"id: 1\ndata: 1\n\n")
+            assert not received.is_complete
+
+        run(
+            test,
+            [send_events(1, 3, partial_event=partial_event, framing=framing)],
+        )
+
+    @pytest.mark.parametrize("path", ["/chat/1", "/notice/1"])
+    def test_whole_stream_ended_by_close(self, path: str) -> None:
+        """Guards against refusing whole streams that have no length."""
+
+        async def test(harness: Harness) -> None:
+            received = await harness.send_request(path)
+            assert received.is_complete
+            assert received.body.count(b"data:") == 3
+
+        run(test, [send_events(1, 3, framing="close")])
+
+
 class TestCallerRetries:
     """A caller's retry is told apart by the time that it has left."""
 
