Don't end a stream as complete that ended inside an event

Cause: a response with neither a length nor chunks ends with its connection, so the client completes it at the end of the connection, as HTTP requires. The only check whether the last event was complete ran on routes that may be resumed; streams of others were forwarded byte by byte and ended with the last chunk.

A chunked body that an upstream ends inside an event is covered by the same check.

Change: EventReader reads every stream, whether its route may be resumed or not, and a stream that ends inside an event has broken off.

--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -384,7 +384,7 @@
             upstream_id=placement.server.id,
             deadline_ms=max(1.0, remaining_ms),
             account=request.account,
-            last_event_id=request.progress.last_event_id,
+            last_event_id=request.progress.events.last_id,
             copy_from=placement.copy_from,
         )
         return RelayRequest(
--- a/hornbeamyard/request/relay.py
+++ b/hornbeamyard/request/relay.py
@@ -9,6 +9,7 @@
 
 from ..connection.client import BrokenConnectionError, Framing, Response
 from ..connection.upstreams import CONNECTION_ERRORS, UpstreamConnections
+from .events import EventReader
 from .exchange import HOP_BY_HOP_HEADERS
 from .headers import HeaderCodec, Headers, ResponseMetadata
 from .problem import send_response
@@ -16,8 +17,6 @@
 # Responses up to this size are buffered until they are complete, so that the
 # request can be retried if one breaks off.
 MAX_BUFFERED_RESPONSE_BYTES = 256 * 1024
-# Larger events are forwarded in pieces.
-MAX_EVENT_BYTES = 256 * 1024
 # Headers that concern a single connection (RFC 9110, 7.6.1). Those of proxy
 # authentication are not among them and are forwarded.
 CONNECTION_HEADERS = HOP_BY_HOP_HEADERS - {
@@ -81,26 +80,12 @@
     ----------
     started : bool
         Whether the head of the response was sent.
-    last_event_id : str
-        Id of the last complete event that was sent.
-    partial_event : bytearray
-        Start of an event that is still incomplete.
+    events : EventReader
+        Reader of a streamed response.
     """
 
     started: bool = False
-    last_event_id: str = ""
-    partial_event: bytearray = field(default_factory=bytearray)
-
-    def feed(self, chunk: bytes) -> bytes:
-        """Add a chunk of a stream; return the events that are complete."""
-        self.partial_event += chunk
-        end = _find_events_end(self.partial_event)
-        if not end and len(self.partial_event) < MAX_EVENT_BYTES:
-            return b""
-        events = bytes(self.partial_event[: end or len(self.partial_event)])
-        del self.partial_event[: len(events)]
-        self.last_event_id = _find_last_event_id(events) or self.last_event_id
-        return events
+    events: EventReader = field(default_factory=EventReader)
 
 
 @dataclass(slots=True)
@@ -334,17 +319,20 @@
         headers: list[tuple[bytes, bytes]],
         send: Callable[..., Awaitable[None]],
     ) -> AttemptResult:
-        progress = self._progress
-        progress.partial_event.clear()
+        events = self._progress.events
+        events.discard_incomplete_event()
         async for chunk in response.iter_chunks():
             self._observer.record_chunk()
+            complete_events = events.feed(chunk)
             if self._resumable:
-                chunk = progress.feed(chunk)
+                chunk = complete_events
             if not chunk:
                 continue
             await self._send_head(response.status, headers, send)
             await _send_body(send, chunk)
-        if progress.partial_event:
+        if events.is_inside_event():
+            # Without a length or chunks, nothing else tells a response that
+            # has broken off from a complete one.
             return AttemptResult(
                 AttemptOutcome.BROKEN, "the last event is incomplete"
             )
@@ -407,25 +395,5 @@
     await send({"type": "http.response.body", "body": body, "more_body": more})
 
 
-def _find_events_end(data: bytearray) -> int:
-    """Return the offset at which the last complete event ends."""
-    end = 0
-    for blank in (b"\n\n", b"\r\n\r\n"):
-        position = data.rfind(blank)
-        if position >= 0:
-            end = max(end, position + len(blank))
-    return end
-
-
-def _find_last_event_id(events: bytes) -> str:
-    position = events.rfind(b"id:")
-    while position > 0 and events[position - 1 : position] != b"\n":
-        position = events.rfind(b"id:", 0, position)
-    if position < 0:
-        return ""
-    line = events[position + 3 :].split(b"\n", 1)[0]
-    return line.strip().decode("latin-1")
-
-
 def _describe(error: BaseException) -> str:
     return str(error) or type(error).__name__
