Don't continue a stream after a part of an event

An event of more than 256 KB is forwarded in parts. When the response broke off between two of them, the router took the part for a complete event, noted its id, and let another upstream continue: the caller got one event joined from two runs, with status complete. No caller has reported it; events of the users' engines are far smaller.

A stream with such an event is no longer continued; it breaks off visibly, and its caller resumes after the last event that it has received.

test_oversized_event_is_not_continued failed before (a complete response of both runs) and passes now.

--- a/hornbeamyard/request/events.py
+++ b/hornbeamyard/request/events.py
@@ -23,6 +23,9 @@
 
     Attributes
     ----------
+    has_split_event : bool
+        Whether an event exceeded `MAX_EVENT_BYTES`, so that it was returned
+        in parts.
     last_id : str
         Id of the last complete event that has one; empty before.
     """
@@ -31,6 +34,7 @@
         "_is_splitting",
         "_pending",
         "_tail",
+        "has_split_event",
         "last_id",
     )
 
@@ -41,6 +45,7 @@
         self._pending = bytearray()
         # Last bytes of the incomplete event, in which its end may begin.
         self._tail = b""
+        self.has_split_event = False
         self.last_id = ""
 
     def feed(self, chunk: bytes) -> bytes:
@@ -62,7 +67,7 @@
         self._tail = window[-_MAX_SPLIT_END_BYTES:]
         if len(self._pending) < MAX_EVENT_BYTES:
             return b""
-        self._is_splitting = True
+        self._is_splitting = self.has_split_event = True
         part = bytes(self._pending)
         self._pending.clear()
         return part
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -449,7 +449,7 @@
             return False
         if result.outcome is AttemptOutcome.WITHDRAWN:
             return True
-        if request.progress.started and not request.route.resumable:
+        if request.progress.started and not request.may_continue():
             return False
         if request.may_have_run and not request.route.is_repeatable():
             return False
--- a/hornbeamyard/request/routed_request.py
+++ b/hornbeamyard/request/routed_request.py
@@ -89,3 +89,13 @@
     first_event_ms: float = 0.0
     framing: Framing | None = None
     is_complete: bool = False
+
+    def may_continue(self) -> bool:
+        """Return whether another upstream may continue the response.
+
+        It may not after a part of an event, which another run would repeat
+        from its beginning.
+        """
+        return (
+            self.route.resumable and not self.progress.events.has_split_event
+        )
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -22,6 +22,7 @@
 from hornbeamyard.process.timers import MonotonicTimers
 from hornbeamyard.request.budget import WindowRetryBudget
 from hornbeamyard.request.forwarding import Forwarder
+from hornbeamyard.request.events import MAX_EVENT_BYTES
 from hornbeamyard.request.headers import NATIVE_HEADER_NAMES, HeaderCodec
 from hornbeamyard.request.reporting import RequestReporter
 from hornbeamyard.version.routing import Routing, parse_routing
@@ -537,6 +538,19 @@
 
         run(test, [send_events(1, 3, framing="close")])
 
+    def test_oversized_event_is_not_continued(self) -> None:
+        """Guards against one event joined from the parts of two runs."""
+        large = b"id: 4\ndata: " + b"x" * 2 * MAX_EVENT_BYTES
+
+        async def test(harness: Harness) -> None:
+            harness.balancer.servers["u1"].own_load.running = 5
+            received = await harness.send_request("/chat/1")
+            assert not received.is_complete
+            assert count_received(harness) == 1
+
+        broken = send_events(1, 3, partial_event=large, framing="close")
+        run(test, [broken], [send_events(4, 6)])
+
 
 class TestCallerRetries:
     """A caller's retry is told apart by the time that it has left."""
