--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -21,8 +21,8 @@
 from hornbeamyard.process.metrics import Metrics
 from hornbeamyard.process.timers import MonotonicTimers
 from hornbeamyard.request.budget import WindowRetryBudget
-from hornbeamyard.request.forwarding import Forwarder
 from hornbeamyard.request.events import MAX_EVENT_BYTES
+from hornbeamyard.request.forwarding import Forwarder
 from hornbeamyard.request.headers import NATIVE_HEADER_NAMES, HeaderCodec
 from hornbeamyard.request.reporting import RequestReporter
 from hornbeamyard.version.routing import Routing, parse_routing
