Don't take a stream that ended before its first event for complete

An engine that breaks off a response without length or chunks before its first event left its caller an empty stream with status 200 and a signature. Nothing was sent to the caller yet, so the attempt now counts as broken, and the request is retried elsewhere or answered 502. A stream that is continued after its last event may still be empty.

test_ended_before_first_event failed before (2 of 2, status 200) and passes now; test_continued_stream_without_further_events passed before and after.

--- a/hornbeamyard/request/relay.py
+++ b/hornbeamyard/request/relay.py
@@ -11,7 +11,12 @@
 from ..connection.upstreams import CONNECTION_ERRORS, UpstreamConnections
 from .events import EventReader
 from .exchange import HOP_BY_HOP_HEADERS
-from .headers import HeaderCodec, Headers, ResponseMetadata
+from .headers import (
+    LAST_EVENT_ID,
+    HeaderCodec,
+    Headers,
+    ResponseMetadata,
+)
 from .problem import send_response
 
 # Responses up to this size are buffered until they are complete, so that the
@@ -321,8 +326,14 @@
     ) -> AttemptResult:
         events = self._progress.events
         events.discard_incomplete_event()
+        # An upstream that continues a stream may have no further event.
+        is_continued = any(
+            n == LAST_EVENT_ID for n, _ in self._request.headers
+        )
+        has_events = False
         async for chunk in response.iter_chunks():
             self._observer.record_chunk()
+            has_events = True
             complete_events = events.feed(chunk)
             if self._resumable:
                 chunk = complete_events
@@ -330,6 +341,12 @@
                 continue
             await self._send_head(response.status, headers, send)
             await _send_body(send, chunk)
+        is_empty = not is_continued and not has_events
+        if is_empty and response.framing is Framing.CLOSE:
+            return AttemptResult(
+                AttemptOutcome.BROKEN,
+                "the connection ended before the first event",
+            )
         if events.is_inside_event():
             # Without a length or chunks, nothing else tells a response that
             # has broken off from a complete one.
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -551,6 +551,28 @@
         broken = send_events(1, 3, partial_event=large, framing="close")
         run(test, [broken], [send_events(4, 6)])
 
+    @pytest.mark.parametrize("path", ["/chat/1", "/notice/1"])
+    def test_ended_before_first_event(self, path: str) -> None:
+        """Guards against an empty stream as the answer of a crashed engine."""
+
+        async def test(harness: Harness) -> None:
+            received = await harness.send_request(path)
+            assert received.status == 502
+
+        run(test, [send_events(1, 0, framing="close")])
+
+    def test_continued_stream_without_further_events(self) -> None:
+        """Guards against failing a stream that broke after its last event."""
+
+        async def test(harness: Harness) -> None:
+            harness.balancer.servers["u1"].own_load.running = 5
+            received = await harness.send_request("/chat/1")
+            assert received.is_complete
+            assert received.body.count(b"data:") == 3
+
+        broken = send_events(1, 3, partial_event=b"id", framing="close")
+        run(test, [broken], [send_events(4, 3, framing="close")])
+
 
 class TestCallerRetries:
     """A caller's retry is told apart by the time that it has left."""
