Don't continue a stream whose events have no ids

A stream of a resumable route that broke off after events without ids was sent to another upstream without Last-Event-Id, which started it again, so the caller got the first events twice in one response. Nothing tells where such a stream would have to continue, so it now breaks off.

test_events_without_ids_are_not_continued failed before (events 1 to 6 after event 1) and passes now.

--- a/hornbeamyard/request/routed_request.py
+++ b/hornbeamyard/request/routed_request.py
@@ -93,9 +93,12 @@
     def may_continue(self) -> bool:
         """Return whether another upstream may continue the response.
 
-        It may not after a part of an event, which another run would repeat
-        from its beginning.
+        It needs the id of the last event, and would repeat an event that was
+        sent in part.
         """
+        events = self.progress.events
         return (
-            self.route.resumable and not self.progress.events.has_split_event
+            self.route.resumable
+            and bool(events.last_id)
+            and not events.has_split_event
         )
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -538,6 +538,20 @@
 
         run(test, [send_events(1, 3, framing="close")])
 
+    def test_events_without_ids_are_not_continued(self) -> None:
+        """Guards against events that come twice, as nothing tells the last."""
+
+        async def test(harness: Harness) -> None:
+            harness.balancer.servers["u1"].own_load.running = 5
+            received = await harness.send_request("/chat/1")
+            assert received.body == b"data: 1\n\n"
+            assert not received.is_complete
+
+        broken = send_events(
+            1, 0, complete=False, partial_event=b"data: 1\n\n"
+        )
+        run(test, [broken], [send_events(1, 6)])
+
     def test_oversized_event_is_not_continued(self) -> None:
         """Guards against one event joined from the parts of two runs."""
         large = b"id: 4\ndata: " + b"x" * 2 * MAX_EVENT_BYTES
