Detect streams cut inside an event in fleets without a route directory

The check before an error event uses the same reader, so that streams with CR LF get their error event too.

test_chunked_stream_ended_inside_event failed before in the case of the incomplete event and passes now.

--- a/hornbeamyard/request/delivery.py
+++ b/hornbeamyard/request/delivery.py
@@ -413,7 +413,7 @@
         exchange = state.exchange
         assert exchange is not None
         # An error event after an incomplete event would be parsed as its end.
-        if exchange.is_event_stream and exchange.last_chunk[-2:] == b"\n\n":
+        if exchange.is_event_stream and not exchange.events.is_inside_event():
             event = build_error_event(outcome, failure.reason)
             message = {"type": "http.response.body", "body": event}
             await send({**message, "more_body": True})
--- a/hornbeamyard/request/exchange.py
+++ b/hornbeamyard/request/exchange.py
@@ -9,12 +9,13 @@
 
 import anyio
 
-from ..connection.client import Response
+from ..connection.client import BrokenConnectionError, Response
 from ..connection.upstreams import (
     CONNECTION_ERRORS,
     LivenessChecker,
     UpstreamConnections,
 )
+from .events import EventReader
 from .outcome import AttemptFailure, Stage
 from .problem import Send
 
@@ -106,10 +107,10 @@
     ----------
     attempt_id : str
         Id of the attempt, which is sent to the upstream.
+    events : EventReader
+        Reader of a response that consists of server-sent events.
     is_event_stream : bool
         Whether the response consists of server-sent events.
-    last_chunk : bytes
-        Last chunk of the response body.
     progress : int
         Grows with each chunk that arrives or is taken by the caller.
     stage : Stage
@@ -127,8 +128,8 @@
         "_upstreams",
         "address",
         "attempt_id",
+        "events",
         "is_event_stream",
-        "last_chunk",
         "progress",
         "stage",
         "waits_for_caller",
@@ -152,8 +153,8 @@
         self._drop_failure: AttemptFailure | None = None
         self.address = address
         self.attempt_id = f"{_id_prefix}-{next(_id_numbers):x}"
+        self.events = EventReader()
         self.is_event_stream = False
-        self.last_chunk = b""
         self.progress = 0
         self.stage = Stage.CONNECTING
         self.waits_for_caller = False
@@ -271,7 +272,8 @@
                 await self._send_head(response, send)
             if recorder is not None:
                 recorder.add(chunk)
-            self.last_chunk = chunk
+            if self.is_event_stream:
+                self.events.feed(chunk)
             self.progress += 1
             self.waits_for_caller = True
             await send(
@@ -283,6 +285,8 @@
             )
             self.waits_for_caller = False
             self.progress += 1
+        if self.is_event_stream and self.events.is_inside_event():
+            raise BrokenConnectionError("the last event is incomplete")
         if not started:
             await self._send_head(response, send)
         self.stage = Stage.RESPONDED
--- a/hornbeamyard/tests/test_exchange.py
+++ b/hornbeamyard/tests/test_exchange.py
@@ -4,11 +4,21 @@
 
 import json
 import time
+from typing import Any
 
 import anyio
 import pytest
 
-from hornbeamyard.request.exchange import ResponseRecorder
+from hornbeamyard.connection.upstreams import (
+    LivenessChecker,
+    UpstreamConnections,
+)
+from hornbeamyard.process.timers import MonotonicTimers
+from hornbeamyard.request.exchange import (
+    Exchange,
+    ResponseRecorder,
+    UpstreamRequest,
+)
 
 from .in_process import (
     KEY,
@@ -18,6 +28,7 @@
     InProcessFleet,
     run_in_process,
 )
+from .raw_upstream import run_raw_upstream, send_events
 
 CHAT = "/v1/chat/completions"
 NOTICES = "/services/notices/"
@@ -282,6 +293,35 @@
 
         anyio.run(run)
 
+    @pytest.mark.requirement("R3", fault="stream interrupted")
+    @pytest.mark.parametrize("partial_event", [b"", b"data: 4\n"])
+    def test_chunked_stream_ended_inside_event(
+        self, partial_event: bytes
+    ) -> None:
+        """Guards against a truncated stream framed as complete."""
+        script = send_events(1, 3, partial_event=partial_event)
+
+        async def run() -> None:
+            sent: list[Any] = []
+
+            async def send(message: Any) -> None:
+                sent.append(message)
+
+            async with run_raw_upstream(script) as upstream:
+                connections = UpstreamConnections(0.5)
+                exchange = Exchange(
+                    UpstreamRequest("GET", b"/", [], b""),
+                    f"http://127.0.0.1:{upstream.port}",
+                    connections,
+                    LivenessChecker(connections, MonotonicTimers(), SILENCE_S),
+                    list,
+                )
+                failure = await exchange.run(send)
+            is_ended = not sent[-1].get("more_body", False)
+            assert is_ended == (failure is None) == (not partial_event)
+
+        anyio.run(run)
+
     def test_keeps_no_encoded_response(self) -> None:
         """Guards against replaying a response without its encoding."""
         recorder = ResponseRecorder(200, "text/plain", encoded=True)
