Announce and log software versions, and what a request resumes

Announcements carry the version of an upstream's software from the adapter and the product's own interface to the routers, where 'upstream' and 'placed' lines show it; 'placed' lines also show 'resumes' and 'last_event'. Nothing decides by them yet. An announcement whose version isn't a string names no upstream.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -212,13 +212,14 @@
         for upstream in changed:
             _log.info(
                 "upstream id={} pool={} address={} state={} sequence={} "
-                "started_ms={}",
+                "started_ms={} software_version={}",
                 upstream.id,
                 upstream.pool,
                 upstream.address,
                 upstream.state.value,
                 upstream.sequence,
                 upstream.started_ms,
+                upstream.software_version,
             )
             record = encode_upstream(upstream, now)
             for subscriber in self._subscribers:
--- a/hornbeamyard/connection/directory_codec.py
+++ b/hornbeamyard/connection/directory_codec.py
@@ -47,6 +47,7 @@
         sequence=upstream.sequence,
         started_ms=upstream.started_ms,
         models=upstream.models,
+        software_version=upstream.software_version,
         age_ms=max(0, int((now - upstream.last_seen_at) * 1000)),
     )
 
@@ -63,6 +64,7 @@
         record.sequence,
         record.started_ms,
         tuple(record.models),
+        record.software_version,
         now - record.age_ms / 1000,
     )
 
--- a/hornbeamyard/platform/calls.py
+++ b/hornbeamyard/platform/calls.py
@@ -80,8 +80,12 @@
         return None
     started_ms = document.get("born", 0)
     models = document.get("models", [])
+    # The version of the upstream's software. Those of weights are in `models`.
+    software_version = document.get("version", "")
     if type(started_ms) is not int or not isinstance(models, list):
         return None
+    if not isinstance(software_version, str):
+        return None
     return Upstream(
         id=id,
         pool=str(texts[0]),
@@ -96,6 +100,7 @@
             for model in models
             if isinstance(model, dict) and isinstance(model.get("name"), str)
         ),
+        software_version=software_version,
     )
 
 
--- a/hornbeamyard/platform/headers.py
+++ b/hornbeamyard/platform/headers.py
@@ -19,6 +19,7 @@
     not_run=b"x-not-executed",
     copy_from=b"kv-fetch",
     leaving=b"server-leaving",
+    resumes=b"resumes",
     router_only=frozenset(
         (
             b"x-hold",
--- a/hornbeamyard/pool/upstream_registry.py
+++ b/hornbeamyard/pool/upstream_registry.py
@@ -49,6 +49,9 @@
         is not announced.
     models : tuple of str
         Models that it serves; empty for all.
+    software_version : str
+        Version of its software, not of a model's weights; empty when it is
+        not announced.
     last_seen_at : float
         Monotonic time in seconds of its newest announcement.
     """
@@ -62,6 +65,7 @@
     sequence: int
     started_ms: int = 0
     models: tuple[str, ...] = ()
+    software_version: str = ""
     last_seen_at: float = 0.0
 
 
@@ -287,4 +291,5 @@
         upstream.slots,
         upstream.started_ms,
         upstream.models,
+        upstream.software_version,
     )
--- a/hornbeamyard/process/controller_app.py
+++ b/hornbeamyard/process/controller_app.py
@@ -27,6 +27,7 @@
         "sequence": Option(validation.check_integer(0, 2**63), required=True),
         "started_ms": Option(validation.check_integer(0, 2**63)),
         "models": Option(validation.check_list(validation.check_string)),
+        "software_version": Option(validation.check_string),
     }
 )
 
@@ -87,6 +88,7 @@
             document["sequence"],
             document.get("started_ms", 0),
             tuple(document.get("models", ())),
+            document.get("software_version", ""),
         )
     )
     return 200, b"{}"
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -335,6 +335,7 @@
                 state=upstream.state.value,
                 sequence=upstream.sequence,
                 started_ms=upstream.started_ms,
+                software_version=upstream.software_version,
             )
             if upstream.state is UpstreamState.GONE:
                 for balancer in self._balancers.values():
--- a/hornbeamyard/request/headers.py
+++ b/hornbeamyard/request/headers.py
@@ -44,6 +44,11 @@
     parts : tuple of PromptPart
         Parts of the prompt that other requests may share as a prefix, in
         order.
+    resumes : str
+        Id of the caller's attempt that brought the first event of the stream
+        that this request continues; empty if not given.
+    last_event_id : str
+        Last event of that stream that the caller has; empty if not given.
     """
 
     request_id: str
@@ -54,6 +59,8 @@
     output_tokens: int = 0
     expected_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
+    resumes: str = ""
+    last_event_id: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -144,6 +151,9 @@
         Address of an engine that holds the KV cache of the prompt.
     leaving : bytes
         Set to 1 in the responses of an upstream that is shutting down.
+    resumes : bytes
+        Id of the attempt that brought the first event of a stream, in the
+        request that continues it.
     router_only : frozenset of bytes
         Further headers that are removed from a caller's request, because
         only the router may set them.
@@ -163,6 +173,7 @@
     not_run: bytes
     copy_from: bytes
     leaving: bytes
+    resumes: bytes
     router_only: frozenset[bytes] = frozenset()
 
 
@@ -212,6 +223,8 @@
             output_tokens=token_counts[1] if len(token_counts) > 1 else 0,
             expected_tokens=int(expected_tokens or 0),
             parts=_parse_parts(values.get(names.parts, b"")),
+            resumes=values.get(names.resumes, b"").decode("latin-1"),
+            last_event_id=values.get(LAST_EVENT_ID, b"").decode("latin-1"),
         )
 
     def write_request(
@@ -278,6 +291,7 @@
     not_run=b"hornbeamyard-not-run",
     copy_from=b"hornbeamyard-copy-from",
     leaving=b"hornbeamyard-leaving",
+    resumes=b"hornbeamyard-resumes",
 )
 
 
--- a/hornbeamyard/request/reporting.py
+++ b/hornbeamyard/request/reporting.py
@@ -83,6 +83,11 @@
             account=request.account,
             pool=request.pool.name,
             upstream=server.id,
+            software_version=server.upstream.software_version,
+            resumes=request.metadata.resumes or None,
+            last_event=request.progress.events.last_id
+            or request.metadata.last_event_id
+            or None,
             rank=placement.rank,
             wait_ms=round(estimate.wait_ms),
             read_ms=round(estimate.prefill_ms),
--- a/hornbeamyard/tests/test_platform.py
+++ b/hornbeamyard/tests/test_platform.py
@@ -159,6 +159,8 @@
                 (b"x-token-counts", b"1460,80"),
                 (b"x-length-hint", b"60"),
                 (b"x-prompt-prefix", b"5c1e:800,91bd:410,e440:250"),
+                (b"resumes", b"r0"),
+                (b"last-event-id", b"12"),
             ]
         )
         assert (metadata.request_id, metadata.deadline_ms) == ("r1", 2500)
@@ -166,6 +168,7 @@
         assert (metadata.prompt_tokens, metadata.output_tokens) == (1460, 80)
         assert metadata.expected_tokens == 60
         assert metadata.parts[-1] == PromptPart("e440", 250)
+        assert (metadata.resumes, metadata.last_event_id) == ("r0", "12")
 
     @pytest.mark.parametrize(
         "headers",
@@ -307,6 +310,7 @@
         assert upstream.state is UpstreamState.READY
         assert upstream.started_ms == 1700000000000
         assert upstream.models == ("m",)
+        assert upstream.software_version == "v1"
 
     @pytest.mark.parametrize(
         ("field", "value"),
@@ -320,6 +324,7 @@
             ("slots", 1.5),
             ("born", "yesterday"),
             ("models", 3),
+            ("version", 2),
         ],
     )
     def test_ignores_invalid_heartbeat(self, field: str, value: Any) -> None:
