--- a/hornbeamyard/tests/test_directory.py
+++ b/hornbeamyard/tests/test_directory.py
@@ -34,6 +34,7 @@
 from .raw_upstream import (
     RawUpstream,
     ReceivedRequest,
+    Script,
     run_raw_upstream,
     send_response,
 )
@@ -95,19 +96,28 @@
 
     def start_router(self) -> None:
         """Start the router."""
-        settings = self._build_settings("r1", False)
+        self.router = self._start_router("r1", self.router_address)
+
+    def start_further_router(self, host: str) -> tuple[DirectoryRouter, str]:
+        """Start another router; return it and its address."""
+        address = find_free_address()
+        return self._start_router(host, address), address
+
+    def _start_router(self, host: str, address: str) -> DirectoryRouter:
+        settings = self._build_settings(host, False)
         settings.router = RouterSettings(
-            self.router_address,
-            status_address=self.status_address,
+            address,
+            status_address=self.status_address if host == "r1" else "",
             drain_s=DRAIN_S,
         )
-        with (self.folder / "router.log").open("w") as stream:
+        with (self.folder / f"{host}.log").open("w") as stream:
             writer = LineWriter(stream)
-        decisions = DecisionLog(self._timers, "r1", writer)
-        self.router = DirectoryRouter(
+        decisions = DecisionLog(self._timers, host, writer)
+        router = DirectoryRouter(
             settings, self._timers, self.interface, decisions
         )
-        self._tasks.start_soon(self.router.run, self.router_stop)
+        self._tasks.start_soon(router.run, self.router_stop)
+        return router
 
     def find_leader(self) -> Registrar | None:
         """Return the controller that leads."""
@@ -493,3 +503,110 @@
             usage.leaving.add(id="u1", started_ms=started_ms)
             directory.handle_usage(first, usage)
             assert second.pending_records["u1"].state == expected
+
+
+class TestResumedStreams:
+    """Callers continue streams at other routers."""
+
+    STREAMS = 12
+
+    def test_goes_on_at_the_version_that_began_it(
+        self, tmp_path: Path
+    ) -> None:
+        """Guards against streams joined from two software versions.
+
+        The first attempt ends with its connection to one router, and the
+        caller resumes the stream at another router, which has never seen it.
+        """
+
+        async def test(fleet: Fleet) -> None:
+            fleet.start_router()
+            other, other_address = fleet.start_further_router("r2")
+            assert fleet.router is not None
+            async with AsyncExitStack() as stack:
+                await fleet.submit(7)
+                for number, version in enumerate(("v1", "v2", "v1", "v2")):
+                    raw = await stack.enter_async_context(
+                        run_raw_upstream(send_version(version))
+                    )
+                    upstream = build_upstream(f"u{number}", raw.port)
+                    upstream.software_version = version
+                    fleet.registrars[number % CONTROLLERS].announce(upstream)
+                await fleet.wait(lambda: len(other.subscription.registry) == 4)
+                await fleet.wait(fleet.router.is_ready)
+                for stream in range(self.STREAMS):
+                    id = f"q{stream}"
+                    began = await read_stream(fleet.router_address, id, 2)
+                    went_on = await read_stream(
+                        other_address,
+                        f"{id}-again",
+                        2,
+                        (b"hornbeamyard-resumes", id.encode()),
+                        (b"last-event-id", b"2"),
+                    )
+                    assert began + went_on in (["v1"] * 4, ["v2"] * 4)
+
+        run_fleet(tmp_path, test)
+
+
+def build_upstream(id: str, port: int) -> Upstream:
+    """Return an upstream that is ready."""
+    return Upstream(
+        id, "app", f"127.0.0.1:{port}", "zone-a", UpstreamState.READY, 40, 1
+    )
+
+
+def send_version(version: str) -> Script:
+    """Return a script that names a version in each of four events.
+
+    Without Last-Event-Id it sends two of them, and nothing more.
+    """
+
+    async def send(
+        stream: anyio.abc.SocketStream, received: ReceivedRequest
+    ) -> None:
+        id = received.get_header("hornbeamyard-request")
+        first = int(received.get_header("last-event-id") or 0) + 1
+        await stream.send(
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
+            f"hornbeamyard-request: {id}\r\nhornbeamyard-signature: s1\r\n"
+            "\r\n".encode()
+        )
+        for number in range(first, first + 2):
+            await stream.send(f"id: {number}\ndata: {version}\n\n".encode())
+        if first == 1:
+            await stream.receive()
+        await stream.aclose()
+
+    return send
+
+
+async def read_stream(
+    address: str, id: str, events: int, *headers: tuple[bytes, bytes]
+) -> list[str]:
+    """Read events of a stream, close its connection and return their data."""
+    body = b""
+    async with (
+        httpcore.AsyncConnectionPool() as client,
+        client.stream(
+            "GET",
+            f"http://{address}/chat/1",
+            headers=[
+                (b"host", b"api.example"),
+                (b"hornbeamyard-request", id.encode()),
+                (b"authorization", b"Bearer k1"),
+                *headers,
+            ],
+        ) as response,
+    ):
+        assert response.status == 200
+        async for chunk in response.aiter_stream():
+            body += chunk
+            if body.count(b"\n\n") == events:
+                break
+    lines = body.decode().splitlines()
+    return [
+        line.removeprefix("data: ")
+        for line in lines
+        if line.startswith("data:")
+    ]
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -125,6 +125,13 @@
             ),
         )
 
+    def set_software_versions(self, *versions: str) -> None:
+        """Set the software versions of the upstreams in order."""
+        for server, version in zip(
+            self.balancer.servers.values(), versions, strict=True
+        ):
+            server.upstream.software_version = version
+
     def find_balancer(self, pool: str) -> Balancer:
         """Return the balancer of the only pool."""
         return self.balancer
@@ -588,6 +595,49 @@
         run(test, [broken], [send_events(4, 3, framing="close")])
 
 
+class TestSoftwareVersions:
+    """A stream goes on only at the software version that began it."""
+
+    @pytest.mark.parametrize("other", ["v2", ""])
+    def test_breaks_off_without_its_version(self, other: str) -> None:
+        """Guards against one response joined from two software versions."""
+
+        async def test(harness: Harness) -> None:
+            harness.set_software_versions("v1", other)
+            harness.balancer.servers["u1"].own_load.running = 5
+            received = await harness.send_request("/chat/1")
+            assert received.body.count(b"data:") == 3
+            assert not received.is_complete
+            assert count_received(harness) == 1
+
+        run(test, [send_events(1, 3, complete=False)], [send_events(4, 6)])
+
+    def test_continues_at_its_version(self) -> None:
+        """Guards against streams that break although they could go on."""
+
+        async def test(harness: Harness) -> None:
+            harness.set_software_versions("v1", "v2", "v1")
+            harness.balancer.servers["u1"].own_load.running = 3
+            harness.balancer.servers["u2"].own_load.running = 6
+            received = await harness.send_request("/chat/1")
+            assert received.is_complete
+            assert received.body.count(b"data:") == 6
+
+        broken = send_events(1, 3, complete=False)
+        run(test, [broken], [hang], [send_events(4, 6)])
+
+    def test_first_events_choose_the_version(self) -> None:
+        """Guards against a version fixed by an attempt without events."""
+
+        async def test(harness: Harness) -> None:
+            harness.set_software_versions("v1", "v2")
+            harness.balancer.servers["u1"].own_load.running = 5
+            received = await harness.send_request("/chat/1")
+            assert received.is_complete
+
+        run(test, [close_connection], [send_events(1, 3)])
+
+
 class TestCallerRetries:
     """A caller's retry is told apart by the time that it has left."""
 
