Continue a stream only at the software version that began it

Cause: placement knew no versions, so a stream went on at any upstream that was ready; and a caller's next attempt reaches a router that hasn't seen the first one, so versions alone don't help there. A fault of missing state: what a later decision needs was neither kept nor shared.

A version that is out of date because an upstream started again under its id isn't ruled out.

Change: once events were sent, a request may run only at the version that made them. Routers record each stream that they begin on a resumable route. While a pool has had several versions in the last 120 s they report them to all controllers before the first event usually exists, and again to a controller that is new. A router that gets a resumed stream takes the version from its own records, from the only version of the pool, or from the controllers (at most 0.3 s, twice). An unknown version is refused with 503 and Retry-After, as it may be known then; one that no ready upstream has is refused at once. Fleets with one version send nothing more than before but the versions in the first message of a stream.

A report of streams carries no usage and isn't taken for one: a new leader would count all tokens since a router's start as recent demand (test_report_of_streams_is_no_usage, failed without the check).

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -18,6 +18,7 @@
 from result import Err, Ok, Result
 
 from ..messages import fleet_pb2, fleet_pb2_grpc
+from ..pool.stream_origins import StreamOrigins
 from ..pool.upstream_registry import Upstream, UpstreamRegistry, UpstreamState
 from ..pool.usage import CachedPart, FleetUsage, RouterUsage, UsageTable
 from ..process.timers import Timers
@@ -117,6 +118,8 @@
 
     Attributes
     ----------
+    origins : StreamOrigins
+        Streams that routers have reported.
     registry : UpstreamRegistry
     """
 
@@ -130,6 +133,7 @@
         "_subscribers",
         "_timers",
         "_usage",
+        "origins",
         "registry",
     )
 
@@ -151,6 +155,7 @@
         self._timers = timers
         self._usage = UsageTable(window_s)
         self._subscribers: set[Subscriber] = set()
+        self.origins = StreamOrigins()
         self.registry = UpstreamRegistry()
 
     async def run(self) -> None:
@@ -161,6 +166,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._publish_versions)
             async for now in self._timers.subscribe(USAGE_INTERVAL_S):
+                self.origins.expire(now)
                 lost = self.registry.expire(now, self._lifetime_s)
                 for upstream in lost:
                     _log.info(
@@ -368,8 +374,13 @@
     ) -> None:
         """Record a router's report; its usage only if this controller leads.
 
-        Upstreams that leave are made known to all routers.
+        Upstreams that leave are made known to all routers, and begun streams
+        are kept for those that ask.
         """
+        if usage.begun_streams:
+            # Such a message has no usage, which must not count as zero.
+            self._record_streams(usage.begun_streams)
+            return
         for leaving in usage.leaving:
             self._publish(
                 self.registry.record_leaving(leaving.id, leaving.started_ms)
@@ -387,6 +398,16 @@
             subscriber.name, counters, self._timers.now()
         )
 
+    def _record_streams(
+        self, groups: Iterable[fleet_pb2.BegunStreams]
+    ) -> None:
+        now = self._timers.now()
+        for group in groups:
+            for request_id in group.request_ids:
+                self.origins.record(
+                    request_id, "", group.software_version, now
+                )
+
     def build_update(
         self, subscriber: Subscriber
     ) -> fleet_pb2.DirectoryUpdate:
@@ -398,6 +419,14 @@
             leader=self._replica.leader_host,
             attached_routers=self.count_routers(),
         )
+        if subscriber.version_sent < 0:
+            update.recent_versions.extend(
+                fleet_pb2.PoolVersions(
+                    pool=pool,
+                    software_versions=self.registry.list_versions(pool),
+                )
+                for pool in self.registry.list_pools()
+            )
         subscriber.version_sent = update.routing_version
         subscriber.pending_records = {}
         subscriber.pending_renewals = {}
@@ -515,6 +544,18 @@
         await peers.check_identity(request.identity, self._fleet, context)
         return self._directory.copy_routing()
 
+    async def FindStream(  # noqa: N802 - named by the protocol
+        self,
+        request: fleet_pb2.StreamLookup,
+        context: grpc.aio.ServicerContext,
+    ) -> fleet_pb2.StreamOrigin:
+        """Return the software version at which a stream began."""
+        await peers.check_identity(request.identity, self._fleet, context)
+        found = self._directory.origins.find(request.request_id)
+        return fleet_pb2.StreamOrigin(
+            found=found is not None, software_version=found or ""
+        )
+
     async def Watch(  # noqa: N802 - named by the protocol
         self,
         requests: AsyncIterator[fleet_pb2.RouterUsage],
--- a/hornbeamyard/connection/directory_calls.py
+++ b/hornbeamyard/connection/directory_calls.py
@@ -14,6 +14,8 @@
 # Less than the 1 s after which operators' programs call another controller.
 SUBMIT_TIMEOUT_S = 0.9
 FETCH_TIMEOUT_S = 1.0
+# Callers wait meanwhile for a stream to go on.
+FIND_STREAM_TIMEOUT_S = 0.3
 
 _log = logbook.Logger("directory")
 
@@ -73,6 +75,14 @@
             address, lambda s: s.FetchRouting, request, FETCH_TIMEOUT_S
         )
 
+    async def find_stream(
+        self, address: str, request: fleet_pb2.StreamLookup
+    ) -> fleet_pb2.StreamOrigin | None:
+        """Return where a stream began, as far as a controller knows."""
+        return await self._channels.call(
+            address, lambda s: s.FindStream, request, FIND_STREAM_TIMEOUT_S
+        )
+
     def open_stub(self, address: str) -> Any:
         """Return the stub for a controller."""
         return self._channels.open_stub(address)
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import anyio
@@ -32,6 +32,7 @@
     encode_cached_parts,
     unpack_document,
 )
+from .stream_reports import COLLECT_INTERVAL_S, StreamReports
 
 # Pause before a lost stream is opened again.
 RECONNECT_PAUSE_S = 0.2
@@ -70,6 +71,8 @@
     attached_routers : int
         Routers that are attached to a controller, as far as known.
     registry : UpstreamRegistry
+    streams : StreamReports
+        Streams that this router begins.
     version : int
         Routing version in force at this router.
     versions : dict of str to int
@@ -93,6 +96,7 @@
         "attached_routers",
         "registry",
         "seeds",
+        "streams",
         "version",
         "versions",
     )
@@ -128,6 +132,7 @@
         self.attached_routers = 0
         self.registry = UpstreamRegistry()
         self.seeds = list(seeds)
+        self.streams = StreamReports(self.registry, timers)
         self.version = 0
         self.versions: dict[str, int] = {}
 
@@ -152,6 +157,54 @@
         """Return whether a majority of controllers has sent its version."""
         return 2 * len(self.versions) > len(self._controllers) > 0
 
+    async def find_origin(self, pool: str, request_id: str) -> str | None:
+        """Return the software version at which a stream began.
+
+        Parameters
+        ----------
+        pool : str
+        request_id : str
+            Id of the caller's attempt that brought its first event; empty if
+            the caller doesn't name it.
+
+        Returns
+        -------
+        str or None
+            None if neither this router nor a controller knows it.
+        """
+        known = self.streams.origins.find(request_id)
+        if known is not None:
+            return known
+        versions = self.registry.list_versions(pool)
+        if len(versions) == 1:
+            return next(iter(versions))
+        if not request_id:
+            return None
+        found = await self._look_up_origin(request_id)
+        if found is None:
+            # The router that began the stream may report it just now.
+            await self._timers.sleep(2 * COLLECT_INTERVAL_S)
+            found = await self._look_up_origin(request_id)
+        return found
+
+    async def _look_up_origin(self, request_id: str) -> str | None:
+        """Ask all attached controllers; return the first answer."""
+        found: list[str] = []
+        request = fleet_pb2.StreamLookup(
+            identity=self._identity, request_id=request_id
+        )
+
+        async def ask(address: str, scope: anyio.CancelScope) -> None:
+            origin = await self._calls.find_stream(address, request)
+            if origin is not None and origin.found:
+                found.append(origin.software_version)
+                scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            for address in self.versions:
+                tasks.start_soon(ask, address, tasks.cancel_scope)
+        return found[0] if found else None
+
     async def run(self) -> None:
         """Keep a stream to each controller until cancelled."""
         running: set[str] = set()
@@ -169,6 +222,7 @@
                 await self._timers.sleep(RECONNECT_PAUSE_S)
 
     def _expire(self) -> None:
+        self.streams.origins.expire(self._timers.now())
         if not self.versions:
             return
         # A controller that is out of reach may have received newer
@@ -243,9 +297,23 @@
 
         Only the leader gets reports of usage.
         """
-        await peers.wait_call(
-            call.write(fleet_pb2.RouterUsage(identity=self._identity))
-        )
+        lock = anyio.Lock()
+
+        async def send(report: fleet_pb2.RouterUsage) -> None:
+            # gRPC allows one write to a stream at a time.
+            async with lock:
+                await peers.wait_call(call.write(report))
+
+        await send(fleet_pb2.RouterUsage(identity=self._identity))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.streams.run, send)
+            await self._send_usage(send, address)
+
+    async def _send_usage(
+        self,
+        send: Callable[[fleet_pb2.RouterUsage], Awaitable[None]],
+        address: str,
+    ) -> None:
         encoder = UsageEncoder()
         idle_s = 0.0
         sent: dict[str, int] = {}
@@ -273,7 +341,7 @@
                 usage.read_parts.extend(
                     encode_cached_parts(counters.cached_parts)
                 )
-            await peers.wait_call(call.write(usage))
+            await send(usage)
 
     def _apply_update(
         self,
@@ -294,6 +362,9 @@
             self._controllers = {c.address: c.host for c in update.controllers}
         if update.leader:
             self._leader = update.leader
+        for pool in update.recent_versions:
+            for software_version in pool.software_versions:
+                self.registry.record_version(pool.pool, software_version, now)
         changed = []
         for record in update.upstreams:
             if record.state not in UPSTREAM_STATES:
@@ -311,6 +382,7 @@
             )
         if changed:
             self._on_upstreams(changed)
+            self.streams.notify()
         if update.has_sums:
             accounts, usage = decoder.decode(
                 update.accounts, update.usage, update.has_whole_usage
--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -132,6 +132,8 @@
 
     NO_UPSTREAM = "no upstream is ready"
     PAUSED = "all upstreams have asked for a pause"
+    NO_VERSION = "no upstream has the software version that began the stream"
+    UNKNOWN_VERSION = "the software version that began the stream isn't known"
     NO_SHARE = "the account's share is used up"
     NO_ROOM = "the upstreams are full"
     TOO_LATE = "the answer would come too late"
@@ -556,7 +558,7 @@
             for server in self.servers.values()
             if server.accepts_requests(now)
             and server.id not in excluded
-            and _serves_model(server.upstream, demand)
+            and _may_run(server.upstream, demand)
         ]
         usable = [server for server in willing if now >= server.ejected_until]
         # When all are ejected, the one whose ejection ends first is better
@@ -814,6 +816,8 @@
         if not self.servers:
             return Shortfall(RefusalReason.NO_UPSTREAM, True)
         resumes_at = self._find_end_of_pause(demand, now, excluded)
+        if resumes_at is None and demand.software_version is not None:
+            return Shortfall(RefusalReason.NO_VERSION, True)
         if resumes_at is None:
             return Shortfall(RefusalReason.NO_UPSTREAM)
         is_hopeless = resumes_at > _compute_give_up_time(demand)
@@ -829,7 +833,7 @@
             if server.upstream.state is UpstreamState.READY
             and server.paused_until > now
             and server.id not in excluded
-            and _serves_model(server.upstream, demand)
+            and _may_run(server.upstream, demand)
         ]
         return min(paused_until, default=None)
 
@@ -934,7 +938,9 @@
     return source.get_part_used_at(part) > server.get_part_used_at(part)
 
 
-def _serves_model(upstream: Upstream, demand: RequestDemand) -> bool:
+def _may_run(upstream: Upstream, demand: RequestDemand) -> bool:
+    if demand.software_version not in (None, upstream.software_version):
+        return False
     if not demand.model or not upstream.models:
         return True
     return demand.model in upstream.models
--- a/hornbeamyard/pool/demand.py
+++ b/hornbeamyard/pool/demand.py
@@ -46,6 +46,9 @@
     output_tokens : int
         Estimate of the tokens to generate.
     model : str
+    software_version : str or None
+        The only software version that may run the request, because it began
+        the stream that the request continues; None for any.
     is_caller_retry : bool
         Whether the caller seems to retry after a refusal.
     is_charged : bool
@@ -67,6 +70,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     model: str = ""
+    software_version: str | None = None
     is_caller_retry: bool = False
     is_charged: bool = False
     own_tokens: int = field(init=False)
--- a/hornbeamyard/pool/upstream_registry.py
+++ b/hornbeamyard/pool/upstream_registry.py
@@ -84,6 +84,8 @@
     _ended: dict[str, _EndedUpstream] = field(default_factory=dict)
     # Upstreams that expired, in their last known state.
     _lost: dict[str, Upstream] = field(default_factory=dict)
+    # When each software version was last seen, by pool.
+    _versions: dict[str, dict[str, float]] = field(default_factory=dict)
 
     def get(self, id: str) -> Upstream | None:
         """Return an upstream that has not ended."""
@@ -97,6 +99,23 @@
         """Return the number of upstreams that have not ended."""
         return len(self._upstreams)
 
+    def list_versions(self, pool: str) -> frozenset[str]:
+        """Return the software versions of a pool's upstreams.
+
+        Those that have ended within `ENDED_RETENTION_S` are included.
+        """
+        return frozenset(self._versions.get(pool, ()))
+
+    def list_pools(self) -> list[str]:
+        """Return the pools that `list_versions` knows."""
+        return list(self._versions)
+
+    def record_version(
+        self, pool: str, software_version: str, now: float
+    ) -> None:
+        """Record that a pool has an upstream with a software version."""
+        self._versions.setdefault(pool, {})[software_version] = now
+
     def announce(self, upstream: Upstream, now: float) -> list[Upstream]:
         """Apply an announcement.
 
@@ -129,6 +148,7 @@
         if known is not None and known.address != upstream.address:
             self._by_address.pop(known.address, None)
         self._lost.pop(upstream.id, None)
+        self.record_version(upstream.pool, upstream.software_version, now)
         self._upstreams[upstream.id] = upstream
         self._by_address[upstream.address] = upstream.id
         is_same = known is not None and _get_fields(known) == _get_fields(
@@ -235,6 +255,14 @@
         for id, lost in list(self._lost.items()):
             if now - lost.last_seen_at > ENDED_RETENTION_S:
                 del self._lost[id]
+        for upstream in self:
+            self.record_version(upstream.pool, upstream.software_version, now)
+        for pool, versions in list(self._versions.items()):
+            for version, seen_at in list(versions.items()):
+                if now - seen_at > ENDED_RETENTION_S:
+                    del versions[version]
+            if not versions:
+                del self._versions[pool]
         silent = [u for u in self if now - u.last_seen_at > lifetime_s]
         for upstream in silent:
             self._remove(upstream)
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -275,6 +275,16 @@
         if changed:
             self._handle_upstreams(changed)
 
+    def record_stream(
+        self, request_id: str, pool: str, software_version: str
+    ) -> None:
+        """Record a stream that begins at an upstream of a pool."""
+        self.subscription.streams.record(request_id, pool, software_version)
+
+    async def find_origin(self, pool: str, request_id: str) -> str | None:
+        """Return the software version at which a stream began, if known."""
+        return await self.subscription.find_origin(pool, request_id)
+
     async def _serve_request(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -13,7 +13,12 @@
 import anyio.lowlevel
 
 from ..connection.upstreams import UpstreamConnections
-from ..pool.balancer import Balancer, Placement, Refusal
+from ..pool.balancer import (
+    Balancer,
+    Placement,
+    Refusal,
+    RefusalReason,
+)
 from ..pool.demand import RequestDemand
 from ..pool.engine import Server
 from ..pool.shares import Shares
@@ -82,6 +87,14 @@
     def find_budget(self, pool: str) -> WindowRetryBudget:
         """Return the retry budget of a pool."""
 
+    def record_stream(
+        self, request_id: str, pool: str, software_version: str
+    ) -> None:
+        """Record a stream that begins at an upstream of a pool."""
+
+    async def find_origin(self, pool: str, request_id: str) -> str | None:
+        """Return the software version at which a stream began, if known."""
+
     def record_leaving(self, upstream: Upstream) -> None:
         """Send no more requests to an upstream that says that it leaves."""
 
@@ -320,6 +333,11 @@
         # The demand of a caller that retries was already recorded.
         if request.pool.is_engine() and not request.demand.is_caller_retry:
             self._shares.record_asked(request.account, request.demand.size)
+        if request.is_resumed() and not await self._find_origin(request):
+            retry_after_s = UNREADY_RETRY_AFTER_S * (0.5 + random.random())
+            refusal = Refusal(RefusalReason.UNKNOWN_VERSION, retry_after_s)
+            await self._send_refusal(request, refusal, send)
+            return
         while True:
             now = self._timers.now()
             placement = await balancer.admit(
@@ -328,16 +346,34 @@
             if isinstance(placement, Refusal):
                 await self._send_refusal(request, placement, send)
                 return
+            software_version = placement.server.upstream.software_version
             result = await self._attempt(request, balancer, placement, send)
             if result.outcome is AttemptOutcome.COMPLETED:
                 self._reporter.report_answered(request, placement)
                 return
+            if request.progress.started:
+                # Events of different software versions don't fit together.
+                request.demand.software_version = software_version
             balancer.start_waiting(self._timers.now())
             if not self._may_retry(request, result, budget):
                 await self._send_failure(request, result, send)
                 return
             self._reporter.report_retried(request, placement, result)
 
+    async def _find_origin(self, request: RoutedRequest) -> bool:
+        """Restrict a resumed stream to the software version that began it.
+
+        Returns
+        -------
+        bool
+            Whether that version is known.
+        """
+        software_version = await self._router.find_origin(
+            request.pool.name, request.metadata.resumes
+        )
+        request.demand.software_version = software_version
+        return software_version is not None
+
     async def _attempt(
         self,
         request: RoutedRequest,
@@ -349,6 +385,12 @@
         started_at = self._timers.now()
         version = self._router.routing.version if self._router.routing else 0
         self._reporter.report_placed(request, placement, version)
+        if request.route.resumable:
+            self._router.record_stream(
+                request.stream_id(),
+                request.pool.name,
+                server.upstream.software_version,
+            )
         meter = AttemptMeter(
             self._timers,
             balancer,
--- a/hornbeamyard/request/routed_request.py
+++ b/hornbeamyard/request/routed_request.py
@@ -90,6 +90,17 @@
     framing: Framing | None = None
     is_complete: bool = False
 
+    def stream_id(self) -> str:
+        """Return the id by which the caller resumes the response."""
+        return self.metadata.resumes or self.metadata.request_id
+
+    def is_resumed(self) -> bool:
+        """Return whether the caller resumes a stream that began earlier."""
+        metadata = self.metadata
+        return self.route.resumable and bool(
+            metadata.resumes or metadata.last_event_id
+        )
+
     def may_continue(self) -> bool:
         """Return whether another upstream may continue the response.
 
--- a/hornbeamyard/tests/test_directory.py
+++ b/hornbeamyard/tests/test_directory.py
@@ -439,6 +439,18 @@
         return self.leads
 
 
+def build_directory(replica: FakeReplica, timers: VirtualTimers) -> Directory:
+    """Return a controller's directory without other controllers."""
+    return Directory(
+        replica,  # type: ignore[arg-type]
+        None,  # type: ignore[arg-type]
+        None,  # type: ignore[arg-type]
+        timers,
+        5.0,
+        2.0,
+    )
+
+
 class TestUsage:
     """The fleet usage that a new leader adds up."""
 
@@ -450,14 +462,7 @@
         two seconds, or every account seems to flood the pool.
         """
         replica, timers = FakeReplica(), VirtualTimers(start=100.0)
-        directory = Directory(
-            replica,  # type: ignore[arg-type]
-            None,  # type: ignore[arg-type]
-            None,  # type: ignore[arg-type]
-            timers,
-            5.0,
-            2.0,
-        )
+        directory = build_directory(replica, timers)
         subscriber = directory.attach("r1/1")
         directory.handle_usage(subscriber, fleet_pb2.RouterUsage())
         replica.leads = True
@@ -468,20 +473,29 @@
         fleet_usage = directory._usage.compute_fleet_usage(timers.now())
         assert fleet_usage.accounts["a"].asked == 300
 
+    def test_report_of_streams_is_no_usage(self) -> None:
+        """Guards against the same cut of shares by a report without usage."""
+        replica, timers = FakeReplica(), VirtualTimers(start=100.0)
+        directory = build_directory(replica, timers)
+        subscriber = directory.attach("r1/1")
+        replica.leads = True
+        streams = fleet_pb2.RouterUsage()
+        streams.begun_streams.add(software_version="v1", request_ids=["q1"])
+        directory.handle_usage(subscriber, streams)
+        usage = fleet_pb2.RouterUsage()
+        usage.accounts.add(client_account="a", asked=1_000_000)
+        directory.handle_usage(subscriber, usage)
+        fleet_usage = directory._usage.compute_fleet_usage(timers.now())
+        assert "a" not in fleet_usage.accounts
+        assert directory.origins.find("q1") == "v1"
+
     def test_leaving_upstream_reaches_all_routers(self) -> None:
         """Guards against routers that learn of it only from a response.
 
         Any controller passes it on, so that it is known without a leader.
         """
         timers = VirtualTimers(start=100.0)
-        directory = Directory(
-            FakeReplica(),  # type: ignore[arg-type]
-            None,  # type: ignore[arg-type]
-            None,  # type: ignore[arg-type]
-            timers,
-            5.0,
-            2.0,
-        )
+        directory = build_directory(FakeReplica(), timers)
         directory.announce(
             Upstream(
                 "u1",
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -16,6 +16,7 @@
 from hornbeamyard.connection.upstreams import UpstreamConnections
 from hornbeamyard.pool.balancer import Balancer
 from hornbeamyard.pool.shares import Shares
+from hornbeamyard.pool.stream_origins import StreamOrigins
 from hornbeamyard.pool.upstream_registry import Upstream, UpstreamState
 from hornbeamyard.process.decisions import DecisionLog
 from hornbeamyard.process.metrics import Metrics
@@ -90,6 +91,7 @@
         self.routing: Routing | None = parse_routing(DOCUMENT).unwrap()
         self.routers = 1
         self.is_stopping = False
+        self.origins = StreamOrigins()
         self.shares = Shares()
         self.balancer = Balancer(
             "app",
@@ -140,6 +142,16 @@
         """Return the retry budget of the only pool."""
         return self.budget
 
+    def record_stream(
+        self, request_id: str, pool: str, software_version: str
+    ) -> None:
+        """Record a stream that begins."""
+        self.origins.record(request_id, pool, software_version, 0.0)
+
+    async def find_origin(self, pool: str, request_id: str) -> str | None:
+        """Return the software version at which a stream began, if known."""
+        return self.origins.find(request_id)
+
     def record_leaving(self, upstream: Upstream) -> None:
         """Take the upstream out of service, as a router does."""
         draining = replace(upstream, state=UpstreamState.DRAINING)
@@ -626,6 +638,42 @@
         broken = send_events(1, 3, complete=False)
         run(test, [broken], [hang], [send_events(4, 6)])
 
+    @pytest.mark.parametrize(
+        ("origin", "status", "reason"),
+        [
+            ("v1", 200, None),
+            ("v3", 503, "no_version"),
+            (None, 503, "unknown_version"),
+        ],
+    )
+    def test_resumed_stream(
+        self, origin: str | None, status: int, reason: str | None
+    ) -> None:
+        """Guards against a resumed stream at any version, or a late refusal.
+
+        A stream whose version is gone can't be served later either.
+        """
+
+        async def test(harness: Harness) -> None:
+            harness.set_software_versions("v1", "v2")
+            harness.balancer.servers["u0"].own_load.running = 3
+            if origin is not None:
+                harness.record_stream("r-0", "app", origin)
+            began_at = harness.timers.now()
+            received = await harness.send_request(
+                "/chat/1",
+                headers=(
+                    (b"hornbeamyard-resumes", b"r-0"),
+                    (b"last-event-id", b"3"),
+                ),
+            )
+            assert received.status == status
+            assert harness.timers.now() - began_at < 0.05 or status == 200
+            assert count_received(harness) == (status == 200)
+            assert harness.log.lines[-1].get("reason") == reason
+
+        run(test, [send_events(4, 6)], [send_events(4, 6)])
+
     def test_first_events_choose_the_version(self) -> None:
         """Guards against a version fixed by an attempt without events."""
 
--- /dev/null
+++ b/hornbeamyard/tests/test_stream_reports.py
@@ -0,0 +1,157 @@
+"""Tests of where streams began, at routers and controllers."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import pytest
+
+from hornbeamyard.connection.stream_reports import StreamReports
+from hornbeamyard.messages import fleet_pb2
+from hornbeamyard.pool import stream_origins
+from hornbeamyard.pool.stream_origins import RETENTION_S, StreamOrigins
+from hornbeamyard.pool.upstream_registry import (
+    ENDED_RETENTION_S,
+    Upstream,
+    UpstreamRegistry,
+    UpstreamState,
+)
+from hornbeamyard.process.timers import MonotonicTimers
+
+
+def announce(
+    registry: UpstreamRegistry, id: str, version: str, now: float = 0.0
+) -> None:
+    """Announce an upstream of the pool `app`."""
+    upstream = Upstream(
+        id, "app", f"10.0.0.1:{id}", "z", UpstreamState.READY, 4, 1
+    )
+    upstream.software_version = version
+    upstream.last_seen_at = now
+    registry.announce(upstream, now)
+
+
+class TestStreamOrigins:
+    """Streams are known for as long as their callers may resume them."""
+
+    def test_last_attempt_counts(self) -> None:
+        """Guards against the version of an attempt without events."""
+        origins = StreamOrigins()
+        origins.record("q1", "app", "v1", 0.0)
+        origins.record("q1", "app", "v2", 1.0)
+        assert origins.find("q1") == "v2"
+        assert origins.find("q2") is None
+
+    def test_expiry(self) -> None:
+        """Guards against memory that grows with each stream."""
+        origins = StreamOrigins()
+        for second in range(3):
+            origins.record(f"q{second}", "app", "v1", float(second))
+        origins.expire(RETENTION_S + 1.5)
+        known = [origins.find(f"q{second}") for second in range(3)]
+        assert known == [None, None, "v1"]
+
+    def test_bound(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against memory that grows with the rate of streams."""
+        monkeypatch.setattr(stream_origins, "MAX_STREAMS", 2)
+        origins = StreamOrigins()
+        for number in range(3):
+            origins.record(f"q{number}", "app", "v1", 0.0)
+        assert [s.request_id for s in origins.list_since(0)] == ["q2", "q1"]
+
+
+class TestVersions:
+    """A pool has mixed versions until streams of the old one have ended."""
+
+    def test_version_of_ended_upstream(self) -> None:
+        """Guards against a stream that goes on at the only version left."""
+        registry = UpstreamRegistry()
+        announce(registry, "1", "v1")
+        announce(registry, "2", "v2")
+        registry.record_end("1", 0, 1.0)
+        registry.expire(2.0, 60.0)
+        assert registry.list_versions("app") == {"v1", "v2"}
+        announce(registry, "2", "v2", ENDED_RETENTION_S)
+        registry.expire(ENDED_RETENTION_S + 1.0, 60.0)
+        assert registry.list_versions("app") == {"v2"}
+
+
+class TestReports:
+    """Controllers get every stream of a pool with mixed versions once."""
+
+    @staticmethod
+    def run(
+        test: Callable[
+            [StreamReports, UpstreamRegistry, list[dict[str, str]]],
+            Awaitable[None],
+        ],
+    ) -> None:
+        """Run a test with the reports to one controller."""
+
+        async def main() -> None:
+            registry = UpstreamRegistry()
+            announce(registry, "1", "v1")
+            reports = StreamReports(registry, MonotonicTimers())
+            sent: list[dict[str, str]] = []
+
+            async def send(report: fleet_pb2.RouterUsage) -> None:
+                sent.append(
+                    {
+                        id: group.software_version
+                        for group in report.begun_streams
+                        for id in group.request_ids
+                    }
+                )
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(reports.run, send)
+                await anyio.sleep(0)
+                await test(reports, registry, sent)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+
+    def test_versions_become_mixed(self) -> None:
+        """Guards against streams that are unknown as a release begins."""
+
+        async def test(
+            reports: StreamReports,
+            registry: UpstreamRegistry,
+            sent: list[dict[str, str]],
+        ) -> None:
+            reports.record("q1", "app", "v1")
+            await anyio.sleep(0.1)
+            assert sent == []
+            announce(registry, "2", "v2")
+            reports.notify()
+            await anyio.sleep(0.1)
+            reports.record("q2", "app", "v2")
+            reports.record("q3", "app", "v1")
+            await anyio.sleep(0.1)
+            assert sent == [{"q1": "v1"}, {"q2": "v2", "q3": "v1"}]
+
+        self.run(test)
+
+    def test_new_controller_gets_all(self) -> None:
+        """Guards against streams that are unknown to a new controller."""
+
+        async def test(
+            reports: StreamReports,
+            registry: UpstreamRegistry,
+            sent: list[dict[str, str]],
+        ) -> None:
+            announce(registry, "2", "v2")
+            reports.record("q1", "app", "v1")
+            await anyio.sleep(0.1)
+            later: list[fleet_pb2.RouterUsage] = []
+
+            async def send(report: fleet_pb2.RouterUsage) -> None:
+                later.append(report)
+
+            with anyio.move_on_after(0.1):
+                await reports.run(send)
+            assert sent == [{"q1": "v1"}]
+            assert list(later[0].begun_streams[0].request_ids) == ["q1"]
+
+        self.run(test)
