Soak unframed and truncated streams, software versions and resumed streams

Half of the streams now have neither a length nor chunks, one in ten breaks off inside an event, each start of an upstream draws one of two software versions, and callers resume broken streams at other routers. New checks: events of one software version within a response and over a caller's attempts; after the recovery, of twelve streams resumed at other routers half as large a share goes on as begins. The check of events is as strict as before and demands one version.

--- a/hornbeamyard/tests/test_soak.py
+++ b/hornbeamyard/tests/test_soak.py
@@ -16,7 +16,7 @@
     Submission,
 )
 from soak.run import run_seed
-from soak.upstream import EVENT_COUNT
+from soak.upstream import EVENT_COUNT, build_event
 
 # The faults of this seed kill, stop, freeze and cut in the first seconds.
 SEED = 1
@@ -112,7 +112,7 @@
     def test_missing_event(self) -> None:
         """Guards against missing a gap in a stream."""
         body = b"".join(
-            f"id: {n}\ndata: q1 {n}\n\n".encode()
+            build_event("q1", n, "v1")
             for n in range(1, EVENT_COUNT + 1)
             if n != 3
         )
@@ -129,12 +129,63 @@
             kind="notice",
             path="/notice/1",
             status=200,
-            body=b"id: 1\ndata: q1 1\n\n",
+            body=build_event("q1", 1, "v1"),
         )
         execution = build_execution(pool="model", path="/notice/1")
         found = check(Records(requests=[request]), execution)
         assert found[0].startswith("the stream ends as complete")
 
+    def test_stream_that_ends_inside_an_event_as_complete(self) -> None:
+        """Guards against missing a truncated last event."""
+        events = [build_event("q1", n + 1, "v1") for n in range(EVENT_COUNT)]
+        request = build_request(
+            kind="notice",
+            path="/notice/1",
+            status=200,
+            body=b"".join(events)[:-1],
+        )
+        execution = build_execution(pool="model", path="/notice/1")
+        found = check(Records(requests=[request]), execution)
+        assert found[0].startswith("the stream ends as complete")
+
+    def test_mixed_versions_in_a_response(self) -> None:
+        """Guards against missing a response joined from two versions."""
+        request = build_request(
+            kind="chat",
+            path="/chat/1",
+            status=200,
+            complete=False,
+            body=build_event("q1", 1, "v1") + build_event("q1", 2, "v2"),
+        )
+        execution = build_execution(pool="model", path="/chat/1")
+        found = check(Records(requests=[request]), execution)
+        assert found[0].startswith("events are missing, duplicated, mixed")
+
+    def test_mixed_versions_over_attempts(self) -> None:
+        """Guards against missing a stream resumed at another version."""
+        began = build_request(
+            kind="chat",
+            path="/chat/1",
+            status=200,
+            complete=False,
+            body=build_event("q1", 1, "v1"),
+        )
+        resumed = build_request(
+            id="q2",
+            kind="chat",
+            path="/chat/2",
+            status=200,
+            complete=False,
+            body=build_event("q1", 2, "v2"),
+            resumes="q1",
+            last_event=1,
+        )
+        execution = build_execution(pool="model", path="/chat/1")
+        found = check(Records(requests=[began, resumed]), execution)
+        assert found == [
+            "stream q1 has events of the software versions [b'v1', b'v2']"
+        ]
+
     def test_cut_off_during_planned_stop(self) -> None:
         """Guards against excusing a lost response by a planned stop."""
         request = build_request(status=0, complete=False)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,6 +13,7 @@
 
 from .fleet import CONTROLLERS, ROUTERS, Fleet
 from .records import ReadResult, Records, Request, Submission
+from .upstream import EVENT_COUNT
 
 HOST = "api.example"
 KEY = "soak-key"
@@ -178,7 +179,7 @@
     async def send_request(
         self, pool: httpcore.AsyncConnectionPool, router: int, kind: str = ""
     ) -> bool:
-        """Send one request and record it.
+        """Send one request and record it, and resume its stream if it breaks.
 
         Parameters
         ----------
@@ -196,18 +197,59 @@
             used again.
         """
         request = self._draw_request(router, kind)
+        max_wait_s = 0.0
+        if not kind and self._rng.random() < DISCONNECT_FRACTION:
+            max_wait_s = self._rng.uniform(0.01, 0.3)
+        await self._send_and_record(pool, request, max_wait_s)
+        if can_resume(request):
+            await self.resume(request)
+        return request.complete
+
+    async def resume(self, broken: Request) -> Request:
+        """Continue a stream that broke off, at a router that is ready."""
+        routers = sorted(self.ready_routers) or [broken.router]
+        request = self._draw_request(self._rng.choice(routers), broken.kind)
+        request.resumes = broken.resumes or broken.id
+        request.last_event = broken.last_event + broken.count_events()
+        async with httpcore.AsyncConnectionPool() as pool:
+            await self._send_and_record(pool, request)
+        return request
+
+    async def begin_stream(self, router: int, events: int) -> Request:
+        """Send a request, and close its connection after some events."""
+        request = self._draw_request(router, "chat")
+        async with httpcore.AsyncConnectionPool() as pool:
+            await self._send_and_record(pool, request, max_events=events)
+        return request
+
+    async def _send_and_record(
+        self,
+        pool: httpcore.AsyncConnectionPool,
+        request: Request,
+        max_wait_s: float = 0.0,
+        max_events: int = 0,
+    ) -> None:
+        """Send a request and record it.
+
+        Parameters
+        ----------
+        pool : httpcore.AsyncConnectionPool
+        request : Request
+        max_wait_s : float, optional
+            Time in seconds after which the caller disconnects; 0 for the time
+            that any caller waits.
+        max_events : int, optional
+            Number of events after which it disconnects; 0 for no limit.
+        """
         self._records.requests.append(request)
         body = self._rng.randbytes(self._rng.choice((0, 20, 3000)))
         request.digest = digest(body)
         timeout_s = CALLER_TIMEOUT_MARGIN_S + TIMEOUT_MS / 1000
-        if not kind and self._rng.random() < DISCONNECT_FRACTION:
-            timeout_s = self._rng.uniform(0.01, 0.3)
-        with anyio.move_on_after(timeout_s) as scope:
-            await self._send(pool, request, body)
-        request.abandoned = scope.cancelled_caught
+        with anyio.move_on_after(max_wait_s or timeout_s) as scope:
+            await self._send(pool, request, body, max_events)
+        request.abandoned = request.abandoned or scope.cancelled_caught
         request.ended_at = time.monotonic()
         request.newest_submitted = self._records.newest_submitted
-        return request.complete
 
     def _draw_request(self, router: int, kind: str) -> Request:
         self._request_count += 1
@@ -234,6 +276,7 @@
         pool: httpcore.AsyncConnectionPool,
         request: Request,
         body: bytes,
+        max_events: int,
     ) -> None:
         stream = KINDS.get(request.kind, ("", False, True))[1]
         headers: dict[str | bytes, str | bytes] = {
@@ -243,6 +286,9 @@
         }
         if stream:
             headers["soak-events"] = "1"
+            if request.resumes:
+                headers["hornbeamyard-resumes"] = request.resumes
+                headers["last-event-id"] = str(request.last_event)
             headers["hornbeamyard-token-counts"] = "200,20"
             part = self._rng.randint(1, 5)
             headers["hornbeamyard-prompt-parts"] = f"part-{part}:100"
@@ -261,12 +307,26 @@
                 }
                 async for chunk in response.aiter_stream():
                     request.body += chunk
+                    if 0 < max_events <= request.count_events():
+                        request.abandoned = True
+                        return
                 request.complete = True
         except CONNECTION_ERRORS:
             # The record shows that the response is incomplete.
             return
 
 
+def can_resume(request: Request) -> bool:
+    """Return whether the caller may continue the stream of a request."""
+    return (
+        request.kind == "chat"
+        and request.status == 200
+        and not request.complete
+        and not request.abandoned
+        and 0 < request.last_event + request.count_events() < EVENT_COUNT
+    )
+
+
 class Operators:
     """Operators that submit routings, with retries, and read them.
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections import defaultdict
 from collections.abc import Iterator
 from pathlib import Path
@@ -12,7 +13,7 @@
 from .faults import SETTLING_TIME_S
 from .fleet import Fleet
 from .records import Records, Request
-from .upstream import EVENT_COUNT, sign
+from .upstream import EVENT_COUNT, SOFTWARE_VERSIONS, build_event, sign
 
 # Statuses that promise that the request has not run and will not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -65,6 +66,7 @@
         for id in executions
         if id not in known
     ]
+    violations += _check_software_versions(records)
     violations += _check_rollbacks(records)
     violations += _check_reads(records)
     for process in fleet.processes.values():
@@ -128,16 +130,44 @@
 
 
 def _check_events(request: Request) -> Iterator[str]:
-    expected = b"".join(
-        f"id: {number}\ndata: {request.id} {number}\n\n".encode()
-        for number in range(1, EVENT_COUNT + 1)
-    )
-    if not expected.startswith(request.body):
-        yield "events are missing, duplicated or of another request"
-    elif request.complete and request.body != expected:
+    stream_id = request.resumes or request.id
+    versions = [
+        version
+        for version in SOFTWARE_VERSIONS
+        if _build_events(request, stream_id, version).startswith(request.body)
+    ]
+    if not versions:
+        yield "events are missing, duplicated, mixed or of another request"
+    elif request.complete and not any(
+        _build_events(request, stream_id, version) == request.body
+        for version in versions
+    ):
         yield "the stream ends as complete before its last event"
 
 
+def _build_events(request: Request, stream_id: str, version: str) -> bytes:
+    """Return all events that a request may get from one software version."""
+    return b"".join(
+        build_event(stream_id, number, version)
+        for number in range(request.last_event + 1, EVENT_COUNT + 1)
+    )
+
+
+def _check_software_versions(records: Records) -> Iterator[str]:
+    """Check that streams are continued at the version that began them."""
+    versions: dict[str, set[bytes]] = defaultdict(set)
+    for request in records.requests:
+        pattern = rb"data: \S+ \d+ (\S+)\n\n"
+        stream_id = request.resumes or request.id
+        versions[stream_id].update(re.findall(pattern, request.body))
+    for stream_id, found in versions.items():
+        if len(found) > 1:
+            yield (
+                f"stream {stream_id} has events of the software versions "
+                f"{sorted(found)}"
+            )
+
+
 def _check_completion(
     records: Records, request: Request, ran: list[dict[str, Any]]
 ) -> Iterator[str]:
--- a/soak/records.py
+++ b/soak/records.py
@@ -37,6 +37,11 @@
         Whether the response ended as complete.
     abandoned : bool
         Whether the caller disconnected before the end.
+    resumes : str
+        Id of the request that began the stream which this one continues;
+        empty for a new request.
+    last_event : int
+        Number of the last event of that stream that the caller had got.
     """
 
     id: str
@@ -54,6 +59,12 @@
     body: bytes = b""
     complete: bool = False
     abandoned: bool = False
+    resumes: str = ""
+    last_event: int = 0
+
+    def count_events(self) -> int:
+        """Return the number of complete events that were received."""
+        return self.body.count(b"\n\n")
 
 
 @dataclass(slots=True)
--- a/soak/run.py
+++ b/soak/run.py
@@ -21,6 +21,8 @@
 # The fleet must serve everything again this long after the last fault.
 RECOVERY_S = 12.0
 FINAL_REQUESTS = 40
+# Streams that are begun after the recovery and resumed at other routers.
+RESUMED_STREAMS = 12
 # At least this fraction of the final requests must succeed, since upstreams
 # refuse a few.
 MIN_SERVED_FRACTION = 0.9
@@ -157,6 +159,7 @@
     if not_ready:
         violations.append(f"routers {not_ready} aren't ready")
         return violations
+    violations += await _check_resumption(callers)
     before = len(records.requests)
     kinds = sorted(KINDS)
     for number in range(FINAL_REQUESTS):
@@ -174,6 +177,25 @@
     return violations
 
 
+async def _check_resumption(callers: Callers) -> list[str]:
+    """Check that streams can be continued at other routers."""
+    began = [
+        await callers.begin_stream(number % ROUTERS, events=2)
+        for number in range(RESUMED_STREAMS)
+    ]
+    began = [request for request in began if request.count_events() >= 2]
+    resumed = [await callers.resume(request) for request in began]
+    served = sum(r.status == 200 for r in resumed)
+    # Half of the share of new streams that begin.
+    if 2 * served * RESUMED_STREAMS < len(began) * len(resumed):
+        return [
+            f"only {served} of {len(resumed)} streams were continued, of "
+            f"{RESUMED_STREAMS} that were to begin: "
+            f"{[(r.router, r.status, r.body[:80]) for r in resumed]}"
+        ]
+    return []
+
+
 def _write_faults(records: Records, folder: Path) -> None:
     """Write the faults to faults.txt, with times on the monotonic clock."""
     offset = time.time() - time.monotonic()
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -1,12 +1,14 @@
 """An upstream of the soak, run as a process of its own.
 
 It announces itself to controllers, appends a line to a journal file for every
-request that it runs, and refuses requests for other upstreams.
+request that it runs, and refuses requests for other upstreams. Some of its
+streams have neither a length nor chunks, and some break off inside an event.
 The journal file is shared by all upstreams and outlives them.
 """
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 import json
 import os
@@ -21,6 +23,7 @@
 import click
 import httpcore
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from hornbeamyard.process.servers import build_server
 
@@ -33,6 +36,14 @@
 # Events of each stream, and the pause after each.
 EVENT_COUNT = 8
 EVENT_INTERVAL_S = 0.05
+# Version of the upstream's software, chosen at each start.
+SOFTWARE_VERSIONS = ("v1", "v2")
+# Fraction of the streams that end with their connection, and of those that
+# break off inside an event.
+UNFRAMED_FRACTION = 0.5
+BROKEN_FRACTION = 0.1
+# Key of the connection's transport in the extensions of a request.
+TRANSPORT = "soak.transport"
 # Fraction of the requests that the upstream refuses without running them.
 REFUSED_FRACTION = 0.02
 CALL_ERRORS = (
@@ -43,6 +54,7 @@
 )
 
 Message = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
 Send = Callable[[Message], Awaitable[None]]
 
 
@@ -52,6 +64,22 @@
     return hashlib.sha256(text).hexdigest()[:16]
 
 
+def build_event(stream_id: str, number: int, software_version: str) -> bytes:
+    """Return one event of a stream."""
+    data = f"{stream_id} {number} {software_version}"
+    return f"id: {number}\ndata: {data}\n\n".encode()
+
+
+class TransportProtocol(HttpToolsProtocol):
+    """A server protocol that lets requests write to their transport."""
+
+    def on_message_begin(self) -> None:
+        """Handle the start of a request."""
+        super().on_message_begin()
+        extensions: dict[str, Any] = {TRANSPORT: self.transport}
+        self.scope["extensions"] = extensions
+
+
 class SoakUpstream:
     """An ASGI application that announces itself to controllers.
 
@@ -70,6 +98,7 @@
     ----------
     running : int
         Requests in progress.
+    software_version : str
     state : str
         State in announcements, `ready` or `draining`.
     """
@@ -90,12 +119,13 @@
         self._sequence = 0
         self._started_ms = int(time.time() * 1000)
         self.running = 0
+        self.software_version = random.choice(SOFTWARE_VERSIONS)
         self.state = "ready"
 
     async def __call__(
         self,
         scope: Message,
-        receive: Callable[[], Awaitable[Message]],
+        receive: Receive,
         send: Send,
     ) -> None:
         """Serve one request as an ASGI application."""
@@ -115,7 +145,7 @@
         }
         self.running += 1
         try:
-            await self._respond(scope, headers, body, send)
+            await self._respond(scope, headers, body, receive, send)
         finally:
             self.running -= 1
 
@@ -124,6 +154,7 @@
         scope: Message,
         headers: dict[str, str],
         body: bytes,
+        receive: Receive,
         send: Send,
     ) -> None:
         request_id = headers.get("hornbeamyard-request", "")
@@ -141,8 +172,21 @@
             (b"hornbeamyard-signature", sign(request_id, self._id).encode()),
         ]
         if headers.get("soak-events"):
-            first = int(headers.get("last-event-id") or 0) + 1
-            await _send_events(send, response_headers, request_id, first)
+            stream_id = headers.get("hornbeamyard-resumes") or request_id
+            events = [
+                build_event(stream_id, number, self.software_version)
+                for number in range(
+                    int(headers.get("last-event-id") or 0) + 1, EVENT_COUNT + 1
+                )
+            ]
+            response_headers.append((b"content-type", b"text/event-stream"))
+            if random.random() < UNFRAMED_FRACTION:
+                transport = scope["extensions"][TRANSPORT]
+                await _write_unframed(transport, response_headers, events)
+                while (await receive())["type"] != "http.disconnect":
+                    pass
+                return
+            await _send_events(send, response_headers, events)
             return
         await anyio.sleep(random.uniform(0.005, 0.1))
         document = {
@@ -201,6 +245,7 @@
             "availability_zone": "zone-a",
             "state": self.state,
             "slots": 16,
+            "software_version": self.software_version,
             "sequence": self._sequence,
             "started_ms": self._started_ms,
         }
@@ -244,27 +289,45 @@
     await send({"type": "http.response.body", "body": body})
 
 
+def _break_off(events: list[bytes]) -> list[bytes]:
+    """Return the events, some of them cut inside an event."""
+    if not events or random.random() >= BROKEN_FRACTION:
+        return events
+    *whole, last = events[: random.randint(1, len(events))]
+    return [*whole, last[: random.randrange(1, len(last))]]
+
+
 async def _send_events(
-    send: Send,
-    headers: list[tuple[bytes, bytes]],
-    request_id: str,
-    first: int,
+    send: Send, headers: list[tuple[bytes, bytes]], events: list[bytes]
 ) -> None:
-    content_type = (b"content-type", b"text/event-stream")
+    """Send a chunked stream; one that breaks off ends without its end."""
     await send(
-        {
-            "type": "http.response.start",
-            "status": 200,
-            "headers": [*headers, content_type],
-        }
+        {"type": "http.response.start", "status": 200, "headers": headers}
     )
-    for number in range(first, EVENT_COUNT + 1):
-        event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+    sent = _break_off(events)
+    for event in sent:
         await send(
             {"type": "http.response.body", "body": event, "more_body": True}
         )
         await anyio.sleep(EVENT_INTERVAL_S)
-    await send({"type": "http.response.body", "body": b""})
+    if sent == events:
+        await send({"type": "http.response.body", "body": b""})
+
+
+async def _write_unframed(
+    transport: asyncio.Transport,
+    headers: list[tuple[bytes, bytes]],
+    events: list[bytes],
+) -> None:
+    """Write a stream without length and chunks, and close its connection."""
+    lines = [b"HTTP/1.1 200 OK", *(b": ".join(header) for header in headers)]
+    transport.write(b"\r\n".join([*lines, b"", b""]))
+    for event in _break_off(events):
+        if transport.is_closing():
+            return
+        transport.write(event)
+        await anyio.sleep(EVENT_INTERVAL_S)
+    transport.close()
 
 
 async def _run(upstream: SoakUpstream, server: uvicorn.Server) -> None:
@@ -297,7 +360,8 @@
 ) -> None:
     """Run one upstream until SIGTERM."""
     upstream = SoakUpstream(id, pool, address, list(controllers), journal)
-    anyio.run(_run, upstream, build_server(upstream, listen))
+    server = build_server(upstream, listen, TransportProtocol)
+    anyio.run(_run, upstream, server)
 
 
 if __name__ == "__main__":
