Resume a stream in the pool that began it

A route may share its requests between pools, and a resumed stream drew its pool anew, so it could go on at another service with the same software version. No caller has reported it.

The origin of a stream is now its pool and its software version, and routers report streams also while a route that may be resumed is split. A stream whose pool the route no longer names is refused at once.

test_goes_on_in_the_pool_that_began_it fails when the pool is drawn anew and passes with the change; tests of forwarding, directory and stream reports: 87 passed.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -18,7 +18,7 @@
 from result import Err, Ok, Result
 
 from ..messages import fleet_pb2, fleet_pb2_grpc
-from ..pool.stream_origins import StreamOrigins
+from ..pool.stream_origins import StreamOrigin, StreamOrigins
 from ..pool.upstream_registry import Upstream, UpstreamRegistry, UpstreamState
 from ..pool.usage import CachedPart, FleetUsage, RouterUsage, UsageTable
 from ..process.timers import Timers
@@ -403,10 +403,9 @@
     ) -> None:
         now = self._timers.now()
         for group in groups:
+            origin = StreamOrigin(group.pool, group.software_version)
             for request_id in group.request_ids:
-                self.origins.record(
-                    request_id, "", group.software_version, now
-                )
+                self.origins.record(request_id, origin, now)
 
     def build_update(
         self, subscriber: Subscriber
@@ -549,11 +548,15 @@
         request: fleet_pb2.StreamLookup,
         context: grpc.aio.ServicerContext,
     ) -> fleet_pb2.StreamOrigin:
-        """Return the software version at which a stream began."""
+        """Return where a stream began, if this controller knows."""
         await peers.check_identity(request.identity, self._fleet, context)
-        found = self._directory.origins.find(request.request_id)
+        origin = self._directory.origins.find(request.request_id)
+        if origin is None:
+            return fleet_pb2.StreamOrigin()
         return fleet_pb2.StreamOrigin(
-            found=found is not None, software_version=found or ""
+            found=True,
+            pool=origin.pool,
+            software_version=origin.software_version,
         )
 
     async def Watch(  # noqa: N802 - named by the protocol
--- a/hornbeamyard/connection/stream_reports.py
+++ b/hornbeamyard/connection/stream_reports.py
@@ -7,7 +7,7 @@
 import anyio
 
 from ..messages import fleet_pb2
-from ..pool.stream_origins import BegunStream, StreamOrigins
+from ..pool.stream_origins import BegunStream, StreamOrigin, StreamOrigins
 from ..pool.upstream_registry import UpstreamRegistry
 from ..process.timers import Timers
 
@@ -19,8 +19,8 @@
 class StreamReports:
     """Records the streams that a router begins, and reports them.
 
-    Streams of a pool with a single software version are recorded but not
-    reported, as they may go on at any of its upstreams.
+    Streams that can go on at any upstream of their route are recorded but not
+    reported.
 
     Parameters
     ----------
@@ -30,23 +30,23 @@
     Attributes
     ----------
     origins : StreamOrigins
+    split_pools : frozenset of str
+        Pools that share the requests of a route with others.
     """
 
-    __slots__ = ("_changed", "_registry", "_timers", "origins")
+    __slots__ = ("_changed", "_registry", "_timers", "origins", "split_pools")
 
     def __init__(self, registry: UpstreamRegistry, timers: Timers) -> None:
         self._changed = anyio.Event()
         self._registry = registry
         self._timers = timers
         self.origins = StreamOrigins()
+        self.split_pools: frozenset[str] = frozenset()
 
-    def record(
-        self, request_id: str, pool: str, software_version: str
-    ) -> None:
-        """Record a stream that begins at an upstream of a pool."""
-        now = self._timers.now()
-        self.origins.record(request_id, pool, software_version, now)
-        if self._has_mixed_versions(pool):
+    def record(self, request_id: str, origin: StreamOrigin) -> None:
+        """Record a stream that begins."""
+        self.origins.record(request_id, origin, self._timers.now())
+        if self._needs_reports(origin.pool):
             self.notify()
 
     def notify(self) -> None:
@@ -65,41 +65,40 @@
             streams = self._list_unreported(reported)
             if streams:
                 for stream in streams:
-                    reported[stream.pool] = max(
-                        stream.number, reported.get(stream.pool, 0)
-                    )
-                groups = _group_by_version(streams)
+                    pool = stream.origin.pool
+                    reported[pool] = max(stream.number, reported.get(pool, 0))
+                groups = _group_by_origin(streams)
                 await send(fleet_pb2.RouterUsage(begun_streams=groups))
             await changed.wait()
             await self._timers.sleep(COLLECT_INTERVAL_S)
 
-    def _has_mixed_versions(self, pool: str) -> bool:
+    def _needs_reports(self, pool: str) -> bool:
+        if pool in self.split_pools:
+            return True
         return len(self._registry.list_versions(pool)) > 1
 
     def _list_unreported(self, reported: dict[str, int]) -> list[BegunStream]:
-        mixed = {
-            pool
-            for pool in self._registry.list_pools()
-            if self._has_mixed_versions(pool)
-        }
-        if not mixed:
+        pools = set(filter(self._needs_reports, self._registry.list_pools()))
+        if not pools:
             return []
-        lowest = min(reported.get(pool, 0) for pool in mixed)
+        lowest = min(reported.get(pool, 0) for pool in pools)
         return [
             stream
             for stream in self.origins.list_since(lowest)
-            if stream.pool in mixed
-            and stream.number > reported.get(stream.pool, 0)
+            if stream.origin.pool in pools
+            and stream.number > reported.get(stream.origin.pool, 0)
         ]
 
 
-def _group_by_version(
+def _group_by_origin(
     streams: Iterable[BegunStream],
 ) -> list[fleet_pb2.BegunStreams]:
-    groups: dict[str, fleet_pb2.BegunStreams] = {}
+    groups: dict[StreamOrigin, fleet_pb2.BegunStreams] = {}
     for stream in streams:
-        version = stream.software_version
-        if version not in groups:
-            groups[version] = fleet_pb2.BegunStreams(software_version=version)
-        groups[version].request_ids.append(stream.request_id)
+        origin = stream.origin
+        if origin not in groups:
+            groups[origin] = fleet_pb2.BegunStreams(
+                pool=origin.pool, software_version=origin.software_version
+            )
+        groups[origin].request_ids.append(stream.request_id)
     return list(groups.values())
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -13,6 +13,7 @@
 import logbook
 
 from ..messages import fleet_pb2
+from ..pool.stream_origins import StreamOrigin
 from ..pool.upstream_registry import Upstream, UpstreamRegistry, UpstreamState
 from ..pool.usage import FleetUsage, RouterUsage
 from ..process.timers import Timers
@@ -157,27 +158,34 @@
         """Return whether a majority of controllers has sent its version."""
         return 2 * len(self.versions) > len(self._controllers) > 0
 
-    async def find_origin(self, pool: str, request_id: str) -> str | None:
-        """Return the software version at which a stream began.
+    async def find_origin(
+        self, pools: Iterable[str], request_id: str
+    ) -> StreamOrigin | None:
+        """Return where a stream began.
 
         Parameters
         ----------
-        pool : str
+        pools : iterable of str
+            Pools of its route.
         request_id : str
             Id of the caller's attempt that brought its first event; empty if
             the caller doesn't name it.
 
         Returns
         -------
-        str or None
+        StreamOrigin or None
             None if neither this router nor a controller knows it.
         """
         known = self.streams.origins.find(request_id)
         if known is not None:
             return known
-        versions = self.registry.list_versions(pool)
-        if len(versions) == 1:
-            return next(iter(versions))
+        choices = [
+            StreamOrigin(pool, software_version)
+            for pool in pools
+            for software_version in self.registry.list_versions(pool)
+        ]
+        if len(choices) == 1:
+            return choices[0]
         if not request_id:
             return None
         found = await self._look_up_origin(request_id)
@@ -187,17 +195,17 @@
             found = await self._look_up_origin(request_id)
         return found
 
-    async def _look_up_origin(self, request_id: str) -> str | None:
+    async def _look_up_origin(self, request_id: str) -> StreamOrigin | None:
         """Ask all attached controllers; return the first answer."""
-        found: list[str] = []
+        found: list[StreamOrigin] = []
         request = fleet_pb2.StreamLookup(
             identity=self._identity, request_id=request_id
         )
 
         async def ask(address: str, scope: anyio.CancelScope) -> None:
-            origin = await self._calls.find_stream(address, request)
-            if origin is not None and origin.found:
-                found.append(origin.software_version)
+            reply = await self._calls.find_stream(address, request)
+            if reply is not None and reply.found:
+                found.append(StreamOrigin(reply.pool, reply.software_version))
                 scope.cancel()
 
         async with anyio.create_task_group() as tasks:
--- a/hornbeamyard/pool/stream_origins.py
+++ b/hornbeamyard/pool/stream_origins.py
@@ -1,7 +1,8 @@
-"""Software versions of the upstreams at which streams began.
+"""Pools and software versions at which streams began.
 
 Upstreams of several software versions may serve a pool side by side, and what
-two versions generate doesn't fit together. A caller that resumes a stream
+two versions generate doesn't fit together; a route may also share its requests
+between pools. A caller that resumes a stream
 often comes to a router that has not begun it, so routers report the streams
 that they begin to all controllers.
 """
@@ -17,6 +18,20 @@
 MAX_STREAMS = 50_000
 
 
+@dataclass(slots=True, frozen=True)
+class StreamOrigin:
+    """Which upstreams can continue a stream.
+
+    Attributes
+    ----------
+    pool, software_version : str
+        Pool and software version of the upstream at which it began.
+    """
+
+    pool: str
+    software_version: str
+
+
 @dataclass(slots=True)
 class BegunStream:
     """A stream, and where it began.
@@ -25,9 +40,7 @@
     ----------
     request_id : str
         The caller's attempt that brought its first event.
-    pool : str
-        Empty at controllers, which don't need it.
-    software_version : str
+    origin : StreamOrigin
     number : int
         Grows with each record.
     recorded_at : float
@@ -35,8 +48,7 @@
     """
 
     request_id: str
-    pool: str
-    software_version: str
+    origin: StreamOrigin
     number: int
     recorded_at: float
 
@@ -58,21 +70,21 @@
         self.number = 0
 
     def record(
-        self, request_id: str, pool: str, software_version: str, now: float
+        self, request_id: str, origin: StreamOrigin, now: float
     ) -> None:
         """Record where a stream begins, instead of an earlier attempt's."""
         self.number += 1
         self._streams.pop(request_id, None)
         self._streams[request_id] = BegunStream(
-            request_id, pool, software_version, self.number, now
+            request_id, origin, self.number, now
         )
         if len(self._streams) > MAX_STREAMS:
             del self._streams[next(iter(self._streams))]
 
-    def find(self, request_id: str) -> str | None:
-        """Return the software version at which a stream began, if known."""
+    def find(self, request_id: str) -> StreamOrigin | None:
+        """Return where a stream began, if known."""
         stream = self._streams.get(request_id)
-        return stream.software_version if stream is not None else None
+        return stream.origin if stream is not None else None
 
     def list_since(self, number: int) -> Iterator[BegunStream]:
         """Yield the streams after a number, the newest first."""
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import anyio
 import anyio.abc
@@ -27,6 +27,7 @@
     Balancer,
 )
 from ..pool.shares import Shares
+from ..pool.stream_origins import StreamOrigin
 from ..pool.upstream_registry import (
     MAX_MISSED_ANNOUNCEMENTS,
     Upstream,
@@ -275,15 +276,15 @@
         if changed:
             self._handle_upstreams(changed)
 
-    def record_stream(
-        self, request_id: str, pool: str, software_version: str
-    ) -> None:
-        """Record a stream that begins at an upstream of a pool."""
-        self.subscription.streams.record(request_id, pool, software_version)
+    def record_stream(self, request_id: str, origin: StreamOrigin) -> None:
+        """Record a stream that begins."""
+        self.subscription.streams.record(request_id, origin)
 
-    async def find_origin(self, pool: str, request_id: str) -> str | None:
-        """Return the software version at which a stream began, if known."""
-        return await self.subscription.find_origin(pool, request_id)
+    async def find_origin(
+        self, pools: Iterable[str], request_id: str
+    ) -> StreamOrigin | None:
+        """Return where a stream of a route with these pools began."""
+        return await self.subscription.find_origin(pools, request_id)
 
     async def _serve_request(
         self, scope: Scope, receive: Receive, send: Send
@@ -378,6 +379,13 @@
             pools=len(routing.pools),
             accounts=len(routing.accounts),
         )
+        self.subscription.streams.split_pools = frozenset(
+            share.pool
+            for route in routing.routes.values()
+            if route.resumable and len(route.shares) > 1
+            for share in route.shares
+        )
+        self.subscription.streams.notify()
         limits = routing.limits
         self._shares.throughput = limits.tokens_per_s
         self._connection_limits.header_size = limits.header_size
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -4,7 +4,7 @@
 
 import json
 import random
-from collections.abc import Awaitable, Callable, MutableMapping
+from collections.abc import Awaitable, Callable, Iterable, MutableMapping
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, Protocol
@@ -22,6 +22,7 @@
 from ..pool.demand import RequestDemand
 from ..pool.engine import Server
 from ..pool.shares import Shares
+from ..pool.stream_origins import StreamOrigin
 from ..pool.upstream_registry import Upstream
 from ..process.timers import Timers
 from ..version.routing import AccountKeys, Route, Routing
@@ -87,13 +88,13 @@
     def find_budget(self, pool: str) -> WindowRetryBudget:
         """Return the retry budget of a pool."""
 
-    def record_stream(
-        self, request_id: str, pool: str, software_version: str
-    ) -> None:
-        """Record a stream that begins at an upstream of a pool."""
+    def record_stream(self, request_id: str, origin: StreamOrigin) -> None:
+        """Record a stream that begins."""
 
-    async def find_origin(self, pool: str, request_id: str) -> str | None:
-        """Return the software version at which a stream began, if known."""
+    async def find_origin(
+        self, pools: Iterable[str], request_id: str
+    ) -> StreamOrigin | None:
+        """Return where a stream of a route with these pools began."""
 
     def record_leaving(self, upstream: Upstream) -> None:
         """Send no more requests to an upstream that says that it leaves."""
@@ -327,17 +328,18 @@
         scope.cancel()
 
     async def _deliver(self, request: RoutedRequest, send: Send) -> None:
+        refusal_reason = await self._restrict_resumed(request)
+        if refusal_reason is not None:
+            retry_after_s = UNREADY_RETRY_AFTER_S * (0.5 + random.random())
+            refusal = Refusal(refusal_reason, retry_after_s)
+            await self._send_refusal(request, refusal, send)
+            return
         balancer = self._router.find_balancer(request.pool.name)
         budget = self._router.find_budget(request.pool.name)
         budget.record_request(request.received_at)
         # The demand of a caller that retries was already recorded.
         if request.pool.is_engine() and not request.demand.is_caller_retry:
             self._shares.record_asked(request.account, request.demand.size)
-        if request.is_resumed() and not await self._find_origin(request):
-            retry_after_s = UNREADY_RETRY_AFTER_S * (0.5 + random.random())
-            refusal = Refusal(RefusalReason.UNKNOWN_VERSION, retry_after_s)
-            await self._send_refusal(request, refusal, send)
-            return
         while True:
             now = self._timers.now()
             placement = await balancer.admit(
@@ -360,19 +362,31 @@
                 return
             self._reporter.report_retried(request, placement, result)
 
-    async def _find_origin(self, request: RoutedRequest) -> bool:
-        """Restrict a resumed stream to the software version that began it.
+    async def _restrict_resumed(
+        self, request: RoutedRequest
+    ) -> RefusalReason | None:
+        """Restrict a resumed stream to upstreams that can continue it.
 
         Returns
         -------
-        bool
-            Whether that version is known.
+        RefusalReason or None
+            Why no upstream can; None if one may, or for a new request.
         """
-        software_version = await self._router.find_origin(
-            request.pool.name, request.metadata.resumes
+        if not request.is_resumed():
+            return None
+        pools = [share.pool for share in request.route.shares]
+        origin = await self._router.find_origin(
+            pools, request.metadata.resumes
         )
-        request.demand.software_version = software_version
-        return software_version is not None
+        if origin is None:
+            return RefusalReason.UNKNOWN_VERSION
+        assert self._router.routing is not None
+        pool = self._router.routing.pools.get(origin.pool)
+        if pool is None or origin.pool not in pools:
+            return RefusalReason.NO_VERSION
+        request.pool = pool
+        request.demand.software_version = origin.software_version
+        return None
 
     async def _attempt(
         self,
@@ -386,11 +400,10 @@
         version = self._router.routing.version if self._router.routing else 0
         self._reporter.report_placed(request, placement, version)
         if request.route.resumable:
-            self._router.record_stream(
-                request.stream_id(),
-                request.pool.name,
-                server.upstream.software_version,
+            origin = StreamOrigin(
+                request.pool.name, server.upstream.software_version
             )
+            self._router.record_stream(request.stream_id(), origin)
         meter = AttemptMeter(
             self._timers,
             balancer,
--- a/hornbeamyard/tests/test_directory.py
+++ b/hornbeamyard/tests/test_directory.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -15,6 +16,7 @@
 
 from hornbeamyard.connection.directory import Directory
 from hornbeamyard.messages import fleet_pb2
+from hornbeamyard.pool.stream_origins import StreamOrigin
 from hornbeamyard.pool.upstream_registry import Upstream, UpstreamState
 from hornbeamyard.process.decisions import DecisionLog
 from hornbeamyard.process.directory_router import DirectoryRouter
@@ -132,9 +134,11 @@
             while not condition():
                 await anyio.sleep(0.02)
 
-    async def submit(self, version: int) -> None:
+    async def submit(
+        self, version: int, document: dict[str, Any] = DOCUMENT
+    ) -> None:
         """Submit a routing to random controllers until it is accepted."""
-        document = {**copy.deepcopy(DOCUMENT), "version": version}
+        document = {**copy.deepcopy(document), "version": version}
         data = json.dumps(document).encode()
         while True:
             registrar = random.choice(list(self.registrars.values()))
@@ -480,14 +484,16 @@
         subscriber = directory.attach("r1/1")
         replica.leads = True
         streams = fleet_pb2.RouterUsage()
-        streams.begun_streams.add(software_version="v1", request_ids=["q1"])
+        streams.begun_streams.add(
+            pool="app", software_version="v1", request_ids=["q1"]
+        )
         directory.handle_usage(subscriber, streams)
         usage = fleet_pb2.RouterUsage()
         usage.accounts.add(client_account="a", asked=1_000_000)
         directory.handle_usage(subscriber, usage)
         fleet_usage = directory._usage.compute_fleet_usage(timers.now())
         assert "a" not in fleet_usage.accounts
-        assert directory.origins.find("q1") == "v1"
+        assert directory.origins.find("q1") == StreamOrigin("app", "v1")
 
     def test_leaving_upstream_reaches_all_routers(self) -> None:
         """Guards against routers that learn of it only from a response.
@@ -534,44 +540,84 @@
         """
 
         async def test(fleet: Fleet) -> None:
-            fleet.start_router()
-            other, other_address = fleet.start_further_router("r2")
-            assert fleet.router is not None
-            async with AsyncExitStack() as stack:
-                await fleet.submit(7)
-                for number, version in enumerate(("v1", "v2", "v1", "v2")):
-                    raw = await stack.enter_async_context(
-                        run_raw_upstream(send_version(version))
-                    )
-                    upstream = build_upstream(f"u{number}", raw.port)
-                    upstream.software_version = version
-                    fleet.registrars[number % CONTROLLERS].announce(upstream)
-                await fleet.wait(lambda: len(other.subscription.registry) == 4)
-                await fleet.wait(fleet.router.is_ready)
-                for stream in range(self.STREAMS):
-                    id = f"q{stream}"
-                    began = await read_stream(fleet.router_address, id, 2)
-                    went_on = await read_stream(
-                        other_address,
-                        f"{id}-again",
-                        2,
-                        (b"hornbeamyard-resumes", id.encode()),
-                        (b"last-event-id", b"2"),
-                    )
-                    assert began + went_on in (["v1"] * 4, ["v2"] * 4)
+            await fleet.submit(7)
+            await self.resume_streams(
+                fleet,
+                [("app", "v1"), ("app", "v2"), ("app", "v1"), ("app", "v2")],
+            )
 
         run_fleet(tmp_path, test)
 
+    def test_goes_on_in_the_pool_that_began_it(self, tmp_path: Path) -> None:
+        """Guards against streams joined from two pools of a route.
+
+        Their upstreams may have the same version.
+        """
+        document = copy.deepcopy(DOCUMENT)
+        document["pools"].append({"name": "other"})
+        for route in document["routes"]:
+            if route["name"] == "chat":
+                route["shares"] = [
+                    {"pool": "app", "weight": 1},
+                    {"pool": "other", "weight": 1},
+                ]
+
+        async def test(fleet: Fleet) -> None:
+            await fleet.submit(7, document)
+            await self.resume_streams(fleet, [("app", "v1"), ("other", "v1")])
+
+        run_fleet(tmp_path, test)
+
+    async def resume_streams(
+        self, fleet: Fleet, kinds: list[tuple[str, str]]
+    ) -> None:
+        """Begin streams at one router and resume them at another.
+
+        Parameters
+        ----------
+        fleet : Fleet
+        kinds : list of (str, str)
+            Pool and software version of each upstream, which names them in
+            its events.
+        """
+        fleet.start_router()
+        other, other_address = fleet.start_further_router("r2")
+        assert fleet.router is not None
+        async with AsyncExitStack() as stack:
+            for number, (pool, version) in enumerate(kinds):
+                raw = await stack.enter_async_context(
+                    run_raw_upstream(send_text(f"{pool} {version}"))
+                )
+                upstream = build_upstream(f"u{number}", raw.port, pool)
+                upstream.software_version = version
+                fleet.registrars[number % CONTROLLERS].announce(upstream)
+            await fleet.wait(
+                lambda: len(other.subscription.registry) == len(kinds)
+            )
+            await fleet.wait(fleet.router.is_ready)
+            for stream in range(self.STREAMS):
+                id = f"q{stream}"
+                began = await read_stream(fleet.router_address, id, 2)
+                went_on = await read_stream(
+                    other_address,
+                    f"{id}-again",
+                    2,
+                    (b"hornbeamyard-resumes", id.encode()),
+                    (b"last-event-id", b"2"),
+                )
+                assert len(began + went_on) == 4
+                assert len(set(began + went_on)) == 1
+
 
-def build_upstream(id: str, port: int) -> Upstream:
+def build_upstream(id: str, port: int, pool: str) -> Upstream:
     """Return an upstream that is ready."""
     return Upstream(
-        id, "app", f"127.0.0.1:{port}", "zone-a", UpstreamState.READY, 40, 1
+        id, pool, f"127.0.0.1:{port}", "zone-a", UpstreamState.READY, 40, 1
     )
 
 
-def send_version(version: str) -> Script:
-    """Return a script that names a version in each of four events.
+def send_text(text: str) -> Script:
+    """Return a script that sends a text in each of four events.
 
     Without Last-Event-Id it sends two of them, and nothing more.
     """
@@ -587,7 +633,7 @@
             "\r\n".encode()
         )
         for number in range(first, first + 2):
-            await stream.send(f"id: {number}\ndata: {version}\n\n".encode())
+            await stream.send(f"id: {number}\ndata: {text}\n\n".encode())
         if first == 1:
             await stream.receive()
         await stream.aclose()
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -5,7 +5,7 @@
 import copy
 import json
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -16,7 +16,7 @@
 from hornbeamyard.connection.upstreams import UpstreamConnections
 from hornbeamyard.pool.balancer import Balancer
 from hornbeamyard.pool.shares import Shares
-from hornbeamyard.pool.stream_origins import StreamOrigins
+from hornbeamyard.pool.stream_origins import StreamOrigin, StreamOrigins
 from hornbeamyard.pool.upstream_registry import Upstream, UpstreamState
 from hornbeamyard.process.decisions import DecisionLog
 from hornbeamyard.process.metrics import Metrics
@@ -142,14 +142,14 @@
         """Return the retry budget of the only pool."""
         return self.budget
 
-    def record_stream(
-        self, request_id: str, pool: str, software_version: str
-    ) -> None:
+    def record_stream(self, request_id: str, origin: StreamOrigin) -> None:
         """Record a stream that begins."""
-        self.origins.record(request_id, pool, software_version, 0.0)
+        self.origins.record(request_id, origin, 0.0)
 
-    async def find_origin(self, pool: str, request_id: str) -> str | None:
-        """Return the software version at which a stream began, if known."""
+    async def find_origin(
+        self, pools: Iterable[str], request_id: str
+    ) -> StreamOrigin | None:
+        """Return where a stream began, if this router knows it."""
         return self.origins.find(request_id)
 
     def record_leaving(self, upstream: Upstream) -> None:
@@ -641,13 +641,14 @@
     @pytest.mark.parametrize(
         ("origin", "status", "reason"),
         [
-            ("v1", 200, None),
-            ("v3", 503, "no_version"),
+            (StreamOrigin("app", "v1"), 200, None),
+            (StreamOrigin("app", "v3"), 503, "no_version"),
+            (StreamOrigin("other", "v1"), 503, "no_version"),
             (None, 503, "unknown_version"),
         ],
     )
     def test_resumed_stream(
-        self, origin: str | None, status: int, reason: str | None
+        self, origin: StreamOrigin | None, status: int, reason: str | None
     ) -> None:
         """Guards against a resumed stream at any version, or a late refusal.
 
@@ -658,7 +659,7 @@
             harness.set_software_versions("v1", "v2")
             harness.balancer.servers["u0"].own_load.running = 3
             if origin is not None:
-                harness.record_stream("r-0", "app", origin)
+                harness.record_stream("r-0", origin)
             began_at = harness.timers.now()
             received = await harness.send_request(
                 "/chat/1",
--- a/hornbeamyard/tests/test_stream_reports.py
+++ b/hornbeamyard/tests/test_stream_reports.py
@@ -10,7 +10,11 @@
 from hornbeamyard.connection.stream_reports import StreamReports
 from hornbeamyard.messages import fleet_pb2
 from hornbeamyard.pool import stream_origins
-from hornbeamyard.pool.stream_origins import RETENTION_S, StreamOrigins
+from hornbeamyard.pool.stream_origins import (
+    RETENTION_S,
+    StreamOrigin,
+    StreamOrigins,
+)
 from hornbeamyard.pool.upstream_registry import (
     ENDED_RETENTION_S,
     Upstream,
@@ -38,26 +42,28 @@
     def test_last_attempt_counts(self) -> None:
         """Guards against the version of an attempt without events."""
         origins = StreamOrigins()
-        origins.record("q1", "app", "v1", 0.0)
-        origins.record("q1", "app", "v2", 1.0)
-        assert origins.find("q1") == "v2"
+        origins.record("q1", StreamOrigin("app", "v1"), 0.0)
+        origins.record("q1", StreamOrigin("app", "v2"), 1.0)
+        assert origins.find("q1") == StreamOrigin("app", "v2")
         assert origins.find("q2") is None
 
     def test_expiry(self) -> None:
         """Guards against memory that grows with each stream."""
         origins = StreamOrigins()
         for second in range(3):
-            origins.record(f"q{second}", "app", "v1", float(second))
+            origins.record(
+                f"q{second}", StreamOrigin("app", "v1"), float(second)
+            )
         origins.expire(RETENTION_S + 1.5)
         known = [origins.find(f"q{second}") for second in range(3)]
-        assert known == [None, None, "v1"]
+        assert known == [None, None, StreamOrigin("app", "v1")]
 
     def test_bound(self, monkeypatch: pytest.MonkeyPatch) -> None:
         """Guards against memory that grows with the rate of streams."""
         monkeypatch.setattr(stream_origins, "MAX_STREAMS", 2)
         origins = StreamOrigins()
         for number in range(3):
-            origins.record(f"q{number}", "app", "v1", 0.0)
+            origins.record(f"q{number}", StreamOrigin("app", "v1"), 0.0)
         assert [s.request_id for s in origins.list_since(0)] == ["q2", "q1"]
 
 
@@ -120,14 +126,14 @@
             registry: UpstreamRegistry,
             sent: list[dict[str, str]],
         ) -> None:
-            reports.record("q1", "app", "v1")
+            reports.record("q1", StreamOrigin("app", "v1"))
             await anyio.sleep(0.1)
             assert sent == []
             announce(registry, "2", "v2")
             reports.notify()
             await anyio.sleep(0.1)
-            reports.record("q2", "app", "v2")
-            reports.record("q3", "app", "v1")
+            reports.record("q2", StreamOrigin("app", "v2"))
+            reports.record("q3", StreamOrigin("app", "v1"))
             await anyio.sleep(0.1)
             assert sent == [{"q1": "v1"}, {"q2": "v2", "q3": "v1"}]
 
@@ -142,7 +148,7 @@
             sent: list[dict[str, str]],
         ) -> None:
             announce(registry, "2", "v2")
-            reports.record("q1", "app", "v1")
+            reports.record("q1", StreamOrigin("app", "v1"))
             await anyio.sleep(0.1)
             later: list[fleet_pb2.RouterUsage] = []
 
