Soak: allow a truncated stream that nothing tells from a complete one

An orderly close between two events is the end of such a response, as docs/promises.md says.

Any other truncated stream that looks complete is still reported (4 cases in test_truncated_stream_without_framing).

--- a/hornbeamyard/tests/test_soak.py
+++ b/hornbeamyard/tests/test_soak.py
@@ -57,6 +57,8 @@
         "pool": "app",
         "path": "/charge/1",
         "account": "library",
+        "upstream": "model-0.1",
+        "framed": True,
     }
     return {**execution, **fields}
 
@@ -135,6 +137,34 @@
         found = check(Records(requests=[request]), execution)
         assert found[0].startswith("the stream ends as complete")
 
+    @pytest.mark.parametrize(
+        ("framed", "fault", "cut", "violations"),
+        [
+            (False, "model-0", 0, 0),
+            (False, "model-1", 0, 1),
+            (False, "model-0", 1, 1),
+            (True, "model-0", 0, 1),
+        ],
+    )
+    def test_truncated_stream_without_framing(
+        self, framed: bool, fault: str, cut: int, violations: int
+    ) -> None:
+        """Guards against excusing more than what no router can tell."""
+        body = build_event("q1", 1, "v1")
+        request = build_request(
+            kind="notice",
+            path="/notice/1",
+            status=200,
+            body=body[: len(body) - cut],
+        )
+        records = Records(
+            requests=[request], faults=[FaultRecord("kill", fault, 9.0, 12.0)]
+        )
+        execution = build_execution(
+            pool="model", path="/notice/1", framed=framed
+        )
+        assert len(check(records, execution)) == violations
+
     def test_stream_that_ends_inside_an_event_as_complete(self) -> None:
         """Guards against missing a truncated last event."""
         events = [build_event("q1", n + 1, "v1") for n in range(EVENT_COUNT)]
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -102,8 +102,10 @@
     if any(execution["account"] != "library" for execution in ran):
         yield "ran for another account"
     if request.status == 200:
-        check = _check_events if stream else _check_body
-        yield from check(request)
+        if stream:
+            yield from _check_events(records, request, ran)
+        else:
+            yield from _check_body(request)
     elif request.status == 404 and request.version:
         # _check_rollbacks checks whether the router had this version.
         pass
@@ -129,7 +131,9 @@
         yield "the signature is not the upstream's"
 
 
-def _check_events(request: Request) -> Iterator[str]:
+def _check_events(
+    records: Records, request: Request, ran: list[dict[str, Any]]
+) -> Iterator[str]:
     stream_id = request.resumes or request.id
     versions = [
         version
@@ -142,9 +146,29 @@
         _build_events(request, stream_id, version) == request.body
         for version in versions
     ):
+        if _may_look_complete(records, request, ran):
+            return
         yield "the stream ends as complete before its last event"
 
 
+def _may_look_complete(
+    records: Records, request: Request, ran: list[dict[str, Any]]
+) -> bool:
+    """Return whether nothing tells a truncated stream from a complete one.
+
+    So it is when a fault ends the connection of an upstream between two
+    events of a stream without length and chunks.
+    """
+    since, until = request.sent_at - SETTLING_TIME_S, request.ended_at
+    return request.body.endswith(b"\n\n") and any(
+        not execution["framed"]
+        and records.is_affected(
+            execution["upstream"].partition(".")[0], since, until
+        )
+        for execution in ran
+    )
+
+
 def _build_events(request: Request, stream_id: str, version: str) -> bytes:
     """Return all events that a request may get from one software version."""
     return b"".join(
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -166,7 +166,8 @@
                 send, 503, [(b"hornbeamyard-not-run", b"true")], b""
             )
             return
-        self._record_execution(request_id, headers, scope)
+        is_framed = random.random() >= UNFRAMED_FRACTION
+        self._record_execution(request_id, headers, scope, is_framed)
         response_headers = [
             (b"hornbeamyard-request", request_id.encode()),
             (b"hornbeamyard-signature", sign(request_id, self._id).encode()),
@@ -180,7 +181,7 @@
                 )
             ]
             response_headers.append((b"content-type", b"text/event-stream"))
-            if random.random() < UNFRAMED_FRACTION:
+            if not is_framed:
                 transport = scope["extensions"][TRANSPORT]
                 await _write_unframed(transport, response_headers, events)
                 while (await receive())["type"] != "http.disconnect":
@@ -200,7 +201,11 @@
         await _send_response(send, 200, response_headers, content)
 
     def _record_execution(
-        self, request_id: str, headers: dict[str, str], scope: Message
+        self,
+        request_id: str,
+        headers: dict[str, str],
+        scope: Message,
+        is_framed: bool,
     ) -> None:
         """Append a line to the journal."""
         line = {
@@ -209,6 +214,8 @@
             "pool": self._pool,
             "path": scope["path"],
             "account": headers.get("hornbeamyard-account", ""),
+            # Only streams can be without framing.
+            "framed": is_framed or not headers.get("soak-events"),
             "at": time.monotonic(),
         }
         flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
