Don't guess a stream's version while cut off from most controllers

A router took a pool's only version for the origin of a resumed stream even when it was cut off from the controllers, where a second version may have been announced since. It now does so only while most controllers are attached; otherwise it asks those that are, and refuses what nobody knows, as not run.

--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -184,7 +184,7 @@
             for pool in pools
             for software_version in self.registry.list_versions(pool)
         ]
-        if len(choices) == 1:
+        if len(choices) == 1 and self.knows_majority():
             return choices[0]
         if not request_id:
             return None
--- a/hornbeamyard/tests/test_stream_reports.py
+++ b/hornbeamyard/tests/test_stream_reports.py
@@ -23,6 +23,8 @@
 )
 from hornbeamyard.process.timers import MonotonicTimers
 
+from .test_directory_router import build_router
+
 
 def announce(
     registry: UpstreamRegistry, id: str, version: str, now: float = 0.0
@@ -161,3 +163,73 @@
             assert list(later[0].begun_streams[0].request_ids) == ["q1"]
 
         self.run(test)
+
+
+class FakeCalls:
+    """Calls to controllers that know where streams began."""
+
+    def __init__(self, known: dict[str, StreamOrigin]) -> None:
+        self.known = known
+        self.asked: list[str] = []
+
+    async def find_stream(
+        self, address: str, request: fleet_pb2.StreamLookup
+    ) -> fleet_pb2.StreamOrigin | None:
+        """Return where a stream began; the first controller is down."""
+        self.asked.append(address)
+        if address == "c0":
+            return None
+        origin = self.known.get(request.request_id)
+        if origin is None:
+            return fleet_pb2.StreamOrigin()
+        return fleet_pb2.StreamOrigin(
+            found=True,
+            pool=origin.pool,
+            software_version=origin.software_version,
+        )
+
+
+class TestLookup:
+    """A router finds out where a stream began, or doesn't guess."""
+
+    @pytest.mark.parametrize(
+        ("versions", "attached", "request_id", "expected"),
+        [
+            (("v1",), 3, "unknown", "v1"),
+            (("v1",), 3, "", "v1"),
+            # Versions that were added since may be unknown.
+            (("v1",), 1, "unknown", None),
+            (("v1",), 0, "unknown", None),
+            (("v1", "v2"), 3, "known", "v2"),
+            (("v1",), 2, "own", "v0"),
+            (("v1", "v2"), 3, "unknown", None),
+            (("v1", "v2"), 3, "", None),
+            ((), 3, "unknown", None),
+        ],
+    )
+    def test_find_origin(
+        self,
+        versions: tuple[str, ...],
+        attached: int,
+        request_id: str,
+        expected: str | None,
+    ) -> None:
+        """Guards against a guess, and against waiting where none is needed."""
+        calls = FakeCalls({"known": StreamOrigin("app", "v2")})
+
+        async def main() -> StreamOrigin | None:
+            router, _, _ = build_router()
+            subscription = router.subscription
+            subscription._calls = calls  # type: ignore[assignment]
+            subscription._controllers = {f"c{n}": f"c{n}" for n in range(3)}
+            subscription.versions = {f"c{n}": 1 for n in range(attached)}
+            for number, version in enumerate(versions):
+                announce(subscription.registry, str(number), version)
+            own = StreamOrigin("app", "v0")
+            subscription.streams.record("own", own)
+            return await subscription.find_origin(["app"], request_id)
+
+        found = anyio.run(main)
+        assert found == (expected and StreamOrigin("app", expected))
+        is_asked = request_id in ("known", "unknown") and expected != "v1"
+        assert bool(calls.asked) == (is_asked and attached > 0)
