--- a/hornbeamyard/request/events.py
+++ b/hornbeamyard/request/events.py
@@ -58,9 +58,7 @@
             exceeds `MAX_EVENT_BYTES`.
         """
         window = self._tail + chunk
-        end = 0
-        for found in _EVENT_END.finditer(window):
-            end = found.end()
+        end = _find_last_end(window)
         self._pending += chunk
         if end:
             return self._pop_events(len(window) - end)
@@ -90,7 +88,25 @@
         del self._pending[:size]
         self._tail = bytes(self._pending[-_MAX_SPLIT_END_BYTES:])
         self._is_splitting = False
-        ids = _ID_LINE.findall(events)
-        if ids:
-            self.last_id = ids[-1].strip().decode("latin-1") or self.last_id
+        self.last_id = _find_last_id(events) or self.last_id
         return events
+
+
+def _find_last_end(data: bytes) -> int:
+    """Return the offset at which the last event ends; 0 if none does."""
+    if b"\r" not in data:
+        # Much faster than the pattern, and most streams use LF alone.
+        return data.rfind(b"\n\n") + 2 if b"\n\n" in data else 0
+    end = 0
+    for found in _EVENT_END.finditer(data):
+        end = found.end()
+    return end
+
+
+def _find_last_id(events: bytes) -> str:
+    """Return the last id in events; empty if they have none."""
+    if b"\r" in events:
+        ids = _ID_LINE.findall(events)
+        return ids[-1].strip().decode("latin-1") if ids else ""
+    _, found, rest = (b"\n" + events).rpartition(b"\nid:")
+    return rest.partition(b"\n")[0].strip().decode("latin-1") if found else ""
