--- a/hornbeamyard/request/relay.py
+++ b/hornbeamyard/request/relay.py
@@ -326,14 +326,10 @@
     ) -> AttemptResult:
         events = self._progress.events
         events.discard_incomplete_event()
-        # An upstream that continues a stream may have no further event.
-        is_continued = any(
-            n == LAST_EVENT_ID for n, _ in self._request.headers
-        )
-        has_events = False
+        is_empty = True
         async for chunk in response.iter_chunks():
             self._observer.record_chunk()
-            has_events = True
+            is_empty = False
             complete_events = events.feed(chunk)
             if self._resumable:
                 chunk = complete_events
@@ -341,22 +337,29 @@
                 continue
             await self._send_head(response.status, headers, send)
             await _send_body(send, chunk)
-        is_empty = not is_continued and not has_events
-        if is_empty and response.framing is Framing.CLOSE:
-            return AttemptResult(
-                AttemptOutcome.BROKEN,
-                "the connection ended before the first event",
-            )
-        if events.is_inside_event():
-            # Without a length or chunks, nothing else tells a response that
-            # has broken off from a complete one.
-            return AttemptResult(
-                AttemptOutcome.BROKEN, "the last event is incomplete"
-            )
+        truncation = self._find_truncation(response.framing, is_empty)
+        if truncation:
+            return AttemptResult(AttemptOutcome.BROKEN, truncation)
         await self._send_head(response.status, headers, send)
         await _send_body(send, b"", more=False)
         return AttemptResult(AttemptOutcome.COMPLETED)
 
+    def _find_truncation(self, framing: Framing, is_empty: bool) -> str:
+        """Return how a stream shows that it has broken off; "" if it doesn't.
+
+        Without a length or chunks, an orderly close of the connection ends a
+        response at any byte.
+        """
+        if self._progress.events.is_inside_event():
+            return "the last event is incomplete"
+        # An upstream that continues a stream may have no further event.
+        is_continued = any(
+            name == LAST_EVENT_ID for name, _ in self._request.headers
+        )
+        if is_empty and not is_continued and framing is Framing.CLOSE:
+            return "the connection ended before the first event"
+        return ""
+
     async def _send_head(
         self,
         status: int,
