Report begun streams in the task group of their stream

An error of a write then came as a nested group, whose first exception isn't the gRPC error that the handler expects, so that a failed assertion ended the router.

test_failed_write failed before in all three cases and passes now, with stream reports, reported faults and directory (40).

--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import anyio
+import anyio.abc
 import grpc
 import grpc.aio
 import logbook
@@ -270,7 +271,7 @@
         decoder = UsageDecoder()
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._send_reports, call, address)
+                tasks.start_soon(self._send_reports, call, address, tasks)
                 while self._is_needed(address):
                     update = None
                     with self._timers.limit(SILENCE_TIMEOUT_S):
@@ -300,10 +301,13 @@
             call.cancel()
         return reason
 
-    async def _send_reports(self, call: Any, address: str) -> None:
+    async def _send_reports(
+        self, call: Any, address: str, tasks: anyio.abc.TaskGroup
+    ) -> None:
         """Send this router's identity, then reports or heartbeats.
 
-        Only the leader gets reports of usage.
+        Only the leader gets reports of usage. A further task of the group
+        reports begun streams.
         """
         lock = anyio.Lock()
 
@@ -313,9 +317,8 @@
                 await peers.wait_call(call.write(report))
 
         await send(fleet_pb2.RouterUsage(identity=self._identity))
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self.streams.run, send)
-            await self._send_usage(send, address)
+        tasks.start_soon(self.streams.run, send)
+        await self._send_usage(send, address)
 
     async def _send_usage(
         self,
--- a/hornbeamyard/pool/stream_origins.py
+++ b/hornbeamyard/pool/stream_origins.py
@@ -1,10 +1,10 @@
 """Pools and software versions at which streams began.
 
 Upstreams of several software versions may serve a pool side by side, and what
-two versions generate doesn't fit together; a route may also share its requests
-between pools. A caller that resumes a stream
-often comes to a router that has not begun it, so routers report the streams
-that they begin to all controllers.
+two versions generate doesn't fit together. A route may also share its requests
+between pools. A caller that resumes a stream often comes to a router that
+hasn't begun it, so routers report the streams that they begin to all
+controllers.
 """
 
 from __future__ import annotations
--- a/hornbeamyard/tests/test_stream_reports.py
+++ b/hornbeamyard/tests/test_stream_reports.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import anyio
+import grpc
+import grpc.aio
 import pytest
 
 from hornbeamyard.connection.stream_reports import StreamReports
@@ -189,6 +192,59 @@
         )
 
 
+class TestStreamToController:
+    """The stream to a controller ends alone when it breaks."""
+
+    @pytest.mark.parametrize("writes", [0, 1, 2])
+    def test_failed_write(self, writes: int) -> None:
+        """Guards against a router that ends with its stream.
+
+        The identity, the begun streams and the usage are written by different
+        tasks.
+        """
+        error = grpc.aio.AioRpcError(
+            grpc.StatusCode.UNAVAILABLE,
+            grpc.aio.Metadata(),
+            grpc.aio.Metadata(),
+        )
+
+        class Call:
+            def __init__(self) -> None:
+                self.written = 0
+
+            async def write(self, message: Any) -> None:
+                if self.written == writes:
+                    raise error
+                self.written += 1
+
+            async def read(self) -> None:
+                await anyio.sleep(10)
+
+            def cancel(self) -> None:
+                """Do nothing."""
+
+        class Stub:
+            Watch = staticmethod(Call)
+
+        class Calls:
+            def open_stub(self, address: str) -> Stub:
+                return Stub()
+
+        async def main() -> str:
+            router, _, _ = build_router()
+            subscription = router.subscription
+            subscription._calls = Calls()  # type: ignore[assignment]
+            subscription.seeds = ["c0"]
+            for number in (1, 2):
+                announce(subscription.registry, str(number), f"v{number}")
+            origin = StreamOrigin("app", "v1")
+            subscription.streams.record("q1", origin)
+            with anyio.fail_after(5):
+                return await subscription._run_stream("c0")
+
+        assert anyio.run(main) == "UNAVAILABLE"
+
+
 class TestLookup:
     """A router finds out where a stream began, or doesn't guess."""
 
