--- a/hornbeamyard/connection/stream_reports.py
+++ b/hornbeamyard/connection/stream_reports.py
@@ -44,7 +44,9 @@
         self.split_pools: frozenset[str] = frozenset()
 
     def record(self, request_id: str, origin: StreamOrigin) -> None:
-        """Record a stream that begins."""
+        """Record a stream that begins; without an id it can't be resumed."""
+        if not request_id:
+            return
         self.origins.record(request_id, origin, self._timers.now())
         if self._needs_reports(origin.pool):
             self.notify()
--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -133,7 +133,7 @@
     NO_UPSTREAM = "no upstream is ready"
     PAUSED = "all upstreams have asked for a pause"
     NO_VERSION = "no upstream has the software version that began the stream"
-    UNKNOWN_VERSION = "the software version that began the stream isn't known"
+    UNKNOWN_ORIGIN = "it isn't known where the stream began"
     NO_SHARE = "the account's share is used up"
     NO_ROOM = "the upstreams are full"
     TOO_LATE = "the answer would come too late"
--- a/hornbeamyard/pool/stream_origins.py
+++ b/hornbeamyard/pool/stream_origins.py
@@ -14,7 +14,7 @@
 
 # A caller resumes a stream within its deadline, which is seldom longer.
 RETENTION_S = 60.0
-# Bounds the memory: an entry takes about 300 bytes.
+# Bounds the memory; an entry takes about 400 bytes.
 MAX_STREAMS = 50_000
 
 
--- a/hornbeamyard/pool/upstream_registry.py
+++ b/hornbeamyard/pool/upstream_registry.py
@@ -255,6 +255,15 @@
         for id, lost in list(self._lost.items()):
             if now - lost.last_seen_at > ENDED_RETENTION_S:
                 del self._lost[id]
+        self._renew_versions(now)
+        silent = [u for u in self if now - u.last_seen_at > lifetime_s]
+        for upstream in silent:
+            self._remove(upstream)
+            self._lost[upstream.id] = replace(upstream)
+        return silent
+
+    def _renew_versions(self, now: float) -> None:
+        """Record the versions of all upstreams, and forget old ones."""
         for upstream in self:
             self.record_version(upstream.pool, upstream.software_version, now)
         for pool, versions in list(self._versions.items()):
@@ -263,11 +272,6 @@
                     del versions[version]
             if not versions:
                 del self._versions[pool]
-        silent = [u for u in self if now - u.last_seen_at > lifetime_s]
-        for upstream in silent:
-            self._remove(upstream)
-            self._lost[upstream.id] = replace(upstream)
-        return silent
 
     def _has_ended(self, upstream: Upstream) -> bool:
         ended = self._ended.get(upstream.id)
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -379,7 +379,7 @@
             pools, request.metadata.resumes
         )
         if origin is None:
-            return RefusalReason.UNKNOWN_VERSION
+            return RefusalReason.UNKNOWN_ORIGIN
         assert self._router.routing is not None
         pool = self._router.routing.pools.get(origin.pool)
         if pool is None or origin.pool not in pools:
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -644,7 +644,7 @@
             (StreamOrigin("app", "v1"), 200, None),
             (StreamOrigin("app", "v3"), 503, "no_version"),
             (StreamOrigin("other", "v1"), 503, "no_version"),
-            (None, 503, "unknown_version"),
+            (None, 503, "unknown_origin"),
         ],
     )
     def test_resumed_stream(
--- a/hornbeamyard/tests/test_stream_reports.py
+++ b/hornbeamyard/tests/test_stream_reports.py
@@ -260,6 +260,7 @@
             (("v1",), 2, "own", "v0"),
             (("v1", "v2"), 3, "unknown", None),
             (("v1", "v2"), 3, "", None),
+            (("v1", "v2"), 0, "", None),
             ((), 3, "unknown", None),
         ],
     )
@@ -283,6 +284,7 @@
                 announce(subscription.registry, str(number), version)
             own = StreamOrigin("app", "v0")
             subscription.streams.record("own", own)
+            subscription.streams.record("", own)
             return await subscription.find_origin(["app"], request_id)
 
         found = anyio.run(main)
