Soak: let upstreams break off no streams after the recovery

Requests of the recovery check now ask for whole streams. The check and its bound are unchanged. test_soak: 21 passed, with its short run.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -117,6 +117,8 @@
         Numbers of the routers that were ready at their last check.
     stopping : bool
         Whether the callers should send no more requests.
+    wants_whole : bool
+        Whether upstreams should break off no streams.
     """
 
     def __init__(
@@ -126,6 +128,7 @@
         self._fleet = fleet
         self._records = records
         self._request_count = 0
+        self.wants_whole = False
         self.ready_routers: set[int] = set()
         self.stopping = False
 
@@ -286,6 +289,8 @@
         }
         if stream:
             headers["soak-events"] = "1"
+            if self.wants_whole:
+                headers["soak-whole"] = "1"
             if request.resumes:
                 headers["hornbeamyard-resumes"] = request.resumes
                 headers["last-event-id"] = str(request.last_event)
--- a/soak/run.py
+++ b/soak/run.py
@@ -139,6 +139,7 @@
 ) -> list[str]:
     """Check that the fleet accepts versions and serves after the faults."""
     violations = []
+    callers.wants_whole = True
     with anyio.move_on_after(5.0):
         version = records.newest_submitted + 1
         if not await operators.submit(build_routing(version)):
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -181,13 +181,18 @@
                 )
             ]
             response_headers.append((b"content-type", b"text/event-stream"))
+            sent = events
+            may_break = events and not headers.get("soak-whole")
+            if may_break and random.random() < BROKEN_FRACTION:
+                sent = _break_off(events)
             if not is_framed:
                 transport = scope["extensions"][TRANSPORT]
-                await _write_unframed(transport, response_headers, events)
+                await _write_unframed(transport, response_headers, sent)
                 while (await receive())["type"] != "http.disconnect":
                     pass
                 return
-            await _send_events(send, response_headers, events)
+            is_whole = sent == events
+            await _send_events(send, response_headers, sent, is_whole)
             return
         await anyio.sleep(random.uniform(0.005, 0.1))
         document = {
@@ -297,27 +302,27 @@
 
 
 def _break_off(events: list[bytes]) -> list[bytes]:
-    """Return the events, some of them cut inside an event."""
-    if not events or random.random() >= BROKEN_FRACTION:
-        return events
+    """Return the first events, the last of them cut."""
     *whole, last = events[: random.randint(1, len(events))]
     return [*whole, last[: random.randrange(1, len(last))]]
 
 
 async def _send_events(
-    send: Send, headers: list[tuple[bytes, bytes]], events: list[bytes]
+    send: Send,
+    headers: list[tuple[bytes, bytes]],
+    events: list[bytes],
+    is_whole: bool,
 ) -> None:
-    """Send a chunked stream; one that breaks off ends without its end."""
+    """Send a chunked stream; one that isn't whole has no last chunk."""
     await send(
         {"type": "http.response.start", "status": 200, "headers": headers}
     )
-    sent = _break_off(events)
-    for event in sent:
+    for event in events:
         await send(
             {"type": "http.response.body", "body": event, "more_body": True}
         )
         await anyio.sleep(EVENT_INTERVAL_S)
-    if sent == events:
+    if is_whole:
         await send({"type": "http.response.body", "body": b""})
 
 
@@ -329,7 +334,7 @@
     """Write a stream without length and chunks, and close its connection."""
     lines = [b"HTTP/1.1 200 OK", *(b": ".join(header) for header in headers)]
     transport.write(b"\r\n".join([*lines, b"", b""]))
-    for event in _break_off(events):
+    for event in events:
         if transport.is_closing():
             return
         transport.write(event)
