Log the shared prompt parts of requests that are placed or fail

Lines of placed, retried and failed requests now name the shared prompt parts; failed ones also name the upstream, and retried and failed ones tell whether an event had come (first_ms).

--- a/hornbeamyard/request/meter.py
+++ b/hornbeamyard/request/meter.py
@@ -57,6 +57,8 @@
         self._reporter = reporter
         self._request = request
         request.framing = None
+        request.first_event_ms = 0.0
+        request.last_upstream = placement.server.id
         self._first_chunk_at = 0.0
         self._last_chunk_at = 0.0
         self._placement = placement
--- a/hornbeamyard/request/reporting.py
+++ b/hornbeamyard/request/reporting.py
@@ -83,6 +83,7 @@
             account=request.account,
             pool=request.pool.name,
             upstream=server.id,
+            parts=_list_shared_parts(request),
             software_version=server.upstream.software_version,
             resumes=request.metadata.resumes or None,
             last_event=request.progress.events.last_id
@@ -144,9 +145,11 @@
             request.metadata,
             "retried",
             upstream=placement.server.id,
+            parts=_list_shared_parts(request),
             ending=result.outcome.value,
             reason=result.reason,
             framing=_describe_framing(request),
+            first_ms=round(request.first_event_ms),
             tries=request.attempts,
         )
 
@@ -208,7 +211,10 @@
             reason=reason,
             route=request.route.name,
             account=request.account,
+            upstream=request.last_upstream,
+            parts=_list_shared_parts(request),
             framing=_describe_framing(request),
+            first_ms=round(request.first_event_ms),
             tries=request.attempts,
             may_have_run=request.may_have_run,
             after_ms=self._elapsed_ms(request),
@@ -229,5 +235,9 @@
         return round((self._timers.now() - request.received_at) * 1000)
 
 
+def _list_shared_parts(request: RoutedRequest) -> list[str]:
+    return [part.id for part in request.demand.parts[:-1]]
+
+
 def _describe_framing(request: RoutedRequest) -> str | None:
     return request.framing.value if request.framing is not None else None
--- a/hornbeamyard/request/routed_request.py
+++ b/hornbeamyard/request/routed_request.py
@@ -61,6 +61,8 @@
         The latest error response of an upstream.
     excluded : frozenset of str
         Ids of upstreams at which an attempt has failed.
+    last_upstream : str
+        Id of the upstream of the last attempt; empty before the first one.
     first_event_ms : float
         Time from the last attempt's start to the first chunk of its response;
         0 before.
@@ -86,6 +88,7 @@
     may_have_run: bool = False
     last_failure: BufferedResponse | None = None
     excluded: frozenset[str] = frozenset()
+    last_upstream: str = ""
     first_event_ms: float = 0.0
     framing: Framing | None = None
     is_complete: bool = False
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -737,6 +737,20 @@
 
         run(test, [close_connection], [send_response()])
 
+    def test_shared_parts_of_broken_request(self) -> None:
+        """Guards against crashes that no log line links to a prompt part."""
+
+        async def test(harness: Harness) -> None:
+            parts = (b"hornbeamyard-prompt-parts", b"a1:20,b2:5,c3:9")
+            await harness.send_request("/notice/1", headers=(parts,))
+            failed = harness.log.lines[-1]
+            assert failed["event"] == "failed"
+            assert failed["upstream"] == "u0"
+            assert failed["parts"] == ["a1", "b2"]
+            assert failed["first_ms"] == 0
+
+        run(test, [send_events(1, 0, complete=False)])
+
     @pytest.mark.parametrize(
         ("script", "framing"),
         [
