--- a/hornbeamyard/tests/raw_upstream.py
+++ b/hornbeamyard/tests/raw_upstream.py
@@ -53,12 +53,26 @@
         One for each request; the last one also serves all further requests.
     closed : int
         Number of connections that the client has closed.
+    has_crashed : bool
     """
 
     port: int
     scripts: list[Script]
     received: list[ReceivedRequest] = field(default_factory=list)
     closed: int = 0
+    has_crashed: bool = False
+    _scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+
+    async def run(self, listener: anyio.abc.SocketListener) -> None:
+        """Accept connections until cancelled or crashed."""
+        with self._scope:
+            async with listener:
+                await listener.serve(self.serve)
+
+    def crash(self) -> None:
+        """Close all connections and refuse new ones."""
+        self.has_crashed = True
+        self._scope.cancel()
 
     async def serve(self, stream: anyio.abc.SocketStream) -> None:
         """Serve one connection."""
@@ -108,8 +122,8 @@
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     upstream = RawUpstream(port, list(scripts))
-    async with listener, anyio.create_task_group() as tasks:
-        tasks.start_soon(listener.serve, upstream.serve)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(upstream.run, listener)
         yield upstream
         tasks.cancel_scope.cancel()
 
