Block prompt parts that crash upstreams

Callers saw requests of one kind fail with 502, and streams of all others break off, as one engine after another ended under requests with one shared part in their prompts; sixteen ended.

Cause: a crash was a failure of the upstream alone. It was ejected, and the next request with the part went to the next one, from any router. Nothing linked the crash to what the broken requests had in common.

Ruled out: overload (engines ended at any load, under one account's requests, which had got the head of a response and no event) and retries alone (requests of that route were sent once each; retries carry it on where a route resumes, which has its own test).

Change: a request that breaks off at the beginning of its answer, at an upstream that refuses connections then, makes its shared parts suspects of the crash. A part that is answered just before a crash or any time after it is cleared. A part that stays suspected of three crashes is blocked; it explains them, so that parts in the same crashes by chance are not. Records go to all controllers and from each to all routers, also to those that start later; merging them only adds, so the order doesn't matter. Blocked requests are refused before they count as demand, while they wait, before each attempt and after their connection is open. One router tries a blocked part again with one request after 30 s, 60 s and 120 s.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -18,6 +18,7 @@
 from result import Err, Ok, Result
 
 from ..messages import fleet_pb2, fleet_pb2_grpc
+from ..pool.crashes import CrashLedger
 from ..pool.stream_origins import StreamOrigin, StreamOrigins
 from ..pool.upstream_registry import Upstream, UpstreamRegistry, UpstreamState
 from ..pool.usage import CachedPart, FleetUsage, RouterUsage, UsageTable
@@ -30,7 +31,9 @@
     FleetUsageEncoder,
     UsageDecoder,
     decode_cached_parts,
+    decode_crashes,
     encode_cached_parts,
+    encode_crashes,
     encode_upstream,
     pack_document,
 )
@@ -54,6 +57,8 @@
     ----------
     cached_parts : list of CachedPart
         To send with the next fleet usage.
+    crashes_sent : int
+        Number of the last change of crashes sent.
     controllers_sent : tuple of str
         Addresses of the controllers in the last list sent.
     name : str
@@ -75,6 +80,7 @@
     __slots__ = (
         "cached_parts",
         "controllers_sent",
+        "crashes_sent",
         "fleet_usage_due",
         "name",
         "pending_records",
@@ -87,6 +93,7 @@
 
     def __init__(self, name: str) -> None:
         self.controllers_sent: tuple[str, ...] = ()
+        self.crashes_sent = 0
         self.name = name
         self.cached_parts: list[CachedPart] = []
         self.pending_records: dict[str, Any] = {}
@@ -118,6 +125,8 @@
 
     Attributes
     ----------
+    crashes : CrashLedger
+        Crashes of upstreams that routers have reported.
     origins : StreamOrigins
         Streams that routers have reported.
     registry : UpstreamRegistry
@@ -133,6 +142,7 @@
         "_subscribers",
         "_timers",
         "_usage",
+        "crashes",
         "origins",
         "registry",
     )
@@ -155,6 +165,7 @@
         self._timers = timers
         self._usage = UsageTable(window_s)
         self._subscribers: set[Subscriber] = set()
+        self.crashes = CrashLedger()
         self.origins = StreamOrigins()
         self.registry = UpstreamRegistry()
 
@@ -167,6 +178,7 @@
             tasks.start_soon(self._publish_versions)
             async for now in self._timers.subscribe(USAGE_INTERVAL_S):
                 self.origins.expire(now)
+                self.crashes.expire(now)
                 lost = self.registry.expire(now, self._lifetime_s)
                 for upstream in lost:
                     _log.info(
@@ -374,13 +386,17 @@
     ) -> None:
         """Record a router's report; its usage only if this controller leads.
 
-        Upstreams that leave are made known to all routers, and begun streams
-        are kept for those that ask.
+        Upstreams that leave and crashes are made known to all routers, and
+        begun streams are kept for those that ask.
         """
+        # Messages with streams or crashes have no usage, which must not count
+        # as zero.
         if usage.begun_streams:
-            # Such a message has no usage, which must not count as zero.
             self._record_streams(usage.begun_streams)
             return
+        if usage.crashes:
+            self._record_crashes(usage.crashes)
+            return
         for leaving in usage.leaving:
             self._publish(
                 self.registry.record_leaving(leaving.id, leaving.started_ms)
@@ -398,6 +414,15 @@
             subscriber.name, counters, self._timers.now()
         )
 
+    def _record_crashes(
+        self, messages: Iterable[fleet_pb2.UpstreamCrash]
+    ) -> None:
+        crashes = decode_crashes(messages, self._timers.now())
+        if not self.crashes.merge(crashes):
+            return
+        for subscriber in self._subscribers:
+            subscriber.wake.set()
+
     def _record_streams(
         self, groups: Iterable[fleet_pb2.BegunStreams]
     ) -> None:
@@ -434,6 +459,13 @@
         if addresses != subscriber.controllers_sent:
             update.controllers.extend(controllers)
             subscriber.controllers_sent = addresses
+        update.crashes.extend(
+            encode_crashes(
+                self.crashes.list_since(subscriber.crashes_sent),
+                self._timers.now(),
+            )
+        )
+        subscriber.crashes_sent = self.crashes.number
         if subscriber.fleet_usage_due:
             subscriber.fleet_usage_due = False
             update.has_sums = True
--- a/hornbeamyard/connection/directory_codec.py
+++ b/hornbeamyard/connection/directory_codec.py
@@ -8,6 +8,7 @@
 from typing import Any, TypeVar
 
 from ..messages import fleet_pb2
+from ..pool.crashes import Crash, CrashedUpstream
 from ..pool.upstream_registry import Upstream, UpstreamState
 from ..pool.usage import AccountUsage, CachedPart, UpstreamLoad
 
@@ -273,3 +274,38 @@
 def decode_cached_parts(parts: Iterable[Any]) -> list[CachedPart]:
     """Return the prompt parts that messages describe."""
     return [CachedPart(cached.part, cached.upstream) for cached in parts]
+
+
+def encode_crashes(crashes: Iterable[Crash], now: float) -> list[Any]:
+    """Return the messages for crashes, with their ages."""
+    return [
+        fleet_pb2.UpstreamCrash(
+            id=crash.upstream.id,
+            started_ms=crash.upstream.started_ms,
+            age_ms=max(0, int((now - crash.crashed_at) * 1000)),
+            reporter=crash.reporter,
+            suspects=[
+                fleet_pb2.SuspectedPart(
+                    part=part,
+                    position=position,
+                    cleared=part in crash.cleared,
+                )
+                for part, position in crash.suspects.items()
+            ],
+        )
+        for crash in crashes
+    ]
+
+
+def decode_crashes(crashes: Iterable[Any], now: float) -> list[Crash]:
+    """Return the crashes that messages describe."""
+    return [
+        Crash(
+            CrashedUpstream(crash.id, crash.started_ms),
+            now - crash.age_ms / 1000,
+            crash.reporter,
+            {suspect.part: suspect.position for suspect in crash.suspects},
+            {suspect.part for suspect in crash.suspects if suspect.cleared},
+        )
+        for crash in crashes
+    ]
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -14,11 +14,13 @@
 import logbook
 
 from ..messages import fleet_pb2
+from ..pool.crashes import Crash
 from ..pool.stream_origins import StreamOrigin
 from ..pool.upstream_registry import Upstream, UpstreamRegistry, UpstreamState
 from ..pool.usage import FleetUsage, RouterUsage
 from ..process.timers import Timers
 from . import peers
+from .crash_reports import CrashReports
 from .directory import (
     HEARTBEAT_INTERVAL_S,
     SILENCE_TIMEOUT_S,
@@ -30,6 +32,7 @@
     UsageDecoder,
     UsageEncoder,
     decode_cached_parts,
+    decode_crashes,
     decode_upstream,
     encode_cached_parts,
     unpack_document,
@@ -64,6 +67,8 @@
         it is in force now.
     on_fleet_usage : callable
         Called with the usage of all routers, added up.
+    on_crashes : callable
+        Called with the crashes that this router or another has recorded.
     lifetime_s : float
         Time in seconds without an announcement after which an upstream is
         lost.
@@ -72,6 +77,8 @@
     ----------
     attached_routers : int
         Routers that are attached to a controller, as far as known.
+    crashes : CrashReports
+        Crashes of upstreams.
     registry : UpstreamRegistry
     streams : StreamReports
         Streams that this router begins.
@@ -96,6 +103,7 @@
         "_on_upstreams",
         "_timers",
         "attached_routers",
+        "crashes",
         "registry",
         "seeds",
         "streams",
@@ -113,6 +121,7 @@
         on_upstreams: Callable[[list[Upstream]], None],
         on_routing: Callable[[int, bytes], bool],
         on_fleet_usage: Callable[[FleetUsage], None],
+        on_crashes: Callable[[list[Crash]], None],
         lifetime_s: float,
     ) -> None:
         self._calls = calls
@@ -132,6 +141,7 @@
         self._timers = timers
         self._fetch_needed = anyio.Event()
         self.attached_routers = 0
+        self.crashes = CrashReports(identity.host, timers, on_crashes)
         self.registry = UpstreamRegistry()
         self.seeds = list(seeds)
         self.streams = StreamReports(self.registry, timers)
@@ -231,14 +241,16 @@
                 await self._timers.sleep(RECONNECT_PAUSE_S)
 
     def _expire(self) -> None:
-        self.streams.origins.expire(self._timers.now())
+        now = self._timers.now()
+        self.streams.origins.expire(now)
+        self.crashes.expire(now)
         if not self.versions:
             return
         # A controller that is out of reach may have received newer
         # announcements, so the lifetime is doubled.
         has_all_streams = len(self.versions) >= len(self._controllers)
         lifetime = self._lifetime_s * (1 if has_all_streams else 2)
-        lost = self.registry.expire(self._timers.now(), lifetime)
+        lost = self.registry.expire(now, lifetime)
         for upstream in lost:
             upstream.state = UpstreamState.GONE
         if lost:
@@ -306,8 +318,8 @@
     ) -> None:
         """Send this router's identity, then reports or heartbeats.
 
-        Only the leader gets reports of usage. A further task of the group
-        reports begun streams.
+        Only the leader gets reports of usage. Further tasks of the group
+        report begun streams and crashes of upstreams.
         """
         lock = anyio.Lock()
 
@@ -318,6 +330,7 @@
 
         await send(fleet_pb2.RouterUsage(identity=self._identity))
         tasks.start_soon(self.streams.run, send)
+        tasks.start_soon(self.crashes.run, send)
         await self._send_usage(send, address)
 
     async def _send_usage(
@@ -394,6 +407,8 @@
         if changed:
             self._on_upstreams(changed)
             self.streams.notify()
+        if update.crashes:
+            self.crashes.apply(decode_crashes(update.crashes, now))
         if update.has_sums:
             accounts, usage = decoder.decode(
                 update.accounts, update.usage, update.has_whole_usage
--- a/hornbeamyard/connection/upstreams.py
+++ b/hornbeamyard/connection/upstreams.py
@@ -22,6 +22,10 @@
 IDLE_TIMEOUT_S = 4.0
 # Per upstream.
 MAX_IDLE_CONNECTIONS = 64
+# Time limit of a check whether an upstream still accepts connections, and the
+# time in which a relay between the two closes one that it can't pass on.
+LISTENING_TIMEOUT_S = 0.25
+RELAY_CLOSE_S = 0.05
 # An exchange ends if its caller reads no byte for this long.
 SLOW_CALLER_TIMEOUT_S = 60.0
 # Upper bound of the interval between liveness checks.
@@ -107,10 +111,13 @@
             if connection.is_idle() and not connection.has_expired():
                 return connection
             await connection.aclose()
+        return await self._open(address, self._connect_timeout_s)
+
+    async def _open(self, address: str, timeout_s: float) -> Connection:
         host, _, port = address.removeprefix("http://").rpartition(":")
         self.opened += 1
         try:
-            with anyio.fail_after(self._connect_timeout_s):
+            with anyio.fail_after(timeout_s):
                 return await open_connection(
                     host.strip("[]"),
                     int(port),
@@ -118,11 +125,31 @@
                     self._socket_options,
                 )
         except TimeoutError:
-            timeout_s = self._connect_timeout_s
             raise TimeoutError(
                 f"no connection within {timeout_s:g} s"
             ) from None
 
+    async def has_ended(self, address: str) -> bool:
+        """Return whether an upstream refuses new connections.
+
+        One that can't be reached at all may still run.
+
+        Parameters
+        ----------
+        address : str
+            `http://ip:port`.
+        """
+        try:
+            connection = await self._open(address, LISTENING_TIMEOUT_S)
+        except (ConnectionRefusedError, ConnectionResetError):
+            return True
+        except OSError:
+            return False
+        await anyio.sleep(RELAY_CLOSE_S)
+        has_ended = not connection.is_idle()
+        await self.release(address, connection, not has_ended)
+        return has_ended
+
     async def release(
         self, address: str, connection: Connection, complete: bool
     ) -> None:
--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -17,6 +17,7 @@
 
 import anyio
 
+from .crashes import CrashLedger
 from .demand import RequestDemand
 from .engine import (
     NO_COPY_SOURCE,
@@ -134,6 +135,7 @@
     PAUSED = "all upstreams have asked for a pause"
     NO_VERSION = "no upstream has the software version that began the stream"
     UNKNOWN_ORIGIN = "it isn't known where the stream began"
+    BLOCKED_PART = "a part of the prompt has crashed several upstreams"
     NO_SHARE = "the account's share is used up"
     NO_ROOM = "the upstreams are full"
     TOO_LATE = "the answer would come too late"
@@ -272,6 +274,8 @@
         retries.
     limit : callable
         Returns a cancel scope that ends after a number of seconds.
+    crashes : CrashLedger, optional
+        Prompt parts that are blocked; without it, none is.
 
     Attributes
     ----------
@@ -287,6 +291,7 @@
 
     __slots__ = (
         "_copy_ms_per_token",
+        "_crashes",
         "_draw",
         "_headroom",
         "_headroom_at",
@@ -315,8 +320,10 @@
         shares: Shares,
         draw: Callable[[], float],
         limit: Callable[[float], AbstractContextManager[anyio.CancelScope]],
+        crashes: CrashLedger | None = None,
     ) -> None:
         self._copy_ms_per_token = 0.0
+        self._crashes = CrashLedger() if crashes is None else crashes
         self._draw = draw
         # Whether the engines had headroom, and when that was found out.
         self._headroom = False
@@ -499,6 +506,8 @@
         self, demand: RequestDemand, now: float, excluded: frozenset[str]
     ) -> Placement | Shortfall:
         """Choose the upstream of a request, or say why there is none."""
+        if self.is_blocked(demand):
+            return Shortfall(RefusalReason.BLOCKED_PART, True)
         servers = self._list_usable(demand, now, excluded)
         if not servers:
             return self._explain_no_upstream(demand, now, excluded)
@@ -535,6 +544,28 @@
         is_hopeless = least_excess_ms > left_ms * HOPELESS_FACTOR
         return Shortfall(RefusalReason.TOO_LATE, is_hopeless)
 
+    def is_blocked(self, demand: RequestDemand) -> bool:
+        """Return whether a part of the prompt is blocked for its crashes."""
+        if demand.is_trial:
+            return False
+        return self._crashes.find_block(demand.shared_parts) is not None
+
+    def check_parts(self, demand: RequestDemand, now: float) -> Refusal | None:
+        """Refuse a request with a blocked part, unless it is due for a trial.
+
+        Parameters
+        ----------
+        demand : RequestDemand
+        now : float
+            Monotonic time in seconds.
+        """
+        demand.is_trial = self._crashes.begin_trial(demand.shared_parts, now)
+        if not self.is_blocked(demand):
+            return None
+        return self._refuse(
+            RefusalReason.BLOCKED_PART, demand, now, frozenset()
+        )
+
     def _has_share(self, demand: RequestDemand, now: float) -> bool:
         if not self._kv_capacity_tokens or demand.is_charged:
             return True
@@ -798,6 +829,14 @@
         ):
             found = self._find(waiting.demand, now, waiting.excluded)
             if isinstance(found, Shortfall):
+                if found.reason is RefusalReason.BLOCKED_PART:
+                    self._end_waiting(
+                        waiting,
+                        self._refuse(
+                            found.reason, waiting.demand, now, waiting.excluded
+                        ),
+                    )
+                    continue
                 # Requests without share say nothing about the engines.
                 failed += found.reason is not RefusalReason.NO_SHARE
                 if failed >= MAX_FAILED_PLACEMENTS:
@@ -805,9 +844,14 @@
                 continue
             # Counted at once, so that the next placement sees the load.
             self.start(found, waiting.demand, now)
-            waiting.result = found
-            self._waiting.remove(waiting)
-            waiting.done.set()
+            self._end_waiting(waiting, found)
+
+    def _end_waiting(
+        self, waiting: WaitingRequest, result: Placement | Refusal
+    ) -> None:
+        waiting.result = result
+        self._waiting.remove(waiting)
+        waiting.done.set()
 
     def _explain_no_upstream(
         self, demand: RequestDemand, now: float, excluded: frozenset[str]
@@ -845,12 +889,16 @@
         excluded: frozenset[str],
     ) -> Refusal:
         resumes_at = None
+        if reason is RefusalReason.BLOCKED_PART:
+            block = self._crashes.find_block(demand.shared_parts)
+            resumes_at = block.retry_at if block is not None else None
         if reason is RefusalReason.PAUSED:
             resumes_at = self._find_end_of_pause(demand, now, excluded)
         if resumes_at is not None:
             # Spread over a part of a second, so that callers don't all
             # return at the end of the pause.
-            wait_s = resumes_at - now + MIN_RETRY_AFTER_S * self._draw()
+            wait_s = max(0.0, resumes_at - now)
+            wait_s += MIN_RETRY_AFTER_S * self._draw()
             return Refusal(reason, wait_s)
         wait_s = self._shares.compute_wait(demand.account, now)
         waits = self._list_waits_ms(now)
--- a/hornbeamyard/pool/demand.py
+++ b/hornbeamyard/pool/demand.py
@@ -58,6 +58,11 @@
         Tokens that no other request shares.
     affinity : str
         Id of the last part that other requests share, or empty.
+    shared_parts : tuple of str
+        Ids of all parts that other requests share.
+    is_trial : bool
+        Whether the request may be sent once although one of its parts is
+        blocked.
     """
 
     request_id: str
@@ -73,14 +78,17 @@
     software_version: str | None = None
     is_caller_retry: bool = False
     is_charged: bool = False
+    is_trial: bool = False
     own_tokens: int = field(init=False)
     affinity: str = field(init=False)
+    shared_parts: tuple[str, ...] = field(init=False)
 
     def __post_init__(self) -> None:
         """Compute what each placement reads for each upstream."""
         shared = sum(part.tokens for part in self.parts[:-1])
         self.own_tokens = max(0, self.prompt_tokens - shared)
-        self.affinity = self.parts[-2].id if len(self.parts) > 1 else ""
+        self.shared_parts = tuple(part.id for part in self.parts[:-1])
+        self.affinity = self.shared_parts[-1] if self.shared_parts else ""
 
     @property
     def size(self) -> int:
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -26,6 +26,7 @@
     MIN_ASSUMED_ROUTERS,
     Balancer,
 )
+from ..pool.crashes import Crash, CrashedUpstream
 from ..pool.shares import Shares
 from ..pool.stream_origins import StreamOrigin
 from ..pool.upstream_registry import (
@@ -114,6 +115,7 @@
     __slots__ = (
         "_adapted_at",
         "_balancers",
+        "_blocked_parts",
         "_budgets",
         "_calls",
         "_connection_limits",
@@ -146,6 +148,7 @@
         assert settings.directory is not None
         directory = settings.directory
         self._adapted_at = 0.0
+        self._blocked_parts: set[str] = set()
         self._budgets: dict[str, WindowRetryBudget] = {}
         self._calls = DirectoryCalls(settings.tls)
         # When the fleet's usage came last; None before the first one.
@@ -179,6 +182,7 @@
             self._handle_upstreams,
             self._apply_routing,
             self._apply_fleet_usage,
+            self._handle_crashes,
             directory.announcement_interval_s * MAX_MISSED_ANNOUNCEMENTS,
         )
         self.forwarder = Forwarder(
@@ -248,6 +252,7 @@
                 self._shares,
                 random.random,
                 self._timers.limit,
+                self.subscription.crashes.ledger,
             )
             balancer.assumed_routers = self._count_assumed_routers(
                 self._timers.now()
@@ -276,6 +281,33 @@
         if changed:
             self._handle_upstreams(changed)
 
+    async def record_broken(
+        self, upstream: Upstream, parts: Iterable[str]
+    ) -> None:
+        """Suspect the parts of a broken request if its upstream crashed.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        parts : iterable of str
+            Ids of the shared prompt parts.
+        """
+        crashes = self.subscription.crashes
+        crashed = CrashedUpstream(upstream.id, upstream.started_ms)
+        if not crashes.ledger.has_crash(crashed):
+            # The crash counts also if the caller disconnects meanwhile.
+            with anyio.CancelScope(shield=True):
+                has_ended = await self._upstreams.has_ended(
+                    f"http://{upstream.address}"
+                )
+            if not has_ended:
+                return
+        crashes.record_crash(crashed, parts)
+
+    def record_answer(self, parts: Iterable[str]) -> None:
+        """Clear the prompt parts of a request that was answered."""
+        self.subscription.crashes.record_answer(parts)
+
     def record_stream(self, request_id: str, origin: StreamOrigin) -> None:
         """Record a stream that begins."""
         self.subscription.streams.record(request_id, origin)
@@ -357,6 +389,34 @@
             self._configure_balancer(pool, balancer)
             balancer.start_waiting(self._timers.now())
 
+    def _handle_crashes(self, changed: list[Crash]) -> None:
+        for crash in changed:
+            self.decisions.note(
+                "upstream_crashed",
+                upstream=crash.upstream.id,
+                started_ms=crash.upstream.started_ms,
+                reporter=crash.reporter,
+                suspects=sorted(crash.list_open()),
+                cleared=len(crash.cleared),
+            )
+        blocked = self.subscription.crashes.ledger.blocked
+        for part in blocked.keys() - self._blocked_parts:
+            block = blocked[part]
+            self.decisions.note(
+                "part_blocked",
+                part=part,
+                crashes=block.crashes,
+                retry_in_s=round(block.retry_at - self._timers.now(), 1),
+                tried_by=block.tried_by,
+            )
+        for part in self._blocked_parts - blocked.keys():
+            self.decisions.note("part_released", part=part)
+        if blocked.keys() == self._blocked_parts:
+            return
+        self._blocked_parts = set(blocked)
+        for balancer in self._balancers.values():
+            balancer.start_waiting(self._timers.now())
+
     def _apply_routing(self, version: int, document: bytes) -> bool:
         decoded = self._interface.decode(document)
         if isinstance(decoded, Err):
@@ -503,6 +563,9 @@
         yield Sample("routing_version", version)
         opened = self._upstreams.opened
         yield Sample("upstream_connections", opened, (), True)
+        crashes = self.subscription.crashes.ledger
+        yield Sample("upstream_crashes_known", len(crashes))
+        yield Sample("prompt_parts_blocked", len(crashes.blocked))
         attached = len(self.subscription.versions)
         yield Sample("controllers_attached", attached)
         yield from self._sample_shares()
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -19,6 +19,7 @@
     Refusal,
     RefusalReason,
 )
+from ..pool.crashes import SUSPICION_S
 from ..pool.demand import RequestDemand
 from ..pool.engine import Server
 from ..pool.shares import Shares
@@ -99,6 +100,14 @@
     def record_leaving(self, upstream: Upstream) -> None:
         """Send no more requests to an upstream that says that it leaves."""
 
+    async def record_broken(
+        self, upstream: Upstream, parts: Iterable[str]
+    ) -> None:
+        """Suspect the parts of a broken request if its upstream crashed."""
+
+    def record_answer(self, parts: Iterable[str]) -> None:
+        """Clear the prompt parts of a request that was answered."""
+
 
 class Forwarder:
     """An ASGI application that forwards requests to upstreams by route.
@@ -335,6 +344,10 @@
             await self._send_refusal(request, refusal, send)
             return
         balancer = self._router.find_balancer(request.pool.name)
+        blocked = balancer.check_parts(request.demand, self._timers.now())
+        if blocked is not None:
+            await self._send_refusal(request, blocked, send)
+            return
         budget = self._router.find_budget(request.pool.name)
         budget.record_request(request.received_at)
         # The demand of a caller that retries was already recorded.
@@ -350,6 +363,7 @@
                 return
             software_version = placement.server.upstream.software_version
             result = await self._attempt(request, balancer, placement, send)
+            request.demand.is_trial = False
             if result.outcome is AttemptOutcome.COMPLETED:
                 self._reporter.report_answered(request, placement)
                 return
@@ -459,8 +473,12 @@
     ) -> None:
         """Update the upstream and the request after an attempt."""
         now = self._timers.now()
+        parts = request.demand.shared_parts
+        elapsed_ms = (now - started_at) * 1000
         if result.outcome is AttemptOutcome.COMPLETED:
-            server.record_success((now - started_at) * 1000)
+            server.record_success(elapsed_ms)
+            if parts:
+                self._router.record_answer(parts)
             return
         if result.outcome is AttemptOutcome.WITHDRAWN:
             return
@@ -489,9 +507,22 @@
                 await self._upstreams.close_idle(
                     f"http://{server.upstream.address}"
                 )
+                if parts:
+                    await self._record_broken(request, server, elapsed_ms)
         if is_ejected:
             self._reporter.report_ejected(request, server, result.reason)
 
+    async def _record_broken(
+        self, request: RoutedRequest, server: Server, elapsed_ms: float
+    ) -> None:
+        """Suspect or clear the prompt parts of a request that broke off."""
+        parts = request.demand.shared_parts
+        answered_ms = elapsed_ms - request.first_event_ms
+        if request.first_event_ms and answered_ms >= SUSPICION_S * 1000:
+            self._router.record_answer(parts)
+            return
+        await self._router.record_broken(server.upstream, parts)
+
     def _may_retry(
         self,
         request: RoutedRequest,
--- a/hornbeamyard/request/meter.py
+++ b/hornbeamyard/request/meter.py
@@ -67,7 +67,9 @@
         self._timers = timers
 
     def may_send(self) -> bool:
-        """Return whether the upstream still takes requests."""
+        """Return whether the request may still go to the upstream."""
+        if self._balancer.is_blocked(self._request.demand):
+            return False
         return self._placement.server.accepts_requests(self._timers.now())
 
     def record_head(
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -15,6 +15,7 @@
 
 from hornbeamyard.connection.upstreams import UpstreamConnections
 from hornbeamyard.pool.balancer import Balancer
+from hornbeamyard.pool.crashes import Crash, CrashedUpstream, CrashLedger
 from hornbeamyard.pool.shares import Shares
 from hornbeamyard.pool.stream_origins import StreamOrigin, StreamOrigins
 from hornbeamyard.pool.upstream_registry import Upstream, UpstreamState
@@ -93,12 +94,15 @@
         self.is_stopping = False
         self.origins = StreamOrigins()
         self.shares = Shares()
+        self.crashes = CrashLedger("r1")
+        self.upstreams = UpstreamConnections(0.5)
         self.balancer = Balancer(
             "app",
             "zone-a",
             self.shares,
             random.Random(1).random,
             self.timers.limit,
+            self.crashes,
         )
         self.budget = WindowRetryBudget(0.2, 50.0, 10.0)
         for number, upstream in enumerate(upstreams):
@@ -117,7 +121,7 @@
         self.forwarder = Forwarder(
             self,
             HeaderCodec(NATIVE_HEADER_NAMES),
-            UpstreamConnections(0.5),
+            self.upstreams,
             self.shares,
             self.timers,
             RequestReporter(
@@ -152,6 +156,20 @@
         """Return where a stream began, if this router knows it."""
         return self.origins.find(request_id)
 
+    async def record_broken(
+        self, upstream: Upstream, parts: Iterable[str]
+    ) -> None:
+        """Record a crash if the upstream refuses connections."""
+        if await self.upstreams.has_ended(f"http://{upstream.address}"):
+            crashed = CrashedUpstream(upstream.id, upstream.started_ms)
+            suspects = {part: index for index, part in enumerate(parts)}
+            crash = Crash(crashed, self.timers.now(), "r1", suspects)
+            self.crashes.clear_answered(self.crashes.merge([crash]))
+
+    def record_answer(self, parts: Iterable[str]) -> None:
+        """Clear the prompt parts of a request that was answered."""
+        self.crashes.record_answer(parts, self.timers.now())
+
     def record_leaving(self, upstream: Upstream) -> None:
         """Take the upstream out of service, as a router does."""
         draining = replace(upstream, state=UpstreamState.DRAINING)
--- a/hornbeamyard/tests/test_reported_faults.py
+++ b/hornbeamyard/tests/test_reported_faults.py
@@ -190,6 +190,7 @@
                 lambda upstreams: None,
                 lambda version, document: True,
                 lambda usage: None,
+                lambda crashes: None,
                 5.0,
             )
             monkeypatch.setattr(Subscription, "_apply_update", fail)
