Read and log the rate limits that upstreams name

Upstreams name in their responses how many requests a second they take from all routers together. The header is decoded in the codec, kept with the upstream, and a line upstream_limited says when it changes. Nothing acts on it yet.

--- a/hornbeamyard/platform/headers.py
+++ b/hornbeamyard/platform/headers.py
@@ -19,6 +19,8 @@
     not_run=b"x-not-executed",
     copy_from=b"kv-fetch",
     leaving=b"server-leaving",
+    # Requests a second, from all routers together.
+    max_rate=b"server-limit",
     resumes=b"resumes",
     router_only=frozenset(
         (
--- a/hornbeamyard/pool/engine.py
+++ b/hornbeamyard/pool/engine.py
@@ -80,6 +80,9 @@
     paused_until : float
         Monotonic time in seconds before which the upstream wants no requests
         from this router.
+    max_rate : float or None
+        Requests a second that the upstream takes from all routers, as of its
+        last response; None for no limit.
     failures_in_row : int
     """
 
@@ -90,6 +93,7 @@
     service_ms: float = DEFAULT_SERVICE_MS
     ejected_until: float = 0.0
     paused_until: float = 0.0
+    max_rate: float | None = None
     failures_in_row: int = 0
     _recent_responses: float = 0.0
     _recent_failures: float = 0.0
--- a/hornbeamyard/request/headers.py
+++ b/hornbeamyard/request/headers.py
@@ -18,9 +18,9 @@
 LAST_EVENT_ID = b"last-event-id"
 WRONG_UPSTREAM_STATUS = 421
 RETRY_AFTER = b"retry-after"
-# Seconds with an optional fraction. Dates are not used between router and
+# A number with an optional fraction. Dates are not used between router and
 # upstream.
-_SECONDS = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+_DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 
 
 @dataclass(slots=True, frozen=True)
@@ -110,6 +110,9 @@
     retry_after_s : float
         Seconds for which the upstream wants no requests from this router; 0
         for none.
+    max_rate : float or None
+        Requests a second that the upstream takes from all routers together;
+        None for no limit.
     """
 
     request_id: str
@@ -118,6 +121,7 @@
     signed: bool
     is_leaving: bool = False
     retry_after_s: float = 0.0
+    max_rate: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -151,6 +155,9 @@
         Address of an engine that holds the KV cache of the prompt.
     leaving : bytes
         Set to 1 in the responses of an upstream that is shutting down.
+    max_rate : bytes
+        Requests a second that an upstream takes from all routers together,
+        in its responses for as long as the limit holds.
     resumes : bytes
         Id of the attempt that brought the first event of a stream, in the
         request that continues it.
@@ -173,6 +180,7 @@
     not_run: bytes
     copy_from: bytes
     leaving: bytes
+    max_rate: bytes
     resumes: bytes
     router_only: frozenset[bytes] = frozenset()
 
@@ -267,6 +275,7 @@
             signed=names.signature in values,
             is_leaving=values.get(names.leaving, b"").strip() == b"1",
             retry_after_s=retry_after_s,
+            max_rate=_parse_decimal(values.get(names.max_rate, b"")),
         )
 
     def write_response(self, request_id: str) -> list[tuple[bytes, bytes]]:
@@ -291,6 +300,7 @@
     not_run=b"hornbeamyard-not-run",
     copy_from=b"hornbeamyard-copy-from",
     leaving=b"hornbeamyard-leaving",
+    max_rate=b"hornbeamyard-max-rate",
     resumes=b"hornbeamyard-resumes",
 )
 
@@ -305,11 +315,13 @@
 
 def _parse_retry_after(values: Iterable[bytes]) -> float:
     """Return the longest of the times in seconds, without malformed ones."""
-    stripped = [value.strip() for value in values]
-    return max(
-        (float(value) for value in stripped if _SECONDS.fullmatch(value)),
-        default=0.0,
-    )
+    times = [_parse_decimal(value) for value in values]
+    return max((time for time in times if time is not None), default=0.0)
+
+
+def _parse_decimal(value: bytes) -> float | None:
+    stripped = value.strip()
+    return float(stripped) if _DECIMAL.fullmatch(stripped) else None
 
 
 def _parse_numbers(value: bytes | None) -> list[int]:
--- a/hornbeamyard/request/meter.py
+++ b/hornbeamyard/request/meter.py
@@ -83,6 +83,9 @@
         server = self._placement.server
         if metadata.is_leaving:
             self._report_leaving(server.upstream)
+        if metadata.max_rate != server.max_rate:
+            server.max_rate = metadata.max_rate
+            self._reporter.report_limited(self._request, server)
         if metadata.retry_after_s:
             server.pause(metadata.retry_after_s, self._timers.now())
             self._reporter.report_paused(
