--- a/hornbeamyard/connection/directory_codec.py
+++ b/hornbeamyard/connection/directory_codec.py
@@ -8,8 +8,8 @@
 from typing import Any, TypeVar
 
 from ..messages import fleet_pb2
-from ..pool.crashes import Crash, CrashedUpstream
-from ..pool.upstream_registry import Upstream, UpstreamState
+from ..pool.crashes import Crash
+from ..pool.upstream_registry import Upstream, UpstreamStart, UpstreamState
 from ..pool.usage import AccountUsage, CachedPart, UpstreamLoad
 
 T = TypeVar("T")
@@ -301,7 +301,7 @@
     """Return the crashes that messages describe."""
     return [
         Crash(
-            CrashedUpstream(crash.id, crash.started_ms),
+            UpstreamStart(crash.id, crash.started_ms),
             now - crash.age_ms / 1000,
             crash.reporter,
             {suspect.part: suspect.position for suspect in crash.suspects},
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -330,7 +330,7 @@
 
         await send(fleet_pb2.RouterUsage(identity=self._identity))
         tasks.start_soon(self.streams.run, send)
-        tasks.start_soon(self.crashes.run, send)
+        tasks.start_soon(self.crashes.changes.run, send)
         await self._send_usage(send, address)
 
     async def _send_usage(
--- a/hornbeamyard/pool/crashes.py
+++ b/hornbeamyard/pool/crashes.py
@@ -18,6 +18,8 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
+from .upstream_registry import UpstreamStart
+
 # An upstream crashes as it begins to answer. A request whose answer has gone
 # on for this long isn't suspected.
 SUSPICION_S = 1.0
@@ -43,28 +45,13 @@
 MAX_ANSWERED = 4096
 
 
-@dataclass(slots=True, frozen=True)
-class CrashedUpstream:
-    """One start of an upstream, which ended in a crash.
-
-    Attributes
-    ----------
-    id : str
-    started_ms : int
-        Wall-clock time of the start in milliseconds since 1970.
-    """
-
-    id: str
-    started_ms: int
-
-
 @dataclass(slots=True)
 class Crash:
     """A crash and the shared prompt parts that may have caused it.
 
     Attributes
     ----------
-    upstream : CrashedUpstream
+    upstream : UpstreamStart
     crashed_at : float
         Monotonic time in seconds.
     reporter : str
@@ -77,7 +64,7 @@
         Grows with each change of any crash in the ledger.
     """
 
-    upstream: CrashedUpstream
+    upstream: UpstreamStart
     crashed_at: float
     reporter: str
     suspects: dict[str, int] = field(default_factory=dict)
@@ -169,7 +156,7 @@
         # When a part may be tried again after a trial has begun, by part.
         self._next_trials: dict[str, float] = {}
         # In the order of their last change.
-        self._crashes: dict[CrashedUpstream, Crash] = {}
+        self._crashes: dict[UpstreamStart, Crash] = {}
         # Suspects of any crash that aren't cleared of it.
         self._open_suspects: set[str] = set()
         self.blocked: dict[str, Block] = {}
@@ -179,7 +166,7 @@
         """Return the number of known crashes."""
         return len(self._crashes)
 
-    def has_crash(self, upstream: CrashedUpstream) -> bool:
+    def has_crash(self, upstream: UpstreamStart) -> bool:
         """Return whether a start of an upstream is known to have crashed."""
         return upstream in self._crashes
 
--- a/hornbeamyard/pool/upstream_registry.py
+++ b/hornbeamyard/pool/upstream_registry.py
@@ -28,6 +28,22 @@
     GONE = "gone"
 
 
+@dataclass(slots=True, frozen=True)
+class UpstreamStart:
+    """One start of an upstream, which may start again under its id.
+
+    Attributes
+    ----------
+    id : str
+    started_ms : int
+        Wall-clock time of the start in milliseconds since 1970; 0 when it
+        is not announced.
+    """
+
+    id: str
+    started_ms: int
+
+
 @dataclass(slots=True)
 class Upstream:
     """One process of an upstream, from its start to its end.
@@ -68,6 +84,11 @@
     software_version: str = ""
     last_seen_at: float = 0.0
 
+    @property
+    def start(self) -> UpstreamStart:
+        """Id and time of the start."""
+        return UpstreamStart(self.id, self.started_ms)
+
 
 @dataclass(slots=True)
 class _EndedUpstream:
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -26,7 +26,7 @@
     MIN_ASSUMED_ROUTERS,
     Balancer,
 )
-from ..pool.crashes import Crash, CrashedUpstream
+from ..pool.crashes import Crash
 from ..pool.shares import Shares
 from ..pool.stream_origins import StreamOrigin
 from ..pool.upstream_registry import (
@@ -293,8 +293,7 @@
             Ids of the shared prompt parts.
         """
         crashes = self.subscription.crashes
-        crashed = CrashedUpstream(upstream.id, upstream.started_ms)
-        if not crashes.ledger.has_crash(crashed):
+        if not crashes.ledger.has_crash(upstream.start):
             # The crash counts also if the caller disconnects meanwhile.
             with anyio.CancelScope(shield=True):
                 has_ended = await self._upstreams.has_ended(
@@ -302,7 +301,7 @@
                 )
             if not has_ended:
                 return
-        crashes.record_crash(crashed, parts)
+        crashes.record_crash(upstream.start, parts)
 
     def record_answer(self, parts: Iterable[str]) -> None:
         """Clear the prompt parts of a request that was answered."""
--- a/hornbeamyard/tests/test_crashes.py
+++ b/hornbeamyard/tests/test_crashes.py
@@ -9,9 +9,9 @@
     RETENTION_S,
     TRIAL_DELAY_S,
     Crash,
-    CrashedUpstream,
     CrashLedger,
 )
+from hornbeamyard.pool.upstream_registry import UpstreamStart
 
 
 def build_crash(
@@ -21,7 +21,7 @@
     suspects = {part: position for position, part in enumerate(parts)}
     crashed_at = float(number) if at is None else at
     return Crash(
-        CrashedUpstream(f"u{number}", 1), crashed_at, reporter, suspects
+        UpstreamStart(f"u{number}", 1), crashed_at, reporter, suspects
     )
 
 
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -15,7 +15,7 @@
 
 from hornbeamyard.connection.upstreams import UpstreamConnections
 from hornbeamyard.pool.balancer import Balancer
-from hornbeamyard.pool.crashes import Crash, CrashedUpstream, CrashLedger
+from hornbeamyard.pool.crashes import Crash, CrashLedger
 from hornbeamyard.pool.shares import Shares
 from hornbeamyard.pool.stream_origins import StreamOrigin, StreamOrigins
 from hornbeamyard.pool.upstream_registry import Upstream, UpstreamState
@@ -161,9 +161,8 @@
     ) -> None:
         """Record a crash if the upstream refuses connections."""
         if await self.upstreams.has_ended(f"http://{upstream.address}"):
-            crashed = CrashedUpstream(upstream.id, upstream.started_ms)
             suspects = {part: index for index, part in enumerate(parts)}
-            crash = Crash(crashed, self.timers.now(), "r1", suspects)
+            crash = Crash(upstream.start, self.timers.now(), "r1", suspects)
             self.crashes.clear_answered(self.crashes.merge([crash]))
 
     def record_answer(self, parts: Iterable[str]) -> None:
--- a/properties/test_crashes.py
+++ b/properties/test_crashes.py
@@ -5,7 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hornbeamyard.pool.crashes import Crash, CrashedUpstream, CrashLedger
+from hornbeamyard.pool.crashes import Crash, CrashLedger
+from hornbeamyard.pool.upstream_registry import UpstreamStart
 
 PARTS = st.sampled_from("abcde")
 
@@ -18,7 +19,7 @@
     """
     crashes = []
     for number in draw(st.lists(st.integers(0, 5), max_size=20)):
-        upstream = CrashedUpstream(f"u{number}", 1)
+        upstream = UpstreamStart(f"u{number}", 1)
         reporter = draw(st.sampled_from(["r1", "r2"]))
         suspects = draw(st.dictionaries(PARTS, st.integers(0, 3), max_size=4))
         cleared = {part for part in suspects if draw(st.booleans())}
