Divide the rate limits that upstreams name between the routers

Upstreams that named a limit of 2.9 to 5 requests a second got 32 to 43 in 4 s, as before they named it.

Cause: nothing acted on a rate, and the fleet had no way to divide one between routers.

Change: routers record what upstreams name, report changes to every controller and learn those of others from each. The newest observation counts; one that is contradicted by a newer one is corrected. Each router gets a part by its demand, or, where parts would be small, an even part for some of the routers, which controllers number. Every placement takes a token of the upstream's bucket, so retries and resumed streams count too. Requests wait for the next token while their target allows it and are refused at once otherwise.

Alternatives not taken: one bucket for the fleet, charged with the fleet's usage every 0.25 s (all routers would spend a free token between two updates), and a division by hashes of host names (two of nine routers for a small limit may as well be none or five).

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -19,8 +19,14 @@
 
 from ..messages import fleet_pb2, fleet_pb2_grpc
 from ..pool.crashes import CrashLedger
+from ..pool.rate_limits import RateLimits
 from ..pool.stream_origins import StreamOrigin, StreamOrigins
-from ..pool.upstream_registry import Upstream, UpstreamRegistry, UpstreamState
+from ..pool.upstream_registry import (
+    Upstream,
+    UpstreamRegistry,
+    UpstreamStart,
+    UpstreamState,
+)
 from ..pool.usage import CachedPart, FleetUsage, RouterUsage, UsageTable
 from ..process.timers import Timers
 from ..version.founding import Founder
@@ -32,8 +38,10 @@
     UsageDecoder,
     decode_cached_parts,
     decode_crashes,
+    decode_limits,
     encode_cached_parts,
     encode_crashes,
+    encode_limits,
     encode_upstream,
     pack_document,
 )
@@ -63,6 +71,10 @@
         Addresses of the controllers in the last list sent.
     name : str
         Host and incarnation of the router.
+    number : int
+        Number of the router among the attached ones, from 1.
+    pending_limits : dict
+        Messages on rate limits to send, by start of the upstream.
     pending_records, pending_renewals : dict
         Messages to send, by id of the upstream.
     fleet_usage_due : bool
@@ -83,6 +95,8 @@
         "crashes_sent",
         "fleet_usage_due",
         "name",
+        "number",
+        "pending_limits",
         "pending_records",
         "pending_renewals",
         "usage_decoder",
@@ -96,6 +110,8 @@
         self.crashes_sent = 0
         self.name = name
         self.cached_parts: list[CachedPart] = []
+        self.number = 0
+        self.pending_limits: dict[UpstreamStart, Any] = {}
         self.pending_records: dict[str, Any] = {}
         self.pending_renewals: dict[str, Any] = {}
         self.usage_decoder = UsageDecoder()
@@ -127,6 +143,8 @@
     ----------
     crashes : CrashLedger
         Crashes of upstreams that routers have reported.
+    limits : RateLimits
+        Rate limits of upstreams that routers have reported.
     origins : StreamOrigins
         Streams that routers have reported.
     registry : UpstreamRegistry
@@ -143,6 +161,7 @@
         "_timers",
         "_usage",
         "crashes",
+        "limits",
         "origins",
         "registry",
     )
@@ -166,6 +185,7 @@
         self._usage = UsageTable(window_s)
         self._subscribers: set[Subscriber] = set()
         self.crashes = CrashLedger()
+        self.limits = RateLimits()
         self.origins = StreamOrigins()
         self.registry = UpstreamRegistry()
 
@@ -179,6 +199,7 @@
             async for now in self._timers.subscribe(USAGE_INTERVAL_S):
                 self.origins.expire(now)
                 self.crashes.expire(now)
+                self.limits.expire(now)
                 lost = self.registry.expire(now, self._lifetime_s)
                 for upstream in lost:
                     _log.info(
@@ -366,17 +387,28 @@
         for id, started_ms in self.registry.list_ended():
             ended = _build_gone_upstream(id, started_ms)
             subscriber.pending_records[id] = encode_upstream(ended, now)
+        for observation in self.limits.list_all():
+            [message] = encode_limits([observation], now)
+            subscriber.pending_limits[observation.upstream] = message
         subscriber.cached_parts = self._usage.list_recent_parts(now)
         self._subscribers.add(subscriber)
+        self._number_subscribers()
         _log.info("router attached name={}", name)
         return subscriber
 
     def detach(self, subscriber: Subscriber) -> None:
         """Remove a stream that has ended."""
         self._subscribers.discard(subscriber)
+        self._number_subscribers()
         self._usage.forget(subscriber.name)
         _log.info("router detached name={}", subscriber.name)
 
+    def _number_subscribers(self) -> None:
+        """Update the numbers of streams, in the order of their names."""
+        ordered = sorted(self._subscribers, key=lambda s: s.name)
+        for number, subscriber in enumerate(ordered, 1):
+            subscriber.number = number
+
     def count_routers(self) -> int:
         """Return the number of routers with an open stream."""
         return len(self._subscribers)
@@ -386,17 +418,20 @@
     ) -> None:
         """Record a router's report; its usage only if this controller leads.
 
-        Upstreams that leave and crashes are made known to all routers, and
-        begun streams are kept for those that ask.
+        Upstreams that leave, crashes and rate limits are made known to all
+        routers, and begun streams are kept for those that ask.
         """
-        # Messages with streams or crashes have no usage, which must not count
-        # as zero.
+        # Messages with streams, crashes or limits have no usage, which must
+        # not count as zero.
         if usage.begun_streams:
             self._record_streams(usage.begun_streams)
             return
         if usage.crashes:
             self._record_crashes(usage.crashes)
             return
+        if usage.limits:
+            self._record_limits(usage.limits)
+            return
         for leaving in usage.leaving:
             self._publish(
                 self.registry.record_leaving(leaving.id, leaving.started_ms)
@@ -423,6 +458,21 @@
         for subscriber in self._subscribers:
             subscriber.wake.set()
 
+    def _record_limits(
+        self, messages: Iterable[fleet_pb2.UpstreamLimit]
+    ) -> None:
+        now = self._timers.now()
+        changed = [
+            observation
+            for observation in decode_limits(messages, now)
+            if self.limits.record(observation)
+        ]
+        for observation in changed:
+            [message] = encode_limits([observation], now)
+            for subscriber in self._subscribers:
+                subscriber.pending_limits[observation.upstream] = message
+                subscriber.wake.set()
+
     def _record_streams(
         self, groups: Iterable[fleet_pb2.BegunStreams]
     ) -> None:
@@ -442,6 +492,8 @@
             renewals=subscriber.pending_renewals.values(),
             leader=self._replica.leader_host,
             attached_routers=self.count_routers(),
+            router_number=subscriber.number,
+            limits=subscriber.pending_limits.values(),
         )
         if subscriber.version_sent < 0:
             update.recent_versions.extend(
@@ -454,6 +506,7 @@
         subscriber.version_sent = update.routing_version
         subscriber.pending_records = {}
         subscriber.pending_renewals = {}
+        subscriber.pending_limits = {}
         controllers = self._founder.describe().controllers
         addresses = tuple(c.address for c in controllers)
         if addresses != subscriber.controllers_sent:
--- a/hornbeamyard/connection/directory_codec.py
+++ b/hornbeamyard/connection/directory_codec.py
@@ -9,6 +9,7 @@
 
 from ..messages import fleet_pb2
 from ..pool.crashes import Crash
+from ..pool.rate_limits import RateObservation
 from ..pool.upstream_registry import Upstream, UpstreamStart, UpstreamState
 from ..pool.usage import AccountUsage, CachedPart, UpstreamLoad
 
@@ -309,3 +310,30 @@
         )
         for crash in crashes
     ]
+
+
+def encode_limits(
+    observations: Iterable[RateObservation], now: float
+) -> list[Any]:
+    """Return the messages for limits of upstreams, with their ages."""
+    return [
+        fleet_pb2.UpstreamLimit(
+            id=observation.upstream.id,
+            started_ms=observation.upstream.started_ms,
+            age_ms=max(0, int((now - observation.observed_at) * 1000)),
+            max_rate=observation.max_rate,
+        )
+        for observation in observations
+    ]
+
+
+def decode_limits(limits: Iterable[Any], now: float) -> list[RateObservation]:
+    """Return the limits of upstreams that messages describe."""
+    return [
+        RateObservation(
+            UpstreamStart(limit.id, limit.started_ms),
+            limit.max_rate if limit.HasField("max_rate") else None,
+            now - limit.age_ms / 1000,
+        )
+        for limit in limits
+    ]
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -16,7 +16,12 @@
 from ..messages import fleet_pb2
 from ..pool.crashes import Crash
 from ..pool.stream_origins import StreamOrigin
-from ..pool.upstream_registry import Upstream, UpstreamRegistry, UpstreamState
+from ..pool.upstream_registry import (
+    Upstream,
+    UpstreamRegistry,
+    UpstreamStart,
+    UpstreamState,
+)
 from ..pool.usage import FleetUsage, RouterUsage
 from ..process.timers import Timers
 from . import peers
@@ -33,10 +38,12 @@
     UsageEncoder,
     decode_cached_parts,
     decode_crashes,
+    decode_limits,
     decode_upstream,
     encode_cached_parts,
     unpack_document,
 )
+from .limit_reports import LimitReports
 from .stream_reports import COLLECT_INTERVAL_S, StreamReports
 
 # Pause before a lost stream is opened again.
@@ -69,6 +76,8 @@
         Called with the usage of all routers, added up.
     on_crashes : callable
         Called with the crashes that this router or another has recorded.
+    on_limit : callable
+        Called with an upstream whose rate limit has changed.
     lifetime_s : float
         Time in seconds without an announcement after which an upstream is
         lost.
@@ -79,7 +88,12 @@
         Routers that are attached to a controller, as far as known.
     crashes : CrashReports
         Crashes of upstreams.
+    limits : LimitReports
+        Rate limits that upstreams name.
     registry : UpstreamRegistry
+    router_number : int
+        Number of this router among the attached ones, from 1; 0 while it
+        isn't known.
     streams : StreamReports
         Streams that this router begins.
     version : int
@@ -104,7 +118,9 @@
         "_timers",
         "attached_routers",
         "crashes",
+        "limits",
         "registry",
+        "router_number",
         "seeds",
         "streams",
         "version",
@@ -122,6 +138,7 @@
         on_routing: Callable[[int, bytes], bool],
         on_fleet_usage: Callable[[FleetUsage], None],
         on_crashes: Callable[[list[Crash]], None],
+        on_limit: Callable[[UpstreamStart], None],
         lifetime_s: float,
     ) -> None:
         self._calls = calls
@@ -142,6 +159,8 @@
         self._fetch_needed = anyio.Event()
         self.attached_routers = 0
         self.crashes = CrashReports(identity.host, timers, on_crashes)
+        self.limits = LimitReports(timers, on_limit)
+        self.router_number = 0
         self.registry = UpstreamRegistry()
         self.seeds = list(seeds)
         self.streams = StreamReports(self.registry, timers)
@@ -244,6 +263,7 @@
         now = self._timers.now()
         self.streams.origins.expire(now)
         self.crashes.expire(now)
+        self.limits.expire(now)
         if not self.versions:
             return
         # A controller that is out of reach may have received newer
@@ -319,7 +339,7 @@
         """Send this router's identity, then reports or heartbeats.
 
         Only the leader gets reports of usage. Further tasks of the group
-        report begun streams and crashes of upstreams.
+        report begun streams, and crashes and rate limits of upstreams.
         """
         lock = anyio.Lock()
 
@@ -331,6 +351,7 @@
         await send(fleet_pb2.RouterUsage(identity=self._identity))
         tasks.start_soon(self.streams.run, send)
         tasks.start_soon(self.crashes.changes.run, send)
+        tasks.start_soon(self.limits.changes.run, send)
         await self._send_usage(send, address)
 
     async def _send_usage(
@@ -382,6 +403,7 @@
             )
         self.versions[address] = update.routing_version
         self.attached_routers = update.attached_routers
+        self.router_number = update.router_number
         if update.controllers:
             self._controllers = {c.address: c.host for c in update.controllers}
         if update.leader:
@@ -409,6 +431,8 @@
             self.streams.notify()
         if update.crashes:
             self.crashes.apply(decode_crashes(update.crashes, now))
+        if update.limits:
+            self.limits.apply(decode_limits(update.limits, now))
         if update.has_sums:
             accounts, usage = decoder.decode(
                 update.accounts, update.usage, update.has_whole_usage
--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -28,9 +28,10 @@
     count_kv_tokens,
     estimate,
 )
+from .rate_limits import FleetPlace, RateLimiter, RateLimits, divide_rate
 from .shares import Shares
 from .targets import TargetMix
-from .upstream_registry import Upstream, UpstreamState
+from .upstream_registry import Upstream, UpstreamStart, UpstreamState
 from .usage import CachedPart, UpstreamLoad
 
 # Fraction of its target (`RequestDemand.target_s`) for which a request may
@@ -133,6 +134,7 @@
 
     NO_UPSTREAM = "no upstream is ready"
     PAUSED = "all upstreams have asked for a pause"
+    RATE_LIMITED = "the upstreams take no more requests a second"
     NO_VERSION = "no upstream has the software version that began the stream"
     UNKNOWN_ORIGIN = "it isn't known where the stream began"
     BLOCKED_PART = "a part of the prompt has crashed several upstreams"
@@ -276,6 +278,8 @@
         Returns a cancel scope that ends after a number of seconds.
     crashes : CrashLedger, optional
         Prompt parts that are blocked; without it, none is.
+    rate_limits : RateLimits, optional
+        Rate limits of upstreams; without it, there are none.
 
     Attributes
     ----------
@@ -299,8 +303,10 @@
         "_limit",
         "_orders",
         "_orders_for",
+        "_place",
         "_pool",
         "_prefill_ms_per_token",
+        "_rate_limits",
         "_shares",
         "_slots",
         "_target_inter_token_ms",
@@ -321,6 +327,7 @@
         draw: Callable[[], float],
         limit: Callable[[float], AbstractContextManager[anyio.CancelScope]],
         crashes: CrashLedger | None = None,
+        rate_limits: RateLimits | None = None,
     ) -> None:
         self._copy_ms_per_token = 0.0
         self._crashes = CrashLedger() if crashes is None else crashes
@@ -335,8 +342,12 @@
         # Orders of preferred engines by shared part, for these usable engines.
         self._orders: dict[str, list[str]] = {}
         self._orders_for: list[Server] = []
+        self._place = FleetPlace()
         self._pool = pool
         self._prefill_ms_per_token = 0.0
+        self._rate_limits = (
+            RateLimits() if rate_limits is None else rate_limits
+        )
         self._shares = shares
         self._slots = 0
         self._waiting: list[WaitingRequest] = []
@@ -416,6 +427,26 @@
         else:
             known.upstream = upstream
 
+    def set_place(self, place: FleetPlace, now: float) -> None:
+        """Divide rate limits by this router's place in the fleet."""
+        self._place = place
+        for server in self.servers.values():
+            self.apply_rate_limit(server.upstream.start, now)
+
+    def apply_rate_limit(self, upstream: UpstreamStart, now: float) -> None:
+        """Apply a change of an upstream's rate limit."""
+        server = self.servers.get(upstream.id)
+        if server is None or server.upstream.start != upstream:
+            return
+        max_rate = self._rate_limits.find(upstream)
+        if max_rate is None:
+            server.limiter = None
+            return
+        rate = divide_rate(max_rate, upstream, self._place)
+        if server.limiter is None:
+            server.limiter = RateLimiter(rate, now)
+        server.limiter.set_rate(rate, now)
+
     def apply_fleet_usage(
         self, loads: dict[str, UpstreamLoad], now: float
     ) -> None:
@@ -477,7 +508,10 @@
 
     def _list_waits_ms(self, now: float) -> list[float]:
         return [
-            server.count_prefill_tokens(now) * server.prefill_ms_per_token
+            max(
+                server.count_prefill_tokens(now) * server.prefill_ms_per_token,
+                server.compute_rate_wait(now) * 1000,
+            )
             for server in self.servers.values()
             if isinstance(server, Engine) and server.is_usable(now)
         ]
@@ -590,6 +624,7 @@
             if server.accepts_requests(now)
             and server.id not in excluded
             and _may_run(server.upstream, demand)
+            and not server.compute_rate_wait(now)
         ]
         usable = [server for server in willing if now >= server.ejected_until]
         # When all are ejected, the one whose ejection ends first is better
@@ -859,6 +894,10 @@
         """Return why no upstream takes a request."""
         if not self.servers:
             return Shortfall(RefusalReason.NO_UPSTREAM, True)
+        rate_wait_s = self._compute_rate_wait(demand, now, excluded)
+        if rate_wait_s is not None:
+            is_late = now + rate_wait_s > _compute_give_up_time(demand)
+            return Shortfall(RefusalReason.RATE_LIMITED, is_late)
         resumes_at = self._find_end_of_pause(demand, now, excluded)
         if resumes_at is None and demand.software_version is not None:
             return Shortfall(RefusalReason.NO_VERSION, True)
@@ -867,6 +906,28 @@
         is_hopeless = resumes_at > _compute_give_up_time(demand)
         return Shortfall(RefusalReason.PAUSED, is_hopeless)
 
+    def _compute_rate_wait(
+        self, demand: RequestDemand, now: float, excluded: frozenset[str]
+    ) -> float | None:
+        """Return the seconds until a rate limit allows one more request.
+
+        Requests that wait already come first. None without rate limits.
+        """
+        limited = [
+            server
+            for server in self.servers.values()
+            if server.limiter is not None
+            and server.is_usable(now)
+            and server.id not in excluded
+            and _may_run(server.upstream, demand)
+        ]
+        if not limited:
+            return None
+        rate = sum(server.limiter.rate for server in limited if server.limiter)
+        next_s = min(server.compute_rate_wait(now) for server in limited)
+        queue_s = len(self._waiting) / rate if rate else 0.0
+        return next_s + queue_s
+
     def _find_end_of_pause(
         self, demand: RequestDemand, now: float, excluded: frozenset[str]
     ) -> float | None:
@@ -914,6 +975,8 @@
     ) -> None:
         """Count the load of a request that is sent."""
         server = placement.server
+        if server.limiter is not None:
+            server.limiter.take(now)
         server.own_load.running += 1
         server.own_load.prefill_tokens += placement.estimate.prefill_tokens
         server.own_load.kv_tokens += count_kv_tokens(demand)
--- a/hornbeamyard/pool/engine.py
+++ b/hornbeamyard/pool/engine.py
@@ -12,6 +12,7 @@
 from functools import singledispatch
 
 from .demand import RequestDemand
+from .rate_limits import RateLimiter
 from .upstream_registry import Upstream, UpstreamState
 from .usage import UpstreamLoad
 
@@ -80,9 +81,8 @@
     paused_until : float
         Monotonic time in seconds before which the upstream wants no requests
         from this router.
-    max_rate : float or None
-        Requests a second that the upstream takes from all routers, as of its
-        last response; None for no limit.
+    limiter : RateLimiter or None
+        Bounds the rate of requests of this router; None without a limit.
     failures_in_row : int
     """
 
@@ -93,7 +93,7 @@
     service_ms: float = DEFAULT_SERVICE_MS
     ejected_until: float = 0.0
     paused_until: float = 0.0
-    max_rate: float | None = None
+    limiter: RateLimiter | None = None
     failures_in_row: int = 0
     _recent_responses: float = 0.0
     _recent_failures: float = 0.0
@@ -112,6 +112,10 @@
         ready = self.upstream.state is UpstreamState.READY
         return ready and now >= self.paused_until
 
+    def compute_rate_wait(self, now: float) -> float:
+        """Return the seconds until its rate limit allows a request."""
+        return self.limiter.compute_wait(now) if self.limiter else 0.0
+
     def pause(self, duration_s: float, now: float) -> None:
         """Send nothing for a time that the upstream has asked for."""
         until = now + min(duration_s, MAX_PAUSE_S)
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -27,11 +27,13 @@
     Balancer,
 )
 from ..pool.crashes import Crash
+from ..pool.rate_limits import FleetPlace
 from ..pool.shares import Shares
 from ..pool.stream_origins import StreamOrigin
 from ..pool.upstream_registry import (
     MAX_MISSED_ANNOUNCEMENTS,
     Upstream,
+    UpstreamStart,
     UpstreamState,
 )
 from ..pool.usage import (
@@ -183,6 +185,7 @@
             self._apply_routing,
             self._apply_fleet_usage,
             self._handle_crashes,
+            self._handle_limit,
             directory.announcement_interval_s * MAX_MISSED_ANNOUNCEMENTS,
         )
         self.forwarder = Forwarder(
@@ -253,6 +256,7 @@
                 random.random,
                 self._timers.limit,
                 self.subscription.crashes.ledger,
+                self.subscription.limits.limits,
             )
             balancer.assumed_routers = self._count_assumed_routers(
                 self._timers.now()
@@ -281,6 +285,12 @@
         if changed:
             self._handle_upstreams(changed)
 
+    def record_limit(
+        self, upstream: UpstreamStart, max_rate: float | None
+    ) -> None:
+        """Record the rate limit in an upstream's response; None for none."""
+        self.subscription.limits.observe(upstream, max_rate)
+
     async def record_broken(
         self, upstream: Upstream, parts: Iterable[str]
     ) -> None:
@@ -384,9 +394,37 @@
                     balancer.apply_upstream(upstream)
                 continue
             self.find_balancer(upstream.pool).apply_upstream(upstream)
+        now = self._timers.now()
+        place = self._find_place()
         for pool, balancer in self._balancers.items():
             self._configure_balancer(pool, balancer)
-            balancer.start_waiting(self._timers.now())
+            balancer.set_place(place, now)
+            balancer.start_waiting(now)
+
+    def _handle_limit(self, upstream: UpstreamStart) -> None:
+        now = self._timers.now()
+        place = self._find_place()
+        max_rate = self.subscription.limits.limits.find(upstream)
+        self.decisions.note(
+            "upstream_limited",
+            upstream=upstream.id,
+            started_ms=upstream.started_ms,
+            max_rate=max_rate,
+            routers=place.routers,
+            number=place.number,
+            fraction=round(place.fraction, 3),
+        )
+        for balancer in self._balancers.values():
+            balancer.set_place(place, now)
+            balancer.start_waiting(now)
+
+    def _find_place(self) -> FleetPlace:
+        subscription = self.subscription
+        return FleetPlace(
+            max(1, subscription.attached_routers),
+            subscription.router_number,
+            self._shares.router_fraction,
+        )
 
     def _handle_crashes(self, changed: list[Crash]) -> None:
         for crash in changed:
@@ -464,7 +502,9 @@
         self._shares.apply_fleet_usage(
             fleet_usage.accounts, self.routers, fleet_usage.source, now
         )
+        place = self._find_place()
         for balancer in self._balancers.values():
+            balancer.set_place(place, now)
             balancer.apply_fleet_usage(fleet_usage.upstreams, now)
             balancer.record_cached_parts(fleet_usage.cached_parts, now)
             balancer.start_waiting(now)
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -24,7 +24,7 @@
 from ..pool.engine import Server
 from ..pool.shares import Shares
 from ..pool.stream_origins import StreamOrigin
-from ..pool.upstream_registry import Upstream
+from ..pool.upstream_registry import Upstream, UpstreamStart
 from ..process.timers import Timers
 from ..version.routing import AccountKeys, Route, Routing
 from .budget import WindowRetryBudget
@@ -100,6 +100,11 @@
     def record_leaving(self, upstream: Upstream) -> None:
         """Send no more requests to an upstream that says that it leaves."""
 
+    def record_limit(
+        self, upstream: UpstreamStart, max_rate: float | None
+    ) -> None:
+        """Record the rate limit in an upstream's response; None for none."""
+
     async def record_broken(
         self, upstream: Upstream, parts: Iterable[str]
     ) -> None:
@@ -426,6 +431,7 @@
             started_at,
             self._reporter,
             self._router.record_leaving,
+            self._router.record_limit,
         )
         relay = Relay(
             self._build_relay_request(request, placement, started_at),
--- a/hornbeamyard/request/meter.py
+++ b/hornbeamyard/request/meter.py
@@ -7,7 +7,7 @@
 from ..connection.client import Framing
 from ..pool.balancer import Balancer, Placement
 from ..pool.engine import Engine
-from ..pool.upstream_registry import Upstream
+from ..pool.upstream_registry import Upstream, UpstreamStart
 from ..process.metrics import Latency
 from ..process.timers import Timers
 from .headers import ResponseMetadata
@@ -29,6 +29,9 @@
     reporter : RequestReporter
     report_leaving : callable
         Called with an upstream that says that it leaves.
+    report_limit : callable
+        Called with the start of an upstream and the rate limit in its
+        response, None for no limit.
     """
 
     __slots__ = (
@@ -37,6 +40,7 @@
         "_last_chunk_at",
         "_placement",
         "_report_leaving",
+        "_report_limit",
         "_reporter",
         "_request",
         "_started_at",
@@ -52,8 +56,10 @@
         started_at: float,
         reporter: RequestReporter,
         report_leaving: Callable[[Upstream], None],
+        report_limit: Callable[[UpstreamStart, float | None], None],
     ) -> None:
         self._report_leaving = report_leaving
+        self._report_limit = report_limit
         self._reporter = reporter
         self._request = request
         request.framing = None
@@ -83,9 +89,7 @@
         server = self._placement.server
         if metadata.is_leaving:
             self._report_leaving(server.upstream)
-        if metadata.max_rate != server.max_rate:
-            server.max_rate = metadata.max_rate
-            self._reporter.report_limited(self._request, server)
+        self._report_limit(server.upstream.start, metadata.max_rate)
         if metadata.retry_after_s:
             server.pause(metadata.retry_after_s, self._timers.now())
             self._reporter.report_paused(
--- a/hornbeamyard/request/reporting.py
+++ b/hornbeamyard/request/reporting.py
@@ -178,15 +178,6 @@
             for_s=round(server.paused_until - self._timers.now(), 2),
         )
 
-    def report_limited(self, request: RoutedRequest, server: Server) -> None:
-        """Report an upstream that names another limit, or none any more."""
-        self.log_decision(
-            request.metadata,
-            "upstream_limited",
-            upstream=server.id,
-            max_rate=server.max_rate,
-        )
-
     def report_answered(
         self, request: RoutedRequest, placement: Placement
     ) -> None:
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -16,9 +16,14 @@
 from hornbeamyard.connection.upstreams import UpstreamConnections
 from hornbeamyard.pool.balancer import Balancer
 from hornbeamyard.pool.crashes import Crash, CrashLedger
+from hornbeamyard.pool.rate_limits import RateLimits, RateObservation
 from hornbeamyard.pool.shares import Shares
 from hornbeamyard.pool.stream_origins import StreamOrigin, StreamOrigins
-from hornbeamyard.pool.upstream_registry import Upstream, UpstreamState
+from hornbeamyard.pool.upstream_registry import (
+    Upstream,
+    UpstreamStart,
+    UpstreamState,
+)
 from hornbeamyard.process.decisions import DecisionLog
 from hornbeamyard.process.metrics import Metrics
 from hornbeamyard.process.timers import MonotonicTimers
@@ -95,6 +100,7 @@
         self.origins = StreamOrigins()
         self.shares = Shares()
         self.crashes = CrashLedger("r1")
+        self.limits = RateLimits()
         self.upstreams = UpstreamConnections(0.5)
         self.balancer = Balancer(
             "app",
@@ -103,6 +109,7 @@
             random.Random(1).random,
             self.timers.limit,
             self.crashes,
+            self.limits,
         )
         self.budget = WindowRetryBudget(0.2, 50.0, 10.0)
         for number, upstream in enumerate(upstreams):
@@ -156,6 +163,14 @@
         """Return where a stream began, if this router knows it."""
         return self.origins.find(request_id)
 
+    def record_limit(
+        self, upstream: UpstreamStart, max_rate: float | None
+    ) -> None:
+        """Record the rate limit in an upstream's response."""
+        now = self.timers.now()
+        self.limits.record(RateObservation(upstream, max_rate, now))
+        self.balancer.apply_rate_limit(upstream, now)
+
     async def record_broken(
         self, upstream: Upstream, parts: Iterable[str]
     ) -> None:
--- a/hornbeamyard/tests/test_rate_limits.py
+++ b/hornbeamyard/tests/test_rate_limits.py
@@ -97,10 +97,10 @@
                     await fleet.wait(router.is_ready)
                 assert await ask(routers[0][1], 0, "s") == 200
                 await anyio.sleep(0.5)
-                with anyio.move_on_after(WINDOW_S / 2):
-                    for number in range(SENT):
-                        address = routers[number % self.ROUTERS][1]
-                        await ask(address, number, "s")
+                for number in range(SENT):
+                    address = routers[number % self.ROUTERS][1]
+                    await ask(address, number, "s")
+                    await anyio.sleep(WINDOW_S / 2 / SENT)
                 assert 1 < len(raw.received) <= MAX_REQUESTS
 
         run_fleet(tmp_path, test)
--- a/hornbeamyard/tests/test_reported_faults.py
+++ b/hornbeamyard/tests/test_reported_faults.py
@@ -191,6 +191,7 @@
                 lambda version, document: True,
                 lambda usage: None,
                 lambda crashes: None,
+                lambda upstream: None,
                 5.0,
             )
             monkeypatch.setattr(Subscription, "_apply_update", fail)
