Keep crashes of upstreams on the controllers' disks

A router that starts gets the crashes from any controller, and a controller that starts gets them from the routers; but when all processes end together, everything was forgotten, and the part crashed three more upstreams.

--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -22,6 +22,7 @@
 from ..version.founding import Founder
 from ..version.journal import FolderDisk
 from ..version.replica import Replica
+from .crash_store import CrashStore
 from .interface import Interface, SubmissionResult
 from .metrics import Metrics, Sample
 from .servers import build_server
@@ -43,6 +44,7 @@
     """
 
     __slots__ = (
+        "_crash_store",
         "_directory_calls",
         "_interface",
         "_replication_calls",
@@ -67,11 +69,12 @@
         self.metrics = Metrics()
         self.metrics.add_source(self._sample)
         address = settings.controller.get_advertised_address()
+        disk = FolderDisk(settings.controller.data_folder)
         directory = settings.directory
         self.replica = Replica(
             peers.build_identity(settings, random.getrandbits(63)),
             address,
-            FolderDisk(settings.controller.data_folder),
+            disk,
             self._replication_calls,
             timers,
             random.Random(),
@@ -101,6 +104,7 @@
             directory.announcement_interval_s * MAX_MISSED_ANNOUNCEMENTS,
             directory.share_window_s * DEMAND_WINDOW_FRACTION,
         )
+        self._crash_store = CrashStore(self.directory.crashes, disk, timers)
 
     async def run(self, stop: anyio.Event) -> None:
         """Serve until `stop` is set, then transfer the leadership."""
@@ -119,6 +123,8 @@
         try:
             async with anyio.create_task_group() as tasks:
                 await tasks.start(self.replica.run)
+                await self._crash_store.load()
+                tasks.start_soon(self._crash_store.run)
                 await server.start()
                 tasks.start_soon(self.founder.run)
                 tasks.start_soon(self.directory.run)
--- a/hornbeamyard/tests/test_crashing_parts.py
+++ b/hornbeamyard/tests/test_crashing_parts.py
@@ -166,6 +166,52 @@
 
         self.run(tmp_path, test)
 
+    def test_controllers_are_down(self, tmp_path: Path) -> None:
+        """Guards against crashes that only a lost controller knew."""
+
+        async def test(fleet: Fleet, upstreams: list[RawUpstream]) -> None:
+            crashed = sum(up.has_crashed for up in upstreams)
+            # New routers find the first one through their seeds.
+            fleet.stops[1].set()
+            fleet.stops[2].set()
+            await anyio.sleep(WINDOW_S / 2)
+            other, _ = fleet.start_further_router("r2")
+            await fleet.wait(lambda: other.subscription.crashes.ledger.blocked)
+            assert sum(up.has_crashed for up in upstreams) == crashed
+
+        self.run(tmp_path, test)
+
+    def test_all_processes_restart(self, tmp_path: Path) -> None:
+        """Guards against crashes that are forgotten with a loss of power."""
+
+        async def test(fleet: Fleet, upstreams: list[RawUpstream]) -> None:
+            await anyio.sleep(WINDOW_S / 2)
+            fleet.router_stop.set()
+            while not await has_ended(fleet.router_address):
+                await anyio.sleep(0.05)
+            for stop in fleet.stops.values():
+                stop.set()
+            await anyio.sleep(0.5)
+            for number in fleet.registrars:
+                fleet.start_controller(number, first_start=False)
+            for registrar in fleet.registrars.values():
+                await fleet.wait(
+                    lambda r=registrar: r.directory.crashes.blocked
+                )  # type: ignore[misc]
+
+        self.run(tmp_path, test)
+
+
+async def has_ended(address: str) -> bool:
+    """Return whether nothing listens at an address."""
+    host, _, port = address.rpartition(":")
+    try:
+        stream = await anyio.connect_tcp(host, int(port))
+    except OSError:
+        return True
+    await stream.aclose()
+    return False
+
 
 async def ask(address: str, number: int, second_part: str) -> int:
     """Send a request to a router; return its status, 0 if it broke off."""
