Soak: prompts that crash upstreams, and upstreams with rate limits

Upstreams crash as they begin to answer a request with one prompt part, and half of their starts name a limit for some seconds. From 3 s after the fifth crash at most three such requests may reach upstreams, and an upstream gets at most one and a half times its limit and five requests in 4 s.

A crash under a request counts as a fault of its upstream for the other checks, and Fleet.start leaves a process alone that was started again after a crash.

--- a/hornbeamyard/tests/test_soak.py
+++ b/hornbeamyard/tests/test_soak.py
@@ -59,6 +59,8 @@
         "account": "library",
         "upstream": "model-0.1",
         "framed": True,
+        "max_rate": None,
+        "crashes": False,
     }
     return {**execution, **fields}
 
@@ -165,6 +167,50 @@
         )
         assert len(check(records, execution)) == violations
 
+    @pytest.mark.parametrize(("late", "violations"), [(3, 0), (4, 1)])
+    def test_part_that_goes_on_crashing(
+        self, late: int, violations: int
+    ) -> None:
+        """Guards against missing requests that still crash upstreams."""
+        requests, executions = [], {}
+        for number in range(5 + late):
+            at = float(number if number < 5 else 20 + number)
+            id = f"q{number}"
+            requests.append(
+                build_request(
+                    id=id,
+                    kind="notice",
+                    path="/notice/1",
+                    status=502,
+                    crashing=True,
+                    sent_at=at,
+                    ended_at=at + 0.1,
+                )
+            )
+            execution = build_execution(
+                request=id, pool="model", path="/notice/1", crashes=True, at=at
+            )
+            executions[id] = [execution]
+        found = list_violations(
+            Records(requests=requests), executions, EmptyFleet()
+        )
+        assert len(found) == violations
+
+    @pytest.mark.parametrize(("sent", "violations"), [(11, 0), (12, 1)])
+    def test_limit(self, sent: int, violations: int) -> None:
+        """Guards against missing requests beyond an upstream's limit."""
+        ids = [f"q{number}" for number in range(sent + 1)]
+        times = [0.0, *(10.0 + number / 10 for number in range(sent))]
+        requests = [build_request(id=id, status=502) for id in ids]
+        executions = {
+            id: [build_execution(request=id, max_rate=1.0, at=at)]
+            for id, at in zip(ids, times, strict=True)
+        }
+        found = list_violations(
+            Records(requests=requests), executions, EmptyFleet()
+        )
+        assert len(found) == violations
+
     def test_stream_that_ends_inside_an_event_as_complete(self) -> None:
         """Guards against missing a truncated last event."""
         events = [build_event("q1", n + 1, "v1") for n in range(EVENT_COUNT)]
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,7 +13,7 @@
 
 from .fleet import CONTROLLERS, ROUTERS, Fleet
 from .records import ReadResult, Records, Request, Submission
-from .upstream import EVENT_COUNT
+from .upstream import CRASHING_PART, EVENT_COUNT
 
 HOST = "api.example"
 KEY = "soak-key"
@@ -31,6 +31,8 @@
 READINESS_INTERVAL_S = 0.3
 # Fraction of the requests whose caller disconnects early.
 DISCONNECT_FRACTION = 0.03
+# Fraction of the streams whose prompt crashes upstreams.
+CRASHING_FRACTION = 0.03
 CONNECTION_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -200,6 +202,8 @@
             used again.
         """
         request = self._draw_request(router, kind)
+        if not kind and KINDS.get(request.kind, ("", False, True))[1]:
+            request.crashing = self._rng.random() < CRASHING_FRACTION
         max_wait_s = 0.0
         if not kind and self._rng.random() < DISCONNECT_FRACTION:
             max_wait_s = self._rng.uniform(0.01, 0.3)
@@ -218,6 +222,14 @@
             await self._send_and_record(pool, request)
         return request
 
+    async def send_crashing(self, router: int) -> Request:
+        """Send a request whose prompt crashes upstreams."""
+        request = self._draw_request(router, "notice")
+        request.crashing = True
+        async with httpcore.AsyncConnectionPool() as pool:
+            await self._send_and_record(pool, request)
+        return request
+
     async def begin_stream(self, router: int, events: int) -> Request:
         """Send a request, and close its connection after some events."""
         request = self._draw_request(router, "chat")
@@ -295,8 +307,11 @@
                 headers["hornbeamyard-resumes"] = request.resumes
                 headers["last-event-id"] = str(request.last_event)
             headers["hornbeamyard-token-counts"] = "200,20"
-            part = self._rng.randint(1, 5)
-            headers["hornbeamyard-prompt-parts"] = f"part-{part}:100"
+            parts = [f"part-{self._rng.randint(1, 5)}:100"]
+            if request.crashing:
+                parts.append(f"{CRASHING_PART}:20")
+            parts.append(f"{request.id}:20")
+            headers["hornbeamyard-prompt-parts"] = ",".join(parts)
         address = self._fleet.links[f"router-{request.router}/callers"].address
         try:
             async with pool.stream(
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -11,8 +11,8 @@
 
 from .callers import KINDS, RETAINED_VERSIONS, TIMEOUT_MS
 from .faults import SETTLING_TIME_S
-from .fleet import Fleet
-from .records import Records, Request
+from .fleet import CONTROLLERS, CRASHED_S, Fleet
+from .records import FaultRecord, Records, Request
 from .upstream import EVENT_COUNT, SOFTWARE_VERSIONS, build_event, sign
 
 # Statuses that promise that the request has not run and will not run.
@@ -27,6 +27,19 @@
 # A request that fails sooner than this, without having run, may have been sent
 # just as the router closed the connection.
 CLOSE_RACE_S = 0.3
+# Time in which all routers know what one has learned from an upstream.
+LEARNING_TIME_S = 3.0
+# After so many crashes under one prompt part, at most this many requests with
+# it reach upstreams.
+LEARNED_CRASHES = 5
+MAX_CRASHING = 3
+# An upstream that names a limit gets at most this multiple of it in a window,
+# and some requests more.
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_RESERVE = 5
+# Requests that are sent this long after a router was told a limit count.
+TOLD_S = 0.5
 
 # Journal lines of the upstreams, one for each execution, by request id.
 Executions = dict[str, list[dict[str, Any]]]
@@ -56,6 +69,7 @@
         Its processes' unexpected exits are violations too.
     """
     violations = []
+    _record_crashes(records, executions)
     for request in records.requests:
         ran = executions.get(request.id, [])
         for text in _check_request(records, request, ran):
@@ -66,6 +80,8 @@
         for id in executions
         if id not in known
     ]
+    violations += _check_crashes(records, executions)
+    violations += _check_limits(records, executions)
     violations += _check_software_versions(records)
     violations += _check_rollbacks(records)
     violations += _check_reads(records)
@@ -241,6 +257,99 @@
                 break
 
 
+# ---- what upstreams show -------------------------------------------------
+
+
+def _record_crashes(records: Records, executions: Executions) -> None:
+    """Record the crashes under requests as faults of their upstreams."""
+    for ran in executions.values():
+        for execution in ran:
+            if execution["crashes"]:
+                at = execution["at"]
+                name = execution["upstream"].partition(".")[0]
+                until = at + CRASHED_S + SETTLING_TIME_S
+                records.faults.append(FaultRecord("crash", name, at, until))
+
+
+def _is_cut_off(records: Records, router: str, until: float) -> bool:
+    """Return whether a router may not know what others have learned."""
+    since = until - LEARNING_TIME_S
+    return records.is_affected(router, since, until) or all(
+        records.is_affected(f"controller-{number}", since, until)
+        for number in range(CONTROLLERS)
+    )
+
+
+def _check_crashes(records: Records, executions: Executions) -> Iterator[str]:
+    """Check that the part is blocked after it has crashed upstreams."""
+    crashes = sorted(
+        execution["at"]
+        for ran in executions.values()
+        for execution in ran
+        if execution["crashes"]
+    )
+    if len(crashes) < LEARNED_CRASHES:
+        return
+    known_at = crashes[LEARNED_CRASHES - 1] + LEARNING_TIME_S
+    late = [
+        request.id
+        for request in records.requests
+        if request.crashing
+        and request.sent_at > known_at
+        and executions.get(request.id)
+        and not _is_cut_off(
+            records, f"router-{request.router}", request.sent_at
+        )
+    ]
+    if len(late) > MAX_CRASHING:
+        yield f"requests with a crashing part still reach upstreams: {late}"
+
+
+def _check_limits(records: Records, executions: Executions) -> Iterator[str]:
+    """Check that upstreams don't get more than the limits that they name."""
+    routers = {request.id: request.router for request in records.requests}
+    by_upstream: dict[str, list[tuple[float, int, float | None]]]
+    by_upstream = defaultdict(list)
+    for id, ran in executions.items():
+        for execution in ran:
+            by_upstream[execution["upstream"]].append(
+                (execution["at"], routers.get(id, -1), execution["max_rate"])
+            )
+    for upstream, arrivals in by_upstream.items():
+        yield from _check_limit(records, upstream, sorted(arrivals))
+
+
+def _check_limit(
+    records: Records,
+    upstream: str,
+    arrivals: list[tuple[float, int, float | None]],
+) -> Iterator[str]:
+    limited = [entry for entry in arrivals if entry[2] is not None]
+    if not limited:
+        return
+    known_at = limited[0][0] + LEARNING_TIME_S
+    told_at: dict[int, float] = {}
+    counted = []
+    for at, router, _ in limited:
+        told_at.setdefault(router, at)
+        name = f"router-{router}"
+        if records.is_affected(name, at - LEARNING_TIME_S, at):
+            continue
+        if at > known_at and at > told_at[router] + TOLD_S:
+            counted.append(at)
+    rate = limited[0][2] or 0.0
+    allowed = LIMIT_FACTOR * rate * LIMIT_WINDOW_S + LIMIT_RESERVE
+    for index, first in enumerate(counted):
+        within = [t for t in counted[index:] if t < first + LIMIT_WINDOW_S]
+        if len(within) > allowed:
+            yield (
+                f"{upstream} got {len(within)} requests in "
+                f"{LIMIT_WINDOW_S:g} s from {first:.3f} on with a limit of "
+                f"{rate:g} a second"
+            )
+            return
+
+
 # ---- routings ------------------------------------------------------------
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -17,6 +17,7 @@
 import anyio.abc
 
 from .links import Link
+from .upstream import CRASH_EXIT_CODE
 
 CONTROLLERS = 3
 ROUTERS = 3
@@ -30,6 +31,8 @@
 # Time in which a process may still be without its signal handlers, so that
 # signals have their default effect and SIGTERM ends it at once.
 STARTUP_S = 3.0
+# An upstream that crashes under a request is down for this long.
+CRASHED_S = 0.8
 
 
 @dataclass(slots=True, eq=False)
@@ -181,6 +184,9 @@
     async def start(self, name: str) -> None:
         """Start a process, for the first time or again."""
         process = self.processes.get(name)
+        if process is not None and process.is_running():
+            # It was started again after a crash.
+            return
         if process is None:
             process = Process(name, self._build_command(name))
             self.processes[name] = process
@@ -213,6 +219,11 @@
         code = await handle.wait()
         if process.handle is not handle or process.killed_by_soak:
             return
+        if code == CRASH_EXIT_CODE and process.name in self.list_upstreams():
+            await anyio.sleep(CRASHED_S)
+            if process.handle is handle and not process.killed_by_soak:
+                await self.start(process.name)
+            return
         if process.sigterm_at is None:
             process.unexpected_exits.append(
                 f"{process.name} exited with {code} without a request to stop"
--- a/soak/records.py
+++ b/soak/records.py
@@ -42,6 +42,8 @@
         empty for a new request.
     last_event : int
         Number of the last event of that stream that the caller had got.
+    crashing : bool
+        Whether its prompt has the part that crashes upstreams.
     """
 
     id: str
@@ -61,6 +63,7 @@
     abandoned: bool = False
     resumes: str = ""
     last_event: int = 0
+    crashing: bool = False
 
     def count_events(self) -> int:
         """Return the number of complete events that were received."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -161,6 +161,9 @@
         violations.append(f"routers {not_ready} aren't ready")
         return violations
     violations += await _check_resumption(callers)
+    for router in range(ROUTERS):
+        # Whether the part is blocked is checked with all other requests.
+        await callers.send_crashing(router)
     before = len(records.requests)
     kinds = sorted(KINDS)
     for number in range(FINAL_REQUESTS):
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -3,6 +3,8 @@
 It announces itself to controllers, appends a line to a journal file for every
 request that it runs, and refuses requests for other upstreams. Some of its
 streams have neither a length nor chunks, and some break off inside an event.
+It crashes as it begins to answer a request with a certain prompt part, and for
+some time it may name the rate of requests that it takes.
 The journal file is shared by all upstreams and outlives them.
 """
 
@@ -42,6 +44,17 @@
 # break off inside an event.
 UNFRAMED_FRACTION = 0.5
 BROKEN_FRACTION = 0.1
+# Prompt part that crashes the upstream, and its exit code then.
+CRASHING_PART = "crash"
+CRASH_EXIT_CODE = 86
+# Time between the head of the response and the crash.
+CRASH_DELAY_S = 0.01
+# Fraction of the starts with a rate limit, when it begins after the start, how
+# long it lasts, and the limit in requests a second.
+LIMITED_FRACTION = 0.5
+LIMIT_BEGINS_S = (0.5, 4.0)
+LIMIT_LASTS_S = (4.0, 7.5)
+LIMIT_RATES = (2.0, 6.0)
 # Key of the connection's transport in the extensions of a request.
 TRANSPORT = "soak.transport"
 # Fraction of the requests that the upstream refuses without running them.
@@ -118,6 +131,13 @@
         self._journal = journal
         self._sequence = 0
         self._started_ms = int(time.time() * 1000)
+        self._limit_begins_at = float("inf")
+        if random.random() < LIMITED_FRACTION:
+            begins_s = random.uniform(*LIMIT_BEGINS_S)
+            self._limit_begins_at = time.monotonic() + begins_s
+        lasts_s = random.uniform(*LIMIT_LASTS_S)
+        self._limit_ends_at = self._limit_begins_at + lasts_s
+        self._limit = round(random.uniform(*LIMIT_RATES), 1)
         self.running = 0
         self.software_version = random.choice(SOFTWARE_VERSIONS)
         self.state = "ready"
@@ -167,11 +187,20 @@
             )
             return
         is_framed = random.random() >= UNFRAMED_FRACTION
-        self._record_execution(request_id, headers, scope, is_framed)
+        max_rate = self._find_limit()
+        crashes = CRASHING_PART in headers.get("hornbeamyard-prompt-parts", "")
+        self._record_execution(
+            request_id, headers, scope, is_framed, max_rate, crashes
+        )
         response_headers = [
             (b"hornbeamyard-request", request_id.encode()),
             (b"hornbeamyard-signature", sign(request_id, self._id).encode()),
         ]
+        if max_rate is not None:
+            value = str(max_rate).encode()
+            response_headers.append((b"hornbeamyard-max-rate", value))
+        if crashes:
+            await _crash(send, response_headers)
         if headers.get("soak-events"):
             stream_id = headers.get("hornbeamyard-resumes") or request_id
             events = [
@@ -205,12 +234,21 @@
         content = json.dumps(document).encode()
         await _send_response(send, 200, response_headers, content)
 
+    def _find_limit(self) -> float | None:
+        """Return the rate that the upstream takes now; None for any."""
+        now = time.monotonic()
+        if self._limit_begins_at <= now < self._limit_ends_at:
+            return self._limit
+        return None
+
     def _record_execution(
         self,
         request_id: str,
         headers: dict[str, str],
         scope: Message,
         is_framed: bool,
+        max_rate: float | None,
+        crashes: bool,
     ) -> None:
         """Append a line to the journal."""
         line = {
@@ -221,6 +259,8 @@
             "account": headers.get("hornbeamyard-account", ""),
             # Only streams can be without framing.
             "framed": is_framed or not headers.get("soak-events"),
+            "max_rate": max_rate,
+            "crashes": crashes,
             "at": time.monotonic(),
         }
         flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
@@ -301,6 +341,16 @@
     await send({"type": "http.response.body", "body": body})
 
 
+async def _crash(send: Send, headers: list[tuple[bytes, bytes]]) -> None:
+    """Send the head of a stream and end the process."""
+    headers = [*headers, (b"content-type", b"text/event-stream")]
+    await send(
+        {"type": "http.response.start", "status": 200, "headers": headers}
+    )
+    await anyio.sleep(CRASH_DELAY_S)
+    os._exit(CRASH_EXIT_CODE)
+
+
 def _break_off(events: list[bytes]) -> list[bytes]:
     """Return the first events, the last of them cut."""
     *whole, last = events[: random.randint(1, len(events))]
