--- a/hornbeamyard/tests/test_soak.py
+++ b/hornbeamyard/tests/test_soak.py
@@ -61,6 +61,7 @@
         "framed": True,
         "max_rate": None,
         "crashes": False,
+        "at": 10.0,
     }
     return {**execution, **fields}
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,7 +14,7 @@
 from .callers import KINDS, Callers, Operators, build_routing
 from .checks import list_violations, read_executions
 from .faults import Injector
-from .fleet import CONTROLLERS, ROUTERS, Fleet
+from .fleet import CONTROLLERS, CRASHED_S, ROUTERS, Fleet
 from .records import Records
 
 START_TIMEOUT_S = 30.0
@@ -161,9 +161,10 @@
         violations.append(f"routers {not_ready} aren't ready")
         return violations
     violations += await _check_resumption(callers)
-    for router in range(ROUTERS):
+    for number in range(2 * ROUTERS):
         # Whether the part is blocked is checked with all other requests.
-        await callers.send_crashing(router)
+        await callers.send_crashing(number % ROUTERS)
+        await anyio.sleep(CRASHED_S)
     before = len(records.requests)
     kinds = sorted(KINDS)
     for number in range(FINAL_REQUESTS):
