Give liveness checks turns of the event loop instead of time

Callers of a router without processor time for some tenths of a second got 502 for requests that ran well: 'no byte arrived for 0.2 s and the upstream doesn't respond to status requests'.

Cause: the time limit of the status request was measured on the clock. While the event loop stands still, responses stay unread, and the limit has run out when it goes on. The limit is now 20 pauses of the event loop, which a router that stands still gets only once it runs again.

--- a/hornbeamyard/connection/upstreams.py
+++ b/hornbeamyard/connection/upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import socket
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -16,7 +17,12 @@
 
 CONNECT_TIMEOUT_S = 2.0
 STATUS_TIMEOUT_S = 2.0
+# Turns of the event loop between which the time limit of a liveness check is
+# divided. A router that stands still meanwhile leaves responses unread, so the
+# limit must not run out at once when it goes on.
+STATUS_TURNS = 20
 STATUS_PATH = "/hornbeamyard/v1/status"
+UNRESPONSIVE = "the upstream doesn't respond to status requests"
 # Shorter than the timeout of common servers (uvicorn: 5 s), because a request
 # sent on a connection that is being closed has no known outcome.
 IDLE_TIMEOUT_S = 4.0
@@ -287,10 +293,7 @@
     async def _check(self, exchange: WatchedExchange) -> None:
         """Abort an exchange unless its upstream still runs the request."""
         progress = exchange.progress
-        timeout_s = min(STATUS_TIMEOUT_S, self._silence_s)
-        state = await check_running(
-            exchange.address, exchange.attempt_id, timeout_s
-        )
+        state = await self._ask(exchange)
         if exchange.progress != progress or exchange not in self._watched:
             return
         if state is not None:
@@ -298,6 +301,25 @@
                 f"no byte arrived for {self._silence_s:g} s and {state}"
             )
 
+    async def _ask(self, exchange: WatchedExchange) -> str | None:
+        """Return why an exchange is assumed not to run; None if it may."""
+        timeout_s = min(STATUS_TIMEOUT_S, self._silence_s)
+        state: str | None = UNRESPONSIVE
+        async with anyio.create_task_group() as tasks:
+
+            async def ask() -> None:
+                nonlocal state
+                state = await check_running(
+                    exchange.address, exchange.attempt_id, math.inf
+                )
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(ask)
+            for _ in range(STATUS_TURNS):
+                await self._timers.sleep(timeout_s / STATUS_TURNS)
+            tasks.cancel_scope.cancel()
+        return state
+
 
 @dataclass(slots=True)
 class UpstreamStatus:
@@ -373,7 +395,7 @@
     query = f"?request={quote(attempt_id)}"
     status = await read_status(address, timeout_s, query)
     if status is None:
-        return "the upstream doesn't respond to status requests"
+        return UNRESPONSIVE
     if status.document.get("running") is False:
         return "the upstream no longer runs the request"
     return None
--- a/hornbeamyard/tests/test_silence.py
+++ b/hornbeamyard/tests/test_silence.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import socket
+import time
 from collections.abc import AsyncIterator, Iterator
 
 import anyio
+import anyio.lowlevel
 import pytest
 
 from hornbeamyard.connection import peers
 from hornbeamyard.messages import fleet_pb2, fleet_pb2_grpc
 
+from .in_process import MODEL, SILENCE_S, Response, run_in_process
+from .test_drain import CHAT, wait_running
+
 
 @pytest.fixture
 def silent_address() -> Iterator[str]:
@@ -62,3 +67,36 @@
                     await channel.close(grace=0)
 
         assert anyio.run(run)
+
+
+class TestStalledRouter:
+    """A router without processor time takes no upstream for silent."""
+
+    def test_sound_requests_go_on(self) -> None:
+        """Guards against requests dropped when the router itself stood still.
+
+        The time limit of a status request ran out while the event loop stood
+        still, and the response that had come meanwhile was not read.
+        """
+
+        async def run() -> None:
+            async with run_in_process(workers=1) as fleet:
+                fleet.upstreams[0].options.token_s = 3 * SILENCE_S
+                responses: list[Response] = []
+
+                async def send_request(number: int) -> None:
+                    document = {"model": MODEL, "id": f"r{number}"}
+                    responses.append(await fleet.post(CHAT, document))
+
+                async with anyio.create_task_group() as tasks:
+                    for number in range(6):
+                        tasks.start_soon(send_request, number)
+                    await wait_running(fleet, 6)
+                    stalled_until = time.monotonic() + 3.0
+                    while time.monotonic() < stalled_until:
+                        time.sleep(0.6 * SILENCE_S)
+                        await anyio.lowlevel.checkpoint()
+                assert [r.status for r in responses] == [200] * 6
+                assert all(r.complete for r in responses)
+
+        anyio.run(run)
