Hold a router's part of rate limits while controllers start again

A controller that has just started knows a few routers only, and a new leader the demand of a few. For a second or so each router would have taken itself for the only one, and all together several times the limit. A smaller number of routers now counts only after 3 s, the fraction of the demand is smoothed, and a part is at most three times an even one.

What a router learns from upstreams and shares is a class of its own, UpstreamNotices, so that the request path, the router and the tests' harness use one copy of it. A request is suspected of a crash up to 2 s after its first event instead of 1 s: an engine under load may take longer to crash.

--- a/hornbeamyard/connection/limit_reports.py
+++ b/hornbeamyard/connection/limit_reports.py
@@ -5,7 +5,11 @@
 from collections.abc import Callable, Iterable
 
 from ..messages import fleet_pb2
-from ..pool.rate_limits import RateLimits, RateObservation
+from ..pool.rate_limits import (
+    FleetPlaceEstimate,
+    RateLimits,
+    RateObservation,
+)
 from ..pool.upstream_registry import UpstreamStart
 from ..process.timers import Timers
 from .change_reports import ChangeReports
@@ -26,9 +30,11 @@
     changes : ChangeReports
         Reports to the controllers.
     limits : RateLimits
+    place : FleetPlaceEstimate
+        This router's place in the fleet, by which limits are divided.
     """
 
-    __slots__ = ("_on_change", "_timers", "changes", "limits")
+    __slots__ = ("_on_change", "_timers", "changes", "limits", "place")
 
     def __init__(
         self, timers: Timers, on_change: Callable[[UpstreamStart], None]
@@ -37,6 +43,7 @@
         self._timers = timers
         self.changes = ChangeReports(timers, self._encode)
         self.limits = RateLimits()
+        self.place = FleetPlaceEstimate(timers.now())
 
     def observe(self, upstream: UpstreamStart, max_rate: float | None) -> None:
         """Record what an upstream has said in a response to this router."""
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -14,12 +14,10 @@
 import logbook
 
 from ..messages import fleet_pb2
-from ..pool.crashes import Crash
 from ..pool.stream_origins import StreamOrigin
 from ..pool.upstream_registry import (
     Upstream,
     UpstreamRegistry,
-    UpstreamStart,
     UpstreamState,
 )
 from ..pool.usage import FleetUsage, RouterUsage
@@ -74,10 +72,10 @@
         it is in force now.
     on_fleet_usage : callable
         Called with the usage of all routers, added up.
-    on_crashes : callable
-        Called with the crashes that this router or another has recorded.
-    on_limit : callable
-        Called with an upstream whose rate limit has changed.
+    crashes : CrashReports
+        Crashes of upstreams.
+    limits : LimitReports
+        Rate limits that upstreams name.
     lifetime_s : float
         Time in seconds without an announcement after which an upstream is
         lost.
@@ -86,14 +84,7 @@
     ----------
     attached_routers : int
         Routers that are attached to a controller, as far as known.
-    crashes : CrashReports
-        Crashes of upstreams.
-    limits : LimitReports
-        Rate limits that upstreams name.
     registry : UpstreamRegistry
-    router_number : int
-        Number of this router among the attached ones, from 1; 0 while it
-        isn't known.
     streams : StreamReports
         Streams that this router begins.
     version : int
@@ -106,21 +97,20 @@
         "_calls",
         "_collect_usage",
         "_controllers",
+        "_crashes",
         "_fetch_needed",
         "_fetching",
         "_identity",
         "_leader",
         "_leaving",
         "_lifetime_s",
+        "_limits",
         "_on_fleet_usage",
         "_on_routing",
         "_on_upstreams",
         "_timers",
         "attached_routers",
-        "crashes",
-        "limits",
         "registry",
-        "router_number",
         "seeds",
         "streams",
         "version",
@@ -137,14 +127,15 @@
         on_upstreams: Callable[[list[Upstream]], None],
         on_routing: Callable[[int, bytes], bool],
         on_fleet_usage: Callable[[FleetUsage], None],
-        on_crashes: Callable[[list[Crash]], None],
-        on_limit: Callable[[UpstreamStart], None],
+        crashes: CrashReports,
+        limits: LimitReports,
         lifetime_s: float,
     ) -> None:
         self._calls = calls
         self._collect_usage = collect_usage
         # Hosts of the fleet's controllers by address.
         self._controllers: dict[str, str] = {}
+        self._crashes = crashes
         self._fetching = False
         self._identity = identity
         self._leader = ""
@@ -152,15 +143,13 @@
         # that they leave.
         self._leaving: dict[str, int] = {}
         self._lifetime_s = lifetime_s
+        self._limits = limits
         self._on_routing = on_routing
         self._on_fleet_usage = on_fleet_usage
         self._on_upstreams = on_upstreams
         self._timers = timers
         self._fetch_needed = anyio.Event()
         self.attached_routers = 0
-        self.crashes = CrashReports(identity.host, timers, on_crashes)
-        self.limits = LimitReports(timers, on_limit)
-        self.router_number = 0
         self.registry = UpstreamRegistry()
         self.seeds = list(seeds)
         self.streams = StreamReports(self.registry, timers)
@@ -262,8 +251,8 @@
     def _expire(self) -> None:
         now = self._timers.now()
         self.streams.origins.expire(now)
-        self.crashes.expire(now)
-        self.limits.expire(now)
+        self._crashes.expire(now)
+        self._limits.expire(now)
         if not self.versions:
             return
         # A controller that is out of reach may have received newer
@@ -350,8 +339,8 @@
 
         await send(fleet_pb2.RouterUsage(identity=self._identity))
         tasks.start_soon(self.streams.run, send)
-        tasks.start_soon(self.crashes.changes.run, send)
-        tasks.start_soon(self.limits.changes.run, send)
+        tasks.start_soon(self._crashes.changes.run, send)
+        tasks.start_soon(self._limits.changes.run, send)
         await self._send_usage(send, address)
 
     async def _send_usage(
@@ -403,7 +392,9 @@
             )
         self.versions[address] = update.routing_version
         self.attached_routers = update.attached_routers
-        self.router_number = update.router_number
+        self._limits.place.record_count(
+            update.attached_routers, update.router_number, now
+        )
         if update.controllers:
             self._controllers = {c.address: c.host for c in update.controllers}
         if update.leader:
@@ -430,9 +421,9 @@
             self._on_upstreams(changed)
             self.streams.notify()
         if update.crashes:
-            self.crashes.apply(decode_crashes(update.crashes, now))
+            self._crashes.apply(decode_crashes(update.crashes, now))
         if update.limits:
-            self.limits.apply(decode_limits(update.limits, now))
+            self._limits.apply(decode_limits(update.limits, now))
         if update.has_sums:
             accounts, usage = decoder.decode(
                 update.accounts, update.usage, update.has_whole_usage
--- a/hornbeamyard/pool/crashes.py
+++ b/hornbeamyard/pool/crashes.py
@@ -22,7 +22,7 @@
 
 # An upstream crashes as it begins to answer. A request whose answer has gone
 # on for this long isn't suspected.
-SUSPICION_S = 1.0
+SUSPICION_S = 2.0
 # A part that was answered this long before a crash isn't suspected of it. A
 # part may begin to crash upstreams at any time, so older answers don't count.
 ANSWERED_S = 1.0
--- a/hornbeamyard/pool/rate_limits.py
+++ b/hornbeamyard/pool/rate_limits.py
@@ -29,6 +29,14 @@
 # A router's part at the least, as a fraction of an even division, so that
 # callers who move to it are served before the next fleet usage.
 MIN_ROUTER_PART = 0.3
+# A router's part at the most, likewise.
+MAX_ROUTER_PART = 3.0
+# A smaller number of routers counts only after this time. A controller that
+# has just started knows only some of them.
+SETTLING_S = 3.0
+# Weight of the newest demand in a router's fraction. A new leader knows the
+# demand of some routers only.
+FRACTION_WEIGHT = 0.1
 # Requests that a router may send at once after a pause. More would let all
 # routers together exceed the limit.
 BURST = 1.0
@@ -177,6 +185,46 @@
     fraction: float = 1.0
 
 
+class FleetPlaceEstimate:
+    """A router's place in the fleet, from what controllers say.
+
+    Parameters
+    ----------
+    now : float
+        Monotonic time in seconds.
+    """
+
+    __slots__ = ("_counted_at", "_fraction", "_number", "_routers")
+
+    def __init__(self, now: float) -> None:
+        self._counted_at = now
+        self._fraction: float | None = None
+        self._number = 0
+        self._routers = 1
+
+    def get(self) -> FleetPlace:
+        """Return the place."""
+        fraction = self._fraction
+        if fraction is None:
+            fraction = 1.0 / self._routers
+        return FleetPlace(self._routers, self._number, fraction)
+
+    def record_count(self, routers: int, number: int, now: float) -> None:
+        """Record a controller's count of routers, and this one's number."""
+        self._number = number
+        if routers < self._routers and now - self._counted_at < SETTLING_S:
+            return
+        self._routers = max(1, routers)
+        self._counted_at = now
+
+    def record_fraction(self, fraction: float) -> None:
+        """Record this router's fraction of the fleet's present demand."""
+        known = self._fraction
+        if known is None:
+            known = 1.0 / self._routers
+        self._fraction = known + FRACTION_WEIGHT * (fraction - known)
+
+
 def divide_rate(
     max_rate: float, upstream: UpstreamStart, place: FleetPlace
 ) -> float:
@@ -209,4 +257,4 @@
         turn = (place.number + zlib.crc32(key)) % routers
         return rate / chosen if turn < chosen else 0.0
     part = max(place.fraction * routers, MIN_ROUTER_PART)
-    return min(rate, rate / routers * part)
+    return min(rate, rate / routers * min(part, MAX_ROUTER_PART))
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -26,14 +26,11 @@
     MIN_ASSUMED_ROUTERS,
     Balancer,
 )
-from ..pool.crashes import Crash
-from ..pool.rate_limits import FleetPlace
 from ..pool.shares import Shares
 from ..pool.stream_origins import StreamOrigin
 from ..pool.upstream_registry import (
     MAX_MISSED_ANNOUNCEMENTS,
     Upstream,
-    UpstreamStart,
     UpstreamState,
 )
 from ..pool.usage import (
@@ -53,6 +50,7 @@
 from .servers import build_server, build_status_app
 from .settings import Settings
 from .timers import Timers
+from .upstream_notices import UpstreamNotices
 
 # Time for which a stopping router still accepts requests after its readiness
 # check begins to fail. Load balancers commonly check once a second and act on
@@ -108,6 +106,8 @@
         Whether a stop has begun; responses then close their connections.
     is_stopping : bool
         Whether new requests are refused because the router stops.
+    notices : UpstreamNotices
+        Crashes and rate limits of upstreams.
     routers : int
         Number of routers in the fleet, as far as known.
     routing : Routing or None
@@ -117,7 +117,6 @@
     __slots__ = (
         "_adapted_at",
         "_balancers",
-        "_blocked_parts",
         "_budgets",
         "_calls",
         "_connection_limits",
@@ -134,6 +133,7 @@
         "is_closing",
         "is_stopping",
         "metrics",
+        "notices",
         "routers",
         "routing",
         "subscription",
@@ -150,7 +150,6 @@
         assert settings.directory is not None
         directory = settings.directory
         self._adapted_at = 0.0
-        self._blocked_parts: set[str] = set()
         self._budgets: dict[str, WindowRetryBudget] = {}
         self._calls = DirectoryCalls(settings.tls)
         # When the fleet's usage came last; None before the first one.
@@ -173,6 +172,9 @@
         self.is_stopping = False
         self.metrics = Metrics()
         self.metrics.add_source(self._sample)
+        self.notices = UpstreamNotices(
+            settings.host, timers, decisions, self._upstreams, self._balancers
+        )
         self.routers = 1
         self.routing: Routing | None = None
         self.subscription = Subscription(
@@ -184,8 +186,8 @@
             self._handle_upstreams,
             self._apply_routing,
             self._apply_fleet_usage,
-            self._handle_crashes,
-            self._handle_limit,
+            self.notices.crashes,
+            self.notices.limits,
             directory.announcement_interval_s * MAX_MISSED_ANNOUNCEMENTS,
         )
         self.forwarder = Forwarder(
@@ -255,8 +257,8 @@
                 self._shares,
                 random.random,
                 self._timers.limit,
-                self.subscription.crashes.ledger,
-                self.subscription.limits.limits,
+                self.notices.crashes.ledger,
+                self.notices.limits.limits,
             )
             balancer.assumed_routers = self._count_assumed_routers(
                 self._timers.now()
@@ -285,38 +287,6 @@
         if changed:
             self._handle_upstreams(changed)
 
-    def record_limit(
-        self, upstream: UpstreamStart, max_rate: float | None
-    ) -> None:
-        """Record the rate limit in an upstream's response; None for none."""
-        self.subscription.limits.observe(upstream, max_rate)
-
-    async def record_broken(
-        self, upstream: Upstream, parts: Iterable[str]
-    ) -> None:
-        """Suspect the parts of a broken request if its upstream crashed.
-
-        Parameters
-        ----------
-        upstream : Upstream
-        parts : iterable of str
-            Ids of the shared prompt parts.
-        """
-        crashes = self.subscription.crashes
-        if not crashes.ledger.has_crash(upstream.start):
-            # The crash counts also if the caller disconnects meanwhile.
-            with anyio.CancelScope(shield=True):
-                has_ended = await self._upstreams.has_ended(
-                    f"http://{upstream.address}"
-                )
-            if not has_ended:
-                return
-        crashes.record_crash(upstream.start, parts)
-
-    def record_answer(self, parts: Iterable[str]) -> None:
-        """Clear the prompt parts of a request that was answered."""
-        self.subscription.crashes.record_answer(parts)
-
     def record_stream(self, request_id: str, origin: StreamOrigin) -> None:
         """Record a stream that begins."""
         self.subscription.streams.record(request_id, origin)
@@ -394,64 +364,9 @@
                     balancer.apply_upstream(upstream)
                 continue
             self.find_balancer(upstream.pool).apply_upstream(upstream)
-        now = self._timers.now()
-        place = self._find_place()
+        self.notices.divide_limits()
         for pool, balancer in self._balancers.items():
             self._configure_balancer(pool, balancer)
-            balancer.set_place(place, now)
-            balancer.start_waiting(now)
-
-    def _handle_limit(self, upstream: UpstreamStart) -> None:
-        now = self._timers.now()
-        place = self._find_place()
-        max_rate = self.subscription.limits.limits.find(upstream)
-        self.decisions.note(
-            "upstream_limited",
-            upstream=upstream.id,
-            started_ms=upstream.started_ms,
-            max_rate=max_rate,
-            routers=place.routers,
-            number=place.number,
-            fraction=round(place.fraction, 3),
-        )
-        for balancer in self._balancers.values():
-            balancer.set_place(place, now)
-            balancer.start_waiting(now)
-
-    def _find_place(self) -> FleetPlace:
-        subscription = self.subscription
-        return FleetPlace(
-            max(1, subscription.attached_routers),
-            subscription.router_number,
-            self._shares.router_fraction,
-        )
-
-    def _handle_crashes(self, changed: list[Crash]) -> None:
-        for crash in changed:
-            self.decisions.note(
-                "upstream_crashed",
-                upstream=crash.upstream.id,
-                started_ms=crash.upstream.started_ms,
-                reporter=crash.reporter,
-                suspects=sorted(crash.list_open()),
-                cleared=len(crash.cleared),
-            )
-        blocked = self.subscription.crashes.ledger.blocked
-        for part in blocked.keys() - self._blocked_parts:
-            block = blocked[part]
-            self.decisions.note(
-                "part_blocked",
-                part=part,
-                crashes=block.crashes,
-                retry_in_s=round(block.retry_at - self._timers.now(), 1),
-                tried_by=block.tried_by,
-            )
-        for part in self._blocked_parts - blocked.keys():
-            self.decisions.note("part_released", part=part)
-        if blocked.keys() == self._blocked_parts:
-            return
-        self._blocked_parts = set(blocked)
-        for balancer in self._balancers.values():
             balancer.start_waiting(self._timers.now())
 
     def _apply_routing(self, version: int, document: bytes) -> bool:
@@ -502,9 +417,9 @@
         self._shares.apply_fleet_usage(
             fleet_usage.accounts, self.routers, fleet_usage.source, now
         )
-        place = self._find_place()
+        self.notices.limits.place.record_fraction(self._shares.router_fraction)
+        self.notices.divide_limits()
         for balancer in self._balancers.values():
-            balancer.set_place(place, now)
             balancer.apply_fleet_usage(fleet_usage.upstreams, now)
             balancer.record_cached_parts(fleet_usage.cached_parts, now)
             balancer.start_waiting(now)
@@ -602,9 +517,7 @@
         yield Sample("routing_version", version)
         opened = self._upstreams.opened
         yield Sample("upstream_connections", opened, (), True)
-        crashes = self.subscription.crashes.ledger
-        yield Sample("upstream_crashes_known", len(crashes))
-        yield Sample("prompt_parts_blocked", len(crashes.blocked))
+        yield from self.notices.sample()
         attached = len(self.subscription.versions)
         yield Sample("controllers_attached", attached)
         yield from self._sample_shares()
--- /dev/null
+++ b/hornbeamyard/process/upstream_notices.py
@@ -0,0 +1,154 @@
+"""What a router learns from upstreams and shares with all others."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Mapping
+
+import anyio
+
+from ..connection.crash_reports import CrashReports
+from ..connection.limit_reports import LimitReports
+from ..connection.upstreams import UpstreamConnections
+from ..pool.balancer import Balancer
+from ..pool.crashes import Crash
+from ..pool.upstream_registry import Upstream, UpstreamStart
+from .decisions import DecisionLog
+from .metrics import Sample
+from .timers import Timers
+
+
+class UpstreamNotices:
+    """Crashes and rate limits of upstreams, as a router sees and learns them.
+
+    Parameters
+    ----------
+    host : str
+    timers : Timers
+    decisions : DecisionLog
+    upstreams : UpstreamConnections
+    balancers : mapping of str to Balancer
+        By pool. They decide by the crashes and the rate limits.
+
+    Attributes
+    ----------
+    crashes : CrashReports
+    limits : LimitReports
+    """
+
+    __slots__ = (
+        "_balancers",
+        "_blocked_parts",
+        "_decisions",
+        "_timers",
+        "_upstreams",
+        "crashes",
+        "limits",
+    )
+
+    def __init__(
+        self,
+        host: str,
+        timers: Timers,
+        decisions: DecisionLog,
+        upstreams: UpstreamConnections,
+        balancers: Mapping[str, Balancer],
+    ) -> None:
+        self._balancers = balancers
+        self._blocked_parts: set[str] = set()
+        self._decisions = decisions
+        self._timers = timers
+        self._upstreams = upstreams
+        self.crashes = CrashReports(host, timers, self._handle_crashes)
+        self.limits = LimitReports(timers, self._handle_limit)
+
+    # ---- for the request path --------------------------------------------
+
+    def record_limit(
+        self, upstream: UpstreamStart, max_rate: float | None
+    ) -> None:
+        """Record the rate limit in an upstream's response; None for none."""
+        self.limits.observe(upstream, max_rate)
+
+    async def record_broken(
+        self, upstream: Upstream, parts: Iterable[str]
+    ) -> None:
+        """Suspect the parts of a broken request if its upstream crashed.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        parts : iterable of str
+            Ids of the shared prompt parts.
+        """
+        if not self.crashes.ledger.has_crash(upstream.start):
+            # The crash counts also if the caller disconnects meanwhile.
+            with anyio.CancelScope(shield=True):
+                has_ended = await self._upstreams.has_ended(
+                    f"http://{upstream.address}"
+                )
+            if not has_ended:
+                return
+        self.crashes.record_crash(upstream.start, parts)
+
+    def record_answer(self, parts: Iterable[str]) -> None:
+        """Clear the prompt parts of a request that was answered."""
+        self.crashes.record_answer(parts)
+
+    # ---- decisions -------------------------------------------------------
+
+    def divide_limits(self) -> None:
+        """Divide the rate limits by this router's place in the fleet."""
+        place = self.limits.place.get()
+        for balancer in self._balancers.values():
+            balancer.set_place(place, self._timers.now())
+
+    def _handle_limit(self, upstream: UpstreamStart) -> None:
+        place = self.limits.place.get()
+        self._decisions.note(
+            "upstream_limited",
+            upstream=upstream.id,
+            started_ms=upstream.started_ms,
+            max_rate=self.limits.limits.find(upstream),
+            routers=place.routers,
+            number=place.number,
+            fraction=round(place.fraction, 3),
+        )
+        self.divide_limits()
+        self._start_waiting()
+
+    def _handle_crashes(self, changed: list[Crash]) -> None:
+        for crash in changed:
+            self._decisions.note(
+                "upstream_crashed",
+                upstream=crash.upstream.id,
+                started_ms=crash.upstream.started_ms,
+                reporter=crash.reporter,
+                suspects=sorted(crash.list_open()),
+                cleared=len(crash.cleared),
+            )
+        blocked = self.crashes.ledger.blocked
+        if blocked.keys() == self._blocked_parts:
+            return
+        for part in blocked.keys() - self._blocked_parts:
+            block = blocked[part]
+            self._decisions.note(
+                "part_blocked",
+                part=part,
+                crashes=block.crashes,
+                retry_in_s=round(block.retry_at - self._timers.now(), 1),
+                tried_by=block.tried_by,
+            )
+        for part in self._blocked_parts - blocked.keys():
+            self._decisions.note("part_released", part=part)
+        self._blocked_parts = set(blocked)
+        self._start_waiting()
+
+    def _start_waiting(self) -> None:
+        for balancer in self._balancers.values():
+            balancer.start_waiting(self._timers.now())
+
+    def sample(self) -> Iterator[Sample]:
+        """Yield the metrics."""
+        ledger = self.crashes.ledger
+        yield Sample("upstream_crashes_known", len(ledger))
+        yield Sample("prompt_parts_blocked", len(ledger.blocked))
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -24,8 +24,9 @@
 from ..pool.engine import Server
 from ..pool.shares import Shares
 from ..pool.stream_origins import StreamOrigin
-from ..pool.upstream_registry import Upstream, UpstreamStart
+from ..pool.upstream_registry import Upstream
 from ..process.timers import Timers
+from ..process.upstream_notices import UpstreamNotices
 from ..version.routing import AccountKeys, Route, Routing
 from .budget import WindowRetryBudget
 from .headers import ForwardingMetadata, HeaderCodec, RequestMetadata
@@ -77,11 +78,14 @@
     routers : int
         Number of known routers in the fleet.
     is_stopping : bool
+    notices : UpstreamNotices
+        Crashes and rate limits of upstreams.
     """
 
     routing: Routing | None
     routers: int
     is_stopping: bool
+    notices: UpstreamNotices
 
     def find_balancer(self, pool: str) -> Balancer:
         """Return the balancer of a pool."""
@@ -100,19 +104,6 @@
     def record_leaving(self, upstream: Upstream) -> None:
         """Send no more requests to an upstream that says that it leaves."""
 
-    def record_limit(
-        self, upstream: UpstreamStart, max_rate: float | None
-    ) -> None:
-        """Record the rate limit in an upstream's response; None for none."""
-
-    async def record_broken(
-        self, upstream: Upstream, parts: Iterable[str]
-    ) -> None:
-        """Suspect the parts of a broken request if its upstream crashed."""
-
-    def record_answer(self, parts: Iterable[str]) -> None:
-        """Clear the prompt parts of a request that was answered."""
-
 
 class Forwarder:
     """An ASGI application that forwards requests to upstreams by route.
@@ -431,7 +422,7 @@
             started_at,
             self._reporter,
             self._router.record_leaving,
-            self._router.record_limit,
+            self._router.notices.record_limit,
         )
         relay = Relay(
             self._build_relay_request(request, placement, started_at),
@@ -484,7 +475,7 @@
         if result.outcome is AttemptOutcome.COMPLETED:
             server.record_success(elapsed_ms)
             if parts:
-                self._router.record_answer(parts)
+                self._router.notices.record_answer(parts)
             return
         if result.outcome is AttemptOutcome.WITHDRAWN:
             return
@@ -525,9 +516,9 @@
         parts = request.demand.shared_parts
         answered_ms = elapsed_ms - request.first_event_ms
         if request.first_event_ms and answered_ms >= SUSPICION_S * 1000:
-            self._router.record_answer(parts)
+            self._router.notices.record_answer(parts)
             return
-        await self._router.record_broken(server.upstream, parts)
+        await self._router.notices.record_broken(server.upstream, parts)
 
     def _may_retry(
         self,
--- a/hornbeamyard/tests/test_balancer.py
+++ b/hornbeamyard/tests/test_balancer.py
@@ -20,6 +20,7 @@
 )
 from hornbeamyard.pool.demand import PromptPart, RequestDemand
 from hornbeamyard.pool.engine import Engine
+from hornbeamyard.pool.rate_limits import RateLimits
 from hornbeamyard.pool.shares import Shares
 from hornbeamyard.pool.targets import TargetMix
 from hornbeamyard.pool.upstream_registry import Upstream, UpstreamState
@@ -37,6 +38,7 @@
     engines: int = ENGINES,
     limit: Callable[[float], object] | None = None,
     zones: int = 1,
+    rate_limits: RateLimits | None = None,
 ) -> Balancer:
     """Return a balancer of idle engines."""
     rng = random.Random(0)
@@ -46,6 +48,7 @@
         Shares(),
         rng.random,
         limit or anyio.move_on_after,  # type: ignore[arg-type]
+        rate_limits=rate_limits,
     )
     for number in range(engines):
         balancer.apply_upstream(
--- a/hornbeamyard/tests/test_crashing_parts.py
+++ b/hornbeamyard/tests/test_crashing_parts.py
@@ -176,7 +176,7 @@
             fleet.stops[2].set()
             await anyio.sleep(WINDOW_S / 2)
             other, _ = fleet.start_further_router("r2")
-            await fleet.wait(lambda: other.subscription.crashes.ledger.blocked)
+            await fleet.wait(lambda: other.notices.crashes.ledger.blocked)
             assert sum(up.has_crashed for up in upstreams) == crashed
 
         self.run(tmp_path, test)
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -15,18 +15,13 @@
 
 from hornbeamyard.connection.upstreams import UpstreamConnections
 from hornbeamyard.pool.balancer import Balancer
-from hornbeamyard.pool.crashes import Crash, CrashLedger
-from hornbeamyard.pool.rate_limits import RateLimits, RateObservation
 from hornbeamyard.pool.shares import Shares
 from hornbeamyard.pool.stream_origins import StreamOrigin, StreamOrigins
-from hornbeamyard.pool.upstream_registry import (
-    Upstream,
-    UpstreamStart,
-    UpstreamState,
-)
+from hornbeamyard.pool.upstream_registry import Upstream, UpstreamState
 from hornbeamyard.process.decisions import DecisionLog
 from hornbeamyard.process.metrics import Metrics
 from hornbeamyard.process.timers import MonotonicTimers
+from hornbeamyard.process.upstream_notices import UpstreamNotices
 from hornbeamyard.request.budget import WindowRetryBudget
 from hornbeamyard.request.events import MAX_EVENT_BYTES
 from hornbeamyard.request.forwarding import Forwarder
@@ -99,18 +94,23 @@
         self.is_stopping = False
         self.origins = StreamOrigins()
         self.shares = Shares()
-        self.crashes = CrashLedger("r1")
-        self.limits = RateLimits()
-        self.upstreams = UpstreamConnections(0.5)
+        self.log = LogCapture()
+        decisions = DecisionLog(self.timers, "r1", self.log)  # type: ignore[arg-type]
+        connections = UpstreamConnections(0.5)
+        balancers: dict[str, Balancer] = {}
+        self.notices = UpstreamNotices(
+            "r1", self.timers, decisions, connections, balancers
+        )
         self.balancer = Balancer(
             "app",
             "zone-a",
             self.shares,
             random.Random(1).random,
             self.timers.limit,
-            self.crashes,
-            self.limits,
+            self.notices.crashes.ledger,
+            self.notices.limits.limits,
         )
+        balancers["app"] = self.balancer
         self.budget = WindowRetryBudget(0.2, 50.0, 10.0)
         for number, upstream in enumerate(upstreams):
             self.balancer.apply_upstream(
@@ -124,18 +124,13 @@
                     1,
                 )
             )
-        self.log = LogCapture()
         self.forwarder = Forwarder(
             self,
             HeaderCodec(NATIVE_HEADER_NAMES),
-            self.upstreams,
+            connections,
             self.shares,
             self.timers,
-            RequestReporter(
-                self.timers,
-                DecisionLog(self.timers, "r1", self.log),  # type: ignore[arg-type]
-                Metrics(),
-            ),
+            RequestReporter(self.timers, decisions, Metrics()),
         )
 
     def set_software_versions(self, *versions: str) -> None:
@@ -163,27 +158,6 @@
         """Return where a stream began, if this router knows it."""
         return self.origins.find(request_id)
 
-    def record_limit(
-        self, upstream: UpstreamStart, max_rate: float | None
-    ) -> None:
-        """Record the rate limit in an upstream's response."""
-        now = self.timers.now()
-        self.limits.record(RateObservation(upstream, max_rate, now))
-        self.balancer.apply_rate_limit(upstream, now)
-
-    async def record_broken(
-        self, upstream: Upstream, parts: Iterable[str]
-    ) -> None:
-        """Record a crash if the upstream refuses connections."""
-        if await self.upstreams.has_ended(f"http://{upstream.address}"):
-            suspects = {part: index for index, part in enumerate(parts)}
-            crash = Crash(upstream.start, self.timers.now(), "r1", suspects)
-            self.crashes.clear_answered(self.crashes.merge([crash]))
-
-    def record_answer(self, parts: Iterable[str]) -> None:
-        """Clear the prompt parts of a request that was answered."""
-        self.crashes.record_answer(parts, self.timers.now())
-
     def record_leaving(self, upstream: Upstream) -> None:
         """Take the upstream out of service, as a router does."""
         draining = replace(upstream, state=UpstreamState.DRAINING)
--- a/hornbeamyard/tests/test_rate_limits.py
+++ b/hornbeamyard/tests/test_rate_limits.py
@@ -3,11 +3,24 @@
 from __future__ import annotations
 
 from contextlib import AsyncExitStack
+from dataclasses import replace
 from pathlib import Path
 
 import anyio
 
+from hornbeamyard.connection.limit_reports import LimitReports
+from hornbeamyard.pool.rate_limits import (
+    SETTLING_S,
+    FleetPlace,
+    FleetPlaceEstimate,
+    RateLimits,
+    RateObservation,
+)
+from hornbeamyard.pool.upstream_registry import UpstreamStart
+from hornbeamyard.process.timers import VirtualTimers
+
 from .raw_upstream import run_raw_upstream, send_response
+from .test_balancer import build_balancer
 from .test_crashing_parts import ask
 from .test_directory import Fleet, build_upstream, run_fleet
 from .test_forwarding import Harness, run
@@ -104,3 +117,56 @@
                 assert 1 < len(raw.received) <= MAX_REQUESTS
 
         run_fleet(tmp_path, test)
+
+
+class TestPlace:
+    """Routers know their place also while controllers start again."""
+
+    def test_few_routers_known(self) -> None:
+        """Guards against routers that each take the whole limit."""
+        estimate = FleetPlaceEstimate(0.0)
+        estimate.record_count(9, 4, 1.0)
+        estimate.record_count(2, 1, 2.0)
+        assert estimate.get().routers == 9
+        estimate.record_count(2, 1, 1.0 + SETTLING_S)
+        assert estimate.get().routers == 2
+
+    def test_new_leader(self) -> None:
+        """Guards against a jump when a leader knows this router only."""
+        estimate = FleetPlaceEstimate(0.0)
+        estimate.record_count(10, 4, 1.0)
+        estimate.record_fraction(1.0)
+        assert estimate.get().fraction < 0.2
+
+
+class TestObservations:
+    """The newest response decides, whichever router has got it."""
+
+    def test_older_observation_is_corrected(self) -> None:
+        """Guards against a limit that others take for ended."""
+        changed: list[UpstreamStart] = []
+        timers = VirtualTimers()
+        reports = LimitReports(timers, changed.append)
+        upstream = UpstreamStart("u1", 1)
+        reports.observe(upstream, 3.0)
+        older = RateObservation(upstream, None, timers.now() - 1.0)
+        reports.apply([older])
+        assert reports.limits.find(upstream) == 3.0
+        assert reports.limits.contradicts(older)
+        newer = RateObservation(upstream, None, timers.now() + 1.0)
+        reports.apply([newer])
+        assert reports.limits.find(upstream) is None
+        assert changed == [upstream, upstream]
+
+    def test_upstream_that_started_again(self) -> None:
+        """Guards against the limit of an earlier start."""
+        limits = RateLimits()
+        balancer = build_balancer(engines=1, rate_limits=limits)
+        [server] = balancer.servers.values()
+        limits.record(RateObservation(server.upstream.start, 0.5, 0.0))
+        balancer.set_place(FleetPlace(), 0.0)
+        assert server.compute_rate_wait(0.0) > 0
+        restarted = replace(server.upstream, started_ms=99)
+        balancer.apply_upstream(restarted)
+        balancer.set_place(FleetPlace(), 0.0)
+        assert balancer.servers[restarted.id].compute_rate_wait(0.0) == 0
--- a/hornbeamyard/tests/test_reported_faults.py
+++ b/hornbeamyard/tests/test_reported_faults.py
@@ -8,7 +8,9 @@
 import anyio.abc
 import pytest
 
+from hornbeamyard.connection.crash_reports import CrashReports
 from hornbeamyard.connection.directory_codec import pack_document
+from hornbeamyard.connection.limit_reports import LimitReports
 from hornbeamyard.connection.subscription import Subscription
 from hornbeamyard.messages import fleet_pb2
 from hornbeamyard.pool.upstream_registry import UpstreamState
@@ -181,17 +183,18 @@
             def fail(*args: object) -> None:
                 raise ValueError("no such state")
 
+            timers = MonotonicTimers()
             subscription = Subscription(
                 fleet_pb2.Identity(),
                 ["10.0.0.1:1"],
                 Calls(),  # type: ignore[arg-type]
-                MonotonicTimers(),
+                timers,
                 lambda: None,  # type: ignore[arg-type,return-value]
                 lambda upstreams: None,
                 lambda version, document: True,
                 lambda usage: None,
-                lambda crashes: None,
-                lambda upstream: None,
+                CrashReports("r1", timers, lambda crashes: None),
+                LimitReports(timers, lambda upstream: None),
                 5.0,
             )
             monkeypatch.setattr(Subscription, "_apply_update", fail)
