--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -8,34 +8,28 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Iterable
-from typing import Any
+from collections.abc import Iterable
 
 import anyio
-import grpc
-import grpc.aio
 import logbook
 from result import Err, Ok, Result
 
-from ..messages import fleet_pb2, fleet_pb2_grpc
+from ..messages import fleet_pb2
 from ..pool.crashes import CrashLedger
 from ..pool.rate_limits import RateLimits
 from ..pool.stream_origins import StreamOrigin, StreamOrigins
 from ..pool.upstream_registry import (
     Upstream,
     UpstreamRegistry,
-    UpstreamStart,
     UpstreamState,
 )
-from ..pool.usage import CachedPart, FleetUsage, RouterUsage, UsageTable
+from ..pool.usage import FleetUsage, RouterUsage, UsageTable
 from ..process.timers import Timers
 from ..version.founding import Founder
 from ..version.replica import NotLeader, Replica
-from . import peers
 from .directory_calls import DirectoryCalls
 from .directory_codec import (
     FleetUsageEncoder,
-    UsageDecoder,
     decode_cached_parts,
     decode_crashes,
     decode_limits,
@@ -45,6 +39,7 @@
     encode_upstream,
     pack_document,
 )
+from .subscriber import Subscriber
 
 # Interval at which routers report their usage and the leader sends the fleet's
 # usage. A shorter one costs control traffic; within an interval a router
@@ -58,69 +53,6 @@
 _log = logbook.Logger("directory")
 
 
-class Subscriber:
-    """A router's stream at a controller, and what is to be sent to it.
-
-    Attributes
-    ----------
-    cached_parts : list of CachedPart
-        To send with the next fleet usage.
-    crashes_sent : int
-        Number of the last change of crashes sent.
-    controllers_sent : tuple of str
-        Addresses of the controllers in the last list sent.
-    name : str
-        Host and incarnation of the router.
-    number : int
-        Number of the router among the attached ones, from 1.
-    pending_limits : dict
-        Messages on rate limits to send, by start of the upstream.
-    pending_records, pending_renewals : dict
-        Messages to send, by id of the upstream.
-    fleet_usage_due : bool
-        Whether the next update contains the fleet usage.
-    usage_decoder : UsageDecoder
-        Decodes the router's reports.
-    usage_sent : int
-        Number of the last fleet usage sent.
-    version_sent : int
-        Last routing version sent.
-    wake : anyio.Event
-        Set when there is something to send.
-    """
-
-    __slots__ = (
-        "cached_parts",
-        "controllers_sent",
-        "crashes_sent",
-        "fleet_usage_due",
-        "name",
-        "number",
-        "pending_limits",
-        "pending_records",
-        "pending_renewals",
-        "usage_decoder",
-        "usage_sent",
-        "version_sent",
-        "wake",
-    )
-
-    def __init__(self, name: str) -> None:
-        self.controllers_sent: tuple[str, ...] = ()
-        self.crashes_sent = 0
-        self.name = name
-        self.cached_parts: list[CachedPart] = []
-        self.number = 0
-        self.pending_limits: dict[UpstreamStart, Any] = {}
-        self.pending_records: dict[str, Any] = {}
-        self.pending_renewals: dict[str, Any] = {}
-        self.usage_decoder = UsageDecoder()
-        self.usage_sent = 0
-        self.fleet_usage_due = False
-        self.version_sent = -1
-        self.wake = anyio.Event()
-
-
 class Directory:
     """A controller's part of the route directory.
 
@@ -556,136 +488,3 @@
 def _build_gone_upstream(id: str, started_ms: int) -> Upstream:
     """Return an ended upstream of which only id and start are known."""
     return Upstream(id, "", "", "", UpstreamState.GONE, 0, 0, started_ms)
-
-
-class DirectoryService(fleet_pb2_grpc.DirectoryServicer):
-    """The gRPC service of the route directory.
-
-    Parameters
-    ----------
-    fleet : str
-        Name of the fleet; callers of other fleets are refused.
-    directory : Directory
-    timers : Timers
-    """
-
-    def __init__(
-        self, fleet: str, directory: Directory, timers: Timers
-    ) -> None:
-        self._fleet = fleet
-        self._directory = directory
-        self._timers = timers
-
-    async def Introduce(  # noqa: N802 - named by the protocol
-        self,
-        request: fleet_pb2.Introduction,
-        context: grpc.aio.ServicerContext,
-    ) -> fleet_pb2.ControllerList:
-        """Record a controller that introduces itself; return all known."""
-        await peers.check_identity(request.identity, self._fleet, context)
-        return self._directory.introduce(request)
-
-    async def Found(  # noqa: N802 - named by the protocol
-        self,
-        request: fleet_pb2.Founding,
-        context: grpc.aio.ServicerContext,
-    ) -> fleet_pb2.FoundingReply:
-        """Store the initial members in an empty data folder."""
-        await peers.check_identity(request.identity, self._fleet, context)
-        accepted = await self._directory.accept_founding(request.members)
-        return fleet_pb2.FoundingReply(accepted=accepted)
-
-    async def SubmitRouting(  # noqa: N802 - named by the protocol
-        self,
-        request: fleet_pb2.RoutingSubmission,
-        context: grpc.aio.ServicerContext,
-    ) -> fleet_pb2.RoutingResult:
-        """Append a routing to the log, if this controller leads."""
-        await peers.check_identity(request.identity, self._fleet, context)
-        result = await self._directory.submit_as_leader(request)
-        if isinstance(result, Ok):
-            return result.ok_value
-        return fleet_pb2.RoutingResult()
-
-    async def ReadRouting(  # noqa: N802 - named by the protocol
-        self,
-        request: fleet_pb2.RoutingRead,
-        context: grpc.aio.ServicerContext,
-    ) -> fleet_pb2.RoutingCopy:
-        """Return the newest routing, if this controller leads."""
-        await peers.check_identity(request.identity, self._fleet, context)
-        result = await self._directory.read_as_leader()
-        if isinstance(result, Ok):
-            return result.ok_value
-        return fleet_pb2.RoutingCopy()
-
-    async def FetchRouting(  # noqa: N802 - named by the protocol
-        self,
-        request: fleet_pb2.RoutingRead,
-        context: grpc.aio.ServicerContext,
-    ) -> fleet_pb2.RoutingCopy:
-        """Return the routing in force here."""
-        await peers.check_identity(request.identity, self._fleet, context)
-        return self._directory.copy_routing()
-
-    async def FindStream(  # noqa: N802 - named by the protocol
-        self,
-        request: fleet_pb2.StreamLookup,
-        context: grpc.aio.ServicerContext,
-    ) -> fleet_pb2.StreamOrigin:
-        """Return where a stream began, if this controller knows."""
-        await peers.check_identity(request.identity, self._fleet, context)
-        origin = self._directory.origins.find(request.request_id)
-        if origin is None:
-            return fleet_pb2.StreamOrigin()
-        return fleet_pb2.StreamOrigin(
-            found=True,
-            pool=origin.pool,
-            software_version=origin.software_version,
-        )
-
-    async def Watch(  # noqa: N802 - named by the protocol
-        self,
-        requests: AsyncIterator[fleet_pb2.RouterUsage],
-        context: grpc.aio.ServicerContext,
-    ) -> None:
-        """Serve a router's stream until either end closes it."""
-        first = await anext(aiter(requests), None)
-        if first is None:
-            return
-        identity = first.identity
-        await peers.check_identity(identity, self._fleet, context)
-        directory = self._directory
-        subscriber = directory.attach(
-            f"{identity.host}/{identity.incarnation}"
-        )
-        try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(
-                    self._receive_usage,
-                    requests,
-                    subscriber,
-                    tasks.cancel_scope,
-                )
-                while True:
-                    subscriber.wake = anyio.Event()
-                    await context.write(directory.build_update(subscriber))
-                    with self._timers.limit(HEARTBEAT_INTERVAL_S):
-                        await subscriber.wake.wait()
-        finally:
-            directory.detach(subscriber)
-
-    async def _receive_usage(
-        self,
-        requests: AsyncIterator[fleet_pb2.RouterUsage],
-        subscriber: Subscriber,
-        scope: anyio.CancelScope,
-    ) -> None:
-        while True:
-            usage = None
-            with self._timers.limit(SILENCE_TIMEOUT_S):
-                usage = await peers.wait_call(anext(aiter(requests), None))
-            if usage is None:
-                scope.cancel()
-                return
-            self._directory.handle_usage(subscriber, usage)
--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -12,9 +12,10 @@
 from result import Err
 
 from ..connection import peers
-from ..connection.directory import Directory, DirectoryService
+from ..connection.directory import Directory
 from ..connection.directory_calls import DirectoryCalls
 from ..connection.directory_codec import unpack_document
+from ..connection.directory_service import DirectoryService
 from ..connection.replication import ReplicationCalls, ReplicationService
 from ..messages import fleet_pb2, fleet_pb2_grpc
 from ..pool.upstream_registry import MAX_MISSED_ANNOUNCEMENTS, Upstream
