Send crashes and limits that routers report at once together

A crash breaks off requests of dozens of routers, and each reports it with other suspects; a controller of a large fleet answered every report with a message to every router. Reports are collected for 50 ms now, well within the time in which all routers must know.

test_reports_of_one_crash_are_sent_together: 20 reports in 20 ms led to more than 3 messages before and lead to at most 3 now. The load of a controller at that size was not measured.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -47,6 +47,9 @@
 USAGE_INTERVAL_S = 0.25
 # Without anything new, messages are sent at this interval as heartbeats.
 HEARTBEAT_INTERVAL_S = 1.0
+# Crashes and limits of upstreams are collected for this long before they are
+# sent. Dozens of routers report the same crash within it.
+NOTICE_INTERVAL_S = 0.05
 # A stream is closed after this long without a message.
 SILENCE_TIMEOUT_S = 3.0
 
@@ -87,6 +90,7 @@
         "_fleet_usage",
         "_fleet_usage_encoder",
         "_founder",
+        "_has_notices",
         "_lifetime_s",
         "_replica",
         "_subscribers",
@@ -109,6 +113,8 @@
     ) -> None:
         self._calls = calls
         self._founder = founder
+        # Set when routers have reported crashes or limits.
+        self._has_notices = anyio.Event()
         self._lifetime_s = lifetime_s
         self._replica = replica
         self._fleet_usage = FleetUsage()
@@ -128,6 +134,7 @@
         """
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._publish_versions)
+            tasks.start_soon(self._publish_notices)
             async for now in self._timers.subscribe(USAGE_INTERVAL_S):
                 self.origins.expire(now)
                 self.crashes.expire(now)
@@ -385,10 +392,8 @@
         self, messages: Iterable[fleet_pb2.UpstreamCrash]
     ) -> None:
         crashes = decode_crashes(messages, self._timers.now())
-        if not self.crashes.merge(crashes):
-            return
-        for subscriber in self._subscribers:
-            subscriber.wake.set()
+        if self.crashes.merge(crashes):
+            self._has_notices.set()
 
     def _record_limits(
         self, messages: Iterable[fleet_pb2.UpstreamLimit]
@@ -403,6 +408,14 @@
             [message] = encode_limits([observation], now)
             for subscriber in self._subscribers:
                 subscriber.pending_limits[observation.upstream] = message
+            self._has_notices.set()
+
+    async def _publish_notices(self) -> None:
+        while True:
+            await self._has_notices.wait()
+            await self._timers.sleep(NOTICE_INTERVAL_S)
+            self._has_notices = anyio.Event()
+            for subscriber in self._subscribers:
                 subscriber.wake.set()
 
     def _record_streams(
--- a/hornbeamyard/tests/test_crashing_parts.py
+++ b/hornbeamyard/tests/test_crashing_parts.py
@@ -10,6 +10,8 @@
 import anyio.abc
 import httpcore
 
+from hornbeamyard.messages import fleet_pb2
+
 from .raw_upstream import (
     RawUpstream,
     ReceivedRequest,
@@ -202,6 +204,51 @@
         self.run(tmp_path, test)
 
 
+class TestController:
+    """A controller's work for one crash is bounded."""
+
+    REPORTS = 20
+
+    def test_reports_of_one_crash_are_sent_together(
+        self, tmp_path: Path
+    ) -> None:
+        """Guards against a message to each router for each router's report.
+
+        A crash breaks off requests of dozens of routers, each of which
+        reports it with other suspects.
+        """
+
+        async def test(fleet: Fleet) -> None:
+            directory = fleet.registrars[0].directory
+            subscriber = directory.attach("r9/1")
+            messages = 0
+
+            async def receive() -> None:
+                nonlocal messages
+                while True:
+                    subscriber.wake = anyio.Event()
+                    update = directory.build_update(subscriber)
+                    messages += len(update.crashes) > 0
+                    await subscriber.wake.wait()
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(receive)
+                await anyio.sleep(0.05)
+                for number in range(self.REPORTS):
+                    suspect = fleet_pb2.SuspectedPart(part=f"p{number}")
+                    crash = fleet_pb2.UpstreamCrash(
+                        id="u1", suspects=[suspect]
+                    )
+                    report = fleet_pb2.RouterUsage(crashes=[crash])
+                    directory.handle_usage(subscriber, report)
+                    await anyio.sleep(0.001)
+                await anyio.sleep(0.2)
+                tasks.cancel_scope.cancel()
+            assert 1 <= messages <= 3
+
+        run_fleet(tmp_path, test)
+
+
 async def has_ended(address: str) -> bool:
     """Return whether nothing listens at an address."""
     host, _, port = address.rpartition(":")
