Name a router's position in the fleet, and apply limits in one place

'place' is what the balancer does with requests. The balancer needn't keep the position, as limits are divided again whenever it, a limit or an upstream changes. No change of behaviour.

--- a/hornbeamyard/connection/limit_reports.py
+++ b/hornbeamyard/connection/limit_reports.py
@@ -6,7 +6,7 @@
 
 from ..messages import fleet_pb2
 from ..pool.rate_limits import (
-    FleetPlaceEstimate,
+    FleetPositionEstimate,
     RateLimits,
     RateObservation,
 )
@@ -30,11 +30,11 @@
     changes : ChangeReports
         Reports to the controllers.
     limits : RateLimits
-    place : FleetPlaceEstimate
-        This router's place in the fleet, by which limits are divided.
+    position : FleetPositionEstimate
+        This router's position in the fleet, by which limits are divided.
     """
 
-    __slots__ = ("_on_change", "_timers", "changes", "limits", "place")
+    __slots__ = ("_on_change", "_timers", "changes", "limits", "position")
 
     def __init__(
         self, timers: Timers, on_change: Callable[[UpstreamStart], None]
@@ -43,7 +43,7 @@
         self._timers = timers
         self.changes = ChangeReports(timers, self._encode)
         self.limits = RateLimits()
-        self.place = FleetPlaceEstimate(timers.now())
+        self.position = FleetPositionEstimate(timers.now())
 
     def observe(self, upstream: UpstreamStart, max_rate: float | None) -> None:
         """Record what an upstream has said in a response to this router."""
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -392,7 +392,7 @@
             )
         self.versions[address] = update.routing_version
         self.attached_routers = update.attached_routers
-        self._limits.place.record_count(
+        self._limits.position.record_count(
             update.attached_routers, update.router_number, now
         )
         if update.controllers:
--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -28,10 +28,10 @@
     count_kv_tokens,
     estimate,
 )
-from .rate_limits import FleetPlace, RateLimiter, RateLimits, divide_rate
+from .rate_limits import FleetPosition, RateLimiter, RateLimits, divide_rate
 from .shares import Shares
 from .targets import TargetMix
-from .upstream_registry import Upstream, UpstreamStart, UpstreamState
+from .upstream_registry import Upstream, UpstreamState
 from .usage import CachedPart, UpstreamLoad
 
 # Fraction of its target (`RequestDemand.target_s`) for which a request may
@@ -303,7 +303,6 @@
         "_limit",
         "_orders",
         "_orders_for",
-        "_place",
         "_pool",
         "_prefill_ms_per_token",
         "_rate_limits",
@@ -342,7 +341,6 @@
         # Orders of preferred engines by shared part, for these usable engines.
         self._orders: dict[str, list[str]] = {}
         self._orders_for: list[Server] = []
-        self._place = FleetPlace()
         self._pool = pool
         self._prefill_ms_per_token = 0.0
         self._rate_limits = (
@@ -427,25 +425,20 @@
         else:
             known.upstream = upstream
 
-    def set_place(self, place: FleetPlace, now: float) -> None:
-        """Divide rate limits by this router's place in the fleet."""
-        self._place = place
-        for server in self.servers.values():
-            self.apply_rate_limit(server.upstream.start, now)
+    def set_fleet_position(self, position: FleetPosition, now: float) -> None:
+        """Divide rate limits by this router's position in the fleet.
 
-    def apply_rate_limit(self, upstream: UpstreamStart, now: float) -> None:
-        """Apply a change of an upstream's rate limit."""
-        server = self.servers.get(upstream.id)
-        if server is None or server.upstream.start != upstream:
-            return
-        max_rate = self._rate_limits.find(upstream)
-        if max_rate is None:
-            server.limiter = None
-            return
-        rate = divide_rate(max_rate, upstream, self._place)
-        if server.limiter is None:
-            server.limiter = RateLimiter(rate, now)
-        server.limiter.set_rate(rate, now)
+        To be called also when limits or upstreams have changed.
+        """
+        for server in self.servers.values():
+            max_rate = self._rate_limits.find(server.upstream.start)
+            if max_rate is None:
+                server.limiter = None
+                continue
+            rate = divide_rate(max_rate, server.upstream.start, position)
+            if server.limiter is None:
+                server.limiter = RateLimiter(rate, now)
+            server.limiter.set_rate(rate, now)
 
     def apply_fleet_usage(
         self, loads: dict[str, UpstreamLoad], now: float
--- a/hornbeamyard/pool/rate_limits.py
+++ b/hornbeamyard/pool/rate_limits.py
@@ -167,8 +167,8 @@
 
 
 @dataclass(slots=True, frozen=True)
-class FleetPlace:
-    """A router's place among the routers of the fleet.
+class FleetPosition:
+    """A router's position among the routers of the fleet.
 
     Attributes
     ----------
@@ -185,8 +185,8 @@
     fraction: float = 1.0
 
 
-class FleetPlaceEstimate:
-    """A router's place in the fleet, from what controllers say.
+class FleetPositionEstimate:
+    """A router's position in the fleet, from what controllers say.
 
     Parameters
     ----------
@@ -202,12 +202,12 @@
         self._number = 0
         self._routers = 1
 
-    def get(self) -> FleetPlace:
-        """Return the place."""
+    def get(self) -> FleetPosition:
+        """Return the position."""
         fraction = self._fraction
         if fraction is None:
             fraction = 1.0 / self._routers
-        return FleetPlace(self._routers, self._number, fraction)
+        return FleetPosition(self._routers, self._number, fraction)
 
     def record_count(self, routers: int, number: int, now: float) -> None:
         """Record a controller's count of routers, and this one's number."""
@@ -226,7 +226,7 @@
 
 
 def divide_rate(
-    max_rate: float, upstream: UpstreamStart, place: FleetPlace
+    max_rate: float, upstream: UpstreamStart, position: FleetPosition
 ) -> float:
     """Return the part of an upstream's rate that a router may use.
 
@@ -239,7 +239,7 @@
     max_rate : float
         Requests a second from all routers together.
     upstream : UpstreamStart
-    place : FleetPlace
+    position : FleetPosition
 
     Returns
     -------
@@ -247,14 +247,14 @@
         Requests a second; 0 for a router that isn't among those chosen.
     """
     rate = max(max_rate, MIN_RATE)
-    routers = max(1, place.routers)
+    routers = max(1, position.routers)
     chosen = max(MIN_CHOSEN_ROUTERS, int(rate / MIN_ROUTER_RATE))
     chosen = min(chosen, routers)
-    if not place.number:
+    if not position.number:
         return rate / routers
     if chosen < routers:
         key = f"{upstream.id}/{upstream.started_ms}".encode()
-        turn = (place.number + zlib.crc32(key)) % routers
+        turn = (position.number + zlib.crc32(key)) % routers
         return rate / chosen if turn < chosen else 0.0
-    part = max(place.fraction * routers, MIN_ROUTER_PART)
+    part = max(position.fraction * routers, MIN_ROUTER_PART)
     return min(rate, rate / routers * min(part, MAX_ROUTER_PART))
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -417,7 +417,9 @@
         self._shares.apply_fleet_usage(
             fleet_usage.accounts, self.routers, fleet_usage.source, now
         )
-        self.notices.limits.place.record_fraction(self._shares.router_fraction)
+        self.notices.limits.position.record_fraction(
+            self._shares.router_fraction
+        )
         self.notices.divide_limits()
         for balancer in self._balancers.values():
             balancer.apply_fleet_usage(fleet_usage.upstreams, now)
--- a/hornbeamyard/process/upstream_notices.py
+++ b/hornbeamyard/process/upstream_notices.py
@@ -97,21 +97,21 @@
     # ---- decisions -------------------------------------------------------
 
     def divide_limits(self) -> None:
-        """Divide the rate limits by this router's place in the fleet."""
-        place = self.limits.place.get()
+        """Divide the rate limits by this router's position in the fleet."""
+        position = self.limits.position.get()
         for balancer in self._balancers.values():
-            balancer.set_place(place, self._timers.now())
+            balancer.set_fleet_position(position, self._timers.now())
 
     def _handle_limit(self, upstream: UpstreamStart) -> None:
-        place = self.limits.place.get()
+        position = self.limits.position.get()
         self._decisions.note(
             "upstream_limited",
             upstream=upstream.id,
             started_ms=upstream.started_ms,
             max_rate=self.limits.limits.find(upstream),
-            routers=place.routers,
-            number=place.number,
-            fraction=round(place.fraction, 3),
+            routers=position.routers,
+            number=position.number,
+            fraction=round(position.fraction, 3),
         )
         self.divide_limits()
         self._start_waiting()
--- a/hornbeamyard/tests/test_rate_limits.py
+++ b/hornbeamyard/tests/test_rate_limits.py
@@ -11,8 +11,8 @@
 from hornbeamyard.connection.limit_reports import LimitReports
 from hornbeamyard.pool.rate_limits import (
     SETTLING_S,
-    FleetPlace,
-    FleetPlaceEstimate,
+    FleetPosition,
+    FleetPositionEstimate,
     RateLimits,
     RateObservation,
 )
@@ -120,11 +120,11 @@
 
 
 class TestPlace:
-    """Routers know their place also while controllers start again."""
+    """Routers know their position also while controllers start again."""
 
     def test_few_routers_known(self) -> None:
         """Guards against routers that each take the whole limit."""
-        estimate = FleetPlaceEstimate(0.0)
+        estimate = FleetPositionEstimate(0.0)
         estimate.record_count(9, 4, 1.0)
         estimate.record_count(2, 1, 2.0)
         assert estimate.get().routers == 9
@@ -133,7 +133,7 @@
 
     def test_new_leader(self) -> None:
         """Guards against a jump when a leader knows this router only."""
-        estimate = FleetPlaceEstimate(0.0)
+        estimate = FleetPositionEstimate(0.0)
         estimate.record_count(10, 4, 1.0)
         estimate.record_fraction(1.0)
         assert estimate.get().fraction < 0.2
@@ -164,9 +164,9 @@
         balancer = build_balancer(engines=1, rate_limits=limits)
         [server] = balancer.servers.values()
         limits.record(RateObservation(server.upstream.start, 0.5, 0.0))
-        balancer.set_place(FleetPlace(), 0.0)
+        balancer.set_fleet_position(FleetPosition(), 0.0)
         assert server.compute_rate_wait(0.0) > 0
         restarted = replace(server.upstream, started_ms=99)
         balancer.apply_upstream(restarted)
-        balancer.set_place(FleetPlace(), 0.0)
+        balancer.set_fleet_position(FleetPosition(), 0.0)
         assert balancer.servers[restarted.id].compute_rate_wait(0.0) == 0
--- a/properties/test_rate_limits.py
+++ b/properties/test_rate_limits.py
@@ -8,7 +8,7 @@
 from hornbeamyard.pool.rate_limits import (
     MIN_RATE,
     MIN_ROUTER_PART,
-    FleetPlace,
+    FleetPosition,
     RateLimiter,
     divide_rate,
 )
@@ -34,7 +34,7 @@
             divide_rate(
                 max_rate,
                 UPSTREAM,
-                FleetPlace(len(demands), number, demand / total),
+                FleetPosition(len(demands), number, demand / total),
             )
             for number, demand in enumerate(demands, 1)
         )
