--- a/hornbeamyard/connection/limit_reports.py
+++ b/hornbeamyard/connection/limit_reports.py
@@ -1,4 +1,4 @@
-"""Rate limits of upstreams that this router and others were told."""
+"""Rate limits of upstreams that this router and others know."""
 
 from __future__ import annotations
 
--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -573,12 +573,12 @@
 
     def is_blocked(self, demand: RequestDemand) -> bool:
         """Return whether a part of the prompt is blocked for its crashes."""
-        if demand.is_trial:
+        if demand.is_probe:
             return False
         return self._crashes.find_block(demand.shared_parts) is not None
 
     def check_parts(self, demand: RequestDemand, now: float) -> Refusal | None:
-        """Refuse a request with a blocked part, unless it is due for a trial.
+        """Refuse a request with a blocked part, unless it is a due probe.
 
         Parameters
         ----------
@@ -586,7 +586,7 @@
         now : float
             Monotonic time in seconds.
         """
-        demand.is_trial = self._crashes.begin_trial(demand.shared_parts, now)
+        demand.is_probe = self._crashes.begin_probe(demand.shared_parts, now)
         if not self.is_blocked(demand):
             return None
         return self._refuse(
--- a/hornbeamyard/pool/crashes.py
+++ b/hornbeamyard/pool/crashes.py
@@ -29,12 +29,12 @@
 # Crashes of which a part has to be the suspect before it is blocked. Two may
 # coincide for a part whose caller retries after the first one.
 MIN_CRASHES = 3
-# A blocked part may be tried again with one request this long after its last
+# A blocked part may be probed with one request this long after its last
 # crash. The time doubles with each further crash.
-TRIAL_DELAY_S = 30.0
-# A part that crashed more upstreams than this isn't tried again while the
+PROBE_DELAY_S = 30.0
+# A part that crashed more upstreams than this isn't probed while the
 # crashes are remembered.
-MAX_TRIED_CRASHES = 5
+MAX_PROBED_CRASHES = 5
 # Crashes are remembered for this long.
 RETENTION_S = 3600.0
 # Bounds of the memory: crashes, and suspects of each. A crash has about as
@@ -55,7 +55,7 @@
     crashed_at : float
         Monotonic time in seconds.
     reporter : str
-        Host of the router that tries a part again.
+        Host of the router that probes a blocked part.
     suspects : dict of str to int
         Position of each part in its prompt, from 0.
     cleared : set of str
@@ -111,15 +111,15 @@
     crashes : int
         Number of crashes that it is held responsible for.
     retry_at : float
-        Monotonic time in seconds at which it may be tried again.
-    tried_by : str
-        Host of the router that tries it again; empty for none.
+        Monotonic time in seconds at which it may be probed.
+    probed_by : str
+        Host of the router that probes it; empty for none.
     """
 
     part: str
     crashes: int
     retry_at: float
-    tried_by: str
+    probed_by: str
 
 
 class CrashLedger:
@@ -128,7 +128,7 @@
     Parameters
     ----------
     host : str, optional
-        Host of this process. It tries the parts again whose last crash it
+        Host of this process. It probes the blocked parts whose last crash it
         has reported.
 
     Attributes
@@ -143,7 +143,7 @@
         "_answered_at",
         "_crashes",
         "_host",
-        "_next_trials",
+        "_next_probes",
         "_open_suspects",
         "blocked",
         "number",
@@ -153,8 +153,8 @@
         # When parts were answered last, the latest ones at the end.
         self._answered_at: dict[str, float] = {}
         self._host = host
-        # When a part may be tried again after a trial has begun, by part.
-        self._next_trials: dict[str, float] = {}
+        # When a part may be probed again after a probe has begun, by part.
+        self._next_probes: dict[str, float] = {}
         # In the order of their last change.
         self._crashes: dict[UpstreamStart, Crash] = {}
         # Suspects of any crash that aren't cleared of it.
@@ -242,10 +242,10 @@
                 return block
         return None
 
-    def begin_trial(self, parts: Iterable[str], now: float) -> bool:
-        """Return whether a request with blocked parts is sent as a trial.
+    def begin_probe(self, parts: Iterable[str], now: float) -> bool:
+        """Return whether a request with blocked parts is sent as a probe.
 
-        One request for each part and trial time is, at one router only. If
+        One request for each part and probe time is, at one router only. If
         it is answered, the part is cleared.
         """
         if not self.blocked:
@@ -254,13 +254,13 @@
         if not blocks:
             return False
         for block in blocks:
-            next_trial = self._next_trials.get(block.part, float("-inf"))
-            if now < max(block.retry_at, next_trial):
+            next_probe = self._next_probes.get(block.part, float("-inf"))
+            if now < max(block.retry_at, next_probe):
                 return False
-            if not block.tried_by or block.tried_by != self._host:
+            if not block.probed_by or block.probed_by != self._host:
                 return False
         for block in blocks:
-            self._next_trials[block.part] = now + TRIAL_DELAY_S
+            self._next_probes[block.part] = now + PROBE_DELAY_S
         return True
 
     def list_since(self, number: int) -> Iterator[Crash]:
@@ -297,8 +297,8 @@
         ]
         self._open_suspects = set().union(*(parts for _, parts in suspects))
         self.blocked = _find_blocks(suspects)
-        for part in self._next_trials.keys() - self.blocked.keys():
-            del self._next_trials[part]
+        for part in self._next_probes.keys() - self.blocked.keys():
+            del self._next_probes[part]
 
 
 def _find_blocks(
@@ -339,7 +339,7 @@
 def _build_block(part: str, crashes: list[Crash]) -> Block:
     count = len(crashes)
     last = max(crashes, key=lambda crash: crash.crashed_at)
-    if count > MAX_TRIED_CRASHES:
+    if count > MAX_PROBED_CRASHES:
         return Block(part, count, last.crashed_at + RETENTION_S, "")
-    delay_s = TRIAL_DELAY_S * 2.0 ** (count - MIN_CRASHES)
+    delay_s = PROBE_DELAY_S * 2.0 ** (count - MIN_CRASHES)
     return Block(part, count, last.crashed_at + delay_s, last.reporter)
--- a/hornbeamyard/pool/demand.py
+++ b/hornbeamyard/pool/demand.py
@@ -60,7 +60,7 @@
         Id of the last part that other requests share, or empty.
     shared_parts : tuple of str
         Ids of all parts that other requests share.
-    is_trial : bool
+    is_probe : bool
         Whether the request may be sent once although one of its parts is
         blocked.
     """
@@ -78,7 +78,7 @@
     software_version: str | None = None
     is_caller_retry: bool = False
     is_charged: bool = False
-    is_trial: bool = False
+    is_probe: bool = False
     own_tokens: int = field(init=False)
     affinity: str = field(init=False)
     shared_parts: tuple[str, ...] = field(init=False)
--- a/hornbeamyard/pool/rate_limits.py
+++ b/hornbeamyard/pool/rate_limits.py
@@ -1,7 +1,7 @@
 """Rates of requests that upstreams name in their responses.
 
 An upstream in need says how many requests a second it takes from all routers
-together. Routers exchange what they are told and divide the rate between
+together. Routers exchange what they learn and divide the rate between
 them, so that no request needs a message.
 """
 
--- a/hornbeamyard/process/upstream_notices.py
+++ b/hornbeamyard/process/upstream_notices.py
@@ -136,7 +136,7 @@
                 part=part,
                 crashes=block.crashes,
                 retry_in_s=round(block.retry_at - self._timers.now(), 1),
-                tried_by=block.tried_by,
+                probed_by=block.probed_by,
             )
         for part in self._blocked_parts - blocked.keys():
             self._decisions.note("part_released", part=part)
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -359,7 +359,7 @@
                 return
             software_version = placement.server.upstream.software_version
             result = await self._attempt(request, balancer, placement, send)
-            request.demand.is_trial = False
+            request.demand.is_probe = False
             if result.outcome is AttemptOutcome.COMPLETED:
                 self._reporter.report_answered(request, placement)
                 return
--- a/hornbeamyard/tests/test_crashes.py
+++ b/hornbeamyard/tests/test_crashes.py
@@ -4,10 +4,10 @@
 
 from hornbeamyard.pool.crashes import (
     ANSWERED_S,
-    MAX_TRIED_CRASHES,
+    MAX_PROBED_CRASHES,
     MIN_CRASHES,
+    PROBE_DELAY_S,
     RETENTION_S,
-    TRIAL_DELAY_S,
     Crash,
     CrashLedger,
 )
@@ -91,26 +91,26 @@
         assert not len(ledger)
 
 
-class TestTrials:
-    """A blocked part is tried again with single requests."""
+class TestProbes:
+    """A blocked part is probed with single requests."""
 
     def test_one_request_of_one_router(self) -> None:
-        """Guards against upstreams that end under trials of all routers."""
-        due = MIN_CRASHES - 1 + TRIAL_DELAY_S
+        """Guards against upstreams that end under probes of all routers."""
+        due = MIN_CRASHES - 1 + PROBE_DELAY_S
         ledger = build_ledger(MIN_CRASHES, "bad")
-        assert not ledger.begin_trial(["bad"], due - 0.1)
-        assert ledger.begin_trial(["bad"], due)
-        assert not ledger.begin_trial(["bad"], due + 0.1)
+        assert not ledger.begin_probe(["bad"], due - 0.1)
+        assert ledger.begin_probe(["bad"], due)
+        assert not ledger.begin_probe(["bad"], due + 0.1)
         other = build_ledger(MIN_CRASHES, "bad", host="r2")
-        assert not other.begin_trial(["bad"], due)
+        assert not other.begin_probe(["bad"], due)
 
-    def test_answered_trial_ends_block(self) -> None:
+    def test_answered_probe_ends_block(self) -> None:
         """Guards against a sound part that stays blocked."""
         ledger = build_ledger(MIN_CRASHES, "bad")
         ledger.record_answer(["bad"], 40.0)
         assert not ledger.blocked
 
-    def test_no_trial_after_many_crashes(self) -> None:
-        """Guards against trials of a part that surely crashes upstreams."""
-        ledger = build_ledger(MAX_TRIED_CRASHES + 1, "bad")
-        assert not ledger.begin_trial(["bad"], RETENTION_S - 1)
+    def test_no_probe_after_many_crashes(self) -> None:
+        """Guards against probes of a part that surely crashes upstreams."""
+        ledger = build_ledger(MAX_PROBED_CRASHES + 1, "bad")
+        assert not ledger.begin_probe(["bad"], RETENTION_S - 1)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -38,8 +38,8 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_RESERVE = 5
-# Requests that are sent this long after a router was told a limit count.
-TOLD_S = 0.5
+# Requests that are sent this long after a router has learned a limit count.
+LEARNED_S = 0.5
 
 # Journal lines of the upstreams, one for each execution, by request id.
 Executions = dict[str, list[dict[str, Any]]]
@@ -328,14 +328,14 @@
     if not limited:
         return
     known_at = limited[0][0] + LEARNING_TIME_S
-    told_at: dict[int, float] = {}
+    learned_at: dict[int, float] = {}
     counted = []
     for at, router, _ in limited:
-        told_at.setdefault(router, at)
+        learned_at.setdefault(router, at)
         name = f"router-{router}"
         if records.is_affected(name, at - LEARNING_TIME_S, at):
             continue
-        if at > known_at and at > told_at[router] + TOLD_S:
+        if at > known_at and at > learned_at[router] + LEARNED_S:
             counted.append(at)
     rate = limited[0][2] or 0.0
     allowed = LIMIT_FACTOR * rate * LIMIT_WINDOW_S + LIMIT_RESERVE
