Log a keyed digest of each request that is placed or fails

The digest covers method, host, path, query, caller and body. A leader proposes a key only once its first entry is applied and the state has none; a later key replaces an earlier one, which happens only while members of older releases are upgraded.

Ruled out: a hash without a key (a small body can be found by trying); a key in the settings (the platform's settings have no secret); a key in each leader's first entry (a restarted leader would replace the key, as its state lacks what it has not committed again).

The key is drawn by the replica's generator, so that simulations stay deterministic: with another source properties/test_replica.py:: test_is_deterministic failed. Daemons now pass a SystemRandom.

No decision changes.

--- a/hornbeamyard/connection/crash_reports.py
+++ b/hornbeamyard/connection/crash_reports.py
@@ -6,6 +6,7 @@
 
 from ..messages import fleet_pb2
 from ..pool.crashes import Crash, CrashLedger
+from ..pool.digests import RequestDigests
 from ..pool.upstream_registry import UpstreamStart
 from ..process.timers import Timers
 from .change_reports import ChangeReports
@@ -26,11 +27,20 @@
     ----------
     changes : ChangeReports
         Reports to the controllers.
+    digests : RequestDigests
+        Digests of whole requests.
     ledger : CrashLedger
         What this router and others have recorded.
     """
 
-    __slots__ = ("_host", "_on_change", "_timers", "changes", "ledger")
+    __slots__ = (
+        "_host",
+        "_on_change",
+        "_timers",
+        "changes",
+        "digests",
+        "ledger",
+    )
 
     def __init__(
         self,
@@ -42,6 +52,7 @@
         self._on_change = on_change
         self._timers = timers
         self.changes = ChangeReports(timers, self._encode)
+        self.digests = RequestDigests()
         self.ledger = CrashLedger(host)
 
     def record_crash(
--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -293,17 +293,21 @@
 
     async def _publish_versions(self) -> None:
         published_version = 0
+        published_key = b""
         while True:
             await self._replica.wait_for_change()
             version = self._replica.state.routing.version
-            if version == published_version:
+            key = self._replica.state.digest_key
+            if version == published_version and key == published_key:
                 continue
+            if version != published_version:
+                _log.info(
+                    "routing in force version={} index={}",
+                    version,
+                    self._replica.state.last_index,
+                )
             published_version = version
-            _log.info(
-                "routing in force version={} index={}",
-                version,
-                self._replica.state.last_index,
-            )
+            published_key = key
             for subscriber in self._subscribers:
                 subscriber.wake.set()
 
@@ -449,6 +453,10 @@
                 for pool in self.registry.list_pools()
             )
         subscriber.version_sent = update.routing_version
+        digest_key = self._replica.state.digest_key
+        if digest_key != subscriber.digest_key_sent:
+            update.digest_key = digest_key
+            subscriber.digest_key_sent = digest_key
         subscriber.pending_records = {}
         subscriber.pending_renewals = {}
         subscriber.pending_limits = {}
--- a/hornbeamyard/connection/subscriber.py
+++ b/hornbeamyard/connection/subscriber.py
@@ -22,6 +22,8 @@
         Number of the last change of crashes sent.
     controllers_sent : tuple of str
         Addresses of the controllers in the last list sent.
+    digest_key_sent : bytes
+        Key of request digests that was sent last.
     name : str
         Host and incarnation of the router.
     number : int
@@ -46,6 +48,7 @@
         "cached_parts",
         "controllers_sent",
         "crashes_sent",
+        "digest_key_sent",
         "fleet_usage_due",
         "name",
         "number",
@@ -61,6 +64,7 @@
     def __init__(self, name: str) -> None:
         self.controllers_sent: tuple[str, ...] = ()
         self.crashes_sent = 0
+        self.digest_key_sent = b""
         self.name = name
         self.cached_parts: list[CachedPart] = []
         self.number = 0
--- a/hornbeamyard/process/daemon.py
+++ b/hornbeamyard/process/daemon.py
@@ -156,7 +156,7 @@
         FolderDisk(settings.controller.data_folder),
         calls,
         timers,
-        random.Random(),
+        random.SystemRandom(),
     )
     controller = Controller(replica, timers)
     server = peers.create_server()
--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -78,7 +78,7 @@
             disk,
             self._replication_calls,
             timers,
-            random.Random(),
+            random.SystemRandom(),
             # A majority confirms reads and versions, and fleet usage sent
             # by a former leader does no harm.
             relies_on_leases=False,
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -289,6 +289,13 @@
             model=metadata.model,
             is_caller_retry=self._is_caller_retry(metadata, route),
         )
+        digest = self._router.notices.crashes.digests.compute(
+            scope["method"],
+            route.host.lower().encode() + target,
+            # Public routes don't check the key, but it tells callers apart.
+            demand.account or metadata.key or "",
+            body,
+        )
         return RoutedRequest(
             metadata=metadata,
             route=route,
@@ -301,6 +308,7 @@
             received_at=received_at,
             deadline_at=deadline_at,
             demand=demand,
+            digest=digest,
         )
 
     def _is_caller_retry(
--- a/hornbeamyard/request/reporting.py
+++ b/hornbeamyard/request/reporting.py
@@ -84,6 +84,7 @@
             pool=request.pool.name,
             upstream=server.id,
             parts=_list_shared_parts(request),
+            digest=request.digest,
             software_version=server.upstream.software_version,
             resumes=request.metadata.resumes or None,
             last_event=request.progress.events.last_id
@@ -146,6 +147,7 @@
             "retried",
             upstream=placement.server.id,
             parts=_list_shared_parts(request),
+            digest=request.digest,
             ending=result.outcome.value,
             reason=result.reason,
             framing=_describe_framing(request),
@@ -213,6 +215,7 @@
             account=request.account,
             upstream=request.last_upstream,
             parts=_list_shared_parts(request),
+            digest=request.digest,
             framing=_describe_framing(request),
             first_ms=round(request.first_event_ms),
             tries=request.attempts,
--- a/hornbeamyard/version/leadership.py
+++ b/hornbeamyard/version/leadership.py
@@ -10,6 +10,7 @@
 import anyio.abc
 
 from ..messages import fleet_pb2
+from ..pool.digests import KEY_SIZE
 from . import membership
 from .membership import MemberReply
 
@@ -91,9 +92,17 @@
         Set when the replica no longer leads in this term.
     """
 
-    __slots__ = ("_replica", "ended", "first_index", "peers", "term")
+    __slots__ = (
+        "_has_proposed_key",
+        "_replica",
+        "ended",
+        "first_index",
+        "peers",
+        "term",
+    )
 
     def __init__(self, replica: Replica, term: int) -> None:
+        self._has_proposed_key = False
         self._replica = replica
         self.term = term
         self.peers: dict[str, Peer] = {}
@@ -111,6 +120,7 @@
                     await self.ended.wait()
                 self._update_peers(tasks)
                 self._propose_member_step()
+                self._propose_digest_key()
                 now = timers.now()
                 if now >= max(self.get_lease_end(), started + LEASE_S):
                     self._replica.step_down("lost contact with a majority")
@@ -212,6 +222,24 @@
         if step is not None:
             replica.propose(fleet_pb2.LogEntry(members=step))
 
+    def _propose_digest_key(self) -> None:
+        """Choose the key of request digests, unless the fleet has one.
+
+        Once the first entry of this term is applied, the state has any key
+        that an earlier leader has chosen.
+        """
+        replica = self._replica
+        if (
+            self.ended.is_set()
+            or self._has_proposed_key
+            or not 0 < self.first_index <= replica.state.last_index
+            or replica.state.digest_key
+        ):
+            return
+        self._has_proposed_key = True
+        key = fleet_pb2.DigestKey(key=replica.draw_bytes(KEY_SIZE))
+        replica.propose(fleet_pb2.LogEntry(digest_key=key))
+
     # ---- replication -----------------------------------------------------
 
     async def _replicate(self, peer: Peer) -> None:
--- a/hornbeamyard/version/replica.py
+++ b/hornbeamyard/version/replica.py
@@ -119,7 +119,9 @@
     calls : PeerCalls
     timers : Timers
     rng : random.Random
-        Draws election timeouts and the id of an empty data folder.
+        Draws election timeouts, the id of an empty data folder and the key
+        of request digests, so it has to be a `random.SystemRandom` except in
+        simulations.
     snapshot_entries : int, optional
         Number of entries after which a snapshot is taken.
     relies_on_leases : bool, optional
@@ -273,6 +275,10 @@
         result = await self._wait(proposal)
         return Ok("") if isinstance(result, Ok) else result
 
+    def draw_bytes(self, size: int) -> bytes:
+        """Return random bytes."""
+        return self._rng.randbytes(size)
+
     async def wait_for_change(self) -> None:
         """Wait until the state or the leadership changes."""
         await self._changed.wait()
--- a/hornbeamyard/version/state.py
+++ b/hornbeamyard/version/state.py
@@ -44,6 +44,8 @@
     claims : ClaimTable
     members : MemberList
         The newest committed members.
+    digest_key : bytes
+        Secret key of request digests; empty until a leader has chosen it.
     fencing : tuple of int and int
         Term and index of the newest leader's first entry.
     last_index, last_term : int
@@ -58,6 +60,7 @@
     __slots__ = (
         "claims",
         "configuration",
+        "digest_key",
         "document",
         "fencing",
         "last_index",
@@ -76,6 +79,7 @@
         self.patches: dict[int, bytes] = {}
         self.claims = ClaimTable()
         self.members = fleet_pb2.MemberList()
+        self.digest_key = b""
         self.fencing = (0, 0)
         self.last_index = 0
         self.last_term = 0
@@ -102,6 +106,8 @@
                 return self.apply_routing(entry.routing)
             case "members":
                 self.members = entry.members
+            case "digest_key":
+                self.digest_key = entry.digest_key.key
             case "noop":
                 self.fencing = (entry.term, entry.index)
         return None
@@ -238,6 +244,7 @@
             fencing_term=self.fencing[0],
             routing_version=self.routing.version,
             routing_document=self.routing.document,
+            digest_key=self.digest_key,
         )
 
     @classmethod
@@ -262,6 +269,7 @@
             version=snapshot.routing_version,
             document=snapshot.routing_document,
         )
+        state.digest_key = snapshot.digest_key
         state.fencing = (snapshot.fencing_term, snapshot.fencing)
         state.last_index = snapshot.last_index
         state.last_term = snapshot.last_term
