Add failing tests of repeated requests that crash upstreams

A repeated request ends up to all 16 upstreams at the router of a fleet with a route directory (calls, streams, resumed streams, requests with shared prompt parts, other routers, restarts) and without one (calls, streams, claims, waiting requests). The fake upstream gets the fault 'crash'.

--- a/hornbeamyard/tests/fake_upstream.py
+++ b/hornbeamyard/tests/fake_upstream.py
@@ -11,7 +11,8 @@
   queries), `forgotten` (no further byte, and the status says that the request
   doesn't run), `garbage` (bytes that aren't HTTP), `unframed` (a response
   without a length, truncated), `early` (the connection closes), `reset` (TCP
-  reset) or `extra` (a second response to the same request).
+  reset), `crash` (the upstream ends with all its connections) or `extra` (a
+  second response to the same request).
 - `stage`: `sent` (before the response), `headers` (after the headers of a
   stream) or `answering` (in the middle of the body).
 - `faulty_attempts`: the number of attempts in which the fault occurs.
@@ -115,6 +116,8 @@
         Random number that identifies this run of the upstream.
     limiter : anyio.CapacityLimiter or None
         Limits the running requests to the slots.
+    crash : callable
+        Ends the upstream with all its connections.
     """
 
     options: FakeUpstreamOptions
@@ -127,6 +130,7 @@
     leaving: bool = False
     incarnation: int = field(default_factory=lambda: random.getrandbits(48))
     limiter: anyio.CapacityLimiter | None = None
+    crash: Callable[[], object] = field(default=lambda: os._exit(1))
 
     async def __call__(
         self, scope: MutableMapping[str, Any], receive: Receive, send: Send
@@ -315,6 +319,9 @@
             )
             transport.abort()
             raise ResponseAbortedError
+        elif fault == "crash":
+            self.crash()
+            raise ResponseAbortedError
 
     async def _send_json(
         self,
--- a/hornbeamyard/tests/in_process.py
+++ b/hornbeamyard/tests/in_process.py
@@ -303,12 +303,23 @@
         http=FaultInjectionProtocol,
     )
     server = uvicorn.Server(config)
+    upstream.crash = lambda: _crash(server)
     tasks.start_soon(server._serve)
     while not server.started:
         await anyio.sleep(0.002)
     return server
 
 
+def _crash(server: uvicorn.Server) -> None:
+    """Close a server's connections and refuse new ones."""
+    server.should_exit = True
+    server.force_exit = True
+    for listener in server.servers:
+        listener.close()
+    for connection in list(server.server_state.connections):
+        connection.transport.abort()  # type: ignore[union-attr]
+
+
 def _build_upstreams(pool: str, workers: int) -> list[FakeUpstream]:
     return [
         FakeUpstream(
--- /dev/null
+++ b/hornbeamyard/tests/test_crashing_requests.py
@@ -0,0 +1,391 @@
+"""Tests of requests that crash each upstream that runs them."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import anyio
+import anyio.abc
+import httpcore
+import pytest
+
+from .in_process import MODEL, SERVICE, InProcessFleet, Response
+from .in_process import run_in_process as run_routers
+from .raw_upstream import (
+    RawUpstream,
+    ReceivedRequest,
+    Script,
+    run_raw_upstream,
+    send_events,
+    send_response,
+)
+from .test_crashing_parts import PARTS, has_ended
+from .test_directory import Fleet, build_upstream, run_fleet
+from .test_forwarding import Harness, run
+
+UPSTREAMS = 16
+BAD_BODY = b"bad"
+# Crashes after which a request reaches no further upstream.
+MAX_CRASHES = 3
+# Time in which all routers learn of a crash.
+WINDOW_S = 3.0
+
+
+def crash_on_bad_request(upstream: RawUpstream, delay_s: float = 0) -> Script:
+    """Return a script that crashes its upstream on one request.
+
+    It is the one with `BAD_BODY` at a path that ends with 7, and without a
+    query. All others are answered, after a delay.
+    """
+
+    async def respond(
+        stream: anyio.abc.SocketStream, received: ReceivedRequest
+    ) -> None:
+        target = received.request_line.split()[1]
+        if received.body == BAD_BODY and target.endswith("/7"):
+            account = received.get_header("hornbeamyard-account")
+            if account in ("library", None):
+                upstream.crash()
+                return
+        await anyio.sleep(delay_s)
+        answer = (
+            send_response()
+            if "/read/" in target or "/charge/" in target
+            else send_events(1, 3)
+        )
+        await answer(stream, received)
+
+    return respond
+
+
+class TestForwarding:
+    """One router of a fleet with a route directory stops sending it."""
+
+    def run(
+        self,
+        test: Callable[[Harness, list[RawUpstream]], Awaitable[None]],
+        delay_s: float = 0,
+    ) -> None:
+        """Run a test with upstreams that the request crashes."""
+
+        async def main(harness: Harness) -> None:
+            upstreams = harness.raw_upstreams  # type: ignore[attr-defined]
+            for upstream in upstreams:
+                upstream.scripts[:] = [crash_on_bad_request(upstream, delay_s)]
+            await test(harness, upstreams)
+
+        run(main, *[[] for _ in range(UPSTREAMS)])
+
+    @pytest.mark.parametrize("route", ["read", "charge", "notice", "chat"])
+    def test_upstreams_go_on_crashing(self, route: str) -> None:
+        """Guards against a repeated request that ends all upstreams."""
+
+        async def test(harness: Harness, upstreams: list[RawUpstream]) -> None:
+            for _ in range(2 * UPSTREAMS):
+                failed = await harness.send_request(f"/{route}/7", BAD_BODY)
+            crashed = sum(upstream.has_crashed for upstream in upstreams)
+            assert crashed <= MAX_CRASHES
+            assert failed.status == 503
+            assert b"retry-after" in failed.headers
+
+        self.run(test)
+
+    def test_resumed_stream(self) -> None:
+        """Guards against a caller that resumes it at further upstreams."""
+
+        async def test(harness: Harness, upstreams: list[RawUpstream]) -> None:
+            resumed = (
+                (b"last-event-id", b"2"),
+                (b"hornbeamyard-resumes", b"r-1"),
+            )
+            await harness.send_request("/chat/7", BAD_BODY)
+            for _ in range(UPSTREAMS):
+                await harness.send_request("/chat/7", BAD_BODY, resumed)
+            crashed = sum(upstream.has_crashed for upstream in upstreams)
+            assert crashed <= MAX_CRASHES
+
+        self.run(test)
+
+    def test_similar_requests_are_served(self) -> None:
+        """Guards against a block that is wider than the request.
+
+        Others have the same path, caller, body or prompt parts.
+        """
+        parts = ((PARTS.encode(), b"route1:200,shared1:40,own1:9"),)
+
+        async def test(harness: Harness, upstreams: list[RawUpstream]) -> None:
+            document = harness.routing
+            assert document is not None
+            for _ in range(4):
+                await harness.send_request("/notice/7", BAD_BODY, parts)
+            assert any(upstream.has_crashed for upstream in upstreams)
+            for response in (
+                await harness.send_request("/notice/7", b"sound", parts),
+                await harness.send_request("/notice/7?q=1", BAD_BODY, parts),
+                await harness.send_request("/notice/8", BAD_BODY, parts),
+                await harness.send_request("/chat/8", BAD_BODY, parts),
+                await harness.send_request("/notice/7", b"", parts),
+            ):
+                assert response.status == 200
+                assert response.is_complete
+            blocked = await harness.send_request("/notice/7", BAD_BODY, parts)
+            assert blocked.status == 503
+
+        self.run(test)
+
+    def test_other_callers_are_served(self) -> None:
+        """Guards against a block of the same request of other callers."""
+
+        async def test(harness: Harness, upstreams: list[RawUpstream]) -> None:
+            for _ in range(MAX_CRASHES + 1):
+                await harness.send_request("/read/7", BAD_BODY)
+            other = await harness.send_request(
+                "/read/7", BAD_BODY, key=b"Bearer k2"
+            )
+            assert other.status == 200
+            blocked = await harness.send_request("/read/7", BAD_BODY)
+            assert blocked.status == 503
+
+        self.run(test)
+
+    def test_popular_request_is_not_blamed(self) -> None:
+        """Guards against a sound request that runs at each crash.
+
+        Callers send it all the time, so that each upstream runs it when it
+        crashes.
+        """
+
+        async def test(harness: Harness, upstreams: list[RawUpstream]) -> None:
+            statuses: list[int] = []
+
+            async def ask_repeatedly(scope: anyio.CancelScope) -> None:
+                with scope:
+                    while True:
+                        response = await harness.send_request(
+                            "/notice/1", b"p"
+                        )
+                        statuses.append(response.status)
+
+            async with anyio.create_task_group() as tasks:
+                scope = anyio.CancelScope()
+                for _ in range(3 * UPSTREAMS):
+                    tasks.start_soon(ask_repeatedly, scope)
+                for _ in range(2 * MAX_CRASHES):
+                    await anyio.sleep(0.1)
+                    await harness.send_request("/notice/7", BAD_BODY)
+                scope.cancel()
+            crashed = sum(upstream.has_crashed for upstream in upstreams)
+            assert crashed == MAX_CRASHES
+            assert 503 not in statuses
+            blocked = await harness.send_request("/notice/7", BAD_BODY)
+            assert blocked.status == 503
+
+        self.run(test, 0.04)
+
+
+class TestFleet:
+    """What one router learns, all others know."""
+
+    def run(
+        self,
+        folder: Path,
+        test: Callable[[Fleet, list[RawUpstream]], Awaitable[None]],
+    ) -> None:
+        """Run a test with a router that has learned of the request."""
+
+        async def main(fleet: Fleet) -> None:
+            fleet.start_router()
+            router = fleet.router
+            assert router is not None
+            await fleet.submit(7)
+            async with AsyncExitStack() as stack:
+                upstreams = []
+                for number in range(UPSTREAMS):
+                    raw = await stack.enter_async_context(run_raw_upstream())
+                    raw.scripts[:] = [crash_on_bad_request(raw)]
+                    upstreams.append(raw)
+                    announced = build_upstream(f"u{number}", raw.port, "app")
+                    fleet.registrars[0].announce(announced)
+                await fleet.wait(router.is_ready)
+                await fleet.wait(
+                    lambda: len(router.subscription.registry) == UPSTREAMS
+                )
+                await anyio.sleep(0.3)
+                for _ in range(MAX_CRASHES):
+                    await ask(fleet.router_address, "/read/7")
+                await test(fleet, upstreams)
+
+        run_fleet(folder, main)
+
+    def test_other_router_refuses_as_well(self, tmp_path: Path) -> None:
+        """Guards against a request that ends upstreams at each router."""
+
+        async def test(fleet: Fleet, upstreams: list[RawUpstream]) -> None:
+            other, address = fleet.start_further_router("r2")
+            await fleet.wait(other.is_ready)
+            await anyio.sleep(WINDOW_S / 2)
+            for _ in range(4):
+                assert await ask(address, "/read/7") == 503
+            assert await ask(address, "/read/8") == 200
+            crashed = sum(upstream.has_crashed for upstream in upstreams)
+            assert crashed == MAX_CRASHES
+
+        self.run(tmp_path, test)
+
+    def test_controllers_are_down(self, tmp_path: Path) -> None:
+        """Guards against a request of which only a lost controller knew."""
+
+        async def test(fleet: Fleet, upstreams: list[RawUpstream]) -> None:
+            # New routers find the first one through their seeds.
+            fleet.stops[1].set()
+            fleet.stops[2].set()
+            await anyio.sleep(WINDOW_S / 2)
+            other, address = fleet.start_further_router("r2")
+            await fleet.wait(other.is_ready)
+            assert await ask(address, "/read/7") == 503
+            crashed = sum(upstream.has_crashed for upstream in upstreams)
+            assert crashed == MAX_CRASHES
+
+        self.run(tmp_path, test)
+
+    def test_all_processes_restart(self, tmp_path: Path) -> None:
+        """Guards against a request that is forgotten with a loss of power."""
+
+        async def test(fleet: Fleet, upstreams: list[RawUpstream]) -> None:
+            await anyio.sleep(WINDOW_S / 2)
+            fleet.router_stop.set()
+            while not await has_ended(fleet.router_address):
+                await anyio.sleep(0.05)
+            for stop in fleet.stops.values():
+                stop.set()
+            await anyio.sleep(0.5)
+            for number in fleet.registrars:
+                fleet.start_controller(number, first_start=False)
+            await fleet.wait(fleet.find_leader)
+            for number, raw in enumerate(upstreams):
+                if not raw.has_crashed:
+                    announced = build_upstream(f"u{number}", raw.port, "app")
+                    fleet.registrars[0].announce(announced)
+            fleet.router_stop = anyio.Event()
+            router, address = fleet.start_further_router("r2")
+            await fleet.wait(router.is_ready)
+            assert await ask(address, "/read/8") == 200
+            assert await ask(address, "/read/7") == 503
+            crashed = sum(upstream.has_crashed for upstream in upstreams)
+            assert crashed == MAX_CRASHES
+
+        self.run(tmp_path, test)
+
+
+async def ask(address: str, path: str) -> int:
+    """Send a request with `BAD_BODY`; return its status, 0 if it broke off."""
+    headers = [
+        (b"host", b"api.example"),
+        (b"hornbeamyard-request", b"q1"),
+        (b"authorization", b"Bearer k1"),
+    ]
+    async with httpcore.AsyncConnectionPool() as client:
+        try:
+            response = await client.request(
+                "POST",
+                f"http://{address}{path}",
+                headers=headers,
+                content=BAD_BODY,
+            )
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            return 0
+    return int(response.status)
+
+
+class TestDelivery:
+    """Routers of a fleet without a route directory stop sending it."""
+
+    CHAT = "/v1/chat/completions"
+    NOTICES = "/services/notices/"
+
+    async def send_bad(
+        self, fleet: InProcessFleet, path: str, **options: object
+    ) -> Response:
+        """Send the request that crashes upstreams."""
+        document = {"model": MODEL, "id": "bad", "fault": "crash", **options}
+        return await fleet.post(path, document)
+
+    @staticmethod
+    def count_crashed(fleet: InProcessFleet) -> int:
+        """Return how many upstreams have run the request."""
+        return fleet.count_runs("bad")
+
+    @pytest.mark.parametrize("stream", [False, True])
+    @pytest.mark.parametrize("pool", [MODEL, SERVICE])
+    def test_upstreams_go_on_crashing(self, pool: str, stream: bool) -> None:
+        """Guards against a repeated request that ends all upstreams."""
+        path = self.CHAT if pool == MODEL else self.NOTICES
+
+        async def main() -> None:
+            async with run_routers(pool, workers=UPSTREAMS) as fleet:
+                for _ in range(UPSTREAMS):
+                    failed = await self.send_bad(fleet, path, stream=stream)
+                assert self.count_crashed(fleet) <= MAX_CRASHES
+                assert failed.get_outcome() == "not-run"
+                assert "retry-after" in failed.headers
+                sound = await fleet.post(path, {"model": MODEL, "id": "sound"})
+                assert sound.status == 200
+
+        anyio.run(main)
+
+    def test_claimed_request(self) -> None:
+        """Guards against a claimed request that ends further upstreams.
+
+        Its claim is released, so that it may run later.
+        """
+
+        async def main() -> None:
+            async with run_routers(SERVICE, workers=UPSTREAMS) as fleet:
+                content = json.dumps({"id": "bad", "fault": "crash"}).encode()
+                for number in range(UPSTREAMS):
+                    failed = await fleet.send(
+                        "POST",
+                        self.NOTICES,
+                        content,
+                        idempotency_key=f"key-{number}",
+                    )
+                assert self.count_crashed(fleet) <= MAX_CRASHES
+                assert failed.get_outcome() == "not-run"
+                key = ("hotel", f"key-{UPSTREAMS - 1}")
+                assert key not in fleet.controller.claims
+
+        anyio.run(main)
+
+    def test_waiting_requests(self) -> None:
+        """Guards against requests that waited while it became known."""
+
+        async def main() -> None:
+            async with run_routers(SERVICE, workers=UPSTREAMS) as fleet:
+                outcomes: list[str] = []
+
+                async def send() -> None:
+                    failed = await self.send_bad(
+                        fleet, self.NOTICES, delay_s=0.3
+                    )
+                    outcomes.append(failed.get_outcome())
+
+                for up in fleet.upstreams:
+                    up.options.slots = 1
+                async with anyio.create_task_group() as tasks:
+                    for _ in fleet.upstreams[MAX_CRASHES:]:
+                        # Sound requests take all other slots for a while.
+                        tasks.start_soon(
+                            fleet.post,
+                            self.NOTICES,
+                            {"id": "slow", "max_tokens": 200},
+                        )
+                    await anyio.sleep(0.2)
+                    for _ in range(UPSTREAMS):
+                        tasks.start_soon(send)
+                assert self.count_crashed(fleet) <= 2 * MAX_CRASHES
+                assert "not-run" in outcomes
+
+        anyio.run(main)
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -58,7 +58,10 @@
         for name in ("read", "charge", "chat", "notice", "open")
     ],
     "pools": [{"name": "app"}],
-    "client_accounts": [{"name": "library", "keys": ["k1"]}],
+    "client_accounts": [
+        {"name": "library", "keys": ["k1"]},
+        {"name": "museum", "keys": ["k2"]},
+    ],
 }
 
 
