Describe the metrics of crashes, so that routers serve their metrics again

Operators saw no router metrics at all.

The existing test covers routers without a route directory only.

--- a/hornbeamyard/process/metrics.py
+++ b/hornbeamyard/process/metrics.py
@@ -97,6 +97,7 @@
     "decisions": "Decisions by kind, those without a log line included",
     "leads": "1 while this controller leads",
     "log_lines_dropped": "Log lines that were left out",
+    "prompt_parts_blocked": "Prompt parts that are blocked for crashes",
     "requests_in_progress": "Routed requests that run or wait",
     "routers_attached": "Routers whose stream is open",
     "routing_version": "Routing version in force",
@@ -105,6 +106,7 @@
     "share_factor": "Throughput of the engines, as a multiple",
     "share_level": "Share of an account in tokens a second; 0 without limit",
     "term": "Term of the log",
+    "upstream_crashes_known": "Crashes of upstreams in the last hour",
     "upstream_connections": "Connections opened to upstreams",
     "upstreams": "Upstreams that announce themselves, by pool",
 }
--- a/hornbeamyard/tests/test_metrics.py
+++ b/hornbeamyard/tests/test_metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 import re
 
 import pytest
@@ -10,6 +11,10 @@
 from hornbeamyard.connection.session import Session
 from hornbeamyard.pool.backlog import Ticket
 from hornbeamyard.process import metrics as module
+from hornbeamyard.process.decisions import DecisionLog
+from hornbeamyard.process.directory_router import DirectoryRouter
+from hornbeamyard.process.interface import Interface
+from hornbeamyard.process.logs import LineWriter
 from hornbeamyard.process.metrics import (
     OTHER_VALUES,
     Latency,
@@ -17,8 +22,13 @@
     Sample,
 )
 from hornbeamyard.process.router import Router
-from hornbeamyard.process.settings import RouterSettings, Settings
+from hornbeamyard.process.settings import (
+    DirectorySettings,
+    RouterSettings,
+    Settings,
+)
 from hornbeamyard.process.timers import VirtualTimers
+from hornbeamyard.request.headers import NATIVE_HEADER_NAMES, HeaderCodec
 
 
 def read(metrics: Metrics) -> dict[str, dict[tuple[str, ...], float]]:
@@ -131,3 +141,28 @@
         }
         names = {re.sub("^hornbeamyard_|_total$", "", name) for name in found}
         assert names == set(module.HELP)
+
+
+class TestDirectoryRouter:
+    """Metrics of a router in a fleet with a route directory."""
+
+    def test_exports_all_samples(self) -> None:
+        """Guards against one unknown name that fails the whole page."""
+        settings = Settings(
+            fleet="test",
+            host="a",
+            availability_zone="centro",
+            controllers={},
+            router=RouterSettings("127.0.0.1:2"),
+            directory=DirectorySettings(["127.0.0.1:1"], tolerated_hosts=1),
+        )
+        timers = VirtualTimers()
+        router = DirectoryRouter(
+            settings,
+            timers,
+            Interface(HeaderCodec(NATIVE_HEADER_NAMES)),
+            DecisionLog(timers, "a", LineWriter(io.StringIO())),
+        )
+        found = read(router.metrics)
+        assert found["hornbeamyard_upstream_crashes_known"] == {(): 0}
+        assert found["hornbeamyard_controllers_attached"] == {(): 0}
