--- a/hornbeamyard/connection/change_reports.py
+++ b/hornbeamyard/connection/change_reports.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Hashable, Iterable
+from typing import Generic, TypeVar
 
 import anyio
 
 from ..messages import fleet_pb2
-from ..pool.upstream_registry import UpstreamStart
 from ..process.timers import Timers
 
 # Changes are collected for this long before they are reported. A crash breaks
@@ -15,7 +15,10 @@
 COLLECT_INTERVAL_S = 0.03
 
 
-class ChangeReports:
+K = TypeVar("K", bound=Hashable)
+
+
+class ChangeReports(Generic[K]):
     """Reports the changes that this router itself makes to a shared record.
 
     What it learns from controllers isn't reported, as they send it to all
@@ -26,7 +29,7 @@
     ----------
     timers : Timers
     encode : callable
-        Returns the report on some starts of upstreams, or on all for None.
+        Returns the report on the entries with some keys, or on all for None.
     """
 
     __slots__ = ("_changed", "_encode", "_number", "_numbers", "_timers")
@@ -34,32 +37,30 @@
     def __init__(
         self,
         timers: Timers,
-        encode: Callable[
-            [Iterable[UpstreamStart] | None], fleet_pb2.RouterUsage
-        ],
+        encode: Callable[[Iterable[K] | None], fleet_pb2.RouterUsage],
     ) -> None:
         self._changed = anyio.Event()
         self._encode = encode
-        # Number of the newest change, and of the newest one by upstream.
+        # Number of the newest change, and of the newest one by key.
         self._number = 0
-        self._numbers: dict[UpstreamStart, int] = {}
+        self._numbers: dict[K, int] = {}
         self._timers = timers
 
-    def record(self, upstreams: Iterable[UpstreamStart]) -> None:
-        """Report what has changed about these upstreams soon."""
+    def record(self, keys: Iterable[K]) -> None:
+        """Report what has changed in these entries soon."""
         before = self._number
-        for upstream in upstreams:
+        for key in keys:
             self._number += 1
-            self._numbers[upstream] = self._number
+            self._numbers[key] = self._number
         if self._number > before:
             self._changed.set()
             self._changed = anyio.Event()
 
-    def forget(self, is_known: Callable[[UpstreamStart], bool]) -> None:
-        """Forget upstreams that the record doesn't know any more."""
-        for upstream in list(self._numbers):
-            if not is_known(upstream):
-                del self._numbers[upstream]
+    def forget(self, is_known: Callable[[K], bool]) -> None:
+        """Forget entries that the record doesn't have any more."""
+        for key in list(self._numbers):
+            if not is_known(key):
+                del self._numbers[key]
 
     async def run(
         self, send: Callable[[fleet_pb2.RouterUsage], Awaitable[None]]
@@ -73,8 +74,8 @@
         while True:
             changed = self._changed
             unsent = [
-                upstream
-                for upstream, number in self._numbers.items()
+                key
+                for key, number in self._numbers.items()
                 if number > reported
             ]
             reported = self._number
--- a/hornbeamyard/connection/crash_reports.py
+++ b/hornbeamyard/connection/crash_reports.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Callable, Iterable
 
+import anyio
+
 from ..messages import fleet_pb2
-from ..pool.crashes import Crash, CrashLedger
-from ..pool.digests import RequestDigests
+from ..pool.crashes import REQUEST_POSITION, Crash, CrashLedger
+from ..pool.digests import RequestDigests, is_digest
 from ..pool.upstream_registry import UpstreamStart
 from ..process.timers import Timers
 from .change_reports import ChangeReports
 from .directory_codec import encode_crashes
+from .upstreams import UpstreamConnections
 
 
 class CrashReports:
@@ -20,13 +24,14 @@
     ----------
     host : str
     timers : Timers
+    upstreams : UpstreamConnections
     on_change : callable
         Called with the crashes that have changed.
 
     Attributes
     ----------
     changes : ChangeReports
-        Reports to the controllers.
+        Reports to the controllers, by crash and suspect.
     digests : RequestDigests
         Digests of whole requests.
     ledger : CrashLedger
@@ -37,6 +42,7 @@
         "_host",
         "_on_change",
         "_timers",
+        "_upstreams",
         "changes",
         "digests",
         "ledger",
@@ -46,54 +52,90 @@
         self,
         host: str,
         timers: Timers,
+        upstreams: UpstreamConnections,
         on_change: Callable[[list[Crash]], None],
     ) -> None:
         self._host = host
         self._on_change = on_change
         self._timers = timers
-        self.changes = ChangeReports(timers, self._encode)
+        self._upstreams = upstreams
+        self.changes = ChangeReports[tuple[UpstreamStart, str]](
+            timers, self._encode
+        )
         self.digests = RequestDigests()
         self.ledger = CrashLedger(host)
 
-    def record_crash(
-        self, upstream: UpstreamStart, parts: Iterable[str]
+    async def record_broken(
+        self, upstream: UpstreamStart, address: str, suspects: Iterable[str]
     ) -> None:
-        """Record a crash under a request with these prompt parts."""
-        suspects = {part: position for position, part in enumerate(parts)}
-        crash = Crash(upstream, self._timers.now(), self._host, suspects)
+        """Suspect a broken request if its upstream has crashed.
+
+        Parameters
+        ----------
+        upstream : UpstreamStart
+        address : str
+            `http://ip:port`.
+        suspects : iterable of str
+            Ids of its shared prompt parts in their order, and its digest.
+        """
+        if not self.ledger.has_crash(upstream):
+            # The crash counts also if the caller disconnects meanwhile.
+            with anyio.CancelScope(shield=True):
+                has_ended = await self._upstreams.has_ended(address)
+            if not has_ended:
+                return
+        positions = {
+            suspect: REQUEST_POSITION if is_digest(suspect) else position
+            for position, suspect in enumerate(suspects)
+        }
+        before = self.ledger.number
+        crash = Crash(upstream, self._timers.now(), self._host, positions)
         changed = self.ledger.merge([crash])
         self.ledger.clear_answered(changed)
-        self._report(changed)
+        self._report(before, changed)
 
-    def record_answer(self, parts: Iterable[str]) -> None:
-        """Clear the parts of a request that was answered."""
+    def record_answer(self, suspects: Iterable[str]) -> None:
+        """Clear the suspects in a request that was answered."""
+        before = self.ledger.number
         now = self._timers.now()
-        self._report(self.ledger.record_answer(parts, now))
+        self._report(before, self.ledger.record_answer(suspects, now))
 
     def apply(self, crashes: Iterable[Crash]) -> None:
         """Apply what other routers have recorded."""
         changed = self.ledger.merge(crashes)
-        self._report(self.ledger.clear_answered(changed))
+        before = self.ledger.number
+        self._report(before, self.ledger.clear_answered(changed))
         if changed:
             self._on_change(changed)
 
     def expire(self, now: float) -> None:
         """Forget old crashes."""
         self.ledger.expire(now)
-        self.changes.forget(self.ledger.has_crash)
+        self.changes.forget(lambda key: self.ledger.has_crash(key[0]))
 
-    def _report(self, changed: list[Crash]) -> None:
+    def _report(self, before: int, changed: list[Crash]) -> None:
+        """Report what has changed in the ledger since a number."""
         if not changed:
             return
-        self.changes.record(crash.upstream for crash in changed)
+        self.changes.record(
+            (crash.upstream, suspect)
+            for crash in self.ledger.list_since(before)
+            for suspect in crash.suspects
+        )
         self._on_change(changed)
 
     def _encode(
-        self, upstreams: Iterable[UpstreamStart] | None
+        self, keys: Iterable[tuple[UpstreamStart, str]] | None
     ) -> fleet_pb2.RouterUsage:
         crashes: Iterable[Crash] = self.ledger.list_since(0)
-        if upstreams is not None:
-            wanted = set(upstreams)
-            crashes = (c for c in crashes if c.upstream in wanted)
+        if keys is not None:
+            suspects: dict[UpstreamStart, set[str]] = defaultdict(set)
+            for upstream, suspect in keys:
+                suspects[upstream].add(suspect)
+            crashes = [
+                crash.select(suspects[crash.upstream])
+                for crash in crashes
+                if crash.upstream in suspects
+            ]
         messages = encode_crashes(crashes, self._timers.now())
         return fleet_pb2.RouterUsage(crashes=messages)
--- a/hornbeamyard/connection/server.py
+++ b/hornbeamyard/connection/server.py
@@ -18,6 +18,7 @@
 from ..version.replica import NotLeader
 from ..version.state import dump_document
 from . import peers
+from .crash_exchange import CrashHub
 
 # A router's stream is closed after this long without a report.
 SILENCE_TIMEOUT_S = 3.0
@@ -34,11 +35,17 @@
         Name of the fleet; callers of other fleets are refused.
     controller : Controller
     timers : Timers
+    crashes : CrashHub
     """
 
     def __init__(
-        self, fleet: str, controller: Controller, timers: Timers
+        self,
+        fleet: str,
+        controller: Controller,
+        timers: Timers,
+        crashes: CrashHub,
     ) -> None:
+        self._crashes = crashes
         self._fleet = fleet
         self._controller = controller
         self._timers = timers
@@ -110,6 +117,18 @@
                 fleet_pb2.ClaimBatch(identity=identity, started=True)
             )
 
+    async def ShareCrashes(  # noqa: N802 - named by the protocol
+        self,
+        requests: AsyncIterator[fleet_pb2.RouterUsage],
+        context: grpc.aio.ServicerContext,
+    ) -> None:
+        """Exchange crashes of upstreams with a router."""
+        first = await anext(aiter(requests), None)
+        if first is None:
+            return
+        await peers.check_identity(first.identity, self._fleet, context)
+        await self._crashes.serve(requests, context)
+
     async def SubmitPatch(  # noqa: N802 - named by the protocol
         self,
         request: fleet_pb2.PatchRequest,
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -399,7 +399,8 @@
             self._controllers = {c.address: c.host for c in update.controllers}
         if update.leader:
             self._leader = update.leader
-        self._apply_digest_key(address, update.digest_key)
+        leads = self._controllers.get(address, "") == self._leader
+        self._crashes.digests.set_key(update.digest_key, leads)
         for pool in update.recent_versions:
             for software_version in pool.software_versions:
                 self.registry.record_version(pool.pool, software_version, now)
@@ -441,13 +442,6 @@
         if update.routing_version > self.version:
             self._fetch_needed.set()
 
-    def _apply_digest_key(self, address: str, key: bytes) -> None:
-        """Use a controller's key; only the leader's replaces another one."""
-        digests = self._crashes.digests
-        leads = self._controllers.get(address, "") == self._leader
-        if key and (leads or not digests.key):
-            digests.key = key
-
     # ---- routing ---------------------------------------------------------
 
     async def _fetch_repeatedly(self) -> None:
--- a/hornbeamyard/pool/admission.py
+++ b/hornbeamyard/pool/admission.py
@@ -132,7 +132,20 @@
         reason : str
             Text for the callers.
         """
-        for ticket in self.dispatch.backlog:
+        self.give_up(reason, lambda _: True)
+
+    def give_up(
+        self, reason: str, condition: Callable[[Ticket], bool]
+    ) -> None:
+        """Refuse the waiting requests for which a condition holds.
+
+        Parameters
+        ----------
+        reason : str
+            Text for the callers.
+        condition : callable
+        """
+        for ticket in list(filter(condition, self.dispatch.backlog)):
             self.dispatch.backlog.remove(ticket)
             waiting = self._waiting[id(ticket)]
             waiting.given_up = GivenUp(reason)
--- a/hornbeamyard/pool/backlog.py
+++ b/hornbeamyard/pool/backlog.py
@@ -66,6 +66,11 @@
         Monotonic time after which the request is given up, in seconds.
     prefix : int
         Hash of the prompt prefix, or 0 when it is unknown.
+    digest : str
+        Digest of the request.
+    is_probe : bool
+        Whether the request may be sent once although it is blocked for
+        crashes of upstreams.
     avoid : set of str
         Workers on which an earlier attempt failed.
     on_settled : callable, optional
@@ -78,6 +83,8 @@
     received_at: float = 0.0
     start_by: float = float("inf")
     prefix: int = 0
+    digest: str = ""
+    is_probe: bool = False
     avoid: set[str] = field(default_factory=set)
     on_settled: Callable[[], None] | None = None
 
--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -138,12 +138,16 @@
     NO_VERSION = "no upstream has the software version that began the stream"
     UNKNOWN_ORIGIN = "it isn't known where the stream began"
     BLOCKED_PART = "a part of the prompt has crashed several upstreams"
+    BLOCKED_REQUEST = "the request has crashed several upstreams"
     NO_SHARE = "the account's share is used up"
     NO_ROOM = "the upstreams are full"
     TOO_LATE = "the answer would come too late"
     QUEUE_FULL = "too many requests wait"
 
 
+BLOCKED = (RefusalReason.BLOCKED_PART, RefusalReason.BLOCKED_REQUEST)
+
+
 @dataclass(slots=True, frozen=True)
 class Refusal:
     """Why a request is not sent, and when its caller should retry.
@@ -277,7 +281,7 @@
     limit : callable
         Returns a cancel scope that ends after a number of seconds.
     crashes : CrashLedger, optional
-        Prompt parts that are blocked; without it, none is.
+        Requests and prompt parts that are blocked; without it, none is.
     rate_limits : RateLimits, optional
         Rate limits of upstreams; without it, there are none.
 
@@ -533,8 +537,9 @@
         self, demand: RequestDemand, now: float, excluded: frozenset[str]
     ) -> Placement | Shortfall:
         """Choose the upstream of a request, or say why there is none."""
-        if self.is_blocked(demand):
-            return Shortfall(RefusalReason.BLOCKED_PART, True)
+        blocked = self._explain_block(demand)
+        if blocked is not None:
+            return Shortfall(blocked, True)
         servers = self._list_usable(demand, now, excluded)
         if not servers:
             return self._explain_no_upstream(demand, now, excluded)
@@ -572,13 +577,19 @@
         return Shortfall(RefusalReason.TOO_LATE, is_hopeless)
 
     def is_blocked(self, demand: RequestDemand) -> bool:
-        """Return whether a part of the prompt is blocked for its crashes."""
-        if demand.is_probe:
-            return False
-        return self._crashes.find_block(demand.shared_parts) is not None
+        """Return whether a request or a part of it is blocked for crashes."""
+        return self._explain_block(demand) is not None
 
-    def check_parts(self, demand: RequestDemand, now: float) -> Refusal | None:
-        """Refuse a request with a blocked part, unless it is a due probe.
+    def _explain_block(self, demand: RequestDemand) -> RefusalReason | None:
+        block = self._crashes.find_block(demand.suspects)
+        if block is None or demand.is_probe:
+            return None
+        if block.suspect == demand.digest:
+            return RefusalReason.BLOCKED_REQUEST
+        return RefusalReason.BLOCKED_PART
+
+    def screen(self, demand: RequestDemand, now: float) -> Refusal | None:
+        """Refuse a request that is blocked, or make it a probe that is due.
 
         Parameters
         ----------
@@ -586,12 +597,11 @@
         now : float
             Monotonic time in seconds.
         """
-        demand.is_probe = self._crashes.begin_probe(demand.shared_parts, now)
-        if not self.is_blocked(demand):
+        demand.is_probe = self._crashes.begin_probe(demand.suspects, now)
+        blocked = self._explain_block(demand)
+        if blocked is None:
             return None
-        return self._refuse(
-            RefusalReason.BLOCKED_PART, demand, now, frozenset()
-        )
+        return self._refuse(blocked, demand, now, frozenset())
 
     def _has_share(self, demand: RequestDemand, now: float) -> bool:
         if not self._kv_capacity_tokens or demand.is_charged:
@@ -857,7 +867,7 @@
         ):
             found = self._find(waiting.demand, now, waiting.excluded)
             if isinstance(found, Shortfall):
-                if found.reason is RefusalReason.BLOCKED_PART:
+                if found.reason in BLOCKED:
                     self._end_waiting(
                         waiting,
                         self._refuse(
@@ -943,8 +953,8 @@
         excluded: frozenset[str],
     ) -> Refusal:
         resumes_at = None
-        if reason is RefusalReason.BLOCKED_PART:
-            block = self._crashes.find_block(demand.shared_parts)
+        if reason in BLOCKED:
+            block = self._crashes.find_block(demand.suspects)
             resumes_at = block.retry_at if block is not None else None
         if reason is RefusalReason.PAUSED:
             resumes_at = self._find_end_of_pause(demand, now, excluded)
--- a/hornbeamyard/pool/crashes.py
+++ b/hornbeamyard/pool/crashes.py
@@ -1,20 +1,21 @@
-"""Crashes of upstreams, and the prompt parts that cause them.
-
-A prompt part may crash every upstream that begins to answer a request with it.
-A crash also breaks off the upstream's other requests, so a single one doesn't
-tell which part is at fault. Each crash is recorded with its suspects: the
-shared parts of the requests that broke off soon after their answers began, or
-before. A suspect is cleared when a request with it is answered later, or was
-just before the crash, and a part that stays suspected of several crashes is
-blocked.
-
-Routers exchange their records. Merging them only adds suspects and cleared
-parts, so all routers come to the same result, in whichever order they learn.
+"""Crashes of upstreams, and the requests and prompt parts that cause them.
+
+A request, or a prompt part that many requests share, may crash every upstream
+that begins to answer it. A crash also breaks off the upstream's other
+requests, so a single one doesn't tell what is at fault. Each crash is recorded
+with its suspects: the requests that broke off soon after their answers began,
+or before, and their shared prompt parts. A suspect is cleared when a request
+with it is answered later, or was just before the crash, and one that stays
+suspected of several crashes is blocked.
+
+Routers exchange their records. Merging them only adds suspects and marks them
+as cleared, so all routers come to the same result, in whichever order they
+learn.
 """
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
@@ -23,31 +24,37 @@
 # An upstream crashes as it begins to answer. A request whose answer has gone
 # on for this long isn't suspected.
 SUSPICION_S = 2.0
-# A part that was answered this long before a crash isn't suspected of it. A
-# part may begin to crash upstreams at any time, so older answers don't count.
+# What was answered this long before a crash isn't suspected of it. It may
+# begin to crash upstreams at any time, so older answers don't count.
 ANSWERED_S = 1.0
-# Crashes of which a part has to be the suspect before it is blocked. Two may
-# coincide for a part whose caller retries after the first one.
+# Crashes of which something has to be the suspect before it is blocked. Two
+# may coincide for a request whose caller retries after the first one.
 MIN_CRASHES = 3
-# A blocked part may be probed with one request this long after its last
-# crash. The time doubles with each further crash.
+# What is blocked may be probed with one request this long after its last
+# crash. The time doubles with each further crash, and with each probe.
 PROBE_DELAY_S = 30.0
-# A part that crashed more upstreams than this isn't probed while the
-# crashes are remembered.
+# What crashed more upstreams than this isn't probed while the crashes are
+# remembered.
 MAX_PROBED_CRASHES = 5
+# Probes of one suspect by a router.
+MAX_PROBES = MAX_PROBED_CRASHES - MIN_CRASHES + 1
+# Position of a whole request among the suspects, behind all prompt parts.
+REQUEST_POSITION = 2**31
 # Crashes are remembered for this long.
 RETENTION_S = 3600.0
-# Bounds of the memory: crashes, and suspects of each. A crash has about as
-# many suspects as the upstream runs requests.
+# Bounds of the memory: crashes, suspects of each, and of all together. A crash
+# has some more suspects than the upstream runs requests; one takes about 400
+# bytes.
 MAX_CRASHES = 256
 MAX_SUSPECTS = 512
-# Parts whose last answer is remembered.
-MAX_ANSWERED = 4096
+MAX_ALL_SUSPECTS = 16 * 1024
+# Requests and parts whose last answer is remembered.
+MAX_ANSWERED = 8 * 1024
 
 
 @dataclass(slots=True)
 class Crash:
-    """A crash and the shared prompt parts that may have caused it.
+    """A crash, and the requests and prompt parts that may have caused it.
 
     Attributes
     ----------
@@ -55,13 +62,16 @@
     crashed_at : float
         Monotonic time in seconds.
     reporter : str
-        Host of the router that probes a blocked part.
+        Host of the router that probes what is blocked.
     suspects : dict of str to int
-        Position of each part in its prompt, from 0.
+        Ids of shared prompt parts with their positions in the prompt, from 0,
+        and digests of whole requests with `REQUEST_POSITION`.
     cleared : set of str
         Suspects of which a request was answered just before or later.
     number : int
         Grows with each change of any crash in the ledger.
+    changes : dict of str to int
+        Number of the last change of each suspect.
     """
 
     upstream: UpstreamStart
@@ -70,9 +80,10 @@
     suspects: dict[str, int] = field(default_factory=dict)
     cleared: set[str] = field(default_factory=set)
     number: int = 0
+    changes: dict[str, int] = field(default_factory=dict)
 
-    def add(self, other: Crash) -> bool:
-        """Add what another record of the crash has; return whether it is new.
+    def add(self, other: Crash) -> set[str]:
+        """Add what another record of the crash has; return what is new.
 
         All routers keep the same reporter and positions.
         """
@@ -81,8 +92,9 @@
             for part, position in other.suspects.items()
             if position > self.suspects.get(part, -1)
         }
-        if not added and other.cleared <= self.cleared:
-            return False
+        changed = added.keys() | (other.cleared - self.cleared)
+        if not changed:
+            return set()
         self.reporter = min(self.reporter, other.reporter)
         self.suspects |= added
         self.cleared |= other.cleared
@@ -90,7 +102,7 @@
             kept = sorted(self.suspects)[:MAX_SUSPECTS]
             self.suspects = {part: self.suspects[part] for part in kept}
         self.cleared &= self.suspects.keys()
-        return True
+        return changed & self.suspects.keys()
 
     def list_open(self) -> dict[str, int]:
         """Return the suspects that aren't cleared, with their positions."""
@@ -100,14 +112,43 @@
             if part not in self.cleared
         }
 
+    def is_open(self, suspect: str) -> bool:
+        """Return whether something is suspected of the crash."""
+        return suspect in self.suspects and suspect not in self.cleared
+
+    def select_changes(self, number: int) -> Crash:
+        """Return a record with only the suspects that changed since."""
+        return self.select(
+            suspect
+            for suspect in self.suspects
+            if self.changes.get(suspect, 0) > number
+        )
+
+    def select(self, suspects: Iterable[str]) -> Crash:
+        """Return a record with only some of the suspects."""
+        selected = {
+            suspect: self.suspects[suspect]
+            for suspect in suspects
+            if suspect in self.suspects
+        }
+        return Crash(
+            self.upstream,
+            self.crashed_at,
+            self.reporter,
+            selected,
+            self.cleared & selected.keys(),
+            self.number,
+        )
+
 
 @dataclass(slots=True, frozen=True)
 class Block:
-    """A prompt part that is blocked.
+    """A request or a prompt part that is blocked.
 
     Attributes
     ----------
-    part : str
+    suspect : str
+        Id of the prompt part, or digest of the request.
     crashes : int
         Number of crashes that it is held responsible for.
     retry_at : float
@@ -116,49 +157,56 @@
         Host of the router that probes it; empty for none.
     """
 
-    part: str
+    suspect: str
     crashes: int
     retry_at: float
     probed_by: str
 
 
 class CrashLedger:
-    """Known crashes, and the prompt parts that are blocked for them.
+    """Known crashes, and the requests and parts that are blocked for them.
 
     Parameters
     ----------
     host : str, optional
-        Host of this process. It probes the blocked parts whose last crash it
-        has reported.
+        Host of this process. It probes what is blocked for a crash that it
+        has reported as the last one.
 
     Attributes
     ----------
     blocked : dict of str to Block
-        By prompt part.
+        By suspect.
     number : int
         Number of the newest change; 0 before the first crash.
     """
 
     __slots__ = (
         "_answered_at",
+        "_candidates",
         "_crashes",
         "_host",
-        "_next_probes",
-        "_open_suspects",
+        "_open_counts",
+        "_probes",
+        "_suspect_count",
         "blocked",
         "number",
     )
 
     def __init__(self, host: str = "") -> None:
-        # When parts were answered last, the latest ones at the end.
+        # When suspects were answered last, the latest ones at the end.
         self._answered_at: dict[str, float] = {}
         self._host = host
-        # When a part may be probed again after a probe has begun, by part.
-        self._next_probes: dict[str, float] = {}
+        # Number of probes that have begun, and when the next one may, by
+        # suspect.
+        self._probes: dict[str, tuple[int, float]] = {}
         # In the order of their last change.
         self._crashes: dict[UpstreamStart, Crash] = {}
-        # Suspects of any crash that aren't cleared of it.
-        self._open_suspects: set[str] = set()
+        # Suspects of all crashes, those included that are cleared.
+        self._suspect_count = 0
+        # Number of crashes that something is suspected of, and those that
+        # are suspected of enough crashes to be blocked.
+        self._open_counts: Counter[str] = Counter()
+        self._candidates: set[str] = set()
         self.blocked: dict[str, Block] = {}
         self.number = 0
 
@@ -171,7 +219,7 @@
         return upstream in self._crashes
 
     def merge(self, crashes: Iterable[Crash]) -> list[Crash]:
-        """Add crashes, or suspects and cleared parts of known ones.
+        """Add crashes, or suspects and cleared ones of known crashes.
 
         Returns
         -------
@@ -183,29 +231,35 @@
             known = self._crashes.get(crash.upstream)
             if known is None:
                 known = Crash(crash.upstream, crash.crashed_at, crash.reporter)
-            if known.add(crash):
-                self._touch(known)
+            before = known.list_open().keys(), len(known.suspects)
+            changes = known.add(crash)
+            if changes:
+                self._count(known, *before)
+                self._touch(known, changes)
                 changed.append(known)
         if changed:
             self._update()
         return changed
 
-    def record_answer(self, parts: Iterable[str], now: float) -> list[Crash]:
-        """Clear parts of all known crashes, because they were answered.
+    def record_answer(
+        self, suspects: Iterable[str], now: float
+    ) -> list[Crash]:
+        """Clear suspects of all known crashes, because they were answered.
 
         Returns
         -------
         list of Crash
             The crashes that have changed.
         """
-        for part in parts:
-            self._answered_at.pop(part, None)
-            self._answered_at[part] = now
+        for suspect in suspects:
+            self._answered_at.pop(suspect, None)
+            self._answered_at[suspect] = now
         while len(self._answered_at) > MAX_ANSWERED:
             del self._answered_at[next(iter(self._answered_at))]
-        if self._open_suspects.isdisjoint(parts):
+        answered = [s for s in suspects if s in self._open_counts]
+        if not answered:
             return []
-        return self.clear_answered(self._crashes.values())
+        return self._clear(list(self._crashes.values()), answered)
 
     def clear_answered(self, crashes: Iterable[Crash]) -> list[Crash]:
         """Clear the suspects that were answered here after a crash.
@@ -215,60 +269,72 @@
         list of Crash
             The crashes that have changed.
         """
+        crashes = list(crashes)
+        suspects = set().union(*(crash.list_open() for crash in crashes))
+        return self._clear(crashes, suspects & self._answered_at.keys())
+
+    def _clear(
+        self, crashes: Iterable[Crash], suspects: Iterable[str]
+    ) -> list[Crash]:
         changed = []
         for crash in crashes:
             since = crash.crashed_at - ANSWERED_S
             answered = {
-                part
-                for part in crash.list_open()
-                if self._answered_at.get(part, float("-inf")) >= since
+                suspect
+                for suspect in suspects
+                if crash.is_open(suspect)
+                and self._answered_at[suspect] >= since
             }
-            if answered:
-                crash.cleared |= answered
-                changed.append(crash)
-        for crash in changed:
-            self._touch(crash)
+            if not answered:
+                continue
+            before = crash.list_open().keys(), len(crash.suspects)
+            crash.cleared |= answered
+            self._count(crash, *before)
+            self._touch(crash, answered)
+            changed.append(crash)
         if changed:
             self._update()
         return changed
 
-    def find_block(self, parts: Iterable[str]) -> Block | None:
-        """Return the block of the first part that is blocked."""
+    def find_block(self, suspects: Iterable[str]) -> Block | None:
+        """Return the block of the first suspect that is blocked."""
         if not self.blocked:
             return None
-        for part in parts:
-            block = self.blocked.get(part)
+        for suspect in suspects:
+            block = self.blocked.get(suspect)
             if block is not None:
                 return block
         return None
 
-    def begin_probe(self, parts: Iterable[str], now: float) -> bool:
-        """Return whether a request with blocked parts is sent as a probe.
+    def begin_probe(self, suspects: Iterable[str], now: float) -> bool:
+        """Return whether a request that is blocked is sent as a probe.
 
-        One request for each part and probe time is, at one router only. If
-        it is answered, the part is cleared.
+        One request for each suspect and probe time is, at one router only. If
+        it is answered, the suspect is cleared.
         """
         if not self.blocked:
             return False
-        blocks = [self.blocked[part] for part in parts if part in self.blocked]
+        blocks = [self.blocked[s] for s in suspects if s in self.blocked]
         if not blocks:
             return False
         for block in blocks:
-            next_probe = self._next_probes.get(block.part, float("-inf"))
-            if now < max(block.retry_at, next_probe):
+            begun, next_at = self._probes.get(block.suspect, (0, 0.0))
+            if begun >= MAX_PROBES or now < max(block.retry_at, next_at):
                 return False
             if not block.probed_by or block.probed_by != self._host:
                 return False
         for block in blocks:
-            self._next_probes[block.part] = now + PROBE_DELAY_S
+            begun, _ = self._probes.get(block.suspect, (0, 0.0))
+            next_at = now + PROBE_DELAY_S * 2.0**begun
+            self._probes[block.suspect] = (begun + 1, next_at)
         return True
 
     def list_since(self, number: int) -> Iterator[Crash]:
-        """Yield the crashes that changed after a number, the newest first."""
+        """Yield what changed after a number, the newest crash first."""
         for crash in reversed(self._crashes.values()):
             if crash.number <= number:
                 return
-            yield crash
+            yield crash.select_changes(number)
 
     def expire(self, now: float) -> None:
         """Forget the crashes of more than `RETENTION_S` ago."""
@@ -278,37 +344,71 @@
             if now - crash.crashed_at > RETENTION_S
         ]
         for upstream in expired:
-            del self._crashes[upstream]
+            self._forget(upstream)
         if expired:
             self._update()
 
-    def _touch(self, crash: Crash) -> None:
+    def _touch(self, crash: Crash, changed: Iterable[str]) -> None:
         self.number += 1
         crash.number = self.number
+        for suspect in changed:
+            crash.changes[suspect] = self.number
         self._crashes.pop(crash.upstream, None)
         self._crashes[crash.upstream] = crash
-        if len(self._crashes) > MAX_CRASHES:
+        while (
+            len(self._crashes) > MAX_CRASHES
+            or self._suspect_count > MAX_ALL_SUSPECTS
+        ):
             oldest = min(self._crashes.values(), key=lambda c: c.crashed_at)
-            del self._crashes[oldest.upstream]
+            self._forget(oldest.upstream)
+
+    def _forget(self, upstream: UpstreamStart) -> None:
+        crash = self._crashes.pop(upstream)
+        before = crash.list_open().keys(), len(crash.suspects)
+        crash.suspects = {}
+        self._count(crash, *before)
+
+    def _count(
+        self, crash: Crash, open_before: Iterable[str], number_before: int
+    ) -> None:
+        """Update the counts for a crash whose suspects have changed."""
+        self._suspect_count += len(crash.suspects) - number_before
+        open_now = crash.list_open().keys()
+        for suspect in open_now - set(open_before):
+            self._open_counts[suspect] += 1
+            if self._open_counts[suspect] >= MIN_CRASHES:
+                self._candidates.add(suspect)
+        for suspect in set(open_before) - open_now:
+            self._open_counts[suspect] -= 1
+            if self._open_counts[suspect] < MIN_CRASHES:
+                self._candidates.discard(suspect)
+            if not self._open_counts[suspect]:
+                del self._open_counts[suspect]
 
     def _update(self) -> None:
-        suspects = [
-            (crash, crash.list_open()) for crash in self._crashes.values()
-        ]
-        self._open_suspects = set().union(*(parts for _, parts in suspects))
+        # Only candidates can be blocked, so the others need not be ranked.
+        suspects = []
+        for crash in self._crashes.values() if self._candidates else ():
+            positions = {
+                suspect: crash.suspects[suspect]
+                for suspect in self._candidates
+                if crash.is_open(suspect)
+            }
+            if positions:
+                suspects.append((crash, positions))
         self.blocked = _find_blocks(suspects)
-        for part in self._next_probes.keys() - self.blocked.keys():
-            del self._next_probes[part]
+        for suspect in self._probes.keys() - self.blocked.keys():
+            del self._probes[suspect]
 
 
 def _find_blocks(
     suspects: Iterable[tuple[Crash, Mapping[str, int]]],
 ) -> dict[str, Block]:
-    """Return the parts to block for crashes with these open suspects.
+    """Return what to block for crashes with these open suspects.
 
-    A crash is explained by the part that is suspected of most crashes; its
-    other suspects aren't held responsible for it. Among equals it is the part
-    at the last position, as fewest other requests share it.
+    A crash is explained by what is suspected of most crashes; its other
+    suspects aren't held responsible for it. Among equals it is the one at the
+    last position, as fewest other requests have it in common.
     """
     blocks: dict[str, Block] = {}
     unexplained = list(suspects)
--- a/hornbeamyard/pool/demand.py
+++ b/hornbeamyard/pool/demand.py
@@ -58,11 +58,13 @@
         Tokens that no other request shares.
     affinity : str
         Id of the last part that other requests share, or empty.
-    shared_parts : tuple of str
-        Ids of all parts that other requests share.
+    digest : str
+        Digest of the whole request.
+    suspects : tuple of str
+        What may be at fault if an upstream crashes under the request: the ids
+        of all parts that other requests share, and the digest.
     is_probe : bool
-        Whether the request may be sent once although one of its parts is
-        blocked.
+        Whether the request may be sent once although it is blocked.
     """
 
     request_id: str
@@ -79,16 +81,19 @@
     is_caller_retry: bool = False
     is_charged: bool = False
     is_probe: bool = False
+    digest: str = ""
     own_tokens: int = field(init=False)
     affinity: str = field(init=False)
-    shared_parts: tuple[str, ...] = field(init=False)
+    suspects: tuple[str, ...] = field(init=False)
 
     def __post_init__(self) -> None:
         """Compute what each placement reads for each upstream."""
         shared = sum(part.tokens for part in self.parts[:-1])
         self.own_tokens = max(0, self.prompt_tokens - shared)
-        self.shared_parts = tuple(part.id for part in self.parts[:-1])
-        self.affinity = self.shared_parts[-1] if self.shared_parts else ""
+        self.suspects = tuple(part.id for part in self.parts[:-1])
+        self.affinity = self.suspects[-1] if self.suspects else ""
+        if self.digest:
+            self.suspects += (self.digest,)
 
     @property
     def size(self) -> int:
--- a/hornbeamyard/pool/digests.py
+++ b/hornbeamyard/pool/digests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import secrets
 
 # Digests stand beside the ids of prompt parts, which contain no colon.
 DIGEST_PREFIX = "request:"
@@ -22,22 +23,35 @@
 
     Without the key, nobody who sees a digest in a log or a report can find
     out by trying which request it stands for.
-
-    Attributes
-    ----------
-    key : bytes
-        Empty until a controller has sent it.
     """
 
-    __slots__ = ("key",)
+    __slots__ = ("_is_fleet_key", "_key")
 
     def __init__(self) -> None:
-        self.key = b""
+        # Until a controller has sent the fleet's key, a router recognises
+        # requests for itself.
+        self._is_fleet_key = False
+        self._key = secrets.token_bytes(KEY_SIZE)
+
+    def set_key(self, key: bytes, from_leader: bool) -> None:
+        """Use the fleet's key as a controller knows it.
+
+        Parameters
+        ----------
+        key : bytes
+            Empty if the controller doesn't know it.
+        from_leader : bool
+            Whether the controller leads. Others may know an earlier key.
+        """
+        if not key or (self._is_fleet_key and not from_leader):
+            return
+        self._is_fleet_key = True
+        self._key = key
 
     def compute(
         self, method: str, target: bytes, caller: str, body: bytes
     ) -> str:
-        """Return the digest of a request, or "" while there is no key.
+        """Return the digest of a request.
 
         Parameters
         ----------
@@ -48,9 +62,7 @@
             Client account, or what else identifies the caller.
         body : bytes
         """
-        if not self.key:
-            return ""
-        hasher = hashlib.blake2b(key=self.key, digest_size=DIGEST_SIZE)
+        hasher = hashlib.blake2b(key=self._key, digest_size=DIGEST_SIZE)
         for field in (method.encode(), target, caller.encode()):
             hasher.update(len(field).to_bytes(4, "big"))
             hasher.update(field)
--- a/hornbeamyard/pool/upstream_registry.py
+++ b/hornbeamyard/pool/upstream_registry.py
@@ -37,7 +37,8 @@
     id : str
     started_ms : int
         Wall-clock time of the start in milliseconds since 1970; 0 when it
-        is not announced.
+        is not announced. In fleets without a route directory, another number
+        that differs for each start.
     """
 
     id: str
--- a/hornbeamyard/pool/worker.py
+++ b/hornbeamyard/pool/worker.py
@@ -8,6 +8,7 @@
 
 from ..messages import fleet_pb2
 from . import constants
+from .upstream_registry import UpstreamStart
 
 # Time for which a worker that fails gets no requests. It doubles with each
 # further failure in a row, up to the maximum.
@@ -62,6 +63,11 @@
     incarnation: int = 0
     announced_at: float = 0.0
 
+    @property
+    def start(self) -> UpstreamStart:
+        """Name and number of the start."""
+        return UpstreamStart(self.name, self.incarnation)
+
     def to_message(self, now: float) -> fleet_pb2.Announcement:
         """Return the announcement as a message, with its age."""
         return fleet_pb2.Announcement(
--- a/hornbeamyard/process/crash_store.py
+++ b/hornbeamyard/process/crash_store.py
@@ -17,8 +17,8 @@
 
 FILE_NAME = "crashes"
 # Interval of writing changes. The disk is that of the log, whose writes
-# operators wait for.
-SAVE_INTERVAL_S = 1.0
+# operators wait for; crashes of a shorter time are lost if all processes end.
+SAVE_INTERVAL_S = 0.2
 
 _log = logbook.Logger("crash_store")
 
--- a/hornbeamyard/process/daemon.py
+++ b/hornbeamyard/process/daemon.py
@@ -13,6 +13,7 @@
 from result import Err
 
 from ..connection import peers
+from ..connection.crash_exchange import CrashHub
 from ..connection.replication import ReplicationCalls, ReplicationService
 from ..connection.server import FleetService
 from ..messages import fleet_pb2_grpc
@@ -21,6 +22,7 @@
 from ..version.replica import Replica
 from .controller import Controller
 from .controller_app import build_controller_app
+from .crash_store import CrashStore
 from .decisions import DecisionLog
 from .directory_router import DirectoryRouter
 from .interface import Interface
@@ -150,18 +152,21 @@
     assert settings.controller is not None
     address = settings.controller.address
     calls = ReplicationCalls(settings.tls)
+    disk = FolderDisk(settings.controller.data_folder)
     replica = Replica(
         peers.build_identity(settings, random.getrandbits(63)),
         settings.controllers[settings.host],
-        FolderDisk(settings.controller.data_folder),
+        disk,
         calls,
         timers,
         random.SystemRandom(),
     )
     controller = Controller(replica, timers)
+    crashes = CrashHub(replica, timers)
+    crash_store = CrashStore(crashes.ledger, disk, timers)
     server = peers.create_server()
     fleet_pb2_grpc.add_FleetServicer_to_server(
-        FleetService(settings.fleet, controller, timers), server
+        FleetService(settings.fleet, controller, timers, crashes), server
     )
     fleet_pb2_grpc.add_ReplicationServicer_to_server(
         ReplicationService(settings.fleet, replica), server
@@ -170,6 +175,9 @@
     try:
         async with anyio.create_task_group() as tasks:
             await tasks.start(replica.run)
+            await crash_store.load()
+            tasks.start_soon(crash_store.run)
+            tasks.start_soon(crashes.run)
             await server.start()
             tasks.start_soon(controller.run)
             task_status.started(replica)
--- a/hornbeamyard/process/metrics.py
+++ b/hornbeamyard/process/metrics.py
@@ -84,8 +84,10 @@
     "pool_waiting": "Requests that wait, by pool",
     "refusals": "Requests refused as not run, by account and reason",
     "requests": "Requests by account, class and outcome",
+    "requests_blocked": "Requests that are blocked for crashes",
     "retries": "Attempts after the first, by account",
     "running": "Requests that run, by account",
+    "upstream_crashes_known": "Crashes of upstreams in the last hour",
     "version_in_force": "Configuration version that the router works by",
     "waiting": "Requests that wait, by account",
 }
@@ -106,7 +108,6 @@
     "share_factor": "Throughput of the engines, as a multiple",
     "share_level": "Share of an account in tokens a second; 0 without limit",
     "term": "Term of the log",
-    "upstream_crashes_known": "Crashes of upstreams in the last hour",
     "upstream_connections": "Connections opened to upstreams",
     "upstreams": "Upstreams that announce themselves, by pool",
 }
--- a/hornbeamyard/process/router.py
+++ b/hornbeamyard/process/router.py
@@ -11,6 +11,8 @@
 
 from ..connection import peers
 from ..connection.calls import LeaderCalls
+from ..connection.crash_exchange import CrashSubscription
+from ..connection.crash_reports import CrashReports
 from ..connection.limits import (
     ConnectionLimits,
     OverloadLimiter,
@@ -23,12 +25,13 @@
 from ..pool import constants
 from ..pool.admission import Admission
 from ..pool.backlog import QueueBounds
+from ..pool.crashes import Crash
 from ..pool.dispatch import Dispatch
 from ..pool.worker import Worker, WorkerRegistry
 from ..request.administration import Administration
 from ..request.announcement import AnnouncementHandler
 from ..request.claim import ClaimClient
-from ..request.delivery import Delivery
+from ..request.delivery import BLOCKED_REASON, Delivery
 from ..request.gateway import Gateway
 from ..version.configuration import Configuration
 from .gauges import sample_pools, sample_session
@@ -79,6 +82,7 @@
         "_admissions",
         "_calls",
         "_claims",
+        "_crashes",
         "_delivery",
         "_liveness",
         "_overload_limiter",
@@ -121,6 +125,12 @@
             identity, settings.controllers, settings.tls, timers
         )
         upstreams = UpstreamConnections()
+        crashes = CrashReports(
+            settings.host, timers, upstreams, self._handle_crashes
+        )
+        self._crashes = CrashSubscription(
+            identity, settings.controllers, settings.tls, timers, crashes
+        )
         self._liveness = LivenessChecker(
             upstreams, timers, settings.router.silence_s
         )
@@ -133,6 +143,7 @@
             self._claims,
             upstreams,
             self._liveness,
+            crashes,
         )
         self.gateway = Gateway(
             self,
@@ -165,6 +176,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.session.run)
             tasks.start_soon(self._claims.run)
+            tasks.start_soon(self._crashes.run)
             tasks.start_soon(self._liveness.run)
             tasks.start_soon(self._overload_limiter.run)
             tasks.start_soon(limits.run)
@@ -200,6 +212,9 @@
     def _sample(self) -> Iterator[Sample]:
         now = self._timers.now()
         yield from sample_session(self.session, now)
+        ledger = self._delivery.crashes.ledger
+        yield Sample("upstream_crashes_known", len(ledger))
+        yield Sample("requests_blocked", len(ledger.blocked))
         yield from sample_pools(self._admissions, now)
 
     def _apply_configuration(self, configuration: Configuration) -> None:
@@ -217,6 +232,19 @@
         dispatch.set_shares(self._shares, self._timers.now())
         dispatch.backlog.set_bounds(self._queue_bounds)
 
+    def _handle_crashes(self, changed: list[Crash]) -> None:
+        for crash in changed:
+            _log.info(
+                "upstream {} crashed under {} requests, {} of them cleared",
+                crash.upstream.id,
+                len(crash.suspects),
+                len(crash.cleared),
+            )
+        if not self._delivery.crashes.ledger.blocked:
+            return
+        for admission in self._admissions.values():
+            admission.give_up(BLOCKED_REASON, self._delivery.is_blocked)
+
     async def _expire_upstreams(self) -> None:
         interval = constants.REPORT_INTERVAL_S
         async for now in self._timers.subscribe(interval):
--- a/hornbeamyard/process/upstream_notices.py
+++ b/hornbeamyard/process/upstream_notices.py
@@ -4,14 +4,13 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 
-import anyio
-
 from ..connection.crash_reports import CrashReports
 from ..connection.limit_reports import LimitReports
 from ..connection.upstreams import UpstreamConnections
 from ..pool.balancer import Balancer
 from ..pool.crashes import Crash
-from ..pool.upstream_registry import Upstream, UpstreamStart
+from ..pool.digests import is_digest
+from ..pool.upstream_registry import Upstream, UpstreamStart, UpstreamState
 from .decisions import DecisionLog
 from .metrics import Sample
 from .timers import Timers
@@ -37,10 +36,9 @@
 
     __slots__ = (
         "_balancers",
-        "_blocked_parts",
+        "_blocked",
         "_decisions",
         "_timers",
-        "_upstreams",
         "crashes",
         "limits",
     )
@@ -54,11 +52,12 @@
         balancers: Mapping[str, Balancer],
     ) -> None:
         self._balancers = balancers
-        self._blocked_parts: set[str] = set()
+        self._blocked: set[str] = set()
         self._decisions = decisions
         self._timers = timers
-        self._upstreams = upstreams
-        self.crashes = CrashReports(host, timers, self._handle_crashes)
+        self.crashes = CrashReports(
+            host, timers, upstreams, self._handle_crashes
+        )
         self.limits = LimitReports(timers, self._handle_limit)
 
     # ---- for the request path --------------------------------------------
@@ -70,29 +69,26 @@
         self.limits.observe(upstream, max_rate)
 
     async def record_broken(
-        self, upstream: Upstream, parts: Iterable[str]
+        self, upstream: Upstream, suspects: Iterable[str]
     ) -> None:
-        """Suspect the parts of a broken request if its upstream crashed.
+        """Suspect a broken request if its upstream has crashed.
 
         Parameters
         ----------
         upstream : Upstream
-        parts : iterable of str
-            Ids of the shared prompt parts.
+        suspects : iterable of str
+            Ids of its shared prompt parts in their order, and its digest.
         """
-        if not self.crashes.ledger.has_crash(upstream.start):
-            # The crash counts also if the caller disconnects meanwhile.
-            with anyio.CancelScope(shield=True):
-                has_ended = await self._upstreams.has_ended(
-                    f"http://{upstream.address}"
-                )
-            if not has_ended:
-                return
-        self.crashes.record_crash(upstream.start, parts)
-
-    def record_answer(self, parts: Iterable[str]) -> None:
-        """Clear the prompt parts of a request that was answered."""
-        self.crashes.record_answer(parts)
+        if upstream.state is not UpstreamState.READY:
+            # One that leaves ends by itself.
+            return
+        await self.crashes.record_broken(
+            upstream.start, f"http://{upstream.address}", suspects
+        )
+
+    def record_answer(self, suspects: Iterable[str]) -> None:
+        """Clear the suspects in a request that was answered."""
+        self.crashes.record_answer(suspects)
 
     # ---- decisions -------------------------------------------------------
 
@@ -127,20 +123,22 @@
                 cleared=len(crash.cleared),
             )
         blocked = self.crashes.ledger.blocked
-        if blocked.keys() == self._blocked_parts:
+        if blocked.keys() == self._blocked:
             return
-        for part in blocked.keys() - self._blocked_parts:
-            block = blocked[part]
+        for suspect in blocked.keys() - self._blocked:
+            block = blocked[suspect]
             self._decisions.note(
-                "part_blocked",
-                part=part,
+                f"{_name_kind(suspect)}_blocked",
+                **_describe(suspect),
                 crashes=block.crashes,
                 retry_in_s=round(block.retry_at - self._timers.now(), 1),
                 probed_by=block.probed_by,
             )
-        for part in self._blocked_parts - blocked.keys():
-            self._decisions.note("part_released", part=part)
-        self._blocked_parts = set(blocked)
+        for suspect in self._blocked - blocked.keys():
+            self._decisions.note(
+                f"{_name_kind(suspect)}_released", **_describe(suspect)
+            )
+        self._blocked = set(blocked)
         self._start_waiting()
 
     def _start_waiting(self) -> None:
@@ -151,4 +149,14 @@
         """Yield the metrics."""
         ledger = self.crashes.ledger
         yield Sample("upstream_crashes_known", len(ledger))
-        yield Sample("prompt_parts_blocked", len(ledger.blocked))
+        requests = sum(map(is_digest, ledger.blocked))
+        yield Sample("prompt_parts_blocked", len(ledger.blocked) - requests)
+        yield Sample("requests_blocked", requests)
+
+
+def _name_kind(suspect: str) -> str:
+    return "request" if is_digest(suspect) else "part"
+
+
+def _describe(suspect: str) -> dict[str, str]:
+    return {"digest" if is_digest(suspect) else "part": suspect}
--- a/hornbeamyard/request/delivery.py
+++ b/hornbeamyard/request/delivery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Awaitable, Callable, MutableMapping
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -10,12 +11,14 @@
 import anyio
 from result import Err
 
+from ..connection.crash_reports import CrashReports
 from ..connection.upstreams import LivenessChecker, UpstreamConnections
 from ..messages import fleet_pb2
 from ..pool.admission import Admission, GivenUp, Refusal
 from ..pool.backlog import Ticket
+from ..pool.crashes import SUSPICION_S
 from ..pool.dispatch import StartedRequest
-from ..pool.worker import WorkerRegistry
+from ..pool.worker import Worker, WorkerRegistry
 from ..process.metrics import Latency, Metrics
 from ..process.timers import Timers
 from .budget import RetryBudget, compute_backoff
@@ -44,6 +47,7 @@
 MAX_RUNS = 3
 MAX_ATTEMPTS = 8
 STOP_REASON = "the router stopped before the request ended"
+BLOCKED_REASON = "the request has crashed several upstreams"
 
 
 class Pools(Protocol):
@@ -76,6 +80,8 @@
         The current attempt.
     recorder : ResponseRecorder or None
         Collects the response for the claim.
+    answered_at : float or None
+        Monotonic time in seconds of the response's first byte.
     caller_disconnected : bool
     outcome : str
         Outcome in the metrics.
@@ -94,6 +100,7 @@
     retry_forbidden: bool = False
     exchange: Exchange | None = None
     recorder: ResponseRecorder | None = None
+    answered_at: float | None = None
     caller_disconnected: bool = False
     outcome: str = "cancelled"
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
@@ -117,9 +124,12 @@
     claims : ClaimClient
     upstreams : UpstreamConnections
     liveness : LivenessChecker
+    crashes : CrashReports
 
     Attributes
     ----------
+    crashes : CrashReports
+        Crashes of upstreams, and the requests that are blocked for them.
     is_closing : bool
         Whether responses have the header `Connection: close`.
     is_stopped : bool
@@ -137,6 +147,7 @@
         "_registry",
         "_timers",
         "_upstreams",
+        "crashes",
         "is_closing",
         "is_stopped",
     )
@@ -150,6 +161,7 @@
         claims: ClaimClient,
         upstreams: UpstreamConnections,
         liveness: LivenessChecker,
+        crashes: CrashReports,
     ) -> None:
         self._pools = pools
         self._registry = registry
@@ -161,6 +173,7 @@
         self._budget = RetryBudget()
         self._in_progress: set[RequestState] = set()
         self._changed = anyio.Event()
+        self.crashes = crashes
         self.is_closing = False
         self.is_stopped = False
 
@@ -269,15 +282,23 @@
         self, state: RequestState, send: Send
     ) -> Problem | None:
         admission = self._pools.find_admission(state.pool)
+        ticket = state.ticket
+        ticket.is_probe = self.crashes.ledger.begin_probe(
+            (ticket.digest,), self._timers.now()
+        )
         attempts = 0
         while True:
             if self.is_stopped:
                 return self._build_refusal(
                     state, admission, GivenUp(STOP_REASON)
                 )
+            if self.is_blocked(ticket):
+                return self._build_blocked_refusal(state)
             state.stage = Stage.QUEUED
             admitted = await admission.admit(state.ticket, attempts > 0)
             if isinstance(admitted, Err):
+                if self.is_blocked(ticket):
+                    return self._build_blocked_refusal(state)
                 return self._build_refusal(
                     state, admission, admitted.err_value
                 )
@@ -290,6 +311,7 @@
                 failure = await self._attempt(state, started, attempts, send)
             finally:
                 admission.finish(started)
+                ticket.is_probe = False
             choice = admission.dispatch.choice
             if failure is None:
                 choice.record_success(started.worker, state.ticket.prefix)
@@ -324,7 +346,10 @@
         if self.is_stopped:
             return AttemptFailure(state.stage, STOP_REASON, by_upstream=False)
 
+        state.answered_at = None
+
         def record_first_byte() -> Headers:
+            state.answered_at = self._timers.now()
             self._record_latency(state, Latency.FIRST_BYTE)
             return [(b"connection", b"close")] if self.is_closing else []
 
@@ -345,9 +370,11 @@
             self._liveness,
             record_first_byte,
             state.recorder,
+            lambda: not self.is_blocked(state.ticket),
         )
         failure = await state.exchange.run(send)
         state.stage = state.exchange.stage
+        await self._record_suspect(state, worker, state.exchange, failure)
         if failure is not None and failure.may_have_run():
             state.may_have_run = True
             if not (state.repeatable or worker.repeatable):
@@ -356,6 +383,40 @@
             state.exchange = None
         return failure
 
+    async def _record_suspect(
+        self,
+        state: RequestState,
+        worker: Worker,
+        exchange: Exchange,
+        failure: AttemptFailure | None,
+    ) -> None:
+        """Suspect a request whose upstream has crashed, or clear it."""
+        suspects = (state.ticket.digest,)
+        if failure is None:
+            if exchange.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+                self.crashes.record_answer(suspects)
+            return
+        if not failure.may_have_run() or not failure.by_upstream:
+            return
+        answered_at = state.answered_at
+        if (
+            answered_at is not None
+            and self._timers.now() - answered_at >= SUSPICION_S
+        ):
+            self.crashes.record_answer(suspects)
+            return
+        # An upstream that leaves ends by itself.
+        if not worker.leaving:
+            await self.crashes.record_broken(
+                worker.start, worker.address, suspects
+            )
+
+    def is_blocked(self, ticket: Ticket) -> bool:
+        """Return whether a request is blocked for crashes of upstreams."""
+        if ticket.is_probe:
+            return False
+        return self.crashes.ledger.find_block((ticket.digest,)) is not None
+
     def _may_retry(
         self, state: RequestState, failure: AttemptFailure, attempts: int
     ) -> bool:
@@ -400,6 +461,17 @@
         self._metrics.refusals.labels(account, kind).inc()
         return build_problem(outcome, str(refusal), retry_after_s)
 
+    def _build_blocked_refusal(self, state: RequestState) -> Problem:
+        outcome = decide_outcome(state.may_have_run, not state.retry_forbidden)
+        block = self.crashes.ledger.find_block((state.ticket.digest,))
+        retry_after_s = 1
+        if block is not None:
+            wait_s = block.retry_at - self._timers.now()
+            retry_after_s = max(1, math.ceil(wait_s))
+        account = state.ticket.client_account
+        self._metrics.refusals.labels(account, "Blocked").inc()
+        return build_problem(outcome, BLOCKED_REASON, retry_after_s)
+
     async def _finish_failed(
         self, state: RequestState, failure: AttemptFailure, send: Send
     ) -> Problem | None:
--- a/hornbeamyard/request/exchange.py
+++ b/hornbeamyard/request/exchange.py
@@ -102,6 +102,9 @@
     on_first_byte : callable
         Called when the response begins; returns headers to add to it.
     recorder : ResponseRecorder, optional
+    may_send : callable, optional
+        Called once the connection is open; returns whether the request may
+        still be sent. It may always be without it.
 
     Attributes
     ----------
@@ -114,6 +117,8 @@
     progress : int
         Grows with each chunk that arrives or is taken by the caller.
     stage : Stage
+    status : int
+        Status of the response; 0 before its head.
     waits_for_caller : bool
         Whether the caller, not the upstream, delays the exchange.
     """
@@ -121,6 +126,7 @@
     __slots__ = (
         "_drop_failure",
         "_liveness",
+        "_may_send",
         "_on_first_byte",
         "_recorder",
         "_request",
@@ -132,6 +138,7 @@
         "is_event_stream",
         "progress",
         "stage",
+        "status",
         "waits_for_caller",
     )
 
@@ -143,7 +150,9 @@
         liveness: LivenessChecker,
         on_first_byte: Callable[[], Headers],
         recorder: ResponseRecorder | None = None,
+        may_send: Callable[[], bool] | None = None,
     ) -> None:
+        self._may_send = may_send
         self._request = request
         self._upstreams = upstreams
         self._liveness = liveness
@@ -157,6 +166,7 @@
         self.is_event_stream = False
         self.progress = 0
         self.stage = Stage.CONNECTING
+        self.status = 0
         self.waits_for_caller = False
 
     def drop(self, reason: str, by_upstream: bool = True) -> None:
@@ -190,6 +200,10 @@
             return AttemptFailure(
                 self.stage, f"no connection: {_describe(error)}"
             )
+        if self._may_send is not None and not self._may_send():
+            await self._upstreams.release(self.address, connection, True)
+            reason = "the request must not be sent any more"
+            return AttemptFailure(self.stage, reason, by_upstream=False)
         is_complete = False
         self._liveness.add(self)
         try:
@@ -203,6 +217,7 @@
                 request.body,
             )
             self.progress += 1
+            self.status = response.status
             failure = self._check_response(response)
             if failure is None:
                 await self._forward(response, send)
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -274,9 +274,17 @@
         output_tokens = metadata.expected_tokens or int(
             max_tokens * DEFAULT_OUTPUT_FRACTION
         )
+        account_name = account.name if account is not None else ""
+        digest = self._router.notices.crashes.digests.compute(
+            scope["method"],
+            route.host.lower().encode() + target,
+            # Public routes don't check the key, but it tells callers apart.
+            account_name or metadata.key or "",
+            body,
+        )
         demand = RequestDemand(
             request_id=metadata.request_id,
-            account=account.name if account is not None else "",
+            account=account_name,
             priority=priority,
             arrived_at=received_at,
             target_s=route.target_ms / 1000,
@@ -288,13 +296,7 @@
             else output_tokens,
             model=metadata.model,
             is_caller_retry=self._is_caller_retry(metadata, route),
-        )
-        digest = self._router.notices.crashes.digests.compute(
-            scope["method"],
-            route.host.lower().encode() + target,
-            # Public routes don't check the key, but it tells callers apart.
-            demand.account or metadata.key or "",
-            body,
+            digest=digest,
         )
         return RoutedRequest(
             metadata=metadata,
@@ -308,7 +310,6 @@
             received_at=received_at,
             deadline_at=deadline_at,
             demand=demand,
-            digest=digest,
         )
 
     def _is_caller_retry(
@@ -348,7 +349,7 @@
             await self._send_refusal(request, refusal, send)
             return
         balancer = self._router.find_balancer(request.pool.name)
-        blocked = balancer.check_parts(request.demand, self._timers.now())
+        blocked = balancer.screen(request.demand, self._timers.now())
         if blocked is not None:
             await self._send_refusal(request, blocked, send)
             return
@@ -478,12 +479,10 @@
     ) -> None:
         """Update the upstream and the request after an attempt."""
         now = self._timers.now()
-        parts = request.demand.shared_parts
         elapsed_ms = (now - started_at) * 1000
         if result.outcome is AttemptOutcome.COMPLETED:
             server.record_success(elapsed_ms)
-            if parts:
-                self._router.notices.record_answer(parts)
+            self._router.notices.record_answer(request.demand.suspects)
             return
         if result.outcome is AttemptOutcome.WITHDRAWN:
             return
@@ -502,9 +501,10 @@
             case AttemptOutcome.ERROR_RESPONSE:
                 request.may_have_run = True
                 request.last_failure = result.response
-                if result.response and _is_upstream_failure(
-                    result.response.status
-                ):
+                assert result.response is not None
+                if result.response.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+                    self._router.notices.record_answer(request.demand.suspects)
+                if _is_upstream_failure(result.response.status):
                     is_ejected = server.record_failure(now)
             case _:
                 request.may_have_run = True
@@ -512,21 +512,20 @@
                 await self._upstreams.close_idle(
                     f"http://{server.upstream.address}"
                 )
-                if parts:
-                    await self._record_broken(request, server, elapsed_ms)
+                await self._record_broken(request, server, elapsed_ms)
         if is_ejected:
             self._reporter.report_ejected(request, server, result.reason)
 
     async def _record_broken(
         self, request: RoutedRequest, server: Server, elapsed_ms: float
     ) -> None:
-        """Suspect or clear the prompt parts of a request that broke off."""
-        parts = request.demand.shared_parts
+        """Suspect or clear a request that broke off, and its prompt parts."""
+        suspects = request.demand.suspects
         answered_ms = elapsed_ms - request.first_event_ms
         if request.first_event_ms and answered_ms >= SUSPICION_S * 1000:
-            self._router.notices.record_answer(parts)
+            self._router.notices.record_answer(suspects)
             return
-        await self._router.notices.record_broken(server.upstream, parts)
+        await self._router.notices.record_broken(server.upstream, suspects)
 
     def _may_retry(
         self,
--- a/hornbeamyard/request/gateway.py
+++ b/hornbeamyard/request/gateway.py
@@ -254,6 +254,12 @@
                 received_at=received_at,
                 start_by=received_at + deadline_s,
                 prefix=zlib.crc32(body[:PROMPT_PREFIX_BYTES]),
+                digest=self._delivery.crashes.digests.compute(
+                    scope["method"],
+                    f"{destination.pool} ".encode() + destination.target,
+                    account.name,
+                    body,
+                ),
             ),
             repeatable,
             options.is_retry,
--- a/hornbeamyard/request/routed_request.py
+++ b/hornbeamyard/request/routed_request.py
@@ -52,9 +52,6 @@
     deadline_at : float
         Monotonic time in seconds at which the request ends at the latest.
     demand : RequestDemand
-    digest : str
-        Keyed digest by which all routers recognise the request when it is
-        sent again; empty while the router has no key.
     progress : Progress
     attempts : int
         Attempts that may have reached an upstream.
@@ -86,7 +83,6 @@
     received_at: float
     deadline_at: float
     demand: RequestDemand
-    digest: str = ""
     progress: Progress = field(default_factory=Progress)
     attempts: int = 0
     may_have_run: bool = False
--- a/hornbeamyard/tests/in_process.py
+++ b/hornbeamyard/tests/in_process.py
@@ -82,6 +82,11 @@
                 self.on_leave()
             yield fleet_pb2.ControllerUpdate(epoch=1, lease_ms=3000)
 
+    async def ShareCrashes(self, requests: Any, context: Any) -> Any:  # noqa: N802
+        """Serve a router's stream without passing on any crash."""
+        async for _ in requests:
+            yield fleet_pb2.DirectoryUpdate()
+
     async def MakeClaims(self, request: Any, context: Any) -> Any:  # noqa: N802
         """Apply a batch of claim operations."""
         if not self.has_quorum:
@@ -245,6 +250,7 @@
     pool: str = MODEL,
     routers: int = 1,
     workers: int = 2,
+    slots: int = 8,
     **options: Any,
 ) -> AsyncIterator[InProcessFleet]:
     """Run routers in front of one pool.
@@ -255,6 +261,8 @@
         `MODEL`, or `SERVICE`, whose requests are unrepeatable.
     routers, workers : int
         Number of routers, and of upstreams.
+    slots : int
+        Requests that each upstream runs at the same time.
     **options
         Settings of the router role.
 
@@ -268,7 +276,7 @@
     controller_address = f"127.0.0.1:{find_free_port()}"
     peers.add_port(server, controller_address, None)
     await server.start()
-    upstreams = _build_upstreams(pool, workers)
+    upstreams = _build_upstreams(pool, workers, slots)
     fleet = InProcessFleet([], [], upstreams, controller, [], [])
     async with _stop_at_end(server), anyio.create_task_group() as tasks:
         for upstream in upstreams:
@@ -320,7 +328,9 @@
         connection.transport.abort()  # type: ignore[union-attr]
 
 
-def _build_upstreams(pool: str, workers: int) -> list[FakeUpstream]:
+def _build_upstreams(
+    pool: str, workers: int, slots: int
+) -> list[FakeUpstream]:
     return [
         FakeUpstream(
             FakeUpstreamOptions(
@@ -330,6 +340,7 @@
                 find_free_port(),
                 [],
                 UPSTREAM_KEY,
+                slots=slots,
                 token_s=0.005,
                 repeatable=pool == MODEL,
             )
--- a/hornbeamyard/tests/test_crashing_requests.py
+++ b/hornbeamyard/tests/test_crashing_requests.py
@@ -6,12 +6,27 @@
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
+from types import SimpleNamespace
+from typing import cast
 
 import anyio
 import anyio.abc
 import httpcore
 import pytest
 
+from hornbeamyard.connection import peers
+from hornbeamyard.connection.crash_exchange import CrashHub, CrashSubscription
+from hornbeamyard.connection.crash_reports import CrashReports
+from hornbeamyard.connection.server import FleetService
+from hornbeamyard.connection.upstreams import UpstreamConnections
+from hornbeamyard.messages import fleet_pb2, fleet_pb2_grpc
+from hornbeamyard.pool.digests import KEY_SIZE
+from hornbeamyard.pool.upstream_registry import UpstreamStart
+from hornbeamyard.process.controller import Controller
+from hornbeamyard.process.timers import MonotonicTimers
+from hornbeamyard.version.replica import Replica
+
+from .fleet import find_free_port
 from .in_process import MODEL, SERVICE, InProcessFleet, Response
 from .in_process import run_in_process as run_routers
 from .raw_upstream import (
@@ -161,22 +176,18 @@
         async def test(harness: Harness, upstreams: list[RawUpstream]) -> None:
             statuses: list[int] = []
 
-            async def ask_repeatedly(scope: anyio.CancelScope) -> None:
-                with scope:
-                    while True:
-                        response = await harness.send_request(
-                            "/notice/1", b"p"
-                        )
-                        statuses.append(response.status)
+            async def ask_repeatedly() -> None:
+                while True:
+                    response = await harness.send_request("/notice/1", b"p")
+                    statuses.append(response.status)
 
             async with anyio.create_task_group() as tasks:
-                scope = anyio.CancelScope()
                 for _ in range(3 * UPSTREAMS):
-                    tasks.start_soon(ask_repeatedly, scope)
+                    tasks.start_soon(ask_repeatedly)
                 for _ in range(2 * MAX_CRASHES):
                     await anyio.sleep(0.1)
                     await harness.send_request("/notice/7", BAD_BODY)
-                scope.cancel()
+                tasks.cancel_scope.cancel()
             crashed = sum(upstream.has_crashed for upstream in upstreams)
             assert crashed == MAX_CRASHES
             assert 503 not in statuses
@@ -363,29 +374,100 @@
         """Guards against requests that waited while it became known."""
 
         async def main() -> None:
-            async with run_routers(SERVICE, workers=UPSTREAMS) as fleet:
+            async with run_routers(
+                SERVICE, workers=UPSTREAMS, slots=1
+            ) as fleet:
                 outcomes: list[str] = []
 
                 async def send() -> None:
-                    failed = await self.send_bad(
-                        fleet, self.NOTICES, delay_s=0.3
-                    )
+                    failed = await self.send_bad(fleet, self.NOTICES)
                     outcomes.append(failed.get_outcome())
 
-                for up in fleet.upstreams:
-                    up.options.slots = 1
                 async with anyio.create_task_group() as tasks:
+                    # Sound requests take all slots but `MAX_CRASHES`.
                     for _ in fleet.upstreams[MAX_CRASHES:]:
-                        # Sound requests take all other slots for a while.
                         tasks.start_soon(
                             fleet.post,
                             self.NOTICES,
                             {"id": "slow", "max_tokens": 200},
                         )
-                    await anyio.sleep(0.2)
-                    for _ in range(UPSTREAMS):
-                        tasks.start_soon(send)
-                assert self.count_crashed(fleet) <= 2 * MAX_CRASHES
-                assert "not-run" in outcomes
+                    while fleet.count_runs("slow") < UPSTREAMS - MAX_CRASHES:
+                        await anyio.sleep(0.01)
+                    started_at = anyio.current_time()
+                    async with anyio.create_task_group() as bad:
+                        for _ in range(UPSTREAMS):
+                            bad.start_soon(send)
+                    # Refused at once, not when slots come free.
+                    assert anyio.current_time() - started_at < 0.8
+                assert self.count_crashed(fleet) <= MAX_CRASHES
+                assert outcomes.count("not-run") == UPSTREAMS - MAX_CRASHES
 
         anyio.run(main)
+
+
+class TestCrashExchange:
+    """Routers without a route directory learn of crashes as well."""
+
+    @staticmethod
+    async def run(
+        test: Callable[[CrashHub, list[CrashReports]], Awaitable[None]],
+    ) -> None:
+        """Run a test with a controller that doesn't lead and two routers."""
+        timers = MonotonicTimers()
+        replica = SimpleNamespace(
+            leader_host="",
+            state=SimpleNamespace(digest_key=b"k" * KEY_SIZE),
+        )
+        hub = CrashHub(cast(Replica, replica), timers)
+        server = peers.create_server()
+        fleet_pb2_grpc.add_FleetServicer_to_server(
+            FleetService("test", cast(Controller, None), timers, hub), server
+        )
+        address = f"127.0.0.1:{find_free_port()}"
+        peers.add_port(server, address, None)
+        await server.start()
+        routers = []
+        async with anyio.create_task_group() as tasks:
+            for host in ("r1", "r2"):
+                reports = CrashReports(
+                    host, timers, UpstreamConnections(), lambda _: None
+                )
+                routers.append(reports)
+                identity = fleet_pb2.Identity(
+                    fleet="test", protocol=peers.PROTOCOL_VERSION, host=host
+                )
+                subscription = CrashSubscription(
+                    identity, {"c1": address}, None, timers, reports
+                )
+                tasks.start_soon(subscription.run)
+            with anyio.fail_after(10):
+                await test(hub, routers)
+            tasks.cancel_scope.cancel()
+        with anyio.CancelScope(shield=True):
+            await server.stop(grace=0)
+
+    def test_other_router_blocks_as_well(self) -> None:
+        """Guards against a request that ends upstreams at each router."""
+
+        async def test(hub: CrashHub, routers: list[CrashReports]) -> None:
+            def compute_digests() -> set[str]:
+                return {
+                    reports.digests.compute("GET", b"/7", "hotel", b"")
+                    for reports in routers
+                }
+
+            # All routers have the fleet's key.
+            while len(compute_digests()) > 1:
+                await anyio.sleep(0.01)
+            (digest,) = compute_digests()
+            for number in range(MAX_CRASHES):
+                await routers[number % 2].record_broken(
+                    UpstreamStart(f"u{number}", 1),
+                    f"http://127.0.0.1:{find_free_port()}",
+                    (digest,),
+                )
+            for ledger in (hub.ledger, *(r.ledger for r in routers)):
+                while digest not in ledger.blocked:
+                    await anyio.sleep(0.01)
+
+        anyio.run(self.run, test)
