Remember software versions across restarts of all processes

Cause: a new router takes the only listed version of a pool for an unknown stream's.

Result: test_all_processes_restart failed before for a replaced version (200 from the new version where 503 is due), and passes; streams of a version that was never replaced go on (passed before as well).

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -19,6 +19,7 @@
 from ..pool.rate_limits import RateLimits
 from ..pool.stream_origins import StreamOrigin, StreamOrigins
 from ..pool.upstream_registry import (
+    ENDED_RETENTION_S,
     Upstream,
     UpstreamRegistry,
     UpstreamState,
@@ -37,7 +38,9 @@
     encode_crashes,
     encode_limits,
     encode_upstream,
+    encode_versions,
     pack_document,
+    record_versions,
 )
 from .subscriber import Subscriber
 
@@ -83,6 +86,9 @@
     origins : StreamOrigins
         Streams that routers have reported.
     registry : UpstreamRegistry
+    lacks_versions : bool
+        Whether this controller has started without its record of the pools'
+        recent versions.
     """
 
     __slots__ = (
@@ -93,10 +99,12 @@
         "_has_notices",
         "_lifetime_s",
         "_replica",
+        "_started_at",
         "_subscribers",
         "_timers",
         "_usage",
         "crashes",
+        "lacks_versions",
         "limits",
         "origins",
         "registry",
@@ -121,7 +129,9 @@
         self._fleet_usage_encoder = FleetUsageEncoder()
         self._timers = timers
         self._usage = UsageTable(window_s)
+        self._started_at = timers.now()
         self._subscribers: set[Subscriber] = set()
+        self.lacks_versions = False
         self.crashes = CrashLedger()
         self.limits = RateLimits()
         self.origins = StreamOrigins()
@@ -136,6 +146,9 @@
             tasks.start_soon(self._publish_versions)
             tasks.start_soon(self._publish_notices)
             async for now in self._timers.subscribe(USAGE_INTERVAL_S):
+                if now - self._started_at > ENDED_RETENTION_S:
+                    # Versions that ended before the start matter no more.
+                    self.lacks_versions = False
                 self.origins.expire(now)
                 self.crashes.expire(now)
                 self.limits.expire(now)
@@ -364,8 +377,8 @@
         Upstreams that leave, crashes and rate limits are made known to all
         routers, and begun streams are kept for those that ask.
         """
-        # Messages with streams, crashes or limits have no usage, which must
-        # not count as zero.
+        # Messages with streams, crashes, limits or versions have no usage,
+        # which must not count as zero.
         if usage.begun_streams:
             self._record_streams(usage.begun_streams)
             return
@@ -375,6 +388,11 @@
         if usage.limits:
             self._record_limits(usage.limits)
             return
+        if usage.recent_versions:
+            record_versions(
+                self.registry, usage.recent_versions, self._timers.now()
+            )
+            return
         for leaving in usage.leaving:
             self._publish(
                 self.registry.record_leaving(leaving.id, leaving.started_ms)
@@ -443,14 +461,11 @@
             attached_routers=self.count_routers(),
             router_number=subscriber.number,
             limits=subscriber.pending_limits.values(),
+            lacks_versions=self.lacks_versions,
         )
         if subscriber.version_sent < 0:
             update.recent_versions.extend(
-                fleet_pb2.PoolVersions(
-                    pool=pool,
-                    software_versions=self.registry.list_versions(pool),
-                )
-                for pool in self.registry.list_pools()
+                encode_versions(self.registry, self._timers.now())
             )
         subscriber.version_sent = update.routing_version
         digest_key = self._replica.state.digest_key
--- a/hornbeamyard/connection/directory_codec.py
+++ b/hornbeamyard/connection/directory_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import zlib
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
@@ -10,7 +11,12 @@
 from ..messages import fleet_pb2
 from ..pool.crashes import Crash
 from ..pool.rate_limits import RateObservation
-from ..pool.upstream_registry import Upstream, UpstreamStart, UpstreamState
+from ..pool.upstream_registry import (
+    Upstream,
+    UpstreamRegistry,
+    UpstreamStart,
+    UpstreamState,
+)
 from ..pool.usage import AccountUsage, CachedPart, UpstreamLoad
 
 T = TypeVar("T")
@@ -264,6 +270,38 @@
         table[name] = usage
 
 
+def encode_versions(registry: UpstreamRegistry, now: float) -> list[Any]:
+    """Return the messages for the recent versions of all pools."""
+    messages = []
+    for pool in registry.list_pools():
+        times = registry.list_version_times(pool)
+        messages.append(
+            fleet_pb2.PoolVersions(
+                pool=pool,
+                software_versions=times,
+                ages_ms=[
+                    max(0, int((now - seen_at) * 1000))
+                    for seen_at in times.values()
+                ],
+            )
+        )
+    return messages
+
+
+def record_versions(
+    registry: UpstreamRegistry, pools: Iterable[Any], now: float
+) -> None:
+    """Record the versions of pools that messages describe."""
+    for pool in pools:
+        # A controller of an older release sends no ages.
+        ages_ms = itertools.chain(pool.ages_ms, itertools.repeat(0))
+        for version, age_ms in zip(
+            pool.software_versions, ages_ms, strict=False
+        ):
+            seen_at = now - age_ms / 1000
+            registry.record_version(pool.pool, version, seen_at)
+
+
 def encode_cached_parts(parts: Iterable[CachedPart]) -> list[Any]:
     """Return the messages for prompt parts in upstreams' KV caches."""
     return [
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -39,6 +39,8 @@
     decode_limits,
     decode_upstream,
     encode_cached_parts,
+    encode_versions,
+    record_versions,
     unpack_document,
 )
 from .limit_reports import LimitReports
@@ -101,6 +103,7 @@
         "_fetch_needed",
         "_fetching",
         "_identity",
+        "_lacking_versions",
         "_leader",
         "_leaving",
         "_lifetime_s",
@@ -138,6 +141,8 @@
         self._crashes = crashes
         self._fetching = False
         self._identity = identity
+        # Addresses of controllers that may not know all recent versions.
+        self._lacking_versions: set[str] = set()
         self._leader = ""
         # Start times of upstreams, by id, whose responses to this router say
         # that they leave.
@@ -177,6 +182,15 @@
         """Return whether a majority of controllers has sent its version."""
         return 2 * len(self.versions) > len(self._controllers) > 0
 
+    def _knows_software_versions(self) -> bool:
+        """Return whether pools had no other versions than the listed ones.
+
+        A majority of the controllers has to have kept its record of those
+        that have ended.
+        """
+        informed = self.versions.keys() - self._lacking_versions
+        return 2 * len(informed) > len(self._controllers) > 0
+
     async def find_origin(
         self, pools: Iterable[str], request_id: str
     ) -> StreamOrigin | None:
@@ -203,7 +217,7 @@
             for pool in pools
             for software_version in self.registry.list_versions(pool)
         ]
-        if len(choices) == 1 and self.knows_majority():
+        if len(choices) == 1 and self._knows_software_versions():
             return choices[0]
         if not request_id:
             return None
@@ -351,7 +365,13 @@
         encoder = UsageEncoder()
         idle_s = 0.0
         sent: dict[str, int] = {}
-        async for _ in self._timers.subscribe(USAGE_INTERVAL_S):
+        versions_sent = 0
+        async for now in self._timers.subscribe(USAGE_INTERVAL_S):
+            if versions_sent != self.registry.versions_number:
+                versions_sent = self.registry.versions_number
+                versions = encode_versions(self.registry, now)
+                if versions:
+                    await send(fleet_pb2.RouterUsage(recent_versions=versions))
             idle_s += USAGE_INTERVAL_S
             leads = self._controllers.get(address, "") == self._leader
             leaving = dict(self._leaving.items() - sent.items())
@@ -401,9 +421,11 @@
             self._leader = update.leader
         leads = self._controllers.get(address, "") == self._leader
         self._crashes.digests.set_key(update.digest_key, leads)
-        for pool in update.recent_versions:
-            for software_version in pool.software_versions:
-                self.registry.record_version(pool.pool, software_version, now)
+        record_versions(self.registry, update.recent_versions, now)
+        if update.lacks_versions:
+            self._lacking_versions.add(address)
+        else:
+            self._lacking_versions.discard(address)
         changed = []
         for record in update.upstreams:
             if record.state not in UPSTREAM_STATES:
--- a/hornbeamyard/pool/upstream_registry.py
+++ b/hornbeamyard/pool/upstream_registry.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
@@ -99,7 +99,13 @@
 
 @dataclass(slots=True)
 class UpstreamRegistry:
-    """Upstreams of a route directory known to a process, by id."""
+    """Upstreams of a route directory known to a process, by id.
+
+    Attributes
+    ----------
+    versions_number : int
+        Grows whenever a software version is new or forgotten.
+    """
 
     _upstreams: dict[str, Upstream] = field(default_factory=dict)
     _by_address: dict[str, str] = field(default_factory=dict)
@@ -108,6 +114,7 @@
     _lost: dict[str, Upstream] = field(default_factory=dict)
     # When each software version was last seen, by pool.
     _versions: dict[str, dict[str, float]] = field(default_factory=dict)
+    versions_number: int = 0
 
     def get(self, id: str) -> Upstream | None:
         """Return an upstream that has not ended."""
@@ -132,11 +139,27 @@
         """Return the pools that `list_versions` knows."""
         return list(self._versions)
 
+    def list_version_times(self, pool: str) -> Mapping[str, float]:
+        """Return when a pool's software versions were last seen."""
+        return self._versions.get(pool, {})
+
     def record_version(
-        self, pool: str, software_version: str, now: float
+        self, pool: str, software_version: str, seen_at: float
     ) -> None:
-        """Record that a pool has an upstream with a software version."""
-        self._versions.setdefault(pool, {})[software_version] = now
+        """Record that a pool had an upstream with a software version.
+
+        Parameters
+        ----------
+        pool, software_version : str
+        seen_at : float
+            Monotonic time in seconds.
+        """
+        versions = self._versions.setdefault(pool, {})
+        if software_version not in versions:
+            self.versions_number += 1
+        versions[software_version] = max(
+            seen_at, versions.get(software_version, float("-inf"))
+        )
 
     def announce(self, upstream: Upstream, now: float) -> list[Upstream]:
         """Apply an announcement.
@@ -292,6 +315,7 @@
             for version, seen_at in list(versions.items()):
                 if now - seen_at > ENDED_RETENTION_S:
                     del versions[version]
+                    self.versions_number += 1
             if not versions:
                 del self._versions[pool]
 
--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -29,6 +29,7 @@
 from .servers import build_server
 from .settings import Settings
 from .timers import Timers
+from .version_store import VersionStore
 
 _log = logbook.Logger("registrar")
 
@@ -51,6 +52,7 @@
         "_replication_calls",
         "_settings",
         "_timers",
+        "_version_store",
         "directory",
         "founder",
         "metrics",
@@ -106,6 +108,9 @@
             directory.share_window_s * DEMAND_WINDOW_FRACTION,
         )
         self._crash_store = CrashStore(self.directory.crashes, disk, timers)
+        self._version_store = VersionStore(
+            self.directory.registry, disk, timers
+        )
 
     async def run(self, stop: anyio.Event) -> None:
         """Serve until `stop` is set, then transfer the leadership."""
@@ -126,6 +131,13 @@
                 await tasks.start(self.replica.run)
                 await self._crash_store.load()
                 tasks.start_soon(self._crash_store.run)
+                has_versions = await self._version_store.load()
+                assert self._settings.directory is not None
+                # Before the fleet's first start there were no versions.
+                self.directory.lacks_versions = not (
+                    has_versions or self._settings.directory.first_start
+                )
+                tasks.start_soon(self._version_store.run)
                 await server.start()
                 tasks.start_soon(self.founder.run)
                 tasks.start_soon(self.directory.run)
--- a/hornbeamyard/tests/test_directory.py
+++ b/hornbeamyard/tests/test_directory.py
@@ -13,6 +13,7 @@
 import anyio
 import anyio.abc
 import httpcore
+import pytest
 
 from hornbeamyard.connection.directory import Directory
 from hornbeamyard.messages import fleet_pb2
@@ -568,6 +569,53 @@
 
         run_fleet(tmp_path, test)
 
+    @pytest.mark.parametrize("replaced", [True, False])
+    def test_all_processes_restart(
+        self, tmp_path: Path, replaced: bool
+    ) -> None:
+        """Guards against a stream that goes on at the only version left.
+
+        All processes restart, so that nobody knows where the stream began. It
+        goes on only if its version was never replaced.
+        """
+        versions = ["v1", "v2"] if replaced else ["v1", "v1"]
+
+        async def test(fleet: Fleet) -> None:
+            await fleet.submit(7)
+            fleet.start_router()
+            router = fleet.router
+            assert router is not None
+            async with AsyncExitStack() as stack:
+                upstreams = []
+                for number, version in enumerate(versions):
+                    raw = await stack.enter_async_context(
+                        run_raw_upstream(send_text(version))
+                    )
+                    upstream = build_upstream(f"u{number}", raw.port, "app")
+                    upstream.software_version = version
+                    upstreams.append(upstream)
+                fleet.registrars[0].announce(upstreams[0])
+                await fleet.wait(router.is_ready)
+                began = await read_stream(fleet.router_address, "q1", 2)
+                fleet.registrars[0].withdraw("u0", 0)
+                fleet.registrars[1].announce(upstreams[1])
+                await anyio.sleep(0.6)
+                await restart_all(fleet, upstreams[1])
+                router, address = fleet.start_further_router("r2")
+                await fleet.wait(router.is_ready)
+                went_on = await read_stream(
+                    address,
+                    "q1-again",
+                    2,
+                    (b"hornbeamyard-resumes", b"q1"),
+                    (b"last-event-id", b"2"),
+                    status=503 if replaced else 200,
+                )
+                assert set(began + went_on) == {"v1"}
+                assert len(began + went_on) == (2 if replaced else 4)
+
+        run_fleet(tmp_path, test)
+
     async def resume_streams(
         self, fleet: Fleet, kinds: list[tuple[str, str]]
     ) -> None:
@@ -609,6 +657,22 @@
                 assert len(set(began + went_on)) == 1
 
 
+async def restart_all(fleet: Fleet, upstream: Upstream) -> None:
+    """Restart the router's and all controllers' processes.
+
+    Afterwards the upstream announces itself to one controller.
+    """
+    fleet.router_stop.set()
+    for stop in fleet.stops.values():
+        stop.set()
+    await anyio.sleep(0.5)
+    fleet.router_stop = anyio.Event()
+    for number in fleet.registrars:
+        fleet.start_controller(number, first_start=False)
+    await fleet.wait(fleet.find_leader)
+    fleet.registrars[2].announce(upstream)
+
+
 def build_upstream(id: str, port: int, pool: str) -> Upstream:
     """Return an upstream that is ready."""
     return Upstream(
@@ -642,7 +706,11 @@
 
 
 async def read_stream(
-    address: str, id: str, events: int, *headers: tuple[bytes, bytes]
+    address: str,
+    id: str,
+    events: int,
+    *headers: tuple[bytes, bytes],
+    status: int = 200,
 ) -> list[str]:
     """Read events of a stream, close its connection and return their data."""
     body = b""
@@ -659,7 +727,7 @@
             ],
         ) as response,
     ):
-        assert response.status == 200
+        assert response.status == status
         async for chunk in response.aiter_stream():
             body += chunk
             if body.count(b"\n\n") == events:
--- a/hornbeamyard/version/founding.py
+++ b/hornbeamyard/version/founding.py
@@ -266,7 +266,12 @@
     def describe(self) -> fleet_pb2.ControllerList:
         """Return all controllers that this one knows, as a message."""
         controllers = {c.host: c for c in self.known_controllers.list_known()}
-        for member in self._replica.state.members.members:
+        # The state of a controller that has just started may lack members.
+        members = [
+            *self._replica.state.members.members,
+            *self._replica.journal.members.members,
+        ]
+        for member in members:
             if member.host not in controllers:
                 controllers[member.host] = fleet_pb2.ControllerAddress(
                     host=member.host, address=member.address
