Soak: one repeated request that crashes upstreams, and a loss of all processes

Two in a hundred calls are the same request, which ends the upstream that runs it, and as many differ from it in their body alone. The check allows three attempts that reach upstreams from 3 s after its third crash. All routers and controllers may be killed at once, for streams that are resumed afterwards. The check of the crashing part counts only crashes under the part now, as it did before there were others.

--- a/hornbeamyard/tests/test_soak.py
+++ b/hornbeamyard/tests/test_soak.py
@@ -197,6 +197,36 @@
         )
         assert len(found) == violations
 
+    @pytest.mark.parametrize(("late", "violations"), [(3, 0), (4, 1)])
+    def test_request_that_goes_on_crashing(
+        self, late: int, violations: int
+    ) -> None:
+        """Guards against missing attempts that still crash upstreams."""
+        requests, executions = [], {}
+        for number in range(3 + late):
+            at = float(number if number < 3 else 20 + number)
+            id = f"q{number}"
+            requests.append(
+                build_request(
+                    id=id,
+                    kind="read",
+                    path="/read/crash",
+                    status=502,
+                    repeated=True,
+                    sent_at=at,
+                    ended_at=at + 0.1,
+                )
+            )
+            executions[id] = [
+                build_execution(
+                    request=id, path="/read/crash", crashes=True, at=at
+                )
+            ]
+        found = list_violations(
+            Records(requests=requests), executions, EmptyFleet()
+        )
+        assert len(found) == violations
+
     @pytest.mark.parametrize(("sent", "violations"), [(11, 0), (12, 1)])
     def test_limit(self, sent: int, violations: int) -> None:
         """Guards against missing requests beyond an upstream's limit."""
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,7 +13,12 @@
 
 from .fleet import CONTROLLERS, ROUTERS, Fleet
 from .records import ReadResult, Records, Request, Submission
-from .upstream import CRASHING_PART, EVENT_COUNT
+from .upstream import (
+    CRASHING_BODY,
+    CRASHING_PART,
+    CRASHING_PATH,
+    EVENT_COUNT,
+)
 
 HOST = "api.example"
 KEY = "soak-key"
@@ -33,6 +38,10 @@
 DISCONNECT_FRACTION = 0.03
 # Fraction of the streams whose prompt crashes upstreams.
 CRASHING_FRACTION = 0.03
+# Fraction of the calls that repeat the request that crashes upstreams, and of
+# those that differ from it in their body alone.
+REPEATED_FRACTION = 0.02
+SIMILAR_FRACTION = 0.02
 CONNECTION_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -204,6 +213,11 @@
         request = self._draw_request(router, kind)
         if not kind and KINDS.get(request.kind, ("", False, True))[1]:
             request.crashing = self._rng.random() < CRASHING_FRACTION
+        if not kind and request.kind == "read":
+            drawn = self._rng.random()
+            request.repeated = drawn < REPEATED_FRACTION
+            if drawn < REPEATED_FRACTION + SIMILAR_FRACTION:
+                request.path = CRASHING_PATH
         max_wait_s = 0.0
         if not kind and self._rng.random() < DISCONNECT_FRACTION:
             max_wait_s = self._rng.uniform(0.01, 0.3)
@@ -230,6 +244,15 @@
             await self._send_and_record(pool, request)
         return request
 
+    async def send_repeated(self, router: int) -> Request:
+        """Send the request that crashes upstreams once more."""
+        request = self._draw_request(router, "read")
+        request.repeated = True
+        request.path = CRASHING_PATH
+        async with httpcore.AsyncConnectionPool() as pool:
+            await self._send_and_record(pool, request)
+        return request
+
     async def begin_stream(self, router: int, events: int) -> Request:
         """Send a request, and close its connection after some events."""
         request = self._draw_request(router, "chat")
@@ -258,6 +281,8 @@
         """
         self._records.requests.append(request)
         body = self._rng.randbytes(self._rng.choice((0, 20, 3000)))
+        if request.repeated:
+            body = CRASHING_BODY
         request.digest = digest(body)
         timeout_s = CALLER_TIMEOUT_MARGIN_S + TIMEOUT_MS / 1000
         with anyio.move_on_after(max_wait_s or timeout_s) as scope:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -33,6 +33,9 @@
 # it reach upstreams.
 LEARNED_CRASHES = 5
 MAX_CRASHING = 3
+# The same for one repeated request.
+LEARNED_REPEATED_CRASHES = 3
+MAX_REPEATED = 3
 # An upstream that names a limit gets at most this multiple of it in a window,
 # and some requests more.
 LIMIT_WINDOW_S = 4.0
@@ -281,28 +284,42 @@
 
 
 def _check_crashes(records: Records, executions: Executions) -> Iterator[str]:
-    """Check that the part is blocked after it has crashed upstreams."""
+    """Check that what has crashed upstreams is blocked."""
+    with_part = [r for r in records.requests if r.crashing]
+    late = _list_late(records, executions, with_part, LEARNED_CRASHES)
+    if len(late) > MAX_CRASHING:
+        yield f"requests with a crashing part still reach upstreams: {late}"
+    repeated = [r for r in records.requests if r.repeated]
+    late = _list_late(records, executions, repeated, LEARNED_REPEATED_CRASHES)
+    if len(late) > MAX_REPEATED:
+        yield f"a repeated request still reaches upstreams: {late}"
+
+
+def _list_late(
+    records: Records,
+    executions: Executions,
+    requests: list[Request],
+    learned_crashes: int,
+) -> list[str]:
+    """Return the ids of requests that ran after they had to be blocked."""
     crashes = sorted(
         execution["at"]
-        for ran in executions.values()
-        for execution in ran
+        for request in requests
+        for execution in executions.get(request.id, [])
         if execution["crashes"]
     )
-    if len(crashes) < LEARNED_CRASHES:
-        return
-    known_at = crashes[LEARNED_CRASHES - 1] + LEARNING_TIME_S
-    late = [
+    if len(crashes) < learned_crashes:
+        return []
+    known_at = crashes[learned_crashes - 1] + LEARNING_TIME_S
+    return [
         request.id
-        for request in records.requests
-        if request.crashing
-        and request.sent_at > known_at
+        for request in requests
+        if request.sent_at > known_at
         and executions.get(request.id)
         and not _is_cut_off(
             records, f"router-{request.router}", request.sent_at
         )
     ]
-    if len(late) > MAX_CRASHING:
-        yield f"requests with a crashing part still reach upstreams: {late}"
 
 
 def _check_limits(records: Records, executions: Executions) -> Iterator[str]:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -61,11 +61,13 @@
         await self._kill([self._draw_process()])
 
     async def kill_role(self) -> None:
-        """Kill all controllers or all routers at the same moment."""
-        role, count = self.rng.choice(
-            (("controller", CONTROLLERS), ("router", ROUTERS))
+        """Kill all controllers, all routers or both at the same moment."""
+        controllers = [f"controller-{n}" for n in range(CONTROLLERS)]
+        routers = [f"router-{n}" for n in range(ROUTERS)]
+        names = self.rng.choice(
+            (controllers, routers, [*controllers, *routers])
         )
-        await self._kill([f"{role}-{number}" for number in range(count)])
+        await self._kill(names)
 
     async def wipe(self) -> None:
         """Kill a controller and delete its data, at most once in a run."""
--- a/soak/records.py
+++ b/soak/records.py
@@ -44,6 +44,8 @@
         Number of the last event of that stream that the caller had got.
     crashing : bool
         Whether its prompt has the part that crashes upstreams.
+    repeated : bool
+        Whether it is the request that crashes upstreams, sent once more.
     """
 
     id: str
@@ -64,6 +66,7 @@
     resumes: str = ""
     last_event: int = 0
     crashing: bool = False
+    repeated: bool = False
 
     def count_events(self) -> int:
         """Return the number of complete events that were received."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -162,8 +162,9 @@
         return violations
     violations += await _check_resumption(callers)
     for number in range(2 * ROUTERS):
-        # Whether the part is blocked is checked with all other requests.
+        # Whether they are blocked is checked with all other requests.
         await callers.send_crashing(number % ROUTERS)
+        await callers.send_repeated(number % ROUTERS)
         await anyio.sleep(CRASHED_S)
     before = len(records.requests)
     kinds = sorted(KINDS)
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -3,8 +3,9 @@
 It announces itself to controllers, appends a line to a journal file for every
 request that it runs, and refuses requests for other upstreams. Some of its
 streams have neither a length nor chunks, and some break off inside an event.
-It crashes as it begins to answer a request with a certain prompt part, and for
-some time it may name the rate of requests that it takes.
+It crashes as it begins to answer a request with a certain prompt part, or runs
+a certain request, and for some time it may name the rate of requests that it
+takes.
 The journal file is shared by all upstreams and outlives them.
 """
 
@@ -47,6 +48,9 @@
 # Prompt part that crashes the upstream, and its exit code then.
 CRASHING_PART = "crash"
 CRASH_EXIT_CODE = 86
+# Path and body of the request that crashes the upstream.
+CRASHING_PATH = "/read/crash"
+CRASHING_BODY = b"crash"
 # Time between the head of the response and the crash.
 CRASH_DELAY_S = 0.01
 # Fraction of the starts with a rate limit, when it begins after the start, how
@@ -188,7 +192,11 @@
             return
         is_framed = random.random() >= UNFRAMED_FRACTION
         max_rate = self._find_limit()
-        crashes = CRASHING_PART in headers.get("hornbeamyard-prompt-parts", "")
+        has_crashing_part = CRASHING_PART in headers.get(
+            "hornbeamyard-prompt-parts", ""
+        )
+        is_crashing = scope["path"] == CRASHING_PATH and body == CRASHING_BODY
+        crashes = has_crashing_part or is_crashing
         self._record_execution(
             request_id, headers, scope, is_framed, max_rate, crashes
         )
@@ -199,8 +207,10 @@
         if max_rate is not None:
             value = str(max_rate).encode()
             response_headers.append((b"hornbeamyard-max-rate", value))
-        if crashes:
+        if has_crashing_part:
             await _crash(send, response_headers)
+        if is_crashing:
+            os._exit(CRASH_EXIT_CODE)
         if headers.get("soak-events"):
             stream_id = headers.get("hornbeamyard-resumes") or request_id
             events = [
