Test what bounds the ledger of crashes; screen resumed streams first

A blocked request that resumes a stream was refused only after its origin had been looked up, which takes up to 0.7 s. Tests for the number of probes, the rank of whole requests, records of changes, the bound of all suspects, error responses as answers, upstreams that leave, and controllers without a record of versions.

--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -342,17 +342,19 @@
         scope.cancel()
 
     async def _deliver(self, request: RoutedRequest, send: Send) -> None:
+        balancer = self._router.find_balancer(request.pool.name)
+        blocked = balancer.screen(request.demand, self._timers.now())
+        if blocked is not None:
+            await self._send_refusal(request, blocked, send)
+            return
         refusal_reason = await self._restrict_resumed(request)
         if refusal_reason is not None:
             retry_after_s = UNREADY_RETRY_AFTER_S * (0.5 + random.random())
             refusal = Refusal(refusal_reason, retry_after_s)
             await self._send_refusal(request, refusal, send)
             return
+        # A resumed stream goes on in the pool that began it.
         balancer = self._router.find_balancer(request.pool.name)
-        blocked = balancer.screen(request.demand, self._timers.now())
-        if blocked is not None:
-            await self._send_refusal(request, blocked, send)
-            return
         budget = self._router.find_budget(request.pool.name)
         budget.record_request(request.received_at)
         # The demand of a caller that retries was already recorded.
--- a/hornbeamyard/tests/test_crashes.py
+++ b/hornbeamyard/tests/test_crashes.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+import pytest
+
+from hornbeamyard.pool import crashes
 from hornbeamyard.pool.crashes import (
     ANSWERED_S,
     MAX_PROBED_CRASHES,
+    MAX_PROBES,
     MIN_CRASHES,
     PROBE_DELAY_S,
+    REQUEST_POSITION,
     RETENTION_S,
     Crash,
     CrashLedger,
 )
+from hornbeamyard.pool.digests import DIGEST_PREFIX
 from hornbeamyard.pool.upstream_registry import UpstreamStart
 
 
@@ -25,10 +31,10 @@
     )
 
 
-def build_ledger(crashes: int, *parts: str, host: str = "r1") -> CrashLedger:
+def build_ledger(count: int, *parts: str, host: str = "r1") -> CrashLedger:
     """Return a ledger with a crash every second under the same parts."""
     ledger = CrashLedger(host)
-    ledger.merge([build_crash(n, *parts) for n in range(crashes)])
+    ledger.merge([build_crash(n, *parts) for n in range(count)])
     return ledger
 
 
@@ -59,11 +65,11 @@
         """Guards against blocked parts when a rack of upstreams fails."""
         ledger = CrashLedger()
         ledger.record_answer(["route", "popular"], 10.0)
-        crashes = [
+        outage = [
             build_crash(n, "route", "popular", at=10.0 + ANSWERED_S / 2)
             for n in range(8)
         ]
-        ledger.clear_answered(ledger.merge(crashes))
+        ledger.clear_answered(ledger.merge(outage))
         assert not ledger.blocked
 
     def test_crash_is_explained_once(self) -> None:
@@ -76,11 +82,11 @@
         """Guards against crashes excused by answers of long ago."""
         ledger = CrashLedger()
         ledger.record_answer(["bad"], 0.0)
-        crashes = [
+        later = [
             build_crash(n, "bad", at=ANSWERED_S + 1 + n)
             for n in range(MIN_CRASHES)
         ]
-        ledger.clear_answered(ledger.merge(crashes))
+        ledger.clear_answered(ledger.merge(later))
         assert set(ledger.blocked) == {"bad"}
 
     def test_crashes_are_forgotten(self) -> None:
@@ -114,3 +120,70 @@
         """Guards against probes of a part that surely crashes upstreams."""
         ledger = build_ledger(MAX_PROBED_CRASHES + 1, "bad")
         assert not ledger.begin_probe(["bad"], RETENTION_S - 1)
+
+    def test_probes_without_crash_are_bounded(self) -> None:
+        """Guards against probes that go on when upstreams refuse them."""
+        ledger = build_ledger(MIN_CRASHES, "bad")
+        begun = [ledger.begin_probe(["bad"], at) for at in range(30, 3000)]
+        assert begun.count(True) == MAX_PROBES
+
+
+class TestWholeRequests:
+    """A whole request is a suspect beside its parts, only narrower."""
+
+    @staticmethod
+    def build_crash(number: int, *parts: str, request: str) -> Crash:
+        """Return a crash under a request with these shared parts."""
+        crash = build_crash(number, *parts)
+        crash.suspects[f"{DIGEST_PREFIX}{request}"] = REQUEST_POSITION
+        return crash
+
+    def test_repeated_request_explains_crashes(self) -> None:
+        """Guards against a block of the parts that a bad request shares."""
+        ledger = CrashLedger()
+        ledger.merge(
+            self.build_crash(n, "route", "rare", request="bad")
+            for n in range(MIN_CRASHES)
+        )
+        assert set(ledger.blocked) == {f"{DIGEST_PREFIX}bad"}
+
+    def test_part_explains_crashes_of_several_requests(self) -> None:
+        """Guards against a part that crashes upstreams in each new request."""
+        ledger = CrashLedger()
+        ledger.merge(
+            self.build_crash(n, "bad", request=str(min(n, MIN_CRASHES - 1)))
+            for n in range(2 * MIN_CRASHES - 1)
+        )
+        assert set(ledger.blocked) == {"bad"}
+
+
+class TestRecords:
+    """Records are exchanged and kept in bounded size."""
+
+    def test_only_changes_are_sent(self) -> None:
+        """Guards against a crash that is sent whole for each cleared part."""
+        ledger, other = CrashLedger(), CrashLedger()
+        ledger.merge([build_crash(1, "a", "b", "c")])
+        other.merge(ledger.list_since(0))
+        number = ledger.number
+        ledger.record_answer(["b"], 1.5)
+        (change,) = ledger.list_since(number)
+        assert change.suspects.keys() == change.cleared == {"b"}
+        other.merge([change])
+        (known,) = other.list_since(0)
+        assert known.list_open().keys() == {"a", "c"}
+
+    def test_suspects_are_bounded(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against memory that grows with the broken requests."""
+        monkeypatch.setattr(crashes, "MAX_ALL_SUSPECTS", 10)
+        ledger = CrashLedger()
+        for number in range(9):
+            ledger.merge(
+                [build_crash(number, *(f"{number}{p}" for p in "abc"))]
+            )
+        known = list(ledger.list_since(0))
+        assert sum(len(crash.suspects) for crash in known) <= 10
+        assert known[0].upstream.id == "u8"
+        assert not ledger.blocked
--- a/hornbeamyard/tests/test_crashing_requests.py
+++ b/hornbeamyard/tests/test_crashing_requests.py
@@ -196,6 +196,45 @@
 
         self.run(test, 0.04)
 
+    def test_error_response_is_an_answer(self) -> None:
+        """Guards against a block of a request that upstreams reject."""
+
+        async def test(harness: Harness, upstreams: list[RawUpstream]) -> None:
+            ledger = harness.notices.crashes.ledger
+            for number, upstream in enumerate(upstreams[: MAX_CRASHES + 1]):
+                for other in upstreams[number + 1 :]:
+                    other.scripts[:] = [send_response(404)]
+                upstream.scripts[:] = [crash_on_bad_request(upstream)]
+                while not upstream.has_crashed:
+                    await harness.send_request("/charge/7", BAD_BODY)
+                await harness.send_request("/charge/7", BAD_BODY)
+            assert len(ledger) == MAX_CRASHES + 1
+            assert not ledger.blocked
+
+        self.run(test)
+
+    def test_leaving_upstream_has_not_crashed(self) -> None:
+        """Guards against a block for upstreams that end by themselves."""
+
+        async def test(harness: Harness, upstreams: list[RawUpstream]) -> None:
+            async def leave(
+                stream: anyio.abc.SocketStream, received: ReceivedRequest
+            ) -> None:
+                id = received.get_header("hornbeamyard-upstream")
+                assert id is not None
+                server = harness.balancer.servers[id]
+                harness.record_leaving(server.upstream)
+                upstreams[int(id.removeprefix("u"))].crash()
+
+            for upstream in upstreams:
+                upstream.scripts[:] = [leave]
+            for _ in range(2 * MAX_CRASHES):
+                failed = await harness.send_request("/charge/7", BAD_BODY)
+                assert failed.status == 502
+            assert not len(harness.notices.crashes.ledger)
+
+        self.run(test)
+
 
 class TestFleet:
     """What one router learns, all others know."""
--- a/hornbeamyard/tests/test_stream_reports.py
+++ b/hornbeamyard/tests/test_stream_reports.py
@@ -10,6 +10,7 @@
 import grpc.aio
 import pytest
 
+from hornbeamyard.connection.directory_codec import UsageDecoder
 from hornbeamyard.connection.stream_reports import StreamReports
 from hornbeamyard.messages import fleet_pb2
 from hornbeamyard.pool import stream_origins
@@ -291,3 +292,36 @@
         assert found == (expected and StreamOrigin("app", expected))
         is_asked = request_id in ("known", "unknown") and expected != "v1"
         assert bool(calls.asked) == (is_asked and attached > 0)
+
+    @pytest.mark.parametrize(
+        ("lacking", "expected"),
+        [(1, StreamOrigin("app", "v1")), (2, None)],
+    )
+    def test_controllers_without_record(
+        self, lacking: int, expected: StreamOrigin | None
+    ) -> None:
+        """Guards against an only version that controllers vouch for blindly.
+
+        Some of three controllers have started with an empty disk.
+        """
+
+        async def main() -> StreamOrigin | None:
+            router, _, _ = build_router()
+            subscription = router.subscription
+            subscription._calls = FakeCalls({})  # type: ignore[assignment]
+            subscription._controllers = {f"c{n}": f"c{n}" for n in range(3)}
+            for number in range(3):
+                update = fleet_pb2.DirectoryUpdate(
+                    lacks_versions=number < lacking,
+                    recent_versions=[
+                        fleet_pb2.PoolVersions(
+                            pool="app", software_versions=["v1"]
+                        )
+                    ],
+                )
+                subscription._apply_update(
+                    f"c{number}", update, UsageDecoder()
+                )
+            return await subscription.find_origin(["app"], "unknown")
+
+        assert anyio.run(main) == expected
--- a/properties/test_crashes.py
+++ b/properties/test_crashes.py
@@ -42,3 +42,17 @@
         for crash in shuffled:
             other.merge([crash])
         assert ledger.blocked == other.blocked
+
+    @given(build_crashes(), st.integers(1, 5))
+    def test_changes_are_enough(  # type: ignore[no-untyped-def]
+        self, crashes, batch
+    ) -> None:
+        """Guards against a change that a stream of changes leaves out."""
+        ledger, other = CrashLedger(), CrashLedger()
+        number = 0
+        for first in range(0, len(crashes), batch):
+            ledger.merge(crashes[first : first + batch])
+            ledger.record_answer("a", float(first))
+            other.merge(list(ledger.list_since(number)))
+            number = ledger.number
+        assert ledger.blocked == other.blocked
