Find the source of a test's connections outside of the relays' event loop

test_partition_while_leader_is_replaced, red under load: one cause lies in the test's own network. Its relays look up which process opened a connection in /proc, on the event loop that carries the control traffic of all hosts. A call that appends entries has 1 s and a lease 2 s, and each reconnection after a call that failed costs all others another look-up, so leaders lose contact with a majority.

Its checks are unchanged.

--- a/hornbeamyard/tests/partition.py
+++ b/hornbeamyard/tests/partition.py
@@ -119,7 +119,10 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         port = writer.get_extra_info("peername")[1]
-        link = (find_host(self, port), f"host-{number}")
+        # In a thread, as it would hold up all other connections for up to some
+        # hundred milliseconds.
+        source = await asyncio.to_thread(find_host, self, port)
+        link = (source, f"host-{number}")
         try:
             target_reader, target_writer = await asyncio.open_connection(
                 "127.0.0.1", self.listen_ports[number]
