Let all routers agree on which of them probes what is blocked

What callers would see: more than three requests that reach upstreams after the block, since several routers probe.

Cause: a record of a crash whose suspects were all known was dropped together with its reporter, so the order in which two reports came decided; and of two crashes within some milliseconds each router may take another one for the last. Now a lower reporter is a change of the record, and of crashes within 1 s the lowest reporter probes.

Both tests failed before: reporters in the order r2, r1 gave r2, and crashes 10 ms apart gave the later reporter.

--- a/hornbeamyard/pool/crashes.py
+++ b/hornbeamyard/pool/crashes.py
@@ -36,6 +36,9 @@
 # What crashed more upstreams than this isn't probed while the crashes are
 # remembered.
 MAX_PROBED_CRASHES = 5
+# Records of crashes that are closer together may be in another order at other
+# routers, as each gets the others' records with a delay.
+SIMULTANEOUS_S = 1.0
 # Probes of one suspect by a router.
 MAX_PROBES = MAX_PROBED_CRASHES - MIN_CRASHES + 1
 # Position of a whole request among the suspects, behind all prompt parts.
@@ -93,6 +96,9 @@
             if position > self.suspects.get(part, -1)
         }
         changed = added.keys() | (other.cleared - self.cleared)
+        if other.reporter < self.reporter:
+            # All records of the crash carry it.
+            changed |= self.suspects.keys()
         if not changed:
             return set()
         self.reporter = min(self.reporter, other.reporter)
@@ -438,8 +444,14 @@
 
 def _build_block(part: str, crashes: list[Crash]) -> Block:
     count = len(crashes)
-    last = max(crashes, key=lambda crash: crash.crashed_at)
+    last_at = max(crash.crashed_at for crash in crashes)
     if count > MAX_PROBED_CRASHES:
-        return Block(part, count, last.crashed_at + RETENTION_S, "")
+        return Block(part, count, last_at + RETENTION_S, "")
     delay_s = PROBE_DELAY_S * 2.0 ** (count - MIN_CRASHES)
-    return Block(part, count, last.crashed_at + delay_s, last.reporter)
+    # All routers have to choose the same one.
+    reporter = min(
+        crash.reporter
+        for crash in crashes
+        if last_at - crash.crashed_at < SIMULTANEOUS_S
+    )
+    return Block(part, count, last_at + delay_s, reporter)
--- a/hornbeamyard/tests/test_crashes.py
+++ b/hornbeamyard/tests/test_crashes.py
@@ -160,6 +160,34 @@
 class TestRecords:
     """Records are exchanged and kept in bounded size."""
 
+    @pytest.mark.parametrize("last", [0, 1])
+    def test_nearly_simultaneous_crashes(self, last: int) -> None:
+        """Guards against two routers that each take themselves for the last.
+
+        Each gets the other's record some milliseconds late.
+        """
+        ledger = build_ledger(MIN_CRASHES, "bad", host="r3")
+        for number, reporter in enumerate(("r1", "r2")):
+            at = 9.0 + 0.01 * (number == last)
+            crash = build_crash(10 + number, "bad", at=at, reporter=reporter)
+            ledger.merge([crash])
+        assert ledger.blocked["bad"].probed_by == "r1"
+
+    @pytest.mark.parametrize("reporters", ["r1 r2", "r2 r1"])
+    def test_reporters_of_the_same_suspects(self, reporters: str) -> None:
+        """Guards against probes by each router that has seen a crash."""
+        ledger, other = CrashLedger(), CrashLedger()
+        number = 0
+        for reporter in reporters.split():
+            ledger.merge(
+                build_crash(n, "bad", reporter=reporter)
+                for n in range(MIN_CRASHES)
+            )
+            other.merge(list(ledger.list_since(number)))
+            number = ledger.number
+        assert ledger.blocked["bad"].probed_by == "r1"
+        assert other.blocked["bad"].probed_by == "r1"
+
     def test_only_changes_are_sent(self) -> None:
         """Guards against a crash that is sent whole for each cleared part."""
         ledger, other = CrashLedger(), CrashLedger()
