Pass the connections to the check of a crash, not to the reports of crashes

The fix of crashing requests had added a parameter to CrashReports, with which test_update_that_cannot_be_applied failed (TypeError in the test's setup). The constructor is as it was; the check gets the connections with each call.

--- a/hornbeamyard/connection/crash_reports.py
+++ b/hornbeamyard/connection/crash_reports.py
@@ -24,7 +24,6 @@
     ----------
     host : str
     timers : Timers
-    upstreams : UpstreamConnections
     on_change : callable
         Called with the crashes that have changed.
 
@@ -42,7 +41,6 @@
         "_host",
         "_on_change",
         "_timers",
-        "_upstreams",
         "changes",
         "digests",
         "ledger",
@@ -52,13 +50,11 @@
         self,
         host: str,
         timers: Timers,
-        upstreams: UpstreamConnections,
         on_change: Callable[[list[Crash]], None],
     ) -> None:
         self._host = host
         self._on_change = on_change
         self._timers = timers
-        self._upstreams = upstreams
         self.changes = ChangeReports[tuple[UpstreamStart, str]](
             timers, self._encode
         )
@@ -66,7 +62,11 @@
         self.ledger = CrashLedger(host)
 
     async def record_broken(
-        self, upstream: UpstreamStart, address: str, suspects: Iterable[str]
+        self,
+        upstream: UpstreamStart,
+        address: str,
+        suspects: Iterable[str],
+        connections: UpstreamConnections,
     ) -> None:
         """Suspect a broken request if its upstream has crashed.
 
@@ -77,11 +77,13 @@
             `http://ip:port`.
         suspects : iterable of str
             Ids of its shared prompt parts in their order, and its digest.
+        connections : UpstreamConnections
+            Opens one more connection to find out whether it has crashed.
         """
         if not self.ledger.has_crash(upstream):
             # The crash counts also if the caller disconnects meanwhile.
             with anyio.CancelScope(shield=True):
-                has_ended = await self._upstreams.has_ended(address)
+                has_ended = await connections.has_ended(address)
             if not has_ended:
                 return
         positions = {
--- a/hornbeamyard/process/router.py
+++ b/hornbeamyard/process/router.py
@@ -125,9 +125,7 @@
             identity, settings.controllers, settings.tls, timers
         )
         upstreams = UpstreamConnections()
-        crashes = CrashReports(
-            settings.host, timers, upstreams, self._handle_crashes
-        )
+        crashes = CrashReports(settings.host, timers, self._handle_crashes)
         self._crashes = CrashSubscription(
             identity, settings.controllers, settings.tls, timers, crashes
         )
--- a/hornbeamyard/process/upstream_notices.py
+++ b/hornbeamyard/process/upstream_notices.py
@@ -39,6 +39,7 @@
         "_blocked",
         "_decisions",
         "_timers",
+        "_upstreams",
         "crashes",
         "limits",
     )
@@ -55,9 +56,8 @@
         self._blocked: set[str] = set()
         self._decisions = decisions
         self._timers = timers
-        self.crashes = CrashReports(
-            host, timers, upstreams, self._handle_crashes
-        )
+        self._upstreams = upstreams
+        self.crashes = CrashReports(host, timers, self._handle_crashes)
         self.limits = LimitReports(timers, self._handle_limit)
 
     # ---- for the request path --------------------------------------------
@@ -83,7 +83,10 @@
             # One that leaves ends by itself.
             return
         await self.crashes.record_broken(
-            upstream.start, f"http://{upstream.address}", suspects
+            upstream.start,
+            f"http://{upstream.address}",
+            suspects,
+            self._upstreams,
         )
 
     def record_answer(self, suspects: Iterable[str]) -> None:
--- a/hornbeamyard/request/delivery.py
+++ b/hornbeamyard/request/delivery.py
@@ -408,7 +408,7 @@
         # An upstream that leaves ends by itself.
         if not worker.leaving:
             await self.crashes.record_broken(
-                worker.start, worker.address, suspects
+                worker.start, worker.address, suspects, self._upstreams
             )
 
     def is_blocked(self, ticket: Ticket) -> bool:
--- a/hornbeamyard/tests/test_crashing_requests.py
+++ b/hornbeamyard/tests/test_crashing_requests.py
@@ -468,9 +468,7 @@
         routers = []
         async with anyio.create_task_group() as tasks:
             for host in ("r1", "r2"):
-                reports = CrashReports(
-                    host, timers, UpstreamConnections(), lambda _: None
-                )
+                reports = CrashReports(host, timers, lambda _: None)
                 routers.append(reports)
                 identity = fleet_pb2.Identity(
                     fleet="test", protocol=peers.PROTOCOL_VERSION, host=host
@@ -504,6 +502,7 @@
                     UpstreamStart(f"u{number}", 1),
                     f"http://127.0.0.1:{find_free_port()}",
                     (digest,),
+                    UpstreamConnections(),
                 )
             for ledger in (hub.ledger, *(r.ledger for r in routers)):
                 while digest not in ledger.blocked:
