Look up whether an upstream leaves when its request breaks off

In fleets without a route directory, an upstream that announced after the request was sent that it leaves, and then ended under it, counted as a crash: the check used the announcement from before. A request that is sent again during a rolling restart could have been blocked.

--- a/hornbeamyard/request/delivery.py
+++ b/hornbeamyard/request/delivery.py
@@ -405,8 +405,9 @@
         ):
             self.crashes.record_answer(suspects)
             return
-        # An upstream that leaves ends by itself.
-        if not worker.leaving:
+        # It may have announced since that it leaves, and then ends by itself.
+        newest = self._registry.get(worker.name) or worker
+        if not newest.leaving:
             await self.crashes.record_broken(
                 worker.start, worker.address, suspects, self._upstreams
             )
--- a/hornbeamyard/tests/test_crashing_requests.py
+++ b/hornbeamyard/tests/test_crashing_requests.py
@@ -5,6 +5,7 @@
 import json
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
+from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
 from typing import cast
@@ -386,6 +387,33 @@
 
         anyio.run(main)
 
+    def test_leaving_upstream_has_not_crashed(self) -> None:
+        """Guards against a block for upstreams that end by themselves.
+
+        They announce it while the request runs.
+        """
+
+        async def main() -> None:
+            async with run_routers(SERVICE, workers=UPSTREAMS) as fleet:
+                (router,) = fleet.routers
+                for upstream in fleet.upstreams:
+                    name, end = upstream.options.name, upstream.crash
+
+                    def leave(
+                        name: str = name, end: Callable[[], object] = end
+                    ) -> None:
+                        worker = router.registry.get(name)
+                        assert worker is not None
+                        router.registry.announce(replace(worker, leaving=True))
+                        end()
+
+                    upstream.crash = leave
+                for _ in range(2 * MAX_CRASHES):
+                    await self.send_bad(fleet, self.NOTICES)
+                assert self.count_crashed(fleet) == 2 * MAX_CRASHES
+
+        anyio.run(main)
+
     def test_claimed_request(self) -> None:
         """Guards against a claimed request that ends further upstreams.
 
