Clear whole requests of crashes only where it matters

No request was blocked, so what costs is the exchange: each request that a crash breaks off and that is answered elsewhere was cleared by a report to all controllers, and by an update from each of them to all routers, with a log line that lists all suspects.

A whole request that is suspected of a single crash now stays so: it has no effect. The answer is remembered, and clears the request once it is suspected of a second crash. upstream_crashed lines name parts and count requests; the digests are on the lines of the requests that broke off.

--- a/hornbeamyard/pool/crashes.py
+++ b/hornbeamyard/pool/crashes.py
@@ -19,6 +19,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
+from .digests import is_digest
 from .upstream_registry import UpstreamStart
 
 # An upstream crashes as it begins to answer. A request whose answer has gone
@@ -262,41 +263,48 @@
             self._answered_at[suspect] = now
         while len(self._answered_at) > MAX_ANSWERED:
             del self._answered_at[next(iter(self._answered_at))]
-        answered = [s for s in suspects if s in self._open_counts]
-        if not answered:
-            return []
-        return self._clear(list(self._crashes.values()), answered)
+        return self._clear(suspects)
 
     def clear_answered(self, crashes: Iterable[Crash]) -> list[Crash]:
-        """Clear the suspects that were answered here after a crash.
+        """Clear the suspects of some crashes that were answered here.
 
         Returns
         -------
         list of Crash
             The crashes that have changed.
         """
-        crashes = list(crashes)
         suspects = set().union(*(crash.list_open() for crash in crashes))
-        return self._clear(crashes, suspects & self._answered_at.keys())
+        return self._clear(suspects & self._answered_at.keys())
 
-    def _clear(
-        self, crashes: Iterable[Crash], suspects: Iterable[str]
-    ) -> list[Crash]:
+    def _clear(self, answered: Iterable[str]) -> list[Crash]:
+        """Clear suspects of the crashes about or before their last answers.
+
+        A whole request stays suspected of a single crash, which has no effect.
+        Otherwise each of the requests that a crash breaks off would have to be
+        cleared at all routers as soon as it is answered elsewhere.
+        """
+        suspects = [
+            suspect
+            for suspect in answered
+            if self._open_counts[suspect] > is_digest(suspect)
+        ]
+        if not suspects:
+            return []
         changed = []
-        for crash in crashes:
+        for crash in list(self._crashes.values()):
             since = crash.crashed_at - ANSWERED_S
-            answered = {
+            cleared = {
                 suspect
                 for suspect in suspects
                 if crash.is_open(suspect)
                 and self._answered_at[suspect] >= since
             }
-            if not answered:
+            if not cleared:
                 continue
             before = crash.list_open().keys(), len(crash.suspects)
-            crash.cleared |= answered
+            crash.cleared |= cleared
             self._count(crash, *before)
-            self._touch(crash, answered)
+            self._touch(crash, cleared)
             changed.append(crash)
         if changed:
             self._update()
--- a/hornbeamyard/process/upstream_notices.py
+++ b/hornbeamyard/process/upstream_notices.py
@@ -117,12 +117,14 @@
 
     def _handle_crashes(self, changed: list[Crash]) -> None:
         for crash in changed:
+            suspects = crash.list_open()
             self._decisions.note(
                 "upstream_crashed",
                 upstream=crash.upstream.id,
                 started_ms=crash.upstream.started_ms,
                 reporter=crash.reporter,
-                suspects=sorted(crash.list_open()),
+                suspects=sorted(s for s in suspects if not is_digest(s)),
+                requests=sum(map(is_digest, suspects)),
                 cleared=len(crash.cleared),
             )
         blocked = self.crashes.ledger.blocked
--- a/hornbeamyard/tests/test_crashes.py
+++ b/hornbeamyard/tests/test_crashes.py
@@ -156,6 +156,21 @@
         )
         assert set(ledger.blocked) == {"bad"}
 
+    def test_answers_between_crashes(self) -> None:
+        """Guards against a block of a request that is answered in between.
+
+        Nothing is reported as long as it is suspected of a single crash.
+        """
+        ledger = CrashLedger()
+        request = f"{DIGEST_PREFIX}sound"
+        for number in range(2 * MIN_CRASHES):
+            crash = self.build_crash(10 * number, request="sound")
+            ledger.clear_answered(ledger.merge([crash]))
+            assert not ledger.blocked
+            before = ledger.number
+            ledger.record_answer([request], 10 * number + 5.0)
+            assert ledger.number == before
+
 
 class TestRecords:
     """Records are exchanged and kept in bounded size."""
