Keep the origins of streams on controllers' disks

Cause: where streams began was kept in memory only. With the versions known, an unknown stream is rightly not continued at a guess, but what is needed to continue it had been reported to all controllers before, and was lost with them.

Ruled out: to write the whole table each time (0.5 MB at 480 streams a second); the replicated log (its entries wait for a majority, and streams are many).

test_all_processes_restart_in_a_release failed before (503 for 200).

--- a/hornbeamyard/connection/stream_reports.py
+++ b/hornbeamyard/connection/stream_reports.py
@@ -69,7 +69,7 @@
                 for stream in streams:
                     pool = stream.origin.pool
                     reported[pool] = max(stream.number, reported.get(pool, 0))
-                groups = _group_by_origin(streams)
+                groups = group_by_origin(streams)
                 await send(fleet_pb2.RouterUsage(begun_streams=groups))
             await changed.wait()
             await self._timers.sleep(COLLECT_INTERVAL_S)
@@ -92,9 +92,10 @@
         ]
 
 
-def _group_by_origin(
+def group_by_origin(
     streams: Iterable[BegunStream],
 ) -> list[fleet_pb2.BegunStreams]:
+    """Return the messages for streams, one for each origin."""
     groups: dict[StreamOrigin, fleet_pb2.BegunStreams] = {}
     for stream in streams:
         origin = stream.origin
--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -28,6 +28,7 @@
 from .metrics import Metrics, Sample
 from .servers import build_server
 from .settings import Settings
+from .stream_store import StreamStore
 from .timers import Timers
 from .version_store import VersionStore
 
@@ -51,6 +52,7 @@
         "_interface",
         "_replication_calls",
         "_settings",
+        "_stream_store",
         "_timers",
         "_version_store",
         "directory",
@@ -108,6 +110,7 @@
             directory.share_window_s * DEMAND_WINDOW_FRACTION,
         )
         self._crash_store = CrashStore(self.directory.crashes, disk, timers)
+        self._stream_store = StreamStore(self.directory.origins, disk, timers)
         self._version_store = VersionStore(
             self.directory.registry, disk, timers
         )
@@ -131,6 +134,8 @@
                 await tasks.start(self.replica.run)
                 await self._crash_store.load()
                 tasks.start_soon(self._crash_store.run)
+                await self._stream_store.load()
+                tasks.start_soon(self._stream_store.run)
                 has_versions = await self._version_store.load()
                 assert self._settings.directory is not None
                 # Before the fleet's first start there were no versions.
--- a/hornbeamyard/tests/test_crashing_parts.py
+++ b/hornbeamyard/tests/test_crashing_parts.py
@@ -19,7 +19,7 @@
     run_raw_upstream,
     send_events,
 )
-from .test_directory import Fleet, build_upstream, run_fleet
+from .test_directory import Fleet, build_upstream, has_ended, run_fleet
 from .test_forwarding import Harness, ReceivedResponse, run
 
 PARTS = "hornbeamyard-prompt-parts"
@@ -249,17 +249,6 @@
         run_fleet(tmp_path, test)
 
 
-async def has_ended(address: str) -> bool:
-    """Return whether nothing listens at an address."""
-    host, _, port = address.rpartition(":")
-    try:
-        stream = await anyio.connect_tcp(host, int(port))
-    except OSError:
-        return True
-    await stream.aclose()
-    return False
-
-
 async def ask(address: str, number: int, second_part: str) -> int:
     """Send a request to a router; return its status, 0 if it broke off."""
     headers = [
--- a/hornbeamyard/tests/test_crashing_requests.py
+++ b/hornbeamyard/tests/test_crashing_requests.py
@@ -38,8 +38,8 @@
     send_events,
     send_response,
 )
-from .test_crashing_parts import PARTS, has_ended
-from .test_directory import Fleet, build_upstream, run_fleet
+from .test_crashing_parts import PARTS
+from .test_directory import Fleet, build_upstream, has_ended, run_fleet
 from .test_forwarding import Harness, run
 
 UPSTREAMS = 16
--- a/hornbeamyard/tests/test_directory.py
+++ b/hornbeamyard/tests/test_directory.py
@@ -616,6 +616,56 @@
 
         run_fleet(tmp_path, test)
 
+    def test_all_processes_restart_in_a_release(self, tmp_path: Path) -> None:
+        """Guards against streams that are lost with all processes.
+
+        Upstreams of both versions are left, so only what was stored tells
+        where each stream began.
+        """
+
+        async def test(fleet: Fleet) -> None:
+            await fleet.submit(7)
+            fleet.start_router()
+            router = fleet.router
+            assert router is not None
+            async with AsyncExitStack() as stack:
+                upstreams = []
+                for number, version in enumerate(("v1", "v2")):
+                    raw = await stack.enter_async_context(
+                        run_raw_upstream(send_text(version))
+                    )
+                    upstream = build_upstream(f"u{number}", raw.port, "app")
+                    upstream.software_version = version
+                    upstreams.append(upstream)
+                    fleet.registrars[number].announce(upstream)
+                await fleet.wait(router.is_ready)
+                await fleet.wait(
+                    lambda: len(router.subscription.registry) == 2
+                )
+                began = [
+                    await read_stream(fleet.router_address, f"q{stream}", 2)
+                    for stream in range(self.STREAMS)
+                ]
+                await anyio.sleep(0.6)
+                await restart_all(fleet, *upstreams)
+                router, address = fleet.start_further_router("r2")
+                await fleet.wait(router.is_ready)
+                await fleet.wait(
+                    lambda: len(router.subscription.registry) == 2
+                )
+                for stream, events in enumerate(began):
+                    went_on = await read_stream(
+                        address,
+                        f"q{stream}-again",
+                        2,
+                        (b"hornbeamyard-resumes", f"q{stream}".encode()),
+                        (b"last-event-id", b"2"),
+                    )
+                    assert len(events + went_on) == 4
+                    assert len(set(events + went_on)) == 1
+
+        run_fleet(tmp_path, test)
+
     async def resume_streams(
         self, fleet: Fleet, kinds: list[tuple[str, str]]
     ) -> None:
@@ -657,20 +707,38 @@
                 assert len(set(began + went_on)) == 1
 
 
-async def restart_all(fleet: Fleet, upstream: Upstream) -> None:
+async def restart_all(fleet: Fleet, *upstreams: Upstream) -> None:
     """Restart the router's and all controllers' processes.
 
-    Afterwards the upstream announces itself to one controller.
+    Afterwards the upstreams announce themselves to one controller.
     """
-    fleet.router_stop.set()
     for stop in fleet.stops.values():
         stop.set()
+    fleet.router_stop.set()
+    # A router that drains would tell the new controllers what it knows.
+    assert fleet.router is not None
+    while fleet.router.is_closing is False or not await has_ended(
+        fleet.router_address
+    ):
+        await anyio.sleep(0.05)
     await anyio.sleep(0.5)
     fleet.router_stop = anyio.Event()
     for number in fleet.registrars:
         fleet.start_controller(number, first_start=False)
     await fleet.wait(fleet.find_leader)
-    fleet.registrars[2].announce(upstream)
+    for upstream in upstreams:
+        fleet.registrars[2].announce(upstream)
+
+
+async def has_ended(address: str) -> bool:
+    """Return whether nothing listens at an address."""
+    host, _, port = address.rpartition(":")
+    try:
+        stream = await anyio.connect_tcp(host, int(port))
+    except OSError:
+        return True
+    await stream.aclose()
+    return False
 
 
 def build_upstream(id: str, port: int, pool: str) -> Upstream:
