--- a/hornbeamyard/pool/crashes.py
+++ b/hornbeamyard/pool/crashes.py
@@ -92,9 +92,9 @@
         All routers keep the same reporter and positions.
         """
         added = {
-            part: position
-            for part, position in other.suspects.items()
-            if position > self.suspects.get(part, -1)
+            suspect: position
+            for suspect, position in other.suspects.items()
+            if position > self.suspects.get(suspect, -1)
         }
         changed = added.keys() | (other.cleared - self.cleared)
         if other.reporter < self.reporter:
@@ -107,16 +107,18 @@
         self.cleared |= other.cleared
         if len(self.suspects) > MAX_SUSPECTS:
             kept = sorted(self.suspects)[:MAX_SUSPECTS]
-            self.suspects = {part: self.suspects[part] for part in kept}
+            self.suspects = {
+                suspect: self.suspects[suspect] for suspect in kept
+            }
         self.cleared &= self.suspects.keys()
         return changed & self.suspects.keys()
 
     def list_open(self) -> dict[str, int]:
         """Return the suspects that aren't cleared, with their positions."""
         return {
-            part: position
-            for part, position in self.suspects.items()
-            if part not in self.cleared
+            suspect: position
+            for suspect, position in self.suspects.items()
+            if suspect not in self.cleared
         }
 
     def is_open(self, suspect: str) -> bool:
@@ -427,34 +429,36 @@
     blocks: dict[str, Block] = {}
     unexplained = list(suspects)
     while True:
-        crashes_by_part: dict[str, list[Crash]] = defaultdict(list)
+        crashes_by_suspect: dict[str, list[Crash]] = defaultdict(list)
         positions: dict[str, int] = {}
-        for crash, parts in unexplained:
-            for part, position in parts.items():
-                crashes_by_part[part].append(crash)
-                positions[part] = max(position, positions.get(part, 0))
+        for crash, open_suspects in unexplained:
+            for suspect, position in open_suspects.items():
+                crashes_by_suspect[suspect].append(crash)
+                positions[suspect] = max(position, positions.get(suspect, 0))
         ranks = {
-            part: (len(crashes), positions[part])
-            for part, crashes in crashes_by_part.items()
+            suspect: (len(crashes), positions[suspect])
+            for suspect, crashes in crashes_by_suspect.items()
         }
         highest = max(ranks.values(), default=(0, 0))
         if highest[0] < MIN_CRASHES:
             return blocks
-        found = {part for part, rank in ranks.items() if rank == highest}
-        for part in found:
-            blocks[part] = _build_block(part, crashes_by_part[part])
+        found = {suspect for suspect, rank in ranks.items() if rank == highest}
+        for suspect in found:
+            blocks[suspect] = _build_block(
+                suspect, crashes_by_suspect[suspect]
+            )
         unexplained = [
-            (crash, parts)
-            for crash, parts in unexplained
-            if parts.keys().isdisjoint(found)
+            (crash, open_suspects)
+            for crash, open_suspects in unexplained
+            if open_suspects.keys().isdisjoint(found)
         ]
 
 
-def _build_block(part: str, crashes: list[Crash]) -> Block:
+def _build_block(suspect: str, crashes: list[Crash]) -> Block:
     count = len(crashes)
     last_at = max(crash.crashed_at for crash in crashes)
     if count > MAX_PROBED_CRASHES:
-        return Block(part, count, last_at + RETENTION_S, "")
+        return Block(suspect, count, last_at + RETENTION_S, "")
     delay_s = PROBE_DELAY_S * 2.0 ** (count - MIN_CRASHES)
     # All routers have to choose the same one.
     reporter = min(
@@ -462,4 +466,4 @@
         for crash in crashes
         if last_at - crash.crashed_at < SIMULTANEOUS_S
     )
-    return Block(part, count, last_at + delay_s, reporter)
+    return Block(suspect, count, last_at + delay_s, reporter)
