Test the server's errors without those of earlier event loops

Cause: all event loops of a process share gRPC's queue of completed operations. An operation that a test cancels just before its loop is closed completes some milliseconds later; the next test's loop takes it from the queue, finds the other loop closed, and logs the error. It isn't about the server that the test checks.

Ruled out: operations that the product leaves open. A process has one loop, which is closed as it ends.

Change: the check lists all errors of asyncio but these. It still fails for any error in a protocol or in a callback of its own loop.

--- a/hornbeamyard/tests/test_limits.py
+++ b/hornbeamyard/tests/test_limits.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import json
+import logging
 import time
+from collections.abc import Iterable
 
 import anyio
 import pytest
@@ -174,6 +176,25 @@
         limiter.add_sample(2 * LATENESS_THRESHOLD_S, 0.1)
 
 
+def list_protocol_errors(records: Iterable[logging.LogRecord]) -> list[str]:
+    """Return the errors that asyncio has logged about the server.
+
+    All event loops of a process share gRPC's queue of completed operations.
+    An operation of an earlier test, cancelled just before its loop was
+    closed, is an error in the loop that takes it from the queue.
+    """
+    return [
+        record.getMessage()
+        for record in records
+        if record.name == "asyncio"
+        and not (
+            "PollerCompletionQueue._handle_events" in record.getMessage()
+            and record.exc_info
+            and str(record.exc_info[1]) == "Event loop is closed"
+        )
+    ]
+
+
 class TestOverloadLimiter:
     """Requests beyond what the processor can serve are refused at once."""
 
@@ -257,5 +278,4 @@
                 await anyio.sleep(0.05)
 
         anyio.run(run)
-        names = {record.name for record in caplog.records}
-        assert "asyncio" not in names, "an error in the server's protocol"
+        assert not list_protocol_errors(caplog.records)
