Record crashes of upstreams that start again at once

What callers saw: none of our users did; found by reviewing the change for crashing requests. A request that crashes upstreams which something starts again at once, with their socket kept open, was never blocked.

Cause: a broken request counted as a crash only if the upstream refused connections then. An upstream that is back at once never does.

Ruled out: counting each broken connection as a crash, which would blame sound requests for lost connections and for upstreams that are cut off.

The next start that is announced at the upstream's address shows that it has crashed, unless it had said that it leaves. If the new start is known before the request is seen to break off, the crash is recorded at once.

What remains: starts that nothing distinguishes.

--- a/hornbeamyard/connection/crash_reports.py
+++ b/hornbeamyard/connection/crash_reports.py
@@ -10,6 +10,7 @@
 from ..messages import fleet_pb2
 from ..pool.crashes import REQUEST_POSITION, Crash, CrashLedger
 from ..pool.digests import RequestDigests, is_digest
+from ..pool.restarts import Restarts
 from ..pool.upstream_registry import UpstreamStart
 from ..process.timers import Timers
 from .change_reports import ChangeReports
@@ -35,6 +36,7 @@
         Digests of whole requests.
     ledger : CrashLedger
         What this router and others have recorded.
+    restarts : Restarts
     """
 
     __slots__ = (
@@ -44,6 +46,7 @@
         "changes",
         "digests",
         "ledger",
+        "restarts",
     )
 
     def __init__(
@@ -60,6 +63,7 @@
         )
         self.digests = RequestDigests()
         self.ledger = CrashLedger(host)
+        self.restarts = Restarts()
 
     async def record_broken(
         self,
@@ -80,18 +84,44 @@
         connections : UpstreamConnections
             Opens one more connection to find out whether it has crashed.
         """
-        if not self.ledger.has_crash(upstream):
-            # The crash counts also if the caller disconnects meanwhile.
-            with anyio.CancelScope(shield=True):
-                has_ended = await connections.has_ended(address)
-            if not has_ended:
-                return
         positions = {
             suspect: REQUEST_POSITION if is_digest(suspect) else position
             for position, suspect in enumerate(suspects)
         }
-        before = self.ledger.number
         crash = Crash(upstream, self._timers.now(), self._host, positions)
+        if not self._has_ended(upstream, address):
+            # The crash counts also if the caller disconnects meanwhile.
+            with anyio.CancelScope(shield=True):
+                has_ended = await connections.has_ended(address)
+            if not has_ended and not self._has_ended(upstream, address):
+                self.restarts.keep(crash, address)
+                return
+        self._merge(crash)
+
+    def _has_ended(self, upstream: UpstreamStart, address: str) -> bool:
+        """Return whether an upstream is known to have ended."""
+        return self.ledger.has_crash(upstream) or self.restarts.is_replaced(
+            upstream, address
+        )
+
+    def record_start(self, upstream: UpstreamStart, address: str) -> None:
+        """Record a start of an upstream, and with it the end of another.
+
+        Parameters
+        ----------
+        upstream : UpstreamStart
+        address : str
+            `http://ip:port`.
+        """
+        crash = self.restarts.record_start(
+            upstream, address, self._timers.now()
+        )
+        if crash is not None:
+            self._merge(crash)
+
+    def _merge(self, crash: Crash) -> None:
+        """Add a crash that this router has seen."""
+        before = self.ledger.number
         changed = self.ledger.merge([crash])
         self.ledger.clear_answered(changed)
         self._report(before, changed)
--- a/hornbeamyard/pool/worker.py
+++ b/hornbeamyard/pool/worker.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from ..messages import fleet_pb2
@@ -130,11 +130,19 @@
 
     It serves fleets whose lead controller grants slots; `UpstreamRegistry`
     serves those with a route directory.
+
+    Parameters
+    ----------
+    on_start : callable, optional
+        Called with each worker that starts, and what was known of it.
     """
 
-    __slots__ = ("_ready_at", "_workers")
+    __slots__ = ("_on_start", "_ready_at", "_workers")
 
-    def __init__(self) -> None:
+    def __init__(
+        self, on_start: Callable[[Worker, Worker | None], None] | None = None
+    ) -> None:
+        self._on_start = on_start
         self._workers: dict[str, Worker] = {}
         self._ready_at: dict[str, float] = {}
 
@@ -146,17 +154,24 @@
         """
         known = self._workers.get(worker.name)
         if known is None:
-            self._workers[worker.name] = worker
+            self._add(worker, None)
             return True
         if worker.incarnation < known.incarnation:
             return False
-        if worker.incarnation == known.incarnation:
-            if worker.announced_at < known.announced_at:
-                return False
-            worker.leaving = worker.leaving or known.leaving
+        if worker.incarnation > known.incarnation:
+            self._add(worker, known)
+            return not worker.is_same_service(known)
+        if worker.announced_at < known.announced_at:
+            return False
+        worker.leaving = worker.leaving or known.leaving
         self._workers[worker.name] = worker
         return not worker.is_same_service(known)
 
+    def _add(self, worker: Worker, known: Worker | None) -> None:
+        self._workers[worker.name] = worker
+        if self._on_start is not None:
+            self._on_start(worker, known)
+
     def renew(self, name: str, now: float) -> None:
         """Record that a worker has repeated its announcement."""
         worker = self._workers.get(name)
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -359,6 +359,7 @@
                 started_ms=upstream.started_ms,
                 software_version=upstream.software_version,
             )
+            self.notices.record_state(upstream)
             if upstream.state is UpstreamState.GONE:
                 for balancer in self._balancers.values():
                     balancer.apply_upstream(upstream)
--- a/hornbeamyard/process/router.py
+++ b/hornbeamyard/process/router.py
@@ -106,7 +106,7 @@
         self._shares: dict[str, float] = {}
         self._queue_bounds: dict[str, QueueBounds] = {}
         self.configuration = Configuration(version=0)
-        self.registry = WorkerRegistry()
+        self.registry = WorkerRegistry(self._record_start)
         identity = peers.build_identity(settings, random.getrandbits(63))
         self._calls = LeaderCalls(settings.controllers, settings.tls, identity)
         self.session = Session(
@@ -230,6 +230,11 @@
         dispatch.set_shares(self._shares, self._timers.now())
         dispatch.backlog.set_bounds(self._queue_bounds)
 
+    def _record_start(self, worker: Worker, known: Worker | None) -> None:
+        if known is not None and known.leaving:
+            self._delivery.crashes.restarts.record_leaving(known.start)
+        self._delivery.crashes.record_start(worker.start, worker.address)
+
     def _handle_crashes(self, changed: list[Crash]) -> None:
         for crash in changed:
             _log.info(
--- a/hornbeamyard/process/upstream_notices.py
+++ b/hornbeamyard/process/upstream_notices.py
@@ -79,16 +79,28 @@
         suspects : iterable of str
             Ids of its shared prompt parts in their order, and its digest.
         """
-        if upstream.state is not UpstreamState.READY:
-            # One that leaves ends by itself.
+        address = f"http://{upstream.address}"
+        # One that leaves ends by itself.
+        if upstream.state is UpstreamState.DRAINING:
+            return
+        if (
+            upstream.state is UpstreamState.GONE
+            and not self.crashes.restarts.is_replaced(upstream.start, address)
+        ):
             return
         await self.crashes.record_broken(
-            upstream.start,
-            f"http://{upstream.address}",
-            suspects,
-            self._upstreams,
+            upstream.start, address, suspects, self._upstreams
         )
 
+    def record_state(self, upstream: Upstream) -> None:
+        """Record that an upstream has started, leaves or has ended."""
+        address = f"http://{upstream.address}"
+        match upstream.state:
+            case UpstreamState.READY:
+                self.crashes.record_start(upstream.start, address)
+            case UpstreamState.DRAINING:
+                self.crashes.restarts.record_leaving(upstream.start)
+
     def record_answer(self, suspects: Iterable[str]) -> None:
         """Clear the suspects in a request that was answered."""
         self.crashes.record_answer(suspects)
--- a/hornbeamyard/tests/test_crashing_requests.py
+++ b/hornbeamyard/tests/test_crashing_requests.py
@@ -330,6 +330,56 @@
 
         self.run(tmp_path, test)
 
+    def test_upstreams_start_again_at_once(self, tmp_path: Path) -> None:
+        """Guards against crashes of upstreams that refuse no connections.
+
+        What starts them again keeps their sockets open.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            fleet.start_router()
+            assert fleet.router is not None
+            registry = fleet.router.subscription.registry
+            await fleet.submit(7)
+            crashes = 0
+            async with AsyncExitStack() as stack:
+                upstreams = [
+                    await stack.enter_async_context(run_raw_upstream())
+                    for _ in range(UPSTREAMS)
+                ]
+
+                def start(number: int, started_ms: int) -> None:
+                    id = f"u{number}-{started_ms // 2}"
+                    ready = build_upstream(id, upstreams[number].port, "app")
+                    ready.started_ms = started_ms
+                    fleet.registrars[0].announce(ready)
+
+                for number, raw in enumerate(upstreams):
+
+                    async def crash(
+                        stream: anyio.abc.SocketStream,
+                        received: ReceivedRequest,
+                        number: int = number,
+                    ) -> None:
+                        nonlocal crashes
+                        crashes += 1
+                        await stream.aclose()
+                        # Half of them keep their id.
+                        start(number, 2 + number % 2)
+
+                    raw.scripts[:] = [crash]
+                    start(number, 1 + number % 2)
+                await fleet.wait(fleet.router.is_ready)
+                await fleet.wait(lambda: len(registry) == UPSTREAMS)
+                for _ in range(2 * MAX_CRASHES):
+                    # It is sent to one upstream only.
+                    status = await ask(fleet.router_address, "/charge/7")
+                    await anyio.sleep(WINDOW_S / MAX_CRASHES / 2)
+                assert crashes <= MAX_CRASHES
+                assert status == 503
+
+        run_fleet(tmp_path, main)
+
 
 async def ask(address: str, path: str) -> int:
     """Send a request with `BAD_BODY`; return its status, 0 if it broke off."""
@@ -414,6 +464,40 @@
 
         anyio.run(main)
 
+    def test_upstreams_start_again_at_once(self) -> None:
+        """Guards against crashes of upstreams that refuse no connections.
+
+        What starts them again keeps their sockets open.
+        """
+
+        async def main() -> None:
+            async with run_routers(SERVICE, workers=UPSTREAMS) as fleet:
+                (router,) = fleet.routers
+                for _ in range(UPSTREAMS):
+                    before = self.count_crashed(fleet)
+                    failed = await self.send_bad(
+                        fleet, self.NOTICES, fault="early"
+                    )
+                    if self.count_crashed(fleet) == before:
+                        break
+                    (name,) = (
+                        upstream.options.name
+                        for upstream in fleet.upstreams
+                        if "bad" in upstream.journal
+                        and upstream.options.name not in restarted
+                    )
+                    restarted.append(name)
+                    worker = router.registry.get(name)
+                    assert worker is not None
+                    router.announce(
+                        replace(worker, incarnation=worker.incarnation + 1)
+                    )
+                assert self.count_crashed(fleet) <= MAX_CRASHES
+                assert failed.get_outcome() == "not-run"
+
+        restarted: list[str] = []
+        anyio.run(main)
+
     def test_claimed_request(self) -> None:
         """Guards against a claimed request that ends further upstreams.
 
