--- a/hornbeamyard/connection/crash_exchange.py
+++ b/hornbeamyard/connection/crash_exchange.py
@@ -107,7 +107,7 @@
 
 
 class CrashSubscription:
-    """A router's part: it reports to all controllers, and hears from them.
+    """A router's part: it reports to all controllers and applies their updates.
 
     Parameters
     ----------
--- a/hornbeamyard/pool/crashes.py
+++ b/hornbeamyard/pool/crashes.py
@@ -283,7 +283,7 @@
 
         A whole request stays suspected of a single crash, which has no effect.
         Otherwise each of the requests that a crash breaks off would have to be
-        cleared at all routers as soon as it is answered elsewhere.
+        cleared at all routers as soon as another upstream has answered it.
         """
         suspects = [
             suspect
