--- a/hornbeamyard/connection/crash_exchange.py
+++ b/hornbeamyard/connection/crash_exchange.py
@@ -107,7 +107,7 @@
 
 
 class CrashSubscription:
-    """A router's part: it reports to all controllers and applies their updates.
+    """A router's part: it exchanges them with all controllers.
 
     Parameters
     ----------
--- a/hornbeamyard/tests/test_crashing_requests.py
+++ b/hornbeamyard/tests/test_crashing_requests.py
@@ -340,6 +340,7 @@
             fleet.start_router()
             assert fleet.router is not None
             registry = fleet.router.subscription.registry
+            digests = fleet.router.notices.crashes.digests
             await fleet.submit(7)
             crashes = 0
             async with AsyncExitStack() as stack:
@@ -371,6 +372,7 @@
                     start(number, 1 + number % 2)
                 await fleet.wait(fleet.router.is_ready)
                 await fleet.wait(lambda: len(registry) == UPSTREAMS)
+                await fleet.wait(lambda: digests._is_fleet_key)
                 for _ in range(2 * MAX_CRASHES):
                     # It is sent to one upstream only.
                     status = await ask(fleet.router_address, "/charge/7")
