Let a crash count for several requests that may have caused it

What callers saw: none of our users did; found by a trial in simulated time with several requests that crash upstreams at once. One of them reached upstreams up to 6 times (8 with six such requests), probes included, from 3 s after it had crashed the third; the bound is three.

Cause: a crash was explained by the suspect of most crashes, and no longer counted for the others. Where two such requests ran at one upstream, the crash was taken from the one with fewer, which then needed a further one.

Ruled out: blocking whatever is suspected of three crashes, which would blame sound requests and parts that run beside one.

Change: a whole request that is suspected of three crashes is blocked unless other blocked suspects explain all of them. Prompt parts, which many requests share, still need three crashes that nothing else explains.

Measured: the new test failed before.

--- a/hornbeamyard/pool/crashes.py
+++ b/hornbeamyard/pool/crashes.py
@@ -422,36 +422,40 @@
 ) -> dict[str, Block]:
     """Return what to block for crashes with these open suspects.
 
-    A crash is explained by what is suspected of most crashes; its other
-    suspects aren't held responsible for it. Among equals it is the one at the
-    last position, as fewest other requests have it in common.
+    A crash is explained by what is suspected of most crashes; other prompt
+    parts aren't held responsible for it. Among equals it is what stands at the
+    last position, as fewest other requests have it in common. A whole request
+    is blocked as well if some of its crashes stay unexplained: several
+    requests that crash upstreams may run together.
     """
     blocks: dict[str, Block] = {}
-    unexplained = list(suspects)
+    crashes_by_suspect: dict[str, list[Crash]] = defaultdict(list)
+    positions: dict[str, int] = {}
+    for crash, open_suspects in suspects:
+        for suspect, position in open_suspects.items():
+            crashes_by_suspect[suspect].append(crash)
+            positions[suspect] = max(position, positions.get(suspect, 0))
+    unexplained = {
+        suspect: {crash.upstream for crash in crashes}
+        for suspect, crashes in crashes_by_suspect.items()
+    }
     while True:
-        crashes_by_suspect: dict[str, list[Crash]] = defaultdict(list)
-        positions: dict[str, int] = {}
-        for crash, open_suspects in unexplained:
-            for suspect, position in open_suspects.items():
-                crashes_by_suspect[suspect].append(crash)
-                positions[suspect] = max(position, positions.get(suspect, 0))
         ranks = {
-            suspect: (len(crashes), positions[suspect])
-            for suspect, crashes in crashes_by_suspect.items()
+            suspect: (len(upstreams), positions[suspect])
+            for suspect, upstreams in unexplained.items()
+            if len(upstreams) >= (1 if is_digest(suspect) else MIN_CRASHES)
         }
-        highest = max(ranks.values(), default=(0, 0))
-        if highest[0] < MIN_CRASHES:
+        if not ranks:
             return blocks
-        found = {suspect for suspect, rank in ranks.items() if rank == highest}
+        highest = max(ranks.values())
+        found = [suspect for suspect in ranks if ranks[suspect] == highest]
+        explained = set().union(*(unexplained[suspect] for suspect in found))
         for suspect in found:
             blocks[suspect] = _build_block(
                 suspect, crashes_by_suspect[suspect]
             )
-        unexplained = [
-            (crash, open_suspects)
-            for crash, open_suspects in unexplained
-            if open_suspects.keys().isdisjoint(found)
-        ]
+        for upstreams in unexplained.values():
+            upstreams -= explained
 
 
 def _build_block(suspect: str, crashes: list[Crash]) -> Block:
--- a/hornbeamyard/tests/test_crashes.py
+++ b/hornbeamyard/tests/test_crashes.py
@@ -38,6 +38,12 @@
     return ledger
 
 
+def build_requests_crash(number: int, *digests: str) -> Crash:
+    """Return a crash under requests with these digests."""
+    suspects = dict.fromkeys(digests, REQUEST_POSITION)
+    return Crash(UpstreamStart(f"u{number}", 1), float(number), "r1", suspects)
+
+
 class TestBlocks:
     """One part is singled out."""
 
@@ -53,6 +59,18 @@
             ledger.merge([build_crash(1, "a", "b")])
         assert not ledger.blocked
 
+    def test_several_requests_crash_upstreams(self) -> None:
+        """Guards against a request that other requests' crashes excuse.
+
+        It crashes three upstreams, and another request runs at one of them.
+        """
+        bad, other, sound = (f"{DIGEST_PREFIX}{name}" for name in "abc")
+        ledger = CrashLedger()
+        ledger.merge(build_requests_crash(n, other, sound) for n in range(3))
+        ledger.merge([build_requests_crash(3, other, bad)])
+        ledger.merge(build_requests_crash(n, bad) for n in (4, 5))
+        assert ledger.blocked.keys() == {other, bad}
+
     def test_answered_part_is_cleared(self) -> None:
         """Guards against a blocked route or caller that is sound."""
         ledger = CrashLedger()
