Ignore SIGHUP while a process stops

Cause: the receiver of SIGHUP is closed before the process ends, and with it asyncio restores the default action, which kills the process.

Ruled out: blocking the signal, as the kernel then delivers it to one of gRPC's threads.

Change: the process ignores SIGHUP from its start, watches it with a handler of its own while it runs, and ignores it again at its end.

What remains: the signal still ends a process that is importing its modules.

--- a/hornbeamyard/process/daemon.py
+++ b/hornbeamyard/process/daemon.py
@@ -72,6 +72,9 @@
         return
     writer = LineWriter()
     start_structured_logging(settings.log_level, writer)
+    # The default action would end a process that doesn't watch its settings
+    # yet.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     anyio.run(run_with_directory, settings, path, interface, writer)
     writer.flush(LOG_FLUSH_TIMEOUT_S)
 
--- a/hornbeamyard/process/reload.py
+++ b/hornbeamyard/process/reload.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import signal
 from pathlib import Path
+from types import FrameType
 
 import anyio
 import logbook
@@ -62,9 +64,22 @@
                 self.check("file")
 
     async def _watch_signal(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGHUP) as signals:
-            async for _ in signals:
+        received = asyncio.Event()
+        loop = asyncio.get_running_loop()
+
+        def wake(number: int, frame: FrameType | None) -> None:
+            loop.call_soon_threadsafe(received.set)
+
+        # A receiver of anyio would restore the default action at its end, and
+        # a signal would then kill the process while it stops.
+        signal.signal(signal.SIGHUP, wake)
+        try:
+            while True:
+                await received.wait()
+                received.clear()
                 self.check("signal")
+        finally:
+            signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
     def check(self, cause: str) -> None:
         """Reload the settings file if it has changed.
