Don't take an upstream that was deregistered for one that has crashed

Found by reading the change: an upstream that deregisters and goes on serving for a while isn't draining for routers but gone, so a new start at its address would have confirmed a crash under a request that had broken off before.

Change: of upstreams that have changed together, those that have started are recorded first. One that has ended without being replaced then has left by itself. The new test fails without it for the upstream that ended before the new start.

--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -348,6 +348,7 @@
         return RouterUsage(self._shares.own_usage, upstreams, cached_parts)
 
     def _handle_upstreams(self, changed: list[Upstream]) -> None:
+        self.notices.record_states(changed)
         for upstream in changed:
             self.decisions.note(
                 "upstream",
@@ -359,7 +360,6 @@
                 started_ms=upstream.started_ms,
                 software_version=upstream.software_version,
             )
-            self.notices.record_state(upstream)
             if upstream.state is UpstreamState.GONE:
                 for balancer in self._balancers.values():
                     balancer.apply_upstream(upstream)
--- a/hornbeamyard/process/upstream_notices.py
+++ b/hornbeamyard/process/upstream_notices.py
@@ -80,26 +80,37 @@
             Ids of its shared prompt parts in their order, and its digest.
         """
         address = f"http://{upstream.address}"
-        # One that leaves ends by itself.
-        if upstream.state is UpstreamState.DRAINING:
-            return
-        if (
-            upstream.state is UpstreamState.GONE
-            and not self.crashes.restarts.is_replaced(upstream.start, address)
-        ):
+        is_replaced = self.crashes.restarts.is_replaced(
+            upstream.start, address
+        )
+        if upstream.state is not UpstreamState.READY and not is_replaced:
+            # One that leaves ends by itself.
             return
         await self.crashes.record_broken(
             upstream.start, address, suspects, self._upstreams
         )
 
-    def record_state(self, upstream: Upstream) -> None:
-        """Record that an upstream has started, leaves or has ended."""
-        address = f"http://{upstream.address}"
-        match upstream.state:
-            case UpstreamState.READY:
-                self.crashes.record_start(upstream.start, address)
-            case UpstreamState.DRAINING:
-                self.crashes.restarts.record_leaving(upstream.start)
+    def record_states(self, changed: Iterable[Upstream]) -> None:
+        """Record which upstreams have started, leave or have ended.
+
+        Parameters
+        ----------
+        changed : iterable of Upstream
+            If an upstream has been replaced, the new one is among them.
+        """
+        leaving = []
+        for upstream in changed:
+            if upstream.state is not UpstreamState.READY:
+                leaving.append(upstream)
+                continue
+            self.crashes.record_start(
+                upstream.start, f"http://{upstream.address}"
+            )
+        restarts = self.crashes.restarts
+        for upstream in leaving:
+            address = f"http://{upstream.address}"
+            if not restarts.is_replaced(upstream.start, address):
+                restarts.record_leaving(upstream.start)
 
     def record_answer(self, suspects: Iterable[str]) -> None:
         """Clear the suspects in a request that was answered."""
--- a/hornbeamyard/tests/test_crashing_requests.py
+++ b/hornbeamyard/tests/test_crashing_requests.py
@@ -22,7 +22,7 @@
 from hornbeamyard.connection.upstreams import UpstreamConnections
 from hornbeamyard.messages import fleet_pb2, fleet_pb2_grpc
 from hornbeamyard.pool.digests import KEY_SIZE
-from hornbeamyard.pool.upstream_registry import UpstreamStart
+from hornbeamyard.pool.upstream_registry import UpstreamStart, UpstreamState
 from hornbeamyard.process.controller import Controller
 from hornbeamyard.process.timers import MonotonicTimers
 from hornbeamyard.version.replica import Replica
@@ -34,6 +34,7 @@
     RawUpstream,
     ReceivedRequest,
     Script,
+    close_connection,
     run_raw_upstream,
     send_events,
     send_response,
@@ -236,6 +237,31 @@
 
         self.run(test)
 
+    @pytest.mark.parametrize("at_once", [True, False])
+    def test_upstream_is_replaced(self, at_once: bool) -> None:
+        """Guards against a block for upstreams that end before a new start.
+
+        Only one that is replaced without having ended before has crashed.
+        """
+
+        async def test(harness: Harness, upstreams: list[RawUpstream]) -> None:
+            for upstream in upstreams:
+                upstream.scripts[:] = [close_connection]
+            await harness.send_request("/charge/7", BAD_BODY)
+            crashes = harness.notices.crashes
+            assert not len(crashes.ledger)
+            old = [s.upstream for s in harness.balancer.servers.values()]
+            ended = [replace(u, state=UpstreamState.GONE) for u in old]
+            started = [replace(u, id=f"{u.id}-new") for u in old]
+            if at_once:
+                harness.notices.record_states([*ended, *started])
+            else:
+                harness.notices.record_states(ended)
+                harness.notices.record_states(started)
+            assert len(crashes.ledger) == at_once
+
+        self.run(test)
+
 
 class TestFleet:
     """What one router learns, all others know."""
