Restart all processes of test fleets in one place

Tests of crashing requests and parts restarted the router and the controllers by copies of the same lines. They use restart_all now, which stops the router together with the controllers, so that it can't tell the new ones what it knows.

--- a/hornbeamyard/tests/test_crashing_parts.py
+++ b/hornbeamyard/tests/test_crashing_parts.py
@@ -19,7 +19,7 @@
     run_raw_upstream,
     send_events,
 )
-from .test_directory import Fleet, build_upstream, has_ended, run_fleet
+from .test_directory import Fleet, build_upstream, restart_all, run_fleet
 from .test_forwarding import Harness, ReceivedResponse, run
 
 PARTS = "hornbeamyard-prompt-parts"
@@ -188,14 +188,7 @@
 
         async def test(fleet: Fleet, upstreams: list[RawUpstream]) -> None:
             await anyio.sleep(WINDOW_S / 2)
-            fleet.router_stop.set()
-            while not await has_ended(fleet.router_address):
-                await anyio.sleep(0.05)
-            for stop in fleet.stops.values():
-                stop.set()
-            await anyio.sleep(0.5)
-            for number in fleet.registrars:
-                fleet.start_controller(number, first_start=False)
+            await restart_all(fleet)
             for registrar in fleet.registrars.values():
                 await fleet.wait(
                     lambda r=registrar: r.directory.crashes.blocked
--- a/hornbeamyard/tests/test_crashing_requests.py
+++ b/hornbeamyard/tests/test_crashing_requests.py
@@ -40,7 +40,7 @@
     send_response,
 )
 from .test_crashing_parts import PARTS
-from .test_directory import Fleet, build_upstream, has_ended, run_fleet
+from .test_directory import Fleet, build_upstream, restart_all, run_fleet
 from .test_forwarding import Harness, run
 
 UPSTREAMS = 16
@@ -333,20 +333,12 @@
 
         async def test(fleet: Fleet, upstreams: list[RawUpstream]) -> None:
             await anyio.sleep(WINDOW_S / 2)
-            fleet.router_stop.set()
-            while not await has_ended(fleet.router_address):
-                await anyio.sleep(0.05)
-            for stop in fleet.stops.values():
-                stop.set()
-            await anyio.sleep(0.5)
-            for number in fleet.registrars:
-                fleet.start_controller(number, first_start=False)
-            await fleet.wait(fleet.find_leader)
-            for number, raw in enumerate(upstreams):
-                if not raw.has_crashed:
-                    announced = build_upstream(f"u{number}", raw.port, "app")
-                    fleet.registrars[0].announce(announced)
-            fleet.router_stop = anyio.Event()
+            sound = (
+                build_upstream(f"u{number}", raw.port, "app")
+                for number, raw in enumerate(upstreams)
+                if not raw.has_crashed
+            )
+            await restart_all(fleet, *sound)
             router, address = fleet.start_further_router("r2")
             await fleet.wait(router.is_ready)
             assert await ask(address, "/read/8") == 200
