Say what the record of restarts and the start of a worker stand for

From the last reading of the change: a method had the name of a local variable beside it, and two docstrings left the meaning open. No behaviour changes.

--- a/hornbeamyard/connection/crash_reports.py
+++ b/hornbeamyard/connection/crash_reports.py
@@ -37,6 +37,7 @@
     ledger : CrashLedger
         What this router and others have recorded.
     restarts : Restarts
+        Possible crashes that only a new start at the address can show.
     """
 
     __slots__ = (
@@ -89,17 +90,17 @@
             for position, suspect in enumerate(suspects)
         }
         crash = Crash(upstream, self._timers.now(), self._host, positions)
-        if not self._has_ended(upstream, address):
+        if not self._knows_end(upstream, address):
             # The crash counts also if the caller disconnects meanwhile.
             with anyio.CancelScope(shield=True):
                 has_ended = await connections.has_ended(address)
-            if not has_ended and not self._has_ended(upstream, address):
+            if not has_ended and not self._knows_end(upstream, address):
                 self.restarts.keep(crash, address)
                 return
         self._merge(crash)
 
-    def _has_ended(self, upstream: UpstreamStart, address: str) -> bool:
-        """Return whether an upstream is known to have ended."""
+    def _knows_end(self, upstream: UpstreamStart, address: str) -> bool:
+        """Return whether it is known here that an upstream has ended."""
         return self.ledger.has_crash(upstream) or self.restarts.is_replaced(
             upstream, address
         )
--- a/hornbeamyard/pool/worker.py
+++ b/hornbeamyard/pool/worker.py
@@ -134,7 +134,8 @@
     Parameters
     ----------
     on_start : callable, optional
-        Called with each worker that starts, and what was known of it.
+        Called with each worker that starts, and with its last announcement
+        before that, if there was one.
     """
 
     __slots__ = ("_on_start", "_ready_at", "_workers")
