--- /dev/null
+++ b/hornbeamyard/tests/test_fairness.py
@@ -0,0 +1,79 @@
+"""Tests that accounts above their share are served alike at any router."""
+
+from __future__ import annotations
+
+import pytest
+
+from .shared_pool import SPAN_S, Callers, SharedPool
+
+THROUGHPUT = 300_000.0
+# Least fraction of what an account is owed: half of what it asks for, or of
+# what the account served best got.
+MIN_FAIRNESS = 0.5
+# The estimate of the throughput settles in the first seconds.
+SETTLED_S = 3
+END_S = 15
+SMALL_DEMAND = 0.03
+
+
+def run_pool(
+    routers: int, engines: int, speed: float, wide: float, narrow: float
+) -> SharedPool:
+    """Return a pool that two large accounts and some small ones have used.
+
+    Parameters
+    ----------
+    routers, engines : int
+    speed : float
+        What the engines give, as a multiple of the configured throughput.
+    wide, narrow : float
+        Demand of the account with callers at all routers, and of the one with
+        callers at two routers, as multiples of the configured throughput.
+    """
+    pool = SharedPool(routers, engines, THROUGHPUT, speed)
+    pool.run(END_S, list_callers(routers, wide, narrow))
+    return pool
+
+
+def list_callers(routers: int, wide: float, narrow: float) -> list[Callers]:
+    """Return the callers of two large accounts and of two small ones."""
+    return [
+        Callers("wide", range(routers), wide * THROUGHPUT),
+        Callers("narrow", range(2), narrow * THROUGHPUT),
+        Callers("small-1", range(routers), SMALL_DEMAND * THROUGHPUT),
+        Callers("small-2", range(routers), SMALL_DEMAND * THROUGHPUT),
+    ]
+
+
+def find_least_fairness(pool: SharedPool, account: str) -> float:
+    """Return the least fairness to an account in any span."""
+    return min(
+        pool.compute_fairness(account, start)
+        for start in range(SETTLED_S, END_S - SPAN_S + 1)
+    )
+
+
+class TestSpread:
+    """One account's callers are at all routers, another's at two."""
+
+    @pytest.mark.parametrize(
+        ("routers", "engines"), [(8, 5), (40, 20)], ids=["few", "many"]
+    )
+    @pytest.mark.parametrize("speed", [1.0, 1.5, 3.0])
+    @pytest.mark.parametrize(("wide", "narrow"), [(6.0, 1.5), (8.0, 3.0)])
+    def test_service_does_not_depend_on_the_routers_asked(
+        self,
+        routers: int,
+        engines: int,
+        speed: float,
+        wide: float,
+        narrow: float,
+    ) -> None:
+        """Guards against free engines for whoever asks first.
+
+        The account at all routers found each moment of free engines, and the
+        one at two routers got a third of what it was owed.
+        """
+        pool = run_pool(routers, engines, speed, wide, narrow)
+        for account in ("wide", "narrow"):
+            assert find_least_fairness(pool, account) >= MIN_FAIRNESS
