Log what allows a request to be sent, and the estimated throughput

Only refusals told the credit and level, nothing told why a request of an account in debt was sent, refusals of an overloaded router named no account, and the estimate of the throughput, by which routers differ, stood on no line by itself.

Change: placed lines carry the grant (uncontended, within_share, credit, spare, headroom) and the state of shares; that state has the account's demand, whether it is above the level, the router's fraction and the age of the fleet usage. Refusals of an overloaded router name the account. A line throughput, at most once a second while accounts are limited, has the estimate and what it follows. No decision changes.

--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -29,7 +29,7 @@
     estimate,
 )
 from .rate_limits import FleetPosition, RateLimiter, RateLimits, divide_rate
-from .shares import Shares
+from .shares import Grant, Shares
 from .targets import TargetMix
 from .upstream_registry import Upstream, UpstreamState
 from .usage import CachedPart, UpstreamLoad
@@ -503,6 +503,18 @@
             < self.inter_token_latency.get(now)
         )
 
+    def describe_load(self, now: float) -> dict[str, object]:
+        """Return what the throughput is adapted to, for log lines."""
+        waits = self._list_waits_ms(now)
+        return {
+            "pool": self._pool,
+            "engines": len(waits),
+            "wait_ms": round(median(waits)) if waits else None,
+            "token_ms": round(self.inter_token_latency.get(now), 1),
+            "headroom": self.has_headroom(now),
+            "overloaded": self.is_overloaded(now),
+        }
+
     def _list_waits_ms(self, now: float) -> list[float]:
         return [
             max(
@@ -606,10 +618,13 @@
     def _has_share(self, demand: RequestDemand, now: float) -> bool:
         if not self._kv_capacity_tokens or demand.is_charged:
             return True
-        # No account waits while the engines have capacity.
-        return self._shares.may_admit(
+        demand.grant = self._shares.find_grant(
             demand.account, demand.is_caller_retry, now
-        ) or self._had_headroom(now)
+        )
+        # No account waits while the engines have capacity.
+        if demand.grant is None and self._had_headroom(now):
+            demand.grant = Grant.HEADROOM
+        return demand.grant is not None
 
     def _had_headroom(self, now: float) -> bool:
         """Return whether the engines had headroom a moment ago."""
--- a/hornbeamyard/pool/demand.py
+++ b/hornbeamyard/pool/demand.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass, field
 
+from .shares import Grant
+
 # A generated token counts as this many prompt tokens, because engines prefill
 # a prompt in large chunks but generate one token of a request at a time.
 GENERATED_WEIGHT = 2
@@ -54,6 +56,9 @@
     is_charged : bool
         Whether the request was already charged to its account's share, so
         that a retry after a failed attempt is not refused for it.
+    grant : Grant or None
+        What allowed the request to be sent, as of its last placement; None
+        for a service that is no model engine, and for a request without share.
     own_tokens : int
         Tokens that no other request shares.
     affinity : str
@@ -82,6 +87,7 @@
     is_charged: bool = False
     is_probe: bool = False
     digest: str = ""
+    grant: Grant | None = None
     own_tokens: int = field(init=False)
     affinity: str = field(init=False)
     suspects: tuple[str, ...] = field(init=False)
--- a/hornbeamyard/pool/shares.py
+++ b/hornbeamyard/pool/shares.py
@@ -15,6 +15,7 @@
 from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from enum import Enum
 
 from .usage import DEFAULT_WINDOW_S, AccountUsage
 
@@ -53,6 +54,19 @@
 MAX_REFILL_S = 1.0
 
 
+class Grant(Enum):
+    """What allows a request of an account to be sent."""
+
+    # The demand fits the throughput, or isn't known yet.
+    UNCONTENDED = "uncontended"
+    # The account asks for no more than its share.
+    WITHIN_SHARE = "within_share"
+    CREDIT = "credit"
+    SPARE = "spare"
+    # The engines have headroom, so no share is needed.
+    HEADROOM = "headroom"
+
+
 def compute_level(demands: Mapping[str, float], throughput: float) -> float:
     """Return the max-min fair level: demands above it are cut to it.
 
@@ -103,6 +117,8 @@
         more use by this router than by the fleet.
     is_above_share : bool
         Whether the account asks for more than its share.
+    demand : float
+        Tokens a second that the account asks the whole fleet for.
     """
 
     tokens: float = 0.0
@@ -113,6 +129,7 @@
     own_reported: int = 0
     uncharged: float = 0.0
     is_above_share: bool = False
+    demand: float = 0.0
 
     def refill(self, now: float) -> None:
         """Add the tokens since the last refill."""
@@ -186,6 +203,7 @@
     _reported_admitted: dict[str, int] = field(default_factory=dict)
     _spare: _TokenBucket = field(default_factory=_TokenBucket)
     _source: str = ""
+    _applied_at: float | None = None
 
     def is_contended(self) -> bool:
         """Return whether the demand exceeds the engines' throughput."""
@@ -219,7 +237,13 @@
     def may_admit(
         self, account: str, is_caller_retry: bool, now: float
     ) -> bool:
-        """Return whether a request of an account may be sent now.
+        """Return whether a request of an account may be sent now."""
+        return self.find_grant(account, is_caller_retry, now) is not None
+
+    def find_grant(
+        self, account: str, is_caller_retry: bool, now: float
+    ) -> Grant | None:
+        """Return what allows a request of an account now, or None.
 
         Parameters
         ----------
@@ -232,24 +256,27 @@
             Monotonic time in seconds.
         """
         if not self.is_contended():
-            return True
+            return Grant.UNCONTENDED
         bucket = self._buckets.get(account)
         if bucket is None:
-            return True
+            return Grant.UNCONTENDED
         bucket.refill(now)
         if not bucket.is_above_share:
             # Its demand may have risen since the last fleet usage.
-            return bucket.tokens > -bucket.capacity
+            is_within = bucket.tokens > -bucket.capacity
+            return Grant.WITHIN_SHARE if is_within else None
         reserve = (
             CALLER_RETRY_RESERVE_FRACTION * bucket.capacity
             if is_caller_retry
             else 0.0
         )
         if bucket.tokens > reserve:
-            return True
+            return Grant.CREDIT
         self._spare.refill(now)
         is_ahead = bucket.tokens < -MAX_ACCOUNT_DEBT_FRACTION * bucket.capacity
-        return self._spare.tokens > 0 and not is_ahead
+        if self._spare.tokens > 0 and not is_ahead:
+            return Grant.SPARE
+        return None
 
     def could_admit_by(
         self, account: str, is_caller_retry: bool, now: float, until: float
@@ -285,15 +312,31 @@
 
     def describe(self, account: str, now: float) -> dict[str, object]:
         """Return the state that decides on an account, for log lines."""
+        state = self.describe_level(now)
         if not self.is_contended():
-            return {"factor": round(self.factor, 2)}
+            return state
         bucket = self._buckets.get(account)
-        return {
+        state["credit"] = None
+        if bucket is not None:
+            state["credit"] = round(bucket.tokens)
+            state["demand"] = round(bucket.demand)
+            state["above_share"] = bucket.is_above_share
+        return state
+
+    def describe_level(self, now: float) -> dict[str, object]:
+        """Return the state that decides on all accounts, for log lines."""
+        age_ms = None
+        if self._applied_at is not None:
+            age_ms = round((now - self._applied_at) * 1000)
+        state: dict[str, object] = {
             "factor": round(self.factor, 2),
-            "level": round(self.level),
-            "credit": round(bucket.tokens) if bucket is not None else None,
-            "spare": round(self._spare.tokens),
+            "usage_age_ms": age_ms,
         }
+        if self.is_contended():
+            state["level"] = round(self.level)
+            state["spare"] = round(self._spare.tokens)
+            state["fraction"] = round(self.router_fraction, 4)
+        return state
 
     def compute_wait(self, account: str, now: float) -> float:
         """Return the seconds until an account's bucket is out of debt."""
@@ -326,6 +369,7 @@
         now : float
             Monotonic time in seconds.
         """
+        self._applied_at = now
         if not self.throughput:
             self.level = float("inf")
             self.router_fraction = 1.0 / max(1, routers)
@@ -354,7 +398,8 @@
                 self._buckets[name] = bucket
             bucket.refill(now)
             bucket.rate = account_rate
-            bucket.is_above_share = demands[name] > self.level
+            bucket.demand = demands[name]
+            bucket.is_above_share = bucket.demand > self.level
             bucket.capacity = capacity
             bucket.tokens = min(bucket.tokens, bucket.capacity)
             bucket.tokens = max(bucket.tokens, -bucket.capacity)
--- a/hornbeamyard/process/decisions.py
+++ b/hornbeamyard/process/decisions.py
@@ -15,7 +15,12 @@
 # Rate limits by kind of line. Refusals and failures are what operators search
 # for, so they have the highest limits.
 DEFAULT_LINES_PER_S = 20.0
-LINES_PER_S = {"refused": 60.0, "failed": 60.0, "retried": 30.0}
+LINES_PER_S = {
+    "refused": 60.0,
+    "failed": 60.0,
+    "retried": 30.0,
+    "throughput": 1.0,
+}
 # A burst may have as many lines as the rate limit allows in this time.
 BURST_S = 3.0
 
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -318,16 +318,20 @@
         and retries to another.
         """
         header_codec = self._interface.header_codec
-        request_id = header_codec.read_request(headers).request_id
+        metadata = header_codec.read_request(headers)
+        account = None
+        if self.routing is not None:
+            account = self.routing.find_account(metadata.key or "")
         retry_after_s = OVERLOAD_RETRY_AFTER_S * (0.5 + random.random())
         self.forwarder.counts.add("refused")
         self.decisions.note(
             "refused",
-            request_id=request_id,
+            request_id=metadata.request_id,
+            account=account.name if account is not None else None,
             reason="overloaded",
             retry_after_s=round(retry_after_s, 2),
         )
-        response_headers = header_codec.write_response(request_id)
+        response_headers = header_codec.write_response(metadata.request_id)
         response_headers.append(
             (b"retry-after", f"{retry_after_s:.3f}".encode())
         )
@@ -474,8 +478,20 @@
                 any(b.has_headroom(now) for b in balancers),
                 any(b.is_overloaded(now) for b in balancers),
             )
+            self._log_throughput(now)
             await self._upstreams.close_expired()
 
+    def _log_throughput(self, now: float) -> None:
+        """Log the estimated throughput, while it limits accounts."""
+        if self.routing is None or not self._shares.is_contended():
+            return
+        shares = self._shares.describe_level(now)
+        for name, balancer in self._balancers.items():
+            pool = self.routing.pools.get(name)
+            if pool is not None and pool.is_engine():
+                load = balancer.describe_load(now)
+                self.decisions.note("throughput", **load, **shares)
+
     def _count_assumed_routers(self, now: float) -> float:
         """Return how many other routers may send as much as this one.
 
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -419,7 +419,12 @@
         server = placement.server
         started_at = self._timers.now()
         version = self._router.routing.version if self._router.routing else 0
-        self._reporter.report_placed(request, placement, version)
+        shares = (
+            self._shares.describe(request.account, started_at)
+            if request.pool.is_engine()
+            else {}
+        )
+        self._reporter.report_placed(request, placement, version, shares)
         if request.route.resumable:
             origin = StreamOrigin(
                 request.pool.name, server.upstream.software_version
--- a/hornbeamyard/request/reporting.py
+++ b/hornbeamyard/request/reporting.py
@@ -68,7 +68,11 @@
         )
 
     def report_placed(
-        self, request: RoutedRequest, placement: Placement, version: int
+        self,
+        request: RoutedRequest,
+        placement: Placement,
+        version: int,
+        shares: dict[str, object],
     ) -> None:
         """Report a request that is sent to an upstream."""
         now = self._timers.now()
@@ -76,6 +80,7 @@
         server = placement.server
         estimate = placement.estimate
         is_engine = isinstance(server, Engine)
+        grant = request.demand.grant
         self.log_decision(
             request.metadata,
             "placed",
@@ -106,11 +111,13 @@
             if is_engine
             else None,
             size=request.demand.size,
+            grant=grant.value if grant is not None else None,
             returned=request.demand.is_caller_retry,
             deadline_ms=request.metadata.deadline_ms,
             waited_ms=self._elapsed_ms(request),
             version=version,
             tries=request.attempts,
+            **shares,
         )
 
     def report_refused(
--- a/hornbeamyard/tests/test_balancer.py
+++ b/hornbeamyard/tests/test_balancer.py
@@ -21,7 +21,7 @@
 from hornbeamyard.pool.demand import PromptPart, RequestDemand
 from hornbeamyard.pool.engine import Engine
 from hornbeamyard.pool.rate_limits import RateLimits
-from hornbeamyard.pool.shares import Shares
+from hornbeamyard.pool.shares import Grant, Shares
 from hornbeamyard.pool.targets import TargetMix
 from hornbeamyard.pool.upstream_registry import Upstream, UpstreamState
 from hornbeamyard.pool.usage import AccountUsage, CachedPart, UpstreamLoad
@@ -329,6 +329,63 @@
         placed = balancer.place(build_demand(), 0.0, frozenset())
         assert isinstance(placed, Placement) is is_placed
 
+    @pytest.mark.parametrize(
+        ("admitted", "wait_ms", "expected"),
+        [
+            (0, 100, Grant.CREDIT),
+            (1_500, 100, Grant.SPARE),
+            (10_000, 100, None),
+            (10_000, 0, Grant.HEADROOM),
+        ],
+    )
+    def test_grant_of_an_account_above_its_share(
+        self, admitted: int, wait_ms: int, expected: Grant | None
+    ) -> None:
+        """Guards against requests in debt that no log line explains."""
+        balancer = build_balancer(engines=2)
+        shares = balancer._shares
+        shares.throughput = 1000.0
+        busy = {"a": AccountUsage(100_000, 0), "b": AccountUsage(100_000, 0)}
+        shares.apply_fleet_usage(busy, 1, "leader", 0.0)
+        shares.record_admitted("a", admitted)
+        shares._spare.tokens = 100.0
+        for server in balancer.servers.values():
+            server.own_load.prefill_tokens = int(
+                wait_ms / PREFILL_MS_PER_TOKEN
+            )
+        demand = build_demand()
+        placed = balancer.place(demand, 0.0, frozenset())
+        assert demand.grant is expected
+        assert isinstance(placed, Placement) is (expected is not None)
+
+    def test_describes_the_load_that_adapts_the_throughput(self) -> None:
+        """Guards against an estimate that no log line explains."""
+        balancer = build_balancer(engines=2)
+        for server in balancer.servers.values():
+            server.own_load.prefill_tokens = int(400 / PREFILL_MS_PER_TOKEN)
+        balancer.inter_token_latency.record(50.0, 0.0)
+        assert balancer.describe_load(0.0) == {
+            "pool": "model",
+            "engines": 2,
+            "wait_ms": 400,
+            "token_ms": 1.0,
+            "headroom": False,
+            "overloaded": True,
+        }
+
+    def test_grant_without_contention_and_within_share(self) -> None:
+        """Guards against small accounts that look limited in the log."""
+        balancer = build_balancer(engines=2)
+        shares = balancer._shares
+        shares.throughput = 1000.0
+        demand = build_demand()
+        balancer.place(demand, 0.0, frozenset())
+        assert demand.grant is Grant.UNCONTENDED
+        usage = {"a": AccountUsage(10, 0), "b": AccountUsage(100_000, 0)}
+        shares.apply_fleet_usage(usage, 1, "leader", 0.0)
+        balancer.place(demand, 0.0, frozenset())
+        assert demand.grant is Grant.WITHIN_SHARE
+
 
 class TestWaiting:
     """A request that can't be placed waits for a short time."""
--- a/hornbeamyard/tests/test_directory_router.py
+++ b/hornbeamyard/tests/test_directory_router.py
@@ -29,6 +29,7 @@
     VirtualTimers,
 )
 from hornbeamyard.request.headers import NATIVE_HEADER_NAMES, HeaderCodec
+from hornbeamyard.version.routing import parse_routing
 
 # Fraction of the drain time in which no running request may be cut off.
 MIN_DRAIN_FRACTION = 5 / 6
@@ -106,6 +107,63 @@
             line = json.loads(lines.getvalue().splitlines()[-1])
             assert line["reason"] == "overloaded"
             assert line["request_id"] == "q7"
+            assert line["account"] is None
+
+        anyio.run(test)
+
+    def test_account_of_refused_request(self) -> None:
+        """Guards against refusals that can't be counted by account."""
+
+        async def test() -> None:
+            router, lines, writer = build_router()
+            document = {
+                "version": 1,
+                "routes": [],
+                "pools": [],
+                "client_accounts": [{"name": "library", "keys": ["k1"]}],
+            }
+            router.routing = parse_routing(document).unwrap()
+            build = router._connection_limits.build_refusal
+            build([(b"authorization", b"Bearer k1")])
+            writer.flush(1.0)
+            line = json.loads(lines.getvalue().splitlines()[-1])
+            assert line["reason"] == "overloaded"
+            assert line["account"] == "library"
+
+        anyio.run(test)
+
+
+class TestThroughput:
+    """The estimated throughput is logged while it limits accounts."""
+
+    def test_line(self) -> None:
+        """Guards against routers whose estimates can't be compared."""
+
+        async def test() -> None:
+            router, lines, writer = build_router()
+            document = {
+                "version": 1,
+                "routes": [],
+                "pools": [
+                    {"name": "model", "memory_tokens": 300_000},
+                    {"name": "app"},
+                ],
+            }
+            router.routing = parse_routing(document).unwrap()
+            router.find_balancer("model")
+            router.find_balancer("app")
+            router._log_throughput(1.0)
+            router._shares.throughput = 1000.0
+            usage = {name: AccountUsage(100_000, 0) for name in ("a", "b")}
+            router._shares.apply_fleet_usage(usage, 1, "leader", 1.0)
+            router._log_throughput(1.5)
+            writer.flush(1.0)
+            texts = lines.getvalue().splitlines()
+            logged = [json.loads(text) for text in texts]
+            [line] = [each for each in logged if each["event"] == "throughput"]
+            assert line["pool"] == "model"
+            assert line["usage_age_ms"] == 500
+            assert {"factor", "level", "wait_ms", "token_ms"} <= set(line)
 
         anyio.run(test)
 
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -18,6 +18,7 @@
 from hornbeamyard.pool.shares import Shares
 from hornbeamyard.pool.stream_origins import StreamOrigin, StreamOrigins
 from hornbeamyard.pool.upstream_registry import Upstream, UpstreamState
+from hornbeamyard.pool.usage import AccountUsage
 from hornbeamyard.process.decisions import DecisionLog
 from hornbeamyard.process.metrics import Metrics
 from hornbeamyard.process.timers import MonotonicTimers
@@ -746,6 +747,36 @@
 
         run(test, [close_connection], [send_response()])
 
+    def test_share_of_placed_request(self) -> None:
+        """Guards against admitted requests of an account in debt.
+
+        Lines told the credit of refused requests only, so nothing explained
+        why others of the same account were sent.
+        """
+
+        async def test(harness: Harness) -> None:
+            assert harness.routing is not None
+            pools = harness.routing.pools
+            pools["app"] = replace(pools["app"], kv_capacity_tokens=300_000)
+            harness.balancer.configure(300_000, 4, 50_000.0, 60.0)
+            harness.shares.throughput = 1000.0
+            usage = {
+                "library": AccountUsage(100_000, 0),
+                "museum": AccountUsage(100_000, 0),
+            }
+            now = harness.timers.now()
+            harness.shares.apply_fleet_usage(usage, 1, "leader", now)
+            harness.shares.record_admitted("library", 5_000)
+            await harness.send_request()
+            placed = harness.log.lines[0]
+            assert placed["event"] == "placed"
+            assert placed["grant"] == "headroom"
+            assert placed["credit"] < 0
+            assert placed["above_share"] is True
+            assert {"level", "demand", "spare", "fraction"} <= set(placed)
+
+        run(test, [send_response()])
+
     def test_shared_parts_of_broken_request(self) -> None:
         """Guards against crashes that no log line links to a prompt part."""
 
--- a/hornbeamyard/tests/test_shares.py
+++ b/hornbeamyard/tests/test_shares.py
@@ -211,6 +211,28 @@
         assert not shares.may_admit("a", True, 2.7)
         assert shares.may_admit("b", True, 2.7)
 
+    def test_describes_what_decides_on_an_account(self) -> None:
+        """Guards against log lines that can't tell accounts' demands apart."""
+        shares = Shares(throughput=THROUGHPUT, factor=1.0, window_s=2.0)
+        before = {"factor": 1.0, "usage_age_ms": None}
+        assert shares.describe("a", 0.5) == before
+        usage = {"a": AccountUsage(100_000, 0), "b": AccountUsage(2_000, 0)}
+        shares.apply_fleet_usage(usage, 4, "leader", 1.0)
+        expected = {
+            "usage_age_ms": 200,
+            "level": 9000,
+            "credit": 18000,
+            "demand": 50_000,
+            "above_share": True,
+            "fraction": 0.25,
+        }
+        assert expected.items() <= shares.describe("a", 1.2).items()
+        assert shares.describe("b", 1.2)["above_share"] is False
+        # An account that hasn't asked yet has no credit.
+        unknown = shares.describe("c", 1.2)
+        assert unknown["credit"] is None
+        assert "above_share" not in unknown
+
 
 class TestCachedParts:
     """Which cached parts are sent to all routers."""
