Don't continue a stream after an event without an id

The position of a stream was the last id that any event had, not that of the last event.

Ruled out: streams without any id, which were not continued before either, and comments or retry lines between events, which have no position.

EventReader tells whether the last event that was returned has an id. A stream whose last event has none breaks off, so that its caller can see it; first responses are forwarded unchanged.

Measured: test_events_without_ids_are_not_continued failed for the new one of its two cases before, both pass now.

Open: an error that an upstream writes behind its events, without breaking off afterwards, is part of its response and is forwarded.

--- a/hornbeamyard/request/events.py
+++ b/hornbeamyard/request/events.py
@@ -41,6 +41,9 @@
     has_split_event : bool
         Whether an event exceeded `MAX_EVENT_BYTES`, so that it was returned
         in parts.
+    is_last_numbered : bool
+        Whether the last event that was returned has an id, so that another
+        response can continue after it.
     last_id : str
         Id of the last complete event that has one; empty before.
     """
@@ -53,6 +56,7 @@
         "_tail",
         "has_events",
         "has_split_event",
+        "is_last_numbered",
         "last_id",
     )
 
@@ -68,6 +72,7 @@
         self._tail = b""
         self.has_events = False
         self.has_split_event = False
+        self.is_last_numbered = False
         self.last_id = ""
 
     def begin_response(self, last_id: str) -> None:
@@ -86,6 +91,7 @@
         self._pending.clear()
         self._tail = b""
         self.has_events = False
+        self.is_last_numbered = self._is_continued
         self.last_id = last_id
 
     def feed(self, chunk: bytes) -> bytes:
@@ -148,7 +154,10 @@
     def _read_last_id(self, events: bytes) -> str:
         """Return the last id after complete events."""
         if not self._is_continued:
-            return _find_last_id(events) or self.last_id
+            id = _find_last_id(events)
+            if id or not _NO_EVENTS.fullmatch(events):
+                self.is_last_numbered = bool(id) and _ends_numbered(events)
+            return id or self.last_id
         if self._is_splitting:
             # The id was in the first part of the event.
             end = _EVENT_END.search(events)
@@ -192,6 +201,18 @@
     return rest.partition(b"\n")[0].strip().decode("latin-1") if found else ""
 
 
+def _ends_numbered(events: bytes) -> bool:
+    """Return whether the last of events has an id, if any of them has."""
+    if events.find(b"\n\n") == len(events) - 2:
+        return True
+    divided = [
+        event
+        for event in _EVENT_END.split(events)
+        if not _NO_EVENTS.fullmatch(event + b"\n")
+    ]
+    return bool(_find_last_id(divided[-1]))
+
+
 def _follows(id: str, last_id: str) -> bool:
     """Return whether an event may come after another; ids may have gaps."""
     if _NUMBER.fullmatch(id) and _NUMBER.fullmatch(last_id):
--- a/hornbeamyard/request/routed_request.py
+++ b/hornbeamyard/request/routed_request.py
@@ -113,12 +113,13 @@
     def may_continue(self) -> bool:
         """Return whether another upstream may continue the response.
 
-        It needs the id of the last event, and would repeat an event that was
-        sent in part.
+        It needs the id of the last event, and would repeat one that was sent
+        in part or without an id.
         """
         events = self.progress.events
         return (
             self.route.resumable
             and bool(events.last_id)
+            and events.is_last_numbered
             and not events.has_split_event
         )
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -569,19 +569,20 @@
 
         run(test, [send_events(1, 3, framing="close")])
 
-    def test_events_without_ids_are_not_continued(self) -> None:
+    @pytest.mark.parametrize(
+        "events", [b"data: 1\n\n", b"id: 1\ndata: 1\n\n: ping\n\n" + ERROR]
+    )
+    def test_events_without_ids_are_not_continued(self, events: bytes) -> None:
         """Guards against events that come twice, as nothing tells the last."""
 
         async def test(harness: Harness) -> None:
             harness.balancer.servers["u1"].own_load.running = 5
             received = await harness.send_request("/chat/1")
-            assert received.body == b"data: 1\n\n"
+            assert received.body == events.removesuffix(b"failed")
             assert not received.is_complete
 
-        broken = send_events(
-            1, 0, complete=False, partial_event=b"data: 1\n\n"
-        )
-        run(test, [broken], [send_events(1, 6)])
+        broken = send_events(1, 0, complete=False, partial_event=events)
+        run(test, [broken], [send_events(2, 6)])
 
     def test_oversized_event_is_not_continued(self) -> None:
         """Guards against one event joined from the parts of two runs."""
