Don't read encoded streams as events

What callers saw: a whole event stream with a Content-Encoding broke off at its end, always in fleets without a route directory and on routes that forbid resumption; on routes that allow it, its bytes were held back and the caller got an error.

Exchange and Relay read each body with the type text/event-stream event by event, also one that is compressed. Where such bytes have a blank line, and whether they end inside an event, is chance. Class of fault: bytes interpreted without regard to the header that says how.

Ruled out: recorded responses, which already left encoded ones out; bodies of other types, which nobody reads.

Streams with a Content-Encoding other than identity are forwarded as they arrive, and neither continued nor followed by an error event. Their length or chunks tell their end; one with neither still breaks off, as before.

Open: a compressed stream without length or chunks is never complete.

--- a/hornbeamyard/request/exchange.py
+++ b/hornbeamyard/request/exchange.py
@@ -113,7 +113,7 @@
     events : EventReader
         Reader of a response that consists of server-sent events.
     is_event_stream : bool
-        Whether the response consists of server-sent events.
+        Whether the response consists of server-sent events that can be read.
     progress : int
         Grows with each chunk that arrives or is taken by the caller.
     stage : Stage
@@ -268,14 +268,16 @@
                 "the response has neither a length nor chunked encoding",
             )
         content_type = headers.get(b"content-type", b"")
+        has_encoding = is_encoded(response.headers)
         self.is_event_stream = (
             content_type.startswith(b"text/event-stream")
             and b"transfer-encoding" in headers
+            and not has_encoding
         )
         if self._recorder is not None:
             self._recorder.status = status
             self._recorder.content_type = content_type.decode("latin-1")
-            self._recorder.encoded = b"content-encoding" in headers
+            self._recorder.encoded = has_encoding
         return None
 
     async def _forward(self, response: Response, send: Send) -> None:
@@ -319,6 +321,14 @@
         )
 
 
+def is_encoded(headers: Headers) -> bool:
+    """Return whether a body is compressed or encoded in another way."""
+    return any(
+        name == b"content-encoding" and value.lower() != b"identity"
+        for name, value in headers
+    )
+
+
 def _filter_response_headers(response: Response) -> Headers:
     headers = response.headers
     dropped = set(HOP_BY_HOP_HEADERS)
--- a/hornbeamyard/request/relay.py
+++ b/hornbeamyard/request/relay.py
@@ -11,7 +11,7 @@
 from ..connection.client import BrokenConnectionError, Framing, Response
 from ..connection.upstreams import CONNECTION_ERRORS, UpstreamConnections
 from .events import EventOrderError, EventReader
-from .exchange import HOP_BY_HOP_HEADERS
+from .exchange import HOP_BY_HOP_HEADERS, is_encoded
 from .headers import HeaderCodec, Headers, ResponseMetadata
 from .problem import send_response
 
@@ -290,9 +290,10 @@
         is_stream = bool(content_types) and content_types[0].startswith(
             b"text/event-stream"
         )
-        is_encoded = any(name == b"content-encoding" for name, _ in headers)
         is_plain_stream = (
-            is_stream and not is_encoded and response.status == HTTPStatus.OK
+            is_stream
+            and not is_encoded(response.headers)
+            and response.status == HTTPStatus.OK
         )
         if self._request.last_event_id and not is_plain_stream:
             return AttemptResult(
@@ -342,10 +343,11 @@
     ) -> AttemptResult:
         events = self._progress.events
         events.begin_response(self._request.last_event_id)
+        has_encoding = is_encoded(response.headers)
         async for chunk in response.iter_chunks():
             self._observer.record_chunk()
             try:
-                complete_events = events.feed(chunk)
+                complete_events = chunk if has_encoding else events.feed(chunk)
             except EventOrderError as error:
                 return AttemptResult(AttemptOutcome.BROKEN, str(error))
             if self._resumable:
@@ -354,19 +356,23 @@
                 continue
             await self._send_head(response.status, headers, send)
             await _send_body(send, chunk)
-        truncation = self._find_truncation(response.framing)
+        truncation = self._find_truncation(response.framing, has_encoding)
         if truncation:
             return AttemptResult(AttemptOutcome.BROKEN, truncation)
         await self._send_head(response.status, headers, send)
         await _send_body(send, b"", more=False)
         return AttemptResult(AttemptOutcome.COMPLETED)
 
-    def _find_truncation(self, framing: Framing) -> str:
+    def _find_truncation(self, framing: Framing, has_encoding: bool) -> str:
         """Return how a stream shows that it has broken off; "" if it doesn't.
 
         Without a length or chunks, an orderly close of the connection ends a
         response at any byte.
         """
+        if has_encoding and framing is Framing.CLOSE:
+            return "nothing marks the end of the encoded stream"
+        if has_encoding:
+            return ""
         events = self._progress.events
         if events.is_inside_event() or events.lacks_begun_event():
             return "the last event is incomplete"
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+import gzip
 import json
 import random
 from collections.abc import Awaitable, Callable, Iterable
@@ -597,6 +598,20 @@
         broken = send_events(1, 3, partial_event=large, framing="close")
         run(test, [broken], [send_events(4, 6)])
 
+    @pytest.mark.parametrize("framing", ["chunked", "close"])
+    @pytest.mark.parametrize("path", ["/chat/1", "/notice/1"])
+    def test_encoded_stream(self, path: str, framing: str) -> None:
+        """Guards against reading compressed bytes as events."""
+        body = gzip.compress(b"id: 1\ndata: 1\n\n")
+        encoding = "content-encoding: gzip"
+
+        async def test(harness: Harness) -> None:
+            received = await harness.send_request(path)
+            assert received.body == body
+            assert received.is_complete == (framing == "chunked")
+
+        run(test, [send_events(1, 0, True, body, (encoding,), framing)])
+
     @pytest.mark.parametrize("path", ["/chat/1", "/notice/1"])
     def test_ended_before_first_event(self, path: str) -> None:
         """Guards against an empty stream as the answer of a crashed engine."""
