Serve free throughput in the order of what the fleet has served

Cause: admission asked several questions one after the other, and each later one let an account past the earlier ones. With headroom no share was needed, whatever the account's debt, in order of arrival and at all routers at once; debt beyond one bucket was forgiven by the next fleet usage; and all routers saw the same credit or spare throughput and each admitted a request for it. Class of fault: a promise about the fleet and a span of time, decided from what one router sees at one moment.

Change: routers report what they refuse for lack of throughput. From the fleet's usage each router keeps how far accounts are ahead of the one that was served least, among those that are refused more than a quarter of what they ask for. An account gets headroom and spare throughput only within a bounded lead. An account without rivals is not limited, and pays nothing later. Lead and debt are remembered for the span over which shares are assessed. A router admits its own part of what an account may use; a random threshold keeps many small parts right on average.

Why it works: what is free goes to the account that has got least, wherever its callers are, and an error lasts until the next fleet usage and is then paid back within the span in which it would be judged.

--- a/hornbeamyard/connection/directory_codec.py
+++ b/hornbeamyard/connection/directory_codec.py
@@ -219,7 +219,9 @@
             self._accounts.clear()
             self._upstreams.clear()
         for counters in accounts:
-            account = AccountUsage(counters.asked, counters.admitted)
+            account = AccountUsage(
+                counters.asked, counters.admitted, counters.unserved
+            )
             _set_or_remove(
                 self._accounts,
                 counters.client_account,
@@ -239,7 +241,10 @@
 
 def _encode_account(name: str, usage: AccountUsage) -> Any:
     return fleet_pb2.AccountUsage(
-        client_account=name, asked=usage.asked, admitted=usage.admitted
+        client_account=name,
+        asked=usage.asked,
+        admitted=usage.admitted,
+        unserved=usage.unserved,
     )
 
 
--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -29,7 +29,7 @@
     estimate,
 )
 from .rate_limits import FleetPosition, RateLimiter, RateLimits, divide_rate
-from .shares import Grant, Shares
+from .shares import Shares
 from .targets import TargetMix
 from .upstream_registry import Upstream, UpstreamState
 from .usage import CachedPart, UpstreamLoad
@@ -145,6 +145,13 @@
     QUEUE_FULL = "too many requests wait"
 
 
+# The engines give too little throughput for the request.
+LACKS_THROUGHPUT = (
+    RefusalReason.NO_SHARE,
+    RefusalReason.NO_ROOM,
+    RefusalReason.TOO_LATE,
+    RefusalReason.QUEUE_FULL,
+)
 BLOCKED = (RefusalReason.BLOCKED_PART, RefusalReason.BLOCKED_REQUEST)
 
 
@@ -618,12 +625,15 @@
     def _has_share(self, demand: RequestDemand, now: float) -> bool:
         if not self._kv_capacity_tokens or demand.is_charged:
             return True
+        # No account waits while the engines have capacity, but accounts that
+        # compete for it are served in their order.
         demand.grant = self._shares.find_grant(
-            demand.account, demand.is_caller_retry, now
+            demand.account,
+            demand.is_caller_retry,
+            now,
+            demand.size,
+            self._had_headroom(now),
         )
-        # No account waits while the engines have capacity.
-        if demand.grant is None and self._had_headroom(now):
-            demand.grant = Grant.HEADROOM
         return demand.grant is not None
 
     def _had_headroom(self, now: float) -> bool:
@@ -968,6 +978,8 @@
         excluded: frozenset[str],
     ) -> Refusal:
         resumes_at = None
+        if self._lacks_throughput(reason, now):
+            self._shares.record_unserved(demand.account, demand.size)
         if reason in BLOCKED:
             block = self._crashes.find_block(demand.suspects)
             resumes_at = block.retry_at if block is not None else None
@@ -986,6 +998,16 @@
         wait_s = min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
         return Refusal(reason, wait_s * (0.75 + self._draw()))
 
+    def _lacks_throughput(self, reason: RefusalReason, now: float) -> bool:
+        """Return whether a request is refused because others are served.
+
+        While the engines have headroom, a request that may use it and is
+        refused all the same waits for something else.
+        """
+        if not self._kv_capacity_tokens or reason not in LACKS_THROUGHPUT:
+            return False
+        return reason is RefusalReason.NO_SHARE or not self._had_headroom(now)
+
     # ---- load ------------------------------------------------------------
 
     def start(
--- a/hornbeamyard/pool/shares.py
+++ b/hornbeamyard/pool/shares.py
@@ -12,11 +12,13 @@
 
 from __future__ import annotations
 
+import random
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
+from .service_order import ServiceOrder
 from .usage import DEFAULT_WINDOW_S, AccountUsage
 
 # Capacity of the bucket of spare throughput, which accounts above their share
@@ -30,6 +32,16 @@
 # bucket's capacity. Without a bound the account that asks most often would
 # get all of it.
 MAX_ACCOUNT_DEBT_FRACTION = 0.25
+# Lead over the account served least up to which an account may use throughput
+# beyond its share, as a fraction of its bucket's capacity.
+MAX_LEAD_FRACTION = 0.5
+# Fraction of what an account asks for that has to be refused for the account
+# to compete for throughput beyond the shares.
+MIN_UNSERVED_FRACTION = 0.25
+# What is remembered of an account's lead and of its debt, as multiples of its
+# bucket's capacity. The capacity is the share of half of the span over which
+# shares are assessed.
+REMEMBERED_CAPACITIES = 2.0
 # Fraction of its bucket that an account above its share keeps for requests
 # that come for the first time; callers that retry can't use it.
 CALLER_RETRY_RESERVE_FRACTION = 0.5
@@ -94,6 +106,11 @@
     return float("inf")
 
 
+def _competes(asked: int, unserved: int) -> bool:
+    """Return whether an account lacks enough of what it asks for."""
+    return unserved > MIN_UNSERVED_FRACTION * asked
+
+
 @dataclass(slots=True)
 class _TokenBucket:
     """A token bucket of an account, or of the spare throughput.
@@ -119,6 +136,15 @@
         Whether the account asks for more than its share.
     demand : float
         Tokens a second that the account asks the whole fleet for.
+    fraction : float
+        This router's fraction of the account's requests.
+    own_used : float
+        Tokens admitted by this router since the last fleet usage.
+    threshold : float
+        Fraction of a request's size that has to be left of this router's part
+        for the request to be admitted. It is drawn anew with each fleet usage,
+        so that many routers with small parts together admit what is left
+        instead of one request each.
     """
 
     tokens: float = 0.0
@@ -130,6 +156,23 @@
     uncharged: float = 0.0
     is_above_share: bool = False
     demand: float = 0.0
+    fraction: float = 1.0
+    own_used: float = 0.0
+    threshold: float = 0.0
+
+    def covers(self, tokens: float, size: int) -> bool:
+        """Return whether this router's part of tokens admits a request.
+
+        Parameters
+        ----------
+        tokens : float
+            Tokens that all routers may still admit, after what this router
+            has admitted since the last fleet usage.
+        size : int
+            Tokens of the request.
+        """
+        part = self.fraction * (tokens + self.own_used) - self.own_used
+        return part > (1 - self.fraction) * self.threshold * size
 
     def refill(self, now: float) -> None:
         """Add the tokens since the last refill."""
@@ -150,7 +193,7 @@
         self.own_reported = own
         self.uncharged = 0.0
 
-    def charge_others(self, total: int, own: int) -> None:
+    def charge_others(self, total: int, own: int) -> float:
         """Subtract what other routers have used since the last call.
 
         Parameters
@@ -159,15 +202,22 @@
             Tokens admitted by the whole fleet.
         own : int
             Tokens admitted by this router, as of its last report.
+
+        Returns
+        -------
+        float
+            The tokens that were subtracted.
         """
+        charged = 0.0
         if total >= self.fleet_admitted:
             used = total - self.fleet_admitted - (own - self.own_reported)
             self.uncharged += used
-            if self.uncharged > 0:
-                self.tokens -= self.uncharged
-                self.uncharged = 0.0
+            charged = max(0.0, self.uncharged)
+            self.uncharged -= charged
+            self.tokens -= charged
         self.fleet_admitted = total
         self.own_reported = own
+        return charged
 
 
 @dataclass(slots=True)
@@ -190,6 +240,8 @@
     router_fraction : float
         This router's fraction of the fleet's demand, as of the last fleet
         usage.
+    draw : callable
+        Returns a random number from 0 to 1.
     """
 
     throughput: float = 0.0
@@ -198,9 +250,14 @@
     level: float = float("inf")
     own_usage: dict[str, AccountUsage] = field(default_factory=dict)
     router_fraction: float = 1.0
+    draw: Callable[[], float] = random.random
     _buckets: dict[str, _TokenBucket] = field(default_factory=dict)
-    _asked_samples: deque[tuple[float, int]] = field(default_factory=deque)
+    # Time, and tokens that each account has asked for and was refused.
+    _samples: deque[tuple[float, dict[str, tuple[int, int]]]] = field(
+        default_factory=deque
+    )
     _reported_admitted: dict[str, int] = field(default_factory=dict)
+    _order: ServiceOrder = field(default_factory=ServiceOrder)
     _spare: _TokenBucket = field(default_factory=_TokenBucket)
     _source: str = ""
     _applied_at: float | None = None
@@ -217,31 +274,48 @@
         """Count a request that is sent."""
         self.own_usage.setdefault(account, AccountUsage()).admitted += size
         self._spare.tokens -= size
+        self._order.record_served(account, size)
         bucket = self._buckets.get(account)
         if bucket is not None:
             bucket.tokens -= size
+            bucket.own_used += size
+
+    def record_unserved(self, account: str, size: int) -> None:
+        """Count a request that is refused for lack of throughput."""
+        self.own_usage.setdefault(account, AccountUsage()).unserved += size
 
     def mark_reported(self, now: float) -> None:
         """Record that `own_usage` is reported now."""
-        asked = sum(use.asked for use in self.own_usage.values())
-        self._asked_samples.append((now, asked))
-        while (
-            len(self._asked_samples) > 2
-            and now - self._asked_samples[0][0] > self.window_s
-        ):
-            self._asked_samples.popleft()
+        self._sample_usage(now)
         self._reported_admitted = {
             name: use.admitted for name, use in self.own_usage.items()
         }
 
+    def _sample_usage(self, now: float) -> None:
+        sample = {
+            name: (use.asked, use.unserved)
+            for name, use in self.own_usage.items()
+        }
+        self._samples.append((now, sample))
+        while (
+            len(self._samples) > 2
+            and now - self._samples[0][0] > self.window_s
+        ):
+            self._samples.popleft()
+
     def may_admit(
-        self, account: str, is_caller_retry: bool, now: float
+        self, account: str, is_caller_retry: bool, now: float, size: int = 0
     ) -> bool:
         """Return whether a request of an account may be sent now."""
-        return self.find_grant(account, is_caller_retry, now) is not None
+        return self.find_grant(account, is_caller_retry, now, size) is not None
 
     def find_grant(
-        self, account: str, is_caller_retry: bool, now: float
+        self,
+        account: str,
+        is_caller_retry: bool,
+        now: float,
+        size: int = 0,
+        has_headroom: bool = False,
     ) -> Grant | None:
         """Return what allows a request of an account now, or None.
 
@@ -254,6 +328,11 @@
             requests that can still be in time.
         now : float
             Monotonic time in seconds.
+        size : int, optional
+            Tokens of the request.
+        has_headroom : bool, optional
+            Whether the engines could serve more requests, so that an account
+            may exceed its share unless it is ahead of others that compete.
         """
         if not self.is_contended():
             return Grant.UNCONTENDED
@@ -263,18 +342,28 @@
         bucket.refill(now)
         if not bucket.is_above_share:
             # Its demand may have risen since the last fleet usage.
-            is_within = bucket.tokens > -bucket.capacity
-            return Grant.WITHIN_SHARE if is_within else None
+            if bucket.tokens > -bucket.capacity:
+                return Grant.WITHIN_SHARE
+            return Grant.HEADROOM if has_headroom else None
         reserve = (
             CALLER_RETRY_RESERVE_FRACTION * bucket.capacity
             if is_caller_retry
             else 0.0
         )
-        if bucket.tokens > reserve:
+        if bucket.covers(bucket.tokens - reserve, size):
             return Grant.CREDIT
+        max_lead = MAX_LEAD_FRACTION * bucket.capacity
+        lead = self._order.compute_lead(account)
+        if self._order.has_rivals(account) and not bucket.covers(
+            max_lead - lead, size
+        ):
+            return None
+        if has_headroom:
+            return Grant.HEADROOM
         self._spare.refill(now)
         is_ahead = bucket.tokens < -MAX_ACCOUNT_DEBT_FRACTION * bucket.capacity
-        if self._spare.tokens > 0 and not is_ahead:
+        least = (1 - self.router_fraction) * bucket.threshold * size
+        if self._spare.tokens > least and not is_ahead:
             return Grant.SPARE
         return None
 
@@ -321,6 +410,7 @@
             state["credit"] = round(bucket.tokens)
             state["demand"] = round(bucket.demand)
             state["above_share"] = bucket.is_above_share
+            state["lead"] = round(self._order.compute_lead(account))
         return state
 
     def describe_level(self, now: float) -> dict[str, object]:
@@ -401,22 +491,58 @@
             bucket.demand = demands[name]
             bucket.is_above_share = bucket.demand > self.level
             bucket.capacity = capacity
+            bucket.fraction = self._compute_account_fraction(
+                name, use, routers
+            )
+            bucket.own_used = 0.0
+            bucket.threshold = self.draw()
             bucket.tokens = min(bucket.tokens, bucket.capacity)
-            bucket.tokens = max(bucket.tokens, -bucket.capacity)
+            bucket.tokens = max(
+                bucket.tokens, -REMEMBERED_CAPACITIES * capacity
+            )
             reported = self._reported_admitted.get(name, 0)
             if is_new:
                 bucket.reset_counters(use.admitted, reported)
             else:
-                bucket.charge_others(use.admitted, reported)
+                used = bucket.charge_others(use.admitted, reported)
+                self._order.record_served(name, used)
+        self._order.max_lead = REMEMBERED_CAPACITIES * capacity
+        self._order.update(
+            {
+                name
+                for name, use in accounts.items()
+                if self._buckets[name].is_above_share
+                and _competes(use.asked, use.unserved)
+            }
+        )
 
     def _compute_router_fraction(self, demand: float, routers: int) -> float:
         """Return this router's fraction of the fleet's demand."""
         minimum = MIN_ROUTER_FRACTION / max(1, routers)
-        if len(self._asked_samples) < 2 or not demand:
+        if len(self._samples) < 2 or not demand:
             return 1.0 / max(1, routers)
-        asked = self._asked_samples[-1][1] - self._asked_samples[0][1]
+        asked = sum(self._get_recent(name)[0] for name in self.own_usage)
         return min(1.0, max(minimum, asked / self.window_s / demand))
 
+    def _get_recent(self, account: str) -> tuple[int, int]:
+        """Return what an account asked here, and was refused, recently."""
+        if len(self._samples) < 2:
+            return 0, 0
+        asked, unserved = self._samples[-1][1].get(account, (0, 0))
+        earlier = self._samples[0][1].get(account, (0, 0))
+        return asked - earlier[0], unserved - earlier[1]
+
+    def _compute_account_fraction(
+        self, account: str, usage: AccountUsage, routers: int
+    ) -> float:
+        """Return this router's fraction of an account's requests."""
+        even = 1.0 / max(1, routers)
+        total = usage.asked + usage.unserved
+        if routers <= 1 or len(self._samples) < 2 or not total:
+            return even
+        fraction = sum(self._get_recent(account)) / total
+        return min(1.0, max(MIN_ROUTER_FRACTION * even, fraction))
+
     def adapt(self, has_headroom: bool, is_overloaded: bool) -> None:
         """Adapt `factor` to the throughput that the engines give.
 
--- a/hornbeamyard/pool/usage.py
+++ b/hornbeamyard/pool/usage.py
@@ -29,13 +29,22 @@
 
 @dataclass(slots=True)
 class AccountUsage:
-    """Tokens that an account asked for, and tokens that were admitted.
+    """Tokens of an account's requests, measured as in `RequestDemand.size`.
 
-    They are measured as in `RequestDemand.size`.
+    Attributes
+    ----------
+    asked : int
+        Of requests that aren't retries of callers.
+    admitted : int
+        Of requests that were sent.
+    unserved : int
+        Of requests that were refused for lack of throughput, retries of
+        callers included.
     """
 
     asked: int = 0
     admitted: int = 0
+    unserved: int = 0
 
 
 @dataclass(slots=True)
@@ -103,8 +112,8 @@
     Attributes
     ----------
     accounts : dict of str to AccountUsage
-        Tokens asked for within the last window, and tokens admitted since
-        the source began to count.
+        Tokens asked for and refused within the last window, and tokens
+        admitted since the source began to count.
     upstreams : dict of str to UpstreamLoad
         Load of all routers on each upstream, by id.
     routers : int
@@ -133,7 +142,7 @@
 
     __slots__ = (
         "_admitted",
-        "_asked_samples",
+        "_recent",
         "_reported_parts",
         "_reports",
         "_sent_at",
@@ -146,8 +155,8 @@
         self._reports: dict[str, _LastReport] = {}
         self._sent_at: dict[CachedPart, float] = {}
         self._admitted: dict[str, int] = {}
-        # Time, account and tokens asked for.
-        self._asked_samples: deque[tuple[float, str, int]] = deque()
+        # Time, account, tokens asked for and tokens refused.
+        self._recent: deque[tuple[float, str, int, int]] = deque()
 
     def record_report(
         self, router: str, usage: RouterUsage, now: float
@@ -169,9 +178,10 @@
                 earlier = before.get(name, AccountUsage())
                 asked = use.asked - earlier.asked
                 admitted = use.admitted - earlier.admitted
+                unserved = use.unserved - earlier.unserved
                 self._admitted[name] = self._admitted.get(name, 0) + admitted
-                if asked:
-                    self._asked_samples.append((now, name, asked))
+                if asked or unserved:
+                    self._recent.append((now, name, asked, unserved))
         self._reported_parts.update(dict.fromkeys(usage.cached_parts))
         self._reports[router] = _LastReport(usage, now)
 
@@ -184,16 +194,15 @@
 
         Cached parts are returned once, and again after `PART_RESEND_S`.
         """
-        while (
-            self._asked_samples
-            and now - self._asked_samples[0][0] > self._window_s
-        ):
-            self._asked_samples.popleft()
+        while self._recent and now - self._recent[0][0] > self._window_s:
+            self._recent.popleft()
         fleet = FleetUsage(cached_parts=self._list_unsent_parts(now))
         for name, admitted in self._admitted.items():
             fleet.accounts[name] = AccountUsage(0, admitted)
-        for _, name, asked in self._asked_samples:
-            fleet.accounts.setdefault(name, AccountUsage()).asked += asked
+        for _, name, asked, unserved in self._recent:
+            account = fleet.accounts.setdefault(name, AccountUsage())
+            account.asked += asked
+            account.unserved += unserved
         for router, last in list(self._reports.items()):
             if now - last.received_at > ROUTER_TIMEOUT_S:
                 del self._reports[router]
--- a/hornbeamyard/tests/shared_pool.py
+++ b/hornbeamyard/tests/shared_pool.py
@@ -19,6 +19,8 @@
 
 STEP_S = 0.01
 USAGE_INTERVAL_S = 0.25
+# Time for which a fleet usage is on its way to the routers.
+USAGE_DELAY_S = 0.02
 # Span over which the service of accounts is compared, in seconds.
 SPAN_S = 6
 
@@ -83,7 +85,9 @@
         self.shares = []
         self.balancers = []
         for _ in range(routers):
-            shares = Shares(throughput=throughput, window_s=2.0)
+            shares = Shares(
+                throughput=throughput, window_s=2.0, draw=self._rng.random
+            )
             balancer = Balancer(
                 "model", "zone", shares, self._rng.random, _run_without_limit
             )
--- a/hornbeamyard/tests/test_balancer.py
+++ b/hornbeamyard/tests/test_balancer.py
@@ -386,6 +386,56 @@
         balancer.place(demand, 0.0, frozenset())
         assert demand.grant is Grant.WITHIN_SHARE
 
+    @pytest.mark.parametrize(
+        ("rival_unserved", "is_placed"), [(0, True), (90_000, False)]
+    )
+    def test_free_engines_go_to_the_account_served_least(
+        self, rival_unserved: int, is_placed: bool
+    ) -> None:
+        """Guards against free engines for whoever asks first.
+
+        An account that had got several times as much as another one was sent
+        more in each moment in which the engines had headroom.
+        """
+        balancer = build_balancer(engines=2)
+        shares = balancer._shares
+        shares.throughput = 10_000.0
+        for admitted in (0, 100_000):
+            usage = {
+                "a": AccountUsage(100_000, admitted, 90_000),
+                "rival": AccountUsage(100_000, 0, rival_unserved),
+            }
+            shares.apply_fleet_usage(usage, 1, "leader", 0.0)
+        placed = balancer.place(build_demand(), 0.0, frozenset())
+        assert isinstance(placed, Placement) is is_placed
+        demand = build_demand()
+        demand.account = "rival"
+        place(balancer, demand)
+
+    @pytest.mark.parametrize(
+        ("wait_ms", "is_unserved"), [(0, False), (2 * WAIT_MS, True)]
+    )
+    def test_request_that_lacks_throughput_is_unserved(
+        self, wait_ms: int, is_unserved: bool
+    ) -> None:
+        """Guards against free engines that are kept for nobody.
+
+        A request that idle engines can't serve in time would have held back
+        the requests of other accounts.
+        """
+        balancer = build_balancer(engines=2)
+        for server in balancer.servers.values():
+            server.own_load.prefill_tokens = int(
+                wait_ms / PREFILL_MS_PER_TOKEN
+            )
+        # Too large for its deadline at any load.
+        demand = build_demand(own=1_000_000)
+        refused = balancer.place(demand, 0.0, frozenset())
+        assert isinstance(refused, Refusal)
+        assert refused.reason is RefusalReason.TOO_LATE
+        usage = balancer._shares.own_usage.get("a", AccountUsage())
+        assert usage.unserved == (demand.size if is_unserved else 0)
+
 
 class TestWaiting:
     """A request that can't be placed waits for a short time."""
--- a/hornbeamyard/tests/test_directory_codec.py
+++ b/hornbeamyard/tests/test_directory_codec.py
@@ -40,7 +40,7 @@
                 {"a": AccountUsage(5, 3), "b": AccountUsage(1, 0)},
                 {"e1": UpstreamLoad(2, 0, 3), "e2": UpstreamLoad(1, 1, 1)},
             ),
-            ({"a": AccountUsage(0, 4)}, {"e2": UpstreamLoad(1, 1, 1)}),
+            ({"a": AccountUsage(0, 4, 9)}, {"e2": UpstreamLoad(1, 1, 1)}),
             ({}, {}),
         ]
         for accounts, upstreams in steps:
--- a/hornbeamyard/tests/test_fairness.py
+++ b/hornbeamyard/tests/test_fairness.py
@@ -77,3 +77,18 @@
         pool = run_pool(routers, engines, speed, wide, narrow)
         for account in ("wide", "narrow"):
             assert find_least_fairness(pool, account) >= MIN_FAIRNESS
+
+    @pytest.mark.parametrize(
+        ("routers", "narrow"), [(8, 1), (24, 2)], ids=["one", "two"]
+    )
+    def test_calls_that_are_not_repeated(
+        self, routers: int, narrow: int
+    ) -> None:
+        """Guards against the same with engines that give 1.7 times as much."""
+        pool = SharedPool(routers, 6, THROUGHPUT, 1.7)
+        callers = [
+            Callers("wide", range(routers), 3.4 * THROUGHPUT, (2000, 6000)),
+            Callers("narrow", range(narrow), 0.85 * THROUGHPUT, (2000, 6000)),
+        ]
+        pool.run(END_S, callers)
+        assert find_least_fairness(pool, "narrow") >= MIN_FAIRNESS
--- a/hornbeamyard/tests/test_shares.py
+++ b/hornbeamyard/tests/test_shares.py
@@ -72,7 +72,7 @@
         """Return whether a router admits a request."""
         shares = self.routers[router]
         shares.record_asked(account, size)
-        if not shares.may_admit(account, False, self.now):
+        if not shares.may_admit(account, False, self.now, size):
             return False
         shares.record_admitted(account, size)
         self.admitted[account] = self.admitted.get(account, 0) + size
@@ -233,6 +233,50 @@
         assert unknown["credit"] is None
         assert "above_share" not in unknown
 
+    def test_large_requests_at_many_routers(self) -> None:
+        """Guards against one request at each router for the same tokens.
+
+        All routers saw the same small credit, and each admitted a request
+        that was larger than it.
+        """
+        fleet = Fleet(40)
+
+        def ask(seconds: float) -> None:
+            for _ in range(round(seconds / INTERVAL_S)):
+                for router in range(40):
+                    fleet.ask(router, "everywhere", 6000)
+                for _ in range(10):
+                    fleet.ask(0, "one-router", 6000)
+                fleet.exchange()
+
+        # Until the first fleet usage nothing is limited.
+        ask(10.0)
+        before = dict(fleet.admitted)
+        ask(40.0)
+        spent = {name: fleet.admitted[name] - before[name] for name in before}
+        level = THROUGHPUT / 2
+        for tokens in spent.values():
+            assert 0.5 * level * 40 <= tokens <= 1.5 * level * 40
+
+    def test_debt_is_remembered(self) -> None:
+        """Guards against a debt that ends with the next fleet usage."""
+        shares = Shares(throughput=THROUGHPUT, factor=1.0, window_s=2.0)
+        flood = {"a": AccountUsage(100_000, 0), "b": AccountUsage(100_000, 0)}
+        shares.apply_fleet_usage(flood, 1, "leader", 1.0)
+        # The span over which shares are assessed is 4 s, the level 5,000.
+        shares.record_admitted("a", 30_000)
+        shares.mark_reported(1.25)
+        flood["a"].admitted = 30_000
+        admitted = []
+        for step in range(18):
+            now = 1.25 + step * INTERVAL_S
+            shares.apply_fleet_usage(flood, 1, "leader", now)
+            admitted.append(shares.may_admit("a", False, now))
+        # The bucket was full, so the debt is 20,000, of which a quarter of a
+        # bucket doesn't keep the account from spare throughput.
+        assert not any(admitted[:13])
+        assert all(admitted[14:])
+
 
 class TestCachedParts:
     """Which cached parts are sent to all routers."""
