Divide the same throughput at all routers

Cause: each router adapted its estimate of the engines' throughput by itself. In the same second the estimates were 0.70 to 1.80 times the configured one.

Change: a router proposes an estimate with each report, and the leader sends the mean of the proposals, weighted by the routers' demand, with the fleet's usage. No state at the leader: a new one has the routers' proposals. Without the fleet's usage a router follows its own estimate as before.

Test: TestThroughputFactor; test_fairness passes as before.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -400,6 +400,7 @@
         counters = RouterUsage(
             *subscriber.usage_decoder.decode(usage.accounts, usage.upstreams),
             decode_cached_parts(usage.read_parts),
+            usage.throughput_factor,
         )
         if not self._replica.is_leader():
             # Once this controller leads, the first report is the baseline:
@@ -497,6 +498,7 @@
             update.accounts.extend(changes.accounts)
             update.usage.extend(changes.upstreams)
             update.routers = self._fleet_usage.routers
+            update.throughput_factor = self._fleet_usage.throughput_factor
             update.read_parts.extend(
                 encode_cached_parts(subscriber.cached_parts)
             )
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -395,6 +395,7 @@
                 usage.read_parts.extend(
                     encode_cached_parts(counters.cached_parts)
                 )
+                usage.throughput_factor = counters.throughput_factor
             await send(usage)
 
     def _apply_update(
@@ -459,6 +460,7 @@
                     update.routers,
                     update.leader,
                     decode_cached_parts(update.read_parts),
+                    update.throughput_factor,
                 )
             )
         if update.routing_version > self.version:
--- a/hornbeamyard/pool/shares.py
+++ b/hornbeamyard/pool/shares.py
@@ -231,6 +231,9 @@
         is unknown.
     factor : float
         Estimated throughput of the engines, as a multiple of `throughput`.
+        It is the same at all routers that get the fleet's usage.
+    proposed_factor : float
+        This router's own estimate, from which the fleet's is computed.
     window_s : float
         Time over which demand is measured and unused share is kept.
     level : float
@@ -246,6 +249,7 @@
 
     throughput: float = 0.0
     factor: float = INITIAL_FACTOR
+    proposed_factor: float = INITIAL_FACTOR
     window_s: float = DEFAULT_WINDOW_S
     level: float = float("inf")
     own_usage: dict[str, AccountUsage] = field(default_factory=dict)
@@ -444,6 +448,7 @@
         routers: int,
         source: str,
         now: float,
+        throughput_factor: float = 0.0,
     ) -> None:
         """Compute the fair level and refill the accounts' buckets.
 
@@ -458,8 +463,13 @@
             The controller that added up the routers' reports.
         now : float
             Monotonic time in seconds.
+        throughput_factor : float, optional
+            The fleet's estimate of the engines' throughput, as a multiple of
+            `throughput`; 0 without one.
         """
         self._applied_at = now
+        if throughput_factor > 0:
+            self.factor = throughput_factor
         if not self.throughput:
             self.level = float("inf")
             self.router_fraction = 1.0 / max(1, routers)
@@ -543,8 +553,8 @@
         fraction = sum(self._get_recent(account)) / total
         return min(1.0, max(MIN_ROUTER_FRACTION * even, fraction))
 
-    def adapt(self, has_headroom: bool, is_overloaded: bool) -> None:
-        """Adapt `factor` to the throughput that the engines give.
+    def propose(self, has_headroom: bool, is_overloaded: bool) -> None:
+        """Set `proposed_factor` by the throughput that the engines give.
 
         Parameters
         ----------
@@ -553,7 +563,10 @@
         is_overloaded : bool
             Whether engines of any pool have too much work to meet targets.
         """
+        self.proposed_factor = self.factor
         if is_overloaded:
-            self.factor = max(MIN_FACTOR, self.factor * (1 - FACTOR_DECREASE))
+            lower = self.factor * (1 - FACTOR_DECREASE)
+            self.proposed_factor = max(MIN_FACTOR, lower)
         elif has_headroom and (self.is_contended() or self.factor < 1):
-            self.factor = min(MAX_FACTOR, self.factor * (1 + FACTOR_INCREASE))
+            higher = self.factor * (1 + FACTOR_INCREASE)
+            self.proposed_factor = min(MAX_FACTOR, higher)
--- a/hornbeamyard/pool/usage.py
+++ b/hornbeamyard/pool/usage.py
@@ -92,17 +92,33 @@
         The router's present load on each upstream, by id.
     cached_parts : list of CachedPart
         Parts that engines prefilled since the last report.
+    throughput_factor : float
+        The router's estimate of the engines' throughput, as a multiple of
+        the configured one; 0 without an estimate.
     """
 
     accounts: dict[str, AccountUsage] = field(default_factory=dict)
     upstreams: dict[str, UpstreamLoad] = field(default_factory=dict)
     cached_parts: list[CachedPart] = field(default_factory=list)
+    throughput_factor: float = 0.0
 
 
 @dataclass(slots=True)
 class _LastReport:
+    """A router's newest report.
+
+    Attributes
+    ----------
+    usage : RouterUsage
+    received_at : float
+        Monotonic time in seconds.
+    demand : float
+        Tokens asked for, of which half is forgotten within the window.
+    """
+
     usage: RouterUsage
     received_at: float
+    demand: float = 0.0
 
 
 @dataclass(slots=True)
@@ -122,6 +138,9 @@
         The controller that added the reports up.
     cached_parts : list of CachedPart
         Parts reported by any router that are due to be sent.
+    throughput_factor : float
+        Mean of the routers' estimates of the engines' throughput, weighted by
+        their demand; 0 without an estimate.
     """
 
     accounts: dict[str, AccountUsage] = field(default_factory=dict)
@@ -129,6 +148,7 @@
     routers: int = 0
     source: str = ""
     cached_parts: list[CachedPart] = field(default_factory=list)
+    throughput_factor: float = 0.0
 
 
 class UsageTable:
@@ -172,7 +192,10 @@
             Monotonic time in seconds.
         """
         last = self._reports.get(router)
+        demand = 0.0
         if last is not None:
+            elapsed_s = max(0.0, now - last.received_at)
+            demand = last.demand * 0.5 ** (elapsed_s / self._window_s)
             before = last.usage.accounts
             for name, use in usage.accounts.items():
                 earlier = before.get(name, AccountUsage())
@@ -180,10 +203,11 @@
                 admitted = use.admitted - earlier.admitted
                 unserved = use.unserved - earlier.unserved
                 self._admitted[name] = self._admitted.get(name, 0) + admitted
+                demand += asked
                 if asked or unserved:
                     self._recent.append((now, name, asked, unserved))
         self._reported_parts.update(dict.fromkeys(usage.cached_parts))
-        self._reports[router] = _LastReport(usage, now)
+        self._reports[router] = _LastReport(usage, now, demand)
 
     def forget(self, router: str) -> None:
         """Drop the report of a router whose stream has ended."""
@@ -213,8 +237,24 @@
                 total.running += load.running
                 total.prefill_tokens += load.prefill_tokens
                 total.kv_tokens += load.kv_tokens
+        fleet.throughput_factor = self._compute_throughput_factor()
         return fleet
 
+    def _compute_throughput_factor(self) -> float:
+        """Return the weighted mean of the routers' estimates, 0 for none.
+
+        The added token gives routers without demand a weight.
+        """
+        estimates = [
+            (last.usage.throughput_factor, last.demand + 1)
+            for last in self._reports.values()
+            if last.usage.throughput_factor > 0
+        ]
+        if not estimates:
+            return 0.0
+        weighted = sum(factor * weight for factor, weight in estimates)
+        return weighted / sum(weight for _, weight in estimates)
+
     def list_recent_parts(self, now: float) -> list[CachedPart]:
         """Return the recently sent parts, for a router that has just attached.
 
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -348,8 +348,23 @@
             for server in balancer.servers.values():
                 if server.own_load.running:
                     upstreams[server.id] = server.own_load
-        self._shares.mark_reported(self._timers.now())
-        return RouterUsage(self._shares.own_usage, upstreams, cached_parts)
+        now = self._timers.now()
+        self._propose_factor(now)
+        self._shares.mark_reported(now)
+        return RouterUsage(
+            self._shares.own_usage,
+            upstreams,
+            cached_parts,
+            self._shares.proposed_factor,
+        )
+
+    def _propose_factor(self, now: float) -> None:
+        """Estimate the throughput by the engines' load."""
+        balancers = list(self._balancers.values())
+        self._shares.propose(
+            any(balancer.has_headroom(now) for balancer in balancers),
+            any(balancer.is_overloaded(now) for balancer in balancers),
+        )
 
     def _handle_upstreams(self, changed: list[Upstream]) -> None:
         self.notices.record_states(changed)
@@ -420,7 +435,11 @@
         self._usage_at = now
         self.routers = max(1, fleet_usage.routers)
         self._shares.apply_fleet_usage(
-            fleet_usage.accounts, self.routers, fleet_usage.source, now
+            fleet_usage.accounts,
+            self.routers,
+            fleet_usage.source,
+            now,
+            fleet_usage.throughput_factor,
         )
         self.notices.limits.position.record_fraction(
             self._shares.router_fraction
@@ -473,11 +492,9 @@
             if now - self._adapted_at < ADAPTATION_INTERVAL_S:
                 continue
             self._adapted_at = now
-            balancers = list(self._balancers.values())
-            self._shares.adapt(
-                any(b.has_headroom(now) for b in balancers),
-                any(b.is_overloaded(now) for b in balancers),
-            )
+            if not self._knows_usage(now):
+                self._propose_factor(now)
+                self._shares.factor = self._shares.proposed_factor
             self._log_throughput(now)
             await self._upstreams.close_expired()
 
@@ -500,10 +517,17 @@
         if self._usage_at is None:
             others = self.subscription.attached_routers - 1
             return max(MIN_ASSUMED_ROUTERS, others * ASSUMED_ROUTER_FRACTION)
-        if now - self._usage_at <= MAX_USAGE_AGE_S:
+        if self._knows_usage(now):
             return 0.0
         return 1.0 / self._shares.router_fraction - 1.0
 
+    def _knows_usage(self, now: float) -> bool:
+        """Return whether the fleet's usage tells what other routers do."""
+        return (
+            self._usage_at is not None
+            and now - self._usage_at <= MAX_USAGE_AGE_S
+        )
+
     async def _drain(self, stop: anyio.Event) -> None:
         assert self._settings.router is not None
         await stop.wait()
--- a/hornbeamyard/tests/shared_pool.py
+++ b/hornbeamyard/tests/shared_pool.py
@@ -171,10 +171,12 @@
     def _exchange(self) -> None:
         """Adapt the shares; report to the leader and apply what it sends."""
         for shares, balancer in zip(self.shares, self.balancers, strict=True):
-            shares.adapt(
+            shares.propose(
                 balancer.has_headroom(self.now),
                 balancer.is_overloaded(self.now),
             )
+            if not self.has_leader:
+                shares.factor = shares.proposed_factor
         if not self.has_leader:
             return
         for number, shares in enumerate(self.shares):
@@ -185,12 +187,17 @@
                     id: replace(server.own_load)
                     for id, server in self.balancers[number].servers.items()
                 },
+                throughput_factor=shares.proposed_factor,
             )
             self._table.record_report(str(number), usage, self.now)
         fleet_usage = self._table.compute_fleet_usage(self.now)
         for shares, balancer in zip(self.shares, self.balancers, strict=True):
             shares.apply_fleet_usage(
-                fleet_usage.accounts, len(self.shares), "leader", self.now
+                fleet_usage.accounts,
+                len(self.shares),
+                "leader",
+                self.now,
+                fleet_usage.throughput_factor,
             )
             balancer.apply_fleet_usage(fleet_usage.upstreams, self.now)
 
--- a/hornbeamyard/tests/test_shares.py
+++ b/hornbeamyard/tests/test_shares.py
@@ -278,6 +278,41 @@
         assert all(admitted[14:])
 
 
+class TestThroughputFactor:
+    """All routers divide the same throughput."""
+
+    def test_routers_with_more_demand_count_more(self) -> None:
+        """Guards against levels that differ between routers."""
+        table = UsageTable(2.0)
+        for now, asked in ((1.0, 0), (1.25, 1000)):
+            for name, weight, factor in (("busy", 3, 0.8), ("calm", 1, 1.6)):
+                usage = RouterUsage(
+                    {"a": AccountUsage(asked * weight)},
+                    throughput_factor=factor,
+                )
+                table.record_report(name, usage, now)
+        fleet_usage = table.compute_fleet_usage(1.25)
+        assert fleet_usage.throughput_factor == pytest.approx(1.0, abs=0.01)
+        shares = Shares(throughput=THROUGHPUT, factor=1.8)
+        shares.apply_fleet_usage(
+            fleet_usage.accounts,
+            2,
+            "leader",
+            1.25,
+            fleet_usage.throughput_factor,
+        )
+        assert shares.factor == fleet_usage.throughput_factor
+
+    def test_no_estimate(self) -> None:
+        """Guards against a throughput of zero before the first estimate."""
+        table = UsageTable(2.0)
+        table.record_report("r", RouterUsage(), 1.0)
+        assert table.compute_fleet_usage(1.0).throughput_factor == 0
+        shares = Shares(throughput=THROUGHPUT, factor=1.2)
+        shares.apply_fleet_usage({}, 1, "leader", 1.0, 0.0)
+        assert shares.factor == 1.2
+
+
 class TestCachedParts:
     """Which cached parts are sent to all routers."""
 
