Keep the last division between routers without the fleet's usage

What callers saw: nothing yet; found by the search for the same cause. While there is no leader, each router went on refilling every account's bucket with the whole fleet's share, as nobody told what the others admitted.

Cause: state of the last moment that stays in force. Shares depend on what other routers use, and nothing told a router that this was unknown.

Change: if no usage came for a second, a router assumes that the others admit requests of each account in the last known proportion to its own, so that its own use stands for the fleet's, also in the order of accounts. Assumed use isn't charged again once the real one is known. Accounts that competed last go on doing so, as they may ask other routers.

Test: TestLeaderLost.

--- a/hornbeamyard/pool/shares.py
+++ b/hornbeamyard/pool/shares.py
@@ -187,6 +187,24 @@
         self.capacity = rate * SPARE_BURST_S
         self.tokens = max(self.tokens, -rate * MAX_SPARE_DEBT_S)
 
+    def assume_others(self) -> float:
+        """Subtract what other routers are assumed to have used meanwhile.
+
+        It isn't charged again once their use is known.
+
+        Returns
+        -------
+        float
+            The tokens that were subtracted.
+        """
+        used = self.own_used * (1 / self.fraction - 1)
+        self.tokens = max(
+            self.tokens - used, -REMEMBERED_CAPACITIES * self.capacity
+        )
+        self.uncharged -= used
+        self.own_used = 0.0
+        return used
+
     def reset_counters(self, total: int, own: int) -> None:
         """Continue from the counters of a new source of fleet usage."""
         self.fleet_admitted = total
@@ -570,3 +588,29 @@
         elif has_headroom and (self.is_contended() or self.factor < 1):
             higher = self.factor * (1 + FACTOR_INCREASE)
             self.proposed_factor = min(MAX_FACTOR, higher)
+
+    def continue_alone(self, now: float) -> None:
+        """Go on while the fleet's usage isn't known.
+
+        The other routers are assumed to admit requests of each account in
+        the same proportion to this router's as before, and the router follows
+        its own estimate of the throughput.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        """
+        self.factor = self.proposed_factor
+        self._sample_usage(now)
+        for name, bucket in self._buckets.items():
+            bucket.refill(now)
+            bucket.threshold = self.draw()
+            self._order.record_served(name, bucket.assume_others())
+        self._order.update(
+            {
+                name
+                for name, bucket in self._buckets.items()
+                if bucket.is_above_share and _competes(*self._get_recent(name))
+            }
+        )
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -494,7 +494,7 @@
             self._adapted_at = now
             if not self._knows_usage(now):
                 self._propose_factor(now)
-                self._shares.factor = self._shares.proposed_factor
+                self._shares.continue_alone(now)
             self._log_throughput(now)
             await self._upstreams.close_expired()
 
--- a/hornbeamyard/tests/shared_pool.py
+++ b/hornbeamyard/tests/shared_pool.py
@@ -176,7 +176,7 @@
                 balancer.is_overloaded(self.now),
             )
             if not self.has_leader:
-                shares.factor = shares.proposed_factor
+                shares.continue_alone(self.now)
         if not self.has_leader:
             return
         for number, shares in enumerate(self.shares):
--- a/hornbeamyard/tests/test_fairness.py
+++ b/hornbeamyard/tests/test_fairness.py
@@ -92,3 +92,26 @@
         ]
         pool.run(END_S, callers)
         assert find_least_fairness(pool, "narrow") >= MIN_FAIRNESS
+
+
+class TestLeaderLost:
+    """No controller adds up what routers use."""
+
+    @pytest.mark.parametrize("routers", [8, 40])
+    def test_last_division_holds(self, routers: int) -> None:
+        """Guards against routers that each give an account its whole share.
+
+        Nobody charged what the others admitted, so the account at all routers
+        got its share at each of them.
+        """
+        pool = SharedPool(routers, routers // 2, THROUGHPUT, 1.5)
+        callers = list_callers(routers, 6.0, 1.5)
+        pool.run(5.0, callers)
+        pool.has_leader = False
+        pool.run(END_S, callers)
+        for account in ("wide", "narrow"):
+            assert find_least_fairness(pool, account) >= MIN_FAIRNESS
+        pool.has_leader = True
+        pool.run(END_S + SPAN_S, callers)
+        for account in ("wide", "narrow"):
+            assert pool.compute_fairness(account, END_S) >= MIN_FAIRNESS
