Count tokens refused for lack of throughput by account

The postmortem named it as missing: refusals are dropped from the log at the one router that matters, and metrics had asked and admitted tokens only.

--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -577,6 +577,7 @@
             labels = (("client_account", account or "public"),)
             yield Sample("share_asked_tokens", usage.asked, labels, True)
             yield Sample("share_admitted_tokens", usage.admitted, labels, True)
+            yield Sample("share_unserved_tokens", usage.unserved, labels, True)
 
 
 def compute_remaining_drain(drain_s: float, elapsed_s: float) -> float:
--- a/hornbeamyard/process/metrics.py
+++ b/hornbeamyard/process/metrics.py
@@ -107,6 +107,7 @@
     "share_asked_tokens": "Tokens asked for, by account",
     "share_factor": "Throughput of the engines, as a multiple",
     "share_level": "Share of an account in tokens a second; 0 without limit",
+    "share_unserved_tokens": "Tokens refused for lack of throughput",
     "term": "Term of the log",
     "upstream_connections": "Connections opened to upstreams",
     "upstreams": "Upstreams that announce themselves, by pool",
