Confirm an only software version with a majority of controllers

During a release one router was cut off or stood still for a few seconds. Streams that had begun at upstreams of the new version through other routers were resumed there and went on at the old version (ORDER).

Cause: a router that knew one version of the pool took it for the stream's without asking, while it counted a majority of controllers as attached. Both are its own view. A cut that drops packets is noticed after 3 s of silence, and a router that has stood still may read callers' requests before the controllers' updates. The controllers knew where the stream had begun, but were not asked. Class of fault: a decision from a cached view, with nothing that shows its age.

Evidence, both on the code before: TestLookup::test_find_origin with a router that knows v1 only and controllers that know the stream as v2 failed with "assert 'v1' == 'v2'"; a scratch test with real sockets, with the updates of the controllers held back from one of two routers, failed with "assert 200 == 503": the stream of v2 went on at v1.

Change: a router that hasn't begun a stream always asks the controllers. They answer with what they know of the stream and with the recent versions of its pools; a majority that has its record of versions has to answer that there was one. As an upstream's version is told to all controllers, a router out of step finds it in any majority. Answers can't be older than the question, and where a stream began doesn't change, so it doesn't matter how long the router stands still in between.

Same cause elsewhere: the first answer counted, also one of a controller that had missed that an attempt without events was repeated at another version. A majority has to answer now; answers that differ are no answer.

Ruled out: a router that stands still between the answer and sending; one that has rejoined one controller of three (no majority); upstreams of a third version, which change nothing in the decision; the router's own record.

Tests: the check that nobody is asked where one version is known was wrong, as asking is what proves it. Instead the number of calls is checked in each case. The number of controllers without a record is now set at the answers.

Cost: a call to each controller for a resumed stream of another router where one version is known; not measured. Without a majority that answers, such streams are refused after 0.7 s at most.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -450,6 +450,23 @@
             for request_id in group.request_ids:
                 self.origins.record(request_id, origin, now)
 
+    def find_stream(
+        self, request: fleet_pb2.StreamLookup
+    ) -> fleet_pb2.StreamOrigin:
+        """Return where a stream began, and what else it may have begun at."""
+        reply = fleet_pb2.StreamOrigin(
+            recent_versions=encode_versions(
+                self.registry, self._timers.now(), request.pools
+            ),
+            lacks_versions=self.lacks_versions,
+        )
+        origin = self.origins.find(request.request_id)
+        if origin is not None:
+            reply.found = True
+            reply.pool = origin.pool
+            reply.software_version = origin.software_version
+        return reply
+
     def build_update(
         self, subscriber: Subscriber
     ) -> fleet_pb2.DirectoryUpdate:
@@ -462,7 +479,6 @@
             attached_routers=self.count_routers(),
             router_number=subscriber.number,
             limits=subscriber.pending_limits.values(),
-            lacks_versions=self.lacks_versions,
         )
         if subscriber.version_sent < 0:
             update.recent_versions.extend(
--- a/hornbeamyard/connection/directory_codec.py
+++ b/hornbeamyard/connection/directory_codec.py
@@ -275,10 +275,16 @@
         table[name] = usage
 
 
-def encode_versions(registry: UpstreamRegistry, now: float) -> list[Any]:
-    """Return the messages for the recent versions of all pools."""
+def encode_versions(
+    registry: UpstreamRegistry,
+    now: float,
+    pools: Iterable[str] | None = None,
+) -> list[Any]:
+    """Return the messages for the recent versions of all or some pools."""
     messages = []
     for pool in registry.list_pools():
+        if pools is not None and pool not in pools:
+            continue
         times = registry.list_version_times(pool)
         messages.append(
             fleet_pb2.PoolVersions(
--- a/hornbeamyard/connection/directory_service.py
+++ b/hornbeamyard/connection/directory_service.py
@@ -93,14 +93,7 @@
     ) -> fleet_pb2.StreamOrigin:
         """Return where a stream began, if this controller knows."""
         await peers.check_identity(request.identity, self._fleet, context)
-        origin = self._directory.origins.find(request.request_id)
-        if origin is None:
-            return fleet_pb2.StreamOrigin()
-        return fleet_pb2.StreamOrigin(
-            found=True,
-            pool=origin.pool,
-            software_version=origin.software_version,
-        )
+        return self._directory.find_stream(request)
 
     async def Watch(  # noqa: N802 - named by the protocol
         self,
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -103,7 +103,6 @@
         "_fetch_needed",
         "_fetching",
         "_identity",
-        "_lacking_versions",
         "_leader",
         "_leaving",
         "_lifetime_s",
@@ -141,8 +140,6 @@
         self._crashes = crashes
         self._fetching = False
         self._identity = identity
-        # Addresses of controllers that may not know all recent versions.
-        self._lacking_versions: set[str] = set()
         self._leader = ""
         # Start times of upstreams, by id, whose responses to this router say
         # that they leave.
@@ -182,15 +179,6 @@
         """Return whether a majority of controllers has sent its version."""
         return 2 * len(self.versions) > len(self._controllers) > 0
 
-    def _knows_software_versions(self) -> bool:
-        """Return whether pools had no other versions than the listed ones.
-
-        A majority of the controllers has to have kept its record of those
-        that have ended.
-        """
-        informed = self.versions.keys() - self._lacking_versions
-        return 2 * len(informed) > len(self._controllers) > 0
-
     async def find_origin(
         self, pools: Iterable[str], request_id: str
     ) -> StreamOrigin | None:
@@ -212,39 +200,71 @@
         known = self.streams.origins.find(request_id)
         if known is not None:
             return known
-        choices = [
-            StreamOrigin(pool, software_version)
-            for pool in pools
-            for software_version in self.registry.list_versions(pool)
-        ]
-        if len(choices) == 1 and self._knows_software_versions():
-            return choices[0]
-        if not request_id:
-            return None
-        found = await self._look_up_origin(request_id)
-        if found is None:
+        request = fleet_pb2.StreamLookup(
+            identity=self._identity, request_id=request_id, pools=pools
+        )
+        found = await self._look_up_origin(request)
+        if found is None and request_id:
             # The router that began the stream may report it just now.
             await self._timers.sleep(2 * COLLECT_INTERVAL_S)
-            found = await self._look_up_origin(request_id)
+            found = await self._look_up_origin(request)
         return found
 
-    async def _look_up_origin(self, request_id: str) -> StreamOrigin | None:
-        """Ask all attached controllers; return the first answer."""
-        found: list[StreamOrigin] = []
-        request = fleet_pb2.StreamLookup(
-            identity=self._identity, request_id=request_id
-        )
+    async def _look_up_origin(
+        self, request: fleet_pb2.StreamLookup
+    ) -> StreamOrigin | None:
+        """Ask the attached controllers until a majority has settled it."""
+        replies: list[fleet_pb2.StreamOrigin] = []
 
         async def ask(address: str, scope: anyio.CancelScope) -> None:
             reply = await self._calls.find_stream(address, request)
-            if reply is not None and reply.found:
-                found.append(StreamOrigin(reply.pool, reply.software_version))
+            if reply is None:
+                return
+            record_versions(
+                self.registry, reply.recent_versions, self._timers.now()
+            )
+            replies.append(reply)
+            if self._are_majority(replies) and self._choose_origin(
+                request.pools, replies
+            ):
                 scope.cancel()
 
         async with anyio.create_task_group() as tasks:
             for address in self.versions:
                 tasks.start_soon(ask, address, tasks.cancel_scope)
-        return found[0] if found else None
+        return self._choose_origin(request.pools, replies)
+
+    def _choose_origin(
+        self, pools: Iterable[str], replies: list[fleet_pb2.StreamOrigin]
+    ) -> StreamOrigin | None:
+        """Return where a stream began, if replies of controllers tell.
+
+        Without a record of it, it is the only version that its pools have had
+        recently. This router's own view doesn't suffice for that, as it may
+        be out of date without a sign of it.
+        """
+        choices = {
+            StreamOrigin(reply.pool, reply.software_version)
+            for reply in replies
+            if reply.found
+        }
+        if not choices:
+            informed = [
+                reply
+                for reply in replies
+                if reply.recent_versions and not reply.lacks_versions
+            ]
+            if not self._are_majority(informed):
+                return None
+            choices = {
+                StreamOrigin(pool, software_version)
+                for pool in pools
+                for software_version in self.registry.list_versions(pool)
+            }
+        return choices.pop() if len(choices) == 1 else None
+
+    def _are_majority(self, replies: list[fleet_pb2.StreamOrigin]) -> bool:
+        return 2 * len(replies) > len(self._controllers) > 0
 
     async def run(self) -> None:
         """Keep a stream to each controller until cancelled."""
@@ -423,10 +443,6 @@
         leads = self._controllers.get(address, "") == self._leader
         self._crashes.digests.set_key(update.digest_key, leads)
         record_versions(self.registry, update.recent_versions, now)
-        if update.lacks_versions:
-            self._lacking_versions.add(address)
-        else:
-            self._lacking_versions.discard(address)
         changed = []
         for record in update.upstreams:
             if record.state not in UPSTREAM_STATES:
--- a/hornbeamyard/tests/test_directory.py
+++ b/hornbeamyard/tests/test_directory.py
@@ -456,6 +456,24 @@
     )
 
 
+class TestLookup:
+    """What a controller answers about a stream that it doesn't know."""
+
+    @pytest.mark.parametrize("lacks_versions", [False, True])
+    def test_versions(self, lacks_versions: bool) -> None:
+        """Guards against a guess of a router that knows fewer versions."""
+        directory = build_directory(FakeReplica(), VirtualTimers(start=100.0))
+        directory.lacks_versions = lacks_versions
+        for pool, version in (("app", "v1"), ("app", "v2"), ("other", "v3")):
+            directory.registry.record_version(pool, version, 99.5)
+        lookup = fleet_pb2.StreamLookup(request_id="q1", pools=["app"])
+        reply = directory.find_stream(lookup)
+        assert [list(v.software_versions) for v in reply.recent_versions] == [
+            ["v1", "v2"]
+        ]
+        assert (reply.found, reply.lacks_versions) == (False, lacks_versions)
+
+
 class TestUsage:
     """The fleet usage that a new leader adds up."""
 
--- a/hornbeamyard/tests/test_stream_reports.py
+++ b/hornbeamyard/tests/test_stream_reports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Container
 from typing import Any
 
 import anyio
@@ -10,7 +10,6 @@
 import grpc.aio
 import pytest
 
-from hornbeamyard.connection.directory_codec import UsageDecoder
 from hornbeamyard.connection.stream_reports import StreamReports
 from hornbeamyard.messages import fleet_pb2
 from hornbeamyard.pool import stream_origins
@@ -170,27 +169,43 @@
 
 
 class FakeCalls:
-    """Calls to controllers that know where streams began."""
+    """Calls to controllers that know where streams began.
 
-    def __init__(self, known: dict[str, StreamOrigin]) -> None:
+    The key CONTROLLER/ID of `known` is for what one of them knows.
+    """
+
+    def __init__(
+        self,
+        known: dict[str, StreamOrigin],
+        versions: tuple[str, ...] = (),
+        lacking: Container[str] = (),
+        down: Container[str] = ("c0",),
+    ) -> None:
         self.known = known
+        self.versions = versions
+        self.lacking = lacking
+        self.down = down
         self.asked: list[str] = []
 
     async def find_stream(
         self, address: str, request: fleet_pb2.StreamLookup
     ) -> fleet_pb2.StreamOrigin | None:
-        """Return where a stream began; the first controller is down."""
+        """Return where a stream began."""
         self.asked.append(address)
-        if address == "c0":
+        if address in self.down:
             return None
-        origin = self.known.get(request.request_id)
-        if origin is None:
-            return fleet_pb2.StreamOrigin()
-        return fleet_pb2.StreamOrigin(
-            found=True,
-            pool=origin.pool,
-            software_version=origin.software_version,
-        )
+        reply = fleet_pb2.StreamOrigin(lacks_versions=address in self.lacking)
+        if self.versions:
+            reply.recent_versions.add(
+                pool="app", software_versions=self.versions
+            )
+        id = request.request_id
+        origin = self.known.get(f"{address}/{id}", self.known.get(id))
+        if origin is not None:
+            reply.found = True
+            reply.pool = origin.pool
+            reply.software_version = origin.software_version
+        return reply
 
 
 class TestStreamToController:
@@ -249,31 +264,11 @@
 class TestLookup:
     """A router finds out where a stream began, or doesn't guess."""
 
-    @pytest.mark.parametrize(
-        ("versions", "attached", "request_id", "expected"),
-        [
-            (("v1",), 3, "unknown", "v1"),
-            (("v1",), 3, "", "v1"),
-            # Versions that were added since may be unknown.
-            (("v1",), 1, "unknown", None),
-            (("v1",), 0, "unknown", None),
-            (("v1", "v2"), 3, "known", "v2"),
-            (("v1",), 2, "own", "v0"),
-            (("v1", "v2"), 3, "unknown", None),
-            (("v1", "v2"), 3, "", None),
-            (("v1", "v2"), 0, "", None),
-            ((), 3, "unknown", None),
-        ],
-    )
-    def test_find_origin(
-        self,
-        versions: tuple[str, ...],
-        attached: int,
-        request_id: str,
-        expected: str | None,
-    ) -> None:
-        """Guards against a guess, and against waiting where none is needed."""
-        calls = FakeCalls({"known": StreamOrigin("app", "v2")})
+    @staticmethod
+    def find(
+        calls: FakeCalls, versions: tuple[str, ...], attached: int, id: str
+    ) -> StreamOrigin | None:
+        """Look a stream up at a router that knows some versions."""
 
         async def main() -> StreamOrigin | None:
             router, _, _ = build_router()
@@ -286,42 +281,76 @@
             own = StreamOrigin("app", "v0")
             subscription.streams.record("own", own)
             subscription.streams.record("", own)
-            return await subscription.find_origin(["app"], request_id)
+            return await subscription.find_origin(["app"], id)
+
+        return anyio.run(main)
+
+    @pytest.mark.parametrize(
+        ("versions", "attached", "request_id", "expected", "rounds"),
+        [
+            (("v1",), 3, "unknown", "v1", 1),
+            (("v1",), 3, "", "v1", 1),
+            # Versions that were added since may be unknown.
+            (("v1",), 1, "unknown", None, 2),
+            (("v1",), 0, "unknown", None, 2),
+            (("v1", "v2"), 3, "known", "v2", 1),
+            (("v1",), 2, "own", "v0", 0),
+            (("v1", "v2"), 3, "unknown", None, 2),
+            (("v1", "v2"), 3, "", None, 1),
+            (("v1", "v2"), 0, "", None, 1),
+            ((), 3, "unknown", None, 2),
+        ],
+    )
+    def test_find_origin(
+        self,
+        versions: tuple[str, ...],
+        attached: int,
+        request_id: str,
+        expected: str | None,
+        rounds: int,
+    ) -> None:
+        """Guards against a guess, and against asking more than needed."""
+        calls = FakeCalls({"known": StreamOrigin("app", "v2")}, versions)
+        found = self.find(calls, versions, attached, request_id)
+        assert found == (expected and StreamOrigin("app", expected))
+        assert len(calls.asked) == rounds * attached
 
-        found = anyio.run(main)
+    @pytest.mark.parametrize(
+        ("known", "versions", "expected"),
+        [
+            ({"q1": "v2"}, ("v1", "v2"), "v2"),
+            ({}, ("v1", "v2"), None),
+            ({}, (), None),
+            # One has missed that an attempt without events was repeated.
+            ({"q1": "v2", "c1/q1": "v1"}, ("v1", "v2"), None),
+        ],
+    )
+    def test_router_out_of_step(
+        self,
+        known: dict[str, str],
+        versions: tuple[str, ...],
+        expected: str | None,
+    ) -> None:
+        """Guards against an only version that a late router still assumes."""
+        origins = {id: StreamOrigin("app", v) for id, v in known.items()}
+        found = self.find(FakeCalls(origins, versions), ("v1",), 3, "q1")
         assert found == (expected and StreamOrigin("app", expected))
-        is_asked = request_id in ("known", "unknown") and expected != "v1"
-        assert bool(calls.asked) == (is_asked and attached > 0)
+
+    def test_silent_controllers(self) -> None:
+        """Guards against a guess at a router whose network drops packets."""
+        calls = FakeCalls({}, ("v1",), down=("c0", "c1"))
+        assert self.find(calls, ("v1",), 3, "q1") is None
 
     @pytest.mark.parametrize(
         ("lacking", "expected"),
-        [(1, StreamOrigin("app", "v1")), (2, None)],
+        [(("c0",), StreamOrigin("app", "v1")), (("c0", "c1"), None)],
     )
     def test_controllers_without_record(
-        self, lacking: int, expected: StreamOrigin | None
+        self, lacking: tuple[str, ...], expected: StreamOrigin | None
     ) -> None:
         """Guards against an only version that controllers vouch for blindly.
 
         Some of three controllers have started with an empty disk.
         """
-
-        async def main() -> StreamOrigin | None:
-            router, _, _ = build_router()
-            subscription = router.subscription
-            subscription._calls = FakeCalls({})  # type: ignore[assignment]
-            subscription._controllers = {f"c{n}": f"c{n}" for n in range(3)}
-            for number in range(3):
-                update = fleet_pb2.DirectoryUpdate(
-                    lacks_versions=number < lacking,
-                    recent_versions=[
-                        fleet_pb2.PoolVersions(
-                            pool="app", software_versions=["v1"]
-                        )
-                    ],
-                )
-                subscription._apply_update(
-                    f"c{number}", update, UsageDecoder()
-                )
-            return await subscription.find_origin(["app"], "unknown")
-
-        assert anyio.run(main) == expected
+        calls = FakeCalls({}, ("v1",), lacking, down=())
+        assert self.find(calls, ("v1",), 3, "unknown") == expected
