Log the stream and its version of a refused request

Cause: refusals with no_version named neither the stream that was resumed nor the version that was missing, so the log couldn't tell whether upstreams of another version, or none, were meant.

Ruled out: placed lines, which name both, as a refused request has none.

Change: refused lines contain resumes and software_version.

--- a/hornbeamyard/request/reporting.py
+++ b/hornbeamyard/request/reporting.py
@@ -135,6 +135,8 @@
             account=request.account,
             pool=request.pool.name,
             reason=refusal.reason.name.lower(),
+            software_version=request.demand.software_version,
+            resumes=request.metadata.resumes or None,
             retry_after_s=round(refusal.retry_after_s, 2),
             size=request.demand.size,
             returned=request.demand.is_caller_retry,
