Continue streams at leaving upstreams of their software version

What callers saw: a release replaced all upstreams of a pool, and a second later the connections of most routers were reset.

Cause: placement dropped upstreams for all requests as soon as they said that they leave, also for streams that can go on nowhere else. Such upstreams take requests for drainMs after that. Class of fault: one state for two decisions, where new work goes and where begun work can end.

Ruled out: ejected upstreams (the first one to come back is used), pauses and rate limits (reasons of their own), look-ups that fail (unknown_origin).

Change: a request that continues a stream may go to an upstream of its version that has been leaving for less than three quarters of router.upstream_drain_s (drainMs on the platform), and 2 s at most, where no ready one has it. The time counts from when this router saw the change from ready to leaving, and is checked again before sending. Why it works: DRAIN allows requests until drainMs after the acknowledgement, which the router learns of at once; a router that was cut off learns later, but isn't in touch for the 2 s.

Admission by shares for such streams is left to the work on shares; upstreams that deregister without draining are dropped as before.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -393,9 +393,12 @@
                 self.registry, usage.recent_versions, self._timers.now()
             )
             return
+        now = self._timers.now()
         for leaving in usage.leaving:
             self._publish(
-                self.registry.record_leaving(leaving.id, leaving.started_ms)
+                self.registry.record_leaving(
+                    leaving.id, leaving.started_ms, now
+                )
             )
         counters = RouterUsage(
             *subscriber.usage_decoder.decode(usage.accounts, usage.upstreams),
@@ -407,9 +410,7 @@
             # what a router counted before isn't recent demand.
             self._usage.forget(subscriber.name)
             return
-        self._usage.record_report(
-            subscriber.name, counters, self._timers.now()
-        )
+        self._usage.record_report(subscriber.name, counters, now)
 
     def _record_crashes(
         self, messages: Iterable[fleet_pb2.UpstreamCrash]
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -169,7 +169,7 @@
             The upstream in state DRAINING, if it was ready.
         """
         changed = self.registry.record_leaving(
-            upstream.id, upstream.started_ms
+            upstream.id, upstream.started_ms, self._timers.now()
         )
         for leaving in changed:
             self._leaving[leaving.id] = leaving.started_ms
--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -124,6 +124,11 @@
 MAX_LEAST_LOADED = 6
 # Shared parts whose order of preferred engines is kept.
 MAX_CACHED_ORDERS = 1024
+# Fraction of an upstream's drain time in which streams may go on there, and
+# the longest such time. The rest allows for announcements that come late; a
+# router that was cut off learns only afterwards that an upstream leaves.
+STREAM_DRAIN_FRACTION = 0.75
+MAX_STREAM_DRAIN_S = 2.0
 # Fraction of the deadline within which a stream should end; the rest allows
 # for errors of the estimates.
 DEADLINE_FRACTION = 0.9
@@ -302,6 +307,8 @@
     assumed_routers : float
         Number of other routers that are assumed to send as much as this
         one, while the fleet's usage isn't known.
+    upstream_drain_s : float
+        Time in seconds for which a leaving upstream takes requests.
     """
 
     __slots__ = (
@@ -327,6 +334,7 @@
         "cached_parts",
         "inter_token_latency",
         "servers",
+        "upstream_drain_s",
     )
 
     def __init__(
@@ -365,6 +373,7 @@
         self.cached_parts: list[CachedPart] = []
         self.servers: dict[str, Server] = {}
         self.assumed_routers = 0.0
+        self.upstream_drain_s = 0.0
 
     # ---- upstreams -------------------------------------------------------
 
@@ -643,17 +652,34 @@
             self._headroom = self.has_headroom(now, SPARE_HEADROOM_FRACTION)
         return self._headroom
 
+    def may_send(
+        self, server: Server, demand: RequestDemand, now: float
+    ) -> bool:
+        """Return whether an upstream itself is willing to take a request.
+
+        One that leaves may be the last of its software version, so it still
+        takes streams that have begun at that version.
+        """
+        if server.accepts_requests(now):
+            return True
+        drain_s = self.upstream_drain_s * STREAM_DRAIN_FRACTION
+        drain_s = min(drain_s, MAX_STREAM_DRAIN_S)
+        has_begun = demand.software_version is not None
+        return has_begun and server.still_serves(now, drain_s)
+
     def _list_usable(
         self, demand: RequestDemand, now: float, excluded: frozenset[str]
     ) -> list[Server]:
-        willing = [
+        able = [
             server
             for server in self.servers.values()
-            if server.accepts_requests(now)
-            and server.id not in excluded
+            if server.id not in excluded
             and _may_run(server.upstream, demand)
             and not server.compute_rate_wait(now)
         ]
+        willing = [s for s in able if s.accepts_requests(now)] or [
+            s for s in able if self.may_send(s, demand, now)
+        ]
         usable = [server for server in willing if now >= server.ejected_until]
         # When all are ejected, the one whose ejection ends first is better
         # than none.
--- a/hornbeamyard/pool/engine.py
+++ b/hornbeamyard/pool/engine.py
@@ -112,6 +112,12 @@
         ready = self.upstream.state is UpstreamState.READY
         return ready and now >= self.paused_until
 
+    def still_serves(self, now: float, drain_s: float) -> bool:
+        """Return whether it leaves, but takes requests for `drain_s`."""
+        is_leaving = self.upstream.state is UpstreamState.DRAINING
+        until = self.upstream.leaving_since + drain_s
+        return is_leaving and self.paused_until <= now < until
+
     def compute_rate_wait(self, now: float) -> float:
         """Return the seconds until its rate limit allows a request."""
         return self.limiter.compute_wait(now) if self.limiter else 0.0
--- a/hornbeamyard/pool/upstream_registry.py
+++ b/hornbeamyard/pool/upstream_registry.py
@@ -71,6 +71,9 @@
         not announced.
     last_seen_at : float
         Monotonic time in seconds of its newest announcement.
+    leaving_since : float
+        Monotonic time in seconds at which this process has learned that it
+        leaves; -inf if it was leaving already when it became known.
     """
 
     id: str
@@ -84,6 +87,7 @@
     models: tuple[str, ...] = ()
     software_version: str = ""
     last_seen_at: float = 0.0
+    leaving_since: float = float("-inf")
 
     @property
     def start(self) -> UpstreamStart:
@@ -187,6 +191,13 @@
             upstream = replace(upstream, state=UpstreamState.DRAINING)
         if upstream.state is UpstreamState.GONE:
             return self.record_end(upstream.id, upstream.started_ms, now)
+        if (
+            upstream.state is UpstreamState.DRAINING
+            and last is not None
+            and last.started_ms == upstream.started_ms
+        ):
+            is_new = last.state is UpstreamState.READY
+            upstream.leaving_since = now if is_new else last.leaving_since
         ended = self._end_previous_at_address(upstream, now)
         if ended is None:
             return []
@@ -222,7 +233,9 @@
             return []
         return self.announce(known, now)
 
-    def record_leaving(self, id: str, started_ms: int) -> list[Upstream]:
+    def record_leaving(
+        self, id: str, started_ms: int, now: float
+    ) -> list[Upstream]:
         """Record that an upstream has said in a response that it leaves.
 
         Parameters
@@ -230,6 +243,8 @@
         id : str
         started_ms : int
             Start time of the upstream that sent the response.
+        now : float
+            Monotonic time in seconds.
 
         Returns
         -------
@@ -243,7 +258,9 @@
             or known.state is not UpstreamState.READY
         ):
             return []
-        draining = replace(known, state=UpstreamState.DRAINING)
+        draining = replace(
+            known, state=UpstreamState.DRAINING, leaving_since=now
+        )
         self._upstreams[id] = draining
         return [draining]
 
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -260,6 +260,8 @@
                 self.notices.crashes.ledger,
                 self.notices.limits.limits,
             )
+            assert self._settings.router is not None
+            balancer.upstream_drain_s = self._settings.router.upstream_drain_s
             balancer.assumed_routers = self._count_assumed_routers(
                 self._timers.now()
             )
--- a/hornbeamyard/process/settings.py
+++ b/hornbeamyard/process/settings.py
@@ -54,6 +54,9 @@
     connect_timeout_s : float
         Time limit for opening a connection to an upstream, in seconds. Only
         fleets with `directory` use it.
+    upstream_drain_s : float
+        Time for which an upstream that leaves still takes requests, in
+        seconds. Only fleets with `directory` use it.
     """
 
     address: str
@@ -65,6 +68,7 @@
     silence_s: float = 10.0
     status_address: str = ""
     connect_timeout_s: float = 0.5
+    upstream_drain_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -224,6 +228,9 @@
                 "connect_timeout_s": Option(
                     validation.check_number(0.01, 60, "s")
                 ),
+                "upstream_drain_s": Option(
+                    validation.check_number(0, 3600, "s")
+                ),
             }
         ),
         "controller": Section(
--- a/hornbeamyard/request/meter.py
+++ b/hornbeamyard/request/meter.py
@@ -74,9 +74,11 @@
 
     def may_send(self) -> bool:
         """Return whether the request may still go to the upstream."""
-        if self._balancer.is_blocked(self._request.demand):
+        demand = self._request.demand
+        if self._balancer.is_blocked(demand):
             return False
-        return self._placement.server.accepts_requests(self._timers.now())
+        server = self._placement.server
+        return self._balancer.may_send(server, demand, self._timers.now())
 
     def record_head(
         self, metadata: ResponseMetadata, framing: Framing
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -18,7 +18,11 @@
 from hornbeamyard.pool.balancer import Balancer
 from hornbeamyard.pool.shares import Shares
 from hornbeamyard.pool.stream_origins import StreamOrigin, StreamOrigins
-from hornbeamyard.pool.upstream_registry import Upstream, UpstreamState
+from hornbeamyard.pool.upstream_registry import (
+    Upstream,
+    UpstreamRegistry,
+    UpstreamState,
+)
 from hornbeamyard.pool.usage import AccountUsage
 from hornbeamyard.process.decisions import DecisionLog
 from hornbeamyard.process.metrics import Metrics
@@ -768,6 +772,36 @@
 
         run(test, [send_events(4, 6)], [send_events(4, 6)])
 
+    @pytest.mark.parametrize(("leaving_s", "status"), [(1.4, 200), (1.6, 503)])
+    def test_goes_on_at_a_leaving_upstream(
+        self, leaving_s: float, status: int
+    ) -> None:
+        """Guards against streams that end with the last ready upstream.
+
+        While others of its version leave, they still take requests.
+        """
+
+        async def test(harness: Harness) -> None:
+            harness.set_software_versions("v1", "v2")
+            harness.balancer.upstream_drain_s = 2.0
+            registry = UpstreamRegistry()
+            old = harness.balancer.servers["u0"].upstream
+            registry.announce(old, 0.0)
+            leaving = replace(old, state=UpstreamState.DRAINING, sequence=9)
+            left_at = harness.timers.now() - leaving_s
+            harness.balancer.apply_upstream(
+                *registry.announce(leaving, left_at)
+            )
+            harness.record_stream("r-0", StreamOrigin("app", "v1"))
+            received = await harness.send_request(
+                "/chat/1", headers=((b"hornbeamyard-resumes", b"r-0"),)
+            )
+            assert received.status == status
+            await harness.send_request("/chat/1")
+            assert count_received(harness) == 1 + (status == 200)
+
+        run(test, [send_events(1, 6)], [send_events(1, 6)])
+
     def test_first_events_choose_the_version(self) -> None:
         """Guards against a version fixed by an attempt without events."""
 
--- a/hornbeamyard/tests/test_notices.py
+++ b/hornbeamyard/tests/test_notices.py
@@ -87,9 +87,9 @@
         """
         registry = UpstreamRegistry()
         registry.announce(build_announcement(started_ms=5), 0.0)
-        [changed] = registry.record_leaving("u1", 5)
+        [changed] = registry.record_leaving("u1", 5, 0.0)
         assert changed.state is UpstreamState.DRAINING
-        assert registry.record_leaving("u1", 5) == []
+        assert registry.record_leaving("u1", 5, 0.0) == []
         late = build_announcement(sequence=9, started_ms=5)
         assert registry.announce(late, 1.0) == []
         known = registry.get("u1")
@@ -97,14 +97,14 @@
         assert known.state is UpstreamState.DRAINING
         restarted = build_announcement(started_ms=6)
         assert registry.announce(restarted, 2.0) == [restarted]
-        assert registry.record_leaving("u1", 5) == []
+        assert registry.record_leaving("u1", 5, 0.0) == []
         assert restarted.state is UpstreamState.READY
 
     def test_lost_and_back(self) -> None:
         """Guards against a leaving upstream that is ready after a silence."""
         registry = UpstreamRegistry()
         registry.announce(build_announcement(started_ms=5), 0.0)
-        registry.record_leaving("u1", 5)
+        registry.record_leaving("u1", 5, 0.0)
         assert registry.expire(10.0, 5.0)
         registry.announce(build_announcement(sequence=2, started_ms=5), 11.0)
         known = registry.get("u1")
