Serve resumed streams first within an account's share

Cause: a resumed stream was admitted like a new request, and behind all of them, as its caller returns with less time left and counts as a retry.

Ruled out: no check of shares for resumed streams. Any caller could name an attempt, and so leave the order of accounts.

Change: requests that continue a stream use the share of their account first, and up to one more bucket in advance, which its other requests then pay for.

Test: test_resumed_streams_use_the_share_first; find_grant had no such order before.

--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -574,7 +574,11 @@
         give_up_at = _compute_give_up_time(demand)
         if not self._has_share(demand, now):
             could = self._shares.could_admit_by(
-                demand.account, demand.is_caller_retry, now, give_up_at
+                demand.account,
+                demand.is_caller_retry,
+                now,
+                give_up_at,
+                demand.software_version is not None,
             )
             return Shortfall(RefusalReason.NO_SHARE, not could)
         best: tuple[float, Placement] | None = None
@@ -642,6 +646,7 @@
             now,
             demand.size,
             self._had_headroom(now),
+            demand.software_version is not None,
         )
         return demand.grant is not None
 
--- a/hornbeamyard/pool/shares.py
+++ b/hornbeamyard/pool/shares.py
@@ -160,6 +160,16 @@
     own_used: float = 0.0
     threshold: float = 0.0
 
+    def compute_reserve(
+        self, is_caller_retry: bool, continues_stream: bool
+    ) -> float:
+        """Return the tokens that a request leaves to more urgent ones."""
+        if continues_stream:
+            return -self.capacity
+        if is_caller_retry:
+            return CALLER_RETRY_RESERVE_FRACTION * self.capacity
+        return 0.0
+
     def covers(self, tokens: float, size: int) -> bool:
         """Return whether this router's part of tokens admits a request.
 
@@ -338,6 +348,7 @@
         now: float,
         size: int = 0,
         has_headroom: bool = False,
+        continues_stream: bool = False,
     ) -> Grant | None:
         """Return what allows a request of an account now, or None.
 
@@ -355,6 +366,10 @@
         has_headroom : bool, optional
             Whether the engines could serve more requests, so that an account
             may exceed its share unless it is ahead of others that compete.
+        continues_stream : bool, optional
+            Whether the caller has a part of the response already. Such
+            requests use the account's share before all others, and may use
+            as much again in advance.
         """
         if not self.is_contended():
             return Grant.UNCONTENDED
@@ -367,11 +382,7 @@
             if bucket.tokens > -bucket.capacity:
                 return Grant.WITHIN_SHARE
             return Grant.HEADROOM if has_headroom else None
-        reserve = (
-            CALLER_RETRY_RESERVE_FRACTION * bucket.capacity
-            if is_caller_retry
-            else 0.0
-        )
+        reserve = bucket.compute_reserve(is_caller_retry, continues_stream)
         if bucket.covers(bucket.tokens - reserve, size):
             return Grant.CREDIT
         max_lead = MAX_LEAD_FRACTION * bucket.capacity
@@ -390,7 +401,12 @@
         return None
 
     def could_admit_by(
-        self, account: str, is_caller_retry: bool, now: float, until: float
+        self,
+        account: str,
+        is_caller_retry: bool,
+        now: float,
+        until: float,
+        continues_stream: bool = False,
     ) -> bool:
         """Return whether a request that is refused now may be sent in time.
 
@@ -400,6 +416,8 @@
         is_caller_retry : bool
         now, until : float
             Monotonic times in seconds: now, and when the request gives up.
+        continues_stream : bool, optional
+            Whether the caller has a part of the response already.
         """
         bucket = self._buckets.get(account)
         if (
@@ -410,11 +428,7 @@
             return True
         bucket.refill(now)
         self._spare.refill(now)
-        reserve = (
-            CALLER_RETRY_RESERVE_FRACTION * bucket.capacity
-            if is_caller_retry
-            else 0.0
-        )
+        reserve = bucket.compute_reserve(is_caller_retry, continues_stream)
         left_s = until - now
         return (
             bucket.tokens + bucket.rate * left_s > reserve
--- a/hornbeamyard/tests/test_shares.py
+++ b/hornbeamyard/tests/test_shares.py
@@ -258,6 +258,29 @@
         for tokens in spent.values():
             assert 0.5 * level * 40 <= tokens <= 1.5 * level * 40
 
+    def test_resumed_streams_use_the_share_first(self) -> None:
+        """Guards against streams that break because new ones were begun.
+
+        Callers of an account above its share resumed streams after a reset,
+        and all were refused for its share.
+        """
+        shares = Shares(throughput=THROUGHPUT, factor=1.0, window_s=2.0)
+        flood = {"a": AccountUsage(100_000, 0), "b": AccountUsage(100_000, 0)}
+        shares.apply_fleet_usage(flood, 1, "leader", 1.0)
+        shares.record_admitted("a", 15_000)
+
+        def is_resumed() -> bool:
+            grant = shares.find_grant(
+                "a", True, 1.0, 500, continues_stream=True
+            )
+            return grant is not None
+
+        assert not shares.may_admit("a", False, 1.0, 500)
+        assert is_resumed()
+        # As much again as a full bucket, which is charged.
+        shares.record_admitted("a", 5_000)
+        assert not is_resumed()
+
     def test_debt_is_remembered(self) -> None:
         """Guards against a debt that ends with the next fleet usage."""
         shares = Shares(throughput=THROUGHPUT, factor=1.0, window_s=2.0)
