Take a refusal only from a response that names its request

Callers of a fleet with a route directory were told "not run, try again" for requests that an upstream ran, or such a request was sent to a second upstream, when a faulty upstream wrote an earlier refusal once more on a kept connection.

Cause: a response was taken for the answer to a request unless it named another one. A copy without an id passed, and its "not run" was believed. A success had to name its request, a refusal or an error did not. The connection stayed open, too, so that the upstream ran on beside the second one. Class: the order of arrival stood in for the identity of a response.

Ruled out: parsing (reads of one byte, head and body apart, a copy with or behind the true response, after an interim response), bytes on an idle connection, and bytes between the choice of a connection and the first byte of the request. A copy that names its own request was refused in all of them.

Change: a connection remembers whether its latest response named its request. On a connection where one did, a response that names none is an invalid response, after which the request may have run. A connection isn't kept after a response without an id, so a copy of it finds no reader. A refusal without an id still counts as the first response of its connection.

This works because each kept connection has named its requests, and a copy can then be told from the response that is due by its id alone.

Conclusion: an id-less copy of a refusal refuses nothing any more. A caller that gives two requests the same id can still get the first one's refusal for the second; the wire format rules this out.

--- a/hornbeamyard/connection/client.py
+++ b/hornbeamyard/connection/client.py
@@ -84,6 +84,28 @@
             else:
                 await connection.wait_for_data()
 
+    def find_mismatch(self, sent_id: str, named_id: str) -> str:
+        """Return why this doesn't answer a request; "" if it may.
+
+        Bytes that an upstream sends once more arrive where the next response
+        is due, so only the id tells the two apart.
+
+        Parameters
+        ----------
+        sent_id : str
+            Id that was sent with the request; empty for none.
+        named_id : str
+            Id of the request in this response; empty for none.
+        """
+        connection = self.connection
+        has_named = connection.names_requests
+        connection.names_requests = bool(named_id)
+        if named_id and named_id != sent_id:
+            return f"the response belongs to request {named_id!r}"
+        if sent_id and has_named and not named_id:
+            return "the response names no request, unlike the one before it"
+        return ""
+
 
 class Connection(asyncio.Protocol):
     """A connection to an upstream, for one request at a time.
@@ -97,6 +119,8 @@
     ----------
     is_complete : bool
         Whether the complete response has arrived.
+    names_requests : bool
+        Whether the latest response gave the id of its request.
     """
 
     def __init__(self, idle_timeout_s: float) -> None:
@@ -120,6 +144,7 @@
         # Received since the request was sent or the body last grew.
         self._unparsed_bytes = 0
         self.is_complete = False
+        self.names_requests = False
 
     # ---- for requests ----------------------------------------------------
 
--- a/hornbeamyard/request/relay.py
+++ b/hornbeamyard/request/relay.py
@@ -206,7 +206,12 @@
                 request.body,
             )
             result = await self._handle_response(response, send)
-            is_complete = result.outcome is not AttemptOutcome.BROKEN
+            # A late copy of a response without an id would be taken for the
+            # response to the next request.
+            is_complete = (
+                result.outcome is not AttemptOutcome.BROKEN
+                and connection.names_requests
+            )
             return result
         except CONNECTION_ERRORS as error:
             return AttemptResult(AttemptOutcome.BROKEN, _describe(error))
@@ -231,14 +236,11 @@
         headers = response.headers
         metadata = self._header_codec.read_response(response.status, headers)
         self._observer.record_head(metadata, response.framing)
-        if (
-            metadata.request_id
-            and metadata.request_id != self._request.request_id
-        ):
-            return AttemptResult(
-                AttemptOutcome.BROKEN,
-                f"the response belongs to request {metadata.request_id!r}",
-            )
+        mismatch = response.find_mismatch(
+            self._request.request_id, metadata.request_id
+        )
+        if mismatch:
+            return AttemptResult(AttemptOutcome.BROKEN, mismatch)
         if metadata.wrong_upstream or metadata.not_run:
             buffered_response = await self._read_response(response, headers)
             return AttemptResult(
--- a/hornbeamyard/tests/raw_upstream.py
+++ b/hornbeamyard/tests/raw_upstream.py
@@ -135,12 +135,17 @@
     request_id: str | None = None,
     signed: bool = True,
 ) -> Script:
-    """Return a script that sends a complete response."""
+    """Return a script that sends a complete response.
+
+    The response names the request that was received, or `request_id`.
+    """
 
     async def send(
         stream: anyio.abc.SocketStream, received: ReceivedRequest
     ) -> None:
-        id = request_id or received.get_header("hornbeamyard-request") or ""
+        id = request_id
+        if id is None:
+            id = received.get_header("hornbeamyard-request") or ""
         lines = [
             f"HTTP/1.1 {status} X",
             f"hornbeamyard-request: {id}",
--- a/hornbeamyard/tests/test_reported_faults.py
+++ b/hornbeamyard/tests/test_reported_faults.py
@@ -100,6 +100,53 @@
         run(test, [send_response(body=b"first"), copied])
 
 
+def in_pieces(script: Script, size: int) -> Script:
+    """Return a script whose bytes arrive in reads of a size."""
+
+    async def send(
+        stream: anyio.abc.SocketStream, received: ReceivedRequest
+    ) -> None:
+        class Pieces:
+            async def send(self, data: bytes) -> None:
+                for start in range(0, len(data), size):
+                    await stream.send(data[start : start + size])
+                    await anyio.sleep(0.001)
+
+        await script(Pieces(), received)  # type: ignore[arg-type]
+
+    return send
+
+
+class TestCopiedRefusal:
+    """A refusal that arrives once more refuses no later request."""
+
+    @pytest.mark.parametrize("id", ["r-0", ""], ids=["named", "unnamed"])
+    @pytest.mark.parametrize("status", [421, 429, 503])
+    @pytest.mark.parametrize("size", [1, 60, 4096])
+    def test_routed_request(self, id: str, status: int, size: int) -> None:
+        """Guards against "not run" for a request that runs."""
+
+        async def test(harness: Harness) -> None:
+            assert (await harness.send_request("/charge/1")).status == 200
+            assert (await harness.send_request("/charge/2")).status == 502
+
+        headers = ("hornbeamyard-not-run: true",)
+        copied = send_response(status, headers=headers, request_id=id)
+        run(test, [send_response(), in_pieces(copied, size)])
+
+    def test_connection_after_unnamed_refusal(self) -> None:
+        """Guards against a copy that can't be told from the next response."""
+
+        async def test(harness: Harness) -> None:
+            assert (await harness.send_request("/charge/1")).status == 503
+            await anyio.sleep(0.05)
+            [upstream] = harness.raw_upstreams  # type: ignore[attr-defined]
+            assert upstream.closed == 1
+
+        headers = ("hornbeamyard-not-run: true",)
+        run(test, [send_response(503, headers=headers, request_id="")])
+
+
 class TestSilentUpstream:
     """An upstream without announcements keeps the work that it runs."""
 
