Compare the ids of responses without a route directory too

Without a route directory, a caller got a late copy of another request's response on a kept connection: its body, or "not run" for a request that the upstream ran, also in the words of another router's own refusal (503 with outcome "not-run").

Ruled out: copies of a 503 with Hornbeamyard-Not-Run on its own connection, which was closed after it before, too.

Change: an attempt compares the id as a routed one does. Upstreams needn't return it here, so a connection is also closed after a 408, 421, 429 or 503 that names no request. The header no longer reaches the caller: a router in front of this one would take the inner attempt's id for a wrong one.

This works because an id tells a copy from the response that is due, and without ids no copy of a refusal finds its connection open.

--- a/hornbeamyard/request/exchange.py
+++ b/hornbeamyard/request/exchange.py
@@ -16,7 +16,7 @@
     UpstreamConnections,
 )
 from .events import EventReader
-from .outcome import AttemptFailure, Stage
+from .outcome import NOT_RUN_STATUSES, AttemptFailure, Stage
 from .problem import Send
 
 # Headers that concern a single connection and are not forwarded.
@@ -221,7 +221,12 @@
             failure = self._check_response(response)
             if failure is None:
                 await self._forward(response, send)
-                is_complete = True
+                # A late copy of a response without an id would be taken for
+                # the response to the next request.
+                is_complete = (
+                    connection.names_requests
+                    or response.status not in NOT_RUN_STATUSES
+                )
             return failure
         except CONNECTION_ERRORS as error:
             return AttemptFailure(self.stage, _describe(error))
@@ -247,6 +252,10 @@
     def _check_response(self, response: Response) -> AttemptFailure | None:
         headers = dict(response.headers)
         status = response.status
+        named_id = headers.get(REQUEST_HEADER, b"").decode("latin-1")
+        mismatch = response.find_mismatch(self.attempt_id, named_id)
+        if mismatch:
+            return AttemptFailure(self.stage, mismatch)
         if (
             status == 503
             and headers.get(NOT_RUN_HEADER, b"").lower() == b"true"
@@ -331,7 +340,8 @@
 
 def _filter_response_headers(response: Response) -> Headers:
     headers = response.headers
-    dropped = set(HOP_BY_HOP_HEADERS)
+    # The caller doesn't know the id of the attempt.
+    dropped = {*HOP_BY_HOP_HEADERS, REQUEST_HEADER}
     names = {name for name, _ in headers}
     if b"transfer-encoding" in names or response.status in (204, 304):
         dropped.add(b"content-length")
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -31,6 +31,7 @@
 from .budget import WindowRetryBudget
 from .headers import ForwardingMetadata, HeaderCodec, RequestMetadata
 from .meter import AttemptMeter
+from .outcome import NOT_RUN_STATUSES
 from .relay import (
     AttemptOutcome,
     AttemptResult,
@@ -713,7 +714,7 @@
     Statuses that callers take for "not run" are not forwarded, because an
     earlier attempt may have run; the router sends its own response instead.
     """
-    if response.status in (408, 421, 429, 503):
+    if response.status in NOT_RUN_STATUSES:
         return False
     return result.outcome in (
         AttemptOutcome.ERROR_RESPONSE,
--- a/hornbeamyard/request/outcome.py
+++ b/hornbeamyard/request/outcome.py
@@ -8,6 +8,9 @@
 
 from .problem import Outcome, Problem
 
+# Statuses that callers take for "not run".
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 
 class Stage(IntEnum):
     """How far a request has been processed.
--- a/hornbeamyard/tests/test_exchange.py
+++ b/hornbeamyard/tests/test_exchange.py
@@ -15,10 +15,12 @@
 )
 from hornbeamyard.process.timers import MonotonicTimers
 from hornbeamyard.request.exchange import (
+    REQUEST_HEADER,
     Exchange,
     ResponseRecorder,
     UpstreamRequest,
 )
+from hornbeamyard.request.outcome import AttemptFailure
 
 from .in_process import (
     KEY,
@@ -28,7 +30,12 @@
     InProcessFleet,
     run_in_process,
 )
-from .raw_upstream import run_raw_upstream, send_events
+from .raw_upstream import (
+    Script,
+    run_raw_upstream,
+    send_events,
+    send_response,
+)
 
 CHAT = "/v1/chat/completions"
 NOTICES = "/services/notices/"
@@ -266,6 +273,34 @@
         anyio.run(run)
 
 
+def run_exchanges(*scripts: Script) -> tuple[list[AttemptFailure | None], int]:
+    """Return how exchanges fail, and how many connections were closed."""
+
+    async def send(message: Any) -> None:
+        assert REQUEST_HEADER not in dict(message.get("headers", ()))
+
+    async def run() -> tuple[list[AttemptFailure | None], int]:
+        async with run_raw_upstream(*scripts) as upstream:
+            connections = UpstreamConnections(0.5)
+            checker = LivenessChecker(
+                connections, MonotonicTimers(), SILENCE_S
+            )
+            failures = [
+                await Exchange(
+                    UpstreamRequest("GET", b"/", [], b""),
+                    f"http://127.0.0.1:{upstream.port}",
+                    connections,
+                    checker,
+                    list,
+                ).run(send)
+                for _ in scripts
+            ]
+            await anyio.sleep(0.05)
+            return failures, upstream.closed
+
+    return anyio.run(run)
+
+
 class TestResponse:
     """Interrupted streams, recorded responses and metrics."""
 
@@ -329,6 +364,23 @@
 
         anyio.run(run)
 
+    @pytest.mark.parametrize("status", [200, 429, 503])
+    @pytest.mark.parametrize("id", ["r-0", ""], ids=["named", "unnamed"])
+    def test_copy_of_earlier_response(self, id: str, status: int) -> None:
+        """Guards against the response to another request, also "not run"."""
+        headers = ("hornbeamyard-not-run: true",)
+        copied = send_response(status, headers=headers, request_id=id)
+        failures, _ = run_exchanges(send_response(), copied)
+        assert failures[0] is None
+        assert failures[1] is not None
+        assert failures[1].may_have_run()
+
+    @pytest.mark.parametrize("status", [408, 421, 429, 503])
+    def test_connection_after_unnamed_refusal(self, status: int) -> None:
+        """Guards against a copy of it that arrives at the next request."""
+        _, closed = run_exchanges(send_response(status, request_id=""))
+        assert closed == 1
+
     def test_keeps_no_encoded_response(self) -> None:
         """Guards against replaying a response without its encoding."""
         recorder = ResponseRecorder(200, "text/plain", encoded=True)
