Don't excuse a request's crashes by an answer before it was sent

What callers saw: a request that had been answered began to crash the upstreams that ran it. Three of them ended at one router. Other routers, which had been attached to all controllers for 3 s since, sent it to one or two further upstreams each before they refused it: four together while no controller ran, where three are allowed.

Cause: what was answered up to a second before a crash was cleared of it, at whichever router. That keeps a sound request, which many callers send, from being blocked when all upstreams fail at once. A request that begins to crash upstreams was answered just before as well: of its three crashes two were cleared, and one stayed open.

Ruled out: late or lost reports (all routers know three crashes after 3 s, also where upstreams start again at once or after 1 s, or end after the head of the response), and different digests (all had the fleet's key). Attempts that share an upstream give fewer crashes than ends, but then each router sends the request once more, not twice.

Change: an answer clears a whole request of a crash only if it came after the crash or, at the router that sent the broken attempt, since that was sent and at most a second before the crash. An answer says nothing about an attempt that is sent after it, and attempts of one caller follow each other; a request that many callers send at once is answered while others of its attempts run. Prompt parts are cleared as before, as requests of many callers share them. While a crash waits for the start of a new upstream to confirm it, answers count too.

--- a/hornbeamyard/connection/crash_reports.py
+++ b/hornbeamyard/connection/crash_reports.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import anyio
 
@@ -71,6 +71,7 @@
         upstream: UpstreamStart,
         address: str,
         suspects: Iterable[str],
+        sent_at: float,
         connections: UpstreamConnections,
     ) -> None:
         """Suspect a broken request if its upstream has crashed.
@@ -82,6 +83,8 @@
             `http://ip:port`.
         suspects : iterable of str
             Ids of its shared prompt parts in their order, and its digest.
+        sent_at : float
+            When it was sent, as a monotonic time in seconds.
         connections : UpstreamConnections
             Opens one more connection to find out whether it has crashed.
         """
@@ -89,7 +92,9 @@
             suspect: REQUEST_POSITION if is_digest(suspect) else position
             for position, suspect in enumerate(suspects)
         }
-        crash = Crash(upstream, self._timers.now(), self._host, positions)
+        now = self._timers.now()
+        cleared = self.ledger.list_answered(positions, sent_at, now)
+        crash = Crash(upstream, now, self._host, positions, cleared)
         if not self._knows_end(upstream, address):
             # The crash counts also if the caller disconnects meanwhile.
             with anyio.CancelScope(shield=True):
@@ -127,11 +132,12 @@
         self.ledger.clear_answered(changed)
         self._report(before, changed)
 
-    def record_answer(self, suspects: Iterable[str]) -> None:
+    def record_answer(self, suspects: Collection[str]) -> None:
         """Clear the suspects in a request that was answered."""
         before = self.ledger.number
         now = self._timers.now()
         self._report(before, self.ledger.record_answer(suspects, now))
+        self.restarts.record_answer(suspects)
 
     def apply(self, crashes: Iterable[Crash]) -> None:
         """Apply what other routers have recorded."""
--- a/hornbeamyard/pool/crashes.py
+++ b/hornbeamyard/pool/crashes.py
@@ -5,8 +5,10 @@
 requests, so a single one doesn't tell what is at fault. Each crash is recorded
 with its suspects: the requests that broke off soon after their answers began,
 or before, and their shared prompt parts. A suspect is cleared when a request
-with it is answered later, or was just before the crash, and one that stays
-suspected of several crashes is blocked.
+with it is answered later, and one that stays suspected of several crashes is
+blocked. A prompt part, which requests of many callers share, is cleared also
+by an answer just before the crash. Attempts at one request mostly follow each
+other, so it is cleared only by an answer since the broken attempt was sent.
 
 Routers exchange their records. Merging them only adds suspects and marks them
 as cleared, so all routers come to the same result, in whichever order they
@@ -15,6 +17,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
@@ -25,8 +28,8 @@
 # An upstream crashes as it begins to answer. A request whose answer has gone
 # on for this long isn't suspected.
 SUSPICION_S = 2.0
-# What was answered this long before a crash isn't suspected of it. It may
-# begin to crash upstreams at any time, so older answers don't count.
+# Answers that are older than this at a crash don't clear suspects of it, as
+# these may begin to crash upstreams at any time.
 ANSWERED_S = 1.0
 # Crashes of which something has to be the suspect before it is blocked. Two
 # may coincide for a request whose caller retries after the first one.
@@ -71,7 +74,8 @@
         Ids of shared prompt parts with their positions in the prompt, from 0,
         and digests of whole requests with `REQUEST_POSITION`.
     cleared : set of str
-        Suspects of which a request was answered just before or later.
+        Suspects that aren't responsible, since a request with them was
+        answered.
     number : int
         Grows with each change of any crash in the ledger.
     changes : dict of str to int
@@ -278,6 +282,26 @@
         suspects = set().union(*(crash.list_open() for crash in crashes))
         return self._clear(suspects & self._answered_at.keys())
 
+    def list_answered(
+        self, suspects: Iterable[str], sent_at: float, now: float
+    ) -> set[str]:
+        """Return which suspects of a crash an answer has cleared before it.
+
+        Parameters
+        ----------
+        suspects : iterable of str
+        sent_at : float
+            When the broken request was sent, as a monotonic time in seconds.
+        now : float
+            Time of the crash.
+        """
+        since = max(sent_at, now - ANSWERED_S)
+        return {
+            suspect
+            for suspect in suspects
+            if self._answered_at.get(suspect, -math.inf) >= since
+        }
+
     def _clear(self, answered: Iterable[str]) -> list[Crash]:
         """Clear suspects of the crashes about or before their last answers.
 
@@ -294,12 +318,12 @@
             return []
         changed = []
         for crash in list(self._crashes.values()):
-            since = crash.crashed_at - ANSWERED_S
             cleared = {
                 suspect
                 for suspect in suspects
                 if crash.is_open(suspect)
-                and self._answered_at[suspect] >= since
+                and self._answered_at[suspect]
+                >= _find_earliest_answer(suspect, crash.crashed_at)
             }
             if not cleared:
                 continue
@@ -417,6 +441,14 @@
             del self._probes[suspect]
 
 
+def _find_earliest_answer(suspect: str, crashed_at: float) -> float:
+    """Return the time from which on an answer clears a suspect of a crash.
+
+    Only the router that sent a whole request knows since when.
+    """
+    return crashed_at if is_digest(suspect) else crashed_at - ANSWERED_S
+
+
 def _find_blocks(
     suspects: Iterable[tuple[Crash, Mapping[str, int]]],
 ) -> dict[str, Block]:
--- a/hornbeamyard/pool/restarts.py
+++ b/hornbeamyard/pool/restarts.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from .crashes import Crash
 from .upstream_registry import UpstreamStart
 
@@ -54,6 +56,11 @@
         if len(self._unconfirmed) > MAX_UNCONFIRMED:
             del self._unconfirmed[next(iter(self._unconfirmed))]
 
+    def record_answer(self, suspects: Iterable[str]) -> None:
+        """Clear suspects of the possible crashes, because of an answer."""
+        for crash in self._unconfirmed.values():
+            crash.cleared |= crash.suspects.keys() & suspects
+
     def record_leaving(self, upstream: UpstreamStart) -> None:
         """Record that an upstream will end by itself."""
         self._leaving[upstream] = None
--- a/hornbeamyard/process/upstream_notices.py
+++ b/hornbeamyard/process/upstream_notices.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 
 from ..connection.crash_reports import CrashReports
 from ..connection.limit_reports import LimitReports
@@ -69,7 +69,7 @@
         self.limits.observe(upstream, max_rate)
 
     async def record_broken(
-        self, upstream: Upstream, suspects: Iterable[str]
+        self, upstream: Upstream, suspects: Iterable[str], sent_at: float
     ) -> None:
         """Suspect a broken request if its upstream has crashed.
 
@@ -78,6 +78,8 @@
         upstream : Upstream
         suspects : iterable of str
             Ids of its shared prompt parts in their order, and its digest.
+        sent_at : float
+            When it was sent, as a monotonic time in seconds.
         """
         address = f"http://{upstream.address}"
         is_replaced = self.crashes.restarts.is_replaced(
@@ -87,7 +89,7 @@
             # One that leaves ends by itself.
             return
         await self.crashes.record_broken(
-            upstream.start, address, suspects, self._upstreams
+            upstream.start, address, suspects, sent_at, self._upstreams
         )
 
     def record_states(self, changed: Iterable[Upstream]) -> None:
@@ -112,7 +114,7 @@
             if not restarts.is_replaced(upstream.start, address):
                 restarts.record_leaving(upstream.start)
 
-    def record_answer(self, suspects: Iterable[str]) -> None:
+    def record_answer(self, suspects: Collection[str]) -> None:
         """Clear the suspects in a request that was answered."""
         self.crashes.record_answer(suspects)
 
--- a/hornbeamyard/request/delivery.py
+++ b/hornbeamyard/request/delivery.py
@@ -372,9 +372,12 @@
             state.recorder,
             lambda: not self.is_blocked(state.ticket),
         )
+        sent_at = self._timers.now()
         failure = await state.exchange.run(send)
         state.stage = state.exchange.stage
-        await self._record_suspect(state, worker, state.exchange, failure)
+        await self._record_suspect(
+            state, worker, state.exchange, failure, sent_at
+        )
         if failure is not None and failure.may_have_run():
             state.may_have_run = True
             if not (state.repeatable or worker.repeatable):
@@ -389,6 +392,7 @@
         worker: Worker,
         exchange: Exchange,
         failure: AttemptFailure | None,
+        sent_at: float,
     ) -> None:
         """Suspect a request whose upstream has crashed, or clear it."""
         suspects = (state.ticket.digest,)
@@ -409,7 +413,11 @@
         newest = self._registry.get(worker.name) or worker
         if not newest.leaving:
             await self.crashes.record_broken(
-                worker.start, worker.address, suspects, self._upstreams
+                worker.start,
+                worker.address,
+                suspects,
+                sent_at,
+                self._upstreams,
             )
 
     def is_blocked(self, ticket: Ticket) -> bool:
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -521,20 +521,23 @@
                 await self._upstreams.close_idle(
                     f"http://{server.upstream.address}"
                 )
-                await self._record_broken(request, server, elapsed_ms)
+                await self._record_broken(request, server, started_at)
         if is_ejected:
             self._reporter.report_ejected(request, server, result.reason)
 
     async def _record_broken(
-        self, request: RoutedRequest, server: Server, elapsed_ms: float
+        self, request: RoutedRequest, server: Server, sent_at: float
     ) -> None:
         """Suspect or clear a request that broke off, and its prompt parts."""
         suspects = request.demand.suspects
+        elapsed_ms = (self._timers.now() - sent_at) * 1000
         answered_ms = elapsed_ms - request.first_event_ms
         if request.first_event_ms and answered_ms >= SUSPICION_S * 1000:
             self._router.notices.record_answer(suspects)
             return
-        await self._router.notices.record_broken(server.upstream, suspects)
+        await self._router.notices.record_broken(
+            server.upstream, suspects, sent_at
+        )
 
     def _may_retry(
         self,
--- a/hornbeamyard/tests/test_crashes.py
+++ b/hornbeamyard/tests/test_crashes.py
@@ -174,6 +174,14 @@
         )
         assert set(ledger.blocked) == {"bad"}
 
+    def test_answered_while_attempt_runs(self) -> None:
+        """Guards against a block of a popular request in an outage."""
+        ledger = CrashLedger()
+        ledger.record_answer(["popular"], 1.0)
+        assert ledger.list_answered(["popular"], 0.9, 1.5) == {"popular"}
+        assert not ledger.list_answered(["popular"], 1.1, 1.5)
+        assert not ledger.list_answered(["popular"], 0.9, 1.1 + ANSWERED_S)
+
     def test_answers_between_crashes(self) -> None:
         """Guards against a block of a request that is answered in between.
 
--- a/hornbeamyard/tests/test_crashing_requests.py
+++ b/hornbeamyard/tests/test_crashing_requests.py
@@ -348,6 +348,32 @@
 
         self.run(tmp_path, test)
 
+    @pytest.mark.parametrize("controllers", [3, 0])
+    def test_request_was_answered_before(
+        self, tmp_path: Path, controllers: int
+    ) -> None:
+        """Guards against crashes that an earlier answer excuses."""
+
+        async def test(fleet: Fleet, upstreams: list[RawUpstream]) -> None:
+            others = [fleet.start_further_router(host) for host in "ab"]
+            for router, _ in others:
+                await fleet.wait(router.is_ready)
+            for upstream in upstreams:
+                upstream.scripts[:] = [send_response()]
+            assert await ask(fleet.router_address, "/charge/1/7") == 200
+            for upstream in upstreams:
+                upstream.scripts[:] = [crash_on_bad_request(upstream)]
+            for _ in range(MAX_CRASHES):
+                await ask(fleet.router_address, "/charge/1/7")
+            await anyio.sleep(WINDOW_S)
+            for stop in list(fleet.stops.values())[controllers:]:
+                stop.set()
+            await anyio.sleep(0.3)
+            for _, address in others * MAX_CRASHES:
+                assert await ask(address, "/charge/1/7") == 503
+
+        self.run(tmp_path, test)
+
     def test_upstreams_start_again_at_once(self, tmp_path: Path) -> None:
         """Guards against crashes of upstreams that refuse no connections.
 
@@ -634,6 +660,7 @@
                     UpstreamStart(f"u{number}", 1),
                     f"http://127.0.0.1:{find_free_port()}",
                     (digest,),
+                    anyio.current_time(),
                     UpstreamConnections(),
                 )
             for ledger in (hub.ledger, *(r.ledger for r in routers)):
--- a/hornbeamyard/tests/test_restarts.py
+++ b/hornbeamyard/tests/test_restarts.py
@@ -38,9 +38,11 @@
     def test_several_broken_requests(self) -> None:
         """Guards against a crash with only its last request as suspect."""
         known = build_restarts()
+        known.record_answer(["a", "c"])
         known.keep(Crash(OLD, 1.1, "r1", {"b": 0}), ADDRESS)
         crash = known.record_start(NEW, ADDRESS, 2.0)
         assert crash is not None
+        assert crash.cleared == {"a"}
         assert crash.suspects.keys() == {"a", "b"}
 
     def test_upstream_that_leaves(self) -> None:
