Charge what others use soon after the fleet's usage returns

What callers would see: after a second without the fleet's usage, callers of an account that has few requests at a router get free throughput there in spite of what the account uses at others, while other accounts get 503.

Cause: a router that has a small part of an account's requests assumes that others admit a multiple of each of its own (up to 259 times at 78 routers). The bucket's debt is bounded, but what is not to be charged again wasn't: one request of 12,000 tokens left 3.1 million, and nothing that others admitted was charged or counted in the order of accounts until they had used as much, more than a minute at a level of 50,000. The same holds for use that a leader didn't count because the router's stream had broken.

Evidence: the test fails without the change. A script that applied the fleet's usage for 10 s showed a lead of 0 and a full bucket throughout.

Why it works: what isn't charged is bounded as the debt is.

--- a/hornbeamyard/pool/shares.py
+++ b/hornbeamyard/pool/shares.py
@@ -241,7 +241,10 @@
             used = total - self.fleet_admitted - (own - self.own_reported)
             self.uncharged += used
             charged = max(0.0, self.uncharged)
-            self.uncharged -= charged
+            self.uncharged = max(
+                self.uncharged - charged,
+                -REMEMBERED_CAPACITIES * self.capacity,
+            )
             self.tokens -= charged
         self.fleet_admitted = total
         self.own_reported = own
--- a/hornbeamyard/tests/test_shares.py
+++ b/hornbeamyard/tests/test_shares.py
@@ -301,6 +301,35 @@
         assert all(admitted[14:])
 
 
+class TestContinueAlone:
+    """A router goes on while the fleet's usage isn't known."""
+
+    def test_others_are_charged_again_once_their_use_is_known(self) -> None:
+        """Guards against assumed use that outweighs the real one for minutes.
+
+        A router with a small part of an account's requests assumed a multiple
+        of each, and then charged nothing that other routers admitted.
+        """
+        shares = Shares(throughput=THROUGHPUT, factor=1.0, window_s=2.0)
+        usage = {
+            "a": AccountUsage(100_000, 0, 80_000),
+            "b": AccountUsage(100_000, 0, 80_000),
+        }
+        for now in (0.0, 2.0):
+            shares.mark_reported(now)
+        shares.apply_fleet_usage(usage, 78, "leader", 2.0)
+        shares.record_admitted("a", 1200)
+        shares.continue_alone(3.1)
+        for step in range(32):
+            now = 3.25 + INTERVAL_S * step
+            # The other routers admit twice the account's share.
+            usage["a"].admitted += int(THROUGHPUT * INTERVAL_S)
+            shares.mark_reported(now)
+            shares.apply_fleet_usage(usage, 78, "leader", now)
+        assert not shares.may_admit("a", False, now, 1)
+        assert shares.may_admit("b", False, now, 1)
+
+
 class TestThroughputFactor:
     """All routers divide the same throughput."""
 
