Adapt the throughput while the leader sends no estimate

What callers would see: while routers are newer than the controllers, in a rolling upgrade, engines stay overloaded and streams late.

Cause: a router proposes its estimate from the one in force, and only an estimate from the leader changes that. A leader of an older release sends none, so the estimate stood still at 1.4, the initial one.

Why it works: the router follows its own estimate then, as it did before.

--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -441,7 +441,8 @@
             self.routers,
             fleet_usage.source,
             now,
-            fleet_usage.throughput_factor,
+            # A controller of an older release sends no estimate.
+            fleet_usage.throughput_factor or self._shares.proposed_factor,
         )
         self.notices.limits.position.record_fraction(
             self._shares.router_fraction
--- a/hornbeamyard/tests/test_directory_router.py
+++ b/hornbeamyard/tests/test_directory_router.py
@@ -167,6 +167,21 @@
 
         anyio.run(test)
 
+    def test_leader_of_an_older_release(self) -> None:
+        """Guards against an estimate that stands still during a release.
+
+        Overloaded engines were sent 1.4 times the configured throughput.
+        """
+
+        async def test() -> None:
+            router, _, _ = build_router()
+            for _ in range(8):
+                router._shares.propose(False, True)
+                router._apply_fleet_usage(FleetUsage(source="old"))
+            assert router._shares.factor < 1
+
+        anyio.run(test)
+
 
 class TestAssumedRouters:
     """A router that doesn't know the others' load assumes some."""
