Keep the fleet's estimate of the throughput within its bounds

What callers would see: no fair shares at any router, after one router's report of an infinite or very large estimate.

Cause: the mean of the proposals was taken over as it was, and the proposals are made from it. Only an increase was bounded from above, and none is proposed while nothing is contended.

Evidence: the test fails without the change.

Why it works: each router bounds what it takes over and so what it proposes.

--- a/hornbeamyard/pool/shares.py
+++ b/hornbeamyard/pool/shares.py
@@ -504,7 +504,7 @@
         """
         self._applied_at = now
         if throughput_factor > 0:
-            self.factor = throughput_factor
+            self.factor = min(max(throughput_factor, MIN_FACTOR), MAX_FACTOR)
         if not self.throughput:
             self.level = float("inf")
             self.router_fraction = 1.0 / max(1, routers)
--- a/hornbeamyard/tests/test_shares.py
+++ b/hornbeamyard/tests/test_shares.py
@@ -355,6 +355,25 @@
         )
         assert shares.factor == fleet_usage.throughput_factor
 
+    def test_estimate_out_of_bounds(self) -> None:
+        """Guards against one report that ends all shares for good.
+
+        All routers took over an infinite mean, and proposed it again.
+        """
+        table = UsageTable(2.0)
+        for name, factor in (("faulty", math.inf), ("sound", 1.0)):
+            usage = RouterUsage(throughput_factor=factor)
+            table.record_report(name, usage, 1.0)
+        shares = Shares(throughput=THROUGHPUT)
+        shares.apply_fleet_usage(
+            {"a": AccountUsage(1_000_000)},
+            2,
+            "leader",
+            1.0,
+            table.compute_fleet_usage(1.0).throughput_factor,
+        )
+        assert shares.is_contended()
+
     def test_no_estimate(self) -> None:
         """Guards against a throughput of zero before the first estimate."""
         table = UsageTable(2.0)
