Find rivals of an account without copying their names

What callers would see: time to first byte rises with the number of accounts that compete, as each request above its share is delayed.

Cause: each request copied the set of competing accounts.

Why it works: only the number of others matters.

--- a/hornbeamyard/pool/service_order.py
+++ b/hornbeamyard/pool/service_order.py
@@ -33,7 +33,7 @@
 
     def has_rivals(self, account: str) -> bool:
         """Return whether any other account competes."""
-        return bool(self.competing - {account})
+        return len(self.competing) > (account in self.competing)
 
     def record_served(self, account: str, tokens: float) -> None:
         """Add tokens that an account was served; negative to correct them."""
