Count only requests that engines could serve as lacking throughput

What callers would see: an account is held to half of the free throughput by another one whose requests no engine could serve in time; and where all slots are taken, slots go to whoever asks first.

Cause: a refusal as too late counted for its account's place in the order, though the request couldn't have ended in time on an idle engine; a refusal for lack of a slot didn't, as engines without prompts to prefill seem to have headroom.

Change: a request counts if an idle engine could end it in time, whatever the reason, and always if there is no slot for it.

--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -150,13 +150,6 @@
     QUEUE_FULL = "too many requests wait"
 
 
-# The engines give too little throughput for the request.
-LACKS_THROUGHPUT = (
-    RefusalReason.NO_SHARE,
-    RefusalReason.NO_ROOM,
-    RefusalReason.TOO_LATE,
-    RefusalReason.QUEUE_FULL,
-)
 BLOCKED = (RefusalReason.BLOCKED_PART, RefusalReason.BLOCKED_REQUEST)
 
 
@@ -184,10 +177,13 @@
     reason : RefusalReason
     is_hopeless : bool
         Whether it can't be sent either before it gives up waiting.
+    lacks_throughput : bool
+        Whether engines could serve it if they had less work.
     """
 
     reason: RefusalReason
     is_hopeless: bool = False
+    lacks_throughput: bool = False
 
 
 @dataclass(slots=True)
@@ -559,8 +555,15 @@
         found = self._find(demand, now, excluded)
         if isinstance(found, Placement):
             return found
+        self._record_unserved(found, demand)
         return self._refuse(found.reason, demand, now, excluded)
 
+    def _record_unserved(
+        self, found: Shortfall, demand: RequestDemand
+    ) -> None:
+        if found.lacks_throughput:
+            self._shares.record_unserved(demand.account, demand.size)
+
     def _find(
         self, demand: RequestDemand, now: float, excluded: frozenset[str]
     ) -> Placement | Shortfall:
@@ -580,7 +583,11 @@
                 give_up_at,
                 demand.software_version is not None,
             )
-            return Shortfall(RefusalReason.NO_SHARE, not could)
+            return Shortfall(
+                RefusalReason.NO_SHARE,
+                not could,
+                _could_end(servers, demand, now),
+            )
         best: tuple[float, Placement] | None = None
         has_room = False
         least_excess_ms = float("inf")
@@ -603,10 +610,17 @@
         if best is not None:
             return best[1]
         if not has_room:
-            return Shortfall(RefusalReason.NO_ROOM)
+            return Shortfall(
+                RefusalReason.NO_ROOM,
+                lacks_throughput=self._kv_capacity_tokens > 0,
+            )
         left_ms = (give_up_at - now) * 1000
         is_hopeless = least_excess_ms > left_ms * HOPELESS_FACTOR
-        return Shortfall(RefusalReason.TOO_LATE, is_hopeless)
+        # With headroom the request waits for something else.
+        lacks_throughput = not self._had_headroom(now) and _could_end(
+            servers, demand, now
+        )
+        return Shortfall(RefusalReason.TOO_LATE, is_hopeless, lacks_throughput)
 
     def is_blocked(self, demand: RequestDemand) -> bool:
         """Return whether a request or a part of it is blocked for crashes."""
@@ -890,8 +904,10 @@
             return found
         give_up_at = _compute_give_up_time(demand)
         if found.is_hopeless or give_up_at <= now:
+            self._record_unserved(found, demand)
             return self._refuse(found.reason, demand, now, excluded)
         if len(self._waiting) >= MAX_WAITING:
+            self._record_unserved(found, demand)
             return self._refuse(
                 RefusalReason.QUEUE_FULL, demand, now, excluded
             )
@@ -909,9 +925,10 @@
         finally:
             if waiting in self._waiting:
                 self._waiting.remove(waiting)
-        return waiting.result or self._refuse(
-            found.reason, demand, give_up_at, excluded
-        )
+        if waiting.result is not None:
+            return waiting.result
+        self._record_unserved(found, demand)
+        return self._refuse(found.reason, demand, give_up_at, excluded)
 
     def start_waiting(self, now: float) -> None:
         """Place the waiting requests that fit now, the most urgent first."""
@@ -1009,8 +1026,6 @@
         excluded: frozenset[str],
     ) -> Refusal:
         resumes_at = None
-        if self._lacks_throughput(reason, now):
-            self._shares.record_unserved(demand.account, demand.size)
         if reason in BLOCKED:
             block = self._crashes.find_block(demand.suspects)
             resumes_at = block.retry_at if block is not None else None
@@ -1029,16 +1044,6 @@
         wait_s = min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
         return Refusal(reason, wait_s * (0.75 + self._draw()))
 
-    def _lacks_throughput(self, reason: RefusalReason, now: float) -> bool:
-        """Return whether a request is refused because others are served.
-
-        While the engines have headroom, a request that may use it and is
-        refused all the same waits for something else.
-        """
-        if not self._kv_capacity_tokens or reason not in LACKS_THROUGHPUT:
-            return False
-        return reason is RefusalReason.NO_SHARE or not self._had_headroom(now)
-
     # ---- load ------------------------------------------------------------
 
     def start(
@@ -1093,6 +1098,20 @@
         placement.server.own_load.kv_tokens -= count_kv_tokens(demand)
 
 
+def _could_end(
+    servers: Iterable[Server], demand: RequestDemand, now: float
+) -> bool:
+    """Return whether a request could end in time on an idle upstream."""
+    remaining_ms = (demand.deadline_at - now) * 1000
+    return any(
+        not isinstance(server, Engine)
+        or demand.own_tokens * server.prefill_ms_per_token
+        + demand.output_tokens * server.decode_ms_per_token
+        <= remaining_ms * DEADLINE_FRACTION
+        for server in servers
+    )
+
+
 def _compute_batch_cost(engine: Engine) -> float:
     """Return the cost of an engine's other requests to one more, in ms."""
     running = engine.own_load.running + engine.others_load.running
--- a/hornbeamyard/tests/test_fairness.py
+++ b/hornbeamyard/tests/test_fairness.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from hornbeamyard.pool.demand import RequestDemand
+
 from .shared_pool import SPAN_S, Callers, SharedPool
 
 THROUGHPUT = 300_000.0
@@ -115,3 +117,47 @@
         pool.run(END_S + SPAN_S, callers)
         for account in ("wide", "narrow"):
             assert pool.compute_fairness(account, END_S) >= MIN_FAIRNESS
+
+
+class _TightDeadlines(SharedPool):
+    """A pool in which requests of one account can't end in time anywhere."""
+
+    def ask(self, router: int, account: str, tokens: int) -> None:
+        if account != "unservable":
+            super().ask(router, account, tokens)
+            return
+        prefill_s = tokens * self._ms_per_token / 1000
+        demand = RequestDemand(
+            request_id="r",
+            account=account,
+            priority=1,
+            arrived_at=self.now,
+            target_s=min(1.0, 0.9 * prefill_s),
+            deadline_at=self.now + 0.9 * prefill_s,
+            prompt_tokens=tokens,
+        )
+        self.asked[account][int(self.now)] += demand.size
+        self.shares[router].record_asked(account, demand.size)
+        self._send(router, demand)
+
+
+class TestRivals:
+    """Which accounts hold others back."""
+
+    def test_rival_that_no_engine_can_serve(self) -> None:
+        """Guards against free engines that are kept for nobody.
+
+        Refusals as too late counted as a lack of throughput, though the
+        request couldn't have ended in time on an idle engine.
+        """
+        served = []
+        for rivals in (0, 1):
+            pool = _TightDeadlines(8, 5, THROUGHPUT, 1.5)
+            callers = [Callers("big", range(8), 3 * THROUGHPUT)]
+            callers += [
+                Callers("unservable", range(8), 2 * THROUGHPUT, (40_000,))
+            ] * rivals
+            pool.run(16, callers)
+            served.append(sum(pool.served["big"][s] for s in range(4, 16)))
+        alone, beside = served
+        assert beside >= 0.9 * alone
