Keep the division until a new leader has counted for a window

What callers would see: after a change of the leader nothing is limited for up to two seconds, and the account at all routers gets most.

Cause: a new leader counts demand from zero, so that the sum seems to fit the throughput, and the order of accounts was forgotten with it. Each router also compared its own demand of two seconds with what the leader had counted in a quarter of one, and took a whole account's part.

Change: routers keep the last division, and the accounts that compete, until the new source of usage has counted for a whole window; what is admitted meanwhile is charged. A router compares what both have counted since the change.

--- a/hornbeamyard/pool/shares.py
+++ b/hornbeamyard/pool/shares.py
@@ -106,11 +106,6 @@
     return float("inf")
 
 
-def _competes(asked: int, unserved: int) -> bool:
-    """Return whether an account lacks enough of what it asks for."""
-    return unserved > MIN_UNSERVED_FRACTION * asked
-
-
 @dataclass(slots=True)
 class _TokenBucket:
     """A token bucket of an account, or of the spare throughput.
@@ -295,6 +290,8 @@
     _order: ServiceOrder = field(default_factory=ServiceOrder)
     _spare: _TokenBucket = field(default_factory=_TokenBucket)
     _source: str = ""
+    # Until when the last division holds, as a monotonic time in seconds.
+    _divided_until: float = float("-inf")
     _applied_at: float | None = None
 
     def is_contended(self) -> bool:
@@ -388,11 +385,7 @@
         reserve = bucket.compute_reserve(is_caller_retry, continues_stream)
         if bucket.covers(bucket.tokens - reserve, size):
             return Grant.CREDIT
-        max_lead = MAX_LEAD_FRACTION * bucket.capacity
-        lead = self._order.compute_lead(account)
-        if self._order.has_rivals(account) and not bucket.covers(
-            max_lead - lead, size
-        ):
+        if self._is_ahead(account, bucket, size):
             return None
         if has_headroom:
             return Grant.HEADROOM
@@ -403,6 +396,14 @@
             return Grant.SPARE
         return None
 
+    def _is_ahead(self, account: str, bucket: _TokenBucket, size: int) -> bool:
+        """Return whether others come first for what exceeds the shares."""
+        if not self._order.has_rivals(account):
+            return False
+        max_lead = MAX_LEAD_FRACTION * bucket.capacity
+        lead = self._order.compute_lead(account)
+        return not bucket.covers(max_lead - lead, size)
+
     def could_admit_by(
         self,
         account: str,
@@ -433,10 +434,9 @@
         self._spare.refill(now)
         reserve = bucket.compute_reserve(is_caller_retry, continues_stream)
         left_s = until - now
-        return (
-            bucket.tokens + bucket.rate * left_s > reserve
-            or self._spare.tokens + self._spare.rate * left_s > 0
-        )
+        if bucket.tokens + bucket.rate * left_s > reserve:
+            return True
+        return self._spare.tokens + self._spare.rate * left_s > 0
 
     def describe(self, account: str, now: float) -> dict[str, object]:
         """Return the state that decides on an account, for log lines."""
@@ -509,21 +509,44 @@
             self.level = float("inf")
             self.router_fraction = 1.0 / max(1, routers)
             return
+        is_new = source != self._source
+        self._source = source
+        if is_new:
+            # What was asked before isn't in the new source's demand.
+            while len(self._samples) > 1:
+                self._samples.popleft()
+        if is_new and self._buckets:
+            # Until it has counted for a whole window, its demand is too low.
+            self._divided_until = now + self.window_s
+        if now < self._divided_until:
+            self._charge(accounts, is_new, now)
+            self._order.update(self._order.competing)
+            return
+        self._divide(accounts, routers, now)
+        self._charge(accounts, is_new, now)
+        self._order.update(
+            self._list_competing(
+                {n: (use.asked, use.unserved) for n, use in accounts.items()}
+            )
+        )
+
+    def _divide(
+        self, accounts: Mapping[str, AccountUsage], routers: int, now: float
+    ) -> None:
+        """Divide the throughput between accounts and between routers."""
         demands = {
             name: use.asked / self.window_s for name, use in accounts.items()
         }
+        demand = sum(demands.values())
         rate = self.throughput * min(MAX_SHARED_FACTOR, self.factor)
         self.level = float("inf")
-        if sum(demands.values()) > self.throughput * self.factor:
+        if demand > self.throughput * self.factor:
             self.level = compute_level(demands, rate)
-        is_new = source != self._source
-        self._source = source
-        self.router_fraction = self._compute_router_fraction(
-            sum(demands.values()), routers
-        )
+        self.router_fraction = self._compute_router_fraction(demand, routers)
         self._spare.set_rate(rate * self.router_fraction, now)
         account_rate = min(self.level, rate)
         capacity = account_rate * self.window_s
+        self._order.max_lead = REMEMBERED_CAPACITIES * capacity
         for name, use in accounts.items():
             bucket = self._buckets.get(name)
             if bucket is None:
@@ -539,26 +562,48 @@
             bucket.fraction = self._compute_account_fraction(
                 name, use, routers
             )
+
+    def _charge(
+        self,
+        accounts: Mapping[str, AccountUsage],
+        is_new_source: bool,
+        now: float,
+    ) -> None:
+        """Charge accounts for what other routers have admitted."""
+        threshold = self.draw()
+        for name, use in accounts.items():
+            bucket = self._buckets.get(name)
+            if bucket is None:
+                continue
+            bucket.refill(now)
             bucket.own_used = 0.0
-            bucket.threshold = self.draw()
-            bucket.tokens = min(bucket.tokens, bucket.capacity)
+            bucket.threshold = threshold
             bucket.tokens = max(
-                bucket.tokens, -REMEMBERED_CAPACITIES * capacity
+                bucket.tokens, -REMEMBERED_CAPACITIES * bucket.capacity
             )
             reported = self._reported_admitted.get(name, 0)
-            if is_new:
+            if is_new_source:
                 bucket.reset_counters(use.admitted, reported)
-            else:
-                used = bucket.charge_others(use.admitted, reported)
-                self._order.record_served(name, used)
-        self._order.max_lead = REMEMBERED_CAPACITIES * capacity
-        self._order.update(
-            {
-                name
-                for name, use in accounts.items()
-                if self._buckets[name].is_above_share
-                and _competes(use.asked, use.unserved)
-            }
+                continue
+            used = bucket.charge_others(use.admitted, reported)
+            self._order.record_served(name, used)
+
+    def _list_competing(
+        self, recent: Mapping[str, tuple[int, int]]
+    ) -> frozenset[str]:
+        """Return the accounts that are refused too much of what they ask for.
+
+        Parameters
+        ----------
+        recent : mapping of str to tuple of int
+            Tokens that each account asked for and was refused recently.
+        """
+        return frozenset(
+            name
+            for name, bucket in self._buckets.items()
+            if bucket.is_above_share
+            and name in recent
+            and recent[name][1] > MIN_UNSERVED_FRACTION * recent[name][0]
         )
 
     def _compute_router_fraction(self, demand: float, routers: int) -> float:
@@ -585,6 +630,8 @@
         total = usage.asked + usage.unserved
         if routers <= 1 or len(self._samples) < 2 or not total:
             return even
+        if account not in self.own_usage:
+            return MIN_ROUTER_FRACTION * even
         fraction = sum(self._get_recent(account)) / total
         return min(1.0, max(MIN_ROUTER_FRACTION * even, fraction))
 
@@ -625,9 +672,7 @@
             bucket.threshold = self.draw()
             self._order.record_served(name, bucket.assume_others())
         self._order.update(
-            {
-                name
-                for name, bucket in self._buckets.items()
-                if bucket.is_above_share and _competes(*self._get_recent(name))
-            }
+            self._list_competing(
+                {name: self._get_recent(name) for name in self.own_usage}
+            )
         )
--- a/hornbeamyard/tests/test_fairness.py
+++ b/hornbeamyard/tests/test_fairness.py
@@ -5,6 +5,7 @@
 import pytest
 
 from hornbeamyard.pool.demand import RequestDemand
+from hornbeamyard.pool.usage import UsageTable
 
 from .shared_pool import SPAN_S, Callers, SharedPool
 
@@ -161,3 +162,35 @@
             served.append(sum(pool.served["big"][s] for s in range(4, 16)))
         alone, beside = served
         assert beside >= 0.9 * alone
+
+
+class _NewLeaders(SharedPool):
+    """A pool whose leader changes."""
+
+    def change_leader(self, name: str) -> None:
+        self._table = UsageTable(2.0)
+        for shares in self.shares:
+            shares._source = name
+
+
+class TestNewLeader:
+    """What a new leader doesn't know yet."""
+
+    def test_fairness_while_leaders_change(self) -> None:
+        """Guards against demand that a new leader counts from zero.
+
+        Nothing was contended until it had counted for long enough, and what
+        accounts had been served was forgotten.
+        """
+        pool = _NewLeaders(8, 5, THROUGHPUT, 1.0)
+        callers = list_callers(8, 6.0, 1.5)
+        pool.run(4, callers)
+        for second in range(5, 17, 2):
+            pool.run(second, callers)
+            pool.change_leader(f"leader-{second}")
+        for account in ("wide", "narrow"):
+            fairness = [
+                pool.compute_fairness(account, start)
+                for start in range(4, 16 - SPAN_S)
+            ]
+            assert min(fairness) >= MIN_FAIRNESS
--- a/hornbeamyard/tests/test_shares.py
+++ b/hornbeamyard/tests/test_shares.py
@@ -300,6 +300,21 @@
         assert not any(admitted[:13])
         assert all(admitted[14:])
 
+    def test_fractions_after_a_new_leader(self) -> None:
+        """Guards against routers that each take a whole account's part.
+
+        A router's demand of the whole window was compared with what the
+        leader had counted in a quarter of a second.
+        """
+        shares = Shares(throughput=10_000.0, factor=1.0, window_s=2.0)
+        for step in range(9):
+            shares.record_asked("a", 10_000)
+            shares.mark_reported(0.25 * step)
+        shares.apply_fleet_usage(
+            {"a": AccountUsage(80_000, 0, 0)}, 8, "new", 2.25
+        )
+        assert shares._buckets["a"].fraction <= 0.25
+
 
 class TestContinueAlone:
     """A router goes on while the fleet's usage isn't known."""
