Let accounts compete that ask other routers, also without the fleet's usage

What callers would see: while there is no leader, an account that is the only one refused at a router takes all free engines there.

Found by the review.

Change: the accounts that competed last stay in the order.

--- a/hornbeamyard/pool/shares.py
+++ b/hornbeamyard/pool/shares.py
@@ -671,8 +671,8 @@
             bucket.refill(now)
             bucket.threshold = self.draw()
             self._order.record_served(name, bucket.assume_others())
-        self._order.update(
-            self._list_competing(
-                {name: self._get_recent(name) for name in self.own_usage}
-            )
+        # Accounts that competed may go on doing so at other routers.
+        refused_here = self._list_competing(
+            {name: self._get_recent(name) for name in self.own_usage}
         )
+        self._order.update(self._order.competing | refused_here)
--- a/hornbeamyard/tests/test_shares.py
+++ b/hornbeamyard/tests/test_shares.py
@@ -344,6 +344,28 @@
         assert not shares.may_admit("a", False, now, 1)
         assert shares.may_admit("b", False, now, 1)
 
+    def test_rival_that_asks_other_routers_still_competes(self) -> None:
+        """Guards against free engines for the only account that asks here.
+
+        Only accounts that were refused at this router counted as competing.
+        """
+        shares = Shares(throughput=10_000.0, factor=1.0, window_s=2.0)
+        usage = {
+            "here": AccountUsage(100_000, 0, 80_000),
+            "elsewhere": AccountUsage(100_000, 0, 80_000),
+        }
+        for now in (0.0, 2.0):
+            shares.record_asked("here", 50_000)
+            shares.record_unserved("here", 40_000)
+            shares.mark_reported(now)
+        shares.apply_fleet_usage(usage, 8, "leader", 2.0)
+        assert shares._order.has_rivals("here")
+        for now in (3.1, 3.35):
+            shares.record_asked("here", 5000)
+            shares.record_unserved("here", 4000)
+            shares.continue_alone(now)
+        assert shares._order.has_rivals("here")
+
 
 class TestThroughputFactor:
     """All routers divide the same throughput."""
