Refuse requests at once whose account stays ahead of its rivals

What callers would see: refusals late, and refusals for a full queue, under a flood by one account.

Cause: whether a request may still be sent in time was answered without the order of accounts, so requests of an account ahead of others waited an eighth of their target in vain.

Evidence: test_account_ahead_of_its_rivals_does_not_wait failed before.

--- a/hornbeamyard/pool/shares.py
+++ b/hornbeamyard/pool/shares.py
@@ -436,6 +436,8 @@
         left_s = until - now
         if bucket.tokens + bucket.rate * left_s > reserve:
             return True
+        if self._is_ahead(account, bucket, 0):
+            return False
         return self._spare.tokens + self._spare.rate * left_s > 0
 
     def describe(self, account: str, now: float) -> dict[str, object]:
--- a/hornbeamyard/tests/test_shares.py
+++ b/hornbeamyard/tests/test_shares.py
@@ -315,6 +315,21 @@
         )
         assert shares._buckets["a"].fraction <= 0.25
 
+    def test_account_ahead_of_its_rivals_does_not_wait(self) -> None:
+        """Guards against waiting requests that can't be admitted in time.
+
+        They fill the queue, and others are refused for that.
+        """
+        shares = Shares(throughput=10_000.0, factor=1.0, window_s=2.0)
+        for admitted in (0, 100_000):
+            usage = {
+                "a": AccountUsage(100_000, admitted, 90_000),
+                "rival": AccountUsage(100_000, 0, 90_000),
+            }
+            shares.apply_fleet_usage(usage, 1, "leader", 0.0)
+        assert shares.find_grant("a", False, 0.1, 1000, True) is None
+        assert not shares.could_admit_by("a", False, 0.1, 0.225)
+
 
 class TestContinueAlone:
     """A router goes on while the fleet's usage isn't known."""
