Move the buckets of accounts and of spare throughput to a module

The module of shares had grown to 620 lines, and the bucket of spare throughput had fields of accounts that it doesn't use.

--- a/hornbeamyard/pool/service_order.py
+++ b/hornbeamyard/pool/service_order.py
@@ -36,15 +36,11 @@
         return len(self.competing) > (account in self.competing)
 
     def record_served(self, account: str, tokens: float) -> None:
-        """Add tokens that an account was served; negative to correct them."""
+        """Add tokens that an account was served."""
         self._leads[account] = self._leads.get(account, 0.0) + tokens
 
     def compute_lead(self, account: str) -> float:
-        """Return by how many tokens an account is ahead of the least served.
-
-        It is negative for an account that was behind all others at the last
-        `update`, or has been corrected since.
-        """
+        """Return the tokens an account got more than the one served least."""
         return self._leads.get(account, 0.0)
 
     def update(self, competing: Collection[str]) -> None:
--- a/hornbeamyard/pool/shares.py
+++ b/hornbeamyard/pool/shares.py
@@ -19,6 +19,7 @@
 from enum import Enum
 
 from .service_order import ServiceOrder
+from .token_bucket import REMEMBERED_CAPACITIES, AccountBucket, TokenBucket
 from .usage import DEFAULT_WINDOW_S, AccountUsage
 
 # Capacity of the bucket of spare throughput, which accounts above their share
@@ -38,13 +39,6 @@
 # Fraction of what an account asks for that has to be refused for the account
 # to compete for throughput beyond the shares.
 MIN_UNSERVED_FRACTION = 0.25
-# What is remembered of an account's lead and of its debt, as multiples of its
-# bucket's capacity. The capacity is the share of half of the span over which
-# shares are assessed.
-REMEMBERED_CAPACITIES = 2.0
-# Fraction of its bucket that an account above its share keeps for requests
-# that come for the first time; callers that retry can't use it.
-CALLER_RETRY_RESERVE_FRACTION = 0.5
 # Bounds, initial value and relative steps of the estimated throughput of the
 # engines, as a multiple of the configured one. It is above 1 as long as
 # engines have part of the prompts in their KV caches, and limits nobody while
@@ -62,8 +56,6 @@
 # division, so that callers who move to another router are served before the
 # next fleet usage.
 MIN_ROUTER_FRACTION = 0.3
-# Maximum time for which a bucket is refilled at once.
-MAX_REFILL_S = 1.0
 
 
 class Grant(Enum):
@@ -106,146 +98,6 @@
     return float("inf")
 
 
-@dataclass(slots=True)
-class _TokenBucket:
-    """A token bucket of an account, or of the spare throughput.
-
-    Attributes
-    ----------
-    tokens : float
-        Negative after a request that was larger than what was left.
-    rate : float
-        Tokens a second.
-    capacity : float
-        Maximum of `tokens`.
-    refilled_at : float
-        Monotonic time in seconds.
-    fleet_admitted, own_reported : int
-        Tokens admitted as of the last fleet usage: by the whole fleet, and
-        by this router according to its last report.
-    uncharged : float
-        Use by other routers that is still to be subtracted. It is negative
-        while the two counters, which are of slightly different times, show
-        more use by this router than by the fleet.
-    is_above_share : bool
-        Whether the account asks for more than its share.
-    demand : float
-        Tokens a second that the account asks the whole fleet for.
-    fraction : float
-        This router's fraction of the account's requests.
-    own_used : float
-        Tokens admitted by this router since the last fleet usage.
-    threshold : float
-        Fraction of a request's size that has to be left of this router's part
-        for the request to be admitted. It is drawn anew with each fleet usage,
-        so that many routers with small parts together admit what is left
-        instead of one request each.
-    """
-
-    tokens: float = 0.0
-    rate: float = 0.0
-    capacity: float = 0.0
-    refilled_at: float = 0.0
-    fleet_admitted: int = 0
-    own_reported: int = 0
-    uncharged: float = 0.0
-    is_above_share: bool = False
-    demand: float = 0.0
-    fraction: float = 1.0
-    own_used: float = 0.0
-    threshold: float = 0.0
-
-    def compute_reserve(
-        self, is_caller_retry: bool, continues_stream: bool
-    ) -> float:
-        """Return the tokens that a request leaves to more urgent ones."""
-        if continues_stream:
-            return -self.capacity
-        if is_caller_retry:
-            return CALLER_RETRY_RESERVE_FRACTION * self.capacity
-        return 0.0
-
-    def covers(self, tokens: float, size: int) -> bool:
-        """Return whether this router's part of tokens admits a request.
-
-        Parameters
-        ----------
-        tokens : float
-            Tokens that all routers may still admit, after what this router
-            has admitted since the last fleet usage.
-        size : int
-            Tokens of the request.
-        """
-        part = self.fraction * (tokens + self.own_used) - self.own_used
-        return part > (1 - self.fraction) * self.threshold * size
-
-    def refill(self, now: float) -> None:
-        """Add the tokens since the last refill."""
-        elapsed_s = min(max(0.0, now - self.refilled_at), MAX_REFILL_S)
-        self.tokens = min(self.tokens + self.rate * elapsed_s, self.capacity)
-        self.refilled_at = now
-
-    def set_rate(self, rate: float, now: float) -> None:
-        """Refill, then set the rate of the spare throughput."""
-        self.refill(now)
-        self.rate = rate
-        self.capacity = rate * SPARE_BURST_S
-        self.tokens = max(self.tokens, -rate * MAX_SPARE_DEBT_S)
-
-    def assume_others(self) -> float:
-        """Subtract what other routers are assumed to have used meanwhile.
-
-        It isn't charged again once their use is known.
-
-        Returns
-        -------
-        float
-            The tokens that were subtracted.
-        """
-        used = self.own_used * (1 / self.fraction - 1)
-        self.tokens = max(
-            self.tokens - used, -REMEMBERED_CAPACITIES * self.capacity
-        )
-        self.uncharged -= used
-        self.own_used = 0.0
-        return used
-
-    def reset_counters(self, total: int, own: int) -> None:
-        """Continue from the counters of a new source of fleet usage."""
-        self.fleet_admitted = total
-        self.own_reported = own
-        self.uncharged = 0.0
-
-    def charge_others(self, total: int, own: int) -> float:
-        """Subtract what other routers have used since the last call.
-
-        Parameters
-        ----------
-        total : int
-            Tokens admitted by the whole fleet.
-        own : int
-            Tokens admitted by this router, as of its last report.
-
-        Returns
-        -------
-        float
-            The tokens that were subtracted.
-        """
-        charged = 0.0
-        if total >= self.fleet_admitted:
-            used = total - self.fleet_admitted - (own - self.own_reported)
-            self.uncharged += used
-            charged = max(0.0, self.uncharged)
-            self.uncharged = max(
-                self.uncharged - charged,
-                -REMEMBERED_CAPACITIES * self.capacity,
-            )
-            self.tokens -= charged
-        self.fleet_admitted = total
-        self.own_reported = own
-        return charged
-
-
 @dataclass(slots=True)
 class Shares:
     """Fair shares of accounts at one router, for all engine pools together.
@@ -281,14 +133,14 @@
     own_usage: dict[str, AccountUsage] = field(default_factory=dict)
     router_fraction: float = 1.0
     draw: Callable[[], float] = random.random
-    _buckets: dict[str, _TokenBucket] = field(default_factory=dict)
+    _buckets: dict[str, AccountBucket] = field(default_factory=dict)
     # Time, and tokens that each account has asked for and was refused.
     _samples: deque[tuple[float, dict[str, tuple[int, int]]]] = field(
         default_factory=deque
     )
     _reported_admitted: dict[str, int] = field(default_factory=dict)
     _order: ServiceOrder = field(default_factory=ServiceOrder)
-    _spare: _TokenBucket = field(default_factory=_TokenBucket)
+    _spare: TokenBucket = field(default_factory=TokenBucket)
     _source: str = ""
     # Until when the last division holds, as a monotonic time in seconds.
     _divided_until: float = float("-inf")
@@ -396,7 +248,9 @@
             return Grant.SPARE
         return None
 
-    def _is_ahead(self, account: str, bucket: _TokenBucket, size: int) -> bool:
+    def _is_ahead(
+        self, account: str, bucket: AccountBucket, size: int
+    ) -> bool:
         """Return whether others come first for what exceeds the shares."""
         if not self._order.has_rivals(account):
             return False
@@ -545,14 +399,14 @@
         if demand > self.throughput * self.factor:
             self.level = compute_level(demands, rate)
         self.router_fraction = self._compute_router_fraction(demand, routers)
-        self._spare.set_rate(rate * self.router_fraction, now)
+        self._set_spare_rate(rate * self.router_fraction, now)
         account_rate = min(self.level, rate)
         capacity = account_rate * self.window_s
         self._order.max_lead = REMEMBERED_CAPACITIES * capacity
         for name, use in accounts.items():
             bucket = self._buckets.get(name)
             if bucket is None:
-                bucket = _TokenBucket(
+                bucket = AccountBucket(
                     tokens=capacity, capacity=capacity, refilled_at=now
                 )
                 self._buckets[name] = bucket
@@ -565,6 +419,13 @@
                 name, use, routers
             )
 
+    def _set_spare_rate(self, rate: float, now: float) -> None:
+        self._spare.refill(now)
+        self._spare.rate = rate
+        self._spare.capacity = rate * SPARE_BURST_S
+        lowest = -rate * MAX_SPARE_DEBT_S
+        self._spare.tokens = max(self._spare.tokens, lowest)
+
     def _charge(
         self,
         accounts: Mapping[str, AccountUsage],
@@ -580,9 +441,7 @@
             bucket.refill(now)
             bucket.own_used = 0.0
             bucket.threshold = threshold
-            bucket.tokens = max(
-                bucket.tokens, -REMEMBERED_CAPACITIES * bucket.capacity
-            )
+            bucket.bound_debt()
             reported = self._reported_admitted.get(name, 0)
             if is_new_source:
                 bucket.reset_counters(use.admitted, reported)
--- a/hornbeamyard/tests/shared_pool.py
+++ b/hornbeamyard/tests/shared_pool.py
@@ -19,8 +19,6 @@
 
 STEP_S = 0.01
 USAGE_INTERVAL_S = 0.25
-# Time for which a fleet usage is on its way to the routers.
-USAGE_DELAY_S = 0.02
 # Span over which the service of accounts is compared, in seconds.
 SPAN_S = 6
 
