Ignore records of crashes without suspects when choosing who probes

What callers would see: a blocked request or prompt part is probed by two routers, or by none, and then stays blocked.

Cause: a record without suspects named the reporter of a crash where it came last, but was dropped where it came first, so routers chose different ones to probe. The order in which records arrive is chance.

Why it works: a record without suspects is no evidence about a suspect, so nothing is lost with it.

--- a/hornbeamyard/pool/crashes.py
+++ b/hornbeamyard/pool/crashes.py
@@ -93,8 +93,11 @@
     def add(self, other: Crash) -> set[str]:
         """Add what another record of the crash has; return what is new.
 
-        All routers keep the same reporter and positions.
+        All routers keep the same reporter and positions. A record without
+        suspects changes neither, as it isn't kept where it comes first.
         """
+        if not other.suspects:
+            return set()
         added = {
             suspect: position
             for suspect, position in other.suspects.items()
--- a/hornbeamyard/tests/test_crashes.py
+++ b/hornbeamyard/tests/test_crashes.py
@@ -146,6 +146,29 @@
         assert begun.count(True) == MAX_PROBES
 
 
+class TestReporter:
+    """Which router probes a blocked suspect."""
+
+    def test_record_without_suspects(self) -> None:
+        """Guards against routers that choose different ones to probe.
+
+        A record without suspects named the reporter where it came last, but
+        was dropped where it came first.
+        """
+        records = [
+            Crash(UpstreamStart("u2", 1), 2.0, "r1", {}),
+            *(
+                Crash(UpstreamStart(f"u{number}", 1), number, "r2", {"a": 0})
+                for number in range(3)
+            ),
+        ]
+        ledgers = [CrashLedger(), CrashLedger()]
+        ledgers[0].merge(records)
+        ledgers[1].merge(reversed(records))
+        assert ledgers[0].blocked == ledgers[1].blocked
+        assert ledgers[0].blocked["a"].probed_by == "r2"
+
+
 class TestWholeRequests:
     """A whole request is a suspect beside its parts, only narrower."""
 
