Log no work ahead where a rate limit leaves a router no requests

Where engines name a rate limit and the router has no part of it, that is infinite, and the error ended the process.

Ruled out: other figures of the state of shares, which are finite.

Test: test_rate_limit_without_a_part_for_this_router failed before.

--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 import zlib
 from collections.abc import Callable, Iterable
 from contextlib import AbstractContextManager
@@ -518,10 +519,12 @@
     def describe_load(self, now: float) -> dict[str, object]:
         """Return what the throughput is adapted to, for log lines."""
         waits = self._list_waits_ms(now)
+        # Infinite where a rate limit leaves this router no requests.
+        wait_ms = median(waits) if waits else math.inf
         return {
             "pool": self._pool,
             "engines": len(waits),
-            "wait_ms": round(median(waits)) if waits else None,
+            "wait_ms": round(wait_ms) if math.isfinite(wait_ms) else None,
             "token_ms": round(self.inter_token_latency.get(now), 1),
             "headroom": self.has_headroom(now),
             "overloaded": self.is_overloaded(now),
--- a/hornbeamyard/tests/test_balancer.py
+++ b/hornbeamyard/tests/test_balancer.py
@@ -20,7 +20,7 @@
 )
 from hornbeamyard.pool.demand import PromptPart, RequestDemand
 from hornbeamyard.pool.engine import Engine
-from hornbeamyard.pool.rate_limits import RateLimits
+from hornbeamyard.pool.rate_limits import RateLimiter, RateLimits
 from hornbeamyard.pool.shares import Grant, Shares
 from hornbeamyard.pool.targets import TargetMix
 from hornbeamyard.pool.upstream_registry import Upstream, UpstreamState
@@ -457,6 +457,21 @@
         assert balancer._shares.own_usage["a"].unserved == demand.size
 
 
+class TestDescription:
+    """The load of a pool in log lines."""
+
+    def test_rate_limit_without_a_part_for_this_router(self) -> None:
+        """Guards against a process that ends because of a log line.
+
+        Where engines limit their rate and the router has no part of it, the
+        work ahead of a request is infinite.
+        """
+        balancer = build_balancer(engines=2)
+        for server in balancer.servers.values():
+            server.limiter = RateLimiter(0.0, 0.0)
+        assert balancer.describe_load(0.0)["wait_ms"] is None
+
+
 class TestWaiting:
     """A request that can't be placed waits for a short time."""
 
