--- a/hornbeamyard/pool/shares.py
+++ b/hornbeamyard/pool/shares.py
@@ -7,7 +7,8 @@
 
 Throughput that accounts leave unused is divided between routers in proportion
 to what their callers ask for. If each router spent all of it, the engines
-would get bursts until the next fleet usage shows that it is spent.
+would get bursts until the next fleet usage shows that it is spent. What
+exceeds the shares goes to accounts in the order of `ServiceOrder`.
 """
 
 from __future__ import annotations
@@ -176,6 +177,7 @@
         }
 
     def _sample_usage(self, now: float) -> None:
+        """Record what accounts have asked for here and were refused."""
         sample = {
             name: (use.asked, use.unserved)
             for name, use in self.own_usage.items()
