Name the test of an account at one or two routers after what it checks

Its name said that calls aren't repeated, but callers of the simulation return once after a refusal; the postmortem said so as well. Checks and bounds are unchanged.

--- a/hornbeamyard/tests/test_fairness.py
+++ b/hornbeamyard/tests/test_fairness.py
@@ -84,10 +84,10 @@
     @pytest.mark.parametrize(
         ("routers", "narrow"), [(8, 1), (24, 2)], ids=["one", "two"]
     )
-    def test_calls_that_are_not_repeated(
+    def test_account_at_one_or_two_routers(
         self, routers: int, narrow: int
     ) -> None:
-        """Guards against the same with engines that give 1.7 times as much."""
+        """Guards against an account that is starved at a single router."""
         pool = SharedPool(routers, 6, THROUGHPUT, 1.7)
         callers = [
             Callers("wide", range(routers), 3.4 * THROUGHPUT, (2000, 6000)),
