--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -114,6 +114,8 @@
         self.folder.mkdir()
         self.process: asyncio.subprocess.Process | None = None
         self.first_start = True
+        # Seeds of its own, where a link in between is played by a proxy.
+        self.seeds: list[str] | None = None
         # Exits that this test hasn't asked for.
         self.unasked_exits: list[float] = []
         self._asked = False
@@ -150,7 +152,7 @@
             "nodeName": self.name,
             "ip": self.ip,
             "zone": ZONE,
-            "seeds": self.fleet.seeds,
+            "seeds": self.seeds or self.fleet.seeds,
             "internalPorts": [ports["internal"], ports["internal"] + 15],
             "firstStart": self.first_start,
             "faultTolerance": {
@@ -259,6 +261,7 @@
         controllers: int = 3,
         routers: int = 2,
         bounds: dict[str, Any] | None = None,
+        step: int = 1,
     ) -> None:
         self.record = record
         self.closing = False
@@ -269,7 +272,7 @@
         self.net = random.randrange(1, 250)
         self.ports = find_ports(f"127.0.{self.net}.1")
         self.controllers = [
-            Machine(self, f"core-{n + 1}", "core", n + 1)
+            Machine(self, f"core-{n + 1}", "core", (n + 1) * step)
             for n in range(controllers)
         ]
         self.routers = [
