--- a/review/lib/stand_ins.py
+++ b/review/lib/stand_ins.py
@@ -257,6 +257,8 @@
         self.fleet = fleet
         self.document = document
         self.version = 0
+        # Nodes that it picks from; all controllers unless they are named.
+        self.nodes: list[Machine] | None = None
 
     async def replace(self, timeout_s: float = 20.0) -> float | None:
         """Send the next version; return how long the answer took."""
@@ -264,7 +266,7 @@
         document = {"version": self.version} | self.document
         started_at = time.monotonic()
         pause_s = 0.05
-        for machine in itertools.cycle(self.fleet.controllers):
+        for machine in itertools.cycle(self.nodes or self.fleet.controllers):
             if time.monotonic() - started_at > timeout_s:
                 break
             answer = await call_json(
