Refuse patches with texts that can't be stored, and keep them from ending controllers

What operators would see: each controller of a fleet without a route directory ends when it applies the patch, and again each time it starts, as the patch is in the log by then.

Cause: Python's JSON parser accepts half of a surrogate pair, as bytes and as an escape. Findings name the keys of a patch, and a finding with such a key can't be put into the stored outcome.

Ruled out: values of the document, which findings only show with repr, and names, whose pattern allows ASCII only.

An entry that is in the log already gives a finding with escapes instead.

--- a/hornbeamyard/connection/server.py
+++ b/hornbeamyard/connection/server.py
@@ -13,8 +13,10 @@
 from ..messages import fleet_pb2, fleet_pb2_grpc
 from ..pool import constants
 from ..process.controller import Controller
+from ..process.documents import read_json
 from ..process.status import build_status
 from ..process.timers import Timers
+from ..process.validation import Finding
 from ..version.replica import NotLeader
 from ..version.state import dump_document
 from . import peers
@@ -136,6 +138,15 @@
     ) -> fleet_pb2.PatchResult:
         """Append a patch to the log."""
         await peers.check_identity(request.identity, self._fleet, context)
+        parsed = read_json(request.patch)
+        if isinstance(parsed, Err):
+            # What is in the log is applied by every controller, so a patch
+            # that can't be read never gets there.
+            return fleet_pb2.PatchResult(
+                outcome=fleet_pb2.INVALID,
+                version=self._controller.replica.state.version,
+                findings=[str(Finding("patch", parsed.err_value))],
+            )
         result = await self._controller.replica.submit_patch(request)
         if isinstance(result, Err):
             error = result.err_value
--- a/hornbeamyard/process/validation.py
+++ b/hornbeamyard/process/validation.py
@@ -212,6 +212,8 @@
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _HASH = re.compile(r"[0-9a-f]{64}")
+# Control characters, and halves of surrogate pairs, which have no encoding.
+_UNSENDABLE = re.compile("[\x00-\x1f\x7f\ud800-\udfff]")
 
 
 def check_name(value: Any) -> str | None:
@@ -231,6 +233,13 @@
     return "a text that is not empty"
 
 
+def check_text(value: Any) -> str | None:
+    """Accept non-empty texts that can be stored and sent in a header."""
+    if isinstance(value, str) and value and not _UNSENDABLE.search(value):
+        return None
+    return "a text without control characters that is not empty"
+
+
 def check_file_path(value: Any) -> str | None:
     """Accept a printable path, but not the pasted content of a file."""
     if isinstance(value, str) and value and value.isprintable():
--- /dev/null
+++ b/hornbeamyard/tests/test_outside_input.py
@@ -0,0 +1,39 @@
+"""Messages of programs that aren't upstreams don't harm the controllers."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from hornbeamyard.messages import fleet_pb2
+from hornbeamyard.version.state import FleetState
+
+
+class TestPatches:
+    """A patch with texts that can't be stored is refused."""
+
+    @pytest.mark.parametrize(
+        "patch",
+        [
+            [{"op": "add", "path": "/\ud800", "value": 1}],
+            [{"op": "add", "path": "/pools/\ud800", "value": {}}],
+            [{"op": "add", "path": "/pools/a", "value": {"\ud800": 1}}],
+            [{"op": "\ud800"}, {"op": "add", "path": "/pools/\ud800"}],
+        ],
+    )
+    def test_log_entry(self, patch: list[dict[str, Any]]) -> None:
+        """Guards against an entry that ends each controller that applies it.
+
+        It may be in the log already, from an older release.
+        """
+        request = fleet_pb2.PatchRequest(
+            patch_id="p1", patch=json.dumps(patch).encode()
+        )
+        state = FleetState()
+        entry = fleet_pb2.LogEntry(index=1, term=1, patch=request)
+        result = state.apply(entry)
+        assert isinstance(result, fleet_pb2.PatchResult)
+        assert result.outcome == fleet_pb2.INVALID
+        assert FleetState.from_snapshot(state.build_snapshot()).outcomes
--- a/hornbeamyard/version/state.py
+++ b/hornbeamyard/version/state.py
@@ -208,7 +208,9 @@
             return fleet_pb2.PatchResult(
                 outcome=fleet_pb2.INVALID,
                 version=self.version,
-                findings=[str(finding) for finding in patched.err_value],
+                findings=[
+                    _escape_text(str(finding)) for finding in patched.err_value
+                ],
             )
         self.document, self.configuration = patched.ok_value
         self.patches[self.version] = request.patch
@@ -312,6 +314,11 @@
     return Ok((patched, parsed.ok_value))
 
 
+def _escape_text(text: str) -> str:
+    """Return a text with escapes for what a message can't contain."""
+    return text.encode(errors="backslashreplace").decode()
+
+
 def dump_document(document: dict[str, Any]) -> bytes:
     """Return a configuration document as JSON."""
     return json.dumps(document, separators=(",", ":")).encode()
