Refuse configurations with texts that no request can be served with

Cause: the configuration was parsed from bytes, where Python's parser accepts what can't be encoded again, and the check of a text asked only that it isn't empty. The same holds for control characters, which no header may contain, and for limits of another type, which counted as missing where they were false.

Change: read_json parses the configuration; check_text is the check for all texts of a routing, in the platform's document and in the native one. Limits count as missing only when they are null.

--- a/hornbeamyard/platform/configuration.py
+++ b/hornbeamyard/platform/configuration.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from result import Err, Result
 
+from ..process.documents import read_json
 from ..process.validation import Finding
 from ..version.routing import Routing, parse_routing
 
@@ -56,10 +56,10 @@
 
     Fields that have no counterpart in a routing are ignored.
     """
-    try:
-        document = json.loads(data)
-    except ValueError as error:
-        return Err([Finding("", f"is not JSON: {error}")])
+    parsed = read_json(data)
+    if isinstance(parsed, Err):
+        return Err([Finding("", parsed.err_value)])
+    document = parsed.ok_value
     if not isinstance(document, dict):
         return Err([Finding("", "is not an object")])
     return parse_routing(_translate(document))
@@ -70,7 +70,9 @@
         "version": document.get("version"),
         "routes": _translate_list(document.get("routes"), _translate_route),
         "pools": _translate_list(document.get("services"), _translate_pool),
-        "limits": _translate_limits(document.get("limits") or {}),
+        "limits": _translate_limits(
+            {} if document.get("limits") is None else document["limits"]
+        ),
     }
     if document.get("tenants") is not None:
         translated["client_accounts"] = _translate_list(
--- a/hornbeamyard/tests/test_outside_input.py
+++ b/hornbeamyard/tests/test_outside_input.py
@@ -8,8 +8,43 @@
 import pytest
 
 from hornbeamyard.messages import fleet_pb2
+from hornbeamyard.platform.configuration import decode_configuration
 from hornbeamyard.version.state import FleetState
 
+from .test_platform import CONFIGURATION
+
+
+class TestConfiguration:
+    """A configuration with texts that can't be used is refused."""
+
+    @pytest.mark.parametrize(
+        "place",
+        [
+            b'"r-1"',
+            b'"a.example"',
+            b'"/x/"',
+            b'"s1"',
+            b'"/health"',
+            b'"t"',
+            b'"b"',
+        ],
+    )
+    @pytest.mark.parametrize(
+        "text", [b'"a\xed\xa0\x80"', b'"a\\ud800"', b'"a\\r\\nx: y"']
+    )
+    def test_refuses(self, place: bytes, text: bytes) -> None:
+        """Guards against acknowledging what no request can be served with."""
+        document = json.dumps(CONFIGURATION).encode()
+        assert decode_configuration(document).is_ok()
+        assert decode_configuration(document.replace(place, text)).is_err()
+
+    @pytest.mark.parametrize("limits", [b"[]", b"false", b"0", b'""'])
+    def test_limits_of_another_type(self, limits: bytes) -> None:
+        """Guards against ignoring limits that can't be read."""
+        document = {**CONFIGURATION, "limits": "LIMITS"}
+        data = json.dumps(document).encode().replace(b'"LIMITS"', limits)
+        assert decode_configuration(data).is_err()
+
 
 class TestPatches:
     """A patch with texts that can't be stored is refused."""
--- a/hornbeamyard/version/routing.py
+++ b/hornbeamyard/version/routing.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
@@ -16,6 +15,7 @@
 from result import Err, Ok, Result
 
 from ..process import validation
+from ..process.documents import read_json
 from ..process.validation import Finding, Option, Section
 
 # Priority of routes without one; 0 is the most urgent.
@@ -252,9 +252,9 @@
 )
 _ROUTE_SCHEMA = Section(
     {
-        "name": Option(validation.check_string, required=True),
-        "host": Option(validation.check_string, required=True),
-        "path_prefix": Option(validation.check_string, required=True),
+        "name": Option(validation.check_text, required=True),
+        "host": Option(validation.check_text, required=True),
+        "path_prefix": Option(validation.check_text, required=True),
         "repetition": Option(
             validation.check_choice(*(kind.value for kind in Repetition)),
             required=True,
@@ -272,14 +272,14 @@
 )
 _SHARE_SCHEMA = Section(
     {
-        "pool": Option(validation.check_string, required=True),
+        "pool": Option(validation.check_text, required=True),
         "weight": Option(validation.check_number(0, 1e12, "")),
     }
 )
 _POOL_SCHEMA = Section(
     {
-        "name": Option(validation.check_string, required=True),
-        "health_path": Option(validation.check_string),
+        "name": Option(validation.check_text, required=True),
+        "health_path": Option(validation.check_text),
         "connections": Option(validation.check_integer(0, 2**31)),
         "memory_tokens": Option(validation.check_integer(0, 2**63)),
         "slots": Option(validation.check_integer(0, 2**31)),
@@ -290,9 +290,9 @@
 )
 _ACCOUNT_SCHEMA = Section(
     {
-        "name": Option(validation.check_string, required=True),
+        "name": Option(validation.check_text, required=True),
         "keys": Option(
-            validation.check_list(validation.check_string),
+            validation.check_list(validation.check_text),
             required=True,
             secret=True,
         ),
@@ -303,11 +303,10 @@
 
 def decode_routing(data: bytes) -> Result[Routing, list[Finding]]:
     """Parse a routing document in the native JSON format."""
-    try:
-        document = json.loads(data)
-    except ValueError as error:
-        return Err([Finding("", f"is not JSON: {error}")])
-    return parse_routing(document)
+    document = read_json(data)
+    if isinstance(document, Err):
+        return Err([Finding("", document.err_value)])
+    return parse_routing(document.ok_value)
 
 
 def parse_routing(document: Any) -> Result[Routing, list[Finding]]:
