Bound the numbers that callers' headers may give

What callers would see: a prompt part of thousands of digits got 500; a token count of 20 digits was added to its account's demand, which the report to the leader then couldn't hold (uint64), so that the router's stream to the leader ended at each report from then on.

Cause: numbers were taken as they came. By runs on: read_request raises ValueError ("Exceeds the limit (4300 digits)") for a part of 5,000 digits, and UsageEncoder "Value out of range" for 10**20 tokens.

Ruled out: ids of events and time-outs of kept connections, whose patterns bound the digits; rates and Retry-After likewise.

Result: test_numbers_out_of_range failed before and passes.

--- a/hornbeamyard/request/headers.py
+++ b/hornbeamyard/request/headers.py
@@ -21,6 +21,12 @@
 # A number with an optional fraction. Dates are not used between router and
 # upstream.
 _DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+# Larger counts are taken for this one, which no engine's memory holds. Sums of
+# them fit into the messages between processes.
+MAX_TOKENS = 2**24
+_MAX_TOKEN_DIGITS = len(str(MAX_TOKENS))
+# Longest time that a caller can be said to wait: one day.
+MAX_DEADLINE_MS = 86_400_000.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -211,16 +217,21 @@
     def read_request(self, headers: Headers) -> RequestMetadata:
         """Return the metadata in a caller's headers.
 
-        Numbers and prompt parts that can't be parsed count as not given.
+        Numbers and prompt parts that can't be parsed count as not given, and
+        numbers beyond `MAX_TOKENS` or `MAX_DEADLINE_MS` as those.
         """
         names = self._names
         values = {name.lower(): value for name, value in headers}
         token_counts = _parse_numbers(values.get(names.token_counts))
-        expected_tokens = _parse_number(values.get(names.expected_tokens))
+        expected_tokens = _parse_number(
+            values.get(names.expected_tokens), MAX_TOKENS
+        )
         key = values.get(names.key)
         return RequestMetadata(
             request_id=values.get(names.request_id, b"").decode("latin-1"),
-            deadline_ms=_parse_number(values.get(names.deadline_ms)),
+            deadline_ms=_parse_number(
+                values.get(names.deadline_ms), MAX_DEADLINE_MS
+            ),
             key=(
                 key.removeprefix(names.key_prefix).decode("latin-1")
                 if key is not None
@@ -305,12 +316,12 @@
 )
 
 
-def _parse_number(value: bytes | None) -> float | None:
+def _parse_number(value: bytes | None, maximum: float) -> float | None:
     try:
         number = float(value or b"")
     except ValueError:
         return None
-    return number if 0 < number < float("inf") else None
+    return min(number, maximum) if 0 < number < float("inf") else None
 
 
 def _parse_retry_after(values: Iterable[bytes]) -> float:
@@ -326,15 +337,25 @@
 
 def _parse_numbers(value: bytes | None) -> list[int]:
     try:
-        return [max(0, int(part)) for part in (value or b"").split(b",")]
+        return [_parse_tokens(part) for part in (value or b"").split(b",")]
     except ValueError:
         return []
 
 
+def _parse_tokens(value: bytes) -> int:
+    # Python refuses to convert numbers of thousands of digits.
+    digits = value.strip().lstrip(b"0")
+    if len(digits) > _MAX_TOKEN_DIGITS and digits.isdigit():
+        return MAX_TOKENS
+    return min(max(0, int(value)), MAX_TOKENS)
+
+
 def _parse_parts(value: bytes) -> tuple[PromptPart, ...]:
     parts = []
     for entry in value.split(b","):
         id, _, tokens = entry.strip().partition(b":")
         if id and tokens.isdigit():
-            parts.append(PromptPart(id.decode("latin-1"), int(tokens)))
+            parts.append(
+                PromptPart(id.decode("latin-1"), _parse_tokens(tokens))
+            )
     return tuple(parts)
--- a/hornbeamyard/tests/test_platform.py
+++ b/hornbeamyard/tests/test_platform.py
@@ -16,7 +16,12 @@
 from hornbeamyard.pool.demand import PromptPart
 from hornbeamyard.pool.upstream_registry import Upstream, UpstreamState
 from hornbeamyard.process.interface import SubmissionResult
-from hornbeamyard.request.headers import ForwardingMetadata, HeaderCodec
+from hornbeamyard.request.headers import (
+    MAX_DEADLINE_MS,
+    MAX_TOKENS,
+    ForwardingMetadata,
+    HeaderCodec,
+)
 
 CONFIGURATION: dict[str, Any] = {
     "version": 12,
@@ -187,6 +192,25 @@
         assert metadata.prompt_tokens == 0
         assert metadata.parts == ()
 
+    def test_numbers_out_of_range(self) -> None:
+        """Guards against counts that no report to a controller holds."""
+        huge = b"9" * 5000
+        metadata = HeaderCodec(HEADER_NAMES).read_request(
+            [
+                (b"x-deadline-ms", b"1e300"),
+                (b"x-token-counts", b"%b,-7" % huge),
+                (b"x-length-hint", b"1e300"),
+                (b"x-prompt-prefix", b"p:%b,q:%d" % (huge, 10**12)),
+            ]
+        )
+        assert metadata.deadline_ms == MAX_DEADLINE_MS
+        assert (metadata.prompt_tokens, metadata.output_tokens) == (
+            MAX_TOKENS,
+            0,
+        )
+        assert metadata.expected_tokens == MAX_TOKENS
+        assert [part.tokens for part in metadata.parts] == [MAX_TOKENS] * 2
+
     def test_removes_router_only_headers(self) -> None:
         """Guards against callers that forge headers of the router."""
         forged = [
