Check announcements once, before they change anything

A heartbeat or farewell with a number that doesn't fit stayed in the registry and kept every router from attaching to that controller.

Cause: the adapter checked types only. What can't be encoded went into the registry first, and failed at whatever encoded it next: the announcement's own log and update (500), the stream of a router that attaches, or the file of versions, whose task only expects errors of the disk. One exception there ends all tasks of the process.

Control characters in an id or a zone would have gone into headers.

Change: check_announcement and check_start say what an announcement and a farewell may hold; the registrar asks them before it changes anything, for both interfaces, and the sender gets 400. Bodies are parsed by read_json. A farewell whose start time has another type is ignored like such a heartbeat: it is from another program, and removed the upstream of that id before. The test that expected its removal is replaced by one that expects that nothing changes.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import anyio
 import logbook
@@ -36,6 +36,7 @@
     decode_limits,
     encode_cached_parts,
     encode_crashes,
+    encode_each,
     encode_limits,
     encode_upstream,
     encode_versions,
@@ -199,8 +200,7 @@
         self._publish(ended)
 
     def _publish(self, changed: Iterable[Upstream]) -> None:
-        now = self._timers.now()
-        for upstream in changed:
+        for upstream, record in self._encode_upstreams(changed):
             _log.info(
                 "upstream id={} pool={} address={} state={} sequence={} "
                 "started_ms={} software_version={}",
@@ -212,12 +212,20 @@
                 upstream.started_ms,
                 upstream.software_version,
             )
-            record = encode_upstream(upstream, now)
             for subscriber in self._subscribers:
                 subscriber.pending_records[upstream.id] = record
                 subscriber.pending_renewals.pop(upstream.id, None)
                 subscriber.wake.set()
 
+    def _encode_upstreams(
+        self, upstreams: Iterable[Upstream]
+    ) -> Iterator[tuple[Upstream, fleet_pb2.UpstreamRecord]]:
+        """Yield upstreams with the messages for them."""
+        now = self._timers.now()
+        return encode_each(
+            upstreams, lambda upstream: encode_upstream(upstream, now)
+        )
+
     # ---- routing ---------------------------------------------------------
 
     async def submit_routing(
@@ -336,13 +344,15 @@
         """
         subscriber = Subscriber(name)
         now = self._timers.now()
-        for upstream in self.registry:
-            subscriber.pending_records[upstream.id] = encode_upstream(
-                upstream, now
-            )
-        for id, started_ms in self.registry.list_ended():
-            ended = _build_gone_upstream(id, started_ms)
-            subscriber.pending_records[id] = encode_upstream(ended, now)
+        known = [
+            *self.registry,
+            *(
+                _build_gone_upstream(id, started_ms)
+                for id, started_ms in self.registry.list_ended()
+            ),
+        ]
+        for upstream, record in self._encode_upstreams(known):
+            subscriber.pending_records[upstream.id] = record
         for observation in self.limits.list_all():
             [message] = encode_limits([observation], now)
             subscriber.pending_limits[observation.upstream] = message
--- a/hornbeamyard/connection/directory_codec.py
+++ b/hornbeamyard/connection/directory_codec.py
@@ -4,10 +4,12 @@
 
 import itertools
 import zlib
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
 from typing import Any, TypeVar
 
+import logbook
+
 from ..messages import fleet_pb2
 from ..pool.crashes import Crash
 from ..pool.rate_limits import RateObservation
@@ -20,11 +22,15 @@
 from ..pool.usage import AccountUsage, CachedPart, UpstreamLoad
 
 T = TypeVar("T")
+M = TypeVar("M")
 
 # Usages whose changes are kept for streams that weren't sent all of them. The
 # stream of a router that is slower than that is closed as silent.
 MAX_KEPT_CHANGES = 16
 
+# Largest sum of tokens that a message holds.
+MAX_TOKEN_SUM = 2**32 - 1
+
 UPSTREAM_STATES = {
     fleet_pb2.UpstreamRecord.READY: UpstreamState.READY,
     fleet_pb2.UpstreamRecord.DRAINING: UpstreamState.DRAINING,
@@ -32,6 +38,8 @@
 }
 _STATE_NUMBERS = {state: number for number, state in UPSTREAM_STATES.items()}
 
+_log = logbook.Logger("directory")
+
 
 def pack_document(document: bytes) -> bytes:
     """Compress a routing document for the log."""
@@ -60,6 +68,29 @@
     )
 
 
+def encode_each(
+    items: Iterable[T], encode: Callable[[T], M]
+) -> Iterator[tuple[T, M]]:
+    """Yield items with their messages, without those that have none.
+
+    One that can't be encoded must not keep the others from being sent.
+
+    Parameters
+    ----------
+    items : iterable
+    encode : callable
+        Returns the message for an item; raises `ValueError` or `TypeError`
+        for values that a message can't hold.
+    """
+    for item in items:
+        try:
+            message = encode(item)
+        except (ValueError, TypeError) as error:
+            _log.error("{!r} can't be encoded: {}", item, error)
+            continue
+        yield item, message
+
+
 def decode_upstream(record: Any, now: float) -> Upstream:
     """Return the upstream that a message describes."""
     return Upstream(
@@ -252,8 +283,8 @@
     return fleet_pb2.UpstreamUsage(
         id=id,
         running=load.running,
-        unread_tokens=load.prefill_tokens,
-        held_tokens=load.kv_tokens,
+        unread_tokens=min(load.prefill_tokens, MAX_TOKEN_SUM),
+        held_tokens=min(load.kv_tokens, MAX_TOKEN_SUM),
     )
 
 
@@ -281,22 +312,24 @@
     pools: Iterable[str] | None = None,
 ) -> list[Any]:
     """Return the messages for the recent versions of all or some pools."""
-    messages = []
-    for pool in registry.list_pools():
-        if pools is not None and pool not in pools:
-            continue
+
+    def encode(pool: str) -> Any:
         times = registry.list_version_times(pool)
-        messages.append(
-            fleet_pb2.PoolVersions(
-                pool=pool,
-                software_versions=times,
-                ages_ms=[
-                    max(0, int((now - seen_at) * 1000))
-                    for seen_at in times.values()
-                ],
-            )
+        return fleet_pb2.PoolVersions(
+            pool=pool,
+            software_versions=times,
+            ages_ms=[
+                max(0, int((now - seen_at) * 1000))
+                for seen_at in times.values()
+            ],
         )
-    return messages
+
+    selected = (
+        pool
+        for pool in registry.list_pools()
+        if pools is None or pool in pools
+    )
+    return [message for _, message in encode_each(selected, encode)]
 
 
 def record_versions(
--- a/hornbeamyard/platform/calls.py
+++ b/hornbeamyard/platform/calls.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 import logbook
+from result import Err
 
-from ..pool.upstream_registry import Upstream, UpstreamState
+from ..pool.upstream_registry import Upstream, UpstreamStart, UpstreamState
+from ..process.documents import read_json
 from ..process.interface import Application, ControllerApi
 from ..process.servers import build_json_app
 
@@ -35,10 +36,9 @@
                 controller, path.removeprefix(HEARTBEAT_PREFIX), body
             )
         if method == "POST" and path.startswith(DEREGISTER_PREFIX):
-            controller.withdraw(
-                path.removeprefix(DEREGISTER_PREFIX), _parse_start(body)
+            return _withdraw(
+                controller, path.removeprefix(DEREGISTER_PREFIX), body
             )
-            return 200, b"{}"
         return 404, b"{}"
 
     return build_json_app(handle)
@@ -53,15 +53,32 @@
     controller: ControllerApi, id: str, body: bytes
 ) -> tuple[int, bytes]:
     upstream = _parse_upstream(id, body)
-    if upstream is None:
+    findings = [] if upstream is None else controller.announce(upstream)
+    if upstream is None or findings:
         # Programs other than upstreams may also send heartbeats here.
         _log.info(
             "ignored a heartbeat without the valid fields of an upstream, "
-            "sent with the id {!r}",
+            "sent with the id {!r} findings={}",
             id[:80],
+            [str(finding) for finding in findings[:5]],
+        )
+        return 400, b"{}"
+    return 200, b"{}"
+
+
+def _withdraw(
+    controller: ControllerApi, id: str, body: bytes
+) -> tuple[int, bytes]:
+    start = _parse_start(id, body)
+    findings = [] if start is None else controller.withdraw(start)
+    if start is None or findings:
+        _log.info(
+            "ignored a deregistration that can't be read, sent with the id "
+            "{!r} findings={}",
+            id[:80],
+            [str(finding) for finding in findings[:5]],
         )
         return 400, b"{}"
-    controller.announce(upstream)
     return 200, b"{}"
 
 
@@ -74,7 +91,7 @@
     state = document.get("state")
     if not all(isinstance(text, str) and text for text in texts):
         return None
-    if not all(type(number) is int and number >= 0 for number in numbers):
+    if not all(type(number) is int for number in numbers):
         return None
     if not isinstance(state, str) or state not in _STATES:
         return None
@@ -104,16 +121,18 @@
     )
 
 
-def _parse_start(body: bytes) -> int:
-    """Return the start time of a leaving upstream in ms; 0 if not given."""
-    document = _parse_object(body) or {}
-    started_ms = document.get("born", 0)
-    return started_ms if type(started_ms) is int else 0
+def _parse_start(id: str, body: bytes) -> UpstreamStart | None:
+    """Return the start of a leaving upstream; its time is 0 if not given."""
+    if not body:
+        return UpstreamStart(id, 0)
+    document = _parse_object(body)
+    started_ms = None if document is None else document.get("born", 0)
+    return UpstreamStart(id, started_ms) if type(started_ms) is int else None
 
 
 def _parse_object(body: bytes) -> dict[str, Any] | None:
-    try:
-        document = json.loads(body)
-    except ValueError:
+    parsed = read_json(body)
+    if isinstance(parsed, Err):
         return None
+    document = parsed.ok_value
     return document if isinstance(document, dict) else None
--- a/hornbeamyard/pool/upstream_registry.py
+++ b/hornbeamyard/pool/upstream_registry.py
@@ -11,6 +11,9 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
+from ..process import validation
+from ..process.validation import Finding, check_text
+
 # Ended and lost upstreams are remembered for this long, so that a late
 # announcement doesn't bring an ended one back.
 ENDED_RETENTION_S = 120.0
@@ -18,6 +21,12 @@
 # announcement may come seconds late, and the upstream may have to find
 # another controller.
 MAX_MISSED_ANNOUNCEMENTS = 5
+# Largest numbers that messages between processes hold.
+MAX_SLOTS = 2**31 - 1
+MAX_SEQUENCE = 2**63 - 1
+# Size in bytes of all texts of an announcement. One message to a router may
+# contain the announcements of thousands of upstreams.
+MAX_TEXT_BYTES = 4096
 
 
 class UpstreamState(Enum):
@@ -95,6 +104,65 @@
         return UpstreamStart(self.id, self.started_ms)
 
 
+_check_sequence = validation.check_integer(0, MAX_SEQUENCE)
+
+
+def check_announcement(upstream: Upstream) -> list[Finding]:
+    """Return everything in an announcement that can't be stored or sent on.
+
+    Parameters
+    ----------
+    upstream : Upstream
+        Its fields have the right types.
+    """
+    texts = {
+        "pool": upstream.pool,
+        "availability_zone": upstream.availability_zone,
+        **{f"models.{n}": name for n, name in enumerate(upstream.models)},
+    }
+    if upstream.software_version:
+        texts["software_version"] = upstream.software_version
+    findings = check_start(upstream.start)
+    findings += _list_findings(
+        {
+            **{name: check_text(text) for name, text in texts.items()},
+            "address": validation.check_address(upstream.address),
+            "slots": validation.check_integer(0, MAX_SLOTS)(upstream.slots),
+            "sequence": _check_sequence(upstream.sequence),
+        }
+    )
+    if findings:
+        return findings
+    size = sum(len(text.encode()) for text in texts.values())
+    if size > MAX_TEXT_BYTES:
+        message = f"has {size} bytes of text; give at most {MAX_TEXT_BYTES}"
+        return [Finding("", message)]
+    return []
+
+
+def check_start(start: UpstreamStart) -> list[Finding]:
+    """Return everything in the name of a start that can't be stored."""
+    findings = _list_findings(
+        {
+            "id": check_text(start.id),
+            "started_ms": _check_sequence(start.started_ms),
+        }
+    )
+    if not findings and len(start.id.encode()) > MAX_TEXT_BYTES:
+        message = f"is not accepted; give at most {MAX_TEXT_BYTES} bytes"
+        return [Finding("id", message)]
+    return findings
+
+
+def _list_findings(expected: Mapping[str, str | None]) -> list[Finding]:
+    """Return findings on the fields for which something else is expected."""
+    return [
+        Finding(field_name, f"is not accepted; give {accepted}")
+        for field_name, accepted in expected.items()
+        if accepted is not None
+    ]
+
+
 @dataclass(slots=True)
 class _EndedUpstream:
     started_ms: int
--- a/hornbeamyard/process/controller_app.py
+++ b/hornbeamyard/process/controller_app.py
@@ -4,11 +4,20 @@
 
 import json
 
-from ..pool.upstream_registry import Upstream, UpstreamState
+from result import Err
+
+from ..pool.upstream_registry import (
+    MAX_SEQUENCE,
+    MAX_SLOTS,
+    Upstream,
+    UpstreamStart,
+    UpstreamState,
+)
 from . import validation
+from .documents import read_json
 from .interface import Application, ControllerApi
 from .servers import build_json_app
-from .validation import Option, Section
+from .validation import Finding, Option, Section
 
 ROUTING_PATH = "/hornbeamyard/v1/routing"
 UPSTREAMS_PREFIX = "/hornbeamyard/v1/upstreams/"
@@ -23,9 +32,11 @@
                 UpstreamState.READY.value, UpstreamState.DRAINING.value
             )
         ),
-        "slots": Option(validation.check_integer(1, 2**31), required=True),
-        "sequence": Option(validation.check_integer(0, 2**63), required=True),
-        "started_ms": Option(validation.check_integer(0, 2**63)),
+        "slots": Option(validation.check_integer(1, MAX_SLOTS), required=True),
+        "sequence": Option(
+            validation.check_integer(0, MAX_SEQUENCE), required=True
+        ),
+        "started_ms": Option(validation.check_integer(0, MAX_SEQUENCE)),
         "models": Option(validation.check_list(validation.check_string)),
         "software_version": Option(validation.check_string),
     }
@@ -59,8 +70,7 @@
             and upstream_id
             and method == "DELETE"
         ):
-            controller.withdraw(upstream_id, 0)
-            return 200, b"{}"
+            return _respond(controller.withdraw(UpstreamStart(upstream_id, 0)))
         return 404, b"{}"
 
     return build_json_app(handle)
@@ -69,15 +79,15 @@
 def _announce(
     controller: ControllerApi, upstream_id: str, body: bytes
 ) -> tuple[int, bytes]:
-    try:
-        document = json.loads(body)
-    except ValueError as error:
-        return 400, _encode_findings([f"document: is not JSON: {error}"])
+    parsed = read_json(body)
+    if isinstance(parsed, Err):
+        return _respond([Finding("", parsed.err_value)])
+    document = parsed.ok_value
     findings = validation.check_document(document, _ANNOUNCEMENT_SCHEMA)
     if findings:
-        return 400, _encode_findings([str(finding) for finding in findings])
+        return _respond(findings)
     state = document.get("state", UpstreamState.READY.value)
-    controller.announce(
+    findings = controller.announce(
         Upstream(
             upstream_id,
             document["pool"],
@@ -91,8 +101,12 @@
             document.get("software_version", ""),
         )
     )
-    return 200, b"{}"
+    return _respond(findings)
 
 
-def _encode_findings(findings: list[str]) -> bytes:
-    return json.dumps({"findings": findings}).encode()
+def _respond(findings: list[Finding]) -> tuple[int, bytes]:
+    """Return status and body of the response to an upstream."""
+    if not findings:
+        return 200, b"{}"
+    texts = [str(finding) for finding in findings]
+    return 400, json.dumps({"findings": texts}).encode()
--- a/hornbeamyard/process/crash_store.py
+++ b/hornbeamyard/process/crash_store.py
@@ -67,15 +67,18 @@
 
     async def _save(self) -> None:
         number = self._ledger.number
-        crashes = encode_crashes(
-            self._ledger.list_since(0), self._timers.now()
-        )
-        stored = fleet_pb2.StoredCrashes(
-            time_ms=int(self._timers.wall_ms()), crashes=crashes
-        )
         try:
+            crashes = encode_crashes(
+                self._ledger.list_since(0), self._timers.now()
+            )
+            stored = fleet_pb2.StoredCrashes(
+                time_ms=int(self._timers.wall_ms()), crashes=crashes
+            )
             await self._disk.replace(FILE_NAME, stored.SerializeToString())
         except OSError as error:
             _log.warning("the file of crashes can't be written: {}", error)
             return
+        except (ValueError, TypeError) as error:
+            # It would fail again, so only the next change is a new attempt.
+            _log.error("the crashes can't be encoded: {}", error)
         self._saved = number
--- a/hornbeamyard/process/interface.py
+++ b/hornbeamyard/process/interface.py
@@ -8,9 +8,10 @@
 from http import HTTPStatus
 from typing import Any, Protocol
 
-from ..pool.upstream_registry import Upstream
+from ..pool.upstream_registry import Upstream, UpstreamStart
 from ..request.headers import HeaderCodec
 from ..version.routing import RoutingDecoder, decode_routing
+from .validation import Finding
 
 Application = Callable[..., Awaitable[None]]
 Message = MutableMapping[str, Any]
@@ -61,18 +62,27 @@
     async def read_routing(self) -> bytes | None:
         """Return the newest routing document; None if it isn't confirmed."""
 
-    def announce(self, upstream: Upstream) -> None:
-        """Record the announcement of an upstream."""
+    def announce(self, upstream: Upstream) -> list[Finding]:
+        """Record the announcement of an upstream.
 
-    def withdraw(self, id: str, started_ms: int) -> None:
+        Returns
+        -------
+        list of Finding
+            Why it isn't recorded; empty if it is.
+        """
+
+    def withdraw(self, start: UpstreamStart) -> list[Finding]:
         """Remove an upstream that leaves.
 
         Parameters
         ----------
-        id : str
-        started_ms : int
-            Start time of the upstream in milliseconds since 1970; 0 if
-            unknown.
+        start : UpstreamStart
+            Its start time is 0 if it is unknown.
+
+        Returns
+        -------
+        list of Finding
+            Why the upstream isn't removed; empty if it is.
         """
 
 
--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -18,7 +18,13 @@
 from ..connection.directory_service import DirectoryService
 from ..connection.replication import ReplicationCalls, ReplicationService
 from ..messages import fleet_pb2, fleet_pb2_grpc
-from ..pool.upstream_registry import MAX_MISSED_ANNOUNCEMENTS, Upstream
+from ..pool.upstream_registry import (
+    MAX_MISSED_ANNOUNCEMENTS,
+    Upstream,
+    UpstreamStart,
+    check_announcement,
+    check_start,
+)
 from ..pool.usage import DEMAND_WINDOW_FRACTION
 from ..version.founding import Founder
 from ..version.journal import FolderDisk
@@ -30,6 +36,7 @@
 from .settings import Settings
 from .stream_store import StreamStore
 from .timers import Timers
+from .validation import Finding
 from .version_store import VersionStore
 
 _log = logbook.Logger("registrar")
@@ -210,10 +217,16 @@
             return None
         return unpack_document(copy.document)
 
-    def announce(self, upstream: Upstream) -> None:
-        """Record the announcement of an upstream."""
-        self.directory.announce(upstream)
-
-    def withdraw(self, id: str, started_ms: int) -> None:
-        """Remove an upstream that leaves."""
-        self.directory.withdraw(id, started_ms)
+    def announce(self, upstream: Upstream) -> list[Finding]:
+        """Record the announcement of an upstream; return why not, if so."""
+        findings = check_announcement(upstream)
+        if not findings:
+            self.directory.announce(upstream)
+        return findings
+
+    def withdraw(self, start: UpstreamStart) -> list[Finding]:
+        """Remove an upstream that leaves; return why not, if so."""
+        findings = check_start(start)
+        if not findings:
+            self.directory.withdraw(start.id, start.started_ms)
+        return findings
--- a/hornbeamyard/process/servers.py
+++ b/hornbeamyard/process/servers.py
@@ -18,6 +18,8 @@
 STATUS_KEEP_ALIVE_S = 75
 # Maximum body of a call to a controller; enough for thousands of routes.
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# Stands in a decoded path for bytes that aren't UTF-8.
+REPLACEMENT = "\N{REPLACEMENT CHARACTER}"
 
 
 class EmbeddedServer(uvicorn.Server):
@@ -90,7 +92,9 @@
         if body is None:
             return
         status, content = 413, b"{}"
-        if len(body) <= MAX_BODY_BYTES:
+        if REPLACEMENT in scope["path"]:
+            status = 400
+        elif len(body) <= MAX_BODY_BYTES:
             status, content = await handle(
                 scope["method"], scope["path"], body
             )
--- a/hornbeamyard/process/stream_store.py
+++ b/hornbeamyard/process/stream_store.py
@@ -99,12 +99,14 @@
 
     async def _save(self) -> None:
         number = self._origins.number
-        streams = self._origins.list_since(self._saved)
-        message = fleet_pb2.StoredStreams(
-            number=number, streams=group_by_origin(streams)
-        )
-        record = build_record(message.SerializeToString())
         name = FILE_NAMES[self._current]
+        try:
+            record = self._encode(number)
+        except (ValueError, TypeError) as error:
+            # It would fail again, so these streams are not written.
+            _log.error("streams can't be encoded: {}", error)
+            self._saved = number
+            return
         try:
             if self._needs_new_file:
                 await self._disk.replace(name, record)
@@ -118,3 +120,11 @@
             return
         self._needs_new_file = False
         self._saved = number
+
+    def _encode(self, number: int) -> bytes:
+        """Return the record of the streams that aren't on disk yet."""
+        streams = self._origins.list_since(self._saved)
+        message = fleet_pb2.StoredStreams(
+            number=number, streams=group_by_origin(streams)
+        )
+        return build_record(message.SerializeToString())
--- a/hornbeamyard/process/version_store.py
+++ b/hornbeamyard/process/version_store.py
@@ -76,11 +76,14 @@
 
     async def _save(self, now: float) -> None:
         number = self._registry.versions_number
-        pools = encode_versions(self._registry, now)
-        stored = fleet_pb2.StoredVersions(pools=pools)
         try:
+            pools = encode_versions(self._registry, now)
+            stored = fleet_pb2.StoredVersions(pools=pools)
             await self._disk.replace(FILE_NAME, stored.SerializeToString())
         except OSError as error:
             _log.warning("the file of versions can't be written: {}", error)
             return
+        except (ValueError, TypeError) as error:
+            # It would fail again, so only the next change is a new attempt.
+            _log.error("the versions can't be encoded: {}", error)
         self._saved = number
--- a/hornbeamyard/tests/test_platform.py
+++ b/hornbeamyard/tests/test_platform.py
@@ -14,8 +14,13 @@
 from hornbeamyard.platform.configuration import decode_configuration
 from hornbeamyard.platform.headers import HEADER_NAMES
 from hornbeamyard.pool.demand import PromptPart
-from hornbeamyard.pool.upstream_registry import Upstream, UpstreamState
+from hornbeamyard.pool.upstream_registry import (
+    Upstream,
+    UpstreamStart,
+    UpstreamState,
+)
 from hornbeamyard.process.interface import SubmissionResult
+from hornbeamyard.process.validation import Finding
 from hornbeamyard.request.headers import (
     MAX_DEADLINE_MS,
     MAX_TOKENS,
@@ -253,13 +258,15 @@
         """Return the prepared document."""
         return self.document
 
-    def announce(self, upstream: Upstream) -> None:
+    def announce(self, upstream: Upstream) -> list[Finding]:
         """Record an announcement."""
         self.announced.append(upstream)
+        return []
 
-    def withdraw(self, id: str, started_ms: int) -> None:
+    def withdraw(self, start: UpstreamStart) -> list[Finding]:
         """Record an upstream that leaves."""
-        self.withdrawn.append((id, started_ms))
+        self.withdrawn.append((start.id, start.started_ms))
+        return []
 
 
 def call(
@@ -365,9 +372,16 @@
         call(controller, "POST", "/Instances.Heartbeat/i-1", body)
         assert controller.announced == []
 
+    @pytest.mark.parametrize("body", [b'{"born": "x"}', b"\xff", b"[]"])
+    def test_ignores_unreadable_deregistration(self, body: bytes) -> None:
+        """Guards against an upstream that another program removes."""
+        controller = FakeController()
+        status, _ = call(controller, "POST", "/Instances.Deregister/i-1", body)
+        assert status == 400
+        assert controller.withdrawn == []
+
     @pytest.mark.parametrize(
-        ("body", "expected"),
-        [(b"", 0), (b'{"born": 12}', 12), (b'{"born": "x"}', 0)],
+        ("body", "expected"), [(b"", 0), (b"{}", 0), (b'{"born": 12}', 12)]
     )
     def test_deregister(self, body: bytes, expected: int) -> None:
         """Guards against a removal without id or start time."""
