Keep announcements of unknown pools from ending upstreams

What callers would see: another program's heartbeat names a service that no configuration has, at the address or under the id of an upstream. The upstream counted as ended, and its own announcements were ignored for two minutes.

Cause: the newest start at an address ends the one before it, whatever pool it names. The rule is for addresses that another service gets.

An address that a configured pool gets is still taken over, as the same test checks.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -174,11 +174,18 @@
 
     # ---- upstreams -------------------------------------------------------
 
-    def announce(self, upstream: Upstream) -> None:
-        """Record an upstream's announcement and send it to the routers."""
+    def announce(self, upstream: Upstream, may_replace: bool = True) -> None:
+        """Record an upstream's announcement and send it to the routers.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        may_replace : bool, optional
+            See `UpstreamRegistry.announce`.
+        """
         now = self._timers.now()
         upstream.last_seen_at = now
-        changed = self.registry.announce(upstream, now)
+        changed = self.registry.announce(upstream, now, may_replace)
         self._publish(changed)
         if not changed and self.registry.get(upstream.id) is not None:
             renewal = fleet_pb2.UpstreamRenewal(
--- a/hornbeamyard/pool/upstream_registry.py
+++ b/hornbeamyard/pool/upstream_registry.py
@@ -233,9 +233,20 @@
             seen_at, versions.get(software_version, float("-inf"))
         )
 
-    def announce(self, upstream: Upstream, now: float) -> list[Upstream]:
+    def announce(
+        self, upstream: Upstream, now: float, may_replace: bool = True
+    ) -> list[Upstream]:
         """Apply an announcement.
 
+        Parameters
+        ----------
+        upstream : Upstream
+        now : float
+            Monotonic time in seconds.
+        may_replace : bool, optional
+            Whether it may end another upstream at the same address, or move
+            this one to another pool. If not, it is ignored where it would.
+
         Returns
         -------
         list of Upstream
@@ -245,6 +256,11 @@
         if self._has_ended(upstream):
             return []
         known = self._upstreams.get(upstream.id)
+        if not may_replace:
+            owner = self._by_address.get(upstream.address, upstream.id)
+            is_moved = known is not None and known.pool != upstream.pool
+            if is_moved or owner != upstream.id:
+                return []
         if known is not None and _is_older(upstream, known):
             return []
         last = known or self._lost.get(upstream.id)
--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -9,7 +9,7 @@
 import anyio
 import anyio.abc
 import logbook
-from result import Err
+from result import Err, Ok
 
 from ..connection import peers
 from ..connection.directory import Directory
@@ -57,6 +57,8 @@
         "_crash_store",
         "_directory_calls",
         "_interface",
+        "_pools",
+        "_pools_version",
         "_replication_calls",
         "_settings",
         "_stream_store",
@@ -75,6 +77,9 @@
         assert settings.directory is not None
         self._directory_calls = DirectoryCalls(settings.tls)
         self._interface = interface
+        # Pools of the routing that was in force at the last announcement.
+        self._pools: frozenset[str] | None = None
+        self._pools_version = 0
         self._replication_calls = ReplicationCalls(settings.tls)
         self._settings = settings
         self._timers = timers
@@ -221,9 +226,25 @@
         """Record the announcement of an upstream; return why not, if so."""
         findings = check_announcement(upstream)
         if not findings:
-            self.directory.announce(upstream)
+            pools = self._list_pools()
+            # Programs that are no upstreams may name any pool and address.
+            may_replace = pools is None or upstream.pool in pools
+            self.directory.announce(upstream, may_replace)
         return findings
 
+    def _list_pools(self) -> frozenset[str] | None:
+        """Return the pools of the routing in force; None if there is none."""
+        routing = self.replica.state.routing
+        if routing.version != self._pools_version:
+            decoded = self._interface.decode(unpack_document(routing.document))
+            self._pools_version = routing.version
+            self._pools = (
+                frozenset(decoded.ok_value.pools)
+                if isinstance(decoded, Ok)
+                else None
+            )
+        return self._pools
+
     def withdraw(self, start: UpstreamStart) -> list[Finding]:
         """Remove an upstream that leaves; return why not, if so."""
         findings = check_start(start)
--- a/hornbeamyard/tests/test_outside_input.py
+++ b/hornbeamyard/tests/test_outside_input.py
@@ -32,6 +32,7 @@
 from hornbeamyard.version.state import FleetState
 
 from .test_directory import Fleet, run_fleet
+from .test_forwarding import DOCUMENT
 from .test_platform import CONFIGURATION, HEARTBEAT
 
 SURROGATE = "\ud800"
@@ -159,6 +160,36 @@
 
         run_fleet(tmp_path, test)
 
+    def test_service_that_is_not_configured(self, tmp_path: Path) -> None:
+        """Guards against an upstream that is ended by another program.
+
+        That program names a service that the routing doesn't have, at the
+        address or under the id of the upstream.
+        """
+
+        async def test(fleet: Fleet) -> None:
+            pools = [{"name": "app"}, {"name": "spare"}]
+            await fleet.submit(7, {**DOCUMENT, "pools": pools})
+            registrar = fleet.registrars[0]
+            await fleet.wait(lambda: registrar.replica.state.routing.version)
+            app = build_app(registrar)
+            heartbeat = {**HEARTBEAT, "service": "app"}
+            path = "/Instances.Heartbeat/"
+            for id, service in (("i-1", "app"), ("i-2", "x"), ("i-1", "x")):
+                heartbeat["sequence"] += 1
+                heartbeat["born"] += 1 if service == "x" else 0
+                body = json.dumps({**heartbeat, "service": service}).encode()
+                assert await post(app, path + id, body) == 200
+            [upstream] = registrar.directory.registry
+            assert (upstream.id, upstream.pool) == ("i-1", "app")
+            # The address is given to an upstream of another pool.
+            body = json.dumps({**heartbeat, "service": "spare"}).encode()
+            assert await post(app, f"{path}i-3", body) == 200
+            [upstream] = registrar.directory.registry
+            assert upstream.id == "i-3"
+
+        run_fleet(tmp_path, test)
+
 
 class TestConfiguration:
     """A configuration with texts that can't be used is refused."""
