Replace lost controllers within the time that the deployment gives

Cause: a member was exchanged 6 s after its last reply, counted anew by each leader, after an election of up to 4 s; the deployment counts a removed machine as lost only until its successor has had catchUpS, 4 s. Then two more may be lost, and three of five voters are gone.

Ruled out: lost entries; the voters that were left held the version.

Change: the new setting directory.catch_up_s bounds the repair, and election timeouts and the silence of a lost member are derived from it. A new leader knows from introductions how long each member has been silent. Steps of an exchange follow each other without waiting for a tick. A routing is acknowledged only while no exchange is due or in progress, for a bounded time.

Also mends a call of withdraw in test_directory that missed.

--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -29,6 +29,7 @@
 from ..version.founding import Founder
 from ..version.journal import FolderDisk
 from ..version.replica import Replica
+from ..version.timeouts import derive_timeouts
 from .crash_store import CrashStore
 from .interface import Interface, SubmissionResult
 from .metrics import Metrics, Sample
@@ -95,6 +96,7 @@
             self._replication_calls,
             timers,
             random.SystemRandom(),
+            timeouts=derive_timeouts(directory.catch_up_s),
             # A majority confirms reads and versions, and fleet usage sent
             # by a former leader does no harm.
             relies_on_leases=False,
--- a/hornbeamyard/process/settings.py
+++ b/hornbeamyard/process/settings.py
@@ -120,6 +120,9 @@
         controller with an empty data folder start a new log.
     tolerated_hosts : int
         Number of controllers that may lose their disks at the same time.
+    catch_up_s : float
+        Time after its start within which a controller that replaces another
+        one has to hold the state, in seconds.
     announcement_interval_s : float
         Time between two announcements of an upstream, in seconds.
     repeat_share : float
@@ -138,6 +141,7 @@
     peer_port: int = 0
     first_start: bool = False
     tolerated_hosts: int = 1
+    catch_up_s: float = 6.0
     announcement_interval_s: float = 1.0
     repeat_share: float = 0.1
     repeat_reserve: float = 5.0
@@ -250,6 +254,7 @@
                 "peer_port": Option(validation.check_integer(0, 65535)),
                 "first_start": Option(validation.check_boolean),
                 "tolerated_hosts": Option(validation.check_integer(0, 100)),
+                "catch_up_s": Option(validation.check_number(0.1, 3600, "s")),
                 "announcement_interval_s": Option(
                     validation.check_number(0.01, 3600, "s")
                 ),
--- a/hornbeamyard/tests/test_directory.py
+++ b/hornbeamyard/tests/test_directory.py
@@ -18,7 +18,11 @@
 from hornbeamyard.connection.directory import Directory
 from hornbeamyard.messages import fleet_pb2
 from hornbeamyard.pool.stream_origins import StreamOrigin
-from hornbeamyard.pool.upstream_registry import Upstream, UpstreamState
+from hornbeamyard.pool.upstream_registry import (
+    Upstream,
+    UpstreamStart,
+    UpstreamState,
+)
 from hornbeamyard.process.decisions import DecisionLog
 from hornbeamyard.process.directory_router import DirectoryRouter
 from hornbeamyard.process.interface import Interface
@@ -615,7 +619,7 @@
                 fleet.registrars[0].announce(upstreams[0])
                 await fleet.wait(router.is_ready)
                 began = await read_stream(fleet.router_address, "q1", 2)
-                fleet.registrars[0].withdraw("u0", 0)
+                fleet.registrars[0].withdraw(UpstreamStart("u0", 0))
                 fleet.registrars[1].announce(upstreams[1])
                 await anyio.sleep(0.6)
                 await restart_all(fleet, upstreams[1])
--- a/hornbeamyard/version/election.py
+++ b/hornbeamyard/version/election.py
@@ -16,10 +16,6 @@
 if TYPE_CHECKING:
     from .replica import Replica
 
-# A member that has heard from a leader within the minimum timeout refuses to
-# vote, so that no leader is elected while another one's lease holds.
-MIN_ELECTION_TIMEOUT_S = 2.5
-MAX_ELECTION_TIMEOUT_S = 4.0
 # Bounds of the random delay between two campaigns of one member.
 MIN_CAMPAIGN_DELAY_S = 0.2
 MAX_CAMPAIGN_DELAY_S = 1.5
@@ -263,7 +259,7 @@
         if self._replica.leadership is not None:
             return True
         silence = self._replica.timers.now() - self._last_contact_at
-        return silence < MIN_ELECTION_TIMEOUT_S
+        return silence < self._replica.timeouts.min_election_s
 
     async def _follow_leader(
         self, term: int, identity: fleet_pb2.Identity
@@ -371,8 +367,9 @@
         return self._rng.uniform(MIN_CAMPAIGN_DELAY_S, MAX_CAMPAIGN_DELAY_S)
 
     def _reset_timeout(self) -> None:
+        timeouts = self._replica.timeouts
         timeout = self._rng.uniform(
-            MIN_ELECTION_TIMEOUT_S, MAX_ELECTION_TIMEOUT_S
+            timeouts.min_election_s, timeouts.max_election_s
         )
         self._campaign_at = self._replica.timers.now() + timeout
 
--- a/hornbeamyard/version/founding.py
+++ b/hornbeamyard/version/founding.py
@@ -19,6 +19,7 @@
 
 from ..messages import fleet_pb2
 from ..process.timers import Timers
+from .membership import has_learners
 from .replica import Replica
 
 # Intervals between introductions before and after a leader is known.
@@ -32,9 +33,11 @@
 SEARCH_TIMEOUT_S = 5.0
 # More members than this would only make each write slower.
 MAX_INITIAL_MEMBERS = 7
-# A member that hasn't replied for this long is replaced, if another controller
-# is available. A restart or a short partition takes less.
-MEMBER_TIMEOUT_S = 6.0
+# Interval at which the leader looks for members that have to be replaced.
+REPAIR_INTERVAL_S = 0.2
+# A controller that couldn't be made a member isn't tried again for this long,
+# so that others have their turn.
+CANDIDATE_RETRY_S = 10.0
 # A controller can become a member if another one has seen it within this time.
 # One that isn't a member is removed after four times as long.
 CANDIDATE_TIMEOUT_S = 3.0
@@ -114,6 +117,11 @@
             if known.last_seen_at >= oldest
         ]
 
+    def get_last_seen(self, host: str) -> float | None:
+        """Return the monotonic time of a controller's last sign of life."""
+        known = self._known.get(host)
+        return None if known is None else known.last_seen_at
+
     def remove_lost(self, members: Mapping[str, str]) -> None:
         """Remove controllers that are gone and aren't members.
 
@@ -171,7 +179,7 @@
     ----------
     members : MemberList
     lost : set of str
-        Hosts of members that haven't replied for `MEMBER_TIMEOUT_S`.
+        Hosts of members that have been silent for too long.
     candidates : sequence of ControllerAddress
         Controllers that were seen recently.
     required_members : int
@@ -231,10 +239,12 @@
 
     __slots__ = (
         "_calls",
-        "_last_ack_at",
+        "_failed_at",
+        "_last_sign_at",
         "_replica",
         "_required_members",
         "_timers",
+        "_unsettled_since",
         "known_controllers",
         "own",
         "seeds",
@@ -253,11 +263,17 @@
         self._required_members = required_members
         self._replica = replica
         self._timers = timers
-        self._last_ack_at: dict[str, float] = {}
+        # Times at which candidates were given up as members.
+        self._failed_at: dict[str, float] = {}
+        # Last signs of life of the other members, while this one leads.
+        self._last_sign_at: dict[str, float] = {}
+        # Since when a change of members has been due or in progress.
+        self._unsettled_since: float | None = None
         self.own = own
         self.known_controllers = KnownControllers(timers)
         self.seeds = list(seeds)
         self.known_controllers.add_introduced(own)
+        replica.may_acknowledge = self.may_acknowledge
 
     def is_founded(self) -> bool:
         """Return whether this controller has a member list."""
@@ -285,12 +301,12 @@
         """Find controllers, found the cluster and repair it continuously."""
         started_at = self._timers.now()
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._repair_repeatedly)
             while True:
                 self.known_controllers.add_introduced(self.own)
                 for address in self._list_addresses():
                     tasks.start_soon(self._introduce, address)
                 if self.is_founded():
-                    await self._replace_lost_members()
                     await self._send_initial_members()
                 elif self._should_found(started_at):
                     await self._found()
@@ -408,35 +424,66 @@
 
     # ---- repair ----------------------------------------------------------
 
+    def may_acknowledge(self) -> bool:
+        """Return whether a change outlasts the tolerated losses by now.
+
+        It may not while a voter is silent that another controller could
+        replace, nor while a change of members is in progress: the voter may
+        be gone for good, and the tolerated losses then come on top of it. A
+        replacement that doesn't succeed holds up changes for as long as it
+        should have taken at most.
+        """
+        now = self._timers.now()
+        if not self._is_unsettled():
+            self._unsettled_since = None
+            return True
+        if self._unsettled_since is None:
+            self._unsettled_since = now
+        return (
+            now - self._unsettled_since > 2 * self._replica.timeouts.member_s
+        )
+
+    def _is_unsettled(self) -> bool:
+        leadership = self._replica.leadership
+        if leadership is None:
+            return False
+        members = self._replica.journal.members
+        return (
+            leadership.is_change_pending()
+            or has_learners(members)
+            or leadership.plan_step() is not None
+            or self._plan_change(self._replica.timeouts.member_s / 2)
+            is not None
+        )
+
+    async def _repair_repeatedly(self) -> None:
+        """Replace lost members whenever this controller leads."""
+        async for _ in self._timers.subscribe(REPAIR_INTERVAL_S):
+            if self.is_founded():
+                await self._replace_lost_members()
+
     async def _replace_lost_members(self) -> None:
         """Make the next change of members, if this controller leads."""
         replica = self._replica
-        leadership = replica.leadership
         members = replica.state.members
         self.known_controllers.remove_lost(
             {m.host: m.address for m in members.members}
         )
+        leadership = replica.leadership
         if leadership is None or not replica.is_leader():
-            self._last_ack_at = {}
+            self._last_sign_at = {}
+            self._unsettled_since = None
             return
+        self._record_signs()
+        # Also ends a wait that no submission asks about any more.
+        self.may_acknowledge()
         if leadership.is_change_pending():
             return
-        now = self._timers.now()
-        lost = set()
-        for host, peer in leadership.peers.items():
-            last_ack_at = self._last_ack_at.setdefault(host, now)
-            last_ack_at = max(last_ack_at, peer.acked_at)
-            self._last_ack_at[host] = last_ack_at
-            if now - last_ack_at >= MEMBER_TIMEOUT_S:
-                lost.add(host)
-        change = plan_member_change(
-            members,
-            lost,
-            self.known_controllers.list_recent(),
-            self._required_members,
-        )
+        change = self._plan_change(replica.timeouts.member_s)
         if change is None:
             return
+        if change.kind == fleet_pb2.MemberChange.REMOVE:
+            self._failed_at[change.host] = self._timers.now()
         kind = fleet_pb2.MemberChange.Kind.Name(change.kind)
         result = await replica.change_members(change)
         _log.info(
@@ -444,10 +491,52 @@
             kind,
             change.host,
             change.replacement,
-            sorted(lost),
+            sorted(self._list_silent(replica.timeouts.member_s)),
             result,
         )
 
+    def _plan_change(self, silence_s: float) -> fleet_pb2.MemberChange | None:
+        """Return the change that is due for members silent for so long."""
+        oldest = self._timers.now() - CANDIDATE_RETRY_S
+        candidates = [
+            controller
+            for controller in self.known_controllers.list_recent()
+            if self._failed_at.get(controller.host, oldest) <= oldest
+        ]
+        return plan_member_change(
+            self._replica.state.members,
+            self._list_silent(silence_s),
+            candidates,
+            self._required_members,
+        )
+
+    def _list_silent(self, silence_s: float) -> set[str]:
+        """Return the members that have been silent for so long."""
+        oldest = self._timers.now() - silence_s
+        return {
+            host
+            for host, last_sign_at in self._last_sign_at.items()
+            if last_sign_at <= oldest
+        }
+
+    def _record_signs(self) -> None:
+        """Record the last signs of life of the other members.
+
+        A member that hasn't replied to this leader yet may have been silent
+        for long before, which its introductions tell.
+        """
+        leadership = self._replica.leadership
+        if leadership is None:
+            return
+        now = self._timers.now()
+        signs: dict[str, float] = {}
+        for host, peer in leadership.peers.items():
+            last_seen_at = self.known_controllers.get_last_seen(host)
+            first = now if last_seen_at is None else min(now, last_seen_at)
+            last_sign_at = self._last_sign_at.get(host, first)
+            signs[host] = max(last_sign_at, peer.acked_at)
+        self._last_sign_at = signs
+
 
 def _build_address_key(address: str) -> tuple[list[int], int]:
     host, _, port = address.rpartition(":")
--- a/hornbeamyard/version/leadership.py
+++ b/hornbeamyard/version/leadership.py
@@ -93,6 +93,7 @@
     """
 
     __slots__ = (
+        "_check",
         "_has_proposed_key",
         "_replica",
         "ended",
@@ -102,6 +103,7 @@
     )
 
     def __init__(self, replica: Replica, term: int) -> None:
+        self._check = anyio.Event()
         self._has_proposed_key = False
         self._replica = replica
         self.term = term
@@ -117,7 +119,8 @@
             self._update_peers(tasks)
             while not self.ended.is_set():
                 with timers.limit(CHECK_INTERVAL_S):
-                    await self.ended.wait()
+                    await self._check.wait()
+                self._check = anyio.Event()
                 self._update_peers(tasks)
                 self._propose_member_step()
                 self._propose_digest_key()
@@ -126,6 +129,10 @@
                     self._replica.step_down("lost contact with a majority")
             tasks.cancel_scope.cancel()
 
+    def request_check(self) -> None:
+        """Check the members soon, as the next step of a change may be due."""
+        self._check.set()
+
     def get_lease_end(self) -> float:
         """Return the monotonic time at which the lease ends, in seconds."""
         replica = self._replica
@@ -143,6 +150,15 @@
         index = membership.find_majority(members, replies)
         return 0 if index == membership.NEVER else int(index)
 
+    def plan_step(self) -> fleet_pb2.MemberList | None:
+        """Return the next member list of a change in progress, if any."""
+        replica = self._replica
+        return membership.plan_step(
+            replica.state.members,
+            self._collect_matches(),
+            replica.state.last_index,
+        )
+
     def wake_peers(self) -> None:
         """Send new entries to the peers."""
         for peer in self.peers.values():
@@ -214,11 +230,7 @@
         replica = self._replica
         if self.ended.is_set() or self.is_change_pending():
             return
-        step = membership.plan_step(
-            replica.state.members,
-            self._collect_matches(),
-            replica.state.last_index,
-        )
+        step = self.plan_step()
         if step is not None:
             replica.propose(fleet_pb2.LogEntry(members=step))
 
@@ -284,7 +296,10 @@
             reply = await replica.calls.append(peer.address, request)
         if reply is None or not self._check_term(reply.term):
             return False
+        is_new_disk = reply.disk != peer.disk_id
         peer.record_disk(reply.disk, reply.initial)
+        if is_new_disk or membership.has_learners(journal.members):
+            self.request_check()
         if reply.accepted:
             peer.match_index = max(peer.match_index, reply.match_index)
             peer.next_index = peer.match_index + 1
--- a/hornbeamyard/version/membership.py
+++ b/hornbeamyard/version/membership.py
@@ -69,6 +69,11 @@
     return values[len(values) // 2]
 
 
+def has_learners(members: fleet_pb2.MemberList) -> bool:
+    """Return whether a member is still being added."""
+    return not all(member.voter for member in members.members)
+
+
 def describe_members(members: fleet_pb2.MemberList) -> str:
     """Return the hosts of all members as text, with learners marked."""
     return ", ".join(
--- a/hornbeamyard/version/replica.py
+++ b/hornbeamyard/version/replica.py
@@ -19,6 +19,7 @@
 from .journal import Disk, Journal, JournalError
 from .leadership import Leadership
 from .state import FleetState, Outcome
+from .timeouts import Timeouts
 
 # If no majority has confirmed an entry within this time, its outcome is
 # reported as unknown.
@@ -35,9 +36,13 @@
 RETAINED_ENTRIES_DIVISOR = 5
 # Time limit for the successor's log to catch up before a transfer.
 TRANSFER_TIMEOUT_S = 2.0
+# Time between checks of an entry that isn't held by enough voters yet.
+DURABILITY_INTERVAL_S = 0.02
 # Time between attempts to write to a disk that has failed.
 DISK_RETRY_S = 0.5
 
+DEFAULT_TIMEOUTS = Timeouts()
+
 T = TypeVar("T")
 
 _log = logbook.Logger("replica")
@@ -124,6 +129,7 @@
         simulations.
     snapshot_entries : int, optional
         Number of entries after which a snapshot is taken.
+    timeouts : Timeouts, optional
     relies_on_leases : bool, optional
         Whether a leader may act on its lease alone. If not, a majority
         confirms each submission and each read, and a restarted member takes
@@ -142,6 +148,9 @@
         Why this member neither votes nor leads; empty if there is no fault.
     jobs : JobQueue
         Runs all changes of the journal one at a time.
+    may_acknowledge : callable
+        Returns whether the members are in a state in which a routing that is
+        acknowledged now outlasts the tolerated losses.
     """
 
     def __init__(
@@ -153,6 +162,7 @@
         timers: Timers,
         rng: random.Random,
         snapshot_entries: int = SNAPSHOT_ENTRIES,
+        timeouts: Timeouts = DEFAULT_TIMEOUTS,
         relies_on_leases: bool = True,
     ) -> None:
         self.identity = identity
@@ -165,7 +175,9 @@
         )
         self.state = FleetState()
         self.fault = ""
+        self.timeouts = timeouts
         self.relies_on_leases = relies_on_leases
+        self.may_acknowledge: Callable[[], bool] = lambda: True
         self.jobs = JobQueue()
         self.leadership: Leadership | None = None
         self.leader_host = ""
@@ -235,10 +247,21 @@
     async def submit_routing(
         self, submission: fleet_pb2.RoutingSubmission
     ) -> Result[fleet_pb2.RoutingResult, ProposeError]:
-        """Append a validated routing to the log and return its outcome."""
-        return await self._submit(
-            fleet_pb2.LogEntry(routing=submission), fleet_pb2.RoutingResult
-        )
+        """Append a validated routing to the log and return its outcome.
+
+        The outcome is returned once the routing outlasts the tolerated
+        losses, which may take longer than a majority.
+        """
+        entry = fleet_pb2.LogEntry(routing=submission)
+        result: Result[fleet_pb2.RoutingResult, ProposeError] = Err(NoQuorum())
+        with self.timers.limit(PROPOSE_TIMEOUT_S):
+            result = await self._submit(entry, fleet_pb2.RoutingResult)
+            while result.is_ok() and not self.may_acknowledge():
+                if self.leadership is None:
+                    return Err(NoQuorum())
+                await self.timers.sleep(DURABILITY_INTERVAL_S)
+            return result
+        return Err(NoQuorum())
 
     async def confirm_state(self) -> Result[FleetState, ProposeError]:
         """Return the state once a majority has confirmed that it is current.
@@ -390,6 +413,7 @@
         self.leadership = None
         self.leader_host = ""
         leadership.ended.set()
+        leadership.request_check()
         for proposal in self._uncommitted.values():
             proposal.done.set()
         for proposal in self._pending:
@@ -504,6 +528,8 @@
             if entry.HasField("members"):
                 described = membership.describe_members(entry.members)
                 _log.info("members: {}", described)
+                if self.leadership is not None:
+                    self.leadership.request_check()
             proposal = self._uncommitted.pop(number, None)
             if proposal is not None:
                 proposal.result = Ok(outcome)
--- a/properties/simulation.py
+++ b/properties/simulation.py
@@ -229,7 +229,7 @@
             answered.set()
 
         async def handle() -> None:
-            handler = getattr(target.replica.election, method)
+            handler = self._find_handler(target, method)
             reply = await handler(type(request).FromString(data))
             if reply is None:
                 return
@@ -244,6 +244,9 @@
         await answered.wait()
         return replies[0]
 
+    def _find_handler(self, target: Host, method: str) -> Any:
+        return getattr(target.replica.election, method)
+
 
 class Host:
     """A host whose controller process starts, crashes and freezes.
@@ -295,7 +298,13 @@
         identity = fleet_pb2.Identity(
             fleet=FLEET, host=self.name, incarnation=self._starts
         )
-        self.replica = Replica(
+        self.replica = self._build_replica(identity)
+        self.is_running = True
+        self._scope = anyio.CancelScope()
+        tasks.start_soon(self._run, self.replica, self._scope)
+
+    def _build_replica(self, identity: fleet_pb2.Identity) -> Replica:
+        return Replica(
             identity,
             self.name,
             self.disk,
@@ -304,9 +313,6 @@
             random.Random(self._rng.getrandbits(64)),
             snapshot_entries=SNAPSHOT_ENTRIES,
         )
-        self.is_running = True
-        self._scope = anyio.CancelScope()
-        tasks.start_soon(self._run, self.replica, self._scope)
 
     async def _run(self, replica: Replica, scope: anyio.CancelScope) -> None:
         with scope:
