Acknowledge nothing that fewer than f + 1 controllers hold

Cause: after the time of search the log was founded with however few controllers were known, and a majority of fewer than 2f + 1 voters may be f disks.

Change: the log isn't founded with fewer than f + 1 controllers, and says so every 5 s. A routing is acknowledged once f + 1 voters hold it; changes of members need a majority as before, so that the others can be added.

Ruled out: requiring f + 1 for every entry; a log founded with f + 1 members could then add no other once one of these is gone.

--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -97,6 +97,7 @@
             timers,
             random.SystemRandom(),
             timeouts=derive_timeouts(directory.catch_up_s),
+            required_disks=directory.tolerated_hosts + 1,
             # A majority confirms reads and versions, and fleet usage sent
             # by a former leader does no harm.
             relies_on_leases=False,
--- a/hornbeamyard/version/founding.py
+++ b/hornbeamyard/version/founding.py
@@ -29,7 +29,8 @@
 # long. The hosts of a fleet start within a fraction of a second.
 SETTLING_TIME_S = 0.6
 # After this time the cluster is founded even if there are fewer controllers
-# than the tolerated losses require.
+# than the tolerated losses require, but never with fewer than those that have
+# to hold each change.
 SEARCH_TIMEOUT_S = 5.0
 # More members than this would only make each write slower.
 MAX_INITIAL_MEMBERS = 7
@@ -38,6 +39,8 @@
 # A controller that couldn't be made a member isn't tried again for this long,
 # so that others have their turn.
 CANDIDATE_RETRY_S = 10.0
+# A line is logged at this interval while too few controllers are known.
+SEARCH_LOG_INTERVAL_S = 5.0
 # A controller can become a member if another one has seen it within this time.
 # One that isn't a member is removed after four times as long.
 CANDIDATE_TIMEOUT_S = 3.0
@@ -241,6 +244,7 @@
         "_calls",
         "_failed_at",
         "_last_sign_at",
+        "_logged_at",
         "_replica",
         "_required_members",
         "_timers",
@@ -267,6 +271,7 @@
         self._failed_at: dict[str, float] = {}
         # Last signs of life of the other members, while this one leads.
         self._last_sign_at: dict[str, float] = {}
+        self._logged_at = timers.now()
         # Since when a change of members has been due or in progress.
         self._unsettled_since: float | None = None
         self.own = own
@@ -366,10 +371,32 @@
         now = self._timers.now()
         known = self.known_controllers.list_recent()
         if now - started_at >= SEARCH_TIMEOUT_S:
-            return True
+            if len(known) >= self._count_required_disks():
+                return True
+            self._log_shortage(known)
+            return False
         is_settled = now - self.known_controllers.changed_at >= SETTLING_TIME_S
         return is_settled and len(known) >= self._required_members
 
+    def _count_required_disks(self) -> int:
+        """Return the number of controllers that have to hold each change."""
+        return self._required_members // 2 + 1
+
+    def _log_shortage(
+        self, known: Sequence[fleet_pb2.ControllerAddress]
+    ) -> None:
+        now = self._timers.now()
+        if now - self._logged_at < SEARCH_LOG_INTERVAL_S:
+            return
+        self._logged_at = now
+        _log.warning(
+            "no configuration can be accepted yet: {} controllers are known "
+            "({}), and the tolerated losses need {}",
+            len(known),
+            ", ".join(sorted(c.host for c in known)),
+            self._count_required_disks(),
+        )
+
     async def _found(self) -> None:
         chosen = choose_initial_members(
             self.known_controllers.list_recent(), self._required_members
--- a/hornbeamyard/version/leadership.py
+++ b/hornbeamyard/version/leadership.py
@@ -150,6 +150,13 @@
         index = membership.find_majority(members, replies)
         return 0 if index == membership.NEVER else int(index)
 
+    def count_disks(self, index: int) -> int:
+        """Return the number of voters that hold an entry."""
+        replies = self._collect_matches()
+        return membership.count_voters(
+            self._replica.journal.members, replies, index
+        )
+
     def plan_step(self) -> fleet_pb2.MemberList | None:
         """Return the next member list of a change in progress, if any."""
         replica = self._replica
--- a/hornbeamyard/version/membership.py
+++ b/hornbeamyard/version/membership.py
@@ -69,6 +69,20 @@
     return values[len(values) // 2]
 
 
+def count_voters(
+    members: fleet_pb2.MemberList,
+    replies: Mapping[str, MemberReply],
+    value: float,
+) -> int:
+    """Return the number of voters that have reached a value."""
+    count = 0
+    for member in members.members:
+        reply = replies.get(member.host)
+        if member.voter and reply is not None and reply.value >= value:
+            count += is_member_disk(member, reply.disk_id, reply.initial)
+    return count
+
+
 def has_learners(members: fleet_pb2.MemberList) -> bool:
     """Return whether a member is still being added."""
     return not all(member.voter for member in members.members)
--- a/hornbeamyard/version/replica.py
+++ b/hornbeamyard/version/replica.py
@@ -130,6 +130,9 @@
     snapshot_entries : int, optional
         Number of entries after which a snapshot is taken.
     timeouts : Timeouts, optional
+    required_disks : int, optional
+        Number of voters that must hold a routing before it is acknowledged,
+        if that is more than a majority.
     relies_on_leases : bool, optional
         Whether a leader may act on its lease alone. If not, a majority
         confirms each submission and each read, and a restarted member takes
@@ -163,6 +166,7 @@
         rng: random.Random,
         snapshot_entries: int = SNAPSHOT_ENTRIES,
         timeouts: Timeouts = DEFAULT_TIMEOUTS,
+        required_disks: int = 1,
         relies_on_leases: bool = True,
     ) -> None:
         self.identity = identity
@@ -182,6 +186,7 @@
         self.leadership: Leadership | None = None
         self.leader_host = ""
         self.election = Election(self, rng)
+        self._required_disks = required_disks
         self._rng = rng
         self._changed = anyio.Event()
         self._pending: list[Proposal] = []
@@ -256,13 +261,21 @@
         result: Result[fleet_pb2.RoutingResult, ProposeError] = Err(NoQuorum())
         with self.timers.limit(PROPOSE_TIMEOUT_S):
             result = await self._submit(entry, fleet_pb2.RoutingResult)
-            while result.is_ok() and not self.may_acknowledge():
+            while result.is_ok() and not self._is_durable(entry):
                 if self.leadership is None:
                     return Err(NoQuorum())
                 await self.timers.sleep(DURABILITY_INTERVAL_S)
             return result
         return Err(NoQuorum())
 
+    def _is_durable(self, entry: fleet_pb2.LogEntry) -> bool:
+        """Return whether a committed entry may be acknowledged."""
+        leadership = self.leadership
+        if leadership is None:
+            return False
+        disks = leadership.count_disks(entry.index)
+        return disks >= self._required_disks and self.may_acknowledge()
+
     async def confirm_state(self) -> Result[FleetState, ProposeError]:
         """Return the state once a majority has confirmed that it is current.
 
--- a/properties/fleet_simulation.py
+++ b/properties/fleet_simulation.py
@@ -85,6 +85,7 @@
             self.timers,
             random.Random(self._rng.getrandbits(64)),
             timeouts=derive_timeouts(CATCH_UP_S),
+            required_disks=TOLERATED_HOSTS + 1,
             relies_on_leases=False,
         )
         own = fleet_pb2.ControllerAddress(
--- a/properties/test_replaced_controllers.py
+++ b/properties/test_replaced_controllers.py
@@ -154,3 +154,59 @@
             await fleet.check_recovery()
 
         run_fleet(seed, test)
+
+
+class TestFirstStart:
+    """Nothing is acknowledged that too few disks hold."""
+
+    @pytest.mark.parametrize("seed", range(8))
+    def test_split(self, seed: int) -> None:
+        """Guards against a log of a minority that loses what it accepted."""
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                fleet = SimulatedFleet(seed, tasks)
+                for number in range(5):
+                    fleet.start(f"c{number}", first_start=True)
+                fleet.cut(["c0", "c1"])
+                fleet.begin_submission()
+                await fleet.advance(7.1)
+                assert fleet.acknowledged == 0
+                fleet.heal()
+                await fleet.advance(CATCH_UP_S)
+                assert fleet.acknowledged == 1
+                await lose_two_disks(fleet)
+                await fleet.check_recovery()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+
+    @pytest.mark.parametrize("seed", range(8))
+    @pytest.mark.parametrize("killed_at", [0.05, 0.3, 0.9])
+    def test_two_killed(self, seed: int, killed_at: float) -> None:
+        """Guards against a change on two of three disks that are lost.
+
+        Two controllers are killed right after the first start and are back
+        later, each with what its disk had.
+        """
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                fleet = SimulatedFleet(seed, tasks)
+                for number in range(5):
+                    fleet.start(f"c{number}", first_start=True)
+                await fleet.advance(killed_at)
+                for name in ("c3", "c4"):
+                    fleet.controllers[name].crash()
+                fleet.begin_submission()
+                await fleet.advance(7.0)
+                assert fleet.acknowledged == 1
+                fleet.start("c3")
+                await fleet.advance(2.0)
+                fleet.start("c4")
+                await fleet.advance(CATCH_UP_S)
+                await lose_two_disks(fleet)
+                await fleet.check_recovery()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
