Count majorities of the voters where routers rely on controllers

Cause: routers take the only version of a pool for a stream's if a majority of the known controllers with a record of versions confirms it. Known are also former members, candidates and those that are gone; and a successor counted as uninformed for two minutes, as it had no way to learn what the others recorded.

Ruled out: forgetting those that are gone sooner; with three replacements in two minutes a majority of the voters would still be uninformed.

Change: controllers send the voters and the index of their log entry, and a router counts only these, for origins, for its readiness and for the fallback to the seeds. A controller without a record asks the other members, and counts as informed once a majority of the voters has told it.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -27,6 +27,7 @@
 from ..pool.usage import FleetUsage, RouterUsage, UsageTable
 from ..process.timers import Timers
 from ..version.founding import Founder
+from ..version.membership import find_addresses, is_majority, list_voters
 from ..version.replica import NotLeader, Replica
 from .directory_calls import DirectoryCalls
 from .directory_codec import (
@@ -54,6 +55,9 @@
 # Crashes and limits of upstreams are collected for this long before they are
 # sent. Dozens of routers report the same crash within it.
 NOTICE_INTERVAL_S = 0.05
+# Interval at which a controller without a record of the pools' software
+# versions asks the others.
+LEARN_INTERVAL_S = 0.25
 # A stream is closed after this long without a message.
 SILENCE_TIMEOUT_S = 3.0
 
@@ -89,7 +93,7 @@
     registry : UpstreamRegistry
     lacks_versions : bool
         Whether this controller has started without its record of the pools'
-        recent versions.
+        recent versions, and hasn't learned them from others yet.
     """
 
     __slots__ = (
@@ -146,10 +150,8 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._publish_versions)
             tasks.start_soon(self._publish_notices)
+            tasks.start_soon(self._learn_versions)
             async for now in self._timers.subscribe(USAGE_INTERVAL_S):
-                if now - self._started_at > ENDED_RETENTION_S:
-                    # Versions that ended before the start matter no more.
-                    self.lacks_versions = False
                 self.origins.expire(now)
                 self.crashes.expire(now)
                 self.limits.expire(now)
@@ -172,6 +174,46 @@
                     subscriber.fleet_usage_due = True
                     subscriber.wake.set()
 
+    # ---- software versions -----------------------------------------------
+
+    async def _learn_versions(self) -> None:
+        """Ask the other controllers, until this one has a record of versions.
+
+        What a majority of the voters knows includes each version that any
+        other majority could tell of.
+        """
+        async for now in self._timers.subscribe(LEARN_INTERVAL_S):
+            if now - self._started_at > ENDED_RETENTION_S:
+                # Versions that ended before the start matter no more.
+                self.lacks_versions = False
+            if not self.lacks_versions:
+                return
+            voters = list_voters(self._replica.journal.members)
+            informed = await self._ask_for_versions()
+            if is_majority(informed, voters):
+                _log.info("learned the versions of pools from {}", informed)
+                self.lacks_versions = False
+
+    async def _ask_for_versions(self) -> set[str]:
+        """Record the versions that others know; return the hosts of these."""
+        informed: set[str] = set()
+        request = fleet_pb2.StreamLookup(identity=self._replica.identity)
+
+        async def ask(host: str, address: str) -> None:
+            reply = await self._calls.find_stream(address, request)
+            if reply is None or reply.lacks_versions:
+                return
+            now = self._timers.now()
+            record_versions(self.registry, reply.recent_versions, now)
+            informed.add(host)
+
+        addresses = find_addresses(self._replica.journal.members)
+        addresses.pop(self._replica.host, None)
+        async with anyio.create_task_group() as tasks:
+            for host, address in addresses.items():
+                tasks.start_soon(ask, host, address)
+        return informed
+
     # ---- upstreams -------------------------------------------------------
 
     def announce(self, upstream: Upstream, may_replace: bool = True) -> None:
@@ -474,7 +516,7 @@
         """Return where a stream began, and what else it may have begun at."""
         reply = fleet_pb2.StreamOrigin(
             recent_versions=encode_versions(
-                self.registry, self._timers.now(), request.pools
+                self.registry, self._timers.now(), request.pools or None
             ),
             lacks_versions=self.lacks_versions,
         )
@@ -515,6 +557,11 @@
         if addresses != subscriber.controllers_sent:
             update.controllers.extend(controllers)
             subscriber.controllers_sent = addresses
+        journal = self._replica.journal
+        if journal.members_index != subscriber.voters_sent:
+            update.voters.extend(list_voters(journal.members))
+            update.voters_index = journal.members_index
+            subscriber.voters_sent = journal.members_index
         update.crashes.extend(
             encode_crashes(
                 self.crashes.list_since(subscriber.crashes_sent),
--- a/hornbeamyard/connection/subscriber.py
+++ b/hornbeamyard/connection/subscriber.py
@@ -40,6 +40,8 @@
         Number of the last fleet usage sent.
     version_sent : int
         Last routing version sent.
+    voters_sent : int
+        Index of the log entry with the voters that were sent last.
     wake : anyio.Event
         Set when there is something to send.
     """
@@ -58,6 +60,7 @@
         "usage_decoder",
         "usage_sent",
         "version_sent",
+        "voters_sent",
         "wake",
     )
 
@@ -75,4 +78,5 @@
         self.usage_sent = 0
         self.fleet_usage_due = False
         self.version_sent = -1
+        self.voters_sent = 0
         self.wake = anyio.Event()
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -22,6 +22,7 @@
 )
 from ..pool.usage import FleetUsage, RouterUsage
 from ..process.timers import Timers
+from ..version.membership import is_majority
 from . import peers
 from .crash_reports import CrashReports
 from .directory import (
@@ -111,6 +112,8 @@
         "_on_routing",
         "_on_upstreams",
         "_timers",
+        "_voters",
+        "_voters_index",
         "attached_routers",
         "registry",
         "seeds",
@@ -150,6 +153,11 @@
         self._on_fleet_usage = on_fleet_usage
         self._on_upstreams = on_upstreams
         self._timers = timers
+        # Hosts of the voters of the controllers' log, and the index of the
+        # entry that made them the voters. A former member may not know the
+        # newest ones.
+        self._voters: frozenset[str] = frozenset()
+        self._voters_index = 0
         self._fetch_needed = anyio.Event()
         self.attached_routers = 0
         self.registry = UpstreamRegistry()
@@ -176,8 +184,8 @@
         return changed
 
     def knows_majority(self) -> bool:
-        """Return whether a majority of controllers has sent its version."""
-        return 2 * len(self.versions) > len(self._controllers) > 0
+        """Return whether a majority of the voters has sent its version."""
+        return self._are_majority(self.versions)
 
     async def find_origin(
         self, pools: Iterable[str], request_id: str
@@ -214,7 +222,7 @@
         self, request: fleet_pb2.StreamLookup
     ) -> StreamOrigin | None:
         """Ask the attached controllers until a majority has settled it."""
-        replies: list[fleet_pb2.StreamOrigin] = []
+        replies: dict[str, fleet_pb2.StreamOrigin] = {}
 
         async def ask(address: str, scope: anyio.CancelScope) -> None:
             reply = await self._calls.find_stream(address, request)
@@ -223,7 +231,7 @@
             record_versions(
                 self.registry, reply.recent_versions, self._timers.now()
             )
-            replies.append(reply)
+            replies[address] = reply
             if self._are_majority(replies) and self._choose_origin(
                 request.pools, replies
             ):
@@ -235,23 +243,32 @@
         return self._choose_origin(request.pools, replies)
 
     def _choose_origin(
-        self, pools: Iterable[str], replies: list[fleet_pb2.StreamOrigin]
+        self, pools: Iterable[str], replies: dict[str, fleet_pb2.StreamOrigin]
     ) -> StreamOrigin | None:
         """Return where a stream began, if replies of controllers tell.
 
+        Parameters
+        ----------
+        pools : iterable of str
+            Pools of its route.
+        replies : dict of str to StreamOrigin
+            Replies by the controllers' addresses.
+
+        Notes
+        -----
         Without a record of it, it is the only version that its pools have had
         recently. This router's own view doesn't suffice for that, as it may
         be out of date without a sign of it.
         """
         choices = {
             StreamOrigin(reply.pool, reply.software_version)
-            for reply in replies
+            for reply in replies.values()
             if reply.found
         }
         if not choices:
             informed = [
-                reply
-                for reply in replies
+                address
+                for address, reply in replies.items()
                 if reply.recent_versions and not reply.lacks_versions
             ]
             if not self._are_majority(informed):
@@ -263,8 +280,10 @@
             }
         return choices.pop() if len(choices) == 1 else None
 
-    def _are_majority(self, replies: list[fleet_pb2.StreamOrigin]) -> bool:
-        return 2 * len(replies) > len(self._controllers) > 0
+    def _are_majority(self, addresses: Iterable[str]) -> bool:
+        """Return whether controllers are a majority of the voters."""
+        hosts = [self._controllers.get(address, "") for address in addresses]
+        return is_majority(hosts, self._voters or self._controllers.values())
 
     async def run(self) -> None:
         """Keep a stream to each controller until cancelled."""
@@ -273,7 +292,7 @@
             tasks.start_soon(self._fetch_repeatedly)
             while True:
                 addresses = set(self._controllers)
-                if len(self.versions) * 2 <= len(addresses):
+                if not self.knows_majority():
                     # Without a majority the known list may be out of date.
                     addresses.update(self.seeds)
                 for address in addresses - running:
@@ -438,6 +457,9 @@
         )
         if update.controllers:
             self._controllers = {c.address: c.host for c in update.controllers}
+        if update.voters_index > self._voters_index:
+            self._voters = frozenset(update.voters)
+            self._voters_index = update.voters_index
         if update.leader:
             self._leader = update.leader
         leads = self._controllers.get(address, "") == self._leader
--- a/hornbeamyard/tests/test_directory.py
+++ b/hornbeamyard/tests/test_directory.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -15,7 +16,7 @@
 import httpcore
 import pytest
 
-from hornbeamyard.connection.directory import Directory
+from hornbeamyard.connection.directory import LEARN_INTERVAL_S, Directory
 from hornbeamyard.messages import fleet_pb2
 from hornbeamyard.pool.stream_origins import StreamOrigin
 from hornbeamyard.pool.upstream_registry import (
@@ -174,6 +175,15 @@
     anyio.run(main)
 
 
+def list_voters(fleet: Fleet) -> set[str]:
+    """Return the hosts of the voters that the leader knows."""
+    leader = fleet.find_leader()
+    if leader is None:
+        return set()
+    members = leader.replica.state.members.members
+    return {member.host for member in members if member.voter}
+
+
 class TestFounding:
     """Controllers find each other through the seeds."""
 
@@ -591,6 +601,42 @@
 
         run_fleet(tmp_path, test)
 
+    def test_controllers_are_replaced(self, tmp_path: Path) -> None:
+        """Guards against streams that nobody can tell the origin of.
+
+        All controllers but one are replaced within seconds, so that a majority
+        has started without a record of versions.
+        """
+
+        async def test(fleet: Fleet) -> None:
+            await fleet.submit(7)
+            upstream = build_upstream("u1", 9, "app")
+            upstream.software_version = "v1"
+            fleet.start_router()
+            router = fleet.router
+            assert router is not None
+            fleet.registrars[0].announce(upstream)
+            await fleet.wait(router.is_ready)
+            # A seed is left.
+            for number in (2, 1):
+                fleet.stops[number].set()
+                del fleet.registrars[number]
+                await anyio.sleep(0.5)
+                fleet.peers.append(find_free_address())
+                successor = len(fleet.peers) - 1
+                fleet.start_controller(successor, first_start=False)
+                await fleet.wait(
+                    lambda host=f"c{successor}": host in list_voters(fleet)
+                )
+                await anyio.sleep(2 * LEARN_INTERVAL_S + 0.5)
+            subscription = router.subscription
+            await fleet.wait(lambda: len(subscription.versions) == 3)
+            fleet.registrars[0].announce(replace(upstream, sequence=2))
+            origin = await subscription.find_origin(["app"], "unknown")
+            assert origin == StreamOrigin("app", "v1")
+
+        run_fleet(tmp_path, test)
+
     @pytest.mark.parametrize("replaced", [True, False])
     def test_all_processes_restart(
         self, tmp_path: Path, replaced: bool
--- a/hornbeamyard/tests/test_stream_reports.py
+++ b/hornbeamyard/tests/test_stream_reports.py
@@ -10,6 +10,7 @@
 import grpc.aio
 import pytest
 
+from hornbeamyard.connection.directory_codec import UsageDecoder
 from hornbeamyard.connection.stream_reports import StreamReports
 from hornbeamyard.messages import fleet_pb2
 from hornbeamyard.pool import stream_origins
@@ -354,3 +355,51 @@
         """
         calls = FakeCalls({}, ("v1",), lacking, down=())
         assert self.find(calls, ("v1",), 3, "unknown") == expected
+
+    @pytest.mark.parametrize(
+        ("voters", "lacking", "expected"),
+        [
+            (("c1", "c2", "c3"), (), "v1"),
+            (("c1", "c2", "c3"), ("c3",), "v1"),
+            # c4 and c5 are informed, but don't vote.
+            (("c1", "c2", "c3"), ("c2", "c3"), None),
+            (("c0", "c1", "c6"), (), None),
+        ],
+    )
+    def test_former_members_do_not_count(
+        self,
+        voters: tuple[str, ...],
+        lacking: tuple[str, ...],
+        expected: str | None,
+    ) -> None:
+        """Guards against a majority of controllers that come and go.
+
+        c0 and c6 are gone, which the others still know.
+        """
+
+        async def main() -> StreamOrigin | None:
+            router, _, _ = build_router()
+            subscription = router.subscription
+            calls = FakeCalls({}, ("v1",), lacking, down=("c0", "c6"))
+            subscription._calls = calls  # type: ignore[assignment]
+            hosts = [f"c{n}" for n in range(7)]
+            update = fleet_pb2.DirectoryUpdate(
+                controllers=[
+                    fleet_pb2.ControllerAddress(host=h, address=h)
+                    for h in hosts
+                ],
+                voters=voters,
+                voters_index=9,
+            )
+            subscription._apply_update("c1", update, UsageDecoder())
+            # One that was cut off tells of earlier voters.
+            update.voters[:], update.voters_index = hosts[:5], 4
+            subscription._apply_update("c5", update, UsageDecoder())
+            subscription.versions = dict.fromkeys(hosts[1:6], 1)
+            announce(subscription.registry, "u1", "v1")
+            knows_majority = len({*voters} - {"c0", "c6"}) > 1
+            assert subscription.knows_majority() is knows_majority
+            return await subscription.find_origin(["app"], "unknown")
+
+        found = anyio.run(main)
+        assert found == (expected and StreamOrigin("app", expected))
--- a/hornbeamyard/version/membership.py
+++ b/hornbeamyard/version/membership.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 from ..messages import fleet_pb2
@@ -69,6 +69,20 @@
     return values[len(values) // 2]
 
 
+def list_voters(members: fleet_pb2.MemberList) -> list[str]:
+    """Return the hosts of the voters."""
+    return sorted({m.host for m in members.members if m.voter})
+
+
+def is_majority(hosts: Collection[str], voters: Collection[str]) -> bool:
+    """Return whether hosts include a majority of the voters.
+
+    Controllers that are known but don't vote, such as former members and
+    candidates, don't count: they come and go without the others' consent.
+    """
+    return 2 * len(set(hosts) & set(voters)) > len(voters) > 0
+
+
 def count_voters(
     members: fleet_pb2.MemberList,
     replies: Mapping[str, MemberReply],
