Test responses that are cut at any byte and closed in order

A report from another operator: a worker stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole. It can't happen here: a response begins for its caller only when its head is complete, and the end of a connection completes only responses whose head says so.

--- a/properties/test_client.py
+++ b/properties/test_client.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import Any
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -98,3 +99,61 @@
             assert not connection.is_idle()
 
     asyncio.run(feed())
+
+
+HEAD_FIELDS = (
+    b"x-request: q1\r\nx-seal: s\r\n",
+    b"content-type: text/event-stream\r\n",
+)
+RESPONSES = [
+    b"HTTP/1.1 200 OK\r\n%bcontent-length: 6\r\n\r\nabcdef",
+    b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n%b\r\n",
+    b"HTTP/1.1 200 OK\r\n%btransfer-encoding: chunked\r\n\r\n"
+    b"3\r\nabc\r\n3\r\ndef\r\n0\r\n\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+    b"content-length: 6\r\n%b\r\nabcdef",
+    b"HTTP/1.1 204 No Content\r\n%b\r\n",
+    # Ends with its connection, so only its head can be seen to be cut.
+    b"HTTP/1.1 200 OK\r\nconnection: close\r\n%b\r\n",
+]
+
+
+@pytest.mark.parametrize("response", RESPONSES)
+@pytest.mark.parametrize("fields", HEAD_FIELDS)
+@pytest.mark.parametrize("is_reused", [False, True])
+@pytest.mark.parametrize("line_end", [b"\r\n", b"\n"])
+def test_response_cut_anywhere(
+    response: bytes, fields: bytes, is_reused: bool, line_end: bytes
+) -> None:
+    """Guards against a response that breaks off and is taken for whole.
+
+    An upstream stops at any byte, also in its head, and closes its connection
+    in order. The connection may have carried another response before.
+    """
+    data = (response % fields).replace(b"\r\n", line_end)
+    earlier = b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc"
+
+    async def receive(connection: Connection, data: bytes) -> None:
+        task = asyncio.ensure_future(
+            connection.request("GET", b"/", [(b"host", b"x")], b"")
+        )
+        await asyncio.sleep(0)
+        if data:
+            connection.data_received(data)
+        if data is not earlier:
+            connection.eof_received()
+            connection.connection_lost(None)
+        response = await task
+        async for _ in response.iter_chunks():
+            pass
+
+    async def check(cut: int) -> None:
+        connection = Connection(1.0)
+        connection.connection_made(FakeTransport())
+        if is_reused:
+            await receive(connection, earlier)
+        with pytest.raises(BrokenConnectionError):
+            await receive(connection, data[:cut])
+
+    for cut in range(len(data)):
+        asyncio.run(check(cut))
