Answer what a stopping router can't finish, and send nothing late

Here the router accepted requests for 2.5 s, whatever the drain time, and those that waited, or whose attempt had failed, were sent to upstreams until the end. What was in progress then got 500 from the server, or a closed connection.

Cause: the drain bounded only how long the server waits for its tasks; neither the queue of a pool nor the deadlines of requests knew of it.

Change: requests that come while the router closes have the end of the drain as their deadline, and so have waiting ones, so that one which can't end in time is refused at once. In the second half of the drain waiting requests are refused (not run, Retry-After) and none is sent any more. Shortly before the end, what is in progress is answered: 504 if it was sent, 503 if not. With a short drain time new requests are accepted for a third of it.

Ruled out: refusing all requests at once; load balancers need some seconds to notice that the router isn't ready.

--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -149,6 +149,7 @@
     NO_ROOM = "the upstreams are full"
     TOO_LATE = "the answer would come too late"
     QUEUE_FULL = "too many requests wait"
+    STOPPING = "the router is stopping"
 
 
 BLOCKED = (RefusalReason.BLOCKED_PART, RefusalReason.BLOCKED_REQUEST)
@@ -960,6 +961,28 @@
             self.start(found, waiting.demand, now)
             self._end_waiting(waiting, found)
 
+    def limit_deadlines(self, deadline_at: float) -> None:
+        """Bound the deadlines of waiting requests, as the router stops.
+
+        Parameters
+        ----------
+        deadline_at : float
+            Monotonic time in seconds by which responses must be complete.
+        """
+        for waiting in self._waiting:
+            demand = waiting.demand
+            demand.deadline_at = min(demand.deadline_at, deadline_at)
+
+    def refuse_waiting(self) -> None:
+        """Refuse all waiting requests, as the router stops."""
+        for waiting in list(self._waiting):
+            self._end_waiting(waiting, self.build_stop_refusal())
+
+    def build_stop_refusal(self) -> Refusal:
+        """Return the refusal of a router that stops; others take requests."""
+        retry_after_s = MIN_RETRY_AFTER_S * (0.5 + self._draw())
+        return Refusal(RefusalReason.STOPPING, retry_after_s)
+
     def _end_waiting(
         self, waiting: WaitingRequest, result: Placement | Refusal
     ) -> None:
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -56,6 +56,13 @@
 # check begins to fail. Load balancers commonly check once a second and act on
 # the second failure.
 NOT_READY_GRACE_S = 2.5
+# Fractions of the drain time within which requests are accepted at most, and
+# within which they are sent to upstreams. One that is sent later could be cut
+# off by the end of the process.
+NOT_READY_FRACTION = 1 / 3
+ATTEMPT_FRACTION = 0.5
+# Time for the last answers to reach their callers.
+ANSWER_MARGIN_S = 0.2
 # Fraction of the drain time in which requests may finish; the rest is for the
 # end of the process. Below five sixths it would cut off requests that could
 # still have finished in time.
@@ -106,6 +113,10 @@
         Whether a stop has begun; responses then close their connections.
     is_stopping : bool
         Whether new requests are refused because the router stops.
+    last_attempt_at, drain_end_at : float
+        Monotonic times in seconds, infinite until a stop begins: after the
+        first no request is sent to an upstream, and at the second all that are
+        still in progress are answered.
     notices : UpstreamNotices
         Crashes and rate limits of upstreams.
     routers : int
@@ -129,9 +140,11 @@
         "_upstreams",
         "_usage_at",
         "decisions",
+        "drain_end_at",
         "forwarder",
         "is_closing",
         "is_stopping",
+        "last_attempt_at",
         "metrics",
         "notices",
         "routers",
@@ -170,6 +183,8 @@
         self.decisions = decisions
         self.is_closing = False
         self.is_stopping = False
+        self.last_attempt_at = float("inf")
+        self.drain_end_at = float("inf")
         self.metrics = Metrics()
         self.metrics.add_source(self._sample)
         self.notices = UpstreamNotices(
@@ -535,18 +550,30 @@
         assert self._settings.router is not None
         await stop.wait()
         started_at = self._timers.now()
+        drain_s = self._settings.router.drain_s
         self.is_closing = True
+        self.last_attempt_at = started_at + drain_s * ATTEMPT_FRACTION
+        self.drain_end_at = (
+            started_at + drain_s * DRAIN_FRACTION - ANSWER_MARGIN_S
+        )
+        for balancer in self._balancers.values():
+            balancer.limit_deadlines(self.drain_end_at)
         counts = self.forwarder.counts
         self.decisions.note("stopping", in_progress=counts.in_progress)
-        await self._timers.sleep(NOT_READY_GRACE_S)
+        await self._timers.sleep(
+            min(NOT_READY_GRACE_S, drain_s * NOT_READY_FRACTION)
+        )
         self.is_stopping = True
         elapsed_s = self._timers.now() - started_at
-        remaining_s = compute_remaining_drain(
-            self._settings.router.drain_s, elapsed_s
-        )
+        remaining_s = compute_remaining_drain(drain_s, elapsed_s)
         # The server accepts fractions, though its type is whole seconds.
         self._server.config.timeout_graceful_shutdown = remaining_s  # type: ignore[assignment]
         self._server.should_exit = True
+        await self._timers.sleep(self.last_attempt_at - self._timers.now())
+        for balancer in self._balancers.values():
+            balancer.refuse_waiting()
+        await self._timers.sleep(self.drain_end_at - self._timers.now())
+        self.forwarder.end_requests()
 
     # ---- metrics ---------------------------------------------------------
 
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -79,6 +79,12 @@
     routers : int
         Number of known routers in the fleet.
     is_stopping : bool
+    last_attempt_at : float
+        Monotonic time in seconds after which no request is sent to an
+        upstream, because the router stops; infinite until it does.
+    drain_end_at : float
+        Monotonic time in seconds at which a router that stops answers what
+        is still in progress; infinite until it stops.
     notices : UpstreamNotices
         Crashes and rate limits of upstreams.
     """
@@ -86,6 +92,8 @@
     routing: Routing | None
     routers: int
     is_stopping: bool
+    last_attempt_at: float
+    drain_end_at: float
     notices: UpstreamNotices
 
     def find_balancer(self, pool: str) -> Balancer:
@@ -130,6 +138,7 @@
         "_reporter",
         "_router",
         "_shares",
+        "_time_limits",
         "_timers",
         "_upstreams",
         "counts",
@@ -150,6 +159,8 @@
         self._max_deadline_ms: dict[str, float] = {}
         self._reporter = reporter
         self._shares = shares
+        # Time limits of the requests in progress.
+        self._time_limits: set[anyio.CancelScope] = set()
         self._timers = timers
         self._upstreams = upstreams
         self.counts = reporter.counts
@@ -194,11 +205,20 @@
             with self._timers.limit(
                 request.deadline_at - self._timers.now()
             ) as time_limit:
-                await self._deliver(request, send)
+                self._time_limits.add(time_limit)
+                try:
+                    await self._deliver(request, send)
+                finally:
+                    self._time_limits.discard(time_limit)
             if time_limit.cancelled_caught:
                 await self._send_timeout(request, send)
             tasks.cancel_scope.cancel()
 
+    def end_requests(self) -> None:
+        """Answer all requests in progress, because the router has to end."""
+        for time_limit in self._time_limits:
+            time_limit.cancel()
+
     # ---- checks ----------------------------------------------------------
 
     def _check(
@@ -264,7 +284,9 @@
         time_limit_ms = min(
             metadata.deadline_ms or route.timeout_ms, route.timeout_ms
         )
-        deadline_at = received_at + time_limit_ms / 1000
+        deadline_at = min(
+            received_at + time_limit_ms / 1000, self._router.drain_end_at
+        )
         priority = route.priority
         if account is not None and account.priority is not None:
             priority = account.priority
@@ -363,6 +385,10 @@
             self._shares.record_asked(request.account, request.demand.size)
         while True:
             now = self._timers.now()
+            if now >= self._router.last_attempt_at:
+                refusal = balancer.build_stop_refusal()
+                await self._send_refusal(request, refusal, send)
+                return
             placement = await balancer.admit(
                 request.demand, now, request.excluded
             )
@@ -604,27 +630,22 @@
         )
 
     async def _send_timeout(self, request: RoutedRequest, send: Send) -> None:
-        """Send the final response to a request whose deadline has passed."""
+        """Send the final response to a request that has run out of time."""
+        is_ended = self._timers.now() >= self._router.drain_end_at
+        reason = (
+            "the router has to end" if is_ended else "the deadline has passed"
+        )
         if request.progress.started:
-            self._reporter.report_failed(
-                request, "broken_off", "the deadline has passed"
-            )
+            self._reporter.report_failed(request, "broken_off", reason)
             return
         was_sent = request.attempts > 0
-        self._reporter.report_failed(
-            request, "late", "the deadline has passed"
-        )
+        self._reporter.report_failed(request, "late", reason)
         status = (
             HTTPStatus.GATEWAY_TIMEOUT
             if was_sent
             else HTTPStatus.SERVICE_UNAVAILABLE
         )
-        await self._send_problem(
-            request.metadata,
-            status,
-            "the deadline of the request has passed",
-            send,
-        )
+        await self._send_problem(request.metadata, status, reason, send)
 
     async def _send_refusal(
         self, request: RoutedRequest, refusal: Refusal, send: Send
--- a/hornbeamyard/tests/test_directory.py
+++ b/hornbeamyard/tests/test_directory.py
@@ -410,6 +410,83 @@
         assert len(answered) > 100
         assert lost == []
 
+    def test_late_requests_are_answered(self, tmp_path: Path) -> None:
+        """Guards against requests that are cut at the end of the drain.
+
+        The upstreams are busy until then. No request is sent to them in the
+        second half of the drain, also when an earlier attempt has failed.
+        """
+        stopped_at = 0.0
+        received_at: dict[str, list[float]] = {}
+
+        async def respond(
+            stream: anyio.abc.SocketStream, received: ReceivedRequest
+        ) -> None:
+            id = received.get_header("hornbeamyard-request")
+            received_at.setdefault(id, []).append(anyio.current_time())
+            if id == "failing":
+                while not stopped_at:
+                    await anyio.sleep(0.05)
+                failing_at = stopped_at + 0.6 * DRAIN_S
+                await anyio.sleep(failing_at - anyio.current_time())
+                await stream.aclose()
+            await anyio.sleep(30)
+
+        responses: dict[str, bytes] = {}
+
+        async def call(fleet: Fleet, id: str) -> None:
+            host, _, port = fleet.router_address.rpartition(":")
+            stream = await anyio.connect_tcp(host, int(port))
+            async with stream:
+                await stream.send(build_request(id))
+                try:
+                    responses[id] = await read_response(stream)
+                except (OSError, anyio.EndOfStream):
+                    responses[id] = b"- 0 closed"
+
+        async def test(fleet: Fleet) -> None:
+            nonlocal stopped_at
+            document = copy.deepcopy(DOCUMENT)
+            for route in document["routes"]:
+                route |= {"timeout_ms": 60_000, "target_ms": 30_000}
+            fleet.start_router()
+            router = fleet.router
+            assert router is not None
+            async with AsyncExitStack() as stack:
+                await fleet.submit(7, document)
+                for number in range(2):
+                    raw = await stack.enter_async_context(
+                        run_raw_upstream(respond)
+                    )
+                    upstream = build_upstream(f"u{number}", raw.port, "app")
+                    fleet.registrars[0].announce(replace(upstream, slots=1))
+                await fleet.wait(lambda: len(router.subscription.registry) > 1)
+                await fleet.wait(router.is_ready)
+                async with anyio.create_task_group() as callers:
+                    callers.start_soon(call, fleet, "failing")
+                    for number in range(12):
+                        callers.start_soon(call, fleet, f"early-{number}")
+                    await anyio.sleep(0.5)
+                    stopped_at = anyio.current_time()
+                    fleet.router_stop.set()
+                    await anyio.sleep(0.5)
+                    for number in range(12):
+                        callers.start_soon(call, fleet, f"late-{number}")
+
+        run_fleet(tmp_path, test)
+        statuses = {id: int(r.split()[1]) for id, r in responses.items()}
+        assert statuses.pop("failing") == 502
+        assert len(received_at["failing"]) == 1
+        assert len(statuses) == 24
+        # Those that were sent may have run, and the others haven't.
+        for id, status in statuses.items():
+            assert status == (504 if id in received_at else 503), id
+        assert 503 in statuses.values()
+        last_sent_at = max(
+            time for times in received_at.values() for time in times
+        )
+        assert last_sent_at < stopped_at + DRAIN_S / 2
+
 
 def build_request(id: str) -> bytes:
     """Return the bytes of a request to the router."""
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -103,6 +103,8 @@
         self.routing: Routing | None = parse_routing(DOCUMENT).unwrap()
         self.routers = 1
         self.is_stopping = False
+        self.last_attempt_at = float("inf")
+        self.drain_end_at = float("inf")
         self.origins = StreamOrigins()
         self.shares = Shares()
         self.log = LogCapture()
