--- a/hornbeamyard/version/leadership.py
+++ b/hornbeamyard/version/leadership.py
@@ -264,10 +264,11 @@
     async def _replicate(self, peer: Peer) -> None:
         """Send entries, snapshots and heartbeats to one peer."""
         while self.peers.get(peer.host) is peer:
-            if self._needs_snapshot(peer):
+            # A chunk of a snapshot may take long, so one is sent only to a
+            # peer that answers: after a silence it must be repaired at once.
+            is_reachable = await self._send_entries(peer)
+            if is_reachable and self._needs_snapshot(peer):
                 is_reachable = await self._send_snapshot(peer)
-            else:
-                is_reachable = await self._send_entries(peer)
             last_index = self._replica.journal.last_index
             if is_reachable and peer.next_index <= last_index:
                 continue
--- a/hornbeamyard/version/replica.py
+++ b/hornbeamyard/version/replica.py
@@ -363,9 +363,10 @@
                 return
             await journal.load(lambda: self._rng.randbytes(16))
             await journal.store_vote(journal.term, journal.voted_for)
-            if not self._is_loaded:
-                self.state = FleetState.from_snapshot(journal.snapshot)
-                self._is_loaded = True
+            # A snapshot may have reached the disk before the write failed.
+            if journal.snapshot.last_index > self.state.last_index:
+                self.replace_state(FleetState.from_snapshot(journal.snapshot))
+            self._is_loaded = True
         except (OSError, JournalError) as error:
             _log.debug(
                 "the disk has not recovered yet, so this controller still "
--- a/properties/fleet_simulation.py
+++ b/properties/fleet_simulation.py
@@ -21,7 +21,7 @@
 from hornbeamyard.version.timeouts import derive_timeouts
 
 from .history import require
-from .simulation import Host, Network, SimulatedCalls
+from .simulation import SNAPSHOT_ENTRIES, Host, Network, SimulatedCalls
 
 # Bounds of the users' deployments: see `directory.catch_up_s`, and the time
 # within which everything works again after the faults.
@@ -87,6 +87,7 @@
             timeouts=derive_timeouts(CATCH_UP_S),
             required_disks=TOLERATED_HOSTS + 1,
             relies_on_leases=False,
+            snapshot_entries=SNAPSHOT_ENTRIES,
         )
         own = fleet_pb2.ControllerAddress(
             host=self.name,
