--- a/hornbeamyard/version/founding.py
+++ b/hornbeamyard/version/founding.py
@@ -39,6 +39,9 @@
 # A controller that couldn't be made a member isn't tried again for this long,
 # so that others have their turn.
 CANDIDATE_RETRY_S = 10.0
+# Changes wait for a replacement for this many times the silence after which it
+# begins.
+MAX_HOLD_FACTOR = 2
 # A line is logged at this interval while too few controllers are known.
 SEARCH_LOG_INTERVAL_S = 5.0
 # A controller can become a member if another one has seen it within this time.
@@ -457,18 +460,21 @@
         It may not while a voter is silent that another controller could
         replace, nor while a change of members is in progress: the voter may
         be gone for good, and the tolerated losses then come on top of it. A
-        replacement that doesn't succeed holds up changes for as long as it
-        should have taken at most.
+        replacement that doesn't succeed holds up changes for
+        `MAX_HOLD_FACTOR` times the silence that led to it at most.
         """
-        now = self._timers.now()
+        self._track_unsettled()
+        if self._unsettled_since is None:
+            return True
+        held_s = self._timers.now() - self._unsettled_since
+        return held_s > MAX_HOLD_FACTOR * self._replica.timeouts.member_s
+
+    def _track_unsettled(self) -> None:
+        """Record since when a change of members has been due or under way."""
         if not self._is_unsettled():
             self._unsettled_since = None
-            return True
-        if self._unsettled_since is None:
-            self._unsettled_since = now
-        return (
-            now - self._unsettled_since > 2 * self._replica.timeouts.member_s
-        )
+        elif self._unsettled_since is None:
+            self._unsettled_since = self._timers.now()
 
     def _is_unsettled(self) -> bool:
         leadership = self._replica.leadership
@@ -502,8 +508,7 @@
             self._unsettled_since = None
             return
         self._record_signs()
-        # Also ends a wait that no submission asks about any more.
-        self.may_acknowledge()
+        self._track_unsettled()
         if leadership.is_change_pending():
             return
         change = self._plan_change(replica.timeouts.member_s)
