--- a/hornbeamyard/tests/test_directory.py
+++ b/hornbeamyard/tests/test_directory.py
@@ -102,6 +102,17 @@
         self.stops[number] = anyio.Event()
         self._tasks.start_soon(registrar.run, self.stops[number])
 
+    def start_announcing(self, number: int, upstream: Upstream) -> None:
+        """Announce an upstream to a controller again and again."""
+        self.registrars[number].announce(upstream)
+        self._tasks.start_soon(self._announce, number, upstream)
+
+    async def _announce(self, number: int, upstream: Upstream) -> None:
+        while True:
+            await anyio.sleep(DirectorySettings([]).announcement_interval_s)
+            upstream = replace(upstream, sequence=upstream.sequence + 1)
+            self.registrars[number].announce(upstream)
+
     def start_router(self) -> None:
         """Start the router."""
         self.router = self._start_router("r1", self.router_address)
@@ -855,7 +866,8 @@
 async def restart_all(fleet: Fleet, *upstreams: Upstream) -> None:
     """Restart the router's and all controllers' processes.
 
-    Afterwards the upstreams announce themselves to one controller.
+    Afterwards the upstreams announce themselves to one controller, and go on
+    to do so.
     """
     for stop in fleet.stops.values():
         stop.set()
@@ -872,7 +884,7 @@
         fleet.start_controller(number, first_start=False)
     await fleet.wait(fleet.find_leader)
     for upstream in upstreams:
-        fleet.registrars[2].announce(upstream)
+        fleet.start_announcing(2, upstream)
 
 
 async def has_ended(address: str) -> bool:
