Soak: start each process once where two starts fall together

Cause: the soak's upstream couldn't bind its port. A planned stop found it crashed and started it again at the moment at which the restart after the crash did; the second start didn't see the first one, which was still opening the process. The first process stayed behind, listening on the port after the run.

Ruled out: the product; no process of the fleet ended.

Change: a start holds a lock of its process, and does nothing if it runs.

Result: test_starts_one_process_at_a_time failed before (2 starts) and passes.

--- a/hornbeamyard/tests/test_soak.py
+++ b/hornbeamyard/tests/test_soak.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import sys
 from pathlib import Path
 
+import anyio
+import anyio.abc
 import pytest
 
 from soak.checks import list_violations
@@ -371,3 +374,36 @@
         assert [text.split(":")[0] for text in found] == [
             "went back from version 4"
         ]
+
+
+class SleepingFleet(EmptyFleet):
+    """A fleet whose processes only sleep."""
+
+    def __init__(self, folder: Path, tasks: anyio.abc.TaskGroup) -> None:
+        super().__init__()
+        self.folder = folder
+        self._tasks = tasks
+
+    def _build_command(self, name: str) -> list[str]:
+        return [sys.executable, "-c", "import time; time.sleep(30)"]
+
+
+class TestProcesses:
+    """The soak knows the processes that it has started."""
+
+    def test_starts_one_process_at_a_time(self, tmp_path: Path) -> None:
+        """Guards against a second process that nobody ends.
+
+        The end of a fault and the restart after a crash fall together.
+        """
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                fleet = SleepingFleet(tmp_path, tasks)
+                async with anyio.create_task_group() as starts:
+                    for _ in range(2):
+                        starts.start_soon(fleet.start, "model-0")
+                assert fleet.processes["model-0"].starts == 1
+                await fleet.kill_all()
+
+        anyio.run(main)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -58,6 +58,8 @@
     unexpected_exits : list of str
         Descriptions of exits that the soak didn't request, that had an exit
         code other than 0, or that took too long.
+    start_lock : anyio.Lock
+        Held while it is being started.
     """
 
     name: str
@@ -69,6 +71,7 @@
     sigterm_at: float | None = None
     frozen: bool = False
     unexpected_exits: list[str] = field(default_factory=list)
+    start_lock: anyio.Lock = field(default_factory=anyio.Lock)
 
     def is_loaded(self) -> bool:
         """Return whether the process must have its signal handlers by now."""
@@ -184,14 +187,18 @@
     async def start(self, name: str) -> None:
         """Start a process, for the first time or again."""
         process = self.processes.get(name)
-        if process is not None and process.is_running():
-            # It was started again after a crash.
-            return
         if process is None:
             process = Process(name, self._build_command(name))
             self.processes[name] = process
-        elif name.startswith("controller"):
+        elif name.startswith("controller") and not process.is_running():
             self.write_settings(name)
+        async with process.start_lock:
+            # A fault and the restart after a crash may both start it.
+            if not process.is_running():
+                await self._launch(process)
+
+    async def _launch(self, process: Process) -> None:
+        name = process.name
         command = process.command
         if name in self.list_upstreams():
             # An upstream has a new id after each start.
