--- a/hornbeamyard/tests/test_founding.py
+++ b/hornbeamyard/tests/test_founding.py
@@ -8,12 +8,12 @@
 
 from hornbeamyard.messages import fleet_pb2
 from hornbeamyard.process.timers import VirtualTimers
-from hornbeamyard.version.founding import (
+from hornbeamyard.version.discovery import (
     CANDIDATE_TIMEOUT_S,
     KnownControllers,
-    choose_initial_members,
-    plan_member_change,
 )
+from hornbeamyard.version.founding import choose_initial_members
+from hornbeamyard.version.repair import plan_member_change
 
 ADD = fleet_pb2.MemberChange.ADD
 REMOVE = fleet_pb2.MemberChange.REMOVE
--- /dev/null
+++ b/hornbeamyard/version/discovery.py
@@ -0,0 +1,90 @@
+"""The controllers that a controller has found."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from ..messages import fleet_pb2
+from ..process.timers import Timers
+
+# A controller can become a member if another one has seen it within this time.
+# One that isn't a member is removed after four times as long.
+CANDIDATE_TIMEOUT_S = 3.0
+
+
+@dataclass(slots=True)
+class KnownController:
+    """A known controller, and the monotonic time of its last sign of life."""
+
+    controller: fleet_pb2.ControllerAddress
+    last_seen_at: float
+
+
+class KnownControllers:
+    """The controllers that this process knows, whether members or not.
+
+    Parameters
+    ----------
+    timers : Timers
+
+    Attributes
+    ----------
+    changed_at : float
+        Monotonic time at which the last new controller was added, in seconds.
+    """
+
+    __slots__ = ("_known", "_timers", "changed_at")
+
+    def __init__(self, timers: Timers) -> None:
+        self._known: dict[str, KnownController] = {}
+        self._timers = timers
+        self.changed_at = timers.now()
+
+    def add_introduced(self, controller: fleet_pb2.ControllerAddress) -> None:
+        """Add a controller that has introduced itself."""
+        if not controller.host:
+            return
+        now = self._timers.now()
+        if controller.host not in self._known:
+            self.changed_at = now
+        self._known[controller.host] = KnownController(controller, now)
+
+    def add_reported(self, controller: fleet_pb2.ControllerAddress) -> None:
+        """Add a controller that another one has reported."""
+        if controller.host and controller.host not in self._known:
+            self._known[controller.host] = KnownController(
+                controller, self._timers.now()
+            )
+            self.changed_at = self._timers.now()
+
+    def list_known(self) -> list[fleet_pb2.ControllerAddress]:
+        """Return all controllers, ordered by host."""
+        return [self._known[host].controller for host in sorted(self._known)]
+
+    def list_recent(self) -> list[fleet_pb2.ControllerAddress]:
+        """Return the controllers last seen within `CANDIDATE_TIMEOUT_S`."""
+        oldest = self._timers.now() - CANDIDATE_TIMEOUT_S
+        return [
+            known.controller
+            for known in self._known.values()
+            if known.last_seen_at >= oldest
+        ]
+
+    def get_last_seen(self, host: str) -> float | None:
+        """Return the monotonic time of a controller's last sign of life."""
+        known = self._known.get(host)
+        return None if known is None else known.last_seen_at
+
+    def remove_lost(self, members: Mapping[str, str]) -> None:
+        """Remove controllers that are gone and aren't members.
+
+        Parameters
+        ----------
+        members : mapping of str to str
+            Addresses of the members by host.
+        """
+        oldest = self._timers.now() - 4 * CANDIDATE_TIMEOUT_S
+        for host, known in list(self._known.items()):
+            if known.last_seen_at < oldest and host not in members:
+                del self._known[host]
