Found the cluster by votes, and count majorities over all required voters

What operators saw: a first start in which the lowest seed ended within its first second, or came late, never got a configuration acknowledged, with all processes running (FAULT). Where two controllers were missing at the first start, a version was acknowledged and was gone for good after two of the other three had lost their disks (CONFIG).

Cause: founding was the decision of one process that had to remember the first start. Its data folder was made without a mark, so any end of the process lost the role, and no other had it. And the cluster that it founded after 5 s had a majority of its own: smaller than f + 1 of the disks that every later quorum has to meet. The two belong together: only where majorities hold f + 1 disks does a founding by any f + 1 controllers meet each of them.

Ruled out: the choice of members and the messages of the founding, which arrived in all runs; the load (runs at load averages of 6 to 9). Writing the mark earlier isn't enough, as a process may end before its first write.

Change: a folder of the first start is marked for good. Any controller may found the cluster: it collects votes in a term of its own and writes the voters as the first entry. Votes of f + 1 marked folders are enough, or those of all known controllers if they are 2f + 1. Majorities count over 2f + 1 voters. The call `Found` is gone. A gauge and two log lines tell the state of a controller and why a cluster isn't founded.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -593,16 +593,6 @@
         self._founder.known_controllers.add_introduced(request.controller)
         return self._founder.describe()
 
-    async def accept_founding(self, members: fleet_pb2.MemberList) -> bool:
-        """Store the initial members sent by the founding controller.
-
-        Returns
-        -------
-        bool
-            Whether they were accepted.
-        """
-        return await self._founder.accept_founding(members)
-
 
 def _build_gone_upstream(id: str, started_ms: int) -> Upstream:
     """Return an ended upstream of which only id and start are known."""
--- a/hornbeamyard/connection/directory_calls.py
+++ b/hornbeamyard/connection/directory_calls.py
@@ -43,14 +43,6 @@
             address, lambda s: s.Introduce, request, INTRODUCE_TIMEOUT_S
         )
 
-    async def send_founding(
-        self, address: str, request: fleet_pb2.Founding
-    ) -> fleet_pb2.FoundingReply | None:
-        """Send the initial members to a controller."""
-        return await self._channels.call(
-            address, lambda s: s.Found, request, INTRODUCE_TIMEOUT_S
-        )
-
     async def submit_routing(
         self, address: str, request: fleet_pb2.RoutingSubmission
     ) -> fleet_pb2.RoutingResult | None:
--- a/hornbeamyard/connection/directory_service.py
+++ b/hornbeamyard/connection/directory_service.py
@@ -43,16 +43,6 @@
         await peers.check_identity(request.identity, self._fleet, context)
         return self._directory.introduce(request)
 
-    async def Found(  # noqa: N802 - named by the protocol
-        self,
-        request: fleet_pb2.Founding,
-        context: grpc.aio.ServicerContext,
-    ) -> fleet_pb2.FoundingReply:
-        """Store the initial members in an empty data folder."""
-        await peers.check_identity(request.identity, self._fleet, context)
-        accepted = await self._directory.accept_founding(request.members)
-        return fleet_pb2.FoundingReply(accepted=accepted)
-
     async def SubmitRouting(  # noqa: N802 - named by the protocol
         self,
         request: fleet_pb2.RoutingSubmission,
--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -101,12 +101,12 @@
             # A majority confirms reads and versions, and fleet usage sent
             # by a former leader does no harm.
             relies_on_leases=False,
+            first_start=directory.first_start,
         )
         own_address = fleet_pb2.ControllerAddress(
             host=settings.host,
             address=address,
             availability_zone=settings.availability_zone,
-            first_start=directory.first_start,
         )
         self.founder = Founder(
             self.replica,
@@ -181,6 +181,8 @@
     def _sample(self) -> Iterator[Sample]:
         yield Sample("leads", float(self.replica.is_leader()))
         yield Sample("term", self.replica.term)
+        state = self.founder.get_state().value
+        yield Sample("controller_state", 1, (("state", state),))
         version = self.replica.state.routing.version
         yield Sample("routing_version", version)
         attached = self.directory.count_routers()
--- a/hornbeamyard/tests/test_founding.py
+++ b/hornbeamyard/tests/test_founding.py
@@ -12,7 +12,10 @@
     CANDIDATE_TIMEOUT_S,
     KnownControllers,
 )
-from hornbeamyard.version.founding import choose_initial_members
+from hornbeamyard.version.founding import (
+    FoundingBallot,
+    choose_initial_members,
+)
 from hornbeamyard.version.repair import plan_member_change
 
 ADD = fleet_pb2.MemberChange.ADD
@@ -80,6 +83,36 @@
         assert choose_initial_members(controllers[::-1], 5) == first
 
 
+class TestFoundingBallot:
+    """Any two sets of votes that are enough have a voter in common."""
+
+    @pytest.mark.parametrize(
+        ("known", "first_start", "others", "is_won"),
+        [
+            ("abcde", "abc", "", True),
+            ("abcde", "cde", "", True),
+            ("abcde", "ab", "cd", False),
+            ("abcde", "ab", "cde", True),
+            ("abcde", "", "abcde", True),
+            ("abcd", "", "abcd", False),
+            ("abc", "abc", "", True),
+            ("abcdefg", "abcd", "", True),
+            ("abcdefg", "abc", "", False),
+            ("abcdefg", "cdefg", "", False),
+        ],
+    )
+    def test_votes(
+        self, known: str, first_start: str, others: str, is_won: bool
+    ) -> None:
+        """Guards against a second cluster beside the first one."""
+        votes = {
+            address: fleet_pb2.VoteReply(initial=address in first_start)
+            for address in first_start + others
+        }
+        ballot = FoundingBallot(known, "abc", 5, votes)
+        assert ballot.is_won() is is_won
+
+
 class TestPlanMemberChange:
     """Lost members are replaced one at a time."""
 
--- a/hornbeamyard/tests/test_membership.py
+++ b/hornbeamyard/tests/test_membership.py
@@ -15,6 +15,7 @@
 )
 
 Change = fleet_pb2.MemberChange
+REMOVE = Change.REMOVE
 
 
 def build_members(*names: str) -> fleet_pb2.MemberList:
@@ -85,6 +86,72 @@
         assert find_majority(members, replies) == NEVER
 
 
+class TestRequiredVoters:
+    """A majority is counted over as many voters as are required."""
+
+    @pytest.mark.parametrize(("voters", "majority"), [(2, NEVER), (3, 1)])
+    def test_counts_missing_voters(self, voters: int, majority: float) -> None:
+        """Guards against commits on no more disks than may be lost."""
+        names = [f"m{number}" for number in range(voters)]
+        members = build_members(*names)
+        members.required_voters = 5
+        replies = {
+            name: build_reply(name, value)
+            for value, name in enumerate(names, 1)
+        }
+        assert find_majority(members, replies) == majority
+
+    def test_removal_keeps_number(self) -> None:
+        """Guards against a removal that makes smaller majorities enough."""
+        members = build_members("a", "b", "c")
+        members.required_voters = 5
+        changed = change_members(members, Change(kind=REMOVE, host="c"))
+        assert isinstance(changed, fleet_pb2.MemberList)
+        assert changed.required_voters == 5
+
+
+class TestExcludesLost:
+    """Voters that have lost their folders don't block the others for good."""
+
+    @pytest.mark.parametrize(
+        ("members", "lost", "is_enough"),
+        [
+            (("a", "b"), "b", True),
+            (("a", "b", "c", "d"), "cd", True),
+            (("a", "b", "c", "d"), "bcd", False),
+            (("a", "b", "c"), "bc", False),
+            (("a", "b", "c", "d", "e"), "de", True),
+            (("a", "b", "c", "d", "e"), "cde", False),
+        ],
+    )
+    def test_all_others_reply(
+        self, members: tuple[str, ...], lost: str, is_enough: bool
+    ) -> None:
+        """Guards against a log that is intact but can't be used any more."""
+        replies = {
+            name: build_reply("emptied" if name in lost else name)
+            for name in members
+        }
+        found = find_majority(build_members(*members), replies, True)
+        assert (found == 10) is is_enough
+
+    def test_silent_voter(self) -> None:
+        """Guards against two leaders: the silent voter may have voted."""
+        members = build_members("a", "b", "c", "d")
+        replies = {"a": build_reply("a"), "c": build_reply("emptied")}
+        replies["d"] = build_reply("emptied")
+        assert find_majority(members, replies, True) == NEVER
+
+    def test_fewer_members_than_required(self) -> None:
+        """Guards against a change on three disks that no one can read."""
+        members = build_members("a", "b", "c")
+        members.required_voters = 5
+        replies = {name: build_reply("emptied") for name in "bc"}
+        replies["a"] = build_reply("a")
+        assert find_majority(members, replies) == NEVER
+        assert find_majority(members, replies, True) == 10
+
+
 @pytest.mark.requirement("R14", fault="disk emptied")
 class TestPlanStep:
     """Members are repaired or replaced one voter at a time."""
--- a/hornbeamyard/version/discovery.py
+++ b/hornbeamyard/version/discovery.py
@@ -15,10 +15,20 @@
 
 @dataclass(slots=True)
 class KnownController:
-    """A known controller, and the monotonic time of its last sign of life."""
+    """A known controller.
+
+    Attributes
+    ----------
+    controller : ControllerAddress
+    last_seen_at : float
+        Monotonic time of its last sign of life, in seconds.
+    is_founded : bool
+        Whether it knew then that the cluster has been founded.
+    """
 
     controller: fleet_pb2.ControllerAddress
     last_seen_at: float
+    is_founded: bool = False
 
 
 class KnownControllers:
@@ -46,9 +56,13 @@
         if not controller.host:
             return
         now = self._timers.now()
-        if controller.host not in self._known:
+        known = self._known.get(controller.host)
+        if known is None:
             self.changed_at = now
-        self._known[controller.host] = KnownController(controller, now)
+            self._known[controller.host] = KnownController(controller, now)
+            return
+        known.controller = controller
+        known.last_seen_at = now
 
     def add_reported(self, controller: fleet_pb2.ControllerAddress) -> None:
         """Add a controller that another one has reported."""
@@ -58,6 +72,20 @@
             )
             self.changed_at = self._timers.now()
 
+    def set_founded(self, host: str, is_founded: bool) -> None:
+        """Record whether a controller knows of a founded cluster."""
+        known = self._known.get(host)
+        if known is not None:
+            known.is_founded = is_founded
+
+    def has_recent_founded(self) -> bool:
+        """Return whether one of `list_recent` knows of a founded cluster."""
+        oldest = self._timers.now() - CANDIDATE_TIMEOUT_S
+        return any(
+            known.is_founded and known.last_seen_at >= oldest
+            for known in self._known.values()
+        )
+
     def list_known(self) -> list[fleet_pb2.ControllerAddress]:
         """Return all controllers, ordered by host."""
         return [self._known[host].controller for host in sorted(self._known)]
--- a/hornbeamyard/version/election.py
+++ b/hornbeamyard/version/election.py
@@ -77,6 +77,11 @@
         self._last_contact_at = now
         self._reset_timeout()
 
+    def begin_campaign(self) -> None:
+        """Campaign as soon as this member is a voter."""
+        self._campaign_at = self._replica.timers.now()
+        self._transfer.set()
+
     async def run(self) -> None:
         """Alternate between following, campaigning and leading."""
         replica = self._replica
@@ -168,15 +173,22 @@
         addresses = membership.find_addresses(journal.members)
         addresses.pop(replica.host, None)
 
+        def has_majority() -> bool:
+            is_settled = journal.is_settled()
+            votes = membership.find_majority(
+                journal.members, replies, is_settled
+            )
+            return votes > 0
+
         async def ask(host: str, address: str) -> None:
             reply = await replica.calls.vote(address, request)
             if reply is None:
                 return
             if reply.term > replica.term:
                 replica.observe_term(reply.term)
-            if reply.granted:
-                replies[host] = MemberReply(reply.disk, reply.initial, 1.0)
-            if membership.find_majority(journal.members, replies) > 0:
+            vote = 1.0 if reply.granted else NEVER
+            replies[host] = MemberReply(reply.disk, reply.initial, vote)
+            if has_majority():
                 tasks.cancel_scope.cancel()
 
         with replica.timers.limit(self._vote_timeout_s) as limit:
@@ -187,7 +199,7 @@
             self._vote_timeout_s = min(
                 2 * self._vote_timeout_s, MAX_VOTE_TIMEOUT_S
             )
-        return membership.find_majority(journal.members, replies) > 0
+        return has_majority()
 
     # ---- calls from other members ----------------------------------------
 
@@ -241,7 +253,9 @@
         journal = replica.journal
         if replica.fault:
             return False
-        if not request.transfer and self._has_recent_leader():
+        if not request.transfer and self.has_recent_leader():
+            return False
+        if request.founding and journal.is_settled():
             return False
         if (request.last_term, request.last_index) < (
             journal.last_term,
@@ -255,7 +269,8 @@
             request.disk,
         )
 
-    def _has_recent_leader(self) -> bool:
+    def has_recent_leader(self) -> bool:
+        """Return whether this member leads or has heard from a leader."""
         if self._replica.leadership is not None:
             return True
         silence = self._replica.timers.now() - self._last_contact_at
--- a/hornbeamyard/version/founding.py
+++ b/hornbeamyard/version/founding.py
@@ -1,15 +1,19 @@
 """Automatic formation of the controllers' cluster.
 
 At the start a controller knows only the addresses of some others, the seeds.
-Controllers introduce themselves to each other until each knows all. The seed
-with the lowest address then founds the cluster: it writes the initial
-members as the first log entry and sends them to the others.
+Controllers introduce themselves to each other until each knows all. One of
+them then collects votes, as for an election, and writes the controllers that
+voted for it as the first member list. `FoundingBallot` tells which votes are
+enough: any two such sets of voters, and any such set and a majority of the
+members of a cluster, have a voter in common that remembers its votes. So it
+doesn't matter which controller founds the cluster, or how often one tries.
 """
 
 from __future__ import annotations
 
-import random
-from collections.abc import Sequence
+import enum
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass, field
 from typing import Protocol
 
 import anyio
@@ -17,6 +21,7 @@
 
 from ..messages import fleet_pb2
 from ..process.timers import Timers
+from . import membership
 from .discovery import KnownControllers
 from .repair import MemberRepair
 from .replica import Replica
@@ -31,6 +36,11 @@
 # than the tolerated losses require, but never with fewer than those that have
 # to hold each change.
 SEARCH_TIMEOUT_S = 5.0
+# Controllers that could found the cluster begin this long after each other, so
+# that the votes aren't split.
+TURN_INTERVAL_S = 1.0
+# Time limit for collecting votes.
+BALLOT_TIMEOUT_S = 1.0
 # More members than this would only make each write slower.
 MAX_INITIAL_MEMBERS = 7
 # A line is logged at this interval while too few controllers are known.
@@ -47,10 +57,73 @@
     ) -> fleet_pb2.ControllerList | None:
         """Introduce this controller; return the controllers known there."""
 
-    async def send_founding(
-        self, address: str, request: fleet_pb2.Founding
-    ) -> fleet_pb2.FoundingReply | None:
-        """Send the initial members to a controller."""
+
+class ControllerState(enum.Enum):
+    """What a controller is to the cluster, as far as it knows."""
+
+    # It has no member list: the cluster isn't founded, or hasn't added it.
+    SEARCHING = "searching"
+    # It has a member list that may not be committed.
+    FOUNDING = "founding"
+    VOTER = "voter"
+    LEARNER = "learner"
+    # The member list that it knows doesn't include its data folder.
+    STANDBY = "standby"
+    # Its disk or data folder is unusable.
+    FAULTY = "faulty"
+
+
+@dataclass(slots=True)
+class FoundingBallot:
+    """The votes for a controller that wants to found the cluster.
+
+    Attributes
+    ----------
+    electorate : collection of str
+        Addresses of all controllers that are known, reachable or not.
+    seeds : collection of str
+        Addresses that all controllers know at the first start.
+    required_members : int
+        Number of members that the tolerated losses require.
+    votes : dict of str to VoteReply
+        Votes that were granted, by address.
+    """
+
+    electorate: Collection[str]
+    seeds: Collection[str]
+    required_members: int
+    votes: dict[str, fleet_pb2.VoteReply] = field(default_factory=dict)
+
+    def count_required(self) -> int:
+        """Return the number of votes of folders of the first start."""
+        disks = count_required_disks(self.required_members)
+        return max(disks, len(self.electorate) // 2 + 1)
+
+    def is_won(self) -> bool:
+        """Return whether no other cluster exists or can be founded.
+
+        A folder of the first start remembers all its votes. Others may belong
+        to hosts that have lost a disk with a vote or a log; they count only if
+        all controllers vote, and so many that an acknowledged change would be
+        on one of their disks.
+        """
+        voted = self.votes.keys() & set(self.electorate)
+        is_unanimous = len(voted) == len(self.electorate)
+        if is_unanimous and len(voted) >= self.required_members:
+            return True
+        remembered = {a for a in voted if self.votes[a].initial}
+        if len(remembered) < self.count_required():
+            return False
+        if len(self.electorate) <= self.required_members:
+            return True
+        # Where there are more controllers than are required, some may not be
+        # known yet, but all know the seeds.
+        return 2 * len(remembered & set(self.seeds)) > len(self.seeds)
+
+
+def count_required_disks(required_members: int) -> int:
+    """Return the number of controllers that have to hold each change."""
+    return required_members // 2 + 1
 
 
 def choose_initial_members(
@@ -106,6 +179,7 @@
 
     __slots__ = (
         "_calls",
+        "_due_at",
         "_logged_at",
         "_repair",
         "_replica",
@@ -129,6 +203,8 @@
         self._required_members = required_members
         self._replica = replica
         self._timers = timers
+        # When this controller may try to found the cluster, if it may.
+        self._due_at: float | None = None
         self._logged_at = timers.now()
         self.own = own
         self.known_controllers = KnownControllers(timers)
@@ -139,9 +215,24 @@
         )
         replica.may_acknowledge = self._repair.may_acknowledge
 
-    def is_founded(self) -> bool:
-        """Return whether this controller has a member list."""
-        return bool(self._replica.journal.members.members)
+    def get_state(self) -> ControllerState:
+        """Return what this controller is to the cluster."""
+        replica = self._replica
+        journal = replica.journal
+        if replica.fault:
+            return ControllerState.FAULTY
+        if not journal.members.members:
+            return ControllerState.SEARCHING
+        member = membership.find_member(
+            journal.members, replica.host, journal.disk_id, journal.initial
+        )
+        if member is None:
+            return ControllerState.STANDBY
+        if not journal.is_settled():
+            return ControllerState.FOUNDING
+        if not member.voter:
+            return ControllerState.LEARNER
+        return ControllerState.VOTER
 
     def describe(self) -> fleet_pb2.ControllerList:
         """Return all controllers that this one knows, as a message."""
@@ -158,11 +249,12 @@
                 )
         return fleet_pb2.ControllerList(
             controllers=[controllers[host] for host in sorted(controllers)],
-            founded=self.is_founded(),
+            founded=self._replica.journal.is_settled(),
         )
 
     async def run(self) -> None:
         """Find controllers, found the cluster and repair it continuously."""
+        self.own.first_start = self._replica.journal.initial
         started_at = self._timers.now()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._repair.run)
@@ -170,9 +262,7 @@
                 self.known_controllers.add_introduced(self.own)
                 for address in self._list_addresses():
                     tasks.start_soon(self._introduce, address)
-                if self.is_founded():
-                    await self._send_initial_members()
-                elif self._should_found(started_at):
+                if self._should_found(started_at):
                     await self._found()
                 pause = (
                     REFRESH_INTERVAL_S
@@ -181,19 +271,6 @@
                 )
                 await self._timers.sleep(pause)
 
-    async def accept_founding(self, members: fleet_pb2.MemberList) -> bool:
-        """Store the initial members sent by the founding controller.
-
-        Returns
-        -------
-        bool
-            Whether this controller now has these initial members. It
-            refuses unless this is its first start.
-        """
-        return bool(
-            await self._replica.jobs.execute(self._write_members, members)
-        )
-
     def _list_addresses(self) -> list[str]:
         addresses = {c.address for c in self.known_controllers.list_known()}
         members = self._replica.journal.members.members
@@ -212,100 +289,193 @@
         for controller in reply.controllers:
             if controller.address == address:
                 self.known_controllers.add_introduced(controller)
+                self.known_controllers.set_founded(
+                    controller.host, reply.founded
+                )
             else:
                 self.known_controllers.add_reported(controller)
 
     # ---- founding --------------------------------------------------------
 
     def _should_found(self, started_at: float) -> bool:
-        """Return whether this controller should choose the initial members.
+        """Return whether it is this controller's turn to found the cluster."""
+        now = self._timers.now()
+        recent = self.known_controllers.list_recent()
+        if not self._may_found(now, started_at, recent):
+            self._due_at = None
+            return False
+        if self._due_at is None:
+            self._due_at = now + self._find_turn(recent) * TURN_INTERVAL_S
+        return now >= self._due_at
 
-        Only one does, because all controllers have the same seeds at their
-        first start.
-        """
-        if not self.own.first_start or not self.seeds:
+    def _may_found(
+        self,
+        now: float,
+        started_at: float,
+        recent: Sequence[fleet_pb2.ControllerAddress],
+    ) -> bool:
+        """Return whether the cluster has to be founded as far as known."""
+        replica = self._replica
+        journal = replica.journal
+        if replica.fault or journal.is_settled() or not self.seeds:
             return False
-        if self.own.address != min(self.seeds, key=_build_address_key):
+        is_founded_elsewhere = self.known_controllers.has_recent_founded()
+        if is_founded_elsewhere or replica.election.has_recent_leader():
             return False
-        now = self._timers.now()
-        known = self.known_controllers.list_recent()
-        if now - started_at >= SEARCH_TIMEOUT_S:
-            if len(known) >= self._count_required_disks():
-                return True
-            self._log_shortage(known)
+        waited_s = now - started_at
+        if waited_s >= SEARCH_TIMEOUT_S:
+            required = count_required_disks(self._required_members)
+            self._log_search(recent, required)
+            return len(recent) >= required
+        # The members that another controller has chosen may elect a leader.
+        if journal.members.members:
             return False
-        is_settled = now - self.known_controllers.changed_at >= SETTLING_TIME_S
-        return is_settled and len(known) >= self._required_members
-
-    def _count_required_disks(self) -> int:
-        """Return the number of controllers that have to hold each change."""
-        return self._required_members // 2 + 1
+        is_complete = len(recent) >= self._required_members
+        settled_s = now - self.known_controllers.changed_at
+        return is_complete and settled_s >= SETTLING_TIME_S
+
+    def _find_turn(self, recent: Sequence[fleet_pb2.ControllerAddress]) -> int:
+        """Return how many controllers found the cluster before this one."""
+        ordered = sorted(
+            recent,
+            key=lambda c: (not c.first_start, _build_address_key(c.address)),
+        )
+        hosts = [controller.host for controller in ordered]
+        return hosts.index(self.own.host) if self.own.host in hosts else 0
 
-    def _log_shortage(
-        self, known: Sequence[fleet_pb2.ControllerAddress]
+    def _log_search(
+        self, recent: Sequence[fleet_pb2.ControllerAddress], required: int
     ) -> None:
         now = self._timers.now()
         if now - self._logged_at < SEARCH_LOG_INTERVAL_S:
             return
         self._logged_at = now
         _log.warning(
-            "no configuration can be accepted yet: {} controllers are known "
-            "({}), and the tolerated losses need {}",
-            len(known),
-            ", ".join(sorted(c.host for c in known)),
-            self._count_required_disks(),
+            "no configuration can be accepted yet, as the cluster isn't "
+            "founded: {} controllers are reachable, {} are required; state={} "
+            "reachable={} first_start={}",
+            len(recent),
+            required,
+            self.get_state().value,
+            sorted(c.host for c in recent),
+            sorted(c.host for c in recent if c.first_start),
         )
 
     async def _found(self) -> None:
-        chosen = choose_initial_members(
-            self.known_controllers.list_recent(), self._required_members
+        """Collect votes and, if they are enough, write the first members."""
+        replica = self._replica
+        recent = self.known_controllers.list_recent()
+        ballot = FoundingBallot(
+            {self.own.address, *self._list_addresses()},
+            self.seeds,
+            self._required_members,
         )
-        members = fleet_pb2.MemberList(
-            members=[
-                fleet_pb2.Member(host=c.host, address=c.address, voter=True)
-                for c in chosen
-            ]
+        term = await replica.jobs.execute(self._start_term)
+        if term:
+            await self._collect_votes(ballot, term, recent)
+        is_founded = ballot.is_won() and await replica.jobs.execute(
+            self._write_members, term, ballot, recent
+        )
+        self._due_at = (
+            self._timers.now()
+            + (1 + self._find_turn(recent)) * TURN_INTERVAL_S
+        )
+        _log.info(
+            "founding term={} votes={} first_start={} known={} required={}: "
+            "{}",
+            term,
+            sorted(ballot.votes),
+            sum(vote.initial for vote in ballot.votes.values()),
+            len(ballot.electorate),
+            ballot.count_required(),
+            "founded the cluster" if is_founded else "not founded",
         )
-        hosts = ", ".join(c.host for c in chosen)
-        # Store the choice before sending it, so that a restart in between
-        # can't lead to a different one.
-        if await self.accept_founding(members):
-            _log.info("founded the cluster with members {}", hosts)
 
-    async def _send_initial_members(self) -> None:
-        """Send the initial members to the others, before any election.
+    async def _start_term(self) -> int:
+        """Vote for this controller in a new term; return it, or 0."""
+        replica = self._replica
+        journal = replica.journal
+        if journal.is_settled() or replica.election.has_recent_leader():
+            return 0
+        term = replica.term + 1
+        is_stored = await replica.persist(
+            lambda: journal.store_vote(term, journal.disk_id)
+        )
+        return term if is_stored else 0
 
-        Only a controller whose log holds nothing but these sends them.
-        """
-        journal = self._replica.journal
-        first = journal.get_entry(1)
-        is_first = journal.last_index == 1 and first is not None
-        if not is_first or not journal.initial or first is None:
-            return
-        request = fleet_pb2.Founding(
-            identity=self._replica.identity, members=first.members
+    async def _collect_votes(
+        self,
+        ballot: FoundingBallot,
+        term: int,
+        recent: Sequence[fleet_pb2.ControllerAddress],
+    ) -> None:
+        """Ask all reachable controllers for their votes."""
+        replica = self._replica
+        journal = replica.journal
+        request = fleet_pb2.VoteRequest(
+            identity=replica.identity,
+            term=term,
+            last_index=journal.last_index,
+            last_term=journal.last_term,
+            disk=journal.disk_id,
+            founding=True,
+        )
+        ballot.votes[self.own.address] = fleet_pb2.VoteReply(
+            term=term,
+            granted=True,
+            disk=journal.disk_id,
+            initial=journal.initial,
         )
-        async with anyio.create_task_group() as tasks:
-            for member in first.members.members:
-                if member.host != self.own.host:
-                    tasks.start_soon(
-                        self._calls.send_founding, member.address, request
-                    )
 
-    async def _write_members(self, members: fleet_pb2.MemberList) -> bool:
+        async def ask(address: str) -> None:
+            reply = await replica.calls.vote(address, request)
+            if reply is None:
+                return
+            if reply.term > replica.term:
+                replica.observe_term(reply.term)
+            if reply.granted:
+                ballot.votes[address] = reply
+
+        with self._timers.limit(BALLOT_TIMEOUT_S):
+            async with anyio.create_task_group() as tasks:
+                for controller in recent:
+                    if controller.host != self.own.host:
+                        tasks.start_soon(ask, controller.address)
+
+    async def _write_members(
+        self,
+        term: int,
+        ballot: FoundingBallot,
+        recent: Sequence[fleet_pb2.ControllerAddress],
+    ) -> bool:
+        """Append the controllers that voted as the first members."""
         replica = self._replica
         journal = replica.journal
-        if replica.fault or not self.own.first_start:
+        if replica.term != term or journal.voted_for != journal.disk_id:
             return False
-        if journal.members.members or journal.term:
-            return journal.members == members
-        entry = fleet_pb2.LogEntry(index=1, members=members)
-        disk_id = random.randbytes(16)
-        if not await replica.persist(
-            lambda: journal.initialize(disk_id, [entry])
-        ):
+        if journal.is_settled():
+            return False
+        voted = [c for c in recent if c.address in ballot.votes]
+        members = fleet_pb2.MemberList(
+            required_voters=self._required_members,
+            members=[
+                fleet_pb2.Member(
+                    host=controller.host,
+                    address=controller.address,
+                    voter=True,
+                    disk=ballot.votes[controller.address].disk,
+                )
+                for controller in choose_initial_members(
+                    voted, self._required_members
+                )
+            ],
+        )
+        entry = fleet_pb2.LogEntry(
+            term=term, index=journal.last_index + 1, members=members
+        )
+        if not await replica.persist(lambda: journal.append([entry])):
             return False
-        replica.election.start()
+        replica.election.begin_campaign()
         return True
 
 
--- a/hornbeamyard/version/journal.py
+++ b/hornbeamyard/version/journal.py
@@ -130,7 +130,8 @@
     disk_id : bytes
         Id of this data folder.
     initial : bool
-        Whether the folder was made when the fleet was initialized.
+        Whether the folder was made when the fleet was initialized or started
+        for the first time.
     entries : list of LogEntry
         The log, with consecutive indexes.
     members : MemberList
@@ -200,6 +201,18 @@
             return self.entries[position]
         return None
 
+    def is_settled(self) -> bool:
+        """Return whether the log shows that its first entries are committed.
+
+        Leaders append other entries than member lists and no-ops only after
+        an entry of their term is committed, and snapshots hold only committed
+        entries.
+        """
+        return bool(self.snapshot.last_index) or any(
+            entry.WhichOneof("command") not in ("members", "noop")
+            for entry in self.entries
+        )
+
     def _refresh_members(self) -> None:
         """Set `members` to the newest list in the log or snapshot."""
         self.members_index = int(self.snapshot.last_index)
@@ -216,13 +229,18 @@
         """Return whether the data folder holds a vote file."""
         return await self._disk.load(VOTE_FILE) is not None
 
-    async def load(self, make_id: Callable[[], bytes]) -> str:
+    async def load(
+        self, make_id: Callable[[], bytes], first_start: bool = False
+    ) -> str:
         """Read the data folder; give it an id if it is empty.
 
         Parameters
         ----------
         make_id : callable
             Returns a new random id.
+        first_start : bool, optional
+            Whether the fleet starts for the first time, which an empty folder
+            then records: the process may end before the fleet is founded.
 
         Returns
         -------
@@ -246,6 +264,7 @@
                     "the folder, and the member rejoins with a new id"
                 )
             self.disk_id = make_id()
+            self.initial = first_start
             await self._store_vote()
             return ""
         self._restore_vote(stored)
--- a/hornbeamyard/version/membership.py
+++ b/hornbeamyard/version/membership.py
@@ -48,25 +48,49 @@
 
 
 def find_majority(
-    members: fleet_pb2.MemberList, replies: Mapping[str, MemberReply]
+    members: fleet_pb2.MemberList,
+    replies: Mapping[str, MemberReply],
+    excludes_lost: bool = False,
 ) -> float:
     """Return the highest value that a majority of voters has reached.
 
-    It is `NEVER` if a majority hasn't replied.
+    A voter whose host has replied with another data folder is lost for good.
+    Where so many are lost that no majority can ever reply, all other voters
+    together take its place, provided that each majority before the losses
+    included one of them.
+
+    Parameters
+    ----------
+    members : MemberList
+    replies : mapping of str to MemberReply
+        Replies by host.
+    excludes_lost : bool, optional
+        Whether lost voters may be left out. This is only safe with a member
+        list that descends from a committed one.
+
+    Returns
+    -------
+    float
+        `NEVER` if a majority hasn't replied.
     """
-    values = []
-    for member in members.members:
-        if not member.voter:
-            continue
+    voters = [member for member in members.members if member.voter]
+    values: list[float] = []
+    for member in voters:
         reply = replies.get(member.host)
-        if reply and is_member_disk(member, reply.disk_id, reply.initial):
+        if reply is None:
+            values.append(NEVER)
+        elif is_member_disk(member, reply.disk_id, reply.initial):
             values.append(reply.value)
-        else:
+        elif not (excludes_lost and member.disk):
             values.append(NEVER)
-    if not values:
-        return NEVER
-    values.sort(reverse=True)
-    return values[len(values) // 2]
+    size = max(len(voters), members.required_voters)
+    majority = size // 2 + 1
+    if len(values) >= majority:
+        values.sort(reverse=True)
+        return values[majority - 1]
+    is_covered = len(values) > len(voters) - majority
+    has_lost = len(values) < len(voters)
+    return min(values) if has_lost and is_covered else NEVER
 
 
 def list_voters(members: fleet_pb2.MemberList) -> list[str]:
@@ -119,11 +143,18 @@
     members: fleet_pb2.MemberList, host: str, disk_id: bytes, initial: bool
 ) -> bool:
     """Return whether a host's data folder belongs to a voter."""
-    return any(
-        member.voter and is_member_disk(member, disk_id, initial)
-        for member in members.members
-        if member.host == host
-    )
+    member = find_member(members, host, disk_id, initial)
+    return member is not None and member.voter
+
+
+def find_member(
+    members: fleet_pb2.MemberList, host: str, disk_id: bytes, initial: bool
+) -> fleet_pb2.Member | None:
+    """Return the member that a host's data folder belongs to, if any."""
+    for member in members.members:
+        if member.host == host and is_member_disk(member, disk_id, initial):
+            return member
+    return None
 
 
 def plan_step(
@@ -287,4 +318,6 @@
     kept = [m for m in changed.members if m.host != host]
     if not any(m.voter for m in kept):
         return f"{host!r} is the last voter"
-    return fleet_pb2.MemberList(members=kept)
+    return fleet_pb2.MemberList(
+        members=kept, required_voters=changed.required_voters
+    )
--- a/hornbeamyard/version/replica.py
+++ b/hornbeamyard/version/replica.py
@@ -137,6 +137,8 @@
         Whether a leader may act on its lease alone. If not, a majority
         confirms each submission and each read, and a restarted member takes
         part in elections at once.
+    first_start : bool, optional
+        Whether the fleet starts for the first time.
 
     Attributes
     ----------
@@ -168,6 +170,7 @@
         timeouts: Timeouts = DEFAULT_TIMEOUTS,
         required_disks: int = 1,
         relies_on_leases: bool = True,
+        first_start: bool = False,
     ) -> None:
         self.identity = identity
         self.host = identity.host
@@ -189,6 +192,7 @@
         self._required_disks = required_disks
         self._rng = rng
         self._changed = anyio.Event()
+        self._first_start = first_start
         self._pending: list[Proposal] = []
         self._uncommitted: dict[int, Proposal] = {}
         self._is_loaded = False
@@ -337,7 +341,7 @@
 
     async def _load(self) -> None:
         try:
-            repaired = await self.journal.load(lambda: self._rng.randbytes(16))
+            repaired = await self._load_journal()
             self.state = FleetState.from_snapshot(self.journal.snapshot)
             self._is_loaded = True
             if repaired:
@@ -349,6 +353,11 @@
                 "the data folder is empty; waiting to be added by the leader"
             )
 
+    async def _load_journal(self) -> str:
+        return await self.journal.load(
+            lambda: self._rng.randbytes(16), self._first_start
+        )
+
     async def _retry_disk(self) -> None:
         """Clear the fault once a disk that failed accepts writes again."""
         async for _ in self.timers.subscribe(DISK_RETRY_S):
@@ -361,7 +370,7 @@
         try:
             if self._is_loaded and not await journal.has_vote():
                 return
-            await journal.load(lambda: self._rng.randbytes(16))
+            await self._load_journal()
             await journal.store_vote(journal.term, journal.voted_for)
             # A snapshot may have reached the disk before the write failed.
             if journal.snapshot.last_index > self.state.last_index:
--- a/properties/fleet_simulation.py
+++ b/properties/fleet_simulation.py
@@ -40,10 +40,6 @@
         """Introduce this controller."""
         return await self._ask(address, "handle_introduction", request)
 
-    async def send_founding(self, address: str, request: Any) -> Any:
-        """Send the initial members."""
-        return await self._ask(address, "handle_founding", request)
-
     async def _ask(self, address: str, method: str, request: Any) -> Any:
         # A call that gets no reply ends with its time limit.
         with self._host.timers.limit(1.0):
@@ -87,13 +83,13 @@
             timeouts=derive_timeouts(CATCH_UP_S),
             required_disks=TOLERATED_HOSTS + 1,
             relies_on_leases=False,
+            first_start=self.first_start,
             snapshot_entries=SNAPSHOT_ENTRIES,
         )
         own = fleet_pb2.ControllerAddress(
             host=self.name,
             address=self.address,
             availability_zone="zone-a",
-            first_start=self.first_start,
         )
         self.founder = Founder(
             replica,
@@ -123,13 +119,6 @@
         self.founder.known_controllers.add_introduced(request.controller)
         return self.founder.describe()
 
-    async def handle_founding(
-        self, request: fleet_pb2.Founding
-    ) -> fleet_pb2.FoundingReply:
-        """Handle the initial members from the founding controller."""
-        accepted = await self.founder.accept_founding(request.members)
-        return fleet_pb2.FoundingReply(accepted=accepted)
-
 
 class SimulatedFleet:
     """Controllers, and an operator that submits routings.
