Let a controller with a damaged data folder join anew

From there it is a member with a lost disk: the leader adds the new folder as a learner and then as a voter, in fleets with and without automatic repair, because every leader does so for a member's unknown folder id (plan_step). The old id is never used again, as what it acknowledged may be gone. The newest three folders are kept. A folder of another fleet stays a permanent fault and isn't touched; errors of the disk stay temporary.

Two cases were silent before. A log that was emptied or removed beside a vote was taken for a new one, and the controller went on voting under its id: each log now begins with a record without entries, and a log without it is damaged. Logs of former releases without any record count as damaged once. A folder removed under the process was recreated in part: an append no longer creates the file, the fault makes the replica read the folder again, and it joins anew. That also holds if the log read again ends before a committed entry.

It starts in term 1, which keeps a blank controller whose process is told again that this is the first start from founding another log, and controllers init refuses the folder.

The last record of a log remains ambiguous: after a loss of power a write that wasn't synced may be present, missing or torn, also at full length, and setting such folders aside could cost a majority after a loss of power of all hosts.

--- a/hornbeamyard/tests/test_journal.py
+++ b/hornbeamyard/tests/test_journal.py
@@ -11,11 +11,16 @@
 from hornbeamyard.messages import fleet_pb2
 from hornbeamyard.version.journal import (
     LOG_FILE,
+    MAX_SET_ASIDE,
+    REASON_FILE,
+    SET_ASIDE_FOLDER,
     SNAPSHOT_FILE,
     VOTE_FILE,
     FolderDisk,
+    ForeignFolderError,
     Journal,
     JournalError,
+    build_record,
 )
 
 ID = b"0123456789abcdef"
@@ -97,16 +102,42 @@
         anyio.run(append)
         assert len(list_entries(tmp_path)) == len(found) + 1
 
-    def test_refuses_corruption(self, tmp_path: Path) -> None:
+    # Records without entries, with entries 1 and 2, and with 3 and 4.
+    @pytest.mark.parametrize(
+        ("position", "start"),
+        [*((n, 0) for n in range(12)), *((n, 12) for n in range(12, 40))],
+    )
+    def test_refuses_corruption(
+        self, tmp_path: Path, position: int, start: int
+    ) -> None:
         """Guards against acknowledged entries that are silently dropped."""
         anyio.run(write, tmp_path, build_entries(1, 2), build_entries(3, 4))
         path = tmp_path / LOG_FILE
         data = bytearray(path.read_bytes())
-        data[14] ^= 1
+        data[position] ^= 1
         path.write_bytes(data)
-        with pytest.raises(JournalError, match="corrupt at byte 0"):
+        with pytest.raises(JournalError, match=f"corrupt at byte {start}:"):
+            anyio.run(open_journal, tmp_path)
+
+    @pytest.mark.parametrize("size", [None, 0, 1, 11])
+    def test_refuses_lost_log(self, tmp_path: Path, size: int | None) -> None:
+        """Guards against a vote for a log that lacks what it had."""
+        anyio.run(write, tmp_path, build_entries(1, 2))
+        path = tmp_path / LOG_FILE
+        data = path.read_bytes()
+        path.unlink()
+        if size is not None:
+            path.write_bytes(data[:size])
+        text = "is gone" if size is None else f"no valid record in {size}"
+        with pytest.raises(JournalError, match=f"'{LOG_FILE}' .*{text}"):
             anyio.run(open_journal, tmp_path)
 
+    def test_stopped_before_the_first_vote(self, tmp_path: Path) -> None:
+        """Guards against a new folder that counts as damaged."""
+        anyio.run(open_journal, tmp_path)
+        (tmp_path / VOTE_FILE).unlink()
+        assert not anyio.run(open_journal, tmp_path).set_aside
+
     @pytest.mark.parametrize("name", [VOTE_FILE, SNAPSHOT_FILE])
     def test_refuses_corrupt_file(self, tmp_path: Path, name: str) -> None:
         """Guards against a corrupt vote or snapshot that is used."""
@@ -119,24 +150,115 @@
 
         anyio.run(run)
         path = tmp_path / name
-        path.write_bytes(path.read_bytes()[:-1] + b"\xff")
-        with pytest.raises(JournalError, match=f"'{name}' is corrupt"):
+        data = path.read_bytes()
+        for damaged in (data[:-1] + b"\xff", data[:-1], data[:5], b""):
+            path.write_bytes(damaged)
+            with pytest.raises(JournalError, match=f"'{name}' is corrupt"):
+                anyio.run(open_journal, tmp_path)
+
+    def test_refuses_other_content(self, tmp_path: Path) -> None:
+        """Guards against a process that ends for a record of another kind."""
+        anyio.run(write, tmp_path)
+        (tmp_path / VOTE_FILE).write_bytes(build_record(b"\x0a\xff"))
+        with pytest.raises(JournalError, match=f"'{VOTE_FILE}' is corrupt"):
             anyio.run(open_journal, tmp_path)
 
     def test_refuses_log_without_vote(self, tmp_path: Path) -> None:
         """Guards against a member that lost its vote but keeps its log."""
         anyio.run(write, tmp_path, build_entries(1, 1))
         (tmp_path / VOTE_FILE).unlink()
-        with pytest.raises(JournalError, match="no vote file"):
+        with pytest.raises(JournalError, match=f"'{VOTE_FILE}' is gone"):
             anyio.run(open_journal, tmp_path)
 
     def test_refuses_other_fleet(self, tmp_path: Path) -> None:
         """Guards against a data folder copied from another fleet."""
         anyio.run(write, tmp_path)
-        with pytest.raises(JournalError, match="belongs to fleet 'test'"):
+        with pytest.raises(ForeignFolderError, match="to fleet 'test'"):
             anyio.run(open_journal, tmp_path, "other")
 
 
+async def set_aside(folder: Path, reason: str) -> str:
+    """Set the files of a folder aside; return the place."""
+    return await Journal(FolderDisk(folder), "test").set_files_aside(reason)
+
+
+class TestSetAside:
+    """Damaged files are kept for the operator, and the folder begins anew."""
+
+    def test_begins_anew(self, tmp_path: Path) -> None:
+        """Guards against a damaged folder that keeps what it promised."""
+
+        async def run() -> None:
+            journal = await write(tmp_path, build_entries(1, 3))
+            await journal.store_vote(5, b"candidate")
+            kept = (tmp_path / LOG_FILE).read_bytes()
+            place = Path(await journal.set_files_aside("damaged"))
+            assert (place / LOG_FILE).read_bytes() == kept
+            assert (place / REASON_FILE).read_text() == "damaged\n"
+            # The journal in memory is replaced too.
+            await journal.load(lambda: b"another id")
+            again = await open_journal(tmp_path)
+            for found in (journal, again):
+                assert found.disk_id == b"another id"
+                assert (found.last_index, found.voted_for) == (0, b"")
+                assert found.set_aside
+                assert not found.initial
+                # It must not found another log.
+                assert found.term > 0
+
+        anyio.run(run)
+
+    def test_new_folder(self, tmp_path: Path) -> None:
+        """Guards against a new folder that may not found the cluster."""
+        journal = anyio.run(open_journal, tmp_path)
+        assert (journal.set_aside, journal.term) == (False, 0)
+
+    def test_bounded(self, tmp_path: Path) -> None:
+        """Guards against damage that fills the disk in the end."""
+        for number in range(MAX_SET_ASIDE + 3):
+            anyio.run(write, tmp_path)
+            anyio.run(set_aside, tmp_path, f"damage {number}")
+        places = (tmp_path / SET_ASIDE_FOLDER).iterdir()
+        reasons = sorted((p / REASON_FILE).read_text() for p in places)
+        assert reasons == ["damage 3\n", "damage 4\n", "damage 5\n"]
+
+    @pytest.mark.parametrize("moves", [0, 1, 2])
+    def test_stopped_meanwhile(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, moves: int
+    ) -> None:
+        """Guards against files left behind that are used under the old id."""
+
+        async def run() -> None:
+            journal = await write(tmp_path, build_entries(1, 10))
+            await journal.store_snapshot(
+                fleet_pb2.SnapshotState(last_index=8, last_term=1)
+            )
+
+        anyio.run(run)
+        replace = Path.replace
+        left = [moves]
+
+        def fail(path: Path, target: Path) -> Path:
+            if left[0] == 0:
+                raise OSError(5, "Input/output error")
+            left[0] -= 1
+            return replace(path, target)
+
+        with monkeypatch.context() as patch:
+            patch.setattr(Path, "replace", fail)
+            for _ in range(5):
+                with pytest.raises(OSError, match="Input/output"):
+                    anyio.run(set_aside, tmp_path, "damaged")
+        if moves:
+            with pytest.raises(JournalError, match="is gone, and others"):
+                anyio.run(open_journal, tmp_path)
+        anyio.run(set_aside, tmp_path, "damaged")
+        journal = anyio.run(open_journal, tmp_path)
+        assert (journal.set_aside, journal.last_index) == (True, 0)
+        kept = (tmp_path / SET_ASIDE_FOLDER).rglob(VOTE_FILE)
+        assert len(list(kept)) == 1
+
+
 @pytest.mark.requirement("R15", fault="restart after a snapshot")
 class TestSnapshot:
     """Entries that a snapshot covers are dropped."""
--- a/hornbeamyard/version/bootstrap.py
+++ b/hornbeamyard/version/bootstrap.py
@@ -15,7 +15,7 @@
 from ..connection.replication import ReplicationCalls
 from ..messages import fleet_pb2
 from ..process.settings import Settings
-from .journal import FolderDisk, Journal, JournalError
+from .journal import SET_ASIDE_FOLDER, FolderDisk, Journal, JournalError
 from .state import FleetState
 
 # Time limit of the call that checks whether a controller has a log.
@@ -90,6 +90,12 @@
                 f"{settings.controller.data_folder} is an initialized data "
                 "folder already"
             )
+        if await disk.has_set_aside():
+            return Err(
+                f"{settings.controller.data_folder} held files that were "
+                f"damaged and are kept in {SET_ASIDE_FOLDER!r}; start this "
+                "host, and the leader adds it"
+            )
         owner = await _find_initialized_controller(settings)
         if owner:
             return Err(
--- a/hornbeamyard/version/journal.py
+++ b/hornbeamyard/version/journal.py
@@ -7,14 +7,16 @@
 from __future__ import annotations
 
 import os
+import shutil
 import struct
 import zlib
 from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 import anyio
 import anyio.to_thread
+from google.protobuf.message import DecodeError, Message
 from result import Err, Ok, Result
 
 from ..messages import fleet_pb2
@@ -22,6 +24,14 @@
 VOTE_FILE = "vote"
 LOG_FILE = "log"
 SNAPSHOT_FILE = "snapshot"
+# Sub-folder that holds damaged files for the operator, each time in a folder
+# of its own with a file that states the reason.
+SET_ASIDE_FOLDER = "set-aside"
+REASON_FILE = "reason"
+# A folder that is damaged again and again must not fill the disk.
+MAX_SET_ASIDE = 3
+
+M = TypeVar("M", bound=Message)
 
 _MAGIC = b"hbyr"
 _HEADER = struct.Struct("<4sII")
@@ -34,11 +44,23 @@
         """Return a file's content, or None when it doesn't exist."""
 
     async def append(self, name: str, data: bytes) -> None:
-        """Append to a file and sync it."""
+        """Append to a file, which must exist, and sync it."""
 
     async def replace(self, name: str, data: bytes) -> None:
         """Replace a file's content atomically and sync it."""
 
+    async def set_aside(self, names: Sequence[str], reason: str) -> str:
+        """Move files out of use, one after the other, and sync each move.
+
+        Returns
+        -------
+        str
+            The place that holds them now, for the operator.
+        """
+
+    async def has_set_aside(self) -> bool:
+        """Return whether files were set aside and are still kept."""
+
 
 class FolderDisk:
     """Files in a folder of the file system.
@@ -59,13 +81,24 @@
         return await anyio.to_thread.run_sync(self._load, name)
 
     async def append(self, name: str, data: bytes) -> None:
-        """Append to a file and sync it."""
+        """Append to a file, which must exist, and sync it."""
         await anyio.to_thread.run_sync(self._append, name, data)
 
     async def replace(self, name: str, data: bytes) -> None:
         """Replace a file's content atomically and sync it."""
         await anyio.to_thread.run_sync(self._replace, name, data)
 
+    async def set_aside(self, names: Sequence[str], reason: str) -> str:
+        """Move files to a new folder in `SET_ASIDE_FOLDER`; return its path.
+
+        The newest `MAX_SET_ASIDE` of these folders are kept.
+        """
+        return await anyio.to_thread.run_sync(self._set_aside, names, reason)
+
+    async def has_set_aside(self) -> bool:
+        """Return whether files were set aside and are still kept."""
+        return bool(await anyio.to_thread.run_sync(self._list_set_aside))
+
     def _load(self, name: str) -> bytes | None:
         # A killed process may have left data that can be read but isn't
         # synced yet; it must be durable before anything relies on it.
@@ -75,18 +108,16 @@
                 data = file.read()
         except FileNotFoundError:
             return None
-        self._sync_folder()
+        _sync_folder(self._folder)
         return data
 
     def _append(self, name: str, data: bytes) -> None:
-        path = self._folder / name
-        is_new = not path.exists()
-        with path.open("ab") as file:
+        # A file that is gone must not begin anew in the middle.
+        descriptor = os.open(self._folder / name, os.O_WRONLY | os.O_APPEND)
+        with open(descriptor, "ab") as file:
             file.write(data)
             file.flush()
             os.fsync(file.fileno())
-        if is_new:
-            self._sync_folder()
 
     def _replace(self, name: str, data: bytes) -> None:
         self._folder.mkdir(parents=True, exist_ok=True)
@@ -96,18 +127,62 @@
             file.flush()
             os.fsync(file.fileno())
         temporary.replace(self._folder / name)
-        self._sync_folder()
+        _sync_folder(self._folder)
 
-    def _sync_folder(self) -> None:
-        descriptor = os.open(self._folder, os.O_RDONLY)
+    def _set_aside(self, names: Sequence[str], reason: str) -> str:
+        numbers = self._list_set_aside()
+        parent = self._folder / SET_ASIDE_FOLDER
+        place = parent / str(max(numbers, default=0) + 1)
+        place.mkdir(parents=True)
         try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
+            self._write_reason(place, reason)
+            for name in names:
+                path = self._folder / name
+                if path.exists():
+                    path.replace(place / name)
+                    _sync_folder(place)
+                    _sync_folder(self._folder)
+        except OSError:
+            # Attempts that move nothing must not leave folders behind, which
+            # would take the place of those with files.
+            if not any((place / name).exists() for name in names):
+                shutil.rmtree(place, ignore_errors=True)
+            raise
+        for number in numbers[: 1 - MAX_SET_ASIDE]:
+            shutil.rmtree(parent / str(number), ignore_errors=True)
+        return str(place)
+
+    def _write_reason(self, place: Path, reason: str) -> None:
+        with (place / REASON_FILE).open("w") as file:
+            file.write(f"{reason}\n")
+            file.flush()
+            os.fsync(file.fileno())
+        for folder in (place, place.parent, self._folder):
+            _sync_folder(folder)
+
+    def _list_set_aside(self) -> list[int]:
+        """Return the numbers of the folders with files that were set aside."""
+        parent = self._folder / SET_ASIDE_FOLDER
+        if not parent.is_dir():
+            return []
+        names = [path.name for path in parent.iterdir() if path.is_dir()]
+        return sorted(int(name) for name in names if name.isdecimal())
+
+
+def _sync_folder(folder: Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
 
 
 class JournalError(Exception):
-    """The data folder is corrupt or belongs to another fleet."""
+    """A file of the data folder is damaged or belongs to another fleet."""
+
+
+class ForeignFolderError(JournalError):
+    """The data folder belongs to another fleet."""
 
 
 class Journal:
@@ -137,6 +212,10 @@
         The newest member list, committed or not.
     members_index : int
         Index of the entry that holds `members`, or of the snapshot.
+    set_aside : bool
+        Whether this folder held other files, which were damaged and are kept
+        in `SET_ASIDE_FOLDER`: its member may have acknowledged what the
+        journal lacks.
     snapshot : SnapshotState
         The newest snapshot; empty before the first.
     """
@@ -150,6 +229,7 @@
         "initial",
         "members",
         "members_index",
+        "set_aside",
         "snapshot",
         "term",
         "voted_for",
@@ -161,6 +241,10 @@
         self._disk = disk
         self._retained_entries = retained_entries
         self._fleet = fleet
+        self.set_aside = False
+        self._reset()
+
+    def _reset(self) -> None:
         self.term = 0
         self.voted_for = b""
         self.disk_id = b""
@@ -231,28 +315,40 @@
 
         Raises
         ------
+        ForeignFolderError
+            If the data folder belongs to another fleet.
         JournalError
-            If a file is corrupt or belongs to another fleet.
+            If a file is damaged or gone.
         OSError
             If the disk returns an error.
         """
         stored = await self._disk.load(VOTE_FILE)
-        log = await self._disk.load(LOG_FILE) or b""
+        log = await self._disk.load(LOG_FILE)
         snapshot = await self._disk.load(SNAPSHOT_FILE)
+        self.set_aside = await self._disk.has_set_aside()
         if stored is None:
-            if log or snapshot is not None:
+            if snapshot is not None or log not in (None, b"", _LOG_START):
                 raise JournalError(
-                    "the data folder holds a log but no vote file; empty "
-                    "the folder, and the member rejoins with a new id"
+                    f"the file {VOTE_FILE!r} is gone, and others are left"
                 )
-            self.disk_id = make_id()
-            await self._store_vote()
+            await self._initialize_empty(make_id())
             return ""
         self._restore_vote(stored)
+        self.snapshot = fleet_pb2.SnapshotState()
         if snapshot is not None:
-            payload = _read_single_record(SNAPSHOT_FILE, snapshot)
-            self.snapshot = fleet_pb2.SnapshotState.FromString(payload)
+            payload = read_single_record(SNAPSHOT_FILE, snapshot)
+            self.snapshot = _parse(
+                SNAPSHOT_FILE, fleet_pb2.SnapshotState, payload
+            )
+        if log is None:
+            raise JournalError(f"the file {LOG_FILE!r} is gone")
         payloads, valid_size = split_records(log)
+        if not payloads:
+            # Each log begins with a complete record.
+            raise JournalError(
+                f"the file {LOG_FILE!r} has no valid record in {len(log)} "
+                "bytes"
+            )
         self.entries = _collect_entries(payloads)
         dropped = self._drop_superseded()
         self._refresh_members()
@@ -261,11 +357,45 @@
         await self._rewrite()
         return f"dropped {len(log) - valid_size} bytes of an unfinished write"
 
+    async def _initialize_empty(self, disk_id: bytes) -> None:
+        """Give an empty folder an id."""
+        self._reset()
+        self.disk_id = disk_id
+        # Another log may exist that this member has acknowledged entries of.
+        # A term of at least 1 keeps it from founding a new one.
+        self.term = int(self.set_aside)
+        await self._rewrite()
+        await self._store_vote()
+
+    async def set_files_aside(self, reason: str) -> str:
+        """Set the files aside, after which `load` finds an empty folder.
+
+        Parameters
+        ----------
+        reason : str
+            Kept beside the files.
+
+        Returns
+        -------
+        str
+            The place that holds the files.
+
+        Raises
+        ------
+        OSError
+            If the disk returns an error. `load` then still finds damage, or
+            an empty folder.
+        """
+        # The vote goes first: without it, no file left behind is used again.
+        return await self._disk.set_aside(
+            (VOTE_FILE, LOG_FILE, SNAPSHOT_FILE), reason
+        )
+
     def _restore_vote(self, stored: bytes) -> None:
-        payload = _read_single_record(VOTE_FILE, stored)
-        vote = fleet_pb2.StoredVote.FromString(payload)
+        payload = read_single_record(VOTE_FILE, stored)
+        vote = _parse(VOTE_FILE, fleet_pb2.StoredVote, payload)
         if vote.fleet != self._fleet:
-            raise JournalError(
+            raise ForeignFolderError(
                 f"the data folder belongs to fleet {vote.fleet!r}, not to "
                 f"{self._fleet!r}"
             )
@@ -366,7 +496,7 @@
         # can be distinguished from an unfinished write at the end.
         messages = [fleet_pb2.LogFrame(entries=[e]) for e in self.entries]
         data = b"".join(build_record(m.SerializeToString()) for m in messages)
-        await self._disk.replace(LOG_FILE, data)
+        await self._disk.replace(LOG_FILE, _LOG_START + data)
 
 
 def build_record(payload: bytes) -> bytes:
@@ -374,6 +504,11 @@
     return _HEADER.pack(_MAGIC, len(payload), zlib.crc32(payload)) + payload
 
 
+# A record without entries, so that a log that was emptied can be told from
+# one that nothing was appended to.
+_LOG_START = build_record(b"")
+
+
 def split_records(data: bytes) -> tuple[list[bytes], int]:
     """Return the payloads of a file and the size of its valid part in bytes.
 
@@ -401,8 +536,7 @@
         if isinstance(_read_record(data, position), Ok):
             raise JournalError(
                 f"the log is corrupt at byte {offset}: a valid record follows "
-                f"at byte {position}; empty the data folder, and the member "
-                "rejoins with a new id"
+                f"at byte {position}"
             )
         position = data.find(_MAGIC, position + 1)
 
@@ -420,22 +554,35 @@
     return Ok(payload)
 
 
-def _read_single_record(name: str, data: bytes) -> bytes:
+def read_single_record(name: str, data: bytes) -> bytes:
+    """Return the payload of a file that holds one record.
+
+    Raises
+    ------
+    JournalError
+        If the record isn't complete or its CRC is wrong.
+    """
     record = _read_record(data, 0)
     if isinstance(record, Err):
         raise JournalError(
-            f"the file {name!r} is corrupt ({record.err_value}); empty the "
-            "data folder, and the member rejoins with a new id"
+            f"the file {name!r} is corrupt ({record.err_value})"
         )
     return record.ok_value
 
 
+def _parse(name: str, kind: type[M], payload: bytes) -> M:
+    try:
+        return kind.FromString(payload)
+    except DecodeError as error:
+        raise JournalError(f"the file {name!r} is corrupt: {error}") from error
+
+
 def _collect_entries(payloads: list[bytes]) -> list[fleet_pb2.LogEntry]:
     entries: list[fleet_pb2.LogEntry] = []
     for payload in payloads:
-        _splice_entries(
-            entries, fleet_pb2.LogFrame.FromString(payload).entries
-        )
+        frame = _parse(LOG_FILE, fleet_pb2.LogFrame, payload)
+        if frame.entries:
+            _splice_entries(entries, frame.entries)
     return entries
 
 
--- a/hornbeamyard/version/replica.py
+++ b/hornbeamyard/version/replica.py
@@ -16,7 +16,7 @@
 from . import membership
 from .election import Election
 from .jobs import JobQueue
-from .journal import Disk, Journal, JournalError
+from .journal import Disk, ForeignFolderError, Journal, JournalError
 from .leadership import Leadership
 from .state import FleetState, Outcome
 from .timeouts import Timeouts
@@ -337,7 +337,7 @@
 
     async def _load(self) -> None:
         try:
-            repaired = await self.journal.load(lambda: self._rng.randbytes(16))
+            repaired = await self._read_journal()
             self.state = FleetState.from_snapshot(self.journal.snapshot)
             self._is_loaded = True
             if repaired:
@@ -349,6 +349,44 @@
                 "the data folder is empty; waiting to be added by the leader"
             )
 
+    async def _read_journal(self) -> str:
+        """Read the data folder; begin anew with a new id if it is damaged.
+
+        What a damaged folder lacks may have been acknowledged, so that it must
+        never be used under its id again.
+        """
+        journal = self.journal
+        damage = ""
+        try:
+            if self._is_loaded and not await journal.has_vote():
+                damage = "the data folder was removed"
+            else:
+                repaired = await journal.load(self._draw_id)
+                if journal.last_index >= self.state.last_index:
+                    return repaired
+                damage = (
+                    f"the log ends at entry {journal.last_index}, before the "
+                    f"committed entry {self.state.last_index}"
+                )
+        except ForeignFolderError:
+            raise
+        except JournalError as error:
+            damage = str(error)
+        place = await journal.set_files_aside(damage)
+        _log.error(
+            "the data folder is damaged: {}; its files were moved to {}, and "
+            "this controller rejoins with a new data folder id",
+            damage,
+            place,
+        )
+        # The files are as in an empty folder even if the disk fails now.
+        self._is_loaded = False
+        self.replace_state(FleetState())
+        return await journal.load(self._draw_id)
+
+    def _draw_id(self) -> bytes:
+        return self._rng.randbytes(16)
+
     async def _retry_disk(self) -> None:
         """Clear the fault once a disk that failed accepts writes again."""
         async for _ in self.timers.subscribe(DISK_RETRY_S):
@@ -359,9 +397,7 @@
         """Read the disk again, because a failed write may have reached it."""
         journal = self.journal
         try:
-            if self._is_loaded and not await journal.has_vote():
-                return
-            await journal.load(lambda: self._rng.randbytes(16))
+            await self._read_journal()
             await journal.store_vote(journal.term, journal.voted_for)
             # A snapshot may have reached the disk before the write failed.
             if journal.snapshot.last_index > self.state.last_index:
@@ -399,16 +435,19 @@
 
     def set_fault(self, error: Exception) -> None:
         """Stop voting and leading, because the disk is unreliable."""
+        # A full or failing disk may recover by itself; a folder that belongs
+        # to another fleet needs an operator.
+        self._is_fault_temporary = isinstance(error, OSError)
         if not self.fault:
             _log.error(
-                "this controller no longer votes or leads: {}; it votes "
-                "again once the disk accepts writes",
+                "this controller no longer votes or leads: {}; {}",
                 error,
+                "it votes again once the disk accepts writes"
+                if self._is_fault_temporary
+                else "give it its own data folder or an empty one, and "
+                "restart it",
             )
         self.fault = str(error)
-        # A full or failing disk may recover by itself; a folder that is
-        # corrupt or belongs to another fleet needs an operator.
-        self._is_fault_temporary = isinstance(error, OSError)
         self.step_down("disk error")
 
     def become_leader(self, term: int) -> Leadership:
--- a/properties/simulation.py
+++ b/properties/simulation.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from functools import partial
 from typing import Any
 
@@ -12,7 +12,7 @@
 
 from hornbeamyard.messages import fleet_pb2
 from hornbeamyard.process.timers import VirtualTimers
-from hornbeamyard.version.journal import Journal
+from hornbeamyard.version.journal import SET_ASIDE_FOLDER, Journal
 from hornbeamyard.version.replica import Replica
 
 FLEET = "simulated"
@@ -113,7 +113,9 @@
 
     async def append(self, name: str, data: bytes) -> None:
         """Append to a file; a crash may keep any part of the data."""
-        before = self.files.get(name, b"")
+        if name not in self.files:
+            raise FileNotFoundError(2, "No such file or directory", name)
+        before = self.files[name]
         if self.fails:
             part = self._rng.randint(0, len(data))
             self.files[name] = before + data[:part]
@@ -132,6 +134,23 @@
             kept = data
         await self._write(name, kept, data)
 
+    async def set_aside(self, names: Sequence[str], reason: str) -> str:
+        """Rename files; a crash may come between any two."""
+        if self.fails:
+            raise OSError(28, "No space left on device")
+        place = f"{SET_ASIDE_FOLDER}/{len(self.files)}"
+        self.files[f"{place}/reason"] = reason.encode()
+        for name in names:
+            if name in self.files:
+                self.files[f"{place}/{name}"] = self.files.pop(name)
+                if self.timers is not None:
+                    await self.timers.sleep(self._rng.uniform(0, 0.002))
+        return place
+
+    async def has_set_aside(self) -> bool:
+        """Return whether files were set aside."""
+        return any(name.startswith(SET_ASIDE_FOLDER) for name in self.files)
+
     async def _write(self, name: str, if_crashed: bytes, data: bytes) -> None:
         if self.timers is None:
             self.files[name] = data
