Check the controllers' records of streams, versions and crashes

A controller whose file of software versions was emptied took its record for complete, and told routers so: a stream could then be resumed at another version than the one that began it. Altered bytes in that file or in the file of crashes could be read as other content, as both had no checksum. With one damaged file of streams the other one counted, which may hold an earlier attempt at a stream than the lost file.

Versions and crashes are now one record with a CRC. Anything else is ignored with a warning, and the controller counts as lacking versions until a majority has told it of them; until then it writes no file, because the next start would take that for complete. If a file of streams is damaged or empty, none is used and both begin anew, so that the versions decide. Files of former releases without a CRC are ignored once, as guessing their format would accept altered ones.

An OSError, a cut tail of a stream file and a missing file are as before, except that streams of the other file aren't used after an OSError.

--- a/hornbeamyard/process/crash_store.py
+++ b/hornbeamyard/process/crash_store.py
@@ -12,7 +12,12 @@
 from ..connection.directory_codec import decode_crashes, encode_crashes
 from ..messages import fleet_pb2
 from ..pool.crashes import RETENTION_S, CrashLedger
-from ..version.journal import FolderDisk
+from ..version.journal import (
+    FolderDisk,
+    JournalError,
+    build_record,
+    read_single_record,
+)
 from .timers import Timers
 
 FILE_NAME = "crashes"
@@ -48,8 +53,11 @@
         """Add the crashes of the file to the ledger."""
         try:
             data = await self._disk.load(FILE_NAME)
-            stored = fleet_pb2.StoredCrashes.FromString(data or b"")
-        except (OSError, DecodeError) as error:
+            if data is None:
+                return
+            payload = read_single_record(FILE_NAME, data)
+            stored = fleet_pb2.StoredCrashes.FromString(payload)
+        except (OSError, JournalError, DecodeError) as error:
             # Routers may know the crashes as well.
             _log.warning("the file of crashes can't be read: {}", error)
             return
@@ -74,7 +82,8 @@
             stored = fleet_pb2.StoredCrashes(
                 time_ms=int(self._timers.wall_ms()), crashes=crashes
             )
-            await self._disk.replace(FILE_NAME, stored.SerializeToString())
+            record = build_record(stored.SerializeToString())
+            await self._disk.replace(FILE_NAME, record)
         except OSError as error:
             _log.warning("the file of crashes can't be written: {}", error)
             return
--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -157,7 +157,10 @@
                 self.directory.lacks_versions = not (
                     has_versions or self._settings.directory.first_start
                 )
-                tasks.start_soon(self._version_store.run)
+                tasks.start_soon(
+                    self._version_store.run,
+                    lambda: self.directory.lacks_versions,
+                )
                 await server.start()
                 tasks.start_soon(self.founder.run)
                 tasks.start_soon(self.directory.run)
--- a/hornbeamyard/process/stream_store.py
+++ b/hornbeamyard/process/stream_store.py
@@ -69,16 +69,20 @@
         """Add the streams of the files to the origins.
 
         They count as begun now, as the time since the files were written isn't
-        known.
+        known. If a file is damaged, none is added: it may have held a later
+        attempt at a stream of the other file.
         """
         stored: list[fleet_pb2.StoredStreams] = []
+        is_complete = True
         for name in FILE_NAMES:
             try:
-                data = await self._disk.load(name)
-                records, _ = split_records(data or b"")
-                stored += map(fleet_pb2.StoredStreams.FromString, records)
+                stored += await self._read(name)
             except (OSError, JournalError, DecodeError) as error:
                 _log.warning("the file {} can't be read: {}", name, error)
+                is_complete = False
+        if not is_complete:
+            await self._begin_anew()
+            return
         now = self._timers.now()
         for message in sorted(stored, key=lambda message: message.number):
             for group in message.streams:
@@ -86,6 +90,24 @@
                 for request_id in group.request_ids:
                     self._origins.record(request_id, origin, now)
 
+    async def _read(self, name: str) -> list[fleet_pb2.StoredStreams]:
+        data = await self._disk.load(name)
+        if data is None:
+            return []
+        records, _ = split_records(data)
+        if not records:
+            # Each file is begun with a complete record.
+            raise JournalError(f"no valid record in {len(data)} bytes")
+        return [fleet_pb2.StoredStreams.FromString(r) for r in records]
+
+    async def _begin_anew(self) -> None:
+        """Replace the files, so that the next start reads none of them."""
+        for name in FILE_NAMES:
+            try:
+                await self._disk.replace(name, build_record(b""))
+            except OSError as error:
+                _log.warning("the file {} can't be written: {}", name, error)
+
     async def run(self) -> None:
         """Write new streams until cancelled."""
         async for now in self._timers.subscribe(SAVE_INTERVAL_S):
--- a/hornbeamyard/process/version_store.py
+++ b/hornbeamyard/process/version_store.py
@@ -7,13 +7,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import logbook
 from google.protobuf.message import DecodeError
 
 from ..connection.directory_codec import encode_versions, record_versions
 from ..messages import fleet_pb2
 from ..pool.upstream_registry import UpstreamRegistry
-from ..version.journal import FolderDisk
+from ..version.journal import (
+    FolderDisk,
+    JournalError,
+    build_record,
+    read_single_record,
+)
 from .timers import Timers
 
 FILE_NAME = "software-versions"
@@ -54,23 +61,36 @@
         Returns
         -------
         bool
-            Whether there is a file.
+            Whether there is a file that is complete and unaltered. If not,
+            the registry may lack versions.
         """
         try:
             data = await self._disk.load(FILE_NAME)
-            stored = fleet_pb2.StoredVersions.FromString(data or b"")
-        except (OSError, DecodeError) as error:
+            if data is None:
+                return False
+            payload = read_single_record(FILE_NAME, data)
+            stored = fleet_pb2.StoredVersions.FromString(payload)
+        except (OSError, JournalError, DecodeError) as error:
             _log.warning("the file of versions can't be read: {}", error)
             return False
-        if data is None:
-            return False
         record_versions(self._registry, stored.pools, self._timers.now())
         self._saved = self._registry.versions_number
         return True
 
-    async def run(self) -> None:
-        """Write changes until cancelled."""
+    async def run(
+        self, lacks_versions: Callable[[], bool] = lambda: False
+    ) -> None:
+        """Write changes until cancelled.
+
+        Parameters
+        ----------
+        lacks_versions : callable, optional
+            Returns whether the registry may lack versions. It isn't written
+            then, as the next start would take the file for complete.
+        """
         async for now in self._timers.subscribe(SAVE_INTERVAL_S):
+            if lacks_versions():
+                continue
             if self._registry.versions_number != self._saved:
                 await self._save(now)
 
@@ -79,7 +99,8 @@
         try:
             pools = encode_versions(self._registry, now)
             stored = fleet_pb2.StoredVersions(pools=pools)
-            await self._disk.replace(FILE_NAME, stored.SerializeToString())
+            record = build_record(stored.SerializeToString())
+            await self._disk.replace(FILE_NAME, record)
         except OSError as error:
             _log.warning("the file of versions can't be written: {}", error)
             return
