--- a/hornbeamyard/process/metrics.py
+++ b/hornbeamyard/process/metrics.py
@@ -95,6 +95,8 @@
 # Metrics of fleets with a route directory.
 DIRECTORY_HELP = {
     "answers": "Routed requests by outcome",
+    "controller_fault": "1 while this controller can't use its data folder",
+    "controller_files_set_aside": "1 while damaged files are kept",
     "controllers_attached": "Controllers whose stream is open",
     "decisions": "Decisions by kind, those without a log line included",
     "leads": "1 while this controller leads",
--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -184,6 +184,9 @@
     def _sample(self) -> Iterator[Sample]:
         yield Sample("leads", float(self.replica.is_leader()))
         yield Sample("term", self.replica.term)
+        yield Sample("controller_fault", float(bool(self.replica.fault)))
+        has_set_aside = self.replica.journal.set_aside
+        yield Sample("controller_files_set_aside", float(has_set_aside))
         version = self.replica.state.routing.version
         yield Sample("routing_version", version)
         attached = self.directory.count_routers()
