Notice a data folder that is removed while nothing is written

A controller whose folder, vote file or log was removed under the process noticed it with its next write only. An idle fleet counted on its copy until then, and the next write is an election when two others have lost their disks: what was acknowledged would be lost by three losses, of which the first was long ago. Each controller now checks every 0.5 s that both files are there, without reading them, and joins anew if one is gone.

--- a/hornbeamyard/version/journal.py
+++ b/hornbeamyard/version/journal.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import shutil
 import struct
@@ -43,6 +44,9 @@
     async def load(self, name: str) -> bytes | None:
         """Return a file's content, or None when it doesn't exist."""
 
+    async def exists(self, name: str) -> bool:
+        """Return whether a file exists, without reading it."""
+
     async def append(self, name: str, data: bytes) -> None:
         """Append to a file, which must exist, and sync it."""
 
@@ -80,6 +84,11 @@
         """Return a file's content, or None when it doesn't exist."""
         return await anyio.to_thread.run_sync(self._load, name)
 
+    async def exists(self, name: str) -> bool:
+        """Return whether a file exists, without reading it."""
+        path = self._folder / name
+        return await anyio.to_thread.run_sync(path.exists)
+
     async def append(self, name: str, data: bytes) -> None:
         """Append to a file, which must exist, and sync it."""
         await anyio.to_thread.run_sync(self._append, name, data)
@@ -300,6 +309,20 @@
         """Return whether the data folder holds a vote file."""
         return await self._disk.load(VOTE_FILE) is not None
 
+    async def check_files(self) -> None:
+        """Check that the files which `load` left are still there.
+
+        Raises
+        ------
+        OSError
+            If one is gone, or the disk returns an error.
+        """
+        for name in (VOTE_FILE, LOG_FILE):
+            if not await self._disk.exists(name):
+                raise FileNotFoundError(
+                    errno.ENOENT, os.strerror(errno.ENOENT), name
+                )
+
     async def load(self, make_id: Callable[[], bytes]) -> str:
         """Read the data folder; give it an id if it is empty.
 
--- a/hornbeamyard/version/replica.py
+++ b/hornbeamyard/version/replica.py
@@ -38,7 +38,8 @@
 TRANSFER_TIMEOUT_S = 2.0
 # Time between checks of an entry that isn't held by enough voters yet.
 DURABILITY_INTERVAL_S = 0.02
-# Time between attempts to write to a disk that has failed.
+# Time between attempts to write to a disk that has failed, and between checks
+# of the data folder.
 DISK_RETRY_S = 0.5
 
 DEFAULT_TIMEOUTS = Timeouts()
@@ -332,7 +333,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.jobs.run)
             tasks.start_soon(self.election.run)
-            tasks.start_soon(self._retry_disk)
+            tasks.start_soon(self._watch_disk)
             task_status.started()
 
     async def _load(self) -> None:
@@ -387,12 +388,21 @@
     def _draw_id(self) -> bytes:
         return self._rng.randbytes(16)
 
-    async def _retry_disk(self) -> None:
-        """Clear the fault once a disk that failed accepts writes again."""
+    async def _watch_disk(self) -> None:
+        """Clear the fault once a disk that failed accepts writes again.
+
+        Without a fault, check that the data folder is still there: the others
+        count on what this member holds, also while nothing is written.
+        """
         async for _ in self.timers.subscribe(DISK_RETRY_S):
-            if self.fault and self._is_fault_temporary:
+            if not self.fault:
+                await self.jobs.execute(self._check_files)
+            elif self._is_fault_temporary:
                 await self.jobs.execute(self._recover_disk)
 
+    async def _check_files(self) -> None:
+        await self.persist(self.journal.check_files)
+
     async def _recover_disk(self) -> None:
         """Read the disk again, because a failed write may have reached it."""
         journal = self.journal
--- a/properties/simulation.py
+++ b/properties/simulation.py
@@ -111,6 +111,10 @@
         """Return a file's content."""
         return self.files.get(name)
 
+    async def exists(self, name: str) -> bool:
+        """Return whether a file exists."""
+        return name in self.files
+
     async def append(self, name: str, data: bytes) -> None:
         """Append to a file; a crash may keep any part of the data."""
         if name not in self.files:
--- a/properties/test_damaged_folders.py
+++ b/properties/test_damaged_folders.py
@@ -14,6 +14,7 @@
 import pytest
 
 from hornbeamyard.messages import fleet_pb2
+from hornbeamyard.version.founding import CANDIDATE_RETRY_S
 from hornbeamyard.version.journal import (
     LOG_FILE,
     SNAPSHOT_FILE,
@@ -187,6 +188,71 @@
     run_fleet(seed, test)
 
 
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("role", ["leader", "follower"])
+@pytest.mark.parametrize("lost", [[VOTE_FILE], [LOG_FILE], []])
+def test_removed_while_idle(seed: int, role: str, lost: list[str]) -> None:
+    """Guards against a lost folder that is noticed with the next losses."""
+
+    async def test(fleet: SimulatedFleet) -> None:
+        damaged = choose(fleet, role)
+        disk_id = damaged.replica.journal.disk_id
+        for name in lost or list(damaged.disk.files):
+            del damaged.disk.files[name]
+        await fleet.advance(CATCH_UP_S)
+        assert damaged.replica.journal.disk_id != disk_id
+        assert votes(fleet, damaged)
+        await lose_two_disks(fleet, spared=damaged)
+        await fleet.check_recovery()
+
+    run_fleet(seed, test)
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("name", [VOTE_FILE, LOG_FILE])
+@pytest.mark.parametrize("delay_s", [0.0005, 0.001, 0.002, 0.005, 0.02])
+def test_killed_while_rejoining(seed: int, name: str, delay_s: float) -> None:
+    """Guards against files that are used under the old id after all."""
+
+    async def test(fleet: SimulatedFleet) -> None:
+        damaged = choose(fleet, "follower")
+        disk_id = damaged.replica.journal.disk_id
+        damaged.crash()
+        damage(damaged.disk, name, empty)
+        for _ in range(3):
+            fleet.start(damaged.name)
+            await fleet.advance(delay_s)
+            damaged.crash()
+        fleet.start(damaged.name)
+        # One that is killed during a snapshot may be given up as a candidate
+        # first; `test_killed_during_snapshot` is about the time.
+        await fleet.advance(CANDIDATE_RETRY_S + CATCH_UP_S)
+        assert damaged.replica.journal.disk_id != disk_id
+        assert damaged.replica.journal.set_aside
+        assert votes(fleet, damaged)
+        await fleet.check_recovery()
+
+    run_fleet(seed, test)
+
+
+def test_killed_during_snapshot() -> None:
+    """Guards against a lost disk that stays lost after another kill."""
+
+    async def test(fleet: SimulatedFleet) -> None:
+        lost = choose(fleet, "follower")
+        fleet.lose_disk(lost.name)
+        fleet.start(lost.name)
+        while SNAPSHOT_FILE not in lost.disk.files:
+            await fleet.advance(0.001)
+        lost.crash()
+        fleet.start(lost.name)
+        await fleet.advance(CATCH_UP_S)
+        assert votes(fleet, lost)
+
+    for seed in range(6):
+        run_fleet(seed, test)
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_first_start_is_told_again(seed: int) -> None:
     """Guards against a damaged controller that founds another log."""
