Clear the alarm of files set aside once they are removed

The check for a removed data folder now looks for it too.

test_removed_by_operator failed before; test_journal.py and test_controller_fault.py pass.

--- a/hornbeamyard/tests/test_journal.py
+++ b/hornbeamyard/tests/test_journal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import shutil
 from pathlib import Path
 
 import anyio
@@ -213,6 +214,23 @@
         journal = anyio.run(open_journal, tmp_path)
         assert (journal.set_aside, journal.term) == (False, 0)
 
+    def test_removed_by_operator(self, tmp_path: Path) -> None:
+        """Guards against an alarm that goes on until the next restart."""
+
+        async def run() -> None:
+            await set_aside(tmp_path, "damaged")
+            journal = await open_journal(tmp_path)
+            await journal.check_files()
+            assert journal.set_aside
+            shutil.rmtree(tmp_path / SET_ASIDE_FOLDER)
+            await journal.check_files()
+            assert not journal.set_aside
+            (tmp_path / VOTE_FILE).unlink()
+            with pytest.raises(FileNotFoundError, match=VOTE_FILE):
+                await journal.check_files()
+
+        anyio.run(run)
+
     def test_bounded(self, tmp_path: Path) -> None:
         """Guards against damage that fills the disk in the end."""
         for number in range(MAX_SET_ASIDE + 3):
--- a/hornbeamyard/version/journal.py
+++ b/hornbeamyard/version/journal.py
@@ -312,6 +312,9 @@
     async def check_files(self) -> None:
         """Check that the files which `load` left are still there.
 
+        `set_aside` is false once an operator has removed the files that were
+        set aside.
+
         Raises
         ------
         OSError
@@ -322,6 +325,7 @@
                 raise FileNotFoundError(
                     errno.ENOENT, os.strerror(errno.ENOENT), name
                 )
+        self.set_aside = await self._disk.has_set_aside()
 
     async def load(self, make_id: Callable[[], bytes]) -> str:
         """Read the data folder; give it an id if it is empty.
