Test a damaged data folder in a fleet without a route directory

The leader adds a member's new data folder in these fleets too, so that the same rejoin is right there: with leases the new folder doesn't vote before the leader has promoted it, as after a lost disk.

--- a/hornbeamyard/tests/test_failover.py
+++ b/hornbeamyard/tests/test_failover.py
@@ -272,6 +272,25 @@
                 == 3
             )
 
+    @pytest.mark.requirement("R14", fault="damaged vote file")
+    def test_damaged_data_folder(self, tmp_path: Path) -> None:
+        """Guards against a damaged controller that never votes again."""
+        with LocalFleet(tmp_path, routers=3, controllers=3) as fleet:
+            fleet.start()
+            client = ControllerClient(fleet)
+            leader = client.find_leader()
+            assert client.submit_patch(leader, 0).version == 1
+            damaged, other = [n for n in range(3) if n != leader]
+            fleet.kill(f"host-{damaged}")
+            (tmp_path / f"data-{damaged}" / "vote").write_bytes(b"")
+            assert client.submit_patch(leader, 1).version == 2
+            fleet.start_host(damaged)
+            client.wait_for_log(damaged, "the data folder is damaged")
+            client.wait_for_log(leader, "(learner)")
+            client.wait_for_voters(leader, 3)
+            fleet.kill(f"host-{other}")
+            assert client.submit_patch(leader, 2).version == 3
+
 
 @pytest.mark.process
 class TestDisk:
