--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -157,7 +157,10 @@
                 self.directory.lacks_versions = not (
                     has_versions or self._settings.directory.first_start
                 )
-                tasks.start_soon(self._version_store.run)
+                tasks.start_soon(
+                    self._version_store.run,
+                    lambda: self.directory.lacks_versions,
+                )
                 await server.start()
                 tasks.start_soon(self.founder.run)
                 tasks.start_soon(self.directory.run)
@@ -183,6 +186,9 @@
         yield Sample("term", self.replica.term)
         state = self.founder.get_state().value
         yield Sample("controller_state", 1, (("state", state),))
+        yield Sample("controller_fault", float(bool(self.replica.fault)))
+        has_set_aside = self.replica.journal.set_aside
+        yield Sample("controller_files_set_aside", float(has_set_aside))
         version = self.replica.state.routing.version
         yield Sample("routing_version", version)
         attached = self.directory.count_routers()
--- a/hornbeamyard/version/founding.py
+++ b/hornbeamyard/version/founding.py
@@ -317,7 +317,7 @@
         """Return whether the cluster has to be founded as far as known."""
         replica = self._replica
         journal = replica.journal
-        if replica.fault or journal.is_settled() or not self.seeds:
+        if replica.fault or not journal.may_found() or not self.seeds:
             return False
         is_founded_elsewhere = self.known_controllers.has_recent_founded()
         if is_founded_elsewhere or replica.election.has_recent_leader():
@@ -395,7 +395,7 @@
         """Vote for this controller in a new term; return it, or 0."""
         replica = self._replica
         journal = replica.journal
-        if journal.is_settled() or replica.election.has_recent_leader():
+        if not journal.may_found() or replica.election.has_recent_leader():
             return 0
         term = replica.term + 1
         is_stored = await replica.persist(
@@ -453,7 +453,7 @@
         journal = replica.journal
         if replica.term != term or journal.voted_for != journal.disk_id:
             return False
-        if journal.is_settled():
+        if not journal.may_found():
             return False
         voted = [c for c in recent if c.address in ballot.votes]
         members = fleet_pb2.MemberList(
