Take refused calls for signs of life of a returning member

What operators saw: a controller that came back with an empty disk after more than 2 s was removed as soon as it was added as a learner, and was then left out for CANDIDATE_RETRY_S (10 s). One more loss within that time can leave too few voters.

Cause: the leader took only accepted calls for signs of life. The first call to an emptied member is refused, as its log lacks the entries before, so its silence was still that of its former folder when it became a learner.

Change: a peer has the time of its last answer, whether it accepted the call or not; the repair uses that. A member whose disk has failed gives no answer and counts as silent as before.

--- a/hornbeamyard/version/leadership.py
+++ b/hornbeamyard/version/leadership.py
@@ -47,6 +47,9 @@
     acked_at : float
         Monotonic time at which the last call that the peer accepted was
         sent, in seconds.
+    replied_at : float
+        Monotonic time at which the last call that the peer answered in this
+        term was sent, in seconds, whether it accepted the call or not.
     disk_id : bytes
         Id of its data folder; empty until it has replied.
     initial : bool
@@ -60,6 +63,7 @@
     next_index: int
     match_index: int = 0
     acked_at: float = membership.NEVER
+    replied_at: float = membership.NEVER
     disk_id: bytes = b""
     initial: bool = False
     wake: anyio.Event = field(default_factory=anyio.Event)
@@ -306,6 +310,7 @@
             reply = await replica.calls.append(peer.address, request)
         if reply is None or not self._check_term(reply.term):
             return False
+        peer.replied_at = max(peer.replied_at, called_at)
         is_new_disk = reply.disk != peer.disk_id
         peer.record_disk(reply.disk, reply.initial)
         if is_new_disk or membership.has_learners(journal.members):
@@ -350,6 +355,7 @@
                 reply = await replica.calls.install(peer.address, chunk)
             if reply is None or not self._check_term(reply.term):
                 return False
+            peer.replied_at = max(peer.replied_at, called_at)
             peer.record_disk(reply.disk, reply.initial)
             if reply.offset != offset + len(part):
                 return False
--- a/hornbeamyard/version/repair.py
+++ b/hornbeamyard/version/repair.py
@@ -222,5 +222,5 @@
             last_seen_at = self._known_controllers.get_last_seen(host)
             first = now if last_seen_at is None else min(now, last_seen_at)
             last_sign_at = self._last_sign_at.get(host, first)
-            signs[host] = max(last_sign_at, peer.acked_at)
+            signs[host] = max(last_sign_at, peer.replied_at)
         self._last_sign_at = signs
--- a/properties/test_replaced_controllers.py
+++ b/properties/test_replaced_controllers.py
@@ -13,6 +13,7 @@
 import pytest
 
 from hornbeamyard.version.founding import ControllerState
+from hornbeamyard.version.membership import is_voter
 
 from .fleet_simulation import CATCH_UP_S, RECOVERY_S, SimulatedFleet
 
@@ -135,6 +136,30 @@
 
         run_fleet(3, test)
 
+    @pytest.mark.parametrize("seed", range(16))
+    @pytest.mark.parametrize("down_s", [1.9, 3.0, 8.0])
+    def test_disk_lost_during_long_silence(
+        self, seed: int, down_s: float
+    ) -> None:
+        """Guards against a learner removed for its predecessor's silence."""
+
+        async def test(fleet: SimulatedFleet) -> None:
+            fleet.lose_disk("c0")
+            await fleet.advance(down_s)
+            fleet.start("c0")
+            await fleet.advance(CATCH_UP_S)
+            leader = fleet.find_leader()
+            assert leader is not None
+            journal = fleet.controllers["c0"].replica.journal
+            assert is_voter(
+                leader.replica.state.members,
+                "c0",
+                journal.disk_id,
+                journal.initial,
+            )
+
+        run_fleet(seed, test)
+
     @pytest.mark.parametrize("seed", range(4))
     def test_former_member_returns(self, seed: int) -> None:
         """Guards against a replaced member that disturbs the others.
