Log each start and end of a process, with its reason

Operators saw a process end with a traceback or one plain line on standard error, and lines that were queued for standard output could be lost: the writer was flushed only when the main task returned without an exception. The start line told neither the pid nor whether the settings ask for a first start, and SIGTERM between the start and the event loop's handlers ended the process without a line.

Each process now logs one `start` line (first_start, pid, seeds) before it builds anything, and one `stop` line as its last one: the signal, or the error with its traceback and exit status 1, also for SystemExit raised by a library and for a main task that returns without a signal. The handlers of SIGTERM and SIGINT are set before the start line and stay until the end. Errors in the settings keep their text and exit status 2, and signals that come before the settings are read keep the default action.

--- a/hornbeamyard/process/daemon.py
+++ b/hornbeamyard/process/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import random
 import signal
 import sys
@@ -32,8 +33,10 @@
 from .router import Router
 from .servers import build_server, build_status_app
 from .settings import Settings, load_settings
+from .signals import StopSignals
 from .timers import MonotonicTimers, Timers
 
+EXIT_ERROR = 1
 EXIT_SETTINGS = 2
 # Time for the last log lines to be written when the process ends.
 LOG_FLUSH_TIMEOUT_S = 0.5
@@ -65,42 +68,96 @@
     path : Path
         The settings file, which is reloaded when it changes.
     interface : Interface
+
+    Raises
+    ------
+    SystemExit
+        With a status other than 0 if the process ends by an error.
     """
+    writer = None
     if settings.directory is None:
         start_logging(settings.log_level)
-        anyio.run(run, settings)
-        return
-    writer = LineWriter()
-    start_structured_logging(settings.log_level, writer)
-    # The default action would end a process that doesn't watch its settings
-    # yet.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    anyio.run(run_with_directory, settings, path, interface, writer)
-    writer.flush(LOG_FLUSH_TIMEOUT_S)
-
-
-async def run(settings: Settings) -> None:
+    else:
+        writer = LineWriter()
+        start_structured_logging(settings.log_level, writer)
+        # The default action would end a process that doesn't watch its
+        # settings yet.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signals = StopSignals()
+    signals.install()
+    _log_start(settings)
+    status = EXIT_ERROR
+    try:
+        if writer is None:
+            anyio.run(run, settings, signals)
+        else:
+            anyio.run(
+                run_with_directory, settings, path, interface, writer, signals
+            )
+    # Libraries may also end a process by SystemExit.
+    except BaseException as error:
+        reason = describe_error(error)
+        _log.exception("stop host={} reason={}", settings.host, reason)
+    else:
+        reason = "ended by itself"
+        if signals.received:
+            reason = signal.Signals(signals.received[0]).name
+            status = 0
+        _log.info("stop host={} reason={}", settings.host, reason)
+    if writer is not None:
+        writer.flush(LOG_FLUSH_TIMEOUT_S)
+    if status:
+        sys.exit(status)
+
+
+def describe_error(error: BaseException) -> str:
+    """Return the type and text of an error, the first one of a group."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return f"{type(error).__name__}: {error}"
+
+
+def _log_start(settings: Settings) -> None:
+    directory = settings.directory
+    _log.info(
+        "start host={} zone={} router={} controller={} first_start={} pid={} "
+        "seeds={}",
+        settings.host,
+        settings.availability_zone,
+        settings.router is not None,
+        settings.controller is not None,
+        directory is not None and directory.first_start,
+        os.getpid(),
+        list(settings.controllers.values())
+        if directory is None
+        else directory.list_peer_addresses(),
+    )
+
+
+async def run(settings: Settings, signals: StopSignals) -> None:
     """Run until SIGTERM or SIGINT; a second signal ends the drain."""
     timers = MonotonicTimers()
     stop = anyio.Event()
     stop_now = anyio.Event()
     replica = None
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_watch_signals, stop, stop_now)
+        tasks.start_soon(signals.watch, stop, stop_now)
         if settings.controller is not None:
             replica = await tasks.start(_run_controller, settings, timers)
-        _log.info("host {} started", settings.host)
         if settings.router is not None:
             await Router(settings, timers).run(stop, stop_now)
         await stop.wait()
         if replica is not None:
             await replica.transfer_leadership()
         tasks.cancel_scope.cancel()
-    _log.info("host {} stopped", settings.host)
 
 
 async def run_with_directory(
-    settings: Settings, path: Path, interface: Interface, writer: LineWriter
+    settings: Settings,
+    path: Path,
+    interface: Interface,
+    writer: LineWriter,
+    signals: StopSignals,
 ) -> None:
     """Run a process of a fleet with a route directory."""
     assert settings.directory is not None
@@ -114,15 +171,8 @@
     if settings.controller is not None:
         registrar = Registrar(settings, timers, interface)
     watcher = SettingsWatcher(path, timers, router, registrar)
-    _log.info(
-        "start host={} zone={} router={} controller={}",
-        settings.host,
-        settings.availability_zone,
-        router is not None,
-        registrar is not None,
-    )
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_watch_signals, stop, anyio.Event())
+        tasks.start_soon(signals.watch, stop, anyio.Event())
         tasks.start_soon(watcher.run)
         address = settings.directory.metrics_address
         role = router or registrar
@@ -135,15 +185,6 @@
             if router is not None:
                 roles.start_soon(router.run, stop)
         tasks.cancel_scope.cancel()
-    _log.info("stop host={}", settings.host)
-
-
-async def _watch_signals(stop: anyio.Event, stop_now: anyio.Event) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            if stop.is_set():
-                stop_now.set()
-            stop.set()
 
 
 async def _run_controller(
