Wait for an address that can't be bound

Operators saw processes end by themselves when one of their addresses was still taken at the start: the one for operators, the internal port, metrics, the one for callers or readiness. An address of metrics, which the work doesn't need, ended a controller or router as well.

Cause: uvicorn calls sys.exit when it can't bind, gRPC's add_port raises RuntimeError, and each of them ends the task group of the whole process.

Now one module binds: it tries again every 0.1 s through the timer service, logs when this begins to fail and every 10 s, and logs each address that is bound. Any OSError counts, as an interface that isn't up yet (EADDRNOTAVAIL) is the same to a process. uvicorn gets listening sockets; for gRPC the address is bound by a socket of our own first, which tells the cause that gRPC's error leaves out. Servers that the work doesn't need are also started again when they raise. Meanwhile the rest of the process runs: a controller loads its data folder first, so that the folder exists whatever ends the process, serves operators without its internal port, and takes part in the cluster without the address for operators; it introduces itself to others only once they can reach it. A router attaches to the controllers and isn't ready. SIGTERM ends the wait. The fleet without a route directory does the same.

With the bind but without its condition in is_ready, TestReadiness fails on that assertion.

Ruled out: SO_REUSEPORT, which would let two processes share an address.

--- a/hornbeamyard/process/daemon.py
+++ b/hornbeamyard/process/daemon.py
@@ -21,6 +21,7 @@
 from ..request.headers import NATIVE_HEADER_NAMES, HeaderCodec
 from ..version.journal import FolderDisk
 from ..version.replica import Replica
+from . import listeners
 from .controller import Controller
 from .controller_app import build_controller_app
 from .crash_store import CrashStore
@@ -31,7 +32,7 @@
 from .registrar import Registrar
 from .reload import SettingsWatcher
 from .router import Router
-from .servers import build_server, build_status_app
+from .servers import build_status_app
 from .settings import Settings, load_settings
 from .signals import StopSignals
 from .timers import MonotonicTimers, Timers
@@ -178,7 +179,7 @@
         role = router or registrar
         if address and role is not None:
             app = build_status_app(role.metrics)
-            tasks.start_soon(build_server(app, address).serve)
+            tasks.start_soon(listeners.serve, app, address, "metrics", timers)
         async with anyio.create_task_group() as roles:
             if registrar is not None:
                 roles.start_soon(registrar.run, stop)
@@ -215,15 +216,20 @@
     fleet_pb2_grpc.add_ReplicationServicer_to_server(
         ReplicationService(settings.fleet, replica), server
     )
-    peers.add_port(server, address, settings.tls)
     try:
         async with anyio.create_task_group() as tasks:
             await tasks.start(replica.run)
             await crash_store.load()
             tasks.start_soon(crash_store.run)
             tasks.start_soon(crashes.run)
-            await server.start()
             tasks.start_soon(controller.run)
+            tasks.start_soon(
+                listeners.start_grpc_server,
+                server,
+                address,
+                settings.tls,
+                timers,
+            )
             task_status.started(replica)
     finally:
         with anyio.CancelScope(shield=True):
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -44,6 +44,7 @@
 from ..request.forwarding import Forwarder, Receive, Scope, Send
 from ..request.reporting import RequestReporter
 from ..version.routing import Routing
+from . import listeners
 from .decisions import DecisionLog
 from .interface import Interface, Message
 from .metrics import Metrics, Sample
@@ -127,6 +128,7 @@
 
     __slots__ = (
         "_adapted_at",
+        "_awaits_address",
         "_balancers",
         "_budgets",
         "_calls",
@@ -163,6 +165,8 @@
         assert settings.directory is not None
         directory = settings.directory
         self._adapted_at = 0.0
+        # Whether the address for callers is not bound yet.
+        self._awaits_address = False
         self._budgets: dict[str, WindowRetryBudget] = {}
         self._calls = DirectoryCalls(settings.tls)
         # When the fleet's usage came last; None before the first one.
@@ -231,26 +235,37 @@
     async def run(self, stop: anyio.Event) -> None:
         """Serve until `stop` is set and the drain has ended."""
         assert self._settings.router is not None
+        self._awaits_address = True
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.subscription.run)
             tasks.start_soon(self._connection_limits.run)
             tasks.start_soon(self._connection_limits.overload_limiter.run)
             tasks.start_soon(self._run_maintenance)
-            tasks.start_soon(self._drain, stop)
             status_address = self._settings.router.status_address
             if status_address:
                 status_app = build_status_app(
                     self.metrics, self._interface.ready_path, self.is_ready
                 )
-                status_server = build_server(status_app, status_address)
-                tasks.start_soon(status_server.serve)
-            await self._server.serve()
+                tasks.start_soon(
+                    listeners.serve,
+                    status_app,
+                    status_address,
+                    "readiness",
+                    self._timers,
+                )
+            listener = await listeners.listen_until(
+                stop, self._settings.router.address, "callers", self._timers
+            )
+            if listener is not None:
+                self._awaits_address = False
+                tasks.start_soon(self._drain, stop)
+                await self._server.serve([listener])
             tasks.cancel_scope.cancel()
         await self._calls.close()
 
     def is_ready(self) -> bool:
         """Return whether load balancers should send requests."""
-        if self.is_closing or self.routing is None:
+        if self.is_closing or self._awaits_address or self.routing is None:
             return False
         waited_s = self._timers.now() - self._started_at
         if (
--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -8,6 +8,7 @@
 
 import anyio
 import anyio.abc
+import grpc.aio
 import logbook
 from result import Err, Ok
 
@@ -30,10 +31,10 @@
 from ..version.journal import FolderDisk
 from ..version.replica import Replica
 from ..version.timeouts import derive_timeouts
+from . import listeners
 from .crash_store import CrashStore
 from .interface import Interface, SubmissionResult
 from .metrics import Metrics, Sample
-from .servers import build_server
 from .settings import Settings
 from .stream_store import StreamStore
 from .timers import Timers
@@ -141,9 +142,6 @@
         fleet_pb2_grpc.add_ReplicationServicer_to_server(
             ReplicationService(fleet, self.replica), server
         )
-        peers.add_port(
-            server, self._settings.controller.address, self._settings.tls
-        )
         try:
             async with anyio.create_task_group() as tasks:
                 await tasks.start(self.replica.run)
@@ -158,10 +156,10 @@
                     has_versions or self._settings.directory.first_start
                 )
                 tasks.start_soon(self._version_store.run)
-                await server.start()
-                tasks.start_soon(self.founder.run)
-                tasks.start_soon(self.directory.run)
+                # The data folder is loaded before any address is bound, so
+                # that it remembers a first start even if the process ends.
                 self._start_controller_app(tasks)
+                tasks.start_soon(self._take_part, server)
                 await stop.wait()
                 await self.replica.transfer_leadership()
                 tasks.cancel_scope.cancel()
@@ -171,12 +169,31 @@
                 await self._replication_calls.close()
                 await self._directory_calls.close()
 
+    async def _take_part(self, server: grpc.aio.Server) -> None:
+        """Become a controller that others know, once they can reach it."""
+        assert self._settings.controller is not None
+        await listeners.start_grpc_server(
+            server,
+            self._settings.controller.address,
+            self._settings.tls,
+            self._timers,
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.founder.run)
+            tasks.start_soon(self.directory.run)
+
     def _start_controller_app(self, tasks: anyio.abc.TaskGroup) -> None:
         assert self._settings.controller is not None
         address = self._settings.controller.status_address
         if address and self._interface.build_controller_app is not None:
             app = self._interface.build_controller_app(self)
-            tasks.start_soon(build_server(app, address).serve)
+            tasks.start_soon(
+                listeners.serve,
+                app,
+                address,
+                "operators and upstreams",
+                self._timers,
+            )
 
     def _sample(self) -> Iterator[Sample]:
         yield Sample("leads", float(self.replica.is_leader()))
--- a/hornbeamyard/process/router.py
+++ b/hornbeamyard/process/router.py
@@ -34,6 +34,7 @@
 from ..request.delivery import BLOCKED_REASON, Delivery
 from ..request.gateway import Gateway
 from ..version.configuration import Configuration
+from . import listeners
 from .gauges import sample_pools, sample_session
 from .metrics import Metrics, Sample
 from .servers import CLOSE_TIMEOUT_S, build_server
@@ -180,8 +181,14 @@
             tasks.start_soon(limits.run)
             tasks.start_soon(self._expire_upstreams)
             tasks.start_soon(self._prober.run)
-            tasks.start_soon(self._drain, stop, stop_now, server)
-            await server.serve()
+            listener = await listeners.listen_until(
+                stop, self._settings.router.address, "callers", self._timers
+            )
+            if listener is None:
+                await self._leave()
+            else:
+                tasks.start_soon(self._drain, stop, stop_now, server)
+                await server.serve([listener])
             tasks.cancel_scope.cancel()
 
     def find_admission(self, pool: str) -> Admission:
@@ -293,10 +300,14 @@
         with self._timers.limit(CLAIM_FLUSH_TIMEOUT_S):
             await self._claims.flush()
         # The router leaves last, since only now are all its slots free.
+        await self._leave()
+        server.should_exit = True
+
+    async def _leave(self) -> None:
+        """Tell the lead controller that this router has stopped."""
         self.session.leave()
         with self._timers.limit(LEAVE_TIMEOUT_S):
             await self.session.wait_leave_acknowledged()
-        server.should_exit = True
 
     async def _finish_requests(self, drain_s: float) -> None:
         """Wait for running requests; refuse queued ones after a while."""
--- a/hornbeamyard/tests/test_directory.py
+++ b/hornbeamyard/tests/test_directory.py
@@ -24,6 +24,7 @@
     UpstreamStart,
     UpstreamState,
 )
+from hornbeamyard.process import listeners
 from hornbeamyard.process.decisions import DecisionLog
 from hornbeamyard.process.directory_router import DirectoryRouter
 from hornbeamyard.process.interface import Interface
@@ -236,6 +237,28 @@
         run_fleet(tmp_path, test)
 
 
+class TestReadiness:
+    """Load balancers send requests only to a router that accepts them."""
+
+    def test_address_for_callers_is_taken(self, tmp_path: Path) -> None:
+        """Guards against a router that is ready before it listens."""
+
+        async def test(fleet: Fleet) -> None:
+            await fleet.submit(5)
+            fleet.registrars[0].announce(build_upstream("u1", 9, "app"))
+            with listeners.bind_and_listen(fleet.router_address):
+                fleet.start_router()
+                router = fleet.router
+                assert router is not None
+                await fleet.wait(lambda: router.subscription.registry)
+                await fleet.wait(router.subscription.knows_majority)
+                await fleet.wait(lambda: router.routing)
+                assert not router.is_ready()
+            await fleet.wait(router.is_ready)
+
+        run_fleet(tmp_path, test)
+
+
 class TestRouting:
     """The highest version is in force everywhere and never goes back."""
 
--- a/hornbeamyard/tests/test_process_start.py
+++ b/hornbeamyard/tests/test_process_start.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -13,8 +14,13 @@
 from pathlib import Path
 from typing import Any
 
+import anyio
+import logbook
 import pytest
 
+from hornbeamyard.process import listeners
+from hornbeamyard.process.timers import VirtualTimers
+
 from .fleet import find_free_port
 
 TIMEOUT_S = 20.0
@@ -180,3 +186,227 @@
         with host.run() as process:
             assert process.wait(TIMEOUT_S) == 2
         assert "router.address" in host.log.read_text()
+
+
+class NativeHost(Host):
+    """One process of a fleet without a route directory, with both roles."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(folder, "controller")
+        self.ports["front"] = find_free_port()
+        internal = f"127.0.0.1:{self.ports['internal']}"
+        self.settings = {
+            "fleet": "test",
+            "host": "h1",
+            "availability_zone": "zone-a",
+            "plain_text": True,
+            "controllers": {"h1": internal},
+            "controller": {"address": internal, "data_folder": "data"},
+            "router": {
+                "address": f"127.0.0.1:{self.ports['front']}",
+                "drain_s": 0.1,
+            },
+        }
+
+    def list_messages(self, text: str) -> list[str]:
+        """Return the complete lines of the log that contain a text."""
+        lines = self.log.read_text().split("\n")[:-1]
+        return [line for line in lines if text in line]
+
+
+@contextlib.contextmanager
+def hold_address(port: int) -> Iterator[socket.socket]:
+    """Listen on an address on loopback, as another process might."""
+    with socket.socket() as holder:
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind(("127.0.0.1", port))
+        holder.listen()
+        yield holder
+
+
+def is_listening(port: int) -> bool:
+    """Return whether a connection to an address on loopback is accepted."""
+    with socket.socket() as probe:
+        return probe.connect_ex(("127.0.0.1", port)) == 0
+
+
+ADDRESSES = [("controller", name) for name in CONTROLLER_ADDRESSES]
+ADDRESSES += [("router", name) for name in ROUTER_ADDRESSES]
+
+
+@pytest.mark.process
+class TestTakenAddress:
+    """A process waits for an address that can't be bound."""
+
+    @pytest.mark.parametrize(("role", "name"), ADDRESSES)
+    def test_is_bound_later(
+        self, tmp_path: Path, role: str, name: str
+    ) -> None:
+        """Guards against an end by an address that is still taken."""
+        host = Host(tmp_path, role)
+        taken = f"listen on 127.0.0.1:{host.ports[name]}"
+        with hold_address(host.ports[name]) as holder, host.run() as process:
+            host.wait_for_message(process, f"can't {taken}")
+            for port in host.ports.values():
+                if port != host.ports[name]:
+                    text = f"listening on 127.0.0.1:{port}"
+                    host.wait_for_message(process, text)
+            if role == "controller":
+                assert list(host.data_folder.iterdir())
+            if name in ("control", "metrics") and role == "controller":
+                host.wait_for_message(process, "founded the cluster")
+            time.sleep(0.3)
+            assert len(host.list_messages(taken)) == 1
+            assert not host.list_messages(f"listening on {taken[10:]}")
+            holder.close()
+            host.wait_for_message(process, f"listening on {taken[10:]}")
+            assert is_listening(host.ports[name])
+            if role == "controller":
+                host.wait_for_message(process, "founded the cluster")
+            process.terminate()
+            assert process.wait(TIMEOUT_S) == 0
+        [stop] = host.list_messages("stop host=")
+        assert stop.endswith("reason=SIGTERM")
+
+    @pytest.mark.parametrize(("role", "name"), ADDRESSES)
+    def test_stops_while_taken(
+        self, tmp_path: Path, role: str, name: str
+    ) -> None:
+        """Guards against a process that can't be stopped while it waits."""
+        host = Host(tmp_path, role)
+        with hold_address(host.ports[name]), host.run() as process:
+            host.wait_for_message(process, "can't listen on")
+            started_at = time.monotonic()
+            process.terminate()
+            assert process.wait(TIMEOUT_S) == 0
+            assert time.monotonic() - started_at < 5
+        assert len(host.list_messages("stop host=")) == 1
+
+    @pytest.mark.parametrize("role", ["controller", "router"])
+    def test_without_interface(self, tmp_path: Path, role: str) -> None:
+        """Guards against an end by an address that no interface has yet."""
+        host = Host(tmp_path, role)
+        section = host.settings[role]
+        host.settings["directory"]["metrics_address"] = "192.0.2.1:9001"
+        section["status_address"] = "192.0.2.1:9002"
+        section["address"] = "192.0.2.1:9003"
+        with host.run() as process:
+            for port in (9001, 9002, 9003):
+                text = f"can't listen on 192.0.2.1:{port}"
+                assert "Cannot assign" in host.wait_for_message(process, text)
+            process.terminate()
+            assert process.wait(TIMEOUT_S) == 0
+
+    @pytest.mark.parametrize("name", ["internal", "front"])
+    def test_without_directory(self, tmp_path: Path, name: str) -> None:
+        """Guards against the same end in a fleet without a directory."""
+        host = NativeHost(tmp_path)
+        port = host.ports[name]
+        command = ("-m", "hornbeamyard.process.daemon", str(host.path))
+        other = host.ports["front" if name == "internal" else "internal"]
+        with hold_address(port) as holder, host.run(*command) as process:
+            host.wait_for_message(process, f"can't listen on 127.0.0.1:{port}")
+            host.wait_for_message(process, f"listening on 127.0.0.1:{other}")
+            assert list(host.data_folder.iterdir())
+            holder.close()
+            host.wait_for_message(process, f"listening on 127.0.0.1:{port}")
+            assert is_listening(port)
+            process.terminate()
+            assert process.wait(TIMEOUT_S) == 0
+        assert len(host.list_messages("stop host=h1 reason=SIGTERM")) == 1
+
+    def test_without_directory_stops(self, tmp_path: Path) -> None:
+        """Guards against a wait that a signal doesn't end."""
+        host = NativeHost(tmp_path)
+        command = ("-m", "hornbeamyard.process.daemon", str(host.path))
+        front, internal = host.ports["front"], host.ports["internal"]
+        with (
+            hold_address(front),
+            hold_address(internal),
+            host.run(*command) as process,
+        ):
+            for port in (front, internal):
+                text = f"can't listen on 127.0.0.1:{port}"
+                host.wait_for_message(process, text)
+            process.terminate()
+            assert process.wait(TIMEOUT_S) == 0
+
+
+class TestListeners:
+    """Sockets of the HTTP servers."""
+
+    @pytest.mark.parametrize(
+        ("host", "family"),
+        [("127.0.0.1", socket.AF_INET), ("[::1]", socket.AF_INET6)],
+    )
+    def test_options(self, host: str, family: socket.AddressFamily) -> None:
+        """Guards against a socket that blocks or delays small packets."""
+        address = f"{host}:{find_free_port()}"
+        with listeners.bind_and_listen(address) as listener:
+            assert listener.family == family
+            # asyncio sets TCP_NODELAY only for this protocol.
+            assert listener.proto == socket.IPPROTO_TCP
+            assert not listener.getblocking()
+            with pytest.raises(OSError, match="in use"):
+                listeners.bind_and_listen(address)
+
+    def test_bound_by_two(self) -> None:
+        """Guards against an end when another socket listens first."""
+        address = f"127.0.0.1:{find_free_port()}"
+        with (
+            listeners.bind(address) as first,
+            listeners.bind_and_listen(address),
+        ):
+            with pytest.raises(OSError, match="in use"):
+                first.listen()
+            with pytest.raises(OSError, match="in use"):
+                listeners.bind_and_listen(address)
+
+    def test_logs_at_interval(self) -> None:
+        """Guards against a wait without lines, and against a line a try."""
+        address = f"127.0.0.1:{find_free_port()}"
+
+        async def run() -> None:
+            timers = VirtualTimers()
+            async with anyio.create_task_group() as tasks:
+                with listeners.bind_and_listen(address):
+                    tasks.start_soon(listeners.listen, address, "x", timers)
+                    await timers.advance(2.5 * listeners.LOG_INTERVAL_S)
+                await timers.advance(2 * listeners.RETRY_INTERVAL_S)
+
+        with logbook.TestHandler() as log:
+            anyio.run(run)
+        messages = [record.message for record in log.records]
+        assert len(messages) == 4
+        for message in messages[:3]:
+            assert message.startswith(f"can't listen on {address} for x yet")
+            assert "in use" in message
+        assert messages[3] == f"listening on {address} for x"
+
+    def test_server_that_fails(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against a process that ends with one of its servers."""
+        address = f"127.0.0.1:{find_free_port()}"
+        built: list[str] = []
+
+        class FailingServer:
+            async def serve(self, sockets: list[socket.socket]) -> None:
+                raise OSError("no descriptors")
+
+        def build(app: object, address: str) -> FailingServer:
+            built.append(address)
+            return FailingServer()
+
+        monkeypatch.setattr(listeners, "build_server", build)
+
+        async def run() -> None:
+            timers = VirtualTimers()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listeners.serve, None, address, "x", timers)
+                await timers.advance(2.5 * listeners.RESTART_DELAY_S)
+                tasks.cancel_scope.cancel()
+
+        with logbook.TestHandler() as log:
+            anyio.run(run)
+        assert built == [address] * 3
+        failed = [r for r in log.records if "has failed" in r.message]
+        assert len(failed) == 3
