Ignore SIGHUP from the first line of a process

Operators' platforms send SIGHUP when the settings change. During the interpreter's imports, the longest part of a start, the default action ended the process, without a log line.

The entry points ignore the signal before they import anything else: `python3 -m hornbeamyard.platform` and the program hornbeamyardd, also in a fleet without a route directory, where nothing reloads settings. Such a change of the file could be lost: the watcher took what it read first as what the process had loaded, so that a change between the two reads was never noticed. It now compares with the text that was loaded.

`python -m hornbeamyard.process.daemon`, which only tests, the soak and the benchmarks use, still imports first.

--- a/hornbeamyard/platform/__main__.py
+++ b/hornbeamyard/platform/__main__.py
@@ -1,38 +1,16 @@
 """Entry point of a process of the fleet on the users' platform."""
 
-from __future__ import annotations
-
-import os
-import sys
-from pathlib import Path
-
-import click
-from result import Err
-
-from ..process.daemon import EXIT_SETTINGS, start
-from ..process.interface import Interface
-from ..process.settings import load_settings
-from ..request.headers import HeaderCodec
-from .calls import build_app
-from .configuration import decode_configuration
-from .headers import HEADER_NAMES
-
-SETTINGS_VARIABLE = "HORNBEAMYARD_CONFIG"
-READY_PATH = "/readiness"
-
-INTERFACE = Interface(
-    HeaderCodec(HEADER_NAMES), decode_configuration, build_app, READY_PATH
-)
+import signal
 
 
 def main() -> None:
-    """Run the roles that the settings file enables."""
-    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
-    loaded = load_settings(path)
-    if isinstance(loaded, Err):
-        click.echo(str(loaded.err_value), err=True)
-        sys.exit(EXIT_SETTINGS)
-    start(loaded.ok_value, path, INTERFACE)
+    """Ignore SIGHUP, then import and run the daemon."""
+    # The default action would end the process during the imports. A change of
+    # the settings that comes with the signal is found in the file.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from .daemon import main as run
+
+    run()
 
 
 if __name__ == "__main__":
--- a/hornbeamyard/process/daemon.py
+++ b/hornbeamyard/process/daemon.py
@@ -81,9 +81,8 @@
     else:
         writer = LineWriter()
         start_structured_logging(settings.log_level, writer)
-        # The default action would end a process that doesn't watch its
-        # settings yet.
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # The default action would end a process that doesn't watch its settings.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     signals = StopSignals()
     signals.install()
     _log_start(settings)
@@ -171,7 +170,7 @@
         router = DirectoryRouter(settings, timers, interface, decisions)
     if settings.controller is not None:
         registrar = Registrar(settings, timers, interface)
-    watcher = SettingsWatcher(path, timers, router, registrar)
+    watcher = SettingsWatcher(path, settings.text, timers, router, registrar)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(signals.watch, stop, anyio.Event())
         tasks.start_soon(watcher.run)
--- a/hornbeamyard/process/reload.py
+++ b/hornbeamyard/process/reload.py
@@ -30,6 +30,8 @@
     Parameters
     ----------
     path : Path
+    text : str
+        Content of the file from which the process took its settings.
     timers : Timers
     router : DirectoryRouter or None
     registrar : Registrar or None
@@ -46,6 +48,7 @@
     def __init__(
         self,
         path: Path,
+        text: str,
         timers: Timers,
         router: DirectoryRouter | None,
         registrar: Registrar | None,
@@ -53,7 +56,7 @@
         self._path = path
         self._registrar = registrar
         self._router = router
-        self._text = self._read()
+        self._text = text
         self._timers = timers
 
     async def run(self) -> None:
--- a/hornbeamyard/process/settings.py
+++ b/hornbeamyard/process/settings.py
@@ -177,6 +177,8 @@
     plain_text : bool
         Whether connections between hosts may be unencrypted.
     log_level : str
+    text : str
+        Content of the file, by which a change is noticed.
     """
 
     fleet: str
@@ -189,6 +191,7 @@
     directory: DirectorySettings | None = None
     plain_text: bool = False
     log_level: str = "info"
+    text: str = field(default="", repr=False)
 
 
 @dataclass(slots=True)
@@ -318,7 +321,7 @@
     findings = _add_lines(findings, locate_keys(text))
     if findings:
         return Err(SettingsError(path, findings))
-    return Ok(_build_settings(document, path.parent))
+    return Ok(_build_settings(document, path.parent, text))
 
 
 def _build_syntax_finding(error: ValueError, text: str) -> Finding:
@@ -347,7 +350,9 @@
     return sorted(located, key=lambda finding: finding.line or 0)
 
 
-def _build_settings(document: dict[str, Any], folder: Path) -> Settings:
+def _build_settings(
+    document: dict[str, Any], folder: Path, text: str
+) -> Settings:
     router = document.get("router")
     controller = document.get("controller")
     directory = document.get("directory")
@@ -378,4 +383,5 @@
         ),
         plain_text=document.get("plain_text", False),
         log_level=document.get("log_level", "info"),
+        text=text,
     )
