Count log lines of a process without standard output

With standard output closed at the start, Python has no stream, and the thread that writes lines ended with an AttributeError and a traceback on standard error. The process went on, but its queue filled up unread, and its end waited for the thread in vain. The thread now drops and counts such lines, as it does for a reader that is gone.

Evidence: both roles' tests failed before (the traceback in the log) and pass now.

--- a/hornbeamyard/process/logs.py
+++ b/hornbeamyard/process/logs.py
@@ -57,7 +57,8 @@
 
     def __init__(self, stream: TextIO | None = None) -> None:
         self._queue: queue.Queue[str] = queue.Queue(MAX_QUEUED_LINES)
-        self._stream = stream or sys.stdout
+        # Python has no standard output if it was closed at the start.
+        self._stream: TextIO | None = stream or sys.stdout
         self.dropped = 0
         threading.Thread(target=self._run, daemon=True).start()
 
@@ -82,6 +83,8 @@
             while not self._queue.empty() and len(lines) < MAX_QUEUED_LINES:
                 lines.append(self._queue.get_nowait())
             try:
+                if self._stream is None:
+                    raise ValueError("there is no stream")
                 self._stream.write("\n".join(lines) + "\n")
                 self._stream.flush()
             except (OSError, ValueError):
--- a/hornbeamyard/tests/test_process_start.py
+++ b/hornbeamyard/tests/test_process_start.py
@@ -39,6 +39,12 @@
 daemon.run_with_directory = fail
 daemon.main()
 """
+# Runs the daemon with a standard output that is closed.
+DAEMON_WITHOUT_OUTPUT = """
+import os, sys
+os.close(1)
+os.execv(sys.executable, [sys.executable, "-m", "hornbeamyard.platform"])
+"""
 
 
 class Host:
@@ -187,6 +193,21 @@
             assert process.wait(TIMEOUT_S) == 2
         assert "router.address" in host.log.read_text()
 
+    @pytest.mark.parametrize("role", ["controller", "router"])
+    def test_without_output(self, tmp_path: Path, role: str) -> None:
+        """Guards against a fault of the log writer without its stream."""
+        host = Host(tmp_path, role)
+        with host.run("-c", DAEMON_WITHOUT_OUTPUT) as process:
+            deadline = time.monotonic() + TIMEOUT_S
+            for port in host.ports.values():
+                while not is_listening(port):
+                    assert process.poll() is None
+                    assert time.monotonic() < deadline
+                    time.sleep(0.02)
+            process.terminate()
+            assert process.wait(TIMEOUT_S) == 0
+        assert host.log.read_text() == ""
+
 
 class NativeHost(Host):
     """One process of a fleet without a route directory, with both roles."""
