Accept few connections in one turn of the event loop

A router or controller whose file descriptors were used up by connections wrote some 2.5 MB of tracebacks a second to standard error, used a core for it, and took several times its drain time to stop, which its platform may answer with a kill.

Cause: when accept fails for want of descriptors, asyncio of Python 3.11 logs, goes on with its loop and schedules another attempt for each round. The number of rounds is the length of the queue of waiting connections, 2048 with uvicorn's default. The servers now accept 16 connections a turn, and the listening socket gets its queue of 2048 back afterwards.

Throughput of connections wasn't measured; asyncio's own default is 100 a turn.

--- a/hornbeamyard/process/listeners.py
+++ b/hornbeamyard/process/listeners.py
@@ -16,7 +16,7 @@
 import logbook
 
 from ..connection import peers
-from .servers import EmbeddedServer, build_server
+from .servers import BACKLOG, EmbeddedServer, build_server
 from .settings import Tls
 from .timers import Timers
 
@@ -26,8 +26,6 @@
 LOG_INTERVAL_S = 10.0
 # Time after which a server that has failed is started again.
 RESTART_DELAY_S = 1.0
-# Connections that wait to be accepted, as in uvicorn.
-BACKLOG = 2048
 
 T = TypeVar("T")
 
--- a/hornbeamyard/process/servers.py
+++ b/hornbeamyard/process/servers.py
@@ -14,6 +14,12 @@
 
 # Time for the last bytes to reach callers whose requests were ended.
 CLOSE_TIMEOUT_S = 2
+# Connections that wait to be accepted.
+BACKLOG = 2048
+# Connections that are accepted in one turn of the event loop. Without free
+# file descriptors asyncio logs an error for each of them, and tries as many
+# times after a second.
+ACCEPTS_PER_TURN = 16
 # Idle time after which connections of operators and monitors are closed.
 STATUS_KEEP_ALIVE_S = 75
 # Maximum body of a call to a controller; enough for thousands of routes.
@@ -29,6 +35,18 @@
         """Serve until `should_exit` is set."""
         await self._serve(sockets)
 
+    async def startup(
+        self, sockets: list[socket.socket] | None = None
+    ) -> None:
+        """Start to accept connections."""
+        # asyncio has one number for the accepted and the waiting ones, so
+        # the sockets of the caller get theirs afterwards.
+        if sockets:
+            self.config.backlog = ACCEPTS_PER_TURN
+        await super().startup(sockets)
+        for listener in sockets or ():
+            listener.listen(BACKLOG)
+
 
 def build_server(
     app: Any,
@@ -66,6 +84,7 @@
         timeout_graceful_shutdown=CLOSE_TIMEOUT_S,
         server_header=False,
         date_header=False,
+        backlog=BACKLOG,
     )
     return EmbeddedServer(config)
 
--- a/hornbeamyard/tests/test_process_start.py
+++ b/hornbeamyard/tests/test_process_start.py
@@ -45,6 +45,12 @@
 os.close(1)
 os.execv(sys.executable, [sys.executable, "-m", "hornbeamyard.platform"])
 """
+# Runs the daemon with few file descriptors.
+DAEMON_WITH_FEW_DESCRIPTORS = """
+import os, resource, sys
+resource.setrlimit(resource.RLIMIT_NOFILE, (60, 60))
+os.execv(sys.executable, [sys.executable, "-m", "hornbeamyard.platform"])
+"""
 
 
 class Host:
@@ -208,6 +214,29 @@
             assert process.wait(TIMEOUT_S) == 0
         assert host.log.read_text() == ""
 
+    @pytest.mark.parametrize("role", ["controller", "router"])
+    def test_without_descriptors(self, tmp_path: Path, role: str) -> None:
+        """Guards against a process that only logs failed accepts."""
+        host = Host(tmp_path, role)
+        code = DAEMON_WITH_FEW_DESCRIPTORS
+        with host.run("-c", code) as process, contextlib.ExitStack() as stack:
+            for port in host.ports.values():
+                text = f"listening on 127.0.0.1:{port}"
+                host.wait_for_message(process, text)
+            for _ in range(60):
+                for port in host.ports.values():
+                    connection = stack.enter_context(socket.socket())
+                    connection.connect_ex(("127.0.0.1", port))
+            time.sleep(2.5)
+            assert process.poll() is None
+            stack.close()
+            started_at = time.monotonic()
+            process.terminate()
+            assert process.wait(TIMEOUT_S) == 0
+            assert time.monotonic() - started_at < 5
+        text = host.log.read_text()
+        assert 0 < text.count("out of system resource") < 500
+
 
 class NativeHost(Host):
     """One process of a fleet without a route directory, with both roles."""
