Refuse settings that are nested too deeply

A changed settings file with some hundred nested brackets ended the running process: the parser raises RecursionError, which is no ValueError, and the watcher's task took the whole process with it. At the start it left a traceback instead of a message. It is a finding now, so that the process keeps its settings, or ends with status 2 at the start.

--- a/hornbeamyard/process/settings.py
+++ b/hornbeamyard/process/settings.py
@@ -314,6 +314,9 @@
         document = json5.loads(text)
     except ValueError as error:
         return Err(SettingsError(path, [_build_syntax_finding(error, text)]))
+    except RecursionError:
+        finding = Finding("", "is nested too deeply for a settings file")
+        return Err(SettingsError(path, [finding]))
     findings = validation.check_document(document, _SCHEMA)
     if isinstance(document, dict):
         invalid_paths = {finding.key_path for finding in findings}
--- a/hornbeamyard/tests/test_reload.py
+++ b/hornbeamyard/tests/test_reload.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from unittest.mock import Mock
 
+import logbook
 import pytest
 
 from hornbeamyard.process.reload import SettingsWatcher
@@ -165,3 +166,19 @@
         )
         watcher.check("file")
         assert router.subscription.seeds == ["127.0.0.1:1002"]
+
+    @pytest.mark.parametrize("depth", [20, 50, 100, 200, 500, 100_000])
+    def test_nested_deeply(self, tmp_path: Path, depth: int) -> None:
+        """Guards against an end by a file that can't be parsed."""
+        path = write_settings(tmp_path, 1001)
+        settings = load_settings(path).unwrap()
+        path.write_text("[" * depth + "]" * depth)
+        router = Mock()
+        router.subscription.seeds = ["127.0.0.1:1001"]
+        watcher = SettingsWatcher(
+            path, settings.text, VirtualTimers(), router, None
+        )
+        with logbook.TestHandler() as log:
+            watcher.check("file")
+        assert log.records[-1].message.startswith("reload refused")
+        assert router.subscription.seeds == ["127.0.0.1:1001"]
