Forget requests outside the window of a retry budget without a retry

Cause: WindowRetryBudget drops times that are older than its window only when a retry asks for permission.

--- a/hornbeamyard/request/budget.py
+++ b/hornbeamyard/request/budget.py
@@ -85,6 +85,7 @@
 
     def record_request(self, now: float) -> None:
         """Count a request that is not a retry, at the monotonic time `now`."""
+        self._drop_expired(now)
         self._requests.append(now)
 
     def take(self, now: float, routers: int) -> bool:
@@ -97,9 +98,7 @@
         routers : int
             Routers that divide the reserve among them.
         """
-        for times in (self._retries, self._requests):
-            while times and now - times[0] > self._window_s:
-                times.popleft()
+        self._drop_expired(now)
         allowed = SAFETY_FRACTION * (
             self._fraction * len(self._requests)
             + self._reserve / max(1, routers)
@@ -108,3 +107,8 @@
             return False
         self._retries.append(now)
         return True
+
+    def _drop_expired(self, now: float) -> None:
+        for times in (self._retries, self._requests):
+            while times and now - times[0] > self._window_s:
+                times.popleft()
