Send no resumed streams to pools that have lost their weight

What callers would see: after a change that moves all traffic of a resumable route from one pool to another by the weights 0 and 1, streams that began in the old pool still go on there, though the route names it with weight 0.

Cause: a route keeps all pools of its shares, and a resumed stream may go on in each of them. New requests were never sent to a pool of weight 0.

Change: a route has the pools with a weight only. The resumed stream is refused, as it is if the change doesn't name the old pool at all.

Evidence: found by reading, not in a report. test_pool_without_weight failed before. All pools that a document names are still checked, also those of weight 0 (test_refused).

--- a/hornbeamyard/tests/test_routing.py
+++ b/hornbeamyard/tests/test_routing.py
@@ -95,6 +95,21 @@
         assert routing.routes["status"].is_repeatable()
 
 
+class TestShares:
+    """A route sends requests to the pools that have a weight."""
+
+    def test_pool_without_weight(self) -> None:
+        """Guards against streams that go on in a pool without a weight."""
+        document = change(
+            routes__0__shares=[
+                {"pool": "app", "weight": 0},
+                {"pool": "model", "weight": 3},
+            ]
+        )
+        shares = parse_routing(document).unwrap().routes["chat"].shares
+        assert [share.pool for share in shares] == ["model"]
+
+
 class TestFindAccount:
     """Each key belongs to one account."""
 
--- a/hornbeamyard/version/routing.py
+++ b/hornbeamyard/version/routing.py
@@ -66,6 +66,7 @@
     priority : int
         0 is the most urgent.
     shares : tuple of Share
+        Without pools of weight 0, which get no requests.
     max_attempts : int
         Maximum number of upstreams to which a request is sent.
     public : bool
@@ -437,6 +438,7 @@
     shares = tuple(
         Share(share["pool"], share.get("weight", 1))
         for share in item["shares"]
+        if share.get("weight", 1) > 0
     )
     return Route(
         name=item["name"],
