Check the service of a route that also has a traffic split

What operators would see: a configuration with a route that names an unknown service is acknowledged if the route has a traffic split as well. PROTOCOL.md calls it invalid.

Cause: the service of a route with a split isn't translated, so nothing checks it. It is translated into a share without weight now, which gets no requests.

Evidence: found by trying some 120 documents; of the kinds that PROTOCOL.md lists as invalid, this was the only one accepted (weights that add up to 0, timeoutMs 0, a key of two tenants, a host and prefix twice also in other case, an unknown service in a split also with weight 0, and incomplete documents were refused). test_invalid_document failed for this document before. test_service_beside_split passed before, too: the split is as it was.

--- a/hornbeamyard/platform/configuration.py
+++ b/hornbeamyard/platform/configuration.py
@@ -94,6 +94,9 @@
                 share, {"service": "pool", "weight": "weight"}
             ),
         )
+        if isinstance(route["shares"], list) and item.get("service"):
+            # It gets no requests beside a split, but has to exist.
+            route["shares"].append({"pool": item["service"], "weight": 0})
     else:
         route["shares"] = [{"pool": item.get("service"), "weight": 1}]
     return route
--- a/hornbeamyard/tests/test_platform.py
+++ b/hornbeamyard/tests/test_platform.py
@@ -120,6 +120,8 @@
         [
             (("routes", 0, "timeoutMs"), 0),
             (("routes", 1, "service"), "s9"),
+            # Beside a split, which doesn't name it.
+            (("routes", 0, "service"), "s9"),
             (("routes", 1, "pathPrefix"), "/x/"),
             (("routes", 0, "trafficSplit", 0, "weight"), 0),
             (("routes",), None),
@@ -142,6 +144,17 @@
         data = json.dumps(document).encode()
         assert isinstance(decode_configuration(data), Err)
 
+    @pytest.mark.parametrize("service", ["s1", "s2", None])
+    def test_service_beside_split(self, service: str | None) -> None:
+        """Guards against a split that a route's service changes."""
+        document = copy.deepcopy(CONFIGURATION)
+        document["routes"][0]["service"] = service
+        routing = decode_configuration(json.dumps(document).encode()).unwrap()
+        assert [(s.pool, s.weight) for s in routing.routes["r-1"].shares] == [
+            ("s1", 90),
+            ("s2", 10),
+        ]
+
     @pytest.mark.parametrize("data", [b"", b"[]", b'{"version":', b"\xff"])
     def test_unreadable_document(self, data: bytes) -> None:
         """Guards against an exception for a document that isn't an object."""
