Refuse JSON documents with a name twice in one object

What operators would see: a configuration in which a route has the timeouts 0 and 9000, or a second list of routes at its end, is acknowledged, and the last value takes effect. PROTOCOL.md calls a configuration invalid that can't be read in full; of such a document some parts are read by nobody.

Cause: Python's parser takes the last of several values of a name.

Evidence: found by trying documents, not in a report. Three cases of test_documents failed before.

Limit: a routing with such a document that an older release has accepted can't be decoded after the update; routers then keep waiting for the next version.

--- a/hornbeamyard/process/documents.py
+++ b/hornbeamyard/process/documents.py
@@ -1,8 +1,9 @@
 """Reading of JSON documents that come from outside the fleet.
 
 Python's parser accepts more than can be stored or sent on: bytes that aren't
-UTF-8, halves of surrogate pairs, numbers that JSON doesn't have, and nesting
-that exceeds the stack of whatever walks through the document later.
+UTF-8, halves of surrogate pairs, numbers that JSON doesn't have, names that
+occur twice in an object, and nesting that exceeds the stack of whatever walks
+through the document later.
 """
 
 from __future__ import annotations
@@ -37,7 +38,11 @@
     except UnicodeDecodeError as error:
         return Err(f"is not UTF-8 at byte {error.start}: {error.reason}")
     try:
-        document = json.loads(text, parse_constant=_refuse_constant)
+        document = json.loads(
+            text,
+            parse_constant=_refuse_constant,
+            object_pairs_hook=_build_object,
+        )
     except RecursionError:
         return Err(f"is nested more than {MAX_DEPTH} levels deep")
     except ValueError as error:
@@ -50,6 +55,14 @@
     raise ValueError(f"{name} is not a JSON number")
 
 
+def _build_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    """Return an object; readers differ in which of two values they take."""
+    result = dict(pairs)
+    if len(result) < len(pairs):
+        raise ValueError("a name occurs twice in an object")
+    return result
+
+
 def _find_fault(document: Any) -> str | None:
     """Return why a parsed document can't be used, if it can't."""
     level = [document]
--- a/hornbeamyard/tests/test_documents.py
+++ b/hornbeamyard/tests/test_documents.py
@@ -28,6 +28,8 @@
             '{"a": 1}'.encode("utf-16"),
             b'{"a": NaN}',
             b'{"a": -Infinity}',
+            b'{"a": 0, "a": 1}',
+            b'[{"b": {"a": 1, "\\u0061": 1}}]',
             b'{"a": ' + b"9" * 5000 + b"}",
             b"[" * 100_000,
             b"[" * (MAX_DEPTH + 1) + b"]" * (MAX_DEPTH + 1),
@@ -45,6 +47,7 @@
             (b'{"a": "\\ud83d\\ude00"}', {"a": "\U0001f600"}),
             ('{"a": "\u00e9"}'.encode("utf-8-sig"), {"a": "\u00e9"}),
             (b"[1, 2.5, null]", [1, 2.5, None]),
+            (b'[{"a": 1, "b": {"a": 2}}, {}]', [{"a": 1, "b": {"a": 2}}, {}]),
         ],
     )
     def test_reads(self, data: bytes, expected: object) -> None:
@@ -53,8 +56,11 @@
 
     def test_hides_texts(self) -> None:
         """Guards against secrets in the reason of a refusal."""
-        data = json.dumps({"key": "secret-key\ud800"}).encode()
-        assert "secret-key" not in read_json(data).unwrap_err()
+        for data in [
+            json.dumps({"key": "secret-key\ud800"}).encode(),
+            b'{"secret-key": 1, "secret-key": 2}',
+        ]:
+            assert "secret-key" not in read_json(data).unwrap_err()
 
 
 class TestCheckText:
