Route a request by the version that is in force once its body is read

What callers would see: while the body of a request arrives, a new version of the routing comes into force. If it has no pool of that name any more, the request ends with an error of the router; if the route or the key is gone, or the route has moved to another pool, the request is still served as the former version allows, however long the body takes.

Cause: route and key are looked up when the header has arrived, the pool once the body is complete, in the newest routing.

Change: if the routing has changed in between, route and key are looked up again. A request that no version refuses is unaffected.

The three cases of test_routing_changes_before_body failed before: KeyError, and 200 instead of 404 and 401. Ruled out for what follows the body: a waiting request keeps its pool object, and a resumed stream looks its pool up with a refusal if it is gone.

--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -180,11 +180,11 @@
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         received_at = self._timers.now()
         metadata = self._header_codec.read_request(scope["headers"])
+        routing = self._router.routing
         checked = self._check(scope, metadata)
         if isinstance(checked, _Rejection):
             await self._send_rejection(metadata, checked, send)
             return
-        route, account = checked
         body = await self._read_body(receive)
         if isinstance(body, _Rejection):
             await self._send_rejection(metadata, body, send)
@@ -192,6 +192,13 @@
         if body is None:
             self._reporter.log_decision(metadata, "left", stage="body")
             return
+        if self._router.routing is not routing:
+            # The version that came meanwhile may lack the route or the pool.
+            checked = self._check(scope, metadata)
+            if isinstance(checked, _Rejection):
+                await self._send_rejection(metadata, checked, send)
+                return
+        route, account = checked
         request = self._build_request(
             scope, metadata, route, account, body, received_at
         )
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -183,6 +183,7 @@
         headers: tuple[tuple[bytes, bytes], ...] = (),
         key: bytes = b"Bearer k1",
         disconnect_after_s: float | None = None,
+        before_body: Callable[[], None] = lambda: None,
     ) -> ReceivedResponse:
         """Send a request and return the response."""
         received = ReceivedResponse()
@@ -193,6 +194,7 @@
             nonlocal was_read
             if not was_read:
                 was_read = True
+                before_body()
                 return {"type": "http.request", "body": body}
             # Servers report a disconnect also after the end of the response.
             with anyio.move_on_after(disconnect_after_s or 60):
@@ -278,6 +280,42 @@
 
         run(test, [send_response()])
 
+    @pytest.mark.parametrize(
+        ("changes", "expected"),
+        [
+            (
+                {
+                    "pools": [{"name": "new"}],
+                    "routes": [
+                        route | {"shares": [{"pool": "new"}]}
+                        for route in DOCUMENT["routes"]
+                    ],
+                },
+                200,
+            ),
+            ({"routes": DOCUMENT["routes"][1:]}, 404),
+            ({"client_accounts": [{"name": "museum", "keys": ["k2"]}]}, 401),
+        ],
+        ids=["pool", "route", "key"],
+    )
+    def test_routing_changes_before_body(
+        self, changes: dict[str, Any], expected: int
+    ) -> None:
+        """Guards against an error, or service by a former version."""
+
+        async def test(harness: Harness) -> None:
+            def change() -> None:
+                document = DOCUMENT | {"version": 4} | changes
+                harness.routing = parse_routing(document).unwrap()
+
+            received = await harness.send_request(
+                body=b"late", before_body=change
+            )
+            assert received.status == expected
+            assert count_received(harness) == (1 if expected == 200 else 0)
+
+        run(test, [send_response()])
+
     def test_unavailable_without_routing(self) -> None:
         """Guards against a 404 from a router that has just started."""
 
