Bound the cached parts that a router has not reported

What operators would see: while no controller leads, or a router can't reach the one that does, the memory of the router grows with each shared part that it sends to an engine, for as long as that lasts; then all are sent in one report.

Cause: the list is only emptied by the report to the leader.

Change: a balancer keeps as many as are remembered for an engine, the newest.

--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -10,6 +10,7 @@
 import heapq
 import math
 import zlib
+from collections import deque
 from collections.abc import Callable, Iterable
 from contextlib import AbstractContextManager
 from dataclasses import dataclass, field
@@ -21,6 +22,7 @@
 from .crashes import CrashLedger
 from .demand import RequestDemand
 from .engine import (
+    MAX_CACHED_PARTS,
     NO_COPY_SOURCE,
     CopySource,
     Engine,
@@ -298,8 +300,9 @@
     Attributes
     ----------
     inter_token_latency : InterTokenLatency
-    cached_parts : list of CachedPart
-        Shared parts that were sent to engines since the last report.
+    cached_parts : deque of CachedPart
+        Shared parts that were sent to engines since the last report. The
+        oldest are dropped, as there is no report while no controller leads.
     servers : dict of str to Server
         Upstreams of the pool by id.
     assumed_routers : float
@@ -368,7 +371,7 @@
         self._waiting: list[WaitingRequest] = []
         self._zone = availability_zone
         self.inter_token_latency = InterTokenLatency()
-        self.cached_parts: list[CachedPart] = []
+        self.cached_parts: deque[CachedPart] = deque(maxlen=MAX_CACHED_PARTS)
         self.servers: dict[str, Server] = {}
         self.assumed_routers = 0.0
         self.upstream_drain_s = 0.0
@@ -1087,9 +1090,9 @@
             if self.assumed_routers:
                 self._assume_others_load(server, tokens, now)
             parts = server.record_parts(demand, now)
-            self.cached_parts += [
+            self.cached_parts.extend(
                 CachedPart(part, server.id) for part in parts
-            ]
+            )
             if not demand.is_charged:
                 self._shares.record_admitted(demand.account, demand.size)
                 demand.is_charged = True
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -361,7 +361,7 @@
         cached_parts: list[CachedPart] = []
         for balancer in self._balancers.values():
             cached_parts += balancer.cached_parts
-            balancer.cached_parts = []
+            balancer.cached_parts.clear()
             for server in balancer.servers.values():
                 if server.own_load.running:
                     upstreams[server.id] = server.own_load
--- a/hornbeamyard/tests/test_balancer.py
+++ b/hornbeamyard/tests/test_balancer.py
@@ -19,7 +19,7 @@
     rank_engines,
 )
 from hornbeamyard.pool.demand import PromptPart, RequestDemand
-from hornbeamyard.pool.engine import Engine
+from hornbeamyard.pool.engine import MAX_CACHED_PARTS, Engine
 from hornbeamyard.pool.rate_limits import RateLimiter, RateLimits
 from hornbeamyard.pool.shares import Grant, Shares
 from hornbeamyard.pool.targets import TargetMix
@@ -153,6 +153,18 @@
         third.record_cached_parts(first.cached_parts, 0.0)
         assert place(third, build_demand(1000, 5000)).server.id == overflow
 
+    def test_parts_without_a_report(self) -> None:
+        """Guards against memory that grows while no controller leads."""
+        balancer = build_balancer()
+        for number in range(2 * MAX_CACHED_PARTS):
+            demand = build_demand(10, 10, f"p{number}")
+            placed = place(balancer, demand)
+            balancer.finish_prefill(placed)
+            balancer.finish(placed, demand)
+        parts = [cached.part for cached in balancer.cached_parts]
+        assert len(parts) <= MAX_CACHED_PARTS
+        assert parts[-1] == f"p{2 * MAX_CACHED_PARTS - 1}"
+
     def test_small_prompts_go_to_idle_engines(self) -> None:
         """Guards against load that is uneven without shared parts."""
         balancer = build_balancer()
