Bound the memory for the bodies of a router's requests

What operators would see: a router on a machine of 150 MB ends by itself (killed for its memory) when some 20 callers send bodies of 4 MB at the same time, which is the maxBodyBytes of PROTOCOL.md's example.

Cause: the body of each request is kept until it is answered, and their sum has no bound: 1,500 connections times maxBodyBytes.

Change: bodies of requests in progress take a quarter of the machine's memory at most. Beyond that, requests are refused with 503 and Retry-After, which promises that they haven't run.

--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import random
 from collections.abc import Iterable, Iterator
 
@@ -92,6 +93,9 @@
 OVERLOAD_RETRY_AFTER_S = 0.1
 # Upper bound of open connections from callers.
 MAX_CONNECTIONS = 1500
+# Fraction of the machine's memory for the bodies of requests in progress,
+# which take up to twice their size while they are sent.
+BODY_MEMORY_FRACTION = 0.25
 
 _log = logbook.Logger("route_router")
 
@@ -213,6 +217,11 @@
             timers,
             RequestReporter(timers, self.decisions, self.metrics),
         )
+        self.forwarder.max_buffered_size = (
+            BODY_MEMORY_FRACTION
+            * os.sysconf("SC_PAGE_SIZE")
+            * os.sysconf("SC_PHYS_PAGES")
+        )
         self._connection_limits = ConnectionLimits(
             min(settings.router.connections, MAX_CONNECTIONS),
             OverloadLimiter(timers),
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -130,9 +130,13 @@
     ----------
     counts : RequestCounts
         Counts of the reporter, for the metrics.
+    max_buffered_size : float
+        Maximum size in bytes of the bodies of all requests in progress. They
+        are kept in memory, since a request may be sent again.
     """
 
     __slots__ = (
+        "_buffered_size",
         "_header_codec",
         "_max_deadline_ms",
         "_reporter",
@@ -142,6 +146,7 @@
         "_timers",
         "_upstreams",
         "counts",
+        "max_buffered_size",
     )
 
     def __init__(
@@ -153,6 +158,7 @@
         timers: Timers,
         reporter: RequestReporter,
     ) -> None:
+        self._buffered_size = 0
         self._header_codec = header_codec
         self._router = router
         # Longest deadline that a caller gave, by route.
@@ -164,6 +170,7 @@
         self._timers = timers
         self._upstreams = upstreams
         self.counts = reporter.counts
+        self.max_buffered_size = float("inf")
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -192,16 +199,24 @@
         if body is None:
             self._reporter.log_decision(metadata, "left", stage="body")
             return
-        if self._router.routing is not routing:
-            # The version that came meanwhile may lack the route or the pool.
-            checked = self._check(scope, metadata)
+        try:
+            if self._router.routing is not routing:
+                # The version that came meanwhile may lack the route or pool.
+                checked = self._check(scope, metadata)
             if isinstance(checked, _Rejection):
                 await self._send_rejection(metadata, checked, send)
                 return
-        route, account = checked
-        request = self._build_request(
-            scope, metadata, route, account, body, received_at
-        )
+            request = self._build_request(
+                scope, metadata, *checked, body, received_at
+            )
+            await self._forward(request, receive, send)
+        finally:
+            self._buffered_size -= len(body)
+
+    async def _forward(
+        self, request: RoutedRequest, receive: Receive, send: Send
+    ) -> None:
+        """Deliver a request within its time limit, while its caller waits."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
                 self._watch_caller, receive, request, tasks.cancel_scope
@@ -257,26 +272,40 @@
         return route, account
 
     async def _read_body(self, receive: Receive) -> bytes | _Rejection | None:
-        """Return the body, or None if the caller has disconnected."""
+        """Return the body, or None if the caller has disconnected.
+
+        A body that is returned counts as buffered.
+        """
         assert self._router.routing is not None
         limits = self._router.routing.limits
         parts: list[bytes] = []
         size = 0
-        while True:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                return None
-            part = message.get("body", b"")
-            size += len(part)
-            if size > limits.body_size:
-                return _Rejection(
-                    HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                    f"the body exceeds {limits.body_size} bytes",
-                )
-            if part:
-                parts.append(part)
-            if not message.get("more_body", False):
-                return b"".join(parts)
+        is_complete = False
+        try:
+            while not is_complete:
+                message = await receive()
+                if message["type"] == "http.disconnect":
+                    return None
+                part = message.get("body", b"")
+                size += len(part)
+                self._buffered_size += len(part)
+                if size > limits.body_size:
+                    return _Rejection(
+                        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                        f"the body exceeds {limits.body_size} bytes",
+                    )
+                if self._buffered_size > self.max_buffered_size:
+                    return _Rejection(
+                        HTTPStatus.SERVICE_UNAVAILABLE,
+                        "too many bodies of other requests are in memory",
+                    )
+                if part:
+                    parts.append(part)
+                is_complete = not message.get("more_body", False)
+            return b"".join(parts)
+        finally:
+            if not is_complete:
+                self._buffered_size -= size
 
     def _build_request(
         self,
--- a/hornbeamyard/tests/test_directory_router.py
+++ b/hornbeamyard/tests/test_directory_router.py
@@ -133,6 +133,23 @@
         anyio.run(test)
 
 
+class TestMemory:
+    """A router leaves most of the machine's memory to other things."""
+
+    def test_bodies(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against bodies of 4 MB that fill a small machine."""
+        pages = {"SC_PAGE_SIZE": 4096, "SC_PHYS_PAGES": 150 * 256}
+
+        async def test() -> None:
+            monkeypatch.setattr("os.sysconf", pages.__getitem__)
+            router, _, _ = build_router()
+            megabytes = router.forwarder.max_buffered_size / 2**20
+            # Without requests a router takes 61 MB.
+            assert 8 < megabytes < (150 - 61) / 2
+
+        anyio.run(test)
+
+
 class TestThroughput:
     """The estimated throughput is logged while it limits accounts."""
 
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -316,6 +316,35 @@
 
         run(test, [send_response()])
 
+    def test_bounds_memory_for_bodies(self) -> None:
+        """Guards against a router that ends because it has no memory left."""
+        statuses: list[int] = []
+
+        async def respond_late(stream: Any, received: Any) -> None:
+            while len(statuses) < 2:
+                await anyio.sleep(0.01)
+            await send_response()(stream, received)
+
+        async def test(harness: Harness) -> None:
+            harness.forwarder.max_buffered_size = 10
+
+            async def send(body: bytes) -> None:
+                response = await harness.send_request("/charge/1", body)
+                statuses.append(response.status)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(send, b"8 bytes.")
+                while not count_received(harness):
+                    await anyio.sleep(0.01)
+                await send(b"3 b")
+                await send(b"2b")
+            await send(b"10 bytes..")
+            await send(b"eleven byte")
+            assert statuses == [503, 200, 200, 200, 503]
+            assert count_received(harness) == 3
+
+        run(test, [respond_late, send_response()])
+
     def test_unavailable_without_routing(self) -> None:
         """Guards against a 404 from a router that has just started."""
 
