End requests whose body doesn't arrive within their time limit

What callers would see: a request whose body stalls gets no answer at its route's timeoutMs, nor at its own deadline, but only once the body is complete; one that never is holds its connection and memory until the caller leaves, also when the router stops.

Cause: the time limit begins after the body has been read.

Change: the same limit covers the reading of the body, and the end of a stopping router ends it. The answer is 408, which promises that the request hasn't run.

--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -4,7 +4,14 @@
 
 import json
 import random
-from collections.abc import Awaitable, Callable, Iterable, MutableMapping
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Iterable,
+    Iterator,
+    MutableMapping,
+)
+from contextlib import contextmanager
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, Protocol
@@ -192,7 +199,12 @@
         if isinstance(checked, _Rejection):
             await self._send_rejection(metadata, checked, send)
             return
-        body = await self._read_body(receive)
+        deadline_at = self._find_deadline(metadata, checked[0], received_at)
+        body: bytes | _Rejection | None = _Rejection(
+            HTTPStatus.REQUEST_TIMEOUT, "the body was not complete in time"
+        )
+        with self._limit_time(deadline_at):
+            body = await self._read_body(receive)
         if isinstance(body, _Rejection):
             await self._send_rejection(metadata, body, send)
             return
@@ -224,18 +236,22 @@
             send = _track_completion(request, send)
             for _ in range(LOOP_TURNS_BEFORE_SENDING):
                 await anyio.lowlevel.checkpoint()
-            with self._timers.limit(
-                request.deadline_at - self._timers.now()
-            ) as time_limit:
-                self._time_limits.add(time_limit)
-                try:
-                    await self._deliver(request, send)
-                finally:
-                    self._time_limits.discard(time_limit)
+            with self._limit_time(request.deadline_at) as time_limit:
+                await self._deliver(request, send)
             if time_limit.cancelled_caught:
                 await self._send_timeout(request, send)
             tasks.cancel_scope.cancel()
 
+    @contextmanager
+    def _limit_time(self, deadline_at: float) -> Iterator[anyio.CancelScope]:
+        """Limit a part of a request to its deadline and the router's end."""
+        with self._timers.limit(deadline_at - self._timers.now()) as limit:
+            self._time_limits.add(limit)
+            try:
+                yield limit
+            finally:
+                self._time_limits.discard(limit)
+
     def end_requests(self) -> None:
         """Answer all requests in progress, because the router has to end."""
         for time_limit in self._time_limits:
@@ -307,6 +323,17 @@
             if not is_complete:
                 self._buffered_size -= size
 
+    def _find_deadline(
+        self, metadata: RequestMetadata, route: Route, received_at: float
+    ) -> float:
+        """Return the monotonic time at which a request ends at the latest."""
+        time_limit_ms = min(
+            metadata.deadline_ms or route.timeout_ms, route.timeout_ms
+        )
+        return min(
+            received_at + time_limit_ms / 1000, self._router.drain_end_at
+        )
+
     def _build_request(
         self,
         scope: Scope,
@@ -317,12 +344,7 @@
         received_at: float,
     ) -> RoutedRequest:
         assert self._router.routing is not None
-        time_limit_ms = min(
-            metadata.deadline_ms or route.timeout_ms, route.timeout_ms
-        )
-        deadline_at = min(
-            received_at + time_limit_ms / 1000, self._router.drain_end_at
-        )
+        deadline_at = self._find_deadline(metadata, route, received_at)
         priority = route.priority
         if account is not None and account.priority is not None:
             priority = account.priority
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -184,6 +184,7 @@
         key: bytes = b"Bearer k1",
         disconnect_after_s: float | None = None,
         before_body: Callable[[], None] = lambda: None,
+        body_delay_s: float = 0.0,
     ) -> ReceivedResponse:
         """Send a request and return the response."""
         received = ReceivedResponse()
@@ -195,6 +196,7 @@
             if not was_read:
                 was_read = True
                 before_body()
+                await anyio.sleep(body_delay_s)
                 return {"type": "http.request", "body": body}
             # Servers report a disconnect also after the end of the response.
             with anyio.move_on_after(disconnect_after_s or 60):
@@ -316,6 +318,34 @@
 
         run(test, [send_response()])
 
+    @pytest.mark.parametrize("is_ending", [False, True])
+    def test_body_that_does_not_arrive(self, is_ending: bool) -> None:
+        """Guards against requests without an answer at their time limit."""
+
+        async def test(harness: Harness) -> None:
+            async with anyio.create_task_group() as tasks:
+
+                async def end() -> None:
+                    await anyio.sleep(0.3)
+                    harness.forwarder.end_requests()
+
+                if is_ending:
+                    tasks.start_soon(end)
+                started_at = anyio.current_time()
+                received = await harness.send_request(
+                    body=b"late", body_delay_s=60
+                )
+                elapsed_s = anyio.current_time() - started_at
+            assert received.status == 408
+            # The route's time limit is 1.5 s.
+            assert (elapsed_s < 1.4) is is_ending
+            assert elapsed_s < 2.0
+            assert not count_received(harness)
+            received = await harness.send_request(body=b"late")
+            assert received.status == 200
+
+        run(test, [send_response()])
+
     def test_bounds_memory_for_bodies(self) -> None:
         """Guards against a router that ends because it has no memory left."""
         statuses: list[int] = []
