--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -4,7 +4,14 @@
 
 import json
 import random
-from collections.abc import Awaitable, Callable, Iterable, MutableMapping
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Iterable,
+    Iterator,
+    MutableMapping,
+)
+from contextlib import contextmanager
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, Protocol
@@ -130,9 +137,13 @@
     ----------
     counts : RequestCounts
         Counts of the reporter, for the metrics.
+    max_buffered_size : float
+        Maximum size in bytes of the bodies of all requests in progress. They
+        are kept in memory, since a request may be sent again.
     """
 
     __slots__ = (
+        "_buffered_size",
         "_header_codec",
         "_max_deadline_ms",
         "_reporter",
@@ -142,6 +153,7 @@
         "_timers",
         "_upstreams",
         "counts",
+        "max_buffered_size",
     )
 
     def __init__(
@@ -153,6 +165,7 @@
         timers: Timers,
         reporter: RequestReporter,
     ) -> None:
+        self._buffered_size = 0
         self._header_codec = header_codec
         self._router = router
         # Longest deadline that a caller gave, by route.
@@ -164,6 +177,7 @@
         self._timers = timers
         self._upstreams = upstreams
         self.counts = reporter.counts
+        self.max_buffered_size = float("inf")
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -180,21 +194,41 @@
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         received_at = self._timers.now()
         metadata = self._header_codec.read_request(scope["headers"])
+        routing = self._router.routing
         checked = self._check(scope, metadata)
         if isinstance(checked, _Rejection):
             await self._send_rejection(metadata, checked, send)
             return
-        route, account = checked
-        body = await self._read_body(receive)
+        deadline_at = self._find_deadline(metadata, checked[0], received_at)
+        body: bytes | _Rejection | None = _Rejection(
+            HTTPStatus.REQUEST_TIMEOUT, "the body was not complete in time"
+        )
+        with self._limit_time(deadline_at):
+            body = await self._read_body(receive)
         if isinstance(body, _Rejection):
             await self._send_rejection(metadata, body, send)
             return
         if body is None:
             self._reporter.log_decision(metadata, "left", stage="body")
             return
-        request = self._build_request(
-            scope, metadata, route, account, body, received_at
-        )
+        try:
+            if self._router.routing is not routing:
+                # The version that came meanwhile may lack the route or pool.
+                checked = self._check(scope, metadata)
+            if isinstance(checked, _Rejection):
+                await self._send_rejection(metadata, checked, send)
+                return
+            request = self._build_request(
+                scope, metadata, *checked, body, received_at
+            )
+            await self._forward(request, receive, send)
+        finally:
+            self._buffered_size -= len(body)
+
+    async def _forward(
+        self, request: RoutedRequest, receive: Receive, send: Send
+    ) -> None:
+        """Deliver a request within its time limit, while its caller waits."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
                 self._watch_caller, receive, request, tasks.cancel_scope
@@ -202,18 +236,22 @@
             send = _track_completion(request, send)
             for _ in range(LOOP_TURNS_BEFORE_SENDING):
                 await anyio.lowlevel.checkpoint()
-            with self._timers.limit(
-                request.deadline_at - self._timers.now()
-            ) as time_limit:
-                self._time_limits.add(time_limit)
-                try:
-                    await self._deliver(request, send)
-                finally:
-                    self._time_limits.discard(time_limit)
+            with self._limit_time(request.deadline_at) as time_limit:
+                await self._deliver(request, send)
             if time_limit.cancelled_caught:
                 await self._send_timeout(request, send)
             tasks.cancel_scope.cancel()
 
+    @contextmanager
+    def _limit_time(self, deadline_at: float) -> Iterator[anyio.CancelScope]:
+        """Limit a part of a request to its deadline and the router's end."""
+        with self._timers.limit(deadline_at - self._timers.now()) as limit:
+            self._time_limits.add(limit)
+            try:
+                yield limit
+            finally:
+                self._time_limits.discard(limit)
+
     def end_requests(self) -> None:
         """Answer all requests in progress, because the router has to end."""
         for time_limit in self._time_limits:
@@ -250,26 +288,51 @@
         return route, account
 
     async def _read_body(self, receive: Receive) -> bytes | _Rejection | None:
-        """Return the body, or None if the caller has disconnected."""
+        """Return the body, or None if the caller has disconnected.
+
+        A body that is returned counts as buffered.
+        """
         assert self._router.routing is not None
         limits = self._router.routing.limits
         parts: list[bytes] = []
         size = 0
-        while True:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                return None
-            part = message.get("body", b"")
-            size += len(part)
-            if size > limits.body_size:
-                return _Rejection(
-                    HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                    f"the body exceeds {limits.body_size} bytes",
-                )
-            if part:
-                parts.append(part)
-            if not message.get("more_body", False):
-                return b"".join(parts)
+        is_complete = False
+        try:
+            while not is_complete:
+                message = await receive()
+                if message["type"] == "http.disconnect":
+                    return None
+                part = message.get("body", b"")
+                size += len(part)
+                self._buffered_size += len(part)
+                if size > limits.body_size:
+                    return _Rejection(
+                        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                        f"the body exceeds {limits.body_size} bytes",
+                    )
+                if self._buffered_size > self.max_buffered_size:
+                    return _Rejection(
+                        HTTPStatus.SERVICE_UNAVAILABLE,
+                        "too many bodies of other requests are in memory",
+                    )
+                if part:
+                    parts.append(part)
+                is_complete = not message.get("more_body", False)
+            return b"".join(parts)
+        finally:
+            if not is_complete:
+                self._buffered_size -= size
+
+    def _find_deadline(
+        self, metadata: RequestMetadata, route: Route, received_at: float
+    ) -> float:
+        """Return the monotonic time at which a request ends at the latest."""
+        time_limit_ms = min(
+            metadata.deadline_ms or route.timeout_ms, route.timeout_ms
+        )
+        return min(
+            received_at + time_limit_ms / 1000, self._router.drain_end_at
+        )
 
     def _build_request(
         self,
@@ -281,12 +344,7 @@
         received_at: float,
     ) -> RoutedRequest:
         assert self._router.routing is not None
-        time_limit_ms = min(
-            metadata.deadline_ms or route.timeout_ms, route.timeout_ms
-        )
-        deadline_at = min(
-            received_at + time_limit_ms / 1000, self._router.drain_end_at
-        )
+        deadline_at = self._find_deadline(metadata, route, received_at)
         priority = route.priority
         if account is not None and account.priority is not None:
             priority = account.priority
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -183,6 +183,8 @@
         headers: tuple[tuple[bytes, bytes], ...] = (),
         key: bytes = b"Bearer k1",
         disconnect_after_s: float | None = None,
+        before_body: Callable[[], None] = lambda: None,
+        body_delay_s: float = 0.0,
     ) -> ReceivedResponse:
         """Send a request and return the response."""
         received = ReceivedResponse()
@@ -193,6 +195,8 @@
             nonlocal was_read
             if not was_read:
                 was_read = True
+                before_body()
+                await anyio.sleep(body_delay_s)
                 return {"type": "http.request", "body": body}
             # Servers report a disconnect also after the end of the response.
             with anyio.move_on_after(disconnect_after_s or 60):
@@ -278,6 +282,99 @@
 
         run(test, [send_response()])
 
+    @pytest.mark.parametrize(
+        ("changes", "expected"),
+        [
+            (
+                {
+                    "pools": [{"name": "new"}],
+                    "routes": [
+                        route | {"shares": [{"pool": "new"}]}
+                        for route in DOCUMENT["routes"]
+                    ],
+                },
+                200,
+            ),
+            ({"routes": DOCUMENT["routes"][1:]}, 404),
+            ({"client_accounts": [{"name": "museum", "keys": ["k2"]}]}, 401),
+        ],
+        ids=["pool", "route", "key"],
+    )
+    def test_routing_changes_before_body(
+        self, changes: dict[str, Any], expected: int
+    ) -> None:
+        """Guards against an error, or service by a former version."""
+
+        async def test(harness: Harness) -> None:
+            def change() -> None:
+                document = DOCUMENT | {"version": 4} | changes
+                harness.routing = parse_routing(document).unwrap()
+
+            received = await harness.send_request(
+                body=b"late", before_body=change
+            )
+            assert received.status == expected
+            assert count_received(harness) == (1 if expected == 200 else 0)
+
+        run(test, [send_response()])
+
+    @pytest.mark.parametrize("is_ending", [False, True])
+    def test_body_that_does_not_arrive(self, is_ending: bool) -> None:
+        """Guards against requests without an answer at their time limit."""
+
+        async def test(harness: Harness) -> None:
+            async with anyio.create_task_group() as tasks:
+
+                async def end() -> None:
+                    await anyio.sleep(0.3)
+                    harness.forwarder.end_requests()
+
+                if is_ending:
+                    tasks.start_soon(end)
+                started_at = anyio.current_time()
+                received = await harness.send_request(
+                    body=b"late", body_delay_s=60
+                )
+                elapsed_s = anyio.current_time() - started_at
+            assert received.status == 408
+            # The route's time limit is 1.5 s.
+            assert (elapsed_s < 1.4) is is_ending
+            assert elapsed_s < 2.0
+            assert not count_received(harness)
+            received = await harness.send_request(body=b"late")
+            assert received.status == 200
+
+        run(test, [send_response()])
+
+    def test_bounds_memory_for_bodies(self) -> None:
+        """Guards against a router that ends because it has no memory left."""
+        statuses: list[int] = []
+
+        async def respond_late(stream: Any, received: Any) -> None:
+            while len(statuses) < 2:
+                await anyio.sleep(0.01)
+            await send_response()(stream, received)
+
+        async def test(harness: Harness) -> None:
+            harness.forwarder.max_buffered_size = 10
+
+            async def send(body: bytes) -> None:
+                response = await harness.send_request("/charge/1", body)
+                statuses.append(response.status)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(send, b"8 bytes.")
+                while not count_received(harness):
+                    await anyio.sleep(0.01)
+                await send(b"3 b")
+                await send(b"2b")
+            await send(b"10 bytes..")
+            await send(b"eleven byte")
+            assert statuses == [503, 200, 200, 200, 503]
+            assert count_received(harness) == 3
+
+        run(test, [respond_late, send_response()])
+
     def test_unavailable_without_routing(self) -> None:
         """Guards against a 404 from a router that has just started."""
 
