Count only controllers of the first start for a founding

What operators would see: a first start in which one controller loses its disk and another is replaced within a second never founds the cluster.

Cause: the required votes were a majority of all known controllers, among them the replaced one, its successor and the emptied one. Votes of folders that were made later don't count, so they can't be required either: with six known controllers three of four folders of the first start weren't enough, and the seeds of both missing ones made it stay so.

Change: the majority, and the question whether the seeds are needed, count controllers that may have a folder of the first start: those that say so, and seeds that haven't said otherwise. Any two such sets still have a folder in common, as a lost folder is missing from both.

--- a/hornbeamyard/version/founding.py
+++ b/hornbeamyard/version/founding.py
@@ -79,8 +79,10 @@
 
     Attributes
     ----------
-    electorate : collection of str
+    known : collection of str
         Addresses of all controllers that are known, reachable or not.
+    first_start : collection of str
+        Addresses of those that may have a folder of the first start.
     seeds : collection of str
         Addresses that all controllers know at the first start.
     required_members : int
@@ -89,7 +91,8 @@
         Votes that were granted, by address.
     """
 
-    electorate: Collection[str]
+    known: Collection[str]
+    first_start: Collection[str]
     seeds: Collection[str]
     required_members: int
     votes: dict[str, fleet_pb2.VoteReply] = field(default_factory=dict)
@@ -97,7 +100,7 @@
     def count_required(self) -> int:
         """Return the number of votes of folders of the first start."""
         disks = count_required_disks(self.required_members)
-        return max(disks, len(self.electorate) // 2 + 1)
+        return max(disks, len(self.first_start) // 2 + 1)
 
     def is_won(self) -> bool:
         """Return whether no other cluster exists or can be founded.
@@ -107,14 +110,14 @@
         all controllers vote, and so many that an acknowledged change would be
         on one of their disks.
         """
-        voted = self.votes.keys() & set(self.electorate)
-        is_unanimous = len(voted) == len(self.electorate)
+        voted = self.votes.keys() & set(self.known)
+        is_unanimous = len(voted) == len(self.known)
         if is_unanimous and len(voted) >= self.required_members:
             return True
         remembered = {a for a in voted if self.votes[a].initial}
         if len(remembered) < self.count_required():
             return False
-        if len(self.electorate) <= self.required_members:
+        if len(self.first_start) <= self.required_members:
             return True
         # Where there are more controllers than are required, some may not be
         # known yet, but all know the seeds.
@@ -365,10 +368,16 @@
         """Collect votes and, if they are enough, write the first members."""
         replica = self._replica
         recent = self.known_controllers.list_recent()
+        known = {self.own.address, *self._list_addresses()}
+        # Folders made later don't remember the first start, whatever their
+        # hosts held before.
+        later = {
+            controller.address
+            for controller in self.known_controllers.list_known()
+            if not controller.first_start
+        }
         ballot = FoundingBallot(
-            {self.own.address, *self._list_addresses()},
-            self.seeds,
-            self._required_members,
+            known, known - later, self.seeds, self._required_members
         )
         term = await replica.jobs.execute(self._start_term)
         if term:
@@ -386,7 +395,7 @@
             term,
             sorted(ballot.votes),
             sum(vote.initial for vote in ballot.votes.values()),
-            len(ballot.electorate),
+            len(ballot.known),
             ballot.count_required(),
             "founded the cluster" if is_founded else "not founded",
         )
