--- a/properties/controller_orders.py
+++ b/properties/controller_orders.py
@@ -211,7 +211,8 @@
         self._cuts: dict[Event, list[str]] = {}
         # Controllers that start for the first time later.
         self._starting: set[str] = set()
-        # The version in progress, since when, and whether it is to be read.
+        self._newest_version = 0
+        # The version in progress, if any, and since when.
         self._version = 0
         self._version_at = 0.0
         self._cycles = 0
@@ -270,10 +271,10 @@
         if event.base == "ack":
             await self._wait_for_ack(1)
         elif event.base == "next":
-            await self._wait_for_ack(self._version + 1)
+            await self._wait_for_ack(self._newest_version + 1)
         elif event.base == "settled":
             await self._wait_until_settled(0)
-            await self._wait_for_ack(self._version + 1)
+            await self._wait_for_ack(self._newest_version + 1)
         await self._advance_to(self.now() + event.at)
 
     async def _wait_for_ack(self, version: int) -> None:
@@ -439,6 +440,7 @@
 
     def _submit_next(self) -> None:
         self._version = self._fleet.begin_submission()
+        self._newest_version = self._version
         self._version_at = self.now()
         self._read_once_acknowledged(self._version)
 
--- a/properties/test_controller_orders.py
+++ b/properties/test_controller_orders.py
@@ -20,6 +20,14 @@
     "lowest_seed_late": "seed=1; 0 late c0 2",
     "two_seeds_killed": "seed=1; 0.3 kill c0,c1 7; settled+0 lose #2,#3 1",
     "all_killed_before_founding": "seed=7; 0.316 kill all 0.411",
+    # Its new disk's learner is removed, because it was silent before.
+    "back_late_with_an_empty_disk": (
+        "seed=15624028; ack+0 lose c3 7; then+11 lose #0,#1 1"
+    ),
+    "voters_without_the_log": (
+        "seed=96; 0.726 kill c2,c1 1.712; next+0 kill #0 0.106; "
+        "then+0.328 replace #4 2.341; then+1.353 kill c0 0.271"
+    ),
 }
 RANDOM_ORDERS = 96
 BATCH = 8
