--- a/properties/controller_orders.py
+++ b/properties/controller_orders.py
@@ -51,7 +51,7 @@
 OPERATOR_PAUSE_S = 0.5
 # Interval of the checks, and of the conditions that an event waits for.
 CHECK_INTERVAL_S = 0.1
-# A version and its reading have gone on for this long after the last event.
+# Versions that are submitted and read back once all controllers are back.
 FINAL_CYCLES = 2
 
 NEVER = float("inf")
@@ -174,6 +174,10 @@
             if now >= at + CATCH_UP_S:
                 del self._lost[key]
 
+    def are_down(self) -> bool:
+        """Return whether a machine isn't back yet."""
+        return any(at == NEVER for at, _ in self._lost.values())
+
     def list_hosts(self, now: float) -> set[str]:
         """Return the machines that count as lost."""
         self._expire(now)
@@ -254,7 +258,7 @@
                 continue
             await self._wait_for(event)
             self._apply(event)
-        await self._wait_until_settled(FINAL_CYCLES)
+        await self._finish()
 
     async def _step(self, limit_s: float = CHECK_INTERVAL_S) -> None:
         await self._fleet.advance(min(limit_s, CHECK_INTERVAL_S))
@@ -273,7 +277,7 @@
         elif event.base == "next":
             await self._wait_for_ack(self._newest_version + 1)
         elif event.base == "settled":
-            await self._wait_until_settled(0)
+            await self._wait_until_settled()
             await self._wait_for_ack(self._newest_version + 1)
         await self._advance_to(self.now() + event.at)
 
@@ -282,12 +286,18 @@
             # As soon after the acknowledgement as possible.
             await self._step(0.01)
 
-    async def _wait_until_settled(self, cycles: int) -> None:
-        """Wait until no machine counts as lost, and some cycles more."""
+    async def _wait_until_settled(self) -> None:
+        """Wait until no machine counts as lost."""
         while self._losses.list_hosts(self.now()) or self._starting:
             await self._step()
-        target = self._cycles + cycles
-        while self._cycles < target and self.is_required():
+
+    async def _finish(self) -> None:
+        """Wait until all are back, and versions have been read back since."""
+        while self._losses.are_down() or self._starting:
+            await self._step()
+        # One that is in progress now may have begun before.
+        last = self._cycles + FINAL_CYCLES + 1
+        while self._cycles < last and self.is_required():
             await self._step()
 
     def is_required(self) -> bool:
