--- a/properties/controller_orders.py
+++ b/properties/controller_orders.py
@@ -5,7 +5,7 @@
 drawn by seed, or all orders of a coarse grid, and prints those that fail::
 
     python -m properties.controller_orders --seed 1 --orders 500
-    python -m properties.controller_orders --depth 2
+    python -m properties.controller_orders --depth 2 --orders 1000
     python -m properties.controller_orders --play "seed=3; 0.3 kill c0 0.5"
 
 An order is text: a seed and events, each with a time, a kind, hosts and a
@@ -345,15 +345,15 @@
         self._refresh_cuts()
 
     def _resolve(self, event: Event) -> list[str]:
-        """Return the hosts of an event that run."""
+        """Return the hosts of an event that run, or can be cut off."""
+        controllers = self._fleet.controllers
         running = sorted(
-            (
-                name
-                for name, controller in self._fleet.controllers.items()
-                if controller.is_running
-            ),
+            (name for name in controllers if controllers[name].is_running),
             key=lambda name: int(name[1:]),
         )
+        known = running
+        if event.kind == "cut":
+            known = [*controllers, *self._starting]
         names: list[str] = []
         for host in event.hosts:
             if host == "all":
@@ -364,7 +364,7 @@
             elif host.startswith("#"):
                 names.extend(running[int(host[1:]) :][:1])
             else:
-                names.extend([host] if host in running else [])
+                names.extend([host] if host in known else [])
         return list(dict.fromkeys(names))
 
     def _apply(self, event: Event) -> None:
@@ -427,7 +427,7 @@
 
     def _cut(self, event: Event, names: list[str]) -> None:
         self._cuts[event] = names
-        others = self._fleet.controllers.keys() - set(names)
+        others = {*self._fleet.controllers, *self._starting} - set(names)
         lost = names if len(names) <= len(others) else sorted(others)
         for name in lost:
             self._losses.add(event, name, False, self.now())
@@ -606,9 +606,11 @@
 
 # One host of each class: the lowest seed, the other seeds, and the others.
 CLASSES = (("c0",), ("c1", "c2"), ("c3", "c4"))
+PAIRS = (("c0", "c1"), ("c0", "c3"), ("c1", "c2"), ("c1", "c3"), ("c3", "c4"))
 # Before the data folders exist, between their writes, right after the first
 # acknowledgement, and while the events before are repaired.
 GRID_TIMES = (("", 0.05), ("", 0.3), ("", 0.95), ("", 1.1), ("ack", 0.0))
+PAIR_TIMES = (("", 0.05), ("", 0.95), ("ack", 0.0))
 REPAIR_TIMES = (("then", 0.0), ("then", 0.9), ("then", 3.0))
 GRID_KINDS = (
     ("kill", 0.5),
@@ -618,13 +620,10 @@
     ("cut", 3.0),
     ("replace", 1.0),
 )
+# A split may last longer than the search for controllers.
+PAIR_KINDS = (("kill", 7.0), ("lose", 1.0), ("cut", 6.5))
 GRID_STARTS = (("late", 2.0), ("late", 7.0), ("delay", 2.0))
-GRID_ALL = (
-    ("kill", ("all",), 0.5),
-    ("cut", ("c0", "c1"), 6.0),
-    ("cut", ("c0", "c3"), 6.0),
-    ("cut", ("c2", "c4"), 6.0),
-)
+ALL = ("all",)
 # How an order ends once all is repaired: the disks of any two are lost, alone
 # or while the others lose power.
 FINAL_PAIRS = tuple(itertools.combinations(range(CONTROLLERS), 2))
@@ -646,13 +645,16 @@
         if host not in used:
             for kind, duration in GRID_STARTS:
                 yield Event("", 0.0, kind, (host,), duration)
-    times = GRID_TIMES if is_first else (*GRID_TIMES, *REPAIR_TIMES)
-    for base, at in times:
+    later = () if is_first else REPAIR_TIMES
+    for base, at in (*GRID_TIMES, *later):
         for host in hosts:
             for kind, duration in GRID_KINDS:
                 yield Event(base, at, kind, (host,), duration)
-        for kind, several, duration in GRID_ALL:
-            yield Event(base, at, kind, several, duration)
+        yield Event(base, at, "kill", ALL, 0.5)
+    for base, at in (*PAIR_TIMES, *later):
+        for pair in PAIRS:
+            for kind, duration in PAIR_KINDS:
+                yield Event(base, at, kind, pair, duration)
 
 
 def list_orders(depth: int) -> Iterator[Order]:
@@ -691,7 +693,7 @@
     lost = Event("settled", 0.0, "lose", hosts, 1.0)
     if not with_power:
         return (lost,)
-    return lost, Event("then", 0.0, "kill", ("all",), 1.0)
+    return lost, Event("then", 0.0, "kill", ALL, 1.0)
 
 
 # ---- orders by lot -------------------------------------------------------
@@ -701,13 +703,13 @@
     """Return an order that is drawn by lot."""
     rng = random.Random(seed)
     events = _draw_first_second(rng)
-    if rng.random() < 0.6:
+    if rng.random() < 0.7:
         base = rng.choice(["ack", "ack", "next"])
-        delay_s = rng.choice([0.0, rng.uniform(0.0, 0.3)])
-        events.append(_draw_event(rng, base, delay_s))
+        at = rng.choice([0.0, rng.uniform(0.0, 0.3)])
+        events.append(_draw_event(rng, events, base, at))
         for _ in range(rng.choice([0, 1, 1, 2, 3])):
-            delay_s = rng.choice([rng.uniform(0, 0.5), rng.uniform(0, 5.0)])
-            events.append(_draw_event(rng, "then", delay_s))
+            at = rng.choice([rng.uniform(0, 0.5), rng.uniform(0, 5.0)])
+            events.append(_draw_event(rng, events, "then", at))
     events.extend(_draw_end(rng))
     return Order(seed, tuple(events))
 
@@ -715,7 +717,7 @@
 def _draw_first_second(rng: random.Random) -> list[Event]:
     """Return late starts, and events before or during the founding."""
     names = [f"c{number}" for number in range(CONTROLLERS)]
-    starts = [
+    events = [
         Event(
             "",
             0.0,
@@ -726,10 +728,12 @@
         for name in _draw_hosts(rng, names, rng.choice([0, 0, 0, 1, 1, 2]))
     ]
     times = sorted(
-        round(rng.choice([rng.uniform(0, 0.8), rng.uniform(0.6, 2.0)]), 3)
+        rng.choice([rng.uniform(0, 0.8), rng.uniform(0.6, 2.0)])
         for _ in range(rng.choice([0, 0, 1, 1, 1, 2, 2, 3]))
     )
-    return starts + [_draw_event(rng, "", at) for at in times]
+    for at in times:
+        events.append(_draw_event(rng, events, "", at))
+    return events
 
 
 def _draw_hosts(
@@ -741,38 +745,46 @@
     return first + rng.sample(others, count - len(first))
 
 
-def _draw_event(rng: random.Random, base: str, at: float) -> Event:
+def _draw_event(
+    rng: random.Random, before: Sequence[Event], base: str, at: float
+) -> Event:
+    """Return an event, often of the hosts of an earlier one."""
     kind = rng.choice(
-        ["kill", "kill", "kill", "lose", "lose", "cut", "replace"]
+        ["kill", "kill", "kill", "lose", "lose", "cut", "cut", "replace"]
     )
     duration = rng.choice(
         [rng.uniform(0.05, 0.5), rng.uniform(0.5, 2), rng.uniform(2, 9)]
     )
     names = [f"c{number}" for number in range(CONTROLLERS)]
-    hosts = _draw_hosts(rng, names, rng.choice([1, 1, 2]))
-    if base:
-        hosts = rng.choice([hosts, ["leader"], ["#0"], ["#4"]])
+    hosts = tuple(_draw_hosts(rng, names, rng.choice([1, 1, 2])))
+    if base and rng.random() < 0.5:
+        hosts = rng.choice([("leader",), ("#0",), ("#4",)])
+    if before and rng.random() < 0.3:
+        hosts = rng.choice(before).hosts
     if kind == "kill" and rng.random() < 0.2:
-        hosts, duration = ["all"], rng.uniform(0.05, 0.9)
-    return Event(base, round(at, 3), kind, tuple(hosts), round(duration, 3))
+        hosts, duration = ALL, rng.uniform(0.05, 0.9)
+    return Event(base, round(at, 3), kind, hosts, round(duration, 3))
 
 
 def _draw_end(rng: random.Random) -> list[Event]:
-    """Return the last events, once all before them is repaired."""
+    """Return the last events, mostly once those before are repaired."""
     events = []
+    settled = rng.choice(["settled", "settled", "next"])
     if rng.random() < 0.3:
         host = rng.choice(["leader", "#0", "#1", "#4"])
         after_s = round(rng.choice([0.05, rng.uniform(0, 3)]), 2)
-        events.append(Event("settled", 0.0, "replace", (host,), after_s))
+        events.append(Event(settled, 0.0, "replace", (host,), after_s))
     pair = [f"#{n}" for n in rng.choice(FINAL_PAIRS)]
     down_s = round(rng.uniform(0.2, 3), 2)
-    events.append(Event("settled", 0.0, "lose", tuple(pair), down_s))
+    events.append(Event(settled, 0.0, "lose", tuple(pair), down_s))
     if rng.random() < 0.3:
         at = round(rng.choice([0.0, rng.uniform(0, 2)]), 2)
-        events.append(Event("then", at, "kill", ("all",), 0.9))
+        events.append(Event("then", at, "kill", ALL, 0.9))
     return events
 
 
+DEFAULT_ORDERS = 200
+
 # ---- command -------------------------------------------------------------
 
 
@@ -813,8 +825,12 @@
     """Play orders and return 1 if one of them fails."""
     parser = argparse.ArgumentParser(description=main.__doc__)
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--orders", type=int, default=200)
-    parser.add_argument("--depth", type=int, help="all orders of the grid")
+    parser.add_argument("--orders", type=int)
+    parser.add_argument(
+        "--depth",
+        type=int,
+        help="play the grid: all of its orders, or so many of them",
+    )
     parser.add_argument("--play", help="text of one order")
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument(
@@ -827,10 +843,13 @@
         return int(verdict not in ("", BEYOND))
     orders: Iterable[Order]
     if arguments.depth is None:
-        seeds = range(arguments.seed, arguments.seed + arguments.orders)
-        orders = map(draw_order, seeds)
+        last = arguments.seed + (arguments.orders or DEFAULT_ORDERS)
+        orders = map(draw_order, range(arguments.seed, last))
     else:
-        orders = list_orders(arguments.depth)
+        orders = list(list_orders(arguments.depth))
+        if arguments.orders is not None and arguments.orders < len(orders):
+            rng = random.Random(arguments.seed)
+            orders = rng.sample(orders, arguments.orders)
     counts = play_all(orders, arguments.jobs, arguments.show)
     return int(bool(counts.keys() - {"held", BEYOND}))
 
--- a/properties/test_controller_orders.py
+++ b/properties/test_controller_orders.py
@@ -24,6 +24,7 @@
     "back_late_with_an_empty_disk": (
         "seed=15624028; ack+0 lose c3 7; then+11 lose #0,#1 1"
     ),
+    "disks_lost_in_a_split": "seed=1; 0.05 cut c0,c1 6.5; ack+0 lose c0,c1 1",
     "voters_without_the_log": (
         "seed=96; 0.726 kill c2,c1 1.712; next+0 kill #0 0.106; "
         "then+0.328 replace #4 2.341; then+1.353 kill c0 0.271"
