--- a/properties/controller_orders.py
+++ b/properties/controller_orders.py
@@ -12,8 +12,9 @@
 duration in seconds. The time is absolute, or follows a condition: ``ack+0.1``
 is 0.1 s after the first acknowledgement, ``next+0`` after the acknowledgement
 of a version that isn't submitted yet, ``settled+0`` the same once no machine
-counts as lost, and ``then+1`` 1 s after the event before. A host is a name,
-or ``leader``, or ``#2`` for the third of those that run, or ``all``.
+counts as lost, ``then+1`` 1 s after the event before, and ``write2+0`` while
+the first of the hosts writes to its disk for the second time. A host is a
+name, or ``leader``, or ``#2`` for the third of those that run, or ``all``.
 """
 
 from __future__ import annotations
@@ -51,6 +52,8 @@
 OPERATOR_PAUSE_S = 0.5
 # Interval of the checks, and of the conditions that an event waits for.
 CHECK_INTERVAL_S = 0.1
+# A write that an event waits for has begun by then.
+LAST_WRITE_S = 4.0
 # Versions that are submitted and read back once all controllers are back.
 FINAL_CYCLES = 2
 
@@ -67,7 +70,7 @@
     ----------
     base : str
         What the time counts from: empty for the start of the order, `ack`,
-        `next`, `settled` or `then`.
+        `next`, `settled`, `then` or `write` with a number.
     at : float
         Time after `base` in seconds.
     kind : str
@@ -183,10 +186,10 @@
         self._expire(now)
         return {host for _, host in self._lost}
 
-    def count_disks(self, now: float) -> int:
-        """Return the number of lost disks that count."""
+    def list_disks(self, now: float) -> set[str]:
+        """Return the machines whose lost disks count."""
         self._expire(now)
-        return sum(with_disk for _, with_disk in self._lost.values())
+        return {host for (_, host), (_, disk) in self._lost.items() if disk}
 
     def find_deadline(self) -> float:
         """Return when what was due before has to be done."""
@@ -228,6 +231,8 @@
         # Controllers that no longer know of their first start.
         self._forgetful: set[str] = set()
         self._is_founded = False
+        # Number of writes that each controller has begun.
+        self._writes: Counter[str] = Counter()
 
     # ---- time ------------------------------------------------------------
 
@@ -279,6 +284,10 @@
         elif event.base == "settled":
             await self._wait_until_settled()
             await self._wait_for_ack(self._newest_version + 1)
+        elif event.base.startswith("write"):
+            await self._wait_for_write(
+                event.hosts[0], int(event.base.removeprefix("write"))
+            )
         await self._advance_to(self.now() + event.at)
 
     async def _wait_for_ack(self, version: int) -> None:
@@ -286,6 +295,10 @@
             # As soon after the acknowledgement as possible.
             await self._step(0.01)
 
+    async def _wait_for_write(self, name: str, number: int) -> None:
+        while self._writes[name] < number and self.now() < LAST_WRITE_S:
+            await self._step(0.001)
+
     async def _wait_until_settled(self) -> None:
         """Wait until no machine counts as lost."""
         while self._losses.list_hosts(self.now()) or self._starting:
@@ -341,9 +354,19 @@
             self._losses.end(event, name, self.now())
         if not is_first:
             self._forgetful.add(name)
-        self._fleet.start(name, first_start=is_first)
+        self._count_writes(self._fleet.start(name, first_start=is_first))
         self._refresh_cuts()
 
+    def _count_writes(self, controller: Controller) -> None:
+        """Count the writes that a controller begins from now on."""
+        write = controller.disk._write
+
+        async def count(name: str, if_crashed: bytes, data: bytes) -> None:
+            self._writes[controller.name] += 1
+            await write(name, if_crashed, data)
+
+        controller.disk._write = count  # type: ignore[method-assign]
+
     def _resolve(self, event: Event) -> list[str]:
         """Return the hosts of an event that run, or can be cut off."""
         controllers = self._fleet.controllers
@@ -374,9 +397,9 @@
             self._note(f"{event}: left out, no such host runs")
             return
         if event.kind in ("lose", "replace"):
-            held = [n for n in names if self._fleet.controllers[n].disk.files]
-            disks = self._losses.count_disks(self.now()) + len(held)
-            if disks > TOLERATED_HOSTS:
+            held = {n for n in names if self._fleet.controllers[n].disk.files}
+            disks = self._losses.list_disks(self.now()) | held
+            if len(disks) > TOLERATED_HOSTS:
                 self._note(f"{event}: left out, it exceeds the lost disks")
                 return
         self._note(f"{event}: {', '.join(names)}")
@@ -397,6 +420,7 @@
                 self._fleet.lose_disk(name)
             else:
                 self._fleet.remove(name)
+                self._forgetful.discard(name)
         self._losses.add(event, name, with_disk, self.now())
         if event.kind == "replace":
             successor = f"c{self._next_name}"
@@ -609,7 +633,8 @@
 PAIRS = (("c0", "c1"), ("c0", "c3"), ("c1", "c2"), ("c1", "c3"), ("c3", "c4"))
 # Before the data folders exist, between their writes, right after the first
 # acknowledgement, and while the events before are repaired.
-GRID_TIMES = (("", 0.05), ("", 0.3), ("", 0.95), ("", 1.1), ("ack", 0.0))
+GRID_TIMES = (("", 0.05), ("", 0.95), ("", 1.1), ("ack", 0.0))
+GRID_WRITES = range(1, 7)
 PAIR_TIMES = (("", 0.05), ("", 0.95), ("ack", 0.0))
 REPAIR_TIMES = (("then", 0.0), ("then", 0.9), ("then", 3.0))
 GRID_KINDS = (
@@ -621,7 +646,7 @@
     ("replace", 1.0),
 )
 # A split may last longer than the search for controllers.
-PAIR_KINDS = (("kill", 7.0), ("lose", 1.0), ("cut", 6.5))
+PAIR_KINDS = (("kill", 20.0), ("lose", 1.0), ("cut", 6.5))
 GRID_STARTS = (("late", 2.0), ("late", 7.0), ("delay", 2.0))
 ALL = ("all",)
 # How an order ends once all is repaired: the disks of any two are lost, alone
@@ -655,6 +680,11 @@
         for pair in PAIRS:
             for kind, duration in PAIR_KINDS:
                 yield Event(base, at, kind, pair, duration)
+    for number in GRID_WRITES if is_first else ():
+        for host in hosts:
+            for kind in ("kill", "lose"):
+                yield Event(f"write{number}", 0.0, kind, (host,), 0.5)
+        yield Event(f"write{number}", 0.0, "kill", ("c0", "all"), 0.5)
 
 
 def list_orders(depth: int) -> Iterator[Order]:
@@ -683,9 +713,13 @@
     """Return whether the second event follows the first, or is unlike it."""
     if second.base == "then":
         return first.kind not in ("late", "delay")
-    first_key = first.base == "ack", first.at, first.kind, first.hosts
-    second_key = second.base == "ack", second.at, second.kind, second.hosts
-    return first.base != "then" and first_key <= second_key
+    return first.base != "then" and _rank(first) <= _rank(second)
+
+
+def _rank(event: Event) -> tuple[int, float, str, tuple[str, ...]]:
+    bases = ["", "write", "ack"]
+    position = bases.index(event.base.rstrip("0123456789"))
+    return position, event.at, event.kind, event.hosts
 
 
 def _build_end(pair: Sequence[int], with_power: bool) -> tuple[Event, ...]:
@@ -733,6 +767,10 @@
     )
     for at in times:
         events.append(_draw_event(rng, events, "", at))
+    if rng.random() < 0.2:
+        event = _draw_event(rng, events, f"write{rng.choice(GRID_WRITES)}", 0)
+        if event.hosts[0].startswith("c"):
+            events.append(event)
     return events
 
 
@@ -753,7 +791,15 @@
         ["kill", "kill", "kill", "lose", "lose", "cut", "cut", "replace"]
     )
     duration = rng.choice(
-        [rng.uniform(0.05, 0.5), rng.uniform(0.5, 2), rng.uniform(2, 9)]
+        [
+            rng.uniform(0.05, 0.5),
+            rng.uniform(0.05, 0.5),
+            rng.uniform(0.5, 2),
+            rng.uniform(0.5, 2),
+            rng.uniform(2, 9),
+            rng.uniform(2, 9),
+            rng.uniform(9, 20),
+        ]
     )
     names = [f"c{number}" for number in range(CONTROLLERS)]
     hosts = tuple(_draw_hosts(rng, names, rng.choice([1, 1, 2])))
