--- a/properties/test_controller_orders.py
+++ b/properties/test_controller_orders.py
@@ -7,12 +7,18 @@
 
 import pytest
 
+from . import controller_orders
 from .controller_orders import (
+    CATCH_UP_S,
+    CONTROLLERS,
+    RECOVERY_S,
+    Losses,
     check_order,
     draw_order,
     list_orders,
     parse_order,
 )
+from .history import InvariantError
 
 # Orders that have failed, by what is special about them.
 FOUND = {
@@ -21,6 +27,21 @@
     "lowest_seed_killed_between_writes": "seed=4; write2+0 kill c0 0.5",
     "two_seeds_killed": "seed=1; 0.3 kill c0,c1 7; settled+0 lose #2,#3 1",
     "all_killed_before_founding": "seed=7; 0.316 kill all 0.411",
+    # The successors weren't there at the first start, and those that are gone
+    # never reply.
+    "two_replaced_before_founding": (
+        "seed=1; 0.7 lose c0 0.4; 0.9 replace c1 0.5"
+    ),
+    # Founded by three, of which one is gone before the others are members.
+    "founder_replaced_in_a_split": (
+        "seed=1; 0.3 cut c0,c2 8; ack+1 replace c4 0.5"
+    ),
+    "founder_replaced_before_others_start": (
+        "seed=1; 0 late c3,c4 9; ack+0.1 replace c1 1"
+    ),
+    "founder_replaced_while_others_are_down": (
+        "seed=1; 0.3 kill c3,c4 7; ack+0.1 replace c1 1"
+    ),
     # Its new disk's learner is removed, because it was silent before.
     "back_late_with_an_empty_disk": (
         "seed=15624028; ack+0 lose c3 7; then+11 lose #0,#1 1"
@@ -55,3 +76,57 @@
     """Guards against several disruptions that fall together."""
     for seed in range(first, first + BATCH):
         check_order(draw_order(seed))
+
+
+def test_notices_lost_versions(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against checks that hold whatever happens."""
+    monkeypatch.setattr(controller_orders, "TOLERATED_HOSTS", CONTROLLERS)
+    order = parse_order("seed=1; ack+0.5 lose all 0.5")
+    with pytest.raises(InvariantError, match=r"stuck|lost|two logs"):
+        check_order(order)
+
+
+class TestLosses:
+    """Machines and disks count as lost as long as the deployments say."""
+
+    def test_counts_until_caught_up(self) -> None:
+        """Guards against losses that are taken for repaired too early."""
+        losses = Losses()
+        losses.add("kill", "c0", False, 1.0)
+        losses.end("kill", "c0", 2.0)
+        assert losses.list_hosts(1.99 + CATCH_UP_S) == {"c0"}
+        assert not losses.list_hosts(2.0 + CATCH_UP_S)
+
+    def test_waits_for_recovery_beyond_tolerance(self) -> None:
+        """Guards against orders that no fleet outlasts."""
+        losses = Losses()
+        for number, host in enumerate(("c0", "c1", "c2")):
+            losses.add("lose", host, host == "c0", 1.0)
+            losses.end("lose", host, 2.0 + number)
+        assert losses.is_exceeded
+        assert losses.list_disks(3.9 + RECOVERY_S) == {"c0"}
+        assert losses.find_deadline() == 4.0 + RECOVERY_S
+        assert not losses.list_disks(4.0 + RECOVERY_S)
+
+    def test_counts_a_machine_once(self) -> None:
+        """Guards against orders that are left out without need."""
+        losses = Losses()
+        losses.add("first", "c0", True, 1.0)
+        losses.end("first", "c0", 2.0)
+        losses.add("second", "c0", True, 3.0)
+        losses.add("cut", "c1", False, 3.0)
+        assert losses.list_disks(4.0) == {"c0"}
+        assert not losses.is_exceeded
+
+
+@pytest.mark.parametrize("seed", range(50))
+def test_reads_printed_orders(seed: int) -> None:
+    """Guards against failed orders that can't be played again."""
+    order = draw_order(seed)
+    assert parse_order(str(order)) == order
+
+
+def test_refuses_other_text() -> None:
+    """Guards against a text that is played without its seed."""
+    with pytest.raises(ValueError, match="doesn't begin with a seed"):
+        parse_order("0.3 kill c0 0.5")
