--- a/properties/controller_orders.py
+++ b/properties/controller_orders.py
@@ -688,14 +688,14 @@
 
 
 def list_orders(depth: int) -> Iterator[Order]:
-    """Yield all orders of the grid with so many events before the last one.
+    """Yield all orders of the grid with so many events before the last ones.
 
     The pair that is lost at the end, and the seed, depend on the events only.
     """
     for events in _list_sequences(depth):
         key = zlib.crc32("; ".join(map(str, events)).encode())
-        pair = FINAL_PAIRS[key % len(FINAL_PAIRS)]
-        yield Order(key >> 8, (*events, *_build_end(pair, key & 64 > 0)))
+        for end in _list_ends(events, key):
+            yield Order(key >> 8, (*events, *end))
 
 
 def _list_sequences(depth: int) -> Iterator[tuple[Event, ...]]:
@@ -722,12 +722,20 @@
     return position, event.at, event.kind, event.hosts
 
 
-def _build_end(pair: Sequence[int], with_power: bool) -> tuple[Event, ...]:
-    hosts = tuple(f"#{position}" for position in pair)
-    lost = Event("settled", 0.0, "lose", hosts, 1.0)
-    if not with_power:
-        return (lost,)
-    return lost, Event("then", 0.0, "kill", ALL, 1.0)
+def _list_ends(
+    events: Sequence[Event], key: int
+) -> Iterator[tuple[Event, ...]]:
+    """Yield the losses at the end; a key decides which pair is lost."""
+    pair = tuple(f"#{n}" for n in FINAL_PAIRS[key % len(FINAL_PAIRS)])
+    lost = Event("settled", 0.0, "lose", pair, 1.0)
+    if key & 64:
+        yield lost, Event("then", 0.0, "kill", ALL, 1.0)
+    else:
+        yield (lost,)
+    last = events[-1] if events else None
+    if last is not None and last.kind == "cut" and len(last.hosts) > 1:
+        # Those that are cut off are lost while they still are.
+        yield (Event("ack", 0.0, "lose", last.hosts, 1.0),)
 
 
 # ---- orders by lot -------------------------------------------------------
