--- a/properties/controller_orders.py
+++ b/properties/controller_orders.py
@@ -55,7 +55,7 @@
 # A write that an event waits for has begun by then.
 LAST_WRITE_S = 4.0
 # Versions that are submitted and read back once all controllers are back.
-FINAL_CYCLES = 2
+FINAL_CYCLES = 1
 
 NEVER = float("inf")
 # The verdict on a fleet that wasn't required to start.
@@ -215,7 +215,8 @@
         self._losses = Losses()
         self._began_at = self._fleet.sim_clock.now()
         self._next_name = CONTROLLERS
-        self._cuts: dict[Event, list[str]] = {}
+        self._cuts: dict[int, list[str]] = {}
+        self._numbers = itertools.count()
         # Controllers that start for the first time later.
         self._starting: set[str] = set()
         self._newest_version = 0
@@ -406,10 +407,11 @@
         if event.kind == "cut":
             self._cut(event, names)
             return
+        number = next(self._numbers)
         for name in names:
-            self._end_process(event, name)
+            self._end_process(number, event, name)
 
-    def _end_process(self, event: Event, name: str) -> None:
+    def _end_process(self, number: int, event: Event, name: str) -> None:
         controller = self._fleet.controllers[name]
         if event.kind == "kill":
             controller.crash()
@@ -421,48 +423,49 @@
             else:
                 self._fleet.remove(name)
                 self._forgetful.discard(name)
-        self._losses.add(event, name, with_disk, self.now())
+        self._losses.add(number, name, with_disk, self.now())
         if event.kind == "replace":
             successor = f"c{self._next_name}"
             self._next_name += 1
             self._starting.add(successor)
-            back = partial(self._start_successor, event, name, successor)
+            back = partial(self._start_successor, number, name, successor)
         else:
-            back = partial(self._restart, event, name)
+            back = partial(self._restart, number, name)
         self._call_later(event.duration, back)
 
-    def _restart(self, event: Event, name: str) -> None:
+    def _restart(self, number: int, name: str) -> None:
         controller = self._fleet.controllers[name]
         self._note(f"{name} is back")
-        self._losses.end(event, name, self.now())
+        self._losses.end(number, name, self.now())
         if not controller.disk.files:
             self._forgetful.add(name)
         self._fleet.start(name)
 
-    def _start_successor(
-        self, event: Event, name: str, successor: str
-    ) -> None:
+    def _start_successor(self, number: int, name: str, successor: str) -> None:
         self._note(f"{successor} starts in place of {name}")
-        self._losses.end(event, name, self.now())
+        self._losses.end(number, name, self.now())
         self._starting.discard(successor)
         self._forgetful.add(successor)
         self._fleet.start(successor)
         self._refresh_cuts()
 
     def _cut(self, event: Event, names: list[str]) -> None:
-        self._cuts[event] = names
+        number = next(self._numbers)
+        self._cuts[number] = names
         others = {*self._fleet.controllers, *self._starting} - set(names)
         lost = names if len(names) <= len(others) else sorted(others)
         for name in lost:
-            self._losses.add(event, name, False, self.now())
+            self._losses.add(number, name, False, self.now())
         self._refresh_cuts()
-        self._call_later(event.duration, partial(self._heal, event, lost))
+        self._call_later(
+            event.duration, partial(self._heal, number, event, lost)
+        )
 
-    def _heal(self, event: Event, lost: Sequence[str]) -> None:
+    def _heal(self, number: int, event: Event, lost: Sequence[str]) -> None:
         self._note(f"{event} ends")
-        del self._cuts[event]
+        del self._cuts[number]
         for name in lost:
-            self._losses.end(event, name, self.now())
+            self._losses.end(number, name, self.now())
         self._refresh_cuts()
 
     def _refresh_cuts(self) -> None:
@@ -682,8 +685,7 @@
                 yield Event(base, at, kind, pair, duration)
     for number in GRID_WRITES if is_first else ():
         for host in hosts:
-            for kind in ("kill", "lose"):
-                yield Event(f"write{number}", 0.0, kind, (host,), 0.5)
+            yield Event(f"write{number}", 0.0, "kill", (host,), 0.5)
         yield Event(f"write{number}", 0.0, "kill", ("c0", "all"), 0.5)
 
 
