Try a controller again as a member once it is back

What operators would see: a controller is gone for good, the one that is tried in its place happens to be down for a moment, and the fleet goes on with four of five voters long after all are back; two more lost disks end it, and what was acknowledged can't be read back.

Cause: a candidate that couldn't be made a member was left out for 10 s, longer than the time for a repair. That is for controllers that are there but don't take the log; one that was down was treated alike.

Ruled out: the steps of the exchange, which are fast once it begins.

Change: the leader remembers whether the candidate was silent altogether. Then it may be tried as soon as it has been seen again.

--- a/hornbeamyard/version/repair.py
+++ b/hornbeamyard/version/repair.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 import logbook
 
@@ -13,8 +14,8 @@
 
 # Interval at which the leader looks for members that have to be replaced.
 REPAIR_INTERVAL_S = 0.2
-# A controller that couldn't be made a member isn't tried again for this long,
-# so that others have their turn.
+# A controller that is there but couldn't be made a member isn't tried again
+# for this long, so that others have their turn.
 CANDIDATE_RETRY_S = 10.0
 # Changes wait for a replacement for this many times the silence after which it
 # begins.
@@ -73,6 +74,23 @@
     return None
 
 
+@dataclass(slots=True)
+class CandidateFailure:
+    """A controller that couldn't be made a member.
+
+    Attributes
+    ----------
+    failed_at : float
+        Monotonic time in seconds.
+    was_silent : bool
+        Whether it was gone altogether. Then it may be tried again once it is
+        back.
+    """
+
+    failed_at: float
+    was_silent: bool
+
+
 class MemberRepair:
     """Replaces members that are lost, while this controller leads.
 
@@ -85,7 +103,7 @@
     """
 
     __slots__ = (
-        "_failed_at",
+        "_failures",
         "_known_controllers",
         "_last_sign_at",
         "_replica",
@@ -104,8 +122,7 @@
         self._replica = replica
         self._required_members = required_members
         self._timers = replica.timers
-        # Times at which candidates were given up as members.
-        self._failed_at: dict[str, float] = {}
+        self._failures: dict[str, CandidateFailure] = {}
         # Last signs of life of the other members, while this one leads.
         self._last_sign_at: dict[str, float] = {}
         # Since when a change of members has been due or in progress.
@@ -171,7 +188,7 @@
         if change is None:
             return
         if change.kind == fleet_pb2.MemberChange.REMOVE:
-            self._failed_at[change.host] = self._timers.now()
+            self._record_failure(change.host)
         kind = fleet_pb2.MemberChange.Kind.Name(change.kind)
         result = await replica.change_members(change)
         _log.info(
@@ -185,11 +202,10 @@
 
     def _plan_change(self, silence_s: float) -> fleet_pb2.MemberChange | None:
         """Return the change that is due for members silent for so long."""
-        oldest = self._timers.now() - CANDIDATE_RETRY_S
         candidates = [
             controller
             for controller in self._known_controllers.list_recent()
-            if self._failed_at.get(controller.host, oldest) <= oldest
+            if self._may_try(controller.host)
         ]
         return plan_member_change(
             self._replica.state.members,
@@ -198,6 +214,24 @@
             self._required_members,
         )
 
+    def _record_failure(self, host: str) -> None:
+        now = self._timers.now()
+        last_seen_at = self._known_controllers.get_last_seen(host)
+        silence_s = self._replica.timeouts.member_s
+        was_silent = last_seen_at is None or last_seen_at <= now - silence_s
+        self._failures[host] = CandidateFailure(now, was_silent)
+
+    def _may_try(self, host: str) -> bool:
+        """Return whether a controller may be tried as a member (again)."""
+        failure = self._failures.get(host)
+        if failure is None:
+            return True
+        if not failure.was_silent:
+            waited_s = self._timers.now() - failure.failed_at
+            return waited_s >= CANDIDATE_RETRY_S
+        last_seen_at = self._known_controllers.get_last_seen(host)
+        return last_seen_at is not None and last_seen_at > failure.failed_at
+
     def _list_silent(self, silence_s: float) -> set[str]:
         """Return the members that have been silent for so long."""
         oldest = self._timers.now() - silence_s
