Disturb first starts, replace controllers and lose disks in the soak

The seed now chooses three controllers or five, of which one or two may be lost; controllers killed or late at the first start; addresses that are taken for up to 3 s; SIGHUP in the first second; controllers that are replaced by new ones; lost disks, as many at a time as tolerated; and a final loss of disks right after an acknowledgement. New checks: a first version is acknowledged and all routers are ready 12 s, the time to recover, after the start's last disturbance; what was acknowledged is read back after the recovery before anything new is submitted. A process that ends by itself is started again after 0.8 s, as whoever runs it would, so that a run goes on. The exemption of a process's first 3 s holds for SIGTERM only.

The fields frozen and command, list_links and is_loaded had no use left.

--- a/hornbeamyard/tests/test_soak.py
+++ b/hornbeamyard/tests/test_soak.py
@@ -10,7 +10,7 @@
 import pytest
 
 from soak.checks import list_violations
-from soak.fleet import Fleet
+from soak.fleet import Fleet, Process
 from soak.records import (
     FaultRecord,
     ReadResult,
@@ -27,10 +27,11 @@
 
 
 class EmptyFleet(Fleet):
-    """A fleet without processes, and so without unexpected exits."""
+    """A fleet whose controllers never run, without unexpected exits."""
 
     def __init__(self) -> None:
-        self.processes = {}
+        self.controllers = [f"controller-{number}" for number in range(3)]
+        self.processes = {name: Process(name) for name in self.controllers}
 
 
 def build_request(**fields: object) -> Request:
@@ -325,7 +326,7 @@
         """Guards against missing a read of an outdated routing."""
         records = Records(
             submissions=[Submission(4, "d4", True, 200, 10.0)],
-            reads=[ReadResult(0, 10.1, 3, "d3")],
+            reads=[ReadResult("controller-0", 10.1, 3, "d3")],
         )
         assert check(records)[0].startswith("read version 3")
 
@@ -333,8 +334,8 @@
         """Guards against missing different routings of one version."""
         records = Records(
             reads=[
-                ReadResult(0, 10.1, 3, "d3"),
-                ReadResult(1, 10.2, 3, "other"),
+                ReadResult("controller-0", 10.1, 3, "d3"),
+                ReadResult("controller-1", 10.2, 3, "other"),
             ]
         )
         assert check(records) == ["version 3 has two contents"]
@@ -343,7 +344,7 @@
         """Guards against missing a stored routing that is invalid."""
         records = Records(
             submissions=[Submission(4, "bad", False, 400, 10.0)],
-            reads=[ReadResult(0, 10.1, 4, "bad")],
+            reads=[ReadResult("controller-0", 10.1, 4, "bad")],
         )
         assert check(records) == ["an invalid version 4 was read back"]
 
@@ -383,6 +384,7 @@
         super().__init__()
         self.folder = folder
         self._tasks = tasks
+        self.processes["model-0"] = Process("model-0")
 
     def _build_command(self, name: str) -> list[str]:
         return [sys.executable, "-c", "import time; time.sleep(30)"]
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,7 +11,7 @@
 import anyio
 import httpcore
 
-from .fleet import CONTROLLERS, ROUTERS, Fleet
+from .fleet import ROUTERS, Fleet
 from .records import ReadResult, Records, Request, Submission
 from .upstream import (
     CRASHING_BODY,
@@ -448,10 +448,10 @@
     async def read_repeatedly(self) -> None:
         """Read the routing from random controllers until `stopping` is set."""
         while not self.stopping:
-            await self.read(self._rng.randrange(CONTROLLERS))
+            await self.read(self._rng.choice(self._fleet.controllers))
             await anyio.sleep(READ_INTERVAL_S)
 
-    async def read(self, controller: int) -> int:
+    async def read(self, controller: str) -> int:
         """Read the routing from a controller; return its version, or 0."""
         sent_at = time.monotonic()
         status, data = await self._call_controller("GET", b"", controller)
@@ -464,12 +464,11 @@
         return version
 
     async def _call_controller(
-        self, method: str, data: bytes, controller: int | None = None
+        self, method: str, data: bytes, controller: str = ""
     ) -> tuple[int, bytes]:
         """Call a controller; return status and body, or 0 and no body."""
-        if controller is None:
-            controller = self._rng.randrange(CONTROLLERS)
-        address = self._fleet.list_controller_addresses()[controller]
+        name = controller or self._rng.choice(self._fleet.controllers)
+        address = self._fleet.links[f"{name}/status"].address
         url = f"http://{address}/hornbeamyard/v1/routing"
         try:
             with anyio.move_on_after(CALL_TIMEOUT_S):
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,9 +10,8 @@
 from typing import Any
 
 from .callers import KINDS, RETAINED_VERSIONS, TIMEOUT_MS
-from .faults import SETTLING_TIME_S
-from .fleet import CONTROLLERS, CRASHED_S, Fleet
-from .records import FaultRecord, Records, Request
+from .fleet import CRASHED_S, Fleet
+from .records import ABSENT, SETTLING_TIME_S, FaultRecord, Records, Request
 from .upstream import EVENT_COUNT, SOFTWARE_VERSIONS, build_event, sign
 
 # Statuses that promise that the request has not run and will not run.
@@ -83,7 +82,7 @@
         for id in executions
         if id not in known
     ]
-    violations += _check_crashes(records, executions)
+    violations += _check_crashes(records, executions, fleet)
     violations += _check_limits(records, executions)
     violations += _check_software_versions(records)
     violations += _check_rollbacks(records)
@@ -231,7 +230,7 @@
         # The upstream may have broken off the stream.
         return
     if any(
-        records.is_affected(fault.target, since, until, ignored_kind="stop")
+        records.is_affected(fault.target, since, until, ("stop", ABSENT))
         for fault in records.faults
     ):
         return
@@ -274,23 +273,30 @@
                 records.faults.append(FaultRecord("crash", name, at, until))
 
 
-def _is_cut_off(records: Records, router: str, until: float) -> bool:
+def _is_cut_off(
+    records: Records, fleet: Fleet, router: str, until: float
+) -> bool:
     """Return whether a router may not know what others have learned."""
     since = until - LEARNING_TIME_S
     return records.is_affected(router, since, until) or all(
-        records.is_affected(f"controller-{number}", since, until)
-        for number in range(CONTROLLERS)
+        records.is_affected(name, since, until)
+        for name in fleet.processes
+        if name.startswith("controller")
     )
 
 
-def _check_crashes(records: Records, executions: Executions) -> Iterator[str]:
+def _check_crashes(
+    records: Records, executions: Executions, fleet: Fleet
+) -> Iterator[str]:
     """Check that what has crashed upstreams is blocked."""
     with_part = [r for r in records.requests if r.crashing]
-    late = _list_late(records, executions, with_part, LEARNED_CRASHES)
+    late = _list_late(records, executions, fleet, with_part, LEARNED_CRASHES)
     if len(late) > MAX_CRASHING:
         yield f"requests with a crashing part still reach upstreams: {late}"
     repeated = [r for r in records.requests if r.repeated]
-    late = _list_late(records, executions, repeated, LEARNED_REPEATED_CRASHES)
+    late = _list_late(
+        records, executions, fleet, repeated, LEARNED_REPEATED_CRASHES
+    )
     if len(late) > MAX_REPEATED:
         yield f"a repeated request still reaches upstreams: {late}"
 
@@ -298,6 +304,7 @@
 def _list_late(
     records: Records,
     executions: Executions,
+    fleet: Fleet,
     requests: list[Request],
     learned_crashes: int,
 ) -> list[str]:
@@ -317,7 +324,7 @@
         if request.sent_at > known_at
         and executions.get(request.id)
         and not _is_cut_off(
-            records, f"router-{request.router}", request.sent_at
+            records, fleet, f"router-{request.router}", request.sent_at
         )
     ]
 
@@ -385,7 +392,7 @@
         )
         if read.version < newest:
             yield (
-                f"read version {read.version} from controller "
+                f"read version {read.version} from "
                 f"{read.controller} after {newest} was acknowledged"
             )
         if read.digest in invalid:
--- /dev/null
+++ b/soak/disks.py
@@ -0,0 +1,62 @@
+"""Controllers whose disks count as lost."""
+
+from __future__ import annotations
+
+import random
+import time
+
+import anyio
+
+from .fleet import CATCH_UP_S, Fleet
+from .records import SETTLING_TIME_S, Records
+
+POLL_S = 0.1
+
+
+class Disks:
+    """Keeps the number of lost disks within what the fleet tolerates.
+
+    A controller with an empty folder counts as lost until it has run for
+    `CATCH_UP_S` without a fault, beside so many others without a fault that
+    no more than the tolerated number were missing in that time.
+
+    Parameters
+    ----------
+    fleet : Fleet
+    records : Records
+    """
+
+    def __init__(self, fleet: Fleet, records: Records) -> None:
+        self._fleet = fleet
+        self._records = records
+        self._lost: set[str] = set()
+
+    def add_lost(self, name: str) -> None:
+        """Count a controller as lost from now on."""
+        self._lost.add(name)
+
+    def list_lost(self) -> set[str]:
+        """Return the controllers that count as lost."""
+        now = time.monotonic()
+        # A fault counts until the settling time after its end.
+        since = now - (CATCH_UP_S - SETTLING_TIME_S)
+        affected = {
+            name
+            for name in self._fleet.controllers
+            if self._records.is_affected(name, since, now)
+        }
+        if len(affected) <= self._fleet.tolerated:
+            self._lost &= affected
+        return set(self._lost)
+
+    async def wait_until_whole(self) -> None:
+        """Wait until no controller counts as lost."""
+        while self.list_lost():
+            await anyio.sleep(POLL_S)
+
+    def draw(self, rng: random.Random, at_most: int) -> list[str]:
+        """Return controllers whose disks may be lost now."""
+        lost = self.list_lost()
+        others = [n for n in self._fleet.controllers if n not in lost]
+        count = min(at_most, self._fleet.tolerated - len(lost))
+        return rng.sample(others, max(0, count))
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import json
+import os
 import resource
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import time
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -19,7 +22,6 @@
 from .links import Link
 from .upstream import CRASH_EXIT_CODE
 
-CONTROLLERS = 3
 ROUTERS = 3
 POOLS = ("app", "model")
 # Upstreams of each pool.
@@ -28,11 +30,18 @@
 DRAIN_S = 6.0
 # Every process must exit within this time after SIGTERM.
 MAX_STOP_S = DRAIN_S + 4.0
-# Time in which a process may still be without its signal handlers, so that
-# signals have their default effect and SIGTERM ends it at once.
+# Time in which a process may still be without its handler of SIGTERM, so that
+# the signal ends it at once, as was asked.
 STARTUP_S = 3.0
-# An upstream that crashes under a request is down for this long.
+# Processor time in which the interpreter may still be starting. No program can
+# ignore SIGHUP before its first line runs.
+INTERPRETER_START_S = 0.1
+# Whoever runs the processes starts one that has ended by itself after this
+# time.
 CRASHED_S = 0.8
+# Time that a controller may take to hold the state after a start with an empty
+# folder, and counts as lost until then.
+CATCH_UP_S = 4.0
 
 
 @dataclass(slots=True, eq=False)
@@ -42,7 +51,6 @@
     Attributes
     ----------
     name : str
-    command : list of str
     starts : int
         How often it has been started.
     started_at : float
@@ -53,34 +61,41 @@
         Whether the soak has killed the process since the last start.
     sigterm_at : float or None
         Monotonic time of the SIGTERM since the last start, in seconds.
-    frozen : bool
-        Always False; nothing sets it.
     unexpected_exits : list of str
         Descriptions of exits that the soak didn't request, that had an exit
         code other than 0, or that took too long.
     start_lock : anyio.Lock
-        Held while it is being started.
+        Held while it is being started or killed.
     """
 
     name: str
-    command: list[str]
     starts: int = 0
     started_at: float = 0.0
     handle: anyio.abc.Process | None = None
     killed_by_soak: bool = False
     sigterm_at: float | None = None
-    frozen: bool = False
     unexpected_exits: list[str] = field(default_factory=list)
     start_lock: anyio.Lock = field(default_factory=anyio.Lock)
 
-    def is_loaded(self) -> bool:
-        """Return whether the process must have its signal handlers by now."""
-        return time.monotonic() - self.started_at > STARTUP_S
-
     def is_running(self) -> bool:
         """Return whether the process runs or is suspended."""
         return self.handle is not None and self.handle.returncode is None
 
+    def may_be_starting(self) -> bool:
+        """Return whether the interpreter may not have run its first line."""
+        if self.handle is None or self.handle.returncode is not None:
+            return False
+        try:
+            stat = Path(f"/proc/{self.handle.pid}/stat").read_text()
+        except OSError:
+            # It has just ended.
+            return False
+        # User and system time, after the program's name in parentheses.
+        ticks = sum(map(int, stat.rpartition(")")[2].split()[11:13]))
+        used_s = ticks / os.sysconf("SC_CLK_TCK")
+        ran_s = time.monotonic() - self.started_at
+        return used_s < INTERPRETER_START_S and ran_s < STARTUP_S
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal, if the process runs."""
         if self.handle is not None and self.handle.returncode is None:
@@ -109,9 +124,15 @@
         Runs the proxies and the tasks that write the logs.
     first_port : int
         First of the ports to use; they must be free.
+    controllers : int
+        Number of controllers, of which less than half may lose their disks.
 
     Attributes
     ----------
+    controllers : list of str
+        Names of the controllers, without those that were removed for good.
+    tolerated : int
+        Number of controllers that may lose their disks at the same time.
     processes : dict of str to Process
         By name of the process.
     links : dict of str to Link
@@ -119,7 +140,11 @@
     """
 
     def __init__(
-        self, folder: Path, tasks: anyio.abc.TaskGroup, first_port: int
+        self,
+        folder: Path,
+        tasks: anyio.abc.TaskGroup,
+        first_port: int,
+        controllers: int,
     ) -> None:
         self.folder = folder
         self._next_port = first_port
@@ -127,14 +152,29 @@
         self._ports: dict[str, int] = {}
         self.processes: dict[str, Process] = {}
         self.links: dict[str, Link] = {}
-        for number in range(CONTROLLERS):
-            for purpose in ("peers", "status"):
-                self._add_link(f"controller-{number}/{purpose}")
-        for number in range(ROUTERS):
-            self._add_link(f"router-{number}/callers")
-            self._ports[f"router-{number}/status"] = self._allocate_port()
+        self.controllers: list[str] = []
+        self.tolerated = (controllers - 1) // 2
+        for _ in range(controllers):
+            self.add_controller()
+        for name in self.list_routers():
+            self._add_link(f"{name}/callers")
+            for purpose in ("status", "metrics"):
+                self._ports[f"{name}/{purpose}"] = self._allocate_port()
+            self.processes[name] = Process(name)
         for name in self.list_upstreams():
             self._add_link(f"{name}/requests")
+            self.processes[name] = Process(name)
+
+    def add_controller(self) -> str:
+        """Add a controller at new addresses; return its name."""
+        number = sum(name.startswith("controller") for name in self.processes)
+        name = f"controller-{number}"
+        for purpose in ("peers", "status"):
+            self._add_link(f"{name}/{purpose}")
+        self._ports[f"{name}/metrics"] = self._allocate_port()
+        self.processes[name] = Process(name)
+        self.controllers.append(name)
+        return name
 
     def _add_link(self, name: str) -> None:
         self._ports[name] = self._allocate_port()
@@ -152,57 +192,57 @@
             f"{pool}-{number}" for pool in POOLS for number in range(UPSTREAMS)
         ]
 
-    def list_links(self, process: str) -> list[Link]:
-        """Return the links to the addresses of a process."""
-        return [
-            link
-            for name, link in self.links.items()
-            if name.startswith(f"{process}/")
-        ]
+    def list_routers(self) -> list[str]:
+        """Return the names of all routers."""
+        return [f"router-{number}" for number in range(ROUTERS)]
+
+    def replace(self, name: str) -> str:
+        """Put a new controller in the place of another; return its name."""
+        self.controllers.remove(name)
+        return self.add_controller()
 
     def get_status_port(self, router: int) -> int:
         """Return the port at which a router reports its readiness."""
         return self._ports[f"router-{router}/status"]
 
-    def list_controller_addresses(self) -> list[str]:
-        """Return the proxied addresses for operators and upstreams."""
-        return [
-            self.links[f"controller-{number}/status"].address
-            for number in range(CONTROLLERS)
-        ]
+    def list_addresses(self, process: str) -> list[str]:
+        """Return the names of the addresses at which a process listens."""
+        return [name for name in self._ports if name.startswith(f"{process}/")]
+
+    def take(self, address: str, stack: ExitStack) -> None:
+        """Listen at a process's address until the stack is closed."""
+        holder = stack.enter_context(socket.socket())
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind(("127.0.0.1", self._ports[address]))
+        holder.listen()
 
     # ---- processes -------------------------------------------------------
 
-    async def start_all(self) -> None:
-        """Start the fleet for the first time."""
-        for number in range(CONTROLLERS):
-            self.write_settings(f"controller-{number}", first_start=True)
-            await self.start(f"controller-{number}")
-        for number in range(ROUTERS):
-            self.write_settings(f"router-{number}")
-            await self.start(f"router-{number}")
-        for name in self.list_upstreams():
-            await self.start(name)
-
-    async def start(self, name: str) -> None:
-        """Start a process, for the first time or again."""
-        process = self.processes.get(name)
-        if process is None:
-            process = Process(name, self._build_command(name))
-            self.processes[name] = process
-        elif name.startswith("controller") and not process.is_running():
-            self.write_settings(name)
+    async def start(self, name: str, first_start: bool = False) -> None:
+        """Start a process, for the first time or again.
+
+        Parameters
+        ----------
+        name : str
+        first_start : bool, optional
+            Whether the whole fleet starts for the first time.
+        """
+        process = self.processes[name]
         async with process.start_lock:
             # A fault and the restart after a crash may both start it.
             if not process.is_running():
-                await self._launch(process)
+                await self._launch(process, first_start)
 
-    async def _launch(self, process: Process) -> None:
+    async def _launch(
+        self, process: Process, first_start: bool = False
+    ) -> None:
         name = process.name
-        command = process.command
+        command = self._build_command(name)
         if name in self.list_upstreams():
             # An upstream has a new id after each start.
             command = [*command, f"--id={name}.{process.starts}"]
+        else:
+            self.write_settings(name, first_start)
         process.handle = await anyio.open_process(
             command, stderr=subprocess.STDOUT
         )
@@ -210,13 +250,16 @@
         process.started_at = time.monotonic()
         process.killed_by_soak = False
         process.sigterm_at = None
-        process.frozen = False
         self._tasks.start_soon(self._watch, process, process.handle)
 
     async def _watch(
         self, process: Process, handle: anyio.abc.Process
     ) -> None:
-        """Write a process's log and record an unexpected exit."""
+        """Write a process's log, and handle its exit if nobody asked for it.
+
+        Such an exit is recorded, but for the crash of an upstream, and the
+        process is started again.
+        """
         log = self.folder / f"{process.name}.log"
         assert handle.stdout is not None
         with log.open("ab") as file:
@@ -226,31 +269,49 @@
         code = await handle.wait()
         if process.handle is not handle or process.killed_by_soak:
             return
-        if code == CRASH_EXIT_CODE and process.name in self.list_upstreams():
-            await anyio.sleep(CRASHED_S)
-            if process.handle is handle and not process.killed_by_soak:
-                await self.start(process.name)
+        if process.sigterm_at is not None:
+            early = process.sigterm_at - process.started_at < STARTUP_S
+            if code and not (code == -signal.SIGTERM and early):
+                process.unexpected_exits.append(
+                    f"{process.name} exited with {code} after SIGTERM"
+                )
             return
-        if process.sigterm_at is None:
-            process.unexpected_exits.append(
-                f"{process.name} exited with {code} without a request to stop"
-            )
-        elif code == -signal.SIGTERM and (
-            process.sigterm_at - process.started_at < STARTUP_S
+        if code != CRASH_EXIT_CODE or process.name.startswith(
+            ("controller", "router")
         ):
-            return
-        elif code != 0:
+            took_s = time.monotonic() - process.started_at
             process.unexpected_exits.append(
-                f"{process.name} exited with {code} after SIGTERM"
+                f"{process.name} exited with {code} without a request to stop "
+                f"{took_s:.1f} s after start {process.starts}"
             )
+        await anyio.sleep(CRASHED_S)
+        async with process.start_lock:
+            if process.handle is handle and not process.killed_by_soak:
+                await self._launch(process)
 
     async def kill(self, name: str) -> None:
         """Kill a process and wait for its exit."""
         process = self.processes[name]
-        process.killed_by_soak = True
-        if process.handle is not None and process.is_running():
-            process.handle.kill()
-            await process.handle.wait()
+        async with process.start_lock:
+            process.killed_by_soak = True
+            if process.handle is not None and process.is_running():
+                process.handle.kill()
+                await process.handle.wait()
+
+    async def hang_up(self, name: str, first_seed: int = 0) -> None:
+        """Write a running process's settings again and send it SIGHUP.
+
+        Parameters
+        ----------
+        name : str
+        first_seed : int, optional
+            Number of the first of the controllers listed as seeds.
+        """
+        process = self.processes[name]
+        while process.may_be_starting():
+            await anyio.sleep(0.005)
+        self.write_settings(name, first_seed=first_seed)
+        process.send_signal(signal.SIGHUP)
 
     async def stop(self, name: str) -> None:
         """Stop a process with SIGTERM and wait for its exit.
@@ -292,12 +353,9 @@
         first_start : bool, optional
             Whether the whole fleet starts for the first time.
         first_seed : int, optional
-            Number of the first of the two controllers listed as seeds.
+            Number of the first of the controllers listed as seeds.
         """
-        peers = [
-            self.links[f"controller-{n}/peers"].address
-            for n in range(CONTROLLERS)
-        ]
+        peers = [self.links[f"{n}/peers"].address for n in self.controllers]
         peers = peers[first_seed:] + peers[:first_seed]
         document: dict[str, Any] = {
             "fleet": "soak",
@@ -305,9 +363,13 @@
             "availability_zone": "zone-a",
             "plain_text": True,
             "directory": {
-                "seeds": peers[:2],
+                "seeds": peers[: self.tolerated + 1],
                 "first_start": first_start,
-                "tolerated_hosts": CONTROLLERS // 2,
+                "tolerated_hosts": self.tolerated,
+                "catch_up_s": CATCH_UP_S,
+                "metrics_address": (
+                    f"127.0.0.1:{self._ports[f'{name}/metrics']}"
+                ),
                 "announcement_interval_s": 0.3,
                 "repeat_reserve": 50,
             },
@@ -330,7 +392,10 @@
                 "drain_s": DRAIN_S,
             }
         path = self.folder / f"{name}.json"
-        path.write_text(json.dumps(document))
+        # A process that starts must not read half of a file.
+        new = path.with_suffix(".new")
+        new.write_text(json.dumps(document))
+        new.replace(path)
 
     def _build_command(self, name: str) -> list[str]:
         if name not in self.list_upstreams():
@@ -350,8 +415,8 @@
             f"--listen=127.0.0.1:{link.target_port}",
             f"--address={link.address}",
             *(
-                f"--controller={address}"
-                for address in self.list_controller_addresses()
+                f"--controller={self.links[f'{name}/status'].address}"
+                for name in self.controllers
             ),
             f"--journal={self.folder / 'runs.journal'}",
         ]
--- a/soak/records.py
+++ b/soak/records.py
@@ -5,8 +5,15 @@
 
 from __future__ import annotations
 
+import time
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+# A process counts as affected until this long after the end of a fault.
+SETTLING_TIME_S = 3.0
+# Kind of the faults of controllers that aren't there yet or no longer.
+ABSENT = "absent"
+
 
 @dataclass(slots=True)
 class Request:
@@ -103,15 +110,15 @@
 
     Attributes
     ----------
-    controller : int
-        Number of the controller that was asked.
+    controller : str
+        Name of the controller that was asked.
     sent_at : float
     version : int
     digest : str
         SHA-256 digest of the routing document, in hex.
     """
 
-    controller: int
+    controller: str
     sent_at: float
     version: int
     digest: str
@@ -161,8 +168,23 @@
     newest_submitted: int = 0
     newest_acknowledged: int = 0
 
+    def begin(self, kind: str, target: str) -> FaultRecord:
+        """Record that a fault begins to affect a process."""
+        fault = FaultRecord(kind, target, time.monotonic())
+        self.faults.append(fault)
+        return fault
+
+    def end(self, faults: Iterable[FaultRecord]) -> None:
+        """Record the end of faults, after which their processes settle."""
+        for fault in faults:
+            fault.affects_until = time.monotonic() + SETTLING_TIME_S
+
     def is_affected(
-        self, target: str, since: float, until: float, ignored_kind: str = ""
+        self,
+        target: str,
+        since: float,
+        until: float,
+        ignored_kinds: tuple[str, ...] = (),
     ) -> bool:
         """Return whether a fault affected a process in a time interval.
 
@@ -171,12 +193,12 @@
         target : str
             Name of the process.
         since, until : float
-        ignored_kind : str, optional
-            Kind of faults that don't count.
+        ignored_kinds : tuple of str, optional
+            Kinds of faults that don't count.
         """
         return any(
             fault.target == target
-            and fault.kind != ignored_kind
+            and fault.kind not in ignored_kinds
             and fault.started_at <= until
             and fault.affects_until >= since
             for fault in self.faults
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,13 +13,11 @@
 
 from .callers import KINDS, Callers, Operators, build_routing
 from .checks import list_violations, read_executions
-from .faults import Injector
-from .fleet import CONTROLLERS, CRASHED_S, ROUTERS, Fleet
+from .faults import RECOVERY_S, Injector
+from .fleet import CRASHED_S, ROUTERS, Fleet
 from .records import Records
+from .starts import Starter
 
-START_TIMEOUT_S = 30.0
-# The fleet must serve everything again this long after the last fault.
-RECOVERY_S = 12.0
 FINAL_REQUESTS = 40
 # Streams that are begun after the recovery and resumed at other routers.
 RESUMED_STREAMS = 12
@@ -83,8 +81,7 @@
     Raises
     ------
     ExceptionGroup
-        If the fleet isn't ready within `START_TIMEOUT_S`, or if the soak
-        itself fails.
+        If the soak itself fails.
     """
     return anyio.run(_run, seed, seconds, folder)
 
@@ -93,31 +90,27 @@
     records = Records()
     result = Result(seed)
     async with anyio.create_task_group() as tasks:
-        port_block = seed % MAX_CONCURRENT_RUNS
-        fleet = Fleet(folder, tasks, FIRST_PORT + port_block * PORTS_PER_RUN)
+        start_rng = random.Random(f"start {seed}")
+        first_port = FIRST_PORT + seed % MAX_CONCURRENT_RUNS * PORTS_PER_RUN
+        fleet = Fleet(folder, tasks, first_port, start_rng.choice((3, 5)))
         callers = Callers(fleet, records, random.Random(f"callers {seed}"))
         operators = Operators(
             fleet, records, random.Random(f"operators {seed}")
         )
-        injector = Injector(fleet, records, random.Random(f"faults {seed}"))
+        starter = Starter(fleet, records, start_rng)
+        injector = Injector(
+            fleet, records, starter, random.Random(f"faults {seed}")
+        )
         try:
-            await fleet.start_all()
             tasks.start_soon(callers.watch_readiness)
-            with anyio.fail_after(START_TIMEOUT_S):
-                await operators.submit(build_routing(1))
-                while len(callers.ready_routers) < ROUTERS:
-                    await anyio.sleep(0.05)
-            async with anyio.create_task_group() as load:
-                load.start_soon(callers.run)
-                load.start_soon(operators.submit_repeatedly)
-                load.start_soon(operators.read_repeatedly)
-                await injector.run(seconds)
-                callers.stopping = operators.stopping = True
-            await anyio.sleep(RECOVERY_S)
-            operators.stopping = False
-            result.violations += await _check_recovery(
-                callers, operators, records
-            )
+            tasks.start_soon(operators.submit, build_routing(1))
+            await starter.start_fleet()
+            result.violations += await _check_start(callers, records)
+            if not result.violations:
+                await _disturb(callers, operators, injector, seconds)
+                result.violations += await _check_recovery(
+                    callers, operators, records, fleet
+                )
         finally:
             with anyio.CancelScope(shield=True):
                 await fleet.kill_all()
@@ -134,12 +127,48 @@
     return result
 
 
+async def _check_start(callers: Callers, records: Records) -> list[str]:
+    """Check that the fleet serves in time, as all its processes run."""
+    with anyio.move_on_after(RECOVERY_S):
+        while not (
+            records.newest_acknowledged
+            and len(callers.ready_routers) == ROUTERS
+        ):
+            await anyio.sleep(0.05)
+        return []
+    return [
+        f"{RECOVERY_S:g} s after the first start, version "
+        f"{records.newest_acknowledged} is acknowledged and routers "
+        f"{callers.ready_routers} are ready"
+    ]
+
+
+async def _disturb(
+    callers: Callers, operators: Operators, injector: Injector, seconds: float
+) -> None:
+    """Inject faults under load, and let the fleet recover."""
+    async with anyio.create_task_group() as load:
+        load.start_soon(callers.run)
+        load.start_soon(operators.submit_repeatedly)
+        load.start_soon(operators.read_repeatedly)
+        await injector.run(seconds)
+        callers.stopping = operators.stopping = True
+    await anyio.sleep(RECOVERY_S)
+    operators.stopping = False
+
+
 async def _check_recovery(
-    callers: Callers, operators: Operators, records: Records
+    callers: Callers, operators: Operators, records: Records, fleet: Fleet
 ) -> list[str]:
     """Check that the fleet accepts versions and serves after the faults."""
     violations = []
     callers.wants_whole = True
+    # Whether what they return is old is checked with all other reads.
+    if not any([await operators.read(name) for name in fleet.controllers]):
+        violations.append(
+            f"version {records.newest_acknowledged}, the newest acknowledged "
+            "one, was read back from no controller after the recovery"
+        )
     with anyio.move_on_after(5.0):
         version = records.newest_submitted + 1
         if not await operators.submit(build_routing(version)):
@@ -150,11 +179,10 @@
         violations.append(
             "the newest version was not accepted after the recovery"
         )
-    for controller in range(CONTROLLERS):
-        if await operators.read(controller) != records.newest_acknowledged:
+    for name in fleet.controllers:
+        if await operators.read(name) != records.newest_acknowledged:
             violations.append(
-                f"controller {controller} didn't return the newest version "
-                "after the recovery"
+                f"{name} didn't return the newest version after the recovery"
             )
     not_ready = set(range(ROUTERS)) - callers.ready_routers
     if not_ready:
