Lose disks soon after the first acknowledgement in the soak

A configuration that a fleet with two late controllers has acknowledged can be lost with two disks until these two are members. The soak began to lose disks only once all controllers ran and the routers were ready, which is later. In three of ten runs it now loses up to as many disks as tolerated within 5 s after the first acknowledgement, also beside a disturbed first start, and reads the version back before it goes on.

--- a/hornbeamyard/tests/test_soak_faults.py
+++ b/hornbeamyard/tests/test_soak_faults.py
@@ -89,7 +89,7 @@
         async def scenario(fleet: Fleet) -> None:
             fault = build_fault("controller-1", ended_s)
             disks = build_disks(fleet, "controller-1", fault)
-            names = disks.draw(random.Random(1), 2)
+            names = disks.draw(random.Random(1), fleet.controllers, 2)
             assert len(names) == drawn
             assert drawn == 2 or "controller-1" not in names
 
@@ -196,12 +196,14 @@
 
 
 class SilentOperators(Operators):
-    """Operators whose calls get no response."""
+    """Operators whose calls get no response, or a given one."""
+
+    response: tuple[int, bytes] = 0, b""
 
     async def _call_controller(
         self, method: str, data: bytes, controller: str = ""
     ) -> tuple[int, bytes]:
-        return 0, b""
+        return self.response
 
 
 class TestRun:
@@ -216,10 +218,14 @@
         async def scenario(fleet: Fleet) -> None:
             records = Records()
             callers = Callers(fleet, records, random.Random(1))
-            assert len(await run._check_start(callers, records)) == 1
+            operators = SilentOperators(fleet, records, random.Random(1))
             records.newest_acknowledged = 1
             callers.ready_routers = {0, 1, 2}
-            assert await run._check_start(callers, records) == []
+            assert await run._check_start(callers, operators, records)
+            operators.response = 200, b'{"version": 1}'
+            assert not await run._check_start(callers, operators, records)
+            callers.ready_routers = {0, 1}
+            assert await run._check_start(callers, operators, records)
 
         play(tmp_path, scenario)
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -448,11 +448,12 @@
     async def read_repeatedly(self) -> None:
         """Read the routing from random controllers until `stopping` is set."""
         while not self.stopping:
-            await self.read(self._rng.choice(self._fleet.controllers))
+            await self.read()
             await anyio.sleep(READ_INTERVAL_S)
 
-    async def read(self, controller: str) -> int:
+    async def read(self, controller: str = "") -> int:
         """Read the routing from a controller; return its version, or 0."""
+        controller = controller or self._rng.choice(self._fleet.controllers)
         sent_at = time.monotonic()
         status, data = await self._call_controller("GET", b"", controller)
         if status != 200:
--- a/soak/disks.py
+++ b/soak/disks.py
@@ -54,9 +54,11 @@
         while self.list_lost():
             await anyio.sleep(POLL_S)
 
-    def draw(self, rng: random.Random, at_most: int) -> list[str]:
-        """Return controllers whose disks may be lost now."""
+    def draw(
+        self, rng: random.Random, names: list[str], at_most: int
+    ) -> list[str]:
+        """Return those of some controllers whose disks are lost next."""
         lost = self.list_lost()
-        others = [n for n in self._fleet.controllers if n not in lost]
-        count = min(at_most, self._fleet.tolerated - len(lost))
+        others = [name for name in names if name not in lost]
+        count = min(at_most, self._fleet.tolerated - len(lost), len(others))
         return rng.sample(others, max(0, count))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,7 @@
 
 from .disks import Disks
 from .fleet import Fleet
+from .links import Link
 from .records import ABSENT, FaultRecord, Records
 from .starts import Starter
 
@@ -21,6 +22,8 @@
 RECOVERY_S = 12.0
 # Controllers that are replaced in a run.
 MAX_REPLACED = 2
+# Fraction of the runs in which disks are lost after the first version.
+EARLY_FRACTION = 0.3
 # Fraction of the runs that end with the loss of as many disks as tolerated.
 FINAL_FRACTION = 0.4
 
@@ -87,9 +90,27 @@
 
     async def wipe(self) -> None:
         """Kill controllers and delete their data."""
-        names = self._disks.draw(self.rng, self.rng.randint(1, 2))
+        running = [
+            name
+            for name in self._fleet.controllers
+            if self._fleet.processes[name].is_running()
+        ]
+        names = self._disks.draw(self.rng, running, self.rng.randint(1, 2))
         await self._kill(names, wiped=names)
 
+    async def wipe_early(self) -> None:
+        """Lose disks soon after the first acknowledgement, in some runs."""
+        if self.rng.random() < EARLY_FRACTION:
+            await self._wait_for_acknowledgement()
+            await anyio.sleep(self.rng.uniform(0.0, 5.0))
+            await self.wipe()
+
+    async def _wait_for_acknowledgement(self) -> None:
+        newest = self._records.newest_acknowledged
+        with anyio.move_on_after(RECOVERY_S):
+            while self._records.newest_acknowledged == newest:
+                await anyio.sleep(0.002)
+
     async def replace(self) -> None:
         """Remove a controller for good and start another one instead.
 
@@ -122,12 +143,10 @@
     async def _lose_disks_at_end(self) -> None:
         """Lose disks right after an acknowledgement, and kill the others."""
         await self._disks.wait_until_whole()
-        newest = self._records.newest_acknowledged
-        with anyio.move_on_after(RECOVERY_S):
-            while self._records.newest_acknowledged == newest:
-                await anyio.sleep(0.002)
-        wiped = self._disks.draw(self.rng, self._fleet.tolerated)
-        await self._kill(list(self._fleet.controllers), wiped, max_down_s=1.0)
+        await self._wait_for_acknowledgement()
+        controllers = list(self._fleet.controllers)
+        wiped = self._disks.draw(self.rng, controllers, len(controllers))
+        await self._kill(controllers, wiped, max_down_s=1.0)
 
     async def _kill(
         self,
@@ -206,22 +225,19 @@
 
     async def reset(self) -> None:
         """Reset all connections of a link."""
-        link = self.rng.choice(list(self._fleet.links.values()))
-        faults = self._begin_at_link("reset", link.name)
+        link, faults = self._begin_at_link("reset")
         link.reset()
         self._records.end(faults)
 
     async def silence(self) -> None:
         """Silence the open connections of a link permanently."""
-        link = self.rng.choice(list(self._fleet.links.values()))
-        faults = self._begin_at_link("silence", link.name)
+        link, faults = self._begin_at_link("silence")
         link.silence()
         self._records.end(faults)
 
     async def cut(self) -> None:
         """Block a link in one direction or both."""
-        link = self.rng.choice(list(self._fleet.links.values()))
-        faults = self._begin_at_link("cut", link.name)
+        link, faults = self._begin_at_link("cut")
         both = self.rng.random() < 0.4
         requests = both or self.rng.random() < 0.5
         link.blocks_requests = requests
@@ -232,8 +248,7 @@
 
     async def delay(self) -> None:
         """Delay the bytes of a link in both directions."""
-        link = self.rng.choice(list(self._fleet.links.values()))
-        faults = self._begin_at_link("delay", link.name)
+        link, faults = self._begin_at_link("delay")
         link.delay_s = self.rng.choice((0.02, 0.1, 0.4))
         await anyio.sleep(self.rng.uniform(0.5, 4.0))
         link.heal()
@@ -254,8 +269,10 @@
         self._reserved.add(name)
         return True
 
-    def _begin_at_link(self, kind: str, link: str) -> list[FaultRecord]:
-        return [self._records.begin(kind, link.partition("/")[0])]
+    def _begin_at_link(self, kind: str) -> tuple[Link, list[FaultRecord]]:
+        """Draw a link and record that a fault of it begins."""
+        link = self.rng.choice(list(self._fleet.links.values()))
+        return link, [self._records.begin(kind, link.name.partition("/")[0])]
 
 
 # Relative frequency of each fault.
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,7 +5,7 @@
 import json
 import random
 import time
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from pathlib import Path
 
 import anyio
@@ -58,9 +58,7 @@
 
     def to_json(self) -> str:
         """Return the result as a line of JSON."""
-        return json.dumps(
-            {name: getattr(self, name) for name in self.__slots__}
-        )
+        return json.dumps(asdict(self))
 
 
 def run_seed(seed: int, seconds: float, folder: Path) -> Result:
@@ -104,8 +102,12 @@
         try:
             tasks.start_soon(callers.watch_readiness)
             tasks.start_soon(operators.submit, build_routing(1))
-            await starter.start_fleet()
-            result.violations += await _check_start(callers, records)
+            async with anyio.create_task_group() as start:
+                start.start_soon(starter.start_fleet)
+                start.start_soon(injector.wipe_early)
+            result.violations += await _check_start(
+                callers, operators, records
+            )
             if not result.violations:
                 await _disturb(callers, operators, injector, seconds)
                 result.violations += await _check_recovery(
@@ -127,18 +129,22 @@
     return result
 
 
-async def _check_start(callers: Callers, records: Records) -> list[str]:
+async def _check_start(
+    callers: Callers, operators: Operators, records: Records
+) -> list[str]:
     """Check that the fleet serves in time, as all its processes run."""
     with anyio.move_on_after(RECOVERY_S):
-        while not (
-            records.newest_acknowledged
-            and len(callers.ready_routers) == ROUTERS
+        while (
+            not await operators.read()
+            or not records.newest_acknowledged
+            or len(callers.ready_routers) < ROUTERS
         ):
             await anyio.sleep(0.05)
         return []
     return [
         f"{RECOVERY_S:g} s after the first start, version "
-        f"{records.newest_acknowledged} is acknowledged and routers "
+        f"{records.newest_acknowledged} is acknowledged, "
+        f"{len(records.reads)} reads of it succeeded and routers "
         f"{callers.ready_routers} are ready"
     ]
 
--- a/soak/starts.py
+++ b/soak/starts.py
@@ -42,24 +42,10 @@
         self._fleet = fleet
         self._records = records
         self._rng = rng
+        self._fraction = DISTURBED_FRACTION
 
-    async def start(
-        self,
-        name: str,
-        first_start: bool = False,
-        fraction: float = DISTURBED_FRACTION,
-    ) -> None:
-        """Start a process; return once its disturbances have ended.
-
-        Parameters
-        ----------
-        name : str
-        first_start : bool, optional
-            Whether the whole fleet starts for the first time.
-        fraction : float, optional
-            Fraction of the starts that find an address taken, and of those
-            that are followed by SIGHUP.
-        """
+    async def start(self, name: str, first_start: bool = False) -> None:
+        """Start a process; return once its disturbances have ended."""
         rng = self._rng
         if name in self._fleet.list_upstreams():
             await self._fleet.start(name)
@@ -67,14 +53,14 @@
         faults = []
         with ExitStack() as taken:
             taken_s = 0.0
-            if rng.random() < fraction:
+            if rng.random() < self._fraction:
                 address = rng.choice(self._fleet.list_addresses(name))
                 taken_s = rng.uniform(0.2, MAX_TAKEN_S)
                 self._fleet.take(address, taken)
                 kind = f"{address} taken for {taken_s:.1f} s"
                 faults.append(self._records.begin(kind, name))
             await self._fleet.start(name, first_start)
-            if rng.random() < fraction:
+            if rng.random() < self._fraction:
                 hup_s = rng.uniform(0.05, 1.0)
                 await anyio.sleep(hup_s)
                 faults.append(self._records.begin("early reload", name))
@@ -92,25 +78,24 @@
         """
         rng = self._rng
         fleet = self._fleet
-        fraction = rng.choice(FIRST_FRACTIONS)
+        self._fraction = rng.choice(FIRST_FRACTIONS)
         count = min(fleet.tolerated, rng.choice((0, 1, 1, 2)))
         disturbed = rng.sample(fleet.controllers[1:], count)
         if count and rng.random() < LOWEST_FRACTION:
             disturbed[0] = fleet.controllers[0]
         async with anyio.create_task_group() as tasks:
-            for name in fleet.controllers:
+            for name in fleet.processes:
                 if name in disturbed:
-                    tasks.start_soon(self._start_disturbed, name, fraction)
+                    tasks.start_soon(self._start_disturbed, name)
                 else:
-                    tasks.start_soon(self._start_first, name, fraction)
-            for name in [*fleet.list_routers(), *fleet.list_upstreams()]:
-                tasks.start_soon(self._start_first, name, fraction)
+                    tasks.start_soon(self._start_first, name)
+        self._fraction = DISTURBED_FRACTION
 
-    async def _start_first(self, name: str, fraction: float) -> None:
+    async def _start_first(self, name: str) -> None:
         await anyio.sleep(self._rng.uniform(0.0, FIRST_STARTS_S))
-        await self.start(name, True, fraction)
+        await self.start(name, first_start=True)
 
-    async def _start_disturbed(self, name: str, fraction: float) -> None:
+    async def _start_disturbed(self, name: str) -> None:
         if self._rng.random() < 0.3:
             fault = self._records.begin("late", name)
             await anyio.sleep(self._rng.uniform(FIRST_STARTS_S, MAX_LATE_S))
@@ -121,5 +106,5 @@
             fault = self._records.begin("kill", name)
             await self._fleet.kill(name)
             await anyio.sleep(self._rng.uniform(0.5, 7.0))
-        await self.start(name, fraction=fraction)
+        await self.start(name)
         self._records.end([fault])
