--- a/hornbeamyard/version/election.py
+++ b/hornbeamyard/version/election.py
@@ -255,7 +255,7 @@
             return False
         if not request.transfer and self.has_recent_leader():
             return False
-        if request.founding and journal.is_settled():
+        if request.founding and not journal.may_found():
             return False
         if (request.last_term, request.last_index) < (
             journal.last_term,
