Excuse the crash of an upstream after SIGTERM in the soak again

The rewritten handling of ends looked at SIGTERM before it looked at the exit code of such a crash. The new test failed before (1 of 2 cases: the upstream's; a router that ends so is a violation as before).

--- a/hornbeamyard/tests/test_soak_faults.py
+++ b/hornbeamyard/tests/test_soak_faults.py
@@ -22,6 +22,7 @@
 from soak.fleet import CATCH_UP_S, Fleet
 from soak.records import SETTLING_TIME_S, FaultRecord, Records
 from soak.starts import Starter
+from soak.upstream import CRASH_EXIT_CODE
 
 FIRST_PORT = 9900
 # Longer than a process of these tests takes to run its first line.
@@ -43,6 +44,16 @@
     program = "raise SystemExit(4)"
 
 
+class CrashingFleet(SleepingFleet):
+    """A fleet whose processes crash on SIGTERM, as under a request."""
+
+    program = (
+        "import signal, os, time;"
+        f"signal.signal(15, lambda *_: os._exit({CRASH_EXIT_CODE}));"
+        "time.sleep(30)"
+    )
+
+
 def play(
     folder: Path,
     scenario: Callable[[Fleet], Coroutine[Any, Any, None]],
@@ -156,6 +167,23 @@
         fleet = play(tmp_path, scenario)
         assert len(fleet.processes["router-0"].unexpected_exits) == exits
 
+    @pytest.mark.parametrize(
+        ("name", "exits"), [("model-0", 0), ("router-0", 1)]
+    )
+    def test_crash_after_sigterm(
+        self, tmp_path: Path, name: str, exits: int
+    ) -> None:
+        """Guards against blaming the fleet for a crash in an upstream."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.start(name)
+            await anyio.sleep(LOADED_S)
+            await fleet.stop(name)
+            await anyio.sleep(LOADED_S)
+
+        fleet = play(tmp_path, scenario, CrashingFleet)
+        assert len(fleet.processes[name].unexpected_exits) == exits
+
 
 class TestStarts:
     """Starts are disturbed as drawn, and no more than tolerated."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -269,16 +269,18 @@
         code = await handle.wait()
         if process.handle is not handle or process.killed_by_soak:
             return
+        crashed = (
+            code == CRASH_EXIT_CODE and process.name in self.list_upstreams()
+        )
         if process.sigterm_at is not None:
             early = process.sigterm_at - process.started_at < STARTUP_S
-            if code and not (code == -signal.SIGTERM and early):
+            ended = code == 0 or (code == -signal.SIGTERM and early)
+            if not ended and not crashed:
                 process.unexpected_exits.append(
                     f"{process.name} exited with {code} after SIGTERM"
                 )
             return
-        if code != CRASH_EXIT_CODE or process.name.startswith(
-            ("controller", "router")
-        ):
+        if not crashed:
             took_s = time.monotonic() - process.started_at
             process.unexpected_exits.append(
                 f"{process.name} exited with {code} without a request to stop "
