Count the bytes of a header once, for any cut of them

Callers whose header was within the limit got 431 when it arrived in several pieces: `LimitedProtocol` added the fields that a piece completes, and then the whole piece. Fields of half the limit were enough.

The header is now parsed in parts that end with the request line, the empty line after the fields, or the limit, so that its size is the number of bytes which the parser took. The parser gets no byte beyond the limit. The fields have the limit of before, without the request line and the empty line; the request line, which had a limit only while it was incomplete, has the same one. Fields count as they arrive, no longer with an assumed space after the colon. A body with a length is parsed up to its end, so that a pipelined header is counted from its first byte. Behind a chunked body only the parser knows where the next header begins; there, fields in the same piece count by name and value, which is never more than their bytes.

Not covered: trailers of a chunked body have their limit by complete fields only, as before.

--- a/hornbeamyard/connection/limits.py
+++ b/hornbeamyard/connection/limits.py
@@ -226,7 +226,12 @@
 
 
 class LimitedProtocol(HttpToolsProtocol):
-    """The server side of one connection, with limits."""
+    """The server side of one connection, with limits.
+
+    The fields of a header count as they arrive, and the request line has the
+    same limit. After a chunked body, whose end is known to the parser alone,
+    fields in the same piece count without optional spaces.
+    """
 
     limits: ConnectionLimits
 
@@ -235,7 +240,15 @@
     ) -> None:
         """Start a connection, or refuse one that exceeds the limit."""
         super().connection_made(transport)
+        # Bytes of the request line, and then of the fields.
         self._header_size = 0
+        self._is_silent = True
+        self._is_in_message = False
+        self._is_in_body = False
+        self._has_request_line = False
+        # Bytes until the end of the body; None if only the parser knows it.
+        self._body_left: int | None = None
+        self._counts_fields = False
         self._is_header_too_large = False
         self._header_started_at: float | None = self.limits.timers.now()
         if not self.limits.add(self):
@@ -252,35 +265,86 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes, and refuse a header that is too large."""
-        if self.transport.is_closing():
-            return
-        super().data_received(data)
-        if self._header_started_at is None or self.transport.is_closing():
-            return
-        # A single header field without end never reaches `on_header`.
-        self._header_size += len(data)
-        if self._header_size > self.limits.header_size:
+        self._is_silent = False
+        start = 0
+        while start < len(data) and not self.transport.is_closing():
+            parse = (
+                self._parse_body if self._is_in_body else self._parse_header
+            )
+            start = parse(data, start)
+
+    def _parse_body(self, data: bytes, start: int) -> int:
+        """Parse a part of the body; return where it ends.
+
+        What follows the body is included if the body's end isn't known.
+        """
+        end = len(data)
+        if self._body_left:
+            end = min(end, start + self._body_left)
+            self._body_left -= end - start
+        self._counts_fields = True
+        super().data_received(data[start:end])
+        self._counts_fields = False
+        return end
+
+    def _parse_header(self, data: bytes, start: int) -> int:
+        """Parse a part of the header; return where it ends.
+
+        The parser gets no byte after the header, nor beyond the limit, so
+        the header's size doesn't depend on how its bytes arrive.
+        """
+        # The line end, or the empty line after the fields, doesn't count.
+        max_size = self.limits.header_size + len(b"\r\n")
+        if start and self._has_request_line:
+            # A line of this header ends before `start`.
+            found = data.find(b"\n\r\n", start - 1)
+            part_end = len(data) if found < 0 else found + 3
+        else:
+            part_end = data.find(b"\n", start) + 1 or len(data)
+        end = min(part_end, start + max_size - self._header_size)
+        super().data_received(data[start:end])
+        if not self._is_in_message or self._is_in_body:
+            return end
+        self._header_size += end - start
+        if not self._has_request_line and data[end - 1 : end] == b"\n":
+            self._has_request_line = True
+            self._header_size = 0
+        if self._header_size >= max_size and not self.transport.is_closing():
             self._is_header_too_large = True
             self.send_400_response("")
+        return end
 
     def on_message_begin(self) -> None:
         """Handle the start of a request."""
         super().on_message_begin()
         self._header_size = 0
+        self._is_in_message = True
         self._header_started_at = self.limits.timers.now()
 
+    def on_message_complete(self) -> None:
+        """Handle the end of a request."""
+        self._is_in_message = self._is_in_body = False
+        self._has_request_line = False
+        self._header_size = 0
+        super().on_message_complete()
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header field, within the limit."""
-        # A field's colon, space and line end take four more bytes.
-        self._header_size += len(name) + len(value) + 4
-        if self._header_size > self.limits.header_size:
-            self._is_header_too_large = True
-            raise ValueError("the header is too large")
+        if self._counts_fields:
+            self._has_request_line = True
+            # The colon and the line end take three more bytes.
+            self._header_size += len(name) + len(value) + 3
+            if self._header_size > self.limits.header_size:
+                self._is_header_too_large = True
+                raise ValueError("the header is too large")
         super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
         """Serve a request whose header is complete, or refuse it."""
         self._header_started_at = None
+        self._is_in_body = True
+        self._header_size = 0
+        self._body_left = _find_body_size(self.headers)
         cycle = self.cycle
         if (
             self.url.startswith(self.limits.limited_paths)
@@ -310,8 +374,7 @@
         timeout_s = self.limits.header_timeout_s
         if since is None or now - since < timeout_s:
             return
-        is_silent = not self._header_size and self.cycle is None
-        if is_silent and not self.limits.responds_to_silent_connections:
+        if self._is_silent and not self.limits.responds_to_silent_connections:
             self.transport.close()
             return
         reason = f"no complete header arrived within {timeout_s:g} s"
@@ -343,6 +406,20 @@
 _REFUSED_CYCLE = _RefusedCycle()
 
 
+def _find_body_size(headers: Headers) -> int | None:
+    """Return the size of a body that isn't chunked, which the parser checked.
+
+    Returns
+    -------
+    int or None
+        Bytes; None without a length.
+    """
+    for name, value in headers:
+        if name == b"content-length":
+            return int(value)
+    return None
+
+
 def build_protocol(limits: ConnectionLimits) -> type[Any]:
     """Return the protocol class for a server with these limits."""
     return type("RouterProtocol", (LimitedProtocol,), {"limits": limits})
