Keep a pause that an upstream asked for while it is lost

An upstream that answered 503 with Retry-After, and whose announcements then stayed away until it counted as lost, got requests again as soon as it announced itself under the same id and start time, however long its pause still was. The pause was an attribute of the `Server` that the balancer drops with a lost upstream; the new one began without it. The same happened when the response that asks for a pause arrived after that.

The balancer now keeps the end of each pause by the upstream's start, so a process that has started again isn't paused.

--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -34,7 +34,7 @@
 from .rate_limits import FleetPosition, RateLimiter, RateLimits, divide_rate
 from .shares import Shares
 from .targets import TargetMix
-from .upstream_registry import Upstream, UpstreamState
+from .upstream_registry import Upstream, UpstreamStart, UpstreamState
 from .usage import CachedPart, UpstreamLoad
 
 # Fraction of its target (`RequestDemand.target_s`) for which a request may
@@ -322,6 +322,7 @@
         "_limit",
         "_orders",
         "_orders_for",
+        "_paused_until",
         "_pool",
         "_prefill_ms_per_token",
         "_rate_limits",
@@ -361,6 +362,9 @@
         # Orders of preferred engines by shared part, for these usable engines.
         self._orders: dict[str, list[str]] = {}
         self._orders_for: list[Server] = []
+        # End of each pause that an upstream has asked for, also while the
+        # upstream is lost.
+        self._paused_until: dict[UpstreamStart, float] = {}
         self._pool = pool
         self._prefill_ms_per_token = 0.0
         self._rate_limits = (
@@ -422,10 +426,12 @@
                 server.set_expected_prefill(self._prefill_ms_per_token)
 
     def _build(self, upstream: Upstream) -> Server:
+        paused_until = self._paused_until.get(upstream.start, 0.0)
         if not self._kv_capacity_tokens:
-            return Server(upstream)
+            return Server(upstream, paused_until=paused_until)
         engine = Engine(
             upstream,
+            paused_until=paused_until,
             slots=self._slots or upstream.slots,
             kv_capacity_tokens=self._kv_capacity_tokens,
         )
@@ -446,6 +452,32 @@
         else:
             known.upstream = upstream
 
+    def pause(self, server: Server, duration_s: float, now: float) -> None:
+        """Send nothing for a time that an upstream has asked for.
+
+        Parameters
+        ----------
+        server : Server
+            The upstream that a request was sent to. It may have been lost
+            since, and may be back as another server.
+        duration_s : float
+            Time in seconds.
+        now : float
+            Monotonic time in seconds.
+        """
+        server.pause(duration_s, now)
+        start = server.upstream.start
+        known = self.servers.get(server.id)
+        if known is not None and known.upstream.start == start:
+            known.pause(duration_s, now)
+        self._paused_until = {
+            other: until
+            for other, until in self._paused_until.items()
+            if until > now
+        }
+        paused_until = self._paused_until.get(start, now)
+        self._paused_until[start] = max(paused_until, server.paused_until)
+
     def set_fleet_position(self, position: FleetPosition, now: float) -> None:
         """Divide rate limits by this router's position in the fleet.
 
--- a/hornbeamyard/request/meter.py
+++ b/hornbeamyard/request/meter.py
@@ -93,7 +93,9 @@
             self._report_leaving(server.upstream)
         self._report_limit(server.upstream.start, metadata.max_rate)
         if metadata.retry_after_s:
-            server.pause(metadata.retry_after_s, self._timers.now())
+            self._balancer.pause(
+                server, metadata.retry_after_s, self._timers.now()
+            )
             self._reporter.report_paused(
                 self._request, server, metadata.retry_after_s
             )
--- a/hornbeamyard/tests/test_notices.py
+++ b/hornbeamyard/tests/test_notices.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import anyio
+import anyio.abc
 import pytest
 
 from hornbeamyard.connection.client import Connection
@@ -19,6 +22,7 @@
 )
 
 from .raw_upstream import (
+    ReceivedRequest,
     Script,
     close_connection,
     send_events,
@@ -164,6 +168,64 @@
         refuse = send_response(503, headers=(NOT_RUN, "retry-after: 0.4"))
         run(test, [refuse, send_response()], [send_response()])
 
+    @pytest.mark.parametrize("delay_s", [0.1, 0.3])
+    def test_outlasts_a_lost_upstream(self, delay_s: float) -> None:
+        """Guards against requests to an upstream that is back in its pause.
+
+        The response that asks for the pause may arrive before the upstream
+        is lost, or when it is back.
+        """
+
+        async def test(harness: Harness) -> None:
+            balancer = harness.balancer
+            lost = balancer.servers["u0"].upstream
+            back = replace(lost, sequence=2)
+            balancer.servers["u1"].own_load.running = 3
+
+            async def lose(delay_s: float) -> None:
+                await anyio.sleep(delay_s)
+                gone = replace(lost, state=UpstreamState.GONE)
+                balancer.apply_upstream(gone)
+                await anyio.sleep(0.02)
+                balancer.apply_upstream(back)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(lose, delay_s)
+                await harness.send_request("/charge/1")
+            paused = harness.raw_upstreams[0]  # type: ignore[attr-defined]
+            assert len(paused.received) == 1
+            balancer.servers["u1"].service_ms = 500.0
+            for _ in range(3):
+                received = await harness.send_request("/charge/1")
+                assert received.status == 200
+            assert balancer.servers["u0"].upstream is back
+            assert len(paused.received) == 1
+            restarted = replace(back, started_ms=7, sequence=1)
+            balancer.apply_upstream(restarted)
+            assert balancer.servers["u0"].is_usable(harness.timers.now())
+
+        refuse = send_response(503, headers=(NOT_RUN, "retry-after: 9"))
+
+        async def refuse_slowly(
+            stream: anyio.abc.SocketStream, request: ReceivedRequest
+        ) -> None:
+            await anyio.sleep(0.2)
+            await refuse(stream, request)
+
+        run(test, [refuse_slowly, send_response()], [send_response()])
+
+    def test_forgets_pauses_that_are_over(self) -> None:
+        """Guards against memory for each upstream that ever paused."""
+        balancer = build_balancer(engines=1)
+        for number in range(100):
+            upstream = build_announcement(id=f"u{number}", started_ms=5)
+            balancer.apply_upstream(upstream)
+            now = 10.0 * number
+            balancer.pause(balancer.servers[upstream.id], 5.0, now)
+            gone = replace(upstream, state=UpstreamState.GONE)
+            balancer.apply_upstream(gone)
+        assert len(balancer._paused_until) == 1
+
     def test_longest_pause_stands(self) -> None:
         """Guards against a shorter pause that ends a longer one."""
         server = build_balancer().servers["e0"]
