Send an empty query on to the upstream

A request for `/path?` reached the upstream as `/path`: ASGI tells the path and the query apart, but not an empty query from none. The server now marks an empty query in the scope's extensions, and both kinds of fleets build the upstream's target from path and mark in one function.

The new test sends five targets through a router. Before, the upstream got the first one, `/read/1?`, and the last one, `/read/1/?`, without the question mark; now all five arrive as sent.

--- a/hornbeamyard/connection/limits.py
+++ b/hornbeamyard/connection/limits.py
@@ -47,6 +47,8 @@
 CALM_SAMPLES = 20
 # Size of the token bucket, as time at the rate limit.
 BURST_S = 0.1
+# Key of the ASGI scope's extensions for a target that ends with "?".
+EMPTY_QUERY = "hornbeamyard.empty_query"
 # Path prefixes of callers' requests; other paths are always served.
 _LIMITED_PATHS = (b"/v1/", b"/services/")
 
@@ -345,6 +347,10 @@
         self._is_in_body = True
         self._header_size = 0
         self._body_left = _find_body_size(self.headers)
+        _, question_mark, query = self.url.partition(b"?")
+        if question_mark and not query:
+            # ASGI doesn't tell an empty query from none.
+            self.scope["extensions"] = {EMPTY_QUERY: {}}
         cycle = self.cycle
         if (
             self.url.startswith(self.limits.limited_paths)
--- a/hornbeamyard/request/exchange.py
+++ b/hornbeamyard/request/exchange.py
@@ -4,12 +4,14 @@
 
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, MutableMapping
 from dataclasses import dataclass, field
+from typing import Any
 
 import anyio
 
 from ..connection.client import BrokenConnectionError, Response
+from ..connection.limits import EMPTY_QUERY
 from ..connection.upstreams import (
     CONNECTION_ERRORS,
     LivenessChecker,
@@ -45,6 +47,13 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+def get_query(scope: MutableMapping[str, Any]) -> bytes:
+    """Return the query of a request as it was sent, with its "?"."""
+    query: bytes = scope["query_string"]
+    has_query = query or EMPTY_QUERY in scope.get("extensions", ())
+    return b"?" + query if has_query else b""
+
+
 @dataclass(slots=True)
 class UpstreamRequest:
     """A request as it is sent to an upstream.
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -36,6 +36,7 @@
 from ..process.upstream_notices import UpstreamNotices
 from ..version.routing import AccountKeys, Route, Routing
 from .budget import WindowRetryBudget
+from .exchange import get_query
 from .headers import ForwardingMetadata, HeaderCodec, RequestMetadata
 from .meter import AttemptMeter
 from .outcome import NOT_RUN_STATUSES
@@ -348,9 +349,7 @@
         priority = route.priority
         if account is not None and account.priority is not None:
             priority = account.priority
-        target = scope["raw_path"]
-        if scope["query_string"]:
-            target += b"?" + scope["query_string"]
+        target = scope["raw_path"] + get_query(scope)
         max_tokens = metadata.output_tokens
         output_tokens = metadata.expected_tokens or int(
             max_tokens * DEFAULT_OUTPUT_FRACTION
--- a/hornbeamyard/request/parsing.py
+++ b/hornbeamyard/request/parsing.py
@@ -19,6 +19,7 @@
     REQUEST_HEADER,
     Headers,
     UpstreamRequest,
+    get_query,
 )
 from .problem import Outcome, Problem, build_findings_problem
 
@@ -116,8 +117,7 @@
     scope: Scope, body: bytes, configuration: Configuration
 ) -> Result[Destination, Problem]:
     """Return the pool and the upstream target of a request."""
-    path, query = scope["path"], scope["query_string"]
-    suffix = b"?" + query if query else b""
+    path, suffix = scope["path"], get_query(scope)
     if path.startswith(SERVICE_PREFIX):
         name = path.split("/", 3)[2]
         pool = configuration.pools.get(name)
--- a/hornbeamyard/tests/test_directory.py
+++ b/hornbeamyard/tests/test_directory.py
@@ -360,6 +360,35 @@
 
         run_fleet(tmp_path, test)
 
+    def test_keeps_target(self, tmp_path: Path) -> None:
+        """Guards against another target at the upstream than the caller's."""
+        targets = [f"/read/1{end}" for end in ("?", "", "?a=?", "??", "/?")]
+
+        async def test(fleet: Fleet) -> None:
+            fleet.start_router()
+            assert fleet.router is not None
+            scripts = [send_response() for _ in targets]
+            async with run_raw_upstream(*scripts) as raw:
+                await fleet.submit(7)
+                address = f"127.0.0.1:{raw.port}"
+                state = UpstreamState.READY
+                upstream = Upstream(
+                    "u1", "app", address, "zone-a", state, 4, 1
+                )
+                fleet.registrars[0].announce(upstream)
+                await fleet.wait(fleet.router.is_ready)
+                host, _, port = fleet.router_address.rpartition(":")
+                for number, target in enumerate(targets):
+                    request = build_request(f"r{number}", target)
+                    stream = await anyio.connect_tcp(host, int(port))
+                    async with stream:
+                        await stream.send(request)
+                        assert b" 200 " in await read_response(stream)
+                received = [r.head.split()[1].decode() for r in raw.received]
+                assert received == targets
+
+        run_fleet(tmp_path, test)
+
 
 class TestPlannedStop:
     """A router that stops under load answers what it has accepted."""
@@ -522,10 +551,10 @@
         assert last_sent_at < stopped_at + DRAIN_S / 2
 
 
-def build_request(id: str) -> bytes:
+def build_request(id: str, target: str = "/read/1") -> bytes:
     """Return the bytes of a request to the router."""
     return (
-        "GET /read/1 HTTP/1.1\r\nhost: api.example\r\n"
+        f"GET {target} HTTP/1.1\r\nhost: api.example\r\n"
         f"hornbeamyard-request: {id}\r\n"
         "authorization: Bearer k1\r\n\r\n"
     ).encode()
--- a/hornbeamyard/tests/test_parsing.py
+++ b/hornbeamyard/tests/test_parsing.py
@@ -9,6 +9,7 @@
 import anyio
 import pytest
 
+from hornbeamyard.connection.limits import EMPTY_QUERY
 from hornbeamyard.pool.backlog import Ticket
 from hornbeamyard.pool.dispatch import Dispatch
 from hornbeamyard.request.parsing import (
@@ -219,6 +220,21 @@
         )
         assert destination.ok_value == Destination(SERVICE, b"/a%2Fb?c=%20d")
 
+    def test_keeps_empty_query(self) -> None:
+        """Guards against a target that loses its question mark."""
+        path = "/services/notices/a"
+        scope = {
+            "method": "GET",
+            "path": path,
+            "raw_path": path.encode(),
+            "query_string": b"",
+            "extensions": {EMPTY_QUERY: {}},
+        }
+        pools = {SERVICE: Pool(SERVICE, "service")}
+        configuration = Configuration(1, pools=pools)
+        destination = find_destination(scope, b"", configuration)
+        assert destination.ok_value == Destination(SERVICE, b"/a?")
+
 
 class TestAnnouncements:
     """Every field of an announcement is checked."""
