Acknowledge the end of an upstream once a router confirms it

An upstream that deregistered at a controller was answered 200 by that controller alone. If the controller was killed then, the others still called the upstream ready, and routers that started again, or had lost touch with that controller, sent it requests more than `drainMs` after the acknowledgement (DRAIN).

A router that is told of an end now reports the upstream as leaving to all controllers, in the report it already has for upstreams that say so in a response; so the others pass it on as draining. The controller waits up to 0.8 s for such a report from a router of another host, and answers 503 without one, so that the upstream asks another controller. A fleet with one controller takes the report of any router. Reports are kept for as long as ended upstreams, 120 s; a late announcement of a reported start counts as draining also at a controller that hears of the upstream for the first time.

Routers of older releases don't report ends, so a fleet whose routers are all older gets 503 until one is upgraded.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
+from dataclasses import replace
 
 import anyio
 import logbook
@@ -58,6 +59,9 @@
 # Interval at which a controller without a record of the pools' software
 # versions asks the others.
 LEARN_INTERVAL_S = 0.25
+# Time for a router to report that it knows of the end of an upstream. It is
+# less than the 1 s after which upstreams call another controller.
+CONFIRMATION_TIMEOUT_S = 0.8
 # A stream is closed after this long without a message.
 SILENCE_TIMEOUT_S = 3.0
 
@@ -102,6 +106,8 @@
         "_fleet_usage_encoder",
         "_founder",
         "_has_notices",
+        "_leaving",
+        "_leaving_reported",
         "_lifetime_s",
         "_replica",
         "_started_at",
@@ -128,6 +134,10 @@
         self._founder = founder
         # Set when routers have reported crashes or limits.
         self._has_notices = anyio.Event()
+        # Latest starts of upstreams that routers have reported as leaving, by
+        # id, with the time of the report.
+        self._leaving: dict[str, tuple[int, float]] = {}
+        self._leaving_reported = anyio.Event()
         self._lifetime_s = lifetime_s
         self._replica = replica
         self._fleet_usage = FleetUsage()
@@ -155,6 +165,7 @@
                 self.origins.expire(now)
                 self.crashes.expire(now)
                 self.limits.expire(now)
+                self._forget_leaving(now)
                 lost = self.registry.expire(now, self._lifetime_s)
                 for upstream in lost:
                     _log.info(
@@ -227,6 +238,12 @@
         """
         now = self._timers.now()
         upstream.last_seen_at = now
+        reported_ms, _ = self._leaving.get(upstream.id, (None, now))
+        is_ready = upstream.state is UpstreamState.READY
+        if is_ready and upstream.started_ms == reported_ms:
+            # The announcement is late, and may be the first one here.
+            upstream = replace(upstream, state=UpstreamState.DRAINING)
+            upstream.leaving_since = now
         changed = self.registry.announce(upstream, now, may_replace)
         self._publish(changed)
         if not changed and self.registry.get(upstream.id) is not None:
@@ -239,14 +256,56 @@
             for subscriber in self._subscribers:
                 subscriber.pending_renewals[upstream.id] = renewal
 
-    def withdraw(self, id: str, started_ms: int) -> None:
-        """Record that an upstream has left, and inform the routers."""
+    async def withdraw(self, id: str, started_ms: int) -> bool:
+        """Record that an upstream has left, and inform the routers.
+
+        A router that knows of it informs all controllers.
+
+        Returns
+        -------
+        bool
+            Whether a router of another host has confirmed in time that it
+            knows; in a fleet with one controller, a router of any host.
+        """
         now = self._timers.now()
         ended = self.registry.record_end(id, started_ms, now)
         if not ended:
             # Routers may know the upstream from another controller.
             ended = [_build_gone_upstream(id, started_ms)]
         self._publish(ended)
+        started_ms = ended[0].started_ms
+        with self._timers.limit(CONFIRMATION_TIMEOUT_S):
+            while not self._is_reported(id, started_ms):
+                await self._leaving_reported.wait()
+        return self._is_reported(id, started_ms)
+
+    def _is_reported(self, id: str, started_ms: int) -> bool:
+        return id in self._leaving and self._leaving[id][0] >= started_ms
+
+    def _record_leaving(
+        self, subscriber: Subscriber, leaving: fleet_pb2.LeavingUpstream
+    ) -> None:
+        """Record a router's report of an upstream that leaves."""
+        now = self._timers.now()
+        self._publish(
+            self.registry.record_leaving(leaving.id, leaving.started_ms, now)
+        )
+        host, _, _ = subscriber.name.partition("/")
+        # A router of the same host may fail together with this controller.
+        if host != self._replica.host or self._is_only_controller():
+            reported_ms, _ = self._leaving.get(leaving.id, (0, now))
+            started_ms = max(leaving.started_ms, reported_ms)
+            self._leaving[leaving.id] = (started_ms, now)
+            self._leaving_reported.set()
+            self._leaving_reported = anyio.Event()
+
+    def _is_only_controller(self) -> bool:
+        return len(find_addresses(self._replica.journal.members)) < 2
+
+    def _forget_leaving(self, now: float) -> None:
+        for id, (_, reported_at) in list(self._leaving.items()):
+            if now - reported_at > ENDED_RETENTION_S:
+                del self._leaving[id]
 
     def _publish(self, changed: Iterable[Upstream]) -> None:
         for upstream, record in self._encode_upstreams(changed):
@@ -454,11 +513,7 @@
             return
         now = self._timers.now()
         for leaving in usage.leaving:
-            self._publish(
-                self.registry.record_leaving(
-                    leaving.id, leaving.started_ms, now
-                )
-            )
+            self._record_leaving(subscriber, leaving)
         counters = RouterUsage(
             *subscriber.usage_decoder.decode(usage.accounts, usage.upstreams),
             decode_cached_parts(usage.read_parts),
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -145,7 +145,7 @@
         self._identity = identity
         self._leader = ""
         # Start times of upstreams, by id, whose responses to this router say
-        # that they leave.
+        # that they leave, or of which a controller says that they have ended.
         self._leaving: dict[str, int] = {}
         self._lifetime_s = lifetime_s
         self._limits = limits
@@ -318,7 +318,9 @@
         if lost:
             self._on_upstreams(lost)
         for id in list(self._leaving):
-            if self.registry.get(id) is None:
+            if self.registry.get(id) is None and not self.registry.has_ended(
+                id
+            ):
                 del self._leaving[id]
 
     def _is_needed(self, address: str) -> bool:
@@ -470,9 +472,17 @@
             if record.state not in UPSTREAM_STATES:
                 continue
             if record.state == fleet_pb2.UpstreamRecord.GONE:
-                changed += self.registry.record_end(
+                ended = self.registry.record_end(
                     record.id, record.started_ms, now
                 )
+                changed += ended
+                # The controller waits for this report, and the others learn
+                # of the end even if that controller fails.
+                self._leaving[record.id] = max(
+                    record.started_ms,
+                    self._leaving.get(record.id, 0),
+                    *(upstream.started_ms for upstream in ended),
+                )
                 continue
             upstream = decode_upstream(record, now)
             changed += self.registry.announce(upstream, now)
--- a/hornbeamyard/platform/calls.py
+++ b/hornbeamyard/platform/calls.py
@@ -36,7 +36,7 @@
                 controller, path.removeprefix(HEARTBEAT_PREFIX), body
             )
         if method == "POST" and path.startswith(DEREGISTER_PREFIX):
-            return _withdraw(
+            return await _withdraw(
                 controller, path.removeprefix(DEREGISTER_PREFIX), body
             )
         return 404, b"{}"
@@ -66,20 +66,20 @@
     return 200, b"{}"
 
 
-def _withdraw(
+async def _withdraw(
     controller: ControllerApi, id: str, body: bytes
 ) -> tuple[int, bytes]:
     start = _parse_start(id, body)
-    findings = [] if start is None else controller.withdraw(start)
-    if start is None or findings:
+    withdrawn = Err([]) if start is None else await controller.withdraw(start)
+    if isinstance(withdrawn, Err):
         _log.info(
             "ignored a deregistration that can't be read, sent with the id "
             "{!r} findings={}",
             id[:80],
-            [str(finding) for finding in findings[:5]],
+            [str(finding) for finding in withdrawn.err_value[:5]],
         )
         return 400, b"{}"
-    return 200, b"{}"
+    return (200 if withdrawn.ok_value else 503), b"{}"
 
 
 def _parse_upstream(id: str, body: bytes) -> Upstream | None:
--- a/hornbeamyard/pool/upstream_registry.py
+++ b/hornbeamyard/pool/upstream_registry.py
@@ -379,6 +379,10 @@
         known.state = UpstreamState.GONE
         return [known]
 
+    def has_ended(self, id: str) -> bool:
+        """Return whether an upstream is remembered as ended."""
+        return id in self._ended
+
     def list_ended(self) -> list[tuple[str, int]]:
         """Return the ids and start times of upstreams that have ended."""
         return [(id, ended.started_ms) for id, ended in self._ended.items()]
--- a/hornbeamyard/process/controller_app.py
+++ b/hornbeamyard/process/controller_app.py
@@ -70,7 +70,12 @@
             and upstream_id
             and method == "DELETE"
         ):
-            return _respond(controller.withdraw(UpstreamStart(upstream_id, 0)))
+            withdrawn = await controller.withdraw(
+                UpstreamStart(upstream_id, 0)
+            )
+            if isinstance(withdrawn, Err):
+                return _respond(withdrawn.err_value)
+            return (200 if withdrawn.ok_value else 503), b"{}"
         return 404, b"{}"
 
     return build_json_app(handle)
--- a/hornbeamyard/process/interface.py
+++ b/hornbeamyard/process/interface.py
@@ -8,6 +8,8 @@
 from http import HTTPStatus
 from typing import Any, Protocol
 
+from result import Result
+
 from ..pool.upstream_registry import Upstream, UpstreamStart
 from ..request.headers import HeaderCodec
 from ..version.routing import RoutingDecoder, decode_routing
@@ -71,7 +73,9 @@
             Why it isn't recorded; empty if it is.
         """
 
-    def withdraw(self, start: UpstreamStart) -> list[Finding]:
+    async def withdraw(
+        self, start: UpstreamStart
+    ) -> Result[bool, list[Finding]]:
         """Remove an upstream that leaves.
 
         Parameters
@@ -81,8 +85,10 @@
 
         Returns
         -------
-        list of Finding
-            Why the upstream isn't removed; empty if it is.
+        Result of bool or list of Finding
+            Whether the end is known beyond this controller, so that it
+            stands if the controller fails. The error says why the upstream
+            isn't removed.
         """
 
 
--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -10,7 +10,7 @@
 import anyio.abc
 import grpc.aio
 import logbook
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from ..connection import peers
 from ..connection.directory import Directory
@@ -273,9 +273,27 @@
             )
         return self._pools
 
-    def withdraw(self, start: UpstreamStart) -> list[Finding]:
-        """Remove an upstream that leaves; return why not, if so."""
+    async def withdraw(
+        self, start: UpstreamStart
+    ) -> Result[bool, list[Finding]]:
+        """Remove an upstream that leaves.
+
+        Returns
+        -------
+        Result of bool or list of Finding
+            See `Directory.withdraw`. The error says why the upstream isn't
+            removed.
+        """
         findings = check_start(start)
-        if not findings:
-            self.directory.withdraw(start.id, start.started_ms)
-        return findings
+        if findings:
+            return Err(findings)
+        is_confirmed = await self.directory.withdraw(
+            start.id, start.started_ms
+        )
+        if not is_confirmed:
+            _log.warning(
+                "no router has confirmed the end of upstream {} started_ms={}",
+                start.id,
+                start.started_ms,
+            )
+        return Ok(is_confirmed)
--- a/hornbeamyard/tests/test_controller_app.py
+++ b/hornbeamyard/tests/test_controller_app.py
@@ -80,6 +80,8 @@
             UpstreamState.DRAINING,
         ]
         assert controller.withdrawn == [("u1", 0)]
+        controller.is_confirmed = False
+        assert call(controller, "DELETE", path)[0] == 503
 
     @pytest.mark.parametrize(
         "change",
--- a/hornbeamyard/tests/test_directory.py
+++ b/hornbeamyard/tests/test_directory.py
@@ -15,6 +15,7 @@
 import anyio.abc
 import httpcore
 import pytest
+from result import Ok
 
 from hornbeamyard.connection.directory import LEARN_INTERVAL_S, Directory
 from hornbeamyard.messages import fleet_pb2
@@ -390,6 +391,110 @@
         run_fleet(tmp_path, test)
 
 
+class TestEndOfUpstream:
+    """An acknowledged end of an upstream outlives the controller."""
+
+    def test_reaches_routers_of_other_controllers(
+        self, tmp_path: Path
+    ) -> None:
+        """Guards against requests after an end that a controller took along.
+
+        The controller that acknowledges it has lost touch with one of the
+        routers, and is killed then.
+        """
+
+        async def test(fleet: Fleet) -> None:
+            fleet.start_router()
+            router = fleet.router
+            assert router is not None
+            further, address = fleet.start_further_router("r2")
+            async with run_raw_upstream(send_response()) as raw:
+                await fleet.submit(7)
+                upstream = build_upstream("u1", raw.port, "app")
+                upstream.started_ms = 5
+                for registrar in fleet.registrars.values():
+                    registrar.announce(replace(upstream))
+                await fleet.wait(lambda: router.is_ready())
+                await fleet.wait(further.is_ready)
+                directory = fleet.registrars[0].directory
+                [lost] = [s for s in directory._subscribers if "r2/" in s.name]
+                directory._subscribers.discard(lost)
+                start = UpstreamStart("u1", 5)
+                asked_at = anyio.current_time()
+                withdrawn = await fleet.registrars[0].withdraw(start)
+                assert withdrawn == Ok(True)
+                assert anyio.current_time() - asked_at < 1.0
+                fleet.stops[0].set()
+                await anyio.sleep(1.5)
+                fleet.router_address = address
+                assert (await ask(fleet, "/read/1"))[0] == 503
+                assert raw.received == []
+                # Asked again, another controller confirms it at once.
+                withdrawn = await fleet.registrars[1].withdraw(start)
+                assert withdrawn == Ok(True)
+
+        run_fleet(tmp_path, test)
+
+    def test_needs_a_router_of_another_host(self) -> None:
+        """Guards against an acknowledgement that ends with its host.
+
+        A report on an earlier start confirms nothing either.
+        """
+
+        async def test() -> None:
+            directory = build_directory(FakeReplica(), MonotonicTimers())
+            upstream = build_upstream("u1", 9, "app")
+            directory.announce(replace(upstream, started_ms=6))
+            report = fleet_pb2.RouterUsage()
+            leaving = report.leaving.add(id="u1", started_ms=6)
+            directory.handle_usage(directory.attach("c0/1"), report)
+            assert not await directory.withdraw("u1", 6)
+            leaving.started_ms = 5
+            other = directory.attach("r1/1")
+            directory.handle_usage(other, report)
+            assert not await directory.withdraw("u1", 6)
+            leaving.started_ms = 6
+            directory.handle_usage(other, report)
+            assert await directory.withdraw("u1", 6)
+
+        with pytest.MonkeyPatch.context() as patch:
+            module = "hornbeamyard.connection.directory"
+            patch.setattr(f"{module}.CONFIRMATION_TIMEOUT_S", 0.05)
+            patch.setattr(Directory, "_is_only_controller", lambda _: False)
+            anyio.run(test)
+
+    def test_late_announcement(self) -> None:
+        """Guards against a first announcement that was sent before the end."""
+        timers = VirtualTimers(start=100.0)
+        directory = build_directory(FakeReplica(), timers)
+        report = fleet_pb2.RouterUsage()
+        report.leaving.add(id="u1", started_ms=5)
+        directory.handle_usage(directory.attach("r1/1"), report)
+        upstream = build_upstream("u1", 9, "app")
+        for started_ms, state in (
+            (5, UpstreamState.DRAINING),
+            (6, UpstreamState.READY),
+        ):
+            directory.announce(replace(upstream, started_ms=started_ms))
+            known = directory.registry.get("u1")
+            assert known is not None
+            assert known.state is state
+
+    def test_forgets_reports(self) -> None:
+        """Guards against memory for each upstream that ever left."""
+        timers = VirtualTimers(start=100.0)
+        directory = build_directory(FakeReplica(), timers)
+        subscriber = directory.attach("r1/1")
+        for number in range(100):
+            report = fleet_pb2.RouterUsage()
+            report.leaving.add(id=f"u{number}", started_ms=5)
+            directory.handle_usage(subscriber, report)
+        directory._forget_leaving(100.0)
+        assert len(directory._leaving) == 100
+        directory._forget_leaving(300.0)
+        assert not directory._leaving
+
+
 class TestPlannedStop:
     """A router that stops under load answers what it has accepted."""
 
@@ -591,6 +696,7 @@
     """A replica that can be made the leader."""
 
     def __init__(self) -> None:
+        self.host = "c0"
         self.leads = False
 
     def is_leader(self) -> bool:
@@ -805,7 +911,7 @@
                 fleet.registrars[0].announce(upstreams[0])
                 await fleet.wait(router.is_ready)
                 began = await read_stream(fleet.router_address, "q1", 2)
-                fleet.registrars[0].withdraw(UpstreamStart("u0", 0))
+                await fleet.registrars[0].withdraw(UpstreamStart("u0", 0))
                 fleet.registrars[1].announce(upstreams[1])
                 await anyio.sleep(0.6)
                 await restart_all(fleet, upstreams[1])
--- a/hornbeamyard/tests/test_platform.py
+++ b/hornbeamyard/tests/test_platform.py
@@ -8,7 +8,7 @@
 
 import anyio
 import pytest
-from result import Err
+from result import Err, Ok, Result
 
 from hornbeamyard.platform.calls import build_app
 from hornbeamyard.platform.configuration import decode_configuration
@@ -262,6 +262,7 @@
         self.withdrawn: list[tuple[str, int]] = []
         self.submitted = SubmissionResult(version=3)
         self.document: bytes | None = b"{}"
+        self.is_confirmed = True
 
     async def submit_routing(self, document: bytes) -> SubmissionResult:
         """Return the prepared result."""
@@ -276,10 +277,12 @@
         self.announced.append(upstream)
         return []
 
-    def withdraw(self, start: UpstreamStart) -> list[Finding]:
+    async def withdraw(
+        self, start: UpstreamStart
+    ) -> Result[bool, list[Finding]]:
         """Record an upstream that leaves."""
         self.withdrawn.append((start.id, start.started_ms))
-        return []
+        return Ok(self.is_confirmed)
 
 
 def call(
@@ -402,3 +405,10 @@
         status, _ = call(controller, "POST", "/Instances.Deregister/i-1", body)
         assert status == 200
         assert controller.withdrawn == [("i-1", expected)]
+
+    def test_unconfirmed_deregistration(self) -> None:
+        """Guards against a farewell that no other process knows of."""
+        controller = FakeController()
+        controller.is_confirmed = False
+        path = "/Instances.Deregister/i-1"
+        assert call(controller, "POST", path)[0] == 503
