Release the buffered start of a response as it is sent

The first 256 KB of a response stay in the router until they are complete or too many. A larger response kept them until its end, and passed them to the server in one piece, which a slow caller held a second time in the connection's write buffer. They are now sent chunk by chunk, each released before the next one.

This is a part of the memory that slow readers take; there is still no bound on the total of all responses.

--- a/hornbeamyard/request/relay.py
+++ b/hornbeamyard/request/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -315,7 +316,7 @@
         send: Callable[..., Awaitable[None]],
     ) -> AttemptResult:
         """Forward a body; buffer it until it is complete or too large."""
-        buffered: list[bytes] = []
+        buffered: deque[bytes] = deque()
         size = 0
         async for chunk in response.iter_chunks():
             self._observer.record_chunk()
@@ -326,11 +327,14 @@
             size += len(chunk)
             if size > MAX_BUFFERED_RESPONSE_BYTES:
                 await self._send_head(response.status, headers, send)
-                await _send_body(send, b"".join(buffered))
+                # A slow caller holds only what it hasn't been sent yet.
+                while buffered:
+                    await _send_body(send, buffered.popleft())
         if self._progress.started:
             await _send_body(send, b"", more=False)
             return AttemptResult(AttemptOutcome.COMPLETED)
         body = b"".join(buffered)
+        buffered.clear()
         self._progress.started = True
         await send_buffered_response(
             send, BufferedResponse(response.status, headers, body)
