Trust nothing recorded about a start that has ended

Two of four upstreams crashed and started again under their ids and addresses with newer software, and their first announcements came 2 s late.

Cause: a router takes the version of an upstream from its last announcement, and connections name it by its id, which the new start has too. The router had seen the streams break off and new connections being refused, but used that only to find requests that crash upstreams and to avoid the upstream for half a second, not where it asks which version runs there.

A start counts as ended once a new connection is refused, or closed at once in a check after a broken response, or another router tells of its crash. Until another start is announced, no stream goes on there, not even on a connection that was being opened; a stream that begins there has an unknown version, which is reported to the controllers; and its cached parts are forgotten. A response that breaks off after more than 2 s leads to a check too. At most one such check of a start runs at a time, as connections cost.

Why streams aren't lost by it: a connection that breaks doesn't count, nor a reset of all of them, nor a refused connection to a start that no request has reached. A start that is wrongly taken for ended counts again once it is announced when no announcement from before can arrive any more.

Ruled out: all connections breaking at once as a sign by itself (resets of connections look the same), the ledger of crashes (it keeps only crashes with suspects, for an hour), X-Expect-Instance (the id is the same).

--- a/hornbeamyard/connection/stream_reports.py
+++ b/hornbeamyard/connection/stream_reports.py
@@ -7,6 +7,7 @@
 import anyio
 
 from ..messages import fleet_pb2
+from ..pool.ended_starts import UNKNOWN_VERSION
 from ..pool.stream_origins import BegunStream, StreamOrigin, StreamOrigins
 from ..pool.upstream_registry import UpstreamRegistry
 from ..process.timers import Timers
@@ -20,7 +21,8 @@
     """Records the streams that a router begins, and reports them.
 
     Streams that can go on at any upstream of their route are recorded but not
-    reported.
+    reported. Those of unknown versions are: other routers would take the only
+    version that they know for theirs.
 
     Parameters
     ----------
@@ -34,12 +36,21 @@
         Pools that share the requests of a route with others.
     """
 
-    __slots__ = ("_changed", "_registry", "_timers", "origins", "split_pools")
+    __slots__ = (
+        "_changed",
+        "_registry",
+        "_timers",
+        "_uncertain_pools",
+        "origins",
+        "split_pools",
+    )
 
     def __init__(self, registry: UpstreamRegistry, timers: Timers) -> None:
         self._changed = anyio.Event()
         self._registry = registry
         self._timers = timers
+        # Pools in which a stream has begun at an unknown version.
+        self._uncertain_pools: set[str] = set()
         self.origins = StreamOrigins()
         self.split_pools: frozenset[str] = frozenset()
 
@@ -48,6 +59,8 @@
         if not request_id:
             return
         self.origins.record(request_id, origin, self._timers.now())
+        if origin.software_version == UNKNOWN_VERSION:
+            self._uncertain_pools.add(origin.pool)
         if self._needs_reports(origin.pool):
             self.notify()
 
@@ -75,7 +88,7 @@
             await self._timers.sleep(COLLECT_INTERVAL_S)
 
     def _needs_reports(self, pool: str) -> bool:
-        if pool in self.split_pools:
+        if pool in self.split_pools or pool in self._uncertain_pools:
             return True
         return len(self._registry.list_versions(pool)) > 1
 
--- a/hornbeamyard/connection/upstreams.py
+++ b/hornbeamyard/connection/upstreams.py
@@ -5,6 +5,7 @@
 import json
 import math
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol
 from urllib.parse import quote
@@ -63,6 +64,9 @@
     ----------
     max_idle : int
         Idle connections kept per upstream.
+    on_refused : callable
+        Called with the address of an upstream that refuses a new connection,
+        or closes it at once when it is checked.
     opened : int
         Connections opened so far.
     """
@@ -73,6 +77,7 @@
         "_idle_timeout_s",
         "_socket_options",
         "max_idle",
+        "on_refused",
         "opened",
     )
 
@@ -92,6 +97,7 @@
                 (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, value)
             )
         self.max_idle = MAX_IDLE_CONNECTIONS
+        self.on_refused: Callable[[str], None] = _ignore_refusal
         self.opened = 0
 
     async def connect(self, address: str) -> Connection:
@@ -134,6 +140,9 @@
             raise TimeoutError(
                 f"no connection within {timeout_s:g} s"
             ) from None
+        except (ConnectionRefusedError, ConnectionResetError):
+            self.on_refused(address)
+            raise
 
     async def has_ended(self, address: str) -> bool:
         """Return whether an upstream refuses new connections.
@@ -153,6 +162,8 @@
             return False
         await anyio.sleep(RELAY_CLOSE_S)
         has_ended = not connection.is_idle()
+        if has_ended:
+            self.on_refused(address)
         await self.release(address, connection, not has_ended)
         return has_ended
 
@@ -199,6 +210,10 @@
             await connection.aclose()
 
 
+def _ignore_refusal(address: str) -> None:
+    """Do nothing, where nobody asks which upstreams have ended."""
+
+
 class WatchedExchange(Protocol):
     """The part of an exchange that the liveness checker uses.
 
--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -21,6 +21,7 @@
 
 from .crashes import CrashLedger
 from .demand import RequestDemand
+from .ended_starts import UNKNOWN_VERSION
 from .engine import (
     MAX_CACHED_PARTS,
     NO_COPY_SOURCE,
@@ -34,7 +35,7 @@
 from .rate_limits import FleetPosition, RateLimiter, RateLimits, divide_rate
 from .shares import Shares
 from .targets import TargetMix
-from .upstream_registry import Upstream, UpstreamState
+from .upstream_registry import Upstream, UpstreamStart, UpstreamState
 from .usage import CachedPart, UpstreamLoad
 
 # Fraction of its target (`RequestDemand.target_s`) for which a request may
@@ -203,12 +204,16 @@
         request's shared parts, from 0; -1 when the parts did not matter.
     copy_from : str
         Address of the engine from which shared parts are copied, or empty.
+    software_version : str
+        Software version of the upstream as it is known at the placement;
+        `UNKNOWN_VERSION` if its last known start has ended.
     """
 
     server: Server
     estimate: Estimate
     rank: int
     copy_from: str = ""
+    software_version: str = ""
 
 
 @dataclass(slots=True, eq=False)
@@ -293,7 +298,8 @@
     limit : callable
         Returns a cancel scope that ends after a number of seconds.
     crashes : CrashLedger, optional
-        Requests and prompt parts that are blocked; without it, none is.
+        Requests and prompt parts that are blocked, and upstreams that have
+        ended; without it, there are none.
     rate_limits : RateLimits, optional
         Rate limits of upstreams; without it, there are none.
 
@@ -446,6 +452,26 @@
         else:
             known.upstream = upstream
 
+    def record_end(self, start: UpstreamStart) -> None:
+        """Forget what an upstream has cached that is known to have ended."""
+        server = self.servers.get(start.id)
+        if isinstance(server, Engine) and server.upstream.start == start:
+            server.forget_parts()
+
+    def has_ended(self, upstream: Upstream) -> bool:
+        """Return whether the last known start of an upstream has ended.
+
+        Another one may accept connections at its address already.
+        """
+        ended = self._crashes.ended
+        return len(ended) > 0 and upstream.start in ended
+
+    def find_version(self, upstream: Upstream) -> str:
+        """Return the software version that an upstream runs now."""
+        if self.has_ended(upstream):
+            return UNKNOWN_VERSION
+        return upstream.software_version
+
     def set_fleet_position(self, position: FleetPosition, now: float) -> None:
         """Divide rate limits by this router's position in the fleet.
 
@@ -490,7 +516,10 @@
         """Record shared parts that engines have prefilled for any router."""
         for cached in parts:
             server = self.servers.get(cached.upstream)
-            if isinstance(server, Engine):
+            # Other routers may report what an ended upstream had cached.
+            if isinstance(server, Engine) and not self.has_ended(
+                server.upstream
+            ):
                 server.record_part(cached.part, now)
 
     def has_headroom(self, now: float, fraction: float = 1.0) -> bool:
@@ -686,6 +715,8 @@
         One that leaves may be the last of its software version, so it still
         takes streams that have begun at that version.
         """
+        if not self._may_run(server.upstream, demand):
+            return False
         if server.accepts_requests(now):
             return True
         drain_s = self.upstream_drain_s * STREAM_DRAIN_FRACTION
@@ -693,6 +724,17 @@
         has_begun = demand.software_version is not None
         return has_begun and server.still_serves(now, drain_s)
 
+    def _may_run(self, upstream: Upstream, demand: RequestDemand) -> bool:
+        """Return whether an upstream has the version and the model."""
+        if demand.software_version is not None and (
+            demand.software_version != upstream.software_version
+            or self.has_ended(upstream)
+        ):
+            return False
+        if not demand.model or not upstream.models:
+            return True
+        return demand.model in upstream.models
+
     def _list_usable(
         self, demand: RequestDemand, now: float, excluded: frozenset[str]
     ) -> list[Server]:
@@ -700,7 +742,7 @@
             server
             for server in self.servers.values()
             if server.id not in excluded
-            and _may_run(server.upstream, demand)
+            and self._may_run(server.upstream, demand)
             and not server.compute_rate_wait(now)
         ]
         willing = [s for s in able if s.accepts_requests(now)] or [
@@ -784,7 +826,8 @@
             # Equal costs are common; a random part below 1 ms keeps routers
             # from all choosing the same upstream.
             cost += self._draw()
-            placement = Placement(server, estimated, rank, copy_from)
+            version = self.find_version(server.upstream)
+            placement = Placement(server, estimated, rank, copy_from, version)
             candidates.append((cost, placement))
         return candidates
 
@@ -1024,7 +1067,7 @@
             if server.limiter is not None
             and server.is_usable(now)
             and server.id not in excluded
-            and _may_run(server.upstream, demand)
+            and self._may_run(server.upstream, demand)
         ]
         if not limited:
             return None
@@ -1043,7 +1086,7 @@
             if server.upstream.state is UpstreamState.READY
             and server.paused_until > now
             and server.id not in excluded
-            and _may_run(server.upstream, demand)
+            and self._may_run(server.upstream, demand)
         ]
         return min(paused_until, default=None)
 
@@ -1168,14 +1211,6 @@
     return source.get_part_used_at(part) > server.get_part_used_at(part)
 
 
-def _may_run(upstream: Upstream, demand: RequestDemand) -> bool:
-    if demand.software_version not in (None, upstream.software_version):
-        return False
-    if not demand.model or not upstream.models:
-        return True
-    return demand.model in upstream.models
-
-
 def _compute_urgency(demand: RequestDemand) -> tuple[object, ...]:
     """Return a sort key: retrying callers first, then by priority."""
     return (
--- a/hornbeamyard/pool/crashes.py
+++ b/hornbeamyard/pool/crashes.py
@@ -23,6 +23,7 @@
 from dataclasses import dataclass, field
 
 from .digests import is_digest
+from .ended_starts import EndedStarts
 from .upstream_registry import UpstreamStart
 
 # An upstream crashes as it begins to answer. A request whose answer has gone
@@ -192,6 +193,8 @@
     ----------
     blocked : dict of str to Block
         By suspect.
+    ended : EndedStarts
+        Starts of which nothing that is recorded counts any more.
     number : int
         Number of the newest change; 0 before the first crash.
     """
@@ -205,6 +208,7 @@
         "_probes",
         "_suspect_count",
         "blocked",
+        "ended",
         "number",
     )
 
@@ -224,6 +228,7 @@
         self._open_counts: Counter[str] = Counter()
         self._candidates: set[str] = set()
         self.blocked: dict[str, Block] = {}
+        self.ended = EndedStarts()
         self.number = 0
 
     def __len__(self) -> int:
--- a/hornbeamyard/pool/engine.py
+++ b/hornbeamyard/pool/engine.py
@@ -84,6 +84,8 @@
     limiter : RateLimiter or None
         Bounds the rate of requests of this router; None without a limit.
     failures_in_row : int
+    was_reached : bool
+        Whether a request was sent to this start.
     """
 
     upstream: Upstream
@@ -95,6 +97,7 @@
     paused_until: float = 0.0
     limiter: RateLimiter | None = None
     failures_in_row: int = 0
+    was_reached: bool = False
     _recent_responses: float = 0.0
     _recent_failures: float = 0.0
 
@@ -208,6 +211,11 @@
         """Return when a part was last used, or minus infinity."""
         return self._part_used_at.get(part, float("-inf"))
 
+    def forget_parts(self) -> None:
+        """Forget the cached parts, as the engine has lost them."""
+        self._part_used_at.clear()
+        self._part_reported_at.clear()
+
     def record_parts(self, demand: RequestDemand, now: float) -> list[str]:
         """Record that the engine prefills a prompt.
 
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -138,6 +138,7 @@
         "_calls",
         "_connection_limits",
         "_interface",
+        "_max_announcement_delay_s",
         "_server",
         "_settings",
         "_shares",
@@ -176,6 +177,9 @@
         # When the fleet's usage came last; None before the first one.
         self._usage_at: float | None = None
         self._interface = interface
+        self._max_announcement_delay_s = (
+            directory.announcement_interval_s * MAX_MISSED_ANNOUNCEMENTS
+        )
         self._settings = settings
         self._shares = Shares(
             window_s=directory.share_window_s * DEMAND_WINDOW_FRACTION
@@ -211,7 +215,7 @@
             self._apply_fleet_usage,
             self.notices.crashes,
             self.notices.limits,
-            directory.announcement_interval_s * MAX_MISSED_ANNOUNCEMENTS,
+            self._max_announcement_delay_s,
         )
         self.forwarder = Forwarder(
             self,
@@ -528,6 +532,9 @@
     async def _run_maintenance(self) -> None:
         async for now in self._timers.subscribe(MAINTENANCE_INTERVAL_S):
             assumed = self._count_assumed_routers(now)
+            self.notices.release_starts(
+                self.subscription.registry, self._max_announcement_delay_s
+            )
             for balancer in self._balancers.values():
                 balancer.assumed_routers = assumed
                 balancer.start_waiting(now)
--- a/hornbeamyard/process/upstream_notices.py
+++ b/hornbeamyard/process/upstream_notices.py
@@ -4,17 +4,28 @@
 
 from collections.abc import Collection, Iterable, Iterator, Mapping
 
+import anyio
+
 from ..connection.crash_reports import CrashReports
 from ..connection.limit_reports import LimitReports
 from ..connection.upstreams import UpstreamConnections
 from ..pool.balancer import Balancer
 from ..pool.crashes import Crash
 from ..pool.digests import is_digest
-from ..pool.upstream_registry import Upstream, UpstreamStart, UpstreamState
+from ..pool.upstream_registry import (
+    Upstream,
+    UpstreamRegistry,
+    UpstreamStart,
+    UpstreamState,
+)
 from .decisions import DecisionLog
 from .metrics import Sample
 from .timers import Timers
 
+# A crash of which another router tells later than this doesn't count as the
+# end of the start. It may have been announced again meanwhile.
+MAX_CRASH_AGE_S = 2.0
+
 
 class UpstreamNotices:
     """Crashes and rate limits of upstreams, as a router sees and learns them.
@@ -37,6 +48,7 @@
     __slots__ = (
         "_balancers",
         "_blocked",
+        "_checked",
         "_decisions",
         "_timers",
         "_upstreams",
@@ -54,9 +66,12 @@
     ) -> None:
         self._balancers = balancers
         self._blocked: set[str] = set()
+        # Starts that are being checked.
+        self._checked: set[UpstreamStart] = set()
         self._decisions = decisions
         self._timers = timers
         self._upstreams = upstreams
+        upstreams.on_refused = self._handle_refusal
         self.crashes = CrashReports(host, timers, self._handle_crashes)
         self.limits = LimitReports(timers, self._handle_limit)
 
@@ -87,11 +102,47 @@
         )
         if upstream.state is not UpstreamState.READY and not is_replaced:
             # One that leaves ends by itself.
+            await self.check_end(upstream)
             return
         await self.crashes.record_broken(
             upstream.start, address, suspects, sent_at, self._upstreams
         )
 
+    async def check_end(self, upstream: Upstream) -> None:
+        """Find out whether an upstream has ended that broke off a response.
+
+        `_handle_refusal` records it.
+        """
+        start = upstream.start
+        if start in self.crashes.ledger.ended or start in self._checked:
+            return
+        self._checked.add(start)
+        try:
+            # The end counts also if the caller disconnects meanwhile.
+            with anyio.CancelScope(shield=True):
+                await self._upstreams.has_ended(f"http://{upstream.address}")
+        finally:
+            self._checked.discard(start)
+
+    def release_starts(
+        self, registry: UpstreamRegistry, max_delay_s: float
+    ) -> None:
+        """Count upstreams again that were announced since they had ended.
+
+        Parameters
+        ----------
+        registry : UpstreamRegistry
+        max_delay_s : float
+            Time in seconds by which announcements may be late.
+        """
+        ended = self.crashes.ledger.ended
+        for start in ended.release(registry, self._timers.now(), max_delay_s):
+            self._decisions.note(
+                "upstream_goes_on",
+                upstream=start.id,
+                started_ms=start.started_ms,
+            )
+
     def record_states(self, changed: Iterable[Upstream]) -> None:
         """Record which upstreams have started, leave or have ended.
 
@@ -140,8 +191,31 @@
         self.divide_limits()
         self._start_waiting()
 
+    def _handle_refusal(self, address: str) -> None:
+        """Record the end of the start at an address.
+
+        One that no request has reached may not listen yet.
+        """
+        for balancer in self._balancers.values():
+            for server in list(balancer.servers.values()):
+                is_there = f"http://{server.upstream.address}" == address
+                if is_there and server.was_reached:
+                    self._record_end(server.upstream.start)
+
+    def _record_end(self, start: UpstreamStart) -> None:
+        """Count nothing any more that is recorded about a start."""
+        if not self.crashes.ledger.ended.record(start):
+            return
+        self._decisions.note(
+            "upstream_ended", upstream=start.id, started_ms=start.started_ms
+        )
+        for balancer in self._balancers.values():
+            balancer.record_end(start)
+
     def _handle_crashes(self, changed: list[Crash]) -> None:
         for crash in changed:
+            if self._timers.now() - crash.crashed_at <= MAX_CRASH_AGE_S:
+                self._record_end(crash.upstream)
             suspects = crash.list_open()
             self._decisions.note(
                 "upstream_crashed",
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -453,7 +453,6 @@
             if isinstance(placement, Refusal):
                 await self._send_refusal(request, placement, send)
                 return
-            software_version = placement.server.upstream.software_version
             result = await self._attempt(request, balancer, placement, send)
             request.demand.is_probe = False
             if result.outcome is AttemptOutcome.COMPLETED:
@@ -461,7 +460,7 @@
                 return
             if request.progress.started:
                 # Events of different software versions don't fit together.
-                request.demand.software_version = software_version
+                request.demand.software_version = placement.software_version
             balancer.start_waiting(self._timers.now())
             if not self._may_retry(request, result, budget):
                 await self._send_failure(request, result, send)
@@ -512,7 +511,7 @@
         self._reporter.report_placed(request, placement, version, shares)
         if request.route.resumable:
             origin = StreamOrigin(
-                request.pool.name, server.upstream.software_version
+                request.pool.name, placement.software_version
             )
             self._router.record_stream(request.stream_id(), origin)
         meter = AttemptMeter(
@@ -539,6 +538,7 @@
         finally:
             if relay.sent:
                 request.attempts += 1
+                server.was_reached = True
             meter.finish()
         await self._record_result(request, server, result, started_at)
         return result
@@ -618,6 +618,7 @@
         answered_ms = elapsed_ms - request.first_event_ms
         if request.first_event_ms and answered_ms >= SUSPICION_S * 1000:
             self._router.notices.record_answer(suspects)
+            await self._router.notices.check_end(server.upstream)
             return
         await self._router.notices.record_broken(
             server.upstream, suspects, sent_at
--- a/hornbeamyard/request/meter.py
+++ b/hornbeamyard/request/meter.py
@@ -78,6 +78,10 @@
         if self._balancer.is_blocked(demand):
             return False
         server = self._placement.server
+        version = self._balancer.find_version(server.upstream)
+        if version != self._placement.software_version:
+            # The stream would be recorded with another version.
+            return False
         return self._balancer.may_send(server, demand, self._timers.now())
 
     def record_head(
--- a/hornbeamyard/tests/raw_upstream.py
+++ b/hornbeamyard/tests/raw_upstream.py
@@ -117,9 +117,13 @@
 
 
 @asynccontextmanager
-async def run_raw_upstream(*scripts: Script) -> AsyncIterator[RawUpstream]:
-    """Run an upstream that responds as scripts say."""
-    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+async def run_raw_upstream(
+    *scripts: Script, port: int = 0
+) -> AsyncIterator[RawUpstream]:
+    """Run an upstream that responds as scripts say, at any port with 0."""
+    listener = await anyio.create_tcp_listener(
+        local_host="127.0.0.1", local_port=port
+    )
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     upstream = RawUpstream(port, list(scripts))
     async with anyio.create_task_group() as tasks:
--- a/hornbeamyard/tests/test_stream_reports.py
+++ b/hornbeamyard/tests/test_stream_reports.py
@@ -14,6 +14,7 @@
 from hornbeamyard.connection.stream_reports import StreamReports
 from hornbeamyard.messages import fleet_pb2
 from hornbeamyard.pool import stream_origins
+from hornbeamyard.pool.ended_starts import UNKNOWN_VERSION
 from hornbeamyard.pool.stream_origins import (
     RETENTION_S,
     StreamOrigin,
@@ -145,6 +146,23 @@
 
         self.run(test)
 
+    def test_unknown_version(self) -> None:
+        """Guards against a stream that is taken for one of the only version.
+
+        It began at an upstream whose last known start had ended.
+        """
+
+        async def test(
+            reports: StreamReports,
+            registry: UpstreamRegistry,
+            sent: list[dict[str, str]],
+        ) -> None:
+            reports.record("q1", StreamOrigin("app", UNKNOWN_VERSION))
+            await anyio.sleep(0.1)
+            assert sent == [{"q1": UNKNOWN_VERSION}]
+
+        self.run(test)
+
     def test_new_controller_gets_all(self) -> None:
         """Guards against streams that are unknown to a new controller."""
 
