Withdraw requests from a start that another one has replaced

A request could be sent to another start than the one at which it was placed, if that one was announced while the connection was being opened: a resumed stream went on at the new software version, and a new stream was recorded with the old one. Found by reading, not seen in a play.

Cause: the balancer replaced its record of the upstream, but the request kept the old one, which still said that the upstream was ready. An upstream that is gone was marked in such records already; one that is replaced is marked the same way now, so the request is placed anew.

Test: test_next_start_is_announced_while_connecting, 2 of 2 failed before.

--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -13,7 +13,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from contextlib import AbstractContextManager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from statistics import median
 
@@ -447,10 +447,14 @@
                 gone.upstream = upstream
             return
         known = self.servers.get(upstream.id)
-        if known is None or known.upstream.started_ms != upstream.started_ms:
-            self.servers[upstream.id] = self._build(upstream)
-        else:
-            known.upstream = upstream
+        if known is not None:
+            if known.upstream.started_ms == upstream.started_ms:
+                known.upstream = upstream
+                return
+            # For requests that are placed but not sent yet, as the new start
+            # may listen at the same address.
+            known.upstream = replace(known.upstream, state=UpstreamState.GONE)
+        self.servers[upstream.id] = self._build(upstream)
 
     def record_end(self, start: UpstreamStart) -> None:
         """Forget what an upstream has cached that is known to have ended."""
--- a/hornbeamyard/tests/test_ended_starts.py
+++ b/hornbeamyard/tests/test_ended_starts.py
@@ -191,6 +191,37 @@
 
         run(test, [send_events(1, 6)], [send_events(1, 6)])
 
+    @pytest.mark.parametrize("is_resumed", [True, False])
+    def test_next_start_is_announced_while_connecting(
+        self, monkeypatch: pytest.MonkeyPatch, is_resumed: bool
+    ) -> None:
+        """Guards against a request that was placed at the start before."""
+
+        async def test(harness: Harness) -> None:
+            harness.set_software_versions("v1")
+            old = harness.balancer.servers["u0"].upstream
+            new = replace(old, started_ms=2, software_version="v2")
+            connect = UpstreamConnections.connect
+
+            async def connect_late(
+                connections: UpstreamConnections, address: str
+            ) -> Connection:
+                connection = await connect(connections, address)
+                harness.balancer.apply_upstream(new)
+                return connection
+
+            monkeypatch.setattr(UpstreamConnections, "connect", connect_late)
+            if is_resumed:
+                assert (await resume(harness)).status == 503
+                assert not list_upstreams(harness)[0].received
+                return
+            received = await harness.send_request("/chat/1")
+            assert received.is_complete
+            origin = harness.origins.find("r-1")
+            assert origin == StreamOrigin("app", "v2")
+
+        run(test, [send_events(1, 6)])
+
     def test_new_stream_has_no_known_version(self) -> None:
         """Guards against a new stream recorded with the old version."""
 
