Found a cluster again by all votes instead of leaving out lost voters

What operators would see: an acknowledged version is read older, or is gone, when controllers are split while the cluster still grows and others lose their disks, after two foundings at once, or when a member can't read its disk.

Cause: where no majority could reply, a candidate left out the voters whose hosts had other folders. It judged that by the member list that it knew. A majority of the next list needn't include one of the remaining voters, and another founding knows other members altogether.

Ruled out: requiring majorities of both lists for a commit while a list is new.

Change: the exception is gone. After 5 s without a leader, a member that reaches all known controllers, 2f + 1 at least, asks them for their votes and founds the cluster again with its log; whoever holds a newer log refuses. A first list is recorded as established once it is committed, and before any other change of members, so that foundings by f + 1 votes end there; before, the log had to tell from its entries.

--- a/hornbeamyard/tests/test_founding.py
+++ b/hornbeamyard/tests/test_founding.py
@@ -114,9 +114,14 @@
             for address in votes
         }
         ballot = FoundingBallot(
-            first_start + later, first_start, "abc", 5, granted
+            first_start + later, first_start, "abc", 5, votes=granted
         )
         assert ballot.is_won() is is_won
+        # Where a cluster has been established, all have to agree.
+        ballot.needs_all = True
+        assert ballot.is_won() is (
+            len(votes) == len(first_start + later) and len(votes) >= 5
+        )
 
 
 class TestPlanMemberChange:
--- a/hornbeamyard/tests/test_membership.py
+++ b/hornbeamyard/tests/test_membership.py
@@ -110,46 +110,21 @@
         assert changed.required_voters == 5
 
 
-class TestExcludesLost:
-    """Voters that have lost their folders don't block the others for good."""
+class TestEstablish:
+    """A list of a founding is established before its members change."""
 
-    @pytest.mark.parametrize(
-        ("members", "lost", "is_enough"),
-        [
-            (("a", "b"), "b", True),
-            (("a", "b", "c", "d"), "cd", True),
-            (("a", "b", "c", "d"), "bcd", False),
-            (("a", "b", "c"), "bc", False),
-            (("a", "b", "c", "d", "e"), "de", True),
-            (("a", "b", "c", "d", "e"), "cde", False),
-        ],
-    )
-    def test_all_others_reply(
-        self, members: tuple[str, ...], lost: str, is_enough: bool
-    ) -> None:
-        """Guards against a log that is intact but can't be used any more."""
-        replies = {
-            name: build_reply("emptied" if name in lost else name)
-            for name in members
-        }
-        found = find_majority(build_members(*members), replies, True)
-        assert (found == 10) is is_enough
-
-    def test_silent_voter(self) -> None:
-        """Guards against two leaders: the silent voter may have voted."""
-        members = build_members("a", "b", "c", "d")
-        replies = {"a": build_reply("a"), "c": build_reply("emptied")}
-        replies["d"] = build_reply("emptied")
-        assert find_majority(members, replies, True) == NEVER
-
-    def test_fewer_members_than_required(self) -> None:
-        """Guards against a change on three disks that no one can read."""
+    def test_first_step(self) -> None:
+        """Guards against members that another founding doesn't count."""
         members = build_members("a", "b", "c")
         members.required_voters = 5
-        replies = {name: build_reply("emptied") for name in "bc"}
-        replies["a"] = build_reply("a")
-        assert find_majority(members, replies) == NEVER
-        assert find_majority(members, replies, True) == 10
+        replies = {"a": build_reply("a"), "b": build_reply("emptied")}
+        step = plan_step(members, replies, 10)
+        assert step is not None
+        assert step.established
+        assert [m.host for m in step.members] == ["a", "b", "c"]
+        step = plan_step(step, replies, 10)
+        assert step is not None
+        assert [m.host for m in step.members] == ["a", "b", "c", "b"]
 
 
 @pytest.mark.requirement("R14", fault="disk emptied")
--- a/hornbeamyard/version/election.py
+++ b/hornbeamyard/version/election.py
@@ -173,22 +173,15 @@
         addresses = membership.find_addresses(journal.members)
         addresses.pop(replica.host, None)
 
-        def has_majority() -> bool:
-            is_settled = journal.is_settled()
-            votes = membership.find_majority(
-                journal.members, replies, is_settled
-            )
-            return votes > 0
-
         async def ask(host: str, address: str) -> None:
             reply = await replica.calls.vote(address, request)
             if reply is None:
                 return
             if reply.term > replica.term:
                 replica.observe_term(reply.term)
-            vote = 1.0 if reply.granted else NEVER
-            replies[host] = MemberReply(reply.disk, reply.initial, vote)
-            if has_majority():
+            if reply.granted:
+                replies[host] = MemberReply(reply.disk, reply.initial, 1.0)
+            if membership.find_majority(journal.members, replies) > 0:
                 tasks.cancel_scope.cancel()
 
         with replica.timers.limit(self._vote_timeout_s) as limit:
@@ -199,7 +192,7 @@
             self._vote_timeout_s = min(
                 2 * self._vote_timeout_s, MAX_VOTE_TIMEOUT_S
             )
-        return has_majority()
+        return membership.find_majority(journal.members, replies) > 0
 
     # ---- calls from other members ----------------------------------------
 
@@ -255,7 +248,10 @@
             return False
         if not request.transfer and self.has_recent_leader():
             return False
-        if request.founding and not journal.may_found():
+        # Files that were set aside may have been part of a cluster, so a vote
+        # of this folder must not help to begin an empty log.
+        is_new_log = request.founding and not request.last_index
+        if is_new_log and journal.set_aside:
             return False
         if (request.last_term, request.last_index) < (
             journal.last_term,
--- a/hornbeamyard/version/founding.py
+++ b/hornbeamyard/version/founding.py
@@ -87,6 +87,9 @@
         Addresses that all controllers know at the first start.
     required_members : int
         Number of members that the tolerated losses require.
+    needs_all : bool
+        Whether only the votes of all are enough, as the candidate knows that a
+        cluster has been established.
     votes : dict of str to VoteReply
         Votes that were granted, by address.
     """
@@ -95,6 +98,7 @@
     first_start: Collection[str]
     seeds: Collection[str]
     required_members: int
+    needs_all: bool = False
     votes: dict[str, fleet_pb2.VoteReply] = field(default_factory=dict)
 
     def count_required(self) -> int:
@@ -108,12 +112,15 @@
         A folder of the first start remembers all its votes. Others may belong
         to hosts that have lost a disk with a vote or a log; they count only if
         all controllers vote, and so many that an acknowledged change would be
-        on one of their disks.
+        on one of their disks. That one votes only for a candidate that holds
+        the change as well.
         """
         voted = self.votes.keys() & set(self.known)
         is_unanimous = len(voted) == len(self.known)
         if is_unanimous and len(voted) >= self.required_members:
             return True
+        if self.needs_all:
+            return False
         remembered = {a for a in voted if self.votes[a].initial}
         if len(remembered) < self.count_required():
             return False
@@ -183,6 +190,7 @@
     __slots__ = (
         "_calls",
         "_due_at",
+        "_leaderless_since",
         "_logged_at",
         "_repair",
         "_replica",
@@ -208,6 +216,8 @@
         self._timers = timers
         # When this controller may try to found the cluster, if it may.
         self._due_at: float | None = None
+        # When this controller last knew of a leader, or started.
+        self._leaderless_since = timers.now()
         self._logged_at = timers.now()
         self.own = own
         self.known_controllers = KnownControllers(timers)
@@ -231,7 +241,7 @@
         )
         if member is None:
             return ControllerState.STANDBY
-        if not journal.is_settled():
+        if not membership.is_established(journal.members):
             return ControllerState.FOUNDING
         if not member.voter:
             return ControllerState.LEARNER
@@ -252,7 +262,8 @@
                 )
         return fleet_pb2.ControllerList(
             controllers=[controllers[host] for host in sorted(controllers)],
-            founded=self._replica.journal.is_settled(),
+            founded=bool(self._replica.journal.members.members)
+            and not self._replica.journal.may_found(),
         )
 
     async def run(self) -> None:
@@ -320,10 +331,14 @@
         """Return whether the cluster has to be founded as far as known."""
         replica = self._replica
         journal = replica.journal
-        if replica.fault or not journal.may_found() or not self.seeds:
+        if replica.election.has_recent_leader():
+            self._leaderless_since = now
+            return False
+        if replica.fault or not self.seeds:
             return False
-        is_founded_elsewhere = self.known_controllers.has_recent_founded()
-        if is_founded_elsewhere or replica.election.has_recent_leader():
+        if not journal.may_found():
+            return self._may_found_again(now, recent)
+        if self.known_controllers.has_recent_founded():
             return False
         waited_s = now - started_at
         if waited_s >= SEARCH_TIMEOUT_S:
@@ -337,6 +352,22 @@
         settled_s = now - self.known_controllers.changed_at
         return is_complete and settled_s >= SETTLING_TIME_S
 
+    def _may_found_again(
+        self, now: float, recent: Sequence[fleet_pb2.ControllerAddress]
+    ) -> bool:
+        """Return whether an established cluster can't elect a leader again.
+
+        All controllers are reachable then, but so many have lost their disks
+        that a majority of the voters can't reply any more.
+        """
+        if not self._replica.journal.last_index:
+            return False
+        reachable = {controller.address for controller in recent}
+        is_complete = len(reachable) >= self._required_members
+        if not is_complete or not reachable.issuperset(self._list_addresses()):
+            return False
+        return now - self._leaderless_since >= SEARCH_TIMEOUT_S
+
     def _find_turn(self, recent: Sequence[fleet_pb2.ControllerAddress]) -> int:
         """Return how many controllers found the cluster before this one."""
         ordered = sorted(
@@ -377,7 +408,11 @@
             if not controller.first_start
         }
         ballot = FoundingBallot(
-            known, known - later, self.seeds, self._required_members
+            known,
+            known - later,
+            self.seeds,
+            self._required_members,
+            needs_all=not replica.journal.may_found(),
         )
         term = await replica.jobs.execute(self._start_term)
         if term:
@@ -404,7 +439,7 @@
         """Vote for this controller in a new term; return it, or 0."""
         replica = self._replica
         journal = replica.journal
-        if not journal.may_found() or replica.election.has_recent_leader():
+        if replica.election.has_recent_leader():
             return 0
         term = replica.term + 1
         is_stored = await replica.persist(
@@ -462,11 +497,10 @@
         journal = replica.journal
         if replica.term != term or journal.voted_for != journal.disk_id:
             return False
-        if not journal.may_found():
-            return False
         voted = [c for c in recent if c.address in ballot.votes]
         members = fleet_pb2.MemberList(
             required_voters=self._required_members,
+            established=ballot.needs_all,
             members=[
                 fleet_pb2.Member(
                     host=controller.host,
--- a/hornbeamyard/version/journal.py
+++ b/hornbeamyard/version/journal.py
@@ -295,24 +295,16 @@
         return None
 
     def may_found(self) -> bool:
-        """Return whether this folder may take part in a founding.
+        """Return whether a founding may replace what this folder holds.
 
-        It may not if it holds entries that are known to be committed, or held
-        files that were set aside: these may have been part of a cluster.
+        It may not if the member list is known to be committed, or if files
+        were set aside, which may have been part of a cluster.
         """
-        return not (self.set_aside or self.is_settled())
-
-    def is_settled(self) -> bool:
-        """Return whether the log shows that its first entries are committed.
-
-        Leaders append other entries than member lists and no-ops only after
-        an entry of their term is committed, and snapshots hold only committed
-        entries.
-        """
-        return bool(self.snapshot.last_index) or any(
-            entry.WhichOneof("command") not in ("members", "noop")
-            for entry in self.entries
+        members = self.members
+        is_open = not members.members or (
+            members.required_voters > 0 and not members.established
         )
+        return is_open and not self.set_aside
 
     def _refresh_members(self) -> None:
         """Set `members` to the newest list in the log or snapshot."""
--- a/hornbeamyard/version/leadership.py
+++ b/hornbeamyard/version/leadership.py
@@ -143,11 +143,14 @@
             self._replica.timers.now(),
             {peer.host: peer.acked_at for peer in self.peers.values()},
         )
-        return self._find_majority(replies) + LEASE_S
+        members = self._replica.journal.members
+        return membership.find_majority(members, replies) + LEASE_S
 
     def find_commit_index(self) -> int:
         """Return the index of the newest entry that a majority holds."""
-        index = self._find_majority(self._collect_matches())
+        replies = self._collect_matches()
+        members = self._replica.journal.members
+        index = membership.find_majority(members, replies)
         return 0 if index == membership.NEVER else int(index)
 
     def count_disks(self, index: int) -> int:
@@ -213,12 +216,6 @@
                 )
         return replies
 
-    def _find_majority(self, replies: dict[str, MemberReply]) -> float:
-        journal = self._replica.journal
-        return membership.find_majority(
-            journal.members, replies, journal.is_settled()
-        )
-
     def _collect_matches(self) -> dict[str, MemberReply]:
         return self._collect_replies(
             self._replica.journal.last_index,
--- a/hornbeamyard/version/membership.py
+++ b/hornbeamyard/version/membership.py
@@ -48,49 +48,27 @@
 
 
 def find_majority(
-    members: fleet_pb2.MemberList,
-    replies: Mapping[str, MemberReply],
-    excludes_lost: bool = False,
+    members: fleet_pb2.MemberList, replies: Mapping[str, MemberReply]
 ) -> float:
     """Return the highest value that a majority of voters has reached.
 
-    A voter whose host has replied with another data folder is lost for good.
-    Where so many are lost that no majority can ever reply, all other voters
-    together take its place, provided that each majority before the losses
-    included one of them.
-
-    Parameters
-    ----------
-    members : MemberList
-    replies : mapping of str to MemberReply
-        Replies by host.
-    excludes_lost : bool, optional
-        Whether lost voters may be left out. This is only safe with a member
-        list that descends from a committed one.
-
-    Returns
-    -------
-    float
-        `NEVER` if a majority hasn't replied.
+    It is `NEVER` if a majority hasn't replied. A majority is counted over
+    `required_voters` where there are fewer.
     """
-    voters = [member for member in members.members if member.voter]
-    values: list[float] = []
-    for member in voters:
+    values = []
+    for member in members.members:
+        if not member.voter:
+            continue
         reply = replies.get(member.host)
-        if reply is None:
-            values.append(NEVER)
-        elif is_member_disk(member, reply.disk_id, reply.initial):
+        if reply and is_member_disk(member, reply.disk_id, reply.initial):
             values.append(reply.value)
-        elif not (excludes_lost and member.disk):
+        else:
             values.append(NEVER)
-    size = max(len(voters), members.required_voters)
-    majority = size // 2 + 1
-    if len(values) >= majority:
-        values.sort(reverse=True)
-        return values[majority - 1]
-    is_covered = len(values) > len(voters) - majority
-    has_lost = len(values) < len(voters)
-    return min(values) if has_lost and is_covered else NEVER
+    majority = max(len(values), members.required_voters) // 2 + 1
+    if len(values) < majority:
+        return NEVER
+    values.sort(reverse=True)
+    return values[majority - 1]
 
 
 def list_voters(members: fleet_pb2.MemberList) -> list[str]:
@@ -139,6 +117,14 @@
     return {member.host: member.address for member in members.members}
 
 
+def is_established(members: fleet_pb2.MemberList) -> bool:
+    """Return whether no founding can replace a list, as far as it tells.
+
+    Lists that operators or former releases have written say nothing of it.
+    """
+    return members.established or not members.required_voters
+
+
 def is_voter(
     members: fleet_pb2.MemberList, host: str, disk_id: bytes, initial: bool
 ) -> bool:
@@ -177,6 +163,7 @@
         Index of the last committed entry.
     """
     for plan in (
+        _establish,
         _assign_disk,
         _add_learner,
         _promote_learner,
@@ -189,6 +176,18 @@
     return None
 
 
+def _establish(
+    members: fleet_pb2.MemberList,
+    replies: Mapping[str, MemberReply],
+    commit_index: int,
+) -> bool:
+    """Record that the list is committed, before anything else changes."""
+    if is_established(members):
+        return False
+    members.established = True
+    return True
+
+
 def _assign_disk(
     members: fleet_pb2.MemberList,
     replies: Mapping[str, MemberReply],
@@ -318,6 +317,6 @@
     kept = [m for m in changed.members if m.host != host]
     if not any(m.voter for m in kept):
         return f"{host!r} is the last voter"
-    return fleet_pb2.MemberList(
-        members=kept, required_voters=changed.required_voters
-    )
+    del changed.members[:]
+    changed.members.extend(kept)
+    return changed
--- a/hornbeamyard/version/repair.py
+++ b/hornbeamyard/version/repair.py
@@ -9,7 +9,7 @@
 
 from ..messages import fleet_pb2
 from .discovery import KnownControllers
-from .membership import has_learners
+from .membership import has_learners, is_established
 from .replica import Replica
 
 # Interval at which the leader looks for members that have to be replaced.
@@ -202,6 +202,8 @@
 
     def _plan_change(self, silence_s: float) -> fleet_pb2.MemberChange | None:
         """Return the change that is due for members silent for so long."""
+        if not is_established(self._replica.state.members):
+            return None
         candidates = [
             controller
             for controller in self._known_controllers.list_recent()
