Lose disks in the soak only while the fleet can have repaired the last ones

The users' pages ask for nothing acknowledged to be lost as long as no more disks are lost than tolerated, with recoveryS after all are back where more machines are missing. The soak now counts so. The new test fails on the code before (one of two cases).

--- a/hornbeamyard/tests/test_soak_faults.py
+++ b/hornbeamyard/tests/test_soak_faults.py
@@ -19,7 +19,7 @@
 from soak import run
 from soak.callers import Callers, Operators
 from soak.disks import Disks
-from soak.fleet import CATCH_UP_S, Fleet
+from soak.fleet import CATCH_UP_S, RECOVERY_S, Fleet
 from soak.records import SETTLING_TIME_S, FaultRecord, Records
 from soak.starts import Starter
 from soak.upstream import CRASH_EXIT_CODE
@@ -118,6 +118,28 @@
 
         play(tmp_path, scenario)
 
+    @pytest.mark.parametrize(
+        ("ended_s", "is_lost"),
+        [(CATCH_UP_S + 0.5, True), (RECOVERY_S + 0.1, False)],
+    )
+    def test_catches_up_after_recovery(
+        self, tmp_path: Path, ended_s: float, is_lost: bool
+    ) -> None:
+        """Guards against a third lost disk before two are repaired.
+
+        More controllers were missing than the fleet tolerates, so that it had
+        no leader that could repair them.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            faults = [
+                build_fault(f"controller-{n}", ended_s) for n in (0, 1, 2)
+            ]
+            disks = build_disks(fleet, "controller-1", *faults)
+            assert bool(disks.list_lost()) is is_lost
+
+        play(tmp_path, scenario)
+
     def test_replaced_controller(self, tmp_path: Path) -> None:
         """Guards against a successor at the addresses of the removed one."""
 
--- a/soak/disks.py
+++ b/soak/disks.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from .fleet import CATCH_UP_S, Fleet
+from .fleet import CATCH_UP_S, RECOVERY_S, Fleet
 from .records import SETTLING_TIME_S, Records
 
 POLL_S = 0.1
@@ -17,8 +17,8 @@
     """Keeps the number of lost disks within what the fleet tolerates.
 
     A controller with an empty folder counts as lost until it has run for
-    `CATCH_UP_S` without a fault, beside so many others without a fault that
-    no more than the tolerated number were missing in that time.
+    `CATCH_UP_S` without a fault. Where more than the tolerated number were
+    missing, all have to be back for `RECOVERY_S` before one counts again.
 
     Parameters
     ----------
@@ -37,17 +37,20 @@
 
     def list_lost(self) -> set[str]:
         """Return the controllers that count as lost."""
+        if len(self._list_affected(RECOVERY_S)) <= self._fleet.tolerated:
+            self._lost &= self._list_affected(CATCH_UP_S)
+        return set(self._lost)
+
+    def _list_affected(self, settling_s: float) -> set[str]:
+        """Return the controllers with a fault in the last seconds."""
         now = time.monotonic()
-        # A fault counts until the settling time after its end.
-        since = now - (CATCH_UP_S - SETTLING_TIME_S)
-        affected = {
+        # A fault is recorded until the settling time after its end.
+        since = now - (settling_s - SETTLING_TIME_S)
+        return {
             name
             for name in self._fleet.controllers
             if self._records.is_affected(name, since, now)
         }
-        if len(affected) <= self._fleet.tolerated:
-            self._lost &= affected
-        return set(self._lost)
 
     async def wait_until_whole(self) -> None:
         """Wait until no controller counts as lost."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,15 +11,13 @@
 import anyio
 
 from .disks import Disks
-from .fleet import Fleet
+from .fleet import RECOVERY_S, Fleet
 from .links import Link
 from .records import ABSENT, FaultRecord, Records
 from .starts import Starter
 
 # Mean time between the starts of two faults.
 MEAN_PAUSE_S = 0.9
-# The fleet must serve everything again this long after the last fault.
-RECOVERY_S = 12.0
 # Controllers that are replaced in a run.
 MAX_REPLACED = 2
 # Fraction of the runs in which disks are lost after the first version.
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -42,6 +42,8 @@
 # Time that a controller may take to hold the state after a start with an empty
 # folder, and counts as lost until then.
 CATCH_UP_S = 4.0
+# The fleet must serve everything again this long after the last fault.
+RECOVERY_S = 12.0
 
 
 @dataclass(slots=True, eq=False)
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,8 +13,8 @@
 
 from .callers import KINDS, Callers, Operators, build_routing
 from .checks import list_violations, read_executions
-from .faults import RECOVERY_S, Injector
-from .fleet import CRASHED_S, ROUTERS, Fleet
+from .faults import Injector
+from .fleet import CRASHED_S, RECOVERY_S, ROUTERS, Fleet
 from .records import Records
 from .starts import Starter
 
