Ask before a founding whether it would succeed, and take shorter turns

What operators would see: a cluster that lost too many voters isn't founded again within 12 s, or a returning member whose place is taken ends the term of the leader.

Cause: each try of a founding began a new term. A member with a newer log refused and stayed in its term, so that its own tries came too late for ever; and a member that had lost touch with its leader raised the term. Turns of 1 s each are too long where all controllers reply.

Tried and taken back: adopting the term of a refused founding.

Change: a founding asks with a pre-vote first, as elections do. Where a cluster has been established, turns are 0.25 s.

--- a/hornbeamyard/version/founding.py
+++ b/hornbeamyard/version/founding.py
@@ -39,6 +39,8 @@
 # Controllers that could found the cluster begin this long after each other, so
 # that the votes aren't split.
 TURN_INTERVAL_S = 1.0
+# The same where a cluster has been established: all controllers reply then.
+SHORT_TURN_INTERVAL_S = 0.25
 # Time limit for collecting votes.
 BALLOT_TIMEOUT_S = 1.0
 # More members than this would only make each write slower.
@@ -319,7 +321,7 @@
             self._due_at = None
             return False
         if self._due_at is None:
-            self._due_at = now + self._find_turn(recent) * TURN_INTERVAL_S
+            self._due_at = now + self._find_wait(recent)
         return now >= self._due_at
 
     def _may_found(
@@ -368,14 +370,19 @@
             return False
         return now - self._leaderless_since >= SEARCH_TIMEOUT_S
 
-    def _find_turn(self, recent: Sequence[fleet_pb2.ControllerAddress]) -> int:
-        """Return how many controllers found the cluster before this one."""
+    def _find_wait(
+        self, recent: Sequence[fleet_pb2.ControllerAddress]
+    ) -> float:
+        """Return how long other controllers have their turns before, in s."""
         ordered = sorted(
             recent,
             key=lambda c: (not c.first_start, _build_address_key(c.address)),
         )
         hosts = [controller.host for controller in ordered]
-        return hosts.index(self.own.host) if self.own.host in hosts else 0
+        turn = hosts.index(self.own.host) if self.own.host in hosts else 0
+        if self._replica.journal.may_found():
+            return turn * TURN_INTERVAL_S
+        return turn * SHORT_TURN_INTERVAL_S
 
     def _log_search(
         self, recent: Sequence[fleet_pb2.ControllerAddress], required: int
@@ -414,16 +421,24 @@
             self._required_members,
             needs_all=not replica.journal.may_found(),
         )
-        term = await replica.jobs.execute(self._start_term)
+        # A new term would end that of a leader that this controller has lost
+        # touch with, so it only begins if the others would vote.
+        term = 0
+        await self._collect_votes(ballot, replica.term + 1, recent, True)
+        if ballot.is_won():
+            ballot.votes = {}
+            term = await replica.jobs.execute(self._start_term)
         if term:
-            await self._collect_votes(ballot, term, recent)
-        is_founded = ballot.is_won() and await replica.jobs.execute(
-            self._write_members, term, ballot, recent
-        )
-        self._due_at = (
-            self._timers.now()
-            + (1 + self._find_turn(recent)) * TURN_INTERVAL_S
+            await self._collect_votes(ballot, term, recent, False)
+        is_founded = (
+            term > 0
+            and ballot.is_won()
+            and await replica.jobs.execute(
+                self._write_members, term, ballot, recent
+            )
         )
+        pause_s = TURN_INTERVAL_S + self._find_wait(recent)
+        self._due_at = self._timers.now() + pause_s
         _log.info(
             "founding term={} votes={} first_start={} known={} required={}: "
             "{}",
@@ -452,8 +467,9 @@
         ballot: FoundingBallot,
         term: int,
         recent: Sequence[fleet_pb2.ControllerAddress],
+        pre_vote: bool,
     ) -> None:
-        """Ask all reachable controllers for their votes."""
+        """Ask all reachable controllers whether they vote in a term."""
         replica = self._replica
         journal = replica.journal
         request = fleet_pb2.VoteRequest(
@@ -461,6 +477,7 @@
             term=term,
             last_index=journal.last_index,
             last_term=journal.last_term,
+            pre_vote=pre_vote,
             disk=journal.disk_id,
             founding=True,
         )
--- a/properties/test_replaced_controllers.py
+++ b/properties/test_replaced_controllers.py
@@ -13,6 +13,7 @@
 import pytest
 
 from hornbeamyard.version.founding import ControllerState
+from hornbeamyard.version.journal import VOTE_FILE
 from hornbeamyard.version.membership import is_voter
 
 from .fleet_simulation import CATCH_UP_S, RECOVERY_S, SimulatedFleet
@@ -377,3 +378,57 @@
             assert fleet.acknowledged == 1
 
         run_first_start(seed, test)
+
+    @pytest.mark.parametrize("seed", range(8))
+    @pytest.mark.parametrize("late", ["c0", "c4"])
+    def test_split_while_growing(self, seed: int, late: str) -> None:
+        """Guards against an older read by voters that know fewer members.
+
+        A fifth controller becomes a voter while two others are cut off. Two
+        of the three that have acknowledged a version lose their disks.
+        """
+
+        async def test(fleet: SimulatedFleet) -> None:
+            await start_fleet(fleet, [late])
+            await fleet.submit()
+            await fleet.advance(3.0)
+            fleet.start(late, first_start=True)
+            leader = fleet.find_leader()
+            assert leader is not None
+            members = leader.replica.state.members.members
+            while late not in [member.host for member in members]:
+                await fleet.advance(0.001)
+                members = leader.replica.state.members.members
+            followers = sorted(fleet.controllers.keys() - {late, leader.name})
+            fleet.cut(followers[:2])
+            fleet.begin_submission()
+            await fleet.advance(6.0)
+            lost = [leader.name, followers[2]]
+            for name in lost:
+                fleet.lose_disk(name)
+            await fleet.advance(0.5)
+            for name in lost:
+                fleet.start(name)
+            fleet.heal()
+            await fleet.check_recovery()
+
+        run_first_start(seed, test)
+
+    @pytest.mark.parametrize("seed", range(4))
+    def test_set_aside_folders_begin_no_log(self, seed: int) -> None:
+        """Guards against an empty cluster in place of one with all damaged."""
+
+        async def test(fleet: SimulatedFleet) -> None:
+            await fleet.start_all()
+            await fleet.submit()
+            await fleet.advance(3.0)
+            for controller in fleet.controllers.values():
+                controller.crash()
+                controller.disk.files[VOTE_FILE] = b""
+            for name in fleet.controllers:
+                fleet.start(name)
+            fleet.begin_submission()
+            await fleet.advance(30.0)
+            assert fleet.acknowledged == 1
+
+        run_first_start(seed, test)
