--- a/properties/controller_orders.py
+++ b/properties/controller_orders.py
@@ -58,7 +58,7 @@
 FINAL_CYCLES = 1
 
 NEVER = float("inf")
-# The verdict on a fleet that wasn't required to start.
+# The outcome for a fleet that wasn't required to start.
 BEYOND = "beyond"
 
 
@@ -592,27 +592,27 @@
         What happened.
     """
     notes: list[str] = []
-    verdict = ""
+    outcome = ""
 
     async def main() -> None:
-        nonlocal notes, verdict
+        nonlocal notes, outcome
         async with anyio.create_task_group() as tasks:
             run = OrderRun(order, tasks)
             notes = run.notes
             try:
                 await run.run()
-                verdict = "" if run.is_required() else BEYOND
+                outcome = "" if run.is_required() else BEYOND
             except InvariantError as error:
-                verdict = str(error)
-                notes.append(f"{run.now():7.3f} {verdict}")
+                outcome = str(error)
+                notes.append(f"{run.now():7.3f} {outcome}")
             tasks.cancel_scope.cancel()
 
     with logbook.NullHandler().applicationbound():
         try:
             anyio.run(main)
         except ExceptionGroup as group:
-            verdict = f"error: {group.exceptions[0]!r}"
-    return verdict, notes
+            outcome = f"error: {group.exceptions[0]!r}"
+    return outcome, notes
 
 
 def check_order(order: Order) -> None:
@@ -623,10 +623,10 @@
     InvariantError
         If the controllers break one of the guarantees. It names the order.
     """
-    verdict, notes = play(order)
-    if verdict not in ("", BEYOND):
+    outcome, notes = play(order)
+    if outcome not in ("", BEYOND):
         story = "\n".join(notes)
-        raise InvariantError(f"{verdict}\norder: {order}\n{story}")
+        raise InvariantError(f"{outcome}\norder: {order}\n{story}")
 
 
 # ---- orders of a grid ----------------------------------------------------
@@ -846,16 +846,16 @@
 
 def _play_text(order: Order) -> tuple[str, str, float]:
     began_at = time.process_time()
-    verdict, _ = play(order)
-    return str(order), verdict, time.process_time() - began_at
+    outcome, _ = play(order)
+    return str(order), outcome, time.process_time() - began_at
 
 
-def describe_kind(verdict: str) -> str:
-    """Return what a verdict is about, without names and numbers."""
+def describe_kind(outcome: str) -> str:
+    """Return what a outcome is about, without names and numbers."""
     for kind in ("lost", "two logs", "stuck: nothing is acknowledged after"):
-        if verdict.startswith(kind):
+        if outcome.startswith(kind):
             return kind
-    return verdict.partition(" for ")[0] if verdict else "held"
+    return outcome.partition(" for ")[0] if outcome else "held"
 
 
 def play_all(orders: Iterable[Order], jobs: int, limit: int) -> Counter[str]:
@@ -864,12 +864,12 @@
     used_s = 0.0
     with ProcessPoolExecutor(jobs) as executor:
         results = executor.map(_play_text, orders, chunksize=4)
-        for number, (text, verdict, seconds) in enumerate(results, 1):
+        for number, (text, outcome, seconds) in enumerate(results, 1):
             used_s += seconds
-            kind = describe_kind(verdict)
+            kind = describe_kind(outcome)
             counts[kind] += 1
-            if verdict not in ("", BEYOND) and counts[kind] <= limit:
-                print(f"order {number}: {verdict}\n  {text}", flush=True)
+            if outcome not in ("", BEYOND) and counts[kind] <= limit:
+                print(f"order {number}: {outcome}\n  {text}", flush=True)
     total = sum(counts.values())
     print(f"{total} orders, {used_s / max(total, 1):.3f} s of processor each")
     for kind, count in counts.most_common():
@@ -894,9 +894,9 @@
     )
     arguments = parser.parse_args()
     if arguments.play:
-        verdict, notes = play(parse_order(arguments.play))
-        print("\n".join(notes), verdict or "held", sep="\n")
-        return int(verdict not in ("", BEYOND))
+        outcome, notes = play(parse_order(arguments.play))
+        print("\n".join(notes), outcome or "held", sep="\n")
+        return int(outcome not in ("", BEYOND))
     orders: Iterable[Order]
     if arguments.depth is None:
         last = arguments.seed + (arguments.orders or DEFAULT_ORDERS)
