--- a/properties/controller_orders.py
+++ b/properties/controller_orders.py
@@ -859,7 +859,7 @@
 
 
 def play_all(orders: Iterable[Order], jobs: int, limit: int) -> Counter[str]:
-    """Play orders, print those that fail, and return counts of verdicts."""
+    """Play orders, print those that fail, and return counts of outcomes."""
     counts: Counter[str] = Counter()
     used_s = 0.0
     with ProcessPoolExecutor(jobs) as executor:
