Stop watching a server's socket before it is closed

In a process of the product, the readiness, metrics or administration server that is started again after an error listens and never accepts a connection.

Cause: a server that was cancelled or had failed left its socket registered with the event loop, and listeners.serve closed the socket. The loop's selector keeps the descriptor's number. The next listener usually gets the same number, and the selector takes it for the registered one and never adds it to epoll. In the test the status server of the first router had ended before the second router listened; the kernel showed one connection that waited to be accepted, with the server serving.

Ruled out: the request never reached the router (no usage recorded, no connection at the server), so admission, crash reports and upstreams had no part. A taken address: the server listened.

Change: EmbeddedServer closes its asyncio servers however it ends, before the socket is closed. No other module closes a socket that the loop may watch (sock_connect in connection/client.py unregisters on cancellation).

Measured: the new test failed 2 of 2 before, and passes after.

--- a/hornbeamyard/process/servers.py
+++ b/hornbeamyard/process/servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import socket
 from collections.abc import Awaitable, Callable
@@ -31,9 +32,19 @@
 class EmbeddedServer(uvicorn.Server):
     """An HTTP server that leaves signal handling to the daemon."""
 
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.servers: list[asyncio.base_events.Server] = []
+
     async def serve(self, sockets: list[socket.socket] | None = None) -> None:
         """Serve until `should_exit` is set."""
-        await self._serve(sockets)
+        try:
+            await self._serve(sockets)
+        finally:
+            # An event loop that still watches a closed socket doesn't notice
+            # connections to the next one with the same descriptor.
+            for server in self.servers:
+                server.close()
 
     async def startup(
         self, sockets: list[socket.socket] | None = None
--- a/hornbeamyard/tests/test_process_start.py
+++ b/hornbeamyard/tests/test_process_start.py
@@ -15,11 +15,13 @@
 from typing import Any
 
 import anyio
+import httpcore
 import logbook
 import pytest
 
-from hornbeamyard.process import listeners
-from hornbeamyard.process.timers import VirtualTimers
+from hornbeamyard.process import listeners, servers
+from hornbeamyard.process.metrics import Metrics
+from hornbeamyard.process.timers import MonotonicTimers, VirtualTimers
 
 from .fleet import find_free_port
 
@@ -460,3 +462,48 @@
         assert built == [address] * 3
         failed = [r for r in log.records if "has failed" in r.message]
         assert len(failed) == 3
+
+    @pytest.mark.parametrize("end", ["cancelled", "failed"])
+    def test_server_with_the_descriptor_of_another(
+        self, end: str, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a server that never accepts a connection."""
+
+        async def fail(server: servers.EmbeddedServer) -> None:
+            monkeypatch.undo()
+            raise OSError("no descriptors")
+
+        async def run() -> None:
+            timers = MonotonicTimers()
+            app = servers.build_status_app(Metrics())
+            if end == "cancelled":
+                async with anyio.create_task_group() as tasks:
+                    other = f"127.0.0.1:{find_free_port()}"
+                    tasks.start_soon(listeners.serve, app, other, "x", timers)
+                    await ask_for_metrics(other)
+                    tasks.cancel_scope.cancel()
+            else:
+                monkeypatch.setattr(servers.EmbeddedServer, "main_loop", fail)
+            address = f"127.0.0.1:{find_free_port()}"
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listeners.serve, app, address, "x", timers)
+                await anyio.sleep(2 * listeners.RESTART_DELAY_S)
+                assert await ask_for_metrics(address) == 200
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
+
+async def ask_for_metrics(address: str) -> int:
+    """Return the status of a server's response, once it listens."""
+    with anyio.fail_after(TIMEOUT_S):
+        while True:
+            try:
+                async with httpcore.AsyncConnectionPool() as client:
+                    response = await client.request(
+                        "GET", f"http://{address}/metrics"
+                    )
+            except httpcore.NetworkError:
+                await anyio.sleep(0.05)
+            else:
+                return response.status
