Try a candidate again at once that speaks up again

Until then the fleet had one voter fewer than it needs for the losses that it tolerates, and changes were held up.

As the controller was back by then and introduced itself, it didn't count as one that was gone, and the pause of 10 s between two tries applied to it.

The pause now guards against what it was meant for: a controller that is there and still fails, twice in a row. After its first failure it is tried again once it has introduced itself since. Candidates without a failure have their turn first, and a failure is forgotten when the controller is a voter.

The test has more cases now: the controller is down for 0 to 4 s, or cut off for 0.5 to 4 s.

Not run: real processes, where a killed process's connection is reset, so the call ends at once.

--- a/hornbeamyard/version/repair.py
+++ b/hornbeamyard/version/repair.py
@@ -9,13 +9,13 @@
 
 from ..messages import fleet_pb2
 from .discovery import KnownControllers
-from .membership import has_learners, is_established
+from .membership import has_learners, is_established, list_voters
 from .replica import Replica
 
 # Interval at which the leader looks for members that have to be replaced.
 REPAIR_INTERVAL_S = 0.2
-# A controller that is there but couldn't be made a member isn't tried again
-# for this long, so that others have their turn.
+# A controller that is there but couldn't be made a member twice isn't tried
+# again for this long, so that changes aren't held up all the time.
 CANDIDATE_RETRY_S = 10.0
 # Changes wait for a replacement for this many times the silence after which it
 # begins.
@@ -83,12 +83,14 @@
     failed_at : float
         Monotonic time in seconds.
     was_silent : bool
-        Whether it was gone altogether. Then it may be tried again once it is
-        back.
+        Whether it was gone altogether.
+    is_repeated : bool
+        Whether it had failed before without becoming a voter since.
     """
 
     failed_at: float
     was_silent: bool
+    is_repeated: bool
 
 
 class MemberRepair:
@@ -181,6 +183,7 @@
             self._unsettled_since = None
             return
         self._record_signs()
+        self._forget_failures()
         self._track_unsettled()
         if leadership.is_change_pending():
             return
@@ -202,37 +205,62 @@
 
     def _plan_change(self, silence_s: float) -> fleet_pb2.MemberChange | None:
         """Return the change that is due for members silent for so long."""
-        if not is_established(self._replica.state.members):
+        members = self._replica.state.members
+        if not is_established(members):
             return None
-        candidates = [
-            controller
-            for controller in self._known_controllers.list_recent()
-            if self._may_try(controller.host)
-        ]
         return plan_member_change(
-            self._replica.state.members,
+            members,
             self._list_silent(silence_s),
-            candidates,
+            self._list_candidates({m.host for m in members.members}),
             self._required_members,
         )
 
+    def _list_candidates(
+        self, hosts: set[str]
+    ) -> list[fleet_pb2.ControllerAddress]:
+        """Return the controllers that may become members now.
+
+        Those that have failed before have their turn after the others.
+        """
+        recent = [
+            controller
+            for controller in self._known_controllers.list_recent()
+            if controller.host not in hosts and self._may_try(controller.host)
+        ]
+        untried = [c for c in recent if c.host not in self._failures]
+        return untried or recent
+
     def _record_failure(self, host: str) -> None:
         now = self._timers.now()
         last_seen_at = self._known_controllers.get_last_seen(host)
         silence_s = self._replica.timeouts.member_s
         was_silent = last_seen_at is None or last_seen_at <= now - silence_s
-        self._failures[host] = CandidateFailure(now, was_silent)
+        self._failures[host] = CandidateFailure(
+            now, was_silent, host in self._failures
+        )
+
+    def _forget_failures(self) -> None:
+        """Forget the failures of controllers that have become voters."""
+        for host in list_voters(self._replica.state.members):
+            self._failures.pop(host, None)
 
     def _may_try(self, host: str) -> bool:
-        """Return whether a controller may be tried as a member (again)."""
+        """Return whether a controller may be tried as a member (again).
+
+        One that has introduced itself since it failed may have been cut off or
+        restarted, so it is tried once more at once. One that was there and has
+        failed twice is not.
+        """
         failure = self._failures.get(host)
         if failure is None:
             return True
-        if not failure.was_silent:
-            waited_s = self._timers.now() - failure.failed_at
-            return waited_s >= CANDIDATE_RETRY_S
         last_seen_at = self._known_controllers.get_last_seen(host)
-        return last_seen_at is not None and last_seen_at > failure.failed_at
+        if last_seen_at is None or last_seen_at <= failure.failed_at:
+            return False
+        if failure.was_silent or not failure.is_repeated:
+            return True
+        waited_s = self._timers.now() - failure.failed_at
+        return waited_s >= CANDIDATE_RETRY_S
 
     def _list_silent(self, silence_s: float) -> set[str]:
         """Return the members that have been silent for so long."""
--- a/properties/test_damaged_folders.py
+++ b/properties/test_damaged_folders.py
@@ -21,7 +21,6 @@
     build_record,
 )
 from hornbeamyard.version.membership import is_voter
-from hornbeamyard.version.repair import CANDIDATE_RETRY_S
 
 from .fleet_simulation import CATCH_UP_S, Controller, SimulatedFleet
 from .simulation import FLEET, FakeDisk
@@ -224,9 +223,7 @@
             await fleet.advance(delay_s)
             damaged.crash()
         fleet.start(damaged.name)
-        # One that is killed during a snapshot may be given up as a candidate
-        # first; `test_killed_during_snapshot` is about the time.
-        await fleet.advance(CANDIDATE_RETRY_S + CATCH_UP_S)
+        await fleet.advance(CATCH_UP_S)
         assert damaged.replica.journal.disk_id != disk_id
         assert damaged.replica.journal.set_aside
         assert votes(fleet, damaged)
@@ -235,7 +232,8 @@
     run_fleet(seed, test)
 
 
-def test_killed_during_snapshot() -> None:
+@pytest.mark.parametrize("down_s", [0.0, 0.5, 1.0, 1.5, 1.9, 2.1, 3.0, 4.0])
+def test_killed_during_snapshot(down_s: float) -> None:
     """Guards against a lost disk that stays lost after another kill."""
 
     async def test(fleet: SimulatedFleet) -> None:
@@ -245,7 +243,28 @@
         while SNAPSHOT_FILE not in lost.disk.files:
             await fleet.advance(0.001)
         lost.crash()
+        await fleet.advance(down_s)
+        fleet.start(lost.name)
+        await fleet.advance(CATCH_UP_S)
+        assert votes(fleet, lost)
+
+    for seed in range(6):
+        run_fleet(seed, test)
+
+
+@pytest.mark.parametrize("cut_s", [0.5, 1.0, 1.5, 1.9, 2.1, 3.0, 4.0])
+def test_cut_off_during_snapshot(cut_s: float) -> None:
+    """Guards against a lost disk that stays lost after a cut."""
+
+    async def test(fleet: SimulatedFleet) -> None:
+        lost = choose(fleet, "follower")
+        fleet.lose_disk(lost.name)
         fleet.start(lost.name)
+        while SNAPSHOT_FILE not in lost.disk.files:
+            await fleet.advance(0.001)
+        fleet.cut([lost.name])
+        await fleet.advance(cut_s)
+        fleet.heal()
         await fleet.advance(CATCH_UP_S)
         assert votes(fleet, lost)
 
