Don't wait for answers of a controller's former process

Cause: the leader makes one call at a time to a peer, and waited up to 5 s for the answer of a process that had ended. The new process introduces itself to all controllers within 0.2 s and says which start of the host it is, but the leader made nothing of it.

The leader now abandons the call when another start of the peer introduces itself. A leader that hasn't had an introduction of the former process still relies on the silence; the test has both cases.

An answer to one doesn't tell whether the chunk is lost or late, and the reply has no field for the process.

Not run: real processes.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -646,6 +646,8 @@
     ) -> fleet_pb2.ControllerList:
         """Record a controller that introduces itself; return all known."""
         self._founder.known_controllers.add_introduced(request.controller)
+        if self._replica.leadership is not None:
+            self._replica.leadership.record_process(request.identity)
         return self._founder.describe()
 
 
--- a/hornbeamyard/version/leadership.py
+++ b/hornbeamyard/version/leadership.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import anyio
 import anyio.abc
@@ -32,6 +32,9 @@
 MAX_BATCH_BYTES = 1024 * 1024
 SNAPSHOT_CHUNK_BYTES = 1024 * 1024
 
+RequestT = TypeVar("RequestT")
+ReplyT = TypeVar("ReplyT")
+
 
 @dataclass(slots=True)
 class Peer:
@@ -56,6 +59,10 @@
         Whether the folder was made when the fleet was initialized.
     wake : anyio.Event
         Set when there are new entries to send.
+    call : anyio.CancelScope or None
+        Scope of the call that it hasn't answered yet.
+    incarnation : int
+        Start of its process that has introduced itself last; 0 if none has.
     """
 
     host: str
@@ -67,6 +74,8 @@
     disk_id: bytes = b""
     initial: bool = False
     wake: anyio.Event = field(default_factory=anyio.Event)
+    call: anyio.CancelScope | None = None
+    incarnation: int = 0
 
     def record_disk(self, disk_id: bytes, initial: bool) -> None:
         """Record the peer's data folder; a different one starts empty."""
@@ -174,6 +183,20 @@
         for peer in self.peers.values():
             peer.wake.set()
 
+    def record_process(self, identity: fleet_pb2.Identity) -> None:
+        """Record which process of a peer has introduced itself.
+
+        A call to its former process is abandoned: the network may never tell
+        that it won't be answered.
+        """
+        peer = self.peers.get(identity.host)
+        if peer is None:
+            return
+        is_restarted = peer.incarnation not in (0, identity.incarnation)
+        peer.incarnation = identity.incarnation
+        if is_restarted and peer.call is not None:
+            peer.call.cancel()
+
     def choose_successor(self) -> Peer | None:
         """Return the voter whose log is the most up to date, if any."""
         members = self._replica.journal.members
@@ -302,9 +325,9 @@
             entries=self._select_entries(previous + 1),
         )
         called_at = replica.timers.now()
-        reply = None
-        with replica.timers.limit(CALL_TIMEOUT_S):
-            reply = await replica.calls.append(peer.address, request)
+        reply = await self._call(
+            peer, replica.calls.append, request, CALL_TIMEOUT_S
+        )
         if reply is None or not self._check_term(reply.term):
             return False
         peer.replied_at = max(peer.replied_at, called_at)
@@ -347,9 +370,9 @@
                 last=offset + len(part) == len(data),
             )
             called_at = replica.timers.now()
-            reply = None
-            with replica.timers.limit(SNAPSHOT_TIMEOUT_S):
-                reply = await replica.calls.install(peer.address, chunk)
+            reply = await self._call(
+                peer, replica.calls.install, chunk, SNAPSHOT_TIMEOUT_S
+            )
             if reply is None or not self._check_term(reply.term):
                 return False
             peer.replied_at = max(peer.replied_at, called_at)
@@ -363,6 +386,20 @@
         replica.advance_commit()
         return True
 
+    async def _call(
+        self,
+        peer: Peer,
+        call: Callable[[str, RequestT], Awaitable[ReplyT | None]],
+        request: RequestT,
+        timeout_s: float,
+    ) -> ReplyT | None:
+        """Make a call that may be abandoned; return None without a reply."""
+        reply = None
+        with self._replica.timers.limit(timeout_s) as peer.call:
+            reply = await call(peer.address, request)
+        peer.call = None
+        return reply
+
     def _check_term(self, term: int) -> bool:
         """Return whether this leadership continues after a reply's term."""
         if term > self.term:
--- a/properties/fleet_simulation.py
+++ b/properties/fleet_simulation.py
@@ -117,6 +117,8 @@
     ) -> fleet_pb2.ControllerList:
         """Handle the introduction of another controller."""
         self.founder.known_controllers.add_introduced(request.controller)
+        if self.replica.leadership is not None:
+            self.replica.leadership.record_process(request.identity)
         return self.founder.describe()
 
 
--- a/properties/test_damaged_folders.py
+++ b/properties/test_damaged_folders.py
@@ -233,8 +233,13 @@
 
 
 @pytest.mark.parametrize("down_s", [0.0, 0.5, 1.0, 1.5, 1.9, 2.1, 3.0, 4.0])
-def test_killed_during_snapshot(down_s: float) -> None:
-    """Guards against a lost disk that stays lost after another kill."""
+@pytest.mark.parametrize("is_known", [True, False])
+def test_killed_during_snapshot(is_known: bool, down_s: float) -> None:
+    """Guards against a lost disk that stays lost after another kill.
+
+    A leader that knows of the controller's new process doesn't wait for what
+    it has sent to the former one.
+    """
 
     async def test(fleet: SimulatedFleet) -> None:
         lost = choose(fleet, "follower")
@@ -243,9 +248,13 @@
         while SNAPSHOT_FILE not in lost.disk.files:
             await fleet.advance(0.001)
         lost.crash()
+        leader = fleet.find_leader()
+        assert leader is not None
+        if not is_known:
+            leader.replica.leadership.peers[lost.name].incarnation = 0
         await fleet.advance(down_s)
         fleet.start(lost.name)
-        await fleet.advance(CATCH_UP_S)
+        await fleet.advance(1.0 if is_known else CATCH_UP_S)
         assert votes(fleet, lost)
 
     for seed in range(6):
