Acknowledge a routing only once f + 1 controllers have it in force

Routers got an acknowledged routing only after an election when the leader failed right after the acknowledgement: 1.95 to 3.42 s later with real processes, where the users' rules (CONFIG) allow 2 s, or 3 s after such a fault.

Cause: f + 1 voters held the entry at the acknowledgement, but only the leader knew that it was committed. The others learned it with the next append, up to 0.5 s later, or from a new leader.

The leader now sends the commit of a routing to its peers at once, and acknowledges it when f + 1 voters have applied it, which takes one round trip more. So after the loss of any f controllers one is left that sends it to the routers.

Ruled out: the commit sent at once without the later acknowledgement. A leader that is killed at the acknowledgement may not have sent it yet.

--- a/hornbeamyard/version/leadership.py
+++ b/hornbeamyard/version/leadership.py
@@ -47,6 +47,8 @@
         Index of the next entry to send.
     match_index : int
         Index of the last entry known to be on the peer's disk.
+    applied_index : int
+        Index up to which it has applied the entries, as far as known.
     acked_at : float
         Monotonic time at which the last call that the peer accepted was
         sent, in seconds.
@@ -58,7 +60,7 @@
     initial : bool
         Whether the folder was made when the fleet was initialized.
     wake : anyio.Event
-        Set when there are new entries to send.
+        Set when there are new entries or a commit to send.
     call : anyio.CancelScope or None
         Scope of the call that it hasn't answered yet.
     incarnation : int
@@ -69,6 +71,7 @@
     address: str
     next_index: int
     match_index: int = 0
+    applied_index: int = 0
     acked_at: float = membership.NEVER
     replied_at: float = membership.NEVER
     disk_id: bytes = b""
@@ -81,6 +84,7 @@
         """Record the peer's data folder; a different one starts empty."""
         if disk_id != self.disk_id:
             self.match_index = 0
+            self.applied_index = 0
             self.acked_at = membership.NEVER
         self.disk_id = disk_id
         self.initial = initial
@@ -162,9 +166,12 @@
         index = membership.find_majority(members, replies)
         return 0 if index == membership.NEVER else int(index)
 
-    def count_disks(self, index: int) -> int:
-        """Return the number of voters that hold an entry."""
-        replies = self._collect_matches()
+    def count_applied(self, index: int) -> int:
+        """Return the number of voters that have applied an entry."""
+        replies = self._collect_replies(
+            self._replica.state.last_index,
+            {peer.host: peer.applied_index for peer in self.peers.values()},
+        )
         return membership.count_voters(
             self._replica.journal.members, replies, index
         )
@@ -179,7 +186,7 @@
         )
 
     def wake_peers(self) -> None:
-        """Send new entries to the peers."""
+        """Send new entries, and what is committed, to the peers."""
         for peer in self.peers.values():
             peer.wake.set()
 
@@ -338,6 +345,10 @@
         if reply.accepted:
             peer.match_index = max(peer.match_index, reply.match_index)
             peer.next_index = peer.match_index + 1
+            peer.applied_index = max(
+                peer.applied_index,
+                min(request.commit_index, reply.match_index),
+            )
             peer.acked_at = max(peer.acked_at, called_at)
             replica.advance_commit()
         elif reply.term == self.term:
@@ -383,6 +394,7 @@
             offset += len(part)
         peer.match_index = max(peer.match_index, state.last_index)
         peer.next_index = peer.match_index + 1
+        peer.applied_index = max(peer.applied_index, state.last_index)
         replica.advance_commit()
         return True
 
--- a/hornbeamyard/version/replica.py
+++ b/hornbeamyard/version/replica.py
@@ -132,8 +132,8 @@
         Number of entries after which a snapshot is taken.
     timeouts : Timeouts, optional
     required_disks : int, optional
-        Number of voters that must hold a routing before it is acknowledged,
-        if that is more than a majority.
+        Number of voters that must have applied a routing before it is
+        acknowledged.
     relies_on_leases : bool, optional
         Whether a leader may act on its lease alone. If not, a majority
         confirms each submission and each read, and a restarted member takes
@@ -260,7 +260,8 @@
         """Append a validated routing to the log and return its outcome.
 
         The outcome is returned once the routing outlasts the tolerated
-        losses, which may take longer than a majority.
+        losses and is in force at so many controllers that one of them is
+        left then. Otherwise routers would learn of it only after an election.
         """
         entry = fleet_pb2.LogEntry(routing=submission)
         result: Result[fleet_pb2.RoutingResult, ProposeError] = Err(NoQuorum())
@@ -278,8 +279,8 @@
         leadership = self.leadership
         if leadership is None:
             return False
-        disks = leadership.count_disks(entry.index)
-        return disks >= self._required_disks and self.may_acknowledge()
+        applied = leadership.count_applied(entry.index)
+        return applied >= self._required_disks and self.may_acknowledge()
 
     async def confirm_state(self) -> Result[FleetState, ProposeError]:
         """Return the state once a majority has confirmed that it is current.
@@ -597,6 +598,10 @@
                 _log.info("members: {}", described)
                 if self.leadership is not None:
                     self.leadership.request_check()
+            if entry.HasField("routing") and self.leadership is not None:
+                # The others put it in force once they know that it is
+                # committed, which the next heartbeat would tell them.
+                self.leadership.wake_peers()
             proposal = self._uncommitted.pop(number, None)
             if proposal is not None:
                 proposal.result = Ok(outcome)
