Ask another controller for a routing when one doesn't answer soon

A router took up to 4 s to fetch an acknowledged routing beside two frozen controllers that had announced it, although the others had it; the users' rules allow 2 s, or 3 s after such a fault.

Cause: the router asked one controller at a time, always in the same order, and waited 1 s for each. A frozen process accepts the call and doesn't answer. Controllers that announced the version meanwhile were asked only after all of those had been, and after each round it began with the same ones again.

The router now asks another controller as well after 0.25 s, and never one that it is already waiting for. If the first answers, nothing else is asked.

--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -49,6 +49,9 @@
 
 # Pause before a lost stream is opened again.
 RECONNECT_PAUSE_S = 0.2
+# Time after which another controller is asked for a routing as well. A frozen
+# one accepts calls and doesn't answer.
+FETCH_HEDGE_S = 0.25
 
 _log = logbook.Logger("directory")
 
@@ -141,7 +144,9 @@
         # Hosts of the fleet's controllers by address.
         self._controllers: dict[str, str] = {}
         self._crashes = crashes
-        self._fetching = False
+        # Addresses of controllers that are being asked for a routing, or have
+        # just failed to give one.
+        self._fetching: set[str] = set()
         self._identity = identity
         self._leader = ""
         # Start times of upstreams, by id, whose responses to this router say
@@ -517,23 +522,40 @@
     # ---- routing ---------------------------------------------------------
 
     async def _fetch_repeatedly(self) -> None:
-        """Fetch each newer routing from a controller that has it in force."""
-        while True:
-            await self._fetch_needed.wait()
-            self._fetch_needed = anyio.Event()
-            newer = [
-                (version, address)
-                for address, version in self.versions.items()
-                if version > self.version
-            ]
-            for _, address in sorted(newer, reverse=True):
-                if await self._fetch(address):
-                    break
-            else:
-                if newer:
-                    await self._timers.sleep(RECONNECT_PAUSE_S / 4)
-            if any(v > self.version for v in self.versions.values()):
-                self._fetch_needed.set()
+        """Fetch each newer routing from a controller that has it in force.
+
+        Another controller is asked as well when one doesn't answer soon.
+        """
+        async with anyio.create_task_group() as tasks:
+            while True:
+                address = self._choose_source()
+                if address is None:
+                    await self._fetch_needed.wait()
+                    self._fetch_needed = anyio.Event()
+                    continue
+                self._fetching.add(address)
+                ended = anyio.Event()
+                tasks.start_soon(self._fetch_from, address, ended)
+                with self._timers.limit(FETCH_HEDGE_S):
+                    await ended.wait()
+
+    def _choose_source(self) -> str | None:
+        """Return the controller to ask for the newest routing, if any."""
+        newer = [
+            (version, address)
+            for address, version in self.versions.items()
+            if version > self.version and address not in self._fetching
+        ]
+        return max(newer)[1] if newer else None
+
+    async def _fetch_from(self, address: str, ended: anyio.Event) -> None:
+        """Fetch a controller's routing; after a failure pause before more."""
+        is_newer = await self._fetch(address)
+        ended.set()
+        if not is_newer:
+            await self._timers.sleep(RECONNECT_PAUSE_S / 4)
+        self._fetching.discard(address)
+        self._fetch_needed.set()
 
     async def _fetch(self, address: str) -> bool:
         """Fetch a controller's routing; return whether it is in force now."""
