Fail a call whose channel is closed, instead of ending its caller

What callers would see: a router that never gets a newer routing again, until it is started anew. Found by reading.

Cause: a router closes the channel to a controller that it needs no more. If it is just fetching a routing there, grpc ends the call with a CancelledError of its own. A task group takes that for the end of a cancelled task: the task that fetches routings ended without a line, and nothing starts it again. A controller is needed no more when it was replaced, and for a moment also when a controller that has just started with an empty folder sends the list of the controllers that it knows so far.

Ruled out: an answer that the other process cancels is an AioRpcError, which was handled. A cancellation of the caller itself is still raised (second test), by `Task.cancelling`.

Change: `Channels.call` returns None if the call was cancelled but its task wasn't, as for any other failed call.

How often it happens in a fleet wasn't measured.

--- a/hornbeamyard/connection/channels.py
+++ b/hornbeamyard/connection/channels.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -67,7 +68,7 @@
         Returns
         -------
         message or None
-            The reply; None if the call failed.
+            The reply; None if the call failed, or its channel was closed.
         """
         method = select_method(self.open_stub(address))
         try:
@@ -80,6 +81,13 @@
                     error.details(),
                 )
             return None
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if task is None or task.cancelling():
+                raise
+            # The channel was closed meanwhile, which cancels its calls but
+            # not the tasks that wait for them.
+            return None
 
     async def close_channel(self, address: str) -> None:
         """Close the channel to a process that is no longer used."""
--- /dev/null
+++ b/hornbeamyard/tests/test_channels.py
@@ -0,0 +1,206 @@
+"""Tests of calls to other processes whose channel is closed meanwhile."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import anyio
+import grpc.aio
+import pytest
+
+from hornbeamyard.connection import peers
+from hornbeamyard.connection.crash_reports import CrashReports
+from hornbeamyard.connection.directory_calls import DirectoryCalls
+from hornbeamyard.connection.directory_codec import pack_document
+from hornbeamyard.connection.limit_reports import LimitReports
+from hornbeamyard.connection.subscription import Subscription
+from hornbeamyard.messages import fleet_pb2, fleet_pb2_grpc
+from hornbeamyard.pool.usage import RouterUsage
+from hornbeamyard.process.timers import MonotonicTimers
+
+from .fleet import find_free_port
+
+TIMEOUT_S = 10.0
+
+
+class FakeController(fleet_pb2_grpc.DirectoryServicer):
+    """A controller that sends given updates.
+
+    Attributes
+    ----------
+    fetched : anyio.Event
+        Set when its routing has been requested.
+    is_silent : bool
+        Whether it doesn't respond to requests of its routing.
+    """
+
+    def __init__(self) -> None:
+        self.address = f"127.0.0.1:{find_free_port()}"
+        self.fetched = anyio.Event()
+        self.is_silent = False
+        self._sent = anyio.Event()
+        self._updates: list[fleet_pb2.DirectoryUpdate] = []
+        self._version = 0
+
+    def send(self, version: int, *controllers: FakeController) -> None:
+        """Send a version, and addresses as those of all controllers."""
+        self._version = version
+        update = fleet_pb2.DirectoryUpdate(
+            routing_version=version,
+            controllers=[
+                fleet_pb2.ControllerAddress(host=c.address, address=c.address)
+                for c in controllers
+            ],
+        )
+        self._updates.append(update)
+        self._sent.set()
+        self._sent = anyio.Event()
+
+    async def Watch(  # noqa: N802 - named by the protocol
+        self,
+        requests: AsyncIterator[fleet_pb2.RouterUsage],
+        context: grpc.aio.ServicerContext,
+    ) -> None:
+        """Send the updates, old and new ones."""
+        number = 0
+        while True:
+            for update in self._updates[number:]:
+                number += 1
+                await context.write(update)
+            await self._sent.wait()
+
+    async def FetchRouting(  # noqa: N802 - named by the protocol
+        self,
+        request: fleet_pb2.RoutingRead,
+        context: grpc.aio.ServicerContext,
+    ) -> fleet_pb2.RoutingCopy:
+        """Return the newest version."""
+        self.fetched.set()
+        if self.is_silent:
+            await anyio.sleep_forever()
+        return fleet_pb2.RoutingCopy(
+            version=self._version, document=pack_document(b"x"), found=True
+        )
+
+
+def run_with_controllers(
+    number: int, test: Callable[[list[FakeController]], Awaitable[None]]
+) -> None:
+    """Run a test with controllers that serve."""
+
+    async def run() -> None:
+        controllers = [FakeController() for _ in range(number)]
+        servers = []
+        for controller in controllers:
+            server = peers.create_server()
+            fleet_pb2_grpc.add_DirectoryServicer_to_server(controller, server)
+            peers.add_port(server, controller.address, None)
+            await server.start()
+            servers.append(server)
+        try:
+            with anyio.fail_after(TIMEOUT_S):
+                await test(controllers)
+        finally:
+            for server in servers:
+                await server.stop(grace=0)
+
+    anyio.run(run)
+
+
+class TestClosedChannel:
+    """A call on a channel that is closed fails, as any other does."""
+
+    def test_call_fails(self) -> None:
+        """Guards against a call that ends the task of its caller."""
+
+        async def test(controllers: list[FakeController]) -> None:
+            [controller] = controllers
+            controller.is_silent = True
+            calls = DirectoryCalls(None)
+            results: list[object] = []
+
+            async def fetch() -> None:
+                request = fleet_pb2.RoutingRead()
+                results.append(
+                    await calls.fetch_routing(controller.address, request)
+                )
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(fetch)
+                await controller.fetched.wait()
+                await calls.close_channel(controller.address)
+            assert results == [None]
+
+        run_with_controllers(1, test)
+
+    def test_cancellation_goes_on(self) -> None:
+        """Guards against a caller that can't be cancelled."""
+
+        async def test(controllers: list[FakeController]) -> None:
+            [controller] = controllers
+            controller.is_silent = True
+            calls = DirectoryCalls(None)
+            request = fleet_pb2.RoutingRead()
+            with anyio.CancelScope() as scope:
+                async with anyio.create_task_group() as tasks:
+
+                    async def cancel() -> None:
+                        await controller.fetched.wait()
+                        scope.cancel()
+
+                    tasks.start_soon(cancel)
+                    await calls.fetch_routing(controller.address, request)
+                    pytest.fail("the call has returned")
+            assert scope.cancelled_caught
+            await calls.close()
+
+        run_with_controllers(1, test)
+
+    def test_router_fetches_later_versions(self) -> None:
+        """Guards against a router that never gets a newer routing again."""
+
+        async def test(controllers: list[FakeController]) -> None:
+            removed, other = controllers
+            removed.is_silent = True
+            timers = MonotonicTimers()
+            versions: list[int] = []
+
+            def apply(version: int, document: bytes) -> bool:
+                versions.append(version)
+                return True
+
+            calls = DirectoryCalls(None)
+            subscription = Subscription(
+                fleet_pb2.Identity(),
+                [other.address],
+                calls,
+                timers,
+                lambda: RouterUsage({}, {}, [], 1.0),
+                lambda upstreams: None,
+                apply,
+                lambda usage: None,
+                CrashReports("r1", timers, lambda crashes: None),
+                LimitReports(timers, lambda upstream: None),
+                5.0,
+            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(subscription.run)
+                other.send(0, removed, other)
+                removed.send(1)
+                await removed.fetched.wait()
+                # Its stream ends with its next update, while the router still
+                # waits for its routing.
+                other.send(0, other)
+                while removed.address in subscription._controllers:
+                    await anyio.sleep(0.01)
+                removed.send(1)
+                while removed.address in subscription.versions:
+                    await anyio.sleep(0.01)
+                other.send(2)
+                while not versions:
+                    await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+            assert versions == [2]
+            await calls.close()
+
+        run_with_controllers(2, test)
