Take the list of all controllers only from those that know the voters

What callers would see: after a controller has lost its disk, routers end their streams to all controllers that aren't among their seeds. While that controller is cut off from the others, routers fetch no newer routing from those, send the leader no usage, and can't tell where a stream began that a caller resumes.

Cause: a router took the last list of controllers that any controller had sent. One that has started with an empty folder knows only itself until it has reached the others. It isn't sent a second time by controllers whose list hasn't changed, so the short list stays in force as long as the new controller reaches nobody. If the seeds in the router's settings were replaced meanwhile, it knows no other controller any more.

Ruled out: a controller that starts with its folder tells the members in it. The voters themselves were never taken from such a controller, as they come with the index of their log entry.

Change: lists count only from controllers that know the newest voters of which the router knows, by the same index. A list that came earlier counts once its controller knows them.

Measured: in the new test, with real streams, a router of three controllers kept 1 of 3 streams before (the one to the empty controller), and keeps 3 of 3 after. Not tried with a whole fleet.

--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -5,6 +5,7 @@
 import asyncio
 import zlib
 from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
@@ -53,6 +54,22 @@
 _log = logbook.Logger("directory")
 
 
+@dataclass(slots=True)
+class _ControllerList:
+    """What a controller has sent in a stream about all controllers.
+
+    Attributes
+    ----------
+    hosts : dict of str to str
+        Hosts of the controllers by address.
+    voters_index : int
+        Index of the log entry with the voters that it knows.
+    """
+
+    hosts: dict[str, str] = field(default_factory=dict)
+    voters_index: int = 0
+
+
 class Subscription:
     """A router's copy of the route directory.
 
@@ -108,6 +125,7 @@
         "_leaving",
         "_lifetime_s",
         "_limits",
+        "_lists",
         "_on_fleet_usage",
         "_on_routing",
         "_on_upstreams",
@@ -149,6 +167,8 @@
         self._leaving: dict[str, int] = {}
         self._lifetime_s = lifetime_s
         self._limits = limits
+        # The last list of each attached controller, by address.
+        self._lists: dict[str, _ControllerList] = {}
         self._on_routing = on_routing
         self._on_fleet_usage = on_fleet_usage
         self._on_upstreams = on_upstreams
@@ -338,6 +358,7 @@
                 await self._timers.sleep(RECONNECT_PAUSE_S)
         finally:
             running.discard(address)
+            self._lists.pop(address, None)
             await self._calls.close_channel(address)
 
     async def _run_stream(self, address: str) -> str:
@@ -447,6 +468,7 @@
     ) -> None:
         now = self._timers.now()
         if address not in self.versions:
+            self._lists[address] = _ControllerList()
             _log.info(
                 "controller attached address={} routing_version={}",
                 address,
@@ -457,11 +479,7 @@
         self._limits.position.record_count(
             update.attached_routers, update.router_number, now
         )
-        if update.controllers:
-            self._controllers = {c.address: c.host for c in update.controllers}
-        if update.voters_index > self._voters_index:
-            self._voters = frozenset(update.voters)
-            self._voters_index = update.voters_index
+        self._apply_controllers(address, update)
         if update.leader:
             self._leader = update.leader
         leads = self._controllers.get(address, "") == self._leader
@@ -514,6 +532,25 @@
         if update.routing_version > self.version:
             self._fetch_needed.set()
 
+    def _apply_controllers(
+        self, address: str, update: fleet_pb2.DirectoryUpdate
+    ) -> None:
+        """Apply a controller's list of all controllers, if it is current.
+
+        One that has started with an empty folder, or that was cut off, knows
+        only a part of them.
+        """
+        sent = self._lists.setdefault(address, _ControllerList())
+        if update.controllers:
+            sent.hosts = {c.address: c.host for c in update.controllers}
+        sent.voters_index = max(sent.voters_index, update.voters_index)
+        if update.voters_index > self._voters_index:
+            self._voters = frozenset(update.voters)
+            self._voters_index = update.voters_index
+        is_new = update.controllers or update.voters_index
+        if is_new and sent.hosts and sent.voters_index >= self._voters_index:
+            self._controllers = sent.hosts
+
     # ---- routing ---------------------------------------------------------
 
     async def _fetch_repeatedly(self) -> None:
--- a/hornbeamyard/tests/test_channels.py
+++ b/hornbeamyard/tests/test_channels.py
@@ -1,4 +1,4 @@
-"""Tests of calls to other processes whose channel is closed meanwhile."""
+"""Tests of a router's calls and streams to controllers."""
 
 from __future__ import annotations
 
@@ -39,11 +39,20 @@
         self.fetched = anyio.Event()
         self.is_silent = False
         self._sent = anyio.Event()
+        self._start = 0
         self._updates: list[fleet_pb2.DirectoryUpdate] = []
         self._version = 0
 
-    def send(self, version: int, *controllers: FakeController) -> None:
-        """Send a version, and addresses as those of all controllers."""
+    def send(
+        self,
+        version: int,
+        *controllers: FakeController,
+        voters_index: int = 0,
+    ) -> None:
+        """Send a version, and addresses as those of all controllers.
+
+        They are also the voters, if `voters_index` is given.
+        """
         self._version = version
         update = fleet_pb2.DirectoryUpdate(
             routing_version=version,
@@ -51,11 +60,20 @@
                 fleet_pb2.ControllerAddress(host=c.address, address=c.address)
                 for c in controllers
             ],
+            voters=[c.address for c in controllers] if voters_index else [],
+            voters_index=voters_index,
         )
         self._updates.append(update)
         self._sent.set()
         self._sent = anyio.Event()
 
+    def restart(self) -> None:
+        """End all streams, and forget what was sent."""
+        self._updates = []
+        self._start += 1
+        self._sent.set()
+        self._sent = anyio.Event()
+
     async def Watch(  # noqa: N802 - named by the protocol
         self,
         requests: AsyncIterator[fleet_pb2.RouterUsage],
@@ -63,7 +81,8 @@
     ) -> None:
         """Send the updates, old and new ones."""
         number = 0
-        while True:
+        start = self._start
+        while start == self._start:
             for update in self._updates[number:]:
                 number += 1
                 await context.write(update)
@@ -107,6 +126,31 @@
     anyio.run(run)
 
 
+def subscribe(
+    calls: DirectoryCalls, seed: FakeController, versions: list[int]
+) -> Subscription:
+    """Return a router's subscription, which records fetched versions."""
+    timers = MonotonicTimers()
+
+    def apply(version: int, document: bytes) -> bool:
+        versions.append(version)
+        return True
+
+    return Subscription(
+        fleet_pb2.Identity(),
+        [seed.address],
+        calls,
+        timers,
+        lambda: RouterUsage({}, {}, [], 1.0),
+        lambda upstreams: None,
+        apply,
+        lambda usage: None,
+        CrashReports("r1", timers, lambda crashes: None),
+        LimitReports(timers, lambda upstream: None),
+        5.0,
+    )
+
+
 class TestClosedChannel:
     """A call on a channel that is closed fails, as any other does."""
 
@@ -162,27 +206,9 @@
         async def test(controllers: list[FakeController]) -> None:
             removed, other = controllers
             removed.is_silent = True
-            timers = MonotonicTimers()
-            versions: list[int] = []
-
-            def apply(version: int, document: bytes) -> bool:
-                versions.append(version)
-                return True
-
             calls = DirectoryCalls(None)
-            subscription = Subscription(
-                fleet_pb2.Identity(),
-                [other.address],
-                calls,
-                timers,
-                lambda: RouterUsage({}, {}, [], 1.0),
-                lambda upstreams: None,
-                apply,
-                lambda usage: None,
-                CrashReports("r1", timers, lambda crashes: None),
-                LimitReports(timers, lambda upstream: None),
-                5.0,
-            )
+            versions: list[int] = []
+            subscription = subscribe(calls, other, versions)
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(subscription.run)
                 other.send(0, removed, other)
@@ -204,3 +230,50 @@
             await calls.close()
 
         run_with_controllers(2, test)
+
+
+class TestControllerLists:
+    """A router keeps its streams to the controllers of the cluster."""
+
+    def test_of_empty_controller(self) -> None:
+        """Guards against a list that ends the streams to all others."""
+
+        async def test(controllers: list[FakeController]) -> None:
+            empty, *others = controllers
+            calls = DirectoryCalls(None)
+            versions: list[int] = []
+            subscription = subscribe(calls, empty, versions)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(subscription.run)
+                # It has lost its disk after this, and reaches no other.
+                empty.send(1, *controllers, voters_index=5)
+                for other in others:
+                    other.send(1, *controllers, voters_index=5)
+                while len(subscription.versions) < len(controllers):
+                    await anyio.sleep(0.01)
+                empty.restart()
+                while empty.address in subscription.versions:
+                    await anyio.sleep(0.01)
+                empty.send(0, empty)
+                while empty.address not in subscription.versions:
+                    await anyio.sleep(0.01)
+                for other in others:
+                    other.send(1)
+                await anyio.sleep(0.5)
+                assert subscription.versions.keys() == {
+                    controller.address for controller in controllers
+                }
+                assert subscription.knows_majority()
+                for other in others:
+                    other.send(2)
+                while versions[-1] < 2:
+                    await anyio.sleep(0.01)
+                # It is up to date again, so that its list counts.
+                empty.send(2, empty, others[0], voters_index=6)
+                while others[1].address in subscription.versions:
+                    others[1].send(2)
+                    await anyio.sleep(0.1)
+                tasks.cancel_scope.cancel()
+            await calls.close()
+
+        run_with_controllers(3, test)
