Let only one process use a data folder at a time

Found by reading.

Cause: since processes wait for addresses that are taken, a second process on the same data folder doesn't end any more. It has read the folder by then, and waits until the first one ends. What the first one has voted and acknowledged meanwhile is on the disk but not in the memory of the second, which then serves, votes and appends by what it has read. In a fleet with one controller that loses an acknowledged version at once; in a larger one the voter takes back its part of a majority, and may vote twice in a term, as it may also campaign before it has the address.

Ruled out: damage of the files. Each process writes whole records, so that the folder reads well.

Change: a controller locks its folder (flock, which ends with the process) before it reads it, and waits with a log line while another process holds it; SIGTERM ends the wait. Where no lock is possible it logs that and goes on.

Several controllers weren't tried.

--- a/hornbeamyard/process/daemon.py
+++ b/hornbeamyard/process/daemon.py
@@ -27,6 +27,7 @@
 from .crash_store import CrashStore
 from .decisions import DecisionLog
 from .directory_router import DirectoryRouter
+from .folder_lock import lock_until
 from .interface import Interface
 from .logs import LineWriter, start_logging, start_structured_logging
 from .registrar import Registrar
@@ -143,7 +144,9 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(signals.watch, stop, stop_now)
         if settings.controller is not None:
-            replica = await tasks.start(_run_controller, settings, timers)
+            replica = await tasks.start(
+                _run_controller, settings, timers, stop
+            )
         if settings.router is not None:
             await Router(settings, timers).run(stop, stop_now)
         await stop.wait()
@@ -190,8 +193,23 @@
 async def _run_controller(
     settings: Settings,
     timers: Timers,
+    stop: anyio.Event,
     *,
-    task_status: anyio.abc.TaskStatus[Replica],
+    task_status: anyio.abc.TaskStatus[Replica | None],
+) -> None:
+    assert settings.controller is not None
+    folder = settings.controller.data_folder
+    async with lock_until(stop, folder, timers) as may_use:
+        if may_use:
+            await _serve_controller(settings, timers, task_status)
+        else:
+            task_status.started(None)
+
+
+async def _serve_controller(
+    settings: Settings,
+    timers: Timers,
+    task_status: anyio.abc.TaskStatus[Replica | None],
 ) -> None:
     assert settings.controller is not None
     address = settings.controller.address
--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -33,6 +33,7 @@
 from ..version.timeouts import derive_timeouts
 from . import listeners
 from .crash_store import CrashStore
+from .folder_lock import lock_until
 from .interface import Interface, SubmissionResult
 from .metrics import Metrics, Sample
 from .settings import Settings
@@ -134,6 +135,12 @@
     async def run(self, stop: anyio.Event) -> None:
         """Serve until `stop` is set, then transfer the leadership."""
         assert self._settings.controller is not None
+        folder = self._settings.controller.data_folder
+        async with lock_until(stop, folder, self._timers) as may_use:
+            if may_use:
+                await self._serve(stop)
+
+    async def _serve(self, stop: anyio.Event) -> None:
         fleet = self._settings.fleet
         server = peers.create_server()
         fleet_pb2_grpc.add_DirectoryServicer_to_server(
--- a/hornbeamyard/tests/test_process_start.py
+++ b/hornbeamyard/tests/test_process_start.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import contextlib
+import copy
+import errno
+import fcntl
 import json
 import os
 import signal
@@ -20,6 +23,7 @@
 import pytest
 
 from hornbeamyard.process import listeners, servers
+from hornbeamyard.process.folder_lock import lock_until
 from hornbeamyard.process.metrics import Metrics
 from hornbeamyard.process.timers import MonotonicTimers, VirtualTimers
 
@@ -384,6 +388,126 @@
             assert process.wait(TIMEOUT_S) == 0
 
 
+@pytest.mark.process
+class TestSharedFolder:
+    """A process waits until no other one uses its data folder."""
+
+    def test_second_process(self, tmp_path: Path) -> None:
+        """Guards against a loss of what the process before acknowledged."""
+        host = Host(tmp_path, "controller")
+        second = copy.copy(host)
+        second.log = tmp_path / "log-2"
+        with host.run() as process:
+            host.wait_for_message(process, "founded the cluster")
+            submit(host, 1)
+            with second.run() as successor:
+                second.wait_for_message(successor, "start host=")
+                time.sleep(1.5)
+                submit(host, 2)
+                process.kill()
+                process.wait(TIMEOUT_S)
+                assert read_version(second) == 2
+                submit(second, 3)
+            assert not second.list_messages("damaged")
+        with host.run():
+            assert read_version(host) == 3
+
+    def test_stops_while_in_use(self, tmp_path: Path) -> None:
+        """Guards against a process that can't be stopped while it waits."""
+        host = Host(tmp_path, "controller")
+        second = copy.copy(host)
+        second.log = tmp_path / "log-2"
+        with host.run() as process, second.run() as successor:
+            waiting = [process, successor]
+            text = "another process uses the data folder"
+            deadline = time.monotonic() + TIMEOUT_S
+            while not (host.list_messages(text) or second.list_messages(text)):
+                assert time.monotonic() < deadline
+                time.sleep(0.02)
+            if host.list_messages(text):
+                waiting.reverse()
+            waiting[1].terminate()
+            assert waiting[1].wait(TIMEOUT_S) == 0
+            assert waiting[0].poll() is None
+
+    def test_without_directory(self, tmp_path: Path) -> None:
+        """Guards against the same in a fleet without a route directory."""
+        host = NativeHost(tmp_path)
+        host.data_folder.mkdir()
+        command = ("-m", "hornbeamyard.process.daemon", str(host.path))
+        text = "another process uses the data folder"
+        descriptor = os.open(host.data_folder, os.O_RDONLY)
+        fcntl.flock(descriptor, fcntl.LOCK_EX)
+        with host.run(*command) as process:
+            host.wait_for_message(process, text)
+            process.terminate()
+            assert process.wait(TIMEOUT_S) == 0
+        assert not list(host.data_folder.iterdir())
+        with host.run(*command) as process:
+            host.wait_for_message(process, text)
+            os.close(descriptor)
+            for name in ("internal", "front"):
+                port = host.ports[name]
+                text = f"listening on 127.0.0.1:{port}"
+                host.wait_for_message(process, text)
+
+    @pytest.mark.parametrize("fault", ["no locks", "no folder"])
+    def test_without_locks(
+        self, tmp_path: Path, fault: str, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a process that waits where no lock is possible."""
+        folder = tmp_path / "data"
+        if fault == "no folder":
+            folder.write_text("a file")
+
+        def fail(descriptor: int, operation: int) -> None:
+            raise OSError(errno.ENOLCK, "no locks")
+
+        monkeypatch.setattr(fcntl, "flock", fail)
+
+        async def run() -> None:
+            stop = anyio.Event()
+            timers = VirtualTimers()
+            async with lock_until(stop, folder, timers) as may_use:
+                assert may_use
+
+        with logbook.TestHandler() as log:
+            anyio.run(run)
+        [record] = log.records
+        assert "can't be locked" in record.message
+
+
+def submit(host: Host, version: int) -> None:
+    """Submit a configuration until it is acknowledged."""
+    document = {"version": version, "routes": [], "services": []}
+    path = "/Configuration.Replace"
+    body = json.dumps(document).encode()
+    call_controller(host, "POST", path, body)
+
+
+def read_version(host: Host) -> int:
+    """Return the version that is read back."""
+    body = call_controller(host, "GET", "/Configuration.Read")
+    return int(json.loads(body)["version"])
+
+
+def call_controller(
+    host: Host, method: str, path: str, body: bytes = b""
+) -> bytes:
+    """Call a controller until it responds with success."""
+    url = f"http://127.0.0.1:{host.ports['control']}{path}"
+    deadline = time.monotonic() + TIMEOUT_S
+    while True:
+        try:
+            response = httpcore.request(method, url, content=body)
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            response = None
+        if response is not None and response.status == 200:
+            return response.content
+        assert time.monotonic() < deadline, host.log.read_text()
+        time.sleep(0.05)
+
+
 class TestListeners:
     """Sockets of the HTTP servers."""
 
