Forget targets that no request has any more

A balancer kept the weight of each target that a request ever had, though it had long decayed to 0, and went through all of them for each request.

Targets that weigh less than a thousandth of a token are forgotten; the mix passes over whatever makes up less than a tenth of the tokens anyway.

The test has 1 of 1000 targets left; before, all 1000.

--- a/hornbeamyard/pool/targets.py
+++ b/hornbeamyard/pool/targets.py
@@ -9,6 +9,9 @@
 # Requests with the shortest targets determine how long the engines' queues
 # may get once they make up this part of the prompt tokens.
 MIN_WEIGHT_FRACTION = 0.1
+# Weight in tokens below which a target is forgotten. Each request weighs at
+# least one token.
+MIN_WEIGHT = 1e-3
 
 
 @dataclass(slots=True)
@@ -35,8 +38,11 @@
         """
         factor = 0.5 ** (max(0.0, now - self._updated_at) / HALF_LIFE_S)
         self._updated_at = now
-        for target in self._weights:
-            self._weights[target] *= factor
+        self._weights = {
+            target: weight * factor
+            for target, weight in self._weights.items()
+            if weight * factor >= MIN_WEIGHT
+        }
         weight = self._weights.get(target_s, 0.0) + max(1, tokens)
         self._weights[target_s] = weight
 
--- a/hornbeamyard/tests/test_balancer.py
+++ b/hornbeamyard/tests/test_balancer.py
@@ -717,6 +717,13 @@
         mix.record(0.01, 1000, 1.0)
         assert mix.find_shortest() == 1.0
 
+    def test_targets_of_former_routes(self) -> None:
+        """Guards against memory and time for each target that ever was."""
+        mix = TargetMix()
+        for number in range(1000):
+            mix.record(1.0 + number / 1000, 1000, number * 60.0)
+        assert len(mix._weights) == 1
+
     def test_mix_follows_the_requests(self) -> None:
         """Guards against a limit from requests that no longer come."""
         mix = TargetMix()
