--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -401,6 +401,15 @@
             self._max_deadline_ms.get(route.name, 0), metadata.deadline_ms
         )
         self._max_deadline_ms[route.name] = max_deadline_ms
+        assert self._router.routing is not None
+        routes = self._router.routing.routes
+        if len(self._max_deadline_ms) > len(routes):
+            # Newer versions of the routing have replaced some routes.
+            self._max_deadline_ms = {
+                name: deadline_ms
+                for name, deadline_ms in self._max_deadline_ms.items()
+                if name in routes
+            }
         return metadata.deadline_ms < max_deadline_ms * RETRY_DEADLINE_FRACTION
 
     # ---- delivery --------------------------------------------------------
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -1024,3 +1024,21 @@
             assert harness.log.lines[-1]["framing"] == framing
 
         run(test, [script])
+
+    def test_deadlines_of_former_routes(self) -> None:
+        """Guards against memory for each route that a routing ever had."""
+
+        async def test(harness: Harness) -> None:
+            deadline = (b"hornbeamyard-deadline-ms", b"900")
+            for number in range(20):
+                document = copy.deepcopy(DOCUMENT)
+                document["version"] = 4 + number
+                for route in document["routes"]:
+                    route["name"] += f"-{number}"
+                harness.routing = parse_routing(document).unwrap()
+                await harness.send_request(headers=(deadline,))
+            kept = harness.forwarder._max_deadline_ms
+            assert len(kept) <= len(DOCUMENT["routes"])
+            assert "read-19" in kept
+
+        run(test, [send_response()] * 20)
