Forget pools in whose streams nobody is interested any more

A pool in which a stream began at an unknown version was reported in full for the rest of the router's life, and each stream to a controller kept the number of the last report of each pool that ever was. Streams are known for 60 s, so a pool counts as uncertain for as long after its last such stream, and the numbers are kept for the pools that the registry knows.

The test has 21 pools: before all of them were uncertain, now at most 2, and at most 5 numbers are kept.

--- a/hornbeamyard/connection/stream_reports.py
+++ b/hornbeamyard/connection/stream_reports.py
@@ -8,7 +8,12 @@
 
 from ..messages import fleet_pb2
 from ..pool.ended_starts import UNKNOWN_VERSION
-from ..pool.stream_origins import BegunStream, StreamOrigin, StreamOrigins
+from ..pool.stream_origins import (
+    RETENTION_S,
+    BegunStream,
+    StreamOrigin,
+    StreamOrigins,
+)
 from ..pool.upstream_registry import UpstreamRegistry
 from ..process.timers import Timers
 
@@ -49,8 +54,8 @@
         self._changed = anyio.Event()
         self._registry = registry
         self._timers = timers
-        # Pools in which a stream has begun at an unknown version.
-        self._uncertain_pools: set[str] = set()
+        # Pools in which a stream has begun at an unknown version, and when.
+        self._uncertain_pools: dict[str, float] = {}
         self.origins = StreamOrigins()
         self.split_pools: frozenset[str] = frozenset()
 
@@ -58,12 +63,22 @@
         """Record a stream that begins; without an id it can't be resumed."""
         if not request_id:
             return
-        self.origins.record(request_id, origin, self._timers.now())
+        now = self._timers.now()
+        self.origins.record(request_id, origin, now)
         if origin.software_version == UNKNOWN_VERSION:
-            self._uncertain_pools.add(origin.pool)
+            self._uncertain_pools[origin.pool] = now
         if self._needs_reports(origin.pool):
             self.notify()
 
+    def expire(self, now: float) -> None:
+        """Forget streams that no caller resumes any more."""
+        self.origins.expire(now)
+        self._uncertain_pools = {
+            pool: begun_at
+            for pool, begun_at in self._uncertain_pools.items()
+            if now - begun_at <= RETENTION_S
+        }
+
     def notify(self) -> None:
         """Report streams soon, as one has begun or versions have changed."""
         self._changed.set()
@@ -84,6 +99,12 @@
                     reported[pool] = max(stream.number, reported.get(pool, 0))
                 groups = group_by_origin(streams)
                 await send(fleet_pb2.RouterUsage(begun_streams=groups))
+                pools = self._registry.list_pools()
+                reported = {
+                    pool: number
+                    for pool, number in reported.items()
+                    if pool in pools
+                }
             await changed.wait()
             await self._timers.sleep(COLLECT_INTERVAL_S)
 
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -303,7 +303,7 @@
 
     def _expire(self) -> None:
         now = self._timers.now()
-        self.streams.origins.expire(now)
+        self.streams.expire(now)
         self._crashes.expire(now)
         self._limits.expire(now)
         if not self.versions:
--- a/hornbeamyard/tests/test_stream_reports.py
+++ b/hornbeamyard/tests/test_stream_reports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable, Container
 from typing import Any
 
@@ -26,7 +27,7 @@
     UpstreamRegistry,
     UpstreamState,
 )
-from hornbeamyard.process.timers import MonotonicTimers
+from hornbeamyard.process.timers import MonotonicTimers, VirtualTimers
 
 from .test_directory_router import build_router
 
@@ -163,6 +164,40 @@
 
         self.run(test)
 
+    def test_former_pools(self) -> None:
+        """Guards against memory for each pool that ever had a stream."""
+
+        async def main() -> None:
+            timers = VirtualTimers()
+            router, _, _ = build_router(timers)
+            registry = router.subscription.registry
+            reports = router.subscription.streams
+            reported: dict[str, int] = {}
+
+            async def send(report: fleet_pb2.RouterUsage) -> None:
+                frame = task.get_coro().cr_frame  # type: ignore[union-attr]
+                reported.update(frame.f_locals["reported"])
+
+            task = asyncio.create_task(reports.run(send))
+            for number in range(20):
+                pool = f"pool-{number}"
+                now = timers.now()
+                registry.record_version(pool, "v1", now)
+                reports.record(pool, StreamOrigin(pool, UNKNOWN_VERSION))
+                await timers.advance(60.0)
+                reported.clear()
+                registry.expire(timers.now(), 60.0)
+                router.subscription._expire()
+            reports.notify()
+            registry.record_version("last", "v1", timers.now())
+            reports.record("last", StreamOrigin("last", UNKNOWN_VERSION))
+            await timers.advance(1.0)
+            task.cancel()
+            assert len(reports._uncertain_pools) <= 2
+            assert len(reported) <= 5
+
+        anyio.run(main)
+
     def test_new_controller_gets_all(self) -> None:
         """Guards against streams that are unknown to a new controller."""
 
