Forget pools without upstreams that the routing doesn't name

A router builds a balancer for any pool that an upstream announces, and a retry budget for any pool that gets a request, and kept them for good.

A balancer that has neither upstreams, waiting requests nor pauses is dropped unless the routing in force names its pool, and a retry budget once its window is empty. Both are therefore still there when the pool comes back in time for them to matter, which the second test checks. A request that was placed before keeps its balancer until it has ended.

--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -609,6 +609,14 @@
             if isinstance(server, Engine) and server.is_usable(now)
         ]
 
+    def is_unused(self, now: float) -> bool:
+        """Return whether it has neither upstreams, pauses nor requests."""
+        return not (
+            self.servers
+            or self._waiting
+            or any(until > now for until in self._paused_until.values())
+        )
+
     # ---- requests --------------------------------------------------------
 
     def place(
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -545,8 +545,20 @@
                 self._propose_factor(now)
                 self._shares.continue_alone(now)
             self._log_throughput(now)
+            self._forget_pools(now)
             await self._upstreams.close_expired()
 
+    def _forget_pools(self, now: float) -> None:
+        """Forget pools without upstreams that the routing doesn't name."""
+        if self.routing is None:
+            return
+        for pool, balancer in list(self._balancers.items()):
+            if pool not in self.routing.pools and balancer.is_unused(now):
+                del self._balancers[pool]
+        for pool, budget in list(self._budgets.items()):
+            if pool not in self.routing.pools and budget.is_unused(now):
+                del self._budgets[pool]
+
     def _log_throughput(self, now: float) -> None:
         """Log the estimated throughput, while it limits accounts."""
         if self.routing is None or not self._shares.is_contended():
--- a/hornbeamyard/request/budget.py
+++ b/hornbeamyard/request/budget.py
@@ -108,6 +108,11 @@
         self._retries.append(now)
         return True
 
+    def is_unused(self, now: float) -> bool:
+        """Return whether nothing was counted within the window."""
+        self._drop_expired(now)
+        return not self._requests and not self._retries
+
     def _drop_expired(self, now: float) -> None:
         for times in (self._retries, self._requests):
             while times and now - times[0] > self._window_s:
--- a/hornbeamyard/tests/test_directory_router.py
+++ b/hornbeamyard/tests/test_directory_router.py
@@ -4,10 +4,12 @@
 
 import io
 import json
+from dataclasses import replace
 
 import anyio
 import pytest
 
+from hornbeamyard.pool.upstream_registry import Upstream, UpstreamState
 from hornbeamyard.pool.usage import AccountUsage, FleetUsage
 from hornbeamyard.process.decisions import DecisionLog
 from hornbeamyard.process.directory_router import (
@@ -149,6 +151,68 @@
 
         anyio.run(test)
 
+    def test_pools(self) -> None:
+        """Guards against memory for each pool that upstreams ever named."""
+
+        async def test() -> None:
+            timers = VirtualTimers(start=100.0)
+            router, _, _ = build_router(timers)
+            document = {"version": 1, "routes": [], "pools": [{"name": "app"}]}
+            router.routing = parse_routing(document).unwrap()
+            router.find_balancer("app")
+            for number in range(20):
+                upstream = Upstream(
+                    f"u{number}",
+                    f"pool-{number}",
+                    f"10.0.0.{number}:80",
+                    "zone-a",
+                    UpstreamState.READY,
+                    4,
+                    1,
+                )
+                router._handle_upstreams([upstream])
+                router.find_budget(upstream.pool).record_request(timers.now())
+                await timers.advance(1.0)
+                gone = replace(upstream, state=UpstreamState.GONE)
+                router._handle_upstreams([gone])
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(router._run_maintenance)
+                await timers.advance(60.0)
+                tasks.cancel_scope.cancel()
+            assert set(router._balancers) == {"app"}
+            assert not router._budgets
+
+        anyio.run(test)
+
+    def test_pool_in_use(self) -> None:
+        """Guards against retry budgets and pauses that are forgotten early."""
+
+        async def test() -> None:
+            timers = VirtualTimers(start=100.0)
+            router, _, _ = build_router(timers)
+            document = {"version": 1, "routes": [], "pools": []}
+            router.routing = parse_routing(document).unwrap()
+            upstream = Upstream(
+                "u1", "app", "10.0.0.1:80", "z", UpstreamState.READY, 4, 1
+            )
+            router._handle_upstreams([upstream])
+            balancer = router.find_balancer("app")
+            balancer.pause(balancer.servers["u1"], 30.0, timers.now())
+            router.find_budget("app").record_request(timers.now())
+            gone = replace(upstream, state=UpstreamState.GONE)
+            router._handle_upstreams([gone])
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(router._run_maintenance)
+                await timers.advance(1.0)
+                assert router.find_balancer("app") is balancer
+                assert router._budgets
+                await timers.advance(31.0)
+                tasks.cancel_scope.cancel()
+            assert not router._balancers
+            assert not router._budgets
+
+        anyio.run(test)
+
 
 class TestThroughput:
     """The estimated throughput is logged while it limits accounts."""
