Forget the counters of accounts that no longer ask for anything

Operators saw control messages and processor time grow with each account that a routing ever had. A router counted tokens for each of them since its start, kept a bucket for each that the fleet's usage ever named, and went through all of them four times a second; the lead controller did the same and sent all of them to each new router.

Both now forget an account that has changed nothing for one to two minutes. Buckets go later than the counters, and only while a controller's usage comes, because a new leader names an account once it is admitted again. The counters in the metrics don't go back: sums of what was forgotten are kept by label, and labels are limited already.

Ruled out: removing accounts with the routing that drops them, since requests may still be running and a router may get the routing before the controller that adds up; and a time of last use with each counter, which would cost each request instead of one pass a minute.

--- a/hornbeamyard/pool/shares.py
+++ b/hornbeamyard/pool/shares.py
@@ -15,13 +15,13 @@
 
 import random
 from collections import deque
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 from .service_order import ServiceOrder
 from .token_bucket import REMEMBERED_CAPACITIES, AccountBucket, TokenBucket
-from .usage import DEFAULT_WINDOW_S, AccountUsage
+from .usage import DEFAULT_WINDOW_S, IDLE_RETENTION_S, AccountUsage
 
 # Capacity of the bucket of spare throughput, which accounts above their share
 # may use, in seconds of throughput. More would admit a burst that slows down
@@ -146,6 +146,12 @@
     # Until when the last division holds, as a monotonic time in seconds.
     _divided_until: float = float("-inf")
     _applied_at: float | None = None
+    # The counters when idle accounts were forgotten last.
+    _checked_usage: dict[str, AccountUsage] = field(default_factory=dict)
+    _checked_at: float = float("-inf")
+    # Accounts in the fleet usage since then.
+    _named: set[str] = field(default_factory=set)
+    _named_since: float = float("-inf")
 
     def is_contended(self) -> bool:
         """Return whether the demand exceeds the engines' throughput."""
@@ -176,6 +182,38 @@
             name: use.admitted for name, use in self.own_usage.items()
         }
 
+    def forget_idle(self, now: float) -> dict[str, AccountUsage]:
+        """Forget the accounts that have asked for nothing lately.
+
+        To be called just before a report, which then says so.
+
+        Returns
+        -------
+        dict of str to AccountUsage
+            The counters of the forgotten accounts. When one comes back, they
+            begin anew.
+        """
+        if now - self._checked_at < IDLE_RETENTION_S:
+            return {}
+        self._checked_at = now
+        idle = {
+            name: use
+            for name, use in self.own_usage.items()
+            if use == self._checked_usage.get(name)
+        }
+        for name, use in idle.items():
+            del self.own_usage[name]
+            for _, sample in self._samples:
+                sample.pop(name, None)
+            bucket = self._buckets.get(name)
+            if bucket is not None:
+                # Otherwise others would be charged for this router's use.
+                bucket.own_reported -= use.admitted
+        self._checked_usage = {
+            name: replace(use) for name, use in self.own_usage.items()
+        }
+        return idle
+
     def _sample_usage(self, now: float) -> None:
         """Record what accounts have asked for here and were refused."""
         sample = {
@@ -373,6 +411,9 @@
             # What was asked before isn't in the new source's demand.
             while len(self._samples) > 1:
                 self._samples.popleft()
+            # It names an account once that is admitted again.
+            self._named = set(self._buckets)
+            self._named_since = now
         if is_new and self._buckets:
             # Until it has counted for a whole window, its demand is too low.
             self._divided_until = now + self.window_s
@@ -387,6 +428,20 @@
                 {n: (use.asked, use.unserved) for n, use in accounts.items()}
             )
         )
+        self._forget_unnamed(accounts, now)
+
+    def _forget_unnamed(self, accounts: Iterable[str], now: float) -> None:
+        """Forget the buckets of accounts that are long gone.
+
+        They outlast the accounts' own counters, by which they are charged.
+        """
+        self._named.update(accounts)
+        if now - self._named_since < 2 * IDLE_RETENTION_S:
+            return
+        for name in self._buckets.keys() - self._named:
+            del self._buckets[name]
+        self._named = set(accounts)
+        self._named_since = now
 
     def _divide(
         self, accounts: Mapping[str, AccountUsage], routers: int, now: float
--- a/hornbeamyard/pool/usage.py
+++ b/hornbeamyard/pool/usage.py
@@ -25,6 +25,9 @@
 PART_RETENTION_S = 30.0
 # A router without a report for this long no longer counts.
 ROUTER_TIMEOUT_S = 2.0
+# The counters of an account that asks for nothing are forgotten after one to
+# two times this long. By then its bucket is full again, whatever it was used.
+IDLE_RETENTION_S = 60.0
 
 
 @dataclass(slots=True)
@@ -162,6 +165,8 @@
 
     __slots__ = (
         "_admitted",
+        "_checked_admitted",
+        "_checked_at",
         "_recent",
         "_reported_parts",
         "_reports",
@@ -175,6 +180,9 @@
         self._reports: dict[str, _LastReport] = {}
         self._sent_at: dict[CachedPart, float] = {}
         self._admitted: dict[str, int] = {}
+        # What had been admitted when idle accounts were forgotten last.
+        self._checked_admitted: dict[str, int] = {}
+        self._checked_at = float("-inf")
         # Time, account, tokens asked for and tokens refused.
         self._recent: deque[tuple[float, str, int, int]] = deque()
 
@@ -202,7 +210,9 @@
                 asked = use.asked - earlier.asked
                 admitted = use.admitted - earlier.admitted
                 unserved = use.unserved - earlier.unserved
-                self._admitted[name] = self._admitted.get(name, 0) + admitted
+                if admitted:
+                    total = self._admitted.get(name, 0) + admitted
+                    self._admitted[name] = total
                 demand += asked
                 if asked or unserved:
                     self._recent.append((now, name, asked, unserved))
@@ -220,6 +230,7 @@
         """
         while self._recent and now - self._recent[0][0] > self._window_s:
             self._recent.popleft()
+        self._forget_idle(now)
         fleet = FleetUsage(cached_parts=self._list_unsent_parts(now))
         for name, admitted in self._admitted.items():
             fleet.accounts[name] = AccountUsage(0, admitted)
@@ -240,6 +251,22 @@
         fleet.throughput_factor = self._compute_throughput_factor()
         return fleet
 
+    def _forget_idle(self, now: float) -> None:
+        """Forget the accounts of which no router has reported anything new.
+
+        When one comes back, the count of its admitted tokens begins anew.
+        """
+        if now - self._checked_at < IDLE_RETENTION_S:
+            return
+        self._checked_at = now
+        active = {name for _, name, _, _ in self._recent}
+        self._admitted = {
+            name: admitted
+            for name, admitted in self._admitted.items()
+            if name in active or admitted != self._checked_admitted.get(name)
+        }
+        self._checked_admitted = dict(self._admitted)
+
     def _compute_throughput_factor(self) -> float:
         """Return the weighted mean of the routers' estimates, 0 for none.
 
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import itertools
 import os
 import random
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 
 import anyio
 import anyio.abc
@@ -36,6 +37,7 @@
 )
 from ..pool.usage import (
     DEMAND_WINDOW_FRACTION,
+    AccountUsage,
     CachedPart,
     FleetUsage,
     RouterUsage,
@@ -43,7 +45,7 @@
 )
 from ..request.budget import WindowRetryBudget
 from ..request.forwarding import Forwarder, Receive, Scope, Send
-from ..request.reporting import RequestReporter
+from ..request.reporting import PUBLIC_LABEL, RequestReporter
 from ..version.routing import Routing
 from . import listeners
 from .decisions import DecisionLog
@@ -137,6 +139,7 @@
         "_budgets",
         "_calls",
         "_connection_limits",
+        "_idle_usage",
         "_interface",
         "_max_announcement_delay_s",
         "_server",
@@ -174,6 +177,8 @@
         self._awaits_address = False
         self._budgets: dict[str, WindowRetryBudget] = {}
         self._calls = DirectoryCalls(settings.tls)
+        # Sums of the counters of accounts that were forgotten, by label.
+        self._idle_usage: dict[str, AccountUsage] = {}
         # When the fleet's usage came last; None before the first one.
         self._usage_at: float | None = None
         self._interface = interface
@@ -395,6 +400,7 @@
                     upstreams[server.id] = server.own_load
         now = self._timers.now()
         self._propose_factor(now)
+        self._retain_counters(self._shares.forget_idle(now))
         self._shares.mark_reported(now)
         return RouterUsage(
             self._shares.own_usage,
@@ -403,6 +409,15 @@
             self._shares.proposed_factor,
         )
 
+    def _retain_counters(self, idle: Mapping[str, AccountUsage]) -> None:
+        """Keep the sums of counters that are forgotten, for the metrics."""
+        for account, usage in idle.items():
+            label = self.metrics.limit_account(account or PUBLIC_LABEL)
+            total = self._idle_usage.setdefault(label, AccountUsage())
+            total.asked += usage.asked
+            total.admitted += usage.admitted
+            total.unserved += usage.unserved
+
     def _propose_factor(self, now: float) -> None:
         """Estimate the throughput by the engines' load."""
         balancers = list(self._balancers.values())
@@ -646,8 +661,11 @@
         level = shares.level if shares.is_contended() else 0.0
         yield Sample("share_factor", shares.factor)
         yield Sample("share_level", level)
-        for account, usage in shares.own_usage.items():
-            labels = (("client_account", account or "public"),)
+        counters = itertools.chain(
+            shares.own_usage.items(), self._idle_usage.items()
+        )
+        for account, usage in counters:
+            labels = (("client_account", account or PUBLIC_LABEL),)
             yield Sample("share_asked_tokens", usage.asked, labels, True)
             yield Sample("share_admitted_tokens", usage.admitted, labels, True)
             yield Sample("share_unserved_tokens", usage.unserved, labels, True)
--- a/hornbeamyard/process/metrics.py
+++ b/hornbeamyard/process/metrics.py
@@ -244,6 +244,10 @@
             min(max(1, int(seconds * 1000)), MAX_LATENCY_MS)
         )
 
+    def limit_account(self, client_account: str) -> str:
+        """Return the label value for an account, of a limited number."""
+        return self._accounts.limit_value(client_account)
+
     def add_source(self, source: Source) -> None:
         """Add a function that yields samples whenever metrics are rendered."""
         self._sources.append(source)
--- a/hornbeamyard/tests/test_directory_router.py
+++ b/hornbeamyard/tests/test_directory_router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import io
 import json
 from dataclasses import replace
@@ -10,7 +11,7 @@
 import pytest
 
 from hornbeamyard.pool.upstream_registry import Upstream, UpstreamState
-from hornbeamyard.pool.usage import AccountUsage, FleetUsage
+from hornbeamyard.pool.usage import AccountUsage, FleetUsage, UsageTable
 from hornbeamyard.process.decisions import DecisionLog
 from hornbeamyard.process.directory_router import (
     NOT_READY_GRACE_S,
@@ -151,6 +152,49 @@
 
         anyio.run(test)
 
+    def test_accounts(self) -> None:
+        """Guards against memory for each account that a routing ever had."""
+
+        async def test() -> None:
+            timers = VirtualTimers(start=100.0)
+            router, _, _ = build_router(timers)
+            shares = router._shares
+            shares.throughput = 1000.0
+            table = UsageTable(2.0)
+            sizes = []
+            for minute in range(24):
+                for _ in range(60):
+                    shares.record_asked(f"account-{minute}", 10)
+                    shares.record_admitted(f"account-{minute}", 10)
+                    shares.record_asked("steady", 10)
+                    shares.record_admitted("steady", 10)
+                    usage = copy.deepcopy(router._collect_usage())
+                    table.record_report("r1", usage, timers.now())
+                    fleet_usage = table.compute_fleet_usage(timers.now())
+                    fleet_usage.source = "c1" if minute < 6 else "c2"
+                    router._apply_fleet_usage(fleet_usage)
+                    await timers.advance(1.0)
+                sizes += [
+                    len(shares.own_usage),
+                    len(shares._buckets),
+                    len(table._admitted),
+                ]
+            # Those of some minutes, and one that is always there.
+            assert max(sizes) <= 12
+            assert max(sizes[-3:]) <= 8
+            assert shares.own_usage["steady"].admitted == 24 * 60 * 10
+            assert table._admitted["steady"] == (24 * 60 - 1) * 10
+            # The counters of the metrics don't go back.
+            text = router.metrics.render().decode()
+            for account in ("steady", "account-0", "account-23"):
+                value = 14400 if account == "steady" else 600
+                assert (
+                    'share_admitted_tokens_total{client_account="'
+                    f'{account}"}} {value}.0' in text
+                )
+
+        anyio.run(test)
+
     def test_pools(self) -> None:
         """Guards against memory for each pool that upstreams ever named."""
 
--- a/hornbeamyard/tests/test_shares.py
+++ b/hornbeamyard/tests/test_shares.py
@@ -9,6 +9,7 @@
 
 from hornbeamyard.pool.shares import Shares, compute_level
 from hornbeamyard.pool.usage import (
+    IDLE_RETENTION_S,
     PART_RETENTION_S,
     AccountUsage,
     CachedPart,
@@ -56,6 +57,7 @@
         """Report to the leader and apply the fleet usage it computes."""
         self.now += INTERVAL_S
         for number, shares in enumerate(self.routers):
+            shares.forget_idle(self.now)
             shares.mark_reported(self.now)
             own = {
                 name: AccountUsage(use.asked, use.admitted)
@@ -331,6 +333,59 @@
         assert not shares.could_admit_by("a", False, 0.1, 0.225)
 
 
+class TestIdleAccounts:
+    """An account that comes back is treated like one that never left."""
+
+    def test_return_to_one_router(self) -> None:
+        """Guards against charging others' use for what was forgotten here.
+
+        The account goes on at another router meanwhile, so its bucket stays.
+        """
+        fleet = Fleet(2)
+        for _ in range(40):
+            for account in ("a", "b", "c"):
+                fleet.ask(0, account, 900)
+            fleet.exchange()
+        for _ in range(int(2.5 * IDLE_RETENTION_S / INTERVAL_S)):
+            for account in ("a", "b", "c"):
+                fleet.ask(1, account, 900)
+            fleet.exchange()
+            first, second = (r._buckets["a"].tokens for r in fleet.routers)
+            assert abs(first - second) <= 2000
+        assert not fleet.routers[0].own_usage
+        # A router's first report is a baseline.
+        missing = fleet.admitted["a"] - fleet.table._admitted["a"]
+        assert missing == 900
+        for _ in range(40):
+            for account in ("a", "b", "c"):
+                fleet.ask(0, account, 900)
+            fleet.exchange()
+        missing = fleet.admitted["a"] - fleet.table._admitted["a"]
+        assert missing == 900
+
+    def test_return_to_the_fleet(self) -> None:
+        """Guards against debts and free tokens of accounts that come back."""
+        fleet = Fleet(2)
+
+        def run(steps: int, *accounts: str) -> dict[str, int]:
+            before = dict(fleet.admitted)
+            for _ in range(steps):
+                for account in accounts:
+                    for router in range(2):
+                        fleet.ask(router, account, 900)
+                fleet.exchange()
+            return {a: fleet.admitted[a] - before.get(a, 0) for a in accounts}
+
+        run(80, "a", "b", "c")
+        run(int(5 * IDLE_RETENTION_S / INTERVAL_S), "b", "c")
+        for shares in fleet.routers:
+            assert "a" not in shares.own_usage
+            assert "a" not in shares._buckets
+        assert "a" not in fleet.table._admitted
+        admitted = run(80, "a", "b", "c")
+        assert abs(admitted["a"] - admitted["b"]) <= 0.15 * admitted["b"]
+
+
 class TestContinueAlone:
     """A router goes on while the fleet's usage isn't known."""
 
