Forget the changes of suspects that a crash no longer has

A crash keeps at most 512 suspects, those with the lowest ids, but the number of the last change of each one that it ever had. An upstream that announces no start has the same one for good, so all requests that break there within an hour added to one crash. The numbers are now cut to the suspects.

--- a/hornbeamyard/pool/crashes.py
+++ b/hornbeamyard/pool/crashes.py
@@ -401,6 +401,12 @@
         crash.number = self.number
         for suspect in changed:
             crash.changes[suspect] = self.number
+        if len(crash.changes) > len(crash.suspects):
+            crash.changes = {
+                suspect: number
+                for suspect, number in crash.changes.items()
+                if suspect in crash.suspects
+            }
         self._crashes.pop(crash.upstream, None)
         self._crashes[crash.upstream] = crash
         while (
--- a/hornbeamyard/tests/test_crashes.py
+++ b/hornbeamyard/tests/test_crashes.py
@@ -279,3 +279,18 @@
         assert sum(len(crash.suspects) for crash in known) <= 10
         assert known[0].upstream.id == "u8"
         assert not ledger.blocked
+
+    def test_changes_are_bounded(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against memory for suspects that a crash no longer has.
+
+        An upstream without an announced start has the same one for good.
+        """
+        monkeypatch.setattr(crashes, "MAX_SUSPECTS", 10)
+        ledger = CrashLedger()
+        for number in reversed(range(1000)):
+            ledger.merge([build_requests_crash(1, f"{DIGEST_PREFIX}{number}")])
+        (crash,) = ledger._crashes.values()
+        assert len(crash.suspects) == 10
+        assert crash.changes.keys() == crash.suspects.keys()
