Bound the memory of responses that wait for slow callers

A router with 100 callers that read answers of 4 MB slowly held 80 to 137 MB. Each response had up to four buffers: the start that is kept so that the request can be sent again (256 KB), what was read ahead of the caller (256 KB and a read of up to 256 KB), and what the server had not sent (64 KB and a chunk of up to 256 KB). Nothing bounded the total.

A connection to an upstream now reads into a buffer of 64 KB that all connections share, and stops when 64 KB wait. `ResponseBuffers` counts what waits at connections, at relays and, beyond 16 KB each, at the server. Once that exceeds an eighth of the machine's memory (bodies of requests have a quarter), a response is passed on as it comes instead of being kept whole, in reads of 8 KB, and its upstream waits for its caller.

Kept on purpose: below that total a response of up to 256 KB is still taken from the upstream whole and handed to the server at once. Above the total, a small response can be cut off as well, and can't be sent again.

Not counted: error responses (256 KB at most) until they are handed to the server, and incomplete events. A fleet without a route directory has the bound for each response, not the total.

--- a/hornbeamyard/connection/client.py
+++ b/hornbeamyard/connection/client.py
@@ -18,11 +18,16 @@
 
 import httptools
 
+from .buffers import ResponseBuffers
+
 Headers = list[tuple[bytes, bytes]]
 
 # Reading from the upstream pauses when this much of a response waits for a
-# slow caller.
-MAX_BUFFERED_BYTES = 256 * 1024
+# slow caller. What is read at once comes on top.
+MAX_BUFFERED_BYTES = 64 * 1024
+READ_BYTES = 64 * 1024
+# The latter while all responses together exceed their limit.
+REDUCED_READ_BYTES = 8 * 1024
 # An upstream may send this much without a byte of a body, in headers, chunk
 # sizes and trailers. Servers commonly allow headers of 8 to 64 KB.
 MAX_UNPARSED_BYTES = 64 * 1024
@@ -30,6 +35,8 @@
 # timeout that the upstream announces: a request sent on a connection that is
 # being closed has no known outcome.
 KEEP_ALIVE_FRACTION = 0.8
+# Bytes that were just received. They are parsed before anything else is read.
+_received = bytearray(READ_BYTES)
 _KEEP_ALIVE = re.compile(rb"timeout=(\d{1,9})")
 
 
@@ -107,13 +114,15 @@
         return ""
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """A connection to an upstream, for one request at a time.
 
     Parameters
     ----------
     idle_timeout_s : float
         Idle time in seconds after which it isn't reused.
+    buffers : ResponseBuffers, optional
+        Counts the parts of responses that wait for their callers.
 
     Attributes
     ----------
@@ -123,7 +132,10 @@
         Whether the latest response gave the id of its request.
     """
 
-    def __init__(self, idle_timeout_s: float) -> None:
+    def __init__(
+        self, idle_timeout_s: float, buffers: ResponseBuffers | None = None
+    ) -> None:
+        self._buffers = ResponseBuffers() if buffers is None else buffers
         self._error: Exception | None = None
         self._framing = Framing.NO_BODY
         self._headers: Headers = []
@@ -188,12 +200,17 @@
             return None
         chunk = self._chunks.popleft()
         self._buffered_bytes -= len(chunk)
-        if self._is_paused and self._buffered_bytes <= MAX_BUFFERED_BYTES // 2:
+        self._buffers.size -= len(chunk)
+        if self._is_paused and self._buffered_bytes <= self._max_buffered // 2:
             self._is_paused = False
             if self._transport is not None and not self._is_lost:
                 self._transport.resume_reading()
         return chunk
 
+    @property
+    def _max_buffered(self) -> int:
+        return 0 if self._buffers.are_full() else MAX_BUFFERED_BYTES
+
     async def wait_for_data(self) -> None:
         """Wait until bytes arrive or the connection ends.
 
@@ -233,6 +250,9 @@
 
     async def aclose(self) -> None:
         """Close the connection; a response in progress is aborted."""
+        self._buffers.size -= self._buffered_bytes
+        self._buffered_bytes = 0
+        self._chunks.clear()
         if self._transport is None:
             return
         if self._is_busy:
@@ -248,7 +268,17 @@
         self._transport = transport
         self._idle_until = self._loop.time() + self._idle_timeout_s
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the next bytes are stored."""
+        are_full = self._buffers.are_full()
+        size = REDUCED_READ_BYTES if are_full else READ_BYTES
+        return memoryview(_received)[:size]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse the bytes that were stored."""
+        self.data_received(memoryview(_received)[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parse bytes from the upstream."""
         if not self._is_busy or self.is_complete:
             # Bytes after a complete response would be read as the next one.
@@ -267,7 +297,7 @@
                 f"the upstream sent more than {MAX_UNPARSED_BYTES} bytes "
                 "without a byte of a body"
             )
-        if self._buffered_bytes > MAX_BUFFERED_BYTES and not self._is_paused:
+        if self._buffered_bytes > self._max_buffered and not self._is_paused:
             self._is_paused = True
             if self._transport is not None:
                 self._transport.pause_reading()
@@ -348,6 +378,7 @@
         if not self.is_complete:
             self._chunks.append(body)
             self._buffered_bytes += len(body)
+            self._buffers.size += len(body)
             self._unparsed_bytes = 0
 
     def on_message_complete(self) -> None:
@@ -376,6 +407,7 @@
     port: int,
     idle_timeout_s: float,
     socket_options: Iterable[tuple[int, int, int]] = (),
+    buffers: ResponseBuffers | None = None,
 ) -> Connection:
     """Open a connection to an upstream, without a time limit.
 
@@ -388,6 +420,8 @@
         Idle time in seconds after which the connection isn't reused.
     socket_options : iterable of (int, int, int), optional
         Arguments of `socket.setsockopt`: level, option and value.
+    buffers : ResponseBuffers, optional
+        Counts the parts of responses that wait for their callers.
 
     Raises
     ------
@@ -403,7 +437,7 @@
             raw.setsockopt(*option)
         await loop.sock_connect(raw, (host, port))
         _, connection = await loop.create_connection(
-            lambda: Connection(idle_timeout_s), sock=raw
+            lambda: Connection(idle_timeout_s, buffers), sock=raw
         )
     except BaseException:
         raw.close()
--- a/hornbeamyard/connection/limits.py
+++ b/hornbeamyard/connection/limits.py
@@ -14,6 +14,7 @@
 
 from ..process.timers import Timers
 from ..request.problem import Outcome, Problem
+from .buffers import ResponseBuffers
 from .client import Headers
 
 # Maximum size of a request's header, unless the routing sets one.
@@ -24,6 +25,8 @@
 BODY_TIMEOUT_S = 60.0
 # Buffered request bodies, of all requests together.
 MAX_BUFFERED_BODY_BYTES = 1024 * 1024 * 1024
+# Bytes that may wait for a caller without being counted.
+MAX_UNCOUNTED_BYTES = 16 * 1024
 # Interval at which connections are checked for headers that time out.
 SWEEP_INTERVAL_S = 1.0
 # File descriptors for anything but connections to callers and upstreams.
@@ -179,10 +182,13 @@
     build_refusal : callable
         Called with the headers of a request that is refused under overload;
         returns the response, header and body.
+    buffers : ResponseBuffers
+        Parts of responses that wait for their callers.
     """
 
     __slots__ = (
         "_open_connections",
+        "buffers",
         "build_refusal",
         "header_size",
         "header_timeout_s",
@@ -207,6 +213,7 @@
         self.header_timeout_s = HEADER_TIMEOUT_S
         self.limited_paths: tuple[bytes, ...] = _LIMITED_PATHS
         self.build_refusal: Callable[[Headers], bytes] = _build_refusal
+        self.buffers = ResponseBuffers()
         self._open_connections: set[LimitedProtocol] = set()
 
     def add(self, protocol: LimitedProtocol) -> bool:
@@ -242,6 +249,9 @@
     ) -> None:
         """Start a connection, or refuse one that exceeds the limit."""
         super().connection_made(transport)
+        transport.set_write_buffer_limits(MAX_UNCOUNTED_BYTES)
+        # The sent bytes that wait for the caller, while it reads slowly.
+        self._unsent_size = 0
         # Bytes of the request line, and then of the fields.
         self._header_size = 0
         self._is_silent = True
@@ -263,8 +273,23 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Remove a closed connection."""
         self.limits.discard(self)
+        self._set_unsent(0)
         super().connection_lost(exc)
 
+    def pause_writing(self) -> None:
+        """Count what a slow caller hasn't read; nothing more is written."""
+        super().pause_writing()
+        self._set_unsent(self.transport.get_write_buffer_size())
+
+    def resume_writing(self) -> None:
+        """Write again, as the caller has read nearly everything."""
+        self._set_unsent(0)
+        super().resume_writing()
+
+    def _set_unsent(self, size: int) -> None:
+        self.limits.buffers.size += size - self._unsent_size
+        self._unsent_size = size
+
     def data_received(self, data: bytes) -> None:
         """Parse bytes, and refuse a header that is too large."""
         self._is_silent = False
--- a/hornbeamyard/connection/upstreams.py
+++ b/hornbeamyard/connection/upstreams.py
@@ -14,6 +14,7 @@
 import httpcore
 
 from ..process.timers import Timers
+from .buffers import ResponseBuffers
 from .client import Connection, open_connection
 
 CONNECT_TIMEOUT_S = 2.0
@@ -62,6 +63,8 @@
 
     Attributes
     ----------
+    buffers : ResponseBuffers
+        Parts of responses that wait for their callers.
     max_idle : int
         Idle connections kept per upstream.
     on_refused : callable
@@ -76,6 +79,7 @@
         "_idle",
         "_idle_timeout_s",
         "_socket_options",
+        "buffers",
         "max_idle",
         "on_refused",
         "opened",
@@ -96,6 +100,7 @@
             self._socket_options.append(
                 (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, value)
             )
+        self.buffers = ResponseBuffers()
         self.max_idle = MAX_IDLE_CONNECTIONS
         self.on_refused: Callable[[str], None] = _ignore_refusal
         self.opened = 0
@@ -135,6 +140,7 @@
                     int(port),
                     self._idle_timeout_s,
                     self._socket_options,
+                    self.buffers,
                 )
         except TimeoutError:
             raise TimeoutError(
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -99,6 +99,8 @@
 # Fraction of the machine's memory for the bodies of requests in progress,
 # which take up to twice their size while they are sent.
 BODY_MEMORY_FRACTION = 0.25
+# Fraction of the machine's memory for responses that wait for their callers.
+RESPONSE_MEMORY_FRACTION = 0.125
 
 _log = logbook.Logger("route_router")
 
@@ -230,16 +232,15 @@
             timers,
             RequestReporter(timers, self.decisions, self.metrics),
         )
-        self.forwarder.max_buffered_size = (
-            BODY_MEMORY_FRACTION
-            * os.sysconf("SC_PAGE_SIZE")
-            * os.sysconf("SC_PHYS_PAGES")
-        )
+        memory = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
+        self.forwarder.max_buffered_size = BODY_MEMORY_FRACTION * memory
         self._connection_limits = ConnectionLimits(
             min(settings.router.connections, MAX_CONNECTIONS),
             OverloadLimiter(timers),
             timers,
         )
+        self._upstreams.buffers.max_size = RESPONSE_MEMORY_FRACTION * memory
+        self._connection_limits.buffers = self._upstreams.buffers
         self._connection_limits.limited_paths = (b"/",)
         self._connection_limits.build_refusal = self._refuse_overload
         # Load balancers open connections before they have requests.
--- a/hornbeamyard/request/relay.py
+++ b/hornbeamyard/request/relay.py
@@ -317,19 +317,30 @@
     ) -> AttemptResult:
         """Forward a body; buffer it until it is complete or too large."""
         buffered: deque[bytes] = deque()
+        buffers = self._upstreams.buffers
         size = 0
-        async for chunk in response.iter_chunks():
-            self._observer.record_chunk()
-            if self._progress.started:
-                await _send_body(send, chunk)
-                continue
-            buffered.append(chunk)
-            size += len(chunk)
-            if size > MAX_BUFFERED_RESPONSE_BYTES:
+        try:
+            async for chunk in response.iter_chunks():
+                self._observer.record_chunk()
+                if self._progress.started:
+                    await _send_body(send, chunk)
+                    continue
+                buffered.append(chunk)
+                size += len(chunk)
+                buffers.size += len(chunk)
+                if size <= MAX_BUFFERED_RESPONSE_BYTES and not (
+                    buffers.are_full()
+                ):
+                    continue
                 await self._send_head(response.status, headers, send)
                 # A slow caller holds only what it hasn't been sent yet.
                 while buffered:
-                    await _send_body(send, buffered.popleft())
+                    part = buffered.popleft()
+                    size -= len(part)
+                    buffers.size -= len(part)
+                    await _send_body(send, part)
+        finally:
+            buffers.size -= size
         if self._progress.started:
             await _send_body(send, b"", more=False)
             return AttemptResult(AttemptOutcome.COMPLETED)
--- a/hornbeamyard/tests/test_relay.py
+++ b/hornbeamyard/tests/test_relay.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from hornbeamyard.connection.buffers import ResponseBuffers
 from hornbeamyard.request.relay import (
     MAX_BUFFERED_RESPONSE_BYTES,
     AttemptOutcome,
@@ -42,6 +43,7 @@
 
 def test_keeps_only_what_is_not_sent() -> None:
     """Guards against the start of a response that is kept until its end."""
+    buffers = ResponseBuffers()
     held: list[int] = []
     pieces: list[int] = []
     body = b""
@@ -57,7 +59,7 @@
         relay = Relay(
             Mock(),
             "10.0.0.1:80",
-            Mock(),
+            SimpleNamespace(buffers=buffers),  # type: ignore[arg-type]
             Mock(),
             SimpleNamespace(started=False),  # type: ignore[arg-type]
             False,
@@ -74,3 +76,4 @@
     assert max(pieces) == CHUNK_BYTES
     assert max(held) <= MAX_BUFFERED_RESPONSE_BYTES + CHUNK_BYTES
     assert held[-2] <= 2 * CHUNK_BYTES
+    assert buffers.size == 0
