Bound header fields and trailers by their size, and drop trailers

An upstream may send 64 KB without a byte of a body, but the bytes were counted by what the socket gave at once, and a byte of a body in the same piece set the count back to 0. Headers of 250 KB were accepted if they came with their body, and trailers if they came with its end (pieces had up to 256 KB).

Trailers were stored among the header fields as well. When a whole response came in one piece, which is usual for small ones, the router took them for headers: for the signature, the id of the request or a pause, and passed them on. RFC 9110 (6.5.1) forbids to merge them. In later pieces they had no effect.

Fields are now counted as the parser finds them, and again from 0 after a part of the body; those after the header are counted and dropped.

The tests feed headers, an interim response and trailers of 100 KB in one piece with the body: all four were accepted before, and break the response now. A trailer with a signature was among the headers before and isn't now.

--- a/hornbeamyard/connection/client.py
+++ b/hornbeamyard/connection/client.py
@@ -153,8 +153,10 @@
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._buffered_bytes = 0
-        # Received since the request was sent or the body last grew.
+        # Received since the request was sent or the body last grew, and what
+        # of it were header fields.
         self._unparsed_bytes = 0
+        self._field_bytes = 0
         self.is_complete = False
         self.names_requests = False
 
@@ -184,6 +186,7 @@
         self.is_complete = False
         self._headers = []
         self._status = 0
+        self._field_bytes = 0
         self._unparsed_bytes = 0
         self._method = method
         lines = [b" ".join((method.encode(), target, b"HTTP/1.1"))]
@@ -354,8 +357,18 @@
             self._is_reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store one header field."""
-        if not self.is_complete:
+        """Store one header field; those after the body are dropped."""
+        if self.is_complete:
+            return
+        # The colon, the space and the line end take four more bytes.
+        self._field_bytes += len(name) + len(value) + 4
+        if self._field_bytes > MAX_UNPARSED_BYTES:
+            self._fail(
+                f"the upstream sent more than {MAX_UNPARSED_BYTES} bytes "
+                "of header fields"
+            )
+            raise ValueError("too many header fields")
+        if not self._status:
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -379,6 +392,7 @@
             self._chunks.append(body)
             self._buffered_bytes += len(body)
             self._buffers.size += len(body)
+            self._field_bytes = 0
             self._unparsed_bytes = 0
 
     def on_message_complete(self) -> None:
--- a/hornbeamyard/tests/test_client.py
+++ b/hornbeamyard/tests/test_client.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 import struct
 from collections.abc import Awaitable, Callable
+from unittest.mock import Mock
 
 import anyio
 import anyio.abc
@@ -12,6 +14,7 @@
 
 from hornbeamyard.connection.client import (
     MAX_BUFFERED_BYTES,
+    BrokenConnectionError,
     Connection,
     open_connection,
 )
@@ -242,3 +245,50 @@
 
         head = f"HTTP/1.1 200 OK\r\ncontent-length: {size}\r\n\r\n"
         run(send_bytes(head.encode() + b"x" * size), test)
+
+
+class TestFields:
+    """Header fields are bounded, however many arrive at once."""
+
+    LARGE = b"x-field: " + b"y" * 100 * 1024 + b"\r\n"
+    CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"HTTP/1.1 200 OK\r\n" + LARGE + b"content-length: 3\r\n\r\nabc",
+            b"HTTP/1.1 103 Early Hints\r\n" + LARGE + b"\r\n"
+            b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc",
+            CHUNKED + b"3\r\nabc\r\n0\r\n" + LARGE + b"\r\n",
+            CHUNKED + b"3\r\nabc\r\n0\r\n" + b"a: b\r\n" * 17000 + b"\r\n",
+        ],
+        ids=["header", "interim", "trailer", "trailers"],
+    )
+    def test_size(self, data: bytes) -> None:
+        """Guards against memory for fields that come with a body."""
+
+        async def test() -> None:
+            connection = Connection(IDLE_TIMEOUT_S)
+            transport = Mock(spec=asyncio.Transport)
+            transport.get_write_buffer_size.return_value = 0
+            connection.connection_made(transport)
+            response = asyncio.ensure_future(ask(connection))
+            await asyncio.sleep(0)
+            connection.data_received(data)
+            with pytest.raises(BrokenConnectionError):
+                await response
+            assert not connection.is_idle()
+
+        anyio.run(test)
+
+    def test_trailer_is_no_header(self) -> None:
+        """Guards against a signature or an id that is taken from a trailer."""
+
+        async def test(connection: Connection) -> None:
+            response = await connection.request("GET", b"/", [], b"")
+            chunks = [chunk async for chunk in response.iter_chunks()]
+            assert chunks == [b"abc"]
+            assert response.headers == [(b"transfer-encoding", b"chunked")]
+
+        trailer = b"hornbeamyard-signature: s\r\n\r\n"
+        run(send_bytes(self.CHUNKED + b"3\r\nabc\r\n0\r\n" + trailer), test)
