Count what responses hold in the simulated hour

It now also checks that the count of waiting responses is 0 once the traffic has ended, after broken, cancelled and refused requests: a leak there would end in a router that always counts as full.

--- a/properties/test_memory.py
+++ b/properties/test_memory.py
@@ -69,6 +69,8 @@
         monkeypatch.setattr(upstreams, "RELAY_CLOSE_S", 0.0)
         random.seed(1)
 
+        held: list[int] = []
+
         async def test() -> tuple[Counter[str], Counter[str], Counter[int]]:
             async with anyio.create_task_group() as tasks:
                 traffic = Traffic(tasks, seed=1)
@@ -78,6 +80,8 @@
                 await traffic.start()
                 first = await measure(traffic, FIRST_PART_S)
                 second = await measure(traffic, SECOND_PART_S)
+                await traffic.run(30, sends_requests=False)
+                held.append(traffic.router._upstreams.buffers.size)
                 tasks.cancel_scope.cancel()
             return first, second, traffic.statuses
 
@@ -90,3 +94,4 @@
             if size > first[path] * MAX_GROWTH + MAX_ADDED
         }
         assert not grown, grown
+        assert held == [0]
--- a/properties/traffic.py
+++ b/properties/traffic.py
@@ -19,6 +19,7 @@
 import anyio.abc
 from anyio.abc import ObjectReceiveStream, ObjectSendStream
 
+from hornbeamyard.connection.buffers import ResponseBuffers
 from hornbeamyard.connection.client import Connection
 from hornbeamyard.connection.directory import Directory
 from hornbeamyard.connection.directory_codec import pack_document
@@ -258,7 +259,12 @@
         return router
 
     async def open_connection(
-        self, host: str, port: int, idle_timeout_s: float, options: object
+        self,
+        host: str,
+        port: int,
+        idle_timeout_s: float,
+        options: object,
+        buffers: ResponseBuffers,
     ) -> Connection:
         """Open a connection to a simulated upstream.
 
@@ -267,7 +273,7 @@
         address = f"{host}:{port}"
         if address in self.crashed:
             raise ConnectionRefusedError
-        connection = Connection(idle_timeout_s)
+        connection = Connection(idle_timeout_s, buffers)
         loop: Any = SimpleNamespace(
             time=self.timers.now,
             create_future=asyncio.get_running_loop().create_future,
