Let some voters of a list of too few add another voter

What callers saw: a fleet that is founded by f + 1 controllers, as the others are missing, has no leader any more if one of the founders is gone for good before the others are members.

Cause: a majority is counted over 2f + 1 voters, so that all f + 1 founders have to vote, and the list can't change without a leader.

Votes of all folders of the first start were considered and not built: they help only where the missing controllers are called a first start, which two of the three orders have. That the third order can't be decided, as the idea was, doesn't hold: two of three founders know what was committed, as nothing was without both.

Change: an entry that is on f + 1 disks is on one of any majority of the voters that there are. A majority of an odd list below 2f + 1 voters and one more controller may elect a founder, which writes the list with that controller as a further voter. The leader marks a list of too few as settled once it is committed, and acknowledges nothing before; only then may the rule be used, as no first founding and no earlier list counts any more.

Conclusion: two founders that are gone for good still end such a cluster; their hosts can't be told from hosts that are cut off.

--- a/hornbeamyard/tests/test_founding.py
+++ b/hornbeamyard/tests/test_founding.py
@@ -8,14 +8,11 @@
 
 from hornbeamyard.messages import fleet_pb2
 from hornbeamyard.process.timers import VirtualTimers
+from hornbeamyard.version.ballot import FoundingBallot, choose_initial_members
 from hornbeamyard.version.discovery import (
     CANDIDATE_TIMEOUT_S,
     KnownControllers,
 )
-from hornbeamyard.version.founding import (
-    FoundingBallot,
-    choose_initial_members,
-)
 from hornbeamyard.version.repair import plan_member_change
 
 ADD = fleet_pb2.MemberChange.ADD
@@ -124,6 +121,116 @@
         )
 
 
+def build_ballot(
+    voters: str, votes: str, own: str, settled: bool = True
+) -> FoundingBallot:
+    """Return a ballot of a candidate with an established list.
+
+    The votes name folders; a capital letter is another one of the same host.
+    """
+    members = fleet_pb2.MemberList(
+        required_voters=5,
+        established=True,
+        settled=settled,
+        members=[
+            fleet_pb2.Member(
+                host=host, address=host, voter=True, disk=host.encode()
+            )
+            for host in voters
+        ],
+    )
+    granted = {
+        vote.lower(): fleet_pb2.VoteReply(disk=vote.encode()) for vote in votes
+    }
+    known = sorted(set(voters) | granted.keys())
+    return FoundingBallot(
+        known, known, "abc", 5, own, members, needs_all=True, votes=granted
+    )
+
+
+class TestBallotOfTooFew:
+    """A list of fewer voters than required gets one more by some votes.
+
+    No entry of it is committed without one of them, and no two candidates win
+    in one term.
+    """
+
+    @pytest.mark.parametrize(
+        ("voters", "votes", "is_won"),
+        [
+            ("abc", "abd", True),
+            ("abc", "abC", True),
+            ("abc", "ab", False),
+            ("abc", "ade", False),
+            ("abc", "aBCde", True),
+            ("abcd", "abe", False),
+            ("abcd", "abCe", False),
+            ("abcd", "abCDe", True),
+            ("abcde", "abf", False),
+        ],
+    )
+    def test_votes(self, voters: str, votes: str, is_won: bool) -> None:
+        """Guards against a cluster that is stuck, or is there twice."""
+        assert build_ballot(voters, votes, "a").is_won() is is_won
+
+    def test_needs_a_voter(self) -> None:
+        """Guards against a list whose first holder may not lead."""
+        assert not build_ballot("abc", "abde", "d").is_won()
+
+    def test_needs_a_committed_list(self) -> None:
+        """Guards against a list that another founding may replace still."""
+        ballot = build_ballot("abc", "abd", "a", settled=False)
+        assert not ballot.is_won()
+
+    @pytest.mark.parametrize(
+        ("voters", "settled", "votes", "own", "is_won"),
+        [
+            # "a" and "b" could add another voter without the founder.
+            ("abc", True, "abCde", "d", False),
+            ("abc", True, "aBCde", "d", True),
+            ("abc", True, "abCde", "a", True),
+            ("abc", False, "abCde", "d", True),
+            ("abcd", False, "abCDe", "e", False),
+            ("abcd", False, "abCDe", "a", True),
+            ("abcd", False, "abcde", "a", False),
+            ("abcd", True, "abCDe", "e", True),
+            ("abcde", False, "abcde", "a", True),
+        ],
+    )
+    def test_all_votes(
+        self, voters: str, settled: bool, votes: str, own: str, is_won: bool
+    ) -> None:
+        """Guards against a cluster that is founded beside a larger list."""
+        ballot = build_ballot(voters, votes, own, settled)
+        assert ballot._may_found_again() is is_won
+
+    def test_replaces_silent_member(self) -> None:
+        """Guards against a member that is gone and blocks later foundings."""
+        ballot = build_ballot("abc", "abd", "a")
+        ballot.votes["d"].disk = b"new"
+        asked = [
+            fleet_pb2.ControllerAddress(host=host, address=host)
+            for host in "abd"
+        ]
+        members = ballot.build_members(asked)
+        assert [m.host for m in members.members] == ["a", "b", "c", "d"]
+        assert members.members[-1].disk == b"new"
+        assert members.members[-1].replaces == "c"
+        assert members.required_voters == 5
+        assert members.established
+        assert not members.settled
+
+    def test_prefers_own_host_of_a_lost_folder(self) -> None:
+        """Guards against a host that is replaced although it is back."""
+        ballot = build_ballot("abd", "abcD", "a")
+        asked = [
+            fleet_pb2.ControllerAddress(host=host, address=host)
+            for host in "abcd"
+        ]
+        added = ballot.build_members(asked).members[-1]
+        assert (added.host, added.disk, added.replaces) == ("d", b"D", "")
+
+
 class TestPlanMemberChange:
     """Lost members are replaced one at a time."""
 
--- a/hornbeamyard/tests/test_membership.py
+++ b/hornbeamyard/tests/test_membership.py
@@ -9,12 +9,15 @@
     NEVER,
     MemberReply,
     change_members,
+    count_enlarging_votes,
     describe_members,
     find_majority,
+    may_enlarge,
     plan_step,
 )
 
 Change = fleet_pb2.MemberChange
+ADD = Change.ADD
 REMOVE = Change.REMOVE
 
 
@@ -121,12 +124,87 @@
         step = plan_step(members, replies, 10)
         assert step is not None
         assert step.established
+        assert not step.settled
+        assert [m.host for m in step.members] == ["a", "b", "c"]
+        step = plan_step(step, replies, 10)
+        assert step is not None
+        assert step.settled
         assert [m.host for m in step.members] == ["a", "b", "c"]
         step = plan_step(step, replies, 10)
         assert step is not None
         assert [m.host for m in step.members] == ["a", "b", "c", "b"]
 
 
+def build_incomplete(voters: int, settled: bool) -> fleet_pb2.MemberList:
+    """Return an established list of fewer voters than the five required."""
+    members = build_members(*"abcdefg"[:voters])
+    members.required_voters = 5
+    members.established = True
+    members.settled = settled
+    return members
+
+
+class TestEnlarging:
+    """Some voters of a committed list of too few may add another one."""
+
+    @pytest.mark.parametrize(
+        ("voters", "settled", "votes", "is_allowed"),
+        [
+            (3, True, 2, True),
+            (3, False, 0, False),
+            # The list of three before may count still.
+            (4, False, 2, False),
+            (4, True, 0, False),
+            (5, False, 0, False),
+        ],
+    )
+    def test_votes(
+        self, voters: int, settled: bool, votes: int, is_allowed: bool
+    ) -> None:
+        """Guards against two lists that are both larger by one voter."""
+        members = build_incomplete(voters, settled)
+        assert count_enlarging_votes(members) == votes
+        assert may_enlarge(members) is is_allowed
+
+    def test_not_before_established(self) -> None:
+        """Guards against a list that another founding may replace still."""
+        members = build_incomplete(3, settled=True)
+        members.established = False
+        assert not may_enlarge(members)
+
+    @pytest.mark.parametrize("voters", [3, 4])
+    def test_settled_once_committed(self, voters: int) -> None:
+        """Guards against a complete list that is written twice."""
+        replies = {host: build_reply(host) for host in "abcde"}
+        assert plan_step(build_incomplete(5, False), replies, 10) is None
+        step = plan_step(build_incomplete(voters, False), replies, 10)
+        assert step is not None
+        assert step.settled
+        assert plan_step(step, replies, 10) is None
+
+    def test_other_voters_are_not_settled(self) -> None:
+        """Guards against a list that counts as committed before it is."""
+        members = build_incomplete(3, settled=True)
+        learner = members.members.add(host="d", address="d", disk=b"d")
+        replies = {host: build_reply(host) for host in "abcd"}
+        step = plan_step(members, replies, 10)
+        assert step is not None
+        assert step.members[-1].voter
+        assert not step.settled
+        learner.voter = True
+        members.settled = True
+        changed = change_members(members, Change(kind=REMOVE, host="d"))
+        assert isinstance(changed, fleet_pb2.MemberList)
+        assert not changed.settled
+
+    def test_learner_keeps_list_settled(self) -> None:
+        """Guards against a cluster that is stuck while one is being added."""
+        change = Change(kind=ADD, host="d", address="d")
+        changed = change_members(build_incomplete(3, True), change)
+        assert isinstance(changed, fleet_pb2.MemberList)
+        assert changed.settled
+
+
 @pytest.mark.requirement("R14", fault="disk emptied")
 class TestPlanStep:
     """Members are repaired or replaced one voter at a time."""
--- a/hornbeamyard/version/founding.py
+++ b/hornbeamyard/version/founding.py
@@ -12,8 +12,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Collection, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Sequence
 from typing import Protocol
 
 import anyio
@@ -22,6 +21,7 @@
 from ..messages import fleet_pb2
 from ..process.timers import Timers
 from . import membership
+from .ballot import FoundingBallot, count_required_disks
 from .discovery import KnownControllers
 from .repair import MemberRepair
 from .replica import Replica
@@ -43,8 +43,6 @@
 SHORT_TURN_INTERVAL_S = 0.25
 # Time limit for collecting votes.
 BALLOT_TIMEOUT_S = 1.0
-# More members than this would only make each write slower.
-MAX_INITIAL_MEMBERS = 7
 # A line is logged at this interval while too few controllers are known.
 SEARCH_LOG_INTERVAL_S = 5.0
 
@@ -75,100 +73,6 @@
     FAULTY = "faulty"
 
 
-@dataclass(slots=True)
-class FoundingBallot:
-    """The votes for a controller that wants to found the cluster.
-
-    Attributes
-    ----------
-    known : collection of str
-        Addresses of all controllers that are known, reachable or not.
-    first_start : collection of str
-        Addresses of those that may have a folder of the first start.
-    seeds : collection of str
-        Addresses that all controllers know at the first start.
-    required_members : int
-        Number of members that the tolerated losses require.
-    needs_all : bool
-        Whether only the votes of all are enough, as the candidate knows that a
-        cluster has been established.
-    votes : dict of str to VoteReply
-        Votes that were granted, by address.
-    """
-
-    known: Collection[str]
-    first_start: Collection[str]
-    seeds: Collection[str]
-    required_members: int
-    needs_all: bool = False
-    votes: dict[str, fleet_pb2.VoteReply] = field(default_factory=dict)
-
-    def count_required(self) -> int:
-        """Return the number of votes of folders of the first start."""
-        disks = count_required_disks(self.required_members)
-        return max(disks, len(self.first_start) // 2 + 1)
-
-    def is_won(self) -> bool:
-        """Return whether no other cluster exists or can be founded.
-
-        A folder of the first start remembers all its votes. Others may belong
-        to hosts that have lost a disk with a vote or a log; they count only if
-        all controllers vote, and so many that an acknowledged change would be
-        on one of their disks. That one votes only for a candidate that holds
-        the change as well.
-        """
-        voted = self.votes.keys() & set(self.known)
-        is_unanimous = len(voted) == len(self.known)
-        if is_unanimous and len(voted) >= self.required_members:
-            return True
-        if self.needs_all:
-            return False
-        remembered = {a for a in voted if self.votes[a].initial}
-        if len(remembered) < self.count_required():
-            return False
-        if len(self.first_start) <= self.required_members:
-            return True
-        # Where there are more controllers than are required, some may not be
-        # known yet, but all know the seeds.
-        return 2 * len(remembered & set(self.seeds)) > len(self.seeds)
-
-
-def count_required_disks(required_members: int) -> int:
-    """Return the number of controllers that have to hold each change."""
-    return required_members // 2 + 1
-
-
-def choose_initial_members(
-    controllers: Sequence[fleet_pb2.ControllerAddress], required_members: int
-) -> list[fleet_pb2.ControllerAddress]:
-    """Return the controllers that become the initial members.
-
-    If there are more than needed, they are taken from the availability zones
-    in turn, so that no zone has more than its share of members.
-
-    Parameters
-    ----------
-    controllers : sequence of ControllerAddress
-    required_members : int
-        Number of members that the tolerated losses require.
-    """
-    limit = max(required_members, MAX_INITIAL_MEMBERS)
-    by_zone: dict[str, list[fleet_pb2.ControllerAddress]] = {}
-    for controller in sorted(controllers, key=lambda c: c.host):
-        by_zone.setdefault(controller.availability_zone, []).append(controller)
-    chosen: list[fleet_pb2.ControllerAddress] = []
-    while by_zone and len(chosen) < limit:
-        for zone in sorted(by_zone):
-            chosen.append(by_zone[zone].pop(0))
-            if not by_zone[zone]:
-                del by_zone[zone]
-    chosen = chosen[:limit]
-    # An even number of voters tolerates no more losses than one voter fewer.
-    if len(chosen) > required_members and len(chosen) % 2 == 0:
-        chosen.pop()
-    return chosen
-
-
 class Founder:
     """Finds the other controllers, founds the cluster and repairs it.
 
@@ -359,16 +263,35 @@
     ) -> bool:
         """Return whether an established cluster can't elect a leader again.
 
-        All controllers are reachable then, but so many have lost their disks
-        that a majority of the voters can't reply any more.
+        Either all controllers are reachable, but so many have lost their disks
+        that a majority of the voters can't reply any more; or there have been
+        too few voters from the beginning.
         """
         if not self._replica.journal.last_index:
             return False
         reachable = {controller.address for controller in recent}
+        if now - self._leaderless_since < SEARCH_TIMEOUT_S:
+            return False
         is_complete = len(reachable) >= self._required_members
-        if not is_complete or not reachable.issuperset(self._list_addresses()):
+        if is_complete and reachable.issuperset(self._list_addresses()):
+            return True
+        return self._may_enlarge(recent)
+
+    def _may_enlarge(
+        self, recent: Sequence[fleet_pb2.ControllerAddress]
+    ) -> bool:
+        """Return whether this voter may add one to a list of too few."""
+        journal = self._replica.journal
+        if not membership.may_enlarge(journal.members):
             return False
-        return now - self._leaderless_since >= SEARCH_TIMEOUT_S
+        if not membership.is_voter(
+            journal.members,
+            self._replica.host,
+            journal.disk_id,
+            journal.initial,
+        ):
+            return False
+        return len(recent) >= count_required_disks(self._required_members)
 
     def _find_wait(
         self, recent: Sequence[fleet_pb2.ControllerAddress]
@@ -419,6 +342,8 @@
             known - later,
             self.seeds,
             self._required_members,
+            own_address=self.own.address,
+            members=replica.journal.members,
             needs_all=not replica.journal.may_found(),
         )
         # A new term would end that of a leader that this controller has lost
@@ -429,6 +354,9 @@
             ballot.votes = {}
             term = await replica.jobs.execute(self._start_term)
         if term:
+            # The log may have grown since the ballot began.
+            ballot.members = replica.journal.members
+            ballot.needs_all = not replica.journal.may_found()
             await self._collect_votes(ballot, term, recent, False)
         is_founded = (
             term > 0
@@ -509,27 +437,12 @@
         ballot: FoundingBallot,
         recent: Sequence[fleet_pb2.ControllerAddress],
     ) -> bool:
-        """Append the controllers that voted as the first members."""
+        """Append the members that result from a ballot."""
         replica = self._replica
         journal = replica.journal
         if replica.term != term or journal.voted_for != journal.disk_id:
             return False
-        voted = [c for c in recent if c.address in ballot.votes]
-        members = fleet_pb2.MemberList(
-            required_voters=self._required_members,
-            established=ballot.needs_all,
-            members=[
-                fleet_pb2.Member(
-                    host=controller.host,
-                    address=controller.address,
-                    voter=True,
-                    disk=ballot.votes[controller.address].disk,
-                )
-                for controller in choose_initial_members(
-                    voted, self._required_members
-                )
-            ],
-        )
+        members = ballot.build_members(recent)
         entry = fleet_pb2.LogEntry(
             term=term, index=journal.last_index + 1, members=members
         )
--- a/hornbeamyard/version/membership.py
+++ b/hornbeamyard/version/membership.py
@@ -64,13 +64,19 @@
             values.append(reply.value)
         else:
             values.append(NEVER)
-    majority = max(len(values), members.required_voters) // 2 + 1
+    majority = count_majority(members)
     if len(values) < majority:
         return NEVER
     values.sort(reverse=True)
     return values[majority - 1]
 
 
+def count_majority(members: fleet_pb2.MemberList) -> int:
+    """Return the number of voters that are a majority."""
+    voters = sum(member.voter for member in members.members)
+    return max(voters, members.required_voters) // 2 + 1
+
+
 def list_voters(members: fleet_pb2.MemberList) -> list[str]:
     """Return the hosts of the voters."""
     return sorted({m.host for m in members.members if m.voter})
@@ -125,6 +131,39 @@
     return members.established or not members.required_voters
 
 
+def count_enlarging_votes(members: fleet_pb2.MemberList) -> int:
+    """Return how many voters may replace a list by a larger one; 0 for none.
+
+    Where there are fewer voters than required, an entry is committed on a
+    majority of the required ones, so that a smaller majority of the present
+    ones includes one that holds it. Two such majorities, also of the list
+    with one voter more, have a voter in common if the number is odd. For an
+    even number the result is that of the list before, as long as this one
+    isn't known to be committed.
+    """
+    voters = sum(member.voter for member in members.members)
+    if voters >= members.required_voters or not members.established:
+        return 0
+    is_odd = voters % 2 == 1
+    return (voters + 1) // 2 if is_odd == members.settled else 0
+
+
+def may_enlarge(members: fleet_pb2.MemberList) -> bool:
+    """Return whether some voters of a list may replace it by a larger one."""
+    return members.settled and count_enlarging_votes(members) > 0
+
+
+def has_same_voters(
+    members: fleet_pb2.MemberList, others: fleet_pb2.MemberList
+) -> bool:
+    """Return whether two lists have the same data folders as voters."""
+    first, second = (
+        {(m.host, m.disk) for m in some.members if m.voter}
+        for some in (members, others)
+    )
+    return first == second
+
+
 def is_voter(
     members: fleet_pb2.MemberList, host: str, disk_id: bytes, initial: bool
 ) -> bool:
@@ -164,6 +203,7 @@
     """
     for plan in (
         _establish,
+        _settle,
         _assign_disk,
         _add_learner,
         _promote_learner,
@@ -172,10 +212,19 @@
         changed = fleet_pb2.MemberList()
         changed.CopyFrom(members)
         if plan(changed, replies, commit_index):
-            return changed
+            return _reset_settled(changed, members)
     return None
 
 
+def _reset_settled(
+    changed: fleet_pb2.MemberList, members: fleet_pb2.MemberList
+) -> fleet_pb2.MemberList:
+    """Return a changed list, which isn't settled if other folders vote."""
+    if not has_same_voters(changed, members):
+        changed.settled = False
+    return changed
+
+
 def _establish(
     members: fleet_pb2.MemberList,
     replies: Mapping[str, MemberReply],
@@ -188,6 +237,19 @@
     return True
 
 
+def _settle(
+    members: fleet_pb2.MemberList,
+    replies: Mapping[str, MemberReply],
+    commit_index: int,
+) -> bool:
+    """Record that a list of too few voters is committed."""
+    voters = sum(member.voter for member in members.members)
+    if members.settled or voters >= members.required_voters:
+        return False
+    members.settled = True
+    return True
+
+
 def _assign_disk(
     members: fleet_pb2.MemberList,
     replies: Mapping[str, MemberReply],
@@ -319,4 +381,6 @@
         return f"{host!r} is the last voter"
     del changed.members[:]
     changed.members.extend(kept)
+    if any(member.voter for member in before):
+        changed.settled = False
     return changed
--- a/properties/controller_orders.py
+++ b/properties/controller_orders.py
@@ -5,6 +5,7 @@
 drawn by seed, or all orders of a coarse grid, and prints those that fail::
 
     python -m properties.controller_orders --seed 1 --orders 500
+    python -m properties.controller_orders --few --orders 500
     python -m properties.controller_orders --depth 2 --orders 1000
     python -m properties.controller_orders --play "seed=3; 0.3 kill c0 0.5"
 
@@ -758,6 +759,39 @@
     return Order(seed, tuple(events))
 
 
+def draw_order_of_few(seed: int) -> Order:
+    """Return an order by lot in which three controllers found the cluster.
+
+    The events fall while the others are missing, or are being added.
+    """
+    rng = random.Random(seed)
+    names = tuple(f"c{number}" for number in range(CONTROLLERS))
+    missing = tuple(rng.sample(names, 2))
+    back_s = round(rng.uniform(6.5, 12), 2)
+    kind = rng.choice(["late", "delay", "kill", "cut"])
+    if kind in ("late", "delay"):
+        events = [Event("", 0.0, kind, (name,), back_s) for name in missing]
+    else:
+        events = [Event("", 0.3, kind, missing, back_s)]
+    # One of the founders is lost for good, or its disk is. Where two are, no
+    # rule tells them from controllers that are cut off.
+    founders = [name for name in names if name not in missing]
+    kinds = [rng.choice(["replace", "replace", "lose"])]
+    kinds += ["kill", "cut"][: rng.choice([0, 0, 1, 2])]
+    rng.shuffle(kinds)
+    base = "ack"
+    for kind in kinds:
+        at = rng.choice([0.0, rng.uniform(0, 1), rng.uniform(0, 5)])
+        duration = rng.choice([rng.uniform(0.05, 1), rng.uniform(1, 9)])
+        host = rng.choice(["leader", *founders])
+        events.append(
+            Event(base, round(at, 3), kind, (host,), round(duration, 3))
+        )
+        base = "then"
+    events.extend(_draw_end(rng))
+    return Order(seed, tuple(events))
+
+
 def _draw_first_second(rng: random.Random) -> list[Event]:
     """Return late starts, and events before or during the founding."""
     names = [f"c{number}" for number in range(CONTROLLERS)]
@@ -887,6 +921,11 @@
         type=int,
         help="play the grid: all of its orders, or so many of them",
     )
+    parser.add_argument(
+        "--few",
+        action="store_true",
+        help="draw orders in which three controllers found the cluster",
+    )
     parser.add_argument("--play", help="text of one order")
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument(
@@ -900,7 +939,8 @@
     orders: Iterable[Order]
     if arguments.depth is None:
         last = arguments.seed + (arguments.orders or DEFAULT_ORDERS)
-        orders = map(draw_order, range(arguments.seed, last))
+        draw = draw_order_of_few if arguments.few else draw_order
+        orders = map(draw, range(arguments.seed, last))
     else:
         orders = list(list_orders(arguments.depth))
         if arguments.orders is not None and arguments.orders < len(orders):
