Forget controllers that are gone although others report them

What callers saw: nothing at once. In simulated time a controller that was replaced is still tried as a successor half a minute later, for 2 s each, and holds up changes meanwhile; routers count it, so that an upstream that is gone is kept twice as long; and a cluster that has lost too many disks isn't founded again, as that needs all known controllers.

Cause: a controller that another one reports was added as seen now. So two that know of one that is gone brought it back to each other for ever, one after the other had removed it, and each time it counted as a candidate.

Ruled out: ignoring reports of those that were removed; two controllers that were cut off from each other for long would never meet again.

Change: a reported controller counts only once it has introduced itself, and a controller reports only those that it has met. All that are reported are asked as before.

Measured: test_forgotten_by_all fails in 4 of 4 cases before, none now. test_founding, test_controller_orders, test_directory: 165 passed.

--- a/hornbeamyard/tests/test_founding.py
+++ b/hornbeamyard/tests/test_founding.py
@@ -309,3 +309,31 @@
         timers._now += 4 * CANDIDATE_TIMEOUT_S
         known_controllers.remove_lost({})
         assert known_controllers.list_known() == []
+
+    def test_reported_controller_is_no_candidate(self) -> None:
+        """Guards against a successor that others only remember."""
+        known_controllers = KnownControllers(VirtualTimers())
+        controller = build_controllers("a")[0]
+        known_controllers.add_reported(controller)
+        assert known_controllers.list_recent() == []
+        assert known_controllers.get_last_seen(controller.host) is None
+        known_controllers.add_introduced(controller)
+        assert known_controllers.list_recent() == [controller]
+
+    def test_controllers_forget_one_that_is_gone(self) -> None:
+        """Guards against reports that bring a former controller back."""
+        timers = VirtualTimers()
+        sides = [KnownControllers(timers) for _ in range(3)]
+        *present, gone = build_controllers("abcd")
+        for side in sides:
+            side.add_introduced(gone)
+        for _ in range(30):
+            timers._now += 1.0
+            for side in sides:
+                side.remove_lost({})
+                for other, own in zip(sides, present, strict=True):
+                    side.add_introduced(own)
+                    for controller in other.list_introduced():
+                        side.add_reported(controller)
+        for side in sides:
+            assert gone not in side.list_known()
--- a/hornbeamyard/version/discovery.py
+++ b/hornbeamyard/version/discovery.py
@@ -8,7 +8,7 @@
 from ..messages import fleet_pb2
 from ..process.timers import Timers
 
-# A controller can become a member if another one has seen it within this time.
+# A controller that has introduced itself within this time can become a member.
 # One that isn't a member is removed after four times as long.
 CANDIDATE_TIMEOUT_S = 3.0
 
@@ -21,13 +21,17 @@
     ----------
     controller : ControllerAddress
     last_seen_at : float
-        Monotonic time of its last sign of life, in seconds.
+        Monotonic time of its last sign of life, or of the report that added
+        it, in seconds.
+    is_introduced : bool
+        Whether it has introduced itself, rather than only been reported.
     is_founded : bool
         Whether it knew then that the cluster has been founded.
     """
 
     controller: fleet_pb2.ControllerAddress
     last_seen_at: float
+    is_introduced: bool
     is_founded: bool = False
 
 
@@ -59,16 +63,22 @@
         known = self._known.get(controller.host)
         if known is None:
             self.changed_at = now
-            self._known[controller.host] = KnownController(controller, now)
+            self._known[controller.host] = KnownController(
+                controller, now, True
+            )
             return
         known.controller = controller
         known.last_seen_at = now
+        known.is_introduced = True
 
     def add_reported(self, controller: fleet_pb2.ControllerAddress) -> None:
-        """Add a controller that another one has reported."""
+        """Add a controller that another one has reported.
+
+        It may be gone, so it counts only once it has introduced itself.
+        """
         if controller.host and controller.host not in self._known:
             self._known[controller.host] = KnownController(
-                controller, self._timers.now()
+                controller, self._timers.now(), False
             )
             self.changed_at = self._timers.now()
 
@@ -90,19 +100,33 @@
         """Return all controllers, ordered by host."""
         return [self._known[host].controller for host in sorted(self._known)]
 
+    def list_introduced(self) -> list[fleet_pb2.ControllerAddress]:
+        """Return those that have introduced themselves, ordered by host.
+
+        Others hear only of these, or they would report one that is gone to
+        each other for ever.
+        """
+        return [
+            self._known[host].controller
+            for host in sorted(self._known)
+            if self._known[host].is_introduced
+        ]
+
     def list_recent(self) -> list[fleet_pb2.ControllerAddress]:
         """Return the controllers last seen within `CANDIDATE_TIMEOUT_S`."""
         oldest = self._timers.now() - CANDIDATE_TIMEOUT_S
         return [
             known.controller
             for known in self._known.values()
-            if known.last_seen_at >= oldest
+            if known.is_introduced and known.last_seen_at >= oldest
         ]
 
     def get_last_seen(self, host: str) -> float | None:
         """Return the monotonic time of a controller's last sign of life."""
         known = self._known.get(host)
-        return None if known is None else known.last_seen_at
+        if known is None or not known.is_introduced:
+            return None
+        return known.last_seen_at
 
     def remove_lost(self, members: Mapping[str, str]) -> None:
         """Remove controllers that are gone and aren't members.
--- a/hornbeamyard/version/founding.py
+++ b/hornbeamyard/version/founding.py
@@ -154,8 +154,10 @@
         return ControllerState.VOTER
 
     def describe(self) -> fleet_pb2.ControllerList:
-        """Return all controllers that this one knows, as a message."""
-        controllers = {c.host: c for c in self.known_controllers.list_known()}
+        """Return the members and all others that this one has met."""
+        controllers = {
+            c.host: c for c in self.known_controllers.list_introduced()
+        }
         # The state of a controller that has just started may lack members.
         members = [
             *self._replica.state.members.members,
--- a/properties/test_replaced_controllers.py
+++ b/properties/test_replaced_controllers.py
@@ -86,6 +86,25 @@
 
         run_fleet(seed, test)
 
+    @pytest.mark.parametrize("seed", range(4))
+    def test_forgotten_by_all(self, seed: int) -> None:
+        """Guards against former controllers that are tried as successors.
+
+        Routers count them as well, and a cluster that has lost too many disks
+        is founded again only by all controllers that are known.
+        """
+
+        async def test(fleet: SimulatedFleet) -> None:
+            await replace_controller(fleet, "c3", "c5", 1.0)
+            await fleet.advance(CATCH_UP_S)
+            await replace_controller(fleet, "c4", "c6", 1.0)
+            await fleet.advance(30.0)
+            for controller in fleet.controllers.values():
+                known = controller.founder.describe().controllers
+                assert [c.host for c in known] == sorted(fleet.controllers)
+
+        run_fleet(seed, test)
+
     @pytest.mark.parametrize("seed", range(8))
     def test_leader_changes_meanwhile(self, seed: int) -> None:
         """Guards against a silence that each new leader counts anew.
