Give the tests of slow callers a listening socket that doesn't block

Since servers accept connections themselves, a listening socket that blocks stops the event loop after the first connections. With the socket as the product opens it, all four pass again.

--- a/hornbeamyard/tests/test_slow_callers.py
+++ b/hornbeamyard/tests/test_slow_callers.py
@@ -116,6 +116,7 @@
         )
         router._handle_upstreams([upstream])
         listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        listener.setblocking(False)
         listener.setsockopt(
             socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES
         )
