Log errors of libraries by the writer that doesn't block

Found by reading.

Cause: libraries, asyncio and uvicorn above all, log by Python's `logging`, which nothing had set up. It writes warnings and errors to standard error, in the event loop. If the reader of that pipe stalls, the process stands still as soon as the pipe is full. The lines of the product go through a thread that drops lines instead.

Ruled out: standard output, which has that thread. Without a reader at all (closed pipe) `logging` drops its lines.

Change: a process with structured logs also writes the lines of `logging` by its writer, as JSON. The daemon of fleets without a route directory still writes all its lines to standard error itself. So does gRPC's core, which wasn't seen to fill a pipe.

The new tests failed before for both roles (2 of 2) and pass.

--- a/hornbeamyard/process/logs.py
+++ b/hornbeamyard/process/logs.py
@@ -6,12 +6,14 @@
 from __future__ import annotations
 
 import json
+import logging
 import queue
 import sys
 import threading
 from typing import TextIO
 
 import logbook
+from logbook.compat import RedirectLoggingHandler
 
 _FORMAT = (
     "{record.time:%Y-%m-%dT%H:%M:%S.%fZ} {record.level_name} "
@@ -31,9 +33,14 @@
 
 
 def start_structured_logging(level: str, writer: LineWriter) -> None:
-    """Write log lines of `level` and above as JSON objects."""
+    """Write log lines of `level` and above as JSON objects.
+
+    Those of libraries that use Python's `logging` are among them. Otherwise
+    they would go to standard error, which may block the event loop.
+    """
     logbook.set_datetime_format("utc")
     _JsonHandler(writer, level=level.upper()).push_application()
+    logging.getLogger().addHandler(RedirectLoggingHandler())
 
 
 class LineWriter:
--- a/hornbeamyard/tests/test_process_start.py
+++ b/hornbeamyard/tests/test_process_start.py
@@ -15,7 +15,7 @@
 import time
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 import anyio
 import httpcore
@@ -114,8 +114,13 @@
         self.path.write_text(json.dumps(self.settings))
 
     @contextlib.contextmanager
-    def run(self, *command: str) -> Iterator[subprocess.Popen[bytes]]:
-        """Run the process, of `hornbeamyard.platform` by default."""
+    def run(
+        self, *command: str, errors: IO[Any] | None = None
+    ) -> Iterator[subprocess.Popen[bytes]]:
+        """Run the process, of `hornbeamyard.platform` by default.
+
+        Its standard error goes to the log unless `errors` is given.
+        """
         self.write_settings()
         with self.log.open("wb") as stream:
             process = subprocess.Popen(
@@ -124,7 +129,7 @@
                     *(command or ("-m", "hornbeamyard.platform")),
                 ],
                 stdout=stream,
-                stderr=stream,
+                stderr=errors or stream,
                 env={**os.environ, "HORNBEAMYARD_CONFIG": str(self.path)},
             )
         with process:
@@ -243,6 +248,32 @@
         text = host.log.read_text()
         assert 0 < text.count("out of system resource") < 500
 
+    @pytest.mark.parametrize("role", ["controller", "router"])
+    def test_with_full_error_output(self, tmp_path: Path, role: str) -> None:
+        """Guards against a process that stands still to write an error."""
+        host = Host(tmp_path, role)
+        code = DAEMON_WITH_FEW_DESCRIPTORS
+        reader, writer = os.pipe()
+        fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 4096)
+        with (
+            os.fdopen(reader),
+            os.fdopen(writer) as errors,
+            host.run("-c", code, errors=errors) as process,
+            contextlib.ExitStack() as stack,
+        ):
+            for port in host.ports.values():
+                text = f"listening on 127.0.0.1:{port}"
+                host.wait_for_message(process, text)
+            for _ in range(60):
+                for port in host.ports.values():
+                    connection = stack.enter_context(socket.socket())
+                    connection.connect_ex(("127.0.0.1", port))
+            time.sleep(2.5)
+            stack.close()
+            process.terminate()
+            assert process.wait(5.0) == 0
+        assert host.list_messages("out of system resource")
+
 
 class NativeHost(Host):
     """One process of a fleet without a route directory, with both roles."""
