Use the last certificates while their files can't be read

Found by reading.

Cause: each new channel reads the files of `tls` again, and an error of that isn't a failed call: it ends the task that opens the channel, and with it the process. A router without a route directory opens a channel with each attempt to reach a controller; the others open one for each address that they see for the first time or again.

Ruled out: listening addresses, which are tried again after an OSError.

Change: if the files can't be read, a channel uses the credentials that were read last, and a line tells why. Without any the error is raised as before.

Not tried with a whole process.

--- a/hornbeamyard/connection/peers.py
+++ b/hornbeamyard/connection/peers.py
@@ -47,6 +47,7 @@
 
 _log = logbook.Logger("peers")
 _logged_refusals: set[tuple[str, str, str]] = set()
+_last_credentials: dict[Tls, grpc.ChannelCredentials] = {}
 
 
 async def wait_call(call: Awaitable[T]) -> T:
@@ -75,14 +76,36 @@
     """
     if tls is None:
         return grpc.aio.insecure_channel(address, options=_OPTIONS)
-    credentials = grpc.ssl_channel_credentials(
-        root_certificates=tls.authority.read_bytes(),
-        private_key=tls.key.read_bytes(),
-        certificate_chain=tls.certificate.read_bytes(),
-    )
+    credentials = _load_credentials(tls)
     return grpc.aio.secure_channel(address, credentials, options=_OPTIONS)
 
 
+def _load_credentials(tls: Tls) -> grpc.ChannelCredentials:
+    """Return credentials from files, the last ones if these can't be read.
+
+    They can't while certificates are replaced, or without free file
+    descriptors.
+    """
+    try:
+        credentials = grpc.ssl_channel_credentials(
+            root_certificates=tls.authority.read_bytes(),
+            private_key=tls.key.read_bytes(),
+            certificate_chain=tls.certificate.read_bytes(),
+        )
+    except OSError as error:
+        last = _last_credentials.get(tls)
+        if last is None:
+            raise
+        _log.warning(
+            "the certificate files can't be read, so the last ones are used: "
+            "{}",
+            error,
+        )
+        return last
+    _last_credentials[tls] = credentials
+    return credentials
+
+
 def create_server() -> grpc.aio.Server:
     """Return a server with the fleet's gRPC options, without a port."""
     return grpc.aio.server(options=_OPTIONS)
--- a/hornbeamyard/process/settings.py
+++ b/hornbeamyard/process/settings.py
@@ -16,7 +16,7 @@
 from .validation import Finding, Option, Section, Table
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, frozen=True)
 class Tls:
     """Files for mutual TLS between the fleet's processes."""
 
--- a/hornbeamyard/tests/test_channels.py
+++ b/hornbeamyard/tests/test_channels.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Awaitable, Callable
+from pathlib import Path
 
 import anyio
 import grpc.aio
+import logbook
 import pytest
 
 from hornbeamyard.connection import peers
@@ -16,8 +18,10 @@
 from hornbeamyard.connection.subscription import Subscription
 from hornbeamyard.messages import fleet_pb2, fleet_pb2_grpc
 from hornbeamyard.pool.usage import RouterUsage
+from hornbeamyard.process.settings import Tls
 from hornbeamyard.process.timers import MonotonicTimers
 
+from .certificates import CertificateAuthority
 from .fleet import find_free_port
 
 TIMEOUT_S = 10.0
@@ -277,3 +281,29 @@
             await calls.close()
 
         run_with_controllers(3, test)
+
+
+class TestCertificateFiles:
+    """Channels are opened whether the files can be read just now or not."""
+
+    @pytest.mark.parametrize("name", ["authority", "certificate", "key"])
+    def test_file_that_is_gone(self, tmp_path: Path, name: str) -> None:
+        """Guards against a process that ends while files are replaced."""
+        issued = CertificateAuthority(tmp_path, "ca").issue("h1")
+        tls = Tls(**{part: tmp_path / file for part, file in issued.items()})
+        gone: Path = getattr(tls, name)
+
+        async def run() -> None:
+            calls = DirectoryCalls(tls)
+            request = fleet_pb2.RoutingRead()
+            address = f"127.0.0.1:{find_free_port()}"
+            assert await calls.fetch_routing(address, request) is None
+            await calls.close_channel(address)
+            gone.rename(f"{gone}.old")
+            assert await calls.fetch_routing(address, request) is None
+            await calls.close()
+
+        with logbook.TestHandler() as log:
+            anyio.run(run)
+        [record] = log.records
+        assert str(gone) in record.message
