--- a/hornbeamyard/process/listeners.py
+++ b/hornbeamyard/process/listeners.py
@@ -32,30 +32,6 @@
 _log = logbook.Logger("listeners")
 
 
-class ListeningSocket(socket.socket):
-    """A socket that asyncio asks for connections once after an error.
-
-    When there are no file descriptors, asyncio calls `accept` on to the end
-    of its turn, and plans another turn for each of the errors. These would
-    become more with each second.
-    """
-
-    __slots__ = ("_has_failed",)
-
-    def accept(self) -> tuple[socket.socket, Any]:
-        """Accept a connection; after an error, tell once that none waits."""
-        if getattr(self, "_has_failed", False):
-            self._has_failed = False
-            raise BlockingIOError
-        try:
-            return super().accept()
-        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-            raise
-        except OSError:
-            self._has_failed = True
-            raise
-
-
 def bind(address: str) -> socket.socket:
     """Return a non-blocking socket that is bound but doesn't listen yet.
 
@@ -73,7 +49,7 @@
     host = host.strip("[]")
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     # asyncio sets TCP_NODELAY only for sockets that name their protocol.
-    bound = ListeningSocket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    bound = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
         # Connections of an earlier process may still be closing.
         bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/hornbeamyard/process/servers.py
+++ b/hornbeamyard/process/servers.py
@@ -17,7 +17,9 @@
 CLOSE_TIMEOUT_S = 2
 # Connections that wait to be accepted.
 BACKLOG = 2048
-# Connections that are accepted in one turn of the event loop.
+# Connections that are accepted in one turn of the event loop. Without free
+# file descriptors asyncio logs an error for each of them, and tries as many
+# times after a second.
 ACCEPTS_PER_TURN = 16
 # Idle time after which connections of operators and monitors are closed.
 STATUS_KEEP_ALIVE_S = 75
