--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import itertools
 import os
 import random
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 
 import anyio
 import anyio.abc
@@ -36,6 +37,7 @@
 )
 from ..pool.usage import (
     DEMAND_WINDOW_FRACTION,
+    AccountUsage,
     CachedPart,
     FleetUsage,
     RouterUsage,
@@ -43,7 +45,7 @@
 )
 from ..request.budget import WindowRetryBudget
 from ..request.forwarding import Forwarder, Receive, Scope, Send
-from ..request.reporting import RequestReporter
+from ..request.reporting import PUBLIC_LABEL, RequestReporter
 from ..version.routing import Routing
 from . import listeners
 from .decisions import DecisionLog
@@ -97,6 +99,8 @@
 # Fraction of the machine's memory for the bodies of requests in progress,
 # which take up to twice their size while they are sent.
 BODY_MEMORY_FRACTION = 0.25
+# Fraction of the machine's memory for responses that wait for their callers.
+RESPONSE_MEMORY_FRACTION = 0.125
 
 _log = logbook.Logger("route_router")
 
@@ -137,6 +141,7 @@
         "_budgets",
         "_calls",
         "_connection_limits",
+        "_idle_usage",
         "_interface",
         "_max_announcement_delay_s",
         "_server",
@@ -174,6 +179,8 @@
         self._awaits_address = False
         self._budgets: dict[str, WindowRetryBudget] = {}
         self._calls = DirectoryCalls(settings.tls)
+        # Sums of the counters of accounts that were forgotten, by label.
+        self._idle_usage: dict[str, AccountUsage] = {}
         # When the fleet's usage came last; None before the first one.
         self._usage_at: float | None = None
         self._interface = interface
@@ -225,16 +232,15 @@
             timers,
             RequestReporter(timers, self.decisions, self.metrics),
         )
-        self.forwarder.max_buffered_size = (
-            BODY_MEMORY_FRACTION
-            * os.sysconf("SC_PAGE_SIZE")
-            * os.sysconf("SC_PHYS_PAGES")
-        )
+        memory = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
+        self.forwarder.max_buffered_size = BODY_MEMORY_FRACTION * memory
         self._connection_limits = ConnectionLimits(
             min(settings.router.connections, MAX_CONNECTIONS),
             OverloadLimiter(timers),
             timers,
         )
+        self._upstreams.buffers.max_size = RESPONSE_MEMORY_FRACTION * memory
+        self._connection_limits.buffers = self._upstreams.buffers
         self._connection_limits.limited_paths = (b"/",)
         self._connection_limits.build_refusal = self._refuse_overload
         # Load balancers open connections before they have requests.
@@ -395,6 +401,7 @@
                     upstreams[server.id] = server.own_load
         now = self._timers.now()
         self._propose_factor(now)
+        self._retain_counters(self._shares.forget_idle(now))
         self._shares.mark_reported(now)
         return RouterUsage(
             self._shares.own_usage,
@@ -403,6 +410,15 @@
             self._shares.proposed_factor,
         )
 
+    def _retain_counters(self, idle: Mapping[str, AccountUsage]) -> None:
+        """Keep the sums of counters that are forgotten, for the metrics."""
+        for account, usage in idle.items():
+            label = self.metrics.limit_account(account or PUBLIC_LABEL)
+            total = self._idle_usage.setdefault(label, AccountUsage())
+            total.asked += usage.asked
+            total.admitted += usage.admitted
+            total.unserved += usage.unserved
+
     def _propose_factor(self, now: float) -> None:
         """Estimate the throughput by the engines' load."""
         balancers = list(self._balancers.values())
@@ -545,8 +561,20 @@
                 self._propose_factor(now)
                 self._shares.continue_alone(now)
             self._log_throughput(now)
+            self._forget_pools(now)
             await self._upstreams.close_expired()
 
+    def _forget_pools(self, now: float) -> None:
+        """Forget pools without upstreams that the routing doesn't name."""
+        if self.routing is None:
+            return
+        for pool, balancer in list(self._balancers.items()):
+            if pool not in self.routing.pools and balancer.is_unused(now):
+                del self._balancers[pool]
+        for pool, budget in list(self._budgets.items()):
+            if pool not in self.routing.pools and budget.is_unused(now):
+                del self._budgets[pool]
+
     def _log_throughput(self, now: float) -> None:
         """Log the estimated throughput, while it limits accounts."""
         if self.routing is None or not self._shares.is_contended():
@@ -634,8 +662,11 @@
         level = shares.level if shares.is_contended() else 0.0
         yield Sample("share_factor", shares.factor)
         yield Sample("share_level", level)
-        for account, usage in shares.own_usage.items():
-            labels = (("client_account", account or "public"),)
+        counters = itertools.chain(
+            shares.own_usage.items(), self._idle_usage.items()
+        )
+        for account, usage in counters:
+            labels = (("client_account", account or PUBLIC_LABEL),)
             yield Sample("share_asked_tokens", usage.asked, labels, True)
             yield Sample("share_admitted_tokens", usage.admitted, labels, True)
             yield Sample("share_unserved_tokens", usage.unserved, labels, True)
