Take folders without a log that have seen no term for unused

Cause: the earlier release wrote the log file with the first entry, so that an unused folder has a vote file only. Files that were set aside don't vote for an empty log.

Ruled out: members that hold entries are affected; their log files exist.

--- a/hornbeamyard/version/journal.py
+++ b/hornbeamyard/version/journal.py
@@ -387,6 +387,11 @@
                 SNAPSHOT_FILE, fleet_pb2.SnapshotState, payload
             )
         if log is None:
+            if self.term == 0 and not self.initial and snapshot is None:
+                # An earlier release began the log with the first entry, and
+                # the term of an entry is stored before.
+                await self._rewrite()
+                return ""
             raise JournalError(f"the file {LOG_FILE!r} is gone")
         payloads, valid_size = split_records(log)
         if not payloads:
--- a/properties/test_replaced_controllers.py
+++ b/properties/test_replaced_controllers.py
@@ -13,7 +13,7 @@
 import pytest
 
 from hornbeamyard.version.founding import ControllerState
-from hornbeamyard.version.journal import VOTE_FILE
+from hornbeamyard.version.journal import LOG_FILE, VOTE_FILE
 from hornbeamyard.version.membership import is_voter
 
 from .fleet_simulation import CATCH_UP_S, RECOVERY_S, SimulatedFleet
@@ -433,6 +433,26 @@
 
         run_first_start(seed, test)
 
+    @pytest.mark.parametrize("seed", range(2))
+    def test_folders_of_an_earlier_release(self, seed: int) -> None:
+        """Guards against a fleet that never starts after an upgrade.
+
+        The earlier release has made the folders and hasn't founded a cluster.
+        """
+
+        async def test(fleet: SimulatedFleet) -> None:
+            names = [f"c{number}" for number in range(5)]
+            for name in names:
+                controller = fleet.start(name)
+                await fleet.advance(0.06)
+                controller.crash()
+                del controller.disk.files[LOG_FILE]
+            for name in names:
+                fleet.start(name)
+            await fleet.submit()
+
+        run_first_start(seed, test)
+
     @pytest.mark.parametrize("seed", range(4))
     def test_set_aside_folders_begin_no_log(self, seed: int) -> None:
         """Guards against an empty cluster in place of one with all damaged."""
