Know from the data folder that software versions are complete

What callers saw: if all controllers end during the fleet's first start and come back, streams without a record of where they began aren't resumed in the first two minutes (ENDED_RETENTION_S), and the file of versions isn't written for as long. The fleet is founded, accepts a routing and its routers are ready, before and now.

Cause: that there were no versions before was known to the process that was called a first start, not to its data folder, which is marked since. All controllers lacked versions, and none could learn them from another one.

Change: a folder of the first start without a member list has seen nothing of the fleet either, so nothing is lacking.

Limit: a controller of the first start that is back after a long time takes its versions for complete, as one that is first started late does. A majority of the voters includes one that was there.

--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -150,10 +150,9 @@
                 await self._stream_store.load()
                 tasks.start_soon(self._stream_store.run)
                 has_versions = await self._version_store.load()
-                assert self._settings.directory is not None
                 # Before the fleet's first start there were no versions.
                 self.directory.lacks_versions = not (
-                    has_versions or self._settings.directory.first_start
+                    has_versions or self._is_first_start()
                 )
                 tasks.start_soon(
                     self._version_store.run,
@@ -172,6 +171,16 @@
                 await self._replication_calls.close()
                 await self._directory_calls.close()
 
+    def _is_first_start(self) -> bool:
+        """Return whether this controller has seen nothing of the fleet yet.
+
+        The data folder remembers the first start if the process ends in it.
+        """
+        assert self._settings.directory is not None
+        journal = self.replica.journal
+        is_unused = journal.initial and not journal.members.members
+        return self._settings.directory.first_start or is_unused
+
     async def _take_part(self, server: grpc.aio.Server) -> None:
         """Become a controller that others know, once they can reach it."""
         assert self._settings.controller is not None
--- a/hornbeamyard/tests/test_directory.py
+++ b/hornbeamyard/tests/test_directory.py
@@ -238,6 +238,48 @@
         run_fleet(tmp_path, test)
 
 
+class TestInterruptedFirstStart:
+    """A first start goes on although all processes have ended during it."""
+
+    def test_router_and_streams(self, tmp_path: Path) -> None:
+        """Guards against streams that can't be resumed for two minutes."""
+
+        async def main() -> None:
+            with anyio.fail_after(60):
+                async with anyio.create_task_group() as tasks:
+                    fleet = Fleet(tmp_path, tasks)
+                    await check(fleet)
+                    tasks.cancel_scope.cancel()
+
+        async def check(fleet: Fleet) -> None:
+            for number in range(CONTROLLERS):
+                fleet.start_controller(number)
+            await fleet.wait(
+                lambda: all(
+                    r.replica.journal.disk_id
+                    for r in fleet.registrars.values()
+                )
+            )
+            assert fleet.find_leader() is None
+            for number in range(CONTROLLERS):
+                fleet.stops[number].set()
+            await anyio.sleep(0.5)
+            for number in range(CONTROLLERS):
+                fleet.start_controller(number, first_start=False)
+            fleet.start_router()
+            router = fleet.router
+            assert router is not None
+            await fleet.submit(5)
+            fleet.start_announcing(0, build_upstream("u1", 9, "app"))
+            await fleet.wait(router.is_ready)
+            lacking = [
+                r.directory.lacks_versions for r in fleet.registrars.values()
+            ]
+            assert lacking == [False] * CONTROLLERS
+
+        anyio.run(main)
+
+
 class TestReadiness:
     """Load balancers send requests only to a router that accepts them."""
 
