--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -5,6 +5,7 @@
 import asyncio
 import zlib
 from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
@@ -49,10 +50,29 @@
 
 # Pause before a lost stream is opened again.
 RECONNECT_PAUSE_S = 0.2
+# Time after which another controller is asked for a routing as well. A frozen
+# one accepts calls and doesn't answer.
+FETCH_HEDGE_S = 0.25
 
 _log = logbook.Logger("directory")
 
 
+@dataclass(slots=True)
+class _ControllerList:
+    """What a controller has sent in a stream about all controllers.
+
+    Attributes
+    ----------
+    hosts : dict of str to str
+        Hosts of the controllers by address.
+    voters_index : int
+        Index of the log entry with the voters that it knows.
+    """
+
+    hosts: dict[str, str] = field(default_factory=dict)
+    voters_index: int = 0
+
+
 class Subscription:
     """A router's copy of the route directory.
 
@@ -108,6 +128,7 @@
         "_leaving",
         "_lifetime_s",
         "_limits",
+        "_lists",
         "_on_fleet_usage",
         "_on_routing",
         "_on_upstreams",
@@ -141,7 +162,9 @@
         # Hosts of the fleet's controllers by address.
         self._controllers: dict[str, str] = {}
         self._crashes = crashes
-        self._fetching = False
+        # Addresses of controllers that are being asked for a routing, or have
+        # just failed to give one.
+        self._fetching: set[str] = set()
         self._identity = identity
         self._leader = ""
         # Start times of upstreams, by id, whose responses to this router say
@@ -149,6 +172,8 @@
         self._leaving: dict[str, int] = {}
         self._lifetime_s = lifetime_s
         self._limits = limits
+        # The last list of each attached controller, by address.
+        self._lists: dict[str, _ControllerList] = {}
         self._on_routing = on_routing
         self._on_fleet_usage = on_fleet_usage
         self._on_upstreams = on_upstreams
@@ -303,7 +328,7 @@
 
     def _expire(self) -> None:
         now = self._timers.now()
-        self.streams.origins.expire(now)
+        self.streams.expire(now)
         self._crashes.expire(now)
         self._limits.expire(now)
         if not self.versions:
@@ -338,6 +363,7 @@
                 await self._timers.sleep(RECONNECT_PAUSE_S)
         finally:
             running.discard(address)
+            self._lists.pop(address, None)
             await self._calls.close_channel(address)
 
     async def _run_stream(self, address: str) -> str:
@@ -447,6 +473,7 @@
     ) -> None:
         now = self._timers.now()
         if address not in self.versions:
+            self._lists[address] = _ControllerList()
             _log.info(
                 "controller attached address={} routing_version={}",
                 address,
@@ -457,11 +484,7 @@
         self._limits.position.record_count(
             update.attached_routers, update.router_number, now
         )
-        if update.controllers:
-            self._controllers = {c.address: c.host for c in update.controllers}
-        if update.voters_index > self._voters_index:
-            self._voters = frozenset(update.voters)
-            self._voters_index = update.voters_index
+        self._apply_controllers(address, update)
         if update.leader:
             self._leader = update.leader
         leads = self._controllers.get(address, "") == self._leader
@@ -514,26 +537,62 @@
         if update.routing_version > self.version:
             self._fetch_needed.set()
 
+    def _apply_controllers(
+        self, address: str, update: fleet_pb2.DirectoryUpdate
+    ) -> None:
+        """Apply a controller's list of all controllers, if it is current.
+
+        One that has started with an empty folder, or that was cut off, knows
+        only a part of them.
+        """
+        sent = self._lists.setdefault(address, _ControllerList())
+        if update.controllers:
+            sent.hosts = {c.address: c.host for c in update.controllers}
+        sent.voters_index = max(sent.voters_index, update.voters_index)
+        if update.voters_index > self._voters_index:
+            self._voters = frozenset(update.voters)
+            self._voters_index = update.voters_index
+        is_new = update.controllers or update.voters_index
+        if is_new and sent.hosts and sent.voters_index >= self._voters_index:
+            self._controllers = sent.hosts
+
     # ---- routing ---------------------------------------------------------
 
     async def _fetch_repeatedly(self) -> None:
-        """Fetch each newer routing from a controller that has it in force."""
-        while True:
-            await self._fetch_needed.wait()
-            self._fetch_needed = anyio.Event()
-            newer = [
-                (version, address)
-                for address, version in self.versions.items()
-                if version > self.version
-            ]
-            for _, address in sorted(newer, reverse=True):
-                if await self._fetch(address):
-                    break
-            else:
-                if newer:
-                    await self._timers.sleep(RECONNECT_PAUSE_S / 4)
-            if any(v > self.version for v in self.versions.values()):
-                self._fetch_needed.set()
+        """Fetch each newer routing from a controller that has it in force.
+
+        Another controller is asked as well when one doesn't answer soon.
+        """
+        async with anyio.create_task_group() as tasks:
+            while True:
+                address = self._choose_source()
+                if address is None:
+                    await self._fetch_needed.wait()
+                    self._fetch_needed = anyio.Event()
+                    continue
+                self._fetching.add(address)
+                ended = anyio.Event()
+                tasks.start_soon(self._fetch_from, address, ended)
+                with self._timers.limit(FETCH_HEDGE_S):
+                    await ended.wait()
+
+    def _choose_source(self) -> str | None:
+        """Return the controller to ask for the newest routing, if any."""
+        newer = [
+            (version, address)
+            for address, version in self.versions.items()
+            if version > self.version and address not in self._fetching
+        ]
+        return max(newer)[1] if newer else None
+
+    async def _fetch_from(self, address: str, ended: anyio.Event) -> None:
+        """Fetch a controller's routing; after a failure pause before more."""
+        is_newer = await self._fetch(address)
+        ended.set()
+        if not is_newer:
+            await self._timers.sleep(RECONNECT_PAUSE_S / 4)
+        self._fetching.discard(address)
+        self._fetch_needed.set()
 
     async def _fetch(self, address: str) -> bool:
         """Fetch a controller's routing; return whether it is in force now."""
