--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -33,6 +33,7 @@
 from ..version.timeouts import derive_timeouts
 from . import listeners
 from .crash_store import CrashStore
+from .folder_lock import lock_until
 from .interface import Interface, SubmissionResult
 from .metrics import Metrics, Sample
 from .settings import Settings
@@ -134,6 +135,12 @@
     async def run(self, stop: anyio.Event) -> None:
         """Serve until `stop` is set, then transfer the leadership."""
         assert self._settings.controller is not None
+        folder = self._settings.controller.data_folder
+        async with lock_until(stop, folder, self._timers) as may_use:
+            if may_use:
+                await self._serve(stop)
+
+    async def _serve(self, stop: anyio.Event) -> None:
         fleet = self._settings.fleet
         server = peers.create_server()
         fleet_pb2_grpc.add_DirectoryServicer_to_server(
@@ -150,10 +157,9 @@
                 await self._stream_store.load()
                 tasks.start_soon(self._stream_store.run)
                 has_versions = await self._version_store.load()
-                assert self._settings.directory is not None
                 # Before the fleet's first start there were no versions.
                 self.directory.lacks_versions = not (
-                    has_versions or self._settings.directory.first_start
+                    has_versions or self._is_first_start()
                 )
                 tasks.start_soon(
                     self._version_store.run,
@@ -172,6 +178,16 @@
                 await self._replication_calls.close()
                 await self._directory_calls.close()
 
+    def _is_first_start(self) -> bool:
+        """Return whether this controller has seen nothing of the fleet yet.
+
+        The data folder remembers the first start if the process ends in it.
+        """
+        assert self._settings.directory is not None
+        journal = self.replica.journal
+        is_unused = journal.initial and not journal.members.members
+        return self._settings.directory.first_start or is_unused
+
     async def _take_part(self, server: grpc.aio.Server) -> None:
         """Become a controller that others know, once they can reach it."""
         assert self._settings.controller is not None
--- a/properties/test_replaced_controllers.py
+++ b/properties/test_replaced_controllers.py
@@ -13,7 +13,7 @@
 import pytest
 
 from hornbeamyard.version.founding import ControllerState
-from hornbeamyard.version.journal import VOTE_FILE
+from hornbeamyard.version.journal import LOG_FILE, VOTE_FILE
 from hornbeamyard.version.membership import is_voter
 
 from .fleet_simulation import CATCH_UP_S, RECOVERY_S, SimulatedFleet
@@ -86,6 +86,25 @@
 
         run_fleet(seed, test)
 
+    @pytest.mark.parametrize("seed", range(4))
+    def test_forgotten_by_all(self, seed: int) -> None:
+        """Guards against former controllers that are tried as successors.
+
+        Routers count them as well, and a cluster that has lost too many disks
+        is founded again only by all controllers that are known.
+        """
+
+        async def test(fleet: SimulatedFleet) -> None:
+            await replace_controller(fleet, "c3", "c5", 1.0)
+            await fleet.advance(CATCH_UP_S)
+            await replace_controller(fleet, "c4", "c6", 1.0)
+            await fleet.advance(30.0)
+            for controller in fleet.controllers.values():
+                known = controller.founder.describe().controllers
+                assert [c.host for c in known] == sorted(fleet.controllers)
+
+        run_fleet(seed, test)
+
     @pytest.mark.parametrize("seed", range(8))
     def test_leader_changes_meanwhile(self, seed: int) -> None:
         """Guards against a silence that each new leader counts anew.
@@ -414,6 +433,26 @@
 
         run_first_start(seed, test)
 
+    @pytest.mark.parametrize("seed", range(2))
+    def test_folders_of_an_earlier_release(self, seed: int) -> None:
+        """Guards against a fleet that never starts after an upgrade.
+
+        The earlier release has made the folders and hasn't founded a cluster.
+        """
+
+        async def test(fleet: SimulatedFleet) -> None:
+            names = [f"c{number}" for number in range(5)]
+            for name in names:
+                controller = fleet.start(name)
+                await fleet.advance(0.06)
+                controller.crash()
+                del controller.disk.files[LOG_FILE]
+            for name in names:
+                fleet.start(name)
+            await fleet.submit()
+
+        run_first_start(seed, test)
+
     @pytest.mark.parametrize("seed", range(4))
     def test_set_aside_folders_begin_no_log(self, seed: int) -> None:
         """Guards against an empty cluster in place of one with all damaged."""
