--- a/hornbeamyard/tests/test_process_start.py
+++ b/hornbeamyard/tests/test_process_start.py
@@ -15,7 +15,7 @@
 import time
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 import anyio
 import httpcore
@@ -58,6 +58,23 @@
 os.execv(sys.executable, [sys.executable, "-m", "hornbeamyard.platform"])
 """
 
+# Runs the daemon beside a library that logs some 100 KB, more than a pipe
+# holds.
+DAEMON_WITH_NOISY_LIBRARY = """
+import logging
+from hornbeamyard.process import daemon
+
+run = daemon.run_with_directory
+
+async def log_and_run(*arguments):
+    for _ in range(2000):
+        logging.getLogger("library").error("a library's error, %s", 50 * "x")
+    await run(*arguments)
+
+daemon.run_with_directory = log_and_run
+daemon.main()
+"""
+
 
 class Host:
     """One process of a fleet with a route directory, on loopback.
@@ -114,8 +131,13 @@
         self.path.write_text(json.dumps(self.settings))
 
     @contextlib.contextmanager
-    def run(self, *command: str) -> Iterator[subprocess.Popen[bytes]]:
-        """Run the process, of `hornbeamyard.platform` by default."""
+    def run(
+        self, *command: str, errors: IO[Any] | None = None
+    ) -> Iterator[subprocess.Popen[bytes]]:
+        """Run the process, of `hornbeamyard.platform` by default.
+
+        Its standard error goes to the log unless `errors` is given.
+        """
         self.write_settings()
         with self.log.open("wb") as stream:
             process = subprocess.Popen(
@@ -124,7 +146,7 @@
                     *(command or ("-m", "hornbeamyard.platform")),
                 ],
                 stdout=stream,
-                stderr=stream,
+                stderr=errors or stream,
                 env={**os.environ, "HORNBEAMYARD_CONFIG": str(self.path)},
             )
         with process:
@@ -244,6 +266,27 @@
         assert 0 < text.count("can't accept connections") < 50
         assert "out of system resource" not in text
 
+    @pytest.mark.parametrize("role", ["controller", "router"])
+    def test_with_full_error_output(self, tmp_path: Path, role: str) -> None:
+        """Guards against a process that stands still to write an error."""
+        host = Host(tmp_path, role)
+        command = ("-c", DAEMON_WITH_NOISY_LIBRARY, str(host.path))
+        reader, writer = os.pipe()
+        with (
+            os.fdopen(reader),
+            os.fdopen(writer) as errors,
+            host.run(*command, errors=errors) as process,
+        ):
+            for name in (
+                "metrics",
+                "internal" if role == "controller" else "front",
+            ):
+                text = f"listening on 127.0.0.1:{host.ports[name]}"
+                host.wait_for_message(process, text)
+            process.terminate()
+            assert process.wait(TIMEOUT_S) == 0
+        assert len(host.list_messages("a library's error")) == 2000
+
 
 class NativeHost(Host):
     """One process of a fleet without a route directory, with both roles."""
