Take a link too slow to compute with for none

Found by a review that draws valid routings with extreme numbers.

Cause: the time to copy one token overflows to infinity, and times no tokens it isn't a number.

Ruled out: refusing such numbers; other small ones are as useless and work.

Change: where the time isn't finite, engines count as unable to copy.

Measured: the new test failed before.

--- a/hornbeamyard/tests/test_routing.py
+++ b/hornbeamyard/tests/test_routing.py
@@ -9,7 +9,7 @@
 import pytest
 from result import Err, Ok
 
-from hornbeamyard.version.routing import decode_routing, parse_routing
+from hornbeamyard.version.routing import Pool, decode_routing, parse_routing
 
 DOCUMENT: dict[str, Any] = {
     "version": 7,
@@ -110,6 +110,15 @@
         assert [share.pool for share in shares] == ["model"]
 
 
+class TestEngines:
+    """What a routing says about engines."""
+
+    def test_link_too_slow_for_a_copy(self) -> None:
+        """Guards against forecasts that aren't numbers."""
+        pool = Pool("p", "/h", 1, kv_bytes_per_token=1, copy_mbps=5e-324)
+        assert pool.compute_token_copy_ms() == 0.0
+
+
 class TestFindAccount:
     """Each key belongs to one account."""
 
--- a/hornbeamyard/version/routing.py
+++ b/hornbeamyard/version/routing.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
@@ -132,11 +133,13 @@
     def compute_token_copy_ms(self) -> float:
         """Return the time to copy one token's KV cache, in milliseconds.
 
-        It is 0 if engines can't copy from each other.
+        It is 0 if engines can't copy from each other, or not in any time that
+        a number can express.
         """
         if not self.kv_bytes_per_token or not self.copy_mbps:
             return 0.0
-        return self.kv_bytes_per_token * 8 / (self.copy_mbps * 1000)
+        copy_ms = self.kv_bytes_per_token * 8 / (self.copy_mbps * 1000)
+        return copy_ms if math.isfinite(copy_ms) else 0.0
 
 
 @dataclass(slots=True, frozen=True)
