Accept at a blocking socket, and at the server's own address

The product's processes weren't affected.

It ignored that it may have been given no socket, as in the soak's upstreams, and accepted up to 16 connections a turn at whatever socket it got; at one that blocks the second attempt waits for the next connection. asyncio listens by itself and makes sockets non-blocking.

Change: without a socket uvicorn listens, as before; a socket is made non-blocking.

--- a/hornbeamyard/process/acceptors.py
+++ b/hornbeamyard/process/acceptors.py
@@ -23,7 +23,7 @@
     Parameters
     ----------
     listener : socket.socket
-        Listens, and doesn't block.
+        Listens; it is made non-blocking.
     build_protocol : callable
         Returns the protocol of a new connection.
     """
@@ -39,6 +39,7 @@
         self._connecting: set[asyncio.Task[None]] = set()
         self._is_watching = False
         self._listener = listener
+        listener.setblocking(False)
 
     def start(self) -> None:
         """Accept connections, again after a pause."""
--- a/hornbeamyard/process/servers.py
+++ b/hornbeamyard/process/servers.py
@@ -45,9 +45,12 @@
     async def startup(
         self, sockets: list[socket.socket] | None = None
     ) -> None:
-        """Start to accept connections of listening sockets."""
+        """Start to accept connections, by default at the server's address."""
+        if sockets is None:
+            await super().startup()
+            return
         await super().startup([])
-        for listener in sockets or ():
+        for listener in sockets:
             acceptor = Acceptor(listener, self._build_protocol)
             acceptor.start()
             self._acceptors.append(acceptor)
--- a/hornbeamyard/tests/test_process_start.py
+++ b/hornbeamyard/tests/test_process_start.py
@@ -663,6 +663,38 @@
         anyio.run(run)
         assert 2 <= len(attempts) <= 5
 
+    def test_server_without_listener(self) -> None:
+        """Guards against a server that doesn't listen at its own address."""
+        address = f"127.0.0.1:{find_free_port()}"
+
+        async def run() -> None:
+            app = servers.build_status_app(Metrics())
+            server = servers.build_server(app, address)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.serve)
+                assert await ask_for_metrics(address) == 200
+                server.should_exit = True
+
+        anyio.run(run)
+
+    def test_blocking_listener(self) -> None:
+        """Guards against a server that stands still until someone connects."""
+
+        async def run() -> None:
+            server = servers.build_server(
+                servers.build_status_app(Metrics()), "127.0.0.1:0"
+            )
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                address = f"127.0.0.1:{listener.getsockname()[1]}"
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(server.serve, [listener])
+                    assert await ask_for_metrics(address) == 200
+                    tasks.cancel_scope.cancel()
+
+        started_at = time.monotonic()
+        anyio.run(run)
+        assert time.monotonic() - started_at < TIMEOUT_S
+
     @pytest.mark.parametrize("end", ["cancelled", "failed"])
     def test_server_with_the_descriptor_of_another(
         self, end: str, monkeypatch: pytest.MonkeyPatch
