--- a/hornbeamyard/pool/shares.py
+++ b/hornbeamyard/pool/shares.py
@@ -183,9 +183,10 @@
         }
 
     def forget_idle(self, now: float) -> dict[str, AccountUsage]:
-        """Forget the accounts that have asked for nothing lately.
+        """Forget accounts whose counters haven't changed for a while.
 
-        To be called just before a report, which then says so.
+        It is called just before a report, so that the report no longer names
+        them and counts from zero are never taken for a decrease.
 
         Returns
         -------
