Keep evacuated availability zones in the controllers' log

Operators need to take all upstreams of a zone out of use. Any controller accepts an order and passes it to the leader; controllers send the set with the index of the entry that changed it in DirectoryUpdate. At most 1,024 zones are evacuated at a time, so that the set fits into a message.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Iterable, Iterator
 from dataclasses import replace
 
@@ -423,23 +424,125 @@
     async def _publish_versions(self) -> None:
         published_version = 0
         published_key = b""
+        published_index = 0
         while True:
             await self._replica.wait_for_change()
-            version = self._replica.state.routing.version
-            key = self._replica.state.digest_key
-            if version == published_version and key == published_key:
+            state = self._replica.state
+            version = state.routing.version
+            key = state.digest_key
+            index = state.evacuations_index
+            if (
+                version == published_version
+                and key == published_key
+                and index == published_index
+            ):
                 continue
             if version != published_version:
                 _log.info(
                     "routing in force version={} index={}",
                     version,
-                    self._replica.state.last_index,
+                    state.last_index,
+                )
+            if index != published_index:
+                _log.info(
+                    "evacuations in force zones={} index={}",
+                    sorted(state.evacuated_zones),
+                    index,
                 )
             published_version = version
             published_key = key
+            published_index = index
             for subscriber in self._subscribers:
                 subscriber.wake.set()
 
+    # ---- evacuations -----------------------------------------------------
+
+    async def order_evacuation(
+        self, availability_zone: str, evacuated: bool
+    ) -> fleet_pb2.EvacuationResult:
+        """Start or end the evacuation of a zone through the leader.
+
+        Parameters
+        ----------
+        availability_zone : str
+            A name that `check_zone` accepts.
+        evacuated : bool
+
+        Returns
+        -------
+        EvacuationResult
+            With `decided` unset when the outcome is unknown.
+        """
+        order = fleet_pb2.EvacuationOrder(
+            identity=self._replica.identity,
+            availability_zone=availability_zone,
+            evacuated=evacuated,
+        )
+        result = await self.order_as_leader(order)
+        if isinstance(result, Ok):
+            return result.ok_value
+        leader = result.err_value
+        if not leader:
+            return fleet_pb2.EvacuationResult()
+        reply = await self._calls.order_evacuation(leader, order)
+        return reply or fleet_pb2.EvacuationResult()
+
+    async def order_as_leader(
+        self, order: fleet_pb2.EvacuationOrder
+    ) -> Result[fleet_pb2.EvacuationResult, str]:
+        """Append an order to the log, if this controller leads.
+
+        Returns
+        -------
+        Result of EvacuationResult or str
+            The error is the leader's address, or "" if it isn't known.
+        """
+        stored = fleet_pb2.EvacuationOrder(
+            availability_zone=order.availability_zone,
+            evacuated=order.evacuated,
+        )
+        result = await self._replica.order_evacuation(stored)
+        if isinstance(result, Ok):
+            return Ok(result.ok_value)
+        error = result.err_value
+        return Err(error.leader if isinstance(error, NotLeader) else "")
+
+    async def read_status(self) -> bytes | None:
+        """Return the status document; None if no leader confirmed it."""
+        result = await self.read_status_as_leader()
+        if isinstance(result, Ok):
+            return result.ok_value
+        leader = result.err_value
+        if not leader:
+            return None
+        request = fleet_pb2.StatusRequest(identity=self._replica.identity)
+        reply = await self._calls.read_status(leader, request)
+        return reply.document or None if reply is not None else None
+
+    async def read_status_as_leader(self) -> Result[bytes, str]:
+        """Return the status document, if this controller leads.
+
+        Returns
+        -------
+        Result of bytes or str
+            JSON. The error is the leader's address, or "" if it isn't known.
+        """
+        result = await self._replica.confirm_state()
+        if isinstance(result, Err):
+            error = result.err_value
+            return Err(error.leader if isinstance(error, NotLeader) else "")
+        state = result.ok_value
+        document = {
+            "leader": self._replica.get_leader(),
+            "epoch": self._replica.term,
+            "routing_version": state.routing.version,
+            "routers_attached": self.count_routers(),
+            "upstreams": len(self.registry),
+            "evacuated_zones": sorted(state.evacuated_zones),
+            "evacuations_index": state.evacuations_index,
+        }
+        return Ok(json.dumps(document).encode())
+
     # ---- routers ---------------------------------------------------------
 
     def attach(self, name: str) -> Subscriber:
@@ -604,6 +707,11 @@
         if digest_key != subscriber.digest_key_sent:
             update.digest_key = digest_key
             subscriber.digest_key_sent = digest_key
+        state = self._replica.state
+        if state.evacuations_index != subscriber.evacuations_sent:
+            update.evacuated_zones.extend(sorted(state.evacuated_zones))
+            update.evacuations_index = state.evacuations_index
+            subscriber.evacuations_sent = state.evacuations_index
         subscriber.pending_records = {}
         subscriber.pending_renewals = {}
         subscriber.pending_limits = {}
--- a/hornbeamyard/connection/directory_calls.py
+++ b/hornbeamyard/connection/directory_calls.py
@@ -59,6 +59,22 @@
             address, lambda s: s.ReadRouting, request, SUBMIT_TIMEOUT_S
         )
 
+    async def order_evacuation(
+        self, address: str, request: fleet_pb2.EvacuationOrder
+    ) -> fleet_pb2.EvacuationResult | None:
+        """Submit an order about an availability zone to the leader."""
+        return await self._channels.call(
+            address, lambda s: s.OrderEvacuation, request, SUBMIT_TIMEOUT_S
+        )
+
+    async def read_status(
+        self, address: str, request: fleet_pb2.StatusRequest
+    ) -> fleet_pb2.StatusReply | None:
+        """Return the status document, confirmed by the leader."""
+        return await self._channels.call(
+            address, lambda s: s.ReadStatus, request, SUBMIT_TIMEOUT_S
+        )
+
     async def fetch_routing(
         self, address: str, request: fleet_pb2.RoutingRead
     ) -> fleet_pb2.RoutingCopy | None:
--- a/hornbeamyard/connection/directory_service.py
+++ b/hornbeamyard/connection/directory_service.py
@@ -10,6 +10,7 @@
 from result import Ok
 
 from ..messages import fleet_pb2, fleet_pb2_grpc
+from ..pool.evacuations import check_zone
 from ..process.timers import Timers
 from . import peers
 from .directory import HEARTBEAT_INTERVAL_S, SILENCE_TIMEOUT_S, Directory
@@ -67,6 +68,35 @@
             return result.ok_value
         return fleet_pb2.RoutingCopy()
 
+    async def OrderEvacuation(  # noqa: N802 - named by the protocol
+        self,
+        request: fleet_pb2.EvacuationOrder,
+        context: grpc.aio.ServicerContext,
+    ) -> fleet_pb2.EvacuationResult:
+        """Start or end the evacuation of a zone, if this controller leads."""
+        await peers.check_identity(request.identity, self._fleet, context)
+        findings = check_zone(request.availability_zone)
+        if findings:
+            await context.abort(
+                grpc.StatusCode.INVALID_ARGUMENT, str(findings[0])
+            )
+        result = await self._directory.order_as_leader(request)
+        if isinstance(result, Ok):
+            return result.ok_value
+        return fleet_pb2.EvacuationResult(leader=result.err_value)
+
+    async def ReadStatus(  # noqa: N802 - named by the protocol
+        self,
+        request: fleet_pb2.StatusRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> fleet_pb2.StatusReply:
+        """Return the status document, if this controller leads."""
+        await peers.check_identity(request.identity, self._fleet, context)
+        result = await self._directory.read_status_as_leader()
+        if isinstance(result, Ok):
+            return fleet_pb2.StatusReply(document=result.ok_value)
+        return fleet_pb2.StatusReply(leader=result.err_value)
+
     async def FetchRouting(  # noqa: N802 - named by the protocol
         self,
         request: fleet_pb2.RoutingRead,
--- a/hornbeamyard/connection/subscriber.py
+++ b/hornbeamyard/connection/subscriber.py
@@ -24,6 +24,8 @@
         Addresses of the controllers in the last list sent.
     digest_key_sent : bytes
         Key of request digests that was sent last.
+    evacuations_sent : int
+        Index of the log entry with the evacuated zones that were sent last.
     name : str
         Host and incarnation of the router.
     number : int
@@ -51,6 +53,7 @@
         "controllers_sent",
         "crashes_sent",
         "digest_key_sent",
+        "evacuations_sent",
         "fleet_usage_due",
         "name",
         "number",
@@ -68,6 +71,7 @@
         self.controllers_sent: tuple[str, ...] = ()
         self.crashes_sent = 0
         self.digest_key_sent = b""
+        self.evacuations_sent = 0
         self.name = name
         self.cached_parts: list[CachedPart] = []
         self.number = 0
--- a/hornbeamyard/platform/calls.py
+++ b/hornbeamyard/platform/calls.py
@@ -16,6 +16,8 @@
 READ_CONFIGURATION = ("GET", "/Configuration.Read")
 HEARTBEAT_PREFIX = "/Instances.Heartbeat/"
 DEREGISTER_PREFIX = "/Instances.Deregister/"
+START_EVACUATION_PREFIX = "/Evacuations.Start/"
+FINISH_EVACUATION_PREFIX = "/Evacuations.Finish/"
 
 _STATES = {"ready": UpstreamState.READY, "draining": UpstreamState.DRAINING}
 
@@ -39,6 +41,12 @@
             return await _withdraw(
                 controller, path.removeprefix(DEREGISTER_PREFIX), body
             )
+        if method == "POST" and path.startswith(START_EVACUATION_PREFIX):
+            zone = path.removeprefix(START_EVACUATION_PREFIX)
+            return await _order_evacuation(controller, zone, True)
+        if method == "POST" and path.startswith(FINISH_EVACUATION_PREFIX):
+            zone = path.removeprefix(FINISH_EVACUATION_PREFIX)
+            return await _order_evacuation(controller, zone, False)
         return 404, b"{}"
 
     return build_json_app(handle)
@@ -49,6 +57,13 @@
     return submitted.status, submitted.to_json()
 
 
+async def _order_evacuation(
+    controller: ControllerApi, availability_zone: str, evacuated: bool
+) -> tuple[int, bytes]:
+    ordered = await controller.order_evacuation(availability_zone, evacuated)
+    return ordered.status, ordered.to_json()
+
+
 def _announce(
     controller: ControllerApi, id: str, body: bytes
 ) -> tuple[int, bytes]:
--- a/hornbeamyard/process/controller_app.py
+++ b/hornbeamyard/process/controller_app.py
@@ -20,8 +20,13 @@
 from .validation import Finding, Option, Section
 
 ROUTING_PATH = "/hornbeamyard/v1/routing"
+STATUS_PATH = "/hornbeamyard/v1/status"
+EVACUATIONS_PREFIX = "/hornbeamyard/v1/evacuations/"
 UPSTREAMS_PREFIX = "/hornbeamyard/v1/upstreams/"
 
+# Whether a zone is to be evacuated, by the method of the call.
+_EVACUATES = {"PUT": True, "DELETE": False}
+
 _ANNOUNCEMENT_SCHEMA = Section(
     {
         "pool": Option(validation.check_string, required=True),
@@ -48,7 +53,9 @@
 
     `PUT` and `GET` on `/hornbeamyard/v1/routing` submit and read the
     routing; `PUT` on `/hornbeamyard/v1/upstreams/ID` announces an upstream,
-    and `DELETE` removes it.
+    and `DELETE` removes it; `PUT` on `/hornbeamyard/v1/evacuations/ZONE`
+    starts the evacuation of an availability zone, and `DELETE` ends it; `GET`
+    on `/hornbeamyard/v1/status` reads the status document.
     """
 
     async def handle(method: str, path: str, body: bytes) -> tuple[int, bytes]:
@@ -58,6 +65,14 @@
         if (method, path) == ("GET", ROUTING_PATH):
             document = await controller.read_routing()
             return (503, b"{}") if document is None else (200, document)
+        if (method, path) == ("GET", STATUS_PATH):
+            document = await controller.read_status()
+            return (503, b"{}") if document is None else (200, document)
+        if path.startswith(EVACUATIONS_PREFIX) and method in _EVACUATES:
+            ordered = await controller.order_evacuation(
+                path.removeprefix(EVACUATIONS_PREFIX), _EVACUATES[method]
+            )
+            return ordered.status, ordered.to_json()
         upstream_id = path.removeprefix(UPSTREAMS_PREFIX)
         if (
             path.startswith(UPSTREAMS_PREFIX)
--- a/hornbeamyard/process/interface.py
+++ b/hornbeamyard/process/interface.py
@@ -55,6 +55,41 @@
         return json.dumps(document).encode()
 
 
+@dataclass(slots=True, frozen=True)
+class OrderResult:
+    """The result of an order to start or end an evacuation.
+
+    Attributes
+    ----------
+    findings : tuple of str
+        Why the name of the zone can't be stored.
+    is_full : bool
+        Whether too many other zones are evacuated.
+    decided : bool
+        False if the outcome is unknown and the operator should retry.
+    """
+
+    findings: tuple[str, ...] = ()
+    is_full: bool = False
+    decided: bool = True
+
+    @property
+    def status(self) -> HTTPStatus:
+        """HTTP status of the response to the operator."""
+        if self.findings:
+            return HTTPStatus.BAD_REQUEST
+        if not self.decided:
+            return HTTPStatus.SERVICE_UNAVAILABLE
+        return HTTPStatus.CONFLICT if self.is_full else HTTPStatus.OK
+
+    def to_json(self) -> bytes:
+        """Return the body of the response to the operator."""
+        findings = list(self.findings)
+        if self.is_full:
+            findings.append("too many availability zones are evacuated")
+        return json.dumps({"findings": findings}).encode()
+
+
 class ControllerApi(Protocol):
     """Requests of operators and upstreams to a controller."""
 
@@ -64,6 +99,14 @@
     async def read_routing(self) -> bytes | None:
         """Return the newest routing document; None if it isn't confirmed."""
 
+    async def order_evacuation(
+        self, availability_zone: str, evacuated: bool
+    ) -> OrderResult:
+        """Start or end the evacuation of an availability zone."""
+
+    async def read_status(self) -> bytes | None:
+        """Return the status document; None if it isn't confirmed."""
+
     def announce(self, upstream: Upstream) -> list[Finding]:
         """Record the announcement of an upstream.
 
--- a/hornbeamyard/process/metrics.py
+++ b/hornbeamyard/process/metrics.py
@@ -100,6 +100,7 @@
     "controller_files_set_aside": "1 while damaged files are kept",
     "controllers_attached": "Controllers whose stream is open",
     "decisions": "Decisions by kind, those without a log line included",
+    "evacuated_zones": "Availability zones that get no requests",
     "leads": "1 while this controller leads",
     "log_lines_dropped": "Log lines that were left out",
     "prompt_parts_blocked": "Prompt parts that are blocked for crashes",
--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -19,6 +19,7 @@
 from ..connection.directory_service import DirectoryService
 from ..connection.replication import ReplicationCalls, ReplicationService
 from ..messages import fleet_pb2, fleet_pb2_grpc
+from ..pool.evacuations import check_zone
 from ..pool.upstream_registry import (
     MAX_MISSED_ANNOUNCEMENTS,
     Upstream,
@@ -34,7 +35,7 @@
 from . import listeners
 from .crash_store import CrashStore
 from .folder_lock import lock_until
-from .interface import Interface, SubmissionResult
+from .interface import Interface, OrderResult, SubmissionResult
 from .metrics import Metrics, Sample
 from .settings import Settings
 from .stream_store import StreamStore
@@ -224,6 +225,8 @@
         yield Sample("controller_files_set_aside", float(has_set_aside))
         version = self.replica.state.routing.version
         yield Sample("routing_version", version)
+        evacuated = len(self.replica.state.evacuated_zones)
+        yield Sample("evacuated_zones", evacuated)
         attached = self.directory.count_routers()
         yield Sample("routers_attached", attached)
         pools = Counter(upstream.pool for upstream in self.directory.registry)
@@ -266,6 +269,41 @@
             return None
         return unpack_document(copy.document)
 
+    async def order_evacuation(
+        self, availability_zone: str, evacuated: bool
+    ) -> OrderResult:
+        """Start or end the evacuation of an availability zone."""
+        findings = check_zone(availability_zone)
+        if findings:
+            # Names of any length may come here.
+            _log.warning(
+                "evacuation refused zone={!r} findings={}",
+                availability_zone[:80],
+                [str(finding) for finding in findings],
+            )
+            return OrderResult(tuple(str(finding) for finding in findings))
+        result = await self.directory.order_evacuation(
+            availability_zone, evacuated
+        )
+        _log.info(
+            "evacuation ordered zone={!r} evacuated={} decided={} full={}",
+            availability_zone,
+            evacuated,
+            result.decided,
+            result.is_full,
+        )
+        return OrderResult(is_full=result.is_full, decided=result.decided)
+
+    async def read_status(self) -> bytes | None:
+        """Return the status document; None if it isn't confirmed."""
+        document = await self.directory.read_status()
+        if document is None:
+            _log.info(
+                "the status could not be read: no majority of controllers "
+                "confirmed it in time"
+            )
+        return document
+
     def announce(self, upstream: Upstream) -> list[Finding]:
         """Record the announcement of an upstream; return why not, if so."""
         findings = check_announcement(upstream)
--- a/hornbeamyard/tests/test_controller_app.py
+++ b/hornbeamyard/tests/test_controller_app.py
@@ -10,7 +10,7 @@
 
 from hornbeamyard.pool.upstream_registry import UpstreamState
 from hornbeamyard.process.controller_app import build_controller_app
-from hornbeamyard.process.interface import SubmissionResult
+from hornbeamyard.process.interface import OrderResult, SubmissionResult
 
 from .test_platform import FakeController
 
@@ -64,6 +64,28 @@
         assert call(controller, "GET", "/hornbeamyard/v1/routing")[0] == 503
 
 
+class TestEvacuations:
+    """Operators evacuate availability zones and restore them."""
+
+    def test_orders_and_status(self) -> None:
+        """Guards against orders that are lost or turned round."""
+        controller = FakeController()
+        path = "/hornbeamyard/v1/evacuations/zone-1"
+        assert call(controller, "PUT", path)[0] == 200
+        assert call(controller, "DELETE", path)[0] == 200
+        assert controller.orders == [("zone-1", True), ("zone-1", False)]
+        assert call(controller, "POST", path)[0] == 404
+        controller.ordered = OrderResult(("availability_zone: bad",))
+        status, response = call(controller, "PUT", path)
+        assert (status, response["findings"]) == (
+            400,
+            ["availability_zone: bad"],
+        )
+        assert call(controller, "GET", "/hornbeamyard/v1/status") == (200, {})
+        controller.document = None
+        assert call(controller, "GET", "/hornbeamyard/v1/status")[0] == 503
+
+
 class TestUpstreams:
     """Upstreams announce themselves and leave."""
 
--- a/hornbeamyard/tests/test_platform.py
+++ b/hornbeamyard/tests/test_platform.py
@@ -19,7 +19,7 @@
     UpstreamStart,
     UpstreamState,
 )
-from hornbeamyard.process.interface import SubmissionResult
+from hornbeamyard.process.interface import OrderResult, SubmissionResult
 from hornbeamyard.process.validation import Finding
 from hornbeamyard.request.headers import (
     MAX_DEADLINE_MS,
@@ -263,6 +263,8 @@
         self.submitted = SubmissionResult(version=3)
         self.document: bytes | None = b"{}"
         self.is_confirmed = True
+        self.orders: list[tuple[str, bool]] = []
+        self.ordered = OrderResult()
 
     async def submit_routing(self, document: bytes) -> SubmissionResult:
         """Return the prepared result."""
@@ -272,6 +274,17 @@
         """Return the prepared document."""
         return self.document
 
+    async def order_evacuation(
+        self, availability_zone: str, evacuated: bool
+    ) -> OrderResult:
+        """Record an order and return the prepared result."""
+        self.orders.append((availability_zone, evacuated))
+        return self.ordered
+
+    async def read_status(self) -> bytes | None:
+        """Return the prepared document."""
+        return self.document
+
     def announce(self, upstream: Upstream) -> list[Finding]:
         """Record an announcement."""
         self.announced.append(upstream)
@@ -335,6 +348,25 @@
         status, _ = call(controller, "POST", "/Configuration.Replace", b"{}")
         assert status == expected
 
+    @pytest.mark.parametrize(
+        ("ordered", "expected"),
+        [
+            (OrderResult(), 200),
+            (OrderResult(("availability_zone: bad",)), 400),
+            (OrderResult(is_full=True), 409),
+            (OrderResult(decided=False), 503),
+        ],
+    )
+    def test_evacuate(self, ordered: OrderResult, expected: int) -> None:
+        """Guards against a status that ends or repeats an order wrongly."""
+        controller = FakeController()
+        controller.ordered = ordered
+        for action in ("Start", "Finish"):
+            path = f"/Evacuations.{action}/zone/1"
+            assert call(controller, "POST", path)[0] == expected
+        assert controller.orders == [("zone/1", True), ("zone/1", False)]
+        assert call(controller, "GET", "/Evacuations.Start/a")[0] == 404
+
     def test_read_without_confirmed_document(self) -> None:
         """Guards against a response with an outdated version."""
         controller = FakeController()
--- a/hornbeamyard/version/replica.py
+++ b/hornbeamyard/version/replica.py
@@ -41,6 +41,8 @@
 # Time between attempts to write to a disk that has failed, and between checks
 # of the data folder.
 DISK_RETRY_S = 0.5
+# Commands that are acknowledged only once enough voters have applied them.
+DURABLE_COMMANDS = ("routing", "evacuation")
 
 DEFAULT_TIMEOUTS = Timeouts()
 
@@ -132,8 +134,8 @@
         Number of entries after which a snapshot is taken.
     timeouts : Timeouts, optional
     required_disks : int, optional
-        Number of voters that must have applied a routing before it is
-        acknowledged.
+        Number of voters that must have applied a routing or an evacuation
+        before it is acknowledged.
     relies_on_leases : bool, optional
         Whether a leader may act on its lease alone. If not, a majority
         confirms each submission and each read, and a restarted member takes
@@ -155,8 +157,8 @@
     jobs : JobQueue
         Runs all changes of the journal one at a time.
     may_acknowledge : callable
-        Returns whether the members are in a state in which a routing that is
-        acknowledged now outlasts the tolerated losses.
+        Returns whether the members are in a state in which a routing or an
+        evacuation that is acknowledged now outlasts the tolerated losses.
     """
 
     def __init__(
@@ -264,9 +266,27 @@
         left then. Otherwise routers would learn of it only after an election.
         """
         entry = fleet_pb2.LogEntry(routing=submission)
-        result: Result[fleet_pb2.RoutingResult, ProposeError] = Err(NoQuorum())
+        return await self._submit_durably(entry, fleet_pb2.RoutingResult)
+
+    async def order_evacuation(
+        self, order: fleet_pb2.EvacuationOrder
+    ) -> Result[fleet_pb2.EvacuationResult, ProposeError]:
+        """Append an order about an availability zone; return its outcome.
+
+        It is returned under the same conditions as that of a routing. An
+        order that changes nothing is appended as well: an equal one may have
+        been appended before without being acknowledged.
+        """
+        entry = fleet_pb2.LogEntry(evacuation=order)
+        return await self._submit_durably(entry, fleet_pb2.EvacuationResult)
+
+    async def _submit_durably(
+        self, entry: fleet_pb2.LogEntry, kind: type[T]
+    ) -> Result[T, ProposeError]:
+        """Append an entry; return once its outcome may be acknowledged."""
+        result: Result[T, ProposeError] = Err(NoQuorum())
         with self.timers.limit(PROPOSE_TIMEOUT_S):
-            result = await self._submit(entry, fleet_pb2.RoutingResult)
+            result = await self._submit(entry, kind)
             while result.is_ok() and not self._is_durable(entry):
                 if self.leadership is None:
                     return Err(NoQuorum())
@@ -598,7 +618,9 @@
                 _log.info("members: {}", described)
                 if self.leadership is not None:
                     self.leadership.request_check()
-            if entry.HasField("routing") and self.leadership is not None:
+            if self.leadership is not None and (
+                entry.WhichOneof("command") in DURABLE_COMMANDS
+            ):
                 # The others put it in force once they know that it is
                 # committed, which the next heartbeat would tell them.
                 self.leadership.wake_peers()
--- a/hornbeamyard/version/state.py
+++ b/hornbeamyard/version/state.py
@@ -17,6 +17,10 @@
 
 # Number of configuration versions for which outcomes of patches are kept.
 RETAINED_VERSIONS = 10_000
+# Availability zones that may be evacuated at the same time. The set is sent to
+# every router in one message, whose size is limited. Members with another
+# limit would have another state.
+MAX_EVACUATED_ZONES = 1024
 # The first entry holds the initial members, the second is the first leader's.
 FIRST_LEADER_INDEX = 2
 
@@ -24,6 +28,7 @@
     fleet_pb2.PatchResult
     | fleet_pb2.ClaimResults
     | fleet_pb2.RoutingResult
+    | fleet_pb2.EvacuationResult
     | None
 )
 
@@ -46,6 +51,10 @@
         The newest committed members.
     digest_key : bytes
         Secret key of request digests; empty until a leader has chosen it.
+    evacuated_zones : frozenset of str
+        Availability zones to which no requests may be sent.
+    evacuations_index : int
+        Index of the entry that last changed them; 0 before the first.
     fencing : tuple of int and int
         Term and index of the newest leader's first entry.
     last_index, last_term : int
@@ -62,6 +71,8 @@
         "configuration",
         "digest_key",
         "document",
+        "evacuated_zones",
+        "evacuations_index",
         "fencing",
         "last_index",
         "last_term",
@@ -80,6 +91,8 @@
         self.claims = ClaimTable()
         self.members = fleet_pb2.MemberList()
         self.digest_key = b""
+        self.evacuated_zones: frozenset[str] = frozenset()
+        self.evacuations_index = 0
         self.fencing = (0, 0)
         self.last_index = 0
         self.last_term = 0
@@ -104,6 +117,8 @@
                 return self.claims.apply(entry.claims, self.time_ms)
             case "routing":
                 return self.apply_routing(entry.routing)
+            case "evacuation":
+                return self.apply_evacuation(entry.evacuation)
             case "members":
                 self.members = entry.members
             case "digest_key":
@@ -183,6 +198,29 @@
         result.version = self.routing.version
         return result
 
+    def apply_evacuation(
+        self, order: fleet_pb2.EvacuationOrder
+    ) -> fleet_pb2.EvacuationResult:
+        """Start or end the evacuation of an availability zone.
+
+        An order that is in force already, and the end of an evacuation that
+        hasn't started, change nothing, because operators send an order again
+        when its reply was lost.
+        """
+        zone = order.availability_zone
+        result = fleet_pb2.EvacuationResult(decided=True)
+        if order.evacuated == (zone in self.evacuated_zones):
+            return result
+        if (
+            order.evacuated
+            and len(self.evacuated_zones) >= MAX_EVACUATED_ZONES
+        ):
+            result.is_full = True
+            return result
+        self.evacuated_zones ^= {zone}
+        self.evacuations_index = self.last_index
+        return result
+
     def list_history(self, limit: int) -> list[fleet_pb2.PatchRecord]:
         """Return the newest accepted patches, newest first."""
         accepted = (
@@ -247,6 +285,8 @@
             routing_version=self.routing.version,
             routing_document=self.routing.document,
             digest_key=self.digest_key,
+            evacuated_zones=sorted(self.evacuated_zones),
+            evacuations_index=self.evacuations_index,
         )
 
     @classmethod
@@ -272,6 +312,8 @@
             document=snapshot.routing_document,
         )
         state.digest_key = snapshot.digest_key
+        state.evacuated_zones = frozenset(snapshot.evacuated_zones)
+        state.evacuations_index = snapshot.evacuations_index
         state.fencing = (snapshot.fencing_term, snapshot.fencing)
         state.last_index = snapshot.last_index
         state.last_term = snapshot.last_term
