Send nothing to upstreams of evacuated zones

Routers keep the set with the highest log index, so that a controller that is behind can't bring back an older one. Upstreams of evacuated zones are left out of placement, retries, waits, headroom, sources of copies and the load assumed of others; a request that is placed but not sent yet goes elsewhere, and their crashes are not probed. When all upstreams for a request are evacuated, it is refused at once with the reason 'evacuated' and Retry-After, also if it waits already.

--- a/hornbeamyard/connection/crash_reports.py
+++ b/hornbeamyard/connection/crash_reports.py
@@ -72,7 +72,7 @@
         address: str,
         suspects: Iterable[str],
         sent_at: float,
-        connections: UpstreamConnections,
+        connections: UpstreamConnections | None,
     ) -> None:
         """Suspect a broken request if its upstream has crashed.
 
@@ -85,8 +85,10 @@
             Ids of its shared prompt parts in their order, and its digest.
         sent_at : float
             When it was sent, as a monotonic time in seconds.
-        connections : UpstreamConnections
-            Opens one more connection to find out whether it has crashed.
+        connections : UpstreamConnections or None
+            Opens one more connection to find out whether it has crashed. With
+            None, none is opened, and the crash counts once another start is
+            announced at the address.
         """
         positions = {
             suspect: REQUEST_POSITION if is_digest(suspect) else position
@@ -96,9 +98,11 @@
         cleared = self.ledger.list_answered(positions, sent_at, now)
         crash = Crash(upstream, now, self._host, positions, cleared)
         if not self._knows_end(upstream, address):
+            has_ended = False
             # The crash counts also if the caller disconnects meanwhile.
             with anyio.CancelScope(shield=True):
-                has_ended = await connections.has_ended(address)
+                if connections is not None:
+                    has_ended = await connections.has_ended(address)
             if not has_ended and not self._knows_end(upstream, address):
                 self.restarts.keep(crash, address)
                 return
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import zlib
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -102,6 +102,10 @@
     lifetime_s : float
         Time in seconds without an announcement after which an upstream is
         lost.
+    on_evacuations : callable, optional
+        Called with the evacuated zones that a controller sends, and the index
+        of the log entry that changed them. It may be an older set than one
+        from another controller.
 
     Attributes
     ----------
@@ -129,6 +133,7 @@
         "_lifetime_s",
         "_limits",
         "_lists",
+        "_on_evacuations",
         "_on_fleet_usage",
         "_on_routing",
         "_on_upstreams",
@@ -156,6 +161,7 @@
         crashes: CrashReports,
         limits: LimitReports,
         lifetime_s: float,
+        on_evacuations: Callable[[Sequence[str], int], None] | None = None,
     ) -> None:
         self._calls = calls
         self._collect_usage = collect_usage
@@ -174,6 +180,7 @@
         self._limits = limits
         # The last list of each attached controller, by address.
         self._lists: dict[str, _ControllerList] = {}
+        self._on_evacuations = on_evacuations
         self._on_routing = on_routing
         self._on_fleet_usage = on_fleet_usage
         self._on_upstreams = on_upstreams
@@ -490,6 +497,11 @@
         leads = self._controllers.get(address, "") == self._leader
         self._crashes.digests.set_key(update.digest_key, leads)
         record_versions(self.registry, update.recent_versions, now)
+        # Before the upstreams, which may be in evacuated zones.
+        if update.evacuations_index and self._on_evacuations is not None:
+            self._on_evacuations(
+                update.evacuated_zones, update.evacuations_index
+            )
         changed = []
         for record in update.upstreams:
             if record.state not in UPSTREAM_STATES:
--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -32,6 +32,7 @@
     count_kv_tokens,
     estimate,
 )
+from .evacuations import EvacuationChange, Evacuations
 from .rate_limits import FleetPosition, RateLimiter, RateLimits, divide_rate
 from .shares import Shares
 from .targets import TargetMix
@@ -112,6 +113,9 @@
 # only for a part of their deadline, which is commonly 10 s or more.
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 4.0
+# The same where all upstreams are evacuated. An evacuation lasts for longer
+# than a short load peak, and operators end it at a time that nobody knows.
+EVACUATED_RETRY_AFTER_S = 1.0
 # Minimum of the other routers that a router assumes until it knows the fleet's
 # usage, and the fraction of the attached ones. Not all of them receive
 # requests at once.
@@ -142,6 +146,7 @@
     """Why a request was refused."""
 
     NO_UPSTREAM = "no upstream is ready"
+    EVACUATED = "all upstreams are in evacuated availability zones"
     PAUSED = "all upstreams have asked for a pause"
     RATE_LIMITED = "the upstreams take no more requests a second"
     NO_VERSION = "no upstream has the software version that began the stream"
@@ -156,6 +161,8 @@
 
 
 BLOCKED = (RefusalReason.BLOCKED_PART, RefusalReason.BLOCKED_REQUEST)
+# Reasons that also end the wait of requests that wait already.
+ENDS_WAITING = (*BLOCKED, RefusalReason.EVACUATED)
 
 
 @dataclass(slots=True, frozen=True)
@@ -302,6 +309,8 @@
         ended; without it, there are none.
     rate_limits : RateLimits, optional
         Rate limits of upstreams; without it, there are none.
+    evacuations : Evacuations, optional
+        Availability zones that get no requests; without it, there are none.
 
     Attributes
     ----------
@@ -322,6 +331,7 @@
         "_copy_ms_per_token",
         "_crashes",
         "_draw",
+        "_evacuations",
         "_headroom",
         "_headroom_at",
         "_kv_capacity_tokens",
@@ -354,10 +364,14 @@
         limit: Callable[[float], AbstractContextManager[anyio.CancelScope]],
         crashes: CrashLedger | None = None,
         rate_limits: RateLimits | None = None,
+        evacuations: Evacuations | None = None,
     ) -> None:
         self._copy_ms_per_token = 0.0
         self._crashes = CrashLedger() if crashes is None else crashes
         self._draw = draw
+        self._evacuations = (
+            Evacuations() if evacuations is None else evacuations
+        )
         # Whether the engines had headroom, and when that was found out.
         self._headroom = False
         self._headroom_at = float("-inf")
@@ -523,6 +537,44 @@
                 server.limiter = RateLimiter(rate, now)
             server.limiter.set_rate(rate, now)
 
+    def apply_evacuations(self, change: EvacuationChange) -> list[Server]:
+        """Apply a newer set of evacuated zones.
+
+        The caller starts the waiting requests afterwards.
+
+        Parameters
+        ----------
+        change : EvacuationChange
+            It has been applied to the set already.
+
+        Returns
+        -------
+        list of Server
+            Upstreams that may be used again, because the evacuation of their
+            zone has ended.
+        """
+        # The headroom was found with other upstreams.
+        self._headroom_at = float("-inf")
+        return [
+            server
+            for server in self.servers.values()
+            if server.upstream.availability_zone in change.ended
+        ]
+
+    def count_evacuated(self) -> int:
+        """Return the number of upstreams in evacuated zones."""
+        return len(self.servers) - len(self._list_in_use())
+
+    def _list_in_use(self) -> list[Server]:
+        """Return the upstreams outside evacuated zones."""
+        if not self._evacuations.zones:
+            return list(self.servers.values())
+        return [
+            server
+            for server in self.servers.values()
+            if self._evacuations.may_use(server.upstream)
+        ]
+
     def apply_fleet_usage(
         self, loads: dict[str, UpstreamLoad], now: float
     ) -> None:
@@ -605,7 +657,7 @@
                 server.count_prefill_tokens(now) * server.prefill_ms_per_token,
                 server.compute_rate_wait(now) * 1000,
             )
-            for server in self.servers.values()
+            for server in self._list_in_use()
             if isinstance(server, Engine) and server.is_usable(now)
         ]
 
@@ -754,11 +806,14 @@
     def may_send(
         self, server: Server, demand: RequestDemand, now: float
     ) -> bool:
-        """Return whether an upstream itself is willing to take a request.
+        """Return whether a request may be sent to an upstream now.
 
-        One that leaves may be the last of its software version, so it still
-        takes streams that have begun at that version.
+        Its zone must not be evacuated, and it must be willing. One that
+        leaves may be the last of its software version, so it still takes
+        streams that have begun at that version.
         """
+        if not self._evacuations.may_use(server.upstream):
+            return False
         if not self._may_run(server.upstream, demand):
             return False
         if server.accepts_requests(now):
@@ -784,7 +839,7 @@
     ) -> list[Server]:
         able = [
             server
-            for server in self.servers.values()
+            for server in self._list_in_use()
             if server.id not in excluded
             and self._may_run(server.upstream, demand)
             and not server.compute_rate_wait(now)
@@ -1034,7 +1089,7 @@
         ):
             found = self._find(waiting.demand, now, waiting.excluded)
             if isinstance(found, Shortfall):
-                if found.reason in BLOCKED:
+                if found.reason in ENDS_WAITING:
                     self._end_waiting(
                         waiting,
                         self._refuse(
@@ -1086,6 +1141,8 @@
         """Return why no upstream takes a request."""
         if not self.servers:
             return Shortfall(RefusalReason.NO_UPSTREAM, True)
+        if self._is_evacuated(demand):
+            return Shortfall(RefusalReason.EVACUATED, True)
         rate_wait_s = self._compute_rate_wait(demand, now, excluded)
         if rate_wait_s is not None:
             is_late = now + rate_wait_s > _compute_give_up_time(demand)
@@ -1098,6 +1155,21 @@
         is_hopeless = resumes_at > _compute_give_up_time(demand)
         return Shortfall(RefusalReason.PAUSED, is_hopeless)
 
+    def _is_evacuated(self, demand: RequestDemand) -> bool:
+        """Return whether all upstreams for a request are evacuated.
+
+        If no upstream has its version and model, all upstreams count.
+        """
+        able = [
+            server
+            for server in self.servers.values()
+            if self._may_run(server.upstream, demand)
+        ]
+        return not any(
+            self._evacuations.may_use(server.upstream)
+            for server in able or self.servers.values()
+        )
+
     def _compute_rate_wait(
         self, demand: RequestDemand, now: float, excluded: frozenset[str]
     ) -> float | None:
@@ -1107,7 +1179,7 @@
         """
         limited = [
             server
-            for server in self.servers.values()
+            for server in self._list_in_use()
             if server.limiter is not None
             and server.is_usable(now)
             and server.id not in excluded
@@ -1126,7 +1198,7 @@
         """Return when the first paused upstream takes requests again."""
         paused_until = [
             server.paused_until
-            for server in self.servers.values()
+            for server in self._list_in_use()
             if server.upstream.state is UpstreamState.READY
             and server.paused_until > now
             and server.id not in excluded
@@ -1153,6 +1225,9 @@
             wait_s = max(0.0, resumes_at - now)
             wait_s += MIN_RETRY_AFTER_S * self._draw()
             return Refusal(reason, wait_s)
+        if reason is RefusalReason.EVACUATED:
+            wait_s = EVACUATED_RETRY_AFTER_S * (0.75 + self._draw() / 2)
+            return Refusal(reason, wait_s)
         wait_s = self._shares.compute_wait(demand.account, now)
         waits = self._list_waits_ms(now)
         if waits:
@@ -1193,10 +1268,11 @@
         """
         same = min(self.assumed_routers, MIN_ASSUMED_ROUTERS)
         server.assume_others_load(round(tokens * same), now)
-        spread = tokens * (self.assumed_routers - same) / len(self.servers)
+        in_use = self._list_in_use() or [server]
+        spread = tokens * (self.assumed_routers - same) / len(in_use)
         if spread < 1:
             return
-        for engine in self.servers.values():
+        for engine in in_use:
             if isinstance(engine, Engine):
                 engine.assume_others_load(round(spread), now)
 
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -5,7 +5,7 @@
 import itertools
 import os
 import random
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 import anyio
 import anyio.abc
@@ -28,6 +28,7 @@
     MIN_ASSUMED_ROUTERS,
     Balancer,
 )
+from ..pool.evacuations import Evacuations
 from ..pool.shares import Shares
 from ..pool.stream_origins import StreamOrigin
 from ..pool.upstream_registry import (
@@ -141,6 +142,7 @@
         "_budgets",
         "_calls",
         "_connection_limits",
+        "_evacuations",
         "_idle_usage",
         "_interface",
         "_max_announcement_delay_s",
@@ -179,6 +181,7 @@
         self._awaits_address = False
         self._budgets: dict[str, WindowRetryBudget] = {}
         self._calls = DirectoryCalls(settings.tls)
+        self._evacuations = Evacuations()
         # Sums of the counters of accounts that were forgotten, by label.
         self._idle_usage: dict[str, AccountUsage] = {}
         # When the fleet's usage came last; None before the first one.
@@ -207,7 +210,12 @@
         self.metrics = Metrics()
         self.metrics.add_source(self._sample)
         self.notices = UpstreamNotices(
-            settings.host, timers, decisions, self._upstreams, self._balancers
+            settings.host,
+            timers,
+            decisions,
+            self._upstreams,
+            self._balancers,
+            self._evacuations,
         )
         self.routers = 1
         self.routing: Routing | None = None
@@ -223,6 +231,7 @@
             self.notices.crashes,
             self.notices.limits,
             self._max_announcement_delay_s,
+            self._apply_evacuations,
         )
         self.forwarder = Forwarder(
             self,
@@ -308,6 +317,7 @@
                 self._timers.limit,
                 self.notices.crashes.ledger,
                 self.notices.limits.limits,
+                self._evacuations,
             )
             assert self._settings.router is not None
             balancer.upstream_drain_s = self._settings.router.upstream_drain_s
@@ -450,6 +460,21 @@
             self._configure_balancer(pool, balancer)
             balancer.start_waiting(self._timers.now())
 
+    def _apply_evacuations(self, zones: Sequence[str], index: int) -> None:
+        change = self._evacuations.apply(zones, index)
+        if change is None:
+            return
+        self.decisions.note(
+            "evacuations",
+            index=index,
+            zones=sorted(self._evacuations.zones),
+            started=sorted(change.started),
+            ended=sorted(change.ended),
+        )
+        for balancer in self._balancers.values():
+            balancer.apply_evacuations(change)
+            balancer.start_waiting(self._timers.now())
+
     def _apply_routing(self, version: int, document: bytes) -> bool:
         decoded = self._interface.decode(document)
         if isinstance(decoded, Err):
@@ -652,10 +677,13 @@
         yield from self.notices.sample()
         attached = len(self.subscription.versions)
         yield Sample("controllers_attached", attached)
+        yield Sample("evacuated_zones", len(self._evacuations.zones))
         yield from self._sample_shares()
         for pool, balancer in self._balancers.items():
             labels = (("pool", pool),)
             yield Sample("upstreams", len(balancer.servers), labels)
+            evacuated = balancer.count_evacuated()
+            yield Sample("upstreams_evacuated", evacuated, labels)
 
     def _sample_shares(self) -> Iterator[Sample]:
         shares = self._shares
--- a/hornbeamyard/process/metrics.py
+++ b/hornbeamyard/process/metrics.py
@@ -115,6 +115,7 @@
     "term": "Term of the log",
     "upstream_connections": "Connections opened to upstreams",
     "upstreams": "Upstreams that announce themselves, by pool",
+    "upstreams_evacuated": "Upstreams in evacuated zones, by pool",
 }
 
 
--- a/hornbeamyard/process/upstream_notices.py
+++ b/hornbeamyard/process/upstream_notices.py
@@ -12,6 +12,7 @@
 from ..pool.balancer import Balancer
 from ..pool.crashes import Crash
 from ..pool.digests import is_digest
+from ..pool.evacuations import Evacuations
 from ..pool.upstream_registry import (
     Upstream,
     UpstreamRegistry,
@@ -38,6 +39,9 @@
     upstreams : UpstreamConnections
     balancers : mapping of str to Balancer
         By pool. They decide by the crashes and the rate limits.
+    evacuations : Evacuations, optional
+        Availability zones whose upstreams aren't contacted; without it,
+        there are none.
 
     Attributes
     ----------
@@ -50,6 +54,7 @@
         "_blocked",
         "_checked",
         "_decisions",
+        "_evacuations",
         "_timers",
         "_upstreams",
         "crashes",
@@ -63,12 +68,16 @@
         decisions: DecisionLog,
         upstreams: UpstreamConnections,
         balancers: Mapping[str, Balancer],
+        evacuations: Evacuations | None = None,
     ) -> None:
         self._balancers = balancers
         self._blocked: set[str] = set()
         # Starts that are being checked.
         self._checked: set[UpstreamStart] = set()
         self._decisions = decisions
+        self._evacuations = (
+            Evacuations() if evacuations is None else evacuations
+        )
         self._timers = timers
         self._upstreams = upstreams
         upstreams.on_refused = self._handle_refusal
@@ -104,8 +113,13 @@
             # One that leaves ends by itself.
             await self.check_end(upstream)
             return
+        may_contact = self._evacuations.may_use(upstream)
         await self.crashes.record_broken(
-            upstream.start, address, suspects, sent_at, self._upstreams
+            upstream.start,
+            address,
+            suspects,
+            sent_at,
+            self._upstreams if may_contact else None,
         )
 
     async def check_end(self, upstream: Upstream) -> None:
@@ -116,6 +130,8 @@
         start = upstream.start
         if start in self.crashes.ledger.ended or start in self._checked:
             return
+        if not self._evacuations.may_use(upstream):
+            return
         self._checked.add(start)
         try:
             # The end counts also if the caller disconnects meanwhile.
--- a/hornbeamyard/tests/test_evacuations.py
+++ b/hornbeamyard/tests/test_evacuations.py
@@ -2,17 +2,49 @@
 
 from __future__ import annotations
 
+import json
+from collections.abc import Callable
+from dataclasses import replace
+
+import anyio
 import pytest
 
+from hornbeamyard.connection.directory_codec import UsageDecoder
+from hornbeamyard.connection.upstreams import UpstreamConnections
 from hornbeamyard.messages import fleet_pb2
+from hornbeamyard.pool.balancer import (
+    HEADROOM_WAIT_MS,
+    OVERLOADED_WAIT_MS,
+    Balancer,
+    Placement,
+    Refusal,
+    RefusalReason,
+    rank_engines,
+)
+from hornbeamyard.pool.engine import Engine, Server
 from hornbeamyard.pool.evacuations import (
     MAX_ZONE_BYTES,
     Evacuations,
     check_zone,
 )
+from hornbeamyard.pool.rate_limits import RateLimiter
+from hornbeamyard.pool.upstream_registry import UpstreamState
+from hornbeamyard.process.timers import VirtualTimers
 from hornbeamyard.version import state as state_module
 from hornbeamyard.version.state import FleetState
 
+from .raw_upstream import run_raw_upstream, send_response
+from .test_balancer import (
+    PREFILL_MS_PER_TOKEN,
+    WAIT_MS,
+    build_balancer,
+    build_demand,
+)
+from .test_directory import build_upstream
+from .test_directory_router import build_router
+from .test_forwarding import Harness, count_received
+from .test_forwarding import run as run_forwarder
+
 
 def order(
     state: FleetState, zone: str, evacuated: bool = True
@@ -111,3 +143,381 @@
         change = evacuations.apply(["b", "c"], 9)
         assert change is not None
         assert (change.started, change.ended) == ({"c"}, {"a"})
+
+
+def evacuate(balancer: Balancer, *zones: str) -> list[Server]:
+    """Apply a newer set of evacuated zones, as a router does."""
+    evacuations = balancer._evacuations
+    change = evacuations.apply(zones, evacuations.index + 1)
+    assert change is not None
+    return balancer.apply_evacuations(change)
+
+
+def pause(server: Server) -> None:
+    """Make an upstream ask for a pause."""
+    server.pause(5.0, 0.0)
+
+
+def eject(server: Server) -> None:
+    """Make an upstream fail."""
+    server.eject(0.0)
+
+
+def limit_rate(server: Server) -> None:
+    """Make an upstream take no more requests a second."""
+    server.limiter = RateLimiter(0.0, 0.0)
+
+
+class TestBalancer:
+    """Nothing is sent to upstreams of an evacuated zone."""
+
+    @pytest.mark.parametrize("software_version", [None, "v1"])
+    def test_places_elsewhere(self, software_version: str | None) -> None:
+        """Guards against first attempts and resumed streams in the zone."""
+        balancer = build_balancer(engines=18, zones=3)
+        for server in balancer.servers.values():
+            server.upstream.software_version = "v1"
+        evacuate(balancer, "zone-1", "zone-9")
+        used = set()
+        for number in range(60):
+            demand = build_demand(
+                shared=5000,
+                part=f"p{number}",
+                software_version=software_version,
+            )
+            placed = balancer.place(demand, 0.0, frozenset())
+            assert isinstance(placed, Placement)
+            balancer.start(placed, demand, 0.0)
+            used.add(placed.server.upstream.availability_zone)
+        assert used == {"zone-0", "zone-2"}
+        assert balancer.count_evacuated() == 6
+
+    @pytest.mark.parametrize("make_unusable", [pause, eject, limit_rate])
+    def test_others_are_unusable(
+        self, make_unusable: Callable[[Server], None]
+    ) -> None:
+        """Guards against the zone as a last resort, and a wrong reason."""
+        balancer = build_balancer(engines=4, zones=2)
+        evacuate(balancer, "zone-1")
+        for server in balancer.servers.values():
+            if server.upstream.availability_zone == "zone-0":
+                make_unusable(server)
+        placed = balancer.place(build_demand(), 0.0, frozenset())
+        if make_unusable is eject:
+            assert isinstance(placed, Placement)
+            zone = placed.server.upstream.availability_zone
+            assert zone == "zone-0"
+            return
+        assert isinstance(placed, Refusal)
+        assert placed.reason in (
+            RefusalReason.PAUSED,
+            RefusalReason.RATE_LIMITED,
+        )
+
+    def test_retry_stays_outside(self) -> None:
+        """Guards against a retry that falls back to the zone."""
+        balancer = build_balancer(engines=2, zones=2)
+        evacuate(balancer, "zone-1")
+        placed = balancer.place(build_demand(), 0.0, frozenset({"e0"}))
+        assert isinstance(placed, Refusal)
+        assert placed.reason is RefusalReason.NO_UPSTREAM
+
+    @pytest.mark.parametrize("drains", [False, True])
+    def test_placed_request_is_not_sent(self, drains: bool) -> None:
+        """Guards against a request that was placed just before the order."""
+        balancer = build_balancer(engines=1)
+        balancer.upstream_drain_s = 4.0
+        demand = build_demand(software_version="")
+        placed = balancer.place(demand, 0.0, frozenset())
+        assert isinstance(placed, Placement)
+        if drains:
+            upstream = replace(
+                placed.server.upstream,
+                state=UpstreamState.DRAINING,
+                leaving_since=0.0,
+            )
+            balancer.apply_upstream(upstream)
+        assert balancer.may_send(placed.server, demand, 0.0)
+        evacuate(balancer, "zone-0")
+        assert not balancer.may_send(placed.server, demand, 0.0)
+
+    def test_capacity_drops_at_once(self) -> None:
+        """Guards against idle engines of the zone that hide an overload."""
+        balancer = build_balancer(engines=6, zones=2)
+        for server in balancer.servers.values():
+            if server.upstream.availability_zone == "zone-0":
+                server.own_load.prefill_tokens = int(
+                    2 * OVERLOADED_WAIT_MS / PREFILL_MS_PER_TOKEN
+                )
+        balancer.servers["e0"].own_load.prefill_tokens = 0
+        balancer.place(build_demand(), 0.0, frozenset())
+        assert OVERLOADED_WAIT_MS > HEADROOM_WAIT_MS
+        assert balancer.has_headroom(0.0)
+        assert balancer._had_headroom(0.0)
+        assert not balancer.is_overloaded(0.0)
+        evacuate(balancer, "zone-1")
+        assert not balancer.has_headroom(0.0)
+        assert not balancer._had_headroom(0.0)
+        assert balancer.is_overloaded(0.0)
+        assert balancer.describe_load(0.0)["engines"] == 3
+
+    def test_assumed_load_goes_elsewhere(self) -> None:
+        """Guards against load of others assumed where they send nothing."""
+        balancer = build_balancer(engines=6, zones=2)
+        evacuate(balancer, "zone-1")
+        balancer.assumed_routers = 60.0
+        demand = build_demand()
+        placed = balancer.place(demand, 0.0, frozenset())
+        assert isinstance(placed, Placement)
+        balancer.start(placed, demand, 0.0)
+        assumed = {
+            server.upstream.availability_zone
+            for server in balancer.servers.values()
+            if server.others_load.prefill_tokens
+        }
+        assert assumed == {"zone-0"}
+
+    def test_no_copy_from_the_zone(self) -> None:
+        """Guards against engines that fetch shared parts from the zone."""
+        balancer = build_balancer(engines=2, zones=2)
+        balancer._copy_ms_per_token = 0.001
+        demand = build_demand(shared=50_000)
+        source = balancer.servers["e1"]
+        assert isinstance(source, Engine)
+        source.record_parts(demand, 0.0)
+        evacuate(balancer, "zone-1")
+        placed = balancer.place(demand, 0.0, frozenset())
+        assert isinstance(placed, Placement)
+        assert (placed.server.id, placed.copy_from) == ("e0", "")
+
+    def test_preferred_engines_return(self) -> None:
+        """Guards against parts that lose their engines by an evacuation."""
+        balancer = build_balancer(engines=18, zones=3)
+        engines = list(balancer.servers.values())
+        parts = [f"p{number}" for number in range(20)]
+
+        def list_ranked() -> list[list[str]]:
+            usable = balancer._list_usable(build_demand(), 0.0, frozenset())
+            return [balancer._rank(part, usable) for part in parts]
+
+        before = list_ranked()
+        assert evacuate(balancer, "zone-1") == []
+        in_use = [
+            e for e in engines if e.upstream.availability_zone != "zone-1"
+        ]
+        assert [order[0] for order in list_ranked()] == [
+            rank_engines(part, in_use)[0] for part in parts
+        ]
+        returned = evacuate(balancer)
+        assert {s.upstream.availability_zone for s in returned} == {"zone-1"}
+        assert len(returned) == 6
+        assert list_ranked() == before
+
+    @pytest.mark.parametrize("model", ["", "m1"])
+    def test_all_evacuated(self, model: str) -> None:
+        """Guards against callers that wait although nothing can serve them."""
+        balancer = build_balancer(engines=4, zones=2)
+        balancer.servers["e0"].upstream = replace(
+            balancer.servers["e0"].upstream, models=("m2",)
+        )
+
+        async def check() -> None:
+            with anyio.fail_after(0.05):
+                refused = await balancer.admit(
+                    build_demand(model=model), 0.0, frozenset()
+                )
+            assert isinstance(refused, Refusal)
+            assert refused.reason is RefusalReason.EVACUATED
+            assert refused.retry_after_s > 0
+
+        # The only upstream of zone 0 that is left serves another model.
+        if model:
+            balancer.servers.pop("e2")
+            evacuate(balancer, "zone-1")
+        else:
+            evacuate(balancer, "zone-0", "zone-1")
+        anyio.run(check)
+
+    def test_waiting_requests(self) -> None:
+        """Guards against requests that wait for engines of the zone."""
+        timers = VirtualTimers()
+        balancer = build_balancer(engines=2, limit=timers.limit, zones=2)
+        for server in balancer.servers.values():
+            server.own_load.prefill_tokens = int(
+                WAIT_MS / PREFILL_MS_PER_TOKEN
+            )
+        results: list[Placement | Refusal] = []
+
+        async def admit() -> None:
+            results.append(
+                await balancer.admit(build_demand(), 0.0, frozenset())
+            )
+
+        async def run() -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(admit)
+                tasks.start_soon(admit)
+                await timers.advance(0.01)
+                evacuate(balancer, "zone-1")
+                balancer.start_waiting(timers.now())
+                await timers.advance(0.01)
+                assert results == []
+                # Room for one of the two.
+                balancer.servers["e0"].own_load.prefill_tokens = int(
+                    830 / PREFILL_MS_PER_TOKEN
+                )
+                balancer.start_waiting(timers.now())
+                await timers.advance(0.01)
+                evacuate(balancer, "zone-0", "zone-1")
+                balancer.start_waiting(timers.now())
+                await timers.advance(0.01)
+                assert len(results) == 2
+
+        anyio.run(run)
+        first, second = results
+        assert isinstance(first, Placement)
+        assert first.server.id == "e0"
+        assert isinstance(second, Refusal)
+        assert second.reason is RefusalReason.EVACUATED
+
+
+class TestForwarder:
+    """What callers get while zones are evacuated."""
+
+    def test_refused_while_all_are_evacuated(self) -> None:
+        """Guards against a refusal without a time for the next attempt."""
+
+        async def test(harness: Harness) -> None:
+            evacuate(harness.balancer, "zone-a")
+            received = await harness.send_request()
+            assert received.status == 503
+            assert float(received.headers[b"retry-after"]) > 0
+            assert b"evacuated" in received.body
+            evacuate(harness.balancer)
+            assert (await harness.send_request()).status == 200
+            assert count_received(harness) == 1
+
+        run_forwarder(test, [send_response()])
+
+    def test_moves_before_it_is_sent(self) -> None:
+        """Guards against a request that is sent after its placement.
+
+        The order arrives while the connection is opened.
+        """
+
+        async def test(harness: Harness) -> None:
+            first, second = harness.balancer.servers.values()
+            second.upstream.availability_zone = "zone-b"
+            second.own_load.running = 3
+            connections = harness.forwarder._upstreams
+            connect = connections.connect
+
+            async def connect_and_evacuate(address: str) -> object:
+                connection = await connect(address)
+                if not harness.balancer._evacuations.index:
+                    evacuate(harness.balancer, "zone-a")
+                return connection
+
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(
+                    type(connections),
+                    "connect",
+                    lambda _, address: connect_and_evacuate(address),
+                )
+                assert (await harness.send_request()).status == 200
+            left, used = harness.raw_upstreams  # type: ignore[attr-defined]
+            assert (len(left.received), len(used.received)) == (0, 1)
+            assert first.own_load.running == 0
+
+        run_forwarder(test, [send_response()], [send_response()])
+
+
+class TestRouter:
+    """A router applies what controllers send."""
+
+    def test_applies_newest_set_first(self) -> None:
+        """Guards against an older set, and against late use of a message.
+
+        The first message names an upstream in an evacuated zone, for a pool
+        that the router doesn't know yet.
+        """
+
+        async def test() -> None:
+            router, lines, writer = build_router(VirtualTimers(start=100.0))
+            upstream = build_upstream("u1", 9, "app")
+            record = fleet_pb2.UpstreamRecord(
+                id="u1",
+                pool="app",
+                address=upstream.address,
+                availability_zone="zone-a",
+                state=fleet_pb2.UpstreamRecord.READY,
+                slots=4,
+                sequence=1,
+            )
+
+            def apply(index: int, *zones: str) -> None:
+                update = fleet_pb2.DirectoryUpdate(
+                    evacuated_zones=zones,
+                    evacuations_index=index,
+                    upstreams=[record],
+                )
+                router.subscription._apply_update("c0", update, UsageDecoder())
+
+            def read_metric(name: str) -> list[float]:
+                return [s.value for s in router._sample() if s.name == name]
+
+            apply(7, "zone-a")
+            balancer = router.find_balancer("app")
+            place = balancer.place(build_demand(), 100.0, frozenset())
+            assert isinstance(place, Refusal)
+            assert place.reason is RefusalReason.EVACUATED
+            assert read_metric("evacuated_zones") == [1]
+            assert read_metric("upstreams_evacuated") == [1]
+            apply(5)
+            apply(0)
+            assert balancer.count_evacuated() == 1
+            apply(9)
+            assert balancer.count_evacuated() == 0
+            demand = build_demand(now=100.0)
+            placed = balancer.place(demand, 100.0, frozenset())
+            assert isinstance(placed, Placement)
+            writer.flush(1.0)
+            noted = [json.loads(x) for x in lines.getvalue().splitlines()]
+            changes = [
+                (n["index"], n["zones"], n["started"], n["ended"])
+                for n in noted
+                if n["event"] == "evacuations"
+            ]
+            assert changes == [
+                (7, ["zone-a"], ["zone-a"], []),
+                (9, [], [], ["zone-a"]),
+            ]
+
+        anyio.run(test)
+
+    def test_sends_no_probes(self) -> None:
+        """Guards against connections that only find out about a crash."""
+
+        async def test() -> None:
+            router, _, _ = build_router()
+            probed: list[str] = []
+
+            async def probe(_: UpstreamConnections, address: str) -> bool:
+                probed.append(address)
+                return False
+
+            async with run_raw_upstream() as raw:
+                upstream = build_upstream("u1", raw.port, "app")
+                draining = replace(upstream, state=UpstreamState.DRAINING)
+                with pytest.MonkeyPatch.context() as patch:
+                    patch.setattr(UpstreamConnections, "has_ended", probe)
+                    router._apply_evacuations(["zone-a"], 1)
+                    for each in (upstream, draining):
+                        await router.notices.record_broken(each, ["p"], 0.0)
+                    assert probed == []
+                    router._apply_evacuations([], 2)
+                    for each in (upstream, draining):
+                        await router.notices.record_broken(each, ["p"], 0.0)
+                    assert len(probed) == 2
+
+        anyio.run(test)
