Add the commands that evacuate and restore availability zones

zones evacuate, zones restore and zones list work with any host's settings: they call the seeds and follow the leader that these name. status shows the state of a fleet with a route directory, which it could not before.

--- a/hornbeamyard/connection/calls.py
+++ b/hornbeamyard/connection/calls.py
@@ -54,8 +54,9 @@
     """Makes calls to whichever controller leads.
 
     Each call tries all controllers, follows the leader that they name, and
-    retries until the time limit. A retry is safe: patches carry an id, and
-    callers that change members read the members after a refusal.
+    retries until the time limit. A retry is safe: patches carry an id,
+    callers that change members read the members after a refusal, and an order
+    about a zone that is in force already changes nothing.
 
     Parameters
     ----------
@@ -64,6 +65,8 @@
     tls : Tls or None
     identity : Identity
         Sent with every call.
+    stub : class, optional
+        Stub of the service with the methods.
 
     Attributes
     ----------
@@ -75,6 +78,7 @@
     __slots__ = (
         "_controllers",
         "_leader_hint",
+        "_stub",
         "_tls",
         "identity",
         "was_repeated",
@@ -85,8 +89,10 @@
         controllers: Mapping[str, str],
         tls: Tls | None,
         identity: fleet_pb2.Identity,
+        stub: Any = fleet_pb2_grpc.FleetStub,
     ) -> None:
         self._controllers = controllers
+        self._stub = stub
         self._tls = tls
         self._leader_hint = ""
         self.identity = identity
@@ -95,7 +101,7 @@
     async def call(
         self, method: str, request: Any, timeout_s: float
     ) -> Result[Any, Unreachable]:
-        """Call a method of the service `Fleet` on the lead controller.
+        """Call a method of the service on the lead controller.
 
         Parameters
         ----------
@@ -158,7 +164,7 @@
         channel = peers.open_channel(address, self._tls)
         timeout = max(0.05, min(CALL_TIMEOUT_S, deadline - time.monotonic()))
         try:
-            rpc = getattr(fleet_pb2_grpc.FleetStub(channel), method)
+            rpc = getattr(self._stub(channel), method)
             reply = await peers.wait_call(rpc(request, timeout=timeout))
         except grpc.aio.AioRpcError as error:
             failure.reasons[address] = _describe_error(error)
@@ -194,7 +200,9 @@
         )
     if isinstance(reply, fleet_pb2.StatusReply):
         return bool(reply.document)
-    if isinstance(reply, fleet_pb2.MemberChangeResult):
+    if isinstance(
+        reply, fleet_pb2.MemberChangeResult | fleet_pb2.EvacuationResult
+    ):
         return bool(reply.decided)
     return bool(reply.found)
 
--- a/hornbeamyard/process/commands.py
+++ b/hornbeamyard/process/commands.py
@@ -4,6 +4,7 @@
 
 import sys
 from pathlib import Path
+from typing import Any
 
 import click
 from result import Err
@@ -14,6 +15,7 @@
 from .invocation import EXIT_SETTINGS, fleet_options, read_status
 from .settings import load_settings
 from .tables import format_table, print_result
+from .zone_commands import zones
 
 
 @click.group()
@@ -31,6 +33,7 @@
 
 main.add_command(config)
 main.add_command(controllers)
+main.add_command(zones)
 
 
 @main.command("explain")
@@ -112,8 +115,16 @@
 @main.command()
 @fleet_options
 def status(file: Path, as_json: bool, timeout: float) -> None:
-    """Show the lead controller, versions, routers and pools."""
+    """Show the lead controller, versions, routers and pools.
+
+    In a fleet with a route directory, show the lead controller, the version
+    of the routing, the numbers of routers and upstreams, and the evacuated
+    availability zones.
+    """
     document = read_status(file, timeout)
+    if "evacuated_zones" in document:
+        print_result(document, as_json, _describe_directory(document))
+        return
     parts = [
         f"leader {document['leader']}, epoch {document['epoch']}, "
         f"version {document['version']}",
@@ -145,7 +156,7 @@
     divided by the share lies above the lowest account with waiting requests;
     '-' means that the account has no requests.
     """
-    rows = read_status(file, timeout)["accounts"]
+    rows = _read_rows("accounts", file, timeout)
     columns = [
         "account",
         "pool",
@@ -162,7 +173,7 @@
 @fleet_options
 def workers(file: Path, as_json: bool, timeout: float) -> None:
     """Show the announced upstreams and their slots."""
-    rows = read_status(file, timeout)["workers"]
+    rows = _read_rows("workers", file, timeout)
     columns = [
         "worker",
         "pool",
@@ -175,5 +186,29 @@
     print_result({"workers": rows}, as_json, format_table(rows, columns))
 
 
+def _describe_directory(document: dict[str, Any]) -> str:
+    """Return the status of a fleet with a route directory as text."""
+    zones = ", ".join(document["evacuated_zones"]) or "none"
+    return (
+        f"leader {document['leader']}, epoch {document['epoch']}, "
+        f"routing version {document['routing_version']}\n"
+        f"routers attached: {document['routers_attached']}\n"
+        f"upstreams: {document['upstreams']}\n"
+        f"evacuated zones: {zones}"
+    )
+
+
+def _read_rows(key: str, file: Path, timeout: float) -> list[dict[str, Any]]:
+    """Return a list of the status document, or exit if it has none."""
+    document = read_status(file, timeout)
+    if key not in document:
+        raise click.UsageError(
+            f"a fleet with a route directory doesn't report its {key}; see "
+            "its metrics"
+        )
+    rows: list[dict[str, Any]] = document[key]
+    return rows
+
+
 if __name__ == "__main__":
     main(prog_name="hornbeamyard")
--- a/hornbeamyard/process/invocation.py
+++ b/hornbeamyard/process/invocation.py
@@ -14,7 +14,7 @@
 
 from ..connection import peers
 from ..connection.calls import LeaderCalls
-from ..messages import fleet_pb2
+from ..messages import fleet_pb2, fleet_pb2_grpc
 from .settings import Settings, load_settings
 
 EXIT_REFUSED = 1
@@ -63,6 +63,18 @@
     )
 
 
+def connect_to_directory(settings: Settings) -> LeaderCalls:
+    """Return a client of the leader of a fleet with a route directory."""
+    assert settings.directory is not None
+    addresses = settings.directory.list_peer_addresses()
+    return LeaderCalls(
+        {address: address for address in addresses},
+        settings.tls,
+        peers.build_identity(settings, 0),
+        fleet_pb2_grpc.DirectoryStub,
+    )
+
+
 def call_or_exit(
     calls: LeaderCalls, method: str, request: Any, timeout_s: float
 ) -> Any:
@@ -76,10 +88,14 @@
 
 
 def read_status(file: Path, timeout_s: float) -> dict[str, Any]:
-    """Return the status document from the lead controller."""
+    """Return the status document from the lead controller.
+
+    That of a fleet with a route directory has other keys.
+    """
     settings = load_or_exit(file)
-    reply = call_or_exit(
-        connect(settings), "ReadStatus", fleet_pb2.StatusRequest(), timeout_s
-    )
+    has_directory = settings.directory is not None
+    calls = (connect_to_directory if has_directory else connect)(settings)
+    request = fleet_pb2.StatusRequest()
+    reply = call_or_exit(calls, "ReadStatus", request, timeout_s)
     document: dict[str, Any] = json.loads(reply.document)
     return document
--- a/hornbeamyard/tests/test_directory.py
+++ b/hornbeamyard/tests/test_directory.py
@@ -72,6 +72,7 @@
         self.status_address = find_free_address()
         self.interface = Interface(HeaderCodec(NATIVE_HEADER_NAMES))
         self.registrars: dict[int, Registrar] = {}
+        self.scopes: dict[int, anyio.CancelScope] = {}
         self.stops: dict[int, anyio.Event] = {}
         self.router: DirectoryRouter | None = None
         self.router_stop = anyio.Event()
@@ -102,7 +103,24 @@
         registrar = Registrar(settings, self._timers, self.interface)
         self.registrars[number] = registrar
         self.stops[number] = anyio.Event()
-        self._tasks.start_soon(registrar.run, self.stops[number])
+        self.scopes[number] = anyio.CancelScope()
+        self._tasks.start_soon(
+            self._run_controller,
+            registrar,
+            self.stops[number],
+            self.scopes[number],
+        )
+
+    async def _run_controller(
+        self, registrar: Registrar, stop: anyio.Event, scope: anyio.CancelScope
+    ) -> None:
+        with scope:
+            await registrar.run(stop)
+
+    def kill_controller(self, number: int) -> Registrar:
+        """End a controller without a planned stop; return it."""
+        self.scopes[number].cancel()
+        return self.registrars.pop(number)
 
     def start_announcing(self, number: int, upstream: Upstream) -> None:
         """Announce an upstream to a controller again and again."""
--- a/hornbeamyard/tests/test_evacuations.py
+++ b/hornbeamyard/tests/test_evacuations.py
@@ -4,10 +4,13 @@
 
 import json
 from collections.abc import Callable
+from contextlib import AsyncExitStack
 from dataclasses import replace
+from pathlib import Path
 
 import anyio
 import pytest
+from click.testing import CliRunner, Result
 
 from hornbeamyard.connection.directory_codec import UsageDecoder
 from hornbeamyard.connection.upstreams import UpstreamConnections
@@ -29,6 +32,7 @@
 )
 from hornbeamyard.pool.rate_limits import RateLimiter
 from hornbeamyard.pool.upstream_registry import UpstreamState
+from hornbeamyard.process.commands import main as run_command
 from hornbeamyard.process.timers import VirtualTimers
 from hornbeamyard.version import state as state_module
 from hornbeamyard.version.state import FleetState
@@ -40,7 +44,7 @@
     build_balancer,
     build_demand,
 )
-from .test_directory import build_upstream
+from .test_directory import CONTROLLERS, Fleet, ask, build_upstream, run_fleet
 from .test_directory_router import build_router
 from .test_forwarding import Harness, count_received
 from .test_forwarding import run as run_forwarder
@@ -521,3 +525,188 @@
                     assert len(probed) == 2
 
         anyio.run(test)
+
+
+async def submit_order(
+    fleet: Fleet, zone: str, evacuated: bool = True
+) -> None:
+    """Send an order to each controller in turn until it is acknowledged."""
+    with anyio.fail_after(15):
+        while True:
+            for registrar in list(fleet.registrars.values()):
+                ordered = await registrar.order_evacuation(zone, evacuated)
+                if ordered.decided:
+                    return
+            await anyio.sleep(0.1)
+
+
+def find_leader_number(fleet: Fleet) -> int:
+    """Return the number of the controller that leads."""
+    leader = fleet.find_leader()
+    return next(n for n, r in fleet.registrars.items() if r is leader)
+
+
+def list_zones(fleet: Fleet) -> list[frozenset[str]]:
+    """Return the zones that are evacuated at each controller."""
+    return [
+        registrar.replica.state.evacuated_zones
+        for registrar in fleet.registrars.values()
+    ]
+
+
+class TestFleet:
+    """Orders with real controllers and a router on loopback."""
+
+    def test_loss_of_the_leader(self, tmp_path: Path) -> None:
+        """Guards against an acknowledged order that its leader takes along.
+
+        Orders go to controllers that don't lead. The router learns of them
+        in its streams, and of the second one without the first leader.
+        """
+
+        async def test(fleet: Fleet) -> None:
+            fleet.start_router()
+            router = fleet.router
+            assert router is not None
+            async with AsyncExitStack() as stack:
+                raws = {
+                    zone: await stack.enter_async_context(
+                        run_raw_upstream(*[send_response()] * 20)
+                    )
+                    for zone in ("zone-a", "zone-b", "zone-c")
+                }
+                await fleet.submit(5)
+                for zone, raw in raws.items():
+                    upstream = build_upstream(f"u-{zone}", raw.port, "app")
+                    upstream.availability_zone = zone
+                    for registrar in fleet.registrars.values():
+                        registrar.announce(replace(upstream))
+                await fleet.wait(router.is_ready)
+                await fleet.wait(
+                    lambda: len(router.find_balancer("app").servers) == 3
+                )
+                leader = find_leader_number(fleet)
+                other = (leader + 1) % CONTROLLERS
+                registrar = fleet.registrars[other]
+                ordered = await registrar.order_evacuation("zone-a", True)
+                assert ordered.status == 200
+                held = [zones == {"zone-a"} for zones in list_zones(fleet)]
+                assert held.count(True) >= 2
+                await fleet.wait(
+                    lambda: router._evacuations.zones == {"zone-a"}
+                )
+                for _ in range(6):
+                    assert (await ask(fleet, "/read/1"))[0] == 200
+                assert raws["zone-a"].received == []
+                fleet.kill_controller(leader)
+                await submit_order(fleet, "zone-b")
+                for zones in list_zones(fleet):
+                    assert "zone-a" in zones
+                await fleet.wait(
+                    lambda: router._evacuations.zones == {"zone-a", "zone-b"}
+                )
+                before = len(raws["zone-b"].received)
+                for _ in range(6):
+                    assert (await ask(fleet, "/read/1"))[0] == 200
+                assert len(raws["zone-b"].received) == before
+                assert raws["zone-a"].received == []
+                await submit_order(fleet, "zone-c")
+                await fleet.wait(lambda: len(router._evacuations.zones) == 3)
+                status, body = await ask(fleet, "/read/1")
+                assert (status, b"evacuated" in body) == (503, True)
+                await submit_order(fleet, "zone-a", False)
+                await fleet.wait(lambda: len(router._evacuations.zones) == 2)
+                assert (await ask(fleet, "/read/1"))[0] == 200
+                assert len(raws["zone-a"].received) == 1
+
+        run_fleet(tmp_path, test)
+
+    def test_loss_of_a_disk(self, tmp_path: Path) -> None:
+        """Guards against an order that is only on the disk that is lost.
+
+        The leader loses its disk right after the acknowledgement, and the
+        others have been killed meanwhile.
+        """
+
+        async def test(fleet: Fleet) -> None:
+            await fleet.submit(5)
+            leader = find_leader_number(fleet)
+            registrar = fleet.registrars[leader]
+            ordered = await registrar.order_evacuation("zone-a", True)
+            assert ordered.decided
+            for number in range(CONTROLLERS):
+                fleet.kill_controller(number)
+            await anyio.sleep(0.5)
+            for file in (tmp_path / f"data-{leader}").iterdir():
+                file.unlink()
+            for number in range(CONTROLLERS):
+                fleet.start_controller(number, first_start=False)
+            await fleet.wait(
+                lambda: list_zones(fleet) == [{"zone-a"}] * CONTROLLERS
+            )
+
+        run_fleet(tmp_path, test)
+
+    def test_unknown_outcome(self, tmp_path: Path) -> None:
+        """Guards against an acknowledgement of an order that may be lost.
+
+        A leader without followers can't commit, and a controller without a
+        leader can't submit.
+        """
+
+        async def test(fleet: Fleet) -> None:
+            leader = find_leader_number(fleet)
+            registrar = fleet.registrars[leader]
+            for number in range(CONTROLLERS):
+                if number != leader:
+                    fleet.kill_controller(number)
+            for _ in range(3):
+                ordered = await registrar.order_evacuation("zone-a", True)
+                assert ordered.status == 503
+                assert not registrar.replica.state.evacuated_zones
+                assert await registrar.read_status() is None
+
+        run_fleet(tmp_path, test)
+
+    def test_commands(self, tmp_path: Path) -> None:
+        """Guards against commands that need to know the leader."""
+
+        async def test(fleet: Fleet) -> None:
+            path = tmp_path / "settings.json"
+            settings = {
+                "fleet": "test",
+                "host": "r9",
+                "availability_zone": "zone-a",
+                "plain_text": True,
+                "router": {"address": "127.0.0.1:1"},
+                "directory": {"seeds": fleet.peers[:2]},
+            }
+            path.write_text(json.dumps(settings))
+
+            async def run(*words: str) -> Result:
+                arguments = [*words, f"--settings={path}"]
+                return await anyio.to_thread.run_sync(
+                    lambda: CliRunner().invoke(run_command, arguments)
+                )
+
+            await fleet.submit(5)
+            listed = await run("zones", "list")
+            assert listed.output == "no availability zone is evacuated\n"
+            for _ in range(2):
+                done = await run("zones", "evacuate", "zone-é")
+                assert (done.exit_code, done.output) == (
+                    0,
+                    "zone-é is evacuated\n",
+                )
+            listed = await run("zones", "list", "--json")
+            assert json.loads(listed.output)["evacuated_zones"] == ["zone-é"]
+            status = await run("status")
+            assert "evacuated zones: zone-é" in status.output
+            assert "routing version 5" in status.output
+            assert (await run("accounts")).exit_code == 2
+            assert (await run("zones", "evacuate", "")).exit_code == 2
+            assert (await run("zones", "restore", "zone-é")).exit_code == 0
+            listed = await run("zones", "list", "--json")
+            assert json.loads(listed.output)["evacuated_zones"] == []
+
+        run_fleet(tmp_path, test)
