Limit the requests to cold upstreams at a router

An upstream that has just started crashes far above a rate of requests from all routers together, which no router knew. The new module decides without I/O which upstreams of a pool are cold and divides their rate between the routers: 7 of 82 routers at 6.9 requests a second, each below one request a second, so that full buckets at two contradictory groups of routers stay within 1.5 times the rate and 5. Buckets start at different levels, so that the first seconds are used too.

A router also took its number from a controller whose count of routers it ignored; it now takes both or neither.

--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -19,6 +19,7 @@
 
 import anyio
 
+from .cold_starts import ColdStarts, divide_cold_rate
 from .crashes import CrashLedger
 from .demand import RequestDemand
 from .ended_starts import UNKNOWN_VERSION
@@ -156,6 +157,12 @@
 
 
 BLOCKED = (RefusalReason.BLOCKED_PART, RefusalReason.BLOCKED_REQUEST)
+# Reasons that a further usable upstream would remove.
+_LACKS_UPSTREAMS = (
+    RefusalReason.RATE_LIMITED,
+    RefusalReason.NO_ROOM,
+    RefusalReason.TOO_LATE,
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -309,6 +316,8 @@
     cached_parts : deque of CachedPart
         Shared parts that were sent to engines since the last report. The
         oldest are dropped, as there is no report while no controller leads.
+    cold_starts : ColdStarts
+        Which of the upstreams are cold.
     servers : dict of str to Server
         Upstreams of the pool by id.
     assumed_routers : float
@@ -330,6 +339,7 @@
         "_orders_for",
         "_paused_until",
         "_pool",
+        "_position",
         "_prefill_ms_per_token",
         "_rate_limits",
         "_shares",
@@ -340,6 +350,7 @@
         "_zone",
         "assumed_routers",
         "cached_parts",
+        "cold_starts",
         "inter_token_latency",
         "servers",
         "upstream_drain_s",
@@ -372,6 +383,7 @@
         # upstream is lost.
         self._paused_until: dict[UpstreamStart, float] = {}
         self._pool = pool
+        self._position = FleetPosition()
         self._prefill_ms_per_token = 0.0
         self._rate_limits = (
             RateLimits() if rate_limits is None else rate_limits
@@ -382,6 +394,7 @@
         self._zone = availability_zone
         self.inter_token_latency = InterTokenLatency()
         self.cached_parts: deque[CachedPart] = deque(maxlen=MAX_CACHED_PARTS)
+        self.cold_starts = ColdStarts()
         self.servers: dict[str, Server] = {}
         self.assumed_routers = 0.0
         self.upstream_drain_s = 0.0
@@ -446,6 +459,7 @@
 
     def apply_upstream(self, upstream: Upstream) -> None:
         """Apply a change of an upstream's state or address."""
+        self.cold_starts.record_announcement(upstream)
         if upstream.state is UpstreamState.GONE:
             gone = self.servers.pop(upstream.id, None)
             if gone is not None:
@@ -511,17 +525,67 @@
     def set_fleet_position(self, position: FleetPosition, now: float) -> None:
         """Divide rate limits by this router's position in the fleet.
 
-        To be called also when limits or upstreams have changed.
+        To be called also when limits or upstreams have changed, and when
+        upstreams have become cold or warm.
         """
+        self._position = position
         for server in self.servers.values():
-            max_rate = self._rate_limits.find(server.upstream.start)
-            if max_rate is None:
-                server.limiter = None
-                continue
-            rate = divide_rate(max_rate, server.upstream.start, position)
-            if server.limiter is None:
-                server.limiter = RateLimiter(rate, now)
-            server.limiter.set_rate(rate, now)
+            self._limit_rate(server, now)
+
+    def _limit_rate(self, server: Server, now: float) -> None:
+        """Apply the lower one of an upstream's rates: named, or while cold."""
+        start = server.upstream.start
+        max_rate = self._rate_limits.find(start)
+        was_cold = server.cold_until > now
+        server.cold_until = self.cold_starts.find_end(start, now)
+        is_cold = server.cold_until > now
+        if max_rate is None and not is_cold:
+            server.limiter = None
+            return
+        rate = math.inf
+        if max_rate is not None:
+            rate = divide_rate(max_rate, start, self._position)
+        tokens = 0.0 if server.limiter is None else math.inf
+        if is_cold:
+            part = divide_cold_rate(
+                self.cold_starts.rate, start, self._position
+            )
+            rate = min(rate, part.rate)
+            if not was_cold:
+                tokens = part.first_tokens
+            elif not part.rate:
+                # Other routers are chosen, and may use their part at once.
+                tokens = 0.0
+        if server.limiter is None:
+            server.limiter = RateLimiter(rate, now, tokens)
+        server.limiter.set_rate(rate, now)
+        server.limiter.limit_tokens(tokens)
+
+    def record_unreachable(self, start: UpstreamStart, now: float) -> None:
+        """Count an upstream as cold that refuses or resets connections."""
+        self.cold_starts.record_unreachable(start, now)
+        server = self.servers.get(start.id)
+        if server is not None and server.upstream.start == start:
+            self._limit_rate(server, now)
+
+    def record_returned(self, ids: Iterable[str], now: float) -> None:
+        """Count upstreams as cold whose availability zone is back.
+
+        To be called before any request is placed on them again.
+
+        Parameters
+        ----------
+        ids : iterable of str
+            Ids of upstreams; those of other pools are ignored.
+        now : float
+            Monotonic time in seconds.
+        """
+        for id in ids:
+            server = self.servers.get(id)
+            if server is not None:
+                start = server.upstream.start
+                self.cold_starts.record_returned(start, now)
+                self._limit_rate(server, now)
 
     def apply_fleet_usage(
         self, loads: dict[str, UpstreamLoad], now: float
@@ -600,13 +664,19 @@
         }
 
     def _list_waits_ms(self, now: float) -> list[float]:
+        """Return the waits at the engines, without cold ones.
+
+        What routers wait for at cold engines is no sign of too much work.
+        """
         return [
             max(
                 server.count_prefill_tokens(now) * server.prefill_ms_per_token,
                 server.compute_rate_wait(now) * 1000,
             )
             for server in self.servers.values()
-            if isinstance(server, Engine) and server.is_usable(now)
+            if isinstance(server, Engine)
+            and server.is_usable(now)
+            and server.cold_until <= now
         ]
 
     def is_unused(self, now: float) -> bool:
@@ -996,6 +1066,7 @@
         if isinstance(found, Placement):
             self.start(found, demand, now)
             return found
+        self._record_held(found, now, excluded)
         give_up_at = _compute_give_up_time(demand)
         if found.is_hopeless or give_up_at <= now:
             self._record_unserved(found, demand)
@@ -1024,6 +1095,19 @@
         self._record_unserved(found, demand)
         return self._refuse(found.reason, demand, give_up_at, excluded)
 
+    def _record_held(
+        self, found: Shortfall, now: float, excluded: frozenset[str]
+    ) -> None:
+        """Count a request that a cold upstream could have taken if warm."""
+        if found.reason in _LACKS_UPSTREAMS and any(
+            server.cold_until > now
+            and server.id not in excluded
+            and server.is_usable(now)
+            and server.compute_rate_wait(now) > 0
+            for server in self.servers.values()
+        ):
+            self.cold_starts.held_requests += 1
+
     def start_waiting(self, now: float) -> None:
         """Place the waiting requests that fit now, the most urgent first."""
         if not self._waiting:
@@ -1116,7 +1200,7 @@
         if not limited:
             return None
         rate = sum(server.limiter.rate for server in limited if server.limiter)
-        next_s = min(server.compute_rate_wait(now) for server in limited)
+        next_s = min(server.compute_limit_wait(now) for server in limited)
         queue_s = len(self._waiting) / rate if rate else 0.0
         return next_s + queue_s
 
--- /dev/null
+++ b/hornbeamyard/pool/cold_starts.py
@@ -0,0 +1,360 @@
+"""Cold upstreams of one pool, and a router's part of the rate they take.
+
+An upstream is cold for some seconds after it starts. Far above a stated rate
+of requests from all routers together it then crashes. Each router decides by
+itself, without a message per request, from announcements and from what it has
+seen of the upstream.
+"""
+
+from __future__ import annotations
+
+import math
+import zlib
+from dataclasses import dataclass
+from enum import Enum
+
+from .rate_limits import FleetPosition
+from .upstream_registry import (
+    ENDED_RETENTION_S,
+    Upstream,
+    UpstreamRegistry,
+    UpstreamStart,
+    UpstreamState,
+)
+
+# In any second, all routers together may send `OVERSHOOT` times the rate and
+# `SLACK` requests more: `bounds.coldOvershoot` and `bounds.coldSlack`.
+OVERSHOOT = 1.5
+SLACK = 5.0
+# Two groups of routers that disagree on the routers' numbers may choose
+# different ones. Each gets half of the bound.
+MAX_VIEWS = 2
+# Fraction of the rate that is divided. The rest covers requests that take
+# different times to arrive. Waiting requests are tried every 0.1 s, which
+# loses another 4% of it.
+USED_FRACTION = 0.85
+# Rate of one of the chosen routers at the most, in requests a second. Below 1
+# a bucket for one request never gives two in the same second, also when
+# messages take some milliseconds longer.
+MAX_CHOSEN_RATE = 0.98
+# Part of the rate that is divided evenly between few routers, so that callers
+# who move to another one are served before the next fleet usage. The rest
+# follows demand.
+EVEN_PART = 0.15
+# Factor by which the routers' fractions of the demand may add up to more than
+# 1, as they are of different times.
+MAX_FRACTION_SUM = 1.25
+# An announcement counts as one from after an event once it is received this
+# much later, in seconds. Those on their way may be older.
+ANNOUNCEMENT_DELAY_S = 1.0
+# An upstream that couldn't be reached is cold for at most this time in seconds
+# after the last failure if nothing is heard of it. Routers without a part of
+# the rate send it nothing and don't find out by themselves that it is back.
+MAX_UNREACHABLE_S = 30.0
+
+
+class ColdReason(Enum):
+    """Why an upstream counts as cold."""
+
+    ANNOUNCED = "announced"
+    STARTED = "started"
+    LOST = "was lost and is back"
+    UNREACHABLE = "could not be reached"
+    RETURNED = "its availability zone is back"
+
+
+@dataclass(slots=True, frozen=True)
+class ColdChange:
+    """An upstream that has become cold or warm.
+
+    Attributes
+    ----------
+    upstream : UpstreamStart
+    reason : ColdReason or None
+        None if it is warm now.
+    until : float
+        Monotonic time in seconds until which it is cold at the latest.
+    """
+
+    upstream: UpstreamStart
+    reason: ColdReason | None
+    until: float
+
+
+@dataclass(slots=True, frozen=True)
+class ColdPart:
+    """A router's part of a cold upstream's rate.
+
+    Attributes
+    ----------
+    rate : float
+        Requests a second; 0 for a router that isn't among those chosen.
+    first_tokens : float
+        Tokens with which the router's bucket starts, below 1. They differ
+        between the routers, so that requests are spread from the start.
+    """
+
+    rate: float
+    first_tokens: float = 0.0
+
+
+@dataclass(slots=True)
+class _State:
+    """What is known about one start.
+
+    Attributes
+    ----------
+    start : UpstreamStart
+    announced_until : float
+        Monotonic time in seconds until which it has said to be cold.
+    reason : ColdReason or None
+        What makes it cold without an announcement; None for nothing.
+    event_at : float
+        Monotonic time in seconds of that event.
+    back_at : float or None
+        Monotonic time in seconds from which `ColdStarts.start_s` counts; None
+        while an upstream that couldn't be reached isn't known to be back.
+    gone_at : float or None
+        Monotonic time in seconds at which it was found to be lost.
+    is_lost : bool
+    reported : ColdReason or None
+        What `ColdStarts.collect_changes` has returned last.
+    """
+
+    start: UpstreamStart
+    announced_until: float = -math.inf
+    reason: ColdReason | None = None
+    event_at: float = -math.inf
+    back_at: float | None = None
+    gone_at: float | None = None
+    is_lost: bool = False
+    reported: ColdReason | None = None
+
+    def begin(
+        self, reason: ColdReason, now: float, back_at: float | None
+    ) -> None:
+        self.reason = reason
+        self.event_at = now
+        self.back_at = back_at
+
+
+class ColdStarts:
+    """Decides which upstreams of a pool are cold.
+
+    Attributes
+    ----------
+    rate : float
+        Requests a second that a cold upstream takes from all routers
+        together; 0 for no limit. No upstream is cold then.
+    start_s : float
+        Time in seconds for which an upstream is cold after its start.
+    held_requests : int
+        Requests that found only cold upstreams without a part for them.
+    """
+
+    __slots__ = ("_states", "held_requests", "rate", "start_s")
+
+    def __init__(self) -> None:
+        self._states: dict[str, _State] = {}
+        self.rate = 0.0
+        self.start_s = 0.0
+        self.held_requests = 0
+
+    # ---- events ----------------------------------------------------------
+
+    def record_announcement(self, upstream: Upstream) -> None:
+        """Apply an upstream's announcement, or that it has left or is lost.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            `last_seen_at` is when the announcement was received.
+        """
+        known = self._states.get(upstream.id)
+        if upstream.state is UpstreamState.GONE:
+            if known is not None and known.start == upstream.start:
+                known.is_lost = True
+            return
+        seen_at = upstream.last_seen_at
+        remaining_ms = upstream.cold_remaining_ms
+        if known is None or known.start != upstream.start:
+            state = _State(upstream.start)
+            if remaining_ms is None:
+                state.begin(ColdReason.STARTED, seen_at, seen_at)
+            elif known is not None and known.reason is ColdReason.UNREACHABLE:
+                # Its first announcement may be older than the failure.
+                state.begin(ColdReason.UNREACHABLE, known.event_at, seen_at)
+            self._states[upstream.id] = known = state
+        elif known.is_lost:
+            known.begin(ColdReason.LOST, seen_at, seen_at)
+            known.is_lost = False
+            known.gone_at = None
+        if remaining_ms:
+            known.announced_until = seen_at + remaining_ms / 1000
+        elif remaining_ms == 0:
+            known.announced_until = -math.inf
+        self._confirm(known, upstream)
+
+    def record_unreachable(self, start: UpstreamStart, now: float) -> None:
+        """Record that connections to an upstream are refused or reset.
+
+        It is cold when it is back, whenever that is.
+        """
+        known = self._find(start)
+        if known is not None:
+            known.begin(ColdReason.UNREACHABLE, now, None)
+
+    def record_reached(self, start: UpstreamStart, now: float) -> None:
+        """Record that an upstream has answered, so that it is back."""
+        known = self._find(start)
+        if (
+            known is not None
+            and known.reason is ColdReason.UNREACHABLE
+            and known.back_at is None
+        ):
+            known.back_at = now
+
+    def record_returned(self, start: UpstreamStart, now: float) -> None:
+        """Record that an upstream gets requests again after an evacuation."""
+        known = self._find(start)
+        if known is not None:
+            known.begin(ColdReason.RETURNED, now, now)
+
+    def confirm(self, registry: UpstreamRegistry, now: float) -> None:
+        """End events that newer announcements say are over.
+
+        To be called repeatedly, as announcements that are repeated unchanged
+        are recorded in the registry only.
+
+        Parameters
+        ----------
+        registry : UpstreamRegistry
+        now : float
+            Monotonic time in seconds.
+        """
+        for id, state in list(self._states.items()):
+            if state.is_lost:
+                if state.gone_at is None:
+                    state.gone_at = now
+                elif now - state.gone_at > ENDED_RETENTION_S:
+                    del self._states[id]
+                continue
+            if state.reason is None:
+                continue
+            upstream = registry.get(id)
+            if upstream is not None and upstream.start == state.start:
+                self._confirm(state, upstream)
+            if self._compute_event_end(state) <= now:
+                state.reason = None
+
+    def _find(self, start: UpstreamStart) -> _State | None:
+        known = self._states.get(start.id)
+        return known if known is not None and known.start == start else None
+
+    def _confirm(self, state: _State, upstream: Upstream) -> None:
+        if state.reason is None:
+            return
+        if upstream.last_seen_at < state.event_at + ANNOUNCEMENT_DELAY_S:
+            return
+        if upstream.cold_remaining_ms is not None:
+            # From now on what it announces counts.
+            state.reason = None
+        elif state.back_at is None:
+            state.back_at = upstream.last_seen_at
+
+    # ---- decisions -------------------------------------------------------
+
+    def find_end(self, start: UpstreamStart, now: float) -> float:
+        """Return until when an upstream is cold, as far as is known.
+
+        Returns
+        -------
+        float
+            Monotonic time in seconds; -inf if the upstream is warm.
+        """
+        state = self._find(start)
+        if state is None or state.is_lost or not self.rate > 0:
+            return -math.inf
+        end = max(state.announced_until, self._compute_event_end(state))
+        return end if end > now else -math.inf
+
+    def collect_changes(self, now: float) -> list[ColdChange]:
+        """Return the upstreams that are cold or warm since the last call."""
+        changes = []
+        for state in self._states.values():
+            if state.is_lost:
+                state.reported = None
+                continue
+            end = self.find_end(state.start, now)
+            reason = self._find_reason(state, now) if end > now else None
+            if reason is state.reported:
+                continue
+            if reason is None or state.reported is None:
+                changes.append(ColdChange(state.start, reason, end))
+            state.reported = reason
+        return changes
+
+    def count(self, now: float) -> int:
+        """Return the number of cold upstreams."""
+        starts = [state.start for state in self._states.values()]
+        return sum(self.find_end(start, now) > now for start in starts)
+
+    def _find_reason(self, state: _State, now: float) -> ColdReason:
+        if state.reason is None or self._compute_event_end(state) <= now:
+            return ColdReason.ANNOUNCED
+        return state.reason
+
+    def _compute_event_end(self, state: _State) -> float:
+        if state.reason is None:
+            return -math.inf
+        if state.back_at is None:
+            return state.event_at + max(MAX_UNREACHABLE_S, self.start_s)
+        return state.back_at + self.start_s
+
+
+def count_chosen(rate: float) -> int:
+    """Return the number of routers that may send to a cold upstream.
+
+    Each has a bucket for one request and gets less than one request a second,
+    so even if all buckets are full at the same moment, a second has no more
+    requests than there are such routers.
+    """
+    return max(1, int((OVERSHOOT * rate + SLACK) / MAX_VIEWS))
+
+
+def divide_cold_rate(
+    rate: float, start: UpstreamStart, position: FleetPosition
+) -> ColdPart:
+    """Return a router's part of a cold upstream's rate.
+
+    `rate_limits.divide_rate` isn't used: it may choose twice as many routers,
+    whose full buckets together with another view of the routers' numbers would
+    exceed the bound.
+
+    Parameters
+    ----------
+    rate : float
+        Requests a second from all routers together, above 0.
+    start : UpstreamStart
+    position : FleetPosition
+    """
+    routers = max(1, position.routers)
+    used = rate * USED_FRACTION
+    if not position.number:
+        return ColdPart(used / routers)
+    chosen = count_chosen(rate)
+    key = f"{start.id}/{start.started_ms}".encode()
+    turn = (position.number + zlib.crc32(key)) % routers
+    if chosen < routers:
+        if turn >= chosen:
+            return ColdPart(0.0)
+        part = min(used / chosen, MAX_CHOSEN_RATE)
+        return ColdPart(part, turn / chosen)
+    # Full buckets and uneven parts have to fit into the bound.
+    allowed = OVERSHOOT * rate + SLACK
+    follows_demand = routers + used * MAX_FRACTION_SUM <= allowed
+    fraction = 1.0 / routers
+    if follows_demand:
+        own = min(max(position.fraction, 0.0), 1.0)
+        fraction = EVEN_PART / routers + (1.0 - EVEN_PART) * own
+    return ColdPart(used * fraction, turn / routers)
--- a/hornbeamyard/pool/engine.py
+++ b/hornbeamyard/pool/engine.py
@@ -83,6 +83,9 @@
         from this router.
     limiter : RateLimiter or None
         Bounds the rate of requests of this router; None without a limit.
+    cold_until : float
+        Monotonic time in seconds until which the upstream is cold, as of the
+        last division of the limits; -inf if it is warm.
     failures_in_row : int
     was_reached : bool
         Whether a request was sent to this start.
@@ -96,6 +99,7 @@
     ejected_until: float = 0.0
     paused_until: float = 0.0
     limiter: RateLimiter | None = None
+    cold_until: float = float("-inf")
     failures_in_row: int = 0
     was_reached: bool = False
     _recent_responses: float = 0.0
@@ -125,6 +129,12 @@
         """Return the seconds until its rate limit allows a request."""
         return self.limiter.compute_wait(now) if self.limiter else 0.0
 
+    def compute_limit_wait(self, now: float) -> float:
+        """Return the seconds until its limit allows a request, or ends."""
+        wait_s = self.compute_rate_wait(now)
+        is_cold = self.cold_until > now
+        return min(wait_s, self.cold_until - now) if is_cold else wait_s
+
     def pause(self, duration_s: float, now: float) -> None:
         """Send nothing for a time that the upstream has asked for."""
         until = now + min(duration_s, MAX_PAUSE_S)
--- a/hornbeamyard/pool/rate_limits.py
+++ b/hornbeamyard/pool/rate_limits.py
@@ -147,6 +147,10 @@
         self._refill(now)
         self.rate = rate
 
+    def limit_tokens(self, tokens: float) -> None:
+        """Drop the tokens above a number."""
+        self.tokens = min(self.tokens, tokens)
+
     def take(self, now: float) -> None:
         """Count a request that is sent."""
         self._refill(now)
@@ -210,10 +214,13 @@
         return FleetPosition(self._routers, self._number, fraction)
 
     def record_count(self, routers: int, number: int, now: float) -> None:
-        """Record a controller's count of routers, and this one's number."""
-        self._number = number
+        """Record a controller's count of routers, and this one's number.
+
+        A number means nothing beside another controller's count.
+        """
         if routers < self._routers and now - self._counted_at < SETTLING_S:
             return
+        self._number = number
         self._routers = max(1, routers)
         self._counted_at = now
 
--- a/hornbeamyard/pool/upstream_registry.py
+++ b/hornbeamyard/pool/upstream_registry.py
@@ -24,6 +24,9 @@
 # Largest numbers that messages between processes hold.
 MAX_SLOTS = 2**31 - 1
 MAX_SEQUENCE = 2**63 - 1
+# Longest time in ms for which an upstream may announce to remain cold. An odd
+# value must not limit it for good.
+MAX_COLD_REMAINING_MS = 3_600_000
 # Size in bytes of all texts of an announcement. One message to a router may
 # contain the announcements of thousands of upstreams.
 MAX_TEXT_BYTES = 4096
@@ -83,6 +86,9 @@
     leaving_since : float
         Monotonic time in seconds at which this process has learned that it
         leaves; -inf if it was leaving already when it became known.
+    cold_remaining_ms : int or None
+        Time in milliseconds for which it remains cold, as of the announcement;
+        None when it is not announced.
     """
 
     id: str
@@ -97,6 +103,7 @@
     software_version: str = ""
     last_seen_at: float = 0.0
     leaving_since: float = float("-inf")
+    cold_remaining_ms: int | None = None
 
     @property
     def start(self) -> UpstreamStart:
@@ -105,6 +112,7 @@
 
 
 _check_sequence = validation.check_integer(0, MAX_SEQUENCE)
+_check_cold_remaining = validation.check_integer(0, MAX_COLD_REMAINING_MS)
 
 
 def check_announcement(upstream: Upstream) -> list[Finding]:
@@ -129,6 +137,9 @@
             "address": validation.check_address(upstream.address),
             "slots": validation.check_integer(0, MAX_SLOTS)(upstream.slots),
             "sequence": _check_sequence(upstream.sequence),
+            "cold_remaining_ms": _check_cold_remaining(
+                upstream.cold_remaining_ms or 0
+            ),
         }
     )
     if findings:
@@ -291,8 +302,11 @@
         self.record_version(upstream.pool, upstream.software_version, now)
         self._upstreams[upstream.id] = upstream
         self._by_address[upstream.address] = upstream.id
-        is_same = known is not None and _get_fields(known) == _get_fields(
-            upstream
+        # Each announcement of a cold upstream says for how long, from then.
+        is_same = (
+            known is not None
+            and not upstream.cold_remaining_ms
+            and _get_fields(known) == _get_fields(upstream)
         )
         return ended if is_same else [*ended, upstream]
 
@@ -475,4 +489,5 @@
         upstream.started_ms,
         upstream.models,
         upstream.software_version,
+        upstream.cold_remaining_ms,
     )
