Tell routers which upstreams are cold, and apply the cold rate

Routers knew neither that an upstream is cold nor what a cold one takes. A heartbeat's coldRemainingMs (cold_remaining_ms in the product's own announcement) now passes through the controllers in UpstreamRecord, as a full record while it isn't 0 and once when it becomes 0. coldPerS and coldStartS of a service become cold_rate and cold_start_s of the routing's pool. The router applies a change at once, and an end within 0.1 s at its maintenance tick; it logs upstream_cold and upstream_warm, and counts cold upstreams and the requests that they hold back.

A number out of range in a heartbeat is bounded; a value that isn't a number makes it invalid like other fields of a wrong type.

--- a/hornbeamyard/connection/directory_codec.py
+++ b/hornbeamyard/connection/directory_codec.py
@@ -65,6 +65,7 @@
         models=upstream.models,
         software_version=upstream.software_version,
         age_ms=max(0, int((now - upstream.last_seen_at) * 1000)),
+        cold_remaining_ms=upstream.cold_remaining_ms,
     )
 
 
@@ -105,6 +106,11 @@
         tuple(record.models),
         record.software_version,
         now - record.age_ms / 1000,
+        cold_remaining_ms=(
+            record.cold_remaining_ms
+            if record.HasField("cold_remaining_ms")
+            else None
+        ),
     )
 
 
--- a/hornbeamyard/platform/calls.py
+++ b/hornbeamyard/platform/calls.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 import logbook
 from result import Err
 
-from ..pool.upstream_registry import Upstream, UpstreamStart, UpstreamState
+from ..pool.upstream_registry import (
+    MAX_COLD_REMAINING_MS,
+    Upstream,
+    UpstreamStart,
+    UpstreamState,
+)
 from ..process.documents import read_json
 from ..process.interface import Application, ControllerApi
 from ..process.servers import build_json_app
@@ -103,6 +109,13 @@
         return None
     if not isinstance(software_version, str):
         return None
+    cold_remaining_ms = document.get("coldRemainingMs")
+    if cold_remaining_ms is not None:
+        if type(cold_remaining_ms) not in (int, float):
+            return None
+        # Rounded up, as a cold upstream must not count as warm.
+        bounded_ms = min(max(0, cold_remaining_ms), MAX_COLD_REMAINING_MS)
+        cold_remaining_ms = math.ceil(bounded_ms)
     return Upstream(
         id=id,
         pool=str(texts[0]),
@@ -118,6 +131,7 @@
             if isinstance(model, dict) and isinstance(model.get("name"), str)
         ),
         software_version=software_version,
+        cold_remaining_ms=cold_remaining_ms,
     )
 
 
--- a/hornbeamyard/platform/configuration.py
+++ b/hornbeamyard/platform/configuration.py
@@ -28,6 +28,8 @@
     "name": "name",
     "healthCheckPath": "health_path",
     "connectionLimit": "connections",
+    "coldPerS": "cold_rate",
+    "coldStartS": "cold_start_s",
 }
 _ENGINE_FIELDS = {
     "slots": "slots",
--- a/hornbeamyard/pool/cold_starts.py
+++ b/hornbeamyard/pool/cold_starts.py
@@ -152,9 +152,11 @@
         Requests that found only cold upstreams without a part for them.
     """
 
-    __slots__ = ("_states", "held_requests", "rate", "start_s")
+    __slots__ = ("_active", "_states", "held_requests", "rate", "start_s")
 
     def __init__(self) -> None:
+        # Ids of upstreams that may be cold, or are lost.
+        self._active: set[str] = set()
         self._states: dict[str, _State] = {}
         self.rate = 0.0
         self.start_s = 0.0
@@ -174,6 +176,7 @@
         if upstream.state is UpstreamState.GONE:
             if known is not None and known.start == upstream.start:
                 known.is_lost = True
+                self._active.add(upstream.id)
             return
         seen_at = upstream.last_seen_at
         remaining_ms = upstream.cold_remaining_ms
@@ -194,6 +197,8 @@
         elif remaining_ms == 0:
             known.announced_until = -math.inf
         self._confirm(known, upstream)
+        if remaining_ms or known.reason is not None:
+            self._active.add(upstream.id)
 
     def record_unreachable(self, start: UpstreamStart, now: float) -> None:
         """Record that connections to an upstream are refused or reset.
@@ -203,6 +208,7 @@
         known = self._find(start)
         if known is not None:
             known.begin(ColdReason.UNREACHABLE, now, None)
+            self._active.add(start.id)
 
     def record_reached(self, start: UpstreamStart, now: float) -> None:
         """Record that an upstream has answered, so that it is back."""
@@ -219,6 +225,7 @@
         known = self._find(start)
         if known is not None:
             known.begin(ColdReason.RETURNED, now, now)
+            self._active.add(start.id)
 
     def confirm(self, registry: UpstreamRegistry, now: float) -> None:
         """End events that newer announcements say are over.
@@ -232,19 +239,23 @@
         now : float
             Monotonic time in seconds.
         """
-        for id, state in list(self._states.items()):
+        for id in list(self._active):
+            state = self._states[id]
             if state.is_lost:
                 if state.gone_at is None:
                     state.gone_at = now
                 elif now - state.gone_at > ENDED_RETENTION_S:
                     del self._states[id]
+                    self._active.discard(id)
                 continue
             if state.reason is None:
                 continue
             upstream = registry.get(id)
             if upstream is not None and upstream.start == state.start:
                 self._confirm(state, upstream)
-            if self._compute_event_end(state) <= now:
+            # Until there is a routing, how long it lasts isn't known.
+            kept_s = 0.0 if self.rate > 0 else MAX_UNREACHABLE_S
+            if self._compute_event_end(state) + kept_s <= now:
                 state.reason = None
 
     def _find(self, start: UpstreamStart) -> _State | None:
@@ -281,12 +292,15 @@
     def collect_changes(self, now: float) -> list[ColdChange]:
         """Return the upstreams that are cold or warm since the last call."""
         changes = []
-        for state in self._states.values():
+        for id in list(self._active):
+            state = self._states[id]
             if state.is_lost:
                 state.reported = None
                 continue
             end = self.find_end(state.start, now)
             reason = self._find_reason(state, now) if end > now else None
+            if state.reason is None and state.announced_until <= now:
+                self._active.discard(id)
             if reason is state.reported:
                 continue
             if reason is None or state.reported is None:
@@ -296,7 +310,7 @@
 
     def count(self, now: float) -> int:
         """Return the number of cold upstreams."""
-        starts = [state.start for state in self._states.values()]
+        starts = [self._states[id].start for id in self._active]
         return sum(self.find_end(start, now) > now for start in starts)
 
     def _find_reason(self, state: _State, now: float) -> ColdReason:
--- a/hornbeamyard/process/controller_app.py
+++ b/hornbeamyard/process/controller_app.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from ..pool.upstream_registry import (
+    MAX_COLD_REMAINING_MS,
     MAX_SEQUENCE,
     MAX_SLOTS,
     Upstream,
@@ -38,6 +39,9 @@
         ),
         "started_ms": Option(validation.check_integer(0, MAX_SEQUENCE)),
         "models": Option(validation.check_list(validation.check_string)),
+        "cold_remaining_ms": Option(
+            validation.check_integer(0, MAX_COLD_REMAINING_MS)
+        ),
         "software_version": Option(validation.check_string),
     }
 )
@@ -104,6 +108,7 @@
             document.get("started_ms", 0),
             tuple(document.get("models", ())),
             document.get("software_version", ""),
+            cold_remaining_ms=document.get("cold_remaining_ms"),
         )
     )
     return _respond(findings)
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -489,6 +489,7 @@
         self._server.config.timeout_keep_alive = keep_alive_s
         for pool, balancer in self._balancers.items():
             self._configure_balancer(pool, balancer)
+        self.notices.divide_limits()
         return True
 
     def _apply_fleet_usage(self, fleet_usage: FleetUsage) -> None:
@@ -532,6 +533,8 @@
             min(gaps, default=0.0) / pool.tokens_per_event,
             pool.compute_token_copy_ms(),
         )
+        balancer.cold_starts.rate = pool.cold_rate
+        balancer.cold_starts.start_s = pool.cold_start_s
 
     def _limit_idle_connections(self) -> None:
         """Keep idle connections within this router's part of pool limits."""
@@ -551,6 +554,7 @@
             self.notices.release_starts(
                 self.subscription.registry, self._max_announcement_delay_s
             )
+            self.notices.update_cold_starts(self.subscription.registry)
             for balancer in self._balancers.values():
                 balancer.assumed_routers = assumed
                 balancer.start_waiting(now)
--- a/hornbeamyard/process/metrics.py
+++ b/hornbeamyard/process/metrics.py
@@ -103,6 +103,7 @@
     "leads": "1 while this controller leads",
     "log_lines_dropped": "Log lines that were left out",
     "prompt_parts_blocked": "Prompt parts that are blocked for crashes",
+    "requests_held_by_cold": "Requests that only cold upstreams were left for",
     "requests_in_progress": "Routed requests that run or wait",
     "routers_attached": "Routers whose stream is open",
     "routing_version": "Routing version in force",
@@ -114,6 +115,7 @@
     "term": "Term of the log",
     "upstream_connections": "Connections opened to upstreams",
     "upstreams": "Upstreams that announce themselves, by pool",
+    "upstreams_cold": "Upstreams that count as cold, by pool",
 }
 
 
--- a/hornbeamyard/process/upstream_notices.py
+++ b/hornbeamyard/process/upstream_notices.py
@@ -10,6 +10,7 @@
 from ..connection.limit_reports import LimitReports
 from ..connection.upstreams import UpstreamConnections
 from ..pool.balancer import Balancer
+from ..pool.cold_starts import ColdChange
 from ..pool.crashes import Crash
 from ..pool.digests import is_digest
 from ..pool.upstream_registry import (
@@ -81,6 +82,8 @@
         self, upstream: UpstreamStart, max_rate: float | None
     ) -> None:
         """Record the rate limit in an upstream's response; None for none."""
+        for balancer in self._balancers.values():
+            balancer.cold_starts.record_reached(upstream, self._timers.now())
         self.limits.observe(upstream, max_rate)
 
     async def record_broken(
@@ -143,6 +146,46 @@
                 started_ms=start.started_ms,
             )
 
+    def update_cold_starts(self, registry: UpstreamRegistry) -> None:
+        """Limit upstreams that have become cold, and release warm ones.
+
+        To be called repeatedly.
+        """
+        now = self._timers.now()
+        for pool, balancer in self._balancers.items():
+            cold_starts = balancer.cold_starts
+            cold_starts.confirm(registry, now)
+            changes = cold_starts.collect_changes(now)
+            if not changes:
+                continue
+            balancer.set_fleet_position(self.limits.position.get(), now)
+            for change in changes:
+                self._note_cold_change(pool, change, now)
+
+    def _note_cold_change(
+        self, pool: str, change: ColdChange, now: float
+    ) -> None:
+        start = change.upstream
+        if change.reason is None:
+            self._decisions.note(
+                "upstream_warm",
+                upstream=start.id,
+                started_ms=start.started_ms,
+                pool=pool,
+            )
+            return
+        server = self._balancers[pool].servers.get(start.id)
+        limiter = None if server is None else server.limiter
+        self._decisions.note(
+            "upstream_cold",
+            upstream=start.id,
+            started_ms=start.started_ms,
+            pool=pool,
+            reason=change.reason.value,
+            remaining_s=round(change.until - now, 2),
+            rate=None if limiter is None else round(limiter.rate, 3),
+        )
+
     def record_states(self, changed: Iterable[Upstream]) -> None:
         """Record which upstreams have started, leave or have ended.
 
@@ -198,9 +241,12 @@
         """
         for balancer in self._balancers.values():
             for server in list(balancer.servers.values()):
-                is_there = f"http://{server.upstream.address}" == address
-                if is_there and server.was_reached:
-                    self._record_end(server.upstream.start)
+                if f"http://{server.upstream.address}" != address:
+                    continue
+                start = server.upstream.start
+                balancer.record_unreachable(start, self._timers.now())
+                if server.was_reached:
+                    self._record_end(start)
 
     def _record_end(self, start: UpstreamStart) -> None:
         """Count nothing any more that is recorded about a start."""
@@ -210,6 +256,7 @@
             "upstream_ended", upstream=start.id, started_ms=start.started_ms
         )
         for balancer in self._balancers.values():
+            balancer.record_unreachable(start, self._timers.now())
             balancer.record_end(start)
 
     def _handle_crashes(self, changed: list[Crash]) -> None:
@@ -256,6 +303,13 @@
         requests = sum(map(is_digest, ledger.blocked))
         yield Sample("prompt_parts_blocked", len(ledger.blocked) - requests)
         yield Sample("requests_blocked", requests)
+        for pool, balancer in self._balancers.items():
+            labels = (("pool", pool),)
+            cold_starts = balancer.cold_starts
+            number = cold_starts.count(self._timers.now())
+            yield Sample("upstreams_cold", number, labels)
+            held = cold_starts.held_requests
+            yield Sample("requests_held_by_cold", held, labels, True)
 
 
 def _name_kind(suspect: str) -> str:
--- a/hornbeamyard/tests/test_cold_starts.py
+++ b/hornbeamyard/tests/test_cold_starts.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import copy
+import json
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import replace
+from pathlib import Path
 
 import anyio
 import pytest
@@ -24,6 +27,7 @@
     ColdStarts,
     divide_cold_rate,
 )
+from hornbeamyard.pool.engine import Server
 from hornbeamyard.pool.rate_limits import (
     FleetPosition,
     FleetPositionEstimate,
@@ -38,8 +42,14 @@
     UpstreamStart,
     UpstreamState,
 )
+from hornbeamyard.process.directory_router import DirectoryRouter
+from hornbeamyard.process.timers import VirtualTimers
+from hornbeamyard.version.routing import Routing, parse_routing
 
 from .test_balancer import build_balancer, build_demand, place
+from .test_directory import Fleet, build_upstream, run_fleet
+from .test_directory_router import build_router
+from .test_forwarding import DOCUMENT
 
 RATE = 6.9
 START_S = 3.0
@@ -445,3 +455,158 @@
         for sent in times.values():
             assert count_highest(sent) <= RATE * OVERSHOOT + SLACK
             assert len(sent) >= int(0.7 * RATE * START_S)
+
+
+class TestRouter:
+    """A router applies what it hears and sees at once."""
+
+    ROUTING = parse_routing(
+        {
+            "version": 1,
+            "routes": [],
+            "pools": [
+                {"name": "model", "cold_rate": RATE, "cold_start_s": START_S}
+            ],
+        }
+    ).unwrap()
+
+    def run(
+        self,
+        test: Callable[[DirectoryRouter, VirtualTimers], Awaitable[None]],
+        routing: Routing = ROUTING,
+    ) -> list[dict[str, object]]:
+        """Run a test with a router; return its log lines."""
+
+        async def main() -> None:
+            timers = VirtualTimers(start=100.0)
+            router, stream, writer = build_router(timers)
+            router.routing = routing
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(router._run_maintenance)
+                await test(router, timers)
+                tasks.cancel_scope.cancel()
+            writer.flush(1.0)
+            lines.extend(map(json.loads, stream.getvalue().splitlines()))
+
+        lines: list[dict[str, object]] = []
+        anyio.run(main)
+        return lines
+
+    def hear(
+        self, router: DirectoryRouter, timers: VirtualTimers, **fields: object
+    ) -> Server:
+        """Apply an announcement; return what the router knows."""
+        upstream = replace(
+            UPSTREAM,
+            last_seen_at=timers.now(),
+            **fields,  # type: ignore[arg-type]
+        )
+        router._handle_upstreams(
+            router.subscription.registry.announce(upstream, timers.now())
+        )
+        return router.find_balancer("model").servers["u"]
+
+    def test_announced(self) -> None:
+        """Guards against a limit that comes late, or stays."""
+
+        async def test(router: DirectoryRouter, timers: VirtualTimers) -> None:
+            server = self.hear(router, timers, cold_remaining_ms=0)
+            assert server.limiter is None
+            server = self.hear(
+                router, timers, sequence=2, cold_remaining_ms=1000
+            )
+            assert server.limiter is not None
+            await timers.advance(0.95)
+            metrics = router.metrics.render().decode()
+            assert 'upstreams_cold{pool="model"} 1.0' in metrics
+            assert 'requests_held_by_cold_total{pool="model"} 0.0' in metrics
+            assert server.limiter is not None
+            await timers.advance(0.15)
+            assert server.limiter is None
+
+        lines = self.run(test)
+        changes = [line for line in lines if "_cold" in str(line["event"])]
+        [change] = changes
+        assert change["reason"] == "announced"
+        assert [line["event"] for line in lines][-1] == "upstream_warm"
+
+    def test_refused_connections(self) -> None:
+        """Guards against a burst when an upstream listens again."""
+
+        async def test(router: DirectoryRouter, timers: VirtualTimers) -> None:
+            server = self.hear(router, timers, cold_remaining_ms=0)
+            router._upstreams.on_refused("http://10.0.0.1:80")
+            assert server.limiter is not None
+            await timers.advance(1.1)
+            # Unchanged, so that only the registry records it.
+            self.hear(router, timers, sequence=2, cold_remaining_ms=0)
+            assert server.limiter is not None
+            await timers.advance(0.1)
+            assert server.limiter is None
+
+        self.run(test)
+
+    def test_answer_while_no_controller_is_there(self) -> None:
+        """Guards against an upstream that stays limited after a restart."""
+
+        async def test(router: DirectoryRouter, timers: VirtualTimers) -> None:
+            server = self.hear(router, timers, cold_remaining_ms=0)
+            router._upstreams.on_refused("http://10.0.0.1:80")
+            await timers.advance(9.0)
+            router.notices.record_limit(UPSTREAM.start, None)
+            await timers.advance(START_S - 0.1)
+            assert server.limiter is not None
+            await timers.advance(0.2)
+            assert server.limiter is None
+
+        self.run(test)
+
+    def test_pool_without_a_rate(self) -> None:
+        """Guards against a change for deployments that name no rate."""
+
+        async def test(router: DirectoryRouter, timers: VirtualTimers) -> None:
+            server = self.hear(router, timers)
+            router._upstreams.on_refused("http://10.0.0.1:80")
+            await timers.advance(0.2)
+            assert server.limiter is None
+
+        document = {"version": 1, "routes": [], "pools": [{"name": "model"}]}
+        lines = self.run(test, parse_routing(document).unwrap())
+        assert [line["event"] for line in lines] == ["upstream"]
+
+    def test_fleet(self, tmp_path: Path) -> None:
+        """Guards against a router that starts and takes cold for warm.
+
+        The limit also ends when no controller is there any more.
+        """
+
+        async def test(fleet: Fleet) -> None:
+            document = copy.deepcopy(DOCUMENT)
+            for pool in document["pools"]:
+                pool |= {"cold_rate": RATE, "cold_start_s": START_S}
+            await fleet.submit(7, document)
+            upstream = build_upstream("u1", 9, "app")
+            first, _ = fleet.start_further_router("r1")
+            fleet.registrars[0].announce(replace(upstream))
+            await fleet.wait(first.is_ready)
+            upstream = replace(upstream, sequence=2, cold_remaining_ms=4000)
+            fleet.registrars[0].announce(upstream)
+
+            def is_cold(router: DirectoryRouter) -> bool:
+                server = router.find_balancer("app").servers.get("u1")
+                return server is not None and server.limiter is not None
+
+            await fleet.wait(lambda: is_cold(first))
+            second, _ = fleet.start_further_router("r2")
+            await fleet.wait(lambda: is_cold(second) and second.is_ready())
+            ends = [
+                router.find_balancer("app").servers["u1"].cold_until
+                for router in (first, second)
+            ]
+            assert ends[0] == pytest.approx(ends[1], abs=0.1)
+            for stop in fleet.stops.values():
+                stop.set()
+            await fleet.wait(lambda: not is_cold(first))
+            await fleet.wait(lambda: not is_cold(second))
+
+        run_fleet(tmp_path, test)
--- a/hornbeamyard/tests/test_platform.py
+++ b/hornbeamyard/tests/test_platform.py
@@ -18,6 +18,7 @@
     Upstream,
     UpstreamStart,
     UpstreamState,
+    check_announcement,
 )
 from hornbeamyard.process.interface import SubmissionResult
 from hornbeamyard.process.validation import Finding
@@ -103,6 +104,16 @@
         # 20,000 bytes (160 kbit) per token at 400 Mbit per ms.
         assert engine.compute_token_copy_ms() == pytest.approx(0.0004)
         assert not routing.pools["s2"].is_engine()
+        assert routing.pools["s2"].cold_rate == 0
+
+    @pytest.mark.parametrize("service", [0, 1])
+    def test_cold_rate(self, service: int) -> None:
+        """Guards against a rate of cold upstreams that is ignored."""
+        document = copy.deepcopy(CONFIGURATION)
+        document["services"][service] |= {"coldPerS": 6.9, "coldStartS": 3.0}
+        routing = decode_configuration(json.dumps(document).encode()).unwrap()
+        pool = routing.pools[document["services"][service]["name"]]
+        assert (pool.cold_rate, pool.cold_start_s) == (6.9, 3.0)
 
     def test_engine_without_copying(self) -> None:
         """Guards against KV cache copies that an engine doesn't support."""
@@ -128,6 +139,8 @@
             (("services",), 7),
             (("version",), None),
             (("limits",), 7),
+            (("services", 0, "coldPerS"), -1),
+            (("services", 0, "coldStartS"), "3"),
             (("routes", 1, "routeKind"), "sometimes"),
         ],
     )
@@ -372,6 +385,9 @@
             ("born", "yesterday"),
             ("models", 3),
             ("version", 2),
+            ("coldRemainingMs", "40"),
+            ("coldRemainingMs", True),
+            ("coldRemainingMs", [40]),
         ],
     )
     def test_ignores_invalid_heartbeat(self, field: str, value: Any) -> None:
@@ -381,6 +397,22 @@
         call(controller, "POST", "/Instances.Heartbeat/i-1", body)
         assert controller.announced == []
 
+    @pytest.mark.parametrize(
+        ("remaining_ms", "expected"),
+        [(None, None), (0, 0), (12.2, 13), (-5, 0), (10**30, 3_600_000)],
+    )
+    def test_cold_upstream(
+        self, remaining_ms: float | None, expected: int | None
+    ) -> None:
+        """Guards against a time that is lost, or that loses the upstream."""
+        controller = FakeController()
+        heartbeat = {**HEARTBEAT, "coldRemainingMs": remaining_ms}
+        body = json.dumps(heartbeat).encode()
+        call(controller, "POST", "/Instances.Heartbeat/i-1", body)
+        [upstream] = controller.announced
+        assert upstream.cold_remaining_ms == expected
+        assert check_announcement(upstream) == []
+
     @pytest.mark.parametrize("body", [b"", b"\xff\xfe", b"[]", b"{"])
     def test_ignores_unreadable_heartbeat(self, body: bytes) -> None:
         """Guards against an exception for a body that isn't an object."""
--- a/hornbeamyard/version/routing.py
+++ b/hornbeamyard/version/routing.py
@@ -115,6 +115,11 @@
     copy_mbps : float
         Rate at which an engine copies KV cache from another engine, in
         Mbit/s; 0 if engines can't.
+    cold_rate : float
+        Requests a second that a cold upstream takes from all routers
+        together; 0 for no limit.
+    cold_start_s : float
+        Time for which an upstream is cold after its start, in seconds.
     """
 
     name: str
@@ -125,6 +130,8 @@
     tokens_per_event: int = 1
     kv_bytes_per_token: int = 0
     copy_mbps: float = 0.0
+    cold_rate: float = 0.0
+    cold_start_s: float = 0.0
 
     def is_engine(self) -> bool:
         """Return whether the upstreams are model engines."""
@@ -290,6 +297,10 @@
         "tokens_per_event": Option(validation.check_integer(1, 2**20)),
         "token_size": Option(validation.check_integer(0, 2**40)),
         "copy_mbps": Option(validation.check_number(0, 1e12, "Mbit/s")),
+        "cold_rate": Option(
+            validation.check_number(0, 1e6, "requests a second")
+        ),
+        "cold_start_s": Option(validation.check_number(0, 86_400, "s")),
     }
 )
 _ACCOUNT_SCHEMA = Section(
@@ -421,6 +432,8 @@
             item.get("tokens_per_event", 1),
             item.get("token_size", 0),
             item.get("copy_mbps", 0.0),
+            item.get("cold_rate", 0.0),
+            item.get("cold_start_s", 0.0),
         )
         for item in document["pools"]
     ]
