--- a/hornbeamyard/pool/rate_limits.py
+++ b/hornbeamyard/pool/rate_limits.py
@@ -136,17 +136,24 @@
     refilled_at : float
         Monotonic time in seconds.
     tokens : float
+    burst : float
+        Most tokens, at least 1.
     """
 
     rate: float
     refilled_at: float
     tokens: float = 0.0
+    burst: float = BURST
 
     def set_rate(self, rate: float, now: float) -> None:
         """Change the rate from now on."""
         self._refill(now)
         self.rate = rate
 
+    def limit_tokens(self, tokens: float) -> None:
+        """Drop the tokens above a number."""
+        self.tokens = min(self.tokens, tokens)
+
     def take(self, now: float) -> None:
         """Count a request that is sent."""
         self._refill(now)
@@ -162,7 +169,7 @@
 
     def _refill(self, now: float) -> None:
         elapsed_s = max(0.0, now - self.refilled_at)
-        self.tokens = min(self.tokens + self.rate * elapsed_s, BURST)
+        self.tokens = min(self.tokens + self.rate * elapsed_s, self.burst)
         self.refilled_at = now
 
 
@@ -210,10 +217,13 @@
         return FleetPosition(self._routers, self._number, fraction)
 
     def record_count(self, routers: int, number: int, now: float) -> None:
-        """Record a controller's count of routers, and this one's number."""
-        self._number = number
+        """Record a controller's count of routers, and this one's number.
+
+        A number means nothing beside another controller's count.
+        """
         if routers < self._routers and now - self._counted_at < SETTLING_S:
             return
+        self._number = number
         self._routers = max(1, routers)
         self._counted_at = now
 
