Read the load that upstreams state in their responses

Responses of some upstreams carry the requests running and waiting, the slots and the present duration of work in percent of the usual one; nothing read it. The header is decoded into ReportedLoad and kept at the server with the times of the request and the response. Malformed values and values out of range are ignored. No decision uses it yet.

--- a/hornbeamyard/platform/headers.py
+++ b/hornbeamyard/platform/headers.py
@@ -21,6 +21,7 @@
     leaving=b"server-leaving",
     # Requests a second, from all routers together.
     max_rate=b"server-limit",
+    load=b"x-instance-load",
     resumes=b"resumes",
     router_only=frozenset(
         (
--- a/hornbeamyard/pool/engine.py
+++ b/hornbeamyard/pool/engine.py
@@ -14,7 +14,7 @@
 from .demand import RequestDemand
 from .rate_limits import RateLimiter
 from .upstream_registry import Upstream, UpstreamState
-from .usage import UpstreamLoad
+from .usage import ReportedLoad, UpstreamLoad
 
 # Weight of the newest sample in running means.
 SAMPLE_WEIGHT = 0.15
@@ -73,6 +73,11 @@
         Load from this router, and from all others as of `others_load_at`.
     others_load_at : float
         Monotonic time in seconds.
+    reported : ReportedLoad or None
+        Load that the newest response stated; None before the first one.
+    reported_at, reported_sent_at : float
+        Monotonic times in seconds at which that response came and its request
+        was sent.
     service_ms : float
         Mean time of a request.
     ejected_until : float
@@ -92,6 +97,9 @@
     own_load: UpstreamLoad = field(default_factory=UpstreamLoad)
     others_load: UpstreamLoad = field(default_factory=UpstreamLoad)
     others_load_at: float = 0.0
+    reported: ReportedLoad | None = None
+    reported_at: float = 0.0
+    reported_sent_at: float = 0.0
     service_ms: float = DEFAULT_SERVICE_MS
     ejected_until: float = 0.0
     paused_until: float = 0.0
@@ -130,6 +138,14 @@
         until = now + min(duration_s, MAX_PAUSE_S)
         self.paused_until = max(self.paused_until, until)
 
+    def record_reported(
+        self, load: ReportedLoad, sent_at: float, now: float
+    ) -> None:
+        """Record the load in a response to a request sent at `sent_at`."""
+        self.reported = load
+        self.reported_at = now
+        self.reported_sent_at = sent_at
+
     def record_success(self, elapsed_ms: float) -> None:
         """Record a response that is no failure, and its duration."""
         self.service_ms += SAMPLE_WEIGHT * (elapsed_ms - self.service_ms)
--- a/hornbeamyard/pool/usage.py
+++ b/hornbeamyard/pool/usage.py
@@ -69,6 +69,26 @@
     kv_tokens: int = 0
 
 
+@dataclass(slots=True, frozen=True)
+class ReportedLoad:
+    """Load that an upstream states in its response.
+
+    Attributes
+    ----------
+    running, waiting, slots : int
+        Requests of all routers in progress and in its queue, and the requests
+        that it runs at a time.
+    slowdown : float or None
+        Present duration of its work as a multiple of the usual one; None if
+        it doesn't say.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float | None = None
+
+
 @dataclass(slots=True, frozen=True)
 class CachedPart:
     """A shared prompt part that an upstream has recently prefilled.
--- a/hornbeamyard/request/headers.py
+++ b/hornbeamyard/request/headers.py
@@ -12,6 +12,7 @@
 from http import HTTPStatus
 
 from ..pool.demand import PromptPart
+from ..pool.usage import ReportedLoad
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -27,6 +28,13 @@
 _MAX_TOKEN_DIGITS = len(str(MAX_TOKENS))
 # Longest time that a caller can be said to wait: one day.
 MAX_DEADLINE_MS = 86_400_000.0
+# Requests running, waiting and slots, then the present duration of work in
+# percent of the usual one.
+_LOAD = re.compile(rb"(\d{1,6}),(\d{1,6}),(\d{1,6})(?:,(\d{1,6}))?")
+# Bounds of that duration in percent. Values of 100 to 250 are common; one
+# beyond the bounds is taken for an error.
+MIN_WORK_PERCENT = 10
+MAX_WORK_PERCENT = 2000
 
 
 @dataclass(slots=True, frozen=True)
@@ -119,6 +127,8 @@
     max_rate : float or None
         Requests a second that the upstream takes from all routers together;
         None for no limit.
+    load : ReportedLoad or None
+        None if the response doesn't state a valid load.
     """
 
     request_id: str
@@ -128,6 +138,7 @@
     is_leaving: bool = False
     retry_after_s: float = 0.0
     max_rate: float | None = None
+    load: ReportedLoad | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -164,6 +175,10 @@
     max_rate : bytes
         Requests a second that an upstream takes from all routers together,
         in its responses for as long as the limit holds.
+    load : bytes
+        An upstream's requests running and waiting and its slots, separated by
+        commas, in its responses; optionally followed by the present duration
+        of its work in percent of the usual one.
     resumes : bytes
         Id of the attempt that brought the first event of a stream, in the
         request that continues it.
@@ -187,6 +202,7 @@
     copy_from: bytes
     leaving: bytes
     max_rate: bytes
+    load: bytes
     resumes: bytes
     router_only: frozenset[bytes] = frozenset()
 
@@ -287,6 +303,7 @@
             is_leaving=values.get(names.leaving, b"").strip() == b"1",
             retry_after_s=retry_after_s,
             max_rate=_parse_decimal(values.get(names.max_rate, b"")),
+            load=_parse_load(values.get(names.load, b"")),
         )
 
     def write_response(self, request_id: str) -> list[tuple[bytes, bytes]]:
@@ -312,6 +329,7 @@
     copy_from=b"hornbeamyard-copy-from",
     leaving=b"hornbeamyard-leaving",
     max_rate=b"hornbeamyard-max-rate",
+    load=b"hornbeamyard-load",
     resumes=b"hornbeamyard-resumes",
 )
 
@@ -335,6 +353,22 @@
     return float(stripped) if _DECIMAL.fullmatch(stripped) else None
 
 
+def _parse_load(value: bytes) -> ReportedLoad | None:
+    """Return the load, None if any of its numbers is no valid one."""
+    matched = _LOAD.fullmatch(value.replace(b" ", b""))
+    if matched is None:
+        return None
+    running, waiting, slots = map(int, matched.group(1, 2, 3))
+    if not slots:
+        return None
+    if matched[4] is None:
+        return ReportedLoad(running, waiting, slots)
+    percent = int(matched[4])
+    if not MIN_WORK_PERCENT <= percent <= MAX_WORK_PERCENT:
+        return None
+    return ReportedLoad(running, waiting, slots, percent / 100)
+
+
 def _parse_numbers(value: bytes | None) -> list[int]:
     try:
         return [_parse_tokens(part) for part in (value or b"").split(b",")]
