Move the choice among upstreams to a module of its own

The balancer's selection of candidates, their costs, the order of preferred engines and the source of copies stood among admission and load accounting in 1,265 lines. They move to pool/choice.py, with Placement, as class Choice; behaviour is unchanged. Tests follow the names.

--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -7,9 +7,7 @@
 
 from __future__ import annotations
 
-import heapq
 import math
-import zlib
 from collections import deque
 from collections.abc import Callable, Iterable
 from contextlib import AbstractContextManager
@@ -19,18 +17,15 @@
 
 import anyio
 
+from .choice import Choice, Placement
 from .crashes import CrashLedger
 from .demand import RequestDemand
 from .ended_starts import UNKNOWN_VERSION
 from .engine import (
     MAX_CACHED_PARTS,
-    NO_COPY_SOURCE,
-    CopySource,
     Engine,
-    Estimate,
     Server,
     count_kv_tokens,
-    estimate,
 )
 from .rate_limits import FleetPosition, RateLimiter, RateLimits, divide_rate
 from .shares import Shares
@@ -57,33 +52,10 @@
 # serve prompts in order of arrival, so these would otherwise fill the queues
 # beyond what requests with the shortest target can bear.
 SHARED_QUEUE_FRACTION = 0.5
-# Weight of the time to prefill a shared part again, relative to waiting. It
-# uses up capacity of the pool, while waiting within the target costs the
-# caller nothing, so a request leaves its preferred engine only if it would
-# wait there this many times as long.
-SHARED_PREFILL_WEIGHT = 15.0
-# Weight of copying a shared part from another engine's KV cache, relative to
-# the time of prefilling it. Copying costs about a fifteenth of prefilling the
-# part again.
-COPY_WEIGHT = 1.0
-# Cost of sending a request to another availability zone, in ms: some ms of
-# delay, and the traffic. It decides only between nearly equal engines.
-ZONE_COST_MS = 15.0
-# Cost of each rank in the order of preferred engines for a shared part, in
-# ms. It makes all routers overflow to the same engine first.
-RANK_COST_MS = 60.0
 # A request is hopeless when the work ahead is too long by this many times the
 # time for which it may wait. Estimates of the work are often too high by half
 # of it.
 HOPELESS_FACTOR = 4.0
-# Number of engines in that order. With more, shared parts would be prefilled
-# again more often than the spread of load is worth.
-MAX_RANKED_ENGINES = 4
-# Cost of a full batch in ms, because it slows the events of all its requests.
-FULL_BATCH_COST_MS = 60.0
-# Smaller shared parts don't affect the placement: an engine prefills so few
-# tokens in less time than a message to another zone takes.
-MIN_AFFINITY_TOKENS = 100
 # The pool has headroom while the median engine has less prefill work than the
 # first limit, and is overloaded above the second, in ms. They are about a
 # tenth and a third of 1 s, the target of most streams.
@@ -122,12 +94,6 @@
 # Waiting requests that are tried in a row without finding room, before the
 # others are left until the next change. All of them need the same engines.
 MAX_FAILED_PLACEMENTS = 8
-# Engines with the least load that are estimated exactly for a request, beside
-# those that cache or are preferred for its shared parts. An estimate costs
-# much more than a look at the load, and pools have dozens of engines.
-MAX_LEAST_LOADED = 6
-# Shared parts whose order of preferred engines is kept.
-MAX_CACHED_ORDERS = 1024
 # Fraction of an upstream's drain time in which streams may go on there, and
 # the longest such time. The rest allows for announcements that come late; a
 # router that was cut off learns only afterwards that an upstream leaves.
@@ -191,31 +157,6 @@
     lacks_throughput: bool = False
 
 
-@dataclass(slots=True)
-class Placement:
-    """Where a request is sent.
-
-    Attributes
-    ----------
-    server : Server
-    estimate : Estimate
-    rank : int
-        Place of the engine in the order of preferred engines for the
-        request's shared parts, from 0; -1 when the parts did not matter.
-    copy_from : str
-        Address of the engine from which shared parts are copied, or empty.
-    software_version : str
-        Software version of the upstream as it is known at the placement;
-        `UNKNOWN_VERSION` if its last known start has ended.
-    """
-
-    server: Server
-    estimate: Estimate
-    rank: int
-    copy_from: str = ""
-    software_version: str = ""
-
-
 @dataclass(slots=True, eq=False)
 class WaitingRequest:
     """A request that waits to be placed.
@@ -239,25 +180,6 @@
     result: Placement | Refusal | None = None
 
 
-def rank_engines(affinity: str, engines: Iterable[Server]) -> list[str]:
-    """Return the ids of engines in order of preference for a shared part.
-
-    Rendezvous hashing: all routers get the same order, and adding or
-    removing an engine changes the first engine of few parts.
-
-    Parameters
-    ----------
-    affinity : str
-        Id of the shared part.
-    engines : iterable of Server
-    """
-    scored = [
-        (zlib.crc32(f"{affinity}/{engine.id}".encode()), engine.id)
-        for engine in engines
-    ]
-    return [id for _, id in sorted(scored, reverse=True)]
-
-
 @dataclass(slots=True)
 class InterTokenLatency:
     """Running mean of the time between tokens, over all engines of a pool.
@@ -319,15 +241,13 @@
     """
 
     __slots__ = (
-        "_copy_ms_per_token",
+        "_choice",
         "_crashes",
         "_draw",
         "_headroom",
         "_headroom_at",
         "_kv_capacity_tokens",
         "_limit",
-        "_orders",
-        "_orders_for",
         "_paused_until",
         "_pool",
         "_prefill_ms_per_token",
@@ -337,7 +257,6 @@
         "_target_inter_token_ms",
         "_targets",
         "_waiting",
-        "_zone",
         "assumed_routers",
         "cached_parts",
         "inter_token_latency",
@@ -355,7 +274,7 @@
         crashes: CrashLedger | None = None,
         rate_limits: RateLimits | None = None,
     ) -> None:
-        self._copy_ms_per_token = 0.0
+        self._choice = Choice(availability_zone, draw, self.find_version)
         self._crashes = CrashLedger() if crashes is None else crashes
         self._draw = draw
         # Whether the engines had headroom, and when that was found out.
@@ -365,9 +284,6 @@
         self._kv_capacity_tokens = 0
         self._target_inter_token_ms = 0.0
         self._targets = TargetMix()
-        # Orders of preferred engines by shared part, for these usable engines.
-        self._orders: dict[str, list[str]] = {}
-        self._orders_for: list[Server] = []
         # End of each pause that an upstream has asked for, also while the
         # upstream is lost.
         self._paused_until: dict[UpstreamStart, float] = {}
@@ -379,7 +295,6 @@
         self._shares = shares
         self._slots = 0
         self._waiting: list[WaitingRequest] = []
-        self._zone = availability_zone
         self.inter_token_latency = InterTokenLatency()
         self.cached_parts: deque[CachedPart] = deque(maxlen=MAX_CACHED_PARTS)
         self.servers: dict[str, Server] = {}
@@ -414,7 +329,8 @@
             Time to copy a token's KV cache entry from another engine; 0
             where engines can't copy.
         """
-        self._copy_ms_per_token = copy_ms_per_token
+        self._choice.copy_ms_per_token = copy_ms_per_token
+        self._choice.has_engines = kv_capacity_tokens > 0
         self._kv_capacity_tokens = kv_capacity_tokens
         self._target_inter_token_ms = max_gap_ms * INTER_TOKEN_TARGET_FRACTION
         self._slots = slots
@@ -672,10 +588,8 @@
         has_room = False
         least_excess_ms = float("inf")
         shortest_ms = self._targets.find_shortest() * 1000
-        selected = self._preselect(servers, demand, now)
-        for candidate in self._score_candidates(
-            selected, servers, demand, now
-        ):
+        selected = self._choice.preselect(servers, demand, now)
+        for candidate in self._choice.score(selected, servers, demand, now):
             placement = candidate[1]
             if not placement.estimate.has_room:
                 continue
@@ -797,137 +711,6 @@
         # than none.
         return usable or sorted(willing, key=lambda s: s.ejected_until)[:1]
 
-    def _preselect(
-        self, servers: list[Server], demand: RequestDemand, now: float
-    ) -> list[Server]:
-        """Return the upstreams that may be the best for a request."""
-        if not self._kv_capacity_tokens or len(servers) <= MAX_LEAST_LOADED:
-            return servers
-        needed = count_kv_tokens(demand)
-        order = self._rank(demand.affinity, servers)
-        selected = []
-        loads: list[tuple[float, int, Engine]] = []
-        for server in servers:
-            if not isinstance(server, Engine) or not server.has_room(needed):
-                continue
-            if (
-                server.id in order
-                or server.get_part_used_at(demand.affinity) >= 0
-            ):
-                selected.append(server)
-                continue
-            cost = server.count_prefill_tokens(now)
-            cost *= server.prefill_ms_per_token
-            cost += _compute_batch_cost(server)
-            if server.upstream.availability_zone != self._zone:
-                cost += ZONE_COST_MS
-            loads.append((cost + self._draw(), len(loads), server))
-        least_loaded = heapq.nsmallest(MAX_LEAST_LOADED, loads)
-        return [*selected, *(load[2] for load in least_loaded)]
-
-    def _score_candidates(
-        self,
-        selected: list[Server],
-        servers: list[Server],
-        demand: RequestDemand,
-        now: float,
-    ) -> list[tuple[float, Placement]]:
-        """Return a placement on each selected upstream, with its cost in ms.
-
-        The order of preferred engines and the source of copies are found
-        among all usable `servers`.
-        """
-        ranks: dict[str, int] = {}
-        shared = demand.prompt_tokens - demand.own_tokens
-        if shared >= MIN_AFFINITY_TOKENS:
-            order = self._rank(demand.affinity, servers)
-            ranks = {id: rank for rank, id in enumerate(order)}
-        source, copy_source = self._find_copy_source(servers, demand, now)
-        candidates = []
-        for server in selected:
-            rank = ranks.get(server.id, MAX_RANKED_ENGINES if ranks else -1)
-            estimated = estimate(server, demand, now, rank == 0, copy_source)
-            cost = estimated.wait_ms + estimated.prefill_ms
-            copy_from = ""
-            if isinstance(server, Engine):
-                shared_prefill_ms = (
-                    estimated.shared_prefill_tokens
-                    * server.prefill_ms_per_token
-                )
-                cost += shared_prefill_ms * (SHARED_PREFILL_WEIGHT - 1)
-                cost += (
-                    estimated.copied_tokens
-                    * server.prefill_ms_per_token
-                    * COPY_WEIGHT
-                )
-                if source is not None and _should_copy(source, server, demand):
-                    copy_from = source.upstream.address
-                cost += _compute_batch_cost(server)
-            if rank > 0:
-                cost += RANK_COST_MS * rank
-            if server.upstream.availability_zone != self._zone:
-                cost += ZONE_COST_MS
-            # Equal costs are common; a random part below 1 ms keeps routers
-            # from all choosing the same upstream.
-            cost += self._draw()
-            version = self.find_version(server.upstream)
-            placement = Placement(server, estimated, rank, copy_from, version)
-            candidates.append((cost, placement))
-        return candidates
-
-    def _rank(self, affinity: str, servers: list[Server]) -> list[str]:
-        """Return the ids of engines in order of preference for a shared part.
-
-        Where engines can copy, engines of the router's own availability zone
-        come first: copying a part once costs less than sending all its
-        requests to another zone.
-        """
-        if (
-            servers != self._orders_for
-            or len(self._orders) > MAX_CACHED_ORDERS
-        ):
-            self._orders = {}
-            self._orders_for = servers
-        order = self._orders.get(affinity)
-        if order is not None:
-            return order
-        near: list[Server] = []
-        far: list[Server] = []
-        for server in servers:
-            is_near = (
-                not self._copy_ms_per_token
-                or server.upstream.availability_zone == self._zone
-            )
-            (near if is_near else far).append(server)
-        order = rank_engines(affinity, near) + rank_engines(affinity, far)
-        self._orders[affinity] = order[:MAX_RANKED_ENGINES]
-        return self._orders[affinity]
-
-    def _find_copy_source(
-        self, servers: list[Server], demand: RequestDemand, now: float
-    ) -> tuple[Engine | None, CopySource]:
-        """Return the engine that caches most of a prompt's shared parts."""
-        if not self._copy_ms_per_token or not demand.affinity:
-            return None, NO_COPY_SOURCE
-        first_part = demand.parts[0].id
-        cached = []
-        for engine in servers:
-            if not isinstance(engine, Engine):
-                continue
-            # Without the first part none of the others can be used.
-            if engine.get_part_used_at(first_part) < 0:
-                continue
-            tokens = engine.count_cached(demand, now)
-            if tokens < MIN_AFFINITY_TOKENS:
-                continue
-            used_at = engine.get_part_used_at(demand.affinity)
-            is_near = engine.upstream.availability_zone == self._zone
-            cached.append((tokens, used_at, is_near, engine.id, engine))
-        if not cached:
-            return None, NO_COPY_SOURCE
-        tokens, _, _, _, source = max(cached, key=lambda entry: entry[:4])
-        return source, CopySource(tokens, self._copy_ms_per_token)
-
     def _compute_excess_wait(
         self,
         placement: Placement,
@@ -1228,12 +1011,6 @@
     )
 
 
-def _compute_batch_cost(engine: Engine) -> float:
-    """Return the cost of an engine's other requests to one more, in ms."""
-    running = engine.own_load.running + engine.others_load.running
-    return FULL_BATCH_COST_MS * running / max(1, engine.slots)
-
-
 def _compute_give_up_time(demand: RequestDemand) -> float:
     """Return until when a request may wait to be placed."""
     return min(
@@ -1242,19 +1019,6 @@
     )
 
 
-def _should_copy(
-    source: Engine, server: Engine, demand: RequestDemand
-) -> bool:
-    """Return whether a request should name `source` as the copy source.
-
-    It should when `source` used the shared part more recently, as `server`
-    may have evicted it since. An engine copies only what it lacks, so naming
-    a source costs nothing.
-    """
-    part = demand.affinity
-    return source.get_part_used_at(part) > server.get_part_used_at(part)
-
-
 def _compute_urgency(demand: RequestDemand) -> tuple[object, ...]:
     """Return a sort key: retrying callers first, then by priority."""
     return (
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -20,12 +20,8 @@
 import anyio.lowlevel
 
 from ..connection.upstreams import UpstreamConnections
-from ..pool.balancer import (
-    Balancer,
-    Placement,
-    Refusal,
-    RefusalReason,
-)
+from ..pool.balancer import Balancer, Refusal, RefusalReason
+from ..pool.choice import Placement
 from ..pool.crashes import SUSPICION_S
 from ..pool.demand import RequestDemand
 from ..pool.engine import Server
--- a/hornbeamyard/request/meter.py
+++ b/hornbeamyard/request/meter.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 
 from ..connection.client import Framing
-from ..pool.balancer import Balancer, Placement
+from ..pool.balancer import Balancer
+from ..pool.choice import Placement
 from ..pool.engine import Engine
 from ..pool.upstream_registry import Upstream, UpstreamStart
 from ..process.metrics import Latency
--- a/hornbeamyard/request/reporting.py
+++ b/hornbeamyard/request/reporting.py
@@ -4,7 +4,8 @@
 
 from http import HTTPStatus
 
-from ..pool.balancer import Placement, Refusal
+from ..pool.balancer import Refusal
+from ..pool.choice import Placement
 from ..pool.engine import Engine, Server
 from ..process.decisions import DecisionLog
 from ..process.metrics import Latency, Metrics
--- a/hornbeamyard/tests/shared_pool.py
+++ b/hornbeamyard/tests/shared_pool.py
@@ -11,7 +11,8 @@
 
 import anyio
 
-from hornbeamyard.pool.balancer import Balancer, Placement, Refusal
+from hornbeamyard.pool.balancer import Balancer, Refusal
+from hornbeamyard.pool.choice import Placement
 from hornbeamyard.pool.demand import RequestDemand
 from hornbeamyard.pool.shares import Shares
 from hornbeamyard.pool.upstream_registry import Upstream, UpstreamState
--- a/hornbeamyard/tests/test_balancer.py
+++ b/hornbeamyard/tests/test_balancer.py
@@ -13,11 +13,10 @@
 
 from hornbeamyard.pool.balancer import (
     Balancer,
-    Placement,
     Refusal,
     RefusalReason,
-    rank_engines,
 )
+from hornbeamyard.pool.choice import Choice, Placement, rank_engines
 from hornbeamyard.pool.demand import PromptPart, RequestDemand
 from hornbeamyard.pool.engine import MAX_CACHED_PARTS, Engine
 from hornbeamyard.pool.rate_limits import RateLimiter, RateLimits
@@ -544,7 +543,7 @@
         engine = balancer.servers["e0"]
         engine.own_load.prefill_tokens = int(WAIT_MS / PREFILL_MS_PER_TOKEN)
         scored: list[int] = []
-        score = Balancer._score_candidates
+        score = Choice.score
 
         async def run(monkeypatch: pytest.MonkeyPatch) -> None:
             async with anyio.create_task_group() as tasks:
@@ -558,7 +557,7 @@
                     scored.append(1)
                     return score(*args)
 
-                monkeypatch.setattr(Balancer, "_score_candidates", count)
+                monkeypatch.setattr(Choice, "score", count)
                 balancer.start_waiting(timers.now())
                 tasks.cancel_scope.cancel()
 
@@ -779,7 +778,7 @@
         demand = replace(demand, parts=(first, second, own))
         place(balancer, demand)
         other = replace(demand, parts=(first, PromptPart("group-2", 500), own))
-        source, copied = balancer._find_copy_source(
+        source, copied = balancer._choice.find_copy_source(
             list(balancer.servers.values()), other, 0.0
         )
         assert source is not None
--- a/hornbeamyard/tests/test_notices.py
+++ b/hornbeamyard/tests/test_notices.py
@@ -10,7 +10,8 @@
 
 from hornbeamyard.connection.client import Connection
 from hornbeamyard.connection.upstreams import UpstreamConnections
-from hornbeamyard.pool.balancer import Placement, Refusal, RefusalReason
+from hornbeamyard.pool.balancer import Refusal, RefusalReason
+from hornbeamyard.pool.choice import Placement
 from hornbeamyard.pool.upstream_registry import (
     UpstreamRegistry,
     UpstreamState,
