--- a/hornbeamyard/request/meter.py
+++ b/hornbeamyard/request/meter.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 
 from ..connection.client import Framing
-from ..pool.balancer import Balancer, Placement
+from ..pool.balancer import Balancer
+from ..pool.choice import Placement
 from ..pool.engine import Engine
 from ..pool.upstream_registry import Upstream, UpstreamStart
 from ..process.metrics import Latency
@@ -96,6 +97,10 @@
         if metadata.is_leaving:
             self._report_leaving(server.upstream)
         self._report_limit(server.upstream.start, metadata.max_rate)
+        if metadata.load is not None:
+            server.record_reported(
+                metadata.load, self._started_at, self._timers.now()
+            )
         if metadata.retry_after_s:
             self._balancer.pause(
                 server, metadata.retry_after_s, self._timers.now()
