Measure the speed of engines by all routers together

Cause: the forecast of a first event went by the configured throughput, which includes decoding. On the deployment with uneven engines it was four times too slow for long prompts, 33 ms too fast for short ones, and took engines of half the usual speed for equal ones; each router corrected it from about one response of an engine every two seconds.

Change: routers estimate the usual speed of a pool by a median regression and report sums for each engine; the leader returns each engine's time relative to the median one. On for pools whose upstreams state a slowdown.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -36,11 +36,14 @@
     FleetUsageEncoder,
     decode_cached_parts,
     decode_crashes,
+    decode_engine_times,
     decode_limits,
+    decode_pool_speeds,
     encode_cached_parts,
     encode_crashes,
     encode_each,
     encode_limits,
+    encode_pool_speeds,
     encode_upstream,
     encode_versions,
     pack_document,
@@ -621,6 +624,8 @@
             *subscriber.usage_decoder.decode(usage.accounts, usage.upstreams),
             decode_cached_parts(usage.read_parts),
             usage.throughput_factor,
+            decode_pool_speeds(usage.pool_speeds),
+            decode_engine_times(usage.pool_speeds),
         )
         if not self._replica.is_leader():
             # Once this controller leads, the first report is the baseline:
@@ -743,6 +748,9 @@
             update.usage.extend(changes.upstreams)
             update.routers = self._fleet_usage.routers
             update.throughput_factor = self._fleet_usage.throughput_factor
+            update.pool_speeds.extend(
+                encode_pool_speeds(self._fleet_usage.pool_speeds)
+            )
             update.read_parts.extend(
                 encode_cached_parts(subscriber.cached_parts)
             )
--- a/hornbeamyard/connection/directory_codec.py
+++ b/hornbeamyard/connection/directory_codec.py
@@ -13,6 +13,7 @@
 from ..messages import fleet_pb2
 from ..pool.crashes import Crash
 from ..pool.rate_limits import RateObservation
+from ..pool.speeds import PoolSpeed, TimeSums
 from ..pool.upstream_registry import (
     Upstream,
     UpstreamRegistry,
@@ -267,7 +268,10 @@
             )
         for load in upstreams:
             usage = UpstreamLoad(
-                load.running, load.unread_tokens, load.held_tokens
+                load.running,
+                load.unread_tokens,
+                load.held_tokens,
+                load.time_percent,
             )
             _set_or_remove(self._upstreams, load.id, usage, UpstreamLoad())
         return (
@@ -291,6 +295,7 @@
         running=load.running,
         unread_tokens=min(load.prefill_tokens, MAX_TOKEN_SUM),
         held_tokens=min(load.kv_tokens, MAX_TOKEN_SUM),
+        time_percent=load.time_percent,
     )
 
 
@@ -365,6 +370,55 @@
     return [CachedPart(cached.part, cached.upstream) for cached in parts]
 
 
+def encode_pool_speeds(
+    speeds: Mapping[str, PoolSpeed],
+    engine_times: Mapping[str, Mapping[str, TimeSums]] | None = None,
+) -> list[Any]:
+    """Return the messages for the speeds of pools, and of their engines."""
+    return [
+        fleet_pb2.PoolSpeed(
+            pool=pool,
+            overhead_ms=speed.overhead_ms,
+            prefill_ms_per_token=speed.prefill_ms_per_token,
+            responses=min(speed.responses, MAX_TOKEN_SUM),
+            engines=[
+                fleet_pb2.EngineTimes(
+                    id=id,
+                    measured_ms=sums.measured_ms,
+                    expected_ms=sums.expected_ms,
+                )
+                for id, sums in (engine_times or {}).get(pool, {}).items()
+            ],
+        )
+        for pool, speed in speeds.items()
+    ]
+
+
+def decode_pool_speeds(messages: Iterable[Any]) -> dict[str, PoolSpeed]:
+    """Return the speeds of pools that messages describe."""
+    return {
+        message.pool: PoolSpeed(
+            message.overhead_ms,
+            message.prefill_ms_per_token,
+            message.responses,
+        )
+        for message in messages
+    }
+
+
+def decode_engine_times(
+    messages: Iterable[Any],
+) -> dict[str, dict[str, TimeSums]]:
+    """Return the engines' times in messages, by pool and id."""
+    return {
+        message.pool: {
+            times.id: TimeSums(times.measured_ms, times.expected_ms)
+            for times in message.engines
+        }
+        for message in messages
+    }
+
+
 def encode_crashes(crashes: Iterable[Crash], now: float) -> list[Any]:
     """Return the messages for crashes, with their ages."""
     return [
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -39,8 +39,10 @@
     decode_cached_parts,
     decode_crashes,
     decode_limits,
+    decode_pool_speeds,
     decode_upstream,
     encode_cached_parts,
+    encode_pool_speeds,
     encode_versions,
     record_versions,
     unpack_document,
@@ -470,6 +472,11 @@
                     encode_cached_parts(counters.cached_parts)
                 )
                 usage.throughput_factor = counters.throughput_factor
+                usage.pool_speeds.extend(
+                    encode_pool_speeds(
+                        counters.pool_speeds, counters.engine_times
+                    )
+                )
             await send(usage)
 
     def _apply_update(
@@ -544,6 +551,7 @@
                     update.leader,
                     decode_cached_parts(update.read_parts),
                     update.throughput_factor,
+                    decode_pool_speeds(update.pool_speeds),
                 )
             )
         if update.routing_version > self.version:
--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -37,6 +37,7 @@
     divide_rate,
 )
 from .shares import Shares
+from .speeds import PoolSpeed, SpeedEstimate
 from .targets import TargetMix
 from .upstream_registry import Upstream, UpstreamStart, UpstreamState
 from .usage import CachedPart, UpstreamLoad
@@ -257,6 +258,9 @@
         Which of the upstreams are cold.
     servers : dict of str to Server
         Upstreams of the pool by id.
+    speed_estimate : SpeedEstimate or None
+        Speed of the pool's engines; None while each router goes by its own
+        measurements of each engine.
     assumed_routers : float
         Number of other routers that are assumed to send as much as this
         one, while the fleet's usage isn't known.
@@ -288,6 +292,7 @@
         "cold_starts",
         "inter_token_latency",
         "servers",
+        "speed_estimate",
         "upstream_drain_s",
     )
 
@@ -331,6 +336,7 @@
         self.cached_parts: deque[CachedPart] = deque(maxlen=MAX_CACHED_PARTS)
         self.cold_starts = ColdStarts()
         self.servers: dict[str, Server] = {}
+        self.speed_estimate: SpeedEstimate | None = None
         self.assumed_routers = 0.0
         self.upstream_drain_s = 0.0
 
@@ -391,6 +397,8 @@
             kv_capacity_tokens=self._kv_capacity_tokens,
         )
         engine.set_expected_prefill(self._prefill_ms_per_token)
+        if self.speed_estimate is not None:
+            engine.set_speed(self.speed_estimate.speed)
         return engine
 
     def apply_upstream(self, upstream: Upstream) -> None:
@@ -587,6 +595,49 @@
                 max(0, total.kv_tokens - own.kv_tokens),
             )
             server.others_load_at = now
+            if isinstance(server, Engine):
+                server.time_factor = (total.time_percent or 100) / 100
+        self._apply_speed()
+
+    def start_speed_estimate(self) -> None:
+        """Measure the engines' speed together with the other routers."""
+        if self.speed_estimate is None and self._prefill_ms_per_token:
+            self.speed_estimate = SpeedEstimate(self._prefill_ms_per_token)
+
+    def apply_pool_speed(self, speed: PoolSpeed) -> None:
+        """Apply the speed of the engines that all routers have measured."""
+        self.start_speed_estimate()
+        if self.speed_estimate is not None:
+            self.speed_estimate.apply_fleet(speed)
+            self._apply_speed()
+
+    def _apply_speed(self) -> None:
+        if self.speed_estimate is None:
+            return
+        for server in self.servers.values():
+            if isinstance(server, Engine):
+                server.set_speed(self.speed_estimate.speed)
+
+    def record_first_event(
+        self, server: Engine, elapsed_ms: float, tokens: float
+    ) -> None:
+        """Update the forecast of an engine by the time to a first event.
+
+        Parameters
+        ----------
+        server : Engine
+        elapsed_ms : float
+            Time since the request was sent.
+        tokens : float
+            Tokens that the engine prefilled in that time.
+        """
+        if self.speed_estimate is None:
+            server.record_first_event(elapsed_ms, tokens)
+            return
+        self.speed_estimate.record(
+            server.id, server.time_factor, tokens, elapsed_ms
+        )
+        server.set_speed(self.speed_estimate.speed)
 
     def record_cached_parts(
         self, parts: Iterable[CachedPart], now: float
--- a/hornbeamyard/pool/engine.py
+++ b/hornbeamyard/pool/engine.py
@@ -13,6 +13,7 @@
 
 from .demand import RequestDemand
 from .rate_limits import RateLimiter
+from .speeds import PoolSpeed
 from .upstream_registry import Upstream, UpstreamState
 from .usage import ReportedLoad, UpstreamLoad
 
@@ -204,6 +205,11 @@
         Initial value of `prefill_ms_per_token`; it also bounds the samples.
     is_measured : bool
         Whether `prefill_ms_per_token` has samples.
+    overhead_ms : float
+        Time to the first event in an idle engine, without the prefill.
+    time_factor : float
+        Time for the same work relative to the pool's other engines, as all
+        routers together have measured it.
     """
 
     slots: int = 0
@@ -212,6 +218,8 @@
     decode_ms_per_token: float = 0.0
     expected_prefill_ms_per_token: float = DEFAULT_PREFILL_MS_PER_TOKEN
     is_measured: bool = False
+    overhead_ms: float = REQUEST_OVERHEAD_MS
+    time_factor: float = 1.0
     _part_used_at: OrderedDict[str, float] = field(default_factory=OrderedDict)
     _part_reported_at: dict[str, float] = field(default_factory=dict)
 
@@ -223,6 +231,14 @@
         if not self.is_measured:
             self.prefill_ms_per_token = ms_per_token
 
+    def set_speed(self, speed: PoolSpeed) -> None:
+        """Set the forecast by what the routers have measured."""
+        self.is_measured = True
+        self.overhead_ms = speed.overhead_ms
+        self.prefill_ms_per_token = (
+            speed.prefill_ms_per_token * self.time_factor
+        )
+
     def count_cached(self, demand: RequestDemand, now: float) -> int:
         """Return the leading tokens of a prompt assumed to be cached."""
         cached = 0
@@ -441,7 +457,7 @@
         server.count_prefill_tokens(now) * server.prefill_ms_per_token,
         prefill_tokens * server.prefill_ms_per_token
         + copied * copy_source.copy_ms_per_token
-        + REQUEST_OVERHEAD_MS,
+        + server.overhead_ms,
         shared_prefill_tokens,
         copied,
         prefill_tokens,
--- a/hornbeamyard/pool/usage.py
+++ b/hornbeamyard/pool/usage.py
@@ -10,6 +10,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from .speeds import FleetSpeeds, PoolSpeed, TimeSums, average_speeds
+
 # Time over which the demand of accounts is measured, unless the settings give
 # the span over which shares are assessed.
 DEFAULT_WINDOW_S = 2.0
@@ -23,6 +25,8 @@
 # A router that attaches is sent the parts that were sent within this time.
 # Engines evict parts that nobody has used for about as long.
 PART_RETENTION_S = 30.0
+# Step of an upstream's relative time in the fleet usage, in percent.
+TIME_STEP = 5
 # A router without a report for this long no longer counts.
 ROUTER_TIMEOUT_S = 2.0
 # The counters of an account that asks for nothing are forgotten after one to
@@ -62,11 +66,15 @@
         Prompt tokens that are still to be prefilled.
     kv_tokens : int
         Tokens in the KV cache that belong to these requests alone.
+    time_percent : int
+        In the fleet usage, the upstream's time for the same work relative to
+        its pool's other upstreams, in percent; 0 if it isn't known.
     """
 
     running: int = 0
     prefill_tokens: int = 0
     kv_tokens: int = 0
+    time_percent: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -118,12 +126,18 @@
     throughput_factor : float
         The router's estimate of the engines' throughput, as a multiple of
         the configured one; 0 without an estimate.
+    pool_speeds : dict of str to PoolSpeed
+        The router's estimates by pool.
+    engine_times : dict of str to dict of str to TimeSums
+        By pool and id of the upstream, since the last report.
     """
 
     accounts: dict[str, AccountUsage] = field(default_factory=dict)
     upstreams: dict[str, UpstreamLoad] = field(default_factory=dict)
     cached_parts: list[CachedPart] = field(default_factory=list)
     throughput_factor: float = 0.0
+    pool_speeds: dict[str, PoolSpeed] = field(default_factory=dict)
+    engine_times: dict[str, dict[str, TimeSums]] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -164,6 +178,8 @@
     throughput_factor : float
         Mean of the routers' estimates of the engines' throughput, weighted by
         their demand; 0 without an estimate.
+    pool_speeds : dict of str to PoolSpeed
+        Means of the routers' estimates by pool.
     """
 
     accounts: dict[str, AccountUsage] = field(default_factory=dict)
@@ -172,6 +188,7 @@
     source: str = ""
     cached_parts: list[CachedPart] = field(default_factory=list)
     throughput_factor: float = 0.0
+    pool_speeds: dict[str, PoolSpeed] = field(default_factory=dict)
 
 
 class UsageTable:
@@ -191,10 +208,12 @@
         "_reported_parts",
         "_reports",
         "_sent_at",
+        "_speeds",
         "_window_s",
     )
 
     def __init__(self, window_s: float = DEFAULT_WINDOW_S) -> None:
+        self._speeds = FleetSpeeds()
         self._window_s = window_s
         self._reported_parts: dict[CachedPart, None] = {}
         self._reports: dict[str, _LastReport] = {}
@@ -237,6 +256,8 @@
                 if asked or unserved:
                     self._recent.append((now, name, asked, unserved))
         self._reported_parts.update(dict.fromkeys(usage.cached_parts))
+        for pool, sums in usage.engine_times.items():
+            self._speeds.record(pool, sums, now)
         self._reports[router] = _LastReport(usage, now, demand)
 
     def forget(self, router: str) -> None:
@@ -269,6 +290,13 @@
                 total.prefill_tokens += load.prefill_tokens
                 total.kv_tokens += load.kv_tokens
         fleet.throughput_factor = self._compute_throughput_factor()
+        fleet.pool_speeds = average_speeds(
+            last.usage.pool_speeds for last in self._reports.values()
+        )
+        for id, factor in self._speeds.compute_factors(now).items():
+            total = fleet.upstreams.setdefault(id, UpstreamLoad())
+            # Rounded, so that small changes cause no messages.
+            total.time_percent = TIME_STEP * round(100 * factor / TIME_STEP)
         return fleet
 
     def _forget_idle(self, now: float) -> None:
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -403,12 +403,17 @@
     def _collect_usage(self) -> RouterUsage:
         upstreams: dict[str, UpstreamLoad] = {}
         cached_parts: list[CachedPart] = []
-        for balancer in self._balancers.values():
+        pool_speeds = {}
+        engine_times = {}
+        for pool, balancer in self._balancers.items():
             cached_parts += balancer.cached_parts
             balancer.cached_parts.clear()
             for server in balancer.servers.values():
                 if server.own_load.running:
                     upstreams[server.id] = server.own_load
+            if balancer.speed_estimate is not None:
+                pool_speeds[pool] = balancer.speed_estimate.speed
+                engine_times[pool] = balancer.speed_estimate.collect()
         now = self._timers.now()
         self._propose_factor(now)
         self._retain_counters(self._shares.forget_idle(now))
@@ -418,6 +423,8 @@
             upstreams,
             cached_parts,
             self._shares.proposed_factor,
+            pool_speeds,
+            engine_times,
         )
 
     def _retain_counters(self, idle: Mapping[str, AccountUsage]) -> None:
@@ -537,6 +544,9 @@
             self._shares.router_fraction
         )
         self.notices.divide_limits()
+        for pool, speed in fleet_usage.pool_speeds.items():
+            if pool in self._balancers:
+                self._balancers[pool].apply_pool_speed(speed)
         for balancer in self._balancers.values():
             balancer.apply_fleet_usage(fleet_usage.upstreams, now)
             balancer.record_cached_parts(fleet_usage.cached_parts, now)
@@ -692,6 +702,14 @@
             yield Sample("upstreams", len(balancer.servers), labels)
             evacuated = balancer.count_evacuated()
             yield Sample("upstreams_evacuated", evacuated, labels)
+            if balancer.speed_estimate is not None:
+                speed = balancer.speed_estimate.speed
+                yield Sample("engine_overhead_ms", speed.overhead_ms, labels)
+                yield Sample(
+                    "engine_prefill_ms_per_token",
+                    speed.prefill_ms_per_token,
+                    labels,
+                )
 
     def _sample_shares(self) -> Iterator[Sample]:
         shares = self._shares
--- a/hornbeamyard/request/meter.py
+++ b/hornbeamyard/request/meter.py
@@ -101,6 +101,8 @@
             server.record_reported(
                 metadata.load, self._started_at, self._timers.now()
             )
+            if metadata.load.slowdown is not None:
+                self._balancer.start_speed_estimate()
         if metadata.retry_after_s:
             self._balancer.pause(
                 server, metadata.retry_after_s, self._timers.now()
@@ -135,7 +137,8 @@
             if server.prefill_ms_per_token
             else 0
         )
-        server.record_first_event(
+        self._balancer.record_first_event(
+            server,
             (now - self._started_at) * 1000,
             queued_tokens + estimate.prefill_tokens,
         )
--- a/hornbeamyard/tests/test_cold_starts.py
+++ b/hornbeamyard/tests/test_cold_starts.py
@@ -14,11 +14,10 @@
 
 from hornbeamyard.pool.balancer import (
     Balancer,
-    Placement,
     Refusal,
     RefusalReason,
-    rank_engines,
 )
+from hornbeamyard.pool.choice import Placement, rank_engines
 from hornbeamyard.pool.cold_starts import (
     MAX_UNREACHABLE_S,
     OVERSHOOT,
--- a/hornbeamyard/tests/test_evacuations.py
+++ b/hornbeamyard/tests/test_evacuations.py
@@ -19,11 +19,10 @@
     HEADROOM_WAIT_MS,
     OVERLOADED_WAIT_MS,
     Balancer,
-    Placement,
     Refusal,
     RefusalReason,
-    rank_engines,
 )
+from hornbeamyard.pool.choice import Placement, rank_engines
 from hornbeamyard.pool.engine import Engine, Server
 from hornbeamyard.pool.evacuations import (
     MAX_ZONE_BYTES,
