Tell routers of evacuations that await a leader after a restart

Controllers now also send the orders in their logs that they haven't applied since their start, and routers treat these zones as evacuated until the controller has caught up, a newer set is known, or a majority without that controller is attached.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -110,6 +110,8 @@
         "_leaving",
         "_leaving_reported",
         "_lifetime_s",
+        "_orders",
+        "_orders_position",
         "_replica",
         "_started_at",
         "_subscribers",
@@ -140,6 +142,10 @@
         self._leaving: dict[str, tuple[int, float]] = {}
         self._leaving_reported = anyio.Event()
         self._lifetime_s = lifetime_s
+        # Orders that await a leader since the start, and the last applied
+        # index, last index and last term of the log that they were found in.
+        self._orders: dict[str, fleet_pb2.LogEntry] = {}
+        self._orders_position = (-1, -1, -1)
         self._replica = replica
         self._fleet_usage = FleetUsage()
         self._fleet_usage_encoder = FleetUsageEncoder()
@@ -712,6 +718,12 @@
             update.evacuated_zones.extend(sorted(state.evacuated_zones))
             update.evacuations_index = state.evacuations_index
             subscriber.evacuations_sent = state.evacuations_index
+        for zone, entry in self._find_unconfirmed_orders().items():
+            update.unconfirmed_index = max(
+                update.unconfirmed_index, entry.index
+            )
+            if entry.evacuation.evacuated:
+                update.unconfirmed_zones.append(zone)
         subscriber.pending_records = {}
         subscriber.pending_renewals = {}
         subscriber.pending_limits = {}
@@ -749,6 +761,22 @@
             subscriber.cached_parts = []
         return update
 
+    def _find_unconfirmed_orders(self) -> dict[str, fleet_pb2.LogEntry]:
+        """Return the orders that await a leader since the start.
+
+        They are searched for once for all subscribers.
+        """
+        journal = self._replica.journal
+        position = (
+            self._replica.state.last_index,
+            journal.last_index,
+            journal.last_term,
+        )
+        if position != self._orders_position:
+            self._orders_position = position
+            self._orders = self._replica.find_unconfirmed_orders()
+        return self._orders
+
     def introduce(
         self, request: fleet_pb2.Introduction
     ) -> fleet_pb2.ControllerList:
--- a/hornbeamyard/connection/directory_codec.py
+++ b/hornbeamyard/connection/directory_codec.py
@@ -12,6 +12,7 @@
 
 from ..messages import fleet_pb2
 from ..pool.crashes import Crash
+from ..pool.evacuations import EvacuationReport
 from ..pool.rate_limits import RateObservation
 from ..pool.upstream_registry import (
     Upstream,
@@ -108,6 +109,17 @@
     )
 
 
+def decode_evacuations(controller: str, update: Any) -> EvacuationReport:
+    """Return what a controller's update says about evacuated zones."""
+    return EvacuationReport(
+        controller,
+        frozenset(update.evacuated_zones),
+        update.evacuations_index,
+        frozenset(update.unconfirmed_zones),
+        update.unconfirmed_index,
+    )
+
+
 class UsageEncoder:
     """Encodes the usage that changed since the last message of a stream.
 
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import zlib
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -15,6 +15,7 @@
 import logbook
 
 from ..messages import fleet_pb2
+from ..pool.evacuations import EvacuationChange, Evacuations
 from ..pool.stream_origins import StreamOrigin
 from ..pool.upstream_registry import (
     Upstream,
@@ -38,6 +39,7 @@
     UsageEncoder,
     decode_cached_parts,
     decode_crashes,
+    decode_evacuations,
     decode_limits,
     decode_upstream,
     encode_cached_parts,
@@ -102,10 +104,10 @@
     lifetime_s : float
         Time in seconds without an announcement after which an upstream is
         lost.
+    evacuations : Evacuations, optional
+        Evacuated availability zones.
     on_evacuations : callable, optional
-        Called with the evacuated zones that a controller sends, and the index
-        of the log entry that changed them. It may be an older set than one
-        from another controller.
+        Called when these have changed.
 
     Attributes
     ----------
@@ -125,6 +127,7 @@
         "_collect_usage",
         "_controllers",
         "_crashes",
+        "_evacuations",
         "_fetch_needed",
         "_fetching",
         "_identity",
@@ -161,13 +164,17 @@
         crashes: CrashReports,
         limits: LimitReports,
         lifetime_s: float,
-        on_evacuations: Callable[[Sequence[str], int], None] | None = None,
+        evacuations: Evacuations | None = None,
+        on_evacuations: Callable[[EvacuationChange], None] | None = None,
     ) -> None:
         self._calls = calls
         self._collect_usage = collect_usage
         # Hosts of the fleet's controllers by address.
         self._controllers: dict[str, str] = {}
         self._crashes = crashes
+        self._evacuations = (
+            Evacuations() if evacuations is None else evacuations
+        )
         # Addresses of controllers that are being asked for a routing, or have
         # just failed to give one.
         self._fetching: set[str] = set()
@@ -340,6 +347,8 @@
         self._limits.expire(now)
         if not self.versions:
             return
+        if self.knows_majority():
+            self._handle_evacuations(self._evacuations.retain(self.versions))
         # A controller that is out of reach may have received newer
         # announcements, so the lifetime is doubled.
         has_all_streams = len(self.versions) >= len(self._controllers)
@@ -498,10 +507,9 @@
         self._crashes.digests.set_key(update.digest_key, leads)
         record_versions(self.registry, update.recent_versions, now)
         # Before the upstreams, which may be in evacuated zones.
-        if update.evacuations_index and self._on_evacuations is not None:
-            self._on_evacuations(
-                update.evacuated_zones, update.evacuations_index
-            )
+        self._handle_evacuations(
+            self._evacuations.apply(decode_evacuations(address, update))
+        )
         changed = []
         for record in update.upstreams:
             if record.state not in UPSTREAM_STATES:
@@ -549,6 +557,10 @@
         if update.routing_version > self.version:
             self._fetch_needed.set()
 
+    def _handle_evacuations(self, change: EvacuationChange | None) -> None:
+        if change is not None and self._on_evacuations is not None:
+            self._on_evacuations(change)
+
     def _apply_controllers(
         self, address: str, update: fleet_pb2.DirectoryUpdate
     ) -> None:
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -5,7 +5,7 @@
 import itertools
 import os
 import random
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping
 
 import anyio
 import anyio.abc
@@ -28,7 +28,7 @@
     MIN_ASSUMED_ROUTERS,
     Balancer,
 )
-from ..pool.evacuations import Evacuations
+from ..pool.evacuations import EvacuationChange, Evacuations
 from ..pool.shares import Shares
 from ..pool.stream_origins import StreamOrigin
 from ..pool.upstream_registry import (
@@ -231,7 +231,8 @@
             self.notices.crashes,
             self.notices.limits,
             self._max_announcement_delay_s,
-            self._apply_evacuations,
+            self._evacuations,
+            self._handle_evacuations,
         )
         self.forwarder = Forwarder(
             self,
@@ -460,13 +461,10 @@
             self._configure_balancer(pool, balancer)
             balancer.start_waiting(self._timers.now())
 
-    def _apply_evacuations(self, zones: Sequence[str], index: int) -> None:
-        change = self._evacuations.apply(zones, index)
-        if change is None:
-            return
+    def _handle_evacuations(self, change: EvacuationChange) -> None:
         self.decisions.note(
             "evacuations",
-            index=index,
+            index=self._evacuations.index,
             zones=sorted(self._evacuations.zones),
             started=sorted(change.started),
             ended=sorted(change.ended),
--- a/hornbeamyard/tests/test_evacuations.py
+++ b/hornbeamyard/tests/test_evacuations.py
@@ -27,6 +27,7 @@
 from hornbeamyard.pool.engine import Engine, Server
 from hornbeamyard.pool.evacuations import (
     MAX_ZONE_BYTES,
+    EvacuationReport,
     Evacuations,
     check_zone,
 )
@@ -131,28 +132,72 @@
         assert len(check_zone(zone)) == 1
 
 
+def report(
+    index: int,
+    *zones: str,
+    controller: str = "c0",
+    unconfirmed: tuple[str, ...] = (),
+    at: int = 0,
+) -> EvacuationReport:
+    """Return a controller's report."""
+    return EvacuationReport(
+        controller, frozenset(zones), index, frozenset(unconfirmed), at
+    )
+
+
 class TestNewestSet:
     """A router keeps the newest set that it has heard of."""
 
     def test_ignores_older_set(self) -> None:
         """Guards against a lagging controller that ends an evacuation."""
         evacuations = Evacuations()
-        assert evacuations.apply([], 0) is None
-        change = evacuations.apply(["a", "b"], 7)
+        assert evacuations.apply(report(0)) is None
+        change = evacuations.apply(report(7, "a", "b"))
         assert change is not None
         assert (change.started, change.ended) == ({"a", "b"}, set())
-        assert evacuations.apply([], 5) is None
-        assert evacuations.apply(["a", "b"], 7) is None
+        assert evacuations.apply(report(5)) is None
+        assert evacuations.apply(report(7, "a", "b")) is None
         assert evacuations.zones == {"a", "b"}
-        change = evacuations.apply(["b", "c"], 9)
+        change = evacuations.apply(report(9, "b", "c"))
         assert change is not None
         assert (change.started, change.ended) == ({"c"}, {"a"})
 
+    def test_unconfirmed_orders(self) -> None:
+        """Guards against use of a zone between a restart and an election.
+
+        A set from a snapshot doesn't contain the order yet, and its
+        confirmation must not open the zone for a moment.
+        """
+        evacuations = Evacuations()
+        for known, change in (
+            (report(3, "a", unconfirmed=("b",), at=6), ({"a", "b"}, set())),
+            (report(6, "a", "b"), None),
+            # A controller that has been cut off since.
+            (report(3, "a", controller="c1", unconfirmed=("c",), at=6), None),
+            (report(8, "a"), (set(), {"b"})),
+            (report(8, "a", unconfirmed=("b",), at=9), ({"b"}, set())),
+            # The order was not committed, and a leader has cut the log.
+            (report(0), (set(), {"b"})),
+        ):
+            changed = evacuations.apply(known)
+            assert (
+                (changed.started, changed.ended) if changed else None
+            ) == change
+
+    def test_unconfirmed_order_of_lost_controller(self) -> None:
+        """Guards against a zone that stays evacuated without an order."""
+        evacuations = Evacuations()
+        evacuations.apply(report(0, unconfirmed=("a",), at=6))
+        assert evacuations.retain({"c0", "c1"}) is None
+        change = evacuations.retain({"c1", "c2"})
+        assert change is not None
+        assert change.ended == {"a"}
+
 
 def evacuate(balancer: Balancer, *zones: str) -> list[Server]:
     """Apply a newer set of evacuated zones, as a router does."""
     evacuations = balancer._evacuations
-    change = evacuations.apply(zones, evacuations.index + 1)
+    change = evacuations.apply(report(evacuations.index + 1, *zones))
     assert change is not None
     return balancer.apply_evacuations(change)
 
@@ -515,11 +560,11 @@
                 draining = replace(upstream, state=UpstreamState.DRAINING)
                 with pytest.MonkeyPatch.context() as patch:
                     patch.setattr(UpstreamConnections, "has_ended", probe)
-                    router._apply_evacuations(["zone-a"], 1)
+                    router._evacuations.apply(report(1, "zone-a"))
                     for each in (upstream, draining):
                         await router.notices.record_broken(each, ["p"], 0.0)
                     assert probed == []
-                    router._apply_evacuations([], 2)
+                    router._evacuations.apply(report(2))
                     for each in (upstream, draining):
                         await router.notices.record_broken(each, ["p"], 0.0)
                     assert len(probed) == 2
@@ -647,6 +692,75 @@
 
         run_fleet(tmp_path, test)
 
+    def test_all_processes_killed(self, tmp_path: Path) -> None:
+        """Guards against use of the zone after a restart of all processes.
+
+        The snapshots hold the routing but not the order. The first controller
+        that starts has no leader, and a new router becomes ready by it.
+        """
+
+        async def test(fleet: Fleet) -> None:
+            await fleet.submit(5)
+            await fleet.wait(
+                lambda: all(
+                    r.replica.state.routing.version == 5
+                    for r in fleet.registrars.values()
+                )
+            )
+            for registrar in fleet.registrars.values():
+                replica = registrar.replica
+                await replica.jobs.execute(replica._save_snapshot)
+            leader = find_leader_number(fleet)
+            ordered = await fleet.registrars[leader].order_evacuation(
+                "zone-a", True
+            )
+            assert ordered.decided
+            # A router finds the others by the seeds, the first two.
+            first = next(
+                n
+                for n in (0, 1)
+                if fleet.registrars[n].replica.state.evacuated_zones
+            )
+            for number in range(CONTROLLERS):
+                fleet.kill_controller(number)
+            await anyio.sleep(0.5)
+            fleet.start_controller(first, first_start=False)
+            fleet.start_router()
+            router = fleet.router
+            assert router is not None
+            async with run_raw_upstream(send_response()) as raw:
+                await fleet.wait(
+                    lambda: fleet.registrars[first].replica.state.last_index
+                )
+                fleet.start_announcing(
+                    first, build_upstream("u1", raw.port, "app")
+                )
+                await fleet.wait(router.is_ready)
+                state = fleet.registrars[first].replica.state
+                assert state.evacuated_zones == set()
+                assert router._evacuations.zones == {"zone-a"}
+                status, body = await ask(fleet, "/read/1")
+                assert (status, b"evacuated" in body) == (503, True)
+                for number in range(CONTROLLERS):
+                    if number != first:
+                        fleet.start_controller(number, first_start=False)
+                await fleet.wait(lambda: router._evacuations.index)
+                assert router._evacuations.zones == {"zone-a"}
+                await submit_order(fleet, "zone-a", False)
+                await fleet.wait(lambda: not router._evacuations.zones)
+                await fleet.wait(
+                    lambda: (
+                        not any(
+                            r.replica.find_unconfirmed_orders()
+                            for r in fleet.registrars.values()
+                        )
+                    )
+                )
+                assert (await ask(fleet, "/read/1"))[0] == 200
+                assert len(raw.received) == 1
+
+        run_fleet(tmp_path, test)
+
     def test_unknown_outcome(self, tmp_path: Path) -> None:
         """Guards against an acknowledgement of an order that may be lost.
 
--- a/hornbeamyard/version/replica.py
+++ b/hornbeamyard/version/replica.py
@@ -192,6 +192,8 @@
         self.leadership: Leadership | None = None
         self.leader_host = ""
         self.election = Election(self, rng)
+        # Index of the last entry that was in the log when it was read.
+        self._recovered_index = 0
         self._required_disks = required_disks
         self._rng = rng
         self._changed = anyio.Event()
@@ -302,6 +304,27 @@
         applied = leadership.count_applied(entry.index)
         return applied >= self._required_disks and self.may_acknowledge()
 
+    def find_unconfirmed_orders(self) -> dict[str, fleet_pb2.LogEntry]:
+        """Return the orders in the log that await a leader since the start.
+
+        A member that starts applies only what its snapshot holds. Entries
+        after that may have been acknowledged, which it learns from a leader.
+
+        Returns
+        -------
+        dict of str to LogEntry
+            The newest order about each availability zone.
+        """
+        start = self.state.last_index + 1
+        # The log may have been cut by a leader that didn't have its end.
+        end = min(self._recovered_index, self.journal.last_index)
+        orders = {}
+        for index in range(start, end + 1):
+            entry = self.journal.get_entry(index)
+            if entry is not None and entry.HasField("evacuation"):
+                orders[entry.evacuation.availability_zone] = entry
+        return orders
+
     async def confirm_state(self) -> Result[FleetState, ProposeError]:
         """Return the state once a majority has confirmed that it is current.
 
@@ -365,6 +388,7 @@
         try:
             repaired = await self._read_journal()
             self.state = FleetState.from_snapshot(self.journal.snapshot)
+            self._recovered_index = self.journal.last_index
             self._is_loaded = True
             if repaired:
                 _log.warning("{}", repaired)
