Place requests anew whose upstream has become cold meanwhile

A request that was placed on a warm upstream was still sent, beyond the cold rate, if the upstream became cold while its connection was opened. It is now withdrawn and placed again, which takes a token where the upstream has one.

Tests: test_cold_starts, test_balancer, test_forwarding, test_notices, test_crashing_parts, test_crashing_requests, test_crashes, test_channels and test_exchange pass.

--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -220,6 +220,8 @@
     software_version : str
         Software version of the upstream as it is known at the placement;
         `UNKNOWN_VERSION` if its last known start has ended.
+    took_token : bool
+        Whether it was counted by a rate limit of the upstream.
     """
 
     server: Server
@@ -227,6 +229,7 @@
     rank: int
     copy_from: str = ""
     software_version: str = ""
+    took_token: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -848,6 +851,14 @@
         has_begun = demand.software_version is not None
         return has_begun and server.still_serves(now, drain_s)
 
+    def has_become_cold(self, placement: Placement, now: float) -> bool:
+        """Return whether an upstream is cold that was warm at a placement.
+
+        Opening a connection may take long enough for that.
+        """
+        is_cold = placement.server.cold_until > now
+        return is_cold and not placement.took_token
+
     def _may_run(self, upstream: Upstream, demand: RequestDemand) -> bool:
         """Return whether an upstream has the version and the model."""
         if demand.software_version is not None and (
@@ -1263,6 +1274,7 @@
         server = placement.server
         if server.limiter is not None:
             server.limiter.take(now)
+            placement.took_token = True
         server.own_load.running += 1
         server.own_load.prefill_tokens += placement.estimate.prefill_tokens
         server.own_load.kv_tokens += count_kv_tokens(demand)
--- a/hornbeamyard/request/meter.py
+++ b/hornbeamyard/request/meter.py
@@ -82,7 +82,10 @@
         if version != self._placement.software_version:
             # The stream would be recorded with another version.
             return False
-        return self._balancer.may_send(server, demand, self._timers.now())
+        now = self._timers.now()
+        if self._balancer.has_become_cold(self._placement, now):
+            return False
+        return self._balancer.may_send(server, demand, now)
 
     def record_head(
         self, metadata: ResponseMetadata, framing: Framing
--- a/hornbeamyard/tests/test_cold_starts.py
+++ b/hornbeamyard/tests/test_cold_starts.py
@@ -414,6 +414,17 @@
         balancer.set_fleet_position(find_router("e0", False), 55.0)
         assert server.compute_rate_wait(56.0) == float("inf")
 
+    def test_cold_since_the_placement(self) -> None:
+        """Guards against requests that wait for connections to cold ones."""
+        balancer = build_cold_balancer(engines=1)
+        balancer.set_fleet_position(FleetPosition(1, 1, 1.0), 50.0)
+        placed = place(balancer, build_demand(now=50.0), 50.0)
+        balancer.record_returned(["e0"], 50.0)
+        assert balancer.has_become_cold(placed, 50.0)
+        assert not balancer.has_become_cold(placed, 60.0)
+        placed = place(balancer, build_demand(now=51.0), 51.0)
+        assert not balancer.has_become_cold(placed, 51.0)
+
     def test_named_limit(self) -> None:
         """Guards against a named limit that is exceeded, or forgotten."""
         limits = RateLimits()
