--- a/hornbeamyard/pool/choice.py
+++ b/hornbeamyard/pool/choice.py
@@ -66,6 +66,8 @@
     software_version : str
         Software version of the upstream as it is known at the placement;
         `UNKNOWN_VERSION` if its last known start has ended.
+    took_token : bool
+        Whether it was counted by a rate limit of the upstream.
     """
 
     server: Server
@@ -73,6 +75,7 @@
     rank: int
     copy_from: str = ""
     software_version: str = ""
+    took_token: bool = False
 
 
 def rank_engines(affinity: str, engines: Iterable[Server]) -> list[str]:
