--- a/hornbeamyard/tests/test_evacuations.py
+++ b/hornbeamyard/tests/test_evacuations.py
@@ -819,6 +819,16 @@
             assert "routing version 5" in status.output
             assert (await run("accounts")).exit_code == 2
             assert (await run("zones", "evacuate", "")).exit_code == 2
+            settings.pop("directory")
+            other = tmp_path / "other.json"
+            other.write_text(
+                json.dumps({**settings, "controllers": {"c": "127.0.0.1:2"}})
+            )
+            for words in (["list"], ["evacuate", "a"]):
+                arguments = ["zones", *words, f"--settings={other}"]
+                refused = CliRunner().invoke(run_command, arguments)
+                assert refused.exit_code == 2
+                assert "has no route directory" in refused.output
             assert (await run("zones", "restore", "zone-é")).exit_code == 0
             listed = await run("zones", "list", "--json")
             assert json.loads(listed.output)["evacuated_zones"] == []
