Import only what a role runs, and costly libraries late

Settings in plain JSON below a comment are read by the standard parser, others by json5 as before. Two scripts of test_process_start name the runner, where the replaced function now is.

--- a/benchmarks/process_time.py
+++ b/benchmarks/process_time.py
@@ -3,7 +3,8 @@
 Run with `python -m benchmarks.process_time`. With `--baseline FOLDER`, another
 checkout of the project is measured in the same run, in turns with this one,
 and the ratios are printed. The processes are run by the base interpreter with
-the dependencies on its path, as on the users' platform.
+the dependencies on its path, as on the users' platform, but without the
+module `site`, whose cost depends on what else the machine has installed.
 """
 
 from __future__ import annotations
@@ -149,7 +150,7 @@
         path = os.pathsep.join(site.getsitepackages())
         with (self.folder / f"{name}.log").open("ab") as log:
             self.processes[name] = subprocess.Popen(
-                [_find_interpreter(), "-m", "hornbeamyard.platform"],
+                [_find_interpreter(), "-S", "-m", "hornbeamyard.platform"],
                 cwd=self.checkout,
                 stdout=log,
                 stderr=log,
@@ -256,7 +257,9 @@
             },
             **role,
         }
-        (self.folder / f"{name}.json").write_text(json.dumps(document))
+        # The platform's template begins with a comment, too.
+        text = "// Settings of a process.\n" + json.dumps(document, indent=2)
+        (self.folder / f"{name}.json").write_text(text)
 
 
 def build_routing() -> dict[str, Any]:
--- a/hornbeamyard/connection/crash_exchange.py
+++ b/hornbeamyard/connection/crash_exchange.py
@@ -23,12 +23,9 @@
 from ..version.replica import Replica
 from . import peers
 from .crash_reports import CrashReports
-from .directory import (
-    HEARTBEAT_INTERVAL_S,
-    NOTICE_INTERVAL_S,
-    SILENCE_TIMEOUT_S,
-)
+from .directory import NOTICE_INTERVAL_S
 from .directory_codec import decode_crashes, encode_crashes
+from .intervals import HEARTBEAT_INTERVAL_S, SILENCE_TIMEOUT_S
 from .subscription import RECONNECT_PAUSE_S
 
 # Interval of forgetting old crashes.
--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -45,14 +45,9 @@
     pack_document,
     record_versions,
 )
+from .intervals import USAGE_INTERVAL_S
 from .subscriber import Subscriber
 
-# Interval at which routers report their usage and the leader sends the fleet's
-# usage. A shorter one costs control traffic; within an interval a router
-# decides by its own counters.
-USAGE_INTERVAL_S = 0.25
-# Without anything new, messages are sent at this interval as heartbeats.
-HEARTBEAT_INTERVAL_S = 1.0
 # Crashes and limits of upstreams are collected for this long before they are
 # sent. Dozens of routers report the same crash within it.
 NOTICE_INTERVAL_S = 0.05
@@ -62,9 +57,6 @@
 # Time for a router to report that it knows of the end of an upstream. It is
 # less than the 1 s after which upstreams call another controller.
 CONFIRMATION_TIMEOUT_S = 0.8
-# A stream is closed after this long without a message.
-SILENCE_TIMEOUT_S = 3.0
-
 _log = logbook.Logger("directory")
 
 
--- a/hornbeamyard/connection/directory_service.py
+++ b/hornbeamyard/connection/directory_service.py
@@ -12,7 +12,8 @@
 from ..messages import fleet_pb2, fleet_pb2_grpc
 from ..process.timers import Timers
 from . import peers
-from .directory import HEARTBEAT_INTERVAL_S, SILENCE_TIMEOUT_S, Directory
+from .directory import Directory
+from .intervals import HEARTBEAT_INTERVAL_S, SILENCE_TIMEOUT_S
 from .subscriber import Subscriber
 
 
--- a/hornbeamyard/connection/probes.py
+++ b/hornbeamyard/connection/probes.py
@@ -8,7 +8,7 @@
 from ..pool.worker import Worker, WorkerRegistry
 from ..process.timers import Timers
 from .attachment import Attachment
-from .upstreams import read_status
+from .liveness import read_status
 
 PROBE_TIMEOUT_S = 1.0
 
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -26,11 +26,6 @@
 from ..version.membership import is_majority
 from . import peers
 from .crash_reports import CrashReports
-from .directory import (
-    HEARTBEAT_INTERVAL_S,
-    SILENCE_TIMEOUT_S,
-    USAGE_INTERVAL_S,
-)
 from .directory_calls import DirectoryCalls
 from .directory_codec import (
     UPSTREAM_STATES,
@@ -45,6 +40,11 @@
     record_versions,
     unpack_document,
 )
+from .intervals import (
+    HEARTBEAT_INTERVAL_S,
+    SILENCE_TIMEOUT_S,
+    USAGE_INTERVAL_S,
+)
 from .limit_reports import LimitReports
 from .stream_reports import COLLECT_INTERVAL_S, StreamReports
 
--- a/hornbeamyard/platform/__main__.py
+++ b/hornbeamyard/platform/__main__.py
@@ -8,6 +8,9 @@
     # The default action would end the process during the imports. A change of
     # the settings that comes with the signal is found in the file.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from ..process.deferred_modules import defer_modules
+
+    defer_modules()
     from .daemon import main as run
 
     run()
--- a/hornbeamyard/platform/daemon.py
+++ b/hornbeamyard/platform/daemon.py
@@ -6,22 +6,28 @@
 import sys
 from pathlib import Path
 
-import click
 from result import Err
 
-from ..process.daemon import EXIT_SETTINGS, start
-from ..process.interface import Interface
+from ..process.interface import Application, ControllerApi, Interface
+from ..process.runner import EXIT_SETTINGS, start
 from ..process.settings import load_settings
 from ..request.headers import HeaderCodec
-from .calls import build_app
 from .configuration import decode_configuration
 from .headers import HEADER_NAMES
 
 SETTINGS_VARIABLE = "HORNBEAMYARD_CONFIG"
 READY_PATH = "/readiness"
 
+
+def _build_app(controller: ControllerApi) -> Application:
+    # Only controllers need this module.
+    from .calls import build_app
+
+    return build_app(controller)
+
+
 INTERFACE = Interface(
-    HeaderCodec(HEADER_NAMES), decode_configuration, build_app, READY_PATH
+    HeaderCodec(HEADER_NAMES), decode_configuration, _build_app, READY_PATH
 )
 
 
@@ -30,6 +36,6 @@
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     loaded = load_settings(path)
     if isinstance(loaded, Err):
-        click.echo(str(loaded.err_value), err=True)
+        print(loaded.err_value, file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
     start(loaded.ok_value, path, INTERFACE)
--- a/hornbeamyard/process/key_locations.py
+++ b/hornbeamyard/process/key_locations.py
@@ -6,10 +6,10 @@
 
 from __future__ import annotations
 
+import json
 import re
 from dataclasses import dataclass, field
-
-import json5
+from typing import Any
 
 _TOKEN = re.compile(
     r"""//[^\n]*|/\*.*?\*/"""
@@ -20,6 +20,9 @@
 )
 
 
+_LEADING_COMMENTS = re.compile(r"\A(?:\s*//[^\n]*\n)+")
+
+
 @dataclass(slots=True)
 class KeyLocations:
     """Line numbers of the keys of a document.
@@ -55,6 +58,27 @@
     expects_key: bool = True
 
 
+def parse_json5(text: str) -> Any:
+    """Return a document of JSON with comments.
+
+    Most files are plain JSON below a comment. The json5 parser, which is
+    written in Python and much slower, is imported only for others.
+
+    Raises
+    ------
+    ValueError
+        If the text can't be parsed.
+    RecursionError
+        If the document is nested too deeply.
+    """
+    try:
+        return json.loads(_LEADING_COMMENTS.sub("", text))
+    except ValueError:
+        import json5
+
+        return json5.loads(text)
+
+
 def locate_keys(text: str) -> KeyLocations:
     """Return the line numbers of all keys of a valid document.
 
@@ -105,7 +129,7 @@
         _start_value(containers, line, locations)
         return
     container = containers[-1]
-    key = json5.loads(match[0]) if match["string"] is not None else match[0]
+    key = parse_json5(match[0]) if match["string"] is not None else match[0]
     container.child = (
         f"{container.key_path}.{key}" if container.key_path else str(key)
     )
--- a/hornbeamyard/process/metrics.py
+++ b/hornbeamyard/process/metrics.py
@@ -1,23 +1,25 @@
-"""Counters, gauges and latency quantiles of one process."""
+"""Counters, gauges and latency quantiles of one process.
+
+The libraries are imported when a latency is recorded, a counter is counted up
+or the metrics are rendered, because a process is ready without them.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from enum import Enum
-
-from hdrh.histogram import HdrHistogram
-from prometheus_client import (
-    CollectorRegistry,
-    Counter,
-    disable_created_metrics,
-    generate_latest,
-)
-from prometheus_client.core import (
-    CounterMetricFamily,
-    GaugeMetricFamily,
-)
-from prometheus_client.metrics_core import Metric
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from hdrh.histogram import HdrHistogram
+    from prometheus_client.metrics import Counter
+    from prometheus_client.metrics_core import (
+        CounterMetricFamily,
+        GaugeMetricFamily,
+        Metric,
+    )
+    from prometheus_client.registry import CollectorRegistry
 
 MAX_LATENCY_MS = 3_600_000
 # Precision of the histograms.
@@ -36,9 +38,6 @@
 # In characters.
 MAX_LABEL_LENGTH = 63
 
-# Series with creation times would double the number of series.
-disable_created_metrics()  # type: ignore[no-untyped-call]
-
 
 class Latency(Enum):
     """Latencies recorded for each account and priority."""
@@ -152,24 +151,34 @@
     labels : list of str
         Label names; the first is `client_account`.
     accounts : AccountLabels
-    registry : CollectorRegistry
     """
 
-    __slots__ = ("_accounts", "_counter", "_names", "_seen")
+    __slots__ = ("_accounts", "_counter", "_name", "_names", "_seen")
 
     def __init__(
         self,
         name: str,
         labels: list[str],
         accounts: AccountLabels,
-        registry: CollectorRegistry,
     ) -> None:
         self._accounts = accounts
+        self._name = name
         self._names = labels
         self._seen: list[set[str]] = [set() for _ in labels]
-        self._counter = Counter(
-            f"hornbeamyard_{name}", HELP[name], labels, registry=registry
-        )
+        self._counter: Counter | None = None
+
+    def get_counter(self) -> Counter:
+        """Return the library's counter, built at the first use."""
+        if self._counter is None:
+            from prometheus_client.metrics import Counter
+
+            self._counter = Counter(
+                f"hornbeamyard_{self._name}",
+                HELP[self._name],
+                self._names,
+                registry=None,
+            )
+        return self._counter
 
     def labels(self, *values: str, **named: str) -> Counter:
         """Return the counter for label values, in order or by name.
@@ -181,7 +190,7 @@
         ordered[0] = self._accounts.limit_value(ordered[0])
         for index in range(1, len(ordered)):
             ordered[index] = self._limit_value(index, ordered[index])
-        return self._counter.labels(*ordered)
+        return self.get_counter().labels(*ordered)
 
     def _limit_value(self, index: int, value: str) -> str:
         value = str(value)[:MAX_LABEL_LENGTH]
@@ -217,14 +226,13 @@
     )
 
     def __init__(self, max_accounts: int = MAX_ACCOUNT_LABELS) -> None:
-        self._registry = CollectorRegistry()
+        self._registry: CollectorRegistry | None = None
         self._accounts = AccountLabels(max_accounts)
         self._histograms: dict[tuple[str, str, Latency], HdrHistogram] = {}
         self._sources: list[Source] = []
         self.requests = self._add_counter("requests", "priority", "outcome")
         self.retries = self._add_counter("retries")
         self.refusals = self._add_counter("refusals", "reason")
-        self._registry.register(self)
 
     def record(
         self,
@@ -238,6 +246,8 @@
         key = (account, _format_priority(priority), latency)
         histogram = self._histograms.get(key)
         if histogram is None:
+            from hdrh.histogram import HdrHistogram
+
             histogram = HdrHistogram(1, MAX_LATENCY_MS, SIGNIFICANT_DIGITS)
             self._histograms[key] = histogram
         histogram.record_value(
@@ -254,8 +264,24 @@
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
+        from prometheus_client.exposition import generate_latest
+
+        if self._registry is None:
+            self._registry = self._build_registry()
         return generate_latest(self._registry)
 
+    def _build_registry(self) -> CollectorRegistry:
+        from prometheus_client.metrics import disable_created_metrics
+        from prometheus_client.registry import CollectorRegistry
+
+        # Series with creation times would double the number of series.
+        disable_created_metrics()  # type: ignore[no-untyped-call]
+        registry = CollectorRegistry()
+        for counter in (self.requests, self.retries, self.refusals):
+            registry.register(counter.get_counter())
+        registry.register(self)
+        return registry
+
     def collect(self) -> Iterator[Metric]:
         """Yield the latency quantiles and the samples of all sources."""
         yield self._collect_latencies()
@@ -277,7 +303,6 @@
             name,
             ["client_account", *labels],
             self._accounts,
-            self._registry,
         )
 
     def _limit_labels(self, sample: Sample) -> Sample:
@@ -290,6 +315,8 @@
         return Sample(sample.name, 0.0, labels, sample.is_counter)
 
     def _collect_latencies(self) -> Metric:
+        from prometheus_client.metrics_core import GaugeMetricFamily
+
         family = GaugeMetricFamily(
             "hornbeamyard_latency_seconds",
             HELP["latency_seconds"],
@@ -310,6 +337,11 @@
 def _build_family(
     sample: Sample,
 ) -> GaugeMetricFamily | CounterMetricFamily:
+    from prometheus_client.metrics_core import (
+        CounterMetricFamily,
+        GaugeMetricFamily,
+    )
+
     kind = CounterMetricFamily if sample.is_counter else GaugeMetricFamily
     return kind(
         f"hornbeamyard_{sample.name}",
--- a/hornbeamyard/process/reload.py
+++ b/hornbeamyard/process/reload.py
@@ -6,16 +6,19 @@
 import signal
 from pathlib import Path
 from types import FrameType
+from typing import TYPE_CHECKING
 
 import anyio
 import logbook
 from result import Err
 
-from .directory_router import DirectoryRouter
-from .registrar import Registrar
 from .settings import load_settings
 from .timers import Timers
 
+if TYPE_CHECKING:
+    from .directory_router import DirectoryRouter
+    from .registrar import Registrar
+
 # Interval of checking the file, which may change without a signal.
 CHECK_INTERVAL_S = 2.0
 
--- a/hornbeamyard/process/router.py
+++ b/hornbeamyard/process/router.py
@@ -19,9 +19,10 @@
     build_protocol,
     compute_connection_limit,
 )
+from ..connection.liveness import LivenessChecker
 from ..connection.probes import Prober
 from ..connection.session import Session
-from ..connection.upstreams import LivenessChecker, UpstreamConnections
+from ..connection.upstreams import UpstreamConnections
 from ..pool import constants
 from ..pool.admission import Admission
 from ..pool.backlog import QueueBounds
--- a/hornbeamyard/process/servers.py
+++ b/hornbeamyard/process/servers.py
@@ -8,7 +8,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-import uvicorn
+from uvicorn.config import Config
+from uvicorn.server import Server
 
 from ..request.problem import send_response
 from .acceptors import Acceptor
@@ -28,10 +29,10 @@
 REPLACEMENT = "\N{REPLACEMENT CHARACTER}"
 
 
-class EmbeddedServer(uvicorn.Server):
+class EmbeddedServer(Server):
     """An HTTP server that leaves signal handling to the daemon."""
 
-    def __init__(self, config: uvicorn.Config) -> None:
+    def __init__(self, config: Config) -> None:
         super().__init__(config)
         self._acceptors: list[Acceptor] = []
 
@@ -105,7 +106,7 @@
     # Responses that break off are left incomplete on purpose and counted, so
     # the server's error about them isn't logged.
     logging.getLogger("uvicorn.error").addFilter(_keeps_record)
-    config = uvicorn.Config(
+    config = Config(
         app,
         host=host.strip("[]"),
         port=int(port),
--- a/hornbeamyard/process/settings.py
+++ b/hornbeamyard/process/settings.py
@@ -7,11 +7,10 @@
 from pathlib import Path
 from typing import Any
 
-import json5
 from result import Err, Ok, Result
 
 from . import validation
-from .key_locations import KeyLocations, locate_keys
+from .key_locations import KeyLocations, locate_keys, parse_json5
 from .relations import check_relations
 from .validation import Finding, Option, Section, Table
 
@@ -311,7 +310,7 @@
     except (OSError, UnicodeDecodeError) as error:
         return Err(SettingsError(path, [Finding("", str(error))]))
     try:
-        document = json5.loads(text)
+        document = parse_json5(text)
     except ValueError as error:
         return Err(SettingsError(path, [_build_syntax_finding(error, text)]))
     except RecursionError:
--- a/hornbeamyard/request/delivery.py
+++ b/hornbeamyard/request/delivery.py
@@ -12,7 +12,8 @@
 from result import Err
 
 from ..connection.crash_reports import CrashReports
-from ..connection.upstreams import LivenessChecker, UpstreamConnections
+from ..connection.liveness import LivenessChecker
+from ..connection.upstreams import UpstreamConnections
 from ..messages import fleet_pb2
 from ..pool.admission import Admission, GivenUp, Refusal
 from ..pool.backlog import Ticket
--- a/hornbeamyard/request/exchange.py
+++ b/hornbeamyard/request/exchange.py
@@ -4,37 +4,19 @@
 
 import itertools
 import random
-from collections.abc import Callable, MutableMapping
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
 
 import anyio
 
 from ..connection.client import BrokenConnectionError, Response
-from ..connection.limits import EMPTY_QUERY
-from ..connection.upstreams import (
-    CONNECTION_ERRORS,
-    LivenessChecker,
-    UpstreamConnections,
-)
+from ..connection.liveness import LivenessChecker
+from ..connection.upstreams import CONNECTION_ERRORS, UpstreamConnections
 from .events import EventReader
+from .message_fields import HOP_BY_HOP_HEADERS, is_encoded
 from .outcome import NOT_RUN_STATUSES, AttemptFailure, Stage
 from .problem import Send
 
-# Headers that concern a single connection and are not forwarded.
-HOP_BY_HOP_HEADERS = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
 NOT_RUN_HEADER = b"hornbeamyard-not-run"
 REQUEST_HEADER = b"hornbeamyard-request"
 ATTEMPT_HEADER = b"hornbeamyard-attempt"
@@ -47,13 +29,6 @@
 Headers = list[tuple[bytes, bytes]]
 
 
-def get_query(scope: MutableMapping[str, Any]) -> bytes:
-    """Return the query of a request as it was sent, with its "?"."""
-    query: bytes = scope["query_string"]
-    has_query = query or EMPTY_QUERY in scope.get("extensions", ())
-    return b"?" + query if has_query else b""
-
-
 @dataclass(slots=True)
 class UpstreamRequest:
     """A request as it is sent to an upstream.
@@ -339,14 +314,6 @@
         )
 
 
-def is_encoded(headers: Headers) -> bool:
-    """Return whether a body is compressed or encoded in another way."""
-    return any(
-        name == b"content-encoding" and value.lower() != b"identity"
-        for name, value in headers
-    )
-
-
 def _filter_response_headers(response: Response) -> Headers:
     headers = response.headers
     # The caller doesn't know the id of the attempt.
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -36,8 +36,8 @@
 from ..process.upstream_notices import UpstreamNotices
 from ..version.routing import AccountKeys, Route, Routing
 from .budget import WindowRetryBudget
-from .exchange import get_query
 from .headers import ForwardingMetadata, HeaderCodec, RequestMetadata
+from .message_fields import get_query
 from .meter import AttemptMeter
 from .outcome import NOT_RUN_STATUSES
 from .relay import (
--- a/hornbeamyard/request/parsing.py
+++ b/hornbeamyard/request/parsing.py
@@ -15,12 +15,11 @@
 from ..version.configuration import Configuration
 from .exchange import (
     ATTEMPT_HEADER,
-    HOP_BY_HOP_HEADERS,
     REQUEST_HEADER,
     Headers,
     UpstreamRequest,
-    get_query,
 )
+from .message_fields import HOP_BY_HOP_HEADERS, get_query
 from .problem import Outcome, Problem, build_findings_problem
 
 Scope = MutableMapping[str, Any]
--- a/hornbeamyard/request/relay.py
+++ b/hornbeamyard/request/relay.py
@@ -12,8 +12,8 @@
 from ..connection.client import BrokenConnectionError, Framing, Response
 from ..connection.upstreams import CONNECTION_ERRORS, UpstreamConnections
 from .events import EventOrderError, EventReader
-from .exchange import HOP_BY_HOP_HEADERS, is_encoded
 from .headers import HeaderCodec, Headers, ResponseMetadata
+from .message_fields import HOP_BY_HOP_HEADERS, is_encoded
 from .problem import send_response
 
 # Responses up to this size are buffered until they are complete, so that the
--- a/hornbeamyard/tests/test_exchange.py
+++ b/hornbeamyard/tests/test_exchange.py
@@ -9,10 +9,8 @@
 import anyio
 import pytest
 
-from hornbeamyard.connection.upstreams import (
-    LivenessChecker,
-    UpstreamConnections,
-)
+from hornbeamyard.connection.liveness import LivenessChecker
+from hornbeamyard.connection.upstreams import UpstreamConnections
 from hornbeamyard.process.timers import MonotonicTimers
 from hornbeamyard.request.exchange import (
     REQUEST_HEADER,
--- a/hornbeamyard/tests/test_process_start.py
+++ b/hornbeamyard/tests/test_process_start.py
@@ -36,13 +36,13 @@
 FAILING_DAEMON = """
 import sys
 import anyio
-from hornbeamyard.process import daemon
+from hornbeamyard.process import daemon, runner
 
 async def fail(*arguments):
     async with anyio.create_task_group():
         {statement}
 
-daemon.run_with_directory = fail
+runner.run_with_directory = fail
 daemon.main()
 """
 # Runs the daemon with a standard output that is closed.
@@ -62,16 +62,16 @@
 # holds.
 DAEMON_WITH_NOISY_LIBRARY = """
 import logging
-from hornbeamyard.process import daemon
+from hornbeamyard.process import daemon, runner
 
-run = daemon.run_with_directory
+run = runner.run_with_directory
 
 async def log_and_run(*arguments):
     for _ in range(2000):
         logging.getLogger("library").error("a library's error, %s", 50 * "x")
     await run(*arguments)
 
-daemon.run_with_directory = log_and_run
+runner.run_with_directory = log_and_run
 daemon.main()
 """
 
--- a/hornbeamyard/version/state.py
+++ b/hornbeamyard/version/state.py
@@ -13,7 +13,6 @@
 from ..process.validation import Finding
 from .claims import ClaimTable
 from .configuration import EMPTY_DOCUMENT, Configuration, parse_document
-from .patch import apply_patch_text
 
 # Number of configuration versions for which outcomes of patches are kept.
 RETAINED_VERSIONS = 10_000
@@ -304,6 +303,11 @@
     Result of (dict, Configuration) or list of Finding
         The error lists what is wrong with the patch or its result.
     """
+    # A fleet with a route directory applies no patches. The other roles import
+    # the module at their start (`process/leased_roles`), so that this can't
+    # fail at one of the replicas alone.
+    from .patch import apply_patch_text
+
     applied = apply_patch_text(document, patch)
     if isinstance(applied, Err):
         return applied
