Take no samples of lateness while no caller does anything

The overload limiter woke a router 20 times a second. It now pauses after 1 s without a byte from a caller and without a request in progress, and goes on at the first byte with the sample that would have been next, so that overload is noticed as early as before; the rate of admitted requests decays by the samples that were left out.

--- a/hornbeamyard/connection/limits.py
+++ b/hornbeamyard/connection/limits.py
@@ -10,6 +10,7 @@
 from http import HTTPStatus
 from typing import Any
 
+import anyio
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from ..process.lazy_dataclasses import dataclass
@@ -49,6 +50,8 @@
 # The rate limit is lifted after this many consecutive samples without
 # lateness and refusals.
 CALM_SAMPLES = 20
+# Samples without any activity of a caller after which sampling pauses.
+QUIET_SAMPLES = 20
 # Size of the token bucket, as time at the rate limit.
 BURST_S = 0.1
 # Key of the ASGI scope's extensions for a target that ends with "?".
@@ -64,22 +67,37 @@
     then limits the rate of admitted requests, and its rate is adapted to the
     lateness. The number of requests in progress is no measure of load, as
     thousands of them may wait for slow upstreams at little cost.
+
+    No samples are taken while no caller sends or waits for anything. They go
+    on at the first byte, when the next one would have been taken.
+
+    Attributes
+    ----------
+    is_busy : callable
+        Returns whether a request is in progress.
     """
 
     __slots__ = (
+        "_activity",
         "_admitted",
         "_admitted_rate",
         "_calm_samples",
         "_late_samples",
         "_lateness_s",
+        "_quiet_samples",
         "_rate_limit",
         "_refused",
         "_timers",
         "_tokens",
+        "is_busy",
     )
 
     def __init__(self, timers: Timers) -> None:
         self._timers = timers
+        # Set by activity while sampling pauses.
+        self._activity: anyio.Event | None = None
+        self._quiet_samples = 0
+        self.is_busy: Callable[[], bool] = _return_true
         self._admitted = 0
         self._calm_samples = 0
         self._late_samples = 0
@@ -94,8 +112,15 @@
         """Return whether the rate of requests is limited."""
         return self._rate_limit is not None
 
+    def note_activity(self) -> None:
+        """Take samples, as a caller has connected or sent something."""
+        self._quiet_samples = 0
+        if self._activity is not None:
+            self._activity.set()
+
     def admit(self) -> bool:
         """Return whether a new request may be served, and count it."""
+        self.note_activity()
         if self._rate_limit is not None:
             if self._tokens < 1.0:
                 self._refused += 1
@@ -153,11 +178,45 @@
         """Sample the event loop's lateness until cancelled."""
         before = self._timers.now()
         while True:
-            await self._timers.sleep(SAMPLE_INTERVAL_S)
+            if self._is_quiet():
+                before = await self._wait_activity(before)
+            due = before + SAMPLE_INTERVAL_S
+            await self._timers.sleep(due - self._timers.now())
             now = self._timers.now()
-            self.add_sample(now - before - SAMPLE_INTERVAL_S, now - before)
+            self.add_sample(now - due, now - before)
+            self._quiet_samples += 1
             before = now
 
+    def _is_quiet(self) -> bool:
+        if self._quiet_samples < QUIET_SAMPLES:
+            return False
+        if self._rate_limit is not None or self._late_samples:
+            return False
+        return not self.is_busy()
+
+    async def _wait_activity(self, before: float) -> float:
+        """Pause until there is activity.
+
+        Parameters
+        ----------
+        before : float
+            Time of the last sample, in seconds.
+
+        Returns
+        -------
+        float
+            When the last of the samples would have been taken that were left
+            out, in seconds.
+        """
+        self._activity = anyio.Event()
+        try:
+            await self._activity.wait()
+        finally:
+            self._activity = None
+        left_out = int((self._timers.now() - before) / SAMPLE_INTERVAL_S)
+        self._admitted_rate *= (1.0 - RATE_SMOOTHING) ** left_out
+        return before + left_out * SAMPLE_INTERVAL_S
+
 
 class ConnectionLimits:
     """Limits of a server's connections.
@@ -216,6 +275,11 @@
         self.build_refusal: Callable[[Headers], bytes] = _build_refusal
         self.buffers = ResponseBuffers()
         self._open_connections: set[LimitedProtocol] = set()
+        overload_limiter.is_busy = self.is_busy
+
+    def is_busy(self) -> bool:
+        """Return whether a request on any connection is in progress."""
+        return any(p.is_in_progress() for p in self._open_connections)
 
     def add(self, protocol: LimitedProtocol) -> bool:
         """Add a connection; return False if it exceeds the limit."""
@@ -264,6 +328,7 @@
         self._counts_fields = False
         self._is_header_too_large = False
         self._header_started_at: float | None = self.limits.timers.now()
+        self.limits.overload_limiter.note_activity()
         if not self.limits.add(self):
             reason = (
                 f"the limit of {self.limits.max_connections} open "
@@ -271,6 +336,12 @@
             )
             self.refuse(HTTPStatus.SERVICE_UNAVAILABLE, reason)
 
+    def is_in_progress(self) -> bool:
+        """Return whether a request is being received or served."""
+        cycle = self.cycle
+        is_served = cycle is not None and not cycle.response_complete
+        return self._is_in_message or is_served
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Remove a closed connection."""
         self.limits.discard(self)
@@ -348,6 +419,7 @@
         self._header_size = 0
         self._is_in_message = True
         self._header_started_at = self.limits.timers.now()
+        self.limits.overload_limiter.note_activity()
 
     def on_message_complete(self) -> None:
         """Handle the end of a request."""
@@ -452,6 +524,10 @@
     return None
 
 
+def _return_true() -> bool:
+    return True
+
+
 def build_protocol(limits: ConnectionLimits) -> type[Any]:
     """Return the protocol class for a server with these limits."""
     return type("RouterProtocol", (LimitedProtocol,), {"limits": limits})
--- a/hornbeamyard/tests/test_limits.py
+++ b/hornbeamyard/tests/test_limits.py
@@ -9,6 +9,7 @@
 
 import anyio
 import pytest
+from anyio.lowlevel import checkpoint
 
 from hornbeamyard.connection.limits import (
     CALM_SAMPLES,
@@ -195,6 +196,30 @@
     ]
 
 
+class LateClock:
+    """Time that moves with each sleep, by its length and a lateness."""
+
+    def __init__(self) -> None:
+        self.lateness = 0.0
+        self.samples = 0
+        self.time = 0.0
+
+    def now(self) -> float:
+        """Return the time in seconds."""
+        return self.time
+
+    async def sleep(self, seconds: float) -> None:
+        """Move the time."""
+        self.time += seconds + self.lateness
+        self.samples += 1
+        await checkpoint()
+
+    async def wait_samples(self, number: int) -> None:
+        """Wait until `sleep` was called so often."""
+        while self.samples < number:
+            await checkpoint()
+
+
 class TestOverloadLimiter:
     """Requests beyond what the processor can serve are refused at once."""
 
@@ -240,6 +265,36 @@
             limiter.add_sample(0.0, 0.05)
         assert not limiter.is_overloaded()
 
+    def test_pauses_without_callers(self) -> None:
+        """Guards against overload that is noticed later after a pause."""
+        clock = LateClock()
+        limiter = OverloadLimiter(clock)  # type: ignore[arg-type]
+        is_busy = True
+        limiter.is_busy = lambda: is_busy
+
+        async def run() -> None:
+            nonlocal is_busy
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(limiter.run)
+                await clock.wait_samples(100)
+                assert clock.samples >= 100
+                is_busy = False
+                await anyio.wait_all_tasks_blocked()
+                paused_at, samples = clock.time, clock.samples
+                # The next two samples would have been due 0.02 s after the
+                # first byte, and 0.05 s after that one.
+                clock.time += 200 * 0.05 + 0.03
+                clock.lateness = 0.06
+                limiter.note_activity()
+                await clock.wait_samples(samples + 1)
+                assert clock.time - paused_at == pytest.approx(10.05 + 0.06)
+                while not limiter.is_overloaded():
+                    await checkpoint()
+                assert clock.samples <= samples + LATE_SAMPLES + 1
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
     def test_refuses_and_keeps_connection(
         self, caplog: pytest.LogCaptureFixture
     ) -> None:
