Wait for the end of a server without polling

uvicorn's loop wakes up ten times a second for each server, of which a router has three. The servers now wait for should_exit, and wake up once a second to accept again after a pause. uvicorn's Config is found without its command line, which was still imported before the first answer.

--- a/hornbeamyard/process/deferred_modules.py
+++ b/hornbeamyard/process/deferred_modules.py
@@ -11,20 +11,25 @@
 import importlib
 import importlib.util
 import sys
+from collections.abc import Mapping
 from types import ModuleType
 from typing import Any
 
 # `uvicorn` imports its command line, and `prometheus_client` servers of its
 # own; the fleet uses submodules of both. `python_message` implements messages
 # in Python, which protobuf doesn't use where it has an implementation in C.
-DEFERRED = (
-    "uvicorn",
-    "prometheus_client",
-    "google.protobuf.internal.python_message",
-)
+# The values are names that are taken from a submodule, which is imported then,
+# instead of running the module's code: uvicorn asks for its own `Config`.
+DEFERRED: Mapping[str, Mapping[str, str]] = {
+    "uvicorn": {"Config": "uvicorn.config"},
+    "prometheus_client": {},
+    "google.protobuf.internal.python_message": {},
+}
 
 
-def defer_modules(names: tuple[str, ...] = DEFERRED) -> None:
+def defer_modules(
+    modules: Mapping[str, Mapping[str, str]] = DEFERRED,
+) -> None:
     """Defer modules that aren't imported yet.
 
     A module that doesn't exist is left to the import that needs it, whose
@@ -32,14 +37,15 @@
 
     Parameters
     ----------
-    names : tuple of str, optional
+    modules : dict of str to dict, optional
+        By name of a module, the submodules by names that they define.
     """
-    for name in names:
+    for name, sources in modules.items():
         if name not in sys.modules:
-            _defer(name)
+            _defer(name, sources)
 
 
-def _defer(name: str) -> None:
+def _defer(name: str, sources: Mapping[str, str]) -> None:
     try:
         spec = importlib.util.find_spec(name)
     except ModuleNotFoundError:
@@ -50,6 +56,9 @@
     parent, _, child = name.rpartition(".")
 
     def load(attribute: str) -> Any:
+        source = sources.get(attribute)
+        if source is not None:
+            return getattr(importlib.import_module(source), attribute)
         return _load_attribute(module, attribute)
 
     # Python calls this function for names that the module doesn't have
--- a/hornbeamyard/process/servers.py
+++ b/hornbeamyard/process/servers.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import anyio
 from uvicorn.config import Config
 from uvicorn.server import Server
 
@@ -19,8 +20,8 @@
 CLOSE_TIMEOUT_S = 2
 # Connections that wait to be accepted.
 BACKLOG = 2048
-# Ticks of a server, ten a second, after which it tries to accept again.
-TICKS_PER_ATTEMPT = 10
+# Interval at which a server tries to accept again after a pause.
+ACCEPT_INTERVAL_S = 1.0
 # Idle time after which connections of operators and monitors are closed.
 STATUS_KEEP_ALIVE_S = 75
 # Maximum body of a call to a controller; enough for thousands of routes.
@@ -33,9 +34,22 @@
     """An HTTP server that leaves signal handling to the daemon."""
 
     def __init__(self, config: Config) -> None:
+        self._exit_requested = asyncio.Event()
         super().__init__(config)
         self._acceptors: list[Acceptor] = []
 
+    @property
+    def should_exit(self) -> bool:
+        """Whether the server is to stop."""
+        return self._exit_requested.is_set()
+
+    @should_exit.setter
+    def should_exit(self, value: bool) -> None:
+        if value:
+            self._exit_requested.set()
+        else:
+            self._exit_requested.clear()
+
     async def serve(self, sockets: list[socket.socket] | None = None) -> None:
         """Serve until `should_exit` is set."""
         try:
@@ -56,12 +70,16 @@
             acceptor.start()
             self._acceptors.append(acceptor)
 
-    async def on_tick(self, counter: int) -> bool:
-        """Accept connections again after a pause."""
-        if counter % TICKS_PER_ATTEMPT == 0:
+    async def main_loop(self) -> None:
+        """Accept connections again after a pause, until `should_exit`.
+
+        The loop of uvicorn would wake up ten times a second.
+        """
+        while not await self.on_tick(0):
             for acceptor in self._acceptors:
                 acceptor.start()
-        return await super().on_tick(counter)
+            with anyio.move_on_after(ACCEPT_INTERVAL_S):
+                await self._exit_requested.wait()
 
     async def shutdown(
         self, sockets: list[socket.socket] | None = None
--- a/hornbeamyard/tests/test_imports.py
+++ b/hornbeamyard/tests/test_imports.py
@@ -19,6 +19,8 @@
 defer_modules()
 import hornbeamyard.platform.daemon
 import hornbeamyard.process.{module}
+from hornbeamyard.process.servers import build_server
+build_server(None, "127.0.0.1:80").config.load()
 print(json.dumps(sorted(sys.modules)))
 """
 # Libraries that neither role needs until it is ready.
@@ -104,7 +106,7 @@
             "value = 7\n"
         )
         monkeypatch.syspath_prepend(str(tmp_path))
-        deferred_modules.defer_modules(("deferred_sample",))
+        deferred_modules.defer_modules({"deferred_sample": {}})
         module = sys.modules["deferred_sample"]
         assert isinstance(module, ModuleType)
         assert "value" not in vars(module)
@@ -119,7 +121,9 @@
 
     def test_missing_module_is_left_to_its_import(self) -> None:
         """Guards against an error that doesn't name the missing library."""
-        deferred_modules.defer_modules(("absent_sample", "absent.part"))
+        deferred_modules.defer_modules(
+            {"absent_sample": {}, "absent.part": {}}
+        )
         assert "absent_sample" not in sys.modules
         with pytest.raises(ModuleNotFoundError, match="absent_sample"):
             __import__("absent_sample")
