--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -5,7 +5,7 @@
 import asyncio
 import zlib
 from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Any
 
 import anyio
@@ -23,15 +23,11 @@
     UpstreamState,
 )
 from ..pool.usage import FleetUsage, RouterUsage
+from ..process.lazy_dataclasses import dataclass
 from ..process.timers import Timers
 from ..version.membership import is_majority
 from . import peers
 from .crash_reports import CrashReports
-from .directory import (
-    HEARTBEAT_INTERVAL_S,
-    SILENCE_TIMEOUT_S,
-    USAGE_INTERVAL_S,
-)
 from .directory_calls import DirectoryCalls
 from .directory_codec import (
     UPSTREAM_STATES,
@@ -49,6 +45,11 @@
     record_versions,
     unpack_document,
 )
+from .intervals import (
+    HEARTBEAT_INTERVAL_S,
+    SILENCE_TIMEOUT_S,
+    USAGE_INTERVAL_S,
+)
 from .limit_reports import LimitReports
 from .stream_reports import COLLECT_INTERVAL_S, StreamReports
 
--- a/hornbeamyard/process/servers.py
+++ b/hornbeamyard/process/servers.py
@@ -8,7 +8,9 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-import uvicorn
+import anyio
+from uvicorn.config import Config
+from uvicorn.server import Server
 
 from ..request.problem import send_response
 from .acceptors import Acceptor
@@ -18,8 +20,8 @@
 CLOSE_TIMEOUT_S = 2
 # Connections that wait to be accepted.
 BACKLOG = 2048
-# Ticks of a server, ten a second, after which it tries to accept again.
-TICKS_PER_ATTEMPT = 10
+# Interval at which a server tries to accept again after a pause.
+ACCEPT_INTERVAL_S = 1.0
 # Idle time after which connections of operators and monitors are closed.
 STATUS_KEEP_ALIVE_S = 75
 # Maximum body of a call to a controller; enough for thousands of routes.
@@ -28,13 +30,26 @@
 REPLACEMENT = "\N{REPLACEMENT CHARACTER}"
 
 
-class EmbeddedServer(uvicorn.Server):
+class EmbeddedServer(Server):
     """An HTTP server that leaves signal handling to the daemon."""
 
-    def __init__(self, config: uvicorn.Config) -> None:
+    def __init__(self, config: Config) -> None:
+        self._exit_requested = asyncio.Event()
         super().__init__(config)
         self._acceptors: list[Acceptor] = []
 
+    @property
+    def should_exit(self) -> bool:
+        """Whether the server is to stop."""
+        return self._exit_requested.is_set()
+
+    @should_exit.setter
+    def should_exit(self, value: bool) -> None:
+        if value:
+            self._exit_requested.set()
+        else:
+            self._exit_requested.clear()
+
     async def serve(self, sockets: list[socket.socket] | None = None) -> None:
         """Serve until `should_exit` is set."""
         try:
@@ -55,12 +70,16 @@
             acceptor.start()
             self._acceptors.append(acceptor)
 
-    async def on_tick(self, counter: int) -> bool:
-        """Accept connections again after a pause."""
-        if counter % TICKS_PER_ATTEMPT == 0:
+    async def main_loop(self) -> None:
+        """Accept connections again after a pause, until `should_exit`.
+
+        The loop of uvicorn would wake up ten times a second.
+        """
+        while not await self.on_tick(0):
             for acceptor in self._acceptors:
                 acceptor.start()
-        return await super().on_tick(counter)
+            with anyio.move_on_after(ACCEPT_INTERVAL_S):
+                await self._exit_requested.wait()
 
     async def shutdown(
         self, sockets: list[socket.socket] | None = None
@@ -105,7 +124,7 @@
     # Responses that break off are left incomplete on purpose and counted, so
     # the server's error about them isn't logged.
     logging.getLogger("uvicorn.error").addFilter(_keeps_record)
-    config = uvicorn.Config(
+    config = Config(
         app,
         host=host.strip("[]"),
         port=int(port),
--- a/hornbeamyard/request/parsing.py
+++ b/hornbeamyard/request/parsing.py
@@ -5,22 +5,21 @@
 import json
 import re
 from collections.abc import MutableMapping
-from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
 
 from result import Err, Ok, Result
 
+from ..process.lazy_dataclasses import dataclass
 from ..process.validation import Finding
 from ..version.configuration import Configuration
 from .exchange import (
     ATTEMPT_HEADER,
-    HOP_BY_HOP_HEADERS,
     REQUEST_HEADER,
     Headers,
     UpstreamRequest,
-    get_query,
 )
+from .message_fields import HOP_BY_HOP_HEADERS, get_query
 from .problem import Outcome, Problem, build_findings_problem
 
 Scope = MutableMapping[str, Any]
