--- a/hornbeamyard/connection/calls.py
+++ b/hornbeamyard/connection/calls.py
@@ -4,7 +4,7 @@
 
 import time
 from collections.abc import Mapping
-from dataclasses import field
+from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
@@ -13,7 +13,6 @@
 from result import Err, Ok, Result
 
 from ..messages import fleet_pb2, fleet_pb2_grpc
-from ..process.lazy_dataclasses import dataclass
 from ..process.settings import Tls
 from . import peers
 
--- a/hornbeamyard/connection/client.py
+++ b/hornbeamyard/connection/client.py
@@ -12,12 +12,12 @@
 import socket
 from collections import deque
 from collections.abc import AsyncIterator, Iterable
+from dataclasses import dataclass
 from enum import Enum
 from http import HTTPStatus
 
 import httptools
 
-from ..process.lazy_dataclasses import dataclass
 from .buffers import ResponseBuffers
 
 Headers = list[tuple[bytes, bytes]]
--- a/hornbeamyard/connection/directory_codec.py
+++ b/hornbeamyard/connection/directory_codec.py
@@ -5,7 +5,7 @@
 import itertools
 import zlib
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Any, TypeVar
 
 import logbook
@@ -22,7 +22,6 @@
     UpstreamState,
 )
 from ..pool.usage import AccountUsage, CachedPart, UpstreamLoad
-from ..process.lazy_dataclasses import dataclass
 
 T = TypeVar("T")
 M = TypeVar("M")
--- a/hornbeamyard/connection/limits.py
+++ b/hornbeamyard/connection/limits.py
@@ -6,14 +6,13 @@
 import json
 import resource
 from collections.abc import Callable
-from dataclasses import field
+from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
 
 import anyio
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from ..process.lazy_dataclasses import dataclass
 from ..process.timers import Timers
 from ..request.problem import Outcome, Problem
 from .buffers import ResponseBuffers
--- a/hornbeamyard/connection/liveness.py
+++ b/hornbeamyard/connection/liveness.py
@@ -4,13 +4,13 @@
 
 import json
 import math
+from dataclasses import dataclass
 from typing import Any, Protocol
 from urllib.parse import quote
 
 import anyio
 import httpcore
 
-from ..process.lazy_dataclasses import dataclass
 from ..process.timers import Timers
 from .upstreams import UpstreamConnections
 
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -5,7 +5,7 @@
 import asyncio
 import zlib
 from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import field
+from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
@@ -23,7 +23,6 @@
     UpstreamState,
 )
 from ..pool.usage import FleetUsage, RouterUsage
-from ..process.lazy_dataclasses import dataclass
 from ..process.timers import Timers
 from ..version.membership import is_majority
 from . import peers
--- a/hornbeamyard/pool/account.py
+++ b/hornbeamyard/pool/account.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from ..process.lazy_dataclasses import dataclass
+from dataclasses import dataclass
+
 from . import constants
 
 
--- a/hornbeamyard/pool/admission.py
+++ b/hornbeamyard/pool/admission.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import anyio
 from result import Err, Ok, Result
 
-from ..process.lazy_dataclasses import dataclass
 from ..process.timers import Timers
 from .backlog import QueueFull, Ticket
 from .dispatch import DeadlineUnmet, Dispatch, StartedRequest
--- a/hornbeamyard/pool/allocation.py
+++ b/hornbeamyard/pool/allocation.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import field
-
-from ..process.lazy_dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(slots=True)
--- a/hornbeamyard/pool/backlog.py
+++ b/hornbeamyard/pool/backlog.py
@@ -4,12 +4,10 @@
 
 from collections import deque
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import field
+from dataclasses import dataclass, field
 
 from result import Err, Ok, Result
 
-from ..process.lazy_dataclasses import dataclass
-
 
 @dataclass(slots=True)
 class QueueBounds:
--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -11,13 +11,12 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from contextlib import AbstractContextManager
-from dataclasses import field, replace
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from statistics import median
 
 import anyio
 
-from ..process.lazy_dataclasses import dataclass
 from .choice import Choice, Placement
 from .cold_starts import ColdStarts, divide_cold_rate
 from .crashes import CrashLedger
--- a/hornbeamyard/pool/crashes.py
+++ b/hornbeamyard/pool/crashes.py
@@ -20,9 +20,8 @@
 import math
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import field
+from dataclasses import dataclass, field
 
-from ..process.lazy_dataclasses import dataclass
 from .digests import is_digest
 from .ended_starts import EndedStarts
 from .upstream_registry import UpstreamStart
--- a/hornbeamyard/pool/demand.py
+++ b/hornbeamyard/pool/demand.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import field
+from dataclasses import dataclass, field
 
-from ..process.lazy_dataclasses import dataclass
 from .shares import Grant
 
 # A generated token counts as this many prompt tokens, because engines prefill
--- a/hornbeamyard/pool/dispatch.py
+++ b/hornbeamyard/pool/dispatch.py
@@ -8,10 +8,10 @@
 
 import statistics
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
-from ..process.lazy_dataclasses import dataclass
 from . import constants
 from .account import LocalAccount
 from .allocation import AccountDemand, Allocation, Limit
--- a/hornbeamyard/pool/division.py
+++ b/hornbeamyard/pool/division.py
@@ -4,8 +4,8 @@
 
 import heapq
 from collections.abc import Mapping
+from dataclasses import dataclass
 
-from ..process.lazy_dataclasses import dataclass
 from . import constants
 
 # Steps of the bisection for the level; the error is then below a hundredth of
--- a/hornbeamyard/pool/ended_starts.py
+++ b/hornbeamyard/pool/ended_starts.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from ..process.lazy_dataclasses import dataclass
+from dataclasses import dataclass
+
 from .upstream_registry import (
     ENDED_RETENTION_S,
     UpstreamRegistry,
--- a/hornbeamyard/pool/engine.py
+++ b/hornbeamyard/pool/engine.py
@@ -8,10 +8,9 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import field
+from dataclasses import dataclass, field
 from functools import singledispatch
 
-from ..process.lazy_dataclasses import dataclass
 from .demand import RequestDemand
 from .rate_limits import RateLimiter
 from .speeds import PoolSpeed
--- a/hornbeamyard/pool/held_slots.py
+++ b/hornbeamyard/pool/held_slots.py
@@ -4,8 +4,8 @@
 
 import zlib
 from collections.abc import Iterable
+from dataclasses import dataclass
 
-from ..process.lazy_dataclasses import dataclass
 from .allocation import Allocation
 from .worker import Worker
 
--- a/hornbeamyard/pool/placement.py
+++ b/hornbeamyard/pool/placement.py
@@ -5,9 +5,8 @@
 import heapq
 import math
 from collections.abc import Callable, Mapping
-from dataclasses import field
+from dataclasses import dataclass, field
 
-from ..process.lazy_dataclasses import dataclass
 from . import constants
 from .allocation import AccountDemand
 
--- a/hornbeamyard/pool/rate_limits.py
+++ b/hornbeamyard/pool/rate_limits.py
@@ -9,8 +9,8 @@
 
 import zlib
 from collections.abc import Iterable
+from dataclasses import dataclass
 
-from ..process.lazy_dataclasses import dataclass
 from .upstream_registry import UpstreamStart
 
 # An observation is forgotten after this time without a newer one. A limited
--- a/hornbeamyard/pool/shares.py
+++ b/hornbeamyard/pool/shares.py
@@ -16,10 +16,9 @@
 import random
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import field, replace
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
-from ..process.lazy_dataclasses import dataclass
 from .service_order import ServiceOrder
 from .token_bucket import REMEMBERED_CAPACITIES, AccountBucket, TokenBucket
 from .usage import DEFAULT_WINDOW_S, IDLE_RETENTION_S, AccountUsage
--- a/hornbeamyard/pool/stream_origins.py
+++ b/hornbeamyard/pool/stream_origins.py
@@ -10,8 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-
-from ..process.lazy_dataclasses import dataclass
+from dataclasses import dataclass
 
 # A caller resumes a stream within its deadline, which is seldom longer.
 RETENTION_S = 60.0
--- a/hornbeamyard/pool/targets.py
+++ b/hornbeamyard/pool/targets.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import field
-
-from ..process.lazy_dataclasses import dataclass
+from dataclasses import dataclass, field
 
 # Time after which a request counts half as much in the mix.
 HALF_LIFE_S = 3.0
--- a/hornbeamyard/pool/token_bucket.py
+++ b/hornbeamyard/pool/token_bucket.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..process.lazy_dataclasses import dataclass
+from dataclasses import dataclass
 
 # What is remembered of an account's lead and of its debt, as multiples of its
 # bucket's capacity. The capacity is the share of half of the span over which
--- a/hornbeamyard/pool/upstream_registry.py
+++ b/hornbeamyard/pool/upstream_registry.py
@@ -8,11 +8,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping
-from dataclasses import field, replace
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 from ..process import validation
-from ..process.lazy_dataclasses import dataclass
 from ..process.validation import Finding, check_text
 
 # Ended and lost upstreams are remembered for this long, so that a late
--- a/hornbeamyard/pool/usage.py
+++ b/hornbeamyard/pool/usage.py
@@ -8,9 +8,8 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import field
+from dataclasses import dataclass, field
 
-from ..process.lazy_dataclasses import dataclass
 from .speeds import FleetSpeeds, PoolSpeed, TimeSums, average_speeds
 
 # Time over which the demand of accounts is measured, unless the settings give
--- a/hornbeamyard/pool/worker.py
+++ b/hornbeamyard/pool/worker.py
@@ -4,10 +4,9 @@
 
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from dataclasses import field
+from dataclasses import dataclass, field
 
 from ..messages import fleet_pb2
-from ..process.lazy_dataclasses import dataclass
 from . import constants
 from .upstream_registry import UpstreamStart
 
--- a/hornbeamyard/process/controller.py
+++ b/hornbeamyard/process/controller.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import field
+from dataclasses import dataclass, field
 
 import anyio
 import logbook
@@ -18,7 +18,6 @@
 from ..version.orphans import OrphanCloser
 from ..version.replica import Replica
 from ..version.state import dump_document
-from .lazy_dataclasses import dataclass
 from .timers import Timers
 
 _log = logbook.Logger("controller")
--- a/hornbeamyard/process/explain.py
+++ b/hornbeamyard/process/explain.py
@@ -4,11 +4,10 @@
 
 import json
 from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-from .lazy_dataclasses import dataclass
-
 # Time before and after a request from which events of its hosts are listed.
 CONTEXT_MS = 2000
 # Events that change the state on which a process bases its decisions.
--- a/hornbeamyard/process/interface.py
+++ b/hornbeamyard/process/interface.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Awaitable, Callable, MutableMapping
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, Protocol
 
@@ -12,7 +13,6 @@
 from ..pool.upstream_registry import Upstream, UpstreamStart
 from ..request.headers import HeaderCodec
 from ..version.routing import RoutingDecoder, decode_routing
-from .lazy_dataclasses import dataclass
 from .validation import Finding
 
 Application = Callable[..., Awaitable[None]]
--- a/hornbeamyard/process/key_locations.py
+++ b/hornbeamyard/process/key_locations.py
@@ -8,11 +8,9 @@
 
 import json
 import re
-from dataclasses import field
+from dataclasses import dataclass, field
 from typing import Any
 
-from .lazy_dataclasses import dataclass
-
 _TOKEN = re.compile(
     r"""//[^\n]*|/\*.*?\*/"""
     r"""|(?P<string>"(?:\\.|[^"\\])*"|'(?:\\.|[^'\\])*')"""
--- a/hornbeamyard/process/metrics.py
+++ b/hornbeamyard/process/metrics.py
@@ -7,11 +7,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from .lazy_dataclasses import dataclass
-
 if TYPE_CHECKING:
     from hdrh.histogram import HdrHistogram
     from prometheus_client.metrics import Counter
--- a/hornbeamyard/process/settings.py
+++ b/hornbeamyard/process/settings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from dataclasses import field
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -11,7 +11,6 @@
 
 from . import validation
 from .key_locations import KeyLocations, locate_keys, parse_json5
-from .lazy_dataclasses import dataclass
 from .relations import check_relations
 from .validation import Finding, Option, Section, Table
 
--- a/hornbeamyard/process/timers.py
+++ b/hornbeamyard/process/timers.py
@@ -12,14 +12,12 @@
 import time
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import AbstractContextManager, contextmanager
-from dataclasses import field
+from dataclasses import dataclass, field
 from typing import Protocol
 
 import anyio
 from anyio.lowlevel import checkpoint
 
-from .lazy_dataclasses import dataclass
-
 
 class Timers(Protocol):
     """Clocks and timers for all parts of a process."""
--- a/hornbeamyard/process/validation.py
+++ b/hornbeamyard/process/validation.py
@@ -7,10 +7,9 @@
 import re
 import reprlib
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import Any
 
-from .lazy_dataclasses import dataclass
-
 
 @dataclass(slots=True, frozen=True)
 class Finding:
--- a/hornbeamyard/request/administration.py
+++ b/hornbeamyard/request/administration.py
@@ -6,14 +6,13 @@
 import json
 import re
 from collections.abc import Awaitable, Callable, Mapping, MutableMapping
-from dataclasses import field
+from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any, Protocol
 
 from result import Err, Result
 
 from ..messages import fleet_pb2
-from ..process.lazy_dataclasses import dataclass
 from ..process.metrics import Metrics
 from ..process.validation import Finding
 from ..version.configuration import Configuration
--- a/hornbeamyard/request/claim.py
+++ b/hornbeamyard/request/claim.py
@@ -6,7 +6,7 @@
 import uuid
 from collections import deque
 from collections.abc import Mapping
-from dataclasses import field
+from dataclasses import dataclass, field
 from http import HTTPStatus
 
 import anyio
@@ -17,7 +17,6 @@
 
 from ..connection import peers
 from ..messages import fleet_pb2, fleet_pb2_grpc
-from ..process.lazy_dataclasses import dataclass
 from ..process.settings import Tls
 from ..process.timers import Timers
 from .exchange import ResponseRecorder
--- a/hornbeamyard/request/delivery.py
+++ b/hornbeamyard/request/delivery.py
@@ -4,7 +4,7 @@
 
 import math
 from collections.abc import Awaitable, Callable, MutableMapping
-from dataclasses import field
+from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any, Protocol
 
@@ -20,7 +20,6 @@
 from ..pool.crashes import SUSPICION_S
 from ..pool.dispatch import StartedRequest
 from ..pool.worker import Worker, WorkerRegistry
-from ..process.lazy_dataclasses import dataclass
 from ..process.metrics import Latency, Metrics
 from ..process.timers import Timers
 from .budget import RetryBudget, compute_backoff
--- a/hornbeamyard/request/exchange.py
+++ b/hornbeamyard/request/exchange.py
@@ -5,14 +5,13 @@
 import itertools
 import random
 from collections.abc import Callable
-from dataclasses import field
+from dataclasses import dataclass, field
 
 import anyio
 
 from ..connection.client import BrokenConnectionError, Response
 from ..connection.liveness import LivenessChecker
 from ..connection.upstreams import CONNECTION_ERRORS, UpstreamConnections
-from ..process.lazy_dataclasses import dataclass
 from .events import EventReader
 from .message_fields import HOP_BY_HOP_HEADERS, is_encoded
 from .outcome import NOT_RUN_STATUSES, AttemptFailure, Stage
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -12,6 +12,7 @@
     MutableMapping,
 )
 from contextlib import contextmanager
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, Protocol
 
@@ -27,7 +28,6 @@
 from ..pool.shares import Shares
 from ..pool.stream_origins import StreamOrigin
 from ..pool.upstream_registry import Upstream
-from ..process.lazy_dataclasses import dataclass
 from ..process.timers import Timers
 from ..process.upstream_notices import UpstreamNotices
 from ..version.routing import AccountKeys, Route, Routing
--- a/hornbeamyard/request/headers.py
+++ b/hornbeamyard/request/headers.py
@@ -8,11 +8,11 @@
 
 import re
 from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 from http import HTTPStatus
 
 from ..pool.demand import PromptPart
 from ..pool.usage import ReportedLoad
-from ..process.lazy_dataclasses import dataclass
 
 Headers = Sequence[tuple[bytes, bytes]]
 
--- a/hornbeamyard/request/outcome.py
+++ b/hornbeamyard/request/outcome.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from enum import IntEnum
 from http import HTTPStatus
 
-from ..process.lazy_dataclasses import dataclass
 from .problem import Outcome, Problem
 
 # Statuses that callers take for "not run".
--- a/hornbeamyard/request/parsing.py
+++ b/hornbeamyard/request/parsing.py
@@ -5,12 +5,12 @@
 import json
 import re
 from collections.abc import MutableMapping
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
 
 from result import Err, Ok, Result
 
-from ..process.lazy_dataclasses import dataclass
 from ..process.validation import Finding
 from ..version.configuration import Configuration
 from .exchange import (
--- a/hornbeamyard/request/problem.py
+++ b/hornbeamyard/request/problem.py
@@ -4,12 +4,11 @@
 
 import json
 from collections.abc import Awaitable, Callable, MutableMapping
-from dataclasses import field
+from dataclasses import dataclass, field
 from enum import Enum
 from http import HTTPStatus
 from typing import Any
 
-from ..process.lazy_dataclasses import dataclass
 from ..process.validation import Finding
 
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
--- a/hornbeamyard/request/relay.py
+++ b/hornbeamyard/request/relay.py
@@ -4,14 +4,13 @@
 
 from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import field
+from dataclasses import dataclass, field
 from enum import Enum
 from http import HTTPStatus
 from typing import Protocol
 
 from ..connection.client import BrokenConnectionError, Framing, Response
 from ..connection.upstreams import CONNECTION_ERRORS, UpstreamConnections
-from ..process.lazy_dataclasses import dataclass
 from .events import EventOrderError, EventReader
 from .headers import HeaderCodec, Headers, ResponseMetadata
 from .message_fields import HOP_BY_HOP_HEADERS, is_encoded
--- a/hornbeamyard/request/routed_request.py
+++ b/hornbeamyard/request/routed_request.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import field
+from dataclasses import dataclass, field
 
 from ..connection.client import Framing
 from ..pool.demand import RequestDemand
-from ..process.lazy_dataclasses import dataclass
 from ..version.routing import Pool, Route
 from .headers import RequestMetadata
 from .relay import BufferedResponse, Progress
--- a/hornbeamyard/version/ballot.py
+++ b/hornbeamyard/version/ballot.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Sequence
-from dataclasses import field
+from dataclasses import dataclass, field
 
 from ..messages import fleet_pb2
-from ..process.lazy_dataclasses import dataclass
 from . import membership
 
 # More members than this would only make each write slower.
--- a/hornbeamyard/version/bootstrap.py
+++ b/hornbeamyard/version/bootstrap.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import dataclass
 
 import anyio
 from result import Err, Ok, Result
@@ -13,7 +14,6 @@
 from ..connection import peers
 from ..connection.replication import ReplicationCalls
 from ..messages import fleet_pb2
-from ..process.lazy_dataclasses import dataclass
 from ..process.settings import Settings
 from .journal import SET_ASIDE_FOLDER, FolderDisk, Journal, JournalError
 from .state import FleetState
--- a/hornbeamyard/version/configuration.py
+++ b/hornbeamyard/version/configuration.py
@@ -5,13 +5,12 @@
 import hashlib
 import json
 from collections.abc import Collection
-from dataclasses import field
+from dataclasses import dataclass, field
 from typing import Any
 
 from result import Err, Ok, Result
 
 from ..process import validation
-from ..process.lazy_dataclasses import dataclass
 from ..process.validation import Finding, Option, Section, Table
 
 # Section and name of an entry in the document.
--- a/hornbeamyard/version/discovery.py
+++ b/hornbeamyard/version/discovery.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 from ..messages import fleet_pb2
-from ..process.lazy_dataclasses import dataclass
 from ..process.timers import Timers
 
 # A controller that has introduced itself within this time can become a member.
--- a/hornbeamyard/version/leadership.py
+++ b/hornbeamyard/version/leadership.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Iterator
-from dataclasses import field
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, TypeVar
 
 import anyio
@@ -11,7 +11,6 @@
 
 from ..messages import fleet_pb2
 from ..pool.digests import KEY_SIZE
-from ..process.lazy_dataclasses import dataclass
 from . import membership
 from .membership import MemberReply
 
--- a/hornbeamyard/version/membership.py
+++ b/hornbeamyard/version/membership.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Mapping
+from dataclasses import dataclass
 
 from ..messages import fleet_pb2
-from ..process.lazy_dataclasses import dataclass
 
 # Value of a member that hasn't replied.
 NEVER = float("-inf")
--- a/hornbeamyard/version/repair.py
+++ b/hornbeamyard/version/repair.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 import logbook
 
 from ..messages import fleet_pb2
-from ..process.lazy_dataclasses import dataclass
 from .discovery import KnownControllers
 from .membership import has_learners, is_established, list_voters
 from .replica import Replica
--- a/hornbeamyard/version/replica.py
+++ b/hornbeamyard/version/replica.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import field
+from dataclasses import dataclass, field
 from typing import Protocol, TypeVar
 
 import anyio
@@ -12,7 +12,6 @@
 from result import Err, Ok, Result
 
 from ..messages import fleet_pb2
-from ..process.lazy_dataclasses import dataclass
 from ..process.timers import Timers
 from . import membership
 from .election import Election
--- a/hornbeamyard/version/routing.py
+++ b/hornbeamyard/version/routing.py
@@ -9,7 +9,7 @@
 
 import math
 from collections.abc import Callable, Iterator
-from dataclasses import field
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
 
@@ -17,7 +17,6 @@
 
 from ..process import validation
 from ..process.documents import read_json
-from ..process.lazy_dataclasses import dataclass
 from ..process.validation import Finding, Option, Section
 
 # Priority of routes without one; 0 is the most urgent.
--- a/hornbeamyard/version/timeouts.py
+++ b/hornbeamyard/version/timeouts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..process.lazy_dataclasses import dataclass
+from dataclasses import dataclass
 
 # Bounds of the election timeout, unless a repair leaves less time. A member
 # that has heard from a leader within the minimum refuses to vote, so that
--- a/hornbeamyard/version/upstream_commands.py
+++ b/hornbeamyard/version/upstream_commands.py
@@ -6,11 +6,11 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from enum import Enum
 
 from result import Err, Ok, Result
 
-from ..process.lazy_dataclasses import dataclass
 from ..process.timers import Timers
 from .leadership import LEASE_S
 from .replica import Replica
