Send no usage that repeats the last one

A router reported its usage to the leader, and the leader the fleet's usage to every router, four times a second also while nothing changed. A router now repeats unchanged usage as a heartbeat only, once a second, and the leader twice a second while nothing is asked for or running, as routers take usage for out of date after 1 s. Anything new is sent at the same tick as before.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -45,7 +45,7 @@
     pack_document,
     record_versions,
 )
-from .intervals import USAGE_INTERVAL_S
+from .intervals import IDLE_USAGE_INTERVAL_S, USAGE_INTERVAL_S
 from .subscriber import Subscriber
 
 # Crashes and limits of upstreams are collected for this long before they are
@@ -153,6 +153,7 @@
             tasks.start_soon(self._publish_versions)
             tasks.start_soon(self._publish_notices)
             tasks.start_soon(self._learn_versions)
+            sent_at = float("-inf")
             async for now in self._timers.subscribe(USAGE_INTERVAL_S):
                 self.origins.expire(now)
                 self.crashes.expire(now)
@@ -168,7 +169,14 @@
                     )
                 if not self._replica.is_leader():
                     continue
+                last = self._fleet_usage
                 self._fleet_usage = self._usage.compute_fleet_usage(now)
+                is_new = self._fleet_usage.is_active() or (
+                    self._fleet_usage != last
+                )
+                if not is_new and now - sent_at < IDLE_USAGE_INTERVAL_S:
+                    continue
+                sent_at = now
                 self._fleet_usage_encoder.update(
                     self._fleet_usage.accounts, self._fleet_usage.upstreams
                 )
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -434,6 +434,8 @@
         idle_s = 0.0
         sent: dict[str, int] = {}
         versions_sent = 0
+        led = False
+        factor_sent = 0.0
         async for now in self._timers.subscribe(USAGE_INTERVAL_S):
             if versions_sent != self.registry.versions_number:
                 versions_sent = self.registry.versions_number
@@ -445,8 +447,6 @@
             leaving = dict(self._leaving.items() - sent.items())
             if not leads and not leaving and idle_s < HEARTBEAT_INTERVAL_S:
                 continue
-            idle_s = 0.0
-            sent = dict(self._leaving)
             usage = fleet_pb2.RouterUsage(
                 leaving=[
                     fleet_pb2.LeavingUpstream(id=id, started_ms=started_ms)
@@ -464,6 +464,23 @@
                     encode_cached_parts(counters.cached_parts)
                 )
                 usage.throughput_factor = counters.throughput_factor
+                has_news = (
+                    not led
+                    or usage.accounts
+                    or usage.upstreams
+                    or usage.read_parts
+                    or usage.throughput_factor != factor_sent
+                )
+                if (
+                    not has_news
+                    and not leaving
+                    and (idle_s < HEARTBEAT_INTERVAL_S)
+                ):
+                    continue
+                factor_sent = usage.throughput_factor
+            led = leads
+            idle_s = 0.0
+            sent = dict(self._leaving)
             await send(usage)
 
     def _apply_update(
--- a/hornbeamyard/pool/usage.py
+++ b/hornbeamyard/pool/usage.py
@@ -155,6 +155,12 @@
     cached_parts: list[CachedPart] = field(default_factory=list)
     throughput_factor: float = 0.0
 
+    def is_active(self) -> bool:
+        """Return whether anything was asked for lately, runs or is due."""
+        return bool(self.cached_parts or self.upstreams) or any(
+            usage.asked or usage.unserved for usage in self.accounts.values()
+        )
+
 
 class UsageTable:
     """Adds up the newest reports of all routers, at a controller.
