Give subscribers of timers their ticks at the same instants

Each periodic task of a process had ticks of its own phase, so that the event loop woke up for each of them. Ticks are now multiples of the interval since the start of the process; other processes have another origin.

--- a/hornbeamyard/process/timers.py
+++ b/hornbeamyard/process/timers.py
@@ -9,6 +9,7 @@
 import asyncio
 import heapq
 import itertools
+import math
 import time
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import AbstractContextManager, contextmanager
@@ -20,6 +21,9 @@
 
 from .lazy_dataclasses import dataclass
 
+# Fraction of an interval by which a computed time may be too early.
+ROUNDING_TOLERANCE = 1e-6
+
 
 class Timers(Protocol):
     """Clocks and timers for all parts of a process."""
@@ -43,9 +47,17 @@
 
 
 class MonotonicTimers:
-    """Timers based on the operating system's clocks."""
+    """Timers based on the operating system's clocks.
+
+    Subscribers get their ticks at the same instants, the multiples of their
+    intervals since the object was made, so that the process wakes up once for
+    all of them. Different processes wake up at different instants.
+    """
 
-    __slots__ = ()
+    __slots__ = ("_origin",)
+
+    def __init__(self) -> None:
+        self._origin = time.monotonic()
 
     def now(self) -> float:
         """Return monotonic time in seconds."""
@@ -70,9 +82,10 @@
     def subscribe(self, interval: float) -> AsyncIterator[float]:
         """Yield the monotonic time every `interval` seconds.
 
-        Ticks that a slow subscriber misses are dropped.
+        The first tick may come earlier. Ticks that a slow subscriber misses
+        are dropped.
         """
-        return _generate_ticks(self, interval)
+        return _generate_ticks(self, interval, self._origin)
 
 
 @dataclass(slots=True, order=True)
@@ -162,14 +175,30 @@
 
 
 async def _generate_ticks(
-    timers: Timers, interval: float
+    timers: Timers, interval: float, origin: float | None = None
 ) -> AsyncIterator[float]:
-    due = timers.now() + interval
+    due = align_tick(timers.now() + interval, interval, origin)
     while True:
         await timers.sleep(due - timers.now())
         now = timers.now()
         yield now
-        due = max(due + interval, now)
+        due = max(align_tick(due + interval, interval, origin), now)
+
+
+def align_tick(due: float, interval: float, origin: float | None) -> float:
+    """Return the last multiple of an interval that isn't after a time.
+
+    Parameters
+    ----------
+    due, interval : float
+        In seconds.
+    origin : float or None
+        Time from which the multiples count, in seconds; None for no change.
+    """
+    if origin is None:
+        return due
+    count = math.floor((due - origin) / interval + ROUNDING_TOLERANCE)
+    return origin + count * interval
 
 
 async def _wait_until_idle() -> None:
--- a/hornbeamyard/tests/test_timers.py
+++ b/hornbeamyard/tests/test_timers.py
@@ -11,6 +11,7 @@
     MonotonicTimers,
     Timers,
     VirtualTimers,
+    align_tick,
 )
 
 
@@ -46,6 +47,22 @@
 
         assert anyio.run(run) == 5
 
+    def test_ticks_coincide(self) -> None:
+        """Guards against a wake-up of the process for each subscriber."""
+        origin = 1000.03
+        due = {0.1: origin + 0.07, 0.25: origin + 0.07, 1.0: origin + 0.5}
+        ticks: dict[float, set[float]] = {}
+        for interval, start in due.items():
+            at = align_tick(start + interval, interval, origin)
+            assert start < at <= start + interval
+            while at < origin + 3.0:
+                ticks.setdefault(interval, set()).add(round(at - origin, 6))
+                at = align_tick(at + interval, interval, origin)
+        assert len(ticks[0.1]) == 29
+        assert ticks[0.25] == {0.25 * number for number in range(1, 12)}
+        assert ticks[1.0] == {1.0, 2.0}
+        assert ticks[1.0] <= ticks[0.25] & ticks[0.1]
+
 
 class TestVirtualTimers:
     """Time that moves only when it is advanced."""
