--- a/hornbeamyard/pool/usage.py
+++ b/hornbeamyard/pool/usage.py
@@ -190,6 +190,12 @@
     throughput_factor: float = 0.0
     pool_speeds: dict[str, PoolSpeed] = field(default_factory=dict)
 
+    def is_active(self) -> bool:
+        """Return whether anything was asked for lately, runs or is due."""
+        return bool(self.cached_parts or self.upstreams) or any(
+            usage.asked or usage.unserved for usage in self.accounts.values()
+        )
+
 
 class UsageTable:
     """Adds up the newest reports of all routers, at a controller.
