Reject requests for their header before the application runs

A request without a route, with an unknown key or before the first routing took a task, an ASGI scope, the parsing of all header fields and two writes. LimitedProtocol now asks the forwarder when the header is complete and writes the same response at once; HEAD, HTTP/1.0, connections that have to close and a stopping router take the way as before.

--- a/hornbeamyard/connection/limits.py
+++ b/hornbeamyard/connection/limits.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import anyio
+import httptools
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from ..process.lazy_dataclasses import dataclass
@@ -242,6 +243,9 @@
     build_refusal : callable
         Called with the headers of a request that is refused under overload;
         returns the response, header and body.
+    reject : callable
+        Called with the path and the headers of every other request; returns
+        the response if it is rejected for these, or None.
     buffers : ResponseBuffers
         Parts of responses that wait for their callers.
     """
@@ -255,6 +259,7 @@
         "limited_paths",
         "max_connections",
         "overload_limiter",
+        "reject",
         "responds_to_silent_connections",
         "timers",
     )
@@ -273,6 +278,7 @@
         self.header_timeout_s = HEADER_TIMEOUT_S
         self.limited_paths: tuple[bytes, ...] = _LIMITED_PATHS
         self.build_refusal: Callable[[Headers], bytes] = _build_refusal
+        self.reject: Callable[[bytes, Headers], bytes | None] = _reject_none
         self.buffers = ResponseBuffers()
         self._open_connections: set[LimitedProtocol] = set()
         overload_limiter.is_busy = self.is_busy
@@ -461,8 +467,36 @@
             self.transport.write(self.limits.build_refusal(self.headers))
             self.on_response_complete()
             return
+        if self._reject(cycle):
+            return
         super().on_headers_complete()
 
+    def _reject(self, cycle: Any) -> bool:
+        """Respond to a request that is rejected for what its header says.
+
+        Other requests, and rejections after which the connection has to
+        close, are left to the application.
+        """
+        parser = self.parser
+        if (
+            (cycle is not None and not cycle.response_complete)
+            or parser.get_method() == b"HEAD"
+            or parser.get_http_version() != "1.1"
+            or parser.should_upgrade()
+            or not parser.should_keep_alive()
+        ):
+            return False
+        path = httptools.parse_url(self.url).path
+        if path is None or not path.isascii():
+            return False
+        response = self.limits.reject(path, self.headers)
+        if response is None:
+            return False
+        self.cycle = _REFUSED_CYCLE  # type: ignore[assignment]
+        self.transport.write(response)
+        self.on_response_complete()
+        return True
+
     def send_400_response(self, msg: str) -> None:
         """Refuse a header that is invalid or too large."""
         if self._is_header_too_large:
@@ -524,6 +558,10 @@
     return None
 
 
+def _reject_none(path: bytes, headers: Headers) -> bytes | None:
+    return None
+
+
 def _return_true() -> bool:
     return True
 
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -243,6 +243,7 @@
         self._connection_limits.buffers = self._upstreams.buffers
         self._connection_limits.limited_paths = (b"/",)
         self._connection_limits.build_refusal = self._refuse_overload
+        self._connection_limits.reject = self.forwarder.reject
         # Load balancers open connections before they have requests.
         self._connection_limits.responds_to_silent_connections = False
         self._server = build_server(
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -18,6 +18,7 @@
 import anyio
 import anyio.lowlevel
 
+from ..connection.client import Headers
 from ..connection.upstreams import UpstreamConnections
 from ..pool.balancer import (
     Balancer,
@@ -86,6 +87,8 @@
         None until the first version arrives.
     routers : int
         Number of known routers in the fleet.
+    is_closing : bool
+        Whether responses close their connections, as the router stops.
     is_stopping : bool
     last_attempt_at : float
         Monotonic time in seconds after which no request is sent to an
@@ -99,6 +102,7 @@
 
     routing: Routing | None
     routers: int
+    is_closing: bool
     is_stopping: bool
     last_attempt_at: float
     drain_end_at: float
@@ -196,7 +200,9 @@
         received_at = self._timers.now()
         metadata = self._header_codec.read_request(scope["headers"])
         routing = self._router.routing
-        checked = self._check(scope, metadata)
+        checked = self._check(
+            scope["raw_path"], scope["headers"], metadata.key
+        )
         if isinstance(checked, _Rejection):
             await self._send_rejection(metadata, checked, send)
             return
@@ -215,7 +221,9 @@
         try:
             if self._router.routing is not routing:
                 # The version that came meanwhile may lack the route or pool.
-                checked = self._check(scope, metadata)
+                checked = self._check(
+                    scope["raw_path"], scope["headers"], metadata.key
+                )
             if isinstance(checked, _Rejection):
                 await self._send_rejection(metadata, checked, send)
                 return
@@ -260,16 +268,57 @@
 
     # ---- checks ----------------------------------------------------------
 
+    def reject(self, path: bytes, headers: Headers) -> bytes | None:
+        """Return the response to a request that its header alone rejects.
+
+        Parameters
+        ----------
+        path : bytes
+            As in the request, without the query.
+        headers : list of (bytes, bytes)
+
+        Returns
+        -------
+        bytes or None
+            Header and body of a response that keeps the connection open;
+            None if the request isn't rejected, or if the router stops, since
+            its connections then have to close.
+        """
+        if self._router.is_closing:
+            return None
+        checked = self._check(path, headers, None)
+        if not isinstance(checked, _Rejection):
+            return None
+        request_id = self._header_codec.read_request_id(headers)
+        status = checked.status
+        self._reporter.report_rejected(request_id, status, checked.reason)
+        fields, body = self._build_problem(
+            request_id, status, checked.reason, _draw_retry_after(status)
+        )
+        line = f"HTTP/1.1 {int(status)} {status.phrase}".encode()
+        length = b"content-length: " + str(len(body)).encode()
+        lines = [line, *(b": ".join(field) for field in fields), length]
+        return b"\r\n".join([*lines, b"", body])
+
     def _check(
-        self, scope: Scope, metadata: RequestMetadata
+        self, raw_path: bytes, headers: Headers, key: str | None
     ) -> tuple[Route, AccountKeys | None] | _Rejection:
+        """Return the route and account of a request, or why it has none.
+
+        Parameters
+        ----------
+        raw_path : bytes
+        headers : list of (bytes, bytes)
+        key : str or None
+            The caller's key; None to look for it in the headers if needed.
+        """
         routing = self._router.routing
         if routing is None:
             return _Rejection(
                 HTTPStatus.SERVICE_UNAVAILABLE, "the router has no routing yet"
             )
-        path = scope["raw_path"].decode("latin-1")
-        host = _find_host(scope["headers"])
+        path = raw_path.decode("latin-1")
+        host = _find_host(headers)
         route = routing.find_route(host, path)
         if route is None:
             return _Rejection(
@@ -279,7 +328,9 @@
             )
         account = None
         if routing.accounts and not route.public:
-            account = routing.find_account(metadata.key or "")
+            if key is None:
+                key = self._header_codec.read_key(headers)
+            account = routing.find_account(key or "")
             if account is None:
                 return _Rejection(HTTPStatus.UNAUTHORIZED, "unknown key")
         if self._router.is_stopping:
@@ -740,13 +791,14 @@
         self, metadata: RequestMetadata, rejection: _Rejection, send: Send
     ) -> None:
         self._reporter.report_rejected(
-            metadata, rejection.status, rejection.reason
+            metadata.request_id, rejection.status, rejection.reason
         )
-        retry_after_s = None
-        if rejection.status is HTTPStatus.SERVICE_UNAVAILABLE:
-            retry_after_s = UNREADY_RETRY_AFTER_S * (0.5 + random.random())
         await self._send_problem(
-            metadata, rejection.status, rejection.reason, send, retry_after_s
+            metadata,
+            rejection.status,
+            rejection.reason,
+            send,
+            _draw_retry_after(rejection.status),
         )
 
     async def _send_problem(
@@ -757,16 +809,28 @@
         send: Send,
         retry_after_s: float | None = None,
     ) -> None:
-        headers = self._header_codec.write_response(metadata.request_id)
+        headers, body = self._build_problem(
+            metadata.request_id, status, detail, retry_after_s
+        )
+        await send_buffered_response(
+            send, BufferedResponse(int(status), headers, body)
+        )
+
+    def _build_problem(
+        self,
+        request_id: str,
+        status: HTTPStatus,
+        detail: str,
+        retry_after_s: float | None,
+    ) -> tuple[Headers, bytes]:
+        """Return the headers and the body of an error response."""
+        headers = self._header_codec.write_response(request_id)
         headers.append((b"content-type", b"application/problem+json"))
         if retry_after_s is not None:
             value = f"{retry_after_s:.3f}".encode()
             headers.append((b"retry-after", value))
         document = {"status": int(status), "detail": detail}
-        body = json.dumps(document).encode()
-        await send_buffered_response(
-            send, BufferedResponse(int(status), headers, body)
-        )
+        return headers, json.dumps(document).encode()
 
 
 @dataclass(slots=True)
@@ -777,6 +841,13 @@
     reason: str
 
 
+def _draw_retry_after(status: HTTPStatus) -> float | None:
+    """Return the time in seconds for the field Retry-After, if it has one."""
+    if status is not HTTPStatus.SERVICE_UNAVAILABLE:
+        return None
+    return UNREADY_RETRY_AFTER_S * (0.5 + random.random())
+
+
 def _track_completion(request: RoutedRequest, send: Send) -> Send:
     """Return a sender that records the end of the response.
 
--- a/hornbeamyard/request/headers.py
+++ b/hornbeamyard/request/headers.py
@@ -226,17 +226,12 @@
         expected_tokens = _parse_number(
             values.get(names.expected_tokens), MAX_TOKENS
         )
-        key = values.get(names.key)
         return RequestMetadata(
             request_id=values.get(names.request_id, b"").decode("latin-1"),
             deadline_ms=_parse_number(
                 values.get(names.deadline_ms), MAX_DEADLINE_MS
             ),
-            key=(
-                key.removeprefix(names.key_prefix).decode("latin-1")
-                if key is not None
-                else None
-            ),
+            key=self._decode_key(values.get(names.key)),
             model=values.get(names.model, b"").decode("latin-1"),
             prompt_tokens=token_counts[0] if token_counts else 0,
             output_tokens=token_counts[1] if len(token_counts) > 1 else 0,
@@ -246,6 +241,20 @@
             last_event_id=values.get(LAST_EVENT_ID, b"").decode("latin-1"),
         )
 
+    def read_key(self, headers: Headers) -> str | None:
+        """Return the caller's key, as `read_request` does."""
+        return self._decode_key(_find_last(headers, self._names.key))
+
+    def read_request_id(self, headers: Headers) -> str:
+        """Return the id of a request, as `read_request` does."""
+        value = _find_last(headers, self._names.request_id)
+        return "" if value is None else value.decode("latin-1")
+
+    def _decode_key(self, value: bytes | None) -> str | None:
+        if value is None:
+            return None
+        return value.removeprefix(self._names.key_prefix).decode("latin-1")
+
     def write_request(
         self, headers: Headers, metadata: ForwardingMetadata
     ) -> list[tuple[bytes, bytes]]:
@@ -316,6 +325,13 @@
 )
 
 
+def _find_last(headers: Headers, sought: bytes) -> bytes | None:
+    for name, value in reversed(headers):
+        if name.lower() == sought:
+            return value
+    return None
+
+
 def _parse_number(value: bytes | None, maximum: float) -> float | None:
     try:
         number = float(value or b"")
--- a/hornbeamyard/request/reporting.py
+++ b/hornbeamyard/request/reporting.py
@@ -59,12 +59,15 @@
         )
 
     def report_rejected(
-        self, metadata: RequestMetadata, status: HTTPStatus, reason: str
+        self, request_id: str, status: HTTPStatus, reason: str
     ) -> None:
         """Report a request that was rejected before placement."""
         self.counts.add("rejected")
-        self.log_decision(
-            metadata, "rejected", status=int(status), reason=reason
+        self._decisions.note(
+            "rejected",
+            request_id=request_id,
+            status=int(status),
+            reason=reason,
         )
 
     def report_placed(
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -102,6 +102,7 @@
         self.timers = MonotonicTimers()
         self.routing: Routing | None = parse_routing(DOCUMENT).unwrap()
         self.routers = 1
+        self.is_closing = False
         self.is_stopping = False
         self.last_attempt_at = float("inf")
         self.drain_end_at = float("inf")
@@ -1042,3 +1043,78 @@
             assert "read-19" in kept
 
         run(test, [send_response()] * 20)
+
+
+class TestReject:
+    """Responses to requests that their header alone rejects."""
+
+    @pytest.mark.parametrize(
+        ("host", "path", "key", "has_routing", "status"),
+        [
+            (b"api.example:80", "/none/1", b"Bearer k1", True, 404),
+            (b"other", "/read/1", b"Bearer k1", True, 404),
+            (b"api.example", "/read/1", b"Bearer k9", True, 401),
+            (b"api.example", "/read/1", b"Bearer k1", False, 503),
+            (b"api.example", "/read/1", b"Bearer k1", True, 0),
+            (b"api.example", "/open/1", b"Bearer k9", True, 0),
+        ],
+    )
+    def test_equals_the_usual_response(
+        self,
+        host: bytes,
+        path: str,
+        key: bytes,
+        has_routing: bool,
+        status: int,
+    ) -> None:
+        """Guards against a short cut that answers otherwise."""
+
+        async def run() -> None:
+            harness = Harness([])
+            if not has_routing:
+                harness.routing = None
+            headers = [
+                (b"host", host),
+                (b"hornbeamyard-request", b"r-1"),
+                (b"authorization", key),
+            ]
+            response = harness.forwarder.reject(path.encode(), headers)
+            if not status:
+                assert response is None
+                return
+            [rejected] = harness.log.lines
+            assert (rejected["status"], rejected["request_id"]) == (
+                status,
+                "r-1",
+            )
+            assert response is not None
+            head, _, body = response.partition(b"\r\n\r\n")
+            line, *lines = head.split(b"\r\n")
+            usual = ReceivedResponse()
+
+            async def send(message: dict[str, Any]) -> None:
+                usual.status = message.get("status", usual.status)
+                usual.headers |= dict(message.get("headers", ()))
+                usual.body += message.get("body", b"")
+
+            scope = {
+                "type": "http",
+                "raw_path": path.encode(),
+                "headers": headers,
+            }
+            await harness.forwarder(scope, None, send)  # type: ignore[arg-type]
+            assert line.startswith(f"HTTP/1.1 {status} ".encode())
+            fields = dict(line.split(b": ") for line in lines)
+            # The time is drawn.
+            assert (b"retry-after" in fields) == (status == 503)
+            usual.headers.pop(b"retry-after", None)
+            fields.pop(b"retry-after", None)
+            assert (usual.status, fields, body) == (
+                status,
+                usual.headers,
+                usual.body,
+            )
+            harness.is_closing = True
+            assert harness.forwarder.reject(path.encode(), headers) is None
+
+        anyio.run(run)
