Collect no garbage while a process imports its modules

What is imported stays, so collections during the imports find nothing. The collector is enabled once the roles exist, and later collections leave out the objects of the imports. Two more modules of libraries are deferred.

--- a/hornbeamyard/platform/__main__.py
+++ b/hornbeamyard/platform/__main__.py
@@ -1,5 +1,6 @@
 """Entry point of a process of the fleet on the users' platform."""
 
+import gc
 import signal
 
 
@@ -8,6 +9,9 @@
     # The default action would end the process during the imports. A change of
     # the settings that comes with the signal is found in the file.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # What is imported stays, so looking for garbage in it is of no use. The
+    # runner enables the collector again.
+    gc.disable()
     from ..process.deferred_modules import defer_modules
 
     defer_modules()
--- a/hornbeamyard/process/deferred_modules.py
+++ b/hornbeamyard/process/deferred_modules.py
@@ -18,12 +18,15 @@
 # `uvicorn` imports its command line, and `prometheus_client` servers of its
 # own; the fleet uses submodules of both. `python_message` implements messages
 # in Python, which protobuf doesn't use where it has an implementation in C.
+# uvicorn configures no logging here, and no log file is compressed.
 # The values are names that are taken from a submodule, which is imported then,
 # instead of running the module's code: uvicorn asks for its own `Config`.
 DEFERRED: Mapping[str, Mapping[str, str]] = {
     "uvicorn": {"Config": "uvicorn.config"},
     "prometheus_client": {},
     "google.protobuf.internal.python_message": {},
+    "gzip": {},
+    "logging.config": {},
 }
 
 
@@ -66,7 +69,7 @@
     vars(module)["__getattr__"] = load
     sys.modules[name] = module
     if parent:
-        setattr(sys.modules[parent], child, module)
+        setattr(importlib.import_module(parent), child, module)
 
 
 def _load_attribute(module: ModuleType, attribute: str) -> Any:
--- a/hornbeamyard/process/runner.py
+++ b/hornbeamyard/process/runner.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import signal
 import sys
@@ -62,6 +63,7 @@
             # Only fleets without a route directory need these modules.
             from . import leased_roles
 
+            gc.enable()
             anyio.run(leased_roles.run, settings, signals)
         else:
             anyio.run(
@@ -131,6 +133,9 @@
         from .registrar import Registrar
 
         registrar = Registrar(settings, timers, interface)
+    # The objects of the imports are left out of later collections.
+    gc.freeze()
+    gc.enable()
     watcher = SettingsWatcher(path, settings.text, timers, router, registrar)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(signals.watch, stop, anyio.Event())
