Write bytecode in the build step, and use it for the project's modules

In a folder that can't be written every start compiled all modules. The build step writes bytecode to target/bytecode, checked by a hash of the source, and an import hook looks there for the modules of the project alone, as a prefix for all modules would also hide the bytecode of the libraries.

--- a/hornbeamyard/platform/__main__.py
+++ b/hornbeamyard/platform/__main__.py
@@ -12,8 +12,10 @@
     # What is imported stays, so looking for garbage in it is of no use. The
     # runner enables the collector again.
     gc.disable()
+    from ..process.bytecode import use_bytecode
     from ..process.deferred_modules import defer_modules
 
+    use_bytecode()
     defer_modules()
     from .daemon import main as run
 
--- a/hornbeamyard/tests/test_imports.py
+++ b/hornbeamyard/tests/test_imports.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import importlib
 import json
 import subprocess
 import sys
+from importlib.machinery import SourceFileLoader
 from pathlib import Path
 from types import ModuleType
+from typing import Any
 
 import pytest
 
-from hornbeamyard.process import deferred_modules
+from hornbeamyard.process import bytecode, deferred_modules
 
 # Imports what a process on the platform imports for one role.
 IMPORT_ROLE = """
@@ -127,3 +130,49 @@
         assert "absent_sample" not in sys.modules
         with pytest.raises(ModuleNotFoundError, match="absent_sample"):
             __import__("absent_sample")
+
+
+def test_uses_bytecode_of_the_build(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against modules that are compiled at every start."""
+    package = tmp_path / "built_sample"
+    package.mkdir()
+    (package / "__init__.py").write_text("")
+    for name in ("same", "changed", "new"):
+        (package / f"{name}.py").write_text("value = 1\n")
+    folder = tmp_path / "bytecode"
+    # The options of the build step.
+    options = ["-q", "--invalidation-mode", "checked-hash"]
+    (package / "new.py").rename(tmp_path / "new.py")
+    subprocess.run(
+        [
+            *(sys.executable, "-B", "-X", f"pycache_prefix={folder}"),
+            *("-m", "compileall", *options, package),
+        ],
+        check=True,
+        timeout=60,
+    )
+    (tmp_path / "new.py").rename(package / "new.py")
+    (package / "changed.py").write_text("value = 2\n")
+    compiled: list[str] = []
+    compile_source = SourceFileLoader.source_to_code
+
+    def record(self: Any, data: Any, path: Any, **options: Any) -> Any:
+        compiled.append(Path(path).stem)
+        return compile_source(self, data, path, **options)
+
+    monkeypatch.setattr(SourceFileLoader, "source_to_code", record)
+    monkeypatch.setattr(sys, "dont_write_bytecode", True)
+    monkeypatch.setattr(sys, "path_hooks", list(sys.path_hooks))
+    monkeypatch.syspath_prepend(str(tmp_path))
+    bytecode.use_bytecode(package, tmp_path / "absent")
+    bytecode.use_bytecode(package, folder)
+    values = [
+        importlib.import_module(f"built_sample.{name}").value
+        for name in ("same", "changed", "new")
+    ]
+    assert values == [1, 2, 1]
+    assert compiled == ["__init__", "changed", "new"]
+    for name in [n for n in sys.modules if n.startswith("built_sample")]:
+        del sys.modules[name]
