Spread requests evenly over unequal upstreams, behind a switch

All routers sent to the upstreams that were least loaded as of the last usage until the next one came. A pool whose routing says "even", or "reported" once a response has stated a slowdown, now estimates the present load: differences in the usage fade, a stated slowdown fades and scales the forecast, and plain services use their usual time without queue. Among engines that don't cache a part, and among plain services, two are drawn by speed and room. The choice falls back to the least loaded without a usage for a second.

--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -17,7 +17,7 @@
 
 import anyio
 
-from .choice import Choice, Placement
+from .choice import Balancing, Choice, Placement
 from .crashes import CrashLedger
 from .demand import RequestDemand
 from .ended_starts import UNKNOWN_VERSION
@@ -27,11 +27,16 @@
     Server,
     count_kv_tokens,
 )
+from .load_estimate import (
+    compute_duration_ms,
+    count_others,
+    estimate_work_ms,
+)
 from .rate_limits import FleetPosition, RateLimiter, RateLimits, divide_rate
 from .shares import Shares
 from .targets import TargetMix
 from .upstream_registry import Upstream, UpstreamStart, UpstreamState
-from .usage import CachedPart, UpstreamLoad
+from .usage import CachedPart, ReportedLoad, UpstreamLoad
 
 # Fraction of its target (`RequestDemand.target_s`) for which a request may
 # wait to be placed before it is refused. An eighth covers the time between two
@@ -310,6 +315,7 @@
         tokens_per_s: float,
         max_gap_ms: float,
         copy_ms_per_token: float = 0.0,
+        balancing: Balancing = Balancing.LEAST_LOADED,
     ) -> None:
         """Set the properties that the routing document gives the pool.
 
@@ -328,7 +334,10 @@
         copy_ms_per_token : float, optional
             Time to copy a token's KV cache entry from another engine; 0
             where engines can't copy.
+        balancing : Balancing, optional
+            How requests are spread over the upstreams.
         """
+        self._choice.balancing = balancing
         self._choice.copy_ms_per_token = copy_ms_per_token
         self._choice.has_engines = kv_capacity_tokens > 0
         self._kv_capacity_tokens = kv_capacity_tokens
@@ -424,6 +433,44 @@
         paused_until = self._paused_until.get(start, now)
         self._paused_until[start] = max(paused_until, server.paused_until)
 
+    def record_reported(
+        self,
+        server: Server,
+        load: ReportedLoad,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Record the load that an upstream states in a response.
+
+        Parameters
+        ----------
+        server : Server
+            The upstream that the request was sent to.
+        load : ReportedLoad
+        sent_at, now : float
+            Monotonic times in seconds of the request and the response.
+        """
+        server.record_reported(load, sent_at, now)
+        if load.slowdown is not None:
+            self._choice.has_slowdowns = True
+
+    def describe_balance(self, now: float) -> tuple[float, float] | None:
+        """Return the age of the knowledge in seconds, and the imbalance.
+
+        The imbalance is the highest work ahead of an upstream over the mean,
+        as of the last usage. None while requests aren't spread evenly.
+        """
+        servers = [s for s in self.servers.values() if s.is_usable(now)]
+        if not servers or not self._choice.is_even(now):
+            return None
+        works_ms = [
+            estimate_work_ms(server, count_others(server), now)
+            for server in servers
+        ]
+        mean_ms = sum(works_ms) / len(works_ms)
+        age_s = now - max(server.others_load_at for server in servers)
+        return age_s, max(works_ms) / mean_ms if mean_ms > 0 else 1.0
+
     def set_fleet_position(self, position: FleetPosition, now: float) -> None:
         """Divide rate limits by this router's position in the fleet.
 
@@ -461,6 +508,7 @@
                 max(0, total.kv_tokens - own.kv_tokens),
             )
             server.others_load_at = now
+        self._choice.record_usage(now)
 
     def record_cached_parts(
         self, parts: Iterable[CachedPart], now: float
@@ -584,7 +632,7 @@
                 not could,
                 _could_end(servers, demand, now),
             )
-        best: tuple[float, Placement] | None = None
+        in_time: list[tuple[float, Placement]] = []
         has_room = False
         least_excess_ms = float("inf")
         shortest_ms = self._targets.find_shortest() * 1000
@@ -599,10 +647,10 @@
             )
             if excess_ms > 0:
                 least_excess_ms = min(least_excess_ms, excess_ms)
-            elif best is None or candidate[0] < best[0]:
-                best = candidate
-        if best is not None:
-            return best[1]
+            else:
+                in_time.append(candidate)
+        if in_time:
+            return self._choice.pick(in_time, now)
         if not has_room:
             return Shortfall(
                 RefusalReason.NO_ROOM,
@@ -752,7 +800,10 @@
             allowed_ms = min(allowed_ms, shortest_ms * SHARED_QUEUE_FRACTION)
         finish_ms = estimated.wait_ms + estimated.prefill_ms
         if isinstance(server, Engine):
-            finish_ms += demand.output_tokens * server.decode_ms_per_token
+            decode_ms = demand.output_tokens * server.decode_ms_per_token
+            if self._choice.is_even(now):
+                decode_ms = compute_duration_ms(server, decode_ms, now)
+            finish_ms += decode_ms
         return max(
             estimated.wait_ms - allowed_ms,
             finish_ms - remaining_ms * DEADLINE_FRACTION,
--- a/hornbeamyard/pool/choice.py
+++ b/hornbeamyard/pool/choice.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import heapq
+import math
 import zlib
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from enum import Enum
 
 from .demand import RequestDemand
 from .engine import (
@@ -17,6 +19,12 @@
     count_kv_tokens,
     estimate,
 )
+from .load_estimate import (
+    compute_room,
+    count_own,
+    expect_others,
+    forecast,
+)
 from .upstream_registry import Upstream
 
 # Weight of the time to prefill a shared part again, relative to waiting. It
@@ -46,10 +54,31 @@
 # those that cache or are preferred for its shared parts. An estimate costs
 # much more than a look at the load, and pools have dozens of engines.
 MAX_LEAST_LOADED = 6
+# Engines that are drawn in the own zone and beyond it, and plain services that
+# are drawn. With more, the routers choose the same ones until the next usage;
+# with one, nothing keeps requests from a busy upstream.
+DRAWN_ENGINES = 2
+DRAWN_SERVICES = 2
+# Keeps the logarithm of a random number finite.
+MIN_DRAW = 1e-12
+# Age of the fleet's usage up to which the other routers' load is estimated
+# from it, in seconds.
+MAX_USAGE_AGE_S = 1.0
 # Shared parts whose order of preferred engines is kept.
 MAX_CACHED_ORDERS = 1024
 
 
+class Balancing(Enum):
+    """How a pool's requests are spread over its upstreams.
+
+    `REPORTED` is even once a response of an upstream has stated a slowdown.
+    """
+
+    LEAST_LOADED = "least_loaded"
+    EVEN = "even"
+    REPORTED = "reported"
+
+
 @dataclass(slots=True)
 class Placement:
     """Where a request is sent.
@@ -108,11 +137,14 @@
 
     Attributes
     ----------
+    balancing : Balancing
     copy_ms_per_token : float
         Time to copy a token's KV cache entry from another engine; 0 where
         engines can't copy.
     has_engines : bool
         Whether the upstreams are model engines.
+    has_slowdowns : bool
+        Whether a response of an upstream has stated a slowdown.
     """
 
     __slots__ = (
@@ -120,9 +152,13 @@
         "_find_version",
         "_orders",
         "_orders_for",
+        "_others",
+        "_usage_at",
         "_zone",
+        "balancing",
         "copy_ms_per_token",
         "has_engines",
+        "has_slowdowns",
     )
 
     def __init__(
@@ -139,17 +175,45 @@
         self._zone = availability_zone
         self.copy_ms_per_token = 0.0
         self.has_engines = False
+        # Expected load of the other routers at the last request; None while
+        # the least loaded upstream is chosen.
+        self._others: dict[str, float] | None = None
+        self._usage_at = -math.inf
+        self.balancing = Balancing.LEAST_LOADED
+        self.has_slowdowns = False
+
+    def record_usage(self, now: float) -> None:
+        """Record that the servers hold a new usage of the fleet."""
+        self._usage_at = now
+
+    def is_even(self, now: float) -> bool:
+        """Return whether requests are spread by the estimated load.
+
+        Not while the fleet's usage is unknown or old: what the other routers
+        do is then assumed, see `Balancer.assumed_routers`.
+        """
+        if self.balancing is Balancing.LEAST_LOADED:
+            return False
+        if self.balancing is Balancing.REPORTED and not self.has_slowdowns:
+            return False
+        return now - self._usage_at <= MAX_USAGE_AGE_S
 
     def preselect(
         self, servers: list[Server], demand: RequestDemand, now: float
     ) -> list[Server]:
         """Return the upstreams that may be the best for a request."""
+        self._others = None
+        if self.is_even(now):
+            self._others = expect_others(servers, now - self._usage_at)
         if not self.has_engines or len(servers) <= MAX_LEAST_LOADED:
             return servers
         needed = count_kv_tokens(demand)
         order = self.rank(demand.affinity, servers)
-        selected = []
-        loads: list[tuple[float, int, Engine]] = []
+        if self._others is not None and not demand.affinity:
+            # Requests without shared parts prefer no engine.
+            order = []
+        selected: list[Server] = []
+        rest: list[Engine] = []
         for server in servers:
             if not isinstance(server, Engine) or not server.has_room(needed):
                 continue
@@ -158,7 +222,12 @@
                 or server.get_part_used_at(demand.affinity) >= 0
             ):
                 selected.append(server)
-                continue
+            else:
+                rest.append(server)
+        if self._others is not None:
+            return [*selected, *self._draw_engines(rest, now)]
+        loads: list[tuple[float, int, Engine]] = []
+        for server in rest:
             cost = server.count_prefill_tokens(now)
             cost *= server.prefill_ms_per_token
             cost += _compute_batch_cost(server)
@@ -168,6 +237,38 @@
         least_loaded = heapq.nsmallest(MAX_LEAST_LOADED, loads)
         return [*selected, *(load[2] for load in least_loaded)]
 
+    def _draw_engines(
+        self, engines: Iterable[Engine], now: float
+    ) -> list[Server]:
+        """Draw engines at random, in and beyond the own zone.
+
+        Drawn together, few would be of the own zone, and more requests would
+        go to other zones than today.
+        """
+        near: list[Server] = []
+        far: list[Server] = []
+        for engine in engines:
+            is_near = engine.upstream.availability_zone == self._zone
+            (near if is_near else far).append(engine)
+        return [
+            *self._draw_some(near, DRAWN_ENGINES, now),
+            *self._draw_some(far, DRAWN_ENGINES, now),
+        ]
+
+    def _draw_some(
+        self, servers: list[Server], count: int, now: float
+    ) -> list[Server]:
+        """Draw without replacement, weighted by speed and room."""
+        assert self._others is not None
+        keys: list[tuple[float, int, Server]] = []
+        for server in servers:
+            load = count_own(server) + self._others[server.id]
+            room = compute_room(server, load, now)
+            # The smallest of these exponential variates has the weights.
+            key = -math.log(max(self._draw(), MIN_DRAW)) / room
+            keys.append((key, len(keys), server))
+        return [entry[2] for entry in heapq.nsmallest(count, keys)]
+
     def score(
         self,
         selected: list[Server],
@@ -189,7 +290,9 @@
         candidates = []
         for server in selected:
             rank = ranks.get(server.id, MAX_RANKED_ENGINES if ranks else -1)
-            estimated = estimate(server, demand, now, rank == 0, copy_source)
+            estimated = self._estimate(
+                server, demand, now, rank == 0, copy_source
+            )
             cost = estimated.wait_ms + estimated.prefill_ms
             copy_from = ""
             if isinstance(server, Engine):
@@ -218,6 +321,53 @@
             candidates.append((cost, placement))
         return candidates
 
+    def _estimate(
+        self,
+        server: Server,
+        demand: RequestDemand,
+        now: float,
+        is_preferred: bool,
+        copy_source: CopySource,
+    ) -> Estimate:
+        if self._others is None:
+            return estimate(server, demand, now, is_preferred, copy_source)
+        others = self._others[server.id]
+        return forecast(server, others, demand, now, is_preferred, copy_source)
+
+    def pick(
+        self, candidates: list[tuple[float, Placement]], now: float
+    ) -> Placement:
+        """Return the best of the placements that are in time.
+
+        Of plain services, it is the better one of two that are drawn; all
+        routers would choose the best one until they get the next usage.
+
+        Parameters
+        ----------
+        candidates : list of (float, Placement)
+            Of `score` for the last request, at least one.
+        now : float
+            Monotonic time in seconds.
+        """
+        if self._others is not None and not self.has_engines:
+            candidates = self._draw_services(candidates, now)
+        return min(candidates, key=lambda candidate: candidate[0])[1]
+
+    def _draw_services(
+        self, candidates: list[tuple[float, Placement]], now: float
+    ) -> list[tuple[float, Placement]]:
+        # As far as no request waits there, the own zone's come first.
+        near = [
+            candidate
+            for candidate in candidates
+            if not candidate[1].estimate.wait_ms
+            and candidate[1].server.upstream.availability_zone == self._zone
+        ]
+        allowed = near or candidates
+        servers = [candidate[1].server for candidate in allowed]
+        drawn = self._draw_some(servers, DRAWN_SERVICES, now)
+        return [c for c in allowed if c[1].server in drawn]
+
     def rank(self, affinity: str, servers: list[Server]) -> list[str]:
         """Return the ids of engines in order of preference for a shared part.
 
--- a/hornbeamyard/pool/engine.py
+++ b/hornbeamyard/pool/engine.py
@@ -18,6 +18,10 @@
 
 # Weight of the newest sample in running means.
 SAMPLE_WEIGHT = 0.15
+# Weights of samples of a plain service's usual time without queue. Waiting and
+# slow phases make samples larger, so the mean follows the smaller ones.
+WORK_RISE_WEIGHT = 0.05
+WORK_FALL_WEIGHT = 0.15
 # The same for the decode time of a token, which has far more samples.
 DECODE_SAMPLE_WEIGHT = 0.03
 # Bounds of samples of the prefill time, as multiples of the expected time.
@@ -80,6 +84,8 @@
         was sent.
     service_ms : float
         Mean time of a request.
+    work_ms : float
+        Usual time of a request that doesn't wait at the upstream.
     ejected_until : float
         Monotonic time in seconds before which no requests are sent, unless
         no other upstream is left.
@@ -101,6 +107,7 @@
     reported_at: float = 0.0
     reported_sent_at: float = 0.0
     service_ms: float = DEFAULT_SERVICE_MS
+    work_ms: float = DEFAULT_SERVICE_MS
     ejected_until: float = 0.0
     paused_until: float = 0.0
     limiter: RateLimiter | None = None
@@ -149,6 +156,9 @@
     def record_success(self, elapsed_ms: float) -> None:
         """Record a response that is no failure, and its duration."""
         self.service_ms += SAMPLE_WEIGHT * (elapsed_ms - self.service_ms)
+        rises = elapsed_ms > self.work_ms
+        weight = WORK_RISE_WEIGHT if rises else WORK_FALL_WEIGHT
+        self.work_ms += weight * (elapsed_ms - self.work_ms)
         self.failures_in_row = 0
         self._recent_responses = self._recent_responses * FAILURE_DECAY + 1
         self._recent_failures *= FAILURE_DECAY
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -531,6 +531,7 @@
             self.routing.limits.tokens_per_s,
             min(gaps, default=0.0) / pool.tokens_per_event,
             pool.compute_token_copy_ms(),
+            pool.balancing,
         )
 
     def _limit_idle_connections(self) -> None:
@@ -656,6 +657,11 @@
         for pool, balancer in self._balancers.items():
             labels = (("pool", pool),)
             yield Sample("upstreams", len(balancer.servers), labels)
+            balance = balancer.describe_balance(self._timers.now())
+            if balance is not None:
+                age_s, imbalance = balance
+                yield Sample("load_knowledge_age_seconds", age_s, labels)
+                yield Sample("load_imbalance", imbalance, labels)
 
     def _sample_shares(self) -> Iterator[Sample]:
         shares = self._shares
--- a/hornbeamyard/process/metrics.py
+++ b/hornbeamyard/process/metrics.py
@@ -101,6 +101,8 @@
     "controllers_attached": "Controllers whose stream is open",
     "decisions": "Decisions by kind, those without a log line included",
     "leads": "1 while this controller leads",
+    "load_imbalance": "Highest work ahead over the mean, by pool",
+    "load_knowledge_age_seconds": "Age of the fleet's usage, by pool",
     "log_lines_dropped": "Log lines that were left out",
     "prompt_parts_blocked": "Prompt parts that are blocked for crashes",
     "requests_in_progress": "Routed requests that run or wait",
--- a/hornbeamyard/request/meter.py
+++ b/hornbeamyard/request/meter.py
@@ -98,8 +98,8 @@
             self._report_leaving(server.upstream)
         self._report_limit(server.upstream.start, metadata.max_rate)
         if metadata.load is not None:
-            server.record_reported(
-                metadata.load, self._started_at, self._timers.now()
+            self._balancer.record_reported(
+                server, metadata.load, self._started_at, self._timers.now()
             )
         if metadata.retry_after_s:
             self._balancer.pause(
--- a/hornbeamyard/request/reporting.py
+++ b/hornbeamyard/request/reporting.py
@@ -7,6 +7,7 @@
 from ..pool.balancer import Refusal
 from ..pool.choice import Placement
 from ..pool.engine import Engine, Server
+from ..pool.load_estimate import compute_slowdown
 from ..process.decisions import DecisionLog
 from ..process.metrics import Latency, Metrics
 from ..process.timers import Timers
@@ -105,6 +106,7 @@
             copy_from=placement.copy_from,
             running=server.own_load.running + server.others_load.running,
             sums_age_ms=round((now - server.others_load_at) * 1000),
+            slowdown=round(compute_slowdown(server, now), 2),
             token_ms=round(
                 server.decode_ms_per_token,  # type: ignore[attr-defined]
                 1,
--- a/hornbeamyard/version/routing.py
+++ b/hornbeamyard/version/routing.py
@@ -15,6 +15,7 @@
 
 from result import Err, Ok, Result
 
+from ..pool.choice import Balancing
 from ..process import validation
 from ..process.documents import read_json
 from ..process.validation import Finding, Option, Section
@@ -115,6 +116,8 @@
     copy_mbps : float
         Rate at which an engine copies KV cache from another engine, in
         Mbit/s; 0 if engines can't.
+    balancing : Balancing
+        How requests are spread over the upstreams.
     """
 
     name: str
@@ -125,6 +128,7 @@
     tokens_per_event: int = 1
     kv_bytes_per_token: int = 0
     copy_mbps: float = 0.0
+    balancing: Balancing = Balancing.LEAST_LOADED
 
     def is_engine(self) -> bool:
         """Return whether the upstreams are model engines."""
@@ -290,6 +294,9 @@
         "tokens_per_event": Option(validation.check_integer(1, 2**20)),
         "token_size": Option(validation.check_integer(0, 2**40)),
         "copy_mbps": Option(validation.check_number(0, 1e12, "Mbit/s")),
+        "balancing": Option(
+            validation.check_choice(*(way.value for way in Balancing))
+        ),
     }
 )
 _ACCOUNT_SCHEMA = Section(
@@ -421,6 +428,7 @@
             item.get("tokens_per_event", 1),
             item.get("token_size", 0),
             item.get("copy_mbps", 0.0),
+            Balancing(item.get("balancing", Balancing.LEAST_LOADED.value)),
         )
         for item in document["pools"]
     ]
