Use the requests that a newer response of a plain service states

Where a response came after the requests that the last usage counts, its running and waiting requests, less the router's own at that time, correct the expected load and fade like other differences.

--- a/hornbeamyard/pool/choice.py
+++ b/hornbeamyard/pool/choice.py
@@ -61,6 +61,9 @@
 DRAWN_SERVICES = 2
 # Keeps the logarithm of a random number finite.
 MIN_DRAW = 1e-12
+# Time for which the other routers' expected load is used again, in seconds. It
+# changes by a fifteenth of its differences in that time.
+EXPECTATION_INTERVAL_S = 0.01
 # Age of the fleet's usage up to which the other routers' load is estimated
 # from it, in seconds.
 MAX_USAGE_AGE_S = 1.0
@@ -149,6 +152,9 @@
 
     __slots__ = (
         "_draw",
+        "_expected",
+        "_expected_at",
+        "_expected_for",
         "_find_version",
         "_orders",
         "_orders_for",
@@ -178,6 +184,9 @@
         # Expected load of the other routers at the last request; None while
         # the least loaded upstream is chosen.
         self._others: dict[str, float] | None = None
+        self._expected: dict[str, float] = {}
+        self._expected_at = -math.inf
+        self._expected_for: list[Server] = []
         self._usage_at = -math.inf
         self.balancing = Balancing.LEAST_LOADED
         self.has_slowdowns = False
@@ -185,6 +194,7 @@
     def record_usage(self, now: float) -> None:
         """Record that the servers hold a new usage of the fleet."""
         self._usage_at = now
+        self._expected_at = -math.inf
 
     def is_even(self, now: float) -> bool:
         """Return whether requests are spread by the estimated load.
@@ -204,7 +214,7 @@
         """Return the upstreams that may be the best for a request."""
         self._others = None
         if self.is_even(now):
-            self._others = expect_others(servers, now - self._usage_at)
+            self._others = self._expect_others(servers, now)
         if not self.has_engines or len(servers) <= MAX_LEAST_LOADED:
             return servers
         needed = count_kv_tokens(demand)
@@ -237,6 +247,20 @@
         least_loaded = heapq.nsmallest(MAX_LEAST_LOADED, loads)
         return [*selected, *(load[2] for load in least_loaded)]
 
+    def _expect_others(
+        self, servers: list[Server], now: float
+    ) -> dict[str, float]:
+        """Return the other routers' expected load, at most a moment old.
+
+        Many waiting requests are tried in a row.
+        """
+        is_old = now - self._expected_at > EXPECTATION_INTERVAL_S
+        if is_old or servers != self._expected_for:
+            self._expected = expect_others(servers, self._usage_at, now)
+            self._expected_for = servers
+            self._expected_at = now
+        return self._expected
+
     def _draw_engines(
         self, engines: Iterable[Engine], now: float
     ) -> list[Server]:
--- a/hornbeamyard/pool/engine.py
+++ b/hornbeamyard/pool/engine.py
@@ -82,6 +82,8 @@
     reported_at, reported_sent_at : float
         Monotonic times in seconds at which that response came and its request
         was sent.
+    reported_others : int
+        Requests of other routers that were running or waiting then.
     service_ms : float
         Mean time of a request.
     work_ms : float
@@ -106,6 +108,7 @@
     reported: ReportedLoad | None = None
     reported_at: float = 0.0
     reported_sent_at: float = 0.0
+    reported_others: int = 0
     service_ms: float = DEFAULT_SERVICE_MS
     work_ms: float = DEFAULT_SERVICE_MS
     ejected_until: float = 0.0
@@ -152,6 +155,8 @@
         self.reported = load
         self.reported_at = now
         self.reported_sent_at = sent_at
+        requests = load.running + load.waiting
+        self.reported_others = max(0, requests - self.own_load.running)
 
     def record_success(self, elapsed_ms: float) -> None:
         """Record a response that is no failure, and its duration."""
--- a/hornbeamyard/pool/load_estimate.py
+++ b/hornbeamyard/pool/load_estimate.py
@@ -102,21 +102,39 @@
     return 1.0 / server.prefill_ms_per_token
 
 
+@singledispatch
+def _apply_report(server: Server, expected: float, now: float) -> float:
+    """Return the expected load, closer to that in a newer response."""
+    is_newer = server.reported_at > server.others_load_at - USAGE_AGE_S
+    if server.reported is None or not is_newer:
+        return expected
+    age_s = max(0.0, now - server.reported_at)
+    left = math.exp(-age_s / DIFFERENCE_FADE_S)
+    return expected + (server.reported_others - expected) * left
+
+
+@_apply_report.register
+def _(server: Engine, expected: float, now: float) -> float:
+    # Responses don't state the tokens that are to be prefilled.
+    return expected
+
+
 def expect_others(
-    servers: Collection[Server], usage_age_s: float
+    servers: Collection[Server], usage_at: float, now: float
 ) -> dict[str, float]:
     """Return the other routers' expected load on each upstream.
 
     The pool's load is taken to be as in the last usage. Differences between
     the upstreams fade towards a division by their capacity: what they have
     done since was replaced by requests of routers that knew the differences.
+    What a newer response stated fades likewise.
 
     Parameters
     ----------
     servers : collection of Server
         Upstreams of one kind.
-    usage_age_s : float
-        Time since the last usage came, in seconds.
+    usage_at, now : float
+        Monotonic times in seconds of the last usage and of the decision.
 
     Returns
     -------
@@ -126,12 +144,13 @@
     known = {server.id: count_others(server) for server in servers}
     capacities = {server.id: _get_capacity(server) for server in servers}
     load = sum(known.values()) / max(sum(capacities.values()), 1e-9)
-    age_s = max(0.0, usage_age_s) + USAGE_AGE_S
+    age_s = max(0.0, now - usage_at) + USAGE_AGE_S
     left = math.exp(-age_s / DIFFERENCE_FADE_S)
     expected = {}
-    for id, capacity in capacities.items():
-        even = load * capacity
-        expected[id] = even + (known[id] - even) * left
+    for server in servers:
+        even = load * capacities[server.id]
+        others = even + (known[server.id] - even) * left
+        expected[server.id] = _apply_report(server, others, now)
     return expected
 
 
--- a/hornbeamyard/tests/test_even_load.py
+++ b/hornbeamyard/tests/test_even_load.py
@@ -105,11 +105,34 @@
         loads = {"e0": UpstreamLoad(5, 40_000)}
         balancer.apply_fleet_usage(loads, 1.0)
         servers = balancer.servers.values()
-        early, late = (expect_others(servers, age_s) for age_s in (0.0, 0.5))
+        early, late = (expect_others(servers, 1.0, now) for now in (1.0, 1.5))
         assert early["e0"] > late["e0"] > late["e1"] > early["e1"] > 0
         assert sum(early.values()) == pytest.approx(40_000)
         assert sum(late.values()) == pytest.approx(40_000)
 
+    @pytest.mark.parametrize("engine", [False, True])
+    def test_newer_response_counts(self, engine: bool) -> None:
+        """Guards against a choice by a usage older than a response.
+
+        An older response tells nothing, and neither does one of an engine,
+        which doesn't state the tokens to prefill.
+        """
+        balancer = build_even(2)
+        if not engine:
+            balancer.configure(0, 0, 0.0, 0.0, balancing=Balancing.EVEN)
+        busy, other = balancer.servers.values()
+        busy.own_load.running = 4
+        busy.record_reported(ReportedLoad(6, 18, 6), 0.9, 1.0)
+        # What the router sends after the response isn't in its numbers.
+        busy.own_load.running = 10
+        assert busy.reported_others == 20
+        servers = [busy, other]
+        expected = expect_others(servers, 0.0, 1.0)
+        assert expected[busy.id] == (0 if engine else 20)
+        assert expected[other.id] == 0
+        balancer.apply_fleet_usage({}, 2.0)
+        assert expect_others(servers, 2.0, 2.0)[busy.id] == 0
+
     def test_old_usage(self) -> None:
         """Guards against estimates from a usage of a lost leader.
 
