--- a/hornbeamyard/pool/engine.py
+++ b/hornbeamyard/pool/engine.py
@@ -19,6 +19,10 @@
 
 # Weight of the newest sample in running means.
 SAMPLE_WEIGHT = 0.15
+# Weights of samples of a plain service's usual time without queue. Waiting and
+# slow phases make samples larger, so the mean follows the smaller ones.
+WORK_RISE_WEIGHT = 0.05
+WORK_FALL_WEIGHT = 0.15
 # The same for the decode time of a token, which has far more samples.
 DECODE_SAMPLE_WEIGHT = 0.03
 # Bounds of samples of the prefill time, as multiples of the expected time.
@@ -79,8 +83,12 @@
     reported_at, reported_sent_at : float
         Monotonic times in seconds at which that response came and its request
         was sent.
+    reported_others : int
+        Requests of other routers that were running or waiting then.
     service_ms : float
         Mean time of a request.
+    work_ms : float
+        Usual time of a request that doesn't wait at the upstream.
     ejected_until : float
         Monotonic time in seconds before which no requests are sent, unless
         no other upstream is left.
@@ -104,7 +112,9 @@
     reported: ReportedLoad | None = None
     reported_at: float = 0.0
     reported_sent_at: float = 0.0
+    reported_others: int = 0
     service_ms: float = DEFAULT_SERVICE_MS
+    work_ms: float = DEFAULT_SERVICE_MS
     ejected_until: float = 0.0
     paused_until: float = 0.0
     limiter: RateLimiter | None = None
@@ -156,10 +166,15 @@
         self.reported = load
         self.reported_at = now
         self.reported_sent_at = sent_at
+        requests = load.running + load.waiting
+        self.reported_others = max(0, requests - self.own_load.running)
 
     def record_success(self, elapsed_ms: float) -> None:
         """Record a response that is no failure, and its duration."""
         self.service_ms += SAMPLE_WEIGHT * (elapsed_ms - self.service_ms)
+        rises = elapsed_ms > self.work_ms
+        weight = WORK_RISE_WEIGHT if rises else WORK_FALL_WEIGHT
+        self.work_ms += weight * (elapsed_ms - self.work_ms)
         self.failures_in_row = 0
         self._recent_responses = self._recent_responses * FAILURE_DECAY + 1
         self._recent_failures *= FAILURE_DECAY
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -570,6 +570,7 @@
             self.routing.limits.tokens_per_s,
             min(gaps, default=0.0) / pool.tokens_per_event,
             pool.compute_token_copy_ms(),
+            pool.balancing,
         )
         balancer.cold_starts.rate = pool.cold_rate
         balancer.cold_starts.start_s = pool.cold_start_s
@@ -709,6 +710,11 @@
                     speed.prefill_ms_per_token,
                     labels,
                 )
+            balance = balancer.describe_balance(self._timers.now())
+            if balance is not None:
+                age_s, imbalance = balance
+                yield Sample("load_knowledge_age_seconds", age_s, labels)
+                yield Sample("load_imbalance", imbalance, labels)
 
     def _sample_shares(self) -> Iterator[Sample]:
         shares = self._shares
--- a/hornbeamyard/tests/test_speeds.py
+++ b/hornbeamyard/tests/test_speeds.py
@@ -13,6 +13,7 @@
     decode_pool_speeds,
     encode_pool_speeds,
 )
+from hornbeamyard.pool.choice import Balancing
 from hornbeamyard.pool.engine import Engine
 from hornbeamyard.pool.speeds import (
     FleetSpeeds,
@@ -139,8 +140,9 @@
     """Use of the speeds in the forecast."""
 
     def test_speeds_are_measured_only_once_started(self) -> None:
-        """Pools that don't say how slow their hosts are stay as before."""
+        """Pools whose load isn't to be spread evenly stay as before."""
         balancer = build_balancer()
+        balancer.apply_pool_speed(PoolSpeed(OVERHEAD_MS, 0.001, 500))
         engine = balancer.servers["e0"]
         assert isinstance(engine, Engine)
         balancer.record_first_event(engine, 500.0, 5_000)
@@ -150,6 +152,7 @@
     def test_fleet_speed_changes_the_forecast(self) -> None:
         """A slow engine has to look slower than the others."""
         balancer = build_balancer()
+        balancer.configure(540_000, 64, 200_000, 0.0, balancing=Balancing.EVEN)
         speed = PoolSpeed(OVERHEAD_MS, PREFILL_MS_PER_TOKEN, 500)
         balancer.apply_pool_speed(speed)
         table = UsageTable()
--- a/hornbeamyard/version/routing.py
+++ b/hornbeamyard/version/routing.py
@@ -15,6 +15,7 @@
 
 from result import Err, Ok, Result
 
+from ..pool.choice import Balancing
 from ..process import validation
 from ..process.documents import read_json
 from ..process.validation import Finding, Option, Section
@@ -120,6 +121,8 @@
         together; 0 for no limit.
     cold_start_s : float
         Time for which an upstream is cold after its start, in seconds.
+    balancing : Balancing
+        How requests are spread over the upstreams.
     """
 
     name: str
@@ -132,6 +135,7 @@
     copy_mbps: float = 0.0
     cold_rate: float = 0.0
     cold_start_s: float = 0.0
+    balancing: Balancing = Balancing.LEAST_LOADED
 
     def is_engine(self) -> bool:
         """Return whether the upstreams are model engines."""
@@ -301,6 +305,9 @@
             validation.check_number(0, 1e6, "requests a second")
         ),
         "cold_start_s": Option(validation.check_number(0, 86_400, "s")),
+        "balancing": Option(
+            validation.check_choice(*(way.value for way in Balancing))
+        ),
     }
 )
 _ACCOUNT_SCHEMA = Section(
@@ -434,6 +441,7 @@
             item.get("copy_mbps", 0.0),
             item.get("cold_rate", 0.0),
             item.get("cold_start_s", 0.0),
+            Balancing(item.get("balancing", Balancing.LEAST_LOADED.value)),
         )
         for item in document["pools"]
     ]
