Drop the time of the request from a reported load

No decision used it: the other routers' requests in a response are counted when it comes. test_even_load, test_reported_load, test_balancer and test_notices: 124 passed.

--- a/benchmarks/even_load.py
+++ b/benchmarks/even_load.py
@@ -429,7 +429,7 @@
         load = self._report(machine)
         balancer = self.balancers[router]
         if load is not None:
-            balancer.record_reported(placement.server, load, sent_at, self.now)
+            balancer.record_reported(placement.server, load, self.now)
         balancer.finish_prefill(placement)
         balancer.finish(placement, demand)
         self._count(placement, -1, demand)
@@ -447,7 +447,7 @@
         if self.now > demand.arrived_at + demand.target_s or not served:
             self.outcome.late += 1
         if load is not None:
-            balancer.record_reported(server, load, sent_at, self.now)
+            balancer.record_reported(server, load, self.now)
         elapsed_ms = (self.now - sent_at) * 1000
         balancer.finish_prefill(placement)
         self._total[
--- a/hornbeamyard/pool/balancer.py
+++ b/hornbeamyard/pool/balancer.py
@@ -434,11 +434,7 @@
         self._paused_until[start] = max(paused_until, server.paused_until)
 
     def record_reported(
-        self,
-        server: Server,
-        load: ReportedLoad,
-        sent_at: float,
-        now: float,
+        self, server: Server, load: ReportedLoad, now: float
     ) -> None:
         """Record the load that an upstream states in a response.
 
@@ -447,10 +443,10 @@
         server : Server
             The upstream that the request was sent to.
         load : ReportedLoad
-        sent_at, now : float
-            Monotonic times in seconds of the request and the response.
+        now : float
+            Monotonic time in seconds.
         """
-        server.record_reported(load, sent_at, now)
+        server.record_reported(load, now)
         if load.slowdown is not None:
             self._choice.has_slowdowns = True
 
--- a/hornbeamyard/pool/engine.py
+++ b/hornbeamyard/pool/engine.py
@@ -79,9 +79,8 @@
         Monotonic time in seconds.
     reported : ReportedLoad or None
         Load that the newest response stated; None before the first one.
-    reported_at, reported_sent_at : float
-        Monotonic times in seconds at which that response came and its request
-        was sent.
+    reported_at : float
+        Monotonic time in seconds at which that response came.
     reported_others : int
         Requests of other routers that were running or waiting then.
     service_ms : float
@@ -107,7 +106,6 @@
     others_load_at: float = 0.0
     reported: ReportedLoad | None = None
     reported_at: float = 0.0
-    reported_sent_at: float = 0.0
     reported_others: int = 0
     service_ms: float = DEFAULT_SERVICE_MS
     work_ms: float = DEFAULT_SERVICE_MS
@@ -148,13 +146,10 @@
         until = now + min(duration_s, MAX_PAUSE_S)
         self.paused_until = max(self.paused_until, until)
 
-    def record_reported(
-        self, load: ReportedLoad, sent_at: float, now: float
-    ) -> None:
-        """Record the load in a response to a request sent at `sent_at`."""
+    def record_reported(self, load: ReportedLoad, now: float) -> None:
+        """Record the load that a response states."""
         self.reported = load
         self.reported_at = now
-        self.reported_sent_at = sent_at
         requests = load.running + load.waiting
         self.reported_others = max(0, requests - self.own_load.running)
 
--- a/hornbeamyard/request/meter.py
+++ b/hornbeamyard/request/meter.py
@@ -99,7 +99,7 @@
         self._report_limit(server.upstream.start, metadata.max_rate)
         if metadata.load is not None:
             self._balancer.record_reported(
-                server, metadata.load, self._started_at, self._timers.now()
+                server, metadata.load, self._timers.now()
             )
         if metadata.retry_after_s:
             self._balancer.pause(
