Bound the memory that requests take in every process

A crowd of bodies that stopped one byte short, or were far over the limit, took as much memory as it sent. The space for bodies was a quarter of the machine's memory, whatever a cgroup or a resource limit allowed; a controller's servers had no limit in all; a length over the limit was refused only after the bytes had been read.

One account per process now counts the bytes that are held for requests, and LimitedProtocol uses it on every HTTP port: 413 from the head or as soon as a chunked body exceeds the limit, a part for one address, a reserve for small requests, a minimum data rate, eviction of the body with the least progress, and a bound on what one connection gets parsed in a turn of the event loop. The application gets a body when it is complete, so that a refusal is never of a request that has run. Freed memory is returned to the system.

listeners.serve takes the limits of its server; its tests pass them.

--- a/hornbeamyard/connection/limits.py
+++ b/hornbeamyard/connection/limits.py
@@ -5,24 +5,31 @@
 import asyncio
 import json
 import resource
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
 
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+import logbook
+from uvicorn.protocols.http.flow_control import FlowControl
+from uvicorn.protocols.http.httptools_impl import (
+    HttpToolsProtocol,
+    RequestResponseCycle,
+)
 
+from ..process.memory_limits import return_unused_memory
 from ..process.timers import Timers
 from ..request.problem import Outcome, Problem
 from .buffers import ResponseBuffers
 from .client import Headers
+from .request_memory import BODY_TIMEOUT_S as BODY_TIMEOUT_S
+from .request_memory import RequestBytes, RequestMemory
 
 # Maximum size of a request's header, unless the routing sets one.
 MAX_HEADER_BYTES = 64 * 1024
 # Time within which the header of a request has to be complete.
 HEADER_TIMEOUT_S = 10.0
-# Time within which the body of a request has to be complete.
-BODY_TIMEOUT_S = 60.0
 # Buffered request bodies, of all requests together.
 MAX_BUFFERED_BODY_BYTES = 1024 * 1024 * 1024
 # Bytes that may wait for a caller without being counted.
@@ -52,10 +59,85 @@
 BURST_S = 0.1
 # Key of the ASGI scope's extensions for a target that ends with "?".
 EMPTY_QUERY = "hornbeamyard.empty_query"
+# Bytes of a chunked body that are parsed in one turn of the event loop, first
+# and at most. Each chunk costs an event, so the number of bytes is adapted to
+# the number of chunks in them.
+FIRST_SLICE_BYTES = 4 * 1024
+MAX_SLICE_BYTES = 64 * 1024
+MIN_SLICE_BYTES = 1024
+# Chunks in one turn above which the next one parses fewer bytes.
+MAX_CHUNKS_PER_TURN = 512
+# Requests of one connection that are parsed in one turn.
+MAX_REQUESTS_PER_TURN = 16
+# Requests that may be queued behind one whose response is in progress. They
+# can only follow a chunked body, whose end is known to the parser alone.
+MAX_PIPELINED = 16
+# Unparsed bytes above which a connection isn't read. Below it is, so that its
+# end is noticed.
+MAX_UNPARSED_BYTES = 64 * 1024
+# Time and bytes for which a connection stays open after a body was refused.
+# If it were closed with unread bytes, the system would drop the response.
+LINGER_S = 2.0
+LINGER_BYTES = 8 * 1024 * 1024
+# Unused memory is returned to the system when the bytes held for requests
+# have fallen from at least this size to a fraction of it, at most this often.
+RETURN_BYTES = 16 * 1024 * 1024
+RETURN_FRACTION = 0.25
+RETURN_INTERVAL_S = 10.0
+# Interval of log lines about refusals.
+LOG_INTERVAL_S = 10.0
+# Key of the ASGI scope's extensions for the account of the body.
+_REQUEST_BYTES = "hornbeamyard.request_bytes"
 # Path prefixes of callers' requests; other paths are always served.
 _LIMITED_PATHS = (b"/v1/", b"/services/")
 
 
+_log = logbook.Logger("limits")
+
+
+class Refusals:
+    """Counts refused bodies and connections, and logs them now and then.
+
+    Attributes
+    ----------
+    counts : Counter of str
+        By reason.
+    """
+
+    __slots__ = ("_logged_at", "_since_log", "counts")
+
+    def __init__(self) -> None:
+        self._logged_at = -LOG_INTERVAL_S
+        self._since_log = 0
+        self.counts: Counter[str] = Counter()
+
+    def record(self, reason: str, address: str, now: float) -> None:
+        """Record a refusal.
+
+        Parameters
+        ----------
+        reason : str
+            One of a few words for the metrics.
+        address : str
+            Where the connection comes from.
+        now : float
+            Monotonic time in seconds.
+        """
+        self.counts[reason] += 1
+        self._since_log += 1
+        if now - self._logged_at < LOG_INTERVAL_S:
+            return
+        _log.warning(
+            "refused requests that exceed a limit number={} reason={} "
+            "address={}",
+            self._since_log,
+            reason,
+            address,
+        )
+        self._logged_at = now
+        self._since_log = 0
+
+
 class OverloadLimiter:
     """Limits the rate of requests to what the processor can serve.
 
@@ -184,17 +266,29 @@
         returns the response, header and body.
     buffers : ResponseBuffers
         Parts of responses that wait for their callers.
+    body_size : float
+        Maximum size of a body in bytes.
+    build_rejection : callable
+        Called with the headers of a request whose body is refused, the status
+        and the reason; returns the response, header and body.
+    memory : RequestMemory
+        The account of the bytes that are held for requests.
+    refusals : Refusals
     """
 
     __slots__ = (
         "_open_connections",
+        "body_size",
         "buffers",
         "build_refusal",
+        "build_rejection",
         "header_size",
         "header_timeout_s",
         "limited_paths",
         "max_connections",
+        "memory",
         "overload_limiter",
+        "refusals",
         "responds_to_silent_connections",
         "timers",
     )
@@ -214,6 +308,12 @@
         self.limited_paths: tuple[bytes, ...] = _LIMITED_PATHS
         self.build_refusal: Callable[[Headers], bytes] = _build_refusal
         self.buffers = ResponseBuffers()
+        self.body_size = float("inf")
+        self.build_rejection: Callable[[Headers, HTTPStatus, str], bytes] = (
+            _build_rejection
+        )
+        self.memory = RequestMemory()
+        self.refusals = Refusals()
         self._open_connections: set[LimitedProtocol] = set()
 
     def add(self, protocol: LimitedProtocol) -> bool:
@@ -223,15 +323,62 @@
         self._open_connections.add(protocol)
         return True
 
+    def count_connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self._open_connections)
+
     def discard(self, protocol: LimitedProtocol) -> None:
         """Remove a closed connection."""
         self._open_connections.discard(protocol)
 
     async def run(self) -> None:
-        """Close connections whose header times out, until cancelled."""
+        """Close connections that take too long, until cancelled."""
+        returned_at = self.timers.now()
         async for now in self.timers.subscribe(SWEEP_INTERVAL_S):
+            memory = self.memory
+            if (
+                memory.peak >= RETURN_BYTES
+                and memory.size <= memory.peak * RETURN_FRACTION
+                and now - returned_at >= RETURN_INTERVAL_S
+            ):
+                returned_at = now
+                memory.peak = memory.size
+                return_unused_memory()
             for protocol in list(self._open_connections):
                 protocol.check_header_timeout(now)
+                protocol.check_body_timeout(now)
+
+
+class _RequestFlow(FlowControl):
+    """Flow control that also stops reading while bytes wait to be parsed."""
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        super().__init__(transport)
+        self._is_held = False
+
+    def hold(self) -> None:
+        """Read nothing until `release`."""
+        if not self._is_held and not self.read_paused:
+            self._transport.pause_reading()
+        self._is_held = True
+
+    def release(self) -> None:
+        """Read again."""
+        if self._is_held and not self.read_paused:
+            self._transport.resume_reading()
+        self._is_held = False
+
+    def pause_reading(self) -> None:
+        """Read nothing until `resume_reading`."""
+        if not self._is_held:
+            super().pause_reading()
+        self.read_paused = True
+
+    def resume_reading(self) -> None:
+        """Read again, unless bytes wait to be parsed."""
+        if not self._is_held:
+            super().resume_reading()
+        self.read_paused = False
 
 
 class LimitedProtocol(HttpToolsProtocol):
@@ -249,6 +396,23 @@
     ) -> None:
         """Start a connection, or refuse one that exceeds the limit."""
         super().connection_made(transport)
+        self.flow: _RequestFlow = _RequestFlow(transport)
+        self._address = self.client[0] if self.client else ""
+        # The account of the body that arrives.
+        self._body: RequestBytes | None = None
+        self._body_size = 0
+        # When a connection whose body was refused is closed; None before.
+        self._closes_at: float | None = None
+        self._discarded_size = 0
+        # Chunks, and requests, that were parsed in this turn.
+        self._chunks = 0
+        self._requests = 0
+        self._slice_size = FIRST_SLICE_BYTES
+        # Bytes that wait for the next turn, or for the response to an earlier
+        # request, and their account.
+        self._unparsed = b""
+        self._unparsed_account: RequestBytes | None = None
+        self._is_scheduled = False
         transport.set_write_buffer_limits(MAX_UNCOUNTED_BYTES)
         # The sent bytes that wait for the caller, while it reads slowly.
         self._unsent_size = 0
@@ -274,6 +438,13 @@
         """Remove a closed connection."""
         self.limits.discard(self)
         self._set_unsent(0)
+        self._set_unparsed(b"")
+        self._drop_body()
+        for cycle, _ in self.pipeline:
+            account = _find_account(cycle)
+            if account is not None:
+                account.release()
+            cycle.body = bytearray()
         super().connection_lost(exc)
 
     def pause_writing(self) -> None:
@@ -291,14 +462,96 @@
         self._unsent_size = size
 
     def data_received(self, data: bytes) -> None:
-        """Parse bytes, and refuse a header that is too large."""
+        """Parse bytes, and refuse a request that exceeds a limit."""
         self._is_silent = False
+        if self._closes_at is not None:
+            self._discarded_size += len(data)
+            if self._discarded_size > LINGER_BYTES:
+                self.flow.hold()
+            return
+        if self._unparsed:
+            self._keep(self._unparsed + data)
+            return
+        self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
+        """Parse bytes, as many as one turn of the event loop may."""
         start = 0
-        while start < len(data) and not self.transport.is_closing():
+        self._requests = 0
+        is_turn_over = False
+        while start < len(data) and not self._is_ended():
+            if not self._is_in_message:
+                if self._has_response_in_progress():
+                    # Some callers send a line end after a body.
+                    if not data[start:].strip(b"\r\n"):
+                        start = len(data)
+                    break
+                if self._requests >= MAX_REQUESTS_PER_TURN:
+                    is_turn_over = True
+                    break
+            is_chunked = self._is_in_body and self._body_left is None
             parse = (
                 self._parse_body if self._is_in_body else self._parse_header
             )
             start = parse(data, start)
+            if is_chunked:
+                is_turn_over = True
+                break
+        if self._is_ended():
+            self._set_unparsed(b"")
+            return
+        self._keep(data[start:])
+        if self._unparsed and is_turn_over:
+            self._schedule()
+
+    def _is_ended(self) -> bool:
+        """Return whether no more bytes are parsed."""
+        return self._closes_at is not None or self.transport.is_closing()
+
+    def _has_response_in_progress(self) -> bool:
+        return self.cycle is not None and not self.cycle.response_complete
+
+    def _schedule(self) -> None:
+        """Parse the next bytes in the next turn of the event loop."""
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            self.loop.call_soon(self._parse_rest)
+
+    def _parse_rest(self) -> None:
+        self._is_scheduled = False
+        if self._is_ended() or self.parser is None:
+            return
+        data = self._unparsed
+        self._unparsed = b""
+        self._parse(data)
+
+    def _keep(self, data: bytes) -> None:
+        """Keep bytes for a later turn."""
+        if not self._set_unparsed(data):
+            self._reject("memory", "too many bytes of requests are in memory")
+            return
+        if len(data) > MAX_UNPARSED_BYTES:
+            self.flow.hold()
+        else:
+            self.flow.release()
+
+    def _set_unparsed(self, data: bytes) -> bool:
+        """Keep bytes, and count them; return False without room."""
+        self._unparsed = data
+        account = self._unparsed_account
+        if not data:
+            if account is not None:
+                account.release()
+                self._unparsed_account = None
+            return True
+        now = self.limits.timers.now()
+        if account is None:
+            account = self.limits.memory.open(self._address, now, self._evict)
+            self._unparsed_account = account
+        account.sibling = self._body
+        if self._body is not None:
+            self._body.sibling = account
+        return account.resize(len(data), now)
 
     def _parse_body(self, data: bytes, start: int) -> int:
         """Parse a part of the body; return where it ends.
@@ -306,12 +559,19 @@
         What follows the body is included if the body's end isn't known.
         """
         end = len(data)
-        if self._body_left:
+        if self._body_left is None:
+            end = min(end, start + self._slice_size)
+        elif self._body_left:
             end = min(end, start + self._body_left)
             self._body_left -= end - start
+        self._chunks = 0
         self._counts_fields = True
         super().data_received(data[start:end])
         self._counts_fields = False
+        if self._chunks > MAX_CHUNKS_PER_TURN:
+            self._slice_size = max(MIN_SLICE_BYTES, self._slice_size // 2)
+        elif self._chunks <= MAX_CHUNKS_PER_TURN // 4:
+            self._slice_size = min(MAX_SLICE_BYTES, self._slice_size * 2)
         return end
 
     def _parse_header(self, data: bytes, start: int) -> int:
@@ -343,6 +603,9 @@
 
     def on_message_begin(self) -> None:
         """Handle the start of a request."""
+        if self._closes_at is not None or len(self.pipeline) >= MAX_PIPELINED:
+            raise ValueError("too many requests wait for their responses")
+        self._requests += 1
         super().on_message_begin()
         self._header_size = 0
         self._is_in_message = True
@@ -353,7 +616,55 @@
         self._is_in_message = self._is_in_body = False
         self._has_request_line = False
         self._header_size = 0
-        super().on_message_complete()
+        if self._body is not None:
+            self._body.complete()
+            self._body = None
+        if self._closes_at is None:
+            super().on_message_complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of the body, within the limits.
+
+        The application gets the whole body at once.
+        """
+        self._chunks += 1
+        if self._closes_at is not None:
+            return
+        self._body_size += len(body)
+        if self._body_size > self.limits.body_size:
+            self._reject_size()
+            return
+        if self._body is None:
+            return
+        now = self.limits.timers.now()
+        if self.cycle.response_complete:
+            self._body.record_progress(len(body), now)
+            return
+        if not self._body.add(len(body), now):
+            self._reject("memory", "too many bytes of requests are in memory")
+            return
+        self.cycle.body += body
+
+    def on_response_complete(self) -> None:
+        """Parse what has arrived after the request."""
+        super().on_response_complete()
+        if self._unparsed:
+            self._schedule()
+
+    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
+        """Serve a request; its body is held until that ends."""
+        account = _find_account(cycle)
+        if account is None:
+            super()._start_asgi_task(cycle, app)
+            return
+
+        async def serve(scope: Any, receive: Any, send: Any) -> None:
+            try:
+                await app(scope, receive, send)
+            finally:
+                account.release()
+
+        super()._start_asgi_task(cycle, serve)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header field, within the limit."""
@@ -372,10 +683,26 @@
         self._is_in_body = True
         self._header_size = 0
         self._body_left = _find_body_size(self.headers)
+        self._body_size = 0
+        self._slice_size = FIRST_SLICE_BYTES
+        if (self._body_left or 0) > self.limits.body_size:
+            self._reject_size()
+            return
+        extensions: dict[str, Any] = {}
+        if self._body_left or (self._body_left is None and self._is_chunked()):
+            self._body = self.limits.memory.open(
+                self._address,
+                self.limits.timers.now(),
+                self._evict,
+                self._body_left or 0,
+            )
+            extensions[_REQUEST_BYTES] = self._body
         _, question_mark, query = self.url.partition(b"?")
         if question_mark and not query:
             # ASGI doesn't tell an empty query from none.
-            self.scope["extensions"] = {EMPTY_QUERY: {}}
+            extensions[EMPTY_QUERY] = {}
+        if extensions:
+            self.scope["extensions"] = extensions
         cycle = self.cycle
         if (
             self.url.startswith(self.limits.limited_paths)
@@ -411,8 +738,105 @@
         reason = f"no complete header arrived within {timeout_s:g} s"
         self.refuse(HTTPStatus.REQUEST_TIMEOUT, reason)
 
+    def check_body_timeout(self, now: float) -> None:
+        """Refuse a body that takes too long; close refused connections."""
+        if self._closes_at is not None:
+            if now >= self._closes_at:
+                self.transport.close()
+            return
+        if self._body is None or not self._body.is_late(now):
+            return
+        memory = self.limits.memory
+        self._reject(
+            "slow",
+            f"less than {memory.body_rate * memory.body_timeout_s:g} bytes of "
+            f"the body arrived within {memory.body_timeout_s:g} s",
+            HTTPStatus.REQUEST_TIMEOUT,
+        )
+
+    def _is_chunked(self) -> bool:
+        return any(name == b"transfer-encoding" for name, _ in self.headers)
+
+    def _reject_size(self) -> None:
+        self._reject(
+            "size",
+            f"the body exceeds {self.limits.body_size:g} bytes",
+            HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        )
+
+    def _evict(self) -> None:
+        """Give the room for a request that makes no progress to others."""
+        self._reject(
+            "stalled", "its memory was needed for requests that make progress"
+        )
+
+    def _reject(
+        self,
+        cause: str,
+        reason: str,
+        status: HTTPStatus = HTTPStatus.SERVICE_UNAVAILABLE,
+    ) -> None:
+        """Refuse a request whose body isn't complete, so that it never runs.
+
+        The connection is closed once the caller could read the response.
+
+        Parameters
+        ----------
+        cause : str
+            For the metrics.
+        reason : str
+            For the caller.
+        status : HTTPStatus, optional
+        """
+        if self._is_ended():
+            return
+        now = self.limits.timers.now()
+        self.limits.refusals.record(cause, self._address, now)
+        self._header_started_at = None
+        cycle = self.cycle
+        is_served = self._body is not None
+        is_answered = cycle is None or cycle.response_complete
+        may_answer = is_answered
+        if is_served:
+            # The rest of a body may arrive after the response.
+            may_answer = not (
+                is_answered or cycle.response_started or self.pipeline
+            )
+        headers = self.headers if self._is_in_message else []
+        self._set_unparsed(b"")
+        self._drop_body()
+        if not may_answer:
+            # Other bytes would corrupt a response.
+            self.transport.close()
+            return
+        self.transport.write(
+            self.limits.build_rejection(headers, status, reason)
+        )
+        if is_served:
+            cycle.disconnected = True
+            cycle.message_event.set()
+        self._closes_at = now + LINGER_S
+        self._unset_keepalive_if_required()
+        self.flow.release()
+        self.flow.resume_reading()
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+
+    def _drop_body(self) -> None:
+        """Release the bytes of a body that will never be complete."""
+        if self._body is None:
+            return
+        self._body.release()
+        self._body = None
+        if not self.cycle.response_complete:
+            # The connection and its request refer to each other, so the
+            # bytes would stay until the next collection of garbage.
+            self.cycle.body = bytearray()
+
     def refuse(self, status: HTTPStatus, reason: str) -> None:
         """Respond without serving a request, and close the connection."""
+        if self._closes_at is not None:
+            return
         self._header_started_at = None
         if self.cycle is not None and not self.cycle.response_complete:
             # Other bytes would corrupt the response in progress.
@@ -437,6 +861,13 @@
 _REFUSED_CYCLE = _RefusedCycle()
 
 
+def _find_account(cycle: RequestResponseCycle) -> RequestBytes | None:
+    """Return the account of a request's body; None without a body."""
+    extensions: Any = cycle.scope.get("extensions") or {}
+    account: RequestBytes | None = extensions.get(_REQUEST_BYTES)
+    return account
+
+
 def _find_body_size(headers: Headers) -> int | None:
     """Return the size of a body that isn't chunked, which the parser checked.
 
@@ -491,6 +922,12 @@
     return b"\r\n".join([*lines, b"", body])
 
 
+def _build_rejection(
+    headers: Headers, status: HTTPStatus, reason: str
+) -> bytes:
+    return _build_response(status, reason)
+
+
 _OVERLOADED = _build_response(
     HTTPStatus.SERVICE_UNAVAILABLE, "the router is overloaded", close=False
 )
@@ -500,22 +937,27 @@
     return _OVERLOADED
 
 
-def build_refusal(headers: Headers, reason: str) -> bytes:
-    """Return a response with status 503 that keeps the connection open.
+def build_refusal(
+    headers: Headers,
+    reason: str,
+    status: HTTPStatus = HTTPStatus.SERVICE_UNAVAILABLE,
+) -> bytes:
+    """Return a response that keeps the connection open, by default 503.
 
     Parameters
     ----------
     headers : list of (bytes, bytes)
         Additional headers of the response.
     reason : str
+    status : HTTPStatus, optional
 
     Returns
     -------
     bytes
         Header and body.
     """
-    body = json.dumps({"status": 503, "detail": reason}).encode()
-    lines = [b"HTTP/1.1 503 Service Unavailable"]
+    body = json.dumps({"status": int(status), "detail": reason}).encode()
+    lines = [f"HTTP/1.1 {int(status)} {status.phrase}".encode()]
     lines += [b": ".join(header) for header in headers]
     lines.append(b"content-type: application/problem+json")
     lines.append(b"content-length: " + str(len(body)).encode())
--- a/hornbeamyard/connection/peers.py
+++ b/hornbeamyard/connection/peers.py
@@ -21,6 +21,12 @@
 # only after that timeout, whose default is a minute.
 KEEPALIVE_TIMEOUT_MS = 2000
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+# Calls in progress on one connection; more wait at the caller. A router has
+# one stream, and look-ups of resumed streams.
+MAX_CONCURRENT_CALLS = 256
+# Names and values that come with a call. The fleet's calls have none of their
+# own; this is gRPC's default, above which it refuses the call.
+MAX_METADATA_BYTES = 8 * 1024
 # gRPC's default of two minutes is too long a wait after a partition.
 MAX_RECONNECT_BACKOFF_MS = 1000
 
@@ -33,6 +39,8 @@
     ("grpc.http2.min_ping_interval_without_data_ms", KEEPALIVE_MS // 2),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_concurrent_streams", MAX_CONCURRENT_CALLS),
+    ("grpc.max_metadata_size", MAX_METADATA_BYTES),
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", MAX_RECONNECT_BACKOFF_MS),
     ("grpc.use_local_subchannel_pool", 1),
--- a/hornbeamyard/process/daemon.py
+++ b/hornbeamyard/process/daemon.py
@@ -30,10 +30,17 @@
 from .folder_lock import lock_until
 from .interface import Interface
 from .logs import LineWriter, start_logging, start_structured_logging
+from .memory_limits import build_request_memory
 from .registrar import Registrar
 from .reload import SettingsWatcher
 from .router import Router
-from .servers import build_status_app
+from .servers import (
+    MAX_STATUS_BODY_BYTES,
+    build_status_app,
+    build_status_limits,
+    sample_limits,
+    sample_request_memory,
+)
 from .settings import Settings, load_settings
 from .signals import StopSignals
 from .timers import MonotonicTimers, Timers
@@ -168,11 +175,14 @@
     stop = anyio.Event()
     router = None
     registrar = None
+    memory = build_request_memory(settings.memory)
     if settings.router is not None:
         decisions = DecisionLog(timers, settings.host, writer)
-        router = DirectoryRouter(settings, timers, interface, decisions)
+        router = DirectoryRouter(
+            settings, timers, interface, decisions, memory
+        )
     if settings.controller is not None:
-        registrar = Registrar(settings, timers, interface)
+        registrar = Registrar(settings, timers, interface, memory)
     watcher = SettingsWatcher(path, settings.text, timers, router, registrar)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(signals.watch, stop, anyio.Event())
@@ -181,7 +191,12 @@
         role = router or registrar
         if address and role is not None:
             app = build_status_app(role.metrics)
-            tasks.start_soon(listeners.serve, app, address, "metrics", timers)
+            limits = build_status_limits(memory, timers, MAX_STATUS_BODY_BYTES)
+            role.metrics.add_source(lambda: sample_request_memory(memory))
+            role.metrics.add_source(lambda: sample_limits(limits, "metrics"))
+            tasks.start_soon(
+                listeners.serve, app, address, "metrics", timers, limits
+            )
         async with anyio.create_task_group() as roles:
             if registrar is not None:
                 roles.start_soon(registrar.run, stop)
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import itertools
-import os
 import random
 from collections.abc import Iterable, Iterator, Mapping
+from http import HTTPStatus
 
 import anyio
 import anyio.abc
@@ -21,6 +21,7 @@
     build_protocol,
     build_refusal,
 )
+from ..connection.request_memory import RequestMemory
 from ..connection.subscription import Subscription
 from ..connection.upstreams import UpstreamConnections
 from ..pool.balancer import (
@@ -50,8 +51,15 @@
 from . import listeners
 from .decisions import DecisionLog
 from .interface import Interface, Message
+from .memory_limits import build_request_memory, find_memory_limit
 from .metrics import Metrics, Sample
-from .servers import build_server, build_status_app
+from .servers import (
+    MAX_STATUS_BODY_BYTES,
+    build_server,
+    build_status_app,
+    build_status_limits,
+    sample_limits,
+)
 from .settings import Settings
 from .timers import Timers
 from .upstream_notices import UpstreamNotices
@@ -96,10 +104,7 @@
 OVERLOAD_RETRY_AFTER_S = 0.1
 # Upper bound of open connections from callers.
 MAX_CONNECTIONS = 1500
-# Fraction of the machine's memory for the bodies of requests in progress,
-# which take up to twice their size while they are sent.
-BODY_MEMORY_FRACTION = 0.25
-# Fraction of the machine's memory for responses that wait for their callers.
+# Fraction of the process's memory for responses that wait for their callers.
 RESPONSE_MEMORY_FRACTION = 0.125
 
 _log = logbook.Logger("route_router")
@@ -115,6 +120,8 @@
     timers : Timers
     interface : Interface
     decisions : DecisionLog
+    memory : RequestMemory, optional
+        The account of the process; by default one of the router's own.
 
     Attributes
     ----------
@@ -148,6 +155,7 @@
         "_settings",
         "_shares",
         "_started_at",
+        "_status_limits",
         "_timers",
         "_upstreams",
         "_usage_at",
@@ -170,6 +178,7 @@
         timers: Timers,
         interface: Interface,
         decisions: DecisionLog,
+        memory: RequestMemory | None = None,
     ) -> None:
         assert settings.router is not None
         assert settings.directory is not None
@@ -232,14 +241,23 @@
             timers,
             RequestReporter(timers, self.decisions, self.metrics),
         )
-        memory = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
-        self.forwarder.max_buffered_size = BODY_MEMORY_FRACTION * memory
+        memory = memory or build_request_memory(settings.memory)
+        self.forwarder.max_buffered_size = memory.max_size
         self._connection_limits = ConnectionLimits(
             min(settings.router.connections, MAX_CONNECTIONS),
             OverloadLimiter(timers),
             timers,
         )
-        self._upstreams.buffers.max_size = RESPONSE_MEMORY_FRACTION * memory
+        self._connection_limits.memory = memory
+        # Until a routing sets another one.
+        self._connection_limits.body_size = settings.router.body_size
+        self._connection_limits.build_rejection = self._build_rejection
+        self._status_limits = build_status_limits(
+            memory, timers, MAX_STATUS_BODY_BYTES
+        )
+        self._upstreams.buffers.max_size = (
+            RESPONSE_MEMORY_FRACTION * find_memory_limit()
+        )
         self._connection_limits.buffers = self._upstreams.buffers
         self._connection_limits.limited_paths = (b"/",)
         self._connection_limits.build_refusal = self._refuse_overload
@@ -271,6 +289,7 @@
                     status_address,
                     "readiness",
                     self._timers,
+                    self._status_limits,
                 )
             listener = await listeners.listen_until(
                 stop, self._settings.router.address, "callers", self._timers
@@ -388,6 +407,22 @@
         )
         return build_refusal(response_headers, "the router is overloaded")
 
+    def _build_rejection(
+        self, headers: Headers, status: HTTPStatus, reason: str
+    ) -> bytes:
+        """Return the response to a request whose body is refused."""
+        header_codec = self._interface.header_codec
+        metadata = header_codec.read_request(headers)
+        self.forwarder.report_rejected(metadata, status, reason)
+        response_headers = header_codec.write_response(metadata.request_id)
+        if status is HTTPStatus.SERVICE_UNAVAILABLE:
+            retry_after_s = OVERLOAD_RETRY_AFTER_S * (0.5 + random.random())
+            response_headers.append(
+                (b"retry-after", f"{retry_after_s:.3f}".encode())
+            )
+        response_headers.append((b"connection", b"close"))
+        return build_refusal(response_headers, reason, status)
+
     # ---- from the directory ----------------------------------------------
 
     def _collect_usage(self) -> RouterUsage:
@@ -482,6 +517,11 @@
         limits = routing.limits
         self._shares.throughput = limits.tokens_per_s
         self._connection_limits.header_size = limits.header_size
+        self._connection_limits.body_size = limits.body_size
+        # The account admits a request that is alone.
+        self.forwarder.max_buffered_size = max(
+            self._connection_limits.memory.max_size, limits.body_size
+        )
         self._connection_limits.header_timeout_s = (
             limits.header_timeout_ms / 1000
         )
@@ -637,6 +677,8 @@
     # ---- metrics ---------------------------------------------------------
 
     def _sample(self) -> Iterator[Sample]:
+        yield from sample_limits(self._connection_limits, "callers")
+        yield from sample_limits(self._status_limits, "readiness")
         counts = self.forwarder.counts
         yield Sample("requests_in_progress", counts.in_progress)
         for outcome, number in counts.outcomes.items():
--- a/hornbeamyard/process/listeners.py
+++ b/hornbeamyard/process/listeners.py
@@ -16,6 +16,7 @@
 import logbook
 
 from ..connection import peers
+from ..connection.limits import ConnectionLimits, build_protocol
 from .servers import BACKLOG, EmbeddedServer, build_server
 from .settings import Tls
 from .timers import Timers
@@ -155,7 +156,13 @@
     await server.start()
 
 
-async def serve(app: Any, address: str, purpose: str, timers: Timers) -> None:
+async def serve(
+    app: Any,
+    address: str,
+    purpose: str,
+    timers: Timers,
+    limits: ConnectionLimits,
+) -> None:
     """Serve an ASGI application until cancelled, whatever fails.
 
     Parameters
@@ -166,21 +173,26 @@
     purpose : str
         What the address is for, for the log.
     timers : Timers
+    limits : ConnectionLimits
     """
-    while True:
-        listener = await listen(address, purpose, timers)
-        server: EmbeddedServer = build_server(app, address)
-        try:
-            await server.serve([listener])
-        except Exception as error:
-            _log.exception(
-                "the server for {} has failed and starts again: {}",
-                purpose,
-                error,
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(limits.run)
+        while True:
+            listener = await listen(address, purpose, timers)
+            server: EmbeddedServer = build_server(
+                app, address, build_protocol(limits)
             )
-        finally:
-            listener.close()
-        await timers.sleep(RESTART_DELAY_S)
+            try:
+                await server.serve([listener])
+            except Exception as error:
+                _log.exception(
+                    "the server for {} has failed and starts again: {}",
+                    purpose,
+                    error,
+                )
+            finally:
+                listener.close()
+            await timers.sleep(RESTART_DELAY_S)
 
 
 async def _retry(
--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -18,6 +18,7 @@
 from ..connection.directory_codec import unpack_document
 from ..connection.directory_service import DirectoryService
 from ..connection.replication import ReplicationCalls, ReplicationService
+from ..connection.request_memory import RequestMemory
 from ..messages import fleet_pb2, fleet_pb2_grpc
 from ..pool.upstream_registry import (
     MAX_MISSED_ANNOUNCEMENTS,
@@ -35,7 +36,13 @@
 from .crash_store import CrashStore
 from .folder_lock import lock_until
 from .interface import Interface, SubmissionResult
+from .memory_limits import build_request_memory
 from .metrics import Metrics, Sample
+from .servers import (
+    MAX_BODY_BYTES,
+    build_status_limits,
+    sample_limits,
+)
 from .settings import Settings
 from .stream_store import StreamStore
 from .timers import Timers
@@ -54,12 +61,15 @@
         Settings with `controller` and `directory`.
     timers : Timers
     interface : Interface
+    memory : RequestMemory, optional
+        The account of the process; by default one of the controller's own.
     """
 
     __slots__ = (
         "_crash_store",
         "_directory_calls",
         "_interface",
+        "_limits",
         "_pools",
         "_pools_version",
         "_replication_calls",
@@ -74,12 +84,21 @@
     )
 
     def __init__(
-        self, settings: Settings, timers: Timers, interface: Interface
+        self,
+        settings: Settings,
+        timers: Timers,
+        interface: Interface,
+        memory: RequestMemory | None = None,
     ) -> None:
         assert settings.controller is not None
         assert settings.directory is not None
         self._directory_calls = DirectoryCalls(settings.tls)
         self._interface = interface
+        self._limits = build_status_limits(
+            memory or build_request_memory(settings.memory),
+            timers,
+            MAX_BODY_BYTES,
+        )
         # Pools of the routing that was in force at the last announcement.
         self._pools: frozenset[str] | None = None
         self._pools_version = 0
@@ -212,9 +231,11 @@
                 address,
                 "operators and upstreams",
                 self._timers,
+                self._limits,
             )
 
     def _sample(self) -> Iterator[Sample]:
+        yield from sample_limits(self._limits, "operators")
         yield Sample("leads", float(self.replica.is_leader()))
         yield Sample("term", self.replica.term)
         state = self.founder.get_state().value
--- a/hornbeamyard/process/router.py
+++ b/hornbeamyard/process/router.py
@@ -28,7 +28,7 @@
 from ..pool.crashes import Crash
 from ..pool.dispatch import Dispatch
 from ..pool.worker import Worker, WorkerRegistry
-from ..request.administration import Administration
+from ..request.administration import MAX_PATCH_BYTES, Administration
 from ..request.announcement import AnnouncementHandler
 from ..request.claim import ClaimClient
 from ..request.delivery import BLOCKED_REASON, Delivery
@@ -36,8 +36,14 @@
 from ..version.configuration import Configuration
 from . import listeners
 from .gauges import sample_pools, sample_session
+from .memory_limits import build_request_memory
 from .metrics import Metrics, Sample
-from .servers import CLOSE_TIMEOUT_S, build_server
+from .servers import (
+    CLOSE_TIMEOUT_S,
+    build_server,
+    sample_limits,
+    sample_request_memory,
+)
 from .settings import Settings
 from .timers import Timers
 
@@ -171,6 +177,13 @@
             self._overload_limiter,
             self._timers,
         )
+        limits.memory = build_request_memory(self._settings.memory)
+        # The gateway has lower limits for some paths.
+        limits.body_size = max(
+            self._settings.router.body_size, MAX_PATCH_BYTES
+        )
+        self.metrics.add_source(lambda: sample_limits(limits, "callers"))
+        self.metrics.add_source(lambda: sample_request_memory(limits.memory))
         server = _build_server(self._settings, self.gateway, limits)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.session.run)
--- a/hornbeamyard/process/servers.py
+++ b/hornbeamyard/process/servers.py
@@ -5,14 +5,20 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
 import uvicorn
 
+from ..connection.limits import (
+    ConnectionLimits,
+    OverloadLimiter,
+)
+from ..connection.request_memory import RequestMemory
 from ..request.problem import send_response
 from .acceptors import Acceptor
-from .metrics import Metrics
+from .metrics import Metrics, Sample
+from .timers import Timers
 
 # Time for the last bytes to reach callers whose requests were ended.
 CLOSE_TIMEOUT_S = 2
@@ -24,6 +30,10 @@
 STATUS_KEEP_ALIVE_S = 75
 # Maximum body of a call to a controller; enough for thousands of routes.
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# Maximum body of a request for metrics or readiness, which needs none.
+MAX_STATUS_BODY_BYTES = 64 * 1024
+# Open connections of operators and upstreams, or of monitors, to one address.
+MAX_STATUS_CONNECTIONS = 1000
 # Stands in a decoded path for bytes that aren't UTF-8.
 REPLACEMENT = "\N{REPLACEMENT CHARACTER}"
 
@@ -125,6 +135,53 @@
     return EmbeddedServer(config)
 
 
+def build_status_limits(
+    memory: RequestMemory, timers: Timers, body_size: int
+) -> ConnectionLimits:
+    """Return the limits of a server for operators, upstreams or monitors.
+
+    Parameters
+    ----------
+    memory : RequestMemory
+        The account of the process.
+    timers : Timers
+    body_size : int
+        Maximum size of a body in bytes.
+    """
+    limits = ConnectionLimits(
+        MAX_STATUS_CONNECTIONS, OverloadLimiter(timers), timers
+    )
+    limits.memory = memory
+    limits.body_size = body_size
+    # They are served also by a process that is overloaded.
+    limits.limited_paths = ()
+    limits.responds_to_silent_connections = False
+    return limits
+
+
+def sample_limits(limits: ConnectionLimits, server: str) -> Iterator[Sample]:
+    """Yield the metrics of a server's limits.
+
+    Parameters
+    ----------
+    limits : ConnectionLimits
+    server : str
+        What the server is for.
+    """
+    labels = (("server", server),)
+    yield Sample("request_connections", limits.count_connections(), labels)
+    for reason, number in limits.refusals.counts.items():
+        yield Sample(
+            "requests_over_limit", number, (*labels, ("reason", reason)), True
+        )
+
+
+def sample_request_memory(memory: RequestMemory) -> Iterator[Sample]:
+    """Yield the metrics of the account of a process."""
+    yield Sample("request_bytes", memory.size)
+    yield Sample("request_bytes_limit", memory.max_size)
+
+
 def build_json_app(
     handle: Callable[[str, str, bytes], Awaitable[tuple[int, bytes]]],
 ) -> Callable[..., Awaitable[None]]:
--- a/hornbeamyard/process/settings.py
+++ b/hornbeamyard/process/settings.py
@@ -10,6 +10,12 @@
 import json5
 from result import Err, Ok, Result
 
+from ..connection.request_memory import (
+    ADDRESS_FRACTION,
+    BODY_RATE,
+    BODY_TIMEOUT_S,
+    RESERVED_FRACTION,
+)
 from . import validation
 from .key_locations import KeyLocations, locate_keys
 from .relations import check_relations
@@ -161,6 +167,33 @@
         return 2 * self.tolerated_hosts + 1
 
 
+@dataclass(slots=True)
+class MemorySettings:
+    """Memory for requests, of all servers of a process together.
+
+    Attributes
+    ----------
+    request_bytes : int
+        Upper bound of the bytes that are held for requests; 0 for what the
+        machine, the cgroup and the resource limits leave.
+    address_share : float
+        Fraction of them for the requests of one address.
+    reserved_share : float
+        Fraction of them that only requests of up to 64 KiB may use.
+    body_timeout_s : float
+        Time in which a body has to make progress, in seconds.
+    body_rate : float
+        Average rate over that time below which a body makes none, in bytes
+        per second.
+    """
+
+    request_bytes: int = 0
+    address_share: float = ADDRESS_FRACTION
+    reserved_share: float = RESERVED_FRACTION
+    body_timeout_s: float = BODY_TIMEOUT_S
+    body_rate: float = BODY_RATE
+
+
 @dataclass(slots=True)
 class Settings:
     """Settings of one process.
@@ -174,6 +207,7 @@
     controller : ControllerSettings or None
     tls : Tls or None
     directory : DirectorySettings or None
+    memory : MemorySettings
     plain_text : bool
         Whether connections between hosts may be unencrypted.
     log_level : str
@@ -189,6 +223,7 @@
     controller: ControllerSettings | None = None
     tls: Tls | None = None
     directory: DirectorySettings | None = None
+    memory: MemorySettings = field(default_factory=MemorySettings)
     plain_text: bool = False
     log_level: str = "info"
     text: str = field(default="", repr=False)
@@ -272,6 +307,21 @@
                 "metrics_address": Option(validation.check_address),
             }
         ),
+        "memory": Section(
+            {
+                "request_bytes": Option(
+                    validation.check_integer(0, 2**50, "bytes")
+                ),
+                "address_share": Option(validation.check_number(0.01, 1)),
+                "reserved_share": Option(validation.check_number(0, 0.9)),
+                "body_timeout_s": Option(
+                    validation.check_number(1, 3600, "s")
+                ),
+                "body_rate": Option(
+                    validation.check_number(0, 1e9, "bytes per second")
+                ),
+            }
+        ),
         "tls": Section(
             {
                 "certificate": Option(
@@ -384,6 +434,7 @@
         directory=(
             DirectorySettings(**directory) if directory is not None else None
         ),
+        memory=MemorySettings(**document.get("memory", {})),
         plain_text=document.get("plain_text", False),
         log_level=document.get("log_level", "info"),
         text=text,
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -253,6 +253,12 @@
             finally:
                 self._time_limits.discard(limit)
 
+    def report_rejected(
+        self, metadata: RequestMetadata, status: HTTPStatus, reason: str
+    ) -> None:
+        """Report a request that the server has rejected by itself."""
+        self._reporter.report_rejected(metadata, status, reason)
+
     def end_requests(self) -> None:
         """Answer all requests in progress, because the router has to end."""
         for time_limit in self._time_limits:
--- a/hornbeamyard/tests/test_process_start.py
+++ b/hornbeamyard/tests/test_process_start.py
@@ -22,10 +22,15 @@
 import logbook
 import pytest
 
+from hornbeamyard.connection.request_memory import RequestMemory
 from hornbeamyard.process import listeners, servers
 from hornbeamyard.process.folder_lock import lock_until
 from hornbeamyard.process.metrics import Metrics
-from hornbeamyard.process.timers import MonotonicTimers, VirtualTimers
+from hornbeamyard.process.timers import (
+    MonotonicTimers,
+    Timers,
+    VirtualTimers,
+)
 
 from .fleet import find_free_port
 
@@ -612,7 +617,9 @@
             async def serve(self, sockets: list[socket.socket]) -> None:
                 raise OSError("no descriptors")
 
-        def build(app: object, address: str) -> FailingServer:
+        def build(
+            app: object, address: str, protocol: object
+        ) -> FailingServer:
             built.append(address)
             return FailingServer()
 
@@ -621,7 +628,7 @@
         async def run() -> None:
             timers = VirtualTimers()
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(listeners.serve, None, address, "x", timers)
+                tasks.start_soon(serve, None, address, timers)
                 await timers.advance(2.5 * listeners.RESTART_DELAY_S)
                 tasks.cancel_scope.cancel()
 
@@ -711,14 +718,14 @@
             if end == "cancelled":
                 async with anyio.create_task_group() as tasks:
                     other = f"127.0.0.1:{find_free_port()}"
-                    tasks.start_soon(listeners.serve, app, other, "x", timers)
+                    tasks.start_soon(serve, app, other, timers)
                     await ask_for_metrics(other)
                     tasks.cancel_scope.cancel()
             else:
                 monkeypatch.setattr(servers.EmbeddedServer, "main_loop", fail)
             address = f"127.0.0.1:{find_free_port()}"
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(listeners.serve, app, address, "x", timers)
+                tasks.start_soon(serve, app, address, timers)
                 await anyio.sleep(2 * listeners.RESTART_DELAY_S)
                 assert await ask_for_metrics(address) == 200
                 tasks.cancel_scope.cancel()
@@ -726,6 +733,12 @@
         anyio.run(run)
 
 
+async def serve(app: Any, address: str, timers: Timers) -> None:
+    """Serve an application with the limits of a status address."""
+    limits = servers.build_status_limits(RequestMemory(), timers, 1024)
+    await listeners.serve(app, address, "x", timers, limits)
+
+
 async def ask_for_metrics(address: str) -> int:
     """Return the status of a server's response, once it listens."""
     with anyio.fail_after(TIMEOUT_S):
