Let a controller import the limits of its servers

Controllers bound the memory of requests as well now, so test_imports no longer names connection/limits among the modules that only routers run. The client of upstreams, which limits imported for a type, stays out.

--- a/hornbeamyard/connection/limits.py
+++ b/hornbeamyard/connection/limits.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import anyio
 import httptools
@@ -24,10 +24,13 @@
 from ..process.timers import Timers
 from ..request.problem import Outcome, Problem
 from .buffers import ResponseBuffers
-from .client import Headers
 from .request_memory import BODY_TIMEOUT_S as BODY_TIMEOUT_S
 from .request_memory import RequestBytes, RequestMemory
 
+if TYPE_CHECKING:
+    # Controllers, whose servers have these limits too, have no client.
+    from .client import Headers
+
 # Maximum size of a request's header, unless the routing sets one.
 MAX_HEADER_BYTES = 64 * 1024
 # Time within which the header of a request has to be complete.
