--- a/hornbeamyard/process/daemon.py
+++ b/hornbeamyard/process/daemon.py
@@ -39,7 +39,6 @@
     build_status_app,
     build_status_limits,
     sample_limits,
-    sample_request_memory,
 )
 from .settings import Settings, load_settings
 from .signals import StopSignals
@@ -192,7 +191,6 @@
         if address and role is not None:
             app = build_status_app(role.metrics)
             limits = build_status_limits(memory, timers, MAX_STATUS_BODY_BYTES)
-            role.metrics.add_source(lambda: sample_request_memory(memory))
             role.metrics.add_source(lambda: sample_limits(limits, "metrics"))
             tasks.start_soon(
                 listeners.serve, app, address, "metrics", timers, limits
--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -59,6 +59,7 @@
     build_status_app,
     build_status_limits,
     sample_limits,
+    sample_request_memory,
 )
 from .settings import Settings
 from .timers import Timers
@@ -677,6 +678,7 @@
     # ---- metrics ---------------------------------------------------------
 
     def _sample(self) -> Iterator[Sample]:
+        yield from sample_request_memory(self._connection_limits.memory)
         yield from sample_limits(self._connection_limits, "callers")
         yield from sample_limits(self._status_limits, "readiness")
         counts = self.forwarder.counts
--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -42,6 +42,7 @@
     MAX_BODY_BYTES,
     build_status_limits,
     sample_limits,
+    sample_request_memory,
 )
 from .settings import Settings
 from .stream_store import StreamStore
@@ -235,6 +236,7 @@
             )
 
     def _sample(self) -> Iterator[Sample]:
+        yield from sample_request_memory(self._limits.memory)
         yield from sample_limits(self._limits, "operators")
         yield Sample("leads", float(self.replica.is_leader()))
         yield Sample("term", self.replica.term)
