--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -281,7 +281,11 @@
             }
         )
     if page is not None:
-        page.write_text(capacity_page.build_page(results.fits, results.target))
+        kept = page.read_text() if page.exists() else ""
+        page.write_text(
+            capacity_page.build_page(results.fits, results.target)
+            + capacity_page.read_kept_section(kept)
+        )
     click.echo(json.dumps(results.to_json()))
 
 
--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -66,6 +66,17 @@
 """
 
 
+# Heading of the section that other benchmarks measure. It and what follows it
+# stays when the page is written again.
+KEPT_HEADING = "## Processor time of processes\n"
+
+
+def read_kept_section(page: str) -> str:
+    """Return the part of a page that isn't written anew."""
+    _, heading, content = page.partition(KEPT_HEADING)
+    return f"\n{heading}{content}" if heading else ""
+
+
 def build_page(fits: Fits, target: Figures) -> str:
     """Return the page for the fits and figures of one run."""
     budgets = build_budgets(fits, target)
--- a/hornbeamyard/process/leased_roles.py
+++ b/hornbeamyard/process/leased_roles.py
@@ -7,6 +7,11 @@
 import anyio
 import anyio.abc
 
+# `Metrics` uses them for each request, and an import may fail while no file
+# can be opened.
+import hdrh.histogram  # noqa: F401
+import prometheus_client.metrics  # noqa: F401
+
 from ..connection import peers
 from ..connection.crash_exchange import CrashHub
 from ..connection.replication import ReplicationCalls, ReplicationService
--- a/hornbeamyard/process/metrics.py
+++ b/hornbeamyard/process/metrics.py
@@ -1,7 +1,8 @@
 """Counters, gauges and latency quantiles of one process.
 
 The libraries are imported when a latency is recorded, a counter is counted up
-or the metrics are rendered, because a process is ready without them.
+or the metrics are rendered, because a process is ready without them. Roles
+that use them for requests import them at their start.
 """
 
 from __future__ import annotations
--- a/hornbeamyard/request/reporting.py
+++ b/hornbeamyard/request/reporting.py
@@ -4,6 +4,10 @@
 
 from http import HTTPStatus
 
+# `Metrics` uses it for each request, and an import may fail while no file can
+# be opened.
+import hdrh.histogram  # noqa: F401
+
 from ..pool.balancer import Placement, Refusal
 from ..pool.engine import Engine, Server
 from ..process.decisions import DecisionLog
