--- a/hornbeamyard/process/metrics.py
+++ b/hornbeamyard/process/metrics.py
@@ -100,6 +100,8 @@
     "controller_files_set_aside": "1 while damaged files are kept",
     "controllers_attached": "Controllers whose stream is open",
     "decisions": "Decisions by kind, those without a log line included",
+    "engine_overhead_ms": "Time to the first event without the prefill",
+    "engine_prefill_ms_per_token": "Prefill time at the pool's usual speed",
     "evacuated_zones": "Availability zones that get no requests",
     "leads": "1 while this controller leads",
     "load_imbalance": "Highest work ahead over the mean, by pool",
