Move two limits to modules without input or output

The check of routing documents needs the maximum size of a document and the time below which a request isn't retried, without loading the HTTP server or a router. The values don't change. test_forwarding (110 tests) and test_documents pass.

--- a/hornbeamyard/process/documents.py
+++ b/hornbeamyard/process/documents.py
@@ -14,6 +14,8 @@
 
 from result import Err, Ok, Result
 
+# Maximum body of a call to a controller; enough for thousands of routes.
+MAX_BODY_BYTES = 16 * 1024 * 1024
 # Nesting of arrays and objects. Documents of the fleet have fewer than ten.
 MAX_DEPTH = 64
 _SURROGATE = re.compile("[\ud800-\udfff]")
--- a/hornbeamyard/process/servers.py
+++ b/hornbeamyard/process/servers.py
@@ -14,6 +14,7 @@
 
 from ..request.problem import send_response
 from .acceptors import Acceptor
+from .documents import MAX_BODY_BYTES
 from .metrics import Metrics
 
 # Time for the last bytes to reach callers whose requests were ended.
@@ -24,8 +25,6 @@
 ACCEPT_INTERVAL_S = 1.0
 # Idle time after which connections of operators and monitors are closed.
 STATUS_KEEP_ALIVE_S = 75
-# Maximum body of a call to a controller; enough for thousands of routes.
-MAX_BODY_BYTES = 16 * 1024 * 1024
 # Stands in a decoded path for bytes that aren't UTF-8.
 REPLACEMENT = "\N{REPLACEMENT CHARACTER}"
 
--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -30,7 +30,12 @@
 from ..pool.upstream_registry import Upstream
 from ..process.timers import Timers
 from ..process.upstream_notices import UpstreamNotices
-from ..version.routing import AccountKeys, Route, Routing
+from ..version.routing import (
+    MIN_RETRY_TIME_MS,
+    AccountKeys,
+    Route,
+    Routing,
+)
 from .budget import WindowRetryBudget
 from .headers import ForwardingMetadata, HeaderCodec, RequestMetadata
 from .message_fields import get_query
@@ -69,8 +74,6 @@
 # upstream. If the caller has already closed its connection, the server notices
 # that one turn after the request, and cancelling takes two more turns.
 LOOP_TURNS_BEFORE_SENDING = 3
-# A request with less time left is not retried.
-MIN_RETRY_TIME_MS = 100.0
 
 
 class RouterState(Protocol):
--- a/hornbeamyard/version/routing.py
+++ b/hornbeamyard/version/routing.py
@@ -29,6 +29,8 @@
 DEFAULT_IDLE_TIMEOUT_MS = 75_000.0
 # Longest duration allowed in a routing: one day.
 MAX_DURATION_MS = 86_400_000
+# A request with less time left is not retried.
+MIN_RETRY_TIME_MS = 100.0
 
 
 class Repetition(Enum):
