--- a/hornbeamyard/process/validation.py
+++ b/hornbeamyard/process/validation.py
@@ -27,15 +27,20 @@
         What is wrong with the value, and what is accepted.
     line : int or None
         Line in the file, counted from 1, if it is known.
+    column : int or None
+        Column in the line, counted from 1, if it is known.
     """
 
     key_path: str
     message: str
     line: int | None = None
+    column: int | None = None
 
     def __str__(self) -> str:
         where = self.key_path or "document"
-        if self.line is not None:
+        if self.column is not None:
+            where = f"line {self.line}, column {self.column}: {where}"
+        elif self.line is not None:
             where = f"line {self.line}: {where}"
         return f"{where}: {self.message}"
 
