--- a/hornbeamyard/platform/configuration.py
+++ b/hornbeamyard/platform/configuration.py
@@ -11,7 +11,7 @@
 from ..version.routing import Routing, parse_routing
 
 # Fields of the platform's document, with their names in the routing document.
-_ROUTE_FIELDS = {
+ROUTE_FIELDS = {
     "name": "name",
     "host": "host",
     "pathPrefix": "path_prefix",
@@ -24,27 +24,27 @@
     "public": "public",
     "streamResumption": "resumable",
 }
-_POOL_FIELDS = {
+POOL_FIELDS = {
     "name": "name",
     "healthCheckPath": "health_path",
     "connectionLimit": "connections",
     "coldPerS": "cold_rate",
     "coldStartS": "cold_start_s",
 }
-_ENGINE_FIELDS = {
+ENGINE_FIELDS = {
     "slots": "slots",
     "kvCapacityTokens": "memory_tokens",
     "stride": "tokens_per_event",
     "tokenKvBytes": "token_size",
 }
-_LIMIT_FIELDS = {
+LIMIT_FIELDS = {
     "maxHeaderBytes": "header_size",
     "maxBodyBytes": "body_size",
     "headerTimeoutMs": "header_timeout_ms",
     "idleTimeoutMs": "idle_timeout_ms",
     "tokensPerS": "tokens_per_s",
 }
-_ACCOUNT_FIELDS = {"name": "name", "apiKeys": "keys", "priority": "priority"}
+ACCOUNT_FIELDS = {"name": "name", "apiKeys": "keys", "priority": "priority"}
 _REPETITION_BY_ROUTE_KIND = {
     "idempotent": "idempotent",
     "non_idempotent": "unrepeatable",
@@ -64,10 +64,11 @@
     document = parsed.ok_value
     if not isinstance(document, dict):
         return Err([Finding("", "is not an object")])
-    return parse_routing(_translate(document))
+    return parse_routing(translate_document(document))
 
 
-def _translate(document: dict[str, Any]) -> dict[str, Any]:
+def translate_document(document: dict[str, Any]) -> dict[str, Any]:
+    """Return the platform's configuration document as a routing document."""
     translated = {
         "version": document.get("version"),
         "routes": _translate_list(document.get("routes"), _translate_route),
@@ -79,13 +80,13 @@
     if document.get("tenants") is not None:
         translated["client_accounts"] = _translate_list(
             document["tenants"],
-            lambda item: _rename_fields(item, _ACCOUNT_FIELDS),
+            lambda item: _rename_fields(item, ACCOUNT_FIELDS),
         )
     return translated
 
 
 def _translate_route(item: dict[str, Any]) -> dict[str, Any]:
-    route = _rename_fields(item, _ROUTE_FIELDS)
+    route = _rename_fields(item, ROUTE_FIELDS)
     kind = item.get("routeKind")
     route["repetition"] = _REPETITION_BY_ROUTE_KIND.get(str(kind), kind)
     route["streaming"] = kind == "streaming"
@@ -106,9 +107,9 @@
 
 def _translate_pool(item: dict[str, Any]) -> dict[str, Any]:
     engine = item.get("engine")
-    pool = _rename_fields(item, _POOL_FIELDS)
+    pool = _rename_fields(item, POOL_FIELDS)
     if isinstance(engine, dict):
-        pool |= _rename_fields(engine, _ENGINE_FIELDS)
+        pool |= _rename_fields(engine, ENGINE_FIELDS)
         if engine.get("moves"):
             pool["copy_mbps"] = engine.get("linkMbps")
     return pool
@@ -116,7 +117,7 @@
 
 def _translate_limits(limits: Any) -> Any:
     return (
-        _rename_fields(limits, _LIMIT_FIELDS)
+        _rename_fields(limits, LIMIT_FIELDS)
         if isinstance(limits, dict)
         else limits
     )
