Add the command config check

Operators saw what is wrong with a routing only after submitting it, and had to compare versions by hand.

--- a/hornbeamyard/process/commands.py
+++ b/hornbeamyard/process/commands.py
@@ -9,6 +9,7 @@
 import click
 from result import Err
 
+from .config_check import check_configuration
 from .config_commands import config
 from .controller_commands import controllers
 from .explain import format_line, select_lines
@@ -31,6 +32,7 @@
     """
 
 
+config.add_command(check_configuration)
 main.add_command(config)
 main.add_command(controllers)
 main.add_command(zones)
--- a/hornbeamyard/process/config_commands.py
+++ b/hornbeamyard/process/config_commands.py
@@ -33,7 +33,7 @@
 
 @click.group()
 def config() -> None:
-    """Read and change the configuration."""
+    """Read, change and check the configuration."""
 
 
 @config.command("show")
