--- a/hornbeamyard/process/positions.py
+++ b/hornbeamyard/process/positions.py
@@ -10,6 +10,7 @@
 
 import bisect
 import codecs
+import itertools
 import json
 import re
 from collections.abc import Iterable, Iterator
@@ -46,6 +47,8 @@
     """
     text = data.decode("utf-8-sig")
     wanted = set(paths)
+    if not wanted:
+        return {}
     tree: dict[str | int, Any] = {}
     for path in wanted:
         node = tree
@@ -177,7 +180,8 @@
 
 
 def _find_line_starts(text: str) -> list[int]:
-    return [0, *(match.end() for match in re.finditer("\n", text))]
+    lengths = (len(line) + 1 for line in text.split("\n"))
+    return [0, *itertools.accumulate(lengths)]
 
 
 def _find_position(line_starts: list[int], offset: int) -> Position:
--- a/hornbeamyard/version/lint.py
+++ b/hornbeamyard/version/lint.py
@@ -108,12 +108,12 @@
     # The decoder has refused whatever this parser accepts beyond JSON.
     document = json.loads(data.decode("utf-8-sig"))
     routing = decoded.ok_value
-    warnings = [
-        finding
+    sources = (
+        (finding, _find_source(document, finding, format))
         for finding in find_warnings(format.translate(document), routing)
-        if _find_source(document, finding, format) is not None
-    ]
-    warnings = _add_positions(data, document, warnings, format)
+    )
+    located = [(f, source) for f, source in sources if source is not None]
+    warnings = _add_positions(data, located)
     return Report(document, routing.version, warnings=warnings)
 
 
@@ -122,8 +122,12 @@
 ) -> Report:
     parsed = read_json(data)
     if isinstance(parsed, Ok):
-        errors = _add_positions(data, parsed.ok_value, findings, format)
-        return Report(parsed.ok_value, errors=errors)
+        document = parsed.ok_value
+        located = [
+            (finding, _find_source(document, finding, format) or ())
+            for finding in findings
+        ]
+        return Report(document, errors=_add_positions(data, located))
     line, column = locate_fault(data) or (None, None)
     errors = [
         replace(finding, line=line, column=column) for finding in findings
@@ -282,16 +286,12 @@
 
 
 def _add_positions(
-    data: bytes, document: Any, findings: list[Finding], format: Format
+    data: bytes, located: list[tuple[Finding, Path]]
 ) -> list[Finding]:
-    sources = [
-        _find_source(document, finding, format) or () for finding in findings
-    ]
-    positions = locate_values(data, sources)
+    positions = locate_values(data, (source for _, source in located))
     return [
-        replace(finding, line=line, column=column)
-        for finding, source in zip(findings, sources, strict=True)
-        for line, column in [positions[source]]
+        Finding(finding.key_path, finding.message, *positions[source])
+        for finding, source in located
     ]
 
 
