--- a/hornbeamyard/process/servers.py
+++ b/hornbeamyard/process/servers.py
@@ -19,6 +19,7 @@
 from ..connection.request_memory import RequestMemory
 from ..request.problem import send_response
 from .acceptors import Acceptor
+from .documents import MAX_BODY_BYTES
 from .metrics import Metrics, Sample
 from .timers import Timers
 
@@ -30,8 +31,6 @@
 ACCEPT_INTERVAL_S = 1.0
 # Idle time after which connections of operators and monitors are closed.
 STATUS_KEEP_ALIVE_S = 75
-# Maximum body of a call to a controller; enough for thousands of routes.
-MAX_BODY_BYTES = 16 * 1024 * 1024
 # Maximum body of a request for metrics or readiness, which needs none.
 MAX_STATUS_BODY_BYTES = 64 * 1024
 # Open connections of operators and upstreams, or of monitors, to one address.
