--- a/hornbeamyard/process/registrar.py
+++ b/hornbeamyard/process/registrar.py
@@ -35,12 +35,12 @@
 from ..version.timeouts import derive_timeouts
 from . import listeners
 from .crash_store import CrashStore
+from .documents import MAX_BODY_BYTES
 from .folder_lock import lock_until
 from .interface import Interface, OrderResult, SubmissionResult
 from .memory_limits import build_request_memory
 from .metrics import Metrics, Sample
 from .servers import (
-    MAX_BODY_BYTES,
     build_status_limits,
     sample_limits,
     sample_request_memory,
