--- a/hornbeamyard/process/directory_router.py
+++ b/hornbeamyard/process/directory_router.py
@@ -17,10 +17,10 @@
 from ..connection.directory_calls import DirectoryCalls
 from ..connection.limits import (
     ConnectionLimits,
-    OverloadLimiter,
     build_protocol,
     build_refusal,
 )
+from ..connection.overload import OverloadLimiter
 from ..connection.request_memory import RequestMemory
 from ..connection.subscription import Subscription
 from ..connection.upstreams import UpstreamConnections
--- a/hornbeamyard/process/router.py
+++ b/hornbeamyard/process/router.py
@@ -15,11 +15,11 @@
 from ..connection.crash_reports import CrashReports
 from ..connection.limits import (
     ConnectionLimits,
-    OverloadLimiter,
     build_protocol,
     compute_connection_limit,
 )
 from ..connection.liveness import LivenessChecker
+from ..connection.overload import OverloadLimiter
 from ..connection.probes import Prober
 from ..connection.session import Session
 from ..connection.upstreams import UpstreamConnections
--- a/hornbeamyard/process/servers.py
+++ b/hornbeamyard/process/servers.py
@@ -14,8 +14,8 @@
 
 from ..connection.limits import (
     ConnectionLimits,
-    OverloadLimiter,
 )
+from ..connection.overload import OverloadLimiter
 from ..connection.request_memory import RequestMemory
 from ..request.problem import send_response
 from .acceptors import Acceptor
--- a/hornbeamyard/tests/test_limits.py
+++ b/hornbeamyard/tests/test_limits.py
@@ -12,12 +12,14 @@
 from anyio.lowlevel import checkpoint
 
 from hornbeamyard.connection.limits import (
+    MAX_HEADER_BYTES,
+    compute_connection_limit,
+)
+from hornbeamyard.connection.overload import (
     CALM_SAMPLES,
     LATE_SAMPLES,
     LATENESS_THRESHOLD_S,
-    MAX_HEADER_BYTES,
     OverloadLimiter,
-    compute_connection_limit,
 )
 from hornbeamyard.process.timers import MonotonicTimers
 
