Add evacuations, cold upstreams and crowds to the soak

New checks find requests to an evacuated zone, a lost order, too many requests to a cold upstream, and a process that doesn't answer after a crowd; each has a test with a violation.

A PUT or DELETE that is held back by a fault ends before the next order is sent, so that only the last order's outcome may be unknown.

--- a/hornbeamyard/tests/test_soak.py
+++ b/hornbeamyard/tests/test_soak.py
@@ -9,10 +9,14 @@
 import anyio.abc
 import pytest
 
+from soak.additions import find_wrong_counts
 from soak.checks import list_violations
 from soak.fleet import Fleet, Process
+from soak.plan import Plan
 from soak.records import (
+    Crowd,
     FaultRecord,
+    Order,
     ReadResult,
     Records,
     Request,
@@ -35,6 +39,7 @@
     def __init__(self) -> None:
         self.controllers = [f"controller-{number}" for number in range(3)]
         self.processes = {name: Process(name) for name in self.controllers}
+        self.plan = Plan(cold_rate=4.0)
 
 
 def build_request(**fields: object) -> Request:
@@ -68,6 +73,8 @@
         "framed": True,
         "max_rate": None,
         "crashes": False,
+        "zone": "zone-a",
+        "cold": False,
         "at": 10.0,
     }
     return {**execution, **fields}
@@ -250,6 +257,82 @@
         )
         assert len(found) == violations
 
+    @pytest.mark.parametrize(
+        ("at", "sent_at", "fault", "violations"),
+        [
+            (10.9, 10.0, "", 0),
+            (11.1, 10.0, "", 1),
+            (11.1, 10.0, "router-0", 0),
+            (11.1, 10.0, "model-1", 0),
+            (11.1, 11.05, "model-1", 1),
+            (20.1, 19.0, "", 0),
+        ],
+    )
+    def test_request_to_an_evacuated_zone(
+        self, at: float, sent_at: float, fault: str, violations: int
+    ) -> None:
+        """Guards against missing requests 5 s after the acknowledgement."""
+        request = build_request(status=502, sent_at=sent_at)
+        records = Records(
+            requests=[request],
+            orders=[Order(True, 5.5, 6.0), Order(False, 20.0)],
+            faults=[FaultRecord("freeze", fault, 9.0, 12.0)],
+        )
+        execution = build_execution(upstream="model-1.1", zone="zone-b", at=at)
+        found = check(records, execution)
+        assert len(found) == violations
+        assert all("its zone had to be evacuated" in text for text in found)
+
+    @pytest.mark.parametrize(
+        ("router", "unanswered", "violations"),
+        [(0, 0, 0), (1, 0, 1), (0, 1, 0), (None, 0, 1)],
+    )
+    def test_zones_after_the_recovery(
+        self, router: int | None, unanswered: int, violations: int
+    ) -> None:
+        """Guards against missing an acknowledged order that was lost."""
+        orders = [Order(True, 1.0, 2.0), Order(False, 3.0, 4.0)]
+        orders += [Order(True, 5.0)] * unanswered
+        found = find_wrong_counts(
+            orders, {"controller-0": 0, "router-0": router}
+        )
+        assert len(found) == violations
+
+    @pytest.mark.parametrize(
+        ("sent", "fault", "violations"),
+        [(11, "", 0), (12, "", 1), (12, "model-0", 0)],
+    )
+    def test_cold_upstream(
+        self, sent: int, fault: str, violations: int
+    ) -> None:
+        """Guards against missing requests beyond what a cold upstream takes.
+
+        The rate is 4 a second, so that 11 are allowed.
+        """
+        ids = [f"q{number}" for number in range(sent)]
+        records = Records(
+            requests=[build_request(id=id, status=502) for id in ids],
+            faults=[FaultRecord("cut", fault, 9.0, 12.0)],
+        )
+        executions = {
+            id: [build_execution(request=id, cold=True, at=10 + number / 20)]
+            for number, id in enumerate(ids)
+        }
+        found = list_violations(records, executions, EmptyFleet())
+        assert len(found) == violations
+
+    @pytest.mark.parametrize(
+        ("answered", "fault", "violations"),
+        [(True, "", 0), (False, "", 1), (False, "router-0", 0)],
+    )
+    def test_crowd(self, answered: bool, fault: str, violations: int) -> None:
+        """Guards against missing a process that a crowd has silenced."""
+        records = Records(
+            crowds=[Crowd("router-0", 10.0, 12.0, 17.0, answered)],
+            faults=[FaultRecord("freeze", fault, 9.0, 11.0)],
+        )
+        assert len(check(records)) == violations
+
     def test_stream_that_ends_inside_an_event_as_complete(self) -> None:
         """Guards against missing a truncated last event."""
         events = [build_event("q1", n + 1, "v1") for n in range(EVENT_COUNT)]
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,6 +12,7 @@
 import httpcore
 
 from .fleet import ROUTERS, Fleet
+from .plan import NO_ADDITIONS, Plan
 from .records import ReadResult, Records, Request, Submission
 from .upstream import (
     CRASHING_BODY,
@@ -57,7 +58,9 @@
 }
 
 
-def build_routing(version: int, path_suffix: str = "") -> dict[str, Any]:
+def build_routing(
+    version: int, path_suffix: str = "", plan: Plan = NO_ADDITIONS
+) -> dict[str, Any]:
     """Return a valid routing document.
 
     Parameters
@@ -66,7 +69,12 @@
     path_suffix : str, optional
         Added to the paths of the routes that all versions have, so that the
         document differs from others of the same version.
+    plan : Plan, optional
+        Names the rate of cold upstreams.
     """
+    cold = {}
+    if plan.cold_rate:
+        cold = {"cold_rate": plan.cold_rate, "cold_start_s": plan.cold_start_s}
     routes = [
         _build_route(kind, f"/{kind}/{path_suffix}", pool, stream, idempotent)
         for kind, (pool, stream, idempotent) in KINDS.items()
@@ -80,8 +88,8 @@
         "version": version,
         "routes": routes,
         "pools": [
-            {"name": "app"},
-            {"name": "model", "memory_tokens": 100_000, "slots": 32},
+            {"name": "app", **cold},
+            {"name": "model", "memory_tokens": 100_000, "slots": 32, **cold},
         ],
         "limits": {"tokens_per_s": 100_000},
         "client_accounts": [{"name": "library", "keys": [KEY]}],
@@ -253,6 +261,13 @@
             await self._send_and_record(pool, request)
         return request
 
+    async def send_ordinary(self, router: int) -> Request:
+        """Send a request that waits for its response."""
+        request = self._draw_request(router, "read")
+        async with httpcore.AsyncConnectionPool() as pool:
+            await self._send_and_record(pool, request)
+        return request
+
     async def begin_stream(self, router: int, events: int) -> Request:
         """Send a request, and close its connection after some events."""
         request = self._draw_request(router, "chat")
@@ -397,14 +412,15 @@
 
     async def submit_repeatedly(self) -> None:
         """Submit new versions until `stopping` is set."""
+        plan = self._fleet.plan
         while not self.stopping:
             version = self._records.newest_submitted + 1
-            await self.submit(build_routing(version))
+            await self.submit(build_routing(version, plan=plan))
             if self._rng.random() < 0.2:
                 # Other content under a version that may be in force already.
-                await self.submit(build_routing(version, "other/"))
+                await self.submit(build_routing(version, "other/", plan))
             if self._rng.random() < 0.2:
-                invalid = build_routing(version + 1)
+                invalid = build_routing(version + 1, plan=plan)
                 invalid["routes"][0]["shares"] = [{"pool": "missing"}]
                 await self.submit(invalid, valid=False)
             await anyio.sleep(SUBMIT_INTERVAL_S)
@@ -471,12 +487,17 @@
         name = controller or self._rng.choice(self._fleet.controllers)
         address = self._fleet.links[f"{name}/status"].address
         url = f"http://{address}/hornbeamyard/v1/routing"
-        try:
-            with anyio.move_on_after(CALL_TIMEOUT_S):
-                async with httpcore.AsyncConnectionPool() as pool:
-                    response = await pool.request(method, url, content=data)
-                    return response.status, response.content
-        except CONNECTION_ERRORS:
-            # The outcome is unknown, as after a timeout.
-            return 0, b""
+        return await call(method, url, data)
+
+
+async def call(method: str, url: str, data: bytes = b"") -> tuple[int, bytes]:
+    """Return status and body of a response, or 0 and no body."""
+    try:
+        with anyio.move_on_after(CALL_TIMEOUT_S):
+            async with httpcore.AsyncConnectionPool() as pool:
+                response = await pool.request(method, url, content=data)
+                return response.status, response.content
+    except CONNECTION_ERRORS:
+        # The outcome is unknown, as after a timeout.
         return 0, b""
+    return 0, b""
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from .callers import KINDS, RETAINED_VERSIONS, TIMEOUT_MS
-from .fleet import CRASHED_S, Fleet
+from .fleet import CRASHED_S, OTHER_ZONE, Fleet
 from .records import ABSENT, SETTLING_TIME_S, FaultRecord, Records, Request
 from .upstream import EVENT_COUNT, SOFTWARE_VERSIONS, build_event, sign
 
@@ -42,6 +42,16 @@
 LIMIT_RESERVE = 5
 # Requests that are sent this long after a router has learned a limit count.
 LEARNED_S = 0.5
+# No upstream of an evacuated zone gets a request later than this after the
+# acknowledgement.
+EVACUATION_TIME_S = 5.0
+# A cold upstream gets at most this multiple of its rate in any second, and
+# some requests more.
+COLD_WINDOW_S = 1.0
+COLD_FACTOR = 1.5
+COLD_RESERVE = 5
+# Faults that hold requests back on their way to an upstream.
+HOLDING_KINDS = ("freeze", "delay", "cut", "silence")
 
 # Journal lines of the upstreams, one for each execution, by request id.
 Executions = dict[str, list[dict[str, Any]]]
@@ -84,6 +94,9 @@
     ]
     violations += _check_crashes(records, executions, fleet)
     violations += _check_limits(records, executions)
+    violations += _check_evacuations(records, executions, fleet)
+    violations += _check_cold_starts(records, executions, fleet)
+    violations += _check_crowds(records)
     violations += _check_software_versions(records)
     violations += _check_rollbacks(records)
     violations += _check_reads(records)
@@ -374,6 +387,86 @@
             return
 
 
+def _may_be_held(records: Records, execution: dict[str, Any]) -> bool:
+    """Return whether a request may have been sent well before it ran."""
+    name = execution["upstream"].partition(".")[0]
+    return any(
+        fault.target == name
+        and fault.kind in HOLDING_KINDS
+        and fault.started_at <= execution["at"] <= fault.affects_until
+        for fault in records.faults
+    )
+
+
+def _check_evacuations(
+    records: Records, executions: Executions, fleet: Fleet
+) -> Iterator[str]:
+    """Check that an evacuated zone gets no requests."""
+    ends = [order.sent_at for order in records.orders[1:]] + [float("inf")]
+    for order, until in zip(records.orders, ends, strict=False):
+        if not order.evacuated or order.acknowledged_at is None:
+            continue
+        since = order.acknowledged_at + EVACUATION_TIME_S
+        for request in records.requests:
+            router = f"router-{request.router}"
+            for execution in executions.get(request.id, []):
+                at = execution["at"]
+                if execution["zone"] != OTHER_ZONE or not since < at < until:
+                    continue
+                is_old = request.sent_at < since
+                if is_old and _may_be_held(records, execution):
+                    continue
+                if not _is_cut_off(records, fleet, router, at):
+                    yield (
+                        f"{execution['upstream']} got {request.id} from "
+                        f"{router} {at - since:.1f} s after its zone had to "
+                        "be evacuated"
+                    )
+
+
+def _check_cold_starts(
+    records: Records, executions: Executions, fleet: Fleet
+) -> Iterator[str]:
+    """Check that cold upstreams don't get more than they can take."""
+    arrivals: dict[str, list[float]] = defaultdict(list)
+    for ran in executions.values():
+        for execution in ran:
+            if execution["cold"] and not _may_be_held(records, execution):
+                arrivals[execution["upstream"]].append(execution["at"])
+    rate = fleet.plan.cold_rate
+    allowed = COLD_FACTOR * rate * COLD_WINDOW_S + COLD_RESERVE
+    for upstream, times in arrivals.items():
+        most, first = _find_fullest(sorted(times), COLD_WINDOW_S)
+        if most > allowed:
+            yield (
+                f"{upstream}, which was cold, got {most} requests in "
+                f"{COLD_WINDOW_S:g} s from {first:.3f} on with a rate of "
+                f"{rate:g} a second"
+            )
+
+
+def _find_fullest(times: list[float], window_s: float) -> tuple[int, float]:
+    """Return the most arrivals in a window, and when that window begins."""
+    return max(
+        (sum(first <= t < first + window_s for t in times), first)
+        for first in times
+    )
+
+
+def _check_crowds(records: Records) -> Iterator[str]:
+    """Check that processes answer after a crowd; their exits are recorded."""
+    for crowd in records.crowds:
+        if not crowd.ended_at or crowd.answered:
+            continue
+        if not records.is_affected(
+            crowd.target, crowd.began_at, crowd.ended_at
+        ):
+            yield (
+                f"{crowd.target} answered no ordinary request from "
+                f"{crowd.left_at:.3f} to {crowd.ended_at:.3f}, after a crowd"
+            )
+
+
 # ---- routings ------------------------------------------------------------
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -20,12 +20,20 @@
 import anyio.abc
 
 from .links import Link
+from .plan import NO_ADDITIONS, Plan
 from .upstream import CRASH_EXIT_CODE
 
 ROUTERS = 3
 POOLS = ("app", "model")
 # Upstreams of each pool.
 UPSTREAMS = 2
+# Availability zones: routers, controllers and the first upstream of each pool
+# are in the first one, and in runs with an evacuation the second upstream is
+# in the other one, which is evacuated.
+ZONE = "zone-a"
+OTHER_ZONE = "zone-b"
+# Room for requests in runs with crowds, the least that there is.
+CROWDED_ROOM_BYTES = 8 * 2**20
 # A router that stops lets running requests go on for this long.
 DRAIN_S = 6.0
 # Every process must exit within this time after SIGTERM.
@@ -128,9 +136,12 @@
         First of the ports to use; they must be free.
     controllers : int
         Number of controllers, of which less than half may lose their disks.
+    plan : Plan, optional
 
     Attributes
     ----------
+    plan : Plan
+        What the seed adds to the run.
     controllers : list of str
         Names of the controllers, without those that were removed for good.
     tolerated : int
@@ -147,10 +158,12 @@
         tasks: anyio.abc.TaskGroup,
         first_port: int,
         controllers: int,
+        plan: Plan = NO_ADDITIONS,
     ) -> None:
         # Processes would inherit that it is ignored, as below nohup.
         signal.signal(signal.SIGHUP, signal.SIG_DFL)
         self.folder = folder
+        self.plan = plan
         self._next_port = first_port
         self._tasks = tasks
         self._ports: dict[str, int] = {}
@@ -209,6 +222,15 @@
         """Return the port at which a router reports its readiness."""
         return self._ports[f"router-{router}/status"]
 
+    def get_metrics_address(self, name: str) -> str:
+        """Return the address at which a process serves its metrics."""
+        return f"127.0.0.1:{self._ports[f'{name}/metrics']}"
+
+    def get_zone(self, upstream: str) -> str:
+        """Return the availability zone of an upstream."""
+        is_second = upstream.partition("-")[2] != "0"
+        return OTHER_ZONE if self.plan.evacuates and is_second else ZONE
+
     def list_addresses(self, process: str) -> list[str]:
         """Return the names of the addresses at which a process listens."""
         return [name for name in self._ports if name.startswith(f"{process}/")]
@@ -366,20 +388,20 @@
         document: dict[str, Any] = {
             "fleet": "soak",
             "host": name,
-            "availability_zone": "zone-a",
+            "availability_zone": ZONE,
             "plain_text": True,
             "directory": {
                 "seeds": peers[: self.tolerated + 1],
                 "first_start": first_start,
                 "tolerated_hosts": self.tolerated,
                 "catch_up_s": CATCH_UP_S,
-                "metrics_address": (
-                    f"127.0.0.1:{self._ports[f'{name}/metrics']}"
-                ),
+                "metrics_address": self.get_metrics_address(name),
                 "announcement_interval_s": 0.3,
                 "repeat_reserve": 50,
             },
         }
+        if self.plan.has_crowds:
+            document["memory"] = {"request_bytes": CROWDED_ROOM_BYTES}
         if name.startswith("controller"):
             document["controller"] = {
                 "address": f"127.0.0.1:{self._ports[f'{name}/peers']}",
@@ -426,4 +448,6 @@
                 for name in self.controllers
             ),
             f"--journal={self.folder / 'runs.journal'}",
+            f"--zone={self.get_zone(name)}",
+            f"--cold-s={self.plan.cold_start_s}",
         ]
--- a/soak/records.py
+++ b/soak/records.py
@@ -145,6 +145,46 @@
     affects_until: float = float("inf")
 
 
+@dataclass(slots=True)
+class Order:
+    """An operator's order about the evacuation of the other zone.
+
+    Attributes
+    ----------
+    evacuated : bool
+        Whether the zone is to be evacuated or restored.
+    sent_at : float
+        When it was sent for the first time.
+    acknowledged_at : float or None
+    """
+
+    evacuated: bool
+    sent_at: float
+    acknowledged_at: float | None = None
+
+
+@dataclass(slots=True)
+class Crowd:
+    """A crowd of clients at a process, and an ordinary request after it.
+
+    Attributes
+    ----------
+    target : str
+        Name of the process.
+    began_at, left_at, ended_at : float
+        Times of the crowd's arrival and departure and of the response to the
+        ordinary request, or when no more was sent.
+    answered : bool
+        Whether the process answered the ordinary request.
+    """
+
+    target: str
+    began_at: float
+    left_at: float = 0.0
+    ended_at: float = 0.0
+    answered: bool = False
+
+
 @dataclass(slots=True)
 class Records:
     """Everything that was recorded in one run of the soak.
@@ -155,6 +195,8 @@
     submissions : list of Submission
     reads : list of ReadResult
     faults : list of FaultRecord
+    orders : list of Order
+    crowds : list of Crowd
     newest_submitted : int
         Newest valid version that operators have submitted.
     newest_acknowledged : int
@@ -165,6 +207,8 @@
     submissions: list[Submission] = field(default_factory=list)
     reads: list[ReadResult] = field(default_factory=list)
     faults: list[FaultRecord] = field(default_factory=list)
+    orders: list[Order] = field(default_factory=list)
+    crowds: list[Crowd] = field(default_factory=list)
     newest_submitted: int = 0
     newest_acknowledged: int = 0
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,10 +11,12 @@
 import anyio
 import httpcore
 
+from .additions import Additions, find_wrong_counts
 from .callers import KINDS, Callers, Operators, build_routing
 from .checks import list_violations, read_executions
 from .faults import Injector
 from .fleet import CRASHED_S, RECOVERY_S, ROUTERS, Fleet
+from .plan import draw_plan
 from .records import Records
 from .starts import Starter
 
@@ -90,18 +92,27 @@
     async with anyio.create_task_group() as tasks:
         start_rng = random.Random(f"start {seed}")
         first_port = FIRST_PORT + seed % MAX_CONCURRENT_RUNS * PORTS_PER_RUN
-        fleet = Fleet(folder, tasks, first_port, start_rng.choice((3, 5)))
+        fleet = Fleet(
+            folder,
+            tasks,
+            first_port,
+            start_rng.choice((3, 5)),
+            draw_plan(seed),
+        )
         callers = Callers(fleet, records, random.Random(f"callers {seed}"))
         operators = Operators(
             fleet, records, random.Random(f"operators {seed}")
         )
+        additions = Additions(fleet, records, callers, seed)
         starter = Starter(fleet, records, start_rng)
         injector = Injector(
             fleet, records, starter, random.Random(f"faults {seed}")
         )
         try:
             tasks.start_soon(callers.watch_readiness)
-            tasks.start_soon(operators.submit, build_routing(1))
+            tasks.start_soon(
+                operators.submit, build_routing(1, plan=fleet.plan)
+            )
             async with anyio.create_task_group() as start:
                 start.start_soon(starter.start_fleet)
                 start.start_soon(injector.wipe_early)
@@ -109,7 +120,11 @@
                 callers, operators, records
             )
             if not result.violations:
-                await _disturb(callers, operators, injector, seconds)
+                await _disturb(
+                    callers, operators, injector, additions, seconds
+                )
+                if fleet.plan.evacuates:
+                    result.violations += await _check_zones(additions, records)
                 result.violations += await _check_recovery(
                     callers, operators, records, fleet
                 )
@@ -150,17 +165,36 @@
 
 
 async def _disturb(
-    callers: Callers, operators: Operators, injector: Injector, seconds: float
+    callers: Callers,
+    operators: Operators,
+    injector: Injector,
+    additions: Additions,
+    seconds: float,
 ) -> None:
     """Inject faults under load, and let the fleet recover."""
     async with anyio.create_task_group() as load:
         load.start_soon(callers.run)
         load.start_soon(operators.submit_repeatedly)
         load.start_soon(operators.read_repeatedly)
+        load.start_soon(additions.run)
         await injector.run(seconds)
-        callers.stopping = operators.stopping = True
+        callers.stopping = operators.stopping = additions.stopping = True
     await anyio.sleep(RECOVERY_S)
-    operators.stopping = False
+    operators.stopping = additions.stopping = False
+
+
+async def _check_zones(additions: Additions, records: Records) -> list[str]:
+    """Check the evacuated zones, and that the evacuation can be ended."""
+    counts = await additions.read_counts()
+    violations = find_wrong_counts(records.orders, counts)
+    accepted = False
+    with anyio.move_on_after(5.0):
+        accepted = await additions.order(evacuated=False)
+    if not accepted:
+        violations.append(
+            "the end of an evacuation was not accepted after the recovery"
+        )
+    return violations
 
 
 async def _check_recovery(
@@ -177,7 +211,7 @@
         )
     with anyio.move_on_after(5.0):
         version = records.newest_submitted + 1
-        if not await operators.submit(build_routing(version)):
+        if not await operators.submit(build_routing(version, plan=fleet.plan)):
             violations.append(
                 "a new version was not accepted after the recovery"
             )
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -14,6 +14,7 @@
 import asyncio
 import hashlib
 import json
+import math
 import os
 import random
 import signal
@@ -110,6 +111,11 @@
         goes to the end of the list when a call fails.
     journal : Path
         File with a line of JSON for each execution of a request.
+    zone : str
+        Availability zone.
+    cold_s : float
+        How long it is cold from now on, in seconds; 0 if it never announces
+        that.
 
     Attributes
     ----------
@@ -127,12 +133,17 @@
         address: str,
         controllers: list[str],
         journal: Path,
+        zone: str,
+        cold_s: float,
     ) -> None:
         self._id = id
         self._pool = pool
         self._address = address
         self._controllers = controllers
         self._journal = journal
+        self._zone = zone
+        self._announces_cold = cold_s > 0
+        self._cold_until = time.monotonic() + cold_s
         self._sequence = 0
         self._started_ms = int(time.time() * 1000)
         self._limit_begins_at = float("inf")
@@ -261,6 +272,7 @@
         crashes: bool,
     ) -> None:
         """Append a line to the journal."""
+        now = time.monotonic()
         line = {
             "request": request_id,
             "upstream": self._id,
@@ -271,7 +283,9 @@
             "framed": is_framed or not headers.get("soak-events"),
             "max_rate": max_rate,
             "crashes": crashes,
-            "at": time.monotonic(),
+            "zone": self._zone,
+            "cold": self._announces_cold and now < self._cold_until,
+            "at": now,
         }
         flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
         file = os.open(self._journal, flags, 0o600)
@@ -301,16 +315,19 @@
             Whether the controller accepted the call.
         """
         self._sequence += 1
-        document = {
+        document: dict[str, Any] = {
             "pool": self._pool,
             "address": self._address,
-            "availability_zone": "zone-a",
+            "availability_zone": self._zone,
             "state": self.state,
             "slots": 16,
             "software_version": self.software_version,
             "sequence": self._sequence,
             "started_ms": self._started_ms,
         }
+        if self._announces_cold:
+            cold_s = max(0.0, self._cold_until - time.monotonic())
+            document["cold_remaining_ms"] = math.ceil(cold_s * 1000)
         url = (
             f"http://{self._controllers[0]}/hornbeamyard/v1/upstreams/"
             f"{self._id}"
@@ -422,6 +439,8 @@
 @click.option("--address", required=True)
 @click.option("--controller", "controllers", required=True, multiple=True)
 @click.option("--journal", required=True, type=click.Path(path_type=Path))
+@click.option("--zone", required=True)
+@click.option("--cold-s", default=0.0)
 def main(
     id: str,
     pool: str,
@@ -429,9 +448,13 @@
     address: str,
     controllers: tuple[str, ...],
     journal: Path,
+    zone: str,
+    cold_s: float,
 ) -> None:
     """Run one upstream until SIGTERM."""
-    upstream = SoakUpstream(id, pool, address, list(controllers), journal)
+    upstream = SoakUpstream(
+        id, pool, address, list(controllers), journal, zone, cold_s
+    )
     server = build_server(upstream, listen, TransportProtocol)
     anyio.run(_run, upstream, server)
 
