--- a/properties/test_memory.py
+++ b/properties/test_memory.py
@@ -13,7 +13,7 @@
     subscription,
     upstreams,
 )
-from hornbeamyard.pool import balancer, crashes, engine, restarts
+from hornbeamyard.pool import balancer, choice, crashes, engine, restarts
 from hornbeamyard.process import directory_router
 
 from .object_sizes import count_entries
@@ -22,7 +22,7 @@
 # Bounds that take longer than the first part of the test to be reached.
 LOWER_BOUNDS = {
     (balancer, "MAX_CACHED_PARTS"): 64,
-    (balancer, "MAX_CACHED_ORDERS"): 64,
+    (choice, "MAX_CACHED_ORDERS"): 64,
     (engine, "MAX_CACHED_PARTS"): 64,
     (crashes, "MAX_ANSWERED"): 256,
     (crashes, "MAX_CRASHES"): 4,
--- a/properties/traffic.py
+++ b/properties/traffic.py
@@ -229,12 +229,20 @@
             identity=fleet_pb2.Identity(fleet="test", host=HOST),
             is_leader=lambda: True,
             journal=SimpleNamespace(
-                members=fleet_pb2.MemberList(), members_index=0
+                members=fleet_pb2.MemberList(),
+                members_index=0,
+                last_index=1,
+                last_term=1,
             ),
             leader_host=HOST,
             state=SimpleNamespace(
-                routing=self._routing, digest_key=b"k" * 32, last_index=1
+                routing=self._routing,
+                digest_key=b"k" * 32,
+                last_index=1,
+                evacuated_zones=frozenset(),
+                evacuations_index=0,
             ),
+            find_unconfirmed_orders=dict,
             wait_for_change=lambda: self.timers.sleep(1.0),
         )
         controller = fleet_pb2.ControllerAddress(host=HOST, address=CONTROLLER)
@@ -359,6 +367,9 @@
                         "memory_tokens": 100_000,
                         "slots": 8,
                         "connections": 100,
+                        "cold_rate": 100.0,
+                        "cold_start_s": 1.0,
+                        "balancing": "even",
                     }
                     for name in ("engine", *(f"engine-{n}" for n in numbers))
                 ),
