--- a/hornbeamyard/platform/configuration.py
+++ b/hornbeamyard/platform/configuration.py
@@ -108,9 +108,6 @@
 def _translate_pool(item: dict[str, Any]) -> dict[str, Any]:
     engine = item.get("engine")
     pool = _rename_fields(item, POOL_FIELDS)
-    # The platform has no field for it; earlier deployments' upstreams state
-    # no slowdown and keep the choice of the least loaded one.
-    pool["balancing"] = "reported"
     if isinstance(engine, dict):
         pool |= _rename_fields(engine, ENGINE_FIELDS)
         if engine.get("moves"):
--- a/hornbeamyard/tests/test_even_load.py
+++ b/hornbeamyard/tests/test_even_load.py
@@ -189,6 +189,7 @@
         for field, expected in (
             (b"", Balancing.LEAST_LOADED),
             (b', "balancing": "even"', Balancing.EVEN),
+            (b', "balancing": "reported"', Balancing.REPORTED),
         ):
             routing = decode_routing(pool % field).unwrap()
             assert routing.pools["p"].balancing is expected
@@ -197,4 +198,4 @@
         platform = decode_configuration(
             b'{"version": 1, "routes": [], "services": [{"name": "p"}]}'
         ).unwrap()
-        assert platform.pools["p"].balancing is Balancing.REPORTED
+        assert platform.pools["p"].balancing is Balancing.LEAST_LOADED
