--- a/review/lib2/fleetkit.py
+++ b/review/lib2/fleetkit.py
@@ -189,6 +189,7 @@
         cores: int = 5,
         fronts: int = 3,
         proxied_core: bool = False,
+        spare_cores: int = 0,
     ) -> None:
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="hornbeamyard-review-"))
@@ -196,7 +197,9 @@
         self.machines: dict[str, Machine] = {}
         self._first_start = True
         zones = ["sala-centro", "sala-terminal", "sala-zona3"]
-        for number in range(1, cores + 1):
+        self._core_count = cores
+        self.bounds = dict(BOUNDS)
+        for number in range(1, cores + spare_cores + 1):
             self._add(f"core-{number}", f"{net}.1.{number}", "core", zones)
         for number in range(1, fronts + 1):
             self._add(f"front-{number}", f"{net}.2.{number}", "front", zones)
@@ -248,8 +251,8 @@
             "internalPorts": [self.internal, self.internal + 15],
             "firstStart": self._first_start,
             "heartbeatMs": int(HEARTBEAT_S * 1000),
-            "faultTolerance": {"machines": len(self.list("core")) // 2},
-            "bounds": BOUNDS,
+            "faultTolerance": {"machines": self._core_count // 2},
+            "bounds": self.bounds,
             "listen": listen,
             "dataDirectory": str(machine.folder / "data"),
         }
@@ -299,6 +302,10 @@
                 self.links.append(link)
         for machine in self.machines.values():
             await self.start(machine)
+        self.has_started()
+
+    def has_started(self) -> None:
+        """Give processes that start from now on `firstStart` as false."""
         self._first_start = False
 
     async def wait_ready(self, names: list[str], limit_s: float = 30) -> None:
@@ -1038,7 +1045,10 @@
 def run_case(
     folder: Path, play: Callable[[Record, bool], Any], limit_s: float = 110
 ) -> None:
-    """Play a case and exit: 0 if the rule held, 1 if not, 2 for no run."""
+    """Play a case and exit: 0 if the rule held, 10 if not, 2 for no run.
+
+    Python exits with 1 by itself after an error, so `run.sh` turns 10 into 1.
+    """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     record.note(f"TROUBLE={int(trouble)}")
@@ -1067,4 +1077,4 @@
     record.note(text)
     record.close()
     print(text)
-    sys.exit(0 if held else 1)
+    sys.exit(0 if held else 10)
