--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,9 +1,8 @@
-"""Resumed streams after workers with long queues have reset connections."""
+"""Streams of a router that loses power just before a release begins."""
 
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
 import sys
 from pathlib import Path
@@ -24,16 +23,9 @@
     submit,
 )
 
-STREAMS = 24
-# Short streams of the second tenant, as usual and while it is hot.
-USUAL_RATE = 6.0
-HOT_FACTOR = 7.5
-HOT_S = 6.0
+STREAMS = 20
 # The rule counts from this number of streams on.
 MIN_STREAMS = 12
-SERVICE = "asistente-llm"
-SLOTS = 16
-HOT_KEY = "asnmgkcuyj8pjbvk9m68"
 
 
 async def play(record: Record, trouble: bool) -> bool:
@@ -44,46 +36,28 @@
         for machine in fleet.list("front")
     }
     workers = [
-        Worker(
-            fleet,
-            f"worker-{n}",
-            SERVICE,
-            "v1",
-            events=60,
-            slots=SLOTS,
-            home=n,
-        )
-        for n in range(1, 4)
+        Worker(fleet, f"worker-{number}", "asistente-llm", "v1", home=number)
+        for number in range(1, 4)
     ]
-    for worker in workers:
-        worker.connection_limit = 100
-        worker.long_queue = SLOTS // 2
-        worker.short_prefix = "/saldo/"
-        worker.short_events = 5
+    new_worker = Worker(fleet, "worker-4", "asistente-llm", "v2", home=2)
     try:
         await fleet.start_all()
         for ingress in ingresses.values():
             await ingress.start()
-        routes = [
-            build_route("itinerario", SERVICE),
-            build_route("control-puerta", SERVICE, pathPrefix="/saldo/"),
-        ]
-        configuration = build_configuration(7, [SERVICE], routes)
-        configuration["services"][0]["connectionLimit"] = 100
-        configuration["tenants"].append(
-            {"name": "hot", "apiKeys": [HOT_KEY], "priority": 1}
-        )
-        await submit(fleet, configuration)
+        route = build_route("itinerario", "asistente-llm")
+        await submit(fleet, build_configuration(7, ["asistente-llm"], [route]))
         for worker in workers:
             await worker.start()
         await fleet.wait_ready(list(ingresses))
         # Machines are in touch after `stabilityWindowMs`.
         await asyncio.sleep(3.5)
-        return await _play_streams(record, trouble, fleet, ingresses, workers)
+        return await _play_streams(
+            record, trouble, fleet, ingresses, workers, new_worker
+        )
     finally:
         for ingress in ingresses.values():
             await ingress.stop()
-        for worker in workers:
+        for worker in [*workers, new_worker]:
             await worker.crash()
         await fleet.stop_all()
 
@@ -94,65 +68,60 @@
     fleet: Fleet,
     ingresses: dict[str, Ingress],
     workers: list[Worker],
+    new_worker: Worker,
 ) -> bool:
     client = Client(record)
-    streams = [Stream(f"old-{number}") for number in range(STREAMS)]
+    lost = ingresses["front-1"]
+    first = [Stream(f"old-{number}") for number in range(STREAMS)]
     tasks = []
-    for number, stream in enumerate(streams):
-        other = ingresses[f"front-{2 + number % 2}"].address
-        addresses = [ingresses["front-1"].address, other, other]
+    for number, stream in enumerate(first):
+        other = ingresses[f"front-{2 + number % 2}"]
         tasks.append(
-            asyncio.ensure_future(client.run(stream, addresses, retries=2))
+            asyncio.ensure_future(
+                client.run(
+                    stream,
+                    [lost.address, other.address, other.address],
+                    retries=2,
+                )
+            )
         )
         await asyncio.sleep(0.02)
-    await asyncio.sleep(1.0)
-    is_hot = trouble and os.environ.get("HOT", "1") != "0"
-    rate = USUAL_RATE * (HOT_FACTOR if is_hot else 1.0)
-    if is_hot:
-        record.note(f"hot_tenant: {rate:g} requests a second, {HOT_S:g} s")
-    hot_client = Client(record, prefix="/saldo/", key=HOT_KEY)
-    for number in range(int(rate * HOT_S)):
-        address = ingresses[f"front-{1 + number % 3}"].address
-        stream = Stream(f"short-{number}")
-        tasks.append(
-            asyncio.ensure_future(hot_client.run(stream, [address], 0))
-        )
-        await asyncio.sleep(1.0 / rate)
-    if is_hot:
-        record.note("hot_tenant: over")
-    await asyncio.sleep(0.5)
+    await asyncio.sleep(1.5)
     if trouble:
-        record.note("node_kill: front-1 is killed")
+        record.note("node_kill (power): front-1 loses power")
+        lost.dark = True
         fleet.machines["front-1"].signal(signal.SIGKILL)
-    await asyncio.sleep(0.2)
+    await asyncio.sleep(1.0)
+    record.note("release: worker-4 replaces worker-3")
+    await new_worker.start()
+    await asyncio.sleep(0.5)
+    workers[2].state = "draining"
+    await workers[2].beat()
+    await asyncio.sleep(0.5)
     new = [Stream(f"new-{number}") for number in range(STREAMS)]
     for number, stream in enumerate(new):
         address = ingresses[f"front-{2 + number % 2}"].address
         tasks.append(
-            asyncio.ensure_future(client.run(stream, [address], retries=1))
+            asyncio.ensure_future(client.run(stream, [address], retries=0))
         )
         await asyncio.sleep(0.1)
     await asyncio.gather(*tasks)
-    return _judge(record, streams, new, workers)
+    return _judge(record, first, new)
 
 
-def _judge(
-    record: Record,
-    streams: list[Stream],
-    new: list[Stream],
-    workers: list[Worker],
-) -> bool:
-    resumed = [s for s in streams if len(s.attempts) > 1 and s.begun_by]
+def _judge(record: Record, first: list[Stream], new: list[Stream]) -> bool:
+    resumed = [s for s in first if len(s.attempts) > 1 and s.begun_by]
     going_on = [s for s in resumed if s.is_complete]
     begun = [s for s in new if s.events]
-    resets = sum(worker.resets for worker in workers)
-    text = (
-        f"connections reset by workers: {resets}; streams taken up again: "
-        f"{len(resumed)}, of which went on: {len(going_on)}; new streams: "
-        f"{len(new)}, of which began: {len(begun)}"
+    record.note(
+        f"streams taken up again: {len(resumed)}, of which went on: "
+        f"{len(going_on)}; new streams: {len(new)}, of which began: "
+        f"{len(begun)}"
+    )
+    print(
+        f"taken up again {len(resumed)}, went on {len(going_on)}; new "
+        f"{len(new)}, began {len(begun)}"
     )
-    record.note(text)
-    print(text)
     if len(resumed) < MIN_STREAMS:
         return True
     share = len(going_on) / len(resumed)
