--- a/review/10/case.py
+++ b/review/10/case.py
@@ -26,6 +26,7 @@
 STREAMS = 20
 # The rule counts from this number of streams on.
 MIN_STREAMS = 12
+DARK_S = 3.5
 
 
 async def play(record: Record, trouble: bool) -> bool:
@@ -88,9 +89,7 @@
         await asyncio.sleep(0.02)
     await asyncio.sleep(1.5)
     if trouble:
-        record.note("node_kill (power): front-1 loses power")
-        lost.dark = True
-        fleet.machines["front-1"].signal(signal.SIGKILL)
+        tasks.append(asyncio.ensure_future(_lose_power(fleet, lost)))
     await asyncio.sleep(1.0)
     record.note("release: worker-4 replaces worker-3")
     await new_worker.start()
@@ -109,6 +108,16 @@
     return _judge(record, first, new)
 
 
+async def _lose_power(fleet: Fleet, ingress: Ingress) -> None:
+    machine = fleet.machines["front-1"]
+    fleet.record.note(f"node_kill (power): front-1, dark for {DARK_S:g} s")
+    ingress.dark = True
+    machine.signal(signal.SIGKILL)
+    await asyncio.sleep(DARK_S)
+    await fleet.start(machine)
+    ingress.dark = False
+
+
 def _judge(record: Record, first: list[Stream], new: list[Stream]) -> bool:
     resumed = [s for s in first if len(s.attempts) > 1 and s.begun_by]
     going_on = [s for s in resumed if s.is_complete]
