--- a/review/10/case.py
+++ b/review/10/case.py
@@ -31,7 +31,7 @@
 
 async def play(record: Record, trouble: bool) -> bool:
     """Return whether the rule held."""
-    fleet = Fleet(record)
+    fleet = Fleet(record, fronts=7)
     ingresses = {
         machine.name: Ingress(machine.ip, fleet.front)
         for machine in fleet.list("front")
@@ -76,13 +76,13 @@
     first = [Stream(f"old-{number}") for number in range(STREAMS)]
     tasks = []
     for number, stream in enumerate(first):
-        other = ingresses[f"front-{2 + number % 2}"]
+        other = ingresses[f"front-{2 + number % 6}"]
         tasks.append(
             asyncio.ensure_future(
                 client.run(
                     stream,
-                    [lost.address, other.address, other.address],
-                    retries=2,
+                    [lost.address, other.address],
+                    retries=1,
                 )
             )
         )
@@ -99,7 +99,7 @@
     await asyncio.sleep(0.5)
     new = [Stream(f"new-{number}") for number in range(STREAMS)]
     for number, stream in enumerate(new):
-        address = ingresses[f"front-{2 + number % 2}"].address
+        address = ingresses[f"front-{2 + number % 6}"].address
         tasks.append(
             asyncio.ensure_future(client.run(stream, [address], retries=0))
         )
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -52,6 +52,7 @@
 
     is_faulty = False
     endless = 0
+    sent_bytes = 0
 
     async def _handle(
         self,
@@ -76,6 +77,7 @@
         )
         while not writer.transport.is_closing():
             writer.write(PIECE)
+            self.sent_bytes += len(PIECE)
             await writer.drain()
             await asyncio.sleep(0)
 
@@ -115,7 +117,11 @@
 
 
 async def check(record: Record, address: tuple[str, int]) -> Check:
-    """Send a request that reads a booking's status."""
+    """Send a request for a balance.
+
+    It isn't idempotent: clients abandon an idempotent request that a machine
+    hasn't read after a second, but not this one.
+    """
     request_id = f"{random.getrandbits(64):016x}"
     sent_at = record.now()
     result = "the time budget has passed"
@@ -124,9 +130,9 @@
             reader, writer = await asyncio.open_connection(*address)
             try:
                 writer.write(
-                    f"GET /reserva/{request_id} HTTP/1.1\r\nHost: {HOST}\r\n"
+                    f"POST /saldo/{request_id} HTTP/1.1\r\nHost: {HOST}\r\n"
                     f"X-Request-Id: {request_id}\r\nX-Deadline-Ms: 3000\r\n"
-                    f"Api-Key: {KEY}\r\n\r\n".encode()
+                    f"Api-Key: {KEY}\r\nContent-Length: 0\r\n\r\n".encode()
                 )
                 first, fields = await read_head(reader)
                 await read_body(reader, fields)
@@ -139,7 +145,7 @@
         result = "broken off"
     ended_at = record.now()
     record.note(
-        f"client: status read {request_id}: {result} after "
+        f"client: balance {request_id}: {result} after "
         f"{ended_at - sent_at:.2f} s"
     )
     return Check(sent_at, ended_at, result)
@@ -170,10 +176,11 @@
                 streamResumption=False,
             ),
             build_route(
-                "estado-reserva",
+                "saldo-pase",
                 PASSES,
-                pathPrefix="/reserva/",
-                routeKind="idempotent",
+                pathPrefix="/saldo/",
+                routeKind="non_idempotent",
+                maxAttempts=1,
                 streamResumption=False,
                 timeoutMs=int(TIMEOUT_S * 1000),
                 targetLatencyMs=300,
@@ -192,11 +199,14 @@
             if trouble:
                 tasks.create_task(_fail(record, assistants[0]))
             tasks.create_task(_stream(record, ingress.address))
-            tasks.create_task(_probe(record, front.ip, fleet.readiness))
+            probes: list[str] = []
+            tasks.create_task(
+                _probe(record, front.ip, fleet.readiness, probes)
+            )
             for _ in range(CHECKS):
                 tasks.create_task(_add(record, ingress.address, checks))
                 await asyncio.sleep(CHECK_INTERVAL_S)
-        return _judge(record, checks, assistants[0].endless)
+        return _judge(record, checks, assistants[0], probes)
     finally:
         await ingress.stop()
         for worker in workers:
@@ -241,7 +251,9 @@
         return f"{first.split()[1]}, {size} bytes"
 
 
-async def _probe(record: Record, ip: str, port: int) -> None:
+async def _probe(
+    record: Record, ip: str, port: int, probes: list[str]
+) -> None:
     """Ask once a second whether the router is ready, as the platform does."""
     for _ in range(int(CHECKS * CHECK_INTERVAL_S)):
         started_at = record.now()
@@ -250,11 +262,17 @@
             result = str(status)
         except (OSError, ValueError):
             result = "no response within 1 s"
+        probes.append(result)
         record.note(f"platform: readiness of front-1: {result}")
         await asyncio.sleep(max(0.0, started_at + 1.0 - record.now()))
 
 
-def _judge(record: Record, checks: list[Check], endless: int) -> bool:
+def _judge(
+    record: Record,
+    checks: list[Check],
+    faulty: FaultyWorker,
+    probes: list[str],
+) -> bool:
     slow = [c for c in checks if c.ended_at - c.sent_at > TIMEOUT_S]
     late = [c for c in slow if c.ended_at - c.sent_at > TIMEOUT_S + SLACK_S]
     counts = json.dumps(
@@ -264,9 +282,11 @@
         }
     )
     text = (
-        f"answers without end: {endless}; status reads: {len(checks)} "
-        f"{counts}, longer than the route's timeout: {len(slow)}, without an "
-        f"answer 0.5 s after it: {len(late)}"
+        f"answers without end: {faulty.endless}, "
+        f"{faulty.sent_bytes / 1e6:.1f} MB; readiness checks without a 200: "
+        f"{sum(p != '200' for p in probes)} of {len(probes)}; balances: "
+        f"{len(checks)} {counts}, longer than the route's timeout: "
+        f"{len(slow)}, without an answer 0.5 s after it: {len(late)}"
     )
     record.note(text)
     print(text)
