Record where a stream begins with its first event

Callers saw streams that held events of two software versions: a router that was cut off from the controllers began waiting streams anew at another version and was killed, and its callers' next attempts went on at the first one.

Cause: the origin was recorded when the request was placed. Controllers kept the record of an attempt that had brought no event, as the router couldn't report the next one.

The record is made when the first event is about to be sent to the caller. After that the router keeps the stream at its version, so a record is final.

--- a/hornbeamyard/request/forwarding.py
+++ b/hornbeamyard/request/forwarding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import json
 import random
 from collections.abc import (
@@ -573,11 +574,6 @@
             else {}
         )
         self._reporter.report_placed(request, placement, version, shares)
-        if request.route.resumable:
-            origin = StreamOrigin(
-                request.pool.name, placement.software_version
-            )
-            self._router.record_stream(request.stream_id(), origin)
         meter = AttemptMeter(
             self._timers,
             balancer,
@@ -587,6 +583,7 @@
             self._reporter,
             self._router.record_leaving,
             self._router.notices.record_limit,
+            functools.partial(self._record_begun, request, placement),
         )
         relay = Relay(
             self._build_relay_request(request, placement, started_at),
@@ -607,6 +604,20 @@
         await self._record_result(request, server, result, started_at)
         return result
 
+    def _record_begun(
+        self, request: RoutedRequest, placement: Placement
+    ) -> None:
+        """Record where a stream begins.
+
+        Until its first event it may still begin at another upstream, also at
+        a moment when this router can't tell the controllers.
+        """
+        if request.route.resumable:
+            origin = StreamOrigin(
+                request.pool.name, placement.software_version
+            )
+            self._router.record_stream(request.stream_id(), origin)
+
     def _build_relay_request(
         self, request: RoutedRequest, placement: Placement, now: float
     ) -> RelayRequest:
--- a/hornbeamyard/request/meter.py
+++ b/hornbeamyard/request/meter.py
@@ -33,6 +33,9 @@
     report_limit : callable
         Called with the start of an upstream and the rate limit in its
         response, None for no limit.
+    report_begun : callable
+        Called before the first byte of a response is sent to the caller that
+        isn't complete yet.
     """
 
     __slots__ = (
@@ -40,6 +43,7 @@
         "_first_chunk_at",
         "_last_chunk_at",
         "_placement",
+        "_report_begun",
         "_report_leaving",
         "_report_limit",
         "_reporter",
@@ -58,7 +62,9 @@
         reporter: RequestReporter,
         report_leaving: Callable[[Upstream], None],
         report_limit: Callable[[UpstreamStart, float | None], None],
+        report_begun: Callable[[], None],
     ) -> None:
+        self._report_begun = report_begun
         self._report_leaving = report_leaving
         self._report_limit = report_limit
         self._reporter = reporter
@@ -125,6 +131,10 @@
             self._balancer.inter_token_latency.record(gap_ms / tokens, now)
         self._last_chunk_at = now
 
+    def record_begun(self) -> None:
+        """Report the start of the response to the caller."""
+        self._report_begun()
+
     def _record_first_chunk(self, now: float) -> None:
         self._first_chunk_at = now
         self._request.first_event_ms = (now - self._started_at) * 1000
--- a/hornbeamyard/request/relay.py
+++ b/hornbeamyard/request/relay.py
@@ -131,6 +131,12 @@
     def record_chunk(self) -> None:
         """Handle a chunk of the body of a successful response."""
 
+    def record_begun(self) -> None:
+        """Handle the start of a response that is forwarded as it arrives.
+
+        Called before the first byte is sent to the caller.
+        """
+
 
 class Relay:
     """Sends a request to an upstream and forwards the response.
@@ -406,6 +412,7 @@
         if self._progress.started:
             return
         self._progress.started = True
+        self._observer.record_begun()
         forwarded_headers = [
             pair for pair in headers if pair[0] != b"content-length"
         ]
--- a/hornbeamyard/tests/test_forwarding.py
+++ b/hornbeamyard/tests/test_forwarding.py
@@ -913,6 +913,22 @@
 
         run(test, [close_connection], [send_events(1, 3)])
 
+    def test_origin_is_recorded_with_the_first_event(self) -> None:
+        """Guards against an origin from an attempt without events.
+
+        Controllers would keep it if this router can't report the next one.
+        """
+
+        async def test(harness: Harness) -> None:
+            harness.set_software_versions("v1", "v2")
+            harness.balancer.servers["u1"].own_load.running = 5
+            received = await harness.send_request("/chat/1")
+            assert received.is_complete
+            assert harness.origins.number == 1
+            assert harness.origins.find("r-1") == StreamOrigin("app", "v2")
+
+        run(test, [close_connection], [send_events(1, 3)])
+
 
 class TestCallerRetries:
     """A caller's retry is told apart by the time that it has left."""
