Report all streams to the controllers

Callers saw resumed streams refused (0 of 20 went on, 20 of 20 new ones began): their router had lost power, and a release began before they came back.

Cause: routers reported streams only while their pool had several software versions, so that nobody knew the origin of the others once their router was gone. Ruled out: the moment of the release, as a second version 2.5 s after the loss or a second pool of the route had the same effect.

All streams are reported now, after half a second while their origin is not ambiguous.

--- a/hornbeamyard/connection/stream_reports.py
+++ b/hornbeamyard/connection/stream_reports.py
@@ -8,26 +8,25 @@
 
 from ..messages import fleet_pb2
 from ..pool.ended_starts import UNKNOWN_VERSION
-from ..pool.stream_origins import (
-    RETENTION_S,
-    BegunStream,
-    StreamOrigin,
-    StreamOrigins,
-)
+from ..pool.stream_origins import BegunStream, StreamOrigin, StreamOrigins
 from ..pool.upstream_registry import UpstreamRegistry
 from ..process.timers import Timers
 
-# Streams are collected for this long before they are reported. Engines take
-# about as long to generate the first event.
+# Streams are collected for this long before they are reported.
 COLLECT_INTERVAL_S = 0.05
+# The same while all upstreams that could continue a stream have one software
+# version. Streams that the controllers don't know go on there, so a report is
+# only needed before a second version is known.
+SETTLED_COLLECT_INTERVAL_S = 0.5
 
 
 class StreamReports:
     """Records the streams that a router begins, and reports them.
 
-    Streams that can go on at any upstream of their route are recorded but not
-    reported. Those of unknown versions are: other routers would take the only
-    version that they know for theirs.
+    A stream outlives the state of the fleet in which it began: its router may
+    end, and a further software version or pool may be added, before its caller
+    resumes it. So every stream is reported, and only the delay depends on what
+    else it may be taken for.
 
     Parameters
     ----------
@@ -43,19 +42,18 @@
 
     __slots__ = (
         "_changed",
+        "_is_urgent",
         "_registry",
         "_timers",
-        "_uncertain_pools",
         "origins",
         "split_pools",
     )
 
     def __init__(self, registry: UpstreamRegistry, timers: Timers) -> None:
         self._changed = anyio.Event()
+        self._is_urgent = anyio.Event()
         self._registry = registry
         self._timers = timers
-        # Pools in which a stream has begun at an unknown version, and when.
-        self._uncertain_pools: dict[str, float] = {}
         self.origins = StreamOrigins()
         self.split_pools: frozenset[str] = frozenset()
 
@@ -63,67 +61,47 @@
         """Record a stream that begins; without an id it can't be resumed."""
         if not request_id:
             return
-        now = self._timers.now()
-        self.origins.record(request_id, origin, now)
-        if origin.software_version == UNKNOWN_VERSION:
-            self._uncertain_pools[origin.pool] = now
-        if self._needs_reports(origin.pool):
+        self.origins.record(request_id, origin, self._timers.now())
+        self._changed.set()
+        self._changed = anyio.Event()
+        if self._is_ambiguous(origin):
             self.notify()
 
-    def expire(self, now: float) -> None:
-        """Forget streams that no caller resumes any more."""
-        self.origins.expire(now)
-        self._uncertain_pools = {
-            pool: begun_at
-            for pool, begun_at in self._uncertain_pools.items()
-            if now - begun_at <= RETENTION_S
-        }
-
     def notify(self) -> None:
-        """Report streams soon, as one has begun or versions have changed."""
-        self._changed.set()
-        self._changed = anyio.Event()
+        """Report streams soon, as the versions of a pool may have changed."""
+        self._is_urgent.set()
+        self._is_urgent = anyio.Event()
 
     async def run(
         self, send: Callable[[fleet_pb2.RouterUsage], Awaitable[None]]
     ) -> None:
         """Report all streams to one controller until cancelled."""
-        # Number of the last stream that was reported, by pool.
-        reported: dict[str, int] = {}
+        # Number of the last stream that was reported.
+        reported = 0
         while True:
-            changed = self._changed
-            streams = self._list_unreported(reported)
-            if streams:
-                for stream in streams:
-                    pool = stream.origin.pool
-                    reported[pool] = max(stream.number, reported.get(pool, 0))
-                groups = group_by_origin(streams)
-                await send(fleet_pb2.RouterUsage(begun_streams=groups))
-                pools = self._registry.list_pools()
-                reported = {
-                    pool: number
-                    for pool, number in reported.items()
-                    if pool in pools
-                }
-            await changed.wait()
-            await self._timers.sleep(COLLECT_INTERVAL_S)
-
-    def _needs_reports(self, pool: str) -> bool:
-        if pool in self.split_pools or pool in self._uncertain_pools:
-            return True
-        return len(self._registry.list_versions(pool)) > 1
-
-    def _list_unreported(self, reported: dict[str, int]) -> list[BegunStream]:
-        pools = set(filter(self._needs_reports, self._registry.list_pools()))
-        if not pools:
-            return []
-        lowest = min(reported.get(pool, 0) for pool in pools)
-        return [
-            stream
-            for stream in self.origins.list_since(lowest)
-            if stream.origin.pool in pools
-            and stream.number > reported.get(stream.origin.pool, 0)
-        ]
+            changed, is_urgent = self._changed, self._is_urgent
+            streams = list(self.origins.list_since(reported))
+            if not streams:
+                await changed.wait()
+                with self._timers.limit(SETTLED_COLLECT_INTERVAL_S):
+                    await is_urgent.wait()
+                    await self._timers.sleep(COLLECT_INTERVAL_S)
+                continue
+            reported = streams[0].number
+            groups = group_by_origin(streams)
+            await send(fleet_pb2.RouterUsage(begun_streams=groups))
+
+    def _is_ambiguous(self, origin: StreamOrigin) -> bool:
+        """Return whether the stream could be taken for one of another origin.
+
+        Other routers take streams of an unknown version for those of the only
+        version that they know.
+        """
+        return (
+            origin.software_version == UNKNOWN_VERSION
+            or origin.pool in self.split_pools
+            or len(self._registry.list_versions(origin.pool)) > 1
+        )
 
 
 def group_by_origin(
--- a/hornbeamyard/connection/subscription.py
+++ b/hornbeamyard/connection/subscription.py
@@ -344,7 +344,7 @@
 
     def _expire(self) -> None:
         now = self._timers.now()
-        self.streams.expire(now)
+        self.streams.origins.expire(now)
         self._crashes.expire(now)
         self._limits.expire(now)
         if not self.versions:
@@ -513,6 +513,7 @@
         decoder: UsageDecoder,
     ) -> None:
         now = self._timers.now()
+        versions_number = self.registry.versions_number
         if address not in self.versions:
             self._lists[address] = _ControllerList()
             _log.info(
@@ -560,6 +561,7 @@
             )
         if changed:
             self._on_upstreams(changed)
+        if self.registry.versions_number != versions_number:
             self.streams.notify()
         if update.crashes:
             self._crashes.apply(decode_crashes(update.crashes, now))
