Bound the work for small chunks in one turn of the event loop

Callers of a sound pool got neither a response nor a 504, and readiness checks weren't answered, while an upstream of another pool sent chunks of one byte without end.

Cause: up to 65,536 chunks of a response were read ahead, as the limit counts bytes of bodies, and were passed on one by one in one turn of the event loop. Ruled out: the parser, which takes 4 ms for 64 KB of them (trial).

Waiting chunks are joined from 64 on.

--- a/hornbeamyard/connection/client.py
+++ b/hornbeamyard/connection/client.py
@@ -19,6 +19,7 @@
 import httptools
 
 from .buffers import ResponseBuffers
+from .pacing import ReadPacer
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -26,8 +27,14 @@
 # slow caller. What is read at once comes on top.
 MAX_BUFFERED_BYTES = 64 * 1024
 READ_BYTES = 64 * 1024
-# The latter while all responses together exceed their limit.
+# The latter for the first read of a response, after one with many chunks, and
+# while all responses together exceed their limit.
 REDUCED_READ_BYTES = 8 * 1024
+# Chunks in one read above which the connection waits for its next one, and
+# chunks that wait for a caller above which they are joined. Each chunk costs a
+# call, and an object in memory. Upstreams send an event of a stream a chunk.
+MAX_CHUNKS_PER_READ = 256
+MAX_WAITING_CHUNKS = 64
 # An upstream may send this much without a byte of a body, in headers, chunk
 # sizes and trailers. Servers commonly allow headers of 8 to 64 KB.
 MAX_UNPARSED_BYTES = 64 * 1024
@@ -123,6 +130,8 @@
         Idle time in seconds after which it isn't reused.
     buffers : ResponseBuffers, optional
         Counts the parts of responses that wait for their callers.
+    pacer : ReadPacer, optional
+        Spreads the reads of connections with many small chunks.
 
     Attributes
     ----------
@@ -133,7 +142,10 @@
     """
 
     def __init__(
-        self, idle_timeout_s: float, buffers: ResponseBuffers | None = None
+        self,
+        idle_timeout_s: float,
+        buffers: ResponseBuffers | None = None,
+        pacer: ReadPacer | None = None,
     ) -> None:
         self._buffers = ResponseBuffers() if buffers is None else buffers
         self._error: Exception | None = None
@@ -142,13 +154,20 @@
         self._idle_timeout_s = idle_timeout_s
         self._idle_until = 0.0
         self._is_busy = False
+        # Whether another read waits for its turn.
+        self._is_deferred = False
         self._is_lost = False
+        # Whether reading has stopped, as the caller is slow.
         self._is_paused = False
         self._is_reusable = True
         self._loop = asyncio.get_running_loop()
         self._method = ""
+        self._pacer = ReadPacer() if pacer is None else pacer
         self._parser = httptools.HttpResponseParser(self)
         self._chunks: deque[bytes] = deque()
+        self._read_bytes = REDUCED_READ_BYTES
+        # Chunks in the latest read.
+        self._read_chunks = 0
         self._status = 0
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[None] | None = None
@@ -188,6 +207,7 @@
         self._status = 0
         self._field_bytes = 0
         self._unparsed_bytes = 0
+        self._read_bytes = REDUCED_READ_BYTES
         self._method = method
         lines = [b" ".join((method.encode(), target, b"HTTP/1.1"))]
         lines += [b": ".join(header) for header in headers]
@@ -206,8 +226,7 @@
         self._buffers.size -= len(chunk)
         if self._is_paused and self._buffered_bytes <= self._max_buffered // 2:
             self._is_paused = False
-            if self._transport is not None and not self._is_lost:
-                self._transport.resume_reading()
+            self._resume_reading()
         return chunk
 
     @property
@@ -274,7 +293,7 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return where the next bytes are stored."""
         are_full = self._buffers.are_full()
-        size = REDUCED_READ_BYTES if are_full else READ_BYTES
+        size = REDUCED_READ_BYTES if are_full else self._read_bytes
         return memoryview(_received)[:size]
 
     def buffer_updated(self, nbytes: int) -> None:
@@ -288,6 +307,7 @@
             self._abort()
             return
         self._unparsed_bytes += len(data)
+        self._read_chunks = 0
         try:
             self._parser.feed_data(data)
         except (
@@ -300,12 +320,40 @@
                 f"the upstream sent more than {MAX_UNPARSED_BYTES} bytes "
                 "without a byte of a body"
             )
-        if self._buffered_bytes > self._max_buffered and not self._is_paused:
-            self._is_paused = True
-            if self._transport is not None:
-                self._transport.pause_reading()
+        self._limit_reading()
         self._wake()
 
+    def _limit_reading(self) -> None:
+        """Pause reading if it gets ahead of the caller or other requests."""
+        if len(self._chunks) > MAX_WAITING_CHUNKS:
+            joined = b"".join(self._chunks)
+            self._chunks.clear()
+            self._chunks.append(joined)
+        has_many_chunks = self._read_chunks > MAX_CHUNKS_PER_READ
+        self._read_bytes = (
+            REDUCED_READ_BYTES if has_many_chunks else READ_BYTES
+        )
+        if has_many_chunks and not self._is_deferred:
+            self._is_deferred = True
+            self._pacer.defer(self._end_deferral)
+        if self._buffered_bytes > self._max_buffered:
+            self._is_paused = True
+        if self._transport is not None and (
+            self._is_paused or self._is_deferred
+        ):
+            self._transport.pause_reading()
+
+    def _end_deferral(self) -> None:
+        self._is_deferred = False
+        self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        """Read on, unless something else keeps the connection from it."""
+        if self._transport is None or self._is_lost:
+            return
+        if not self._is_paused and not self._is_deferred:
+            self._transport.resume_reading()
+
     def eof_received(self) -> bool:
         """Handle the end of the upstream's bytes (TCP FIN)."""
         is_ended_by_close = self._framing is Framing.CLOSE
@@ -390,6 +438,7 @@
         """Store a chunk of the body."""
         if not self.is_complete:
             self._chunks.append(body)
+            self._read_chunks += 1
             self._buffered_bytes += len(body)
             self._buffers.size += len(body)
             self._field_bytes = 0
@@ -422,6 +471,7 @@
     idle_timeout_s: float,
     socket_options: Iterable[tuple[int, int, int]] = (),
     buffers: ResponseBuffers | None = None,
+    pacer: ReadPacer | None = None,
 ) -> Connection:
     """Open a connection to an upstream, without a time limit.
 
@@ -436,6 +486,8 @@
         Arguments of `socket.setsockopt`: level, option and value.
     buffers : ResponseBuffers, optional
         Counts the parts of responses that wait for their callers.
+    pacer : ReadPacer, optional
+        Spreads the reads of connections with many small chunks.
 
     Raises
     ------
@@ -451,7 +503,7 @@
             raw.setsockopt(*option)
         await loop.sock_connect(raw, (host, port))
         _, connection = await loop.create_connection(
-            lambda: Connection(idle_timeout_s, buffers), sock=raw
+            lambda: Connection(idle_timeout_s, buffers, pacer), sock=raw
         )
     except BaseException:
         raw.close()
--- a/hornbeamyard/connection/upstreams.py
+++ b/hornbeamyard/connection/upstreams.py
@@ -9,6 +9,7 @@
 
 from .buffers import ResponseBuffers
 from .client import Connection, open_connection
+from .pacing import ReadPacer
 
 CONNECT_TIMEOUT_S = 2.0
 # Shorter than the timeout of common servers (uvicorn: 5 s), because a request
@@ -54,6 +55,7 @@
         "_connect_timeout_s",
         "_idle",
         "_idle_timeout_s",
+        "_pacer",
         "_socket_options",
         "buffers",
         "max_idle",
@@ -70,6 +72,7 @@
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[str, list[Connection]] = {}
         self._idle_timeout_s = idle_timeout_s
+        self._pacer = ReadPacer()
         self._socket_options = []
         if unacknowledged_timeout_s:
             value = int(unacknowledged_timeout_s * 1000)
@@ -117,6 +120,7 @@
                     self._idle_timeout_s,
                     self._socket_options,
                     self.buffers,
+                    self._pacer,
                 )
         except TimeoutError:
             raise TimeoutError(
--- a/hornbeamyard/tests/test_client.py
+++ b/hornbeamyard/tests/test_client.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
+from typing import Any
 from unittest.mock import Mock
 
 import anyio
@@ -14,10 +15,13 @@
 
 from hornbeamyard.connection.client import (
     MAX_BUFFERED_BYTES,
+    MAX_WAITING_CHUNKS,
+    REDUCED_READ_BYTES,
     BrokenConnectionError,
     Connection,
     open_connection,
 )
+from hornbeamyard.connection.pacing import READ_INTERVAL_S, ReadPacer
 
 from .raw_upstream import ReceivedRequest, Script, run_raw_upstream
 
@@ -247,6 +251,122 @@
         run(send_bytes(head.encode() + b"x" * size), test)
 
 
+class TestSmallChunks:
+    """Chunks of some bytes don't hold up other requests."""
+
+    HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+    CHUNK = b"40\r\n" + b"x" * 64 + b"\r\n"
+    CHUNKS = 50_000
+
+    @pytest.mark.parametrize("delay_s", [0.0, 0.3])
+    def test_pieces_in_one_turn(self, delay_s: float) -> None:
+        """Guards against a response that takes a turn of the event loop.
+
+        A router didn't answer anybody while it passed on 65,536 chunks of a
+        byte one by one.
+        """
+        piece = self.HEAD + b"1\r\nx\r\n" * self.CHUNKS + b"0\r\n\r\n"
+
+        async def test(connection: Connection) -> None:
+            response = await connection.request("GET", b"/", [], b"")
+            await anyio.sleep(delay_s)
+            in_turn = most = size = 0
+
+            async def count_turns() -> None:
+                nonlocal in_turn
+                while True:
+                    in_turn = 0
+                    await asyncio.sleep(0)
+
+            turns = asyncio.ensure_future(count_turns())
+            async for chunk in response.iter_chunks():
+                in_turn += 1
+                most = max(most, in_turn)
+                size += len(chunk)
+            turns.cancel()
+            assert size == self.CHUNKS
+            assert most <= MAX_WAITING_CHUNKS
+
+        run(send_bytes(piece), test)
+
+    def test_memory_of_waiting_chunks(self) -> None:
+        """Guards against an object for each chunk that a caller doesn't read.
+
+        An object takes some thirty bytes more than the chunk.
+        """
+
+        async def test() -> None:
+            connection, _ = connect(ReadPacer())
+            ask_for_response(connection)
+            await asyncio.sleep(0)
+            connection.data_received(self.HEAD)
+            for _ in range(100):
+                connection.data_received(b"2\r\nxy\r\n" * 500)
+            assert connection._buffered_bytes == 100_000
+            assert len(connection._chunks) <= MAX_WAITING_CHUNKS
+
+        anyio.run(test)
+
+    def test_connections_take_turns(self) -> None:
+        """Guards against many such responses that are read in one turn."""
+
+        async def test() -> None:
+            pacer = ReadPacer()
+            transports = []
+            for _ in range(20):
+                connection, transport = connect(pacer)
+                ask_for_response(connection)
+                await asyncio.sleep(0)
+                transports.append(transport)
+                connection.data_received(self.HEAD + b"1\r\nx\r\n" * 500)
+                transport.pause_reading.assert_called()
+                assert len(connection.get_buffer(-1)) == REDUCED_READ_BYTES
+            resumed = count_resumed(transports)
+            while resumed < len(transports):
+                await asyncio.sleep(0)
+                assert count_resumed(transports) <= resumed + 1
+                resumed = count_resumed(transports)
+
+        anyio.run(test)
+
+    def test_slow_caller_and_turn(self) -> None:
+        """Guards against reading on for one reason in spite of the other."""
+
+        async def test() -> None:
+            connection, transport = connect(ReadPacer())
+            ask_for_response(connection)
+            await asyncio.sleep(0)
+            connection.data_received(self.HEAD)
+            while not connection._is_paused:
+                connection.data_received(self.CHUNK * 300)
+            await asyncio.sleep(10 * READ_INTERVAL_S)
+            transport.resume_reading.assert_not_called()
+            while connection.pop_chunk() is not None:
+                pass
+            transport.resume_reading.assert_called()
+
+        anyio.run(test)
+
+
+def connect(pacer: ReadPacer) -> tuple[Connection, Mock]:
+    """Return a connection with a fake transport."""
+    connection = Connection(IDLE_TIMEOUT_S, pacer=pacer)
+    transport = Mock(spec=asyncio.Transport)
+    transport.get_write_buffer_size.return_value = 0
+    connection.connection_made(transport)
+    return connection, transport
+
+
+def count_resumed(transports: list[Mock]) -> int:
+    """Return the number of transports that are read again."""
+    return sum(t.resume_reading.called for t in transports)
+
+
+def ask_for_response(connection: Connection) -> asyncio.Future[Any]:
+    """Send a request; its response is fed by the test."""
+    return asyncio.ensure_future(connection.request("GET", b"/", [], b""))
+
+
 class TestFields:
     """Header fields are bounded, however many arrive at once."""
 
@@ -268,10 +388,7 @@
         """Guards against memory for fields that come with a body."""
 
         async def test() -> None:
-            connection = Connection(IDLE_TIMEOUT_S)
-            transport = Mock(spec=asyncio.Transport)
-            transport.get_write_buffer_size.return_value = 0
-            connection.connection_made(transport)
+            connection, _ = connect(ReadPacer())
             response = asyncio.ensure_future(ask(connection))
             await asyncio.sleep(0)
             connection.data_received(data)
