Bound the documents that are read from other processes

Another operator reported a process that kept bytes without end from a faulty upstream and ran out of memory.

Cause: the check of an upstream and config check asked their client for the whole body. Ruled out: headers and interim responses, which were bounded.

Both use the router's client now, with a bound in bytes and one in time. Bodies of errors count with all other buffered responses.

--- a/hornbeamyard/connection/client.py
+++ b/hornbeamyard/connection/client.py
@@ -98,6 +98,40 @@
             else:
                 await connection.wait_for_data()
 
+    async def read(self, max_size: int) -> bytes:
+        """Return the whole body.
+
+        Parameters
+        ----------
+        max_size : int
+            In bytes. While all responses together exceed their limit, it is
+            `REDUCED_READ_BYTES` at most.
+
+        Raises
+        ------
+        BrokenConnectionError
+            If the connection breaks before the body is complete, or the body
+            is larger.
+        """
+        buffers = self.connection.buffers
+        chunks: list[bytes] = []
+        size = 0
+        try:
+            async for chunk in self.iter_chunks():
+                chunks.append(chunk)
+                size += len(chunk)
+                buffers.size += len(chunk)
+                if buffers.are_full():
+                    max_size = min(max_size, REDUCED_READ_BYTES)
+                if size > max_size:
+                    raise BrokenConnectionError(
+                        f"the body of a response with status {self.status} "
+                        f"exceeds {max_size} bytes"
+                    )
+            return b"".join(chunks)
+        finally:
+            buffers.size -= size
+
     def find_mismatch(self, sent_id: str, named_id: str) -> str:
         """Return why this doesn't answer a request; "" if it may.
 
@@ -135,6 +169,7 @@
 
     Attributes
     ----------
+    buffers : ResponseBuffers
     is_complete : bool
         Whether the complete response has arrived.
     names_requests : bool
@@ -147,7 +182,7 @@
         buffers: ResponseBuffers | None = None,
         pacer: ReadPacer | None = None,
     ) -> None:
-        self._buffers = ResponseBuffers() if buffers is None else buffers
+        self.buffers = ResponseBuffers() if buffers is None else buffers
         self._error: Exception | None = None
         self._framing = Framing.NO_BODY
         self._headers: Headers = []
@@ -223,7 +258,7 @@
             return None
         chunk = self._chunks.popleft()
         self._buffered_bytes -= len(chunk)
-        self._buffers.size -= len(chunk)
+        self.buffers.size -= len(chunk)
         if self._is_paused and self._buffered_bytes <= self._max_buffered // 2:
             self._is_paused = False
             self._resume_reading()
@@ -231,7 +266,7 @@
 
     @property
     def _max_buffered(self) -> int:
-        return 0 if self._buffers.are_full() else MAX_BUFFERED_BYTES
+        return 0 if self.buffers.are_full() else MAX_BUFFERED_BYTES
 
     async def wait_for_data(self) -> None:
         """Wait until bytes arrive or the connection ends.
@@ -272,7 +307,7 @@
 
     async def aclose(self) -> None:
         """Close the connection; a response in progress is aborted."""
-        self._buffers.size -= self._buffered_bytes
+        self.buffers.size -= self._buffered_bytes
         self._buffered_bytes = 0
         self._chunks.clear()
         if self._transport is None:
@@ -292,7 +327,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return where the next bytes are stored."""
-        are_full = self._buffers.are_full()
+        are_full = self.buffers.are_full()
         size = REDUCED_READ_BYTES if are_full else self._read_bytes
         return memoryview(_received)[:size]
 
@@ -440,7 +475,7 @@
             self._chunks.append(body)
             self._read_chunks += 1
             self._buffered_bytes += len(body)
-            self._buffers.size += len(body)
+            self.buffers.size += len(body)
             self._field_bytes = 0
             self._unparsed_bytes = 0
 
--- a/hornbeamyard/connection/liveness.py
+++ b/hornbeamyard/connection/liveness.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-import json
 import math
 from dataclasses import dataclass
 from typing import Any, Protocol
 from urllib.parse import quote
 
 import anyio
-import httpcore
+from result import Err
 
+from ..process.documents import read_json
 from ..process.timers import Timers
+from .retrieval import retrieve
 from .upstreams import UpstreamConnections
 
 STATUS_TIMEOUT_S = 2.0
@@ -20,20 +21,14 @@
 # limit must not run out at once when it goes on.
 STATUS_TURNS = 20
 STATUS_PATH = "/hornbeamyard/v1/status"
+# A status has a few fields.
+MAX_STATUS_BYTES = 64 * 1024
 UNRESPONSIVE = "the upstream doesn't respond to status requests"
 # An exchange ends if its caller reads no byte for this long.
 SLOW_CALLER_TIMEOUT_S = 60.0
 # Upper bound of the interval between liveness checks.
 MAX_CHECK_INTERVAL_S = 1.0
 
-# Errors with which a request for a status may fail.
-STATUS_ERRORS = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-    OSError,
-)
-
 
 class WatchedExchange(Protocol):
     """The part of an exchange that the liveness checker uses.
@@ -192,20 +187,23 @@
     Returns
     -------
     UpstreamStatus or None
-        None if there is no JSON response within the time limit.
+        None if there is no JSON response within the time limit, or it has
+        more than `MAX_STATUS_BYTES`.
     """
     try:
-        with anyio.fail_after(timeout_s):
-            async with httpcore.AsyncConnectionPool() as fresh:
-                response = await fresh.request(
-                    "GET", address + STATUS_PATH + query
-                )
-        document = json.loads(response.content)
-    except (*STATUS_ERRORS, ValueError):
+        code, body = await retrieve(
+            address.removeprefix("http://"),
+            STATUS_PATH + query,
+            MAX_STATUS_BYTES,
+            timeout_s,
+        )
+    except OSError:
+        return None
+    parsed = read_json(body)
+    if isinstance(parsed, Err):
         return None
-    if not isinstance(document, dict):
-        document = {}
-    return UpstreamStatus(response.status, document)
+    document = parsed.ok_value
+    return UpstreamStatus(code, document if isinstance(document, dict) else {})
 
 
 async def check_running(
--- a/hornbeamyard/process/config_check.py
+++ b/hornbeamyard/process/config_check.py
@@ -6,9 +6,12 @@
 from pathlib import Path
 from typing import Any
 
+import anyio
 import click
 from result import Err, Ok, Result
 
+from ..connection.client import BrokenConnectionError
+from ..connection.retrieval import retrieve
 from ..version.differences import build_patch, describe_differences
 from ..version.lint import (
     NATIVE_FORMAT,
@@ -48,7 +51,7 @@
     type=click.FloatRange(0.1, 3600),
     default=10.0,
     show_default=True,
-    help="Seconds to wait for each step of the call to the controller.",
+    help="Seconds to wait for the controller's whole response.",
 )
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 def check_configuration(
@@ -155,33 +158,25 @@
 def _fetch_document(
     address: str, path: str, timeout_s: float
 ) -> Result[bytes, str]:
-    # Imported here because comparisons with files don't need a client.
-    import httpcore
-
-    steps = ("connect", "read", "write", "pool")
     try:
-        response = httpcore.request(
-            "GET",
-            f"http://{address}{path}",
-            extensions={"timeout": dict.fromkeys(steps, timeout_s)},
+        status, content = anyio.run(
+            retrieve, address, path, MAX_BODY_BYTES, timeout_s
         )
-    except (
-        httpcore.NetworkError,
-        httpcore.ProtocolError,
-        httpcore.TimeoutException,
-    ) as error:
+    except BrokenConnectionError as error:
+        return Err(f"controller {address} gave no document: {error}")
+    except OSError as error:
         reason = str(error) or type(error).__name__
         return Err(f"controller {address} can't be reached: {reason}")
-    if response.status == _UNAVAILABLE:
+    if status == _UNAVAILABLE:
         return Err(
             f"controller {address} has no routing that a leader confirms"
         )
-    if response.status != 200:
+    if status != 200:
         return Err(
-            f"controller {address} answered {response.status} to GET {path}; "
+            f"controller {address} answered {status} to GET {path}; "
             "give its address for operators and the right --format"
         )
-    return Ok(response.content)
+    return Ok(content)
 
 
 def _compare_versions(report: Report, in_force: Any) -> None:
--- a/hornbeamyard/request/relay.py
+++ b/hornbeamyard/request/relay.py
@@ -9,7 +9,7 @@
 from http import HTTPStatus
 from typing import Protocol
 
-from ..connection.client import BrokenConnectionError, Framing, Response
+from ..connection.client import Framing, Response
 from ..connection.upstreams import CONNECTION_ERRORS, UpstreamConnections
 from .events import EventOrderError, EventReader
 from .headers import HeaderCodec, Headers, ResponseMetadata
@@ -272,20 +272,9 @@
     async def _read_response(
         self, response: Response, headers: Headers
     ) -> BufferedResponse:
-        chunks: list[bytes] = []
-        size = 0
-        async for chunk in response.iter_chunks():
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > MAX_BUFFERED_RESPONSE_BYTES:
-                raise BrokenConnectionError(
-                    f"the body of a response with status {response.status} "
-                    f"exceeds {MAX_BUFFERED_RESPONSE_BYTES} bytes"
-                )
+        body = await response.read(MAX_BUFFERED_RESPONSE_BYTES)
         return BufferedResponse(
-            response.status,
-            remove_connection_headers(headers),
-            b"".join(chunks),
+            response.status, remove_connection_headers(headers), body
         )
 
     async def _forward(
--- a/hornbeamyard/tests/test_client.py
+++ b/hornbeamyard/tests/test_client.py
@@ -367,6 +367,38 @@
     return asyncio.ensure_future(connection.request("GET", b"/", [], b""))
 
 
+class TestWholeBodies:
+    """A body that is read as a whole is bounded, as are all together."""
+
+    @pytest.mark.parametrize(
+        ("size", "others", "expected"),
+        [
+            (100_000, 0, True),
+            (100_001, 0, False),
+            (8_000, 2_000_000, True),
+            (9_000, 2_000_000, False),
+        ],
+    )
+    def test_bound(self, size: int, others: int, expected: bool) -> None:
+        """Guards against memory for bodies of errors of many upstreams."""
+        body = b"x" * size
+
+        async def test(connection: Connection) -> None:
+            connection.buffers.max_size = 1_000_000
+            connection.buffers.size = others
+            response = await connection.request("GET", b"/", [], b"")
+            if expected:
+                assert await response.read(100_000) == body
+            else:
+                with pytest.raises(BrokenConnectionError, match="exceeds"):
+                    await response.read(100_000)
+            await connection.aclose()
+            assert connection.buffers.size == others
+
+        head = f"HTTP/1.1 500 X\r\ncontent-length: {size}\r\n\r\n"
+        run(send_bytes(head.encode() + body), test)
+
+
 class TestFields:
     """Header fields are bounded, however many arrive at once."""
 
--- a/hornbeamyard/tests/test_config_check.py
+++ b/hornbeamyard/tests/test_config_check.py
@@ -4,8 +4,12 @@
 
 import copy
 import json
+import socket
 import threading
+import time
+import tracemalloc
 from collections.abc import Iterator
+from contextlib import suppress
 from http.server import BaseHTTPRequestHandler, HTTPServer
 from pathlib import Path
 from typing import Any
@@ -18,6 +22,7 @@
 from hornbeamyard.platform.checking import FORMAT as PLATFORM_FORMAT
 from hornbeamyard.process.commands import main
 from hornbeamyard.process.controller_app import ROUTING_PATH
+from hornbeamyard.process.documents import MAX_BODY_BYTES
 from hornbeamyard.version.differences import build_patch, describe_differences
 from hornbeamyard.version.lint import NATIVE_FORMAT, Format, check_routing
 
@@ -248,6 +253,48 @@
         assert "k1" not in shown.stdout
         assert '"a"' not in shown.stdout
 
+    @pytest.mark.parametrize(
+        ("pieces", "message"),
+        [
+            ([b"a" * 1024 * 1024] * 160, "exceeds 16777216 bytes"),
+            ([b"a"] * 30, "no complete response within 0.5 s"),
+        ],
+        ids=["large", "slow"],
+    )
+    def test_answer_without_end(
+        self, tmp_path: Path, pieces: list[bytes], message: str
+    ) -> None:
+        """Guards against a command that never ends or takes all memory."""
+        listener = socket.create_server(("127.0.0.1", 0))
+
+        def answer() -> None:
+            connection, _ = listener.accept()
+            with connection, suppress(OSError):
+                connection.recv(4096)
+                connection.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
+                for piece in pieces:
+                    connection.sendall(piece)
+                    if len(piece) == 1:
+                        time.sleep(0.1)
+
+        thread = threading.Thread(target=answer)
+        thread.start()
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        options = ["--against", address]
+        if len(pieces[0]) == 1:
+            options += ["--timeout", "0.5"]
+        tracemalloc.start()
+        try:
+            done = self.run(tmp_path, DOCUMENT, *options)
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+            thread.join()
+            listener.close()
+        assert done.exit_code == 3
+        assert message in done.stderr
+        assert peak < 3 * MAX_BODY_BYTES
+
     @pytest.mark.parametrize(
         ("reply", "message"),
         [
