Refuse responses that are joined in their header

Callers got a failure as success, or 'not run' for a request that had run.

Cause: a late copy that breaks off inside a line of its header is continued by the status line of the next response, which a parser takes for one header. Of two ids only the last one counted. Ruled out: complete copies, whose id names another request.

A status line inside a field or the status text fails the response, and one that names two requests belongs to neither.

--- a/hornbeamyard/connection/client.py
+++ b/hornbeamyard/connection/client.py
@@ -44,6 +44,8 @@
 KEEP_ALIVE_FRACTION = 0.8
 # Bytes that were just received. They are parsed before anything else is read.
 _received = bytearray(READ_BYTES)
+# The start of another response, after one that broke off in its header.
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d( |$)")
 _KEEP_ALIVE = re.compile(rb"timeout=(\d{1,9})")
 
 
@@ -439,10 +441,15 @@
         if self.is_complete:
             self._is_reusable = False
 
+    def on_status(self, reason: bytes) -> None:
+        """Check the text after the status code."""
+        self._refuse_joined_header(reason)
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header field; those after the body are dropped."""
         if self.is_complete:
             return
+        self._refuse_joined_header(value)
         # The colon, the space and the line end take four more bytes.
         self._field_bytes += len(name) + len(value) + 4
         if self._field_bytes > MAX_UNPARSED_BYTES:
@@ -454,6 +461,17 @@
         if not self._status:
             self._headers.append((name.lower(), value))
 
+    def _refuse_joined_header(self, text: bytes) -> None:
+        """Fail if a response has broken off in its header before this one.
+
+        Status, id and signature would be those of the first one, and the body
+        that of the second.
+        """
+        if b"HTTP/1." in text and _STATUS_LINE.search(text):
+            reason = "a response broke off in its header before the next one"
+            self._fail(reason)
+            raise ValueError(reason)
+
     def on_headers_complete(self) -> None:
         """Handle the end of the header."""
         if self.is_complete:
--- a/hornbeamyard/request/headers.py
+++ b/hornbeamyard/request/headers.py
@@ -304,8 +304,12 @@
             retry_after_s = _parse_retry_after(
                 value for name, value in headers if name == RETRY_AFTER
             )
+        # A response that names two requests belongs to neither.
+        ids = {
+            value: None for name, value in headers if name == names.request_id
+        }
         return ResponseMetadata(
-            request_id=values.get(names.request_id, b"").decode("latin-1"),
+            request_id=b", ".join(ids).decode("latin-1"),
             not_run=names.not_run in values,
             wrong_upstream=status == WRONG_UPSTREAM_STATUS,
             signed=names.signature in values,
--- a/hornbeamyard/tests/test_reported_faults.py
+++ b/hornbeamyard/tests/test_reported_faults.py
@@ -99,6 +99,43 @@
         copied = send_response(body=b"first", request_id="r-0")
         run(test, [send_response(body=b"first"), copied])
 
+    @pytest.mark.parametrize(
+        "copied",
+        [
+            b"HTTP/1.1 500 Internal Server Error\r\n"
+            b"hornbeamyard-request: r-0\r\nhornbeamyard-signature: s0",
+            b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n"
+            b"hornbeamyard-not-run: true\r\nhornbeamyard-request: r-0",
+        ],
+        ids=["failure", "refusal"],
+    )
+    def test_copy_that_breaks_off(self, copied: bytes) -> None:
+        """Guards against the status of one response and the body of another.
+
+        An earlier response arrives once more in part, on a connection that is
+        in use again. It may be cut anywhere in its header.
+        """
+
+        async def test(harness: Harness) -> None:
+            assert (await harness.send_request("/charge/1")).status == 200
+            assert (await harness.send_request("/charge/2")).status == 502
+
+        for cut in range(1, len(copied) + 1):
+            run(test, [send_response(), send_after(copied[:cut])])
+
+
+def send_after(start: bytes) -> Script:
+    """Return a script that sends some bytes before its response."""
+    respond = send_response(body=b"second")
+
+    async def send(
+        stream: anyio.abc.SocketStream, received: ReceivedRequest
+    ) -> None:
+        await stream.send(start)
+        await respond(stream, received)
+
+    return send
+
 
 def in_pieces(script: Script, size: int) -> Script:
     """Return a script whose bytes arrive in reads of a size."""
