Let displaced upstreams come back

Callers of a service got no response any more after a late announcement of an upstream that had crashed: it displaced the one that had registered at its address since.

Cause: without start times the newest arrival owns an address, and the other upstream counts as ended for good: controllers tell all routers, which tell all other controllers, and renewals add nothing.

A displaced upstream is back once it has announced itself for a second while the other one has made no announcement. Its end isn't sent to routers, which conclude it themselves. A registration at the address of a silent upstream ends that one, so that its late announcements are ignored.

--- a/hornbeamyard/connection/directory.py
+++ b/hornbeamyard/connection/directory.py
@@ -255,7 +255,11 @@
             upstream = replace(upstream, state=UpstreamState.DRAINING)
             upstream.leaving_since = now
         changed = self.registry.announce(upstream, now, may_replace)
-        self._publish(changed)
+        # Routers find out for themselves which upstreams are displaced, as an
+        # end that a controller tells them is final.
+        self._publish(
+            u for u in changed if not self.registry.is_displaced(u.id)
+        )
         if not changed and self.registry.get(upstream.id) is not None:
             renewal = fleet_pb2.UpstreamRenewal(
                 id=upstream.id,
--- a/hornbeamyard/pool/upstream_registry.py
+++ b/hornbeamyard/pool/upstream_registry.py
@@ -24,6 +24,10 @@
 # Largest numbers that messages between processes hold.
 MAX_SLOTS = 2**31 - 1
 MAX_SEQUENCE = 2**63 - 1
+# A displaced upstream that has announced itself for this long counts as
+# running, if the one at its address has made no announcement meanwhile. Late
+# announcements arrive together when a partition ends.
+MIN_LATER_ANNOUNCED_S = 1.0
 # Longest time in ms for which an upstream may announce to remain cold. An odd
 # value must not limit it for good.
 MAX_COLD_REMAINING_MS = 3_600_000
@@ -174,10 +178,37 @@
     ]
 
 
+@dataclass(slots=True)
+class _Displacement:
+    """Why an upstream counts as ended without having said so.
+
+    Another one has announced its address, and no start times tell which of
+    the two is the later one.
+
+    Attributes
+    ----------
+    upstream : Upstream
+        As last announced.
+    owner_id : str
+        The other one.
+    owner_sequence : int
+        Sequence number of its announcement.
+    announced_at : float or None
+        Monotonic time in seconds of the first later announcement of the
+        displaced one, if any.
+    """
+
+    upstream: Upstream
+    owner_id: str
+    owner_sequence: int
+    announced_at: float | None = None
+
+
 @dataclass(slots=True)
 class _EndedUpstream:
     started_ms: int
     ended_at: float
+    displacement: _Displacement | None = None
 
 
 @dataclass(slots=True)
@@ -264,7 +295,7 @@
             The upstreams that have changed; those that have ended are in
             state GONE.
         """
-        if self._has_ended(upstream):
+        if self._has_ended(upstream, now):
             return []
         known = self._upstreams.get(upstream.id)
         if not may_replace:
@@ -320,6 +351,13 @@
         list of Upstream
             The upstream, if it had expired and is back.
         """
+        ended = self._ended.get(id)
+        if ended is not None and ended.displacement is not None:
+            displaced = ended.displacement.upstream
+            if displaced.started_ms != started_ms:
+                return []
+            renewed = replace(displaced, sequence=sequence, last_seen_at=now)
+            return self.announce(renewed, now)
         known = self._upstreams.get(id) or self._lost.get(id)
         if known is None or known.started_ms != started_ms:
             return []
@@ -397,9 +435,25 @@
         """Return whether an upstream is remembered as ended."""
         return id in self._ended
 
+    def is_displaced(self, id: str) -> bool:
+        """Return whether an upstream may go on although it counts as ended.
+
+        Another one has announced its address, and it isn't known which of the
+        two is the later one.
+        """
+        ended = self._ended.get(id)
+        return ended is not None and ended.displacement is not None
+
     def list_ended(self) -> list[tuple[str, int]]:
-        """Return the ids and start times of upstreams that have ended."""
-        return [(id, ended.started_ms) for id, ended in self._ended.items()]
+        """Return the ids and start times of upstreams that have ended.
+
+        Without those that may go on.
+        """
+        return [
+            (id, ended.started_ms)
+            for id, ended in self._ended.items()
+            if ended.displacement is None
+        ]
 
     def expire(self, now: float, lifetime_s: float) -> list[Upstream]:
         """Remove upstreams without an announcement for `lifetime_s`.
@@ -438,15 +492,41 @@
             if not versions:
                 del self._versions[pool]
 
-    def _has_ended(self, upstream: Upstream) -> bool:
+    def _has_ended(self, upstream: Upstream, now: float) -> bool:
         ended = self._ended.get(upstream.id)
         if ended is None:
             return False
-        if upstream.started_ms > ended.started_ms:
+        if upstream.started_ms > ended.started_ms or (
+            ended.displacement is not None
+            and self._goes_on(upstream, ended.displacement, now)
+        ):
             del self._ended[upstream.id]
             return False
         return True
 
+    def _goes_on(
+        self, upstream: Upstream, displacement: _Displacement, now: float
+    ) -> bool:
+        """Return whether a displaced upstream has outlived the other one.
+
+        A single announcement may be late. Of two processes, the one that runs
+        goes on to announce itself.
+        """
+        displaced = displacement.upstream
+        if (
+            upstream.started_ms != displaced.started_ms
+            or upstream.sequence <= displaced.sequence
+            or displacement.owner_id in self._ended
+        ):
+            return False
+        owner = self._upstreams.get(displacement.owner_id)
+        if owner and owner.sequence > displacement.owner_sequence:
+            return False
+        if displacement.announced_at is None:
+            displacement.announced_at = now
+        displaced.sequence = upstream.sequence
+        return now - displacement.announced_at >= MIN_LATER_ANNOUNCED_S
+
     def _end_previous_at_address(
         self, upstream: Upstream, now: float
     ) -> list[Upstream] | None:
@@ -458,6 +538,8 @@
             The ended upstream, if any; None when the other one started
             later, so that this announcement is from one that has ended.
         """
+        if upstream.id not in self._upstreams:
+            self._displace_lost(upstream, now)
         other_id = self._by_address.get(upstream.address)
         if other_id is None or other_id == upstream.id:
             return []
@@ -465,7 +547,25 @@
         if other.started_ms > upstream.started_ms:
             self._ended[upstream.id] = _EndedUpstream(upstream.started_ms, now)
             return None
-        return self.record_end(other_id, other.started_ms, now)
+        displacement = _describe_displacement(replace(other), upstream)
+        gone = self.record_end(other_id, other.started_ms, now)
+        self._ended[other_id].displacement = displacement
+        return gone
+
+    def _displace_lost(self, upstream: Upstream, now: float) -> None:
+        """Record the end of silent upstreams whose address is taken."""
+        for id, lost in list(self._lost.items()):
+            if (
+                id != upstream.id
+                and lost.address == upstream.address
+                and lost.started_ms <= upstream.started_ms
+            ):
+                del self._lost[id]
+                self._ended[id] = _EndedUpstream(
+                    lost.started_ms,
+                    now,
+                    _describe_displacement(replace(lost), upstream),
+                )
 
     def _remove(self, upstream: Upstream) -> None:
         del self._upstreams[upstream.id]
@@ -473,6 +573,15 @@
             del self._by_address[upstream.address]
 
 
+def _describe_displacement(
+    displaced: Upstream, owner: Upstream
+) -> _Displacement | None:
+    """Return how one upstream displaces another; None if it is the later."""
+    if displaced.started_ms != owner.started_ms:
+        return None
+    return _Displacement(displaced, owner.id, owner.sequence)
+
+
 def _is_older(upstream: Upstream, known: Upstream) -> bool:
     if upstream.started_ms != known.started_ms:
         return upstream.started_ms < known.started_ms
--- a/hornbeamyard/tests/test_directory.py
+++ b/hornbeamyard/tests/test_directory.py
@@ -125,14 +125,14 @@
 
     def start_announcing(self, number: int, upstream: Upstream) -> None:
         """Announce an upstream to a controller again and again."""
-        self.registrars[number].announce(upstream)
+        self.registrars[number].announce(replace(upstream))
         self._tasks.start_soon(self._announce, number, upstream)
 
     async def _announce(self, number: int, upstream: Upstream) -> None:
         while True:
             await anyio.sleep(DirectorySettings([]).announcement_interval_s)
             upstream = replace(upstream, sequence=upstream.sequence + 1)
-            self.registrars[number].announce(upstream)
+            self.registrars[number].announce(replace(upstream))
 
     def start_router(self) -> None:
         """Start the router."""
@@ -496,6 +496,34 @@
 
         run_fleet(tmp_path, test)
 
+    @pytest.mark.parametrize("controller", [0, 1])
+    def test_late_announcement_of_a_predecessor(
+        self, tmp_path: Path, controller: int
+    ) -> None:
+        """Guards against an upstream that is removed for good.
+
+        An announcement of the one that had its address before arrives late,
+        at the same controller or at another one. Neither tells its start.
+        """
+
+        async def test(fleet: Fleet) -> None:
+            await fleet.submit(7)
+            fleet.start_router()
+            router = fleet.router
+            assert router is not None
+            fleet.start_announcing(0, build_upstream("u2", 9, "app"))
+            await fleet.wait(router.is_ready)
+            registry = router.subscription.registry
+            fleet.registrars[controller].announce(
+                build_upstream("u1", 9, "app")
+            )
+            await fleet.wait(lambda: registry.get("u2") is None)
+            await fleet.wait(lambda: registry.get("u2") is not None)
+            await anyio.sleep(2.0)
+            assert [u.id for u in registry] == ["u2"]
+
+        run_fleet(tmp_path, test)
+
     def test_needs_a_router_of_another_host(self) -> None:
         """Guards against an acknowledgement that ends with its host.
 
--- a/hornbeamyard/tests/test_upstream_registry.py
+++ b/hornbeamyard/tests/test_upstream_registry.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from hornbeamyard.pool.upstream_registry import (
     Upstream,
     UpstreamRegistry,
@@ -165,3 +167,73 @@
         registry.announce(build_announcement("u2", pool="app"), 9.5)
         assert registry.renew("u1", 0, 9, 10.0) == []
         assert [u.id for u in registry] == ["u2"]
+
+
+class TestDisplaced:
+    """Without start times, the upstream that goes on announcing itself stays.
+
+    Two have announced the same address, and either may be the later one.
+    """
+
+    @staticmethod
+    def build_registry(is_lost: bool) -> UpstreamRegistry:
+        """Return a registry in which u2 has replaced u1 at its address."""
+        registry = UpstreamRegistry()
+        registry.announce(build_announcement("u1", sequence=5), 0.0)
+        if is_lost:
+            registry.expire(9.0, 4.0)
+        registry.announce(build_announcement("u2", pool="app"), 9.5)
+        return registry
+
+    @pytest.mark.parametrize("is_lost", [True, False])
+    def test_late_announcements_of_the_former_one(self, is_lost: bool) -> None:
+        """Guards against a new upstream that its predecessor removes.
+
+        Announcements that were held up arrive when a partition ends, some
+        together and one later.
+        """
+        registry = self.build_registry(is_lost)
+        for sequence in (6, 7, 8):
+            late = build_announcement("u1", sequence=sequence)
+            assert registry.announce(late, 9.6) == []
+        registry.renew("u2", 0, 2, 10.7)
+        late = build_announcement("u1", sequence=9)
+        assert registry.announce(late, 11.0) == []
+        assert [u.id for u in registry] == ["u2"]
+
+    @pytest.mark.parametrize("by", ["announcement", "renewal"])
+    def test_late_announcement_that_is_the_first_one_known(
+        self, by: str
+    ) -> None:
+        """Guards against an upstream that is lost to a late announcement.
+
+        It was removed for good, as an end is final and others are only told
+        that it goes on.
+        """
+        registry = UpstreamRegistry()
+        registry.announce(build_announcement("u2", pool="app"), 0.0)
+        registry.announce(build_announcement("u1", sequence=5), 1.0)
+        assert registry.is_displaced("u2")
+        assert registry.list_ended() == []
+        changed: list[Upstream] = []
+        for sequence in (2, 3, 4):
+            now = 1.2 * sequence
+            if by == "renewal":
+                changed += registry.renew("u2", 0, sequence, now)
+            else:
+                again = build_announcement("u2", pool="app", sequence=sequence)
+                changed += registry.announce(again, now)
+        assert [(u.id, u.state) for u in changed] == [
+            ("u1", UpstreamState.GONE),
+            ("u2", UpstreamState.READY),
+        ]
+        assert [(u.id, u.sequence) for u in registry] == [("u2", 4)]
+
+    def test_farewell_is_final(self) -> None:
+        """Guards against requests to an upstream that has left."""
+        registry = self.build_registry(is_lost=False)
+        registry.record_end("u1", 0, 9.6)
+        for second in range(4):
+            late = build_announcement("u1", sequence=6 + second)
+            assert registry.announce(late, 10.0 + second) == []
+        assert [u.id for u in registry] == ["u2"]
