Tell a long queue from a crash by the connections that hold

Cause: a reset of the connection that checks an upstream counted as its end. Ruled out: unknown origins, as the refusals were for want of a version.

A new connection that is reset or closed at once counts as an end only if no other connection of this router to the upstream holds.

Evidence: the cases held and in use of test_new_connections_are_reset failed before.

--- a/hornbeamyard/connection/client.py
+++ b/hornbeamyard/connection/client.py
@@ -293,16 +293,18 @@
 
     # ---- for reuse -------------------------------------------------------
 
-    def is_idle(self) -> bool:
-        """Return whether another request may be sent."""
+    def is_open(self) -> bool:
+        """Return whether neither side has closed or reset it."""
         return (
-            not self._is_busy
-            and not self._is_lost
-            and self._is_reusable
+            not self._is_lost
             and self._transport is not None
             and not self._transport.is_closing()
         )
 
+    def is_idle(self) -> bool:
+        """Return whether another request may be sent."""
+        return self.is_open() and not self._is_busy and self._is_reusable
+
     def has_expired(self) -> bool:
         """Return whether it was idle for too long or can't be reused."""
         return not self.is_idle() or self._loop.time() >= self._idle_until
--- a/hornbeamyard/connection/upstreams.py
+++ b/hornbeamyard/connection/upstreams.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections.abc import Callable
+from weakref import WeakSet
 
 import anyio
 
@@ -55,6 +56,7 @@
         "_connect_timeout_s",
         "_idle",
         "_idle_timeout_s",
+        "_open_connections",
         "_pacer",
         "_socket_options",
         "buffers",
@@ -72,6 +74,8 @@
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[str, list[Connection]] = {}
         self._idle_timeout_s = idle_timeout_s
+        # By address; those in use as well.
+        self._open_connections: dict[str, WeakSet[Connection]] = {}
         self._pacer = ReadPacer()
         self._socket_options = []
         if unacknowledged_timeout_s:
@@ -114,7 +118,7 @@
         self.opened += 1
         try:
             with anyio.fail_after(timeout_s):
-                return await open_connection(
+                connection = await open_connection(
                     host.strip("[]"),
                     int(port),
                     self._idle_timeout_s,
@@ -126,14 +130,30 @@
             raise TimeoutError(
                 f"no connection within {timeout_s:g} s"
             ) from None
-        except (ConnectionRefusedError, ConnectionResetError):
+        except ConnectionRefusedError:
             self.on_refused(address)
             raise
+        except ConnectionResetError:
+            if not self._has_open_connection(address):
+                self.on_refused(address)
+            raise
+        self._open_connections.setdefault(address, WeakSet()).add(connection)
+        return connection
+
+    def _has_open_connection(self, address: str) -> bool:
+        """Return whether any connection to an upstream holds.
+
+        An upstream that has ended has taken all of them along, while one with
+        a long queue only closes those that are new.
+        """
+        connections = self._open_connections.get(address, ())
+        return any(connection.is_open() for connection in connections)
 
     async def has_ended(self, address: str) -> bool:
         """Return whether an upstream refuses new connections.
 
-        One that can't be reached at all may still run.
+        One that can't be reached at all may still run, and so does one that
+        closes a new connection while another one holds.
 
         Parameters
         ----------
@@ -142,12 +162,16 @@
         """
         try:
             connection = await self._open(address, LISTENING_TIMEOUT_S)
-        except (ConnectionRefusedError, ConnectionResetError):
+        except ConnectionRefusedError:
             return True
+        except ConnectionResetError:
+            return not self._has_open_connection(address)
         except OSError:
             return False
         await anyio.sleep(RELAY_CLOSE_S)
-        has_ended = not connection.is_idle()
+        has_ended = not connection.is_idle() and not (
+            self._has_open_connection(address)
+        )
         if has_ended:
             self.on_refused(address)
         await self.release(address, connection, not has_ended)
@@ -192,6 +216,9 @@
             idle[:] = [c for c in idle if c not in ended]
             if not idle:
                 del self._idle[address]
+        for address, connections in list(self._open_connections.items()):
+            if not any(connection.is_open() for connection in connections):
+                del self._open_connections[address]
         for connection in expired:
             await connection.aclose()
 
--- a/hornbeamyard/tests/test_upstreams.py
+++ b/hornbeamyard/tests/test_upstreams.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 import anyio
+import pytest
 
 from hornbeamyard.connection.upstreams import UpstreamConnections
 
@@ -101,3 +105,58 @@
             assert kept not in upstreams._idle.get(address, [])
 
         anyio.run(test)
+
+
+class TestEnd:
+    """An upstream that refuses or closes new connections may have ended."""
+
+    @pytest.mark.parametrize("others", ["held", "in use", "closed", "none"])
+    def test_new_connections_are_reset(self, others: str) -> None:
+        """Guards against a long queue that is taken for a crash.
+
+        Streams were refused then, and requests as if they had crashed it.
+        """
+
+        async def test() -> None:
+            accepts = True
+
+            async def serve(
+                reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+            ) -> None:
+                if accepts:
+                    await reader.read()
+                else:
+                    reset(writer)
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            address = "http://{}:{}".format(*server.sockets[0].getsockname())
+            upstreams = UpstreamConnections()
+            refused: list[str] = []
+            upstreams.on_refused = refused.append
+            connection = None
+            if others != "none":
+                connection = await upstreams.connect(address)
+                if others == "held":
+                    await upstreams.release(address, connection, True)
+                if others == "closed":
+                    await connection.aclose()
+            accepts = False
+            has_ended = await upstreams.has_ended(address)
+            assert has_ended is (others in ("closed", "none"))
+            assert refused == ([address] if has_ended else [])
+            await upstreams.close_idle(address)
+            if connection is not None:
+                await connection.aclose()
+            await upstreams.close_expired()
+            assert upstreams._open_connections == {}
+            server.close()
+
+        anyio.run(test)
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection."""
+    raw = writer.get_extra_info("socket")
+    linger = struct.pack("ii", 1, 0)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
