--- a/hornbeamyard/tests/test_directory.py
+++ b/hornbeamyard/tests/test_directory.py
@@ -921,14 +921,7 @@
 
         Their upstreams may have the same version.
         """
-        document = copy.deepcopy(DOCUMENT)
-        document["pools"].append({"name": "other"})
-        for route in document["routes"]:
-            if route["name"] == "chat":
-                route["shares"] = [
-                    {"pool": "app", "weight": 1},
-                    {"pool": "other", "weight": 1},
-                ]
+        _, document = build_documents_with_pools()
 
         async def test(fleet: Fleet) -> None:
             await fleet.submit(7, document)
@@ -1079,15 +1072,7 @@
         Their route gets a second version, or a second pool, between the end of
         the router and the callers' next attempts.
         """
-        document = copy.deepcopy(DOCUMENT)
-        document["pools"].append({"name": "other"})
-        split = copy.deepcopy(document)
-        for route in split["routes"]:
-            if route["name"] == "chat":
-                route["shares"] = [
-                    {"pool": "app", "weight": 1},
-                    {"pool": "other", "weight": 1},
-                ]
+        document, split = build_documents_with_pools()
 
         async def test(fleet: Fleet) -> None:
             await fleet.submit(7, document)
@@ -1183,6 +1168,20 @@
                 assert len(set(began + went_on)) == 1
 
 
+def build_documents_with_pools() -> tuple[dict[str, Any], dict[str, Any]]:
+    """Return a routing with a second pool, and one that splits a route."""
+    document = copy.deepcopy(DOCUMENT)
+    document["pools"].append({"name": "other"})
+    split = copy.deepcopy(document)
+    for route in split["routes"]:
+        if route["name"] == "chat":
+            route["shares"] = [
+                {"pool": "app", "weight": 1},
+                {"pool": "other", "weight": 1},
+            ]
+    return document, split
+
+
 async def restart_all(fleet: Fleet, *upstreams: Upstream) -> None:
     """Restart the router's and all controllers' processes.
 
--- a/hornbeamyard/tests/test_upstream_registry.py
+++ b/hornbeamyard/tests/test_upstream_registry.py
@@ -207,8 +207,8 @@
     ) -> None:
         """Guards against an upstream that is lost to a late announcement.
 
-        It was removed for good, as an end is final and others are only told
-        that it goes on.
+        It was removed for good, as an end is final and a renewal doesn't add
+        an unknown upstream.
         """
         registry = UpstreamRegistry()
         registry.announce(build_announcement("u2", pool="app"), 0.0)
