--- a/properties/traffic.py
+++ b/properties/traffic.py
@@ -24,6 +24,7 @@
 from hornbeamyard.connection.directory import Directory
 from hornbeamyard.connection.directory_codec import pack_document
 from hornbeamyard.connection.directory_service import DirectoryService
+from hornbeamyard.connection.pacing import ReadPacer
 from hornbeamyard.connection.subscriber import Subscriber
 from hornbeamyard.messages import fleet_pb2
 from hornbeamyard.pool.upstream_registry import Upstream, UpstreamState
@@ -273,6 +274,7 @@
         idle_timeout_s: float,
         options: object,
         buffers: ResponseBuffers,
+        pacer: ReadPacer,
     ) -> Connection:
         """Open a connection to a simulated upstream.
 
@@ -281,7 +283,7 @@
         address = f"{host}:{port}"
         if address in self.crashed:
             raise ConnectionRefusedError
-        connection = Connection(idle_timeout_s, buffers)
+        connection = Connection(idle_timeout_s, buffers, pacer)
         loop: Any = SimpleNamespace(
             time=self.timers.now,
             create_future=asyncio.get_running_loop().create_future,
