--- a/hornbeamyard/connection/pacing.py
+++ b/hornbeamyard/connection/pacing.py
@@ -6,8 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 
-# Interval at which one waiting connection is read. A read of many small chunks
-# takes about a tenth of it.
+# Interval at which one waiting connection is read.
 READ_INTERVAL_S = 0.005
 
 
